Build: Add design, interfaces, HTTP layer and checks

Cause: the modules need shared types and one HTTP layer before they can be written side by side. Ruled out: the cxxtools HTTP client. On a connection opened with connect() it sent a POST twice when the answer was lost (peer counted 2), and its asynchronous path failed with "end of input" when the last chunk came in one segment with data (3 of 6 segmentations tried). Change: design page, headers of the modules, HTTP server on cxxtools, client on libcurl, lint and test scripts. Conclusion: the modules can be built against these headers.

--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs every check and test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+step() { printf '\n== %s (%s s)\n' "$1" "$SECONDS"; }
+
+step packages
+scripts/install_packages.sh
+step build
+scripts/build.sh build
+step lint
+scripts/lint.sh
+step "unit tests"
+build/unit_tests
+step "unit tests with address and undefined sanitizers"
+BUILD_TARGET=unit_tests scripts/build.sh build-asan -DCOLTSFOOTVANE_ASAN=ON -DCMAKE_BUILD_TYPE=Debug
+build-asan/unit_tests
+if [ -x build/integration_tests ]; then
+  step "integration tests"
+  scripts/integration.sh
+fi
+step done
--- /dev/null
+++ b/tests/support/free_port.cc
@@ -0,0 +1,39 @@
+#include "support/free_port.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+
+namespace coltsfootvane::testing {
+
+int ListenOnFreePort(const std::string& host, int* port) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  socklen_t size = sizeof(address);
+  auto* const raw = reinterpret_cast<sockaddr*>(&address);
+  if (fd < 0 || ::inet_pton(AF_INET, host.c_str(), &address.sin_addr) != 1 ||
+      ::bind(fd, raw, size) != 0 || ::listen(fd, 64) != 0 ||
+      ::getsockname(fd, raw, &size) != 0)
+    std::abort();
+  *port = ntohs(address.sin_port);
+  return fd;
+}
+
+int FreePort(const std::string& host) {
+  int port = 0;
+  ::close(ListenOnFreePort(host, &port));
+  return port;
+}
+
+std::string OwnLoopbackHost() {
+  const auto id = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(64 + id / 62500 % 64) + "." +
+         std::to_string(1 + id / 250 % 250) + "." +
+         std::to_string(1 + id % 250);
+}
+
+}  // namespace coltsfootvane::testing
