Http: Return the test server by a moved result

Cause: cppcheck reports a move of a returned value. Ruled out: suppressing the check; the code can say it plainly. Change: the result is moved, not the value inside it.

--- a/src/http/http_unittest.cc
+++ b/src/http/http_unittest.cc
@@ -81,7 +81,7 @@
       http::Server::Start(options, std::move(handler));
   CHECK(server.has_value());
   *address = options.listen;
-  return std::move(server.assume_value());
+  return std::move(server).assume_value();
 }
 
 http::Request Post(std::string body) {
