Platform: Add the object API client

Cause: other slices link against src/platform/client.h, which had no source.

A 5xx, and a write whose successful response is malformed, are kUnknown: in both cases the write may have taken effect. A conditional delete carries its version in the body, as Kubernetes has it.

Not measured.

--- /dev/null
+++ b/src/platform/client.cc
@@ -0,0 +1,284 @@
+#include "platform/client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <utility>
+
+#include "http/client.h"
+#include "platform/call_budget.h"
+#include "platform/object_json.h"
+
+namespace coltsfootvane::platform {
+namespace {
+
+/// The platform is asked to end a watch this much before the deadline, so that
+/// a quiet watch ends with its last chunk and not by the deadline.
+constexpr Milliseconds kWatchMargin{500};
+constexpr int kMaxRetryAfterSeconds = 3600;
+
+std::string KindPath(std::string_view kind) {
+  return "/apis/coltsfootvane/v1/" + PercentEncode(kind);
+}
+
+std::string ObjectPath(std::string_view kind, std::string_view name) {
+  return KindPath(kind) + "/" + PercentEncode(name);
+}
+
+int RetryAfterMs(gsl::span<const http::Header> headers) {
+  const std::string_view text = http::FindHeader(headers, "Retry-After");
+  int seconds = 0;
+  std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return std::clamp(seconds, 0, kMaxRetryAfterSeconds) * 1000;
+}
+
+/// Returns the error that `status` stands for. A 5xx is kUnknown: the platform
+/// may answer so after a write took effect.
+Error StatusError(int status, gsl::span<const http::Header> headers) {
+  Error error;
+  error.message = "platform answered " + std::to_string(status);
+  error.retry_after_ms = RetryAfterMs(headers);
+  if (status == 404)
+    error.code = ErrorCode::kNotFound;
+  else if (status == 409)
+    error.code = ErrorCode::kConflict;
+  else if (status == 410)
+    error.code = ErrorCode::kGone;
+  else if (status == 429)
+    error.code = ErrorCode::kRateLimited;
+  else if (status >= 400 && status < 500)
+    error.code = ErrorCode::kInvalid;
+  return error;
+}
+
+http::CallOptions MakeOptions(const Connection& connection,
+                              TimePoint deadline) {
+  http::CallOptions options;
+  options.peer = connection.address;
+  options.connect_deadline = deadline;
+  options.deadline = deadline;
+  return options;
+}
+
+/// Returns the body of a successful response.
+Result<std::string> CallPlatform(const Connection& connection,
+                                 const http::Request& request,
+                                 TimePoint deadline) {
+  const TimePoint now = Clock::now();
+  if (now >= deadline)
+    return Error{ErrorCode::kNotSent, "deadline has passed"};
+  if (connection.budget && !connection.budget->Take(now))
+    return Error{ErrorCode::kNotSent, "call budget is used up"};
+  Result<http::Response> response =
+      http::Call(MakeOptions(connection, deadline), request);
+  if (!response)
+    return std::move(response).error();
+  if (response.value().status < 200 || response.value().status > 299)
+    return StatusError(response.value().status, response.value().headers);
+  return std::move(response).value().body;
+}
+
+Result<Object> WriteObject(const Connection& connection,
+                           const http::Request& request,
+                           std::string_view kind,
+                           TimePoint deadline) {
+  const Result<std::string> body = CallPlatform(connection, request, deadline);
+  if (!body)
+    return body.error();
+  Result<Object> stored = ParseObject(kind, body.value());
+  // The write took effect, but its new version is not known.
+  if (!stored)
+    return Error{ErrorCode::kUnknown, stored.error().message};
+  return stored;
+}
+
+/// Collects the lines of one watch.
+class WatchReader {
+ public:
+  WatchReader(std::string_view kind, std::int64_t resource_version)
+      : kind(kind) {
+    this->batch.resource_version = resource_version;
+  }
+
+  http::StreamHandler MakeHandler();
+  Result<ChangeBatch> Finish(const Result<int>& end, bool deadline_passed);
+
+ private:
+  bool HandleHeader(int status, gsl::span<const http::Header> headers);
+  bool HandleData(std::string_view data);
+  bool HandleLine(std::string_view line);
+  /// False once changes are there and no line is half received.
+  bool HandleIdle() const {
+    return this->batch.changes.empty() || !this->partial_line.empty();
+  }
+
+  std::string_view kind;
+  ChangeBatch batch;
+  std::string partial_line;
+  bool accepted = false;
+  bool has_error = false;
+  Error error;
+};
+
+http::StreamHandler WatchReader::MakeHandler() {
+  http::StreamHandler handler;
+  handler.on_header = [this](int status,
+                             gsl::span<const http::Header> headers) {
+    return this->HandleHeader(status, headers);
+  };
+  handler.on_data = [this](std::string_view data) {
+    return this->HandleData(data);
+  };
+  handler.on_idle = [this] { return this->HandleIdle(); };
+  return handler;
+}
+
+bool WatchReader::HandleHeader(int status,
+                               gsl::span<const http::Header> headers) {
+  this->accepted = status == 200;
+  if (this->accepted)
+    return true;
+  this->has_error = true;
+  this->error = StatusError(status, headers);
+  return false;
+}
+
+bool WatchReader::HandleData(std::string_view data) {
+  this->partial_line.append(data);
+  std::size_t start = 0;
+  for (;;) {
+    const std::size_t end = this->partial_line.find('\n', start);
+    if (end == std::string::npos)
+      break;
+    const std::string_view line(this->partial_line.data() + start, end - start);
+    if (!this->HandleLine(line))
+      return false;
+    start = end + 1;
+  }
+  this->partial_line.erase(0, start);
+  return true;
+}
+
+bool WatchReader::HandleLine(std::string_view line) {
+  if (line.empty() || line == "\r")
+    return true;
+  Result<Change> change = ParseWatchLine(this->kind, line);
+  if (!change) {
+    this->has_error = true;
+    this->error = change.error();
+    return false;
+  }
+  this->batch.resource_version = std::max(
+      this->batch.resource_version, change.value().object.resource_version);
+  this->batch.changes.push_back(std::move(change).value());
+  return true;
+}
+
+Result<ChangeBatch> WatchReader::Finish(const Result<int>& end,
+                                        bool deadline_passed) {
+  // Complete lines are valid whatever followed them; the next watch meets the
+  // error again if it lasts.
+  if (!this->batch.changes.empty())
+    return std::move(this->batch);
+  if (this->has_error)
+    return this->error;
+  if (end || (this->accepted && deadline_passed))
+    return std::move(this->batch);
+  return end.error();
+}
+
+}  // namespace
+
+Connection MakeConnection(const http::Address& address, double calls_per_s) {
+  return {address, std::make_shared<CallBudget>(calls_per_s, Clock::now())};
+}
+
+Result<Object> ReadObject(const Connection& connection,
+                          std::string_view kind,
+                          std::string_view name,
+                          TimePoint deadline) {
+  http::Request request;
+  request.method = "GET";
+  request.path = ObjectPath(kind, name);
+  const Result<std::string> body = CallPlatform(connection, request, deadline);
+  if (!body)
+    return body.error();
+  return ParseObject(kind, body.value());
+}
+
+Result<Object> CreateObject(const Connection& connection,
+                            const Object& object,
+                            TimePoint deadline) {
+  Object created = object;
+  created.resource_version = 0;
+  Result<std::string> text = FormatObject(created);
+  if (!text)
+    return text.error();
+  http::Request request;
+  request.method = "POST";
+  request.path = KindPath(object.kind);
+  request.body = std::move(text).value();
+  return WriteObject(connection, request, object.kind, deadline);
+}
+
+Result<Object> UpdateObject(const Connection& connection,
+                            const Object& object,
+                            TimePoint deadline) {
+  Result<std::string> text = FormatObject(object);
+  if (!text)
+    return text.error();
+  http::Request request;
+  request.method = "PUT";
+  request.path = ObjectPath(object.kind, object.name);
+  request.body = std::move(text).value();
+  return WriteObject(connection, request, object.kind, deadline);
+}
+
+Result<bool> DeleteObject(const Connection& connection,
+                          const Object& object,
+                          TimePoint deadline) {
+  http::Request request;
+  request.method = "DELETE";
+  request.path = ObjectPath(object.kind, object.name);
+  request.body = FormatPrecondition(object.resource_version);
+  const Result<std::string> body = CallPlatform(connection, request, deadline);
+  if (!body)
+    return body.error();
+  return true;
+}
+
+Result<ObjectList> ListObjects(const Connection& connection,
+                               std::string_view kind,
+                               TimePoint deadline) {
+  http::Request request;
+  request.method = "GET";
+  request.path = KindPath(kind);
+  const Result<std::string> body = CallPlatform(connection, request, deadline);
+  if (!body)
+    return body.error();
+  return ParseObjectList(kind, body.value());
+}
+
+Result<ChangeBatch> WatchObjects(const Connection& connection,
+                                 std::string_view kind,
+                                 std::int64_t resource_version,
+                                 TimePoint deadline) {
+  const Milliseconds left = TimeLeft(deadline, Clock::now());
+  if (left.count() == 0)
+    return Error{ErrorCode::kNotSent, "deadline has passed"};
+  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
+      std::max(Milliseconds{0}, left - kWatchMargin));
+  http::Request request;
+  request.method = "GET";
+  request.path = KindPath(kind);
+  request.query =
+      "watch=1&resourceVersion=" + std::to_string(resource_version) +
+      "&timeoutSeconds=" +
+      std::to_string(std::max<std::int64_t>(1, seconds.count()));
+  WatchReader reader(kind, resource_version);
+  const Result<int> end = http::StreamCall(MakeOptions(connection, deadline),
+                                           request, reader.MakeHandler());
+  return reader.Finish(end, Clock::now() >= deadline);
+}
+
+}  // namespace coltsfootvane::platform
