Platform: Let a watch be cancelled, let a reply be cut

Cause: a daemon that stops would wait up to a whole watch for its watch threads. The stand-in needs to cut a connection without an answer.

Change: WatchObjects takes an optional function that cancels it, asked at least every 100 ms; ReplyStream::Abort() closes without an answer. Existing calls are unchanged.

Not measured.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -192,6 +192,11 @@
   return !this->channel->failed;
 }
 
+void ReplyStream::Abort() {
+  this->channel->streaming = true;
+  this->channel->failed = true;
+}
+
 bool ReplyStream::CallerGone() const {
   if (this->channel->failed)
     return true;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -35,6 +35,9 @@
   /// seen by the caller as cut.
   bool End();
 
+  /// Closes the connection without an answer, or cuts a stream in progress.
+  void Abort();
+
   /// Returns whether the caller has closed or reset the connection.
   bool CallerGone() const;
 
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -95,8 +95,10 @@
 /// Collects the lines of one watch.
 class WatchReader {
  public:
-  WatchReader(std::string_view kind, std::int64_t resource_version)
-      : kind(kind) {
+  WatchReader(std::string_view kind,
+              std::int64_t resource_version,
+              const std::function<bool()>& cancelled)
+      : kind(kind), cancelled(&cancelled) {
     this->batch.resource_version = resource_version;
   }
 
@@ -107,12 +109,11 @@
   bool HandleHeader(int status, gsl::span<const http::Header> headers);
   bool HandleData(std::string_view data);
   bool HandleLine(std::string_view line);
-  /// False once changes are there and no line is half received.
-  bool HandleIdle() const {
-    return this->batch.changes.empty() || !this->partial_line.empty();
-  }
+  bool HandleIdle();
 
   std::string_view kind;
+  const std::function<bool()>* cancelled;
+  bool was_cancelled = false;
   ChangeBatch batch;
   std::string partial_line;
   bool accepted = false;
@@ -159,6 +160,15 @@
   return true;
 }
 
+bool WatchReader::HandleIdle() {
+  this->was_cancelled = *this->cancelled && (*this->cancelled)();
+  if (this->was_cancelled)
+    return false;
+  const bool has_whole_lines =
+      !this->batch.changes.empty() && this->partial_line.empty();
+  return !has_whole_lines;
+}
+
 bool WatchReader::HandleLine(std::string_view line) {
   if (line.empty() || line == "\r")
     return true;
@@ -182,7 +192,7 @@
     return std::move(this->batch);
   if (this->has_error)
     return this->error;
-  if (end || (this->accepted && deadline_passed))
+  if (end || this->was_cancelled || (this->accepted && deadline_passed))
     return std::move(this->batch);
   return end.error();
 }
@@ -262,7 +272,8 @@
 Result<ChangeBatch> WatchObjects(const Connection& connection,
                                  std::string_view kind,
                                  std::int64_t resource_version,
-                                 TimePoint deadline) {
+                                 TimePoint deadline,
+                                 const std::function<bool()>& cancelled) {
   const Milliseconds left = TimeLeft(deadline, Clock::now());
   if (left.count() == 0)
     return Error{ErrorCode::kNotSent, "deadline has passed"};
@@ -275,7 +286,7 @@
       "watch=1&resourceVersion=" + std::to_string(resource_version) +
       "&timeoutSeconds=" +
       std::to_string(std::max<std::int64_t>(1, seconds.count()));
-  WatchReader reader(kind, resource_version);
+  WatchReader reader(kind, resource_version, cancelled);
   const Result<int> end = http::StreamCall(MakeOptions(connection, deadline),
                                            request, reader.MakeHandler());
   return reader.Finish(end, Clock::now() >= deadline);
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -59,10 +59,13 @@
 
 /// Waits for changes of `kind` after `resource_version`. Also kGone: list
 /// again. Counts as one waiting call at the platform; not in the budget.
+/// Ends within about 100 ms with an empty batch once `cancelled`, if given,
+/// returns true.
 Result<ChangeBatch> WatchObjects(const Connection& connection,
                                  std::string_view kind,
                                  std::int64_t resource_version,
-                                 TimePoint deadline);
+                                 TimePoint deadline,
+                                 const std::function<bool()>& cancelled = {});
 
 }  // namespace coltsfootvane::platform
 
