Standins: Add the platform stand-in

Cause: no test may start a third-party server, and the failures of the platform have to be produced at will.

Change: objects in memory with one growing version, a bounded change log for each kind, waiting watches, rates, faults and call counts.

Not measured.

--- /dev/null
+++ b/standins/platform_standin/object_call.cc
@@ -0,0 +1,233 @@
+#include "standins/platform_standin/object_call.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+namespace coltsfootvane::standin {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kPrefix = "/apis/coltsfootvane/v1/";
+
+Error Malformed(const char* message) {
+  return {ErrorCode::kInvalid, message};
+}
+
+std::int64_t ParseNumber(std::string_view text) {
+  std::int64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+std::string PercentDecode(std::string_view text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned byte = 0;
+    const char* const digits = text.data() + i + 1;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2) {
+      decoded += static_cast<char>(byte);
+      i += 2;
+      continue;
+    }
+    decoded += text[i];
+  }
+  return decoded;
+}
+
+/// Returns the value of `name` in a query, or an empty view.
+std::string_view QueryValue(std::string_view query, std::string_view name) {
+  while (!query.empty()) {
+    const std::size_t end = std::min(query.find('&'), query.size());
+    const std::string_view pair = query.substr(0, end);
+    query.remove_prefix(std::min(end + 1, query.size()));
+    const std::size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name)
+      return pair.substr(equals + 1);
+  }
+  return {};
+}
+
+std::int64_t ReadVersion(const Json& parent) {
+  const auto found = parent.find("resourceVersion");
+  if (found == parent.end())
+    return 0;
+  if (found->is_number_integer())
+    return found->get<std::int64_t>();
+  return found->is_string() ? ParseNumber(found->get<std::string>()) : 0;
+}
+
+bool ReadWrittenObject(const std::string& body, platform::Object* object) {
+  const Json value = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!value.is_object() || !value.contains("spec") ||
+      !value.contains("metadata") || !value["metadata"].is_object())
+    return false;
+  const Json& metadata = value["metadata"];
+  const auto name = metadata.find("name");
+  if (name == metadata.end() || !name->is_string())
+    return false;
+  // The name in the path of an update has to agree with the one in its body.
+  if (!object->name.empty() && object->name != name->get<std::string>())
+    return false;
+  object->name = name->get<std::string>();
+  object->resource_version = ReadVersion(metadata);
+  object->spec = value["spec"].dump();
+  return !object->name.empty();
+}
+
+bool ReadPrecondition(const std::string& body, platform::Object* object) {
+  const Json value = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!value.is_object() || !value.contains("preconditions") ||
+      !value["preconditions"].is_object())
+    return false;
+  object->resource_version = ReadVersion(value["preconditions"]);
+  return true;
+}
+
+/// Returns false if the method does not fit the path.
+bool ReadVerb(const http::Request& request, bool has_name, Verb* verb) {
+  if (request.method == "GET" && has_name)
+    *verb = Verb::kGet;
+  else if (request.method == "GET")
+    *verb =
+        QueryValue(request.query, "watch") == "1" ? Verb::kWatch : Verb::kList;
+  else if (request.method == "POST" && !has_name)
+    *verb = Verb::kCreate;
+  else if (request.method == "PUT" && has_name)
+    *verb = Verb::kUpdate;
+  else if (request.method == "DELETE" && has_name)
+    *verb = Verb::kDelete;
+  else
+    return false;
+  return true;
+}
+
+const char* ChangeTypeName(platform::ChangeType type) {
+  switch (type) {
+    case platform::ChangeType::kAdded:
+      return "ADDED";
+    case platform::ChangeType::kModified:
+      return "MODIFIED";
+    case platform::ChangeType::kDeleted:
+      return "DELETED";
+  }
+  return "";
+}
+
+int StatusOf(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kNotFound:
+      return 404;
+    case ErrorCode::kConflict:
+      return 409;
+    case ErrorCode::kGone:
+      return 410;
+    case ErrorCode::kRateLimited:
+      return 429;
+    case ErrorCode::kInvalid:
+      return 400;
+    default:
+      return 503;
+  }
+}
+
+}  // namespace
+
+Result<ObjectCall> ParseObjectCall(const http::Request& request) {
+  std::string_view path = request.path;
+  if (path.substr(0, kPrefix.size()) != kPrefix)
+    return Error{ErrorCode::kNotFound, "no such path"};
+  path.remove_prefix(kPrefix.size());
+  const std::size_t slash = path.find('/');
+  ObjectCall call;
+  call.object.kind = PercentDecode(path.substr(0, slash));
+  if (slash != std::string_view::npos)
+    call.object.name = PercentDecode(path.substr(slash + 1));
+  if (call.object.kind.empty() ||
+      !ReadVerb(request, !call.object.name.empty(), &call.verb))
+    return Malformed("method does not fit the path");
+  if (call.verb == Verb::kWatch) {
+    call.object.resource_version =
+        ParseNumber(QueryValue(request.query, "resourceVersion"));
+    call.watch_time = std::chrono::seconds{
+        ParseNumber(QueryValue(request.query, "timeoutSeconds"))};
+  }
+  const bool has_body =
+      call.verb == Verb::kCreate || call.verb == Verb::kUpdate;
+  if (has_body && !ReadWrittenObject(request.body, &call.object))
+    return Malformed("malformed object");
+  if (call.verb == Verb::kDelete &&
+      !ReadPrecondition(request.body, &call.object))
+    return Malformed("delete needs a precondition");
+  return call;
+}
+
+const char* VerbName(Verb verb) {
+  switch (verb) {
+    case Verb::kGet:
+      return "get";
+    case Verb::kList:
+      return "list";
+    case Verb::kWatch:
+      return "watch";
+    case Verb::kCreate:
+      return "create";
+    case Verb::kUpdate:
+      return "update";
+    case Verb::kDelete:
+      return "delete";
+  }
+  return "";
+}
+
+bool IsWrite(Verb verb) {
+  return verb == Verb::kCreate || verb == Verb::kUpdate ||
+         verb == Verb::kDelete;
+}
+
+std::string FormatStoredObject(const platform::Object& object) {
+  // The spec is JSON as it was parsed, so it is not parsed once more.
+  return R"({"metadata":{"name":)" + Json(object.name).dump() +
+         R"(,"resourceVersion":")" + std::to_string(object.resource_version) +
+         R"("},"spec":)" + object.spec + "}";
+}
+
+std::string FormatStoredList(const platform::ObjectList& list) {
+  std::string text = R"({"metadata":{"resourceVersion":")" +
+                     std::to_string(list.resource_version) + R"("},"items":[)";
+  const char* separator = "";
+  for (const platform::Object& object : list.items) {
+    text += separator + FormatStoredObject(object);
+    separator = ",";
+  }
+  return text + "]}";
+}
+
+std::string FormatWatchLines(const std::vector<platform::Change>& changes) {
+  std::string lines;
+  for (const platform::Change& change : changes) {
+    lines += R"({"type":")";
+    lines += ChangeTypeName(change.type);
+    lines += R"(","object":)" + FormatStoredObject(change.object) + "}\n";
+  }
+  return lines;
+}
+
+http::Response JsonResponse(int status, std::string body) {
+  return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+http::Response ErrorResponse(const Error& error) {
+  const int status = StatusOf(error.code);
+  const Json body = {
+      {"kind", "Status"}, {"code", status}, {"message", error.message}};
+  http::Response response = JsonResponse(status, body.dump());
+  if (status == 429 || status == 503)
+    response.headers.push_back({"Retry-After", "1"});
+  return response;
+}
+
+}  // namespace coltsfootvane::standin
--- /dev/null
+++ b/standins/platform_standin/object_call.h
@@ -0,0 +1,41 @@
+#ifndef COLTSFOOTVANE_STANDINS_PLATFORM_STANDIN_OBJECT_CALL_H_
+#define COLTSFOOTVANE_STANDINS_PLATFORM_STANDIN_OBJECT_CALL_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "http/message.h"
+#include "platform/object.h"
+
+namespace coltsfootvane::standin {
+
+enum class Verb { kGet, kList, kWatch, kCreate, kUpdate, kDelete };
+
+/// One call of the object API.
+struct ObjectCall {
+  Verb verb = Verb::kGet;
+  /// Kind, name and, as far as the verb has them, version and spec.
+  platform::Object object;
+  std::chrono::seconds watch_time{0};  ///< 0 if the caller gave none.
+};
+
+/// Errors: kInvalid; kNotFound for a path outside of the API.
+Result<ObjectCall> ParseObjectCall(const http::Request& request);
+
+const char* VerbName(Verb verb);
+bool IsWrite(Verb verb);
+
+std::string FormatStoredObject(const platform::Object& object);
+std::string FormatStoredList(const platform::ObjectList& list);
+/// Returns the lines of `changes`, each with its line break.
+std::string FormatWatchLines(const std::vector<platform::Change>& changes);
+
+/// Returns the response that stands for `error`.
+http::Response ErrorResponse(const Error& error);
+http::Response JsonResponse(int status, std::string body);
+
+}  // namespace coltsfootvane::standin
+
+#endif  // COLTSFOOTVANE_STANDINS_PLATFORM_STANDIN_OBJECT_CALL_H_
--- /dev/null
+++ b/standins/platform_standin/object_store.h
@@ -0,0 +1,70 @@
+#ifndef COLTSFOOTVANE_STANDINS_PLATFORM_STANDIN_OBJECT_STORE_H_
+#define COLTSFOOTVANE_STANDINS_PLATFORM_STANDIN_OBJECT_STORE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+#include "platform/object.h"
+
+namespace coltsfootvane::standin {
+
+/// Objects in memory with one growing version and, for each kind, a bounded
+/// log of changes. Not safe to use from several threads.
+class ObjectStore {
+ public:
+  explicit ObjectStore(std::size_t log_size) : log_size(log_size) {}
+
+  /// Errors: kNotFound.
+  Result<platform::Object> Read(std::string_view kind,
+                                std::string_view name) const;
+  platform::ObjectList List(std::string_view kind) const;
+
+  /// As Read() and List(), with the first version of each object.
+  Result<platform::Object> ReadOldest(std::string_view kind,
+                                      std::string_view name) const;
+  platform::ObjectList ListOldest(std::string_view kind) const;
+
+  /// Errors: kConflict if the name exists.
+  Result<platform::Object> Create(const platform::Object& object);
+
+  /// Errors: kNotFound, kConflict.
+  Result<platform::Object> Update(const platform::Object& object);
+
+  /// Returns the deleted object with the version of the deletion. Errors:
+  /// kNotFound, kConflict.
+  Result<platform::Object> Delete(const platform::Object& object);
+
+  /// Errors: kGone if a later change has left the log.
+  Result<platform::ChangeBatch> ChangesAfter(std::string_view kind,
+                                             std::int64_t version) const;
+
+ private:
+  struct Entry {
+    platform::Object current;
+    platform::Object oldest;
+  };
+  struct KindState {
+    std::map<std::string, Entry, std::less<>> entries;
+    std::deque<platform::Change> log;
+    std::int64_t last_dropped = 0;  ///< Version of the last change dropped.
+  };
+
+  const KindState* FindKind(std::string_view kind) const;
+  const Entry* FindEntry(std::string_view kind, std::string_view name) const;
+  /// Returns null after it set `error` if `object` is not at its version.
+  Entry* FindAtVersion(const platform::Object& object, Error* error);
+  void AppendToLog(platform::ChangeType type, const platform::Object& object);
+
+  std::size_t log_size;
+  std::int64_t version = 0;
+  std::map<std::string, KindState, std::less<>> kinds;
+};
+
+}  // namespace coltsfootvane::standin
+
+#endif  // COLTSFOOTVANE_STANDINS_PLATFORM_STANDIN_OBJECT_STORE_H_
