Standins: Add the fault proxy

Cause: lost responses, cuts, refused connections and cut networks have to be produced between any two programs.

Change: TCP proxy with a thread for each connection and faults set over HTTP. A refused connection comes from a closed listener, so that the client sees it as never connected.

Measured: only tried by hand with curl, each fault once.

--- /dev/null
+++ b/standins/fault_proxy/proxy.h
@@ -0,0 +1,55 @@
+#ifndef COLTSFOOTVANE_STANDINS_FAULT_PROXY_PROXY_H_
+#define COLTSFOOTVANE_STANDINS_FAULT_PROXY_PROXY_H_
+
+#include <atomic>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "http/message.h"
+#include "standins/fault_proxy/faults.h"
+#include "standins/fault_proxy/forwarder.h"
+#include "standins/fault_proxy/sockets.h"
+
+namespace coltsfootvane::standin {
+
+/// Forwards TCP connections, one thread for each, with faults.
+class Proxy {
+ public:
+  Proxy(const http::Address& listen, const http::Address& target);
+  ~Proxy();
+
+  Proxy(const Proxy&) = delete;
+  Proxy& operator=(const Proxy&) = delete;
+
+  /// Returns false if the address cannot be bound.
+  bool Start();
+
+  /// In force for new and open connections when it returns. Returns false if
+  /// the address cannot be bound again.
+  bool SetFaults(const ProxyFaults& next);
+
+  std::string FormatStats() const;
+
+ private:
+  void Accept();
+  Socket AcceptOne();
+  void StartForwarding(Socket client);
+  ProxyFaults CurrentFaults() const;
+  /// Returns whether the response of a new connection is to be dropped.
+  bool TakeDroppedResponse();
+
+  http::Address listen;
+  http::Address target;
+  mutable std::mutex mutex;
+  ProxyFaults faults;
+  Socket listener;
+  std::thread accepting;
+  std::atomic<bool> stopping{false};
+  std::atomic<int> open{0};
+  ProxyCounters counters;
+};
+
+}  // namespace coltsfootvane::standin
+
+#endif  // COLTSFOOTVANE_STANDINS_FAULT_PROXY_PROXY_H_
