--- /dev/null
+++ b/src/entry/retry_budget.cc
@@ -0,0 +1,33 @@
+#include "entry/retry_budget.h"
+
+#include <algorithm>
+
+namespace coltsfootvane {
+namespace {
+
+void Refill(RetryBudget* budget, TimePoint now) {
+  const bool first = budget->updated == TimePoint();
+  if (!first && now > budget->updated) {
+    const std::chrono::duration<double> elapsed = now - budget->updated;
+    budget->retries = std::min(
+        kMaxRetries, budget->retries + elapsed.count() * kRetryFloorPerSecond);
+  }
+  budget->updated = std::max(budget->updated, now);
+}
+
+}  // namespace
+
+void EarnRetry(RetryBudget* budget, TimePoint now) {
+  Refill(budget, now);
+  budget->retries = std::min(kMaxRetries, budget->retries + kRetriesPerRequest);
+}
+
+bool SpendRetry(RetryBudget* budget, TimePoint now) {
+  Refill(budget, now);
+  if (budget->retries < 1)
+    return false;
+  budget->retries -= 1;
+  return true;
+}
+
+}  // namespace coltsfootvane
--- /dev/null
+++ b/src/idempotency/record.h
@@ -0,0 +1,52 @@
+#ifndef COLTSFOOTVANE_IDEMPOTENCY_RECORD_H_
+#define COLTSFOOTVANE_IDEMPOTENCY_RECORD_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+
+namespace coltsfootvane {
+
+enum class RecordState { kReserved, kSending, kDone, kNotRun };
+
+/// What is stored about one irreversible call; the spec of a `records` object.
+struct Record {
+  RecordState state = RecordState::kReserved;
+  std::string attempt;      ///< Unique per attempt; who wrote the record last.
+  std::string body_digest;  ///< DigestHex() of the request's body.
+  std::int64_t time_ms = 0;  ///< UTC of the last write, for expiry only.
+  int status = 0;            ///< Of the response; kDone only.
+  std::string content_type;
+  bool body_stored = false;
+  std::string body;
+};
+
+/// Larger response bodies are not stored: an object holds at most 1 MB, and
+/// escapes can double a body.
+inline constexpr std::size_t kMaxStoredBodyBytes = std::size_t{256} * 1024;
+
+std::string_view RecordStateName(RecordState state);
+
+/// Bodies that are not UTF-8 are stored in hexadecimal.
+std::string FormatRecord(const Record& record);
+
+/// Errors: kInvalid.
+Result<Record> ParseRecord(std::string_view json);
+
+/// Returns the record's object name for a key in the scope of caller and path.
+std::string RecordName(std::string_view caller,
+                       std::string_view path,
+                       std::string_view key);
+
+/// Returns `record` as done, without the body if that is too large.
+Record MakeDone(const Record& record,
+                int status,
+                std::string_view content_type,
+                std::string_view body);
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_IDEMPOTENCY_RECORD_H_
--- /dev/null
+++ b/src/idempotency/record_store.cc
@@ -0,0 +1,94 @@
+#include "idempotency/record_store.h"
+
+#include <chrono>
+
+namespace coltsfootvane {
+namespace {
+
+platform::Object MakeObject(const std::string& name,
+                            const Record& record,
+                            std::int64_t version) {
+  platform::Object object;
+  object.kind = platform::kRecordKind;
+  object.name = name;
+  object.resource_version = version;
+  object.spec = FormatRecord(record);
+  return object;
+}
+
+Learned FromWrite(const Result<platform::Object>& written) {
+  Learned learned;
+  if (!written) {
+    learned.event = WriteEventOf(written.error().code);
+    return learned;
+  }
+  learned.event = StepEvent::kWritten;
+  learned.version = written.value().resource_version;
+  return learned;
+}
+
+Learned FromRead(const Result<platform::Object>& object) {
+  Learned learned;
+  if (!object) {
+    const bool missing = object.error().code == ErrorCode::kNotFound;
+    learned.event = missing ? StepEvent::kMissing : StepEvent::kReadFailed;
+    return learned;
+  }
+  Result<Record> record = ParseRecord(object.value().spec);
+  if (!record) {
+    learned.event = StepEvent::kReadFailed;
+    return learned;
+  }
+  learned.event = StepEvent::kRead;
+  learned.version = object.value().resource_version;
+  learned.record = std::move(record.value());
+  return learned;
+}
+
+}  // namespace
+
+StepEvent WriteEventOf(ErrorCode error) {
+  switch (error) {
+    case ErrorCode::kConflict:
+      return StepEvent::kConflict;
+    case ErrorCode::kNotFound:
+      return StepEvent::kMissing;
+    case ErrorCode::kNotSent:
+    case ErrorCode::kTimeout:
+    case ErrorCode::kRateLimited:
+      return StepEvent::kNotWritten;
+    case ErrorCode::kInvalid:
+    case ErrorCode::kGone:
+    case ErrorCode::kUnknown:
+    case ErrorCode::kRefused:
+      // An answer that was not understood does not show what was written.
+      return StepEvent::kLost;
+  }
+  return StepEvent::kLost;
+}
+
+std::int64_t CurrentTimeMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<Milliseconds>(now).count();
+}
+
+RecordStore MakeRecordStore(const platform::Connection& connection) {
+  RecordStore store;
+  store.read = [connection](const std::string& name, TimePoint deadline) {
+    return FromRead(platform::ReadObject(connection, platform::kRecordKind,
+                                         name, deadline));
+  };
+  store.create = [connection](const std::string& name, const Record& record,
+                              TimePoint deadline) {
+    return FromWrite(platform::CreateObject(
+        connection, MakeObject(name, record, 0), deadline));
+  };
+  store.update = [connection](const std::string& name, const Record& record,
+                              std::int64_t version, TimePoint deadline) {
+    return FromWrite(platform::UpdateObject(
+        connection, MakeObject(name, record, version), deadline));
+  };
+  return store;
+}
+
+}  // namespace coltsfootvane
--- /dev/null
+++ b/src/idempotency/run_once.h
@@ -0,0 +1,59 @@
+#ifndef COLTSFOOTVANE_IDEMPOTENCY_RUN_ONCE_H_
+#define COLTSFOOTVANE_IDEMPOTENCY_RUN_ONCE_H_
+
+#include <functional>
+#include <string>
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "http/message.h"
+#include "idempotency/next_step.h"
+#include "idempotency/record_store.h"
+
+namespace coltsfootvane {
+
+enum class RunResult {
+  kResponse,       ///< `response` is that of this attempt.
+  kReplay,         ///< `response` is the stored one.
+  kNotRun,         ///< This attempt sent nothing.
+  kUnknown,        ///< The call may have run.
+  kKeyReused,      ///< The key belongs to another body; nothing was sent.
+  kDoneNotStored,  ///< The call was run; its response is not stored.
+};
+
+struct RunOutcome {
+  RunResult result = RunResult::kUnknown;
+  http::Response response;
+  int retry_after_ms = 0;  ///< With kNotRun and kUnknown.
+  /// The write that the background has to go on with; see RecordWriter.
+  StepRemainder remainder = StepRemainder::kNone;
+  Settlement settlement;
+};
+
+struct RunRequest {
+  std::string name;         ///< RecordName().
+  std::string body_digest;  ///< DigestHex() of the request's body.
+  TimePoint deadline;
+  Milliseconds platform_timeout{1000};  ///< Of each platform call.
+};
+
+/// What RunOnce() calls.
+struct RunFunctions {
+  /// Makes the call possible without sending it. An error ends the attempt as
+  /// not run.
+  std::function<Result<bool>()> prepare;
+  /// Sends the call. Called at most once. kNotSent and kTimeout mean that no
+  /// byte was written.
+  std::function<Result<http::Response>()> send;
+  /// Told each step and its result.
+  std::function<void(StepAction, StepEvent)> on_step;
+};
+
+/// Runs an irreversible call at most once per record name, over all daemons.
+RunOutcome RunOnce(const RecordStore& store,
+                   const RunRequest& request,
+                   const RunFunctions& functions);
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_IDEMPOTENCY_RUN_ONCE_H_
