--- /dev/null
+++ b/src/entry/route.h
@@ -0,0 +1,62 @@
+#ifndef COLTSFOOTVANE_ENTRY_ROUTE_H_
+#define COLTSFOOTVANE_ENTRY_ROUTE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "config/configuration.h"
+#include "entry/refusal.h"
+#include "http/message.h"
+
+namespace coltsfootvane {
+
+enum class CallKind { kModelList, kCompletion, kService };
+
+/// What a caller's request asks for.
+struct RoutedCall {
+  CallKind kind = CallKind::kModelList;
+  Priority priority = Priority::kInteractive;
+  std::string caller;  ///< Empty if the configuration declares no callers.
+  std::string path;    ///< Percent-decoded.
+  std::string item;    ///< Model, adapter or service.
+
+  // Completions only.
+  std::string body;  ///< With `priority` and `seed`.
+  bool streamed = false;
+  std::int64_t resume_after = 0;  ///< Last event id that the caller has.
+  std::int64_t seed = 0;
+  std::uint64_t prefix_hash = 0;
+
+  // Service calls only.
+  bool read = false;          ///< May be repeated.
+  bool irreversible = false;  ///< Must run at most once.
+  std::string key;            ///< `Idempotency-Key` of an irreversible call.
+};
+
+/// JSON bodies that are nested more deeply are refused: writing them out again
+/// recurses once per level.
+inline constexpr int kMaxJsonDepth = 100;
+inline constexpr std::size_t kMaxKeyBytes = 255;
+/// Bytes of the prompt that choose among the endpoints with a cached prefix.
+inline constexpr std::size_t kPrefixBytes = 256;
+
+/// Decides what `request` asks for. `new_seed` is used if the body has none.
+std::variant<RoutedCall, Refusal> RouteRequest(
+    const Configuration& configuration,
+    const http::Request& request,
+    std::int64_t new_seed,
+    const NotSent& token);
+
+/// Returns the OpenAI model list of all models and adapters, as JSON.
+std::string FormatModelList(const Configuration& configuration);
+
+/// Returns the route with the longest prefix of `path`, or null. A prefix ends
+/// at a slash or at the end of the path.
+const Route* FindRoute(const Configuration& configuration,
+                       std::string_view path);
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_ENTRY_ROUTE_H_
