Entry: Pass completions and service calls through

Cause: callers need one listener before engines and services. An error of an endpoint now carries its HTTP status and whether it said X-Leaving, because a request that the engine rejects must neither be retried nor count as a failure of the engine.

--- a/src/base/result.h
+++ b/src/base/result.h
@@ -24,6 +24,8 @@
   std::string message;
   /// Time to wait before another attempt, in ms; 0 if the peer gave none.
   int retry_after_ms = 0;
+  int http_status = 0;            ///< Of an endpoint's refusal; else 0.
+  bool endpoint_leaving = false;  ///< The refusal said `X-Leaving: 1`.
 };
 
 /// A value or an Error. Reading the wrong one ends the process.
--- a/src/endpoint/engine.cc
+++ b/src/endpoint/engine.cc
@@ -71,7 +71,8 @@
               std::string body) {
   const ErrorCode code =
       status == 429 ? ErrorCode::kRateLimited : ErrorCode::kRefused;
-  return Error{code, std::move(body), RetryAfterMs(headers)};
+  const bool leaving = http::FindHeader(headers, "X-Leaving") == "1";
+  return Error{code, std::move(body), RetryAfterMs(headers), status, leaving};
 }
 
 ItemState ParseState(std::string_view name) {
--- a/src/entry/call_context.cc
+++ b/src/entry/call_context.cc
@@ -8,6 +8,10 @@
 /// When to come back if the dispatcher gave no time.
 constexpr int kRetryAfterMs = 1000;
 
+/// Endpoints that a request may fail on; a slot request is one datagram of at
+/// most 1,200 bytes and names them.
+constexpr std::size_t kMaxExcluded = 16;
+
 const char* ReasonOf(SlotVerdict verdict) {
   switch (verdict) {
     case SlotVerdict::kGranted:
@@ -47,6 +51,12 @@
   const EntryDependencies& dependencies = context->shared->dependencies;
   for (;;) {
     GrantedSlot slot;
+    if (context->excluded.size() >= kMaxExcluded)
+      return slot;
+    if (Clock::now() >= deadline) {
+      slot.answer.verdict = SlotVerdict::kDeadline;
+      return slot;
+    }
     ++context->attempts;
     slot.call_id =
         context->request_id + "-" + std::to_string(context->attempts);
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -37,6 +37,7 @@
   /// Endpoints that this request has failed on.
   std::vector<std::string> excluded;
   int attempts = 0;
+  bool streaming = false;  ///< The response has begun as a stream.
 };
 
 /// A slot with the endpoint's address, or why there is none.
--- /dev/null
+++ b/src/entry/completion_call.cc
@@ -0,0 +1,262 @@
+#include "entry/completion_call.h"
+
+#include <utility>
+#include <vector>
+
+#include "entry/events.h"
+
+namespace coltsfootvane {
+namespace {
+
+/// When to come back after a failure of the endpoints.
+constexpr int kFailedRetryAfterMs = 1000;
+
+/// Formats one server-sent event; a line break in the data needs a new line.
+std::string FormatEvent(const endpoint::StreamEvent& event) {
+  std::string text;
+  text.reserve(event.data.size() + 32);
+  if (event.id > 0)
+    text += "id: " + std::to_string(event.id) + "\n";
+  std::size_t start = 0;
+  for (;;) {
+    const std::size_t end = event.data.find('\n', start);
+    text += "data: ";
+    text.append(event.data, start, end - start);
+    text += '\n';
+    if (end == std::string::npos)
+      break;
+    start = end + 1;
+  }
+  text += '\n';
+  return text;
+}
+
+Microseconds Between(TimePoint start, TimePoint end) {
+  return std::chrono::duration_cast<Microseconds>(end - start);
+}
+
+}  // namespace
+
+CompletionCall::CompletionCall(CallContext* context)
+    : context(context), last_id(context->call.resume_after) {}
+
+void CompletionCall::Run() {
+  while (this->RunAttempt()) {
+  }
+}
+
+bool CompletionCall::RunAttempt() {
+  const GrantedSlot slot = AskSlot(this->context, this->context->deadline);
+  if (slot.answer.verdict == SlotVerdict::kCancelledWaiting) {
+    CountResult(*this->context, "caller_gone");
+    return false;
+  }
+  if (slot.answer.verdict != SlotVerdict::kGranted) {
+    this->Fail(RefuseSlot(*this->context, slot.answer));
+    return false;
+  }
+  this->preempted = false;
+  this->tokens = 0;
+  this->attempt_start = Clock::now();
+  this->context->tracker.BeginCall();
+  const Result<bool> result = this->Call(slot);
+  if (!result && result.error().code == ErrorCode::kNotSent)
+    this->context->tracker.CallNotSent();
+  const End end = this->EndOf(result);
+  GiveBack(this->context, slot, this->OutcomeOf(result, end));
+  return this->Continue(slot, end, result ? Error{} : result.error());
+}
+
+Result<bool> CompletionCall::Call(const GrantedSlot& slot) {
+  endpoint::CompletionRequest request;
+  request.path = this->context->call.path;
+  request.body = this->context->call.body;
+  request.request_id = slot.call_id;
+  request.resume_after = this->last_id;
+  const std::function<bool()> on_idle = [this, &slot] {
+    return this->OnIdle(slot);
+  };
+  if (!this->context->call.streamed) {
+    Result<http::Response> response = endpoint::Complete(
+        slot.address, request, on_idle, this->context->deadline);
+    if (!response)
+      return response.error();
+    this->whole = std::move(response.value());
+    return http::FindHeader(this->whole.headers, "X-Leaving") == "1";
+  }
+  endpoint::CompletionHandler handler;
+  handler.on_event = [this](const endpoint::StreamEvent& event) {
+    return this->OnEvent(event);
+  };
+  handler.on_idle = on_idle;
+  return endpoint::StreamCompletion(slot.address, request, handler,
+                                    this->context->deadline);
+}
+
+bool CompletionCall::OnIdle(const GrantedSlot& slot) {
+  const EntryShared& shared = *this->context->shared;
+  this->caller_gone = this->context->reply->CallerGone();
+  this->stopping = shared.stopping.load();
+  this->preempted = shared.dependencies.slots.is_preempted(slot.answer);
+  return !this->caller_gone && !this->stopping && !this->preempted;
+}
+
+bool CompletionCall::OnEvent(const endpoint::StreamEvent& event) {
+  this->ObserveToken(Clock::now());
+  if (!this->BeginStream() || !this->context->reply->Write(FormatEvent(event)))
+    this->caller_gone = true;
+  if (event.id > 0)
+    this->last_id = event.id;
+  return !this->caller_gone;
+}
+
+void CompletionCall::ObserveToken(TimePoint now) {
+  Metrics* const metrics = this->context->shared->dependencies.metrics;
+  const Priority priority = this->context->call.priority;
+  if (this->last_token == TimePoint())
+    metrics->ObserveFirstToken(priority, now - this->context->arrival);
+  else
+    metrics->ObserveTokenGap(priority, now - this->last_token);
+  if (this->tokens == 0)
+    this->first_token = now;
+  this->last_token = now;
+  ++this->tokens;
+}
+
+bool CompletionCall::BeginStream() {
+  if (this->begun)
+    return true;
+  this->begun = true;
+  this->context->streaming = true;
+  const std::vector<http::Header> headers = {
+      {"Content-Type", "text/event-stream"},
+      {"Cache-Control", "no-cache"},
+      {"X-Request-Id", this->context->request_id},
+      {"X-Seed", std::to_string(this->context->call.seed)}};
+  return this->context->reply->Begin(200, headers);
+}
+
+CompletionCall::End CompletionCall::EndOf(const Result<bool>& result) const {
+  if (result)
+    return End::kComplete;
+  const Error& error = result.error();
+  if (error.code == ErrorCode::kConflict) {
+    if (this->caller_gone)
+      return End::kCallerGone;
+    return this->stopping ? End::kStopping : End::kPreempted;
+  }
+  if (error.endpoint_leaving)
+    return End::kLeaving;
+  const bool rejected = error.code == ErrorCode::kRefused &&
+                        error.http_status >= 400 && error.http_status < 500;
+  return rejected ? End::kRejected : End::kFailed;
+}
+
+SlotOutcome CompletionCall::OutcomeOf(const Result<bool>& result,
+                                      End end) const {
+  SlotOutcome outcome;
+  // An engine that is merely full, or that ran into the caller's deadline, has
+  // not failed.
+  const bool full = !result && result.error().code == ErrorCode::kRateLimited;
+  const bool late = Clock::now() >= this->context->deadline;
+  outcome.endpoint_failed = end == End::kFailed && !full && !late;
+  outcome.endpoint_leaving =
+      result ? result.value() : result.error().endpoint_leaving;
+  outcome.tokens = this->tokens;
+  if (this->tokens > 0)
+    outcome.time_to_first_token =
+        Between(this->attempt_start, this->first_token);
+  if (this->tokens > 1) {
+    outcome.time_per_token =
+        Between(this->first_token, this->last_token) / (this->tokens - 1);
+  }
+  return outcome;
+}
+
+bool CompletionCall::Continue(const GrantedSlot& slot,
+                              End end,
+                              const Error& error) {
+  Metrics* const metrics = this->context->shared->dependencies.metrics;
+  const Priority priority = this->context->call.priority;
+  switch (end) {
+    case End::kComplete:
+      this->FinishComplete();
+      return false;
+    case End::kCallerGone:
+      CountResult(*this->context, "caller_gone");
+      return false;
+    case End::kRejected:
+      this->Reject(error);
+      return false;
+    case End::kStopping:
+      LogEvent(kRequestInterrupted, "request=" + this->context->request_id);
+      this->Fail(RefuseBy(this->context->tracker, 503, "stopping",
+                          "the daemon stops", kFailedRetryAfterMs));
+      return false;
+    case End::kPreempted:
+      metrics->CountPreemption(priority);
+      break;
+    case End::kLeaving:
+      this->context->excluded.push_back(slot.answer.endpoint_id);
+      break;
+    case End::kFailed:
+      this->context->excluded.push_back(slot.answer.endpoint_id);
+      if (!TryRetry(this->context)) {
+        this->Fail(RefuseBy(this->context->tracker, 502, "endpoint_failed",
+                            "the endpoint failed: " + error.message,
+                            kFailedRetryAfterMs));
+        return false;
+      }
+      break;
+  }
+  if (this->begun)
+    metrics->CountResume(priority);
+  return true;
+}
+
+void CompletionCall::FinishComplete() {
+  if (!this->context->call.streamed) {
+    http::Response response;
+    response.status = this->whole.status;
+    response.body = std::move(this->whole.body);
+    response.headers = {{"Content-Type", "application/json"},
+                        {"X-Seed", std::to_string(this->context->call.seed)}};
+    SendResponse(this->context, std::move(response));
+    CountResult(*this->context, "complete");
+    return;
+  }
+  http::ReplyStream& reply = *this->context->reply;
+  const bool delivered =
+      this->BeginStream() && reply.Write("data: [DONE]\n\n") && reply.End();
+  CountResult(*this->context, delivered ? "complete" : "caller_gone");
+}
+
+void CompletionCall::Reject(const Error& error) {
+  if (this->begun) {
+    this->Fail(RefuseBy(this->context->tracker, 502, "endpoint_refused",
+                        error.message, kFailedRetryAfterMs));
+    return;
+  }
+  http::Response response;
+  response.status = error.http_status;
+  response.headers = {{"Content-Type", "application/json"}};
+  response.body = error.message;
+  SendResponse(this->context, std::move(response));
+  CountResult(*this->context, "rejected");
+}
+
+void CompletionCall::Fail(const Refusal& refusal) {
+  if (!this->begun) {
+    SendRefusal(this->context, refusal);
+    return;
+  }
+  LogEvent(kStreamNotCompleted, "request=" + this->context->request_id +
+                                    " reason=" + refusal.Type() + " last_id=" +
+                                    std::to_string(this->last_id));
+  http::ReplyStream& reply = *this->context->reply;
+  if (reply.Write("event: error\ndata: " + refusal.Body() + "\n\n"))
+    reply.End();
+  CountResult(*this->context, "failed");
+}
+
+}  // namespace coltsfootvane
--- a/src/entry/refusal.cc
+++ b/src/entry/refusal.cc
@@ -44,14 +44,13 @@
 }
 
 http::Response Refusal::ToResponse() const {
-  const int seconds = this->retry_after_ms / 1000 +
-                      (this->retry_after_ms % 1000 == 0 ? 0 : 1);
+  const int seconds =
+      this->retry_after_ms / 1000 + (this->retry_after_ms % 1000 == 0 ? 0 : 1);
   http::Response response;
   response.status = this->status;
-  response.headers = {
-      {"Content-Type", "application/json"},
-      {"Retry-After", std::to_string(seconds)},
-      {"Retry-After-Ms", std::to_string(this->retry_after_ms)}};
+  response.headers = {{"Content-Type", "application/json"},
+                      {"Retry-After", std::to_string(seconds)},
+                      {"Retry-After-Ms", std::to_string(this->retry_after_ms)}};
   response.body = this->Body();
   return response;
 }
--- a/src/entry/route.cc
+++ b/src/entry/route.cc
@@ -29,11 +29,14 @@
 }
 
 std::optional<int> HexValue(char digit) {
-  int value = 0;
-  const auto [end, error] = std::from_chars(&digit, &digit + 1, value, 16);
-  if (error != std::errc() || end != &digit + 1)
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const char lower = digit >= 'A' && digit <= 'F'
+                         ? static_cast<char>(digit - 'A' + 'a')
+                         : digit;
+  const std::size_t value = kDigits.find(lower);
+  if (value == std::string_view::npos)
     return std::nullopt;
-  return value;
+  return static_cast<int>(value);
 }
 
 std::optional<std::string> DecodePercent(std::string_view text) {
@@ -68,10 +71,9 @@
   if (decoded.find('\\') != std::string_view::npos ||
       decoded.find(';') != std::string_view::npos)
     return true;
-  const bool has_control =
-      std::any_of(decoded.begin(), decoded.end(), [](char c) {
-        return static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
-      });
+  const bool has_control = std::any_of(
+      decoded.begin(), decoded.end(),
+      [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7f; });
   const std::string padded = std::string(decoded) + "/";
   return has_control || decoded.find("//") != std::string_view::npos ||
          padded.find("/./") != std::string::npos ||
@@ -154,8 +156,7 @@
 std::optional<Refusal> Router::SetPriority(const Route& route) {
   this->call.priority = route.priority;
   if (this->caller != nullptr) {
-    this->call.priority =
-        std::max(this->call.priority, this->caller->priority);
+    this->call.priority = std::max(this->call.priority, this->caller->priority);
   }
   const std::string_view wish =
       http::FindHeader(this->request->headers, "X-Priority");
@@ -287,8 +288,8 @@
                        std::string_view path) {
   const Route* best = nullptr;
   for (const Route& route : configuration.routes) {
-    const bool longer = best == nullptr ||
-                        route.path_prefix.size() > best->path_prefix.size();
+    const bool longer =
+        best == nullptr || route.path_prefix.size() > best->path_prefix.size();
     if (longer && IsPrefix(route.path_prefix, path))
       best = &route;
   }
--- a/src/idempotency/next_step.cc
+++ b/src/idempotency/next_step.cc
@@ -215,6 +215,64 @@
 
 }  // namespace
 
+std::string_view StepActionName(StepAction action) {
+  switch (action) {
+    case StepAction::kCreate:
+      return "create";
+    case StepAction::kRead:
+      return "read";
+    case StepAction::kTakeOver:
+      return "take_over";
+    case StepAction::kPrepare:
+      return "prepare";
+    case StepAction::kUpdateSending:
+      return "update_sending";
+    case StepAction::kSend:
+      return "send";
+    case StepAction::kWriteDone:
+      return "write_done";
+    case StepAction::kFence:
+      return "fence";
+    case StepAction::kAnswer:
+      return "answer";
+  }
+  return "";
+}
+
+std::string_view StepEventName(StepEvent event) {
+  switch (event) {
+    case StepEvent::kStart:
+      return "start";
+    case StepEvent::kWritten:
+      return "written";
+    case StepEvent::kConflict:
+      return "conflict";
+    case StepEvent::kMissing:
+      return "missing";
+    case StepEvent::kLost:
+      return "lost";
+    case StepEvent::kNotWritten:
+      return "not_written";
+    case StepEvent::kRead:
+      return "read";
+    case StepEvent::kReadFailed:
+      return "read_failed";
+    case StepEvent::kPrepared:
+      return "prepared";
+    case StepEvent::kNotPrepared:
+      return "not_prepared";
+    case StepEvent::kSendNotSent:
+      return "not_sent";
+    case StepEvent::kSendUnknown:
+      return "unknown";
+    case StepEvent::kSendComplete:
+      return "complete";
+    case StepEvent::kOutOfTime:
+      return "out_of_time";
+  }
+  return "";
+}
+
 Step NextStep(AttemptState* state, const Learned& learned) {
   if (learned.event == StepEvent::kStart)
     return Act(state, StepAction::kCreate);
--- a/src/idempotency/next_step.h
+++ b/src/idempotency/next_step.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "idempotency/record.h"
 
@@ -46,12 +47,12 @@
 };
 
 enum class StepAnswer {
-  kResponse,    ///< The response of this attempt.
-  kReplay,      ///< The stored response, or that it is not stored.
-  kNotRun,      ///< Nothing was sent by this attempt.
-  kUnknown,     ///< The call may have run, or another attempt may run it.
-  kKeyReused,   ///< The key belongs to another body.
-  kBadRecord,   ///< The stored record cannot be interpreted: treated as unknown.
+  kResponse,   ///< The response of this attempt.
+  kReplay,     ///< The stored response, or that it is not stored.
+  kNotRun,     ///< Nothing was sent by this attempt.
+  kUnknown,    ///< The call may have run, or another attempt may run it.
+  kKeyReused,  ///< The key belongs to another body.
+  kBadRecord,  ///< The stored record cannot be interpreted: treated as unknown.
 };
 
 /// Platform calls without an outcome after which an attempt is abandoned, so
@@ -68,6 +69,10 @@
   StepRemainder remainder = StepRemainder::kNone;
 };
 
+/// Returns the names used in metrics.
+std::string_view StepActionName(StepAction action);
+std::string_view StepEventName(StepEvent event);
+
 /// One attempt to run a call. Changed only by NextStep().
 struct AttemptState {
   std::string attempt;
--- a/src/idempotency/record.cc
+++ b/src/idempotency/record.cc
@@ -108,8 +108,8 @@
                        std::string_view path,
                        std::string_view key) {
   // The lengths keep two different triples from giving the same text.
-  std::string text = std::to_string(caller.size()) + ' ' +
-                     std::to_string(path.size()) + ' ';
+  std::string text =
+      std::to_string(caller.size()) + ' ' + std::to_string(path.size()) + ' ';
   text.append(caller).append(path).append(key);
   return DigestHex(text);
 }
--- a/src/idempotency/record.h
+++ b/src/idempotency/record.h
@@ -15,8 +15,8 @@
 /// What is stored about one irreversible call; the spec of a `records` object.
 struct Record {
   RecordState state = RecordState::kReserved;
-  std::string attempt;      ///< Unique per attempt; who wrote the record last.
-  std::string body_digest;  ///< DigestHex() of the request's body.
+  std::string attempt;       ///< Unique per attempt; who wrote the record last.
+  std::string body_digest;   ///< DigestHex() of the request's body.
   std::int64_t time_ms = 0;  ///< UTC of the last write, for expiry only.
   int status = 0;            ///< Of the response; kDone only.
   std::string content_type;
--- a/src/idempotency/record_writer.cc
+++ b/src/idempotency/record_writer.cc
@@ -17,8 +17,8 @@
 constexpr Milliseconds kPollInterval{100};
 
 std::string Describe(const Settlement& settlement) {
-  return "record=" + settlement.name + " state=" +
-         std::string(RecordStateName(settlement.record.state));
+  return "record=" + settlement.name +
+         " state=" + std::string(RecordStateName(settlement.record.state));
 }
 
 }  // namespace
@@ -102,12 +102,12 @@
   if (task->tries == kTriesBeforeWarning)
     LogEvent(kRecordWriteDelayed, Describe(task->settlement));
   const int doublings = std::min(task->tries - 1, 16);
-  const Milliseconds backoff = std::min(
-      this->options.max_backoff, this->options.first_backoff * (1 << doublings));
+  const Milliseconds backoff =
+      std::min(this->options.max_backoff,
+               this->options.first_backoff * (1 << doublings));
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
-  task->next_try =
-      Clock::now() + std::chrono::duration_cast<Clock::duration>(
-                         backoff * jitter(this->random));
+  task->next_try = Clock::now() + std::chrono::duration_cast<Clock::duration>(
+                                      backoff * jitter(this->random));
 }
 
 void RecordWriter::Abandon(const Settlement& settlement, const char* reason) {
@@ -119,11 +119,10 @@
   for (int count = 0; count < kStepsPerTry; ++count) {
     const TimePoint deadline = Clock::now() + this->options.call_timeout;
     const Settlement& wanted = task->settlement;
-    const Learned learned =
-        step.action == SettleAction::kRead
-            ? this->store.read(wanted.name, deadline)
-            : this->store.update(wanted.name, wanted.record, step.version,
-                                 deadline);
+    const Learned learned = step.action == SettleAction::kRead
+                                ? this->store.read(wanted.name, deadline)
+                                : this->store.update(wanted.name, wanted.record,
+                                                     step.version, deadline);
     step = NextSettleStep(wanted, learned);
     if (step.action == SettleAction::kConfirmed)
       return true;
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -58,11 +58,10 @@
 
 struct Metrics::Families {
   prometheus::Registry registry;
-  Family<Counter>& requests =
-      BuildCounter()
-          .Name("coltsfootvane_requests_total")
-          .Help("Requests by priority class and result")
-          .Register(registry);
+  Family<Counter>& requests = BuildCounter()
+                                  .Name("coltsfootvane_requests_total")
+                                  .Help("Requests by priority class and result")
+                                  .Register(registry);
   Family<Counter>& refusals = BuildCounter()
                                   .Name("coltsfootvane_refusals_total")
                                   .Help("Refusals by kind and reason")
@@ -111,8 +110,7 @@
                                .Add({});
   PriorityHistograms first_token_of =
       AddPerPriority(first_token, FirstTokenBounds());
-  PriorityHistograms token_gap_of =
-      AddPerPriority(token_gap, TokenGapBounds());
+  PriorityHistograms token_gap_of = AddPerPriority(token_gap, TokenGapBounds());
   Histogram& refusal = refusal_time.Add({}, RefusalBounds());
 };
 
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -25,7 +25,8 @@
   Metrics(const Metrics&) = delete;
   Metrics& operator=(const Metrics&) = delete;
 
-  /// `result` is `complete`, `refused`, `failed` or `caller_gone`.
+  /// `result` is `complete`, `refused`, `rejected` (by the endpoint), `failed`
+  /// or `caller_gone`.
   void CountRequest(Priority priority, std::string_view result);
   /// `kind` is `not_run` or `unknown`.
   void CountRefusal(std::string_view kind, std::string_view reason);
@@ -41,9 +42,7 @@
   void SetPendingRecords(double count);
 
   /// Sets a gauge of another slice, created on first use.
-  void SetGauge(const std::string& name,
-                const std::string& help,
-                double value);
+  void SetGauge(const std::string& name, const std::string& help, double value);
 
   /// Returns all metrics in Prometheus' text format.
   std::string Text() const;
