--- /dev/null
+++ b/src/dispatch/drain.cc
@@ -0,0 +1,101 @@
+#include "dispatch/drain.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace coltsfootvane::dispatch {
+namespace {
+
+/// Long enough to span several calls, short enough to follow an overload.
+constexpr double kDrainTimeSeconds = 5;
+constexpr double kHoldWeight = 0.1;
+constexpr int kMinRetryAfterMs = 100;
+constexpr int kMaxRetryAfterMs = 60000;
+
+double SecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration<double>(to - from).count();
+}
+
+double DecayedRate(const DrainRate& drain, TimePoint now) {
+  const double elapsed = SecondsBetween(drain.updated, now);
+  return drain.per_s * std::exp(-elapsed / kDrainTimeSeconds);
+}
+
+/// The rate at which the holders could serve this class, from the hold time.
+double CapacityRate(const PoolState& pool,
+                    const SlotRequest& request,
+                    double hold_s,
+                    TimePoint now) {
+  const auto holders = pool.holders.find(request.item);
+  if (holders == pool.holders.end() || hold_s <= 0)
+    return 0;
+  int limits = 0;
+  for (const std::string& id : holders->second) {
+    const auto endpoint = pool.endpoints.find(id);
+    if (endpoint != pool.endpoints.end())
+      limits += CurrentLimit(pool, endpoint->second, now);
+  }
+  return limits / hold_s;
+}
+
+const ClassState& ClassFor(const PoolState& pool, const SlotRequest& request) {
+  return pool.classes[static_cast<std::size_t>(request.priority)];
+}
+
+}  // namespace
+
+void ObserveGrant(ClassState& state, const std::string& item, TimePoint now) {
+  DrainRate& drain = state.drain[item];
+  drain.per_s = DecayedRate(drain, now) + 1 / kDrainTimeSeconds;
+  drain.updated = now;
+}
+
+void ObserveHold(ClassState& state,
+                 const std::string& item,
+                 TimePoint start,
+                 TimePoint now) {
+  DrainRate& drain = state.drain[item];
+  const double held = SecondsBetween(start, now);
+  drain.hold_s = drain.hold_s <= 0
+                     ? held
+                     : drain.hold_s + kHoldWeight * (held - drain.hold_s);
+}
+
+std::size_t CountWaiting(const ClassState& state, std::string_view item) {
+  return static_cast<std::size_t>(std::count_if(
+      state.waiting.begin(), state.waiting.end(),
+      [item](const Waiting& one) { return one.request.item == item; }));
+}
+
+double ExpectedWaitSeconds(const PoolState& pool,
+                           const SlotRequest& request,
+                           std::size_t ahead,
+                           TimePoint now) {
+  const ClassState& state = ClassFor(pool, request);
+  const auto found = state.drain.find(request.item);
+  if (found == state.drain.end() || found->second.hold_s <= 0)
+    return 0;
+  const DrainRate& drain = found->second;
+  const double capacity = CapacityRate(pool, request, drain.hold_s, now);
+  // A class that was idle has no recent grants. The most urgent class can then
+  // expect the whole capacity, others their minimum share.
+  const double share = request.priority == Priority::kInteractive
+                           ? 1
+                           : state.settings.minimum_share;
+  const double rate = std::max(DecayedRate(drain, now), capacity * share);
+  if (rate <= 0)
+    return kMaxRetryAfterMs / 1000.0;
+  return static_cast<double>(ahead + 1) / rate;
+}
+
+int RetryAfterMs(const PoolState& pool,
+                 const SlotRequest& request,
+                 TimePoint now) {
+  const std::size_t ahead = CountWaiting(ClassFor(pool, request), request.item);
+  const double wait_ms = 1000 * ExpectedWaitSeconds(pool, request, ahead, now);
+  const double bounded =
+      std::clamp<double>(wait_ms, kMinRetryAfterMs, kMaxRetryAfterMs);
+  return static_cast<int>(bounded);
+}
+
+}  // namespace coltsfootvane::dispatch
--- /dev/null
+++ b/src/dispatch/pools.cc
@@ -0,0 +1,143 @@
+#include "dispatch/pools.h"
+
+#include <algorithm>
+#include <set>
+
+#include "base/digest.h"
+
+namespace coltsfootvane::dispatch {
+namespace {
+
+constexpr std::size_t kPoolSize = 32;
+
+bool IsLeaving(const InForce& view, const std::string& endpoint_id) {
+  if (view.leaving.count(endpoint_id) > 0)
+    return true;
+  const EndpointPlacement* placement =
+      FindPlacement(view.placement, endpoint_id);
+  return placement != nullptr && placement->leaving;
+}
+
+void SyncEndpoint(EndpointState& state,
+                  const Endpoint& endpoint,
+                  const InForce& view) {
+  const bool is_new = state.id.empty();
+  state.id = endpoint.id;
+  state.kind = endpoint.kind;
+  state.leaving = IsLeaving(view, endpoint.id);
+  if (!is_new && state.slots == endpoint.slots)
+    return;
+  state.slots = endpoint.slots;
+  state.limit.limit = std::max(1, endpoint.slots);
+}
+
+void SyncHolders(PoolState& state,
+                 const Endpoint& endpoint,
+                 const InForce& view) {
+  if (endpoint.kind == EndpointKind::kService) {
+    state.holders[endpoint.service].push_back(endpoint.id);
+    return;
+  }
+  const EndpointPlacement* placement =
+      FindPlacement(view.placement, endpoint.id);
+  if (placement == nullptr)
+    return;
+  for (const std::string& item : placement->ready)
+    state.holders[item].push_back(endpoint.id);
+}
+
+}  // namespace
+
+std::vector<Pool> MakePools(const Configuration& configuration) {
+  std::map<std::string, std::set<std::string>> by_data_centre;
+  for (const Endpoint& endpoint : configuration.endpoints)
+    by_data_centre[endpoint.data_centre].insert(endpoint.id);
+  std::vector<Pool> pools;
+  for (const auto& [data_centre, ids] : by_data_centre) {
+    std::size_t index = 0;
+    for (const std::string& id : ids) {
+      if (index % kPoolSize == 0) {
+        const std::string number = std::to_string(index / kPoolSize);
+        pools.push_back({data_centre + "/" + number, data_centre, {}});
+      }
+      pools.back().endpoint_ids.push_back(id);
+      ++index;
+    }
+  }
+  return pools;
+}
+
+bool HoldsItem(const InForce& view,
+               const Endpoint& endpoint,
+               std::string_view item) {
+  if (IsLeaving(view, endpoint.id))
+    return false;
+  if (endpoint.kind == EndpointKind::kService)
+    return endpoint.service == item;
+  const EndpointPlacement* placement =
+      FindPlacement(view.placement, endpoint.id);
+  return placement != nullptr && IsReady(*placement, item);
+}
+
+std::vector<PoolHolders> FindPoolHolders(const InForce& view,
+                                         const std::vector<Pool>& pools,
+                                         std::string_view item,
+                                         EndpointKind kind) {
+  std::set<std::string_view> holders;
+  for (const Endpoint& endpoint : view.configuration.endpoints) {
+    if (endpoint.kind == kind && HoldsItem(view, endpoint, item))
+      holders.insert(endpoint.id);
+  }
+  std::vector<PoolHolders> found;
+  for (const Pool& pool : pools) {
+    PoolHolders one{&pool, {}};
+    for (const std::string& id : pool.endpoint_ids) {
+      if (holders.count(id) > 0)
+        one.endpoint_ids.push_back(id);
+    }
+    if (!one.endpoint_ids.empty())
+      found.push_back(std::move(one));
+  }
+  return found;
+}
+
+void SyncPool(PoolState& state,
+              const Pool& pool,
+              const InForce& view,
+              TimePoint now) {
+  state.name = pool.name;
+  const std::set<std::string> members(pool.endpoint_ids.begin(),
+                                      pool.endpoint_ids.end());
+  for (auto it = state.endpoints.begin(); it != state.endpoints.end();)
+    it = members.count(it->first) > 0 ? std::next(it)
+                                      : state.endpoints.erase(it);
+  state.holders.clear();
+  for (const Endpoint& endpoint : view.configuration.endpoints) {
+    if (members.count(endpoint.id) == 0)
+      continue;
+    EndpointState& one = state.endpoints[endpoint.id];
+    if (one.id.empty())
+      one.limit.next_adjustment = now;
+    SyncEndpoint(one, endpoint, view);
+    SyncHolders(state, endpoint, view);
+  }
+  for (std::size_t i = 0; i < kPriorityCount; ++i)
+    state.classes[i].settings = view.configuration.classes[i];
+}
+
+std::string ChooseDispatcher(const std::vector<std::string>& member_ids,
+                             std::string_view pool_name) {
+  const std::uint64_t seed = Hash64(pool_name);
+  std::string best;
+  std::uint64_t best_hash = 0;
+  for (const std::string& id : member_ids) {
+    const std::uint64_t hash = Hash64(id, seed);
+    if (!best.empty() && hash <= best_hash)
+      continue;
+    best = id;
+    best_hash = hash;
+  }
+  return best;
+}
+
+}  // namespace coltsfootvane::dispatch
--- /dev/null
+++ b/src/dispatch/slots.cc
@@ -0,0 +1,212 @@
+#include <algorithm>
+
+#include "dispatch/drain.h"
+#include "dispatch/limits.h"
+#include "dispatch/outliers.h"
+#include "dispatch/pool_state.h"
+
+namespace coltsfootvane::dispatch {
+namespace {
+
+constexpr int kMissingReportsToFree = 2;
+constexpr std::size_t kMaxResumable = 1024;
+
+void ObserveReturn(PoolState& pool,
+                   EndpointState& endpoint,
+                   const Slot& slot,
+                   const SlotOutcome& outcome,
+                   TimePoint now) {
+  ClassState& state = pool.classes[static_cast<std::size_t>(slot.priority)];
+  if (outcome.endpoint_leaving)
+    endpoint.leaving = true;
+  ObserveOutcome(endpoint.outlier, outcome.endpoint_failed, now);
+  ObserveTokenTime(endpoint.limit, outcome.time_per_token,
+                   Milliseconds{state.settings.token_gap_ms});
+  if (slot.preempted && pool.resumable.size() < kMaxResumable)
+    pool.resumable.insert(slot.request_id);
+  if (!slot.preempted && !outcome.endpoint_failed)
+    ObserveHold(state, slot.item, slot.start, now);
+}
+
+Slot AdoptedSlot(const HeldSlot& held,
+                 std::string_view entry_id,
+                 TimePoint now) {
+  Slot slot;
+  slot.grant_id = held.grant_id;
+  slot.request_id = held.request_id;
+  slot.entry_id = entry_id;
+  slot.item = held.item;
+  slot.caller = held.caller;
+  slot.priority = held.priority;
+  slot.start = now - held.age;
+  slot.deadline = now + kGrantTime;
+  return slot;
+}
+
+bool IsPreemptable(const Slot& slot) {
+  return slot.priority == Priority::kOvernight && !slot.preempted;
+}
+
+int CountOvernight(const PoolState& pool) {
+  int count = 0;
+  for (const auto& [id, endpoint] : pool.endpoints) {
+    for (const Slot& slot : endpoint.granted)
+      count += IsPreemptable(slot) ? 1 : 0;
+  }
+  return count;
+}
+
+int OvernightShare(const PoolState& pool, TimePoint now) {
+  double limits = 0;
+  for (const auto& [id, endpoint] : pool.endpoints)
+    limits += CurrentLimit(pool, endpoint, now);
+  const auto overnight = static_cast<std::size_t>(Priority::kOvernight);
+  const double share = pool.classes[overnight].settings.minimum_share;
+  return static_cast<int>(share * limits);
+}
+
+/// Cancelled slots that have not come back yet, by endpoint id. Each serves
+/// one waiting request.
+std::map<std::string, int> CountCancelled(const PoolState& pool) {
+  std::map<std::string, int> cancelled;
+  for (const auto& [id, endpoint] : pool.endpoints) {
+    for (const Slot& slot : endpoint.granted)
+      cancelled[id] += slot.preempted ? 1 : 0;
+  }
+  return cancelled;
+}
+
+/// Returns the latest started overnight slot at a usable holder.
+Slot* LatestOvernight(PoolState& pool,
+                      const SlotRequest& request,
+                      TimePoint now) {
+  Slot* latest = nullptr;
+  for (const std::string& id : pool.holders[request.item]) {
+    const auto endpoint = pool.endpoints.find(id);
+    if (endpoint == pool.endpoints.end() || endpoint->second.leaving ||
+        IsEjected(endpoint->second.outlier, now))
+      continue;
+    for (Slot& slot : endpoint->second.granted) {
+      if (!IsPreemptable(slot))
+        continue;
+      if (latest == nullptr || slot.start > latest->start)
+        latest = &slot;
+    }
+  }
+  return latest;
+}
+
+/// Uses up one slot that is being cancelled at a holder of the item.
+bool TakeCancelled(const PoolState& pool,
+                   const std::string& item,
+                   std::map<std::string, int>* cancelled) {
+  const auto holders = pool.holders.find(item);
+  if (holders == pool.holders.end())
+    return false;
+  for (const std::string& id : holders->second) {
+    const auto found = cancelled->find(id);
+    if (found == cancelled->end() || found->second == 0)
+      continue;
+    --found->second;
+    return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+void ReturnSlot(PoolState& pool,
+                std::uint64_t grant_id,
+                const SlotOutcome& outcome,
+                TimePoint now) {
+  for (auto& [id, endpoint] : pool.endpoints) {
+    const auto slot = std::find_if(
+        endpoint.granted.begin(), endpoint.granted.end(),
+        [grant_id](const Slot& one) { return one.grant_id == grant_id; });
+    if (slot == endpoint.granted.end())
+      continue;
+    const Slot returned = *slot;
+    endpoint.granted.erase(slot);
+    ObserveReturn(pool, endpoint, returned, outcome, now);
+    return;
+  }
+}
+
+int ExpireSlots(PoolState& pool, TimePoint now) {
+  std::size_t freed = 0;
+  for (auto& [id, endpoint] : pool.endpoints) {
+    auto& granted = endpoint.granted;
+    const std::size_t before = granted.size();
+    granted.erase(
+        std::remove_if(granted.begin(), granted.end(),
+                       [now](const Slot& one) { return one.deadline <= now; }),
+        granted.end());
+    freed += before - granted.size();
+  }
+  for (ClassState& state : pool.classes) {
+    auto& waiting = state.waiting;
+    waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
+                                 [now](const Waiting& one) {
+                                   return one.request.deadline <= now ||
+                                          one.heard + kWaitingTime <= now;
+                                 }),
+                  waiting.end());
+  }
+  return static_cast<int>(freed);
+}
+
+void ReportGrants(PoolState& pool,
+                  std::string_view entry_id,
+                  gsl::span<const HeldSlot> held,
+                  TimePoint now) {
+  pool.awaited_reports.erase(std::string(entry_id));
+  std::map<std::uint64_t, const HeldSlot*> unknown;
+  for (const HeldSlot& one : held)
+    unknown[one.grant_id] = &one;
+  for (auto& [id, endpoint] : pool.endpoints) {
+    auto& granted = endpoint.granted;
+    for (Slot& slot : granted) {
+      if (slot.entry_id != entry_id)
+        continue;
+      if (unknown.erase(slot.grant_id) == 0) {
+        ++slot.missing_reports;
+        continue;
+      }
+      slot.missing_reports = 0;
+      slot.deadline = now + kGrantTime;
+    }
+    granted.erase(std::remove_if(granted.begin(), granted.end(),
+                                 [](const Slot& slot) {
+                                   return slot.missing_reports >=
+                                          kMissingReportsToFree;
+                                 }),
+                  granted.end());
+  }
+  for (const auto& [grant_id, one] : unknown) {
+    const auto endpoint = pool.endpoints.find(one->endpoint_id);
+    if (endpoint != pool.endpoints.end())
+      endpoint->second.granted.push_back(AdoptedSlot(*one, entry_id, now));
+  }
+}
+
+std::vector<PreemptionNotice> ChoosePreemption(PoolState& pool, TimePoint now) {
+  std::vector<PreemptionNotice> notices;
+  const auto interactive = static_cast<std::size_t>(Priority::kInteractive);
+  int spare = CountOvernight(pool) - OvernightShare(pool, now);
+  std::map<std::string, int> cancelled = CountCancelled(pool);
+  for (const Waiting& one : pool.classes[interactive].waiting) {
+    if (TakeCancelled(pool, one.request.item, &cancelled))
+      continue;
+    if (spare <= 0)
+      break;
+    Slot* slot = LatestOvernight(pool, one.request, now);
+    if (slot == nullptr)
+      continue;
+    slot->preempted = true;
+    --spare;
+    notices.push_back({slot->entry_id, slot->request_id, slot->grant_id});
+  }
+  return notices;
+}
+
+}  // namespace coltsfootvane::dispatch
