--- /dev/null
+++ b/src/membership/message.h
@@ -0,0 +1,61 @@
+#ifndef COLTSFOOTVANE_MEMBERSHIP_MESSAGE_H_
+#define COLTSFOOTVANE_MEMBERSHIP_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "http/message.h"
+
+namespace coltsfootvane::membership {
+
+enum class MemberState { kAlive = 0, kSuspect = 1, kLeaving = 2, kDead = 3 };
+
+/// What is known about one daemon. A higher incarnation takes precedence; only
+/// the daemon itself raises it.
+struct Member {
+  std::string id;
+  std::int64_t incarnation = 0;
+  std::string instance;  ///< Random per process start.
+  std::string data_centre;
+  std::string region;
+  http::Address address;
+  MemberState state = MemberState::kAlive;
+  std::int64_t version = 0;  ///< Of the configuration in force.
+  std::string digest;
+  bool planner = false;
+};
+
+/// An endpoint that gets no new work. Forgotten at the deadline.
+struct LeavingEndpoint {
+  std::string id;
+  TimePoint deadline;
+};
+
+enum class MessageKind {
+  kPing = 0,
+  kAck = 1,
+  kPingRequest = 2,  ///< Asks the receiver to ping `target`.
+  kUpdates = 3,      ///< Carries updates only.
+  kJoin = 4,         ///< Asks for the whole list.
+};
+
+struct Message {
+  MessageKind kind = MessageKind::kPing;
+  std::int64_t sequence = 0;
+  http::Address target;  ///< Of a ping request.
+  Member sender;
+  std::vector<Member> updates;
+  std::vector<LeavingEndpoint> leaving;
+};
+
+/// A message to send.
+struct Outgoing {
+  http::Address address;
+  Message message;
+};
+
+}  // namespace coltsfootvane::membership
+
+#endif  // COLTSFOOTVANE_MEMBERSHIP_MESSAGE_H_
