--- a/src/dispatch/pools.cc
+++ b/src/dispatch/pools.cc
@@ -10,8 +10,10 @@
 
 constexpr std::size_t kPoolSize = 32;
 
-bool IsLeaving(const InForce& view, const std::string& endpoint_id) {
-  if (view.leaving.count(endpoint_id) > 0)
+bool IsLeaving(const InForce& view,
+               const std::set<std::string>& leaving,
+               const std::string& endpoint_id) {
+  if (view.leaving.count(endpoint_id) > 0 || leaving.count(endpoint_id) > 0)
     return true;
   const EndpointPlacement* placement =
       FindPlacement(view.placement, endpoint_id);
@@ -20,11 +22,11 @@
 
 void SyncEndpoint(EndpointState& state,
                   const Endpoint& endpoint,
-                  const InForce& view) {
+                  bool leaving) {
   const bool is_new = state.id.empty();
   state.id = endpoint.id;
   state.kind = endpoint.kind;
-  state.leaving = IsLeaving(view, endpoint.id);
+  state.leaving = leaving;
   if (!is_new && state.slots == endpoint.slots)
     return;
   state.slots = endpoint.slots;
@@ -46,6 +48,27 @@
     state.holders[item].push_back(endpoint.id);
 }
 
+void AddHolder(std::vector<PoolHolders>& holders,
+               const Pool& pool,
+               const std::string& endpoint_id) {
+  if (holders.empty() || holders.back().pool != &pool)
+    holders.push_back({&pool, {}});
+  holders.back().endpoint_ids.push_back(endpoint_id);
+}
+
+void AddRoutes(Routes& routes, const Pool& pool, const Endpoint& endpoint) {
+  if (endpoint.kind == EndpointKind::kService) {
+    AddHolder(routes.services[endpoint.service], pool, endpoint.id);
+    return;
+  }
+  const EndpointPlacement* placement =
+      FindPlacement(routes.view->placement, endpoint.id);
+  if (placement == nullptr)
+    return;
+  for (const std::string& item : placement->ready)
+    AddHolder(routes.engines[item], pool, endpoint.id);
+}
+
 }  // namespace
 
 std::vector<Pool> MakePools(const Configuration& configuration) {
@@ -67,43 +90,37 @@
   return pools;
 }
 
-bool HoldsItem(const InForce& view,
-               const Endpoint& endpoint,
-               std::string_view item) {
-  if (IsLeaving(view, endpoint.id))
-    return false;
-  if (endpoint.kind == EndpointKind::kService)
-    return endpoint.service == item;
-  const EndpointPlacement* placement =
-      FindPlacement(view.placement, endpoint.id);
-  return placement != nullptr && IsReady(*placement, item);
-}
-
-std::vector<PoolHolders> FindPoolHolders(const InForce& view,
-                                         const std::vector<Pool>& pools,
-                                         std::string_view item,
-                                         EndpointKind kind) {
-  std::set<std::string_view> holders;
-  for (const Endpoint& endpoint : view.configuration.endpoints) {
-    if (endpoint.kind == kind && HoldsItem(view, endpoint, item))
-      holders.insert(endpoint.id);
-  }
-  std::vector<PoolHolders> found;
-  for (const Pool& pool : pools) {
-    PoolHolders one{&pool, {}};
+std::shared_ptr<const Routes> MakeRoutes(std::shared_ptr<const InForce> view,
+                                         const std::set<std::string>& leaving) {
+  auto routes = std::make_shared<Routes>();
+  routes->view = std::move(view);
+  routes->pools = MakePools(routes->view->configuration);
+  std::map<std::string_view, const Endpoint*> endpoints;
+  for (const Endpoint& endpoint : routes->view->configuration.endpoints)
+    endpoints[endpoint.id] = &endpoint;
+  for (const Pool& pool : routes->pools) {
     for (const std::string& id : pool.endpoint_ids) {
-      if (holders.count(id) > 0)
-        one.endpoint_ids.push_back(id);
+      if (!IsLeaving(*routes->view, leaving, id))
+        AddRoutes(*routes, pool, *endpoints[id]);
     }
-    if (!one.endpoint_ids.empty())
-      found.push_back(std::move(one));
   }
-  return found;
+  return routes;
+}
+
+const std::vector<PoolHolders>& FindHolders(const Routes& routes,
+                                            EndpointKind kind,
+                                            std::string_view item) {
+  static const std::vector<PoolHolders> none;
+  const auto& items =
+      kind == EndpointKind::kService ? routes.services : routes.engines;
+  const auto found = items.find(item);
+  return found == items.end() ? none : found->second;
 }
 
 void SyncPool(PoolState& state,
               const Pool& pool,
               const InForce& view,
+              const std::set<std::string>& leaving,
               TimePoint now) {
   state.name = pool.name;
   const std::set<std::string> members(pool.endpoint_ids.begin(),
@@ -118,7 +135,7 @@
     EndpointState& one = state.endpoints[endpoint.id];
     if (one.id.empty())
       one.limit.next_adjustment = now;
-    SyncEndpoint(one, endpoint, view);
+    SyncEndpoint(one, endpoint, IsLeaving(view, leaving, endpoint.id));
     SyncHolders(state, endpoint, view);
   }
   for (std::size_t i = 0; i < kPriorityCount; ++i)
--- a/src/dispatch/pools.h
+++ b/src/dispatch/pools.h
@@ -2,6 +2,8 @@
 #define COLTSFOOTVANE_DISPATCH_POOLS_H_
 
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,24 +27,32 @@
   std::vector<std::string> endpoint_ids;
 };
 
+/// Which pools hold what; made once per view.
+struct Routes {
+  std::shared_ptr<const InForce> view;
+  std::vector<Pool> pools;
+  /// By item; the pools point into `pools`.
+  std::map<std::string, std::vector<PoolHolders>, std::less<>> engines;
+  std::map<std::string, std::vector<PoolHolders>, std::less<>> services;
+};
+
 std::vector<Pool> MakePools(const Configuration& configuration);
 
-/// Returns whether `endpoint` can serve `item` according to `view`.
-bool HoldsItem(const InForce& view,
-               const Endpoint& endpoint,
-               std::string_view item);
+/// `leaving` are endpoints known to be leaving besides those in `view`.
+std::shared_ptr<const Routes> MakeRoutes(std::shared_ptr<const InForce> view,
+                                         const std::set<std::string>& leaving);
 
-/// Returns the pools with at least one holder of `item` that is not leaving.
-std::vector<PoolHolders> FindPoolHolders(const InForce& view,
-                                         const std::vector<Pool>& pools,
-                                         std::string_view item,
-                                         EndpointKind kind);
+/// Returns the pools with a holder of `item` that is not leaving.
+const std::vector<PoolHolders>& FindHolders(const Routes& routes,
+                                            EndpointKind kind,
+                                            std::string_view item);
 
 /// Updates endpoints, limits, classes and holders of `state` from `view`. Slots
 /// and queues are kept.
 void SyncPool(PoolState& state,
               const Pool& pool,
               const InForce& view,
+              const std::set<std::string>& leaving,
               TimePoint now);
 
 /// Returns the member with the highest rendezvous hash for `pool_name`, or an
