Peer: Add the node of one daemon with dispatcher and slot client

Cause: entries need slots, versions and configurations from other daemons. Change: PeerNode joins the datagram link, membership thread, dispatcher, slot caller, demand table and ConfigPeer RPC; the naive baseline; events 16xx, 18xx, 19xx.

--- /dev/null
+++ b/src/dispatch/naive.h
@@ -0,0 +1,56 @@
+#ifndef COLTSFOOTVANE_DISPATCH_NAIVE_H_
+#define COLTSFOOTVANE_DISPATCH_NAIVE_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+
+#include "dispatch/pools.h"
+#include "dispatch/slot_client.h"
+
+namespace coltsfootvane::dispatch {
+
+/// Returns the holder with the least reported load, a random one of equals, or
+/// an empty string if there is no holder.
+std::string ChooseNaively(const Routes& routes,
+                          const std::map<std::string, int>& loads,
+                          const SlotRequest& request,
+                          std::mt19937_64& random);
+
+/// The baseline: this daemon alone chooses by load reports that lag; without
+/// queues, limits or shares.
+class NaiveDispatch {
+ public:
+  explicit NaiveDispatch(std::function<std::shared_ptr<const Routes>()> routes);
+  NaiveDispatch(const NaiveDispatch&) = delete;
+  NaiveDispatch& operator=(const NaiveDispatch&) = delete;
+  ~NaiveDispatch();
+
+  /// Starts the thread that reads the loads each second.
+  void Start();
+  void Stop();
+
+  /// The client must not be used after this object is destroyed.
+  SlotClient MakeSlotClient();
+
+ private:
+  SlotAnswer Ask(const SlotRequest& request);
+  void Refresh();
+
+  const std::function<std::shared_ptr<const Routes>()> routes;
+  std::atomic<bool> stopping{false};
+  std::thread thread;
+  std::mutex mutex;  ///< Guards all below.
+  std::map<std::string, int> loads;
+  std::uint64_t next_grant_id = 1;
+  std::mt19937_64 random;
+};
+
+}  // namespace coltsfootvane::dispatch
+
+#endif  // COLTSFOOTVANE_DISPATCH_NAIVE_H_
--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -143,6 +143,12 @@
                 const SlotOutcome& outcome,
                 TimePoint now);
 
+/// Frees a slot that was never used; nothing is observed from it.
+void DropSlot(PoolState& pool, std::uint64_t grant_id);
+
+/// Returns the endpoint of the slot `grant_id`, or an empty string.
+std::string FindSlotEndpoint(const PoolState& pool, std::uint64_t grant_id);
+
 /// Forgets a request, waiting or granted, whose caller has left.
 void WithdrawRequest(PoolState& pool,
                      std::string_view entry_id,
--- a/src/dispatch/slots.cc
+++ b/src/dispatch/slots.cc
@@ -132,6 +132,27 @@
   }
 }
 
+void DropSlot(PoolState& pool, std::uint64_t grant_id) {
+  for (auto& [id, endpoint] : pool.endpoints) {
+    auto& granted = endpoint.granted;
+    granted.erase(std::remove_if(granted.begin(), granted.end(),
+                                 [grant_id](const Slot& one) {
+                                   return one.grant_id == grant_id;
+                                 }),
+                  granted.end());
+  }
+}
+
+std::string FindSlotEndpoint(const PoolState& pool, std::uint64_t grant_id) {
+  for (const auto& [id, endpoint] : pool.endpoints) {
+    for (const Slot& slot : endpoint.granted) {
+      if (slot.grant_id == grant_id)
+        return id;
+    }
+  }
+  return {};
+}
+
 int ExpireSlots(PoolState& pool, TimePoint now) {
   std::size_t freed = 0;
   for (auto& [id, endpoint] : pool.endpoints) {
--- /dev/null
+++ b/src/peer/config_peer.h
@@ -0,0 +1,60 @@
+#ifndef COLTSFOOTVANE_PEER_CONFIG_PEER_H_
+#define COLTSFOOTVANE_PEER_CONFIG_PEER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "config/bundle.h"
+#include "http/message.h"
+
+namespace coltsfootvane::peer {
+
+/// The configuration in force of one daemon, as text. The receiver verifies
+/// the digests.
+struct ConfigurationSnapshot {
+  std::int64_t version = 0;
+  std::string head;  ///< JSON.
+  std::vector<BundlePart> parts;
+  std::string placement;  ///< JSON.
+};
+
+/// What a peer returned. `head` and `parts` are empty if it has nothing newer.
+struct FetchedSnapshot {
+  bool newer = false;
+  std::string head;
+  std::vector<BundlePart> parts;
+  std::string placement;
+};
+
+/// Serves `ConfigPeer.Fetch` over TCP with a bounded number of threads.
+class ConfigPeerServer {
+ public:
+  ConfigPeerServer();
+  ConfigPeerServer(const ConfigPeerServer&) = delete;
+  ConfigPeerServer& operator=(const ConfigPeerServer&) = delete;
+  ~ConfigPeerServer();
+
+  /// `snapshot` is called on server threads. Errors: kInvalid.
+  Result<bool> Start(const http::Address& address,
+                     std::function<ConfigurationSnapshot()> snapshot);
+  void Stop();
+
+ private:
+  struct Running;
+  std::unique_ptr<Running> running;
+};
+
+/// Fetches what `peer` has in force, if it is newer than `known_version`, and
+/// its placement. Errors: kNotSent, kTimeout, kUnknown, kInvalid.
+Result<FetchedSnapshot> FetchFromPeer(const http::Address& peer,
+                                      std::int64_t known_version,
+                                      TimePoint deadline);
+
+}  // namespace coltsfootvane::peer
+
+#endif  // COLTSFOOTVANE_PEER_CONFIG_PEER_H_
--- /dev/null
+++ b/src/peer/dispatcher.h
@@ -0,0 +1,119 @@
+#ifndef COLTSFOOTVANE_PEER_DISPATCHER_H_
+#define COLTSFOOTVANE_PEER_DISPATCHER_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "base/ring.h"
+#include "dispatch/messages.h"
+#include "dispatch/pool_state.h"
+#include "peer/member_view.h"
+#include "peer/message.h"
+#include "placement/demand.h"
+
+namespace coltsfootvane::peer {
+
+/// A message from an entry to a dispatcher.
+struct DispatchInput {
+  std::string entry_id;
+  http::Address entry_address;
+  std::variant<dispatch::AskMessage,
+               dispatch::ReturnMessage,
+               dispatch::ReportMessage>
+      message;
+};
+
+struct DispatcherOutputs {
+  std::function<void(const std::string& entry_id,
+                     const http::Address& entry_address,
+                     PeerMessage message)>
+      send;
+  std::function<void(const std::string& endpoint_id)> endpoint_leaving;
+};
+
+/// Runs the pools that this daemon dispatches, on one thread.
+class Dispatcher {
+ public:
+  Dispatcher(std::string self_id,
+             RouteCache* routes,
+             const MemberViewHolder* members,
+             DispatcherOutputs outputs);
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
+  ~Dispatcher();
+
+  void Start();
+  void Stop();
+
+  /// Thread safe. Returns false if too many messages wait.
+  bool Push(DispatchInput input);
+
+  /// Stops granting; entries go to the next dispatcher.
+  void SetLeaving() { this->leaving = true; }
+
+  /// Returns requests waiting or running, by item. Thread safe.
+  std::vector<ItemDemand> Demand() const;
+
+  /// Returns one JSON array of the pools. Thread safe.
+  std::string StatusJson() const;
+
+ private:
+  struct OwnedPool {
+    dispatch::PoolState state;
+    std::shared_ptr<const dispatch::Routes> synced;  ///< Null: not yet.
+    TimePoint last_used;
+  };
+  struct PartialReport {
+    std::int64_t round = 0;
+    std::set<int> chunks;
+    std::vector<dispatch::HeldSlot> held;
+  };
+
+  void Run();
+  void Handle(const DispatchInput& input, TimePoint now);
+  void OnAsk(const DispatchInput& input,
+             const dispatch::AskMessage& ask,
+             TimePoint now);
+  void OnReturn(const DispatchInput& input,
+                const dispatch::ReturnMessage& give_back,
+                TimePoint now);
+  void OnReport(const DispatchInput& input,
+                const dispatch::ReportMessage& report,
+                TimePoint now);
+  void Tick(TimePoint now);
+  void TakeOwnPools(const dispatch::Routes& routes, TimePoint now);
+  void DropUnusedPools(const dispatch::Routes& routes, TimePoint now);
+  OwnedPool* UsePool(const std::string& name, TimePoint now);
+  void Sync(OwnedPool& owned,
+            const std::shared_ptr<const dispatch::Routes>& routes,
+            TimePoint now);
+  void SendGrants(OwnedPool& owned, TimePoint now);
+  void SendPreemptions(OwnedPool& owned, TimePoint now);
+  void Reply(const std::string& entry_id, dispatch::ReplyMessage reply);
+
+  const std::string self_id;
+  RouteCache* routes;
+  const MemberViewHolder* members;
+  const DispatcherOutputs outputs;
+  std::atomic<bool> leaving{false};
+  Ring<DispatchInput> inputs;
+  std::thread thread;
+
+  mutable std::mutex mutex;  ///< Guards all below.
+  std::map<std::string, OwnedPool> pools;
+  std::map<std::string, http::Address> entries;
+  std::map<std::pair<std::string, std::string>, PartialReport> reports;
+};
+
+}  // namespace coltsfootvane::peer
+
+#endif  // COLTSFOOTVANE_PEER_DISPATCHER_H_
--- /dev/null
+++ b/src/peer/member_view.h
@@ -0,0 +1,60 @@
+#ifndef COLTSFOOTVANE_PEER_MEMBER_VIEW_H_
+#define COLTSFOOTVANE_PEER_MEMBER_VIEW_H_
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dispatch/pools.h"
+#include "membership/message.h"
+
+namespace coltsfootvane::peer {
+
+/// An immutable copy of the member table for other threads.
+struct MemberView {
+  std::vector<membership::Member> members;  ///< This daemon first.
+  std::set<std::string> leaving_endpoints;
+};
+
+class MemberViewHolder {
+ public:
+  /// Never null.
+  std::shared_ptr<const MemberView> Get() const;
+  void Set(std::shared_ptr<const MemberView> next);
+
+ private:
+  mutable std::mutex mutex;
+  std::shared_ptr<const MemberView> current = std::make_shared<MemberView>();
+};
+
+/// Makes routes once per pair of views. Thread safe.
+class RouteCache {
+ public:
+  RouteCache(const InForceHolder* in_force, const MemberViewHolder* members)
+      : in_force(in_force), members(members) {}
+
+  std::shared_ptr<const dispatch::Routes> Get();
+
+ private:
+  const InForceHolder* in_force;
+  const MemberViewHolder* members;
+  std::mutex mutex;
+  std::set<std::string> leaving;
+  std::shared_ptr<const dispatch::Routes> current;
+};
+
+/// Returns the member that should dispatch `pool`, or null: a usable member of
+/// the pool's data centre, of all members if there is none.
+const membership::Member* FindDispatcher(const MemberView& view,
+                                         const dispatch::Pool& pool);
+
+/// Returns how many daemons share the endpoints, at least 1.
+int CountUsable(const MemberView& view);
+
+}  // namespace coltsfootvane::peer
+
+#endif  // COLTSFOOTVANE_PEER_MEMBER_VIEW_H_
--- /dev/null
+++ b/src/peer/slot_caller.cc
@@ -0,0 +1,335 @@
+#include "peer/slot_caller.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+#include "base/digest.h"
+#include "dispatch/events.h"
+
+namespace coltsfootvane::peer {
+namespace {
+
+constexpr Milliseconds kRepeatPeriod{50};
+constexpr Milliseconds kQueuedRepeatPeriod{500};
+constexpr Milliseconds kFallbackTime{300};
+/// A request that gets neither an answer nor a fallback share is refused then.
+constexpr Milliseconds kUnansweredTime{1000};
+constexpr Milliseconds kHintTime{2000};
+constexpr int kUnreadyRetryMs = 1000;
+constexpr int kUnansweredRetryMs = 1000;
+constexpr int kFullPercent = 100;
+constexpr std::size_t kMaxUnreadyItems = 1024;
+
+bool HasUsable(const dispatch::PoolHolders& holders,
+               const SlotRequest& request) {
+  for (const std::string& id : holders.endpoint_ids) {
+    if (std::find(request.excluded.begin(), request.excluded.end(), id) ==
+        request.excluded.end())
+      return true;
+  }
+  return false;
+}
+
+bool TriesNextPool(SlotVerdict verdict) {
+  return verdict == SlotVerdict::kNoCopy ||
+         verdict == SlotVerdict::kQueueFull ||
+         verdict == SlotVerdict::kDeadline;
+}
+
+/// Timing of one request at one pool.
+struct AskProgress {
+  std::string dispatcher;  ///< Last asked.
+  TimePoint next_send;
+  TimePoint last_answer;
+  bool queued = false;
+};
+
+TimePoint UnansweredSince(const AskProgress& progress) {
+  // While queued, answers come only at the slower repeats.
+  return progress.queued ? progress.last_answer + kQueuedRepeatPeriod
+                         : progress.last_answer;
+}
+
+}  // namespace
+
+SlotCaller::SlotCaller(std::string data_centre,
+                       RouteCache* routes,
+                       const MemberViewHolder* members,
+                       Send send)
+    : data_centre(std::move(data_centre)),
+      routes(routes),
+      members(members),
+      send(std::move(send)),
+      random(Hash64(RandomId())) {}
+
+std::vector<const dispatch::PoolHolders*> SlotCaller::OrderPools(
+    const dispatch::Routes& routes,
+    const SlotRequest& request,
+    TimePoint now) {
+  using Key = std::tuple<bool, bool, int, std::uint64_t>;
+  std::vector<std::pair<Key, const dispatch::PoolHolders*>> keyed;
+  std::lock_guard<std::mutex> lock(this->mutex);
+  for (const dispatch::PoolHolders& one :
+       dispatch::FindHolders(routes, request.kind, request.item)) {
+    if (!HasUsable(one, request))
+      continue;
+    const auto hint = this->hints.find(one.pool->name);
+    const bool fresh = hint != this->hints.end() && hint->second.expiry > now;
+    const int percent = fresh ? hint->second.percent : 0;
+    const bool remote = one.pool->data_centre != this->data_centre;
+    keyed.push_back(
+        {{percent >= kFullPercent, remote, percent, this->random()}, &one});
+  }
+  std::sort(keyed.begin(), keyed.end());
+  std::vector<const dispatch::PoolHolders*> ordered;
+  ordered.reserve(keyed.size());
+  for (const auto& [key, holders] : keyed)
+    ordered.push_back(holders);
+  return ordered;
+}
+
+SlotAnswer SlotCaller::Ask(const SlotRequest& request,
+                           const std::function<bool()>& caller_gone) {
+  const auto routes = this->routes->Get();
+  SlotAnswer refusal{SlotVerdict::kNoCopy, "", 0, kUnreadyRetryMs};
+  bool asked = false;
+  for (const dispatch::PoolHolders* holders :
+       this->OrderPools(*routes, request, Clock::now())) {
+    SlotAnswer answer = this->AskPool(*routes, *holders, request, caller_gone);
+    if (!TriesNextPool(answer.verdict))
+      return answer;
+    if (!asked || answer.retry_after_ms < refusal.retry_after_ms)
+      refusal = answer;
+    asked = true;
+    if (Clock::now() >= request.deadline)
+      break;
+  }
+  if (refusal.verdict == SlotVerdict::kNoCopy)
+    this->NoteUnready(request);
+  return refusal;
+}
+
+std::optional<dispatch::ReplyMessage> SlotCaller::WaitForReply(
+    Pending& pending,
+    TimePoint until) {
+  std::unique_lock<std::mutex> lock(this->mutex);
+  pending.changed.wait_until(lock, until,
+                             [&pending] { return pending.reply.has_value(); });
+  return std::exchange(pending.reply, std::nullopt);
+}
+
+SlotAnswer SlotCaller::AskPool(const dispatch::Routes& routes,
+                               const dispatch::PoolHolders& holders,
+                               const SlotRequest& request,
+                               const std::function<bool()>& caller_gone) {
+  const dispatch::Pool& pool = *holders.pool;
+  const auto waiting = std::make_shared<Pending>();
+  waiting->pool = pool.name;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->pending[request.request_id] = waiting;
+  }
+  const auto finish = [&](SlotAnswer answer) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->pending.erase(request.request_id);
+    if (answer.verdict == SlotVerdict::kGranted)
+      this->held[answer.grant_id] = {pool.name, answer.endpoint_id, request,
+                                     Clock::now(), false};
+    return answer;
+  };
+  AskProgress progress;
+  progress.last_answer = Clock::now();
+  progress.next_send = progress.last_answer;
+  for (;;) {
+    const TimePoint now = Clock::now();
+    if (caller_gone && caller_gone()) {
+      this->Withdraw(pool, request);
+      return finish({SlotVerdict::kCancelledWaiting, "", 0, 0});
+    }
+    if (now >= request.deadline) {
+      this->Withdraw(pool, request);
+      return finish({SlotVerdict::kDeadline, "", 0, kUnansweredRetryMs});
+    }
+    const auto view = this->members->Get();
+    const membership::Member* dispatcher = FindDispatcher(*view, pool);
+    if (dispatcher != nullptr &&
+        (now >= progress.next_send || dispatcher->id != progress.dispatcher)) {
+      progress.dispatcher = dispatcher->id;
+      progress.next_send =
+          now + (progress.queued ? kQueuedRepeatPeriod : kRepeatPeriod);
+      PeerMessage message;
+      message.ask = dispatch::AskMessage{pool.name, request};
+      this->send(*dispatcher, std::move(message));
+    }
+    const auto reply = this->WaitForReply(
+        *waiting, std::min(request.deadline, now + kRepeatPeriod));
+    if (reply) {
+      if (!reply->queued)
+        return finish(reply->answer);
+      progress.queued = true;
+      progress.last_answer = Clock::now();
+      progress.next_send = progress.last_answer + kQueuedRepeatPeriod;
+      continue;
+    }
+    const auto silent = Clock::now() - UnansweredSince(progress);
+    if (silent < kFallbackTime)
+      continue;
+    progress.queued = false;
+    if (const auto share = this->TakeShare(routes, holders, request))
+      return finish(*share);
+    if (silent >= kUnansweredTime) {
+      this->Withdraw(pool, request);
+      return finish({SlotVerdict::kQueueFull, "", 0, kUnansweredRetryMs});
+    }
+  }
+}
+
+int SlotCaller::CountHeldAt(const std::string& endpoint_id) const {
+  int count = 0;
+  for (const auto& [grant_id, one] : this->held)
+    count += one.endpoint_id == endpoint_id ? 1 : 0;
+  return count;
+}
+
+std::optional<SlotAnswer> SlotCaller::TakeShare(
+    const dispatch::Routes& routes,
+    const dispatch::PoolHolders& holders,
+    const SlotRequest& request) {
+  const int daemons = CountUsable(*this->members->Get());
+  const int least = request.priority == Priority::kInteractive ? 1 : 0;
+  std::lock_guard<std::mutex> lock(this->mutex);
+  const std::string* best = nullptr;
+  int most_left = 0;
+  for (const std::string& id : holders.endpoint_ids) {
+    const Endpoint* endpoint = FindEndpoint(routes.view->configuration, id);
+    const bool excluded =
+        std::find(request.excluded.begin(), request.excluded.end(), id) !=
+        request.excluded.end();
+    if (endpoint == nullptr || excluded)
+      continue;
+    const int share = std::max(least, endpoint->slots / daemons);
+    const int left = share - this->CountHeldAt(id);
+    if (left <= most_left)
+      continue;
+    most_left = left;
+    best = &id;
+  }
+  if (best == nullptr)
+    return std::nullopt;
+  const std::uint64_t grant_id =
+      this->random() & std::numeric_limits<std::int64_t>::max();
+  // Other threads must not take the same share before it is recorded.
+  this->held[grant_id] = {holders.pool->name, *best, request, Clock::now(),
+                          false};
+  return SlotAnswer{SlotVerdict::kGranted, *best, grant_id, 0};
+}
+
+void SlotCaller::SendToPool(const dispatch::Pool& pool, PeerMessage message) {
+  const auto view = this->members->Get();
+  const membership::Member* dispatcher = FindDispatcher(*view, pool);
+  if (dispatcher != nullptr)
+    this->send(*dispatcher, std::move(message));
+}
+
+void SlotCaller::Withdraw(const dispatch::Pool& pool,
+                          const SlotRequest& request) {
+  PeerMessage message;
+  message.give_back = dispatch::ReturnMessage{pool.name, request.request_id, 0,
+                                              true, SlotOutcome{}};
+  this->SendToPool(pool, std::move(message));
+}
+
+void SlotCaller::GiveBack(const SlotAnswer& answer,
+                          const SlotOutcome& outcome) {
+  PeerMessage message;
+  std::string pool_name;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = this->held.find(answer.grant_id);
+    if (found == this->held.end())
+      return;
+    pool_name = found->second.pool;
+    message.give_back =
+        dispatch::ReturnMessage{pool_name, found->second.request.request_id,
+                                answer.grant_id, false, outcome};
+    this->held.erase(found);
+  }
+  const auto routes = this->routes->Get();
+  for (const dispatch::Pool& pool : routes->pools) {
+    if (pool.name == pool_name)
+      this->SendToPool(pool, std::move(message));
+  }
+}
+
+bool SlotCaller::IsPreempted(const SlotAnswer& answer) const {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->held.find(answer.grant_id);
+  return found != this->held.end() && found->second.preempted;
+}
+
+void SlotCaller::OnReply(const dispatch::ReplyMessage& reply) {
+  const bool granted =
+      !reply.queued && reply.answer.verdict == SlotVerdict::kGranted;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->hints[reply.pool] = {reply.pool_load_percent,
+                               Clock::now() + kHintTime};
+    const auto found = this->pending.find(reply.request_id);
+    if (found != this->pending.end() && found->second->pool == reply.pool) {
+      // A grant is not replaced by a reply that was sent earlier.
+      auto& known = found->second->reply;
+      if (!known || known->queued)
+        known = reply;
+      found->second->changed.notify_all();
+      return;
+    }
+    if (!granted || this->held.count(reply.answer.grant_id) > 0)
+      return;
+  }
+  // The request has been given up: free the slot at once.
+  PeerMessage message;
+  message.give_back = dispatch::ReturnMessage{
+      reply.pool, reply.request_id, reply.answer.grant_id, true, SlotOutcome{}};
+  const auto routes = this->routes->Get();
+  for (const dispatch::Pool& pool : routes->pools) {
+    if (pool.name == reply.pool)
+      this->SendToPool(pool, message);
+  }
+}
+
+void SlotCaller::OnPreemption(const dispatch::PreemptionMessage& preemption) {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->held.find(preemption.grant_id);
+  if (found != this->held.end())
+    found->second.preempted = true;
+}
+
+void SlotCaller::NoteUnready(const SlotRequest& request) {
+  if (request.kind != EndpointKind::kEngine)
+    return;
+  std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->unready.size() >= kMaxUnreadyItems &&
+      this->unready.count(request.item) == 0)
+    return;
+  ItemDemand& demand = this->unready[request.item];
+  demand.item = request.item;
+  demand.requests[static_cast<std::size_t>(request.priority)] += 1;
+}
+
+std::vector<ItemDemand> SlotCaller::TakeUnready() {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<ItemDemand> taken;
+  for (auto& [item, demand] : this->unready)
+    taken.push_back(std::move(demand));
+  this->unready.clear();
+  return taken;
+}
+
+std::size_t SlotCaller::CountHeld() const {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return this->held.size();
+}
+
+}  // namespace coltsfootvane::peer
