Placement: Add the endpoint ledger and the lease

Cause: memory must not be overcommitted by late, lost or repeated commands, and one planner of a region should send at a time.

Change: pure ledger and lease. Intents fenced by an index call stay recorded while their sender may live. A restart makes the endpoint forget its number, and a paused sender could then still have its command accepted; a load therefore also has to fit beside all fenced loads in an empty memory. Keeping them charged in full was ruled out, since one lost response would block memory for as long as the daemon runs.

Conclusion: the planner can be built on both.

--- /dev/null
+++ b/src/placement/lease.cc
@@ -0,0 +1,99 @@
+#include "placement/lease.h"
+
+#include <nlohmann/json.hpp>
+
+namespace coltsfootvane {
+
+using Json = nlohmann::json;
+
+std::string FormatLease(const LeaseSpec& spec) {
+  const Json json = {{"holder", spec.holder},
+                     {"epoch", spec.epoch},
+                     {"renewals", spec.renewals}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Result<LeaseSpec> ParseLease(std::string_view text) {
+  try {
+    const Json json = Json::parse(text);
+    LeaseSpec spec;
+    spec.holder = json.at("holder").get<std::string>();
+    spec.epoch = json.at("epoch").get<std::int64_t>();
+    spec.renewals = json.at("renewals").get<std::int64_t>();
+    return spec;
+  } catch (const Json::exception& error) {
+    return Error{ErrorCode::kInvalid, error.what()};
+  }
+}
+
+LeaseStep NextLeaseStep(const Lease& lease, TimePoint now) {
+  if (!lease.known)
+    return now >= lease.next_call ? LeaseStep::kRead : LeaseStep::kNone;
+  if (lease.resource_version == 0)
+    return LeaseStep::kCreate;
+  if (lease.held)
+    return now >= lease.next_call ? LeaseStep::kRenew : LeaseStep::kNone;
+  if (lease.seen.holder.empty())
+    return LeaseStep::kTakeOver;
+  if (now < lease.next_call)
+    return LeaseStep::kNone;
+  // The observation is confirmed by the conditional update itself.
+  if (now - lease.changed_at >= kLeaseExpiry)
+    return LeaseStep::kTakeOver;
+  return LeaseStep::kRead;
+}
+
+LeaseSpec NextLeaseSpec(const Lease& lease, LeaseStep step) {
+  LeaseSpec spec = lease.seen;
+  spec.holder = lease.self;
+  if (step == LeaseStep::kRenew) {
+    ++spec.renewals;
+    return spec;
+  }
+  ++spec.epoch;
+  spec.renewals = 0;
+  return spec;
+}
+
+void OnLeaseRead(Lease* lease,
+                 const LeaseSpec& spec,
+                 std::int64_t resource_version,
+                 TimePoint now) {
+  const bool first = lease->changed_at == TimePoint();
+  if (first || resource_version != lease->resource_version)
+    lease->changed_at = now;
+  // Its own lost write was found: the send time still counts from the last
+  // renewal that was known to succeed, so it is not extended here.
+  const bool own = spec.holder == lease->self && resource_version != 0;
+  lease->held = own;
+  if (!own)
+    lease->send_until = TimePoint();
+  lease->seen = spec;
+  lease->resource_version = resource_version;
+  lease->known = true;
+  lease->next_call = own ? now : now + kLeaseRenewal;
+}
+
+void OnLeaseWritten(Lease* lease,
+                    const LeaseSpec& spec,
+                    std::int64_t resource_version,
+                    TimePoint start) {
+  lease->seen = spec;
+  lease->resource_version = resource_version;
+  lease->changed_at = start;
+  lease->known = true;
+  lease->held = spec.holder == lease->self;
+  lease->send_until = lease->held ? start + kLeaseSendTime : TimePoint();
+  lease->next_call = start + kLeaseRenewal;
+}
+
+void OnLeaseWriteFailed(Lease* lease, TimePoint now) {
+  lease->known = false;
+  lease->next_call = now;
+}
+
+bool MaySend(const Lease& lease, TimePoint now) {
+  return lease.held && now < lease.send_until;
+}
+
+}  // namespace coltsfootvane
--- /dev/null
+++ b/src/placement/lease.h
@@ -0,0 +1,69 @@
+#ifndef COLTSFOOTVANE_PLACEMENT_LEASE_H_
+#define COLTSFOOTVANE_PLACEMENT_LEASE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "base/result.h"
+
+namespace coltsfootvane {
+
+inline constexpr Milliseconds kLeaseRenewal{2000};
+/// Unchanged for this long by the observer's own clock, a lease is taken over.
+inline constexpr Milliseconds kLeaseExpiry{8000};
+/// Shorter than the expiry, so that a holder usually stops before an observer
+/// takes over. Safety does not depend on it.
+inline constexpr Milliseconds kLeaseSendTime{5000};
+
+/// The spec of the platform object `leases/planner-<region>`.
+struct LeaseSpec {
+  std::string holder;  ///< Empty if released.
+  std::int64_t epoch = 0;
+  std::int64_t renewals = 0;
+};
+
+std::string FormatLease(const LeaseSpec& spec);
+Result<LeaseSpec> ParseLease(std::string_view json);
+
+/// One daemon's view of the lease.
+struct Lease {
+  std::string self;
+  LeaseSpec seen;
+  std::int64_t resource_version = 0;  ///< 0 if the object does not exist.
+  TimePoint changed_at;               ///< When `seen` last changed.
+  TimePoint send_until;               ///< Of a holder; else in the past.
+  TimePoint next_call;                ///< When to read or renew again.
+  bool held = false;
+  bool known = false;  ///< The object was read since the last lost response.
+};
+
+enum class LeaseStep { kNone, kRead, kCreate, kTakeOver, kRenew };
+
+LeaseStep NextLeaseStep(const Lease& lease, TimePoint now);
+
+/// Returns the spec to write for kCreate, kTakeOver and kRenew.
+LeaseSpec NextLeaseSpec(const Lease& lease, LeaseStep step);
+
+/// Takes over what was read at `now`; resource version 0 means absent.
+void OnLeaseRead(Lease* lease,
+                 const LeaseSpec& spec,
+                 std::int64_t resource_version,
+                 TimePoint now);
+
+/// The write of `spec`, which began at `start`, is known to have succeeded.
+void OnLeaseWritten(Lease* lease,
+                    const LeaseSpec& spec,
+                    std::int64_t resource_version,
+                    TimePoint start);
+
+/// The write is known to have failed, or its response was lost. The lease has
+/// to be read before the next write.
+void OnLeaseWriteFailed(Lease* lease, TimePoint now);
+
+bool MaySend(const Lease& lease, TimePoint now);
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_PLACEMENT_LEASE_H_
--- /dev/null
+++ b/src/placement/ledger.cc
@@ -0,0 +1,301 @@
+#include "placement/ledger.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace coltsfootvane {
+namespace {
+
+using Operation = endpoint::Command::Operation;
+using ItemKey = std::pair<std::string_view, std::string_view>;
+using MemoryByItem = std::map<ItemKey, std::int64_t>;
+
+void Charge(std::string_view item,
+            std::string_view version,
+            std::int64_t memory_mb,
+            MemoryByItem* charges) {
+  std::int64_t& charge = (*charges)[{item, version}];
+  charge = std::max(charge, memory_mb);
+}
+
+std::int64_t Sum(const MemoryByItem& charges) {
+  std::int64_t sum = 0;
+  for (const auto& [key, memory_mb] : charges)
+    sum += memory_mb;
+  return sum;
+}
+
+void ChargeLoaded(const EndpointLedger& ledger, MemoryByItem* charges) {
+  for (const LoadedItem& loaded : ledger.loaded)
+    Charge(loaded.item, loaded.version, loaded.memory_mb, charges);
+}
+
+void ChargeIntents(const EndpointLedger& ledger,
+                   bool with_fenced,
+                   MemoryByItem* charges) {
+  for (const Intent& intent : ledger.intents) {
+    if (intent.operation != Operation::kLoad || (intent.fenced && !with_fenced))
+      continue;
+    Charge(intent.item, intent.version, intent.memory_mb, charges);
+  }
+}
+
+bool IsSame(const Intent& intent,
+            std::string_view item,
+            std::string_view version) {
+  return intent.item == item && intent.version == version;
+}
+
+bool IsSame(const LoadedItem& loaded,
+            std::string_view item,
+            std::string_view version) {
+  return loaded.item == item && loaded.version == version;
+}
+
+void AddLoaded(EndpointLedger* ledger, const Intent& intent) {
+  LoadedItem loaded;
+  loaded.item = intent.item;
+  loaded.version = intent.version;
+  loaded.model = intent.model;
+  loaded.memory_mb = intent.memory_mb;
+  loaded.adapter = intent.adapter;
+  loaded.ready = true;
+  for (LoadedItem& existing : ledger->loaded) {
+    if (!IsSame(existing, intent.item, intent.version))
+      continue;
+    existing = loaded;
+    return;
+  }
+  ledger->loaded.push_back(std::move(loaded));
+}
+
+void RemoveLoaded(EndpointLedger* ledger, const Intent& intent) {
+  const auto same = [&intent](const LoadedItem& loaded) {
+    return IsSame(loaded, intent.item, intent.version);
+  };
+  ledger->loaded.erase(
+      std::remove_if(ledger->loaded.begin(), ledger->loaded.end(), same),
+      ledger->loaded.end());
+}
+
+std::vector<LoadedItem> LoadedFromIndex(const EndpointLedger& ledger,
+                                        const endpoint::Index& index) {
+  std::vector<LoadedItem> items;
+  for (const endpoint::IndexItem& shown : index.items) {
+    if (shown.state == endpoint::ItemState::kUnavailable)
+      continue;
+    LoadedItem loaded;
+    loaded.item = shown.name;
+    loaded.version = shown.version;
+    loaded.memory_mb = shown.memory_mb;
+    loaded.adapter = shown.adapter;
+    loaded.ready = shown.state == endpoint::ItemState::kReady;
+    const LoadedItem* const known =
+        FindLoaded(ledger, shown.name, shown.version);
+    if (known != nullptr)
+      loaded.model = known->model;
+    for (const Intent& intent : ledger.intents) {
+      if (loaded.model.empty() && IsSame(intent, shown.name, shown.version))
+        loaded.model = intent.model;
+    }
+    items.push_back(std::move(loaded));
+  }
+  return items;
+}
+
+/// Only a change between two observations that a single open command explains
+/// proves that this command ran: an effect seen earlier may be that of another
+/// attempt, whose success does not resolve the first.
+bool IsProvedDone(const EndpointLedger& before,
+                  const std::vector<LoadedItem>& after,
+                  const Intent& intent) {
+  const auto competing = std::count_if(
+      before.intents.begin(), before.intents.end(), [&intent](const Intent& i) {
+        return IsSame(i, intent.item, intent.version);
+      });
+  if (competing != 1)
+    return false;
+  const bool was_loaded =
+      FindLoaded(before, intent.item, intent.version) != nullptr;
+  const bool is_loaded =
+      std::any_of(after.begin(), after.end(), [&intent](const LoadedItem& l) {
+        return IsSame(l, intent.item, intent.version);
+      });
+  const bool load = intent.operation == Operation::kLoad;
+  return was_loaded != is_loaded && is_loaded == load;
+}
+
+bool IsResolved(const Intent& intent,
+                const IndexReading& reading,
+                bool restarted,
+                const SenderGone& sender_gone) {
+  if (!sender_gone(intent.sender))
+    return false;
+  // Without a sender, a connection to the earlier process or a number below the
+  // one just raised cannot lead to an effect any more.
+  if (reading.checks_fencing || restarted)
+    return true;
+  return intent.seen_done;
+}
+
+/// A fenced unload finds nothing in a restarted endpoint, and one fenced load
+/// of an item stands for all of them.
+void DropRedundantFenced(std::vector<Intent>* intents) {
+  std::vector<Intent> kept;
+  for (Intent& intent : *intents) {
+    const bool repeated =
+        std::any_of(kept.begin(), kept.end(), [&intent](const Intent& other) {
+          return other.fenced && other.sender == intent.sender &&
+                 IsSame(other, intent.item, intent.version) &&
+                 other.memory_mb >= intent.memory_mb;
+        });
+    const bool unload = intent.operation == Operation::kUnload;
+    if (intent.fenced && (repeated || unload))
+      continue;
+    kept.push_back(std::move(intent));
+  }
+  *intents = std::move(kept);
+}
+
+}  // namespace
+
+std::int64_t TakeNumber(EndpointLedger* ledger) {
+  if (ledger->sequence >= kMaxSequence)
+    return 0;
+  ++ledger->sequence;
+  return (ledger->epoch << 32) | ledger->sequence;
+}
+
+void RaiseEpoch(EndpointLedger* ledger, std::int64_t epoch) {
+  ledger->epoch = epoch;
+  ledger->sequence = 0;
+}
+
+std::int64_t ChargedMemory(const EndpointLedger& ledger) {
+  MemoryByItem charges;
+  ChargeLoaded(ledger, &charges);
+  ChargeIntents(ledger, /*with_fenced=*/false, &charges);
+  return Sum(charges);
+}
+
+bool CanLoad(const EndpointLedger& ledger,
+             std::int64_t limit_mb,
+             std::string_view item,
+             std::string_view version,
+             std::int64_t memory_mb) {
+  MemoryByItem running;
+  ChargeLoaded(ledger, &running);
+  ChargeIntents(ledger, /*with_fenced=*/false, &running);
+  Charge(item, version, memory_mb, &running);
+  // A restart empties the memory and forgets the number, so a paused sender's
+  // fenced load can be accepted until the number is raised again.
+  MemoryByItem restarted;
+  ChargeIntents(ledger, /*with_fenced=*/true, &restarted);
+  Charge(item, version, memory_mb, &restarted);
+  return Sum(running) <= limit_mb && Sum(restarted) <= limit_mb;
+}
+
+bool RecordIntent(EndpointLedger* ledger,
+                  endpoint::Command* command,
+                  std::string_view sender) {
+  command->fencing_number = TakeNumber(ledger);
+  if (command->fencing_number == 0)
+    return false;
+  Intent intent;
+  intent.number = command->fencing_number;
+  intent.operation = command->operation;
+  intent.item = command->item;
+  intent.version = command->version;
+  intent.model = command->model;
+  intent.memory_mb = command->memory_mb;
+  intent.adapter = command->adapter;
+  intent.sender = sender;
+  ledger->intents.push_back(std::move(intent));
+  return true;
+}
+
+void ResolveByResponse(EndpointLedger* ledger,
+                       std::int64_t number,
+                       const Result<bool>& response) {
+  const auto found = std::find_if(
+      ledger->intents.begin(), ledger->intents.end(),
+      [number](const Intent& intent) { return intent.number == number; });
+  if (found == ledger->intents.end())
+    return;
+  if (!response && response.assume_error().code == ErrorCode::kUnknown)
+    return;
+  const Intent intent = *found;
+  ledger->intents.erase(found);
+  if (!response)
+    return;
+  if (intent.operation == Operation::kLoad)
+    AddLoaded(ledger, intent);
+  else
+    RemoveLoaded(ledger, intent);
+}
+
+void ApplyIndex(EndpointLedger* ledger,
+                const IndexReading& reading,
+                const SenderGone& sender_gone) {
+  const bool restarted = ledger->boot_id != reading.index.boot_id;
+  std::vector<LoadedItem> loaded = LoadedFromIndex(*ledger, reading.index);
+  std::vector<Intent> kept;
+  for (const Intent& intent : ledger->intents) {
+    Intent next = intent;
+    if (intent.number >= reading.number) {
+      kept.push_back(std::move(next));
+      continue;
+    }
+    if (!restarted && IsProvedDone(*ledger, loaded, intent))
+      next.seen_done = true;
+    if (IsResolved(next, reading, restarted, sender_gone))
+      continue;
+    // After a restart the charge comes back until a second call in the same
+    // boot confirms that the raised number is in force.
+    next.fenced = reading.checks_fencing && !restarted;
+    kept.push_back(std::move(next));
+  }
+  DropRedundantFenced(&kept);
+  ledger->intents = std::move(kept);
+  ledger->loaded = std::move(loaded);
+  ledger->boot_id = reading.index.boot_id;
+}
+
+const LoadedItem* FindLoaded(const EndpointLedger& ledger,
+                             std::string_view item,
+                             std::string_view version) {
+  for (const LoadedItem& loaded : ledger.loaded) {
+    if (IsSame(loaded, item, version))
+      return &loaded;
+  }
+  return nullptr;
+}
+
+bool HasOpenLoad(const EndpointLedger& ledger,
+                 std::string_view item,
+                 std::string_view version) {
+  return std::any_of(ledger.intents.begin(), ledger.intents.end(),
+                     [item, version](const Intent& intent) {
+                       return intent.operation == Operation::kLoad &&
+                              !intent.fenced && IsSame(intent, item, version);
+                     });
+}
+
+bool CountsAsCopy(const EndpointLedger& ledger,
+                  std::string_view item,
+                  std::string_view version) {
+  const LoadedItem* const loaded = FindLoaded(ledger, item, version);
+  if (loaded == nullptr || !loaded->ready)
+    return false;
+  return std::none_of(
+      ledger.intents.begin(), ledger.intents.end(),
+      [loaded](const Intent& intent) {
+        const bool own = IsSame(intent, loaded->item, loaded->version);
+        const bool of_model = loaded->adapter && intent.item == loaded->model;
+        return intent.operation == Operation::kUnload && !intent.fenced &&
+               (own || of_model);
+      });
+}
+
+}  // namespace coltsfootvane
--- a/standins/engine_standin/engine_standin.cc
+++ b/standins/engine_standin/engine_standin.cc
@@ -62,7 +62,7 @@
 
 /// Ends the connection without a complete answer.
 void Cut(http::ReplyStream& reply) {
-  reply.Begin(200, {});
+  reply.Abort();
 }
 
 void SendJson(int status, const Json& body, http::ReplyStream& reply) {
--- a/standins/service_standin/service_standin.cc
+++ b/standins/service_standin/service_standin.cc
@@ -46,7 +46,7 @@
   response.status = 200;
   response.body = this->Perform(request).dump();
   if (plan.lose_response)
-    reply.Begin(200, {});
+    reply.Abort();
   else
     reply.Send(response);
 }
