Placement: Add demand tracking and the plan of orders

Cause: the planner needs a deterministic decision of what to load and unload.

Change: PlanOrders() places items without a copy first, largest first, then adds copies by demand. Unneeded copies stay until their memory is wanted, which saves moves; unloading them when demand falls was ruled out.

Conclusion: the planner can be built on it.

--- /dev/null
+++ b/src/placement/plan.h
@@ -0,0 +1,45 @@
+#ifndef COLTSFOOTVANE_PLACEMENT_PLAN_H_
+#define COLTSFOOTVANE_PLACEMENT_PLAN_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "config/configuration.h"
+#include "endpoint/engine.h"
+#include "placement/ledger.h"
+
+namespace coltsfootvane {
+
+/// One engine of the region.
+struct PlanEndpoint {
+  const Endpoint* endpoint = nullptr;
+  EndpointLedger ledger;
+  bool busy = false;  ///< A command is in progress; it gets no other one.
+  bool leaving = false;
+};
+
+struct PlanInput {
+  const Configuration* configuration = nullptr;
+  std::vector<PlanEndpoint> endpoints;  ///< Sorted by endpoint id.
+  /// Weighted requests in progress, by model or adapter.
+  std::map<std::string, double> demand;
+  int model_loads = 0;    ///< Loads that the weight store allows now.
+  int adapter_loads = 0;  ///< Adapter loads that may start now.
+};
+
+struct Order {
+  std::string endpoint_id;
+  endpoint::Command command;  ///< Without a fencing number.
+};
+
+/// Adapter commands given to one endpoint at once.
+inline constexpr int kAdapterBatch = 16;
+
+/// Returns the commands to send now: one model command or some adapter commands
+/// per endpoint. The same input yields the same orders.
+std::vector<Order> PlanOrders(const PlanInput& input);
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_PLACEMENT_PLAN_H_
--- /dev/null
+++ b/src/placement/plan_state.cc
@@ -0,0 +1,250 @@
+#include "placement/plan_state.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace coltsfootvane::detail {
+namespace {
+
+using Operation = endpoint::Command::Operation;
+
+bool HasOpenUnload(const EndpointLedger& ledger,
+                   std::string_view item,
+                   std::string_view version) {
+  return std::any_of(ledger.intents.begin(), ledger.intents.end(),
+                     [item, version](const Intent& intent) {
+                       return intent.operation == Operation::kUnload &&
+                              !intent.fenced && intent.item == item &&
+                              intent.version == version;
+                     });
+}
+
+bool LargerFirst(const DeclaredItem* a, const DeclaredItem* b) {
+  if (a->memory_mb != b->memory_mb)
+    return a->memory_mb > b->memory_mb;
+  return a->name < b->name;
+}
+
+endpoint::Command MakeCommand(const LoadedItem& loaded) {
+  endpoint::Command command;
+  command.operation = Operation::kUnload;
+  command.adapter = loaded.adapter;
+  command.item = loaded.item;
+  command.model = loaded.model;
+  command.version = loaded.version;
+  command.memory_mb = loaded.memory_mb;
+  return command;
+}
+
+}  // namespace
+
+PlanState::PlanState(const PlanInput& input)
+    : endpoints(input.endpoints),
+      adapter_orders(input.endpoints.size()),
+      model_loads(input.model_loads),
+      adapter_loads(input.adapter_loads) {
+  this->Declare(*input.configuration);
+}
+
+void PlanState::Declare(const Configuration& configuration) {
+  for (const Model& model : configuration.models) {
+    DeclaredItem item;
+    item.name = model.name;
+    item.version = model.version;
+    item.memory_mb = model.memory_mb;
+    item.min_copies = model.min_copies;
+    this->declared[model.name] = std::move(item);
+  }
+  for (const Adapter& adapter : configuration.adapters) {
+    DeclaredItem item;
+    item.name = adapter.name;
+    item.version = adapter.version;
+    item.model = adapter.model;
+    item.memory_mb = adapter.memory_mb;
+    this->declared[adapter.name] = std::move(item);
+  }
+  for (auto& [name, item] : this->declared) {
+    if (!item.IsAdapter()) {
+      this->models.push_back(&item);
+      continue;
+    }
+    this->adapters.push_back(&item);
+    const auto model = this->declared.find(item.model);
+    if (model != this->declared.end())
+      model->second.adapters.push_back(&item);
+  }
+  std::sort(this->models.begin(), this->models.end(), LargerFirst);
+  std::sort(this->adapters.begin(), this->adapters.end(), LargerFirst);
+}
+
+const DeclaredItem* PlanState::Find(std::string_view name) const {
+  const auto found = this->declared.find(name);
+  return found == this->declared.end() ? nullptr : &found->second;
+}
+
+bool PlanState::IsPresent(std::size_t i, const DeclaredItem& item) const {
+  const PlanEndpoint& endpoint = this->endpoints[i];
+  const EndpointLedger& ledger = endpoint.ledger;
+  if (endpoint.leaving || HasOpenUnload(ledger, item.name, item.version))
+    return false;
+  if (FindLoaded(ledger, item.name, item.version) == nullptr &&
+      !HasOpenLoad(ledger, item.name, item.version))
+    return false;
+  if (!item.IsAdapter())
+    return true;
+  const DeclaredItem* const model = this->Find(item.model);
+  return model != nullptr && this->IsPresent(i, *model);
+}
+
+bool PlanState::IsSafe(std::size_t i, const DeclaredItem& item) const {
+  const PlanEndpoint& endpoint = this->endpoints[i];
+  if (endpoint.leaving ||
+      !CountsAsCopy(endpoint.ledger, item.name, item.version))
+    return false;
+  if (!item.IsAdapter())
+    return true;
+  const DeclaredItem* const model = this->Find(item.model);
+  return model != nullptr && this->IsSafe(i, *model);
+}
+
+int PlanState::CountPresent(const DeclaredItem& item) const {
+  int count = 0;
+  for (std::size_t i = 0; i < this->endpoints.size(); ++i)
+    count += this->IsPresent(i, item) ? 1 : 0;
+  return count;
+}
+
+int PlanState::CountSafe(const DeclaredItem& item, std::size_t except) const {
+  int count = 0;
+  for (std::size_t i = 0; i < this->endpoints.size(); ++i)
+    count += i != except && this->IsSafe(i, item) ? 1 : 0;
+  return count;
+}
+
+bool PlanState::HasAnyVersion(std::size_t i, std::string_view item) const {
+  const EndpointLedger& ledger = this->endpoints[i].ledger;
+  return std::any_of(
+      ledger.loaded.begin(), ledger.loaded.end(),
+      [item](const LoadedItem& loaded) { return loaded.item == item; });
+}
+
+bool PlanState::Fits(std::size_t i, const DeclaredItem& item) const {
+  const PlanEndpoint& endpoint = this->endpoints[i];
+  return !endpoint.leaving &&
+         CanLoad(endpoint.ledger, endpoint.endpoint->memory_mb, item.name,
+                 item.version, item.memory_mb);
+}
+
+std::int64_t PlanState::FreeMemory(std::size_t i) const {
+  const PlanEndpoint& endpoint = this->endpoints[i];
+  std::int64_t free =
+      endpoint.endpoint->memory_mb - ChargedMemory(endpoint.ledger);
+  for (const DeclaredItem* model : this->models) {
+    if (model->adapters.empty() || !this->IsPresent(i, *model))
+      continue;
+    free -= this->GroupMemory(*model) - model->memory_mb;
+  }
+  return free;
+}
+
+std::int64_t PlanState::GroupMemory(const DeclaredItem& model) const {
+  std::int64_t memory_mb = model.memory_mb;
+  for (const DeclaredItem* adapter : model.adapters) {
+    if (this->CountPresent(*adapter) == 0)
+      memory_mb += adapter->memory_mb;
+  }
+  return memory_mb;
+}
+
+bool PlanState::CanRemove(std::size_t i, const LoadedItem& loaded) const {
+  const auto is_needed = [this, i](std::string_view name,
+                                   std::string_view version) {
+    const DeclaredItem* const item = this->Find(name);
+    if (item == nullptr)
+      return false;
+    if (item->version != version)
+      return this->CountSafe(*item, this->endpoints.size()) == 0;
+    return this->CountSafe(*item, i) == 0;
+  };
+  if (is_needed(loaded.item, loaded.version))
+    return false;
+  if (loaded.adapter)
+    return true;
+  const EndpointLedger& ledger = this->endpoints[i].ledger;
+  return std::none_of(ledger.loaded.begin(), ledger.loaded.end(),
+                      [&loaded, &is_needed](const LoadedItem& other) {
+                        return other.adapter && other.model == loaded.item &&
+                               is_needed(other.item, other.version);
+                      });
+}
+
+bool PlanState::CanOrder(std::size_t i, bool adapter) const {
+  if (this->endpoints[i].busy)
+    return false;
+  return adapter ? this->adapter_orders[i] < kAdapterBatch
+                 : this->adapter_orders[i] == 0;
+}
+
+void PlanState::GiveOrder(std::size_t i, const endpoint::Command& command) {
+  this->orders.push_back({this->endpoints[i].endpoint->id, command});
+  if (command.adapter)
+    ++this->adapter_orders[i];
+  else
+    this->endpoints[i].busy = true;
+}
+
+void PlanState::Load(std::size_t i, const DeclaredItem& item) {
+  endpoint::Command command;
+  command.adapter = item.IsAdapter();
+  command.item = item.name;
+  command.model = item.model;
+  command.version = item.version;
+  command.memory_mb = item.memory_mb;
+  int& budget = command.adapter ? this->adapter_loads : this->model_loads;
+  if (budget > 0 && this->CanOrder(i, command.adapter)) {
+    --budget;
+    this->GiveOrder(i, command);
+  }
+  Intent planned;
+  planned.number = std::numeric_limits<std::int64_t>::max();
+  planned.item = item.name;
+  planned.model = item.model;
+  planned.version = item.version;
+  planned.memory_mb = item.memory_mb;
+  planned.adapter = command.adapter;
+  this->endpoints[i].ledger.intents.push_back(std::move(planned));
+}
+
+void PlanState::Unload(std::size_t i, const LoadedItem& loaded) {
+  EndpointLedger& ledger = this->endpoints[i].ledger;
+  if (HasOpenUnload(ledger, loaded.item, loaded.version))
+    return;
+  const auto same_model = [&loaded](const LoadedItem& other) {
+    return other.item == loaded.item && other.version != loaded.version;
+  };
+  const bool last_version =
+      std::none_of(ledger.loaded.begin(), ledger.loaded.end(), same_model);
+  bool has_adapters = false;
+  const std::vector<LoadedItem> items = ledger.loaded;
+  for (const LoadedItem& other : items) {
+    if (loaded.adapter || !last_version || !other.adapter ||
+        other.model != loaded.item)
+      continue;
+    has_adapters = true;
+    this->Unload(i, other);
+  }
+  if (has_adapters || !this->CanOrder(i, loaded.adapter))
+    return;
+  const endpoint::Command command = MakeCommand(loaded);
+  this->GiveOrder(i, command);
+  Intent planned;
+  planned.number = std::numeric_limits<std::int64_t>::max();
+  planned.operation = Operation::kUnload;
+  planned.item = command.item;
+  planned.model = command.model;
+  planned.version = command.version;
+  planned.adapter = command.adapter;
+  ledger.intents.push_back(std::move(planned));
+}
+
+}  // namespace coltsfootvane::detail
--- /dev/null
+++ b/src/placement/plan_state.h
@@ -0,0 +1,83 @@
+#ifndef COLTSFOOTVANE_PLACEMENT_PLAN_STATE_H_
+#define COLTSFOOTVANE_PLACEMENT_PLAN_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "placement/plan.h"
+
+namespace coltsfootvane::detail {
+
+/// A declared model or adapter.
+struct DeclaredItem {
+  std::string_view name;
+  std::string_view version;
+  std::string_view model;  ///< Empty for a model.
+  std::int64_t memory_mb = 0;
+  int min_copies = 1;
+  std::vector<const DeclaredItem*> adapters;  ///< Of a model.
+
+  bool IsAdapter() const { return !this->model.empty(); }
+};
+
+/// The endpoints as they will be once all orders given so far are done.
+class PlanState {
+ public:
+  explicit PlanState(const PlanInput& input);
+
+  const DeclaredItem* Find(std::string_view name) const;
+  std::size_t EndpointCount() const { return this->endpoints.size(); }
+  const PlanEndpoint& At(std::size_t i) const { return this->endpoints[i]; }
+  std::string_view DataCentreOf(std::size_t i) const {
+    return this->endpoints[i].endpoint->data_centre;
+  }
+
+  /// Returns whether the endpoint stays and has, or is loading, the declared
+  /// version, and the model of an adapter.
+  bool IsPresent(std::size_t i, const DeclaredItem& item) const;
+  /// As IsPresent(), ready and without an open unload.
+  bool IsSafe(std::size_t i, const DeclaredItem& item) const;
+  int CountPresent(const DeclaredItem& item) const;
+  /// Counts safe copies on endpoints other than `except`.
+  int CountSafe(const DeclaredItem& item, std::size_t except) const;
+
+  bool HasAnyVersion(std::size_t i, std::string_view item) const;
+  bool Fits(std::size_t i, const DeclaredItem& item) const;
+  /// Memory that is neither charged nor kept for adapters without a copy.
+  std::int64_t FreeMemory(std::size_t i) const;
+  /// Memory of a model and of its adapters that have no copy.
+  std::int64_t GroupMemory(const DeclaredItem& model) const;
+
+  /// Returns whether every declared item would keep a safe copy elsewhere if
+  /// this one, with its adapters there, were unloaded.
+  bool CanRemove(std::size_t i, const LoadedItem& loaded) const;
+
+  /// Plans a load; gives an order only if the endpoint is free and the budget
+  /// lasts.
+  void Load(std::size_t i, const DeclaredItem& item);
+  /// Orders an unload; adapters of a model go first.
+  void Unload(std::size_t i, const LoadedItem& loaded);
+
+  /// In order of memory, largest first, then by name.
+  std::vector<const DeclaredItem*> models;
+  std::vector<const DeclaredItem*> adapters;
+  std::vector<Order> orders;
+
+ private:
+  void Declare(const Configuration& configuration);
+  void GiveOrder(std::size_t i, const endpoint::Command& command);
+  bool CanOrder(std::size_t i, bool adapter) const;
+
+  std::vector<PlanEndpoint> endpoints;
+  std::vector<int> adapter_orders;  ///< By endpoint, in this plan.
+  std::map<std::string_view, DeclaredItem> declared;
+  int model_loads;
+  int adapter_loads;
+};
+
+}  // namespace coltsfootvane::detail
+
+#endif  // COLTSFOOTVANE_PLACEMENT_PLAN_STATE_H_
