Config: Add apply, audit trail and command line

Cause: operators could not check, compare or apply a configuration. Ruled out: repeating an unconditional head write after a lost response, which could revert another operator's change; taking any newer head for a conflict, which would report a change that took effect as refused. Change: apply writes the missing audit entry of the previous version, then the parts, then the head by a conditional write; a lost response is resolved by reading the head, or the audit entry if a later change replaced it. The binary has the commands serve (settings only), check, diff, apply, status, audit and version.

--- /dev/null
+++ b/app/main.cc
@@ -0,0 +1,39 @@
+#include <easylogging++.h>
+
+#include <CLI/CLI.hpp>
+
+#include "command_apply.h"
+#include "command_audit.h"
+#include "command_check.h"
+#include "command_diff.h"
+#include "command_serve.h"
+#include "command_status.h"
+#include "command_version.h"
+#include "output.h"
+
+INITIALIZE_EASYLOGGINGPP
+
+int main(int argc, char** argv) {
+  using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+  CLI::App app("Serves many models and adapters from a fixed fleet.",
+               "coltsfootvane");
+  app.require_subcommand(1);
+  app.footer(
+      "Exit codes: 0 ok, 1 findings or failure, 2 usage, 3 conflict.\n"
+      "Run 'coltsfootvane COMMAND --help' for the options and examples.");
+  int exit_code = kExitOk;
+  AddServeCommand(&app, &exit_code);
+  AddCheckCommand(&app, &exit_code);
+  AddDiffCommand(&app, &exit_code);
+  AddApplyCommand(&app, &exit_code);
+  AddStatusCommand(&app, &exit_code);
+  AddAuditCommand(&app, &exit_code);
+  AddVersionCommand(&app, &exit_code);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    // Help ends the parsing like an error, with code 0.
+    return app.exit(error) == 0 ? kExitOk : kExitUsage;
+  }
+  return exit_code;
+}
--- /dev/null
+++ b/src/config/apply.cc
@@ -0,0 +1,253 @@
+#include "config/apply.h"
+
+#include <set>
+#include <utility>
+
+#include "audit/audit.h"
+#include "config/part.h"
+#include "config/stored_configuration.h"
+
+namespace coltsfootvane {
+namespace {
+
+constexpr char kApplyAction[] = "apply";
+
+std::string AuditId(std::int64_t version) {
+  return "apply-" + std::to_string(version);
+}
+
+std::string AuditDetail(const ConfigurationHead& head) {
+  return "digest=" + head.digest;
+}
+
+/// Writes the audit entry of `head` unless it exists.
+Result<bool> WriteAudit(const platform::Connection& connection,
+                        const ConfigurationHead& head,
+                        TimePoint deadline) {
+  AuditEntry entry;
+  entry.id = AuditId(head.version);
+  entry.time = CurrentTimeIso();
+  entry.actor = head.changed_by;
+  entry.action = kApplyAction;
+  entry.object = std::string(platform::kConfigKind) + "/" +
+                 std::string(platform::kConfigHeadName);
+  entry.from_version = head.based_on;
+  entry.to_version = head.version;
+  entry.detail = AuditDetail(head);
+  return RetryUntil(deadline,
+                    [&connection, &entry](TimePoint attempt_deadline) {
+                      return AppendAudit(connection, entry, attempt_deadline);
+                    });
+}
+
+Result<bool> WritePart(const platform::Connection& connection,
+                       const BundlePart& part,
+                       TimePoint deadline) {
+  Result<std::string> spec = FormatPart(part.text);
+  if (!spec)
+    return spec.error();
+  const platform::Object object{platform::kConfigPartKind, part.digest, 0,
+                                std::move(spec).value()};
+  const Result<platform::Object> created =
+      RetryUntil(deadline, [&connection, &object](TimePoint attempt_deadline) {
+        return platform::CreateObject(connection, object, attempt_deadline);
+      });
+  // Parts are named by their digest, so an existing one has the same text.
+  if (created || created.error().code == ErrorCode::kConflict)
+    return true;
+  return created.error();
+}
+
+/// Writes the parts that `stored` does not name.
+Result<bool> WriteParts(const platform::Connection& connection,
+                        const ConfigurationHead& stored,
+                        const Bundle& bundle,
+                        TimePoint deadline) {
+  std::set<std::string> present;
+  for (const PartReference& part : stored.parts)
+    present.insert(part.digest);
+  for (const BundlePart& part : bundle.parts) {
+    if (!present.insert(part.digest).second)
+      continue;
+    Result<bool> written = WritePart(connection, part, deadline);
+    if (!written)
+      return written;
+  }
+  return true;
+}
+
+ConfigurationHead MakeNextHead(const ConfigurationHead& stored,
+                               const Bundle& bundle,
+                               const std::string& changed_by) {
+  ConfigurationHead next;
+  next.version = stored.version + 1;
+  next.digest = bundle.digest;
+  for (const BundlePart& part : bundle.parts)
+    next.parts.push_back({part.name, part.digest});
+  next.changed_by = changed_by;
+  next.based_on = stored.version;
+  return next;
+}
+
+/// Returns whether `next` took effect, given that the newest head has another
+/// resource version than the one `next` was based on. If a later change has
+/// replaced it, the audit entry tells: each apply writes the entry of the
+/// version before it, before its own head.
+Result<bool> TookEffect(const platform::Connection& connection,
+                        const ConfigurationHead& next,
+                        const ConfigurationHead& newest,
+                        TimePoint deadline) {
+  if (newest.version < next.version)
+    return false;
+  if (newest.version == next.version)
+    return newest.digest == next.digest && newest.changed_by == next.changed_by;
+  const Result<platform::Object> object =
+      RetryUntil(deadline, [&connection, &next](TimePoint attempt_deadline) {
+        return platform::ReadObject(connection, platform::kAuditKind,
+                                    AuditId(next.version), attempt_deadline);
+      });
+  if (!object && object.error().code == ErrorCode::kNotFound)
+    return false;
+  if (!object)
+    return object.error();
+  const Result<AuditEntry> entry = ParseAuditEntry(object.value().spec);
+  return entry && entry.value().actor == next.changed_by &&
+         entry.value().detail == AuditDetail(next);
+}
+
+/// Writes `next` over the head with `resource_version`. Returns whether it took
+/// effect. The write is conditional, so repeating it after a lost response is
+/// safe: only one of the attempts can succeed.
+Result<bool> WriteHead(const platform::Connection& connection,
+                       const ConfigurationHead& next,
+                       std::int64_t resource_version,
+                       TimePoint deadline) {
+  const platform::Object object{platform::kConfigKind,
+                                platform::kConfigHeadName, resource_version,
+                                FormatHead(next)};
+  bool may_be_written = false;
+  for (int attempt = 1;; ++attempt) {
+    const TimePoint attempt_deadline = AttemptDeadline(deadline);
+    const Result<platform::Object> written =
+        resource_version == 0
+            ? platform::CreateObject(connection, object, attempt_deadline)
+            : platform::UpdateObject(connection, object, attempt_deadline);
+    if (written)
+      return true;
+    Error error = written.error();
+    may_be_written = may_be_written || error.code == ErrorCode::kUnknown;
+    if (error.code == ErrorCode::kConflict || may_be_written) {
+      const Result<StoredHead> newest = ReadStoredHead(connection, deadline);
+      if (newest && newest.value().resource_version != resource_version)
+        return TookEffect(connection, next, newest.value().head, deadline);
+      // A conflict with an unchanged head is seen if another write is not yet
+      // visible to readers.
+      if (error.code == ErrorCode::kConflict)
+        error.code = ErrorCode::kUnknown;
+    }
+    if (!IsTransient(error.code) || !WaitForRetry(attempt, error, deadline)) {
+      if (may_be_written)
+        error.code = ErrorCode::kUnknown;
+      return error;
+    }
+  }
+}
+
+ApplyReport MakeReport(ApplyOutcome outcome, const ConfigurationHead& head) {
+  ApplyReport report;
+  report.outcome = outcome;
+  report.version = head.version;
+  report.changed_by = head.changed_by;
+  return report;
+}
+
+ApplyReport ReportWithAudit(const platform::Connection& connection,
+                            ApplyOutcome outcome,
+                            const ConfigurationHead& head,
+                            TimePoint deadline) {
+  ApplyReport report = MakeReport(outcome, head);
+  const Result<bool> audited = WriteAudit(connection, head, deadline);
+  if (!audited)
+    report.audit_error = audited.error().message;
+  return report;
+}
+
+ApplyReport ReportConflict(const platform::Connection& connection,
+                           const ConfigurationHead& newest,
+                           const Bundle& bundle,
+                           TimePoint deadline) {
+  ApplyReport report = MakeReport(ApplyOutcome::kConflict, newest);
+  Result<std::vector<std::string>> difference =
+      DiffWithStored(connection, newest, bundle, deadline);
+  if (difference)
+    report.difference = std::move(difference).value();
+  else
+    report.difference = {"the difference is not available: " +
+                         difference.error().message};
+  return report;
+}
+
+/// Decides what to report after another change came first.
+Result<ApplyReport> ReportOvertaken(const platform::Connection& connection,
+                                    const Bundle& bundle,
+                                    TimePoint deadline) {
+  const Result<StoredHead> newest = ReadStoredHead(connection, deadline);
+  if (!newest)
+    return newest.error();
+  const ConfigurationHead& head = newest.value().head;
+  if (head.digest == bundle.digest)
+    return ReportWithAudit(connection, ApplyOutcome::kUnchanged, head,
+                           deadline);
+  return ReportConflict(connection, head, bundle, deadline);
+}
+
+}  // namespace
+
+Result<std::vector<std::string>> DiffWithStored(
+    const platform::Connection& connection,
+    const ConfigurationHead& head,
+    const Bundle& bundle,
+    TimePoint deadline) {
+  const Result<Bundle> stored = ReadStoredBundle(connection, head, deadline);
+  if (!stored)
+    return stored.error();
+  Findings ignored;
+  return DiffConfigurations(ParseConfiguration(stored.value(), &ignored),
+                            ParseConfiguration(bundle, &ignored));
+}
+
+Result<ApplyReport> ApplyBundle(const platform::Connection& connection,
+                                const Bundle& bundle,
+                                const ApplyOptions& options) {
+  const Result<StoredHead> read = ReadStoredHead(connection, options.deadline);
+  if (!read)
+    return read.error();
+  const StoredHead& stored = read.value();
+  const ConfigurationHead& head = stored.head;
+  if (head.version > 0 && head.digest == bundle.digest)
+    return ReportWithAudit(connection, ApplyOutcome::kUnchanged, head,
+                           options.deadline);
+  if (options.based_on && *options.based_on != head.version)
+    return ReportConflict(connection, head, bundle, options.deadline);
+  if (head.version > 0) {
+    const Result<bool> repaired =
+        WriteAudit(connection, head, options.deadline);
+    if (!repaired)
+      return repaired.error();
+  }
+  const Result<bool> parts =
+      WriteParts(connection, head, bundle, options.deadline);
+  if (!parts)
+    return parts.error();
+  const ConfigurationHead next = MakeNextHead(head, bundle, options.changed_by);
+  const Result<bool> applied =
+      WriteHead(connection, next, stored.resource_version, options.deadline);
+  if (!applied)
+    return applied.error();
+  if (!applied.value())
+    return ReportOvertaken(connection, bundle, options.deadline);
+  return ReportWithAudit(connection, ApplyOutcome::kApplied, next,
+                         options.deadline);
+}
+
+}  // namespace coltsfootvane
--- a/src/config/part.h
+++ b/src/config/part.h
@@ -9,9 +9,9 @@
 
 namespace coltsfootvane {
 
-/// Limit of one part, as text and as the spec of its platform object. The
-/// platform accepts values up to 1 MB.
-inline constexpr std::size_t kMaxPartBytes = 1000 * 1000;
+/// Limit of the spec of one part. The platform accepts objects up to 1 MB, of
+/// which the metadata take some.
+inline constexpr std::size_t kMaxPartBytes = 999 * 1000;
 
 /// Formats the spec of the platform object `configparts/<digest>`:
 /// `{"text": ...}`. Errors: kInvalid if `text` is not UTF-8.
--- /dev/null
+++ b/src/config/stored_configuration.cc
@@ -0,0 +1,77 @@
+#include "config/stored_configuration.h"
+
+#include <utility>
+
+#include "config/part.h"
+
+namespace coltsfootvane {
+namespace {
+
+// A whole part of 1 MB takes well below this over a working network.
+constexpr Milliseconds kAttemptTime{2000};
+constexpr platform::Backoff kBackoff{Milliseconds{50}, Milliseconds{1000}};
+
+}  // namespace
+
+bool IsTransient(ErrorCode code) {
+  return code == ErrorCode::kNotSent || code == ErrorCode::kRateLimited ||
+         code == ErrorCode::kUnknown || code == ErrorCode::kTimeout;
+}
+
+bool WaitForRetry(int attempt, const Error& error, TimePoint deadline) {
+  const Milliseconds delay = platform::BackoffDelay(
+      kBackoff, attempt, platform::RandomFraction(), error.retry_after_ms);
+  if (Clock::now() + delay >= deadline)
+    return false;
+  std::this_thread::sleep_for(delay);
+  return true;
+}
+
+TimePoint AttemptDeadline(TimePoint deadline) {
+  return std::min(deadline, Clock::now() + kAttemptTime);
+}
+
+Result<StoredHead> ReadStoredHead(const platform::Connection& connection,
+                                  TimePoint deadline) {
+  const Result<platform::Object> object =
+      RetryUntil(deadline, [&connection](TimePoint attempt_deadline) {
+        return platform::ReadObject(connection, platform::kConfigKind,
+                                    platform::kConfigHeadName,
+                                    attempt_deadline);
+      });
+  if (!object && object.error().code == ErrorCode::kNotFound)
+    return StoredHead{};
+  if (!object)
+    return object.error();
+  Result<ConfigurationHead> head = ParseHead(object.value().spec);
+  if (!head)
+    return head.error();
+  return StoredHead{std::move(head).value(), object.value().resource_version};
+}
+
+Result<Bundle> ReadStoredBundle(const platform::Connection& connection,
+                                const ConfigurationHead& head,
+                                TimePoint deadline) {
+  std::vector<BundlePart> parts;
+  for (const PartReference& reference : head.parts) {
+    const Result<platform::Object> object = RetryUntil(
+        deadline, [&connection, &reference](TimePoint attempt_deadline) {
+          return platform::ReadObject(connection, platform::kConfigPartKind,
+                                      reference.digest, attempt_deadline);
+        });
+    if (!object)
+      return object.error();
+    Result<std::string> text = ParsePart(object.value().spec);
+    if (!text)
+      return text.error();
+    parts.push_back({reference.name, std::move(text).value(), ""});
+  }
+  Bundle bundle = MakeBundle(std::move(parts));
+  if (bundle.digest != head.digest)
+    return Error{ErrorCode::kInvalid, "the parts of version " +
+                                          std::to_string(head.version) +
+                                          " do not match its digest"};
+  return bundle;
+}
+
+}  // namespace coltsfootvane
--- /dev/null
+++ b/src/config/stored_configuration.h
@@ -0,0 +1,59 @@
+#ifndef COLTSFOOTVANE_CONFIG_STORED_CONFIGURATION_H_
+#define COLTSFOOTVANE_CONFIG_STORED_CONFIGURATION_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <thread>
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "config/bundle.h"
+#include "platform/client.h"
+#include "platform/retry.h"
+
+namespace coltsfootvane {
+
+/// The head at the platform with its resource version. Both versions are 0
+/// while there is none.
+struct StoredHead {
+  ConfigurationHead head;
+  std::int64_t resource_version = 0;
+};
+
+/// Repeats until `deadline`. Errors as platform::ReadObject() but kNotFound;
+/// kInvalid if the head is malformed.
+Result<StoredHead> ReadStoredHead(const platform::Connection& connection,
+                                  TimePoint deadline);
+
+/// Reads the parts that `head` names. Repeats until `deadline`. Errors as
+/// platform::ReadObject(); kInvalid if the digest differs from the head's.
+Result<Bundle> ReadStoredBundle(const platform::Connection& connection,
+                                const ConfigurationHead& head,
+                                TimePoint deadline);
+
+/// Returns whether a call that failed with `code` may succeed later.
+bool IsTransient(ErrorCode code);
+
+/// Waits before attempt `attempt` + 1. Returns false, without waiting, if the
+/// wait would end after `deadline`.
+bool WaitForRetry(int attempt, const Error& error, TimePoint deadline);
+
+/// Returns the deadline of one attempt, so that one lost response leaves time
+/// for another attempt.
+TimePoint AttemptDeadline(TimePoint deadline);
+
+/// Repeats `call(attempt deadline)`, which must be idempotent, until it
+/// succeeds, fails for good or `deadline` passes.
+template <class Call>
+auto RetryUntil(TimePoint deadline, const Call& call) {
+  for (int attempt = 1;; ++attempt) {
+    auto result = call(AttemptDeadline(deadline));
+    if (result || !IsTransient(result.error().code) ||
+        !WaitForRetry(attempt, result.error(), deadline))
+      return result;
+  }
+}
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_CONFIG_STORED_CONFIGURATION_H_
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -36,7 +36,7 @@
   ReadInteger(map, "threads", kOptional, {2, 4096}, &settings->entry_threads);
   ReadInteger(map, "refusal_threads", kOptional, {1, 1024},
               &settings->entry_refusal_threads);
-  ReadInteger(map, "max_body_bytes", kOptional, {1024, 64 * 1024 * 1024},
+  ReadInteger(map, "max_body_bytes", kOptional, {1024, 64LL * 1024 * 1024},
               &settings->entry_max_body_bytes);
   if (settings->entry_refusal_threads >= settings->entry_threads)
     AddFinding(map->Source().findings, map->PlaceOfKey("refusal_threads"),
@@ -90,7 +90,7 @@
   ReadSection(root, "shutdown", kOptional,
               [settings](MapReader* map) { ReadShutdown(map, settings); });
   ReadSection(root, "records", kOptional, [settings](MapReader* map) {
-    ReadInteger(map, "keep_hours", kOptional, {1, 24 * 366},
+    ReadInteger(map, "keep_hours", kOptional, {1, 24LL * 366},
                 &settings->records_keep_hours);
   });
   ReadSection(root, "dispatch", kOptional, [settings](MapReader* map) {
