--- /dev/null
+++ b/src/platform/events.h
@@ -0,0 +1,17 @@
+#ifndef COLTSFOOTVANE_PLATFORM_EVENTS_H_
+#define COLTSFOOTVANE_PLATFORM_EVENTS_H_
+
+#include "log/event.h"
+
+namespace coltsfootvane::platform {
+
+inline constexpr Event kPlatformCallsFail{1201, Severity::kWarning,
+                                          "platform-calls-fail"};
+inline constexpr Event kPlatformCallsSucceed{1202, Severity::kInfo,
+                                             "platform-calls-succeed"};
+inline constexpr Event kWatchTooOld{1203, Severity::kInfo,
+                                    "watch-version-too-old"};
+
+}  // namespace coltsfootvane::platform
+
+#endif  // COLTSFOOTVANE_PLATFORM_EVENTS_H_
