Distribution: Add configuration, placement and leaving VMs in force

Cause: every daemon acts on one immutable view, which has to follow the platform within seconds, survive its outage and never go back.

Change: a thread for each of the kinds config, placements and vms, one for peers, and pure parts for versions, leaving ids, the union of placements and the choice of a peer. A version that a peer has and the platform has not delivered in 500 ms is fetched from the peer.

Not measured.

--- /dev/null
+++ b/src/distribution/kind_watch.cc
@@ -0,0 +1,133 @@
+#include "distribution/kind_watch.h"
+
+#include <algorithm>
+
+#include "log/event.h"
+#include "platform/events.h"
+#include "platform/retry.h"
+
+namespace coltsfootvane {
+namespace {
+
+constexpr platform::Backoff kWatchBackoff{Milliseconds{100},
+                                          Milliseconds{5000}};
+/// A connection that was lost without a sign is noticed after this time.
+constexpr Milliseconds kLongestWatch{10000};
+/// An empty watch that ends sooner is followed by a pause, so that a platform
+/// that ends every watch at once is not called without a break.
+constexpr Milliseconds kShortestWatch{100};
+/// With less time than this before the next list, the list comes at once: a
+/// watch has whole seconds.
+constexpr Milliseconds kLeastWatchTime{1000};
+
+/// The state of one RunKindWatch().
+class Follower {
+ public:
+  Follower(const KindWatch& watch,
+           const platform::Connection& connection,
+           StopSignal* stop)
+      : watch(&watch), connection(&connection), stop(stop) {}
+
+  void Run();
+
+ private:
+  bool List();
+  /// Returns false if the kind has to be listed again.
+  bool WatchOnce(TimePoint list_at);
+  void HandleFailure(const Error& error);
+  void HandleSuccess();
+
+  const KindWatch* watch;
+  const platform::Connection* connection;
+  StopSignal* stop;
+  std::int64_t version = 0;
+  int failures = 0;
+};
+
+void Follower::HandleFailure(const Error& error) {
+  ++this->failures;
+  if (this->failures == 1) {
+    LogEvent(platform::kPlatformCallsFail,
+             "kind=" + this->watch->kind +
+                 " error=" + ErrorCodeName(error.code) + " message=\"" +
+                 error.message + "\"");
+  }
+  this->stop->Wait(platform::BackoffDelay(kWatchBackoff, this->failures,
+                                          platform::RandomFraction(),
+                                          error.retry_after_ms));
+}
+
+void Follower::HandleSuccess() {
+  if (this->failures > 0) {
+    LogEvent(platform::kPlatformCallsSucceed,
+             "kind=" + this->watch->kind +
+                 " failures=" + std::to_string(this->failures));
+  }
+  this->failures = 0;
+}
+
+bool Follower::List() {
+  const Result<platform::ObjectList> list =
+      platform::ListObjects(*this->connection, this->watch->kind,
+                            Clock::now() + this->watch->call_timeout);
+  if (!list) {
+    this->HandleFailure(list.error());
+    return false;
+  }
+  this->HandleSuccess();
+  this->version = list.value().resource_version;
+  this->watch->on_list(list.value());
+  return true;
+}
+
+bool Follower::WatchOnce(TimePoint list_at) {
+  const TimePoint start = Clock::now();
+  const Result<platform::ChangeBatch> batch = platform::WatchObjects(
+      *this->connection, this->watch->kind, this->version,
+      std::min(list_at, start + kLongestWatch),
+      [this] { return this->stop->IsStopped(); });
+  if (!batch && batch.error().code == ErrorCode::kGone) {
+    LogEvent(platform::kWatchTooOld, "kind=" + this->watch->kind + " version=" +
+                                         std::to_string(this->version));
+    this->stop->Wait(kShortestWatch);
+    return false;
+  }
+  if (!batch) {
+    this->HandleFailure(batch.error());
+    return true;
+  }
+  this->HandleSuccess();
+  this->version = batch.value().resource_version;
+  if (!batch.value().changes.empty())
+    this->watch->on_changes(batch.value());
+  else if (Clock::now() - start < kShortestWatch)
+    this->stop->Wait(kShortestWatch);
+  return true;
+}
+
+void Follower::Run() {
+  while (!this->stop->IsStopped()) {
+    if (!this->List())
+      continue;
+    // Between 80% and 120%, so that daemons do not list at the same time.
+    const double jitter = 0.8 + 0.4 * platform::RandomFraction();
+    const TimePoint list_at =
+        Clock::now() + std::chrono::duration_cast<Milliseconds>(
+                           this->watch->list_interval * jitter);
+    bool watching = true;
+    while (watching && !this->stop->IsStopped() &&
+           Clock::now() + kLeastWatchTime < list_at)
+      watching = this->WatchOnce(list_at);
+  }
+}
+
+}  // namespace
+
+void RunKindWatch(const KindWatch& watch,
+                  const platform::Connection& connection,
+                  StopSignal* stop) {
+  Follower follower(watch, connection, stop);
+  follower.Run();
+}
+
+}  // namespace coltsfootvane
--- /dev/null
+++ b/src/distribution/kind_watch.h
@@ -0,0 +1,32 @@
+#ifndef COLTSFOOTVANE_DISTRIBUTION_KIND_WATCH_H_
+#define COLTSFOOTVANE_DISTRIBUTION_KIND_WATCH_H_
+
+#include <functional>
+#include <string>
+
+#include "base/clock.h"
+#include "distribution/stop_signal.h"
+#include "platform/client.h"
+
+namespace coltsfootvane {
+
+/// Follows all objects of one kind.
+struct KindWatch {
+  std::string kind;
+  /// The kind is listed this often, with jitter, even while watches work.
+  Milliseconds list_interval{0};
+  Milliseconds call_timeout{1000};
+  std::function<void(const platform::ObjectList&)> on_list;
+  /// Called with at least one change.
+  std::function<void(const platform::ChangeBatch&)> on_changes;
+};
+
+/// Lists and watches until `stop`. Failed calls are repeated with a backoff;
+/// the start and the end of a row of failures are logged.
+void RunKindWatch(const KindWatch& watch,
+                  const platform::Connection& connection,
+                  StopSignal* stop);
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_DISTRIBUTION_KIND_WATCH_H_
--- /dev/null
+++ b/src/distribution/peer_fetch_plan.cc
@@ -0,0 +1,48 @@
+#include "distribution/peer_fetch_plan.h"
+
+#include <algorithm>
+
+#include "platform/retry.h"
+
+namespace coltsfootvane {
+namespace {
+
+/// Time for the platform to deliver a version that a peer has.
+constexpr Milliseconds kPlatformLead{500};
+/// Further peers add little: all of them have the same version.
+constexpr std::size_t kMaxPeers = 8;
+constexpr platform::Backoff kPeerBackoff{Milliseconds{200}, Milliseconds{5000}};
+
+}  // namespace
+
+void NotePeerVersion(PeerFetchPlan* plan,
+                     const PeerVersion& noted,
+                     TimePoint now) {
+  if (noted.version < plan->newest.version)
+    return;
+  if (plan->newest.version == 0)
+    plan->due = now + kPlatformLead;
+  if (noted.version > plan->newest.version) {
+    plan->newest = noted;
+    plan->peers.clear();
+    plan->failures = 0;
+  }
+  const bool known = std::any_of(plan->peers.begin(), plan->peers.end(),
+                                 [&noted](const http::Address& peer) {
+                                   return peer.host == noted.peer.host &&
+                                          peer.port == noted.peer.port;
+                                 });
+  if (!known && plan->peers.size() < kMaxPeers)
+    plan->peers.push_back(noted.peer);
+}
+
+void NoteFetchFailure(PeerFetchPlan* plan, TimePoint now, double random) {
+  ++plan->failures;
+  plan->due =
+      now + platform::BackoffDelay(kPeerBackoff, plan->failures, random);
+  if (!plan->peers.empty())
+    std::rotate(plan->peers.begin(), plan->peers.begin() + 1,
+                plan->peers.end());
+}
+
+}  // namespace coltsfootvane
