Placement: Add the planner

Cause: models and adapters must be loaded by exactly one planner of a region at a time, with every intent recorded before its command is sent.

Change: one thread owns the lease, all ledgers and all writes; a pool of threads only sends calls and returns results. Adapter commands of an endpoint are recorded by one write and sent in the order of their numbers, since an endpoint that checks numbers refuses those that overtake each other. A copy leaves the published placement 2 s before it is unloaded. Commands can be cancelled, so that a planned stop does not wait for a long load. A writer per endpoint was ruled out: it needs locks around the ledgers and more writes.

--- a/src/endpoint/engine.cc
+++ b/src/endpoint/engine.cc
@@ -239,15 +239,31 @@
 
 Result<bool> SendCommand(const http::Address& engine,
                          const Command& command,
-                         TimePoint deadline) {
+                         TimePoint deadline,
+                         const std::function<bool()>& cancelled) {
   http::Request request =
       command.adapter ? MakeAdapterRequest(command) : MakeModelRequest(command);
   request.headers.push_back(FencingHeader(command.fencing_number));
-  const Result<http::Response> response =
-      http::Call(MakeOptions(engine, deadline), request);
-  if (!response)
-    return response.assume_error();
-  const http::Response& answer = response.assume_value();
+  http::Response answer;
+  http::StreamHandler handler;
+  handler.on_header = [&answer](int status,
+                                gsl::span<const http::Header> headers) {
+    answer.status = status;
+    answer.headers.assign(headers.begin(), headers.end());
+    return true;
+  };
+  handler.on_data = [&answer](std::string_view data) {
+    const std::size_t room = kMaxErrorBytes - answer.body.size();
+    answer.body.append(data.substr(0, room));
+    return true;
+  };
+  handler.on_idle = [&cancelled] { return !cancelled || !cancelled(); };
+  const Result<int> outcome =
+      http::StreamCall(MakeOptions(engine, deadline), request, handler);
+  if (!outcome && outcome.assume_error().code == ErrorCode::kRefused)
+    return Error{ErrorCode::kUnknown, "cancelled"};
+  if (!outcome)
+    return outcome.assume_error();
   if (answer.status < 300)
     return true;
   if (answer.status == 409)
--- a/src/endpoint/engine.h
+++ b/src/endpoint/engine.h
@@ -51,10 +51,12 @@
 
 /// Sends `command` once and waits until the engine has carried it out.
 /// Errors: kNotSent, kUnknown (may still take effect), kConflict (number too
-/// old), kRefused (for instance, not enough memory).
+/// old), kRefused (for instance, not enough memory). Ends within about 100 ms
+/// with kUnknown once `cancelled`, if given, returns true.
 Result<bool> SendCommand(const http::Address& engine,
                          const Command& command,
-                         TimePoint deadline);
+                         TimePoint deadline,
+                         const std::function<bool()>& cancelled = {});
 
 /// Reads what is loaded. A `fencing_number` above 0 raises the engine's number.
 Result<Index> ReadIndex(const http::Address& engine,
--- /dev/null
+++ b/src/placement/audit_writer.h
@@ -0,0 +1,41 @@
+#ifndef COLTSFOOTVANE_PLACEMENT_AUDIT_WRITER_H_
+#define COLTSFOOTVANE_PLACEMENT_AUDIT_WRITER_H_
+
+#include <string>
+#include <thread>
+
+#include "audit/audit.h"
+#include "base/ring.h"
+#include "platform/client.h"
+
+namespace coltsfootvane::detail {
+
+/// Writes audit entries on a thread of its own, so that they delay no command.
+/// Entries are dropped, with an event, if the platform cannot keep up.
+class AuditWriter {
+ public:
+  AuditWriter(platform::Connection connection, std::string actor);
+  ~AuditWriter();
+
+  AuditWriter(const AuditWriter&) = delete;
+  AuditWriter& operator=(const AuditWriter&) = delete;
+
+  void Start();
+  /// Writes what is queued, up to the first failure.
+  void Stop();
+
+  void Add(std::string action, std::string object, std::string detail);
+
+ private:
+  void Work();
+  bool Write(const AuditEntry& entry);
+
+  platform::Connection connection;
+  std::string actor;
+  Ring<AuditEntry> ring;
+  std::thread thread;
+};
+
+}  // namespace coltsfootvane::detail
+
+#endif  // COLTSFOOTVANE_PLACEMENT_AUDIT_WRITER_H_
--- a/src/placement/ledger.cc
+++ b/src/placement/ledger.cc
@@ -294,7 +294,7 @@
         const bool own = IsSame(intent, loaded->item, loaded->version);
         const bool of_model = loaded->adapter && intent.item == loaded->model;
         return intent.operation == Operation::kUnload && !intent.fenced &&
-               (own || of_model);
+               !intent.seen_done && (own || of_model);
       });
 }
 
--- a/src/placement/plan.cc
+++ b/src/placement/plan.cc
@@ -79,6 +79,11 @@
   for (const DeclaredItem* model : this->state.models) {
     if (this->state.CountPresent(*model) > 0)
       continue;
+    // The rest is placed by later plans; nothing else may take its room.
+    if (!this->state.HasModelBudget()) {
+      this->incomplete = true;
+      return;
+    }
     if (const auto chosen = this->ChooseForModel(*model)) {
       this->state.Load(*chosen, *model);
       continue;
@@ -126,7 +131,7 @@
   std::optional<std::size_t> best;
   std::array<std::int64_t, 3> best_score{};
   for (std::size_t i = 0; i < this->state.EndpointCount(); ++i) {
-    if (this->state.IsPresent(i, model) || !this->state.Fits(i, model))
+    if (!this->state.CanBeLoaded(i, model))
       continue;
     const std::int64_t free_mb = this->state.FreeMemory(i);
     const bool other_centre =
@@ -149,8 +154,7 @@
   std::int64_t best_free_mb = 0;
   for (std::size_t i = 0; model != nullptr && i < this->state.EndpointCount();
        ++i) {
-    if (!this->state.IsSafe(i, *model) || this->state.IsPresent(i, adapter) ||
-        !this->state.Fits(i, adapter))
+    if (!this->state.IsSafe(i, *model) || !this->state.CanBeLoaded(i, adapter))
       continue;
     const std::int64_t free_mb = this->state.At(i).endpoint->memory_mb -
                                  ChargedMemory(this->state.At(i).ledger);
--- a/src/placement/plan_state.cc
+++ b/src/placement/plan_state.cc
@@ -8,14 +8,18 @@
 
 using Operation = endpoint::Command::Operation;
 
+/// Marks commands of the plan itself.
+constexpr std::int64_t kPlannedNumber =
+    std::numeric_limits<std::int64_t>::max();
+
 bool HasOpenUnload(const EndpointLedger& ledger,
                    std::string_view item,
                    std::string_view version) {
   return std::any_of(ledger.intents.begin(), ledger.intents.end(),
                      [item, version](const Intent& intent) {
                        return intent.operation == Operation::kUnload &&
-                              !intent.fenced && intent.item == item &&
-                              intent.version == version;
+                              !intent.fenced && !intent.seen_done &&
+                              intent.item == item && intent.version == version;
                      });
 }
 
@@ -44,6 +48,18 @@
       model_loads(input.model_loads),
       adapter_loads(input.adapter_loads) {
   this->Declare(*input.configuration);
+  this->CompleteAdapters();
+}
+
+/// An index does not name the model of an adapter.
+void PlanState::CompleteAdapters() {
+  for (PlanEndpoint& endpoint : this->endpoints) {
+    for (LoadedItem& loaded : endpoint.ledger.loaded) {
+      const DeclaredItem* const item = this->Find(loaded.item);
+      if (loaded.adapter && loaded.model.empty() && item != nullptr)
+        loaded.model = item->model;
+    }
+  }
 }
 
 void PlanState::Declare(const Configuration& configuration) {
@@ -88,7 +104,7 @@
   if (endpoint.leaving || HasOpenUnload(ledger, item.name, item.version))
     return false;
   if (FindLoaded(ledger, item.name, item.version) == nullptr &&
-      !HasOpenLoad(ledger, item.name, item.version))
+      !this->IsLoading(i, item))
     return false;
   if (!item.IsAdapter())
     return true;
@@ -96,6 +112,28 @@
   return model != nullptr && this->IsPresent(i, *model);
 }
 
+/// A load whose response was lost may never arrive, so it stays charged but
+/// does not count.
+bool PlanState::IsLoading(std::size_t i, const DeclaredItem& item) const {
+  const PlanEndpoint& endpoint = this->endpoints[i];
+  return std::any_of(
+      endpoint.ledger.intents.begin(), endpoint.ledger.intents.end(),
+      [&endpoint, &item](const Intent& intent) {
+        const bool in_progress =
+            endpoint.busy || intent.number == kPlannedNumber;
+        return intent.operation == Operation::kLoad && !intent.fenced &&
+               in_progress && intent.item == item.name &&
+               intent.version == item.version;
+      });
+}
+
+bool PlanState::CanBeLoaded(std::size_t i, const DeclaredItem& item) const {
+  return !this->IsPresent(i, item) &&
+         FindLoaded(this->endpoints[i].ledger, item.name, item.version) ==
+             nullptr &&
+         this->Fits(i, item);
+}
+
 bool PlanState::IsSafe(std::size_t i, const DeclaredItem& item) const {
   const PlanEndpoint& endpoint = this->endpoints[i];
   if (endpoint.leaving ||
@@ -206,7 +244,7 @@
     this->GiveOrder(i, command);
   }
   Intent planned;
-  planned.number = std::numeric_limits<std::int64_t>::max();
+  planned.number = kPlannedNumber;
   planned.item = item.name;
   planned.model = item.model;
   planned.version = item.version;
@@ -238,7 +276,7 @@
   const endpoint::Command command = MakeCommand(loaded);
   this->GiveOrder(i, command);
   Intent planned;
-  planned.number = std::numeric_limits<std::int64_t>::max();
+  planned.number = kPlannedNumber;
   planned.operation = Operation::kUnload;
   planned.item = command.item;
   planned.model = command.model;
--- a/src/placement/plan_state.h
+++ b/src/placement/plan_state.h
@@ -46,6 +46,8 @@
 
   bool HasAnyVersion(std::size_t i, std::string_view item) const;
   bool Fits(std::size_t i, const DeclaredItem& item) const;
+  /// Returns whether the item is absent there and fits.
+  bool CanBeLoaded(std::size_t i, const DeclaredItem& item) const;
   /// Memory that is neither charged nor kept for adapters without a copy.
   std::int64_t FreeMemory(std::size_t i) const;
   /// Memory of a model and of its adapters that have no copy.
@@ -55,6 +57,8 @@
   /// this one, with its adapters there, were unloaded.
   bool CanRemove(std::size_t i, const LoadedItem& loaded) const;
 
+  bool HasModelBudget() const { return this->model_loads > 0; }
+
   /// Plans a load; gives an order only if the endpoint is free and the budget
   /// lasts.
   void Load(std::size_t i, const DeclaredItem& item);
@@ -67,6 +71,8 @@
   std::vector<Order> orders;
 
  private:
+  bool IsLoading(std::size_t i, const DeclaredItem& item) const;
+  void CompleteAdapters();
   void Declare(const Configuration& configuration);
   void GiveOrder(std::size_t i, const endpoint::Command& command);
   bool CanOrder(std::size_t i, bool adapter) const;
--- /dev/null
+++ b/src/placement/planner.h
@@ -0,0 +1,59 @@
+#ifndef COLTSFOOTVANE_PLACEMENT_PLANNER_H_
+#define COLTSFOOTVANE_PLACEMENT_PLANNER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "distribution/in_force.h"
+#include "placement/demand.h"
+#include "platform/client.h"
+
+namespace coltsfootvane {
+
+namespace detail {
+class PlannerLoop;
+}  // namespace detail
+
+struct PlannerOptions {
+  std::string region;
+  std::string daemon_id;
+  std::string incarnation;  ///< Random per start of the daemon.
+};
+
+/// What the planner asks of the daemon. Called on the planner's thread.
+struct PlannerHooks {
+  std::function<std::vector<ItemDemand>()> take_demand;
+  /// Returns true only if the daemon of this incarnation is known to have
+  /// ended.
+  std::function<bool(std::string_view incarnation)> sender_gone;
+  std::function<void(bool holds_lease)> on_leadership;
+};
+
+/// Places the models and adapters of one region while it holds the lease.
+class Planner {
+ public:
+  Planner(PlannerOptions options,
+          platform::Connection connection,
+          InForceHolder* in_force,
+          PlannerHooks hooks);
+  ~Planner();
+
+  Planner(const Planner&) = delete;
+  Planner& operator=(const Planner&) = delete;
+
+  void Start();
+
+  /// Waits for commands in progress, at most a few seconds, and releases the
+  /// lease.
+  void Stop();
+
+ private:
+  std::unique_ptr<detail::PlannerLoop> loop;
+};
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_PLACEMENT_PLANNER_H_
--- /dev/null
+++ b/src/placement/planner_endpoints.cc
@@ -0,0 +1,210 @@
+#include <algorithm>
+
+#include "log/event.h"
+#include "placement/events.h"
+#include "placement/planner_loop.h"
+
+namespace coltsfootvane::detail {
+namespace {
+
+// Bounds the lists of all endpoint objects while some cannot be read.
+constexpr Milliseconds kListInterval{1000};
+
+std::set<std::string_view> CentresOfRegion(const Configuration& configuration,
+                                           std::string_view region) {
+  std::set<std::string_view> names;
+  for (const DataCentre& data_centre : configuration.data_centres) {
+    if (data_centre.region == region)
+      names.insert(data_centre.name);
+  }
+  return names;
+}
+
+}  // namespace
+
+void PlannerLoop::AdoptConfiguration(const Configuration& configuration) {
+  const auto centres = CentresOfRegion(configuration, this->options.region);
+  std::set<std::string_view> declared;
+  for (const Endpoint& endpoint : configuration.endpoints) {
+    if (endpoint.kind != EndpointKind::kEngine ||
+        centres.count(endpoint.data_centre) == 0)
+      continue;
+    declared.insert(endpoint.id);
+    this->endpoints[endpoint.id].endpoint = endpoint;
+  }
+  for (auto it = this->endpoints.begin(); it != this->endpoints.end();) {
+    const bool keep = declared.count(it->first) != 0;
+    it = keep ? std::next(it) : this->endpoints.erase(it);
+  }
+}
+
+void PlannerLoop::ReadEndpoints() {
+  const std::shared_ptr<const InForce> current = this->in_force->Get();
+  if (current->version != this->configuration_version) {
+    this->AdoptConfiguration(current->configuration);
+    this->configuration_version = current->version;
+  }
+  const auto is_unread = [](const auto& entry) { return !entry.second.read; };
+  if (std::none_of(this->endpoints.begin(), this->endpoints.end(), is_unread) ||
+      Clock::now() < this->next_list)
+    return;
+  this->next_list = Clock::now() + kListInterval;
+  const Result<platform::ObjectList> list =
+      platform::ListObjects(this->connection, platform::kEndpointKind,
+                            Clock::now() + kPlatformTimeout);
+  if (!list)
+    return;
+  std::map<std::string_view, const platform::Object*> stored;
+  for (const platform::Object& object : list.assume_value().items)
+    stored[object.name] = &object;
+  for (auto& [id, state] : this->endpoints) {
+    if (state.read)
+      continue;
+    const auto found = stored.find(id);
+    if (found == stored.end()) {
+      this->AdoptObject(&state, EndpointLedger{}, 0);
+      continue;
+    }
+    const Result<EndpointLedger> ledger = ParseLedger(found->second->spec);
+    if (ledger) {
+      this->AdoptObject(&state, ledger.assume_value(),
+                        found->second->resource_version);
+      continue;
+    }
+    // The other endpoints are planned without it.
+    state.failures = kDownFailures;
+    LogEvent(kLedgerInvalid,
+             "endpoint=" + id + " error=" + ledger.assume_error().message);
+  }
+}
+
+void PlannerLoop::AdoptObject(EndpointState* state,
+                              const EndpointLedger& ledger,
+                              std::int64_t resource_version) {
+  if (ledger.epoch > this->epoch) {
+    this->OnForeignWrite(state, ledger.epoch);
+    return;
+  }
+  state->ledger = ledger;
+  state->resource_version = resource_version;
+  state->read = true;
+  state->lost = false;
+  state->synced = false;
+  state->recorded.clear();
+  state->next_index = TimePoint();
+  // In its own epoch the sequence continues, so that no number is used twice.
+  // Index calls take numbers that are not stored; the gap covers them.
+  constexpr std::int64_t kSkippedNumbers = 1 << 16;
+  if (ledger.epoch < this->epoch)
+    RaiseEpoch(&state->ledger, this->epoch);
+  else
+    state->ledger.sequence += kSkippedNumbers;
+  state->dirty = true;
+}
+
+void PlannerLoop::FlushEndpoints() {
+  for (auto& [id, state] : this->endpoints) {
+    if (!this->leading)
+      return;
+    if (state.read && state.lost)
+      this->ReadBack(&state);
+    // A platform that does not answer one write would delay all of them.
+    if (state.read && state.dirty && !state.lost && !this->Flush(&state))
+      return;
+  }
+}
+
+bool PlannerLoop::Flush(EndpointState* state) {
+  platform::Object object;
+  object.kind = platform::kEndpointKind;
+  object.name = state->endpoint.id;
+  object.resource_version = state->resource_version;
+  object.spec = FormatLedger(state->ledger);
+  state->written_spec = object.spec;
+  const TimePoint deadline = Clock::now() + kPlatformTimeout;
+  const Result<platform::Object> stored =
+      object.resource_version == 0
+          ? platform::CreateObject(this->connection, object, deadline)
+          : platform::UpdateObject(this->connection, object, deadline);
+  if (stored) {
+    this->OnWritten(state, stored.assume_value().resource_version);
+    return true;
+  }
+  switch (stored.assume_error().code) {
+    case ErrorCode::kUnknown:
+      state->lost = true;
+      return false;
+    case ErrorCode::kConflict:
+    case ErrorCode::kNotFound:
+      this->OnForeignWrite(state, 0);
+      return true;
+    default:
+      return false;
+  }
+}
+
+void PlannerLoop::OnWritten(EndpointState* state,
+                            std::int64_t resource_version) {
+  state->resource_version = resource_version;
+  state->lost = false;
+  state->dirty = false;
+  if (!state->recorded.empty())
+    this->StartCommands(state);
+}
+
+void PlannerLoop::ReadBack(EndpointState* state) {
+  const Result<platform::Object> stored =
+      platform::ReadObject(this->connection, platform::kEndpointKind,
+                           state->endpoint.id, Clock::now() + kPlatformTimeout);
+  if (stored) {
+    this->OnStored(state, stored.assume_value());
+    return;
+  }
+  const bool absent = stored.assume_error().code == ErrorCode::kNotFound;
+  if (absent && state->resource_version == 0)
+    state->lost = false;
+  else if (absent)
+    this->OnForeignWrite(state, 0);
+}
+
+void PlannerLoop::OnStored(EndpointState* state,
+                           const platform::Object& stored) {
+  const Result<EndpointLedger> ledger = ParseLedger(stored.spec);
+  if (!ledger) {
+    this->OnForeignWrite(state, 0);
+    return;
+  }
+  if (FormatLedger(ledger.assume_value()) == state->written_spec) {
+    // Results that came in since the write make another one necessary.
+    const bool current = FormatLedger(state->ledger) == state->written_spec;
+    if (current) {
+      this->OnWritten(state, stored.resource_version);
+      return;
+    }
+    state->resource_version = stored.resource_version;
+    state->lost = false;
+    return;
+  }
+  // The write has not taken effect. If it still does, it or the repeat fails,
+  // since both are conditional on the same version.
+  if (stored.resource_version == state->resource_version) {
+    state->lost = false;
+    return;
+  }
+  this->OnForeignWrite(state, ledger.assume_value().epoch);
+}
+
+void PlannerLoop::OnForeignWrite(EndpointState* state, std::int64_t new_epoch) {
+  LogEvent(kLedgerConflict, "endpoint=" + state->endpoint.id +
+                                " epoch=" + std::to_string(this->epoch) +
+                                " stored=" + std::to_string(new_epoch));
+  state->read = false;
+  state->synced = false;
+  state->dirty = false;
+  state->lost = false;
+  state->recorded.clear();
+  // A higher epoch belongs to another holder; the lease object tells.
+  OnLeaseWriteFailed(&this->lease, Clock::now());
+}
+
+}  // namespace coltsfootvane::detail
--- /dev/null
+++ b/src/placement/planner_jobs.cc
@@ -0,0 +1,153 @@
+#include "base/digest.h"
+#include "log/event.h"
+#include "placement/events.h"
+#include "placement/planner_loop.h"
+
+namespace coltsfootvane::detail {
+namespace {
+
+// Restarts and lost loads are noticed within this time.
+constexpr Milliseconds kIndexInterval{2000};
+constexpr Milliseconds kFailedInterval{1000};
+constexpr std::int64_t kIndexSpreadMs = 400;
+constexpr std::size_t kShownBytes = 200;
+
+/// The ledger without what changes at every index call.
+std::string Compared(EndpointLedger ledger) {
+  ledger.sequence = 0;
+  return FormatLedger(ledger);
+}
+
+Milliseconds IndexInterval(const EndpointState& state) {
+  const std::uint64_t spread =
+      Hash64(state.endpoint.id) % static_cast<std::uint64_t>(kIndexSpreadMs);
+  return kIndexInterval - Milliseconds{static_cast<std::int64_t>(spread)};
+}
+
+}  // namespace
+
+void PlannerLoop::TakeResults(TimePoint until) {
+  for (;;) {
+    const std::optional<EndpointJobResult> result = this->pool.PopResult(until);
+    if (!result)
+      return;
+    const auto found = this->endpoints.find(result->job.endpoint_id);
+    const bool current = result->job.epoch == this->epoch;
+    if (found == this->endpoints.end() || !current)
+      continue;
+    EndpointState& state = found->second;
+    state.job = false;
+    // A state that is being read anew gets its truth from the object.
+    if (!state.read)
+      continue;
+    if (result->index)
+      this->OnIndex(&state, *result, Clock::now());
+    else
+      this->OnResponses(&state, *result);
+    // What a response frees is planned at once.
+    if (!result->index)
+      until = Clock::now();
+  }
+}
+
+void PlannerLoop::OnIndex(EndpointState* state,
+                          const EndpointJobResult& result,
+                          TimePoint now) {
+  state->next_index = now + IndexInterval(*state);
+  if (!*result.index) {
+    state->next_index = now + kFailedInterval;
+    const Error& error = result.index->assume_error();
+    ++state->failures;
+    const std::string detail =
+        "endpoint=" + state->endpoint.id + " error=" + error.message;
+    if (error.code == ErrorCode::kConflict) {
+      LogEvent(kNumberOutdated, detail);
+      OnLeaseWriteFailed(&this->lease, now);
+    }
+    if (state->failures == kDownFailures)
+      LogEvent(kEndpointDown, detail);
+    return;
+  }
+  const endpoint::Index& index = result.index->assume_value();
+  state->failures = 0;
+  state->leaving = index.leaving;
+  const std::string& boot_id = state->ledger.boot_id;
+  const bool restarted = !boot_id.empty() && boot_id != index.boot_id;
+  if (restarted)
+    LogEvent(kEndpointRestarted, "endpoint=" + state->endpoint.id);
+  const std::string before = Compared(state->ledger);
+  IndexReading reading;
+  reading.index = index;
+  reading.number = result.job.index_number;
+  reading.checks_fencing = state->endpoint.checks_fencing;
+  ApplyIndex(&state->ledger, reading, this->hooks.sender_gone);
+  state->synced = true;
+  if (Compared(state->ledger) != before)
+    state->dirty = true;
+  if (restarted)
+    state->next_index = now;
+}
+
+void PlannerLoop::OnResponses(EndpointState* state,
+                              const EndpointJobResult& result) {
+  for (std::size_t i = 0; i < result.responses.size(); ++i) {
+    const endpoint::Command& command = result.job.commands[i];
+    const Result<bool>& response = result.responses[i];
+    ResolveByResponse(&state->ledger, command.fencing_number, response);
+    this->ReportCommand(*state, command, response);
+    if (!response)
+      state->next_index = TimePoint();
+  }
+  state->dirty = true;
+}
+
+void PlannerLoop::ReportCommand(const EndpointState& state,
+                                const endpoint::Command& command,
+                                const Result<bool>& response) {
+  const bool load = command.operation == endpoint::Command::Operation::kLoad;
+  std::string detail = "endpoint=" + state.endpoint.id +
+                       " operation=" + (load ? "load" : "unload") +
+                       " item=" + command.item + " version=" + command.version +
+                       " number=" + std::to_string(command.fencing_number);
+  if (!response) {
+    const Error& error = response.assume_error();
+    detail += std::string(" error=") + ErrorCodeName(error.code) +
+              " message=" + error.message.substr(0, kShownBytes);
+  }
+  LogEvent(response ? kCommandDone : kCommandFailed, detail);
+  this->audit.Add(load ? "load" : "unload", "endpoints/" + state.endpoint.id,
+                  detail);
+}
+
+void PlannerLoop::StartIndexCalls(TimePoint now) {
+  for (auto& [id, state] : this->endpoints) {
+    const bool written = state.read && !state.dirty && !state.lost;
+    if (!written || state.job || now < state.next_index)
+      continue;
+    EndpointJob job;
+    job.endpoint_id = id;
+    job.address = state.endpoint.address;
+    job.epoch = this->epoch;
+    job.index_number = TakeNumber(&state.ledger);
+    state.job = job.index_number > 0 && this->pool.Push(std::move(job));
+  }
+}
+
+void PlannerLoop::StartCommands(EndpointState* state) {
+  EndpointJob job;
+  job.endpoint_id = state->endpoint.id;
+  job.address = state->endpoint.address;
+  job.epoch = this->epoch;
+  job.commands = std::move(state->recorded);
+  state->recorded.clear();
+  const std::vector<endpoint::Command> commands = job.commands;
+  state->job = this->pool.Push(std::move(job));
+  if (state->job)
+    return;
+  for (const endpoint::Command& command : commands)
+    ResolveByResponse(&state->ledger, command.fencing_number,
+                      Error{ErrorCode::kNotSent, "too many jobs"});
+  state->dirty = true;
+}
+
+}  // namespace coltsfootvane::detail
--- /dev/null
+++ b/src/placement/planner_loop.h
@@ -0,0 +1,142 @@
+#ifndef COLTSFOOTVANE_PLACEMENT_PLANNER_LOOP_H_
+#define COLTSFOOTVANE_PLACEMENT_PLANNER_LOOP_H_
+
+#include <atomic>
+#include <map>
+
+#include <set>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "placement/audit_writer.h"
+#include "placement/command_pool.h"
+#include "placement/demand_tracker.h"
+#include "placement/lease.h"
+#include "placement/ledger.h"
+#include "placement/plan.h"
+#include "placement/planner.h"
+
+namespace coltsfootvane::detail {
+
+/// What the lease holder knows and does about one engine.
+struct EndpointState {
+  Endpoint endpoint;
+  EndpointLedger ledger;
+  std::int64_t resource_version = 0;
+  bool read = false;    ///< The object was read and its epoch raised.
+  bool synced = false;  ///< An index was applied in this epoch.
+  bool dirty = false;   ///< The ledger differs from the stored object.
+  bool lost = false;    ///< The response of the last write was lost.
+  bool job = false;     ///< A job is in progress.
+  bool leaving = false;
+  int failures = 0;  ///< Index calls failed in a row.
+  TimePoint next_index;
+  std::string written_spec;                 ///< Of the last write.
+  std::vector<endpoint::Command> recorded;  ///< To send after the next write.
+};
+
+/// The planner's thread and state.
+class PlannerLoop {
+ public:
+  PlannerLoop(PlannerOptions options,
+              platform::Connection connection,
+              InForceHolder* in_force,
+              PlannerHooks hooks);
+  ~PlannerLoop();
+
+  PlannerLoop(const PlannerLoop&) = delete;
+  PlannerLoop& operator=(const PlannerLoop&) = delete;
+
+  void Start();
+  void Stop();
+
+ private:
+  using DrainKey = std::pair<std::string, std::string>;
+  struct Drain {
+    TimePoint since;
+    TimePoint wanted_at;
+  };
+
+  void Run();
+  void Tick();
+
+  // The lease: planner_lease.cc.
+  void StepLease(TimePoint now);
+  void ReadLease(TimePoint now);
+  void WriteLease(LeaseStep step, TimePoint now);
+  void ReleaseLease();
+  void UpdateLeadership();
+
+  // Objects of endpoints: planner_endpoints.cc.
+  void AdoptConfiguration(const Configuration& configuration);
+  void ReadEndpoints();
+  void AdoptObject(EndpointState* state,
+                   const EndpointLedger& ledger,
+                   std::int64_t resource_version);
+  void FlushEndpoints();
+  /// Returns false if the platform did not answer.
+  bool Flush(EndpointState* state);
+  void OnWritten(EndpointState* state, std::int64_t resource_version);
+  void ReadBack(EndpointState* state);
+  void OnStored(EndpointState* state, const platform::Object& stored);
+  void OnForeignWrite(EndpointState* state, std::int64_t epoch);
+
+  // Jobs: planner_jobs.cc.
+  void TakeResults(TimePoint until);
+  void OnIndex(EndpointState* state,
+               const EndpointJobResult& result,
+               TimePoint now);
+  void OnResponses(EndpointState* state, const EndpointJobResult& result);
+  void ReportCommand(const EndpointState& state,
+                     const endpoint::Command& command,
+                     const Result<bool>& response);
+  void StartIndexCalls(TimePoint now);
+  void StartCommands(EndpointState* state);
+
+  // Decisions and publishing: planner_plan.cc.
+  void Plan(TimePoint now);
+  PlanInput MakeInput(const InForce& in_force, TimePoint now);
+  bool IsSettled() const;
+  bool IsDrained(const Order& order, TimePoint now);
+  void Record(const std::vector<Order>& orders, TimePoint now);
+  void ForgetDrains(TimePoint now);
+  void Publish(TimePoint now);
+  PlacementView MakeView() const;
+
+  PlannerOptions options;
+  platform::Connection connection;
+  InForceHolder* in_force;
+  PlannerHooks hooks;
+  AuditWriter audit;
+  SendPermission permission;
+  CommandPool pool;
+  Lease lease;
+  bool leading = false;
+  TimePoint next_list;
+  std::int64_t epoch = 0;  ///< Of the ledgers; that of the lease held.
+  std::int64_t configuration_version = -1;
+  std::map<std::string, EndpointState, std::less<>> endpoints;
+  DemandTracker demand;
+  TimePoint demand_at;
+  TimePoint planned_at;
+  TimePoint budget_at;
+  double load_budget = 0;
+  std::map<DrainKey, Drain> drains;
+  TimePoint published_at;
+  std::string published_spec;
+  std::int64_t published_version = 0;
+  bool published_known = false;
+  std::atomic<bool> stopping{false};
+  std::thread thread;
+};
+
+inline constexpr Milliseconds kPlatformTimeout{1000};
+/// Index calls failed in a row after which an engine's copies do not count.
+inline constexpr int kDownFailures = 3;
+
+}  // namespace coltsfootvane::detail
+
+#endif  // COLTSFOOTVANE_PLACEMENT_PLANNER_LOOP_H_
--- /dev/null
+++ b/src/placement/planner_plan.cc
@@ -0,0 +1,180 @@
+#include <algorithm>
+
+#include "log/event.h"
+#include "placement/events.h"
+#include "placement/planner_loop.h"
+
+namespace coltsfootvane::detail {
+namespace {
+
+constexpr Milliseconds kPlanInterval{200};
+constexpr Milliseconds kDemandInterval{1000};
+constexpr Milliseconds kPublishInterval{1000};
+// Between leaving a copy out of the placement and unloading it; daemons see the
+// new placement by a watch.
+constexpr Milliseconds kDrainTime{2000};
+
+bool IsUnload(const endpoint::Command& command) {
+  return command.operation == endpoint::Command::Operation::kUnload;
+}
+
+}  // namespace
+
+bool PlannerLoop::IsSettled() const {
+  return !this->endpoints.empty() &&
+         std::all_of(this->endpoints.begin(), this->endpoints.end(),
+                     [](const auto& entry) {
+                       return entry.second.synced ||
+                              entry.second.failures >= kDownFailures;
+                     });
+}
+
+void PlannerLoop::Plan(TimePoint now) {
+  if (now - this->demand_at >= kDemandInterval && this->hooks.take_demand) {
+    UpdateDemand(&this->demand, this->hooks.take_demand(), now);
+    this->demand_at = now;
+  }
+  if (now - this->planned_at < kPlanInterval || !this->IsSettled())
+    return;
+  this->planned_at = now;
+  const std::shared_ptr<const InForce> current = this->in_force->Get();
+  const PlanInput input = this->MakeInput(*current, now);
+  this->Record(PlanOrders(input), now);
+  this->ForgetDrains(now);
+}
+
+PlanInput PlannerLoop::MakeInput(const InForce& current, TimePoint now) {
+  const WeightStore& store = current.configuration.weight_store;
+  const double elapsed_s =
+      std::chrono::duration<double>(now - this->budget_at).count();
+  const double burst = std::max(1.0, store.loads_per_s);
+  this->load_budget = std::min(
+      burst, this->load_budget + std::min(elapsed_s, 1.0) * store.loads_per_s);
+  this->budget_at = now;
+  int loading = 0;
+  int adapters_loading = 0;
+  PlanInput input;
+  input.configuration = &current.configuration;
+  input.demand = WeightedDemand(this->demand, current.configuration.classes);
+  for (const auto& [id, state] : this->endpoints) {
+    PlanEndpoint planned;
+    planned.endpoint = &state.endpoint;
+    planned.ledger = state.ledger;
+    planned.busy = state.job || state.dirty || state.lost || !state.synced;
+    const bool down = !state.synced || state.failures >= kDownFailures;
+    planned.leaving = down || state.leaving || current.leaving.count(id) != 0;
+    for (const Intent& intent : state.ledger.intents) {
+      const bool in_progress =
+          state.job &&
+          intent.operation == endpoint::Command::Operation::kLoad &&
+          !intent.fenced && intent.sender == this->options.incarnation;
+      loading += in_progress && !intent.adapter ? 1 : 0;
+      adapters_loading += in_progress && intent.adapter ? 1 : 0;
+    }
+    input.endpoints.push_back(std::move(planned));
+  }
+  input.model_loads = std::min(static_cast<int>(this->load_budget),
+                               std::max(0, store.loads_at_once - loading));
+  input.adapter_loads =
+      std::max(0, store.adapter_loads_in_flight - adapters_loading);
+  return input;
+}
+
+bool PlannerLoop::IsDrained(const Order& order, TimePoint now) {
+  const DrainKey key{order.endpoint_id,
+                     order.command.item + "@" + order.command.version};
+  const auto [drain, added] = this->drains.try_emplace(key, Drain{now, now});
+  drain->second.wanted_at = now;
+  return now - drain->second.since >= kDrainTime;
+}
+
+void PlannerLoop::ForgetDrains(TimePoint now) {
+  for (auto it = this->drains.begin(); it != this->drains.end();) {
+    const bool wanted = now - it->second.wanted_at < kDrainTime;
+    it = wanted ? std::next(it) : this->drains.erase(it);
+  }
+}
+
+void PlannerLoop::Record(const std::vector<Order>& orders, TimePoint now) {
+  for (const Order& order : orders) {
+    if (IsUnload(order.command) && !this->IsDrained(order, now))
+      continue;
+    const auto found = this->endpoints.find(order.endpoint_id);
+    if (found == this->endpoints.end())
+      continue;
+    EndpointState& state = found->second;
+    endpoint::Command command = order.command;
+    if (!RecordIntent(&state.ledger, &command, this->options.incarnation)) {
+      // A new epoch starts the sequence again.
+      this->ReleaseLease();
+      return;
+    }
+    if (!IsUnload(command) && !command.adapter)
+      this->load_budget -= 1;
+    state.recorded.push_back(std::move(command));
+    state.dirty = true;
+  }
+}
+
+PlacementView PlannerLoop::MakeView() const {
+  const std::shared_ptr<const InForce> current = this->in_force->Get();
+  PlacementView view;
+  for (const auto& [id, state] : this->endpoints) {
+    EndpointPlacement placement;
+    placement.endpoint_id = id;
+    placement.leaving = state.leaving || current->leaving.count(id) != 0;
+    std::set<std::string> ready;
+    const bool down = !state.synced || state.failures >= kDownFailures;
+    for (const LoadedItem& loaded : state.ledger.loaded) {
+      const DrainKey key{id, loaded.item + "@" + loaded.version};
+      if (down || this->drains.count(key) != 0 ||
+          !CountsAsCopy(state.ledger, loaded.item, loaded.version))
+        continue;
+      ready.insert(loaded.item);
+    }
+    placement.ready.assign(ready.begin(), ready.end());
+    view.endpoints.push_back(std::move(placement));
+  }
+  return view;
+}
+
+void PlannerLoop::Publish(TimePoint now) {
+  if (now - this->published_at < kPublishInterval || !this->IsSettled() ||
+      !MaySend(this->lease, Clock::now()))
+    return;
+  const TimePoint deadline = Clock::now() + kPlatformTimeout;
+  if (!this->published_known) {
+    const Result<platform::Object> stored =
+        platform::ReadObject(this->connection, platform::kPlacementKind,
+                             this->options.region, deadline);
+    const bool absent =
+        !stored && stored.assume_error().code == ErrorCode::kNotFound;
+    if (!stored && !absent)
+      return;
+    this->published_version =
+        stored ? stored.assume_value().resource_version : 0;
+    const Result<PlacementView> view =
+        ParsePlacement(stored ? stored.assume_value().spec : "");
+    this->published_spec = view ? FormatPlacement(view.assume_value()) : "";
+    this->published_known = true;
+  }
+  platform::Object object;
+  object.kind = platform::kPlacementKind;
+  object.name = this->options.region;
+  object.resource_version = this->published_version;
+  object.spec = FormatPlacement(this->MakeView());
+  if (object.spec == this->published_spec)
+    return;
+  this->published_at = now;
+  const Result<platform::Object> stored =
+      object.resource_version == 0
+          ? platform::CreateObject(this->connection, object, deadline)
+          : platform::UpdateObject(this->connection, object, deadline);
+  this->published_known = stored.has_value();
+  if (!stored)
+    return;
+  this->published_version = stored.assume_value().resource_version;
+  this->published_spec = object.spec;
+}
+
+}  // namespace coltsfootvane::detail
