--- a/src/idempotency/record_writer.cc
+++ b/src/idempotency/record_writer.cc
@@ -71,15 +71,10 @@
   return Clock::now() >= stop;
 }
 
-TimePoint RecordWriter::NextTry() const {
-  TimePoint next = Clock::now() + kPollInterval;
-  for (const Task& task : this->tasks)
-    next = std::min(next, task.next_try);
-  return next;
-}
-
 void RecordWriter::TakeNew() {
-  TimePoint wait = this->NextTry();
+  const TimePoint idle = Clock::now() + kPollInterval;
+  TimePoint wait =
+      this->tasks.empty() ? idle : std::min(idle, this->hold_until);
   while (this->tasks.size() < this->options.capacity) {
     std::optional<Settlement> item = this->ring.PopUntil(wait);
     if (!item)
@@ -87,27 +82,22 @@
     Task task;
     task.settlement = std::move(*item);
     task.give_up = Clock::now() + this->options.keep;
-    task.next_try = Clock::now();
     this->tasks.push_back(std::move(task));
-    wait = Clock::now();
+    wait = std::min(wait, Clock::now());
   }
   // A closed ring returns at once, and a full list does not wait on it.
-  const bool waited = Clock::now() >= wait;
-  if (!waited)
-    std::this_thread::sleep_until(wait);
+  std::this_thread::sleep_until(wait);
 }
 
-void RecordWriter::Postpone(Task* task) {
-  ++task->tries;
-  if (task->tries == kTriesBeforeWarning)
-    LogEvent(kRecordWriteDelayed, Describe(task->settlement));
-  const int doublings = std::min(task->tries - 1, 16);
+void RecordWriter::HoldAfterFailure() {
+  const int doublings = std::min(this->failures_in_row, 16);
+  ++this->failures_in_row;
   const Milliseconds backoff =
       std::min(this->options.max_backoff,
                this->options.first_backoff * (1 << doublings));
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
-  task->next_try = Clock::now() + std::chrono::duration_cast<Clock::duration>(
-                                      backoff * jitter(this->random));
+  this->hold_until = Clock::now() + std::chrono::duration_cast<Clock::duration>(
+                                        backoff * jitter(this->random));
 }
 
 void RecordWriter::Abandon(const Settlement& settlement, const char* reason) {
@@ -136,22 +126,28 @@
     if (failed)
       break;
   }
-  this->Postpone(task);
+  ++task->tries;
+  if (task->tries == kTriesBeforeWarning)
+    LogEvent(kRecordWriteDelayed, Describe(task->settlement));
   if (Clock::now() < task->give_up)
     return false;
   this->Abandon(task->settlement, "expired");
   return true;
 }
 
-void RecordWriter::RunDue(TimePoint now) {
-  for (auto it = this->tasks.begin(); it != this->tasks.end();) {
-    const bool due = it->next_try <= now;
-    if (this->Finished() || !due || !this->Try(&*it)) {
-      ++it;
-      continue;
+void RecordWriter::RunTasks() {
+  while (!this->tasks.empty() && !this->Finished() &&
+         Clock::now() >= this->hold_until) {
+    Task& task = this->tasks.front();
+    if (!this->Try(&task)) {
+      this->HoldAfterFailure();
+      // A record that alone cannot be written does not stop the others.
+      this->tasks.splice(this->tasks.end(), this->tasks, this->tasks.begin());
+      return;
     }
-    this->body_bytes.fetch_sub(it->settlement.record.body.size());
-    it = this->tasks.erase(it);
+    this->failures_in_row = 0;
+    this->body_bytes.fetch_sub(task.settlement.record.body.size());
+    this->tasks.pop_front();
     --this->pending;
   }
 }
@@ -159,7 +155,7 @@
 void RecordWriter::Run() {
   while (!this->Finished()) {
     this->TakeNew();
-    this->RunDue(Clock::now());
+    this->RunTasks();
   }
   for (const Task& task : this->tasks)
     this->Abandon(task.settlement, "stopped");
--- a/src/idempotency/record_writer.h
+++ b/src/idempotency/record_writer.h
@@ -53,17 +53,15 @@
   struct Task {
     Settlement settlement;
     TimePoint give_up;
-    TimePoint next_try;
     int tries = 0;
   };
 
   void Run();
   void TakeNew();
-  TimePoint NextTry() const;
-  void RunDue(TimePoint now);
+  void RunTasks();
   /// Returns whether the task has ended.
   bool Try(Task* task);
-  void Postpone(Task* task);
+  void HoldAfterFailure();
   static void Abandon(const Settlement& settlement, const char* reason);
   bool Finished() const;
 
@@ -71,6 +69,10 @@
   RecordWriterOptions options;
   Ring<Settlement> ring;
   std::list<Task> tasks;
+  /// One backoff for all tasks: a backlog must not use up the call budget of
+  /// the daemon while the platform fails.
+  TimePoint hold_until;
+  int failures_in_row = 0;
   std::mt19937_64 random;
   std::atomic<std::size_t> pending{0};
   std::atomic<std::size_t> body_bytes{0};
--- /dev/null
+++ b/src/idempotency/run_once_unittest.cc
@@ -0,0 +1,274 @@
+#include "idempotency/run_once.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "idempotency/record.h"
+#include "idempotency/record_writer.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+
+/// A record store in memory.
+class MemoryStore {
+ public:
+  RecordStore Functions() {
+    RecordStore store;
+    store.read = [this](const std::string& name, TimePoint) {
+      return this->Read(name);
+    };
+    store.create = [this](const std::string& name, const Record& record,
+                          TimePoint) { return this->Write(name, record, 0); };
+    store.update = [this](const std::string& name, const Record& record,
+                          std::int64_t version, TimePoint) {
+      return this->Write(name, record, version);
+    };
+    return store;
+  }
+
+  Learned Read(const std::string& name) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    Learned learned;
+    learned.event = StepEvent::kReadFailed;
+    if (this->TakeFailure())
+      return learned;
+    learned.event = StepEvent::kMissing;
+    const auto found = this->records.find(name);
+    if (found == this->records.end())
+      return learned;
+    learned = found->second;
+    learned.event = StepEvent::kRead;
+    return learned;
+  }
+
+  /// The calls that fail next.
+  std::atomic<int> failures{0};
+  std::map<std::string, Learned> records;
+
+ private:
+  bool TakeFailure() {
+    if (this->failures.load() <= 0)
+      return false;
+    --this->failures;
+    return true;
+  }
+
+  Learned Write(const std::string& name,
+                const Record& record,
+                std::int64_t version) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    Learned learned;
+    learned.event = StepEvent::kLost;
+    if (this->TakeFailure())
+      return learned;
+    const auto found = this->records.find(name);
+    const std::int64_t stored =
+        found == this->records.end() ? 0 : found->second.version;
+    learned.event = StepEvent::kConflict;
+    if (stored != version)
+      return learned;
+    learned.event = StepEvent::kWritten;
+    learned.version = stored + 1;
+    learned.record = record;
+    this->records[name] = learned;
+    return learned;
+  }
+
+  std::mutex mutex;
+};
+
+RunRequest MakeRequest(const char* digest) {
+  RunRequest request;
+  request.name = "r";
+  request.body_digest = digest;
+  request.deadline = Clock::now() + Milliseconds{5000};
+  return request;
+}
+
+RunFunctions Sending(Result<http::Response> response, int* sends) {
+  RunFunctions functions;
+  functions.prepare = [] { return Result<bool>(true); };
+  functions.send = [response, sends] {
+    ++*sends;
+    return response;
+  };
+  return functions;
+}
+
+http::Response Booked(std::size_t body_bytes) {
+  return {201, {{"Content-Type", "text/plain"}}, std::string(body_bytes, 'b')};
+}
+
+bool WaitUntilSettled(const RecordWriter& writer) {
+  const TimePoint deadline = Clock::now() + Milliseconds{5000};
+  while (writer.Pending() > 0 && Clock::now() < deadline)
+    std::this_thread::sleep_for(Milliseconds{1});
+  return writer.Pending() == 0;
+}
+
+}  // namespace
+
+TEST_GROUP(RunOnce){};
+
+// Guards against a repeated call that runs again, or that gets something other
+// than the stored response.
+TEST(RunOnce, RepeatGetsWhatTheRecordSays) {
+  struct Row {
+    const char* name;
+    Result<http::Response> sent;
+    const char* digest;
+    RunResult first;
+    RunResult second;
+    int sends;
+  };
+  const Row rows[] = {
+      {"replay", Booked(3), "d", RunResult::kResponse, RunResult::kReplay, 1},
+      {"large", Booked(kMaxStoredBodyBytes + 1), "d", RunResult::kResponse,
+       RunResult::kDoneNotStored, 1},
+      {"other body", Booked(3), "x", RunResult::kResponse,
+       RunResult::kKeyReused, 1},
+      {"response lost", Error{ErrorCode::kUnknown, "cut"}, "d",
+       RunResult::kUnknown, RunResult::kUnknown, 1},
+      {"not sent", Error{ErrorCode::kNotSent, "refused"}, "d",
+       RunResult::kNotRun, RunResult::kNotRun, 2},
+  };
+  for (const Row& row : rows) {
+    MemoryStore store;
+    int sends = 0;
+    const RunFunctions functions = Sending(row.sent, &sends);
+    const RunOutcome first =
+        RunOnce(store.Functions(), MakeRequest("d"), functions);
+    const RunOutcome second =
+        RunOnce(store.Functions(), MakeRequest(row.digest), functions);
+    CHECK_TEXT(first.result == row.first, row.name);
+    CHECK_TEXT(second.result == row.second, row.name);
+    LONGS_EQUAL_TEXT(row.sends, sends, row.name);
+    if (second.result == RunResult::kReplay) {
+      LONGS_EQUAL(201, second.response.status);
+      STRCMP_EQUAL("bbb", second.response.body.c_str());
+    }
+  }
+}
+
+// Guards against a send after the caller's deadline.
+TEST(RunOnce, SendsNothingAfterTheDeadline) {
+  MemoryStore store;
+  int sends = 0;
+  RunRequest request = MakeRequest("d");
+  request.deadline = Clock::now() - Milliseconds{1};
+  const RunOutcome outcome =
+      RunOnce(store.Functions(), request, Sending(Booked(1), &sends));
+  CHECK(outcome.result == RunResult::kNotRun);
+  LONGS_EQUAL(0, sends);
+}
+
+// Guards against a response that is not recorded because the platform was down
+// when it arrived.
+TEST(RunOnce, WriterRecordsTheResponseLater) {
+  MemoryStore store;
+  RecordWriterOptions options;
+  options.first_backoff = Milliseconds{1};
+  RecordWriter writer(store.Functions(), options);
+  int sends = 0;
+  RunFunctions functions = Sending(Booked(3), &sends);
+  const auto send = functions.send;
+  functions.send = [&store, send] {
+    store.failures = 6;
+    return send();
+  };
+  RunOutcome outcome = RunOnce(store.Functions(), MakeRequest("d"), functions);
+  CHECK(outcome.result == RunResult::kResponse);
+  CHECK(outcome.remainder == StepRemainder::kDone);
+  CHECK(writer.Add(std::move(outcome.settlement)));
+  CHECK(WaitUntilSettled(writer));
+  const RunOutcome repeat =
+      RunOnce(store.Functions(), MakeRequest("d"), functions);
+  CHECK(repeat.result == RunResult::kReplay);
+  LONGS_EQUAL(1, sends);
+}
+
+// Guards against a key that stays unknown although its attempt was abandoned
+// before anything was sent.
+TEST(RunOnce, WriterFencesAnAbandonedAttempt) {
+  MemoryStore store;
+  RecordWriterOptions options;
+  options.first_backoff = Milliseconds{1};
+  RecordWriter writer(store.Functions(), options);
+  int sends = 0;
+  RunFunctions functions = Sending(Booked(3), &sends);
+  functions.prepare = [&store] {
+    store.failures = 7;
+    return Result<bool>(true);
+  };
+  RunOutcome outcome = RunOnce(store.Functions(), MakeRequest("d"), functions);
+  CHECK(outcome.result == RunResult::kNotRun);
+  CHECK(outcome.remainder == StepRemainder::kFence);
+  CHECK(writer.Add(std::move(outcome.settlement)));
+  CHECK(WaitUntilSettled(writer));
+  CHECK(store.Read("r").record.state == RecordState::kNotRun);
+  const RunOutcome repeat =
+      RunOnce(store.Functions(), MakeRequest("d"), Sending(Booked(3), &sends));
+  CHECK(repeat.result == RunResult::kResponse);
+  LONGS_EQUAL(1, sends);
+}
+
+// Guards against a full ring or many large responses using up the memory.
+TEST(RunOnce, WriterIsBounded) {
+  MemoryStore store;
+  store.failures = 1000000;
+  RecordWriterOptions options;
+  options.capacity = 2;
+  options.max_body_bytes = 10;
+  RecordWriter writer(store.Functions(), options);
+  int accepted = 0;
+  for (int count = 0; count < 20; ++count) {
+    Settlement settlement;
+    settlement.record = MakeDone({}, 200, "", "123456");
+    accepted += writer.Add(std::move(settlement)) ? 1 : 0;
+  }
+  CHECK(accepted >= 2);
+  CHECK(accepted <= 4);
+  writer.Stop(Clock::now());
+}
+
+TEST_GROUP(Record){};
+
+// Guards against a stored response that differs from the one that was sent.
+TEST(Record, FormatAndParseAgree) {
+  const std::string bodies[] = {"", "{\"a\":1}", std::string("\xff\x00z", 3)};
+  for (const std::string& body : bodies) {
+    Record record;
+    record.attempt = "a";
+    record.body_digest = "d";
+    record.time_ms = 5;
+    const Record done = MakeDone(record, 201, "text/plain", body);
+    const Result<Record> parsed = ParseRecord(FormatRecord(done));
+    CHECK(parsed.has_value());
+    CHECK(parsed.value().state == RecordState::kDone);
+    CHECK(parsed.value().body == body);
+    CHECK(parsed.value().body_stored);
+    LONGS_EQUAL(201, parsed.value().status);
+    STRCMP_EQUAL("text/plain", parsed.value().content_type.c_str());
+    STRCMP_EQUAL("a", parsed.value().attempt.c_str());
+  }
+}
+
+// Guards against reading damaged records as usable ones.
+TEST(Record, RejectsDamagedRecords) {
+  for (const char* text :
+       {"", "[]", "{}", R"({"state":"gone","attempt":"a","body_digest":"d"})",
+        R"({"state":"done","attempt":"a","body_digest":"d"})",
+        R"({"state":"reserved","attempt":1,"body_digest":"d"})"})
+    CHECK_TEXT(!ParseRecord(text).has_value(), text);
+}
+
+// Guards against two different keys sharing one record.
+TEST(Record, NamesDiffer) {
+  CHECK(RecordName("ab", "c", "k") != RecordName("a", "bc", "k"));
+  CHECK(RecordName("a", "b", "ck") != RecordName("a", "bc", "k"));
+}
