Peer: Split the slot caller by step and test the node

Cause: the ask loop was one long function, and the node had no tests. Change: one function per step; tests with one to three nodes on loopback; drops, duplicate ids and the fallback share are logged. Conclusion: the slot client works over datagrams and locally.

--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -1,5 +1,7 @@
 #include "peer/peer_node.h"
 
+#include <algorithm>
+#include <atomic>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <thread>
@@ -9,6 +11,7 @@
 #include "base/ring.h"
 #include "dispatch/naive.h"
 #include "log/event.h"
+#include "membership/events.h"
 #include "peer/datagram_link.h"
 #include "peer/demand_table.h"
 #include "peer/dispatcher.h"
@@ -21,6 +24,7 @@
 
 constexpr Milliseconds kReportTick{100};
 constexpr Milliseconds kDemandPeriod{1000};
+constexpr Milliseconds kDropLogPeriod{10000};
 constexpr std::size_t kDemandBytes = 1000;
 constexpr std::size_t kFixedDemandBytes = 32;
 
@@ -69,6 +73,8 @@
   void NoteEndpointLeaving(std::string_view endpoint_id);
   void RunReports();
   void SendDemand(TimePoint now);
+  void LogDrops(TimePoint now);
+  void CountDrop(bool pushed);
   MembershipHooks MakeMembershipHooks();
 
   const PeerOptions options;
@@ -84,6 +90,10 @@
   Ring<int> stop_reports;
   std::thread report_thread;
   TimePoint next_demand;
+  TimePoint next_drop_log;
+  std::uint64_t malformed_logged = 0;
+  std::atomic<std::uint64_t> dropped{0};     ///< By full rings.
+  std::atomic<std::uint64_t> duplicates{0};  ///< From a daemon of the same id.
 };
 
 PeerNode::Parts::Parts(PeerOptions given)
@@ -152,8 +162,10 @@
 void PeerNode::Parts::OnDatagram(const http::Address& from,
                                  PeerMessage message) {
   // A second daemon with the same id must not be taken for this one.
-  if (message.sender == this->options.settings.daemon_id)
+  if (message.sender == this->options.settings.daemon_id) {
+    ++this->duplicates;
     return;
+  }
   if (message.membership) {
     this->membership.Push([from, received = std::move(*message.membership)](
                               membership::MemberTable& table, TimePoint now) {
@@ -168,11 +180,14 @@
                            const http::Address& from,
                            PeerMessage message) {
   if (message.ask)
-    this->dispatcher.Push({sender, from, std::move(*message.ask)});
+    this->CountDrop(
+        this->dispatcher.Push({sender, from, std::move(*message.ask)}));
   if (message.give_back)
-    this->dispatcher.Push({sender, from, std::move(*message.give_back)});
+    this->CountDrop(
+        this->dispatcher.Push({sender, from, std::move(*message.give_back)}));
   if (message.report)
-    this->dispatcher.Push({sender, from, std::move(*message.report)});
+    this->CountDrop(
+        this->dispatcher.Push({sender, from, std::move(*message.report)}));
   if (message.reply)
     this->caller.OnReply(*message.reply);
   if (message.preemption)
@@ -207,12 +222,36 @@
   }
 }
 
+void PeerNode::Parts::CountDrop(bool pushed) {
+  if (!pushed)
+    ++this->dropped;
+}
+
+void PeerNode::Parts::LogDrops(TimePoint now) {
+  if (now < this->next_drop_log)
+    return;
+  this->next_drop_log = now + kDropLogPeriod;
+  const std::uint64_t malformed = this->link.Counters().malformed;
+  if (malformed > this->malformed_logged)
+    LogEvent(kMalformedDatagrams,
+             "count=" + std::to_string(malformed - this->malformed_logged));
+  this->malformed_logged = malformed;
+  const std::uint64_t dropped = this->dropped.exchange(0);
+  if (dropped > 0)
+    LogEvent(kPeerOverloaded, "dropped=" + std::to_string(dropped));
+  const std::uint64_t duplicates = this->duplicates.exchange(0);
+  if (duplicates > 0)
+    LogEvent(membership::kDuplicateDaemonId,
+             "datagrams=" + std::to_string(duplicates));
+}
+
 void PeerNode::Parts::RunReports() {
   while (!this->stop_reports.IsClosed()) {
     this->stop_reports.PopUntil(Clock::now() + kReportTick);
     const TimePoint now = Clock::now();
     this->caller.Report(now);
     this->SendDemand(now);
+    this->LogDrops(now);
   }
 }
 
--- /dev/null
+++ b/src/peer/peer_node_unittest.cc
@@ -0,0 +1,240 @@
+#include "peer/peer_node.h"
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "base/digest.h"
+#include "support/free_port.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+
+constexpr int kSlots = 2;
+
+TimePoint In(int milliseconds) {
+  return Clock::now() + Milliseconds{milliseconds};
+}
+
+bool Eventually(const std::function<bool()>& condition, int milliseconds) {
+  const TimePoint deadline = In(milliseconds);
+  while (Clock::now() < deadline) {
+    if (condition())
+      return true;
+    std::this_thread::sleep_for(Milliseconds{10});
+  }
+  return condition();
+}
+
+/// One engine `e1` with the model `m` ready, in the data centre `a`.
+std::shared_ptr<InForce> OneEngine() {
+  auto view = std::make_shared<InForce>();
+  view->version = 1;
+  Endpoint engine;
+  engine.id = "e1";
+  engine.data_centre = "a";
+  engine.slots = kSlots;
+  view->configuration.endpoints = {engine};
+  view->placement.endpoints = {{"e1", false, {"m"}}};
+  return view;
+}
+
+SlotRequest RequestFor(const std::string& id, int left_ms) {
+  SlotRequest request;
+  request.request_id = id;
+  request.item = "m";
+  request.caller = "caller";
+  request.deadline = In(left_ms);
+  return request;
+}
+
+struct TestNode {
+  TestNode(const std::string& id, std::vector<http::Address> peers) {
+    this->in_force.Set(OneEngine());
+    const std::string host = coltsfootvane::testing::OwnLoopbackHost();
+    peer::PeerOptions options;
+    options.settings.daemon_id = id;
+    options.settings.data_centre = "a";
+    options.settings.region = "r";
+    options.settings.peer_listen = {host,
+                                    coltsfootvane::testing::FreePort(host)};
+    options.settings.first_peers = std::move(peers);
+    options.instance_id = RandomId();
+    options.in_force = &this->in_force;
+    options.hooks.on_version = [this](std::int64_t version, std::string_view,
+                                      const http::Address& from) {
+      this->offered_from = from;
+      this->offered_version = version;
+    };
+    options.hooks.snapshot = [] {
+      peer::ConfigurationSnapshot snapshot;
+      snapshot.version = 7;
+      snapshot.head = "{}";
+      snapshot.parts = {{"a.yaml", std::string(900000, 'x'), "digest"}};
+      snapshot.placement = "[]";
+      return snapshot;
+    };
+    this->address = options.settings.peer_listen;
+    this->node = std::make_unique<peer::PeerNode>(std::move(options));
+    this->started = this->node->Start().has_value();
+    this->client = this->node->MakeSlotClient();
+  }
+
+  std::size_t CountUsable() const {
+    std::size_t count = 0;
+    for (const membership::Member& member : this->node->Members())
+      count += member.state == membership::MemberState::kAlive ? 1 : 0;
+    return count;
+  }
+
+  SlotAnswer Ask(const std::string& id, int left_ms) {
+    return this->client.ask(RequestFor(id, left_ms), [] { return false; });
+  }
+
+  InForceHolder in_force;
+  http::Address address;
+  http::Address offered_from;
+  std::atomic<std::int64_t> offered_version{0};
+  bool started = false;
+  SlotClient client;
+  std::unique_ptr<peer::PeerNode> node;
+};
+
+}  // namespace
+
+TEST_GROUP(PeerNode){};
+
+// Guards against a slot that is not granted, is granted above the limit or is
+// not passed on when it is given back, on one daemon without a socket.
+TEST(PeerNode, GrantsWithinTheLimitAndPassesSlotsOn) {
+  TestNode one("d1", {});
+  CHECK(one.started);
+  // After a takeover the limit is halved until reports are in.
+  std::this_thread::sleep_for(Milliseconds{2200});
+  const SlotAnswer first = one.Ask("r1", 1000);
+  const SlotAnswer second = one.Ask("r2", 1000);
+  CHECK(first.verdict == SlotVerdict::kGranted);
+  CHECK(second.verdict == SlotVerdict::kGranted);
+  STRCMP_EQUAL("e1", first.endpoint_id.c_str());
+  auto third =
+      std::async(std::launch::async, [&one] { return one.Ask("r3", 3000); });
+  CHECK(third.wait_for(Milliseconds{400}) == std::future_status::timeout);
+  one.client.give_back(first, SlotOutcome{});
+  CHECK(third.get().verdict == SlotVerdict::kGranted);
+}
+
+// Guards against an answer for an item that no endpoint has ready.
+TEST(PeerNode, RefusesAnItemWithoutACopyAtOnce) {
+  TestNode one("d1", {});
+  SlotRequest request = RequestFor("r1", 5000);
+  request.item = "absent";
+  const TimePoint start = Clock::now();
+  const SlotAnswer answer = one.client.ask(request, [] { return false; });
+  CHECK(answer.verdict == SlotVerdict::kNoCopy);
+  CHECK(answer.retry_after_ms > 0);
+  CHECK(Clock::now() < start + Milliseconds{200});
+}
+
+// Guards against daemons that do not find each other, versions and leaving
+// endpoints that do not spread, and demand that misses the planner.
+TEST(PeerNode, SharesSlotsVersionsAndDemandBetweenDaemons) {
+  TestNode one("d1", {});
+  TestNode two("d2", {one.address});
+  TestNode three("d3", {one.address});
+  CHECK(Eventually(
+      [&] {
+        return one.CountUsable() == 3 && two.CountUsable() == 3 &&
+               three.CountUsable() == 3;
+      },
+      6000));
+  three.node->SetPlanner(true);
+  std::vector<SlotAnswer> granted;
+  for (TestNode* node : {&one, &two}) {
+    granted.push_back(node->Ask("r-" + node->address.host, 4000));
+    CHECK(granted.back().verdict == SlotVerdict::kGranted);
+  }
+  // A third call would be above the limit, whichever daemon asks.
+  CHECK(three.Ask("r5", 1200).verdict != SlotVerdict::kGranted);
+  CHECK(Eventually(
+      [&] {
+        const auto demand = three.node->TakeDemand();
+        return demand.size() == 1 && demand[0].item == "m" &&
+               demand[0].requests[0] >= 2;
+      },
+      4000));
+  one.node->SetVersion(7, "digest");
+  CHECK(Eventually([&] { return three.offered_version == 7; }, 2000));
+  one.node->NoteEndpointLeaving("e1");
+  CHECK(Eventually(
+      [&] { return three.Ask("r6", 500).verdict == SlotVerdict::kNoCopy; },
+      2000));
+}
+
+// Guards against slots that stay blocked after the dispatcher has left.
+TEST(PeerNode, HandsOverWhenADaemonLeaves) {
+  TestNode one("d1", {});
+  TestNode two("d2", {one.address});
+  CHECK(Eventually(
+      [&] { return one.CountUsable() == 2 && two.CountUsable() == 2; }, 6000));
+  for (TestNode* leaving : {&one, &two}) {
+    TestNode* staying = leaving == &one ? &two : &one;
+    leaving->node->SetLeaving();
+    CHECK(Eventually([&] { return staying->CountUsable() == 1; }, 2000));
+    const SlotAnswer answer = staying->Ask("r1", 3000);
+    CHECK(answer.verdict == SlotVerdict::kGranted);
+    staying->client.give_back(answer, SlotOutcome{});
+    break;
+  }
+}
+
+// Guards against a request that is held until its deadline when no dispatcher
+// answers: the only other member has died and is not yet suspected.
+TEST(PeerNode, UsesTheFallbackShareWithoutADispatcher) {
+  TestNode one("d1", {});
+  auto two =
+      std::make_unique<TestNode>("d2", std::vector<http::Address>{one.address});
+  CHECK(Eventually([&] { return one.CountUsable() == 2; }, 6000));
+  two->node->Stop();
+  const TimePoint start = Clock::now();
+  const SlotAnswer answer = one.Ask("r1", 5000);
+  CHECK(answer.verdict == SlotVerdict::kGranted);
+  CHECK(Clock::now() < start + Milliseconds{1000});
+}
+
+// Guards against a queued request that outlives its caller.
+TEST(PeerNode, WithdrawsWhenTheCallerIsGone) {
+  TestNode one("d1", {});
+  std::this_thread::sleep_for(Milliseconds{2200});
+  const SlotAnswer first = one.Ask("r1", 1000);
+  const SlotAnswer second = one.Ask("r2", 1000);
+  const TimePoint gone_at = In(300);
+  const SlotAnswer gone = one.client.ask(
+      RequestFor("r3", 5000), [gone_at] { return Clock::now() >= gone_at; });
+  CHECK(gone.verdict == SlotVerdict::kCancelledWaiting);
+  CHECK(Clock::now() < gone_at + Milliseconds{200});
+  one.client.give_back(first, SlotOutcome{});
+  one.client.give_back(second, SlotOutcome{});
+  CHECK(one.Ask("r4", 1000).verdict == SlotVerdict::kGranted);
+}
+
+// Guards against a configuration that cannot be taken from a peer while the
+// platform is down.
+TEST(PeerNode, ServesItsConfigurationToPeers) {
+  TestNode one("d1", {});
+  const auto newer = peer::FetchFromPeer(one.address, 6, In(2000));
+  CHECK(newer.has_value());
+  CHECK(newer.value().newer);
+  CHECK_EQUAL(1U, newer.value().parts.size());
+  CHECK_EQUAL(900000U, newer.value().parts[0].text.size());
+  const auto same = peer::FetchFromPeer(one.address, 7, In(2000));
+  CHECK(same.has_value());
+  CHECK_FALSE(same.value().newer);
+  CHECK(same.value().parts.empty());
+  STRCMP_EQUAL("[]", same.value().placement.c_str());
+}
--- a/src/peer/slot_caller.cc
+++ b/src/peer/slot_caller.cc
@@ -17,6 +17,7 @@
 /// A request that gets neither an answer nor a fallback share is refused then.
 constexpr Milliseconds kUnansweredTime{1000};
 constexpr Milliseconds kHintTime{2000};
+constexpr Milliseconds kFallbackLogPeriod{5000};
 constexpr int kUnreadyRetryMs = 1000;
 constexpr int kUnansweredRetryMs = 1000;
 constexpr int kFullPercent = 100;
@@ -38,20 +39,6 @@
          verdict == SlotVerdict::kDeadline;
 }
 
-/// Timing of one request at one pool.
-struct AskProgress {
-  std::string dispatcher;  ///< Last asked.
-  TimePoint next_send;
-  TimePoint last_answer;
-  bool queued = false;
-};
-
-TimePoint UnansweredSince(const AskProgress& progress) {
-  // While queued, answers come only at the slower repeats.
-  return progress.queued ? progress.last_answer + kQueuedRepeatPeriod
-                         : progress.last_answer;
-}
-
 }  // namespace
 
 SlotCaller::SlotCaller(std::string data_centre,
@@ -124,66 +111,82 @@
                                const dispatch::PoolHolders& holders,
                                const SlotRequest& request,
                                const std::function<bool()>& caller_gone) {
-  const dispatch::Pool& pool = *holders.pool;
-  const auto waiting = std::make_shared<Pending>();
-  waiting->pool = pool.name;
+  const TimePoint now = Clock::now();
+  PoolAsk ask{
+      routes, holders, request, caller_gone, std::make_shared<Pending>(),
+      {},     now,     now,     false};
+  ask.pending->pool = holders.pool->name;
   {
     std::lock_guard<std::mutex> lock(this->mutex);
-    this->pending[request.request_id] = waiting;
-  }
-  const auto finish = [&](SlotAnswer answer) {
-    std::lock_guard<std::mutex> lock(this->mutex);
-    this->pending.erase(request.request_id);
-    if (answer.verdict == SlotVerdict::kGranted)
-      this->held[answer.grant_id] = {pool.name, answer.endpoint_id, request,
-                                     Clock::now(), false};
-    return answer;
-  };
-  AskProgress progress;
-  progress.last_answer = Clock::now();
-  progress.next_send = progress.last_answer;
-  for (;;) {
-    const TimePoint now = Clock::now();
-    if (caller_gone && caller_gone()) {
-      this->Withdraw(pool, request);
-      return finish({SlotVerdict::kCancelledWaiting, "", 0, 0});
-    }
-    if (now >= request.deadline) {
-      this->Withdraw(pool, request);
-      return finish({SlotVerdict::kDeadline, "", 0, kUnansweredRetryMs});
-    }
-    const auto view = this->members->Get();
-    const membership::Member* dispatcher = FindDispatcher(*view, pool);
-    if (dispatcher != nullptr &&
-        (now >= progress.next_send || dispatcher->id != progress.dispatcher)) {
-      progress.dispatcher = dispatcher->id;
-      progress.next_send =
-          now + (progress.queued ? kQueuedRepeatPeriod : kRepeatPeriod);
-      PeerMessage message;
-      message.ask = dispatch::AskMessage{pool.name, request};
-      this->send(*dispatcher, std::move(message));
-    }
-    const auto reply = this->WaitForReply(
-        *waiting, std::min(request.deadline, now + kRepeatPeriod));
-    if (reply) {
-      if (!reply->queued)
-        return finish(reply->answer);
-      progress.queued = true;
-      progress.last_answer = Clock::now();
-      progress.next_send = progress.last_answer + kQueuedRepeatPeriod;
-      continue;
-    }
-    const auto silent = Clock::now() - UnansweredSince(progress);
-    if (silent < kFallbackTime)
-      continue;
-    progress.queued = false;
-    if (const auto share = this->TakeShare(routes, holders, request))
-      return finish(*share);
-    if (silent >= kUnansweredTime) {
-      this->Withdraw(pool, request);
-      return finish({SlotVerdict::kQueueFull, "", 0, kUnansweredRetryMs});
-    }
+    this->pending[request.request_id] = ask.pending;
   }
+  std::optional<SlotAnswer> answer;
+  while (!answer)
+    answer = this->ContinueAsk(ask);
+  return this->FinishAsk(ask, *answer);
+}
+
+std::optional<SlotAnswer> SlotCaller::ContinueAsk(PoolAsk& ask) {
+  const TimePoint now = Clock::now();
+  if (auto given_up = this->GiveUpAsk(ask, now))
+    return given_up;
+  this->SendAsk(ask, now);
+  const auto reply = this->WaitForReply(
+      *ask.pending, std::min(ask.request.deadline, now + kRepeatPeriod));
+  if (!reply)
+    return this->OnSilence(ask, Clock::now());
+  if (!reply->queued)
+    return reply->answer;
+  ask.queued = true;
+  ask.next_send = Clock::now() + kQueuedRepeatPeriod;
+  ask.answer_due = ask.next_send;
+  return std::nullopt;
+}
+
+std::optional<SlotAnswer> SlotCaller::GiveUpAsk(const PoolAsk& ask,
+                                                TimePoint now) {
+  const bool gone = ask.caller_gone && ask.caller_gone();
+  if (!gone && now < ask.request.deadline)
+    return std::nullopt;
+  this->Withdraw(*ask.holders.pool, ask.request);
+  if (gone)
+    return SlotAnswer{SlotVerdict::kCancelledWaiting, "", 0, 0};
+  return SlotAnswer{SlotVerdict::kDeadline, "", 0, kUnansweredRetryMs};
+}
+
+void SlotCaller::SendAsk(PoolAsk& ask, TimePoint now) {
+  const auto view = this->members->Get();
+  const membership::Member* to = FindDispatcher(*view, *ask.holders.pool);
+  if (to == nullptr || (now < ask.next_send && to->id == ask.dispatcher))
+    return;
+  ask.dispatcher = to->id;
+  ask.next_send = now + (ask.queued ? kQueuedRepeatPeriod : kRepeatPeriod);
+  PeerMessage message;
+  message.ask = dispatch::AskMessage{ask.holders.pool->name, ask.request};
+  this->send(*to, std::move(message));
+}
+
+std::optional<SlotAnswer> SlotCaller::OnSilence(PoolAsk& ask, TimePoint now) {
+  if (now < ask.answer_due + kFallbackTime)
+    return std::nullopt;
+  ask.queued = false;
+  if (auto share = this->TakeShare(ask.routes, ask.holders, ask.request))
+    return share;
+  if (now < ask.answer_due + kUnansweredTime)
+    return std::nullopt;
+  this->Withdraw(*ask.holders.pool, ask.request);
+  return SlotAnswer{SlotVerdict::kQueueFull, "", 0, kUnansweredRetryMs};
+}
+
+SlotAnswer SlotCaller::FinishAsk(const PoolAsk& ask, SlotAnswer answer) {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->pending.find(ask.request.request_id);
+  if (found != this->pending.end() && found->second == ask.pending)
+    this->pending.erase(found);
+  if (answer.verdict == SlotVerdict::kGranted)
+    this->held[answer.grant_id] = {ask.holders.pool->name, answer.endpoint_id,
+                                   ask.request, Clock::now(), false};
+  return answer;
 }
 
 int SlotCaller::CountHeldAt(const std::string& endpoint_id) const {
@@ -218,6 +221,10 @@
   }
   if (best == nullptr)
     return std::nullopt;
+  if (Clock::now() >= this->next_fallback_log) {
+    this->next_fallback_log = Clock::now() + kFallbackLogPeriod;
+    LogEvent(dispatch::kFallbackShare, "pool=" + holders.pool->name);
+  }
   const std::uint64_t grant_id =
       this->random() & std::numeric_limits<std::int64_t>::max();
   // Other threads must not take the same share before it is recorded.
--- a/src/peer/slot_caller.h
+++ b/src/peer/slot_caller.h
@@ -54,6 +54,19 @@
     std::condition_variable changed;
     std::optional<dispatch::ReplyMessage> reply;
   };
+  /// One request at one pool.
+  struct PoolAsk {
+    const dispatch::Routes& routes;
+    const dispatch::PoolHolders& holders;
+    const SlotRequest& request;
+    const std::function<bool()>& caller_gone;
+    std::shared_ptr<Pending> pending;
+    std::string dispatcher;  ///< Last asked.
+    TimePoint next_send;
+    /// Silence counts from here.
+    TimePoint answer_due;
+    bool queued = false;
+  };
   struct Held {
     std::string pool;
     std::string endpoint_id;
@@ -79,8 +92,13 @@
                      const dispatch::PoolHolders& holders,
                      const SlotRequest& request,
                      const std::function<bool()>& caller_gone);
+  std::optional<SlotAnswer> ContinueAsk(PoolAsk& ask);
+  std::optional<SlotAnswer> GiveUpAsk(const PoolAsk& ask, TimePoint now);
+  void SendAsk(PoolAsk& ask, TimePoint now);
   std::optional<dispatch::ReplyMessage> WaitForReply(Pending& pending,
                                                      TimePoint until);
+  std::optional<SlotAnswer> OnSilence(PoolAsk& ask, TimePoint now);
+  SlotAnswer FinishAsk(const PoolAsk& ask, SlotAnswer answer);
   std::optional<SlotAnswer> TakeShare(const dispatch::Routes& routes,
                                       const dispatch::PoolHolders& holders,
                                       const SlotRequest& request);
@@ -109,6 +127,7 @@
   std::map<std::string, ItemDemand> unready;
   std::mt19937_64 random;
   std::int64_t round = 0;
+  TimePoint next_fallback_log;
 };
 
 }  // namespace coltsfootvane::peer
