Dispatch: Test the decisions and compare them with a reference

Cause: the decisions had no tests. Change: table tests of order, shares, refusals, reports, preemption, limits and outliers; a reference that searches the history of grants, on seeded input.

--- /dev/null
+++ b/src/dispatch/differential_unittest.cc
@@ -0,0 +1,244 @@
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dispatch/pool_state.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using namespace coltsfootvane::
+    dispatch;  // NOLINT(google-build-using-namespace)
+
+const TimePoint kStart{std::chrono::hours{1}};
+constexpr int kItems = 4;
+constexpr int kCallers = 3;
+
+struct ReferenceRequest {
+  std::string id;
+  std::string item;
+  std::string caller;
+  int priority = 0;
+};
+
+/// The rules written down directly, without any state that could be stale:
+/// turns are found by searching the history of grants.
+struct Reference {
+  std::map<std::string, std::vector<std::string>> holders;
+  std::map<std::string, int> limits;
+  std::array<double, kPriorityCount> shares{};
+  std::array<double, kPriorityCount> owed{};
+  std::map<std::string, std::string> running;  ///< Endpoint by request id.
+  std::vector<ReferenceRequest> waiting;       ///< By arrival.
+  std::vector<ReferenceRequest> history;       ///< Grants in order.
+
+  int InUse(const std::string& endpoint) const {
+    int count = 0;
+    for (const auto& [id, used] : this->running)
+      count += used == endpoint ? 1 : 0;
+    return count;
+  }
+
+  std::string FreeEndpoint(const std::string& item) const {
+    std::string best;
+    for (const std::string& id : this->holders.at(item)) {
+      const int limit = this->limits.at(id);
+      if (this->InUse(id) >= limit)
+        continue;
+      if (best.empty() ||
+          this->InUse(id) * this->limits.at(best) < this->InUse(best) * limit)
+        best = id;
+    }
+    return best;
+  }
+
+  template <class Match>
+  std::size_t LastTurn(int priority, Match match) const {
+    for (std::size_t i = this->history.size(); i > 0; --i) {
+      const ReferenceRequest& one = this->history[i - 1];
+      if (one.priority == priority && match(one))
+        return i;
+    }
+    return 0;
+  }
+
+  int Best(int priority) const {
+    int best = -1;
+    std::pair<std::size_t, std::size_t> best_turns;
+    for (std::size_t i = 0; i < this->waiting.size(); ++i) {
+      const ReferenceRequest& one = this->waiting[i];
+      if (one.priority != priority || this->FreeEndpoint(one.item).empty())
+        continue;
+      const std::pair<std::size_t, std::size_t> turns{
+          this->LastTurn(priority,
+                         [&](const auto& x) { return x.item == one.item; }),
+          this->LastTurn(
+              priority, [&](const auto& x) { return x.caller == one.caller; })};
+      if (best >= 0 && best_turns <= turns)
+        continue;
+      best = static_cast<int>(i);
+      best_turns = turns;
+    }
+    return best;
+  }
+
+  void Start(const ReferenceRequest& request) {
+    this->running[request.id] = this->FreeEndpoint(request.item);
+    this->history.push_back(request);
+    for (int i = 0; i < static_cast<int>(kPriorityCount); ++i) {
+      const bool waits =
+          std::any_of(this->waiting.begin(), this->waiting.end(),
+                      [i](const auto& one) { return one.priority == i; });
+      double& owed = this->owed[static_cast<std::size_t>(i)];
+      owed -= i == request.priority ? 1 : 0;
+      owed = waits ? owed + this->shares[static_cast<std::size_t>(i)] : 0;
+      owed = std::min(8.0, std::max(0.0, owed));
+    }
+  }
+
+  /// Returns the index of the next request, or -1.
+  int Next() const {
+    for (int i = 0; i < static_cast<int>(kPriorityCount); ++i) {
+      const int best = this->Best(i);
+      if (this->owed[static_cast<std::size_t>(i)] >= 1 && best >= 0)
+        return best;
+    }
+    for (int i = 0; i < static_cast<int>(kPriorityCount); ++i) {
+      const int best = this->Best(i);
+      if (best >= 0)
+        return best;
+    }
+    return -1;
+  }
+
+  std::vector<std::string> GrantAll() {
+    std::vector<std::string> granted;
+    for (int next = this->Next(); next >= 0; next = this->Next()) {
+      const ReferenceRequest request =
+          this->waiting[static_cast<std::size_t>(next)];
+      this->waiting.erase(this->waiting.begin() + next);
+      this->Start(request);
+      granted.push_back(request.id);
+    }
+    return granted;
+  }
+};
+
+struct Pair {
+  PoolState pool;
+  Reference reference;
+  std::vector<std::pair<std::string, std::uint64_t>> running;
+};
+
+Pair MakePair(std::mt19937_64& random) {
+  Pair pair;
+  const auto number = [&random](int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(random);
+  };
+  const int endpoints = number(1, 4);
+  for (int i = 0; i < endpoints; ++i) {
+    const std::string id = "e" + std::to_string(i);
+    EndpointState& endpoint = pair.pool.endpoints[id];
+    endpoint.id = id;
+    endpoint.slots = number(1, 3);
+    endpoint.limit.limit = endpoint.slots;
+    pair.reference.limits[id] = endpoint.slots;
+  }
+  for (int item = 0; item < kItems; ++item) {
+    auto& holders = pair.pool.holders["m" + std::to_string(item)];
+    for (int i = 0; i < endpoints; ++i) {
+      if (i == item % endpoints || number(0, 1) == 1)
+        holders.push_back("e" + std::to_string(i));
+    }
+  }
+  pair.reference.holders = pair.pool.holders;
+  for (std::size_t i = 1; i < kPriorityCount; ++i) {
+    const double share = number(0, 3) * 0.125;
+    pair.pool.classes[i].settings.minimum_share = share;
+    pair.reference.shares[i] = share;
+  }
+  return pair;
+}
+
+void Arrive(Pair& pair, std::mt19937_64& random, int serial) {
+  ReferenceRequest one;
+  one.id = "r" + std::to_string(serial);
+  one.item = "m" + std::to_string(random() % kItems);
+  one.caller = "c" + std::to_string(random() % kCallers);
+  one.priority = static_cast<int>(random() % kPriorityCount);
+  SlotRequest request;
+  request.request_id = one.id;
+  request.item = one.item;
+  request.caller = one.caller;
+  request.priority = static_cast<Priority>(one.priority);
+  request.deadline = kStart + std::chrono::hours{1};
+  const auto answer = AskSlot(pair.pool, "entry", request, kStart);
+  const std::string free = pair.reference.FreeEndpoint(one.item);
+  CHECK_EQUAL(!free.empty(), answer.has_value());
+  if (!answer) {
+    pair.reference.waiting.push_back(one);
+    return;
+  }
+  STRCMP_EQUAL(free.c_str(), answer->endpoint_id.c_str());
+  pair.reference.Start(one);
+  pair.running.emplace_back(one.id, answer->grant_id);
+}
+
+void Finish(Pair& pair, std::mt19937_64& random) {
+  if (pair.running.empty())
+    return;
+  const std::size_t index = random() % pair.running.size();
+  const auto [id, grant_id] = pair.running[index];
+  pair.running.erase(pair.running.begin() + static_cast<std::ptrdiff_t>(index));
+  ReturnSlot(pair.pool, grant_id, SlotOutcome{}, kStart);
+  pair.reference.running.erase(id);
+  const auto grants = NextGrants(pair.pool, kStart);
+  const auto expected = pair.reference.GrantAll();
+  CHECK_EQUAL(expected.size(), grants.size());
+  for (std::size_t i = 0; i < grants.size(); ++i) {
+    STRCMP_EQUAL(expected[i].c_str(), grants[i].request_id.c_str());
+    pair.running.emplace_back(grants[i].request_id, grants[i].answer.grant_id);
+  }
+}
+
+void CheckInvariants(Pair& pair) {
+  for (const auto& [id, endpoint] : pair.pool.endpoints) {
+    CHECK(static_cast<int>(endpoint.granted.size()) <=
+          CurrentLimit(pair.pool, endpoint, kStart));
+  }
+  for (const ClassState& state : pair.pool.classes) {
+    for (const Waiting& one : state.waiting)
+      CHECK(ChooseEndpoint(pair.pool, one.request, kStart) == nullptr);
+  }
+}
+
+}  // namespace
+
+TEST_GROUP(DispatchDifferential){};
+
+// Guards against decisions that differ from the written rules, slots above a
+// limit, and free slots beside a waiting request that could use them.
+TEST(DispatchDifferential, GrantsAsTheReferenceDoes) {
+  const char* given = std::getenv("TEST_SEED");
+  const std::uint64_t seed =
+      given != nullptr ? std::strtoull(given, nullptr, 10) : 20261204;
+  std::printf("seed=%llu ", static_cast<unsigned long long>(seed));
+  std::mt19937_64 random(seed);
+  for (int run = 0; run < 300; ++run) {
+    Pair pair = MakePair(random);
+    for (int step = 0; step < 120; ++step) {
+      if (random() % 2 == 0)
+        Arrive(pair, random, step);
+      else
+        Finish(pair, random);
+      CheckInvariants(pair);
+    }
+  }
+}
--- /dev/null
+++ b/src/dispatch/pool_state_unittest.cc
@@ -0,0 +1,297 @@
+#include "dispatch/pool_state.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iterator>
+#include <random>
+#include <string>
+
+#include "dispatch/limits.h"
+#include "dispatch/outliers.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using namespace coltsfootvane::
+    dispatch;  // NOLINT(google-build-using-namespace)
+
+const TimePoint kStart{std::chrono::hours{1}};
+
+PoolState PoolOf(const std::vector<std::pair<std::string, int>>& endpoints) {
+  PoolState pool;
+  for (const auto& [id, slots] : endpoints) {
+    EndpointState& endpoint = pool.endpoints[id];
+    endpoint.id = id;
+    endpoint.slots = slots;
+    endpoint.limit.limit = slots;
+    pool.holders["m"].push_back(id);
+  }
+  return pool;
+}
+
+SlotRequest RequestOf(const std::string& id,
+                      Priority priority = Priority::kInteractive,
+                      const std::string& item = "m",
+                      const std::string& caller = "c") {
+  SlotRequest request;
+  request.request_id = id;
+  request.item = item;
+  request.priority = priority;
+  request.caller = caller;
+  request.deadline = kStart + std::chrono::hours{1};
+  return request;
+}
+
+std::uint64_t MustGrant(PoolState& pool,
+                        const SlotRequest& request,
+                        TimePoint now = kStart) {
+  const auto answer = AskSlot(pool, "e", request, now);
+  CHECK(answer && answer->verdict == SlotVerdict::kGranted);
+  return answer->grant_id;
+}
+
+std::string NextGranted(PoolState& pool,
+                        std::uint64_t freed,
+                        TimePoint now = kStart) {
+  ReturnSlot(pool, freed, SlotOutcome{}, now);
+  const auto grants = NextGrants(pool, now);
+  CHECK_EQUAL(1U, grants.size());
+  return grants[0].request_id;
+}
+
+SlotOutcome Failure() {
+  SlotOutcome outcome;
+  outcome.endpoint_failed = true;
+  return outcome;
+}
+
+}  // namespace
+
+TEST_GROUP(PoolState){};
+
+// Guards against a repeated datagram that takes a second slot.
+TEST(PoolState, IsIdempotentByRequestId) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  const auto grant = MustGrant(pool, RequestOf("r1"));
+  CHECK_EQUAL(grant, MustGrant(pool, RequestOf("r1")));
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r2"), kStart));
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r2"), kStart));
+  CHECK_EQUAL(1U, pool.classes[0].waiting.size());
+}
+
+// Guards against a wrong order of the waiting requests.
+TEST(PoolState, ServesClassesThenItemsThenCallersThenArrival) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  pool.holders["n"] = {"e1"};
+  std::uint64_t grant = MustGrant(pool, RequestOf("r0"));
+  const std::vector<SlotRequest> arrivals = {
+      RequestOf("overnight", Priority::kOvernight),
+      RequestOf("m-c-1"),
+      RequestOf("m-d-1", Priority::kInteractive, "m", "d"),
+      RequestOf("m-d-2", Priority::kInteractive, "m", "d"),
+      RequestOf("n-c-1", Priority::kInteractive, "n", "c"),
+      RequestOf("lookup", Priority::kLookup),
+  };
+  for (const SlotRequest& request : arrivals)
+    CHECK_FALSE(AskSlot(pool, "e", request, kStart));
+  std::string order;
+  for (std::size_t i = 0; i < arrivals.size(); ++i) {
+    ReturnSlot(pool, grant, SlotOutcome{}, kStart);
+    const auto grants = NextGrants(pool, kStart);
+    CHECK_EQUAL(1U, grants.size());
+    grant = grants[0].answer.grant_id;
+    order += grants[0].request_id + " ";
+  }
+  STRCMP_EQUAL("n-c-1 m-d-1 m-c-1 m-d-2 lookup overnight ", order.c_str());
+}
+
+// Guards against a lower class that is starved, or that gets more than its
+// minimum share while a more urgent class waits.
+TEST(PoolState, KeepsTheMinimumShare) {
+  struct Row {
+    double share;
+    int least;
+    int most;
+  };
+  for (const Row& row : {Row{0, 0, 0}, Row{0.1, 18, 21}, Row{0.25, 48, 51}}) {
+    PoolState pool = PoolOf({{"e1", 1}});
+    pool.classes[2].settings.minimum_share = row.share;
+    pool.classes[0].settings.queue_length = 1000;
+    pool.classes[2].settings.queue_length = 1000;
+    std::uint64_t grant = MustGrant(pool, RequestOf("first"));
+    for (int i = 0; i < 300; ++i) {
+      AskSlot(pool, "e", RequestOf("i" + std::to_string(i)), kStart);
+      AskSlot(pool, "e",
+              RequestOf("o" + std::to_string(i), Priority::kOvernight), kStart);
+    }
+    int overnight = 0;
+    for (int i = 0; i < 200; ++i) {
+      ReturnSlot(pool, grant, SlotOutcome{}, kStart);
+      const auto grants = NextGrants(pool, kStart);
+      CHECK_EQUAL(1U, grants.size());
+      grant = grants[0].answer.grant_id;
+      overnight += grants[0].request_id[0] == 'o' ? 1 : 0;
+    }
+    CHECK(overnight >= row.least);
+    CHECK(overnight <= row.most);
+  }
+}
+
+// Guards against queues without a bound and against refusals that come late.
+TEST(PoolState, RefusesAtOnce) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  pool.classes[0].settings.queue_length = 1;
+  SlotRequest absent = RequestOf("r", Priority::kInteractive, "absent");
+  CHECK(AskSlot(pool, "e", absent, kStart)->verdict == SlotVerdict::kNoCopy);
+  SlotRequest excluded = RequestOf("r");
+  excluded.excluded = {"e1"};
+  CHECK(AskSlot(pool, "e", excluded, kStart)->verdict == SlotVerdict::kNoCopy);
+
+  const auto grant = MustGrant(pool, RequestOf("r1"));
+  const TimePoint later = kStart + std::chrono::seconds{10};
+  ReturnSlot(pool, grant, SlotOutcome{}, later);
+  MustGrant(pool, RequestOf("r2"), later);
+  SlotRequest hurried = RequestOf("r3");
+  hurried.deadline = later + std::chrono::seconds{5};
+  const auto missed = AskSlot(pool, "e", hurried, later);
+  CHECK(missed->verdict == SlotVerdict::kDeadline);
+  CHECK(missed->retry_after_ms > 1000);
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r4"), later));
+  const auto full = AskSlot(pool, "e", RequestOf("r5"), later);
+  CHECK(full->verdict == SlotVerdict::kQueueFull);
+  CHECK(full->retry_after_ms > 1000);
+}
+
+// Guards against slots that a lost return, a dead entry or a new dispatcher
+// leaves blocked or uncounted.
+TEST(PoolState, RepairsByReportsAndDeadlines) {
+  PoolState pool = PoolOf({{"e1", 2}});
+  MustGrant(pool, RequestOf("r1"));
+  ReportGrants(pool, "e", {}, kStart);
+  CHECK_EQUAL(1U, pool.endpoints["e1"].granted.size());
+  ReportGrants(pool, "e", {}, kStart);
+  CHECK_EQUAL(0U, pool.endpoints["e1"].granted.size());
+
+  const std::vector<HeldSlot> held = {
+      {77, "r9", "e1", "m", "c", Priority::kLookup, Milliseconds{5}}};
+  ReportGrants(pool, "e", held, kStart);
+  ReportGrants(pool, "e", held, kStart + std::chrono::seconds{6});
+  CHECK_EQUAL(1U, pool.endpoints["e1"].granted.size());
+  CHECK_EQUAL(0, ExpireSlots(pool, kStart + std::chrono::seconds{12}));
+  CHECK_EQUAL(1, ExpireSlots(pool, kStart + std::chrono::seconds{17}));
+}
+
+// Guards against a new dispatcher that admits full limits beside the grants
+// that it does not know yet.
+TEST(PoolState, HalvesLimitsUntilReportsAreIn) {
+  PoolState pool = PoolOf({{"e1", 8}});
+  const EndpointState& endpoint = pool.endpoints["e1"];
+  StartCautiously(pool, {"x", "y"}, kStart);
+  CHECK_EQUAL(4, CurrentLimit(pool, endpoint, kStart));
+  ReportGrants(pool, "x", {}, kStart);
+  CHECK_EQUAL(4, CurrentLimit(pool, endpoint, kStart));
+  CHECK_EQUAL(8, CurrentLimit(pool, endpoint, kStart + kCautiousTime));
+  ReportGrants(pool, "y", {}, kStart);
+  CHECK_EQUAL(8, CurrentLimit(pool, endpoint, kStart));
+}
+
+// Guards against an overnight stream that blocks an urgent request, against
+// more cancellations than needed, and against a resumed stream that goes to the
+// end of the queue.
+TEST(PoolState, CancelsTheLatestOvernightStream) {
+  PoolState pool = PoolOf({{"e1", 2}});
+  MustGrant(pool, RequestOf("o1", Priority::kOvernight));
+  const TimePoint later = kStart + std::chrono::seconds{1};
+  MustGrant(pool, RequestOf("o2", Priority::kOvernight), later);
+  AskSlot(pool, "e", RequestOf("o3", Priority::kOvernight), later);
+  CHECK(ChoosePreemption(pool, later).empty());
+  AskSlot(pool, "e", RequestOf("i1"), later);
+  const auto notices = ChoosePreemption(pool, later);
+  CHECK_EQUAL(1U, notices.size());
+  STRCMP_EQUAL("o2", notices[0].request_id.c_str());
+  CHECK(ChoosePreemption(pool, later).empty());
+  STRCMP_EQUAL("i1", NextGranted(pool, notices[0].grant_id, later).c_str());
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("o2", Priority::kOvernight), later));
+  const auto& granted = pool.endpoints["e1"].granted;
+  STRCMP_EQUAL("o2", NextGranted(pool, granted[1].grant_id, later).c_str());
+}
+
+// Guards against overnight streams that are cancelled below their share.
+TEST(PoolState, LeavesOvernightItsShare) {
+  PoolState pool = PoolOf({{"e1", 2}});
+  pool.classes[2].settings.minimum_share = 0.5;
+  MustGrant(pool, RequestOf("i0"));
+  MustGrant(pool, RequestOf("o1", Priority::kOvernight));
+  AskSlot(pool, "e", RequestOf("i1"), kStart);
+  CHECK(ChoosePreemption(pool, kStart).empty());
+}
+
+// Guards against limits that do not follow the time per token.
+TEST(PoolState, FollowsTheTimePerToken) {
+  struct Row {
+    int gap_ms;
+    bool fully_used;
+    double expected;
+  };
+  const std::vector<Row> rows = {
+      {20, true, 9}, {20, false, 8}, {50, true, 8}, {60, true, 8 * 0.85}};
+  for (const Row& row : rows) {
+    LimitState limit;
+    limit.limit = 8;
+    limit.peak_in_use = row.fully_used ? 8 : 7;
+    for (int i = 0; i < 100; ++i)
+      ObserveTokenTime(limit, Milliseconds{row.gap_ms}, Milliseconds{54});
+    AdjustLimit(limit, 8, kStart);
+    DOUBLES_EQUAL(row.expected, limit.limit, 0.001);
+  }
+}
+
+// Guards against a broken endpoint that keeps getting calls, and against one
+// that never gets them back.
+TEST(PoolState, EjectsAndProbesOutliers) {
+  PoolState pool = PoolOf({{"e1", 4}});
+  TimePoint now = kStart;
+  for (int i = 0; i < 3; ++i)
+    ReturnSlot(pool, MustGrant(pool, RequestOf(std::to_string(i)), now),
+               Failure(), now);
+  int ejected_s = 2;
+  for (int round = 0; round < 7; ++round) {
+    const std::string id = "t" + std::to_string(round);
+    const TimePoint back = now + std::chrono::seconds{ejected_s};
+    CHECK(!ChooseEndpoint(pool, RequestOf(id), back - Milliseconds{1}));
+    now = back;
+    const auto trial = MustGrant(pool, RequestOf(id), now);
+    CHECK_FALSE(ChooseEndpoint(pool, RequestOf("other"), now));
+    ReturnSlot(pool, trial, Failure(), now);
+    ejected_s = std::min(60, ejected_s * 2);
+  }
+  now += std::chrono::seconds{60};
+  ReturnSlot(pool, MustGrant(pool, RequestOf("last"), now), SlotOutcome{}, now);
+  CHECK_EQUAL(4, CurrentLimit(pool, pool.endpoints["e1"], now));
+}
+
+// Guards against prefixes that move between endpoints, and against one prefix
+// that fills an endpoint while others are idle.
+TEST(PoolState, KeepsPrefixesTogetherWithinTheBound) {
+  PoolState pool = PoolOf({{"e1", 100}, {"e2", 100}, {"e3", 100}});
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 60; ++i) {
+    SlotRequest request = RequestOf(std::to_string(i));
+    request.prefix_hash = 42;
+    ++counts[AskSlot(pool, "e", request, kStart)->endpoint_id];
+  }
+  const auto most = std::max_element(
+      counts.begin(), counts.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  CHECK(most->second >= 20);
+  CHECK(most->second <= 26);
+  PoolState idle = PoolOf({{"e1", 100}, {"e2", 100}, {"e3", 100}});
+  SlotRequest request = RequestOf("r");
+  request.prefix_hash = 42;
+  const std::string first = AskSlot(idle, "e", request, kStart)->endpoint_id;
+  idle = PoolOf({{"e1", 100}, {"e2", 100}, {"e3", 100}});
+  STRCMP_EQUAL(first.c_str(),
+               AskSlot(idle, "x", request, kStart)->endpoint_id.c_str());
+}
--- a/src/peer/peer_node_unittest.cc
+++ b/src/peer/peer_node_unittest.cc
@@ -1,5 +1,6 @@
 #include "peer/peer_node.h"
 
+#include <atomic>
 #include <functional>
 #include <future>
 #include <memory>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "base/digest.h"
+#include "dispatch/pools.h"
 #include "support/free_port.h"
 
 #include <CppUTest/TestHarness.h>
@@ -106,6 +108,12 @@
   std::unique_ptr<peer::PeerNode> node;
 };
 
+/// Which of two daemons dispatches the pool.
+struct Roles {
+  std::string dispatcher = dispatch::ChooseDispatcher({"d1", "d2"}, "a/0");
+  std::string other = dispatcher == "d1" ? "d2" : "d1";
+};
+
 }  // namespace
 
 TEST_GROUP(PeerNode){};
@@ -177,34 +185,41 @@
 }
 
 // Guards against slots that stay blocked after the dispatcher has left.
-TEST(PeerNode, HandsOverWhenADaemonLeaves) {
-  TestNode one("d1", {});
-  TestNode two("d2", {one.address});
+TEST(PeerNode, HandsOverWhenTheDispatcherLeaves) {
+  const Roles roles;
+  TestNode leaving(roles.dispatcher, {});
+  TestNode staying(roles.other, {leaving.address});
   CHECK(Eventually(
-      [&] { return one.CountUsable() == 2 && two.CountUsable() == 2; }, 6000));
-  for (TestNode* leaving : {&one, &two}) {
-    TestNode* staying = leaving == &one ? &two : &one;
-    leaving->node->SetLeaving();
-    CHECK(Eventually([&] { return staying->CountUsable() == 1; }, 2000));
-    const SlotAnswer answer = staying->Ask("r1", 3000);
-    CHECK(answer.verdict == SlotVerdict::kGranted);
-    staying->client.give_back(answer, SlotOutcome{});
-    break;
-  }
+      [&] { return leaving.CountUsable() == 2 && staying.CountUsable() == 2; },
+      6000));
+  const SlotAnswer held = staying.Ask("r1", 3000);
+  CHECK(held.verdict == SlotVerdict::kGranted);
+  leaving.node->SetLeaving();
+  CHECK(Eventually([&] { return staying.CountUsable() == 1; }, 2000));
+  const TimePoint start = Clock::now();
+  const SlotAnswer next = staying.Ask("r2", 3000);
+  CHECK(next.verdict == SlotVerdict::kGranted);
+  CHECK(Clock::now() < start + Milliseconds{2500});
+  // The slot that the former dispatcher granted still counts.
+  CHECK(staying.Ask("r3", 500).verdict != SlotVerdict::kGranted);
 }
 
-// Guards against a request that is held until its deadline when no dispatcher
-// answers: the only other member has died and is not yet suspected.
+// Guards against a request that is held until its deadline when the dispatcher
+// has died and is not suspected yet.
 TEST(PeerNode, UsesTheFallbackShareWithoutADispatcher) {
-  TestNode one("d1", {});
-  auto two =
-      std::make_unique<TestNode>("d2", std::vector<http::Address>{one.address});
-  CHECK(Eventually([&] { return one.CountUsable() == 2; }, 6000));
-  two->node->Stop();
+  const Roles roles;
+  TestNode dying(roles.dispatcher, {});
+  TestNode staying(roles.other, {dying.address});
+  CHECK(Eventually([&] { return staying.CountUsable() == 2; }, 6000));
+  dying.node->Stop();
   const TimePoint start = Clock::now();
-  const SlotAnswer answer = one.Ask("r1", 5000);
-  CHECK(answer.verdict == SlotVerdict::kGranted);
+  CHECK(staying.Ask("r1", 5000).verdict == SlotVerdict::kGranted);
+  CHECK(Clock::now() >= start + Milliseconds{300});
   CHECK(Clock::now() < start + Milliseconds{1000});
+  // Two slots among two daemons leave one for each.
+  const SlotAnswer second = staying.Ask("r2", 5000);
+  CHECK(second.verdict == SlotVerdict::kQueueFull);
+  CHECK(second.retry_after_ms > 0);
 }
 
 // Guards against a queued request that outlives its caller.
