--- /dev/null
+++ b/src/membership/member_table_unittest.cc
@@ -0,0 +1,235 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "membership/updates.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using namespace coltsfootvane::
+    membership;  // NOLINT(google-build-using-namespace)
+
+constexpr Milliseconds kStep{100};
+constexpr Milliseconds kDelay{1};
+
+/// A network of tables with seeded loss; virtual time.
+struct Network {
+  explicit Network(int count) : random(Seed()) {
+    for (int i = 0; i < count; ++i)
+      this->Add("d" + std::to_string(i), i);
+  }
+
+  static std::uint64_t Seed() {
+    const char* given = std::getenv("TEST_SEED");
+    return given != nullptr ? std::strtoull(given, nullptr, 10) : 20261204;
+  }
+
+  void Add(const std::string& id, int number) {
+    MemberTable table;
+    table.self.id = id;
+    table.self.incarnation = 1;
+    table.self.instance = id + "-instance-" + std::to_string(this->instances++);
+    table.self.data_centre = number % 2 == 0 ? "a" : "b";
+    table.self.address = {"10.0.0.1", 1000 + number};
+    table.random.seed(this->random());
+    AddFirstPeers(table, {{"10.0.0.1", 1000}, {"10.0.0.1", 1001}});
+    this->tables[1000 + number] = std::move(table);
+  }
+
+  bool Passes(int from, int to) {
+    if (this->tables.count(to) == 0)
+      return false;
+    if (this->split && (from % 2) != (to % 2))
+      return false;
+    return std::uniform_real_distribution<double>(0, 1)(this->random) >=
+           this->loss;
+  }
+
+  void Send(int from, const std::vector<Outgoing>& out) {
+    for (const Outgoing& one : out) {
+      ++this->sent;
+      if (this->Passes(from, one.address.port))
+        this->in_flight.push({this->now + kDelay, from, one});
+    }
+  }
+
+  void Deliver() {
+    while (!this->in_flight.empty()) {
+      const Flying flying = this->in_flight.front();
+      this->in_flight.pop();
+      const auto target = this->tables.find(flying.out.address.port);
+      if (target == this->tables.end())
+        continue;
+      this->Send(target->first,
+                 OnMessage(target->second, {"10.0.0.1", flying.from},
+                           flying.out.message, this->now));
+    }
+  }
+
+  void Run(double seconds) {
+    const TimePoint end =
+        this->now + Milliseconds{static_cast<int>(seconds * 1000)};
+    while (this->now < end) {
+      for (auto& [port, table] : this->tables)
+        this->Send(port, OnTick(table, this->now));
+      this->Deliver();
+      this->FetchVersions();
+      this->now += kStep;
+    }
+  }
+
+  /// Every daemon takes the newest version that it has heard of.
+  void FetchVersions() {
+    for (auto& [port, table] : this->tables) {
+      std::int64_t newest = 0;
+      for (const auto& [id, record] : table.members)
+        newest = std::max(newest, record.member.version);
+      this->Send(port, ChangeVersion(table, newest, "digest"));
+    }
+  }
+
+  /// Counts the pairs of tables in which the first sees the second in `state`.
+  std::size_t CountSeen(MemberState state) const {
+    std::size_t count = 0;
+    for (const auto& [port, table] : this->tables) {
+      for (const auto& [id, record] : table.members)
+        count += record.member.state == state ? 1 : 0;
+    }
+    return count;
+  }
+
+  bool AllSeeAll() const {
+    const std::size_t size = this->tables.size();
+    return this->CountSeen(MemberState::kAlive) == size * (size - 1);
+  }
+
+  struct Flying {
+    TimePoint at;
+    int from;
+    Outgoing out;
+  };
+  std::map<int, MemberTable> tables;  ///< By port.
+  std::queue<Flying> in_flight;
+  std::mt19937_64 random;
+  TimePoint now{std::chrono::hours{1}};
+  double loss = 0;
+  bool split = false;
+  int instances = 0;
+  std::size_t sent = 0;
+};
+
+}  // namespace
+
+TEST_GROUP(Membership){};
+
+// Guards against members that do not find each other, against deaths that are
+// not seen, and against live members that are held to be dead under loss.
+TEST(Membership, SeesJoinsAndDeathsUnderLoss) {
+  Network network(40);
+  network.loss = 0.05;
+  network.Run(20);
+  CHECK(network.AllSeeAll());
+  network.tables.erase(1017);
+  network.Run(60);
+  CHECK_EQUAL(39U, network.CountSeen(MemberState::kDead));
+  network.loss = 0;
+  network.Run(10);
+  CHECK_EQUAL(39U * 38U, network.CountSeen(MemberState::kAlive));
+}
+
+// Guards against a restarted daemon that stays dead for the others because its
+// incarnation starts again.
+TEST(Membership, TakesARestartedDaemonBack) {
+  Network network(10);
+  network.Run(10);
+  network.tables.erase(1004);
+  network.Run(30);
+  network.Add("d4", 4);
+  network.Run(10);
+  CHECK(network.AllSeeAll());
+}
+
+// Guards against regions that do not find each other after an hour apart.
+TEST(Membership, HealsAfterASplit) {
+  Network network(10);
+  network.Run(10);
+  network.split = true;
+  network.Run(3600);
+  CHECK_EQUAL(50U, network.CountSeen(MemberState::kDead));
+  network.split = false;
+  network.Run(120);
+  CHECK(network.AllSeeAll());
+}
+
+// Guards against a cost that grows with the fleet.
+TEST(Membership, HasAConstantCost) {
+  std::map<int, double> rates;
+  for (const int size : {20, 80}) {
+    Network network(size);
+    network.Run(60);
+    network.sent = 0;
+    network.Run(60);
+    rates[size] = static_cast<double>(network.sent) / size / 60;
+  }
+  CHECK(rates[20] < 4);
+  // The exchange of whole lists every 30 s is the part that grows.
+  CHECK(rates[80] < rates[20] + 1);
+}
+
+// Guards against versions, leaving endpoints and leaving members that spread
+// too slowly: a configuration must be in force within 9 s.
+TEST(Membership, SpreadsVersionsAndLeavingInSeconds) {
+  Network network(60);
+  network.Run(20);
+  network.Send(1000, ChangeVersion(network.tables[1000], 5, "digest"));
+  network.Send(1001,
+               AddLeavingEndpoint(network.tables[1001], "e7", network.now));
+  network.Send(1002, AnnounceLeaving(network.tables[1002]));
+  network.Run(6);
+  std::size_t versions = 0;
+  std::size_t endpoints = 0;
+  for (const auto& [port, table] : network.tables) {
+    endpoints += table.leaving_endpoints.count("e7");
+    versions += table.self.version == 5 ? 1 : 0;
+  }
+  CHECK_EQUAL(60U, versions);
+  CHECK_EQUAL(60U, endpoints);
+  CHECK_EQUAL(59U, network.CountSeen(MemberState::kLeaving));
+  network.Run(70);
+  for (const auto& [port, table] : network.tables)
+    CHECK_EQUAL(0U, table.leaving_endpoints.count("e7"));
+}
+
+// Guards against datagrams that do not fit and lists without a bound.
+TEST(Membership, KeepsMessagesSmall) {
+  Network network(1);
+  MemberTable& table = network.tables[1000];
+  for (int i = 0; i < 5000; ++i) {
+    Member member;
+    member.id = "member-with-a-long-name-" + std::to_string(i);
+    member.address = {"10.10.10.10", 7000};
+    member.digest.assign(32, 'f');
+    member.instance.assign(32, 'e');
+    ApplyUpdate(table, member, network.now);
+  }
+  CHECK_EQUAL(kMaxMembers, table.members.size());
+  const Message message = MakeMessage(table, MessageKind::kPing, 1);
+  CHECK(!message.updates.empty());
+  CHECK(message.updates.size() <= 7);
+  std::size_t listed = 0;
+  for (const Message& part : MakeWholeList(table)) {
+    CHECK(part.updates.size() <= 7);
+    listed += part.updates.size();
+  }
+  CHECK_EQUAL(kMaxMembers, listed);
+}
--- a/src/peer/datagram_link.cc
+++ b/src/peer/datagram_link.cc
@@ -104,8 +104,6 @@
 
 void DatagramLink::TakeDatagram(std::string_view bytes,
                                 const http::Address& from) {
-  ++this->counters.received;
-  this->counters.received_bytes += bytes.size();
   auto message = DecodeMessage(bytes, Clock::now());
   if (!message) {
     ++this->counters.malformed;
@@ -128,6 +126,8 @@
                    reinterpret_cast<sockaddr*>(&from), &from_size);
     if (size < 0)
       continue;
+    ++this->counters.received;
+    this->counters.received_bytes += static_cast<std::uint64_t>(size);
     if (static_cast<std::size_t>(size) > kMaxDatagramBytes) {
       ++this->counters.malformed;
       continue;
