Daemon: Wire all duties into serve

Cause: the duties existed as parts without a process that runs them. Ruled out: starting the planner before the registration: an unregistered incarnation would look as if its process had ended.

--- a/app/command_serve.cc
+++ b/app/command_serve.cc
@@ -1,17 +1,51 @@
 #include "command_serve.h"
 
+#include <pthread.h>
+#include <signal.h>
+
+#include <iostream>
 #include <memory>
 
+#include "daemon.h"
+#include "log/event.h"
 #include "output.h"
 #include "settings/settings.h"
 
 namespace coltsfootvane {
+namespace {
+
+constexpr timespec kHealthInterval = {0, 50'000'000};
+
+/// Blocks the stop signals in this thread and in those it will start.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+}  // namespace
 
 int RunServe(const ServeOptions& options) {
   Findings findings;
-  ReadSettings(options.settings_path, &findings);
+  const Settings settings = ReadSettings(options.settings_path, &findings);
   PrintFindings(findings);
-  return findings.empty() ? kExitOk : kExitFailure;
+  if (!findings.empty())
+    return kExitFailure;
+  ConfigureLog(settings.daemon_id);
+  const sigset_t signals = BlockStopSignals();
+  Daemon daemon(settings);
+  const Result<bool> started = daemon.Start();
+  if (!started) {
+    std::cerr << started.error().message << '\n';
+    return kExitFailure;
+  }
+  while (sigtimedwait(&signals, nullptr, &kHealthInterval) < 0)
+    daemon.UpdateHealth();
+  daemon.Shutdown();
+  return kExitOk;
 }
 
 void AddServeCommand(CLI::App* app, int* exit_code) {
--- /dev/null
+++ b/app/sender_registry.h
@@ -0,0 +1,34 @@
+#ifndef COLTSFOOTVANE_APP_SENDER_REGISTRY_H_
+#define COLTSFOOTVANE_APP_SENDER_REGISTRY_H_
+
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "platform/client.h"
+
+namespace coltsfootvane {
+
+/// Tells whether the daemon process that sent a command is known to have ended.
+/// Used by one thread.
+class SenderRegistry {
+ public:
+  explicit SenderRegistry(platform::Connection connection);
+
+  /// A daemon registers its incarnation before it sends a command. So an
+  /// incarnation that is registered no more was replaced by a later start, and
+  /// a registered one whose VM is missing in the platform's list has ended,
+  /// since that list errs only late. Returns false when the platform cannot be
+  /// read. Asks the platform at most twice a second.
+  bool IsGone(std::string_view incarnation, TimePoint now);
+
+ private:
+  bool Read(std::string_view incarnation);
+
+  platform::Connection connection;
+  TimePoint next_read;
+};
+
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_APP_SENDER_REGISTRY_H_
