--- a/app/command_apply.cc
+++ b/app/command_apply.cc
@@ -1,6 +1,7 @@
 #include "command_apply.h"
 
 #include <cstdlib>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -101,7 +102,9 @@
   command
       ->add_option("--based-on", options->based_on,
                    "Version that the change is based on (default: the newest)")
-      ->check(CLI::NonNegativeNumber)
+      ->check(
+          CLI::Range(std::int64_t{0}, std::numeric_limits<std::int64_t>::max())
+              .description(""))
       ->type_name("VERSION");
   command
       ->add_option("--as", options->changed_by,
--- a/app/output.cc
+++ b/app/output.cc
@@ -1,19 +1,23 @@
 #include "output.h"
 
 #include <iostream>
-#include <map>
 
 namespace coltsfootvane {
 
 void AddOutputOption(CLI::App* command,
                      OutputFormat* format,
                      const std::string& default_name) {
-  const std::map<std::string, OutputFormat> formats = {
-      {"text", OutputFormat::kText}, {"json", OutputFormat::kJson}};
+  const auto parse = [format](const std::string& name) {
+    if (name == "text")
+      *format = OutputFormat::kText;
+    else if (name == "json")
+      *format = OutputFormat::kJson;
+    else
+      throw CLI::ValidationError("'" + name + "' is neither text nor json");
+  };
   command
-      ->add_option("--output", *format,
-                   "text or json (default: " + default_name + ")")
-      ->transform(CLI::CheckedTransformer(formats))
+      ->add_option_function<std::string>(
+          "--output", parse, "text or json (default: " + default_name + ")")
       ->type_name("FORMAT");
 }
 
@@ -37,6 +41,7 @@
       ->add_option("--timeout-ms", *timeout_ms,
                    "Time for the whole command in ms")
       ->check(CLI::Range(100, kMaxTimeoutMs))
+      ->type_name("MS")
       ->capture_default_str();
 }
 
--- /dev/null
+++ b/src/config/apply_unittest.cc
@@ -0,0 +1,278 @@
+#include "config/apply.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "audit/audit.h"
+#include "config/stored_configuration.h"
+#include "http/server.h"
+#include "support/free_port.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr Milliseconds kTestTime{10000};
+constexpr char kRoot[] = "/apis/coltsfootvane/v1/";
+
+enum class Fault { kNone, kLoseResponse, kFailWithoutEffect, kRateLimit };
+
+/// A platform in memory that injects faults into writes of one kind.
+class FakePlatform {
+ public:
+  FakePlatform() {
+    http::ServerOptions options;
+    const std::string host = testing::OwnLoopbackHost();
+    options.listen = http::Address{host, testing::FreePort(host)};
+    options.threads = 4;
+    auto started = http::Server::Start(
+        options, [this](const http::Request& request,
+                        http::ReplyStream& reply) { Handle(request, reply); });
+    CHECK(started.has_value());
+    this->server = std::move(started).value();
+    this->connection = platform::MakeConnection(options.listen, 1000);
+  }
+  ~FakePlatform() { this->server->Stop(); }
+
+  platform::Connection connection;
+  std::string faulty_kind = platform::kConfigKind;
+  std::deque<Fault> faults;            ///< One per write of `faulty_kind`.
+  std::function<void()> before_fault;  ///< Called before the next fault.
+  std::function<void()> after_effect;  ///< Called before a lost response.
+  int head_writes = 0;
+
+  bool Has(const std::string& path) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->specs.count(path) == 1;
+  }
+  void Remove(const std::string& path) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    this->specs.erase(path);
+  }
+
+ private:
+  struct Stored {
+    nlohmann::json spec;
+    std::int64_t version;
+  };
+
+  void Handle(const http::Request& request, http::ReplyStream& reply) {
+    const std::string path = request.path.substr(sizeof(kRoot) - 1);
+    const std::string kind = path.substr(0, path.find('/'));
+    if (request.method == "GET")
+      return reply.Send(this->Read(path));
+    Fault fault = Fault::kNone;
+    if (kind == this->faulty_kind && !this->faults.empty()) {
+      fault = this->faults.front();
+      this->faults.pop_front();
+      if (this->before_fault)
+        std::exchange(this->before_fault, nullptr)();
+    }
+    if (fault == Fault::kFailWithoutEffect)
+      return reply.Send({503, {}, ""});
+    if (fault == Fault::kRateLimit)
+      return reply.Send({429, {}, ""});
+    const http::Response response = this->Write(request, kind);
+    if (fault != Fault::kLoseResponse)
+      return reply.Send(response);
+    if (this->after_effect)
+      std::exchange(this->after_effect, nullptr)();
+    reply.Abort();
+  }
+
+  http::Response Write(const http::Request& request, const std::string& kind) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    const auto object = nlohmann::json::parse(request.body);
+    const auto& metadata = object.at("metadata");
+    const std::string path =
+        kind + "/" + metadata.at("name").get<std::string>();
+    const auto found = this->specs.find(path);
+    const bool create = request.method == "POST";
+    if (create != (found == this->specs.end()) ||
+        (!create && std::to_string(found->second.version) !=
+                        metadata.at("resourceVersion").get<std::string>()))
+      return {409, {}, ""};
+    this->head_writes += kind == platform::kConfigKind ? 1 : 0;
+    this->specs[path] = {object.at("spec"), ++this->version};
+    return {200, {}, this->Describe(path).dump()};
+  }
+
+  http::Response Read(const std::string& path) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (path.find('/') != std::string::npos) {
+      if (this->specs.count(path) == 0)
+        return {404, {}, ""};
+      return {200, {}, this->Describe(path).dump()};
+    }
+    nlohmann::json list = {
+        {"metadata", {{"resourceVersion", std::to_string(this->version)}}},
+        {"items", nlohmann::json::array()}};
+    for (const auto& [name, stored] : this->specs) {
+      if (name.rfind(path + "/", 0) == 0)
+        list["items"].push_back(this->Describe(name));
+    }
+    return {200, {}, list.dump()};
+  }
+
+  nlohmann::json Describe(const std::string& path) {
+    const Stored& stored = this->specs.at(path);
+    return {{"metadata",
+             {{"name", path.substr(path.find('/') + 1)},
+              {"resourceVersion", std::to_string(stored.version)}}},
+            {"spec", stored.spec}};
+  }
+
+  std::mutex mutex;
+  std::map<std::string, Stored> specs;
+  std::int64_t version = 0;
+  std::unique_ptr<http::Server> server;
+};
+
+Bundle MakeDirectory(const std::string& region) {
+  return MakeBundle(
+      {{"a.yaml", "data_centres: [{name: dc1, region: " + region + "}]\n", ""},
+       {"b.yaml", "survival_goal: vm\n", ""}});
+}
+
+Result<ApplyReport> Apply(const FakePlatform& fake,
+                          const std::string& region,
+                          const std::string& name,
+                          std::optional<std::int64_t> based_on = {}) {
+  ApplyOptions options;
+  options.based_on = based_on;
+  options.changed_by = name;
+  options.deadline = Clock::now() + kTestTime;
+  return ApplyBundle(fake.connection, MakeDirectory(region), options);
+}
+
+void CheckApplied(const Result<ApplyReport>& report,
+                  ApplyOutcome outcome,
+                  std::int64_t version) {
+  CHECK(report.has_value());
+  CHECK(report.value().outcome == outcome);
+  LONGS_EQUAL(version, report.value().version);
+  STRCMP_EQUAL("", report.value().audit_error.c_str());
+}
+
+std::string StoredDigest(const FakePlatform& fake) {
+  return ReadStoredHead(fake.connection, Clock::now() + kTestTime)
+      .value()
+      .head.digest;
+}
+
+struct FaultRow {
+  std::string faulty_kind;
+  std::deque<Fault> faults;
+};
+
+const FaultRow kResolvedFaults[] = {
+    {platform::kConfigKind, {Fault::kLoseResponse}},
+    {platform::kConfigKind, {Fault::kFailWithoutEffect}},
+    {platform::kConfigKind, {Fault::kFailWithoutEffect, Fault::kLoseResponse}},
+    {platform::kConfigKind, {Fault::kRateLimit}},
+    {platform::kConfigPartKind, {Fault::kLoseResponse, Fault::kRateLimit}},
+    {platform::kAuditKind, {Fault::kLoseResponse, Fault::kFailWithoutEffect}},
+};
+
+}  // namespace
+
+TEST_GROUP(Apply){};
+
+// Guards against a head that names missing parts, a change without an audit
+// entry, and an identical configuration that creates a version.
+TEST(Apply, WritesPartsHeadAndAuditOnce) {
+  FakePlatform fake;
+  CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 1);
+  for (const BundlePart& part : MakeDirectory("r1").parts)
+    CHECK(fake.Has("configparts/" + part.digest));
+  CHECK(fake.Has("audit/apply-1"));
+  CheckApplied(Apply(fake, "r1", "bob", 0), ApplyOutcome::kUnchanged, 1);
+  CheckApplied(Apply(fake, "r2", "bob", 1), ApplyOutcome::kApplied, 2);
+  LONGS_EQUAL(2, fake.head_writes);
+  const auto trail = ReadAudit(fake.connection, Clock::now() + kTestTime);
+  LONGS_EQUAL(2, trail.value().size());
+  STRCMP_EQUAL("bob", trail.value().at(1).actor.c_str());
+  LONGS_EQUAL(1, trail.value().at(1).from_version);
+}
+
+// Guards against a lost or failed response that is reported as a conflict,
+// applied twice, or left without its audit entry.
+TEST(Apply, ResolvesLostResponses) {
+  for (const FaultRow& row : kResolvedFaults) {
+    FakePlatform fake;
+    fake.faulty_kind = row.faulty_kind;
+    fake.faults = row.faults;
+    CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 1);
+    CHECK(fake.faults.empty());
+    LONGS_EQUAL(1, fake.head_writes);
+    CHECK(fake.Has("audit/apply-1"));
+  }
+}
+
+// Guards against an operator's change that overwrites one it was not based on.
+TEST(Apply, ReportsConflictWithDifference) {
+  FakePlatform fake;
+  CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 1);
+  const auto stale = Apply(fake, "r2", "bob", 0);
+  CheckApplied(stale, ApplyOutcome::kConflict, 1);
+  STRCMP_EQUAL("~ data_centre dc1: region \"r1\" -> \"r2\"",
+               stale.value().difference.at(0).c_str());
+  fake.faults = {Fault::kNone};
+  fake.before_fault = [&fake] { Apply(fake, "r3", "ann").value(); };
+  CheckApplied(Apply(fake, "r2", "bob"), ApplyOutcome::kConflict, 2);
+  CHECK(StoredDigest(fake) == MakeDirectory("r3").digest);
+}
+
+// Guards against a lost response after which another operator's change of the
+// same version number is taken for one's own.
+TEST(Apply, ReportsConflictAfterLostAttempt) {
+  FakePlatform fake;
+  fake.faults = {Fault::kFailWithoutEffect};
+  fake.before_fault = [&fake] { Apply(fake, "r3", "bob").value(); };
+  CheckApplied(Apply(fake, "r2", "bob"), ApplyOutcome::kConflict, 1);
+  CHECK(StoredDigest(fake) == MakeDirectory("r3").digest);
+}
+
+// Guards against a change that took effect, whose response was lost, and that
+// is reported as refused because a later change has replaced it already.
+TEST(Apply, KnowsItsChangeAfterALaterOne) {
+  FakePlatform fake;
+  fake.faults = {Fault::kLoseResponse};
+  fake.after_effect = [&fake] { Apply(fake, "r3", "bob").value(); };
+  CheckApplied(Apply(fake, "r2", "ann"), ApplyOutcome::kApplied, 1);
+  CHECK(StoredDigest(fake) == MakeDirectory("r3").digest);
+  LONGS_EQUAL(2, fake.head_writes);
+}
+
+// Guards against a gap in the trail after an operator's process died between
+// the head and its audit entry.
+TEST(Apply, RepairsAMissingAuditEntry) {
+  for (const char* region : {"r1", "r2"}) {
+    FakePlatform fake;
+    CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 1);
+    fake.Remove("audit/apply-1");
+    CHECK(Apply(fake, region, "bob").has_value());
+    const auto trail = ReadAudit(fake.connection, Clock::now() + kTestTime);
+    STRCMP_EQUAL("apply-1", trail.value().at(0).id.c_str());
+    STRCMP_EQUAL("ann", trail.value().at(0).actor.c_str());
+  }
+}
+
+// Guards against a stored configuration that differs from what its head names.
+TEST(Apply, ChecksTheStoredDigest) {
+  FakePlatform fake;
+  Apply(fake, "r1", "ann").value();
+  const TimePoint deadline = Clock::now() + kTestTime;
+  ConfigurationHead head =
+      ReadStoredHead(fake.connection, deadline).value().head;
+  const auto read = ReadStoredBundle(fake.connection, head, deadline);
+  STRCMP_EQUAL(MakeDirectory("r1").digest.c_str(), read.value().digest.c_str());
+  std::swap(head.parts.at(0).digest, head.parts.at(1).digest);
+  CHECK(!ReadStoredBundle(fake.connection, head, deadline).has_value());
+}
