Standins: Refuse connections as soon as the fault is set

Cause: in a trial, a call made right after the fault 'refuse' was accepted and reset instead of refused. A closed socket listens on as long as another thread polls it, here up to 20 ms. A fault of the client was ruled out: it reports kNotSent once the connection is refused.

Change: the listener is shut down before it is closed.

--- a/standins/fault_proxy/proxy.cc
+++ b/standins/fault_proxy/proxy.cc
@@ -37,10 +37,13 @@
 bool Proxy::SetFaults(const ProxyFaults& next) {
   std::lock_guard<std::mutex> lock(this->mutex);
   this->faults = next;
-  if (next.refuse)
+  if (next.refuse) {
+    // A closed socket listens on while another thread polls it.
+    ::shutdown(this->listener.Get(), SHUT_RDWR);
     this->listener.Close();
-  else if (!this->listener.IsOpen())
+  } else if (!this->listener.IsOpen()) {
     this->listener = Listen(this->listen);
+  }
   return next.refuse || this->listener.IsOpen();
 }
 
