Config: Compare with an empty platform, resolve heads read late

Cause: diff failed while the platform had no head. A read-back that returned an older head than the one based on would have been taken for a lost conflict. Ruled out: comparing resource versions of heads, which cannot tell older from newer. Change: version 0 has no parts; a write is resolved only by a head of its version or a later one; a lasting conflict exits with 3. Conclusion: tests added for both a conflict that repeats and a first difference. Open: a stale head read by apply can be reported as unchanged.

--- a/app/command_apply.cc
+++ b/app/command_apply.cc
@@ -84,7 +84,8 @@
     PrintError(report.error());
     if (report.error().code == ErrorCode::kUnknown)
       PrintError("the change may have taken effect; run apply again");
-    return kExitFailure;
+    return report.error().code == ErrorCode::kConflict ? kExitConflict
+                                                       : kExitFailure;
   }
   PrintReport(report.value(), options.output);
   return report.value().outcome == ApplyOutcome::kConflict ? kExitConflict
--- a/src/config/apply.cc
+++ b/src/config/apply.cc
@@ -89,16 +89,13 @@
   return next;
 }
 
-/// Returns whether `next` took effect, given that the newest head has another
-/// resource version than the one `next` was based on. If a later change has
-/// replaced it, the audit entry tells: each apply writes the entry of the
-/// version before it, before its own head.
+/// Returns whether `next` took effect, given a `newest` head of its version or
+/// a later one. If a later change has replaced it, the audit entry tells: each
+/// apply writes the entry of the version before it, before its own head.
 Result<bool> TookEffect(const platform::Connection& connection,
                         const ConfigurationHead& next,
                         const ConfigurationHead& newest,
                         TimePoint deadline) {
-  if (newest.version < next.version)
-    return false;
   if (newest.version == next.version)
     return newest.digest == next.digest && newest.changed_by == next.changed_by;
   const Result<platform::Object> object =
@@ -138,14 +135,13 @@
     may_be_written = may_be_written || error.code == ErrorCode::kUnknown;
     if (error.code == ErrorCode::kConflict || may_be_written) {
       const Result<StoredHead> newest = ReadStoredHead(connection, deadline);
-      if (newest && newest.value().resource_version != resource_version)
+      // A reader may see a head that is older than the one just written over.
+      if (newest && newest.value().head.version >= next.version)
         return TookEffect(connection, next, newest.value().head, deadline);
-      // A conflict with an unchanged head is seen if another write is not yet
-      // visible to readers.
-      if (error.code == ErrorCode::kConflict)
-        error.code = ErrorCode::kUnknown;
     }
-    if (!IsTransient(error.code) || !WaitForRetry(attempt, error, deadline)) {
+    const bool repeat =
+        error.code == ErrorCode::kConflict || IsTransient(error.code);
+    if (!repeat || !WaitForRetry(attempt, error, deadline)) {
       if (may_be_written)
         error.code = ErrorCode::kUnknown;
       return error;
--- a/src/config/apply_unittest.cc
+++ b/src/config/apply_unittest.cc
@@ -21,7 +21,13 @@
 constexpr Milliseconds kTestTime{10000};
 constexpr char kRoot[] = "/apis/coltsfootvane/v1/";
 
-enum class Fault { kNone, kLoseResponse, kFailWithoutEffect, kRateLimit };
+enum class Fault {
+  kNone,
+  kLoseResponse,
+  kFailWithoutEffect,
+  kRateLimit,
+  kConflict
+};
 
 /// A platform in memory that injects faults into writes of one kind.
 class FakePlatform {
@@ -78,6 +84,8 @@
       return reply.Send({503, {}, ""});
     if (fault == Fault::kRateLimit)
       return reply.Send({429, {}, ""});
+    if (fault == Fault::kConflict)
+      return reply.Send({409, {}, ""});
     const http::Response response = this->Write(request, kind);
     if (fault != Fault::kLoseResponse)
       return reply.Send(response);
@@ -176,6 +184,7 @@
     {platform::kConfigKind, {Fault::kFailWithoutEffect}},
     {platform::kConfigKind, {Fault::kFailWithoutEffect, Fault::kLoseResponse}},
     {platform::kConfigKind, {Fault::kRateLimit}},
+    {platform::kConfigKind, {Fault::kConflict, Fault::kLoseResponse}},
     {platform::kConfigPartKind, {Fault::kLoseResponse, Fault::kRateLimit}},
     {platform::kAuditKind, {Fault::kLoseResponse, Fault::kFailWithoutEffect}},
 };
@@ -264,6 +273,15 @@
   }
 }
 
+// Guards against a first difference that fails for want of a stored
+// configuration.
+TEST(Apply, ComparesWithNothing) {
+  FakePlatform fake;
+  const auto report = Apply(fake, "r1", "ann", 3);
+  CheckApplied(report, ApplyOutcome::kConflict, 0);
+  STRCMP_EQUAL("+ data_centre dc1", report.value().difference.at(0).c_str());
+}
+
 // Guards against a stored configuration that differs from what its head names.
 TEST(Apply, ChecksTheStoredDigest) {
   FakePlatform fake;
--- a/src/config/stored_configuration.cc
+++ b/src/config/stored_configuration.cc
@@ -52,6 +52,8 @@
 Result<Bundle> ReadStoredBundle(const platform::Connection& connection,
                                 const ConfigurationHead& head,
                                 TimePoint deadline) {
+  if (head.version == 0)
+    return MakeBundle({});
   std::vector<BundlePart> parts;
   for (const PartReference& reference : head.parts) {
     const Result<platform::Object> object = RetryUntil(
--- a/src/config/stored_configuration.h
+++ b/src/config/stored_configuration.h
@@ -25,8 +25,9 @@
 Result<StoredHead> ReadStoredHead(const platform::Connection& connection,
                                   TimePoint deadline);
 
-/// Reads the parts that `head` names. Repeats until `deadline`. Errors as
-/// platform::ReadObject(); kInvalid if the digest differs from the head's.
+/// Reads the parts that `head` names; version 0 has none. Repeats until
+/// `deadline`. Errors as platform::ReadObject(); kInvalid if the digest differs
+/// from the head's.
 Result<Bundle> ReadStoredBundle(const platform::Connection& connection,
                                 const ConfigurationHead& head,
                                 TimePoint deadline);
