--- a/app/command_apply.cc
+++ b/app/command_apply.cc
@@ -1,6 +1,7 @@
 #include "command_apply.h"
 
 #include <cstdlib>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -83,7 +84,8 @@
     PrintError(report.error());
     if (report.error().code == ErrorCode::kUnknown)
       PrintError("the change may have taken effect; run apply again");
-    return kExitFailure;
+    return report.error().code == ErrorCode::kConflict ? kExitConflict
+                                                       : kExitFailure;
   }
   PrintReport(report.value(), options.output);
   return report.value().outcome == ApplyOutcome::kConflict ? kExitConflict
@@ -101,7 +103,9 @@
   command
       ->add_option("--based-on", options->based_on,
                    "Version that the change is based on (default: the newest)")
-      ->check(CLI::NonNegativeNumber)
+      ->check(
+          CLI::Range(std::int64_t{0}, std::numeric_limits<std::int64_t>::max())
+              .description(""))
       ->type_name("VERSION");
   command
       ->add_option("--as", options->changed_by,
