Distribution: Save the short watch before each list of the head

Cause: watches have whole seconds, so the time to the next list held a second watch of 1 s or less that only cost a call. In the stand-in, watches whose caller had gone counted as waiting for up to 250 ms.

Change: the list comes at once if less than 1.6 s are left; its interval grows to 6 s, so that the head is still listed about every 5 s. The stand-in looks for callers who have gone every 100 ms.

--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -12,7 +12,8 @@
 namespace coltsfootvane {
 namespace {
 
-constexpr Milliseconds kHeadListInterval{5000};
+/// About 5 s between lists: the last watch ends about 1 s early.
+constexpr Milliseconds kHeadListInterval{6000};
 /// Watches deliver every change; the list is a second way for the case that a
 /// change was missed.
 constexpr Milliseconds kSlowListInterval{300000};
--- a/src/distribution/kind_watch.cc
+++ b/src/distribution/kind_watch.cc
@@ -16,9 +16,10 @@
 /// An empty watch that ends sooner is followed by a pause, so that a platform
 /// that ends every watch at once is not called without a break.
 constexpr Milliseconds kShortestWatch{100};
-/// With less time than this before the next list, the list comes at once: a
-/// watch has whole seconds.
-constexpr Milliseconds kLeastWatchTime{1000};
+/// With less time than this before the next list, the list comes at once.
+/// Watches have whole seconds and end 0.5 s to 1.5 s before their deadline; a
+/// second, short watch would only add a call.
+constexpr Milliseconds kLeastWatchTime{1600};
 
 /// The state of one RunKindWatch().
 class Follower {
--- a/src/distribution/kind_watch.h
+++ b/src/distribution/kind_watch.h
@@ -13,7 +13,8 @@
 /// Follows all objects of one kind.
 struct KindWatch {
   std::string kind;
-  /// The kind is listed this often, with jitter, even while watches work.
+  /// The kind is listed about this often, with jitter, even while watches work.
+  /// The list comes up to 1.6 s early if a watch ends then.
   Milliseconds list_interval{0};
   Milliseconds call_timeout{1000};
   std::function<void(const platform::ObjectList&)> on_list;
--- a/standins/platform_standin/object_api.cc
+++ b/standins/platform_standin/object_api.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// A watch whose caller has gone is noticed within this time.
-constexpr Milliseconds kCallerCheckInterval{250};
+constexpr Milliseconds kCallerCheckInterval{100};
 
 Error Unavailable() {
   return {ErrorCode::kUnknown, "platform is unavailable"};
