--- /dev/null
+++ b/src/placement/lease_unittest.cc
@@ -0,0 +1,87 @@
+#include "placement/lease.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace coltsfootvane {
+namespace {
+
+TimePoint At(int milliseconds) {
+  return TimePoint() + Milliseconds{1000000 + milliseconds};
+}
+
+Lease MakeLease(const char* self) {
+  Lease lease;
+  lease.self = self;
+  return lease;
+}
+
+}  // namespace
+
+TEST_GROUP(Lease){};
+
+// Guards against two holders that follow from a late observation or a takeover
+// before the expiry.
+TEST(Lease, ObserverTakesOverAfterTheExpiryOnly) {
+  struct Row {
+    const char* holder;
+    std::int64_t version;
+    int read_again_ms;
+    std::int64_t version_again;
+    int now_ms;
+    LeaseStep step;
+  };
+  const Row rows[] = {
+      {"other", 5, 2000, 5, 2000, LeaseStep::kNone},
+      {"other", 5, 2000, 5, 4000, LeaseStep::kRead},
+      {"other", 5, 7999, 5, 9999, LeaseStep::kTakeOver},
+      {"other", 5, 7999, 6, 9999, LeaseStep::kRead},
+      {"other", 5, 7999, 6, 15999, LeaseStep::kTakeOver},
+      {"", 5, 100, 5, 100, LeaseStep::kTakeOver},
+      {"", 0, 100, 0, 100, LeaseStep::kCreate},
+  };
+  for (const Row& row : rows) {
+    Lease lease = MakeLease("self");
+    CHECK(NextLeaseStep(lease, At(0)) == LeaseStep::kRead);
+    OnLeaseRead(&lease, {row.holder, 7, 1}, row.version, At(0));
+    OnLeaseRead(&lease, {row.holder, 7, 1}, row.version_again,
+                At(row.read_again_ms));
+    CHECK(NextLeaseStep(lease, At(row.now_ms)) == row.step);
+    CHECK(!MaySend(lease, At(row.now_ms)));
+    LONGS_EQUAL(8, NextLeaseSpec(lease, LeaseStep::kTakeOver).epoch);
+  }
+}
+
+// Guards against sending on a lease whose renewal is not known to have
+// succeeded, and against measuring from the end of a slow renewal.
+TEST(Lease, HolderSendsUntilFiveSecondsAfterTheStartOfARenewal) {
+  Lease lease = MakeLease("self");
+  OnLeaseRead(&lease, {"", 7, 1}, 5, At(0));
+  OnLeaseWritten(&lease, NextLeaseSpec(lease, LeaseStep::kTakeOver), 6,
+                 At(100));
+  CHECK(MaySend(lease, At(5099)));
+  CHECK(!MaySend(lease, At(5100)));
+  CHECK(NextLeaseStep(lease, At(2000)) == LeaseStep::kNone);
+  CHECK(NextLeaseStep(lease, At(2100)) == LeaseStep::kRenew);
+  OnLeaseWriteFailed(&lease, At(2200));
+  CHECK(NextLeaseStep(lease, At(2200)) == LeaseStep::kRead);
+  CHECK(MaySend(lease, At(2300)));
+  OnLeaseRead(&lease, {"self", 8, 1}, 7, At(2300));
+  CHECK(!MaySend(lease, At(5100)));
+  CHECK(NextLeaseStep(lease, At(2300)) == LeaseStep::kRenew);
+  LONGS_EQUAL(2, NextLeaseSpec(lease, LeaseStep::kRenew).renewals);
+  OnLeaseRead(&lease, {"other", 9, 0}, 8, At(3000));
+  CHECK(!MaySend(lease, At(3000)));
+}
+
+// Guards against a lease that its successor cannot read.
+TEST(Lease, FormatsAndParses) {
+  const std::string text = FormatLease({"d1/x", 3, 4});
+  const Result<LeaseSpec> spec = ParseLease(text);
+  CHECK(spec.has_value());
+  STRCMP_EQUAL(text.c_str(), FormatLease(spec.assume_value()).c_str());
+  CHECK(!ParseLease("{}").has_value());
+}
+
+}  // namespace coltsfootvane
--- /dev/null
+++ b/src/placement/ledger_unittest.cc
@@ -0,0 +1,198 @@
+#include "placement/ledger.h"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace coltsfootvane {
+namespace {
+
+using Operation = endpoint::Command::Operation;
+
+endpoint::Command MakeCommand(Operation operation,
+                              const char* item,
+                              std::int64_t memory_mb) {
+  endpoint::Command command;
+  command.operation = operation;
+  command.item = item;
+  command.version = "1";
+  command.memory_mb = memory_mb;
+  return command;
+}
+
+endpoint::Index MakeIndex(const char* boot_id,
+                          const std::vector<std::string>& items) {
+  endpoint::Index index;
+  index.boot_id = boot_id;
+  for (const std::string& item : items)
+    index.items.push_back(
+        {item, "1", endpoint::ItemState::kReady, 10, /*adapter=*/false});
+  return index;
+}
+
+EndpointLedger MakeLedger() {
+  EndpointLedger ledger;
+  RaiseEpoch(&ledger, 3);
+  ledger.boot_id = "b1";
+  return ledger;
+}
+
+}  // namespace
+
+TEST_GROUP(Ledger){};
+
+// Guards against freeing memory, or charging it for ever, by a response that
+// does not say so.
+TEST(Ledger, ResponsesResolveOnlyWhatTheySay) {
+  struct Row {
+    const char* name;
+    Operation operation;
+    Result<bool> response;
+    std::size_t intents;
+    std::int64_t charged;
+  };
+  const Row rows[] = {
+      {"load done", Operation::kLoad, true, 0, 15},
+      {"load unknown", Operation::kLoad, Error{ErrorCode::kUnknown, ""}, 1, 15},
+      {"load not sent", Operation::kLoad, Error{ErrorCode::kNotSent, ""}, 0, 5},
+      {"load refused", Operation::kLoad, Error{ErrorCode::kRefused, ""}, 0, 5},
+      {"load outdated", Operation::kLoad, Error{ErrorCode::kConflict, ""}, 0,
+       5},
+      {"unload done", Operation::kUnload, true, 0, 0},
+      {"unload unknown", Operation::kUnload, Error{ErrorCode::kUnknown, ""}, 1,
+       5},
+      {"unload refused", Operation::kUnload, Error{ErrorCode::kRefused, ""}, 0,
+       5},
+  };
+  for (const Row& row : rows) {
+    EndpointLedger ledger = MakeLedger();
+    ledger.loaded.push_back({"kept", "1", "", 5, false, true});
+    const bool load = row.operation == Operation::kLoad;
+    endpoint::Command command =
+        MakeCommand(row.operation, load ? "new" : "kept", load ? 10 : 5);
+    CHECK_TEXT(RecordIntent(&ledger, &command, "s"), row.name);
+    CHECK_TEXT(command.fencing_number == ((std::int64_t{3} << 32) | 1),
+               row.name);
+    ResolveByResponse(&ledger, command.fencing_number, row.response);
+    LONGS_EQUAL_TEXT(row.intents, ledger.intents.size(), row.name);
+    LONGS_EQUAL_TEXT(row.charged, ChargedMemory(ledger), row.name);
+  }
+}
+
+// Guards against resolving a late command by an index that does not prove that
+// it can no longer take effect.
+TEST(Ledger, IndexResolvesOnlyWhatItProves) {
+  struct Row {
+    const char* name;
+    bool checks_fencing;
+    const char* boot_id;
+    bool shown;
+    bool sender_gone;
+    std::size_t intents;
+    std::int64_t charged;
+  };
+  const Row rows[] = {
+      {"fenced, sender may live", true, "b1", false, false, 1, 0},
+      {"fenced, sender gone", true, "b1", false, true, 0, 0},
+      {"fenced after its effect", true, "b1", true, false, 1, 10},
+      {"restarted, sender may live", true, "b2", false, false, 1, 10},
+      {"restarted, sender gone", true, "b2", false, true, 0, 0},
+      {"ignores numbers, not done", false, "b1", false, true, 1, 10},
+      {"ignores numbers, done, sender may live", false, "b1", true, false, 1,
+       10},
+      {"ignores numbers, done, sender gone", false, "b1", true, true, 0, 10},
+      {"ignores numbers, restarted, sender gone", false, "b2", false, true, 0,
+       0},
+      {"ignores numbers, restarted, may live", false, "b2", false, false, 1,
+       10},
+  };
+  for (const Row& row : rows) {
+    EndpointLedger ledger = MakeLedger();
+    endpoint::Command command = MakeCommand(Operation::kLoad, "m", 10);
+    RecordIntent(&ledger, &command, "s");
+    IndexReading reading;
+    reading.number = TakeNumber(&ledger);
+    reading.checks_fencing = row.checks_fencing;
+    reading.index = MakeIndex(row.boot_id, {});
+    if (row.shown)
+      reading.index = MakeIndex(row.boot_id, {"m"});
+    ApplyIndex(&ledger, reading,
+               [&row](std::string_view) { return row.sender_gone; });
+    LONGS_EQUAL_TEXT(row.intents, ledger.intents.size(), row.name);
+    LONGS_EQUAL_TEXT(row.charged, ChargedMemory(ledger), row.name);
+  }
+}
+
+// Guards against a retry's success resolving the first attempt, which could
+// then load again after an unload.
+TEST(Ledger, RetryDoesNotResolveTheFirstAttempt) {
+  EndpointLedger ledger = MakeLedger();
+  endpoint::Command first = MakeCommand(Operation::kLoad, "m", 10);
+  endpoint::Command second = first;
+  RecordIntent(&ledger, &first, "s");
+  RecordIntent(&ledger, &second, "s");
+  ResolveByResponse(&ledger, second.fencing_number, true);
+  IndexReading reading;
+  reading.index = MakeIndex("b1", {"m"});
+  reading.number = TakeNumber(&ledger);
+  ApplyIndex(&ledger, reading, [](std::string_view) { return true; });
+  LONGS_EQUAL(1, ledger.intents.size());
+  reading.index = MakeIndex("b1", {});
+  ApplyIndex(&ledger, reading, [](std::string_view) { return true; });
+  LONGS_EQUAL(10, ChargedMemory(ledger));
+}
+
+// Guards against a load that a paused sender's fenced command overcommits after
+// an unnoticed restart.
+TEST(Ledger, LoadMustFitBesideFencedLoads) {
+  EndpointLedger ledger = MakeLedger();
+  endpoint::Command command = MakeCommand(Operation::kLoad, "m", 60);
+  RecordIntent(&ledger, &command, "s");
+  IndexReading reading;
+  reading.index = MakeIndex("b1", {});
+  reading.number = TakeNumber(&ledger);
+  reading.checks_fencing = true;
+  ApplyIndex(&ledger, reading, [](std::string_view) { return false; });
+  LONGS_EQUAL(0, ChargedMemory(ledger));
+  CHECK(CanLoad(ledger, 100, "n", "1", 40));
+  CHECK(!CanLoad(ledger, 100, "n", "1", 41));
+  CHECK(CanLoad(ledger, 100, "m", "1", 60));
+}
+
+// Guards against unloading the last copy while a late unload of the other one
+// may still take effect.
+TEST(Ledger, OpenUnloadsDoNotCountAsCopies) {
+  EndpointLedger ledger = MakeLedger();
+  ledger.loaded.push_back({"m", "1", "", 10, false, true});
+  ledger.loaded.push_back({"a", "1", "m", 1, true, true});
+  ledger.loaded.push_back({"loading", "1", "", 10, false, false});
+  CHECK(CountsAsCopy(ledger, "m", "1"));
+  CHECK(CountsAsCopy(ledger, "a", "1"));
+  CHECK(!CountsAsCopy(ledger, "m", "2"));
+  CHECK(!CountsAsCopy(ledger, "loading", "1"));
+  endpoint::Command command = MakeCommand(Operation::kUnload, "m", 10);
+  RecordIntent(&ledger, &command, "s");
+  CHECK(!CountsAsCopy(ledger, "m", "1"));
+  CHECK(!CountsAsCopy(ledger, "a", "1"));
+}
+
+// Guards against a successor that misreads what its predecessor recorded, and
+// against a fencing number that is used twice.
+TEST(Ledger, FormatsAndParses) {
+  EndpointLedger ledger = MakeLedger();
+  ledger.loaded.push_back({"a", "1", "m", 7, true, true});
+  endpoint::Command command = MakeCommand(Operation::kUnload, "m", 10);
+  RecordIntent(&ledger, &command, "s");
+  const std::string text = FormatLedger(ledger);
+  const Result<EndpointLedger> parsed = ParseLedger(text);
+  CHECK(parsed.has_value());
+  STRCMP_EQUAL(text.c_str(), FormatLedger(parsed.assume_value()).c_str());
+  for (const char* malformed :
+       {"", "{}", "[]", R"({"epoch":"1","sequence":1})"})
+    CHECK_TEXT(!ParseLedger(malformed).has_value(), malformed);
+  ledger.sequence = kMaxSequence;
+  LONGS_EQUAL(0, TakeNumber(&ledger));
+}
+
+}  // namespace coltsfootvane
