--- a/src/placement/ledger.cc
+++ b/src/placement/ledger.cc
@@ -223,7 +223,10 @@
       [number](const Intent& intent) { return intent.number == number; });
   if (found == ledger->intents.end())
     return;
-  if (!response && response.assume_error().code == ErrorCode::kUnknown)
+  // The first of two deliveries may have run, and the second been refused as
+  // outdated; the next index call tells.
+  if (!response && (response.assume_error().code == ErrorCode::kUnknown ||
+                    response.assume_error().code == ErrorCode::kConflict))
     return;
   const Intent intent = *found;
   ledger->intents.erase(found);
