Placement: Bound the time of a plan

Cause: a trial with 325 engines, 330 models and 990 adapters did not finish its first plans within 60 s, since every count searched all endpoints.

Change: an index from items to the endpoints that name them, at most four searches for a copy to evict per plan, and one plan a second when nothing has changed. A result is matched to the job that the endpoint waits for, not only to the epoch, so that a dropped and renewed endpoint does not take an old index.

--- a/src/placement/command_pool.h
+++ b/src/placement/command_pool.h
@@ -17,6 +17,7 @@
 /// Calls to one endpoint: an index call, or commands in the order of their
 /// numbers.
 struct EndpointJob {
+  std::int64_t id = 0;  ///< Unique in the process; above 0.
   std::string endpoint_id;
   http::Address address;
   std::int64_t epoch = 0;
--- a/src/placement/plan.cc
+++ b/src/placement/plan.cc
@@ -16,6 +16,8 @@
 // A copy moves to another model only if the demand per copy there is this many
 // times as high, so that similar demands do not exchange copies for ever.
 constexpr double kMoveGain = 2;
+// Bounds the time of a plan; the next plan goes on.
+constexpr int kEvictionsPerPlan = 4;
 // Above this share of memory, single copies are packed instead of spread, since
 // the configuration check only promises that they fit when packed.
 constexpr double kPackedShare = 0.6;
@@ -59,6 +61,7 @@
   const PlanInput* input;
   PlanState state;
   bool packed;
+  int evictions = 0;        ///< Searches for a copy to evict.
   bool incomplete = false;  ///< An item has no copy and no room.
 };
 
@@ -127,7 +130,7 @@
 std::optional<std::size_t> Planning::ChooseForModel(
     const DeclaredItem& model) const {
   std::set<std::string_view> data_centres;
-  for (std::size_t i = 0; i < this->state.EndpointCount(); ++i) {
+  for (const std::size_t i : this->state.HoldersOf(model.name)) {
     if (this->state.IsPresent(i, model))
       data_centres.insert(this->state.DataCentreOf(i));
   }
@@ -156,8 +159,9 @@
   const DeclaredItem* const model = this->state.Find(adapter.model);
   std::optional<std::size_t> best;
   std::int64_t best_free_mb = 0;
-  for (std::size_t i = 0; model != nullptr && i < this->state.EndpointCount();
-       ++i) {
+  if (model == nullptr)
+    return best;
+  for (const std::size_t i : this->state.HoldersOf(model->name)) {
     if (!this->state.IsSafe(i, *model) || !this->state.CanBeLoaded(i, adapter))
       continue;
     const std::int64_t free_mb = this->state.At(i).endpoint->memory_mb -
@@ -329,6 +333,9 @@
     this->state.Load(*chosen, model);
     return;
   }
+  if (this->evictions >= kEvictionsPerPlan)
+    return;
+  ++this->evictions;
   this->EvictForDemand(model);
 }
 
--- a/src/placement/plan_state.cc
+++ b/src/placement/plan_state.cc
@@ -49,6 +49,28 @@
       adapter_loads(input.adapter_loads) {
   this->Declare(*input.configuration);
   this->CompleteAdapters();
+  this->IndexHolders();
+}
+
+void PlanState::IndexHolders() {
+  const auto add = [this](const std::string& item, std::size_t i) {
+    std::vector<std::size_t>& found = this->holders[item];
+    if (found.empty() || found.back() != i)
+      found.push_back(i);
+  };
+  for (std::size_t i = 0; i < this->endpoints.size(); ++i) {
+    for (const LoadedItem& loaded : this->endpoints[i].ledger.loaded)
+      add(loaded.item, i);
+    for (const Intent& intent : this->endpoints[i].ledger.intents)
+      add(intent.item, i);
+  }
+}
+
+const std::vector<std::size_t>& PlanState::HoldersOf(
+    std::string_view item) const {
+  static const std::vector<std::size_t> kNone;
+  const auto found = this->holders.find(item);
+  return found == this->holders.end() ? kNone : found->second;
 }
 
 /// An index does not name the model of an adapter.
@@ -147,14 +169,14 @@
 
 int PlanState::CountPresent(const DeclaredItem& item) const {
   int count = 0;
-  for (std::size_t i = 0; i < this->endpoints.size(); ++i)
+  for (const std::size_t i : this->HoldersOf(item.name))
     count += this->IsPresent(i, item) ? 1 : 0;
   return count;
 }
 
 int PlanState::CountSafe(const DeclaredItem& item, std::size_t except) const {
   int count = 0;
-  for (std::size_t i = 0; i < this->endpoints.size(); ++i)
+  for (const std::size_t i : this->HoldersOf(item.name))
     count += i != except && this->IsSafe(i, item) ? 1 : 0;
   return count;
 }
@@ -177,10 +199,19 @@
   const PlanEndpoint& endpoint = this->endpoints[i];
   std::int64_t free =
       endpoint.endpoint->memory_mb - ChargedMemory(endpoint.ledger);
-  for (const DeclaredItem* model : this->models) {
-    if (model->adapters.empty() || !this->IsPresent(i, *model))
-      continue;
+  const auto keep = [this, i, &free](std::string_view name,
+                                     std::string_view version) {
+    const DeclaredItem* const model = this->Find(name);
+    if (model == nullptr || model->version != version ||
+        !this->IsPresent(i, *model))
+      return;
     free -= this->GroupMemory(*model) - model->memory_mb;
+  };
+  for (const LoadedItem& loaded : endpoint.ledger.loaded)
+    keep(loaded.item, loaded.version);
+  for (const Intent& intent : endpoint.ledger.intents) {
+    if (FindLoaded(endpoint.ledger, intent.item, intent.version) == nullptr)
+      keep(intent.item, intent.version);
   }
   return free;
 }
@@ -251,6 +282,10 @@
   planned.memory_mb = item.memory_mb;
   planned.adapter = command.adapter;
   this->endpoints[i].ledger.intents.push_back(std::move(planned));
+  std::vector<std::size_t>& found = this->holders[std::string(item.name)];
+  const auto place = std::lower_bound(found.begin(), found.end(), i);
+  if (place == found.end() || *place != i)
+    found.insert(place, i);
 }
 
 void PlanState::Unload(std::size_t i, const LoadedItem& loaded) {
--- a/src/placement/plan_state.h
+++ b/src/placement/plan_state.h
@@ -44,6 +44,9 @@
   /// Counts safe copies on endpoints other than `except`.
   int CountSafe(const DeclaredItem& item, std::size_t except) const;
 
+  /// Returns the endpoints whose ledger names the item, in order.
+  const std::vector<std::size_t>& HoldersOf(std::string_view item) const;
+
   bool HasAnyVersion(std::size_t i, std::string_view item) const;
   bool Fits(std::size_t i, const DeclaredItem& item) const;
   /// Returns whether the item is absent there and fits.
@@ -73,6 +76,7 @@
  private:
   bool IsLoading(std::size_t i, const DeclaredItem& item) const;
   void CompleteAdapters();
+  void IndexHolders();
   void Declare(const Configuration& configuration);
   void GiveOrder(std::size_t i, const endpoint::Command& command);
   bool CanOrder(std::size_t i, bool adapter) const;
@@ -80,6 +84,8 @@
   std::vector<PlanEndpoint> endpoints;
   std::vector<int> adapter_orders;  ///< By endpoint, in this plan.
   std::map<std::string_view, DeclaredItem> declared;
+  /// Spares a search of all endpoints for each item.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> holders;
   int model_loads;
   int adapter_loads;
 };
--- a/src/placement/planner_endpoints.cc
+++ b/src/placement/planner_endpoints.cc
@@ -43,6 +43,7 @@
   if (current->version != this->configuration_version) {
     this->AdoptConfiguration(current->configuration);
     this->configuration_version = current->version;
+    this->changed = true;
   }
   const auto is_unread = [](const auto& entry) { return !entry.second.read; };
   if (std::none_of(this->endpoints.begin(), this->endpoints.end(), is_unread) ||
--- a/src/placement/planner_jobs.cc
+++ b/src/placement/planner_jobs.cc
@@ -82,8 +82,10 @@
   reading.checks_fencing = state->endpoint.checks_fencing;
   ApplyIndex(&state->ledger, reading, this->hooks.sender_gone);
   state->synced = true;
-  if (Compared(state->ledger) != before)
+  if (Compared(state->ledger) != before) {
     state->dirty = true;
+    this->changed = true;
+  }
   if (restarted)
     state->next_index = now;
 }
@@ -99,6 +101,7 @@
       state->next_index = TimePoint();
   }
   state->dirty = true;
+  this->changed = true;
 }
 
 void PlannerLoop::ReportCommand(const EndpointState& state,
--- a/src/placement/planner_loop.h
+++ b/src/placement/planner_loop.h
@@ -26,11 +26,11 @@
   Endpoint endpoint;
   EndpointLedger ledger;
   std::int64_t resource_version = 0;
-  bool read = false;    ///< The object was read and its epoch raised.
-  bool synced = false;  ///< An index was applied in this epoch.
-  bool dirty = false;   ///< The ledger differs from the stored object.
-  bool lost = false;    ///< The response of the last write was lost.
-  bool job = false;     ///< A job is in progress.
+  bool read = false;     ///< The object was read and its epoch raised.
+  bool synced = false;   ///< An index was applied in this epoch.
+  bool dirty = false;    ///< The ledger differs from the stored object.
+  bool lost = false;     ///< The response of the last write was lost.
+  std::int64_t job = 0;  ///< Id of the job in progress; 0 for none.
   bool leaving = false;
   int failures = 0;  ///< Index calls failed in a row.
   TimePoint next_index;
@@ -95,6 +95,7 @@
                      const Result<bool>& response);
   void StartIndexCalls(TimePoint now);
   void StartCommands(EndpointState* state);
+  bool StartJob(EndpointState* state, EndpointJob job);
 
   // Decisions and publishing: planner_plan.cc.
   void Plan(TimePoint now);
@@ -122,6 +123,7 @@
   DemandTracker demand;
   TimePoint demand_at;
   TimePoint planned_at;
+  bool changed = true;  ///< Something to plan for since the last plan.
   TimePoint budget_at;
   double load_budget = 0;
   std::map<DrainKey, Drain> drains;
@@ -129,6 +131,7 @@
   std::string published_spec;
   std::int64_t published_version = 0;
   bool published_known = false;
+  std::int64_t last_job = 0;
   std::atomic<bool> stopping{false};
   std::thread thread;
 };
--- a/src/placement/planner_plan.cc
+++ b/src/placement/planner_plan.cc
@@ -7,7 +7,9 @@
 namespace coltsfootvane::detail {
 namespace {
 
+// After a change; and otherwise, for what leaves and for demand.
 constexpr Milliseconds kPlanInterval{200};
+constexpr Milliseconds kQuietPlanInterval{1000};
 constexpr Milliseconds kDemandInterval{1000};
 constexpr Milliseconds kPublishInterval{1000};
 // Between leaving a copy out of the placement and unloading it; daemons see the
@@ -34,12 +36,16 @@
     UpdateDemand(&this->demand, this->hooks.take_demand(), now);
     this->demand_at = now;
   }
-  if (now - this->planned_at < kPlanInterval || !this->IsSettled())
+  const Milliseconds interval =
+      this->changed ? kPlanInterval : kQuietPlanInterval;
+  if (now - this->planned_at < interval || !this->IsSettled())
     return;
   this->planned_at = now;
   const std::shared_ptr<const InForce> current = this->in_force->Get();
   const PlanInput input = this->MakeInput(*current, now);
-  this->Record(PlanOrders(input), now);
+  const std::vector<Order> orders = PlanOrders(input);
+  this->changed = !orders.empty();
+  this->Record(orders, now);
   this->ForgetDrains(now);
 }
 
