--- a/src/placement/plan.cc
+++ b/src/placement/plan.cc
@@ -16,6 +16,8 @@
 // A copy moves to another model only if the demand per copy there is this many
 // times as high, so that similar demands do not exchange copies for ever.
 constexpr double kMoveGain = 2;
+// Bounds the time of a plan; the next plan goes on.
+constexpr int kEvictionsPerPlan = 4;
 // Above this share of memory, single copies are packed instead of spread, since
 // the configuration check only promises that they fit when packed.
 constexpr double kPackedShare = 0.6;
@@ -48,7 +50,7 @@
       const DeclaredItem& adapter) const;
   bool MakeRoom(const DeclaredItem& item, bool on_model_only);
   bool MoveAway(const DeclaredItem& item);
-  void GiveUpOldVersion(const DeclaredItem& item);
+  void GiveUpOldVersion(const DeclaredItem& item, std::int64_t needed_mb);
   void EvictForDemand(const DeclaredItem& model);
   double Demand(std::string_view item) const;
   double GroupDemand(const DeclaredItem& model) const;
@@ -59,6 +61,7 @@
   const PlanInput* input;
   PlanState state;
   bool packed;
+  int evictions = 0;        ///< Searches for a copy to evict.
   bool incomplete = false;  ///< An item has no copy and no room.
 };
 
@@ -91,7 +94,7 @@
     this->incomplete = true;
     if (!this->MakeRoom(*model, /*on_model_only=*/false) &&
         !this->MoveAway(*model))
-      this->GiveUpOldVersion(*model);
+      this->GiveUpOldVersion(*model, model->memory_mb);
   }
 }
 
@@ -115,15 +118,19 @@
         this->state.CountPresent(*model) >
         this->state.CountSafe(*model, this->state.EndpointCount());
     const auto chosen = this->ChooseForModel(*model);
-    if (!loading && chosen)
+    if (loading)
+      continue;
+    if (chosen)
       this->state.Load(*chosen, *model);
+    else
+      this->GiveUpOldVersion(*model, 0);
   }
 }
 
 std::optional<std::size_t> Planning::ChooseForModel(
     const DeclaredItem& model) const {
   std::set<std::string_view> data_centres;
-  for (std::size_t i = 0; i < this->state.EndpointCount(); ++i) {
+  for (const std::size_t i : this->state.HoldersOf(model.name)) {
     if (this->state.IsPresent(i, model))
       data_centres.insert(this->state.DataCentreOf(i));
   }
@@ -152,8 +159,9 @@
   const DeclaredItem* const model = this->state.Find(adapter.model);
   std::optional<std::size_t> best;
   std::int64_t best_free_mb = 0;
-  for (std::size_t i = 0; model != nullptr && i < this->state.EndpointCount();
-       ++i) {
+  if (model == nullptr)
+    return best;
+  for (const std::size_t i : this->state.HoldersOf(model->name)) {
     if (!this->state.IsSafe(i, *model) || !this->state.CanBeLoaded(i, adapter))
       continue;
     const std::int64_t free_mb = this->state.At(i).endpoint->memory_mb -
@@ -220,15 +228,17 @@
   return false;
 }
 
-/// The last resort of a version change: both versions never fit at once.
-void Planning::GiveUpOldVersion(const DeclaredItem& item) {
+/// The last resort of a version change, where the versions do not fit at once:
+/// unloads an old one where that frees `needed_mb`.
+void Planning::GiveUpOldVersion(const DeclaredItem& item,
+                                std::int64_t needed_mb) {
   for (std::size_t i = 0; i < this->state.EndpointCount(); ++i) {
     const PlanEndpoint& endpoint = this->state.At(i);
     for (const LoadedItem& loaded : endpoint.ledger.loaded) {
       const std::int64_t free_mb =
           endpoint.endpoint->memory_mb - ChargedMemory(endpoint.ledger);
       if (loaded.item != item.name || loaded.version == item.version ||
-          free_mb + loaded.memory_mb < item.memory_mb || endpoint.leaving)
+          free_mb + loaded.memory_mb < needed_mb || endpoint.leaving)
         continue;
       this->state.Unload(i, loaded);
       return;
@@ -323,6 +333,9 @@
     this->state.Load(*chosen, model);
     return;
   }
+  if (this->evictions >= kEvictionsPerPlan)
+    return;
+  ++this->evictions;
   this->EvictForDemand(model);
 }
 
