--- a/src/idempotency/run_once_unittest.cc
+++ b/src/idempotency/run_once_unittest.cc
@@ -90,7 +90,7 @@
   return request;
 }
 
-RunFunctions Sending(Result<http::Response> response, int* sends) {
+RunFunctions Sending(const Result<http::Response>& response, int* sends) {
   RunFunctions functions;
   functions.prepare = [] { return Result<bool>(true); };
   functions.send = [response, sends] {
