Dispatch: Skip blocked items and cache dispatchers

Cause: each freed slot compared every waiting request with every holder, and each repeat hashed all members of the data centre. Change: items without a free holder are remembered within one round of grants; dispatchers are found once per view; the member view is published at ticks only.

--- a/src/dispatch/differential_unittest.cc
+++ b/src/dispatch/differential_unittest.cc
@@ -11,12 +11,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+namespace coltsfootvane::dispatch {
 namespace {
 
-using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::
-    dispatch;  // NOLINT(google-build-using-namespace)
-
 const TimePoint kStart{std::chrono::hours{1}};
 constexpr int kItems = 4;
 constexpr int kCallers = 3;
@@ -242,3 +239,5 @@
     }
   }
 }
+
+}  // namespace coltsfootvane::dispatch
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -11,12 +11,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+namespace coltsfootvane::dispatch {
 namespace {
 
-using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::
-    dispatch;  // NOLINT(google-build-using-namespace)
-
 const TimePoint kStart{std::chrono::hours{1}};
 
 PoolState PoolOf(const std::vector<std::pair<std::string, int>>& endpoints) {
@@ -295,3 +292,5 @@
   STRCMP_EQUAL(first.c_str(),
                AskSlot(idle, "x", request, kStart)->endpoint_id.c_str());
 }
+
+}  // namespace coltsfootvane::dispatch
--- a/src/dispatch/pools.cc
+++ b/src/dispatch/pools.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "base/digest.h"
 
@@ -80,8 +81,10 @@
     std::size_t index = 0;
     for (const std::string& id : ids) {
       if (index % kPoolSize == 0) {
-        const std::string number = std::to_string(index / kPoolSize);
-        pools.push_back({data_centre + "/" + number, data_centre, {}});
+        std::string name = data_centre;
+        name += '/';
+        name += std::to_string(index / kPoolSize);
+        pools.push_back({std::move(name), data_centre, {}});
       }
       pools.back().endpoint_ids.push_back(id);
       ++index;
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -26,17 +26,37 @@
       LastTurn(state.caller_served, request.caller), one.arrival);
 }
 
+/// Items without a free holder. Grants only take slots, so an item stays
+/// blocked until the next change of the pool.
+using BlockedItems = std::set<std::string, std::less<>>;
+
+bool CanBeGranted(PoolState& pool,
+                  const SlotRequest& request,
+                  TimePoint now,
+                  BlockedItems& blocked) {
+  if (blocked.count(request.item) > 0)
+    return false;
+  if (ChooseEndpoint(pool, request, now) != nullptr)
+    return true;
+  if (request.excluded.empty())
+    blocked.insert(request.item);
+  return false;
+}
+
 /// Returns the index of the waiting request that is served next, or kNone.
 std::size_t NextOfClass(PoolState& pool,
                         const ClassState& state,
-                        TimePoint now) {
+                        TimePoint now,
+                        BlockedItems& blocked) {
   std::size_t best = kNone;
   for (std::size_t i = 0; i < state.waiting.size(); ++i) {
     const Waiting& one = state.waiting[i];
+    if (blocked.count(one.request.item) > 0)
+      continue;
     if (best != kNone &&
         OrderKey(state, state.waiting[best]) <= OrderKey(state, one))
       continue;
-    if (ChooseEndpoint(pool, one.request, now) != nullptr)
+    if (CanBeGranted(pool, one.request, now, blocked))
       best = i;
   }
   return best;
@@ -94,13 +114,16 @@
 
 /// Returns the class that is owed a grant and can be served, then the most
 /// urgent one that can be served. `index` receives the request.
-std::size_t NextClass(PoolState& pool, TimePoint now, std::size_t* index) {
+std::size_t NextClass(PoolState& pool,
+                      TimePoint now,
+                      BlockedItems& blocked,
+                      std::size_t* index) {
   for (const bool owed : {true, false}) {
     for (std::size_t i = 0; i < kPriorityCount; ++i) {
       const ClassState& state = pool.classes[i];
       if (owed && state.deficit < 1)
         continue;
-      *index = NextOfClass(pool, state, now);
+      *index = NextOfClass(pool, state, now, blocked);
       if (*index != kNone)
         return i;
     }
@@ -108,6 +131,12 @@
   return kNone;
 }
 
+bool HasFreeEndpoint(const PoolState& pool, TimePoint now) {
+  return std::any_of(
+      pool.endpoints.begin(), pool.endpoints.end(),
+      [&](const auto& entry) { return IsFree(pool, entry.second, now); });
+}
+
 std::optional<SlotAnswer> FindGrant(const PoolState& pool,
                                     std::string_view entry_id,
                                     std::string_view request_id) {
@@ -164,7 +193,7 @@
                                   std::string_view entry_id,
                                   const SlotRequest& request,
                                   TimePoint now) {
-  const auto known = FindGrant(pool, entry_id, request.request_id);
+  auto known = FindGrant(pool, entry_id, request.request_id);
   if (known)
     return known;
   ClassState& state = pool.classes[static_cast<std::size_t>(request.priority)];
@@ -196,9 +225,10 @@
 
 std::vector<Grant> NextGrants(PoolState& pool, TimePoint now) {
   std::vector<Grant> grants;
-  for (;;) {
+  BlockedItems blocked;
+  while (HasFreeEndpoint(pool, now)) {
     std::size_t index = kNone;
-    const std::size_t chosen = NextClass(pool, now, &index);
+    const std::size_t chosen = NextClass(pool, now, blocked, &index);
     if (chosen == kNone)
       return grants;
     ClassState& state = pool.classes[chosen];
@@ -212,6 +242,7 @@
         {one.entry_id, one.request.request_id,
          AddSlot(pool, *endpoint, one.entry_id, one.request, now)});
   }
+  return grants;
 }
 
 void WithdrawRequest(PoolState& pool,
--- a/src/membership/member_table_unittest.cc
+++ b/src/membership/member_table_unittest.cc
@@ -13,12 +13,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+namespace coltsfootvane::membership {
 namespace {
 
-using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::
-    membership;  // NOLINT(google-build-using-namespace)
-
 constexpr Milliseconds kStep{100};
 constexpr Milliseconds kDelay{1};
 
@@ -233,3 +230,5 @@
   }
   CHECK_EQUAL(kMaxMembers, listed);
 }
+
+}  // namespace coltsfootvane::membership
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -20,6 +20,8 @@
 constexpr int kMaxString = 1200;
 constexpr int kMaxList = 256;
 constexpr int kQueuedVerdict = 100;
+/// A daemon raises its own above what it receives, which must not overflow.
+constexpr std::int64_t kMaxIncarnation = std::int64_t{1} << 62;
 constexpr std::int64_t kMaxLeftMs = 24LL * 3600 * 1000;
 
 std::int32_t LeftMs(TimePoint deadline, TimePoint now) {
@@ -67,7 +69,8 @@
   member->digest = wire.digest;
   member->planner = wire.planner;
   return ToEnum(wire.state, membership::MemberState::kDead, &member->state) &&
-         wire.port > 0 && wire.port <= 65535;
+         wire.port > 0 && wire.port <= 65535 && wire.incarnation >= 0 &&
+         wire.incarnation <= kMaxIncarnation;
 }
 
 gen::Membership ToWire(const membership::Message& message, TimePoint now) {
--- a/src/peer/codec_unittest.cc
+++ b/src/peer/codec_unittest.cc
@@ -2,17 +2,16 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <limits>
 #include <random>
 #include <string>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
 
+namespace coltsfootvane::peer {
 namespace {
 
-using namespace coltsfootvane;        // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::peer;  // NOLINT(google-build-using-namespace)
-
 const TimePoint kNow{std::chrono::hours{1}};
 
 PeerMessage FullMessage() {
@@ -88,12 +87,14 @@
 
 // Guards against values that a later index or cast would not survive.
 TEST(Codec, RejectsValuesOutOfRange) {
-  std::vector<PeerMessage> bad(5, FullMessage());
+  std::vector<PeerMessage> bad(6, FullMessage());
   bad[0].ask->request.priority = static_cast<Priority>(3);
   bad[1].membership->sender.state = static_cast<membership::MemberState>(9);
   bad[2].membership->sender.address.port = 70000;
   bad[3].report->chunk = 1;
   bad[4].sender.clear();
+  bad[5].membership->sender.incarnation =
+      std::numeric_limits<std::int64_t>::max();
   for (const PeerMessage& message : bad)
     CHECK_FALSE(DecodeMessage(EncodeMessage(message, kNow), kNow).has_value());
 }
@@ -120,3 +121,5 @@
       std::string("\x15\x02\x18\x02") + "d1\x89\xfc\xff\xff\xff\xff\x07";
   CHECK_FALSE(DecodeMessage(huge, kNow).has_value());
 }
+
+}  // namespace coltsfootvane::peer
--- a/src/peer/config_peer.cc
+++ b/src/peer/config_peer.cc
@@ -99,7 +99,7 @@
   apache::thrift::GlobalOutput.setOutputFunction([](const char*) {});
 }
 
-FetchedSnapshot FromWire(gen::FetchedConfiguration wire) {
+FetchedSnapshot FromWire(gen::FetchedConfiguration&& wire) {
   FetchedSnapshot fetched;
   fetched.newer = wire.newer;
   fetched.head = std::move(wire.head);
--- a/src/peer/demand_table.cc
+++ b/src/peer/demand_table.cc
@@ -16,7 +16,7 @@
     total.requests[i] += one.requests[i];
 }
 
-std::vector<ItemDemand> ToVector(ByItem sum) {
+std::vector<ItemDemand> ToVector(ByItem&& sum) {
   std::vector<ItemDemand> result;
   result.reserve(sum.size());
   for (auto& [item, demand] : sum)
--- a/src/peer/dispatcher.cc
+++ b/src/peer/dispatcher.cc
@@ -51,6 +51,7 @@
     : self_id(std::move(self_id)),
       routes(routes),
       members(members),
+      dispatchers(members),
       outputs(std::move(outputs)),
       inputs(kMaxInputs) {}
 
@@ -203,10 +204,9 @@
 }
 
 void Dispatcher::TakeOwnPools(const dispatch::Routes& routes, TimePoint now) {
-  const auto view = this->members->Get();
   for (const dispatch::Pool& pool : routes.pools) {
-    const membership::Member* member = FindDispatcher(*view, pool);
-    if (member != nullptr && member->id == this->self_id)
+    const auto member = this->dispatchers.Get(pool);
+    if (member && member->id == this->self_id)
       this->UsePool(pool.name, now);
   }
 }
@@ -319,7 +319,8 @@
       pool["waiting"].push_back(owned.state.classes[i].waiting.size());
     status.push_back(std::move(pool));
   }
-  return status.dump();
+  // Ids come from other daemons and may not be UTF-8.
+  return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace coltsfootvane::peer
--- a/src/peer/dispatcher.h
+++ b/src/peer/dispatcher.h
@@ -103,6 +103,7 @@
   const std::string self_id;
   RouteCache* routes;
   const MemberViewHolder* members;
+  DispatcherCache dispatchers;
   const DispatcherOutputs outputs;
   std::atomic<bool> leaving{false};
   Ring<DispatchInput> inputs;
--- a/src/peer/link_unittest.cc
+++ b/src/peer/link_unittest.cc
@@ -17,11 +17,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+namespace coltsfootvane::peer {
 namespace {
 
-using namespace coltsfootvane;        // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::peer;  // NOLINT(google-build-using-namespace)
-
 http::Address FreeAddress() {
   const std::string host = coltsfootvane::testing::OwnLoopbackHost();
   return {host, coltsfootvane::testing::FreePort(host)};
@@ -142,3 +140,5 @@
   CHECK_FALSE(server.Start({address.host, port}, nullptr).has_value());
   ::close(silent);
 }
+
+}  // namespace coltsfootvane::peer
--- a/src/peer/member_view.cc
+++ b/src/peer/member_view.cc
@@ -44,6 +44,22 @@
   return this->current;
 }
 
+std::optional<membership::Member> DispatcherCache::Get(
+    const dispatch::Pool& pool) {
+  auto current = this->members->Get();
+  std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->view != current) {
+    this->view = std::move(current);
+    this->chosen.clear();
+  }
+  const auto [found, is_new] = this->chosen.try_emplace(pool.name, nullptr);
+  if (is_new)
+    found->second = FindDispatcher(*this->view, pool);
+  if (found->second == nullptr)
+    return std::nullopt;
+  return *found->second;
+}
+
 const membership::Member* FindDispatcher(const MemberView& view,
                                          const dispatch::Pool& pool) {
   std::vector<std::string> ids = UsableIds(view, pool.data_centre);
--- a/src/peer/member_view.h
+++ b/src/peer/member_view.h
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTVANE_PEER_MEMBER_VIEW_H_
 #define COLTSFOOTVANE_PEER_MEMBER_VIEW_H_
 
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -47,6 +48,22 @@
   std::shared_ptr<const dispatch::Routes> current;
 };
 
+/// Finds dispatchers once per view and pool. Thread safe.
+class DispatcherCache {
+ public:
+  explicit DispatcherCache(const MemberViewHolder* members)
+      : members(members) {}
+
+  /// Returns nothing if there is no usable member.
+  std::optional<membership::Member> Get(const dispatch::Pool& pool);
+
+ private:
+  const MemberViewHolder* members;
+  std::mutex mutex;
+  std::shared_ptr<const MemberView> view;
+  std::map<std::string, const membership::Member*> chosen;  ///< By pool.
+};
+
 /// Returns the member that should dispatch `pool`, or null: a usable member of
 /// the pool's data centre, of all members if there is none.
 const membership::Member* FindDispatcher(const MemberView& view,
--- a/src/peer/membership_thread.cc
+++ b/src/peer/membership_thread.cc
@@ -85,13 +85,17 @@
     std::vector<membership::Outgoing> out;
     if (change)
       out = (*change)(this->table, now);
-    if (now >= next_tick) {
+    const bool due = now >= next_tick;
+    if (due) {
       for (membership::Outgoing& one : membership::OnTick(this->table, now))
         out.push_back(std::move(one));
       next_tick = now + kTickPeriod;
     }
     for (const membership::Outgoing& one : out)
       this->hooks.send(one);
+    // Copying the table for every message would cost more than the messages.
+    if (!due)
+      continue;
     this->Publish();
     this->TellVersion(now);
   }
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -378,7 +378,8 @@
                                  {"planner", member.planner}});
   }
   status["pools"] = nlohmann::json::parse(this->parts->dispatcher.StatusJson());
-  return status.dump();
+  // Ids come from other daemons and may not be UTF-8.
+  return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace coltsfootvane::peer
--- a/src/peer/peer_node_unittest.cc
+++ b/src/peer/peer_node_unittest.cc
@@ -14,10 +14,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+namespace coltsfootvane::peer {
 namespace {
 
-using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-
 constexpr int kSlots = 2;
 
 TimePoint In(int milliseconds) {
@@ -253,3 +252,5 @@
   CHECK(same.value().parts.empty());
   STRCMP_EQUAL("[]", same.value().placement.c_str());
 }
+
+}  // namespace coltsfootvane::peer
--- a/src/peer/slot_caller.cc
+++ b/src/peer/slot_caller.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Milliseconds kRepeatPeriod{50};
-constexpr Milliseconds kQueuedRepeatPeriod{500};
+constexpr Milliseconds kQueuedRepeatPeriod{1000};
 constexpr Milliseconds kFallbackTime{300};
 /// A request that gets neither an answer nor a fallback share is refused then.
 constexpr Milliseconds kUnansweredTime{1000};
@@ -48,6 +48,7 @@
     : data_centre(std::move(data_centre)),
       routes(routes),
       members(members),
+      dispatchers(members),
       send(std::move(send)),
       random(Hash64(RandomId())) {}
 
@@ -155,9 +156,8 @@
 }
 
 void SlotCaller::SendAsk(PoolAsk& ask, TimePoint now) {
-  const auto view = this->members->Get();
-  const membership::Member* to = FindDispatcher(*view, *ask.holders.pool);
-  if (to == nullptr || (now < ask.next_send && to->id == ask.dispatcher))
+  const auto to = this->dispatchers.Get(*ask.holders.pool);
+  if (!to || (now < ask.next_send && to->id == ask.dispatcher))
     return;
   ask.dispatcher = to->id;
   ask.next_send = now + (ask.queued ? kQueuedRepeatPeriod : kRepeatPeriod);
@@ -234,9 +234,8 @@
 }
 
 void SlotCaller::SendToPool(const dispatch::Pool& pool, PeerMessage message) {
-  const auto view = this->members->Get();
-  const membership::Member* dispatcher = FindDispatcher(*view, pool);
-  if (dispatcher != nullptr)
+  const auto dispatcher = this->dispatchers.Get(pool);
+  if (dispatcher)
     this->send(*dispatcher, std::move(message));
 }
 
--- a/src/peer/slot_caller.h
+++ b/src/peer/slot_caller.h
@@ -117,6 +117,7 @@
   const std::string data_centre;
   RouteCache* routes;
   const MemberViewHolder* members;
+  DispatcherCache dispatchers;
   const Send send;
 
   mutable std::mutex mutex;
--- a/src/peer/slot_report.cc
+++ b/src/peer/slot_report.cc
@@ -84,16 +84,15 @@
     reporting = this->reporting;
   }
   const auto routes = this->routes->Get();
-  const auto view = this->members->Get();
   for (auto& [name, state] : reporting) {
     const auto pool = std::find_if(
         routes->pools.begin(), routes->pools.end(),
         [&name = name](const auto& one) { return one.name == name; });
     if (pool == routes->pools.end())
       continue;
-    const membership::Member* to = FindDispatcher(*view, *pool);
+    const auto to = this->dispatchers.Get(*pool);
     const std::vector<dispatch::HeldSlot>& slots = by_pool[name];
-    if (to != nullptr && this->IsReportDue(to->id, slots.empty(), state, now))
+    if (to && this->IsReportDue(to->id, slots.empty(), state, now))
       this->SendReport(*to, name, slots);
   }
   std::lock_guard<std::mutex> lock(this->mutex);
