Dispatch: Refuse waiting requests that have become late

Cause: the finish was estimated on arrival only, so a request behind a queue that stopped draining heard its refusal at its deadline. Change: RefuseLate() estimates again every 250 ms; the estimate is split into rate, wait and hold time. Conclusion: a test with a queue that stops covers it.

--- a/src/dispatch/differential_unittest.cc
+++ b/src/dispatch/differential_unittest.cc
@@ -28,7 +28,7 @@
 /// The rules written down directly, without any state that could be stale:
 /// turns are found by searching the history of grants.
 struct Reference {
-  std::map<std::string, std::vector<std::string>> holders;
+  std::map<std::string, std::vector<std::string>, std::less<>> holders;
   std::map<std::string, int> limits;
   std::array<double, kPriorityCount> shares{};
   std::array<double, kPriorityCount> owed{};
--- a/src/dispatch/drain.cc
+++ b/src/dispatch/drain.cc
@@ -23,10 +23,10 @@
 
 /// The rate at which the holders could serve this class, from the hold time.
 double CapacityRate(const PoolState& pool,
-                    const SlotRequest& request,
+                    std::string_view item,
                     double hold_s,
                     TimePoint now) {
-  const auto holders = pool.holders.find(request.item);
+  const auto holders = pool.holders.find(item);
   if (holders == pool.holders.end() || hold_s <= 0)
     return 0;
   int limits = 0;
@@ -38,10 +38,6 @@
   return limits / hold_s;
 }
 
-const ClassState& ClassFor(const PoolState& pool, const SlotRequest& request) {
-  return pool.classes[static_cast<std::size_t>(request.priority)];
-}
-
 }  // namespace
 
 void ObserveGrant(ClassState& state, const std::string& item, TimePoint now) {
@@ -67,32 +63,44 @@
       [item](const Waiting& one) { return one.request.item == item; }));
 }
 
-double ExpectedWaitSeconds(const PoolState& pool,
-                           const SlotRequest& request,
-                           std::size_t ahead,
-                           TimePoint now) {
-  const ClassState& state = ClassFor(pool, request);
-  const auto found = state.drain.find(request.item);
+double HoldSeconds(const ClassState& state, std::string_view item) {
+  const auto found = state.drain.find(item);
+  return found == state.drain.end() ? 0 : found->second.hold_s;
+}
+
+std::optional<double> ServiceRate(const PoolState& pool,
+                                  Priority priority,
+                                  std::string_view item,
+                                  TimePoint now) {
+  const ClassState& state = pool.classes[static_cast<std::size_t>(priority)];
+  const auto found = state.drain.find(item);
   if (found == state.drain.end() || found->second.hold_s <= 0)
-    return 0;
+    return std::nullopt;
   const DrainRate& drain = found->second;
-  const double capacity = CapacityRate(pool, request, drain.hold_s, now);
+  const double capacity = CapacityRate(pool, item, drain.hold_s, now);
   // A class that was idle has no recent grants. The most urgent class can then
   // expect the whole capacity, others their minimum share.
-  const double share = request.priority == Priority::kInteractive
-                           ? 1
-                           : state.settings.minimum_share;
-  const double rate = std::max(DecayedRate(drain, now), capacity * share);
-  if (rate <= 0)
-    return kMaxRetryAfterMs / 1000.0;
-  return static_cast<double>(ahead + 1) / rate;
+  const double share =
+      priority == Priority::kInteractive ? 1 : state.settings.minimum_share;
+  return std::max(DecayedRate(drain, now), capacity * share);
+}
+
+double ExpectedWaitSeconds(std::optional<double> rate, std::size_t ahead) {
+  constexpr double kLongestWait = kMaxRetryAfterMs / 1000.0;
+  if (!rate)
+    return 0;
+  const auto position = static_cast<double>(ahead + 1);
+  return *rate * kLongestWait <= position ? kLongestWait : position / *rate;
 }
 
 int RetryAfterMs(const PoolState& pool,
                  const SlotRequest& request,
                  TimePoint now) {
-  const std::size_t ahead = CountWaiting(ClassFor(pool, request), request.item);
-  const double wait_ms = 1000 * ExpectedWaitSeconds(pool, request, ahead, now);
+  const ClassState& state =
+      pool.classes[static_cast<std::size_t>(request.priority)];
+  const auto rate = ServiceRate(pool, request.priority, request.item, now);
+  const std::size_t ahead = CountWaiting(state, request.item);
+  const double wait_ms = 1000 * ExpectedWaitSeconds(rate, ahead);
   const double bounded =
       std::clamp<double>(wait_ms, kMinRetryAfterMs, kMaxRetryAfterMs);
   return static_cast<int>(bounded);
--- a/src/dispatch/drain.h
+++ b/src/dispatch/drain.h
@@ -2,6 +2,8 @@
 #define COLTSFOOTVANE_DISPATCH_DRAIN_H_
 
 #include <cstddef>
+#include <optional>
+#include <string>
 #include <string_view>
 
 #include "base/clock.h"
@@ -18,12 +20,18 @@
                  TimePoint start,
                  TimePoint now);
 
-/// Returns the expected wait behind `ahead` requests of the class for the
-/// item, in seconds. Returns 0 if nothing has been observed yet.
-double ExpectedWaitSeconds(const PoolState& pool,
-                           const SlotRequest& request,
-                           std::size_t ahead,
-                           TimePoint now);
+/// Returns how many requests of the class are served per second for the item,
+/// or nothing if nothing has been observed yet.
+std::optional<double> ServiceRate(const PoolState& pool,
+                                  Priority priority,
+                                  std::string_view item,
+                                  TimePoint now);
+
+/// Returns the expected wait behind `ahead` requests at `rate`, in seconds.
+double ExpectedWaitSeconds(std::optional<double> rate, std::size_t ahead);
+
+/// Returns the usual time that a slot is held, in seconds; 0 if unknown.
+double HoldSeconds(const ClassState& state, std::string_view item);
 
 /// Returns the number of waiting requests of the class for the item.
 std::size_t CountWaiting(const ClassState& state, std::string_view item);
--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <gsl/span>
 #include <map>
 #include <optional>
@@ -85,16 +86,17 @@
   PriorityClass settings;
   std::vector<Waiting> waiting;
   double deficit = 0;  ///< Grants owed by the minimum share.
-  std::map<std::string, std::uint64_t> item_served;    ///< Last turn.
-  std::map<std::string, std::uint64_t> caller_served;  ///< Last turn.
-  std::map<std::string, DrainRate> drain;              ///< By item.
+  std::map<std::string, std::uint64_t> item_served;     ///< Last turn.
+  std::map<std::string, std::uint64_t> caller_served;   ///< Last turn.
+  std::map<std::string, DrainRate, std::less<>> drain;  ///< By item.
 };
 
 /// Everything that the dispatcher of one pool knows.
 struct PoolState {
   std::string name;
   std::map<std::string, EndpointState> endpoints;
-  std::map<std::string, std::vector<std::string>> holders;  ///< By item.
+  std::map<std::string, std::vector<std::string>, std::less<>>
+      holders;  ///< By item.
   std::array<ClassState, kPriorityCount> classes;
   std::uint64_t next_grant_id = 1;
   std::uint64_t turn = 0;           ///< Counts arrivals and grants.
@@ -105,7 +107,7 @@
   TimePoint cautious_until;
 };
 
-/// A grant of a request that waited, to be sent to its entry.
+/// The answer to a request that waited, to be sent to its entry.
 struct Grant {
   std::string entry_id;
   std::string request_id;
@@ -161,6 +163,10 @@
 /// Grants free slots to waiting requests until none can be granted.
 std::vector<Grant> NextGrants(PoolState& pool, TimePoint now);
 
+/// Removes waiting requests that are now expected to finish after their
+/// deadline, and returns their refusals. Resumed streams keep waiting.
+std::vector<Grant> RefuseLate(PoolState& pool, TimePoint now);
+
 /// Takes in the complete list of slots of this pool that `entry_id` holds.
 /// Known slots are renewed, unknown ones adopted, and slots that are absent
 /// from two successive reports are freed.
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -161,6 +161,28 @@
   CHECK(full->retry_after_ms > 1000);
 }
 
+// Guards against a waiting request that is refused only near its deadline
+// although the queue has stopped draining.
+TEST(PoolState, RefusesWaitingRequestsThatHaveBecomeLate) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  const auto grant = MustGrant(pool, RequestOf("r1", Priority::kLookup));
+  TimePoint now = kStart + std::chrono::seconds{1};
+  ReturnSlot(pool, grant, SlotOutcome{}, now);
+  MustGrant(pool, RequestOf("r2", Priority::kLookup), now);
+  SlotRequest hurried = RequestOf("r3", Priority::kLookup);
+  hurried.deadline = now + std::chrono::seconds{30};
+  CHECK_FALSE(AskSlot(pool, "e", hurried, now));
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r4", Priority::kLookup), now));
+  CHECK(RefuseLate(pool, now).empty());
+  now += std::chrono::seconds{15};
+  const auto refusals = RefuseLate(pool, now);
+  CHECK_EQUAL(1U, refusals.size());
+  STRCMP_EQUAL("r3", refusals[0].request_id.c_str());
+  CHECK(refusals[0].answer.verdict == SlotVerdict::kDeadline);
+  CHECK(refusals[0].answer.retry_after_ms > 1000);
+  CHECK_EQUAL(1U, pool.classes[1].waiting.size());
+}
+
 // Guards against slots that a lost return, a dead entry or a new dispatcher
 // leaves blocked or uncounted.
 TEST(PoolState, RepairsByReportsAndDeadlines) {
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -174,17 +174,23 @@
   return false;
 }
 
-bool MissesDeadline(const PoolState& pool,
-                    const ClassState& state,
-                    const SlotRequest& request,
+bool MissesDeadline(const SlotRequest& request,
+                    double wait_s,
+                    double hold_s,
                     TimePoint now) {
-  const std::size_t ahead = CountWaiting(state, request.item);
-  const double wait = ExpectedWaitSeconds(pool, request, ahead, now);
-  const auto drain = state.drain.find(request.item);
-  const double hold = drain == state.drain.end() ? 0 : drain->second.hold_s;
-  const double left =
+  const double left_s =
       std::chrono::duration<double>(request.deadline - now).count();
-  return wait + hold > left;
+  return wait_s + hold_s > left_s;
+}
+
+bool IsTooLate(const PoolState& pool,
+               const ClassState& state,
+               const SlotRequest& request,
+               TimePoint now) {
+  const auto rate = ServiceRate(pool, request.priority, request.item, now);
+  const std::size_t ahead = CountWaiting(state, request.item);
+  return MissesDeadline(request, ExpectedWaitSeconds(rate, ahead),
+                        HoldSeconds(state, request.item), now);
 }
 
 }  // namespace
@@ -215,7 +221,7 @@
   if (!resumed && state.waiting.size() >= bound)
     return SlotAnswer{SlotVerdict::kQueueFull, "", 0,
                       RetryAfterMs(pool, request, now)};
-  if (!resumed && MissesDeadline(pool, state, request, now))
+  if (!resumed && IsTooLate(pool, state, request, now))
     return SlotAnswer{SlotVerdict::kDeadline, "", 0,
                       RetryAfterMs(pool, request, now)};
   state.waiting.push_back(
@@ -245,6 +251,35 @@
   return grants;
 }
 
+std::vector<Grant> RefuseLate(PoolState& pool, TimePoint now) {
+  std::vector<Grant> refusals;
+  for (ClassState& state : pool.classes) {
+    std::map<std::string, std::size_t> ahead;
+    std::map<std::string, std::optional<double>> rates;
+    std::vector<Waiting> kept;
+    for (Waiting& one : state.waiting) {
+      const SlotRequest& request = one.request;
+      const auto [rate, is_new] = rates.try_emplace(request.item);
+      if (is_new)
+        rate->second = ServiceRate(pool, request.priority, request.item, now);
+      const double wait =
+          ExpectedWaitSeconds(rate->second, ahead[request.item]);
+      const double hold = HoldSeconds(state, request.item);
+      if (one.resumed || !MissesDeadline(request, wait, hold, now)) {
+        ++ahead[request.item];
+        kept.push_back(std::move(one));
+        continue;
+      }
+      refusals.push_back(
+          {one.entry_id,
+           request.request_id,
+           {SlotVerdict::kDeadline, "", 0, RetryAfterMs(pool, request, now)}});
+    }
+    state.waiting = std::move(kept);
+  }
+  return refusals;
+}
+
 void WithdrawRequest(PoolState& pool,
                      std::string_view entry_id,
                      std::string_view request_id) {
--- a/src/peer/dispatcher.cc
+++ b/src/peer/dispatcher.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaxInputs = 8192;
 constexpr std::size_t kMaxEntries = 4096;
 constexpr Milliseconds kTickPeriod{50};
+/// A waiting request is refused at most this long after its estimate worsened.
+constexpr Milliseconds kRefusalPeriod{250};
 /// A pool that another member dispatches is kept until its grants have ended.
 constexpr Milliseconds kKeepTime{12000};
 
@@ -230,20 +232,30 @@
     dispatch::AdjustLimits(owned.state, now);
     this->SendGrants(owned, now);
     this->SendPreemptions(owned, now);
+    if (now < owned.next_refusals)
+      continue;
+    owned.next_refusals = now + kRefusalPeriod;
+    this->SendAnswers(owned, dispatch::RefuseLate(owned.state, now), now);
   }
 }
 
-void Dispatcher::SendGrants(OwnedPool& owned, TimePoint now) {
-  for (dispatch::Grant& grant : dispatch::NextGrants(owned.state, now)) {
+void Dispatcher::SendAnswers(const OwnedPool& owned,
+                             std::vector<dispatch::Grant> answers,
+                             TimePoint now) {
+  for (dispatch::Grant& one : answers) {
     dispatch::ReplyMessage reply;
     reply.pool = owned.state.name;
-    reply.request_id = std::move(grant.request_id);
-    reply.answer = std::move(grant.answer);
+    reply.request_id = std::move(one.request_id);
+    reply.answer = std::move(one.answer);
     reply.pool_load_percent = dispatch::LoadPercent(owned.state, now);
-    this->Reply(grant.entry_id, std::move(reply));
+    this->Reply(one.entry_id, std::move(reply));
   }
 }
 
+void Dispatcher::SendGrants(OwnedPool& owned, TimePoint now) {
+  this->SendAnswers(owned, dispatch::NextGrants(owned.state, now), now);
+}
+
 void Dispatcher::SendPreemptions(OwnedPool& owned, TimePoint now) {
   for (const dispatch::PreemptionNotice& notice :
        dispatch::ChoosePreemption(owned.state, now)) {
--- a/src/peer/dispatcher.h
+++ b/src/peer/dispatcher.h
@@ -71,6 +71,7 @@
     dispatch::PoolState state;
     std::shared_ptr<const dispatch::Routes> synced;  ///< Null: not yet.
     TimePoint last_used;
+    TimePoint next_refusals;
   };
   struct PartialReport {
     std::int64_t round = 0;
@@ -96,6 +97,9 @@
   void Sync(OwnedPool& owned,
             const std::shared_ptr<const dispatch::Routes>& routes,
             TimePoint now);
+  void SendAnswers(const OwnedPool& owned,
+                   std::vector<dispatch::Grant> answers,
+                   TimePoint now);
   void SendGrants(OwnedPool& owned, TimePoint now);
   void SendPreemptions(OwnedPool& owned, TimePoint now);
   void Reply(const std::string& entry_id, dispatch::ReplyMessage reply);
