--- /dev/null
+++ b/src/peer/slot_caller_unittest.cc
@@ -0,0 +1,178 @@
+#include "peer/slot_caller.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "peer/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace coltsfootvane::peer {
+namespace {
+
+/// A caller in data centre `a` with one pool there and one in `b`; what it
+/// sends is recorded and answered by `answer`.
+struct Fixture {
+  Fixture() {
+    auto view = std::make_shared<InForce>();
+    for (const char* data_centre : {"a", "b"}) {
+      Endpoint endpoint;
+      endpoint.id = std::string("e-") + data_centre;
+      endpoint.data_centre = data_centre;
+      view->configuration.endpoints.push_back(endpoint);
+      view->placement.endpoints.push_back({endpoint.id, false, {"m"}});
+    }
+    this->in_force.Set(view);
+    auto members = std::make_shared<MemberView>();
+    for (const char* data_centre : {"a", "b"}) {
+      membership::Member member;
+      member.id = std::string("d-") + data_centre;
+      member.data_centre = data_centre;
+      members->members.push_back(member);
+    }
+    this->members.Set(members);
+  }
+
+  void Answer(const PeerMessage& message) {
+    this->sent.push_back(message);
+    if (!message.ask)
+      return;
+    dispatch::ReplyMessage reply;
+    reply.pool = message.ask->pool;
+    reply.request_id = message.ask->request.request_id;
+    const bool refused = this->full.count(reply.pool) > 0;
+    reply.answer.verdict =
+        refused ? SlotVerdict::kQueueFull : SlotVerdict::kGranted;
+    reply.answer.retry_after_ms = reply.pool == "a/0" ? 700 : 300;
+    reply.answer.endpoint_id = "e-" + reply.pool.substr(0, 1);
+    reply.answer.grant_id = this->next_grant++;
+    this->caller.OnReply(reply);
+  }
+
+  SlotAnswer Ask(const std::string& id) {
+    SlotRequest request;
+    request.request_id = id;
+    request.item = "m";
+    request.deadline = Clock::now() + std::chrono::seconds{2};
+    return this->caller.Ask(request, nullptr);
+  }
+
+  InForceHolder in_force;
+  MemberViewHolder members;
+  RouteCache routes{&in_force, &members};
+  std::set<std::string> full;
+  std::uint64_t next_grant = 1;
+  std::vector<PeerMessage> sent;
+  SlotCaller caller{"a", &routes, &members,
+                    [this](const membership::Member&, PeerMessage message) {
+                      this->Answer(message);
+                    }};
+};
+
+}  // namespace
+
+TEST_GROUP(SlotCaller){};
+
+// Guards against a refusal although another pool could serve the request, and
+// against a time to retry that is not the shortest.
+TEST(SlotCaller, TriesTheOwnDataCentreThenTheOthers) {
+  struct Row {
+    std::set<std::string> full;
+    SlotVerdict verdict;
+    std::string endpoint;
+    int retry_after_ms;
+  };
+  const std::vector<Row> rows = {
+      {{}, SlotVerdict::kGranted, "e-a", 700},
+      {{"a/0"}, SlotVerdict::kGranted, "e-b", 300},
+      {{"a/0", "b/0"}, SlotVerdict::kQueueFull, "", 300}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.full = row.full;
+    const SlotAnswer answer = fixture.Ask("r1");
+    CHECK(answer.verdict == row.verdict);
+    if (answer.verdict == SlotVerdict::kGranted)
+      STRCMP_EQUAL(row.endpoint.c_str(), answer.endpoint_id.c_str());
+    CHECK_EQUAL(row.retry_after_ms, answer.retry_after_ms);
+  }
+}
+
+// Guards against slots that stay taken after their request has ended.
+TEST(SlotCaller, FreesGrantsOfRequestsThatHaveEnded) {
+  Fixture fixture;
+  const SlotAnswer held = fixture.Ask("r1");
+  dispatch::ReplyMessage reply;
+  reply.pool = "a/0";
+  reply.request_id = "r1";
+  reply.answer = held;
+  fixture.sent.clear();
+  fixture.caller.OnReply(reply);
+  CHECK(fixture.sent.empty());
+  reply.request_id = "ended";
+  reply.answer.grant_id = 99;
+  fixture.caller.OnReply(reply);
+  CHECK_EQUAL(1U, fixture.sent.size());
+  CHECK(fixture.sent[0].give_back->withdrawn);
+  CHECK_EQUAL(99U, fixture.sent[0].give_back->grant_id);
+  fixture.caller.GiveBack(held, SlotOutcome{});
+  CHECK_EQUAL(2U, fixture.sent.size());
+  CHECK_EQUAL(0U, fixture.caller.CountHeld());
+}
+
+// Guards against a notice for one grant that cancels another.
+TEST(SlotCaller, MarksOnlyThePreemptedGrant) {
+  Fixture fixture;
+  const SlotAnswer first = fixture.Ask("r1");
+  const SlotAnswer second = fixture.Ask("r2");
+  fixture.caller.OnPreemption({"r2", second.grant_id});
+  CHECK_FALSE(fixture.caller.IsPreempted(first));
+  CHECK(fixture.caller.IsPreempted(second));
+}
+
+// Guards against reports that do not fit a datagram or that miss slots, and
+// against a dispatcher that never hears that the last slot was returned.
+TEST(SlotCaller, ReportsAllSlotsInDatagrams) {
+  Fixture fixture;
+  std::vector<SlotAnswer> answers;
+  for (int i = 0; i < 60; ++i)
+    answers.push_back(
+        fixture.Ask("request-with-a-long-name-" + std::to_string(1000 + i)));
+  fixture.sent.clear();
+  TimePoint now = Clock::now();
+  fixture.caller.Report(now);
+  std::size_t reported = 0;
+  for (const PeerMessage& message : fixture.sent) {
+    CHECK(EncodeMessage(message, now).size() <= kMaxDatagramBytes);
+    CHECK_EQUAL(static_cast<int>(fixture.sent.size()), message.report->chunks);
+    reported += message.report->held.size();
+  }
+  CHECK_EQUAL(60U, reported);
+  CHECK(fixture.sent.size() > 1);
+  for (const SlotAnswer& answer : answers)
+    fixture.caller.GiveBack(answer, SlotOutcome{});
+  fixture.sent.clear();
+  for (int i = 0; i < 5; ++i) {
+    now += std::chrono::seconds{1};
+    fixture.caller.Report(now);
+  }
+  CHECK_EQUAL(2U, fixture.sent.size());
+  CHECK(fixture.sent[0].report->held.empty());
+}
+
+// Guards against demand for models without a copy that the planner never sees.
+TEST(SlotCaller, CountsRequestsWithoutACopy) {
+  Fixture fixture;
+  SlotRequest request;
+  request.request_id = "r1";
+  request.item = "absent";
+  request.priority = Priority::kLookup;
+  request.deadline = Clock::now() + std::chrono::seconds{2};
+  CHECK(fixture.caller.Ask(request, nullptr).verdict == SlotVerdict::kNoCopy);
+  const auto demand = fixture.caller.TakeUnready();
+  CHECK_EQUAL(1U, demand.size());
+  DOUBLES_EQUAL(1, demand[0].requests[1], 0);
+  CHECK(fixture.caller.TakeUnready().empty());
+}
+
+}  // namespace coltsfootvane::peer
