--- a/src/dispatch/differential_unittest.cc
+++ b/src/dispatch/differential_unittest.cc
@@ -11,12 +11,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+namespace coltsfootvane::dispatch {
 namespace {
 
-using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::
-    dispatch;  // NOLINT(google-build-using-namespace)
-
 const TimePoint kStart{std::chrono::hours{1}};
 constexpr int kItems = 4;
 constexpr int kCallers = 3;
@@ -31,7 +28,7 @@
 /// The rules written down directly, without any state that could be stale:
 /// turns are found by searching the history of grants.
 struct Reference {
-  std::map<std::string, std::vector<std::string>> holders;
+  std::map<std::string, std::vector<std::string>, std::less<>> holders;
   std::map<std::string, int> limits;
   std::array<double, kPriorityCount> shares{};
   std::array<double, kPriorityCount> owed{};
@@ -242,3 +239,5 @@
     }
   }
 }
+
+}  // namespace coltsfootvane::dispatch
--- a/src/dispatch/pools.cc
+++ b/src/dispatch/pools.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "base/digest.h"
 
@@ -80,8 +81,10 @@
     std::size_t index = 0;
     for (const std::string& id : ids) {
       if (index % kPoolSize == 0) {
-        const std::string number = std::to_string(index / kPoolSize);
-        pools.push_back({data_centre + "/" + number, data_centre, {}});
+        std::string name = data_centre;
+        name += '/';
+        name += std::to_string(index / kPoolSize);
+        pools.push_back({std::move(name), data_centre, {}});
       }
       pools.back().endpoint_ids.push_back(id);
       ++index;
@@ -107,6 +110,14 @@
   return routes;
 }
 
+const Pool* FindPool(const Routes& routes, std::string_view name) {
+  for (const Pool& pool : routes.pools) {
+    if (pool.name == name)
+      return &pool;
+  }
+  return nullptr;
+}
+
 const std::vector<PoolHolders>& FindHolders(const Routes& routes,
                                             EndpointKind kind,
                                             std::string_view item) {
--- a/src/membership/member_table_unittest.cc
+++ b/src/membership/member_table_unittest.cc
@@ -13,12 +13,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+namespace coltsfootvane::membership {
 namespace {
 
-using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::
-    membership;  // NOLINT(google-build-using-namespace)
-
 constexpr Milliseconds kStep{100};
 constexpr Milliseconds kDelay{1};
 
@@ -144,7 +141,8 @@
   CHECK_EQUAL(39U, network.CountSeen(MemberState::kDead));
   network.loss = 0;
   network.Run(10);
-  CHECK_EQUAL(39U * 38U, network.CountSeen(MemberState::kAlive));
+  // 39 members see 38 others each.
+  CHECK_EQUAL(1482U, network.CountSeen(MemberState::kAlive));
 }
 
 // Guards against a restarted daemon that stays dead for the others because its
@@ -233,3 +231,5 @@
   }
   CHECK_EQUAL(kMaxMembers, listed);
 }
+
+}  // namespace coltsfootvane::membership
--- a/src/peer/dispatcher.cc
+++ b/src/peer/dispatcher.cc
@@ -14,19 +14,12 @@
 constexpr std::size_t kMaxInputs = 8192;
 constexpr std::size_t kMaxEntries = 4096;
 constexpr Milliseconds kTickPeriod{50};
+/// A waiting request is refused at most this long after its estimate worsened.
+constexpr Milliseconds kRefusalPeriod{250};
 /// A pool that another member dispatches is kept until its grants have ended.
 constexpr Milliseconds kKeepTime{12000};
 
-const dispatch::Pool* FindPool(const dispatch::Routes& routes,
-                               const std::string& name) {
-  for (const dispatch::Pool& pool : routes.pools) {
-    if (pool.name == name)
-      return &pool;
-  }
-  return nullptr;
-}
-
-std::set<std::string> OtherUsable(const MemberView& view) {
+std::set<std::string> UsableIds(const MemberView& view) {
   std::set<std::string> ids;
   for (const membership::Member& member : view.members) {
     if (membership::IsUsable(member))
@@ -51,6 +44,7 @@
     : self_id(std::move(self_id)),
       routes(routes),
       members(members),
+      dispatchers(members),
       outputs(std::move(outputs)),
       inputs(kMaxInputs) {}
 
@@ -178,15 +172,14 @@
   }
   // An entry may see this daemon as dispatcher before it does itself.
   const auto routes = this->routes->Get();
-  const dispatch::Pool* pool = FindPool(*routes, name);
+  const dispatch::Pool* pool = dispatch::FindPool(*routes, name);
   if (pool == nullptr)
     return nullptr;
   OwnedPool& owned = this->pools[name];
   owned.last_used = now;
   owned.state.name = name;
   owned.state.next_grant_id = FirstGrantId();
-  dispatch::StartCautiously(owned.state, OtherUsable(*this->members->Get()),
-                            now);
+  dispatch::StartCautiously(owned.state, UsableIds(*this->members->Get()), now);
   this->Sync(owned, routes, now);
   LogEvent(dispatch::kPoolTaken, "pool=" + name);
   return &owned;
@@ -195,7 +188,7 @@
 void Dispatcher::Sync(OwnedPool& owned,
                       const std::shared_ptr<const dispatch::Routes>& routes,
                       TimePoint now) {
-  const dispatch::Pool* pool = FindPool(*routes, owned.state.name);
+  const dispatch::Pool* pool = dispatch::FindPool(*routes, owned.state.name);
   if (pool != nullptr)
     dispatch::SyncPool(owned.state, *pool, *routes->view,
                        this->members->Get()->leaving_endpoints, now);
@@ -203,10 +196,9 @@
 }
 
 void Dispatcher::TakeOwnPools(const dispatch::Routes& routes, TimePoint now) {
-  const auto view = this->members->Get();
   for (const dispatch::Pool& pool : routes.pools) {
-    const membership::Member* member = FindDispatcher(*view, pool);
-    if (member != nullptr && member->id == this->self_id)
+    const auto member = this->dispatchers.Get(pool);
+    if (member && member->id == this->self_id)
       this->UsePool(pool.name, now);
   }
 }
@@ -214,7 +206,7 @@
 void Dispatcher::DropUnusedPools(const dispatch::Routes& routes,
                                  TimePoint now) {
   for (auto it = this->pools.begin(); it != this->pools.end();) {
-    const bool exists = FindPool(routes, it->first) != nullptr;
+    const bool exists = dispatch::FindPool(routes, it->first) != nullptr;
     const bool used = it->second.last_used + kKeepTime > now;
     if (exists && used && !this->leaving) {
       ++it;
@@ -240,20 +232,30 @@
     dispatch::AdjustLimits(owned.state, now);
     this->SendGrants(owned, now);
     this->SendPreemptions(owned, now);
+    if (now < owned.next_refusals)
+      continue;
+    owned.next_refusals = now + kRefusalPeriod;
+    this->SendAnswers(owned, dispatch::RefuseLate(owned.state, now), now);
   }
 }
 
-void Dispatcher::SendGrants(OwnedPool& owned, TimePoint now) {
-  for (dispatch::Grant& grant : dispatch::NextGrants(owned.state, now)) {
+void Dispatcher::SendAnswers(const OwnedPool& owned,
+                             std::vector<dispatch::Grant> answers,
+                             TimePoint now) {
+  for (dispatch::Grant& one : answers) {
     dispatch::ReplyMessage reply;
     reply.pool = owned.state.name;
-    reply.request_id = std::move(grant.request_id);
-    reply.answer = std::move(grant.answer);
+    reply.request_id = std::move(one.request_id);
+    reply.answer = std::move(one.answer);
     reply.pool_load_percent = dispatch::LoadPercent(owned.state, now);
-    this->Reply(grant.entry_id, std::move(reply));
+    this->Reply(one.entry_id, std::move(reply));
   }
 }
 
+void Dispatcher::SendGrants(OwnedPool& owned, TimePoint now) {
+  this->SendAnswers(owned, dispatch::NextGrants(owned.state, now), now);
+}
+
 void Dispatcher::SendPreemptions(OwnedPool& owned, TimePoint now) {
   for (const dispatch::PreemptionNotice& notice :
        dispatch::ChoosePreemption(owned.state, now)) {
@@ -319,7 +321,8 @@
       pool["waiting"].push_back(owned.state.classes[i].waiting.size());
     status.push_back(std::move(pool));
   }
-  return status.dump();
+  // Ids come from other daemons and may not be UTF-8.
+  return status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace coltsfootvane::peer
--- a/src/peer/slot_caller.cc
+++ b/src/peer/slot_caller.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Milliseconds kRepeatPeriod{50};
-constexpr Milliseconds kQueuedRepeatPeriod{500};
+constexpr Milliseconds kQueuedRepeatPeriod{1000};
 constexpr Milliseconds kFallbackTime{300};
 /// A request that gets neither an answer nor a fallback share is refused then.
 constexpr Milliseconds kUnansweredTime{1000};
@@ -48,6 +48,7 @@
     : data_centre(std::move(data_centre)),
       routes(routes),
       members(members),
+      dispatchers(members),
       send(std::move(send)),
       random(Hash64(RandomId())) {}
 
@@ -155,9 +156,8 @@
 }
 
 void SlotCaller::SendAsk(PoolAsk& ask, TimePoint now) {
-  const auto view = this->members->Get();
-  const membership::Member* to = FindDispatcher(*view, *ask.holders.pool);
-  if (to == nullptr || (now < ask.next_send && to->id == ask.dispatcher))
+  const auto to = this->dispatchers.Get(*ask.holders.pool);
+  if (!to || (now < ask.next_send && to->id == ask.dispatcher))
     return;
   ask.dispatcher = to->id;
   ask.next_send = now + (ask.queued ? kQueuedRepeatPeriod : kRepeatPeriod);
@@ -233,10 +233,13 @@
   return SlotAnswer{SlotVerdict::kGranted, *best, grant_id, 0};
 }
 
-void SlotCaller::SendToPool(const dispatch::Pool& pool, PeerMessage message) {
-  const auto view = this->members->Get();
-  const membership::Member* dispatcher = FindDispatcher(*view, pool);
-  if (dispatcher != nullptr)
+void SlotCaller::SendToPool(std::string_view pool_name, PeerMessage message) {
+  const auto routes = this->routes->Get();
+  const dispatch::Pool* pool = dispatch::FindPool(*routes, pool_name);
+  if (pool == nullptr)
+    return;
+  const auto dispatcher = this->dispatchers.Get(*pool);
+  if (dispatcher)
     this->send(*dispatcher, std::move(message));
 }
 
@@ -245,7 +248,7 @@
   PeerMessage message;
   message.give_back = dispatch::ReturnMessage{pool.name, request.request_id, 0,
                                               true, SlotOutcome{}};
-  this->SendToPool(pool, std::move(message));
+  this->SendToPool(pool.name, std::move(message));
 }
 
 void SlotCaller::GiveBack(const SlotAnswer& answer,
@@ -263,11 +266,7 @@
                                 answer.grant_id, false, outcome};
     this->held.erase(found);
   }
-  const auto routes = this->routes->Get();
-  for (const dispatch::Pool& pool : routes->pools) {
-    if (pool.name == pool_name)
-      this->SendToPool(pool, std::move(message));
-  }
+  this->SendToPool(pool_name, std::move(message));
 }
 
 bool SlotCaller::IsPreempted(const SlotAnswer& answer) const {
@@ -299,11 +298,7 @@
   PeerMessage message;
   message.give_back = dispatch::ReturnMessage{
       reply.pool, reply.request_id, reply.answer.grant_id, true, SlotOutcome{}};
-  const auto routes = this->routes->Get();
-  for (const dispatch::Pool& pool : routes->pools) {
-    if (pool.name == reply.pool)
-      this->SendToPool(pool, message);
-  }
+  this->SendToPool(reply.pool, std::move(message));
 }
 
 void SlotCaller::OnPreemption(const dispatch::PreemptionMessage& preemption) {
