Log: Write to standard error

Ruled out: silencing events in commands; operators need them. Change: a dispatch callback that writes to standard error. Conclusion: output of commands is data only.

--- a/app/main.cc
+++ b/app/main.cc
@@ -9,6 +9,7 @@
 #include "command_serve.h"
 #include "command_status.h"
 #include "command_version.h"
+#include "log/event.h"
 #include "output.h"
 
 INITIALIZE_EASYLOGGINGPP
@@ -21,6 +22,7 @@
   app.footer(
       "Exit codes: 0 ok, 1 findings or failure, 2 usage, 3 conflict.\n"
       "Run 'coltsfootvane COMMAND --help' for the options and examples.");
+  ConfigureLog("coltsfootvane");
   int exit_code = kExitOk;
   AddServeCommand(&app, &exit_code);
   AddCheckCommand(&app, &exit_code);
