Placement: Match results to the job that is waited for

A result of the same epoch could reach an endpoint state that had been dropped and made anew, with an index older than its ledger.

Change: each job has an id; a result of another job is discarded.

Conclusion: an old index is not applied.

--- a/src/placement/plan_state.cc
+++ b/src/placement/plan_state.cc
@@ -68,9 +68,9 @@
 
 const std::vector<std::size_t>& PlanState::HoldersOf(
     std::string_view item) const {
-  static const std::vector<std::size_t> kNone;
+  static const std::vector<std::size_t> none;
   const auto found = this->holders.find(item);
-  return found == this->holders.end() ? kNone : found->second;
+  return found == this->holders.end() ? none : found->second;
 }
 
 /// An index does not name the model of an adapter.
--- a/src/placement/planner_jobs.cc
+++ b/src/placement/planner_jobs.cc
@@ -32,11 +32,11 @@
     if (!result)
       return;
     const auto found = this->endpoints.find(result->job.endpoint_id);
-    const bool current = result->job.epoch == this->epoch;
-    if (found == this->endpoints.end() || !current)
+    // The state may have been dropped and made anew since.
+    if (found == this->endpoints.end() || found->second.job != result->job.id)
       continue;
     EndpointState& state = found->second;
-    state.job = false;
+    state.job = 0;
     // A state that is being read anew gets its truth from the object.
     if (!state.read)
       continue;
@@ -125,27 +125,31 @@
 void PlannerLoop::StartIndexCalls(TimePoint now) {
   for (auto& [id, state] : this->endpoints) {
     const bool written = state.read && !state.dirty && !state.lost;
-    if (!written || state.job || now < state.next_index)
+    if (!written || state.job != 0 || now < state.next_index)
       continue;
     EndpointJob job;
-    job.endpoint_id = id;
-    job.address = state.endpoint.address;
-    job.epoch = this->epoch;
     job.index_number = TakeNumber(&state.ledger);
-    state.job = job.index_number > 0 && this->pool.Push(std::move(job));
+    if (job.index_number > 0)
+      this->StartJob(&state, std::move(job));
   }
 }
 
-void PlannerLoop::StartCommands(EndpointState* state) {
-  EndpointJob job;
+bool PlannerLoop::StartJob(EndpointState* state, EndpointJob job) {
+  job.id = ++this->last_job;
   job.endpoint_id = state->endpoint.id;
   job.address = state->endpoint.address;
   job.epoch = this->epoch;
+  const std::int64_t id = job.id;
+  state->job = this->pool.Push(std::move(job)) ? id : 0;
+  return state->job != 0;
+}
+
+void PlannerLoop::StartCommands(EndpointState* state) {
+  EndpointJob job;
   job.commands = std::move(state->recorded);
   state->recorded.clear();
   const std::vector<endpoint::Command> commands = job.commands;
-  state->job = this->pool.Push(std::move(job));
-  if (state->job)
+  if (this->StartJob(state, std::move(job)))
     return;
   for (const endpoint::Command& command : commands)
     ResolveByResponse(&state->ledger, command.fencing_number,
--- a/src/placement/planner_plan.cc
+++ b/src/placement/planner_plan.cc
@@ -66,12 +66,12 @@
     PlanEndpoint planned;
     planned.endpoint = &state.endpoint;
     planned.ledger = state.ledger;
-    planned.busy = state.job || state.dirty || state.lost || !state.synced;
+    planned.busy = state.job != 0 || state.dirty || state.lost || !state.synced;
     const bool down = !state.synced || state.failures >= kDownFailures;
     planned.leaving = down || state.leaving || current.leaving.count(id) != 0;
     for (const Intent& intent : state.ledger.intents) {
       const bool in_progress =
-          state.job &&
+          state.job != 0 &&
           intent.operation == endpoint::Command::Operation::kLoad &&
           !intent.fenced && intent.sender == this->options.incarnation;
       loading += in_progress && !intent.adapter ? 1 : 0;
