Peer: Report details of grants only while they may be unknown

Cause: each report repeated names that the dispatcher has, about 90 bytes a grant a second. Change: details go to a new dispatcher twice and then every fifth round. Conclusion: a test covers when details are sent.

--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -114,7 +114,8 @@
   SlotAnswer answer;
 };
 
-/// What an entry says that it holds.
+/// What an entry says that it holds. Without an endpoint it only renews a slot
+/// that is known.
 struct HeldSlot {
   std::uint64_t grant_id = 0;
   std::string request_id;
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -203,10 +203,12 @@
   for (const dispatch::HeldSlot& one : report.held) {
     gen::HeldGrant held;
     held.grant_id = static_cast<std::int64_t>(one.grant_id);
-    held.request_id = one.request_id;
-    held.endpoint_id = one.endpoint_id;
-    held.item = one.item;
-    held.caller = one.caller;
+    if (!one.endpoint_id.empty()) {
+      held.__set_request_id(one.request_id);
+      held.__set_endpoint_id(one.endpoint_id);
+      held.__set_item(one.item);
+      held.__set_caller(one.caller);
+    }
     held.priority = static_cast<std::int32_t>(one.priority);
     held.age_ms = static_cast<std::int32_t>(
         std::min<std::int64_t>(kMaxLeftMs, one.age.count()));
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -1416,18 +1416,22 @@
 
 void HeldGrant::__set_request_id(const std::string& val) {
   this->request_id = val;
+__isset.request_id = true;
 }
 
 void HeldGrant::__set_endpoint_id(const std::string& val) {
   this->endpoint_id = val;
+__isset.endpoint_id = true;
 }
 
 void HeldGrant::__set_item(const std::string& val) {
   this->item = val;
+__isset.item = true;
 }
 
 void HeldGrant::__set_caller(const std::string& val) {
   this->caller = val;
+__isset.caller = true;
 }
 
 void HeldGrant::__set_priority(const int32_t val) {
@@ -1542,22 +1546,26 @@
   xfer += oprot->writeI64(this->grant_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->request_id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("endpoint_id", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->endpoint_id);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("item", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->item);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("caller", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->caller);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.request_id) {
+    xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->request_id);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.endpoint_id) {
+    xfer += oprot->writeFieldBegin("endpoint_id", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->endpoint_id);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.item) {
+    xfer += oprot->writeFieldBegin("item", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->item);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.caller) {
+    xfer += oprot->writeFieldBegin("caller", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->caller);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 6);
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
@@ -1608,10 +1616,10 @@
   using ::apache::thrift::to_string;
   out << "HeldGrant(";
   out << "grant_id=" << to_string(grant_id);
-  out << ", " << "request_id=" << to_string(request_id);
-  out << ", " << "endpoint_id=" << to_string(endpoint_id);
-  out << ", " << "item=" << to_string(item);
-  out << ", " << "caller=" << to_string(caller);
+  out << ", " << "request_id="; (__isset.request_id ? (out << to_string(request_id)) : (out << "<null>"));
+  out << ", " << "endpoint_id="; (__isset.endpoint_id ? (out << to_string(endpoint_id)) : (out << "<null>"));
+  out << ", " << "item="; (__isset.item ? (out << to_string(item)) : (out << "<null>"));
+  out << ", " << "caller="; (__isset.caller ? (out << to_string(caller)) : (out << "<null>"));
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "age_ms=" << to_string(age_ms);
   out << ")";
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -629,13 +629,21 @@
   {
     if (!(grant_id == rhs.grant_id))
       return false;
-    if (!(request_id == rhs.request_id))
+    if (__isset.request_id != rhs.__isset.request_id)
       return false;
-    if (!(endpoint_id == rhs.endpoint_id))
+    else if (__isset.request_id && !(request_id == rhs.request_id))
       return false;
-    if (!(item == rhs.item))
+    if (__isset.endpoint_id != rhs.__isset.endpoint_id)
       return false;
-    if (!(caller == rhs.caller))
+    else if (__isset.endpoint_id && !(endpoint_id == rhs.endpoint_id))
+      return false;
+    if (__isset.item != rhs.__isset.item)
+      return false;
+    else if (__isset.item && !(item == rhs.item))
+      return false;
+    if (__isset.caller != rhs.__isset.caller)
+      return false;
+    else if (__isset.caller && !(caller == rhs.caller))
       return false;
     if (!(priority == rhs.priority))
       return false;
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -66,12 +66,13 @@
   9: i64 per_token_us
 }
 
+// The strings are sent only while the dispatcher may not know the grant.
 struct HeldGrant {
   1: i64 grant_id
-  2: string request_id
-  3: string endpoint_id
-  4: string item
-  5: string caller
+  2: optional string request_id
+  3: optional string endpoint_id
+  4: optional string item
+  5: optional string caller
   6: i32 priority
   7: i32 age_ms
 }
--- a/src/peer/slot_caller.cc
+++ b/src/peer/slot_caller.cc
@@ -183,9 +183,16 @@
   const auto found = this->pending.find(ask.request.request_id);
   if (found != this->pending.end() && found->second == ask.pending)
     this->pending.erase(found);
+  // A fallback share is recorded already, and unknown to any dispatcher.
+  const bool shared = this->held.count(answer.grant_id) > 0;
   if (answer.verdict == SlotVerdict::kGranted)
-    this->held[answer.grant_id] = {ask.holders.pool->name, answer.endpoint_id,
-                                   ask.request, Clock::now(), false};
+    this->held[answer.grant_id] = {ask.holders.pool->name,
+                                   answer.endpoint_id,
+                                   ask.request,
+                                   Clock::now(),
+                                   false,
+                                   shared ? std::string() : ask.dispatcher,
+                                   0};
   return answer;
 }
 
@@ -228,8 +235,8 @@
   const std::uint64_t grant_id =
       this->random() & std::numeric_limits<std::int64_t>::max();
   // Other threads must not take the same share before it is recorded.
-  this->held[grant_id] = {holders.pool->name, *best, request, Clock::now(),
-                          false};
+  this->held[grant_id] = {
+      holders.pool->name, *best, request, Clock::now(), false, {}, 0};
   return SlotAnswer{SlotVerdict::kGranted, *best, grant_id, 0};
 }
 
--- a/src/peer/slot_caller.h
+++ b/src/peer/slot_caller.h
@@ -74,6 +74,8 @@
     SlotRequest request;
     TimePoint start;
     bool preempted = false;
+    std::string known_to;  ///< Dispatcher that has its details; empty for none.
+    int detailed_reports = 0;  ///< To the next dispatcher.
   };
   struct LoadHint {
     int percent = 0;
@@ -107,6 +109,9 @@
   void Withdraw(const dispatch::Pool& pool, const SlotRequest& request);
   void SendToPool(std::string_view pool_name, PeerMessage message);
   void NoteUnready(const SlotRequest& request);
+  std::vector<dispatch::HeldSlot> ListHeld(const std::string& pool,
+                                           const std::string& dispatcher,
+                                           TimePoint now);
   bool IsReportDue(const std::string& dispatcher,
                    bool is_empty,
                    Reporting& reporting,
--- a/src/peer/slot_caller_unittest.cc
+++ b/src/peer/slot_caller_unittest.cc
@@ -160,6 +160,31 @@
   CHECK(fixture.sent[0].report->held.empty());
 }
 
+// Guards against details that a new dispatcher never gets, and against details
+// that are sent each second to one that has them.
+TEST(SlotCaller, SendsDetailsToANewDispatcher) {
+  Fixture fixture;
+  fixture.Ask("r1");
+  TimePoint now = Clock::now();
+  const auto is_detailed = [&] {
+    now += std::chrono::seconds{1};
+    fixture.sent.clear();
+    fixture.caller.Report(now);
+    CHECK_EQUAL(1U, fixture.sent.size());
+    return !fixture.sent[0].report->held.at(0).endpoint_id.empty();
+  };
+  CHECK(is_detailed());
+  for (int i = 0; i < 4; ++i)
+    CHECK_FALSE(is_detailed());
+  CHECK(is_detailed());
+  auto members = std::make_shared<MemberView>(*fixture.members.Get());
+  members->members[0].id = "next";
+  fixture.members.Set(members);
+  CHECK(is_detailed());
+  CHECK(is_detailed());
+  CHECK_FALSE(is_detailed());
+}
+
 // Guards against demand for models without a copy that the planner never sees.
 TEST(SlotCaller, CountsRequestsWithoutACopy) {
   Fixture fixture;
--- a/src/peer/slot_report.cc
+++ b/src/peer/slot_report.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "peer/slot_caller.h"
 
@@ -8,6 +10,11 @@
 constexpr Milliseconds kReportPeriod{1000};
 /// Absence from two reports frees a slot, so two empty ones end the reporting.
 constexpr int kEmptyReports = 2;
+/// A lost report must not leave a new dispatcher without the details.
+constexpr int kDetailedReports = 2;
+/// Details are repeated rarely, for slots that the dispatcher has freed
+/// wrongly.
+constexpr std::int64_t kDetailedRound = 5;
 /// Keeps one chunk below the size of a datagram.
 constexpr std::size_t kChunkBytes = 1000;
 constexpr std::size_t kFixedHeldBytes = 32;
@@ -58,6 +65,7 @@
 void SlotCaller::SendReport(const membership::Member& to,
                             const std::string& pool,
                             const std::vector<dispatch::HeldSlot>& held) {
+  // Only the report thread counts rounds.
   ++this->round;
   for (dispatch::ReportMessage& chunk : SplitReport(pool, held)) {
     chunk.round = this->round;
@@ -67,19 +75,44 @@
   }
 }
 
+std::vector<dispatch::HeldSlot> SlotCaller::ListHeld(
+    const std::string& pool,
+    const std::string& dispatcher,
+    TimePoint now) {
+  std::vector<dispatch::HeldSlot> slots;
+  std::lock_guard<std::mutex> lock(this->mutex);
+  const bool detailed_round = this->round % kDetailedRound == 0;
+  for (auto& [grant_id, one] : this->held) {
+    if (one.pool != pool)
+      continue;
+    dispatch::HeldSlot slot;
+    slot.grant_id = grant_id;
+    slot.priority = one.request.priority;
+    slot.age = std::chrono::duration_cast<Milliseconds>(now - one.start);
+    const bool known = one.known_to == dispatcher;
+    if (!known || detailed_round) {
+      slot.request_id = one.request.request_id;
+      slot.endpoint_id = one.endpoint_id;
+      slot.item = one.request.item;
+      slot.caller = one.request.caller;
+    }
+    if (!known && ++one.detailed_reports >= kDetailedReports) {
+      one.known_to = dispatcher;
+      one.detailed_reports = 0;
+    }
+    slots.push_back(std::move(slot));
+  }
+  return slots;
+}
+
 void SlotCaller::Report(TimePoint now) {
-  std::map<std::string, std::vector<dispatch::HeldSlot>> by_pool;
   std::map<std::string, Reporting> reporting;
+  std::set<std::string> used;
   {
     std::lock_guard<std::mutex> lock(this->mutex);
-    for (const auto& [grant_id, one] : this->held) {
-      const SlotRequest& request = one.request;
-      by_pool[one.pool].push_back(
-          {grant_id, request.request_id, one.endpoint_id, request.item,
-           request.caller, request.priority,
-           std::chrono::duration_cast<Milliseconds>(now - one.start)});
-    }
-    for (const auto& [pool, slots] : by_pool)
+    for (const auto& [grant_id, one] : this->held)
+      used.insert(one.pool);
+    for (const std::string& pool : used)
       this->reporting.try_emplace(pool);
     reporting = this->reporting;
   }
@@ -89,13 +122,13 @@
     if (pool == nullptr)
       continue;
     const auto to = this->dispatchers.Get(*pool);
-    const std::vector<dispatch::HeldSlot>& slots = by_pool[name];
-    if (to && this->IsReportDue(to->id, slots.empty(), state, now))
-      this->SendReport(*to, name, slots);
+    const bool is_empty = used.count(name) == 0;
+    if (to && this->IsReportDue(to->id, is_empty, state, now))
+      this->SendReport(*to, name, this->ListHeld(name, to->id, now));
   }
   std::lock_guard<std::mutex> lock(this->mutex);
   for (const auto& [name, state] : reporting) {
-    if (state.empty_rounds >= kEmptyReports && by_pool[name].empty())
+    if (state.empty_rounds >= kEmptyReports)
       this->reporting.erase(name);
     else
       this->reporting[name] = state;
