--- a/src/dispatch/pools_unittest.cc
+++ b/src/dispatch/pools_unittest.cc
@@ -104,6 +104,7 @@
 // move although their dispatcher stays.
 TEST(Pools, SpreadsDispatchersAndMovesFew) {
   std::vector<std::string> ids;
+  ids.reserve(20);
   for (int i = 0; i < 20; ++i)
     ids.push_back("d" + std::to_string(i));
   std::vector<std::string> fewer(ids.begin(), ids.end() - 1);
--- a/src/peer/slot_caller_unittest.cc
+++ b/src/peer/slot_caller_unittest.cc
@@ -64,10 +64,11 @@
   std::set<std::string> full;
   std::uint64_t next_grant = 1;
   std::vector<PeerMessage> sent;
-  SlotCaller caller{"a", &routes, &members,
-                    [this](const membership::Member&, PeerMessage message) {
-                      this->Answer(message);
-                    }};
+  SlotCaller caller{
+      "a", &routes, &members,
+      [this](const membership::Member&, const PeerMessage& message) {
+        this->Answer(message);
+      }};
 };
 
 }  // namespace
@@ -135,6 +136,7 @@
 TEST(SlotCaller, ReportsAllSlotsInDatagrams) {
   Fixture fixture;
   std::vector<SlotAnswer> answers;
+  answers.reserve(60);
   for (int i = 0; i < 60; ++i)
     answers.push_back(
         fixture.Ask("request-with-a-long-name-" + std::to_string(1000 + i)));
