--- a/src/peer/slot_caller_unittest.cc
+++ b/src/peer/slot_caller_unittest.cc
@@ -64,10 +64,11 @@
   std::set<std::string> full;
   std::uint64_t next_grant = 1;
   std::vector<PeerMessage> sent;
-  SlotCaller caller{"a", &routes, &members,
-                    [this](const membership::Member&, PeerMessage message) {
-                      this->Answer(message);
-                    }};
+  SlotCaller caller{
+      "a", &routes, &members,
+      [this](const membership::Member&, const PeerMessage& message) {
+        this->Answer(message);
+      }};
 };
 
 }  // namespace
@@ -135,6 +136,7 @@
 TEST(SlotCaller, ReportsAllSlotsInDatagrams) {
   Fixture fixture;
   std::vector<SlotAnswer> answers;
+  answers.reserve(60);
   for (int i = 0; i < 60; ++i)
     answers.push_back(
         fixture.Ask("request-with-a-long-name-" + std::to_string(1000 + i)));
@@ -160,6 +162,31 @@
   CHECK(fixture.sent[0].report->held.empty());
 }
 
+// Guards against details that a new dispatcher never gets, and against details
+// that are sent each second to one that has them.
+TEST(SlotCaller, SendsDetailsToANewDispatcher) {
+  Fixture fixture;
+  fixture.Ask("r1");
+  TimePoint now = Clock::now();
+  const auto is_detailed = [&] {
+    now += std::chrono::seconds{1};
+    fixture.sent.clear();
+    fixture.caller.Report(now);
+    CHECK_EQUAL(1U, fixture.sent.size());
+    return !fixture.sent[0].report->held.at(0).endpoint_id.empty();
+  };
+  CHECK(is_detailed());
+  for (int i = 0; i < 4; ++i)
+    CHECK_FALSE(is_detailed());
+  CHECK(is_detailed());
+  auto members = std::make_shared<MemberView>(*fixture.members.Get());
+  members->members[0].id = "next";
+  fixture.members.Set(members);
+  CHECK(is_detailed());
+  CHECK(is_detailed());
+  CHECK_FALSE(is_detailed());
+}
+
 // Guards against demand for models without a copy that the planner never sees.
 TEST(SlotCaller, CountsRequestsWithoutACopy) {
   Fixture fixture;
