Tests: Give out each port of a Site once

Cause: a daemon of a Site with 20 addresses could not bind its entry port ("address in use", 1 of 9 Sites). FreePort() releases a port before its process binds it, so the kernel may give the same port to two processes. Ruled out: outgoing connections, whose source is 127.0.0.1; ports of other test processes, whose loopback address differs. The second holder was not seen itself, because control addresses of proxies are not logged.

Change: NewAddress() remembers what it gave out.

Conclusion: the known way to a collision is closed.

--- a/tests/integration/site.cc
+++ b/tests/integration/site.cc
@@ -95,8 +95,12 @@
     std::filesystem::remove_all(this->folder);
 }
 
-http::Address Site::NewAddress() const {
-  return {this->host, FreePort(this->host)};
+http::Address Site::NewAddress() {
+  int port = FreePort(this->host);
+  // The kernel may give out a port again that nothing listens on yet.
+  while (!this->ports.insert(port).second)
+    port = FreePort(this->host);
+  return {this->host, port};
 }
 
 void Site::ChooseAddresses() {
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -126,7 +127,7 @@
 
  private:
   void ChooseAddresses();
-  http::Address NewAddress() const;
+  http::Address NewAddress();
   std::string LogPath(const std::string& name);
   void StartEngine(std::size_t index);
   void StartService(std::size_t index);
@@ -136,6 +137,7 @@
   void WriteSettings(const DaemonProcess& daemon, std::size_t index);
 
   int log_count = 0;
+  std::set<int> ports;  ///< Given out by NewAddress().
 };
 
 /// Authorization headers of the callers in the configuration of a Site.
