Config: Confirm that a head is the newest before reporting from it

Cause: apply compared its bundle with the head that one read returned. A conflict was reported from a second read, which may be old as well. Ruled out: more reads or lists, as all of them may be old; the audit entry of the next version, which is written after the head.

Change: where nothing would be written that fails on an old head, apply writes the head back unchanged by conditional update. A conflict means that the read was old or that the head has changed, and the head is read again. Such a write changes only the resource version; WriteHead() therefore takes over a higher resource version of the version that it is based on. A conflict is reported from a head of at least the version that won. The head keeps members unknown to this binary. The fake platform of the tests now counts writes that change the head, since an unchanged write back creates no version.

Cost: one write per apply without a change.

Conclusion: apply reports nothing from a head that a write has not confirmed.

--- a/src/config/apply.cc
+++ b/src/config/apply.cc
@@ -1,5 +1,6 @@
 #include "config/apply.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -112,6 +113,46 @@
          entry.value().detail == AuditDetail(next);
 }
 
+/// Returns the newest head. Any read may return an older head, which only a
+/// conditional write can tell, so this writes back what it read.
+Result<StoredHead> ReadNewestHead(const platform::Connection& connection,
+                                  TimePoint deadline) {
+  for (int attempt = 1;; ++attempt) {
+    Result<StoredHead> stored = ReadStoredHead(connection, deadline);
+    if (!stored || stored.value().head.version == 0)
+      return stored;
+    const platform::Object same{
+        platform::kConfigKind, platform::kConfigHeadName,
+        stored.value().resource_version, stored.value().spec};
+    const Result<platform::Object> written =
+        platform::UpdateObject(connection, same, AttemptDeadline(deadline));
+    if (written) {
+      stored.value().resource_version = written.value().resource_version;
+      return stored;
+    }
+    const ErrorCode code = written.error().code;
+    const bool repeat = code == ErrorCode::kConflict || IsTransient(code);
+    if (!repeat || !WaitForRetry(attempt, written.error(), deadline))
+      return Error{code, "cannot confirm that version " +
+                             std::to_string(stored.value().head.version) +
+                             " is the newest: " + written.error().message};
+  }
+}
+
+/// Reads until the head has at least `version`, which is known to exist.
+Result<StoredHead> ReadHeadFrom(const platform::Connection& connection,
+                                std::int64_t version,
+                                TimePoint deadline) {
+  for (int attempt = 1;; ++attempt) {
+    Result<StoredHead> stored = ReadStoredHead(connection, deadline);
+    if (!stored || stored.value().head.version >= version)
+      return stored;
+    const Error stale{ErrorCode::kConflict, "the platform returns an old head"};
+    if (!WaitForRetry(attempt, stale, deadline))
+      return stale;
+  }
+}
+
 /// Writes `next` over the head with `resource_version`. Returns whether it took
 /// effect. The write is conditional, so repeating it after a lost response is
 /// safe: only one of the attempts can succeed.
@@ -119,14 +160,13 @@
                        const ConfigurationHead& next,
                        std::int64_t resource_version,
                        TimePoint deadline) {
-  const platform::Object object{platform::kConfigKind,
-                                platform::kConfigHeadName, resource_version,
-                                FormatHead(next)};
+  platform::Object object{platform::kConfigKind, platform::kConfigHeadName,
+                          resource_version, FormatHead(next)};
   bool may_be_written = false;
   for (int attempt = 1;; ++attempt) {
     const TimePoint attempt_deadline = AttemptDeadline(deadline);
     const Result<platform::Object> written =
-        resource_version == 0
+        object.resource_version == 0
             ? platform::CreateObject(connection, object, attempt_deadline)
             : platform::UpdateObject(connection, object, attempt_deadline);
     if (written)
@@ -138,6 +178,10 @@
       // A reader may see a head that is older than the one just written over.
       if (newest && newest.value().head.version >= next.version)
         return TookEffect(connection, next, newest.value().head, deadline);
+      // ReadNewestHead() of another apply changes only the resource version.
+      if (newest && newest.value().head.version == next.based_on)
+        object.resource_version =
+            std::max(object.resource_version, newest.value().resource_version);
     }
     const bool repeat =
         error.code == ErrorCode::kConflict || IsTransient(error.code);
@@ -183,13 +227,18 @@
   return report;
 }
 
-/// Decides what to report after another change came first.
+/// Decides what to report after another change became version `version`.
 Result<ApplyReport> ReportOvertaken(const platform::Connection& connection,
                                     const Bundle& bundle,
+                                    std::int64_t version,
                                     TimePoint deadline) {
-  const Result<StoredHead> newest = ReadStoredHead(connection, deadline);
+  Result<StoredHead> newest = ReadHeadFrom(connection, version, deadline);
+  if (newest && newest.value().head.digest == bundle.digest)
+    newest = ReadNewestHead(connection, deadline);
   if (!newest)
-    return newest.error();
+    return Error{ErrorCode::kConflict,
+                 "another change came first and cannot be read: " +
+                     newest.error().message};
   const ConfigurationHead& head = newest.value().head;
   if (head.digest == bundle.digest)
     return ReportWithAudit(connection, ApplyOutcome::kUnchanged, head,
@@ -197,6 +246,22 @@
   return ReportConflict(connection, head, bundle, deadline);
 }
 
+/// Reads the head that a change of `bundle` is based on.
+Result<StoredHead> ReadBase(const platform::Connection& connection,
+                            const Bundle& bundle,
+                            const ApplyOptions& options) {
+  Result<StoredHead> stored = ReadStoredHead(connection, options.deadline);
+  if (!stored)
+    return stored;
+  const ConfigurationHead& head = stored.value().head;
+  // In these cases nothing is written that would fail on an old head.
+  const bool confirm = head.digest == bundle.digest ||
+                       (options.based_on && *options.based_on > head.version);
+  return confirm && head.version > 0
+             ? ReadNewestHead(connection, options.deadline)
+             : stored;
+}
+
 }  // namespace
 
 Result<std::vector<std::string>> DiffWithStored(
@@ -215,7 +280,7 @@
 Result<ApplyReport> ApplyBundle(const platform::Connection& connection,
                                 const Bundle& bundle,
                                 const ApplyOptions& options) {
-  const Result<StoredHead> read = ReadStoredHead(connection, options.deadline);
+  const Result<StoredHead> read = ReadBase(connection, bundle, options);
   if (!read)
     return read.error();
   const StoredHead& stored = read.value();
@@ -241,7 +306,7 @@
   if (!applied)
     return applied.error();
   if (!applied.value())
-    return ReportOvertaken(connection, bundle, options.deadline);
+    return ReportOvertaken(connection, bundle, next.version, options.deadline);
   return ReportWithAudit(connection, ApplyOutcome::kApplied, next,
                          options.deadline);
 }
--- a/src/config/apply_unittest.cc
+++ b/src/config/apply_unittest.cc
@@ -51,7 +51,9 @@
   std::deque<Fault> faults;            ///< One per write of `faulty_kind`.
   std::function<void()> before_fault;  ///< Called before the next fault.
   std::function<void()> after_effect;  ///< Called before a lost response.
-  int head_writes = 0;
+  int head_changes = 0;   ///< Writes of a head that differs from the stored.
+  int stale_reads = 0;    ///< Head reads left that return the first head.
+  int failing_reads = 0;  ///< Reads left that are answered 503.
 
   bool Has(const std::string& path) {
     std::lock_guard<std::mutex> lock(this->mutex);
@@ -106,13 +108,21 @@
         (!create && std::to_string(found->second.version) !=
                         metadata.at("resourceVersion").get<std::string>()))
       return {409, {}, ""};
-    this->head_writes += kind == platform::kConfigKind ? 1 : 0;
+    const bool changed = create || found->second.spec != object.at("spec");
+    this->head_changes += changed && kind == platform::kConfigKind ? 1 : 0;
     this->specs[path] = {object.at("spec"), ++this->version};
+    if (kind == platform::kConfigKind && create)
+      this->first_head = this->Describe(path).dump();
     return {200, {}, this->Describe(path).dump()};
   }
 
   http::Response Read(const std::string& path) {
     std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->failing_reads > 0 && --this->failing_reads >= 0)
+      return {503, {}, ""};
+    if (path == "config/head" && this->stale_reads > 0 &&
+        --this->stale_reads >= 0)
+      return {200, {}, this->first_head};
     if (path.find('/') != std::string::npos) {
       if (this->specs.count(path) == 0)
         return {404, {}, ""};
@@ -138,6 +148,7 @@
 
   std::mutex mutex;
   std::map<std::string, Stored> specs;
+  std::string first_head;
   std::int64_t version = 0;
   std::unique_ptr<http::Server> server;
 };
@@ -203,7 +214,7 @@
   CHECK(fake.Has("audit/apply-1"));
   CheckApplied(Apply(fake, "r1", "bob", 0), ApplyOutcome::kUnchanged, 1);
   CheckApplied(Apply(fake, "r2", "bob", 1), ApplyOutcome::kApplied, 2);
-  LONGS_EQUAL(2, fake.head_writes);
+  LONGS_EQUAL(2, fake.head_changes);
   const auto trail = ReadAudit(fake.connection, Clock::now() + kTestTime);
   LONGS_EQUAL(2, trail.value().size());
   STRCMP_EQUAL("bob", trail.value().at(1).actor.c_str());
@@ -219,7 +230,7 @@
     fake.faults = row.faults;
     CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 1);
     CHECK(fake.faults.empty());
-    LONGS_EQUAL(1, fake.head_writes);
+    LONGS_EQUAL(1, fake.head_changes);
     CHECK(fake.Has("audit/apply-1"));
   }
 }
@@ -238,6 +249,36 @@
   CHECK(StoredDigest(fake) == MakeDirectory("r3").digest);
 }
 
+// Guards against a report made from an old head: "unchanged" though a newer
+// version exists, a conflict with a version that is not the newest, and a
+// conflict although the change is based on the newest.
+TEST(Apply, IsNotMisledByOldHeads) {
+  for (const int stale_reads : {1, 2, 3}) {
+    FakePlatform fake;
+    CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 1);
+    CheckApplied(Apply(fake, "r2", "bob"), ApplyOutcome::kApplied, 2);
+    fake.stale_reads = stale_reads;
+    CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 3);
+    fake.stale_reads = stale_reads;
+    CheckApplied(Apply(fake, "r3", "ann"), ApplyOutcome::kConflict, 3);
+    fake.stale_reads = stale_reads;
+    CheckApplied(Apply(fake, "r3", "ann", 3), ApplyOutcome::kApplied, 4);
+    fake.stale_reads = stale_reads;
+    CheckApplied(Apply(fake, "r3", "bob"), ApplyOutcome::kUnchanged, 4);
+    LONGS_EQUAL(4, fake.head_changes);
+  }
+}
+
+// Guards against an apply that fails because another one, which changed
+// nothing, has written the head back meanwhile.
+TEST(Apply, IsNotHinderedByAConfirmedHead) {
+  FakePlatform fake;
+  CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 1);
+  fake.faults = {Fault::kFailWithoutEffect};
+  fake.before_fault = [&fake] { Apply(fake, "r1", "bob").value(); };
+  CheckApplied(Apply(fake, "r2", "ann"), ApplyOutcome::kApplied, 2);
+}
+
 // Guards against a lost response after which another operator's change of the
 // same version number is taken for one's own.
 TEST(Apply, ReportsConflictAfterLostAttempt) {
@@ -256,7 +297,7 @@
   fake.after_effect = [&fake] { Apply(fake, "r3", "bob").value(); };
   CheckApplied(Apply(fake, "r2", "ann"), ApplyOutcome::kApplied, 1);
   CHECK(StoredDigest(fake) == MakeDirectory("r3").digest);
-  LONGS_EQUAL(2, fake.head_writes);
+  LONGS_EQUAL(2, fake.head_changes);
 }
 
 // Guards against a gap in the trail after an operator's process died between
--- a/src/config/stored_configuration.cc
+++ b/src/config/stored_configuration.cc
@@ -46,7 +46,8 @@
   Result<ConfigurationHead> head = ParseHead(object.value().spec);
   if (!head)
     return head.error();
-  return StoredHead{std::move(head).value(), object.value().resource_version};
+  return StoredHead{std::move(head).value(), object.value().resource_version,
+                    object.value().spec};
 }
 
 Result<Bundle> ReadStoredBundle(const platform::Connection& connection,
--- a/src/config/stored_configuration.h
+++ b/src/config/stored_configuration.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <string>
 #include <thread>
 
 #include "base/clock.h"
@@ -18,6 +19,7 @@
 struct StoredHead {
   ConfigurationHead head;
   std::int64_t resource_version = 0;
+  std::string spec;  ///< The head as stored, members unknown here included.
 };
 
 /// Repeats until `deadline`. Errors as platform::ReadObject() but kNotFound;
