Config: Say that nothing was sent when apply fails before its change

Cause: the platform client maps every 5xx to kUnknown, since a write may have taken effect. ApplyBundle() passed that on from its first read, so apply said that the change may have taken effect. Ruled out: another mapping in the client; records and audit depend on kUnknown for their writes.

Change: an error before the head is written becomes kNotSent and says that the change was not sent.

Unit test KnowsThatNothingWasSent.

Conclusion: kUnknown from ApplyBundle() now always means a sent change.

--- a/src/config/apply.cc
+++ b/src/config/apply.cc
@@ -113,6 +113,15 @@
          entry.value().detail == AuditDetail(next);
 }
 
+/// Returns `error` of a step before the change itself. The change was not sent,
+/// whatever became of the step.
+Error BeforeChange(Error error) {
+  if (error.code == ErrorCode::kUnknown)
+    error.code = ErrorCode::kNotSent;
+  error.message += "; the change was not sent";
+  return error;
+}
+
 /// Returns the newest head. Any read may return an older head, which only a
 /// conditional write can tell, so this writes back what it read.
 Result<StoredHead> ReadNewestHead(const platform::Connection& connection,
@@ -282,7 +291,7 @@
                                 const ApplyOptions& options) {
   const Result<StoredHead> read = ReadBase(connection, bundle, options);
   if (!read)
-    return read.error();
+    return BeforeChange(read.error());
   const StoredHead& stored = read.value();
   const ConfigurationHead& head = stored.head;
   if (head.version > 0 && head.digest == bundle.digest)
@@ -294,12 +303,12 @@
     const Result<bool> repaired =
         WriteAudit(connection, head, options.deadline);
     if (!repaired)
-      return repaired.error();
+      return BeforeChange(repaired.error());
   }
   const Result<bool> parts =
       WriteParts(connection, head, bundle, options.deadline);
   if (!parts)
-    return parts.error();
+    return BeforeChange(parts.error());
   const ConfigurationHead next = MakeNextHead(head, bundle, options.changed_by);
   const Result<bool> applied =
       WriteHead(connection, next, stored.resource_version, options.deadline);
--- a/src/config/apply.h
+++ b/src/config/apply.h
@@ -40,9 +40,9 @@
 
 /// Makes `bundle`, which must have passed ParseConfiguration(), the newest
 /// configuration. Errors as platform::CreateObject() and ReadStoredHead();
-/// after kUnknown the change may have taken effect or may still do so, and the
-/// call may be repeated. kConflict if another change came first that could not
-/// be read until the deadline.
+/// only after kUnknown the change may have taken effect or may still do so; the
+/// call may be repeated. kConflict if another change came first, or may have,
+/// that could not be read until the deadline.
 Result<ApplyReport> ApplyBundle(const platform::Connection& connection,
                                 const Bundle& bundle,
                                 const ApplyOptions& options);
--- a/src/config/apply_unittest.cc
+++ b/src/config/apply_unittest.cc
@@ -269,6 +269,20 @@
   }
 }
 
+// Guards against a failed read that is reported as a change which may have
+// taken effect.
+TEST(Apply, KnowsThatNothingWasSent) {
+  FakePlatform fake;
+  CheckApplied(Apply(fake, "r1", "ann"), ApplyOutcome::kApplied, 1);
+  fake.failing_reads = 1000;
+  ApplyOptions options;
+  options.deadline = Clock::now() + Milliseconds{300};
+  const auto report =
+      ApplyBundle(fake.connection, MakeDirectory("r2"), options);
+  CHECK(report.has_error());
+  CHECK(report.error().code == ErrorCode::kNotSent);
+}
+
 // Guards against an apply that fails because another one, which changed
 // nothing, has written the head back meanwhile.
 TEST(Apply, IsNotHinderedByAConfirmedHead) {
