Distribution: Ask peers before an old version becomes the first

Cause: a daemon that restarted while the platform returned old reads took version 1 and reported ready, although version 4 had been in force on that VM and was in force on its peers, for 0.69 s until a peer's version was fetched. Ruled out: a running daemon, whose VersionKeeper refuses lower versions.

Change: while no version is in force, a head from the platform waits until a peer has told a version that is not newer. Without any word from a peer the wait ends after 1 s, with a newer version that cannot be fetched after 5 s; a daemon without other first peers does not wait.

A cold start of a whole fleet takes up to 1 s more; a restart among live peers 0.1 s to 0.2 s (by design of the membership tick, not measured).

Conclusion: what remains is a daemon that meets old reads and hears no peer.

--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -19,6 +19,7 @@
 constexpr Milliseconds kSlowListInterval{300000};
 constexpr std::size_t kNotedVersionCapacity = 256;
 constexpr Milliseconds kPeerThreadInterval{100};
+constexpr Milliseconds kFirstVersionInterval{20};
 constexpr platform::Backoff kPartBackoff{Milliseconds{50}, Milliseconds{2000}};
 /// With the backoff above this takes about as long as the next poll.
 constexpr int kPartAttempts = 6;
@@ -61,6 +62,7 @@
 }
 
 void Distribution::Start() {
+  this->started = Clock::now();
   this->threads.emplace_back([this] { this->WatchConfig(); });
   this->threads.emplace_back([this] { this->WatchPlacements(); });
   this->threads.emplace_back([this] { this->WatchVms(); });
@@ -123,6 +125,7 @@
              "message=" + Quote(head.error().message));
     return;
   }
+  this->WaitForPeers(head.value().version);
   const HeadVerdict verdict =
       this->Judge(head.value().version, head.value().digest);
   if (verdict == HeadVerdict::kNewer)
@@ -131,6 +134,20 @@
     this->LogVerdict(verdict, head.value());
 }
 
+void Distribution::WaitForPeers(std::int64_t version) {
+  if (!HasOtherPeers(this->settings))
+    return;
+  const auto may_take = [this, version] {
+    const auto waited =
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - this->started);
+    std::lock_guard<std::mutex> lock(this->mutex);
+    return this->keeper.version > 0 ||
+           MayTakeFirst(version, this->told_version, waited);
+  };
+  while (!this->stop.IsStopped() && !may_take())
+    this->stop.Wait(kFirstVersionInterval);
+}
+
 HeadVerdict Distribution::Judge(std::int64_t version, std::string_view digest) {
   std::lock_guard<std::mutex> lock(this->mutex);
   return JudgeHead(this->keeper, version, digest);
@@ -240,6 +257,7 @@
 
 bool Distribution::NeedsPeer(const PeerVersion& noted) {
   std::lock_guard<std::mutex> lock(this->mutex);
+  this->told_version = std::max(this->told_version, noted.version);
   const HeadVerdict verdict =
       JudgeHead(this->keeper, noted.version, noted.digest);
   const bool lacks_placement =
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -82,6 +82,8 @@
   /// Returns whether a peer with this version has what this daemon lacks.
   bool NeedsPeer(const PeerVersion& noted);
 
+  /// Waits, while no version is in force, until `version` may be the first.
+  void WaitForPeers(std::int64_t version);
   HeadVerdict Judge(std::int64_t version, std::string_view digest);
   /// Takes a bundle with matching digests into force, or refuses it.
   void TakeBundle(const ConfigurationHead& head,
@@ -104,11 +106,13 @@
   InForceHolder* holder;
   DistributionHooks hooks;
   StopSignal stop;
+  TimePoint started;
   Ring<PeerVersion> noted_versions;
   std::vector<std::thread> threads;
 
   std::mutex mutex;  ///< Guards the following and the order of publishing.
   VersionKeeper keeper;
+  std::int64_t told_version = 0;  ///< The newest that a peer has told.
   ConfigurationHead last_logged;  ///< Head of the last verdict in the log.
   RegionPlacements placements;
   bool has_platform_placements = false;
--- a/src/distribution/peer_fetch_plan.cc
+++ b/src/distribution/peer_fetch_plan.cc
@@ -13,6 +13,11 @@
 constexpr std::size_t kMaxPeers = 8;
 constexpr platform::Backoff kPeerBackoff{Milliseconds{200}, Milliseconds{5000}};
 
+/// Members answer a joining daemon within one or two ticks of 100 ms.
+constexpr Milliseconds kFirstVersionWait{1000};
+/// Time for a few fetches from peers that have a newer version.
+constexpr Milliseconds kNewerVersionWait{5000};
+
 }  // namespace
 
 void NotePeerVersion(PeerFetchPlan* plan,
@@ -45,4 +50,20 @@
                 plan->peers.end());
 }
 
+bool HasOtherPeers(const Settings& settings) {
+  return std::any_of(settings.first_peers.begin(), settings.first_peers.end(),
+                     [&settings](const http::Address& peer) {
+                       return peer.host != settings.peer_listen.host ||
+                              peer.port != settings.peer_listen.port;
+                     });
+}
+
+bool MayTakeFirst(std::int64_t version,
+                  std::int64_t told,
+                  Milliseconds waited) {
+  if (told == 0)
+    return waited >= kFirstVersionWait;
+  return version >= told || waited >= kNewerVersionWait;
+}
+
 }  // namespace coltsfootvane
--- a/src/distribution/peer_fetch_plan.h
+++ b/src/distribution/peer_fetch_plan.h
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "http/message.h"
+#include "settings/settings.h"
 
 namespace coltsfootvane {
 
@@ -34,6 +35,14 @@
 /// Moves on to the next peer after a delay. `random` is from 0 to 1.
 void NoteFetchFailure(PeerFetchPlan* plan, TimePoint now, double random);
 
+/// Returns whether the settings name a peer other than this daemon.
+bool HasOtherPeers(const Settings& settings);
+
+/// Returns whether a daemon without a configuration may take `version` from the
+/// platform, which may show an old one. `told` is the newest version of a peer,
+/// 0 if none has told any. Waits a bounded time for peers.
+bool MayTakeFirst(std::int64_t version, std::int64_t told, Milliseconds waited);
+
 }  // namespace coltsfootvane
 
 #endif  // COLTSFOOTVANE_DISTRIBUTION_PEER_FETCH_PLAN_H_
--- a/src/distribution/peer_fetch_plan_unittest.cc
+++ b/src/distribution/peer_fetch_plan_unittest.cc
@@ -58,4 +58,25 @@
   CHECK(start + Milliseconds{400} == plan.due);
 }
 
+struct FirstRow {
+  std::int64_t version;
+  std::int64_t told;
+  int waited_ms;
+  bool may_take;
+};
+
+const FirstRow kFirstRows[] = {
+    {1, 0, 0, false},    {1, 0, 999, false}, {1, 0, 1000, true},
+    {4, 4, 0, true},     {5, 4, 0, true},    {1, 4, 1000, false},
+    {1, 4, 4999, false}, {1, 4, 5000, true},
+};
+
+// Guards against a restarted daemon that takes an old version from the
+// platform, and against one that waits for its peers for ever.
+TEST(PeerFetchPlan, FirstVersionWaitsForPeers) {
+  for (const FirstRow& row : kFirstRows)
+    CHECK_EQUAL(row.may_take, MayTakeFirst(row.version, row.told,
+                                           Milliseconds{row.waited_ms}));
+}
+
 }  // namespace coltsfootvane
