Entry: Try another copy when an engine does not hold the item

Cause: an engine that has restarted answers 404 until its items are loaded again, and the placement lags behind. CompletionCall took every 4xx for a fault of the request: it passed the engine's 404 on as the answer, and ended a stream that had begun. Ruled out: a caller's fault (the entry has checked path and item) and a wrong placement (the planner reported the restart about 1 s later).

Change: a 404 excludes the endpoint and the request goes on at another copy, as with a leaving engine. It takes nothing from the retry budget: the engine has refused before it ran anything.

--- a/src/entry/completion_call.cc
+++ b/src/entry/completion_call.cc
@@ -11,6 +11,10 @@
 /// When to come back after a failure of the endpoints.
 constexpr int kFailedRetryAfterMs = 1000;
 
+/// The entry has checked path and item, so that this status means that the
+/// engine does not hold the item: the placement lags behind a restart.
+constexpr int kNotReadyStatus = 404;
+
 /// Formats one server-sent event; a line break in the data needs a new line.
 std::string FormatEvent(const endpoint::StreamEvent& event) {
   std::string text;
@@ -147,6 +151,8 @@
   }
   if (error.endpoint_leaving)
     return End::kLeaving;
+  if (error.code == ErrorCode::kRefused && error.http_status == kNotReadyStatus)
+    return End::kNotReady;
   const bool rejected = error.code == ErrorCode::kRefused &&
                         error.http_status >= 400 && error.http_status < 500;
   return rejected ? End::kRejected : End::kFailed;
@@ -197,6 +203,7 @@
       metrics->CountPreemption(priority);
       break;
     case End::kLeaving:
+    case End::kNotReady:
       this->context->excluded.push_back(slot.answer.endpoint_id);
       break;
     case End::kFailed:
--- a/src/entry/completion_call.h
+++ b/src/entry/completion_call.h
@@ -27,6 +27,7 @@
     kStopping,  ///< The daemon stops now.
     kRejected,  ///< The engine says that the request is wrong.
     kLeaving,   ///< The engine took no work because it is leaving.
+    kNotReady,  ///< The engine does not have the item, as after a restart.
     kFailed,
   };
 
