Peer: Let requests wait for a share when every daemon is leaving

Cause: a leaving dispatcher drops its queue. The entries ask the next daemon, but when no daemon is left to dispatch, a request that got no share of an endpoint within 1.3 s was refused as queue_full. Ruled out: a full queue (26 requests, 256 places) and a lost datagram (the daemon asks itself).

Change: SlotCaller::Ask() goes through the pools again, until the request's deadline, while no member is usable as dispatcher.

--- a/src/peer/slot_caller.cc
+++ b/src/peer/slot_caller.cc
@@ -7,6 +7,7 @@
 
 #include "base/digest.h"
 #include "dispatch/events.h"
+#include "membership/member_table.h"
 
 namespace coltsfootvane::peer {
 namespace {
@@ -80,6 +81,24 @@
 
 SlotAnswer SlotCaller::Ask(const SlotRequest& request,
                            const std::function<bool()>& caller_gone) {
+  SlotAnswer answer = this->AskPools(request, caller_gone);
+  // When every daemon is leaving, nobody dispatches and requests wait for a
+  // share of an endpoint: a planned stop refuses nothing that was accepted.
+  while (answer.verdict == SlotVerdict::kQueueFull &&
+         Clock::now() < request.deadline && this->NobodyDispatches())
+    answer = this->AskPools(request, caller_gone);
+  return answer;
+}
+
+bool SlotCaller::NobodyDispatches() const {
+  const auto view = this->members->Get();
+  return std::none_of(
+      view->members.begin(), view->members.end(),
+      [](const auto& member) { return membership::IsUsable(member); });
+}
+
+SlotAnswer SlotCaller::AskPools(const SlotRequest& request,
+                                const std::function<bool()>& caller_gone) {
   const auto routes = this->routes->Get();
   SlotAnswer refusal{SlotVerdict::kNoCopy, "", 0, kUnreadyRetryMs};
   bool asked = false;
--- a/src/peer/slot_caller.h
+++ b/src/peer/slot_caller.h
@@ -85,6 +85,9 @@
     int empty_rounds = 0;
   };
 
+  bool NobodyDispatches() const;
+  SlotAnswer AskPools(const SlotRequest& request,
+                      const std::function<bool()>& caller_gone);
   std::vector<const dispatch::PoolHolders*> OrderPools(
       const dispatch::Routes& routes,
       const SlotRequest& request,
--- a/src/peer/slot_caller_unittest.cc
+++ b/src/peer/slot_caller_unittest.cc
@@ -2,6 +2,7 @@
 
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "peer/codec.h"
@@ -20,6 +21,7 @@
       Endpoint endpoint;
       endpoint.id = std::string("e-") + data_centre;
       endpoint.data_centre = data_centre;
+      endpoint.slots = 1;
       view->configuration.endpoints.push_back(endpoint);
       view->placement.endpoints.push_back({endpoint.id, false, {"m"}});
     }
@@ -50,11 +52,11 @@
     this->caller.OnReply(reply);
   }
 
-  SlotAnswer Ask(const std::string& id) {
+  SlotAnswer Ask(const std::string& id, int seconds = 2) {
     SlotRequest request;
     request.request_id = id;
     request.item = "m";
-    request.deadline = Clock::now() + std::chrono::seconds{2};
+    request.deadline = Clock::now() + std::chrono::seconds{seconds};
     return this->caller.Ask(request, nullptr);
   }
 
@@ -98,6 +100,28 @@
   }
 }
 
+// Guards against a refusal by a daemon that stops when no other daemon is left
+// to dispatch: the request waits for a share of the endpoint instead.
+TEST(SlotCaller, WaitsForAShareWhenEveryDaemonIsLeaving) {
+  Fixture fixture;
+  auto nobody = std::make_shared<MemberView>(*fixture.members.Get());
+  for (membership::Member& member : nobody->members)
+    member.state = membership::MemberState::kLeaving;
+  fixture.members.Set(nobody);
+  std::vector<SlotAnswer> held;
+  for (int i = 0; i < 2; ++i)
+    held.push_back(fixture.Ask("r" + std::to_string(i), 5));
+  std::thread returning([&] {
+    std::this_thread::sleep_for(Milliseconds{3500});
+    fixture.caller.GiveBack(held[0], {});
+  });
+  const SlotAnswer waited = fixture.Ask("waiting", 10);
+  returning.join();
+  CHECK(held[0].verdict == SlotVerdict::kGranted);
+  CHECK(held[1].verdict == SlotVerdict::kGranted);
+  CHECK(waited.verdict == SlotVerdict::kGranted);
+}
+
 // Guards against slots that stay taken after their request has ended.
 TEST(SlotCaller, FreesGrantsOfRequestsThatHaveEnded) {
   Fixture fixture;
