Placement: Keep adapters whose model has an open unload of an absent version

Cause: an open unload of any version of a model hid its adapters on that engine. On an engine that ignores numbers a lost unload stays open as long as its sender lives, so the adapter was not published again after a version change. Ruled out: the engine (its index showed model and adapter ready) and the publishing (the model on the same engine was in the placement). Change: only an unload of a version that is loaded hides the adapters. Conclusion: the unload of an absent version can take no adapter away.

--- a/src/placement/ledger.cc
+++ b/src/placement/ledger.cc
@@ -293,9 +293,12 @@
     return false;
   return std::none_of(
       ledger.intents.begin(), ledger.intents.end(),
-      [loaded](const Intent& intent) {
+      [&ledger, loaded](const Intent& intent) {
         const bool own = IsSame(intent, loaded->item, loaded->version);
-        const bool of_model = loaded->adapter && intent.item == loaded->model;
+        // An unload of a version that is absent takes no adapter away.
+        const bool of_model =
+            loaded->adapter && intent.item == loaded->model &&
+            FindLoaded(ledger, intent.item, intent.version) != nullptr;
         return intent.operation == Operation::kUnload && !intent.fenced &&
                !intent.seen_done && (own || of_model);
       });
--- a/src/placement/ledger_unittest.cc
+++ b/src/placement/ledger_unittest.cc
@@ -177,6 +177,20 @@
   CHECK(!CountsAsCopy(ledger, "a", "1"));
 }
 
+// Guards against an adapter that is never published again because a lost unload
+// of an earlier version of its model stays open.
+TEST(Ledger, OpenUnloadOfAnAbsentVersionLeavesAdapters) {
+  EndpointLedger ledger = MakeLedger();
+  ledger.loaded.push_back({"m", "2", "", 10, false, true});
+  ledger.loaded.push_back({"a", "1", "m", 1, true, true});
+  endpoint::Command command = MakeCommand(Operation::kUnload, "m", 10);
+  RecordIntent(&ledger, &command, "s");
+  CHECK(CountsAsCopy(ledger, "m", "2"));
+  CHECK(CountsAsCopy(ledger, "a", "1"));
+  ledger.loaded.push_back({"m", "1", "", 10, false, true});
+  CHECK(!CountsAsCopy(ledger, "a", "1"));
+}
+
 // Guards against a successor that misreads what its predecessor recorded, and
 // against a fencing number that is used twice.
 TEST(Ledger, FormatsAndParses) {
