Placement: Repeat lost unloads

Cause: an unload without a response blocked every further unload of that copy. On an engine that ignores numbers it stays open while its sender lives, so the memory of an unneeded copy was never freed. Ruled out: the charge of open loads, which must stay, and the weight store's budget. Change: the plan repeats an open unload when no command is in progress there, at most 16 times, since each attempt stays in the endpoint's object. Conclusion: the success of a repeat frees the memory; the first attempt stays open, so the copy still does not count as the last one.

--- a/src/placement/plan_state.cc
+++ b/src/placement/plan_state.cc
@@ -12,6 +12,9 @@
 constexpr std::int64_t kPlannedNumber =
     std::numeric_limits<std::int64_t>::max();
 
+/// Each open intent makes the endpoint's object longer.
+constexpr int kUnloadAttempts = 16;
+
 bool HasOpenUnload(const EndpointLedger& ledger,
                    std::string_view item,
                    std::string_view version) {
@@ -23,6 +26,21 @@
                      });
 }
 
+/// An unload whose response was lost may never arrive. Its repeats stay open as
+/// well, so that their number is bounded.
+bool CanRepeatUnload(const PlanEndpoint& endpoint, const LoadedItem& loaded) {
+  int open = 0;
+  for (const Intent& intent : endpoint.ledger.intents) {
+    if (intent.operation != Operation::kUnload || intent.fenced ||
+        intent.item != loaded.item || intent.version != loaded.version)
+      continue;
+    if (endpoint.busy || intent.number == kPlannedNumber)
+      return false;
+    ++open;
+  }
+  return open < kUnloadAttempts;
+}
+
 bool LargerFirst(const DeclaredItem* a, const DeclaredItem* b) {
   if (a->memory_mb != b->memory_mb)
     return a->memory_mb > b->memory_mb;
@@ -290,7 +308,7 @@
 
 void PlanState::Unload(std::size_t i, const LoadedItem& loaded) {
   EndpointLedger& ledger = this->endpoints[i].ledger;
-  if (HasOpenUnload(ledger, loaded.item, loaded.version))
+  if (!CanRepeatUnload(this->endpoints[i], loaded))
     return;
   const auto same_model = [&loaded](const LoadedItem& other) {
     return other.item == loaded.item && other.version != loaded.version;
--- a/src/placement/plan_unittest.cc
+++ b/src/placement/plan_unittest.cc
@@ -272,6 +272,26 @@
   CHECK(fleet.IsAnywhere("m1"));
 }
 
+// Guards against memory that stays occupied because an unload was lost, and
+// against a repeat while the first one is in progress.
+TEST(Plan, LostUnloadIsRepeated) {
+  Fleet fleet(MakeConfiguration());
+  fleet.Settle();
+  EndpointLedger& ledger = fleet.ledgers["e1"];
+  ledger.loaded.push_back({"old", "1", "", 10, false, true});
+  fleet.unload_freely = true;
+  const std::vector<Order> first = PlanOrders(fleet.Input());
+  LONGS_EQUAL(1, first.size());
+  endpoint::Command lost = first[0].command;
+  RecordIntent(&ledger, &lost, "s");
+  PlanInput input = fleet.Input();
+  input.endpoints[0].busy = true;
+  LONGS_EQUAL(0, PlanOrders(input).size());
+  fleet.Settle();
+  LONGS_EQUAL(1, fleet.unloads);
+  CHECK(!fleet.IsAnywhere("old"));
+}
+
 // Guards against a burst that is followed late, and a pause that drops copies.
 TEST(Plan, DemandRisesFastAndFallsSlowly) {
   struct Row {
