Placement: Let adapters stay on another version of their model

Cause: with both versions of a model on one engine, the old version counted as needed because of an adapter that runs on either. It was never unloaded (20 s and more), and while it was unloaded for other reasons the adapter was left out of the placement. Ruled out: the drain and the budget (no order was given at all). Change: an unload takes an adapter away only with the last version of its model, in the ledger and in the plan, as the order of unloads already did. Conclusion: unit tests OpenUnloadOfAnotherVersionLeavesAdapters and OldVersionGoesFromUnderItsAdapter hold it.

--- a/src/placement/ledger.cc
+++ b/src/placement/ledger.cc
@@ -285,23 +285,38 @@
                      });
 }
 
+bool HasOpenUnload(const EndpointLedger& ledger,
+                   std::string_view item,
+                   std::string_view version) {
+  return std::any_of(ledger.intents.begin(), ledger.intents.end(),
+                     [item, version](const Intent& intent) {
+                       return intent.operation == Operation::kUnload &&
+                              !intent.fenced && !intent.seen_done &&
+                              IsSame(intent, item, version);
+                     });
+}
+
 bool CountsAsCopy(const EndpointLedger& ledger,
                   std::string_view item,
                   std::string_view version) {
   const LoadedItem* const loaded = FindLoaded(ledger, item, version);
-  if (loaded == nullptr || !loaded->ready)
+  if (loaded == nullptr || !loaded->ready ||
+      HasOpenUnload(ledger, item, version))
     return false;
-  return std::none_of(
-      ledger.intents.begin(), ledger.intents.end(),
-      [&ledger, loaded](const Intent& intent) {
-        const bool own = IsSame(intent, loaded->item, loaded->version);
-        // An unload of a version that is absent takes no adapter away.
-        const bool of_model =
-            loaded->adapter && intent.item == loaded->model &&
-            FindLoaded(ledger, intent.item, intent.version) != nullptr;
-        return intent.operation == Operation::kUnload && !intent.fenced &&
-               !intent.seen_done && (own || of_model);
-      });
+  if (!loaded->adapter)
+    return true;
+  // An adapter runs on any version of its model, so only an unload of the last
+  // one takes it away.
+  const auto is_of_model = [loaded](const LoadedItem& other) {
+    return !other.adapter && other.item == loaded->model;
+  };
+  const auto stays = [&ledger, &is_of_model](const LoadedItem& other) {
+    return is_of_model(other) && other.ready &&
+           !HasOpenUnload(ledger, other.item, other.version);
+  };
+  const auto& items = ledger.loaded;
+  return std::none_of(items.begin(), items.end(), is_of_model) ||
+         std::any_of(items.begin(), items.end(), stays);
 }
 
 }  // namespace coltsfootvane
--- a/src/placement/ledger.h
+++ b/src/placement/ledger.h
@@ -111,8 +111,13 @@
                  std::string_view item,
                  std::string_view version);
 
+/// Returns whether an unload of the item and version may still take effect.
+bool HasOpenUnload(const EndpointLedger& ledger,
+                   std::string_view item,
+                   std::string_view version);
+
 /// Returns whether the endpoint's copy is ready and no open unload of it, or of
-/// the model of an adapter, may still take effect.
+/// all versions there of the model of an adapter, may still take effect.
 bool CountsAsCopy(const EndpointLedger& ledger,
                   std::string_view item,
                   std::string_view version);
--- a/src/placement/ledger_unittest.cc
+++ b/src/placement/ledger_unittest.cc
@@ -177,9 +177,9 @@
   CHECK(!CountsAsCopy(ledger, "a", "1"));
 }
 
-// Guards against an adapter that is never published again because a lost unload
-// of an earlier version of its model stays open.
-TEST(Ledger, OpenUnloadOfAnAbsentVersionLeavesAdapters) {
+// Guards against an adapter that is not published during the unload of an
+// earlier version of its model, or never again if that unload is lost.
+TEST(Ledger, OpenUnloadOfAnotherVersionLeavesAdapters) {
   EndpointLedger ledger = MakeLedger();
   ledger.loaded.push_back({"m", "2", "", 10, false, true});
   ledger.loaded.push_back({"a", "1", "m", 1, true, true});
@@ -188,6 +188,9 @@
   CHECK(CountsAsCopy(ledger, "m", "2"));
   CHECK(CountsAsCopy(ledger, "a", "1"));
   ledger.loaded.push_back({"m", "1", "", 10, false, true});
+  CHECK(!CountsAsCopy(ledger, "m", "1"));
+  CHECK(CountsAsCopy(ledger, "a", "1"));
+  ledger.loaded[0].ready = false;
   CHECK(!CountsAsCopy(ledger, "a", "1"));
 }
 
--- a/src/placement/plan_state.cc
+++ b/src/placement/plan_state.cc
@@ -15,17 +15,6 @@
 /// Each open intent makes the endpoint's object longer.
 constexpr int kUnloadAttempts = 16;
 
-bool HasOpenUnload(const EndpointLedger& ledger,
-                   std::string_view item,
-                   std::string_view version) {
-  return std::any_of(ledger.intents.begin(), ledger.intents.end(),
-                     [item, version](const Intent& intent) {
-                       return intent.operation == Operation::kUnload &&
-                              !intent.fenced && !intent.seen_done &&
-                              intent.item == item && intent.version == version;
-                     });
-}
-
 /// An unload whose response was lost may never arrive. Its repeats stay open as
 /// well, so that their number is bounded.
 bool CanRepeatUnload(const PlanEndpoint& endpoint, const LoadedItem& loaded) {
@@ -258,6 +247,13 @@
   if (loaded.adapter)
     return true;
   const EndpointLedger& ledger = this->endpoints[i].ledger;
+  // Adapters stay on another version of their model.
+  const auto is_other_version = [&ledger, &loaded](const LoadedItem& other) {
+    return other.item == loaded.item && other.version != loaded.version &&
+           CountsAsCopy(ledger, other.item, other.version);
+  };
+  if (std::any_of(ledger.loaded.begin(), ledger.loaded.end(), is_other_version))
+    return true;
   return std::none_of(ledger.loaded.begin(), ledger.loaded.end(),
                       [&loaded, &is_needed](const LoadedItem& other) {
                         return other.adapter && other.model == loaded.item &&
--- a/src/placement/plan_unittest.cc
+++ b/src/placement/plan_unittest.cc
@@ -292,6 +292,18 @@
   CHECK(!fleet.IsAnywhere("old"));
 }
 
+// Guards against an old version that is kept for ever because of an adapter
+// that runs on the new one beside it.
+TEST(Plan, OldVersionGoesFromUnderItsAdapter) {
+  Fleet fleet(MakeConfiguration());
+  EndpointLedger& ledger = fleet.ledgers["e1"];
+  ledger.loaded.push_back({"m1", "0", "", 40, false, true});
+  ledger.loaded.push_back({"m1", "1", "", 40, false, true});
+  ledger.loaded.push_back({"a1", "1", "m1", 5, true, true});
+  fleet.Settle();
+  STRCMP_EQUAL("e1: a1@1 m1@1; e2: m2@1; ", fleet.Describe().c_str());
+}
+
 // Guards against a burst that is followed late, and a pause that drops copies.
 TEST(Plan, DemandRisesFastAndFallsSlowly) {
   struct Row {
