Placement: Do not delay loads behind a drain

Cause: an unload that waits 2 s for its copy to drain was ordered again in each plan and reserved its endpoint, so that no load was sent there. Ruled out: busy endpoints and the budgets of the weight store. Change: an unload reserves nothing in the plan. Loads of a plan are recorded first; drained unloads follow in a later plan, so that no load waits in one job behind the calls that an unload waits for. Conclusion: Plan test DrainDoesNotDelayLoads holds it.

--- a/src/placement/plan_state.cc
+++ b/src/placement/plan_state.cc
@@ -270,6 +270,9 @@
 
 void PlanState::GiveOrder(std::size_t i, const endpoint::Command& command) {
   this->orders.push_back({this->endpoints[i].endpoint->id, command});
+  // An unload waits for its copy to drain; loads do not wait behind it.
+  if (command.operation == Operation::kUnload)
+    return;
   if (command.adapter)
     ++this->adapter_orders[i];
   else
@@ -320,7 +323,7 @@
     has_adapters = true;
     this->Unload(i, other);
   }
-  if (has_adapters || !this->CanOrder(i, loaded.adapter))
+  if (has_adapters || this->endpoints[i].busy)
     return;
   const endpoint::Command command = MakeCommand(loaded);
   this->GiveOrder(i, command);
--- a/src/placement/plan_unittest.cc
+++ b/src/placement/plan_unittest.cc
@@ -304,6 +304,22 @@
   STRCMP_EQUAL("e1: a1@1 m1@1; e2: m2@1; ", fleet.Describe().c_str());
 }
 
+// Guards against a load that waits behind the drain of another copy on the
+// same endpoint.
+TEST(Plan, DrainDoesNotDelayLoads) {
+  Configuration configuration = MakeConfiguration();
+  configuration.endpoints.pop_back();
+  configuration.models.pop_back();
+  Fleet fleet(configuration);
+  EndpointLedger& ledger = fleet.ledgers["e1"];
+  ledger.loaded.push_back({"m1", "1", "", 40, false, true});
+  ledger.loaded.push_back({"old", "1", "", 40, false, true});
+  const std::vector<Order> orders = PlanOrders(fleet.Input());
+  LONGS_EQUAL(2, orders.size());
+  STRCMP_EQUAL("old", orders[0].command.item.c_str());
+  STRCMP_EQUAL("a1", orders[1].command.item.c_str());
+}
+
 // Guards against a burst that is followed late, and a pause that drops copies.
 TEST(Plan, DemandRisesFastAndFallsSlowly) {
   struct Row {
--- a/src/placement/planner_loop.h
+++ b/src/placement/planner_loop.h
@@ -103,6 +103,7 @@
   bool IsSettled() const;
   bool IsDrained(const Order& order, TimePoint now);
   void Record(const std::vector<Order>& orders, TimePoint now);
+  void RecordOrder(const Order& order);
   void ForgetDrains(TimePoint now);
   void Publish(TimePoint now);
   PlacementView MakeView() const;
--- a/src/placement/planner_plan.cc
+++ b/src/placement/planner_plan.cc
@@ -102,24 +102,40 @@
 }
 
 void PlannerLoop::Record(const std::vector<Order>& orders, TimePoint now) {
+  std::vector<const Order*> unloads;
   for (const Order& order : orders) {
-    if (IsUnload(order.command) && !this->IsDrained(order, now))
-      continue;
-    const auto found = this->endpoints.find(order.endpoint_id);
-    if (found == this->endpoints.end())
-      continue;
-    EndpointState& state = found->second;
-    endpoint::Command command = order.command;
-    if (!RecordIntent(&state.ledger, &command, this->options.incarnation)) {
-      // A new epoch starts the sequence again.
-      this->ReleaseLease();
-      return;
-    }
-    if (!IsUnload(command) && !command.adapter)
-      this->load_budget -= 1;
-    state.recorded.push_back(std::move(command));
-    state.dirty = true;
+    if (!IsUnload(order.command))
+      this->RecordOrder(order);
+    else if (this->IsDrained(order, now))
+      unloads.push_back(&order);
+  }
+  // An unload waits for the calls of its copy, so that no load is sent behind
+  // one.
+  const auto has_load = [this](const Order* order) {
+    const auto found = this->endpoints.find(order->endpoint_id);
+    return found != this->endpoints.end() && !found->second.recorded.empty();
+  };
+  unloads.erase(std::remove_if(unloads.begin(), unloads.end(), has_load),
+                unloads.end());
+  for (const Order* order : unloads)
+    this->RecordOrder(*order);
+}
+
+void PlannerLoop::RecordOrder(const Order& order) {
+  const auto found = this->endpoints.find(order.endpoint_id);
+  if (!this->leading || found == this->endpoints.end())
+    return;
+  EndpointState& state = found->second;
+  endpoint::Command command = order.command;
+  if (!RecordIntent(&state.ledger, &command, this->options.incarnation)) {
+    // A new epoch starts the sequence again.
+    this->ReleaseLease();
+    return;
   }
+  if (!IsUnload(command) && !command.adapter)
+    this->load_budget -= 1;
+  state.recorded.push_back(std::move(command));
+  state.dirty = true;
 }
 
 PlacementView PlannerLoop::MakeView() const {
