Placement: Spread adapters by the survival goal

Cause: copies of adapters followed demand only; with the goal data_centre the loss of one data centre took adapters whose model survived. Ruled out: a lack of memory (engines had more than half free). Change: an adapter gets as many copies as the survival goal asks for, first in data centres without one, where its model is ready. Conclusion: Plan test AdaptersFollowTheSurvivalGoal holds it.

--- a/src/placement/plan.cc
+++ b/src/placement/plan.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "placement/plan_state.h"
 
@@ -158,18 +159,26 @@
     const DeclaredItem& adapter) const {
   const DeclaredItem* const model = this->state.Find(adapter.model);
   std::optional<std::size_t> best;
-  std::int64_t best_free_mb = 0;
+  std::pair<bool, std::int64_t> best_score;
   if (model == nullptr)
     return best;
+  std::set<std::string_view> data_centres;
+  for (const std::size_t i : this->state.HoldersOf(adapter.name)) {
+    if (this->state.IsPresent(i, adapter))
+      data_centres.insert(this->state.DataCentreOf(i));
+  }
   for (const std::size_t i : this->state.HoldersOf(model->name)) {
     if (!this->state.IsSafe(i, *model) || !this->state.CanBeLoaded(i, adapter))
       continue;
     const std::int64_t free_mb = this->state.At(i).endpoint->memory_mb -
                                  ChargedMemory(this->state.At(i).ledger);
-    if (best && free_mb <= best_free_mb)
+    const bool other_centre =
+        data_centres.count(this->state.DataCentreOf(i)) == 0;
+    const std::pair<bool, std::int64_t> score{other_centre, free_mb};
+    if (best && score <= best_score)
       continue;
     best = i;
-    best_free_mb = free_mb;
+    best_score = score;
   }
   return best;
 }
@@ -341,7 +350,8 @@
 
 void Planning::AddAdapterCopy(const DeclaredItem& adapter) {
   const int copies = this->state.CountPresent(adapter);
-  if (this->Demand(adapter.name) <= copies * this->SlotsPerCopy())
+  const bool survives = copies >= this->SurvivalCopies();
+  if (survives && this->Demand(adapter.name) <= copies * this->SlotsPerCopy())
     return;
   const auto chosen = this->ChooseForAdapter(adapter);
   if (chosen && this->state.FreeMemory(*chosen) >= adapter.memory_mb)
--- a/src/placement/plan_unittest.cc
+++ b/src/placement/plan_unittest.cc
@@ -320,6 +320,17 @@
   STRCMP_EQUAL("a1", orders[1].command.item.c_str());
 }
 
+// Guards against adapters that are lost with one data centre although their
+// model survives.
+TEST(Plan, AdaptersFollowTheSurvivalGoal) {
+  Configuration configuration = MakeConfiguration();
+  configuration.survival_goal = SurvivalGoal::kDataCentre;
+  Fleet fleet(configuration);
+  fleet.Settle();
+  STRCMP_EQUAL("e1: a1@1 m1@1 m2@1; e2: a1@1 m1@1 m2@1; ",
+               fleet.Describe().c_str());
+}
+
 // Guards against a burst that is followed late, and a pause that drops copies.
 TEST(Plan, DemandRisesFastAndFallsSlowly) {
   struct Row {
