Dispatch: Refuse waiting requests whose copies have gone

Cause: a request that waited in a pool when its last copy there was lost kept waiting until its deadline (20 s), although another data centre had a copy. Ruled out: the placement (it was republished after 3 s) and the entry (it tries the next pool as soon as it gets an answer). Change: the check for late requests also refuses those without a copy as not run; the entry then asks the next pool. Resumed streams keep waiting. Conclusion: PoolState test WaitingRequestsWithoutACopyAreRefused holds it.

--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -164,7 +164,8 @@
 std::vector<Grant> NextGrants(PoolState& pool, TimePoint now);
 
 /// Removes waiting requests that are now expected to finish after their
-/// deadline, and returns their refusals. Resumed streams keep waiting.
+/// deadline or whose copies in this pool have gone, and returns their refusals.
+/// Resumed streams keep waiting.
 std::vector<Grant> RefuseLate(PoolState& pool, TimePoint now);
 
 /// Takes in the complete list of slots of this pool that `entry_id` holds.
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -68,6 +68,20 @@
 
 TEST_GROUP(PoolState){};
 
+// Guards against a request that waits until its deadline at a pool whose copies
+// have gone, while other pools have some.
+TEST(PoolState, WaitingRequestsWithoutACopyAreRefused) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  MustGrant(pool, RequestOf("r1"));
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r2"), kStart));
+  CHECK(RefuseLate(pool, kStart).empty());
+  pool.holders["m"].clear();
+  const auto refusals = RefuseLate(pool, kStart);
+  CHECK_EQUAL(1U, refusals.size());
+  CHECK(refusals[0].answer.verdict == SlotVerdict::kNoCopy);
+  CHECK(pool.classes[0].waiting.empty());
+}
+
 // Guards against a repeated datagram that takes a second slot.
 TEST(PoolState, IsIdempotentByRequestId) {
   PoolState pool = PoolOf({{"e1", 1}});
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -259,6 +259,13 @@
     std::vector<Waiting> kept;
     for (Waiting& one : state.waiting) {
       const SlotRequest& request = one.request;
+      if (!one.resumed && !HasHolder(pool, request)) {
+        refusals.push_back(
+            {one.entry_id,
+             request.request_id,
+             {SlotVerdict::kNoCopy, "", 0, RetryAfterMs(pool, request, now)}});
+        continue;
+      }
       const auto [rate, is_new] = rates.try_emplace(request.item);
       if (is_new)
         rate->second = ServiceRate(pool, request.priority, request.item, now);
