Placement: Record object versions in audit entries of commands

Cause: entries of loads and unloads said 0 -> 0. Ruled out: nothing; the versions were never passed on. Change: they name the versions of the endpoint's object before and after the recording of the intent. Conclusion: an entry can be compared with the history of the object.

--- a/src/placement/audit_writer.cc
+++ b/src/placement/audit_writer.cc
@@ -37,7 +37,9 @@
 
 void AuditWriter::Add(std::string action,
                       std::string object,
-                      std::string detail) {
+                      std::string detail,
+                      std::int64_t from_version,
+                      std::int64_t to_version) {
   AuditEntry entry;
   entry.id = RandomId();
   entry.time = CurrentTimeIso();
@@ -45,6 +47,8 @@
   entry.action = std::move(action);
   entry.object = std::move(object);
   entry.detail = std::move(detail);
+  entry.from_version = from_version;
+  entry.to_version = to_version;
   const std::string dropped = "object=" + entry.object + " " + entry.detail;
   if (!this->ring.Push(std::move(entry)))
     LogEvent(kAuditDropped, dropped);
--- a/src/placement/audit_writer.h
+++ b/src/placement/audit_writer.h
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTVANE_PLACEMENT_AUDIT_WRITER_H_
 #define COLTSFOOTVANE_PLACEMENT_AUDIT_WRITER_H_
 
+#include <cstdint>
 #include <string>
 #include <thread>
 
@@ -24,7 +25,12 @@
   /// Writes what is queued, up to the first failure.
   void Stop();
 
-  void Add(std::string action, std::string object, std::string detail);
+  /// The versions are those of the object, before and after the change.
+  void Add(std::string action,
+           std::string object,
+           std::string detail,
+           std::int64_t from_version = 0,
+           std::int64_t to_version = 0);
 
  private:
   void Work();
--- a/src/placement/command_pool.h
+++ b/src/placement/command_pool.h
@@ -23,6 +23,9 @@
   std::int64_t epoch = 0;
   std::int64_t index_number = 0;  ///< 0 if the job is a list of commands.
   std::vector<endpoint::Command> commands;
+  /// Of the endpoint's object, before and after the intents were recorded.
+  std::int64_t from_version = 0;
+  std::int64_t to_version = 0;
 };
 
 struct EndpointJobResult {
--- a/src/placement/planner_jobs.cc
+++ b/src/placement/planner_jobs.cc
@@ -96,7 +96,7 @@
     const endpoint::Command& command = result.job.commands[i];
     const Result<bool>& response = result.responses[i];
     ResolveByResponse(&state->ledger, command.fencing_number, response);
-    this->ReportCommand(*state, command, response);
+    this->ReportCommand(*state, result.job, command, response);
     if (!response)
       state->next_index = TimePoint();
   }
@@ -105,6 +105,7 @@
 }
 
 void PlannerLoop::ReportCommand(const EndpointState& state,
+                                const EndpointJob& job,
                                 const endpoint::Command& command,
                                 const Result<bool>& response) {
   const bool load = command.operation == endpoint::Command::Operation::kLoad;
@@ -119,7 +120,7 @@
   }
   LogEvent(response ? kCommandDone : kCommandFailed, detail);
   this->audit.Add(load ? "load" : "unload", "endpoints/" + state.endpoint.id,
-                  detail);
+                  detail, job.from_version, job.to_version);
 }
 
 void PlannerLoop::StartIndexCalls(TimePoint now) {
@@ -147,6 +148,8 @@
 void PlannerLoop::StartCommands(EndpointState* state) {
   EndpointJob job;
   job.commands = std::move(state->recorded);
+  job.from_version = state->recorded_from;
+  job.to_version = state->resource_version;
   state->recorded.clear();
   const std::vector<endpoint::Command> commands = job.commands;
   if (this->StartJob(state, std::move(job)))
--- a/src/placement/planner_loop.h
+++ b/src/placement/planner_loop.h
@@ -36,6 +36,7 @@
   TimePoint next_index;
   std::string written_spec;                 ///< Of the last write.
   std::vector<endpoint::Command> recorded;  ///< To send after the next write.
+  std::int64_t recorded_from = 0;  ///< Object version before `recorded`.
 };
 
 /// The planner's thread and state.
@@ -91,6 +92,7 @@
                TimePoint now);
   void OnResponses(EndpointState* state, const EndpointJobResult& result);
   void ReportCommand(const EndpointState& state,
+                     const EndpointJob& job,
                      const endpoint::Command& command,
                      const Result<bool>& response);
   void StartIndexCalls(TimePoint now);
--- a/src/placement/planner_plan.cc
+++ b/src/placement/planner_plan.cc
@@ -134,6 +134,8 @@
   }
   if (!IsUnload(command) && !command.adapter)
     this->load_budget -= 1;
+  if (state.recorded.empty())
+    state.recorded_from = state.resource_version;
   state.recorded.push_back(std::move(command));
   state.dirty = true;
 }
