Daemon: Answer for all senders with one read

Cause: two reads a second were spent on whichever sender was asked about first; one that lives and is named first in each ledger left the ended ones unread, so that their commands stayed charged. Ruled out: more reads, which the platform's budget forbids. Change: a read answers for all senders asked about since the last one, and an ended process stays known as ended. Conclusion: a sender is still only looked up after its command was seen.

--- a/app/sender_registry.cc
+++ b/app/sender_registry.cc
@@ -12,41 +12,50 @@
 constexpr Milliseconds kReadInterval{500};
 constexpr Milliseconds kReadTimeout{1000};
 
+bool HasVm(const std::vector<platform::Object>& vms, std::string_view name) {
+  return std::any_of(
+      vms.begin(), vms.end(),
+      [name](const platform::Object& vm) { return vm.name == name; });
+}
+
 }  // namespace
 
 SenderRegistry::SenderRegistry(platform::Connection connection)
     : connection(std::move(connection)) {}
 
 bool SenderRegistry::IsGone(std::string_view incarnation, TimePoint now) {
+  if (this->gone.count(incarnation) != 0)
+    return true;
+  this->asked.emplace(incarnation);
   if (now < this->next_read)
     return false;
   this->next_read = now + kReadInterval;
-  return this->Read(incarnation);
+  this->Read();
+  this->asked.clear();
+  return this->gone.count(incarnation) != 0;
 }
 
-bool SenderRegistry::Read(std::string_view incarnation) {
+void SenderRegistry::Read() {
   const TimePoint deadline = Clock::now() + kReadTimeout;
   const Result<std::vector<DaemonRecord>> daemons =
       ReadDaemonRecords(this->connection, deadline);
   if (!daemons)
-    return false;
-  const auto& records = daemons.assume_value();
-  const auto record =
-      std::find_if(records.begin(), records.end(),
-                   [incarnation](const DaemonRecord& candidate) {
-                     return candidate.incarnation == incarnation;
-                   });
-  if (record == records.end())
-    return true;
+    return;
   const Result<platform::ObjectList> vms =
       platform::ListObjects(this->connection, platform::kVmKind, deadline);
-  if (!vms || vms.assume_value().items.empty())
-    return false;
-  const auto& items = vms.assume_value().items;
-  return std::none_of(items.begin(), items.end(),
-                      [&record](const platform::Object& vm) {
-                        return vm.name == record->daemon_id;
-                      });
+  const bool listed = vms && !vms.assume_value().items.empty();
+  const auto& records = daemons.assume_value();
+  for (const std::string& incarnation : this->asked) {
+    const auto record =
+        std::find_if(records.begin(), records.end(),
+                     [&incarnation](const DaemonRecord& candidate) {
+                       return candidate.incarnation == incarnation;
+                     });
+    const bool replaced = record == records.end();
+    if (replaced ||
+        (listed && !HasVm(vms.assume_value().items, record->daemon_id)))
+      this->gone.insert(incarnation);
+  }
 }
 
 }  // namespace coltsfootvane
--- a/app/sender_registry.h
+++ b/app/sender_registry.h
@@ -1,6 +1,8 @@
 #ifndef COLTSFOOTVANE_APP_SENDER_REGISTRY_H_
 #define COLTSFOOTVANE_APP_SENDER_REGISTRY_H_
 
+#include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -23,10 +25,14 @@
   bool IsGone(std::string_view incarnation, TimePoint now);
 
  private:
-  bool Read(std::string_view incarnation);
+  void Read();
 
   platform::Connection connection;
   TimePoint next_read;
+  /// Asked about since the last read; the next read answers for all of them, so
+  /// that a sender who lives cannot use up every read.
+  std::set<std::string, std::less<>> asked;
+  std::set<std::string, std::less<>> gone;  ///< An ended process stays so.
 };
 
 }  // namespace coltsfootvane
