--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -165,8 +165,9 @@
 std::vector<Grant> NextGrants(PoolState& pool, TimePoint now);
 
 /// Removes waiting requests that are now expected to finish after their
-/// deadline, and those that exclude every copy, and returns their refusals.
-/// Resumed streams are not refused as late.
+/// deadline, that exclude every copy, or whose copies in this pool have gone,
+/// and returns their refusals. Resumed streams are not refused as late, and
+/// wait for a new copy.
 std::vector<Grant> RefuseLate(PoolState& pool, TimePoint now);
 
 /// Takes in the complete list of slots of this pool that `entry_id` holds.
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -266,7 +266,8 @@
     std::vector<Waiting> kept;
     for (Waiting& one : state.waiting) {
       const SlotRequest& request = one.request;
-      if (CannotUseCopies(pool, request)) {
+      const bool copies_gone = !one.resumed && !HasHolder(pool, request);
+      if (copies_gone || CannotUseCopies(pool, request)) {
         refusals.push_back(
             {one.entry_id,
              request.request_id,
--- a/src/placement/plan_state.cc
+++ b/src/placement/plan_state.cc
@@ -12,15 +12,22 @@
 constexpr std::int64_t kPlannedNumber =
     std::numeric_limits<std::int64_t>::max();
 
-bool HasOpenUnload(const EndpointLedger& ledger,
-                   std::string_view item,
-                   std::string_view version) {
-  return std::any_of(ledger.intents.begin(), ledger.intents.end(),
-                     [item, version](const Intent& intent) {
-                       return intent.operation == Operation::kUnload &&
-                              !intent.fenced && !intent.seen_done &&
-                              intent.item == item && intent.version == version;
-                     });
+/// Each open intent makes the endpoint's object longer.
+constexpr int kUnloadAttempts = 16;
+
+/// An unload whose response was lost may never arrive. Its repeats stay open as
+/// well, so that their number is bounded.
+bool CanRepeatUnload(const PlanEndpoint& endpoint, const LoadedItem& loaded) {
+  int open = 0;
+  for (const Intent& intent : endpoint.ledger.intents) {
+    if (intent.operation != Operation::kUnload || intent.fenced ||
+        intent.item != loaded.item || intent.version != loaded.version)
+      continue;
+    if (endpoint.busy || intent.number == kPlannedNumber)
+      return false;
+    ++open;
+  }
+  return open < kUnloadAttempts;
 }
 
 bool LargerFirst(const DeclaredItem* a, const DeclaredItem* b) {
@@ -240,6 +247,13 @@
   if (loaded.adapter)
     return true;
   const EndpointLedger& ledger = this->endpoints[i].ledger;
+  // Adapters stay on another version of their model.
+  const auto is_other_version = [&ledger, &loaded](const LoadedItem& other) {
+    return other.item == loaded.item && other.version != loaded.version &&
+           CountsAsCopy(ledger, other.item, other.version);
+  };
+  if (std::any_of(ledger.loaded.begin(), ledger.loaded.end(), is_other_version))
+    return true;
   return std::none_of(ledger.loaded.begin(), ledger.loaded.end(),
                       [&loaded, &is_needed](const LoadedItem& other) {
                         return other.adapter && other.model == loaded.item &&
@@ -256,6 +270,9 @@
 
 void PlanState::GiveOrder(std::size_t i, const endpoint::Command& command) {
   this->orders.push_back({this->endpoints[i].endpoint->id, command});
+  // An unload waits for its copy to drain; loads do not wait behind it.
+  if (command.operation == Operation::kUnload)
+    return;
   if (command.adapter)
     ++this->adapter_orders[i];
   else
@@ -290,7 +307,7 @@
 
 void PlanState::Unload(std::size_t i, const LoadedItem& loaded) {
   EndpointLedger& ledger = this->endpoints[i].ledger;
-  if (HasOpenUnload(ledger, loaded.item, loaded.version))
+  if (!CanRepeatUnload(this->endpoints[i], loaded))
     return;
   const auto same_model = [&loaded](const LoadedItem& other) {
     return other.item == loaded.item && other.version != loaded.version;
@@ -306,7 +323,7 @@
     has_adapters = true;
     this->Unload(i, other);
   }
-  if (has_adapters || !this->CanOrder(i, loaded.adapter))
+  if (has_adapters || this->endpoints[i].busy)
     return;
   const endpoint::Command command = MakeCommand(loaded);
   this->GiveOrder(i, command);
--- a/src/placement/plan_unittest.cc
+++ b/src/placement/plan_unittest.cc
@@ -272,6 +272,65 @@
   CHECK(fleet.IsAnywhere("m1"));
 }
 
+// Guards against memory that stays occupied because an unload was lost, and
+// against a repeat while the first one is in progress.
+TEST(Plan, LostUnloadIsRepeated) {
+  Fleet fleet(MakeConfiguration());
+  fleet.Settle();
+  EndpointLedger& ledger = fleet.ledgers["e1"];
+  ledger.loaded.push_back({"old", "1", "", 10, false, true});
+  fleet.unload_freely = true;
+  const std::vector<Order> first = PlanOrders(fleet.Input());
+  LONGS_EQUAL(1, first.size());
+  endpoint::Command lost = first[0].command;
+  RecordIntent(&ledger, &lost, "s");
+  PlanInput input = fleet.Input();
+  input.endpoints[0].busy = true;
+  LONGS_EQUAL(0, PlanOrders(input).size());
+  fleet.Settle();
+  LONGS_EQUAL(1, fleet.unloads);
+  CHECK(!fleet.IsAnywhere("old"));
+}
+
+// Guards against an old version that is kept for ever because of an adapter
+// that runs on the new one beside it.
+TEST(Plan, OldVersionGoesFromUnderItsAdapter) {
+  Fleet fleet(MakeConfiguration());
+  EndpointLedger& ledger = fleet.ledgers["e1"];
+  ledger.loaded.push_back({"m1", "0", "", 40, false, true});
+  ledger.loaded.push_back({"m1", "1", "", 40, false, true});
+  ledger.loaded.push_back({"a1", "1", "m1", 5, true, true});
+  fleet.Settle();
+  STRCMP_EQUAL("e1: a1@1 m1@1; e2: m2@1; ", fleet.Describe().c_str());
+}
+
+// Guards against a load that waits behind the drain of another copy on the
+// same endpoint.
+TEST(Plan, DrainDoesNotDelayLoads) {
+  Configuration configuration = MakeConfiguration();
+  configuration.endpoints.pop_back();
+  configuration.models.pop_back();
+  Fleet fleet(configuration);
+  EndpointLedger& ledger = fleet.ledgers["e1"];
+  ledger.loaded.push_back({"m1", "1", "", 40, false, true});
+  ledger.loaded.push_back({"old", "1", "", 40, false, true});
+  const std::vector<Order> orders = PlanOrders(fleet.Input());
+  LONGS_EQUAL(2, orders.size());
+  STRCMP_EQUAL("old", orders[0].command.item.c_str());
+  STRCMP_EQUAL("a1", orders[1].command.item.c_str());
+}
+
+// Guards against adapters that are lost with one data centre although their
+// model survives.
+TEST(Plan, AdaptersFollowTheSurvivalGoal) {
+  Configuration configuration = MakeConfiguration();
+  configuration.survival_goal = SurvivalGoal::kDataCentre;
+  Fleet fleet(configuration);
+  fleet.Settle();
+  STRCMP_EQUAL("e1: a1@1 m1@1 m2@1; e2: a1@1 m1@1 m2@1; ",
+               fleet.Describe().c_str());
+}
+
 // Guards against a burst that is followed late, and a pause that drops copies.
 TEST(Plan, DemandRisesFastAndFallsSlowly) {
   struct Row {
