--- a/standins/service_standin/service_standin.cc
+++ b/standins/service_standin/service_standin.cc
@@ -77,8 +77,14 @@
   }
   const std::string key(http::FindHeader(request.headers, "Idempotency-Key"));
   const int effect = ++this->effects[key];
+  ++this->requests[std::string(
+      http::FindHeader(request.headers, "X-Request-Id"))];
   ++this->total;
-  return {{"effect", effect}, {"key", key}, {"echo", DigestHex(request.body)}};
+  Json answer = {
+      {"effect", effect}, {"key", key}, {"echo", DigestHex(request.body)}};
+  if (this->pad_bytes > 0)
+    answer["pad"] = std::string(this->pad_bytes, 'x');
+  return answer;
 }
 
 Json ServiceStandin::Stats() {
@@ -89,6 +95,7 @@
       repeated.push_back(key);
   }
   return {{"effects", this->effects},
+          {"requests", this->requests},
           {"total", this->total},
           {"lookups", this->lookups},
           {"repeated", repeated}};
@@ -106,6 +113,7 @@
     this->lose_response = faults.value("lose_response", this->lose_response);
     this->refuse_first = faults.value("refuse_first", this->refuse_first);
     this->delay_ms = faults.value("delay_ms", this->delay_ms);
+    this->pad_bytes = faults.value("pad_bytes", this->pad_bytes);
     this->leaving = faults.value("leaving", this->leaving);
   }
   reply.Send({200, {{"Content-Type", "application/json"}}, "{}"});
--- a/standins/service_standin/service_standin.h
+++ b/standins/service_standin/service_standin.h
@@ -35,11 +35,13 @@
   int work_ms;
   std::mutex mutex;
   std::map<std::string, int> effects;
+  std::map<std::string, int> requests;  ///< Effects per `X-Request-Id`.
   int total = 0;
   int lookups = 0;
   int lose_response = 0;
   int refuse_first = 0;
   int delay_ms = 0;
+  std::size_t pad_bytes = 0;  ///< Added to each answer to a POST.
   bool leaving = false;
 };
 
--- a/tests/integration/site.cc
+++ b/tests/integration/site.cc
@@ -381,16 +381,21 @@
   return sum;
 }
 
-nlohmann::json Site::ServiceEffects() {
+nlohmann::json Site::SumCounts(const std::vector<StandinProcess>& standins,
+                               const std::string& name) {
   nlohmann::json sum = nlohmann::json::object();
-  for (const StandinProcess& service : this->services) {
-    const nlohmann::json stats = GetJson(service.direct, "/control/stats");
+  for (const StandinProcess& standin : standins) {
+    const nlohmann::json stats = GetJson(standin.direct, "/control/stats");
     if (!stats.is_object())
       continue;
-    for (const auto& [key, count] : stats["effects"].items())
+    for (const auto& [key, count] : stats[name].items())
       sum[key] = sum.value(key, 0L) + count.get<long>();
   }
   return sum;
 }
 
+nlohmann::json Site::ServiceEffects() {
+  return SumCounts(this->services, "effects");
+}
+
 }  // namespace coltsfootvane::testing
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -114,6 +114,9 @@
   long EngineStat(const std::string& name);
   /// Effects at the service replicas per idempotency key, summed.
   nlohmann::json ServiceEffects();
+  /// Sums the map `name` of /control/stats over `standins`.
+  static nlohmann::json SumCounts(const std::vector<StandinProcess>& standins,
+                                  const std::string& name);
 
   SiteOptions options;
   std::string host;
