Dispatch: Expect longer holds while the holders start nothing

Cause: while endpoints stop to answer, no slot is returned, so the observed hold time and the capacity computed from it stay as they were. Waiting requests were refused only near their deadlines. Ruled out: the slot caller (its refusals come at the deadline itself) and the drain rate, which decays in 5 s and alone never refuses the first in the queue. Change: HoldSeconds() takes in for how long the holders have started nothing, by a factor of 2; overnight streams do not count against a more urgent class, since they are cancelled for it. Conclusion: refused after about a third of the time instead of at its end.

--- a/src/dispatch/drain.cc
+++ b/src/dispatch/drain.cc
@@ -9,6 +9,9 @@
 /// Long enough to span several calls, short enough to follow an overload.
 constexpr double kDrainTimeSeconds = 5;
 constexpr double kHoldWeight = 0.1;
+/// A stall is expected to last this many times as long as it has lasted. With
+/// 1, a waiting request would be refused only at half of its time.
+constexpr double kStallFactor = 2;
 constexpr int kMinRetryAfterMs = 100;
 constexpr int kMaxRetryAfterMs = 60000;
 
@@ -21,6 +24,34 @@
   return drain.per_s * std::exp(-elapsed / kDrainTimeSeconds);
 }
 
+bool IsInTheWay(const Slot& slot, Priority priority) {
+  // An overnight stream is cancelled for a more urgent request.
+  return slot.priority != Priority::kOvernight ||
+         priority == Priority::kOvernight;
+}
+
+/// Returns for how long the holders of `item` have started nothing; 0 if they
+/// hold no slot.
+double StallSeconds(const PoolState& pool,
+                    Priority priority,
+                    std::string_view item,
+                    TimePoint now) {
+  const auto holders = pool.holders.find(item);
+  if (holders == pool.holders.end())
+    return 0;
+  TimePoint latest = TimePoint::min();
+  for (const std::string& id : holders->second) {
+    const auto endpoint = pool.endpoints.find(id);
+    if (endpoint == pool.endpoints.end())
+      continue;
+    for (const Slot& slot : endpoint->second.granted) {
+      if (IsInTheWay(slot, priority))
+        latest = std::max(latest, slot.start);
+    }
+  }
+  return latest == TimePoint::min() ? 0 : SecondsBetween(latest, now);
+}
+
 /// The rate at which the holders could serve this class, from the hold time.
 double CapacityRate(const PoolState& pool,
                     std::string_view item,
@@ -63,9 +94,15 @@
       [item](const Waiting& one) { return one.request.item == item; }));
 }
 
-double HoldSeconds(const ClassState& state, std::string_view item) {
+double HoldSeconds(const PoolState& pool,
+                   Priority priority,
+                   std::string_view item,
+                   TimePoint now) {
+  const ClassState& state = pool.classes[static_cast<std::size_t>(priority)];
   const auto found = state.drain.find(item);
-  return found == state.drain.end() ? 0 : found->second.hold_s;
+  const double usual = found == state.drain.end() ? 0 : found->second.hold_s;
+  const double stall = StallSeconds(pool, priority, item, now);
+  return stall <= usual ? usual : usual + kStallFactor * (stall - usual);
 }
 
 std::optional<double> ServiceRate(const PoolState& pool,
@@ -77,7 +114,8 @@
   if (found == state.drain.end() || found->second.hold_s <= 0)
     return std::nullopt;
   const DrainRate& drain = found->second;
-  const double capacity = CapacityRate(pool, item, drain.hold_s, now);
+  const double hold = HoldSeconds(pool, priority, item, now);
+  const double capacity = CapacityRate(pool, item, hold, now);
   // A class that was idle has no recent grants. The most urgent class can then
   // expect the whole capacity, others their minimum share.
   const double share =
--- a/src/dispatch/drain.h
+++ b/src/dispatch/drain.h
@@ -30,8 +30,12 @@
 /// Returns the expected wait behind `ahead` requests at `rate`, in seconds.
 double ExpectedWaitSeconds(std::optional<double> rate, std::size_t ahead);
 
-/// Returns the usual time that a slot is held, in seconds; 0 if unknown.
-double HoldSeconds(const ClassState& state, std::string_view item);
+/// Returns the time that a slot is expected to be held, in seconds: the usual
+/// one, or longer while the holders start nothing. 0 if unknown.
+double HoldSeconds(const PoolState& pool,
+                   Priority priority,
+                   std::string_view item,
+                   TimePoint now);
 
 /// Returns the number of waiting requests of the class for the item.
 std::size_t CountWaiting(const ClassState& state, std::string_view item);
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -183,6 +183,34 @@
   CHECK_EQUAL(1U, pool.classes[1].waiting.size());
 }
 
+// Guards against an estimate that stays as it was while endpoints have stopped
+// to answer: nothing is returned, so nothing else is observed.
+TEST(PoolState, RefusesWhileTheHoldersStartNothing) {
+  struct Row {
+    const char* name;
+    Priority stuck;
+    int after_ms;
+    bool refused;
+  };
+  const Row rows[] = {
+      {"short stall", Priority::kInteractive, 1000, false},
+      {"stall of a third of the time", Priority::kInteractive, 2200, true},
+      {"streams that can be cancelled", Priority::kOvernight, 2200, false},
+  };
+  for (const Row& row : rows) {
+    PoolState pool = PoolOf({{"e1", 1}});
+    const auto grant = MustGrant(pool, RequestOf("r1"));
+    const TimePoint start = kStart + Milliseconds{100};
+    ReturnSlot(pool, grant, SlotOutcome{}, start);
+    MustGrant(pool, RequestOf("r2", row.stuck), start);
+    SlotRequest waiting = RequestOf("r3");
+    waiting.deadline = start + Milliseconds{6000};
+    CHECK_FALSE(AskSlot(pool, "e", waiting, start));
+    const auto refusals = RefuseLate(pool, start + Milliseconds{row.after_ms});
+    CHECK_EQUAL_TEXT(row.refused, refusals.size() == 1, row.name);
+  }
+}
+
 // Guards against slots that a lost return, a dead entry or a new dispatcher
 // leaves blocked or uncounted.
 TEST(PoolState, RepairsByReportsAndDeadlines) {
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -190,7 +190,8 @@
   const auto rate = ServiceRate(pool, request.priority, request.item, now);
   const std::size_t ahead = CountWaiting(state, request.item);
   return MissesDeadline(request, ExpectedWaitSeconds(rate, ahead),
-                        HoldSeconds(state, request.item), now);
+                        HoldSeconds(pool, request.priority, request.item, now),
+                        now);
 }
 
 }  // namespace
@@ -264,7 +265,8 @@
         rate->second = ServiceRate(pool, request.priority, request.item, now);
       const double wait =
           ExpectedWaitSeconds(rate->second, ahead[request.item]);
-      const double hold = HoldSeconds(state, request.item);
+      const double hold =
+          HoldSeconds(pool, request.priority, request.item, now);
       if (one.resumed || !MissesDeadline(request, wait, hold, now)) {
         ++ahead[request.item];
         kept.push_back(std::move(one));
