Entry: Refuse for now without a configuration

Cause: the entry listener of a starting daemon opens before its first configuration has arrived. It then routed with an empty one and answered 404 "no such path" with Retry-After 0 to declared paths, so callers take the failure for a lasting one. Seen in AtMostOnce.NoKeyHasTwoEffectsUnderFaults, after a daemon was killed and started again. Ruled out: the applied configuration and the route match; other daemons answered the same path. Change: 503 `not_ready`, not run, Retry-After 1 s, while no version is in force. EntryServer.RefusesForNowWithoutAConfiguration fails without the change by construction (404). Conclusion: a starting daemon no longer denies declared paths.

--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -16,6 +16,9 @@
 /// A full entry has about this much to do before a thread is free again.
 constexpr int kFullRetryAfterMs = 1000;
 
+/// A starting daemon gets its configuration within about this time.
+constexpr int kNotReadyRetryAfterMs = 1000;
+
 std::int64_t NewSeed() {
   thread_local std::mt19937_64 generator{std::random_device{}()};
   // Engines take 32-bit seeds.
@@ -135,6 +138,12 @@
 void EntryServer::HandleRouted(CallContext* context) {
   const std::shared_ptr<const InForce> in_force =
       this->shared.dependencies.in_force->Get();
+  if (in_force->version == 0) {
+    SendRefusal(context, RefuseBy(context->tracker, 503, "not_ready",
+                                  "the daemon has no configuration yet",
+                                  kNotReadyRetryAfterMs));
+    return;
+  }
   const Configuration& configuration = in_force->configuration;
   const std::optional<NotSent> token = context->tracker.Token();
   std::variant<RoutedCall, Refusal> routed =
--- a/src/entry/entry_server_unittest.cc
+++ b/src/entry/entry_server_unittest.cc
@@ -255,6 +255,18 @@
   CHECK(fixture.metrics.Text().find("entry_full") != std::string::npos);
 }
 
+// Guards against a starting daemon that answers "no such path" for what is
+// declared: the caller would not come back.
+TEST(EntryServer, RefusesForNowWithoutAConfiguration) {
+  Fixture fixture;
+  fixture.in_force.Set(std::make_shared<InForce>());
+  const auto refused = fixture.Call("GET", "/booking/1", "");
+  LONGS_EQUAL(503, refused.status);
+  STRCMP_EQUAL("no", RunOf(refused).c_str());
+  STRCMP_EQUAL("1", Find(refused.headers, "Retry-After").c_str());
+  CHECK(refused.body.find("not_ready") != std::string::npos);
+}
+
 // Guards against a drain that refuses work or keeps callers' connections.
 TEST(EntryServer, ServesWhileDraining) {
   Fixture fixture;
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -248,6 +248,7 @@
 
   void SetConfiguration() {
     auto in_force = std::make_shared<InForce>();
+    in_force->version = 1;
     Configuration& configuration = in_force->configuration;
     configuration.models.push_back({"m1", "1", 100, 1, {}});
     const auto add = [&configuration](const char* id,
