Dispatch: Refuse once a trial of every ejected holder has failed

Cause: when all holders of an item were ejected, waiting requests stayed through one ejection after another (2, 4, 8 s), because the drain rate decays in 5 s and ejected endpoints count as capacity. Ruled out: the hold time and stalls, since no slot is held meanwhile. Change: a request is refused at once while every holder is ejected and has failed on trial. The first ejection of 2 s is still waited for. Conclusion: a lasting failure of all endpoints is told after the first trial.

--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -211,6 +211,20 @@
   }
 }
 
+// Guards against requests that wait through one ejection after another.
+TEST(PoolState, RefusesOnceATrialHasFailed) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  OutlierState& outlier = pool.endpoints["e1"].outlier;
+  outlier.ejected_until = kStart + std::chrono::seconds{2};
+  outlier.ejections = 1;
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r1"), kStart));
+  CHECK(RefuseLate(pool, kStart).empty());
+  outlier.ejections = 2;
+  CHECK_EQUAL(1U, RefuseLate(pool, kStart).size());
+  const auto refused = AskSlot(pool, "e", RequestOf("r2"), kStart);
+  CHECK(refused->verdict == SlotVerdict::kDeadline);
+}
+
 // Guards against requests that are admitted with no slack and are refused late
 // when the estimate rises a little.
 TEST(PoolState, AdmitsOnlyWithSlack) {
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -186,10 +186,30 @@
   return wait_s + hold_s > left_s;
 }
 
+/// Returns whether every holder is ejected and has failed on trial since its
+/// first ejection: the failure lasts, and more trials are not waited for.
+bool AllFailedTrial(const PoolState& pool,
+                    const std::string& item,
+                    TimePoint now) {
+  const auto holders = pool.holders.find(item);
+  if (holders == pool.holders.end())
+    return false;
+  return std::all_of(holders->second.begin(), holders->second.end(),
+                     [&pool, now](const std::string& id) {
+                       const auto found = pool.endpoints.find(id);
+                       if (found == pool.endpoints.end())
+                         return true;
+                       const OutlierState& outlier = found->second.outlier;
+                       return IsEjected(outlier, now) && outlier.ejections > 1;
+                     });
+}
+
 bool IsTooLate(const PoolState& pool,
                const ClassState& state,
                const SlotRequest& request,
                TimePoint now) {
+  if (AllFailedTrial(pool, request.item, now))
+    return true;
   const auto rate = ServiceRate(pool, request.priority, request.item, now);
   const std::size_t ahead = CountWaiting(state, request.item);
   return MissesDeadline(
@@ -207,6 +227,7 @@
     std::optional<double> rate;
     double hold_s = 0;
     std::size_t ahead = 0;
+    bool all_failed = false;
   };
   std::map<std::string, Estimate> estimates;
   std::vector<bool> late;
@@ -218,13 +239,15 @@
     if (is_new) {
       estimate.rate = ServiceRate(pool, request.priority, request.item, now);
       estimate.hold_s = HoldSeconds(pool, request.priority, request.item, now);
+      estimate.all_failed = AllFailedTrial(pool, request.item, now);
     }
     const double margin =
         tight_items.count(request.item) > 0 ? kAdmissionMargin : 1;
     const double wait_s =
         margin * ExpectedWaitSeconds(estimate.rate, estimate.ahead);
-    late.push_back(!one.resumed &&
-                   MissesDeadline(request, wait_s, estimate.hold_s, now));
+    const bool missed = estimate.all_failed ||
+                        MissesDeadline(request, wait_s, estimate.hold_s, now);
+    late.push_back(!one.resumed && missed);
     estimate.ahead += late.back() ? 0 : 1;
   }
   return late;
