--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -214,6 +214,80 @@
   CHECK(refusals[0].answer.verdict == SlotVerdict::kNoCopy);
 }
 
+// Guards against an estimate that stays as it was while endpoints have stopped
+// to answer: nothing is returned, so nothing else is observed.
+TEST(PoolState, RefusesWhileTheHoldersStartNothing) {
+  struct Row {
+    const char* name;
+    Priority stuck;
+    int after_ms;
+    bool refused;
+  };
+  const Row rows[] = {
+      {"short stall", Priority::kInteractive, 1000, false},
+      {"stall of a third of the time", Priority::kInteractive, 2200, true},
+      {"streams that can be cancelled", Priority::kOvernight, 2200, false},
+  };
+  for (const Row& row : rows) {
+    PoolState pool = PoolOf({{"e1", 1}});
+    const auto grant = MustGrant(pool, RequestOf("r1"));
+    const TimePoint start = kStart + Milliseconds{100};
+    ReturnSlot(pool, grant, SlotOutcome{}, start);
+    MustGrant(pool, RequestOf("r2", row.stuck), start);
+    SlotRequest waiting = RequestOf("r3");
+    waiting.deadline = start + Milliseconds{6000};
+    CHECK_FALSE(AskSlot(pool, "e", waiting, start));
+    const auto refusals = RefuseLate(pool, start + Milliseconds{row.after_ms});
+    CHECK_EQUAL_TEXT(row.refused, refusals.size() == 1, row.name);
+  }
+}
+
+// Guards against requests that wait through one ejection after another.
+TEST(PoolState, RefusesOnceATrialHasFailed) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  OutlierState& outlier = pool.endpoints["e1"].outlier;
+  outlier.ejected_until = kStart + std::chrono::seconds{2};
+  outlier.ejections = 1;
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r1"), kStart));
+  CHECK(RefuseLate(pool, kStart).empty());
+  outlier.ejections = 2;
+  CHECK_EQUAL(1U, RefuseLate(pool, kStart).size());
+  const auto refused = AskSlot(pool, "e", RequestOf("r2"), kStart);
+  CHECK(refused->verdict == SlotVerdict::kDeadline);
+}
+
+// Guards against requests that are admitted with no slack and are refused late
+// when the estimate rises a little.
+TEST(PoolState, AdmitsOnlyWithSlack) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  const auto grant = MustGrant(pool, RequestOf("r1"));
+  const TimePoint later = kStart + std::chrono::seconds{1};
+  ReturnSlot(pool, grant, SlotOutcome{}, later);
+  MustGrant(pool, RequestOf("r2"), later);
+  SlotRequest request = RequestOf("r3");
+  // The estimate is 1 s of wait and 1 s of service.
+  request.deadline = later + Milliseconds{2100};
+  CHECK(AskSlot(pool, "e", request, later)->verdict == SlotVerdict::kDeadline);
+  request.deadline = later + Milliseconds{2500};
+  CHECK_FALSE(AskSlot(pool, "e", request, later));
+}
+
+// Guards against an estimate that needs many returns to follow a class whose
+// calls have become longer.
+TEST(PoolState, EstimateFollowsLongerCalls) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  TimePoint now = kStart;
+  for (const int held_ms : {20, 20, 20, 1000, 1000, 1000, 1000}) {
+    const auto grant = MustGrant(pool, RequestOf("r"), now);
+    now += Milliseconds{held_ms};
+    ReturnSlot(pool, grant, SlotOutcome{}, now);
+  }
+  MustGrant(pool, RequestOf("r1"), now);
+  SlotRequest request = RequestOf("r2");
+  request.deadline = now + Milliseconds{1400};
+  CHECK(AskSlot(pool, "e", request, now)->verdict == SlotVerdict::kDeadline);
+}
+
 // Guards against slots that a lost return, a dead entry or a new dispatcher
 // leaves blocked or uncounted.
 TEST(PoolState, RepairsByReportsAndDeadlines) {
