--- /dev/null
+++ b/scripts/compare_report.py
@@ -0,0 +1,123 @@
+#!/usr/bin/env python3
+"""Prints the results of scripts/compare.sh side by side: median (least to most)."""
+import collections
+import glob
+import json
+import statistics
+import subprocess
+import sys
+
+CLASSES = ["interactive", "lookup", "overnight"]
+SCENES = ["ordinary", "overnight-flood", "interactive-flood", "hot-model",
+          "dispatcher-killed", "data-centre-killed"]
+MODES = ["granted", "naive"]
+
+
+def spread(values, digits):
+    middle = statistics.median(values)
+    return (f"{middle:.{digits}f} ({min(values):.{digits}f}–{max(values):.{digits}f})")
+
+
+def percent(values):
+    return spread([100 * value for value in values], 1)
+
+
+def class_rows(name):
+    def of(*path):
+        def read(run):
+            value = run["classes"][name]
+            for key in path:
+                value = value[key]
+            return value
+        return read
+    return [
+        (f"{name}: attainment, %", percent, of("attainment")),
+        (f"{name}: goodput, 1/s", lambda v: spread(v, 1), of("goodput_per_s")),
+        (f"{name}: first token 95%, ms", lambda v: spread(v, 0), of("first_token_ms", "95")),
+        (f"{name}: first token 99%, ms", lambda v: spread(v, 0), of("first_token_ms", "99")),
+        (f"{name}: gap 95%, ms", lambda v: spread(v, 1), of("token_gap_ms", "95")),
+        (f"{name}: gap 99%, ms", lambda v: spread(v, 1), of("token_gap_ms", "99")),
+        (f"{name}: refused, %", percent,
+         lambda run: run["classes"][name]["refused"] / max(1, run["classes"][name]["sent"])),
+        (f"{name}: failed or cut, %", percent,
+         lambda run: (run["classes"][name]["failed"] + run["classes"][name]["unfinished"])
+         / max(1, run["classes"][name]["sent"])),
+        (f"{name}: refusal after, median ms", lambda v: spread(v, 0), of("refusal_ms", "50")),
+        (f"{name}: refusal after, 99% ms", lambda v: spread(v, 0), of("refusal_ms", "99")),
+        (f"{name}: sent late", lambda v: spread(v, 0), of("sent_late")),
+    ]
+
+
+def all_rows():
+    rows = [("worth-weighted attainment, %", percent,
+             lambda run: run["worth_weighted_attainment"])]
+    for name in CLASSES:
+        rows += class_rows(name)
+    rows += [
+        ("engine requests per request sent", lambda v: spread(v, 2),
+         lambda run: run["engine_requests"] / run["sent_all"] if run.get("sent_all") else 0),
+        ("loads", lambda v: spread(v, 0), lambda run: run["loads"]),
+        ("unloads", lambda v: spread(v, 0), lambda run: run["unloads"]),
+        ("load average of the machine", lambda v: spread(v, 1),
+         lambda run: run["load_average"]),
+    ]
+    return rows
+
+
+def plot(folder, runs):
+    with open(folder + "/attainment.dat", "w", encoding="utf-8") as file:
+        for scene in SCENES:
+            if not all(runs.get((mode, scene)) for mode in MODES):
+                continue
+            figures = [100 * statistics.median(
+                run["worth_weighted_attainment"] for run in runs[(mode, scene)])
+                for mode in MODES]
+            figures += [100 * statistics.median(
+                run["classes"]["interactive"]["attainment"] for run in runs[(mode, scene)])
+                for mode in MODES]
+            print(f'"{scene}"', *figures, file=file)
+    for column, title, name in [(2, "Worth-weighted attainment (%)", "worth"),
+                                (4, "Interactive attainment (%)", "interactive")]:
+        subprocess.run(["gnuplot"], check=True, text=True, input=f"""
+set terminal pngcairo size 900,480 font "sans,13"
+set output "{folder}/{name}.png"
+set style data histogram
+set style histogram cluster gap 1
+set style fill solid 0.9
+set boxwidth 0.9
+set yrange [0:110]
+set grid ytics
+set ylabel "{title}"
+set xlabel "Scene (median of the runs)"
+set xtics nomirror
+set key outside top center horizontal
+plot "{folder}/attainment.dat" using {column}:xtic(1) title "granted (ours)" lc rgb "#1f6fb4", \\
+     "" using {column + 1} title "naive (baseline)" lc rgb "#d08a2e"
+""")
+
+
+def main():
+    folder = sys.argv[1]
+    runs = collections.defaultdict(list)
+    for path in sorted(glob.glob(folder + "/*-*-*.json")):
+        with open(path, encoding="utf-8") as file:
+            run = json.load(file)
+        if "mode" in run:
+            runs[(run["mode"], run["scene"])].append(run)
+    for scene in SCENES:
+        modes = [mode for mode in MODES if runs[(mode, scene)]]
+        if not modes:
+            continue
+        seeds = sorted({run["seed"] for mode in modes for run in runs[(mode, scene)]})
+        print(f"\n### {scene} (seeds {', '.join(map(str, seeds))})\n")
+        print("| |", " | ".join(modes), "|")
+        print("|---|" + "---|" * len(modes))
+        for title, form, read in all_rows():
+            cells = [form([read(run) for run in runs[(mode, scene)]]) for mode in modes]
+            print("|", title, "|", " | ".join(cells), "|")
+    if any(all(runs.get((mode, scene)) for mode in MODES) for scene in SCENES):
+        plot(folder, runs)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
