Dispatch: Refuse requests that would miss their first token target

Cause: requests queued until their completion deadline (30 s), so in a flood of interactive work every queue was 14 s long and all first tokens came too late. Ruled out: slow engines (gap 95% 52 ms) and slow refusals (entry_full in 1 ms). Change: a request is refused when its expected wait ends after its first token target, less the usual time from grant to first token; slots that overnight streams would free count as no wait. A request that has waited 150 ms in one queue does not join a second one. Fixtures of the older tests set a wide target, because they test completion deadlines; a new test covers the target. The compare script gives entries 64 threads, so that refusals keep the load open.

--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -37,8 +37,8 @@
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   for _ in $(seq 50); do
     local left=0
-    for pid in "${pids[@]}"; do kill -0 "$pid" 2>/dev/null && left=1; done
-    [ $left = 0 ] && break
+    for pid in "${pids[@]}"; do if kill -0 "$pid" 2>/dev/null; then left=1; fi; done
+    if [ $left = 0 ]; then break; fi
     sleep 0.1
   done
   for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
@@ -90,7 +90,7 @@
     return
   fi
   local flags=()
-  [ "$fencing" = True ] && flags=(--checks-fencing)
+  if [ "$fencing" = True ]; then flags=(--checks-fencing); fi
   start "$id" "$build/engine_standin" --id "$id" --listen "$address" --memory-mb "$memory" \
     --slots $((batch_factor * slots)) --knee "$slots" --token-ms $token_ms \
     --first-token-ms $first_token_ms ${flags[@]+"${flags[@]}"}
@@ -101,7 +101,7 @@
 daemon_id: entry-$n
 data_centre: ${centres[$(((n - 1) % ${#centres[@]}))]}
 region: $region
-entry: {listen: "$host:$((9500 + n))", threads: 128, refusal_threads: 16}
+entry: {listen: "$host:$((9500 + n))", threads: 64, refusal_threads: 8}
 admin: {listen: "$host:$((9600 + n))"}
 peer: {listen: "$host:$((9700 + n))", first_peers: ["$host:9701", "$host:9702", "$host:9703"]}
 platform: {address: "$platform"}
@@ -152,7 +152,9 @@
 # Prints requests started, loads and unloads over all live engines.
 engine_totals() {
   while read -r _ kind address _; do
-    [ "$kind" = engine ] && curl -fs -m 2 "http://$address/control/stats" && echo
+    [ "$kind" = engine ] || continue
+    curl -fs -m 2 "http://$address/control/stats" || true
+    echo
   done <"$folder/endpoints" | python3 -c '
 import json, sys
 all = [json.loads(line) for line in sys.stdin if line.strip()]
@@ -161,8 +163,11 @@
 }
 find_dispatcher() {
   for n in $(seq "$daemons"); do
-    curl -fs "http://$host:$((9600 + n))/status" | grep -q "\"name\":\"${centres[0]}/0\"" &&
-      echo "$n" && return
+    if curl -fs "http://$host:$((9600 + n))/status" |
+      grep -c "\"name\":\"${centres[0]}/0\"" >/dev/null; then
+      echo "$n"
+      return
+    fi
   done
 }
 # Harms the deployment in mid-run.
@@ -172,7 +177,9 @@
     dispatcher-killed) kill -KILL "${pids[entry-$2]}" ;;
     data-centre-killed)
       while read -r id kind _ _ _ _ centre; do
-        [ "$kind" = engine ] && [ "$centre" = "${centres[0]}" ] && kill -KILL "${pids[$id]}"
+        if [ "$kind" = engine ] && [ "$centre" = "${centres[0]}" ]; then
+          kill -KILL "${pids[$id]}"
+        fi
       done <"$folder/endpoints"
       ;;
   esac
@@ -184,8 +191,9 @@
     wait_for "http://$host:$((9600 + victim))/health"
   elif [ "$scene" = data-centre-killed ]; then
     while read -r -a endpoint; do
-      [ "${endpoint[1]}" = engine ] && [ "${endpoint[6]}" = "${centres[0]}" ] &&
+      if [ "${endpoint[1]}" = engine ] && [ "${endpoint[6]}" = "${centres[0]}" ]; then
         start_endpoint "${endpoint[@]}"
+      fi
     done <"$folder/endpoints"
     apply_rate $startup_loads_per_s
     sleep 5
@@ -196,7 +204,7 @@
 run_scene() {
   local mode=$1 scene=$2 seed=$3
   local output=$results/$mode-$scene-$seed.json victim=""
-  [ "$scene" = dispatcher-killed ] && victim=$(find_dispatcher)
+  if [ "$scene" = dispatcher-killed ]; then victim=$(find_dispatcher); fi
   local before after load entries=() helper=""
   for n in $(seq "$daemons"); do entries+=(--entry "$host:$((9500 + n))"); done
   before=$(engine_totals)
@@ -207,7 +215,7 @@
   fi
   "$build/loadtool" "$results/$scene.yaml" --config "$directory" --seed "$seed" \
     "${entries[@]}" >"$output"
-  [ -n "$helper" ] && wait "$helper"
+  [ -z "$helper" ] || wait "$helper"
   after=$(engine_totals)
   python3 - "$output" "$mode" "$scene" "$load" "$before" "$after" <<'PY'
 import json, sys
--- a/scripts/scene.py
+++ b/scripts/scene.py
@@ -50,7 +50,8 @@
          "overnight": "/v1/chat/completions"}
 ORDINARY = {"interactive": 0.24, "lookup": 0.16, "overnight": 0.20}
 THREADS = {"interactive": 150, "lookup": 100, "overnight": 150}
-FLOOD_THREADS = 700
+# More than all entries serve at once, so that refusals keep the load open-loop.
+FLOOD_THREADS = 900
 HOT_MODEL = {"shop": "diagnosis-leaf-shutter", "kitchen": "batter-helper"}
 HOT_FACTOR = 10
 
--- a/src/dispatch/drain.cc
+++ b/src/dispatch/drain.cc
@@ -8,7 +8,7 @@
 
 /// Long enough to span several calls, short enough to follow an overload.
 constexpr double kDrainTimeSeconds = 5;
-constexpr double kHoldWeight = 0.1;
+constexpr double kObservationWeight = 0.1;
 constexpr int kMinRetryAfterMs = 100;
 constexpr int kMaxRetryAfterMs = 60000;
 
@@ -16,6 +16,13 @@
   return std::chrono::duration<double>(to - from).count();
 }
 
+/// Smooths observations; the first one counts in full.
+void Observe(double& smoothed, double observed) {
+  smoothed = smoothed <= 0
+                 ? observed
+                 : smoothed + kObservationWeight * (observed - smoothed);
+}
+
 double DecayedRate(const DrainRate& drain, TimePoint now) {
   const double elapsed = SecondsBetween(drain.updated, now);
   return drain.per_s * std::exp(-elapsed / kDrainTimeSeconds);
@@ -50,11 +57,16 @@
                  const std::string& item,
                  TimePoint start,
                  TimePoint now) {
-  DrainRate& drain = state.drain[item];
-  const double held = SecondsBetween(start, now);
-  drain.hold_s = drain.hold_s <= 0
-                     ? held
-                     : drain.hold_s + kHoldWeight * (held - drain.hold_s);
+  Observe(state.drain[item].hold_s, SecondsBetween(start, now));
+}
+
+void ObserveFirstToken(ClassState& state,
+                       const std::string& item,
+                       Microseconds time_to_first_token) {
+  if (time_to_first_token.count() <= 0)
+    return;
+  const std::chrono::duration<double> seconds = time_to_first_token;
+  Observe(state.drain[item].first_token_s, seconds.count());
 }
 
 std::size_t CountWaiting(const ClassState& state, std::string_view item) {
@@ -68,6 +80,11 @@
   return found == state.drain.end() ? 0 : found->second.hold_s;
 }
 
+double FirstTokenSeconds(const ClassState& state, std::string_view item) {
+  const auto found = state.drain.find(item);
+  return found == state.drain.end() ? 0 : found->second.first_token_s;
+}
+
 std::optional<double> ServiceRate(const PoolState& pool,
                                   Priority priority,
                                   std::string_view item,
--- a/src/dispatch/drain.h
+++ b/src/dispatch/drain.h
@@ -20,6 +20,11 @@
                  TimePoint start,
                  TimePoint now);
 
+/// Takes in the time from a grant of `item` to its first token.
+void ObserveFirstToken(ClassState& state,
+                       const std::string& item,
+                       Microseconds time_to_first_token);
+
 /// Returns how many requests of the class are served per second for the item,
 /// or nothing if nothing has been observed yet.
 std::optional<double> ServiceRate(const PoolState& pool,
@@ -33,6 +38,10 @@
 /// Returns the usual time that a slot is held, in seconds; 0 if unknown.
 double HoldSeconds(const ClassState& state, std::string_view item);
 
+/// Returns the usual time from a grant to the first token, in seconds; 0 if
+/// unknown.
+double FirstTokenSeconds(const ClassState& state, std::string_view item);
+
 /// Returns the number of waiting requests of the class for the item.
 std::size_t CountWaiting(const ClassState& state, std::string_view item);
 
--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -73,12 +73,15 @@
   std::uint64_t arrival = 0;
   bool resumed = false;  ///< Was preempted; goes to the head of its class.
   TimePoint heard;       ///< When the entry last repeated it.
+  /// A later grant misses the first token target.
+  TimePoint start_deadline;
 };
 
 /// How fast the requests of one class for one item are served.
 struct DrainRate {
   double per_s = 0;   ///< Smoothed over kDrainTime.
   double hold_s = 0;  ///< Smoothed time that a slot is held; 0 if unknown.
+  double first_token_s = 0;  ///< Smoothed time from a grant to the first token.
   TimePoint updated;
 };
 
@@ -165,7 +168,8 @@
 std::vector<Grant> NextGrants(PoolState& pool, TimePoint now);
 
 /// Removes waiting requests that are now expected to finish after their
-/// deadline, and returns their refusals. Resumed streams keep waiting.
+/// deadline or to miss their first token target, and returns their refusals.
+/// Resumed streams keep waiting.
 std::vector<Grant> RefuseLate(PoolState& pool, TimePoint now);
 
 /// Takes in the complete list of slots of this pool that `entry_id` holds.
@@ -180,6 +184,11 @@
 /// latest start first. Overnight keeps its minimum share.
 std::vector<PreemptionNotice> ChoosePreemption(PoolState& pool, TimePoint now);
 
+/// Returns how many overnight slots could be cancelled for `item`.
+int CountPreemptable(const PoolState& pool,
+                     std::string_view item,
+                     TimePoint now);
+
 /// Adjusts the limits that are due.
 void AdjustLimits(PoolState& pool, TimePoint now);
 
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -15,9 +15,13 @@
 namespace {
 
 const TimePoint kStart{std::chrono::hours{1}};
+constexpr int kHourMs = 3600 * 1000;
 
 PoolState PoolOf(const std::vector<std::pair<std::string, int>>& endpoints) {
   PoolState pool;
+  // Tests of the first token target set their own.
+  for (ClassState& state : pool.classes)
+    state.settings.first_token_ms = kHourMs;
   for (const auto& [id, slots] : endpoints) {
     EndpointState& endpoint = pool.endpoints[id];
     endpoint.id = id;
@@ -183,6 +187,38 @@
   CHECK_EQUAL(1U, pool.classes[1].waiting.size());
 }
 
+// Guards against queues in which every request is granted too late for its
+// first token, against refusals of requests that a cancelled stream makes room
+// for, and against such a limit on services.
+TEST(PoolState, RefusesWhatMissesTheFirstTokenTarget) {
+  struct Row {
+    Priority running;
+    EndpointKind kind;
+    bool queued;
+  };
+  const std::vector<Row> rows = {
+      {Priority::kInteractive, EndpointKind::kEngine, false},
+      {Priority::kOvernight, EndpointKind::kEngine, true},
+      {Priority::kInteractive, EndpointKind::kService, true}};
+  for (const Row& row : rows) {
+    PoolState pool = PoolOf({{"e1", 2}});
+    pool.classes[0].settings.first_token_ms = 600;
+    const TimePoint now = kStart + std::chrono::seconds{3};
+    SlotOutcome outcome;
+    outcome.time_to_first_token = Milliseconds{100};
+    ReturnSlot(pool, MustGrant(pool, RequestOf("r1")), outcome, now);
+    MustGrant(pool, RequestOf("r2", row.running), now);
+    MustGrant(pool, RequestOf("r3", row.running), now);
+    SlotRequest request = RequestOf("r4");
+    request.kind = row.kind;
+    CHECK_EQUAL(row.queued, !AskSlot(pool, "e", request, now));
+    if (!row.queued || row.kind == EndpointKind::kService)
+      continue;
+    CHECK(RefuseLate(pool, now + Milliseconds{490}).empty());
+    CHECK_EQUAL(1U, RefuseLate(pool, now + Milliseconds{501}).size());
+  }
+}
+
 // Guards against slots that a lost return, a dead entry or a new dispatcher
 // leaves blocked or uncounted.
 TEST(PoolState, RepairsByReportsAndDeadlines) {
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -11,6 +11,7 @@
 /// Bounds what a class that cannot be served for a while accumulates.
 constexpr double kMaxDeficit = 8;
 constexpr std::size_t kMaxServedEntries = 4096;
+constexpr double kMsPerSecond = 1000;
 constexpr std::size_t kNone = static_cast<std::size_t>(-1);
 
 std::uint64_t LastTurn(const std::map<std::string, std::uint64_t>& served,
@@ -183,14 +184,46 @@
   return wait_s + hold_s > left_s;
 }
 
+/// Returns the latest grant that meets the first token target. Only engines
+/// have one.
+TimePoint StartDeadline(const ClassState& state,
+                        const SlotRequest& request,
+                        TimePoint now) {
+  if (request.kind == EndpointKind::kService)
+    return request.deadline;
+  const double left_s = state.settings.first_token_ms / kMsPerSecond -
+                        FirstTokenSeconds(state, request.item);
+  return now + std::chrono::duration_cast<Clock::duration>(
+                   std::chrono::duration<double>(left_s));
+}
+
+/// Returns the expected wait behind `ahead` requests, in seconds.
+double WaitSeconds(const PoolState& pool,
+                   const SlotRequest& request,
+                   std::size_t ahead,
+                   TimePoint now) {
+  const auto rate = ServiceRate(pool, request.priority, request.item, now);
+  if (request.priority != Priority::kInteractive)
+    return ExpectedWaitSeconds(rate, ahead);
+  const auto preemptable =
+      static_cast<std::size_t>(CountPreemptable(pool, request.item, now));
+  return ahead < preemptable ? 0
+                             : ExpectedWaitSeconds(rate, ahead - preemptable);
+}
+
+/// Returns whether a request that waits behind `ahead` others is expected to
+/// miss its deadline or its first token target.
 bool IsTooLate(const PoolState& pool,
                const ClassState& state,
                const SlotRequest& request,
+               TimePoint start_deadline,
+               std::size_t ahead,
                TimePoint now) {
-  const auto rate = ServiceRate(pool, request.priority, request.item, now);
-  const std::size_t ahead = CountWaiting(state, request.item);
-  return MissesDeadline(request, ExpectedWaitSeconds(rate, ahead),
-                        HoldSeconds(state, request.item), now);
+  const double wait_s = WaitSeconds(pool, request, ahead, now);
+  if (MissesDeadline(request, wait_s, HoldSeconds(state, request.item), now))
+    return true;
+  const std::chrono::duration<double> left = start_deadline - now;
+  return wait_s > left.count();
 }
 
 }  // namespace
@@ -221,11 +254,13 @@
   if (!resumed && state.waiting.size() >= bound)
     return SlotAnswer{SlotVerdict::kQueueFull, "", 0,
                       RetryAfterMs(pool, request, now)};
-  if (!resumed && IsTooLate(pool, state, request, now))
+  const TimePoint start_deadline = StartDeadline(state, request, now);
+  const std::size_t ahead = CountWaiting(state, request.item);
+  if (!resumed && IsTooLate(pool, state, request, start_deadline, ahead, now))
     return SlotAnswer{SlotVerdict::kDeadline, "", 0,
                       RetryAfterMs(pool, request, now)};
-  state.waiting.push_back(
-      {request, std::string(entry_id), ++pool.turn, resumed, now});
+  state.waiting.push_back({request, std::string(entry_id), ++pool.turn, resumed,
+                           now, start_deadline});
   return std::nullopt;
 }
 
@@ -255,17 +290,11 @@
   std::vector<Grant> refusals;
   for (ClassState& state : pool.classes) {
     std::map<std::string, std::size_t> ahead;
-    std::map<std::string, std::optional<double>> rates;
     std::vector<Waiting> kept;
     for (Waiting& one : state.waiting) {
       const SlotRequest& request = one.request;
-      const auto [rate, is_new] = rates.try_emplace(request.item);
-      if (is_new)
-        rate->second = ServiceRate(pool, request.priority, request.item, now);
-      const double wait =
-          ExpectedWaitSeconds(rate->second, ahead[request.item]);
-      const double hold = HoldSeconds(state, request.item);
-      if (one.resumed || !MissesDeadline(request, wait, hold, now)) {
+      if (one.resumed || !IsTooLate(pool, state, request, one.start_deadline,
+                                    ahead[request.item], now)) {
         ++ahead[request.item];
         kept.push_back(std::move(one));
         continue;
--- a/src/dispatch/slots.cc
+++ b/src/dispatch/slots.cc
@@ -24,6 +24,7 @@
                    Milliseconds{state.settings.token_gap_ms});
   if (slot.preempted && pool.resumable.size() < kMaxResumable)
     pool.resumable.insert(slot.request_id);
+  ObserveFirstToken(state, slot.item, outcome.time_to_first_token);
   if (!slot.preempted && !outcome.endpoint_failed)
     ObserveHold(state, slot.item, slot.start, now);
 }
@@ -210,6 +211,25 @@
   }
 }
 
+int CountPreemptable(const PoolState& pool,
+                     std::string_view item,
+                     TimePoint now) {
+  const auto holders = pool.holders.find(item);
+  if (holders == pool.holders.end())
+    return 0;
+  int count = 0;
+  for (const std::string& id : holders->second) {
+    const auto endpoint = pool.endpoints.find(id);
+    if (endpoint == pool.endpoints.end() || endpoint->second.leaving ||
+        IsEjected(endpoint->second.outlier, now))
+      continue;
+    for (const Slot& slot : endpoint->second.granted)
+      count += slot.priority == Priority::kOvernight ? 1 : 0;
+  }
+  const int spare = CountOvernight(pool) - OvernightShare(pool, now);
+  return std::clamp(spare, 0, count);
+}
+
 std::vector<PreemptionNotice> ChoosePreemption(PoolState& pool, TimePoint now) {
   std::vector<PreemptionNotice> notices;
   const auto interactive = static_cast<std::size_t>(Priority::kInteractive);
--- a/src/peer/slot_caller.cc
+++ b/src/peer/slot_caller.cc
@@ -17,6 +17,9 @@
 /// A request that gets neither an answer nor a fallback share is refused then.
 constexpr Milliseconds kUnansweredTime{1000};
 constexpr Milliseconds kHintTime{2000};
+/// A request that has waited longer in one queue is not queued again in the
+/// next pool: the waits would add up beyond its first token target.
+constexpr Milliseconds kNextPoolTime{150};
 constexpr Milliseconds kFallbackLogPeriod{5000};
 constexpr int kUnreadyRetryMs = 1000;
 constexpr int kUnansweredRetryMs = 1000;
@@ -83,15 +86,19 @@
   const auto routes = this->routes->Get();
   SlotAnswer refusal{SlotVerdict::kNoCopy, "", 0, kUnreadyRetryMs};
   bool asked = false;
+  const TimePoint start = Clock::now();
   for (const dispatch::PoolHolders* holders :
-       this->OrderPools(*routes, request, Clock::now())) {
+       this->OrderPools(*routes, request, start)) {
     SlotAnswer answer = this->AskPool(*routes, *holders, request, caller_gone);
     if (!TriesNextPool(answer.verdict))
       return answer;
     if (!asked || answer.retry_after_ms < refusal.retry_after_ms)
       refusal = answer;
     asked = true;
-    if (Clock::now() >= request.deadline)
+    const TimePoint now = Clock::now();
+    const bool waited = answer.verdict == SlotVerdict::kDeadline &&
+                        now >= start + kNextPoolTime;
+    if (waited || now >= request.deadline)
       break;
   }
   if (refusal.verdict == SlotVerdict::kNoCopy)
