Entry: Reserve requests in progress by the classes' minimum shares

Cause: in an overnight flood waiting overnight requests took all threads of every entry; 154 of 219 interactive requests were refused as entry_full. Ruled out: the dispatchers (no other reason of refusal) and the engines (gap 95% 51 ms). Change: each class has its minimum share of an entry's places; the rest is open to all. A class beyond its share is refused while others' places are kept free.

--- /dev/null
+++ b/src/entry/class_admission_unittest.cc
@@ -0,0 +1,39 @@
+#include "entry/class_admission.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+namespace coltsfootvane {
+
+TEST_GROUP(ClassAdmission){};
+
+// Guards against a flood of one class that takes every thread of an entry, and
+// against reserved threads that the class itself cannot use.
+TEST(ClassAdmission, KeepsMinimumShares) {
+  struct Row {
+    ClassCounts counts;
+    Priority priority;
+    bool has_room;
+  };
+  const std::vector<Row> rows = {
+      {{0, 0, 29}, Priority::kOvernight, true},
+      {{0, 0, 30}, Priority::kOvernight, false},
+      {{0, 0, 30}, Priority::kInteractive, true},
+      {{50, 0, 30}, Priority::kInteractive, false},
+      {{50, 0, 30}, Priority::kLookup, true},
+      {{69, 0, 0}, Priority::kInteractive, true},
+      {{70, 0, 0}, Priority::kInteractive, false},
+      {{70, 0, 0}, Priority::kOvernight, true},
+      {{70, 20, 9}, Priority::kOvernight, true},
+      {{70, 20, 10}, Priority::kOvernight, false},
+  };
+  std::array<PriorityClass, kPriorityCount> classes;
+  classes[0].minimum_share = 0.5;
+  classes[1].minimum_share = 0.2;
+  classes[2].minimum_share = 0.1;
+  for (const Row& row : rows)
+    CHECK_EQUAL(row.has_room, HasRoom(row.counts, classes, 100, row.priority));
+}
+
+}  // namespace coltsfootvane
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -24,6 +24,12 @@
   return distribution(generator);
 }
 
+void RefuseFull(CallContext* context) {
+  SendRefusal(context,
+              RefuseBy(context->tracker, 503, "entry_full",
+                       "too many requests are in progress", kFullRetryAfterMs));
+}
+
 /// Counts one request while it lives, if there is room for it.
 class ProgressCount {
  public:
@@ -118,9 +124,7 @@
       this->HandleRouted(&context);
       return;
     }
-    SendRefusal(&context, RefuseBy(context.tracker, 503, "entry_full",
-                                   "too many requests are in progress",
-                                   kFullRetryAfterMs));
+    RefuseFull(&context);
   } catch (const std::exception& error) {
     // The caller sees a stream that is cut as not complete.
     if (context.streaming) {
@@ -151,6 +155,12 @@
     CountResult(*context, "complete");
     return;
   }
+  const ClassAdmission admission(&this->admissions, configuration.classes,
+                                 this->Limit(), context->call.priority);
+  if (!admission.Admitted()) {
+    RefuseFull(context);
+    return;
+  }
   const int completion_ms =
       ClassOf(configuration, context->call.priority).completion_ms;
   context->deadline = context->arrival + Milliseconds{completion_ms};
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -7,6 +7,7 @@
 
 #include "base/result.h"
 #include "entry/call_context.h"
+#include "entry/class_admission.h"
 #include "entry/entry_dependencies.h"
 #include "http/server.h"
 
@@ -44,6 +45,7 @@
 
   EntryShared shared;
   std::atomic<std::size_t> in_progress{0};
+  ClassAdmission::State admissions;
   std::unique_ptr<http::Server> server;
 };
 
