Dispatch: Limit every endpoint by the strictest time per token

Cause: the limit followed the target of the class that used the endpoint, so lookups (100 ms) and overnight work (1000 ms) drove it to four times the slots; urgent requests then met engines beyond the knee (gap 95% of lookups 80 ms). Ruled out: the engines' own queue, since the limit equals the batch size. Change: observed times per token count against the strictest class.

--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -303,6 +303,20 @@
   }
 }
 
+// Guards against an endpoint that overnight work alone fills so far that an
+// urgent request misses its target there.
+TEST(PoolState, LimitsOvernightWorkByTheStrictestGap) {
+  PoolState pool = PoolOf({{"e1", 2}});
+  pool.classes[2].settings.token_gap_ms = 1000;
+  SlotOutcome slow;
+  slow.time_per_token = Milliseconds{60};
+  const auto first = MustGrant(pool, RequestOf("o1", Priority::kOvernight));
+  MustGrant(pool, RequestOf("o2", Priority::kOvernight));
+  ReturnSlot(pool, first, slow, kStart);
+  AdjustLimits(pool, kStart);
+  DOUBLES_EQUAL(2 * 0.85, pool.endpoints["e1"].limit.limit, 0.001);
+}
+
 // Guards against a broken endpoint that keeps getting calls, and against one
 // that never gets them back.
 TEST(PoolState, EjectsAndProbesOutliers) {
--- a/src/dispatch/slots.cc
+++ b/src/dispatch/slots.cc
@@ -11,6 +11,17 @@
 constexpr int kMissingReportsToFree = 2;
 constexpr std::size_t kMaxResumable = 1024;
 
+/// The limit of an endpoint follows the strictest class, also while only others
+/// use it: an urgent request must meet its target as soon as it comes.
+Milliseconds StrictestGap(const PoolState& pool) {
+  const auto strictest = std::min_element(
+      pool.classes.begin(), pool.classes.end(),
+      [](const ClassState& a, const ClassState& b) {
+        return a.settings.token_gap_ms < b.settings.token_gap_ms;
+      });
+  return Milliseconds{strictest->settings.token_gap_ms};
+}
+
 void ObserveReturn(PoolState& pool,
                    EndpointState& endpoint,
                    const Slot& slot,
@@ -20,8 +31,7 @@
   if (outcome.endpoint_leaving)
     endpoint.leaving = true;
   ObserveOutcome(endpoint.outlier, outcome.endpoint_failed, now);
-  ObserveTokenTime(endpoint.limit, outcome.time_per_token,
-                   Milliseconds{state.settings.token_gap_ms});
+  ObserveTokenTime(endpoint.limit, outcome.time_per_token, StrictestGap(pool));
   if (slot.preempted && pool.resumable.size() < kMaxResumable)
     pool.resumable.insert(slot.request_id);
   ObserveFirstToken(state, slot.item, outcome.time_to_first_token);
