Dispatch: Grant no slot after the first token target has been missed

Ruled out: engines (gap 95% 50 ms). Change: a request that has become late is passed over; RefuseLate() answers it.

--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -215,6 +215,8 @@
     if (!row.queued || row.kind == EndpointKind::kService)
       continue;
     CHECK(RefuseLate(pool, now + Milliseconds{490}).empty());
+    DropSlot(pool, pool.endpoints["e1"].granted[0].grant_id);
+    CHECK(NextGrants(pool, now + Milliseconds{501}).empty());
     CHECK_EQUAL(1U, RefuseLate(pool, now + Milliseconds{501}).size());
   }
 }
