Dispatch: Recognize preempted requests by their next attempt

Cause: an entry asks again with a new number of attempt, so the dispatcher never found a preempted request among the resumable ones: it went to the end of its queue and could be refused in mid-stream. Found by reading; the test used one id for both attempts and now uses the entry's form. Change: preempted requests are remembered without the number of the attempt.

--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -102,8 +102,9 @@
       holders;  ///< By item.
   std::array<ClassState, kPriorityCount> classes;
   std::uint64_t next_grant_id = 1;
-  std::uint64_t turn = 0;           ///< Counts arrivals and grants.
-  std::set<std::string> resumable;  ///< Request ids that were preempted.
+  std::uint64_t turn = 0;  ///< Counts arrivals and grants.
+  /// Requests that were preempted, by CallerRequestId().
+  std::set<std::string, std::less<>> resumable;
   /// Limits are halved until all of these entries have reported, at most until
   /// `cautious_until`.
   std::set<std::string> awaited_reports;
@@ -136,6 +137,10 @@
   std::uint64_t grant_id = 0;
 };
 
+/// Returns `request_id` without the number of the attempt, `-<n>`, that the
+/// entry appends: a preempted request comes back as its next attempt.
+std::string_view CallerRequestId(std::string_view request_id);
+
 /// Returns the answer, or nothing if the request waits. Repeating a request id
 /// returns the same grant and never takes a second slot.
 std::optional<SlotAnswer> AskSlot(PoolState& pool,
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -261,18 +261,19 @@
   PoolState pool = PoolOf({{"e1", 2}});
   MustGrant(pool, RequestOf("o1", Priority::kOvernight));
   const TimePoint later = kStart + std::chrono::seconds{1};
-  MustGrant(pool, RequestOf("o2", Priority::kOvernight), later);
+  MustGrant(pool, RequestOf("o2-1", Priority::kOvernight), later);
   AskSlot(pool, "e", RequestOf("o3", Priority::kOvernight), later);
   CHECK(ChoosePreemption(pool, later).empty());
   AskSlot(pool, "e", RequestOf("i1"), later);
   const auto notices = ChoosePreemption(pool, later);
   CHECK_EQUAL(1U, notices.size());
-  STRCMP_EQUAL("o2", notices[0].request_id.c_str());
+  STRCMP_EQUAL("o2-1", notices[0].request_id.c_str());
   CHECK(ChoosePreemption(pool, later).empty());
   STRCMP_EQUAL("i1", NextGranted(pool, notices[0].grant_id, later).c_str());
-  CHECK_FALSE(AskSlot(pool, "e", RequestOf("o2", Priority::kOvernight), later));
+  CHECK_FALSE(
+      AskSlot(pool, "e", RequestOf("o2-2", Priority::kOvernight), later));
   const auto& granted = pool.endpoints["e1"].granted;
-  STRCMP_EQUAL("o2", NextGranted(pool, granted[1].grant_id, later).c_str());
+  STRCMP_EQUAL("o2-2", NextGranted(pool, granted[1].grant_id, later).c_str());
 }
 
 // Guards against overnight streams that are cancelled below their share.
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -115,7 +115,9 @@
   RememberTurn(state.caller_served, request.caller, turn);
   ObserveGrant(state, request.item, now);
   CountShares(pool, class_index);
-  pool.resumable.erase(request.request_id);
+  const auto resumed = pool.resumable.find(CallerRequestId(request.request_id));
+  if (resumed != pool.resumable.end())
+    pool.resumable.erase(resumed);
   return {SlotVerdict::kGranted, endpoint.id, slot.grant_id, 0};
 }
 
@@ -255,7 +257,8 @@
   EndpointState* endpoint = ChooseEndpoint(pool, request, now);
   if (endpoint != nullptr)
     return AddSlot(pool, *endpoint, entry_id, request, now);
-  const bool resumed = pool.resumable.count(request.request_id) > 0;
+  const bool resumed =
+      pool.resumable.count(CallerRequestId(request.request_id)) > 0;
   const auto bound = static_cast<std::size_t>(state.settings.queue_length);
   if (!resumed && state.waiting.size() >= bound)
     return SlotAnswer{SlotVerdict::kQueueFull, "", 0,
--- a/src/dispatch/slots.cc
+++ b/src/dispatch/slots.cc
@@ -33,7 +33,7 @@
   ObserveOutcome(endpoint.outlier, outcome.endpoint_failed, now);
   ObserveTokenTime(endpoint.limit, outcome.time_per_token, StrictestGap(pool));
   if (slot.preempted && pool.resumable.size() < kMaxResumable)
-    pool.resumable.insert(slot.request_id);
+    pool.resumable.emplace(CallerRequestId(slot.request_id));
   ObserveFirstToken(state, slot.item, outcome.time_to_first_token);
   if (!slot.preempted && !outcome.endpoint_failed)
     ObserveHold(state, slot.item, slot.start, now);
@@ -126,6 +126,13 @@
 
 }  // namespace
 
+std::string_view CallerRequestId(std::string_view request_id) {
+  const std::size_t last = request_id.find_last_not_of("0123456789");
+  const bool numbered = last != std::string_view::npos &&
+                        last + 1 < request_id.size() && request_id[last] == '-';
+  return numbered ? request_id.substr(0, last) : request_id;
+}
+
 void ReturnSlot(PoolState& pool,
                 std::uint64_t grant_id,
                 const SlotOutcome& outcome,
