--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -185,9 +185,8 @@
                   gsl::span<const HeldSlot> held,
                   TimePoint now);
 
-/// Chooses overnight slots to cancel for waiting interactive requests and for
-/// lookups that are about to miss their first token target, the latest start
-/// first. Overnight keeps its minimum share.
+/// Chooses overnight slots to cancel for waiting interactive requests, the
+/// latest start first. Overnight keeps its minimum share.
 std::vector<PreemptionNotice> ChoosePreemption(PoolState& pool, TimePoint now);
 
 /// Returns how many overnight slots could be cancelled for `item`.
--- a/src/dispatch/slots.cc
+++ b/src/dispatch/slots.cc
@@ -87,18 +87,6 @@
   return cancelled;
 }
 
-/// An interactive request cancels at once; a lookup only when half of its time
-/// for the first token has passed, because most get a slot before.
-bool MayPreempt(const PoolState& pool, const Waiting& one, TimePoint now) {
-  if (one.request.priority == Priority::kInteractive)
-    return true;
-  if (one.request.kind == EndpointKind::kService)
-    return false;
-  const auto index = static_cast<std::size_t>(one.request.priority);
-  const int target_ms = pool.classes.at(index).settings.first_token_ms;
-  return now + Milliseconds{target_ms / 2} >= one.start_deadline;
-}
-
 /// Returns the latest started overnight slot at a usable holder.
 Slot* LatestOvernight(PoolState& pool,
                       const SlotRequest& request,
@@ -261,24 +249,20 @@
 
 std::vector<PreemptionNotice> ChoosePreemption(PoolState& pool, TimePoint now) {
   std::vector<PreemptionNotice> notices;
+  const auto interactive = static_cast<std::size_t>(Priority::kInteractive);
   int spare = CountOvernight(pool) - OvernightShare(pool, now);
   std::map<std::string, int> cancelled = CountCancelled(pool);
-  for (const Priority priority : {Priority::kInteractive, Priority::kLookup}) {
-    const auto index = static_cast<std::size_t>(priority);
-    for (const Waiting& one : pool.classes.at(index).waiting) {
-      if (!MayPreempt(pool, one, now))
-        continue;
-      if (TakeCancelled(pool, one.request.item, &cancelled))
-        continue;
-      if (spare <= 0)
-        return notices;
-      Slot* slot = LatestOvernight(pool, one.request, now);
-      if (slot == nullptr)
-        continue;
-      slot->preempted = true;
-      --spare;
-      notices.push_back({slot->entry_id, slot->request_id, slot->grant_id});
-    }
+  for (const Waiting& one : pool.classes[interactive].waiting) {
+    if (TakeCancelled(pool, one.request.item, &cancelled))
+      continue;
+    if (spare <= 0)
+      break;
+    Slot* slot = LatestOvernight(pool, one.request, now);
+    if (slot == nullptr)
+      continue;
+    slot->preempted = true;
+    --spare;
+    notices.push_back({slot->entry_id, slot->request_id, slot->grant_id});
   }
   return notices;
 }
