--- a/src/dispatch/drain.cc
+++ b/src/dispatch/drain.cc
@@ -102,28 +102,6 @@
   return std::max(DecayedRate(drain, now), capacity * share);
 }
 
-void ObserveBacklog(ClassState& state, TimePoint now) {
-  for (auto& [item, drain] : state.drain) {
-    if (CountWaiting(state, item) == 0)
-      drain.backlog_start = TimePoint();
-    else if (drain.backlog_start == TimePoint())
-      drain.backlog_start = now;
-  }
-}
-
-std::optional<double> BacklogRate(const ClassState& state,
-                                  std::string_view item,
-                                  TimePoint now) {
-  const auto found = state.drain.find(item);
-  if (found == state.drain.end())
-    return std::nullopt;
-  const DrainRate& drain = found->second;
-  if (drain.backlog_start == TimePoint() ||
-      SecondsBetween(drain.backlog_start, now) < kDrainTimeSeconds)
-    return std::nullopt;
-  return DecayedRate(drain, now);
-}
-
 double ExpectedWaitSeconds(std::optional<double> rate, std::size_t ahead) {
   constexpr double kLongestWait = kMaxRetryAfterMs / 1000.0;
   if (!rate)
--- a/src/dispatch/drain.h
+++ b/src/dispatch/drain.h
@@ -32,15 +32,6 @@
                                   std::string_view item,
                                   TimePoint now);
 
-/// Notes which items of the class have requests waiting.
-void ObserveBacklog(ClassState& state, TimePoint now);
-
-/// Returns the observed rate of an item whose requests have waited so long that
-/// it is known, or nothing.
-std::optional<double> BacklogRate(const ClassState& state,
-                                  std::string_view item,
-                                  TimePoint now);
-
 /// Returns the expected wait behind `ahead` requests at `rate`, in seconds.
 double ExpectedWaitSeconds(std::optional<double> rate, std::size_t ahead);
 
--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -83,8 +83,6 @@
   double hold_s = 0;  ///< Smoothed time that a slot is held; 0 if unknown.
   double first_token_s = 0;  ///< Smoothed time from a grant to the first token.
   TimePoint updated;
-  /// Since when requests have waited without a break; unset if none wait.
-  TimePoint backlog_start;
 };
 
 struct ClassState {
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -207,23 +207,16 @@
 
 /// Returns the expected wait behind `ahead` requests, in seconds.
 double WaitSeconds(const PoolState& pool,
-                   const ClassState& state,
                    const SlotRequest& request,
                    std::size_t ahead,
                    TimePoint now) {
-  if (request.priority == Priority::kInteractive) {
-    const auto preemptable =
-        static_cast<std::size_t>(CountPreemptable(pool, request.item, now));
-    if (ahead < preemptable)
-      return 0;
-    ahead -= preemptable;
-  }
-  // The first in the queue may always wait, so that an item whose rate is low
-  // because its requests are refused gets slots again.
-  auto rate = ahead > 0 ? BacklogRate(state, request.item, now) : std::nullopt;
-  if (!rate)
-    rate = ServiceRate(pool, request.priority, request.item, now);
-  return ExpectedWaitSeconds(rate, ahead);
+  const auto rate = ServiceRate(pool, request.priority, request.item, now);
+  if (request.priority != Priority::kInteractive)
+    return ExpectedWaitSeconds(rate, ahead);
+  const auto preemptable =
+      static_cast<std::size_t>(CountPreemptable(pool, request.item, now));
+  return ahead < preemptable ? 0
+                             : ExpectedWaitSeconds(rate, ahead - preemptable);
 }
 
 /// Returns whether a request that waits behind `ahead` others is expected to
@@ -234,7 +227,7 @@
                TimePoint start_deadline,
                std::size_t ahead,
                TimePoint now) {
-  const double wait_s = WaitSeconds(pool, state, request, ahead, now);
+  const double wait_s = WaitSeconds(pool, request, ahead, now);
   if (MissesDeadline(request, wait_s, HoldSeconds(state, request.item), now))
     return true;
   const std::chrono::duration<double> left = start_deadline - now;
@@ -305,7 +298,6 @@
 std::vector<Grant> RefuseLate(PoolState& pool, TimePoint now) {
   std::vector<Grant> refusals;
   for (ClassState& state : pool.classes) {
-    ObserveBacklog(state, now);
     std::map<std::string, std::size_t> ahead;
     std::vector<Waiting> kept;
     for (Waiting& one : state.waiting) {
