--- a/src/dispatch/drain.cc
+++ b/src/dispatch/drain.cc
@@ -12,6 +12,7 @@
 /// A stall is expected to last this many times as long as it has lasted. With
 /// 1, a waiting request would be refused only at half of its time.
 constexpr double kStallFactor = 2;
+constexpr double kFirstTokenWeight = 0.1;
 constexpr int kMinRetryAfterMs = 100;
 constexpr int kMaxRetryAfterMs = 60000;
 
@@ -19,6 +20,12 @@
   return std::chrono::duration<double>(to - from).count();
 }
 
+/// Smooths observations; the first one counts in full.
+void Observe(double& smoothed, double observed, double weight) {
+  smoothed =
+      smoothed <= 0 ? observed : smoothed + weight * (observed - smoothed);
+}
+
 double DecayedRate(const DrainRate& drain, TimePoint now) {
   const double elapsed = SecondsBetween(drain.updated, now);
   return drain.per_s * std::exp(-elapsed / kDrainTimeSeconds);
@@ -81,11 +88,16 @@
                  const std::string& item,
                  TimePoint start,
                  TimePoint now) {
-  DrainRate& drain = state.drain[item];
-  const double held = SecondsBetween(start, now);
-  drain.hold_s = drain.hold_s <= 0
-                     ? held
-                     : drain.hold_s + kHoldWeight * (held - drain.hold_s);
+  Observe(state.drain[item].hold_s, SecondsBetween(start, now), kHoldWeight);
+}
+
+void ObserveFirstToken(ClassState& state,
+                       const std::string& item,
+                       Microseconds time_to_first_token) {
+  if (time_to_first_token.count() <= 0)
+    return;
+  const std::chrono::duration<double> seconds = time_to_first_token;
+  Observe(state.drain[item].first_token_s, seconds.count(), kFirstTokenWeight);
 }
 
 std::size_t CountWaiting(const ClassState& state, std::string_view item) {
@@ -105,6 +117,11 @@
   return stall <= usual ? usual : usual + kStallFactor * (stall - usual);
 }
 
+double FirstTokenSeconds(const ClassState& state, std::string_view item) {
+  const auto found = state.drain.find(item);
+  return found == state.drain.end() ? 0 : found->second.first_token_s;
+}
+
 std::optional<double> ServiceRate(const PoolState& pool,
                                   Priority priority,
                                   std::string_view item,
--- /dev/null
+++ b/src/dispatch/lateness.cc
@@ -0,0 +1,168 @@
+#include "dispatch/lateness.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "dispatch/drain.h"
+#include "dispatch/outliers.h"
+
+namespace coltsfootvane::dispatch {
+namespace {
+
+/// An admitted request whose estimate is just met would be refused, late, by
+/// any later rise of the estimate.
+constexpr double kAdmissionMargin = 1.5;
+constexpr double kNoMargin = 1;
+constexpr double kMsPerSecond = 1000;
+
+/// What the requests of one item and class have in common.
+struct Estimate {
+  std::optional<double> rate;
+  double hold_s = 0;
+  /// Streams that a more urgent request may cancel; it does not wait for them.
+  std::size_t preemptable = 0;
+  bool all_failed = false;
+};
+
+/// Returns whether every holder is ejected and has failed on trial since its
+/// first ejection: the failure lasts, and more trials are not waited for.
+bool AllFailedTrial(const PoolState& pool,
+                    const std::string& item,
+                    TimePoint now) {
+  const auto holders = pool.holders.find(item);
+  if (holders == pool.holders.end())
+    return false;
+  return std::all_of(holders->second.begin(), holders->second.end(),
+                     [&pool, now](const std::string& id) {
+                       const auto found = pool.endpoints.find(id);
+                       if (found == pool.endpoints.end())
+                         return true;
+                       const OutlierState& outlier = found->second.outlier;
+                       return IsEjected(outlier, now) && outlier.ejections > 1;
+                     });
+}
+
+Estimate EstimateFor(const PoolState& pool,
+                     const SlotRequest& request,
+                     TimePoint now) {
+  Estimate estimate;
+  estimate.rate = ServiceRate(pool, request.priority, request.item, now);
+  estimate.hold_s = HoldSeconds(pool, request.priority, request.item, now);
+  estimate.all_failed = AllFailedTrial(pool, request.item, now);
+  if (request.priority == Priority::kInteractive)
+    estimate.preemptable =
+        static_cast<std::size_t>(CountPreemptable(pool, request.item, now));
+  return estimate;
+}
+
+/// Returns whether a request behind `ahead` others is expected to be late. The
+/// margin applies to the wait before the deadline only: the first token target
+/// is short, and a wait for it is seldom long enough to change.
+bool IsLate(const Estimate& estimate,
+            const SlotRequest& request,
+            TimePoint start_deadline,
+            std::size_t ahead,
+            double margin,
+            TimePoint now) {
+  if (estimate.all_failed)
+    return true;
+  const double wait_s =
+      ahead < estimate.preemptable
+          ? 0
+          : ExpectedWaitSeconds(estimate.rate, ahead - estimate.preemptable);
+  const std::chrono::duration<double> to_deadline = request.deadline - now;
+  if (margin * wait_s + estimate.hold_s > to_deadline.count())
+    return true;
+  const std::chrono::duration<double> to_start = start_deadline - now;
+  return wait_s > to_start.count();
+}
+
+std::vector<bool> FindLate(const PoolState& pool,
+                           const ClassState& state,
+                           const std::set<std::string>& tight_items,
+                           TimePoint now) {
+  std::map<std::string, Estimate> estimates;
+  std::map<std::string, std::size_t> ahead;
+  std::vector<bool> late;
+  late.reserve(state.waiting.size());
+  for (const Waiting& one : state.waiting) {
+    const SlotRequest& request = one.request;
+    auto estimate = estimates.find(request.item);
+    if (estimate == estimates.end())
+      estimate =
+          estimates.emplace(request.item, EstimateFor(pool, request, now))
+              .first;
+    const double margin =
+        tight_items.count(request.item) > 0 ? kAdmissionMargin : kNoMargin;
+    std::size_t& before = ahead[request.item];
+    late.push_back(!one.resumed &&
+                   IsLate(estimate->second, request, one.start_deadline, before,
+                          margin, now));
+    before += late.back() ? 0 : 1;
+  }
+  return late;
+}
+
+}  // namespace
+
+bool HasHolder(const PoolState& pool, const SlotRequest& request) {
+  const auto holders = pool.holders.find(request.item);
+  if (holders == pool.holders.end())
+    return false;
+  for (const std::string& id : holders->second) {
+    const auto endpoint = pool.endpoints.find(id);
+    if (endpoint == pool.endpoints.end() || endpoint->second.leaving)
+      continue;
+    if (std::find(request.excluded.begin(), request.excluded.end(), id) ==
+        request.excluded.end())
+      return true;
+  }
+  return false;
+}
+
+bool CannotUseCopies(const PoolState& pool, const SlotRequest& request) {
+  const auto holders = pool.holders.find(request.item);
+  return holders != pool.holders.end() && !holders->second.empty() &&
+         !HasHolder(pool, request);
+}
+
+TimePoint StartDeadline(const ClassState& state,
+                        const SlotRequest& request,
+                        TimePoint now) {
+  if (request.kind == EndpointKind::kService)
+    return request.deadline;
+  const double left_s = state.settings.first_token_ms / kMsPerSecond -
+                        FirstTokenSeconds(state, request.item);
+  return now + std::chrono::duration_cast<Clock::duration>(
+                   std::chrono::duration<double>(left_s));
+}
+
+bool IsTooLateToQueue(const PoolState& pool,
+                      const ClassState& state,
+                      const SlotRequest& request,
+                      TimePoint start_deadline,
+                      TimePoint now) {
+  return IsLate(EstimateFor(pool, request, now), request, start_deadline,
+                CountWaiting(state, request.item), kAdmissionMargin, now);
+}
+
+std::vector<bool> FindRefused(const PoolState& pool,
+                              const ClassState& state,
+                              TimePoint now) {
+  const std::vector<bool> late = FindLate(pool, state, {}, now);
+  std::set<std::string> late_items;
+  for (std::size_t i = 0; i < late.size(); ++i) {
+    if (late[i])
+      late_items.insert(state.waiting[i].request.item);
+  }
+  if (late_items.empty())
+    return late;
+  // Where one request is late, those that would be next are refused as well
+  // and not one by one, close to their deadlines.
+  return FindLate(pool, state, late_items, now);
+}
+
+}  // namespace coltsfootvane::dispatch
--- /dev/null
+++ b/src/dispatch/lateness.h
@@ -0,0 +1,39 @@
+#ifndef COLTSFOOTVANE_DISPATCH_LATENESS_H_
+#define COLTSFOOTVANE_DISPATCH_LATENESS_H_
+
+#include <vector>
+
+#include "dispatch/pool_state.h"
+
+namespace coltsfootvane::dispatch {
+
+/// Returns whether an endpoint that is not leaving has the item and is not
+/// excluded by the request.
+bool HasHolder(const PoolState& pool, const SlotRequest& request);
+
+/// Returns whether the item has copies here and the request can use none.
+bool CannotUseCopies(const PoolState& pool, const SlotRequest& request);
+
+/// Returns the latest grant that meets the first token target. Only engines
+/// have one.
+TimePoint StartDeadline(const ClassState& state,
+                        const SlotRequest& request,
+                        TimePoint now);
+
+/// Returns whether a request that would wait behind all others of its item is
+/// expected to miss its deadline or its first token target.
+bool IsTooLateToQueue(const PoolState& pool,
+                      const ClassState& state,
+                      const SlotRequest& request,
+                      TimePoint start_deadline,
+                      TimePoint now);
+
+/// Returns which waiting requests of the class to refuse: those expected to be
+/// late and, for their items, those that would be next.
+std::vector<bool> FindRefused(const PoolState& pool,
+                              const ClassState& state,
+                              TimePoint now);
+
+}  // namespace coltsfootvane::dispatch
+
+#endif  // COLTSFOOTVANE_DISPATCH_LATENESS_H_
--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -73,12 +73,15 @@
   std::uint64_t arrival = 0;
   bool resumed = false;  ///< Was preempted; goes to the head of its class.
   TimePoint heard;       ///< When the entry last repeated it.
+  /// A later grant misses the first token target.
+  TimePoint start_deadline;
 };
 
 /// How fast the requests of one class for one item are served.
 struct DrainRate {
   double per_s = 0;   ///< Smoothed over kDrainTime.
   double hold_s = 0;  ///< Smoothed time that a slot is held; 0 if unknown.
+  double first_token_s = 0;  ///< Smoothed time from a grant to the first token.
   TimePoint updated;
 };
 
@@ -99,8 +102,9 @@
       holders;  ///< By item.
   std::array<ClassState, kPriorityCount> classes;
   std::uint64_t next_grant_id = 1;
-  std::uint64_t turn = 0;           ///< Counts arrivals and grants.
-  std::set<std::string> resumable;  ///< Request ids that were preempted.
+  std::uint64_t turn = 0;  ///< Counts arrivals and grants.
+  /// Requests that were preempted, by CallerRequestId().
+  std::set<std::string, std::less<>> resumable;
   /// Limits are halved until all of these entries have reported, at most until
   /// `cautious_until`.
   std::set<std::string> awaited_reports;
@@ -133,6 +137,10 @@
   std::uint64_t grant_id = 0;
 };
 
+/// Returns `request_id` without the number of the attempt, `-<n>`, that the
+/// entry appends: a preempted request comes back as its next attempt.
+std::string_view CallerRequestId(std::string_view request_id);
+
 /// Returns the answer, or nothing if the request waits. Repeating a request id
 /// returns the same grant and never takes a second slot.
 std::optional<SlotAnswer> AskSlot(PoolState& pool,
@@ -165,9 +173,9 @@
 std::vector<Grant> NextGrants(PoolState& pool, TimePoint now);
 
 /// Removes waiting requests that are now expected to finish after their
-/// deadline, that exclude every copy, or whose copies in this pool have gone,
-/// and returns their refusals. Resumed streams are not refused as late, and
-/// wait for a new copy.
+/// deadline or to miss their first token target, that exclude every copy, or
+/// whose copies in this pool have gone, and returns their refusals. Resumed
+/// streams are not refused as late, and wait for a new copy.
 std::vector<Grant> RefuseLate(PoolState& pool, TimePoint now);
 
 /// Takes in the complete list of slots of this pool that `entry_id` holds.
@@ -182,6 +190,11 @@
 /// latest start first. Overnight keeps its minimum share.
 std::vector<PreemptionNotice> ChoosePreemption(PoolState& pool, TimePoint now);
 
+/// Returns how many overnight slots could be cancelled for `item`.
+int CountPreemptable(const PoolState& pool,
+                     std::string_view item,
+                     TimePoint now);
+
 /// Adjusts the limits that are due.
 void AdjustLimits(PoolState& pool, TimePoint now);
 
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -15,9 +15,13 @@
 namespace {
 
 const TimePoint kStart{std::chrono::hours{1}};
+constexpr int kHourMs = 3600 * 1000;
 
 PoolState PoolOf(const std::vector<std::pair<std::string, int>>& endpoints) {
   PoolState pool;
+  // Tests of the first token target set their own.
+  for (ClassState& state : pool.classes)
+    state.settings.first_token_ms = kHourMs;
   for (const auto& [id, slots] : endpoints) {
     EndpointState& endpoint = pool.endpoints[id];
     endpoint.id = id;
@@ -288,6 +292,40 @@
   CHECK(AskSlot(pool, "e", request, now)->verdict == SlotVerdict::kDeadline);
 }
 
+// Guards against queues in which every request is granted too late for its
+// first token, against refusals of requests that a cancelled stream makes room
+// for, and against such a limit on services.
+TEST(PoolState, RefusesWhatMissesTheFirstTokenTarget) {
+  struct Row {
+    Priority running;
+    EndpointKind kind;
+    bool queued;
+  };
+  const std::vector<Row> rows = {
+      {Priority::kInteractive, EndpointKind::kEngine, false},
+      {Priority::kOvernight, EndpointKind::kEngine, true},
+      {Priority::kInteractive, EndpointKind::kService, true}};
+  for (const Row& row : rows) {
+    PoolState pool = PoolOf({{"e1", 2}});
+    pool.classes[0].settings.first_token_ms = 600;
+    const TimePoint now = kStart + std::chrono::seconds{3};
+    SlotOutcome outcome;
+    outcome.time_to_first_token = Milliseconds{100};
+    ReturnSlot(pool, MustGrant(pool, RequestOf("r1")), outcome, now);
+    MustGrant(pool, RequestOf("r2", row.running), now);
+    MustGrant(pool, RequestOf("r3", row.running), now);
+    SlotRequest request = RequestOf("r4");
+    request.kind = row.kind;
+    CHECK_EQUAL(row.queued, !AskSlot(pool, "e", request, now));
+    if (!row.queued || row.kind == EndpointKind::kService)
+      continue;
+    CHECK(RefuseLate(pool, now + Milliseconds{490}).empty());
+    DropSlot(pool, pool.endpoints["e1"].granted[0].grant_id);
+    CHECK(NextGrants(pool, now + Milliseconds{501}).empty());
+    CHECK_EQUAL(1U, RefuseLate(pool, now + Milliseconds{501}).size());
+  }
+}
+
 // Guards against slots that a lost return, a dead entry or a new dispatcher
 // leaves blocked or uncounted.
 TEST(PoolState, RepairsByReportsAndDeadlines) {
@@ -328,18 +366,19 @@
   PoolState pool = PoolOf({{"e1", 2}});
   MustGrant(pool, RequestOf("o1", Priority::kOvernight));
   const TimePoint later = kStart + std::chrono::seconds{1};
-  MustGrant(pool, RequestOf("o2", Priority::kOvernight), later);
+  MustGrant(pool, RequestOf("o2-1", Priority::kOvernight), later);
   AskSlot(pool, "e", RequestOf("o3", Priority::kOvernight), later);
   CHECK(ChoosePreemption(pool, later).empty());
   AskSlot(pool, "e", RequestOf("i1"), later);
   const auto notices = ChoosePreemption(pool, later);
   CHECK_EQUAL(1U, notices.size());
-  STRCMP_EQUAL("o2", notices[0].request_id.c_str());
+  STRCMP_EQUAL("o2-1", notices[0].request_id.c_str());
   CHECK(ChoosePreemption(pool, later).empty());
   STRCMP_EQUAL("i1", NextGranted(pool, notices[0].grant_id, later).c_str());
-  CHECK_FALSE(AskSlot(pool, "e", RequestOf("o2", Priority::kOvernight), later));
+  CHECK_FALSE(
+      AskSlot(pool, "e", RequestOf("o2-2", Priority::kOvernight), later));
   const auto& granted = pool.endpoints["e1"].granted;
-  STRCMP_EQUAL("o2", NextGranted(pool, granted[1].grant_id, later).c_str());
+  STRCMP_EQUAL("o2-2", NextGranted(pool, granted[1].grant_id, later).c_str());
 }
 
 // Guards against overnight streams that are cancelled below their share.
@@ -372,6 +411,20 @@
   }
 }
 
+// Guards against an endpoint that overnight work alone fills so far that an
+// urgent request misses its target there.
+TEST(PoolState, LimitsOvernightWorkByTheStrictestGap) {
+  PoolState pool = PoolOf({{"e1", 2}});
+  pool.classes[2].settings.token_gap_ms = 1000;
+  SlotOutcome slow;
+  slow.time_per_token = Milliseconds{60};
+  const auto first = MustGrant(pool, RequestOf("o1", Priority::kOvernight));
+  MustGrant(pool, RequestOf("o2", Priority::kOvernight));
+  ReturnSlot(pool, first, slow, kStart);
+  AdjustLimits(pool, kStart);
+  DOUBLES_EQUAL(2 * 0.85, pool.endpoints["e1"].limit.limit, 0.001);
+}
+
 // Guards against a broken endpoint that keeps getting calls, and against one
 // that never gets them back.
 TEST(PoolState, EjectsAndProbesOutliers) {
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -2,6 +2,7 @@
 #include <tuple>
 
 #include "dispatch/drain.h"
+#include "dispatch/lateness.h"
 #include "dispatch/outliers.h"
 #include "dispatch/pool_state.h"
 
@@ -11,9 +12,6 @@
 /// Bounds what a class that cannot be served for a while accumulates.
 constexpr double kMaxDeficit = 8;
 constexpr std::size_t kMaxServedEntries = 4096;
-/// An admitted request whose estimate is just met would be refused, late, by
-/// any later rise of the estimate.
-constexpr double kAdmissionMargin = 1.5;
 constexpr std::size_t kNone = static_cast<std::size_t>(-1);
 
 std::uint64_t LastTurn(const std::map<std::string, std::uint64_t>& served,
@@ -46,6 +44,12 @@
   return false;
 }
 
+/// Such a request would take the slot of one that can still meet its target; it
+/// is refused by RefuseLate().
+bool MissedStart(const Waiting& one, TimePoint now) {
+  return !one.resumed && now > one.start_deadline;
+}
+
 /// Returns the index of the waiting request that is served next, or kNone.
 std::size_t NextOfClass(PoolState& pool,
                         const ClassState& state,
@@ -54,7 +58,7 @@
   std::size_t best = kNone;
   for (std::size_t i = 0; i < state.waiting.size(); ++i) {
     const Waiting& one = state.waiting[i];
-    if (blocked.count(one.request.item) > 0)
+    if (blocked.count(one.request.item) > 0 || MissedStart(one, now))
       continue;
     if (best != kNone &&
         OrderKey(state, state.waiting[best]) <= OrderKey(state, one))
@@ -111,7 +115,9 @@
   RememberTurn(state.caller_served, request.caller, turn);
   ObserveGrant(state, request.item, now);
   CountShares(pool, class_index);
-  pool.resumable.erase(request.request_id);
+  const auto resumed = pool.resumable.find(CallerRequestId(request.request_id));
+  if (resumed != pool.resumable.end())
+    pool.resumable.erase(resumed);
   return {SlotVerdict::kGranted, endpoint.id, slot.grant_id, 0};
 }
 
@@ -162,104 +168,6 @@
   return nullptr;
 }
 
-bool HasHolder(const PoolState& pool, const SlotRequest& request) {
-  const auto holders = pool.holders.find(request.item);
-  if (holders == pool.holders.end())
-    return false;
-  for (const std::string& id : holders->second) {
-    const auto endpoint = pool.endpoints.find(id);
-    if (endpoint == pool.endpoints.end() || endpoint->second.leaving)
-      continue;
-    if (std::find(request.excluded.begin(), request.excluded.end(), id) ==
-        request.excluded.end())
-      return true;
-  }
-  return false;
-}
-
-/// Returns whether the item has copies here and the request can use none.
-bool CannotUseCopies(const PoolState& pool, const SlotRequest& request) {
-  const auto holders = pool.holders.find(request.item);
-  return holders != pool.holders.end() && !holders->second.empty() &&
-         !HasHolder(pool, request);
-}
-
-bool MissesDeadline(const SlotRequest& request,
-                    double wait_s,
-                    double hold_s,
-                    TimePoint now) {
-  const double left_s =
-      std::chrono::duration<double>(request.deadline - now).count();
-  return wait_s + hold_s > left_s;
-}
-
-/// Returns whether every holder is ejected and has failed on trial since its
-/// first ejection: the failure lasts, and more trials are not waited for.
-bool AllFailedTrial(const PoolState& pool,
-                    const std::string& item,
-                    TimePoint now) {
-  const auto holders = pool.holders.find(item);
-  if (holders == pool.holders.end())
-    return false;
-  return std::all_of(holders->second.begin(), holders->second.end(),
-                     [&pool, now](const std::string& id) {
-                       const auto found = pool.endpoints.find(id);
-                       if (found == pool.endpoints.end())
-                         return true;
-                       const OutlierState& outlier = found->second.outlier;
-                       return IsEjected(outlier, now) && outlier.ejections > 1;
-                     });
-}
-
-bool IsTooLate(const PoolState& pool,
-               const ClassState& state,
-               const SlotRequest& request,
-               TimePoint now) {
-  if (AllFailedTrial(pool, request.item, now))
-    return true;
-  const auto rate = ServiceRate(pool, request.priority, request.item, now);
-  const std::size_t ahead = CountWaiting(state, request.item);
-  return MissesDeadline(
-      request, kAdmissionMargin * ExpectedWaitSeconds(rate, ahead),
-      HoldSeconds(pool, request.priority, request.item, now), now);
-}
-
-/// Returns which waiting requests would miss their deadlines; requests for
-/// `tight_items` need the margin of admission.
-std::vector<bool> FindLate(const PoolState& pool,
-                           const ClassState& state,
-                           const std::set<std::string>& tight_items,
-                           TimePoint now) {
-  struct Estimate {
-    std::optional<double> rate;
-    double hold_s = 0;
-    std::size_t ahead = 0;
-    bool all_failed = false;
-  };
-  std::map<std::string, Estimate> estimates;
-  std::vector<bool> late;
-  late.reserve(state.waiting.size());
-  for (const Waiting& one : state.waiting) {
-    const SlotRequest& request = one.request;
-    const auto [found, is_new] = estimates.try_emplace(request.item);
-    Estimate& estimate = found->second;
-    if (is_new) {
-      estimate.rate = ServiceRate(pool, request.priority, request.item, now);
-      estimate.hold_s = HoldSeconds(pool, request.priority, request.item, now);
-      estimate.all_failed = AllFailedTrial(pool, request.item, now);
-    }
-    const double margin =
-        tight_items.count(request.item) > 0 ? kAdmissionMargin : 1;
-    const double wait_s =
-        margin * ExpectedWaitSeconds(estimate.rate, estimate.ahead);
-    const bool missed = estimate.all_failed ||
-                        MissesDeadline(request, wait_s, estimate.hold_s, now);
-    late.push_back(!one.resumed && missed);
-    estimate.ahead += late.back() ? 0 : 1;
-  }
-  return late;
-}
-
 /// Removes the requests that no copy in this pool can serve.
 void RefuseWithoutCopy(PoolState& pool,
                        ClassState& state,
@@ -281,6 +189,27 @@
   state.waiting = std::move(kept);
 }
 
+/// Removes the requests of a class that are late.
+void RefuseLateOf(PoolState& pool,
+                  ClassState& state,
+                  TimePoint now,
+                  std::vector<Grant>* refusals) {
+  const std::vector<bool> refused = FindRefused(pool, state, now);
+  std::vector<Waiting> kept;
+  for (std::size_t i = 0; i < refused.size(); ++i) {
+    Waiting& one = state.waiting[i];
+    if (!refused[i]) {
+      kept.push_back(std::move(one));
+      continue;
+    }
+    refusals->push_back({one.entry_id,
+                         one.request.request_id,
+                         {SlotVerdict::kDeadline, "", 0,
+                          RetryAfterMs(pool, one.request, now)}});
+  }
+  state.waiting = std::move(kept);
+}
+
 }  // namespace
 
 std::optional<SlotAnswer> AskSlot(PoolState& pool,
@@ -304,16 +233,18 @@
   EndpointState* endpoint = ChooseEndpoint(pool, request, now);
   if (endpoint != nullptr)
     return AddSlot(pool, *endpoint, entry_id, request, now);
-  const bool resumed = pool.resumable.count(request.request_id) > 0;
+  const bool resumed =
+      pool.resumable.count(CallerRequestId(request.request_id)) > 0;
   const auto bound = static_cast<std::size_t>(state.settings.queue_length);
   if (!resumed && state.waiting.size() >= bound)
     return SlotAnswer{SlotVerdict::kQueueFull, "", 0,
                       RetryAfterMs(pool, request, now)};
-  if (!resumed && IsTooLate(pool, state, request, now))
+  const TimePoint start_deadline = StartDeadline(state, request, now);
+  if (!resumed && IsTooLateToQueue(pool, state, request, start_deadline, now))
     return SlotAnswer{SlotVerdict::kDeadline, "", 0,
                       RetryAfterMs(pool, request, now)};
-  state.waiting.push_back(
-      {request, std::string(entry_id), ++pool.turn, resumed, now});
+  state.waiting.push_back({request, std::string(entry_id), ++pool.turn, resumed,
+                           now, start_deadline});
   return std::nullopt;
 }
 
@@ -343,30 +274,7 @@
   std::vector<Grant> refusals;
   for (ClassState& state : pool.classes) {
     RefuseWithoutCopy(pool, state, now, &refusals);
-    // Where one request is late, those that would be next are refused as well
-    // and not one by one, close to their deadlines.
-    const std::vector<bool> late = FindLate(pool, state, {}, now);
-    std::set<std::string> late_items;
-    for (std::size_t i = 0; i < late.size(); ++i) {
-      if (late[i])
-        late_items.insert(state.waiting[i].request.item);
-    }
-    if (late_items.empty())
-      continue;
-    const std::vector<bool> refused = FindLate(pool, state, late_items, now);
-    std::vector<Waiting> kept;
-    for (std::size_t i = 0; i < refused.size(); ++i) {
-      Waiting& one = state.waiting[i];
-      if (!refused[i]) {
-        kept.push_back(std::move(one));
-        continue;
-      }
-      refusals.push_back({one.entry_id,
-                          one.request.request_id,
-                          {SlotVerdict::kDeadline, "", 0,
-                           RetryAfterMs(pool, one.request, now)}});
-    }
-    state.waiting = std::move(kept);
+    RefuseLateOf(pool, state, now, &refusals);
   }
   return refusals;
 }
--- a/src/dispatch/slots.cc
+++ b/src/dispatch/slots.cc
@@ -11,6 +11,17 @@
 constexpr int kMissingReportsToFree = 2;
 constexpr std::size_t kMaxResumable = 1024;
 
+/// The limit of an endpoint follows the strictest class, also while only others
+/// use it: an urgent request must meet its target as soon as it comes.
+Milliseconds StrictestGap(const PoolState& pool) {
+  const auto strictest = std::min_element(
+      pool.classes.begin(), pool.classes.end(),
+      [](const ClassState& a, const ClassState& b) {
+        return a.settings.token_gap_ms < b.settings.token_gap_ms;
+      });
+  return Milliseconds{strictest->settings.token_gap_ms};
+}
+
 void ObserveReturn(PoolState& pool,
                    EndpointState& endpoint,
                    const Slot& slot,
@@ -20,10 +31,10 @@
   if (outcome.endpoint_leaving)
     endpoint.leaving = true;
   ObserveOutcome(endpoint.outlier, outcome.endpoint_failed, now);
-  ObserveTokenTime(endpoint.limit, outcome.time_per_token,
-                   Milliseconds{state.settings.token_gap_ms});
+  ObserveTokenTime(endpoint.limit, outcome.time_per_token, StrictestGap(pool));
   if (slot.preempted && pool.resumable.size() < kMaxResumable)
-    pool.resumable.insert(slot.request_id);
+    pool.resumable.emplace(CallerRequestId(slot.request_id));
+  ObserveFirstToken(state, slot.item, outcome.time_to_first_token);
   if (!slot.preempted && !outcome.endpoint_failed)
     ObserveHold(state, slot.item, slot.start, now);
 }
@@ -115,6 +126,13 @@
 
 }  // namespace
 
+std::string_view CallerRequestId(std::string_view request_id) {
+  const std::size_t last = request_id.find_last_not_of("0123456789");
+  const bool numbered = last != std::string_view::npos &&
+                        last + 1 < request_id.size() && request_id[last] == '-';
+  return numbered ? request_id.substr(0, last) : request_id;
+}
+
 void ReturnSlot(PoolState& pool,
                 std::uint64_t grant_id,
                 const SlotOutcome& outcome,
@@ -210,6 +228,25 @@
   }
 }
 
+int CountPreemptable(const PoolState& pool,
+                     std::string_view item,
+                     TimePoint now) {
+  const auto holders = pool.holders.find(item);
+  if (holders == pool.holders.end())
+    return 0;
+  int count = 0;
+  for (const std::string& id : holders->second) {
+    const auto endpoint = pool.endpoints.find(id);
+    if (endpoint == pool.endpoints.end() || endpoint->second.leaving ||
+        IsEjected(endpoint->second.outlier, now))
+      continue;
+    for (const Slot& slot : endpoint->second.granted)
+      count += slot.priority == Priority::kOvernight ? 1 : 0;
+  }
+  const int spare = CountOvernight(pool) - OvernightShare(pool, now);
+  return std::clamp(spare, 0, count);
+}
+
 std::vector<PreemptionNotice> ChoosePreemption(PoolState& pool, TimePoint now) {
   std::vector<PreemptionNotice> notices;
   const auto interactive = static_cast<std::size_t>(Priority::kInteractive);
