HTTP: Bound the bodies of all requests in progress

Cause: the server reads bodies before a thread is bound to the request, so the cap of one body times entry.threads does not bound the memory: 128 connections with an unfinished body of 1 MB each grew a daemon of 32 threads by 199 MB. Ruled out: the cap of one body, which holds (8 of 8 bodies of 64 MB are cut); a leak, the memory belongs to open connections.

Change: the bodies of all requests share max_body_bytes times threads; what is beyond that is refused with 503, "run":"no" and Retry-After. The first 64 KB of each body are exempt, so that large bodies which never end do not exclude usual requests.

Conclusion: memory for bodies is bounded but for 64 KB per connection.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -10,7 +10,9 @@
 #include <cxxtools/regex.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <cerrno>
 #include <csignal>
 #include <cstdio>
@@ -26,6 +28,11 @@
   BodyTooLarge() : std::runtime_error("request body is too large") {}
 };
 
+class BodiesTooLarge : public std::runtime_error {
+ public:
+  BodiesTooLarge() : std::runtime_error("too many request bodies") {}
+};
+
 class ReplyChannel {
  public:
   ReplyChannel(cxxtools::net::TcpSocket& socket, cxxtools::http::Reply& reply)
@@ -47,6 +54,7 @@
   cxxtools::EventLoop loop;
   cxxtools::http::Server server;
   std::thread thread;
+  std::atomic<std::size_t> body_bytes{0};  ///< Above kSmallBodyBytes of each.
 
  protected:
   cxxtools::http::Responder* createResponder(
@@ -58,6 +66,9 @@
 
 namespace {
 
+/// Above the bodies of most requests.
+constexpr std::size_t kSmallBodyBytes = 64UL * 1024;
+
 void CopyHeaders(const cxxtools::http::Request& from, Request* to) {
   for (auto it = from.header().begin(); it != from.header().end(); ++it)
     to->headers.push_back({it->first, it->second});
@@ -77,12 +88,15 @@
  public:
   explicit StreamResponder(ServerState& state)
       : cxxtools::http::Responder(state), state(&state) {}
+  ~StreamResponder() override { this->ReleaseBody(); }
+  StreamResponder(const StreamResponder&) = delete;
+  StreamResponder& operator=(const StreamResponder&) = delete;
 
   void beginRequest(cxxtools::net::TcpSocket& new_socket,
                     std::istream&,
                     cxxtools::http::Request&) override {
     this->socket = &new_socket;
-    this->body.clear();
+    this->ReleaseBody();
   }
 
   std::size_t readBody(std::istream& in) override {
@@ -93,7 +107,7 @@
       if (read <= 0)
         break;
       count += static_cast<std::size_t>(read);
-      this->body.append(buffer.data(), static_cast<std::size_t>(read));
+      this->TakeBytes({buffer.data(), static_cast<std::size_t>(read)});
       if (this->body.size() > this->state->options.max_body_bytes)
         throw BodyTooLarge();
     }
@@ -112,6 +126,7 @@
     ReplyChannel channel(*this->socket, reply);
     ReplyStream stream(channel);
     this->state->handler(converted, stream);
+    this->ReleaseBody();
     if (channel.streaming)
       ::shutdown(this->socket->getFd(), SHUT_RDWR);
   }
@@ -121,18 +136,44 @@
                   cxxtools::http::Reply& reply,
                   const std::exception& error) override {
     const bool too_large = dynamic_cast<const BodyTooLarge*>(&error) != nullptr;
-    const int status = too_large ? 413 : 500;
+    const bool full = dynamic_cast<const BodiesTooLarge*>(&error) != nullptr;
+    const int status = too_large ? 413 : full ? 503 : 500;
+    this->ReleaseBody();
     reply.httpReturn(static_cast<unsigned>(status),
                      std::string(ReasonPhrase(status)));
     reply.setHeader("Content-Type", "application/json");
     reply.setHeader("Connection", "close");
+    if (full)
+      reply.setHeader("Retry-After", "1");
     reply.bodyStream() << R"({"error":{"message":")"
-                       << (too_large ? error.what() : "internal error")
+                       << (too_large || full ? error.what() : "internal error")
                        << R"(","run":"no"}})";
   }
 
  private:
+  /// Connections are not bounded, so the bodies of all have a common bound.
+  /// Small ones are exempt: large ones that never end must not exclude them.
+  void TakeBytes(std::string_view bytes) {
+    const std::size_t limit =
+        this->state->options.max_body_bytes * this->state->options.threads;
+    const std::size_t size = this->body.size() + bytes.size();
+    const std::size_t excess = size - std::min(size, kSmallBodyBytes);
+    const std::size_t added = excess - this->counted;
+    this->counted = excess;
+    const std::size_t before = this->state->body_bytes.fetch_add(added);
+    if (added > 0 && before + added > limit)
+      throw BodiesTooLarge();
+    this->body.append(bytes);
+  }
+
+  void ReleaseBody() {
+    this->state->body_bytes -= std::exchange(this->counted, 0);
+    // Frees the memory, which clear() would keep.
+    this->body = std::string();
+  }
+
   ServerState* state;
+  std::size_t counted = 0;  ///< Part of the server's `body_bytes`.
   cxxtools::net::TcpSocket* socket = nullptr;
   std::string body;
 };
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -51,6 +51,9 @@
 struct ServerOptions {
   Address listen;
   unsigned threads = 64;  ///< Bounds the requests in progress.
+  /// Of one request. What the bodies of all requests in progress have above 64
+  /// KB each is at most this times `threads`; a request beyond that is answered
+  /// with 503.
   std::size_t max_body_bytes = 1024 * 1024;
   int read_timeout_ms = 10000;
   int write_timeout_ms = 10000;
