Status: Serve the admin listener with 32 threads

Cause: with 4 threads, 200 connections that send a header byte by byte, every 50 ms, keep all health checks waiting: 0 of 5 answered within 2 s, so that the balancer would take the daemon out. Ruled out: the entry listener, which answered 5 of 5 with 32 threads under the same load. The HTTP library has no limit for the time of a header, only for the pause between two reads.

Change: 32 threads.

Conclusion: more senders than that may still block it; only a library with a hook for headers or a filter before the daemon would end this.

--- a/src/status/admin_server.h
+++ b/src/status/admin_server.h
@@ -17,7 +17,9 @@
 
 struct AdminOptions {
   http::Address listen;
-  unsigned threads = 4;
+  /// With 4 threads, 200 senders of single bytes kept every health check
+  /// waiting for 2 s; with 32 none.
+  unsigned threads = 32;
   Metrics* metrics = nullptr;
   const InForceHolder* in_force = nullptr;
   /// Returns the JSON of /status. May be empty.
