Peer: Give a fetch request half a second from its accept

Cause: ConfigPeer serves 8 clients at a time with a timeout per read, so 8 senders of single bytes held it for as long as they liked; a daemon without the platform got no configuration from this peer. Ruled out: the frame cap of 4 KB, which bounds memory and not time.

Change: reading fails 500 ms after the accept, whatever arrived until then, and 32 clients are served at a time. Replies are not affected: their sends have the timeout they had.

Conclusion: a wave of slow senders passes at 64 connections a second. Senders that connect again and again can still delay a fetch; the peer port is trusted.

--- a/src/peer/config_peer.cc
+++ b/src/peer/config_peer.cc
@@ -8,6 +8,7 @@
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 #include <thrift/transport/TSocket.h>
+#include <thrift/transport/TVirtualTransport.h>
 
 #include <algorithm>
 #include <atomic>
@@ -30,10 +31,16 @@
 using apache::thrift::transport::TServerSocket;
 using apache::thrift::transport::TSocket;
 using apache::thrift::transport::TTransport;
+using apache::thrift::transport::TTransportException;
 using apache::thrift::transport::TTransportFactory;
-
-constexpr int kMaxClients = 8;
-constexpr int kSocketTimeoutMs = 2000;
+using apache::thrift::transport::TVirtualTransport;
+
+/// Bounds the memory for replies in progress.
+constexpr int kMaxClients = 32;
+constexpr int kSendTimeoutMs = 2000;
+/// From the accept to the end of the request. A request fits one segment;
+/// senders of single bytes would otherwise hold every client's place.
+constexpr Milliseconds kRequestTime{500};
 /// A request has one number; a reply has the parts of a configuration.
 constexpr int kMaxRequestFrame = 4096;
 constexpr int kMaxReplyFrame = 8 * 1024 * 1024;
@@ -43,12 +50,42 @@
   return std::make_shared<TConfiguration>(frame, frame);
 }
 
+/// Fails to read after a deadline, whatever arrives until then.
+class DeadlineTransport : public TVirtualTransport<DeadlineTransport> {
+ public:
+  DeadlineTransport(std::shared_ptr<TTransport> transport, TimePoint deadline)
+      : transport(std::move(transport)), deadline(deadline) {}
+
+  bool isOpen() const override { return this->transport->isOpen(); }
+  bool peek() override {
+    return Clock::now() < this->deadline && this->transport->peek();
+  }
+  void open() override { this->transport->open(); }
+  void close() override { this->transport->close(); }
+  void flush() override { this->transport->flush(); }
+  uint32_t read(uint8_t* buffer, uint32_t size) {
+    if (Clock::now() >= this->deadline)
+      throw TTransportException(TTransportException::TIMED_OUT,
+                                "the request took too long");
+    return this->transport->read(buffer, size);
+  }
+  void write(const uint8_t* buffer, uint32_t size) {
+    this->transport->write(buffer, size);
+  }
+
+ private:
+  std::shared_ptr<TTransport> transport;
+  TimePoint deadline;
+};
+
 class BoundedFrames : public TTransportFactory {
  public:
   std::shared_ptr<TTransport> getTransport(
       std::shared_ptr<TTransport> transport) override {
-    return std::make_shared<TFramedTransport>(std::move(transport),
-                                              Limits(kMaxRequestFrame));
+    return std::make_shared<TFramedTransport>(
+        std::make_shared<DeadlineTransport>(std::move(transport),
+                                            Clock::now() + kRequestTime),
+        Limits(kMaxRequestFrame));
   }
 };
 
@@ -128,8 +165,8 @@
     std::function<ConfigurationSnapshot()> snapshot) {
   SilenceThrift();
   auto socket = std::make_shared<TServerSocket>(address.host, address.port);
-  socket->setSendTimeout(kSocketTimeoutMs);
-  socket->setRecvTimeout(kSocketTimeoutMs);
+  socket->setSendTimeout(kSendTimeoutMs);
+  socket->setRecvTimeout(static_cast<int>(kRequestTime.count()));
   this->running = std::make_unique<Running>();
   this->running->server = std::make_unique<TThreadedServer>(
       std::make_shared<gen::ConfigPeerProcessor>(
