Distribution: Take an endpoint back when the list shows it as live

Cause: two records said that an endpoint is leaving. The list of VMs ended the one in LeavingSet, but nothing ended the one in the membership table, which lasts 60 s and which routes and dispatchers also use.

Change: when the list shows an endpoint as live, the daemon also forgets it in membership, and ignores what was noted before that time and still goes around; a later sign counts at once.

Conclusion: fixed where the list has the VM. An id that was noted and that the list never shows stays leaving until the daemon restarts: not changed.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -138,6 +138,9 @@
   hooks.on_version = [this](std::int64_t version, std::string_view digest) {
     this->peer_node->SetVersion(version, digest);
   };
+  hooks.on_endpoint_live = [this](std::string_view endpoint_id) {
+    this->peer_node->ForgetEndpointLeaving(endpoint_id);
+  };
   return hooks;
 }
 
--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -347,8 +347,13 @@
 void Distribution::PublishLeaving() {
   std::set<std::string> ids = LeavingIds(this->leaving);
   // The list of VMs changes often; few changes are about leaving.
-  if (ids == this->holder->Get()->leaving)
+  const std::shared_ptr<const InForce> current = this->holder->Get();
+  if (ids == current->leaving)
     return;
+  for (const std::string& id : current->leaving) {
+    if (ids.count(id) == 0 && this->hooks.on_endpoint_live)
+      this->hooks.on_endpoint_live(id);
+  }
   this->Publish([&ids](InForce* next) { next->leaving = std::move(ids); });
 }
 
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -31,6 +31,9 @@
       fetch_from_peer;
   /// Called after a version came into force, from any thread of Distribution.
   std::function<void(std::int64_t version, std::string_view digest)> on_version;
+  /// Called when the list shows an endpoint as live that was leaving. Must not
+  /// call Distribution.
+  std::function<void(std::string_view endpoint_id)> on_endpoint_live;
 };
 
 /// Keeps the view in force up to date: configuration, placement and leaving
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -281,6 +281,15 @@
   return out;
 }
 
+void ForgetLeavingEndpoint(MemberTable& table,
+                           std::string_view endpoint_id,
+                           TimePoint now) {
+  const std::string id(endpoint_id);
+  table.leaving_endpoints.erase(id);
+  if (table.returned_endpoints.size() < kMaxLeavingEndpoints)
+    table.returned_endpoints[id] = now;
+}
+
 std::vector<Outgoing> AddLeavingEndpoint(MemberTable& table,
                                          std::string_view endpoint_id,
                                          TimePoint now) {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -54,6 +54,9 @@
   Member self;
   std::map<std::string, MemberRecord> members;  ///< Without self.
   std::map<std::string, LeavingRecord> leaving_endpoints;
+  /// Endpoints that are live again, and since when: what was noted before that
+  /// still goes around.
+  std::map<std::string, TimePoint> returned_endpoints;
   std::vector<http::Address> first_peers;
   std::mt19937_64 random;
   std::int64_t next_sequence = 1;
@@ -83,6 +86,11 @@
                                     std::int64_t version,
                                     std::string_view digest);
 
+/// Forgets that an endpoint is leaving, and ignores what others noted earlier.
+void ForgetLeavingEndpoint(MemberTable& table,
+                           std::string_view endpoint_id,
+                           TimePoint now);
+
 /// Spreads that an endpoint is leaving. Nothing is sent if it was known.
 std::vector<Outgoing> AddLeavingEndpoint(MemberTable& table,
                                          std::string_view endpoint_id,
--- a/src/membership/member_table_unittest.cc
+++ b/src/membership/member_table_unittest.cc
@@ -208,6 +208,23 @@
     CHECK_EQUAL(0U, table.leaving_endpoints.count("e7"));
 }
 
+// Guards against an endpoint that stays out of use because members go on
+// telling of the time before it was live again.
+TEST(Membership, IgnoresLeavingFromBeforeAReturn) {
+  MemberTable table;
+  const TimePoint start = Clock::now();
+  const TimePoint returned = start + Milliseconds{5000};
+  AddLeavingEndpoint(table, "e1", start);
+  ForgetLeavingEndpoint(table, "e1", returned);
+  CHECK(table.leaving_endpoints.empty());
+  const TimePoint now = returned + Milliseconds{1000};
+  CHECK_FALSE(ApplyLeaving(table, {"e1", start + kLeavingEndpointTime}, now));
+  CHECK(ApplyLeaving(table, {"e1", now + kLeavingEndpointTime}, now));
+  ForgetLeavingEndpoint(table, "e1", now);
+  ExpireRecords(table, now + kLeavingEndpointTime);
+  CHECK(table.returned_endpoints.empty());
+}
+
 // Guards against datagrams that do not fit and lists without a bound.
 TEST(Membership, KeepsMessagesSmall) {
   Network network(1);
--- a/src/membership/updates.cc
+++ b/src/membership/updates.cc
@@ -164,6 +164,10 @@
     return false;
   if (table.leaving_endpoints.size() >= kMaxLeavingEndpoints)
     return false;
+  const auto returned = table.returned_endpoints.find(leaving.id);
+  if (returned != table.returned_endpoints.end() &&
+      leaving.deadline <= returned->second + kLeavingEndpointTime)
+    return false;
   const TimePoint deadline =
       std::min(leaving.deadline, now + kLeavingEndpointTime);
   const auto [record, is_new] = table.leaving_endpoints.try_emplace(leaving.id);
@@ -189,6 +193,11 @@
   auto& leaving = table.leaving_endpoints;
   for (auto it = leaving.begin(); it != leaving.end();)
     it = it->second.deadline <= now ? leaving.erase(it) : std::next(it);
+  auto& returned = table.returned_endpoints;
+  for (auto it = returned.begin(); it != returned.end();) {
+    const bool over = it->second + kLeavingEndpointTime <= now;
+    it = over ? returned.erase(it) : std::next(it);
+  }
   auto& relays = table.relays;
   for (auto it = relays.begin(); it != relays.end();)
     it = it->second.deadline <= now ? relays.erase(it) : std::next(it);
--- a/src/peer/peer_node.cc
+++ b/src/peer/peer_node.cc
@@ -317,6 +317,15 @@
   this->parts->NoteEndpointLeaving(endpoint_id);
 }
 
+void PeerNode::ForgetEndpointLeaving(std::string_view endpoint_id) {
+  this->parts->membership.Push(
+      [id = std::string(endpoint_id)](membership::MemberTable& table,
+                                      TimePoint now) {
+        membership::ForgetLeavingEndpoint(table, id, now);
+        return std::vector<membership::Outgoing>{};
+      });
+}
+
 void PeerNode::SetLeaving() {
   this->parts->dispatcher.SetLeaving();
   this->parts->membership.Push([](membership::MemberTable& table, TimePoint) {
--- a/src/peer/peer_node.h
+++ b/src/peer/peer_node.h
@@ -56,6 +56,7 @@
   void AddPeers(const std::vector<http::Address>& addresses);
   void SetVersion(std::int64_t version, std::string_view digest);
   void NoteEndpointLeaving(std::string_view endpoint_id);
+  void ForgetEndpointLeaving(std::string_view endpoint_id);
 
   /// Announces that this daemon is leaving and stops dispatching.
   void SetLeaving();
