Entry: Pass on a leaving sign when a stream begins

Cause: X-Leaving of a streamed answer was read from its header and passed on with the outcome, at the end of the stream: seconds later, and by then perhaps after the endpoint was live again, which took it out of use once more. Ruled out: the way through membership (refusals spread within one probe period).

Change: StreamCompletion() tells its handler when the header says so; the outcome of a complete stream does not repeat it.

--- a/src/endpoint/engine.cc
+++ b/src/endpoint/engine.cc
@@ -161,6 +161,8 @@
     this->refusal = Refused(new_status, headers, "");
     this->leaving = http::FindHeader(headers, "X-Leaving") == "1";
     this->foreign = !EchoMatches(*this->engine, *this->request, headers);
+    if (!this->foreign && this->leaving && this->handler->on_leaving)
+      this->handler->on_leaving();
     return !this->foreign;
   }
 
--- a/src/endpoint/engine.h
+++ b/src/endpoint/engine.h
@@ -79,6 +79,9 @@
 };
 
 struct CompletionHandler {
+  /// Called when the header of an answer says that the engine is leaving. May
+  /// be empty.
+  std::function<void()> on_leaving;
   /// Returns false to cancel the engine's work.
   std::function<bool(const StreamEvent&)> on_event;
   /// Called at least every 100 ms; returns false to cancel.
--- a/src/entry/completion_call.cc
+++ b/src/entry/completion_call.cc
@@ -93,6 +93,11 @@
     return this->OnEvent(event);
   };
   handler.on_idle = on_idle;
+  handler.on_leaving = [this, &slot] {
+    const EntryDependencies& dependencies = this->context->shared->dependencies;
+    if (dependencies.on_endpoint_leaving)
+      dependencies.on_endpoint_leaving(slot.answer.endpoint_id);
+  };
   return endpoint::StreamCompletion(slot.address, request, handler,
                                     this->context->deadline);
 }
@@ -168,8 +173,11 @@
   const bool full = !result && result.error().code == ErrorCode::kRateLimited;
   const bool late = Clock::now() >= this->context->deadline;
   outcome.endpoint_failed = end == End::kFailed && !full && !late;
+  // The sign of a stream was passed on when its header came. At its end it may
+  // be old: the endpoint can be live again.
+  const bool streamed = this->context->call.streamed;
   outcome.endpoint_leaving =
-      result ? result.value() : result.error().endpoint_leaving;
+      result ? result.value() && !streamed : result.error().endpoint_leaving;
   outcome.tokens = this->tokens;
   if (this->tokens > 0)
     outcome.time_to_first_token =
--- a/src/entry/entry_server_unittest.cc
+++ b/src/entry/entry_server_unittest.cc
@@ -105,6 +105,18 @@
   }
 }
 
+// Guards against a sign that is passed on only at the end of a long stream.
+TEST(EntryServer, ALeavingEngineIsNotedWhenItsStreamBegins) {
+  Fixture fixture;
+  fixture.e1.leaving = true;
+  fixture.e1.gap_ms = 400;
+  std::thread caller([&fixture] { fixture.Stream({}); });
+  std::this_thread::sleep_for(Milliseconds{1000});
+  const std::size_t noted = fixture.leaving.count("e1");
+  caller.join();
+  LONGS_EQUAL(1, noted);
+}
+
 // Guards against refusals that claim too much, or that come without a time.
 TEST(EntryServer, RefusalsSayWhetherTheRequestRan) {
   struct Row {
--- a/tests/integration/answer_check.h
+++ b/tests/integration/answer_check.h
@@ -20,14 +20,14 @@
 
 struct CheckedAnswer {
   Answer answer = Answer::kWrong;
-  std::string detail;         ///< Why it is not complete.
-  std::int64_t last_id = 0;   ///< Of the right beginning.
-  std::string seed;           ///< Header `X-Seed`.
+  std::string detail;        ///< Why it is not complete.
+  std::int64_t last_id = 0;  ///< Of the right beginning.
+  std::string seed;          ///< Header `X-Seed`.
 };
 
 /// Returns event `n`, and the whole answer, that the engine stand-in sends for
-/// the chat request `request` when it was sent under the id `attempt`. `seed` is
-/// used if the request has none.
+/// the chat request `request` when it was sent under the id `attempt`. `seed`
+/// is used if the request has none.
 std::string ExpectedEvent(const http::Request& request,
                           const std::string& attempt,
                           std::int64_t n,
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -53,7 +53,7 @@
 /// Streams events 1 to `tokens`, with faults.
 struct Engine {
   int tokens = 5;
-  int cut_after = -1;  ///< Event after which the connection is cut.
+  int cut_after = -1;     ///< Event after which the connection is cut.
   bool cut_once = false;  ///< Only the first call.
   int gap_ms = 0;
   int status = 200;
