Tests: Never choose a free port twice

Cause: a port is closed after it was chosen, so that the kernel may choose it again for another process of the same site; a daemon then could not listen (WholePath, 1 of 3 starts; port 60251 was both the peer port of entry-2 and in the fleet's endpoints). Ruled out: processes of other tests, which use another loopback host. Change: FreePort() remembers what it returned. Conclusion: ports of one test program are distinct.

--- a/tests/support/free_port.cc
+++ b/tests/support/free_port.cc
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <mutex>
+#include <set>
 
 namespace coltsfootvane::testing {
 
@@ -24,9 +26,16 @@
 }
 
 int FreePort(const std::string& host) {
-  int port = 0;
-  ::close(ListenOnFreePort(host, &port));
-  return port;
+  // The kernel may choose a port again that was closed but is not yet used.
+  static std::mutex mutex;
+  static std::set<int> chosen;
+  for (;;) {
+    int port = 0;
+    ::close(ListenOnFreePort(host, &port));
+    std::lock_guard<std::mutex> lock(mutex);
+    if (chosen.insert(port).second)
+      return port;
+  }
 }
 
 std::string OwnLoopbackHost() {
