Tests: Memory and reachability under failure with real processes

Cause: neither promise had been tried with killed and frozen planners, lost, late and doubled commands, restarted engines and a slow platform. Ruled out: faults of the test itself by switching protections off in a scratch copy. The engine stand-in takes lose_command and double_command_ms. Site::StartEngine is public.

--- a/standins/engine_standin/engine_standin.cc
+++ b/standins/engine_standin/engine_standin.cc
@@ -121,14 +121,23 @@
 void EngineStandin::HandleCommand(const ItemCommand& command,
                                   http::ReplyStream& reply) {
   Milliseconds delay{0};
+  Milliseconds repeat{0};
   bool lose = false;
   {
     std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->lose_command > 0) {
+      --this->lose_command;
+      Cut(reply);
+      return;
+    }
+    repeat = Milliseconds{this->double_command_ms};
     delay = Milliseconds{this->delay_command_ms};
     lose = delay.count() == 0 && this->lose_command_response > 0;
     if (lose)
       --this->lose_command_response;
   }
+  if (repeat.count() > 0)
+    this->RunLater(command, delay + repeat);
   if (delay.count() > 0) {
     this->RunLater(command, delay);
     Cut(reply);
@@ -178,6 +187,9 @@
         faults.value("delay_command_ms", this->delay_command_ms);
     this->lose_command_response =
         faults.value("lose_command_response", this->lose_command_response);
+    this->lose_command = faults.value("lose_command", this->lose_command);
+    this->double_command_ms =
+        faults.value("double_command_ms", this->double_command_ms);
   }
   SendJson(200, Json::object(), reply);
 }
--- a/standins/engine_standin/engine_standin.h
+++ b/standins/engine_standin/engine_standin.h
@@ -44,6 +44,8 @@
   bool stopping = false;
   int delay_command_ms = 0;
   int lose_command_response = 0;
+  int lose_command = 0;       ///< Commands left that are cut and never run.
+  int double_command_ms = 0;  ///< Runs each command again after this time.
   std::string load_report;
   std::vector<std::thread> delayed;
   std::thread sampler;
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -97,6 +97,7 @@
   void StartPlatform();
   void StartStandins();
   void StartDaemon(std::size_t index);
+  void StartEngine(std::size_t index);
 
   /// Writes the configuration directory from the options.
   void WriteConfiguration();
@@ -128,7 +129,6 @@
   void ChooseAddresses();
   http::Address NewAddress() const;
   std::string LogPath(const std::string& name);
-  void StartEngine(std::size_t index);
   void StartService(std::size_t index);
   void StartProxy(StandinProcess* standin);
   void WriteFile(const std::string& name, const std::string& text);
