Dispatch: Refuse waiting requests whose holders have gone

Cause: HasHolder() was asked on arrival only. A request that waited when the last holder began to leave stayed until its deadline. Ruled out: the estimate, which was good, and the slot caller, which only passed on its own deadline. Change: RefuseLate() refuses such requests as `no_copy`. PoolState.RefusesWaitingRequestsWithoutAHolder fails without.

--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -225,6 +225,19 @@
   CHECK(refused->verdict == SlotVerdict::kDeadline);
 }
 
+// Guards against requests that wait until their deadlines for an endpoint that
+// has begun to leave.
+TEST(PoolState, RefusesWaitingRequestsWithoutAHolder) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  MustGrant(pool, RequestOf("r1"));
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r2"), kStart));
+  CHECK(RefuseLate(pool, kStart).empty());
+  pool.endpoints["e1"].leaving = true;
+  const auto refusals = RefuseLate(pool, kStart);
+  CHECK_EQUAL(1U, refusals.size());
+  CHECK(refusals[0].answer.verdict == SlotVerdict::kNoCopy);
+}
+
 // Guards against requests that are admitted with no slack and are refused late
 // when the estimate rises a little.
 TEST(PoolState, AdmitsOnlyWithSlack) {
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -245,7 +245,7 @@
         tight_items.count(request.item) > 0 ? kAdmissionMargin : 1;
     const double wait_s =
         margin * ExpectedWaitSeconds(estimate.rate, estimate.ahead);
-    const bool missed = estimate.all_failed ||
+    const bool missed = estimate.all_failed || !HasHolder(pool, request) ||
                         MissesDeadline(request, wait_s, estimate.hold_s, now);
     late.push_back(!one.resumed && missed);
     estimate.ahead += late.back() ? 0 : 1;
@@ -332,10 +332,13 @@
         kept.push_back(std::move(one));
         continue;
       }
-      refusals.push_back({one.entry_id,
-                          one.request.request_id,
-                          {SlotVerdict::kDeadline, "", 0,
-                           RetryAfterMs(pool, one.request, now)}});
+      const SlotVerdict verdict = HasHolder(pool, one.request)
+                                      ? SlotVerdict::kDeadline
+                                      : SlotVerdict::kNoCopy;
+      refusals.push_back(
+          {one.entry_id,
+           one.request.request_id,
+           {verdict, "", 0, RetryAfterMs(pool, one.request, now)}});
     }
     state.waiting = std::move(kept);
   }
--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -164,7 +164,7 @@
     }
     for (std::future<Answer>& answer : at_once)
       history->answers.push_back(answer.get());
-    std::this_thread::sleep_for(Milliseconds{100 + (*worker_random)() % 300});
+    std::this_thread::sleep_for(Milliseconds{50 + (*worker_random)() % 200});
   }
   history->refused_replica =
       refusing_before % 2 == 1 || refusing_before != this->refusing.load();
