Tests: Count engine requests after the calls, not before

Cause: four refusal tests read the engines' counts in the same argument list as the calls; g++ evaluates the counts first, so they could not see a false "not run". Found because the check still showed 0 with the protection switched off. Change: the answers are collected first. Conclusion: the comparison with the engines' counts now detects the fault.

--- a/tests/integration/refusal_test.cc
+++ b/tests/integration/refusal_test.cc
@@ -209,9 +209,10 @@
   site.StartAll();
   for (const StandinProcess& engine : site.engines)
     SetFaults(engine.proxy_control, {{"refuse", true}});
+  const std::vector<Answer> answers =
+      SendMany(site, 30, 20, Completion("refused", 5));
   const Tally tally =
-      CheckRefusals(SendMany(site, 30, 20, Completion("refused", 5)),
-                    Site::SumCounts(site.engines, "started"));
+      CheckRefusals(answers, Site::SumCounts(site.engines, "started"));
   Print("connection refused", tally);
   LONGS_EQUAL(30, tally.not_run);
   LONGS_EQUAL(0, tally.false_not_run);
@@ -226,9 +227,10 @@
   site.StartAll();
   for (const StandinProcess& engine : site.engines)
     SetFaults(engine.direct, {{"leaving", true}});
+  const std::vector<Answer> answers =
+      SendMany(site, 30, 20, Completion("leaving", 5));
   const Tally tally =
-      CheckRefusals(SendMany(site, 30, 20, Completion("leaving", 5)),
-                    Site::SumCounts(site.engines, "started"));
+      CheckRefusals(answers, Site::SumCounts(site.engines, "started"));
   Print("leaving", tally);
   CHECK(tally.types.count("no_copy") > 0);
   LONGS_EQUAL(0, tally.false_not_run);
@@ -244,9 +246,10 @@
   site.StartAll();
   for (const StandinProcess& engine : site.engines)
     SetFaults(engine.proxy_control, {{"drop_response", 1000}});
+  const std::vector<Answer> answers =
+      SendMany(site, 12, 20, Completion("lost", 5));
   const Tally tally =
-      CheckRefusals(SendMany(site, 12, 20, Completion("lost", 5)),
-                    Site::SumCounts(site.engines, "started"));
+      CheckRefusals(answers, Site::SumCounts(site.engines, "started"));
   Print("response lost", tally);
   LONGS_EQUAL(0, tally.false_not_run);
   CHECK(tally.unknown > 0);
@@ -262,9 +265,10 @@
   site.StartAll();
   for (const StandinProcess& engine : site.engines)
     SetFaults(engine.proxy_control, {{"drop_response", 1000}});
+  const std::vector<Answer> answers =
+      SendMany(site, 12, 20, Completion("ejected", 5));
   const Tally tally =
-      CheckRefusals(SendMany(site, 12, 20, Completion("ejected", 5)),
-                    Site::SumCounts(site.engines, "started"));
+      CheckRefusals(answers, Site::SumCounts(site.engines, "started"));
   Print("ejected", tally);
   LONGS_EQUAL(0, tally.false_not_run);
   CHECK_TEXT(tally.slowest < Milliseconds{kCompletionMs / 2},
