--- a/scripts/compare_report.py
+++ b/scripts/compare_report.py
@@ -88,11 +88,12 @@
             figures += [100 * statistics.median(
                 run["classes"]["interactive"]["attainment"] for run in runs[(mode, scene)])
                 for mode in MODES]
-            print(f'"{scene}"', *figures, file=file)
+            label = "\\n".join(scene.rsplit("-", 1))
+            print(f'"{label}"', *figures, file=file)
     for column, title, name in [(2, "Worth-weighted attainment (%)", "worth"),
                                 (4, "Interactive attainment (%)", "interactive")]:
         subprocess.run(["gnuplot"], check=True, text=True, input=f"""
-set terminal pngcairo size 900,480 font "sans,13"
+set terminal pngcairo size 1100,480 font "sans,13"
 set output "{folder}/{name}.png"
 set style data histogram
 set style histogram cluster gap 1
@@ -101,7 +102,8 @@
 set yrange [0:110]
 set grid ytics
 set ylabel "{title}"
-set xlabel "Scene (median of the runs)"
+set bmargin 5
+set xlabel "Scene (median of the runs)" offset 0,-1
 set xtics nomirror
 set key outside top center horizontal
 plot "{folder}/attainment.dat" using {column}:xtic(1) title "granted (ours)" lc rgb "#1f6fb4", \\
