--- a/scripts/compare_report.py
+++ b/scripts/compare_report.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""Prints the results of scripts/compare.sh side by side: median (least to most)."""
+"""Prints the results of scripts/compare.sh side by side: median (least–most)."""
+import argparse
 import collections
 import glob
 import json
@@ -10,6 +11,8 @@
 CLASSES = ["interactive", "lookup", "overnight"]
 SCENES = ["ordinary", "overnight-flood", "interactive-flood", "hot-model",
           "dispatcher-killed", "data-centre-killed"]
+# Killed engines lose their counts.
+ENGINE_COUNTS = ["engine requests per request sent", "loads", "unloads"]
 MODES = ["granted", "naive"]
 
 
@@ -64,6 +67,16 @@
     return rows
 
 
+def is_brief(title, values):
+    """Keeps the rows that answer the targets, and others if they are not all zero."""
+    always = "attainment" in title or "engine requests" in title
+    if always or "load average" in title:
+        return True
+    if "median" in title or "sent late" in title or "99%" in title:
+        return "refusal after, 99%" in title and any(values)
+    return any(values)
+
+
 def plot(folder, runs):
     with open(folder + "/attainment.dat", "w", encoding="utf-8") as file:
         for scene in SCENES:
@@ -75,11 +88,12 @@
             figures += [100 * statistics.median(
                 run["classes"]["interactive"]["attainment"] for run in runs[(mode, scene)])
                 for mode in MODES]
-            print(f'"{scene}"', *figures, file=file)
+            label = "\\n".join(scene.rsplit("-", 1))
+            print(f'"{label}"', *figures, file=file)
     for column, title, name in [(2, "Worth-weighted attainment (%)", "worth"),
                                 (4, "Interactive attainment (%)", "interactive")]:
         subprocess.run(["gnuplot"], check=True, text=True, input=f"""
-set terminal pngcairo size 900,480 font "sans,13"
+set terminal pngcairo size 1100,480 font "sans,13"
 set output "{folder}/{name}.png"
 set style data histogram
 set style histogram cluster gap 1
@@ -88,7 +102,8 @@
 set yrange [0:110]
 set grid ytics
 set ylabel "{title}"
-set xlabel "Scene (median of the runs)"
+set bmargin 5
+set xlabel "Scene (median of the runs)" offset 0,-1
 set xtics nomirror
 set key outside top center horizontal
 plot "{folder}/attainment.dat" using {column}:xtic(1) title "granted (ours)" lc rgb "#1f6fb4", \\
@@ -97,9 +112,14 @@
 
 
 def main():
-    folder = sys.argv[1]
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("results", nargs="+", help="directories of scripts/compare.sh")
+    parser.add_argument("--brief", action="store_true", help="leave out lesser rows")
+    options = parser.parse_args()
+    folder = options.results[0]
     runs = collections.defaultdict(list)
-    for path in sorted(glob.glob(folder + "/*-*-*.json")):
+    paths = [path for one in options.results for path in glob.glob(one + "/*-*-*.json")]
+    for path in sorted(paths):
         with open(path, encoding="utf-8") as file:
             run = json.load(file)
         if "mode" in run:
@@ -113,6 +133,11 @@
         print("| |", " | ".join(modes), "|")
         print("|---|" + "---|" * len(modes))
         for title, form, read in all_rows():
+            if scene == "data-centre-killed" and title in ENGINE_COUNTS:
+                continue
+            values = [read(run) for mode in modes for run in runs[(mode, scene)]]
+            if options.brief and not is_brief(title, values):
+                continue
             cells = [form([read(run) for run in runs[(mode, scene)]]) for mode in modes]
             print("|", title, "|", " | ".join(cells), "|")
     if any(all(runs.get((mode, scene)) for mode in MODES) for scene in SCENES):
