Dispatch: Refuse for the first token target only in a lasting overload

Change: the rule applies once requests of the class have been late for 3 s and ends 3 s after the last late one. The test of the rule now starts in an overload; a new test shows the grace.

--- a/src/dispatch/lateness.cc
+++ b/src/dispatch/lateness.cc
@@ -17,6 +17,10 @@
 constexpr double kAdmissionMargin = 1.5;
 constexpr double kNoMargin = 1;
 constexpr double kMsPerSecond = 1000;
+/// Longer than the 2 s for which a new dispatcher grants half of each limit.
+constexpr Milliseconds kOverloadGrace{3000};
+
+enum class Lateness { kInTime, kMissesStart, kMissesDeadline };
 
 /// What the requests of one item and class have in common.
 struct Estimate {
@@ -58,36 +62,50 @@
   return estimate;
 }
 
-/// Returns whether a request behind `ahead` others is expected to be late. The
-/// margin applies to the wait before the deadline only: the first token target
-/// is short, and a wait for it is seldom long enough to change.
-bool IsLate(const Estimate& estimate,
-            const SlotRequest& request,
-            TimePoint start_deadline,
-            std::size_t ahead,
-            double margin,
-            TimePoint now) {
+/// Judges a request behind `ahead` others. The margin applies to the wait
+/// before the deadline only: the first token target is short, and a wait for it
+/// is seldom long enough to change.
+Lateness Judge(const Estimate& estimate,
+               const SlotRequest& request,
+               TimePoint start_deadline,
+               std::size_t ahead,
+               double margin,
+               TimePoint now) {
   if (estimate.all_failed)
-    return true;
+    return Lateness::kMissesDeadline;
   const double wait_s =
       ahead < estimate.preemptable
           ? 0
           : ExpectedWaitSeconds(estimate.rate, ahead - estimate.preemptable);
   const std::chrono::duration<double> to_deadline = request.deadline - now;
   if (margin * wait_s + estimate.hold_s > to_deadline.count())
-    return true;
+    return Lateness::kMissesDeadline;
   const std::chrono::duration<double> to_start = start_deadline - now;
-  return wait_s > to_start.count();
+  return wait_s > to_start.count() ? Lateness::kMissesStart : Lateness::kInTime;
+}
+
+bool IsRefused(Lateness lateness, bool overloaded) {
+  return lateness == Lateness::kMissesDeadline ||
+         (overloaded && lateness == Lateness::kMissesStart);
 }
 
-std::vector<bool> FindLate(const PoolState& pool,
-                           const ClassState& state,
-                           const std::set<std::string>& tight_items,
-                           TimePoint now) {
+void NoteLateStart(ClassState& state, TimePoint now) {
+  if (now - state.late_seen > kOverloadGrace)
+    state.late_since = now;
+  state.late_seen = now;
+}
+
+/// Judges all waiting requests of the class; those for `tight_items` need the
+/// margin of admission. Late ones do not count as ahead of others.
+std::vector<Lateness> JudgeWaiting(const PoolState& pool,
+                                   const ClassState& state,
+                                   const std::set<std::string>& tight_items,
+                                   TimePoint now) {
+  const bool overloaded = IsOverloaded(state, now);
   std::map<std::string, Estimate> estimates;
   std::map<std::string, std::size_t> ahead;
-  std::vector<bool> late;
-  late.reserve(state.waiting.size());
+  std::vector<Lateness> judged;
+  judged.reserve(state.waiting.size());
   for (const Waiting& one : state.waiting) {
     const SlotRequest& request = one.request;
     auto estimate = estimates.find(request.item);
@@ -98,12 +116,15 @@
     const double margin =
         tight_items.count(request.item) > 0 ? kAdmissionMargin : kNoMargin;
     std::size_t& before = ahead[request.item];
-    late.push_back(!one.resumed &&
-                   IsLate(estimate->second, request, one.start_deadline, before,
-                          margin, now));
-    before += late.back() ? 0 : 1;
+    const Lateness lateness =
+        one.resumed ? Lateness::kInTime
+                    : Judge(estimate->second, request, one.start_deadline,
+                            before, margin, now);
+    judged.push_back(lateness);
+    if (!IsRefused(lateness, overloaded))
+      ++before;
   }
-  return late;
+  return judged;
 }
 
 }  // namespace
@@ -140,29 +161,47 @@
                    std::chrono::duration<double>(left_s));
 }
 
+bool IsOverloaded(const ClassState& state, TimePoint now) {
+  return state.late_seen != TimePoint() &&
+         now - state.late_seen <= kOverloadGrace &&
+         now - state.late_since >= kOverloadGrace;
+}
+
 bool IsTooLateToQueue(const PoolState& pool,
-                      const ClassState& state,
+                      ClassState& state,
                       const SlotRequest& request,
                       TimePoint start_deadline,
                       TimePoint now) {
-  return IsLate(EstimateFor(pool, request, now), request, start_deadline,
-                CountWaiting(state, request.item), kAdmissionMargin, now);
+  const Lateness lateness =
+      Judge(EstimateFor(pool, request, now), request, start_deadline,
+            CountWaiting(state, request.item), kAdmissionMargin, now);
+  if (lateness == Lateness::kMissesStart)
+    NoteLateStart(state, now);
+  return IsRefused(lateness, IsOverloaded(state, now));
 }
 
 std::vector<bool> FindRefused(const PoolState& pool,
-                              const ClassState& state,
+                              ClassState& state,
                               TimePoint now) {
-  const std::vector<bool> late = FindLate(pool, state, {}, now);
+  std::vector<Lateness> judged = JudgeWaiting(pool, state, {}, now);
+  if (std::find(judged.begin(), judged.end(), Lateness::kMissesStart) !=
+      judged.end())
+    NoteLateStart(state, now);
+  const bool overloaded = IsOverloaded(state, now);
   std::set<std::string> late_items;
-  for (std::size_t i = 0; i < late.size(); ++i) {
-    if (late[i])
+  for (std::size_t i = 0; i < judged.size(); ++i) {
+    if (IsRefused(judged[i], overloaded))
       late_items.insert(state.waiting[i].request.item);
   }
-  if (late_items.empty())
-    return late;
   // Where one request is late, those that would be next are refused as well
   // and not one by one, close to their deadlines.
-  return FindLate(pool, state, late_items, now);
+  if (!late_items.empty())
+    judged = JudgeWaiting(pool, state, late_items, now);
+  std::vector<bool> refused;
+  refused.reserve(judged.size());
+  for (const Lateness lateness : judged)
+    refused.push_back(IsRefused(lateness, overloaded));
+  return refused;
 }
 
 }  // namespace coltsfootvane::dispatch
--- a/src/dispatch/lateness.h
+++ b/src/dispatch/lateness.h
@@ -20,10 +20,16 @@
                         const SlotRequest& request,
                         TimePoint now);
 
+/// Returns whether requests of the class have been expected to miss the first
+/// token target for a while. Only then are they refused for it: a short
+/// disturbance, such as a new dispatcher, is waited out.
+bool IsOverloaded(const ClassState& state, TimePoint now);
+
 /// Returns whether a request that would wait behind all others of its item is
-/// expected to miss its deadline or its first token target.
+/// expected to miss its deadline or, in an overload, its first token target.
+/// `state` is the class of `pool` that the request belongs to.
 bool IsTooLateToQueue(const PoolState& pool,
-                      const ClassState& state,
+                      ClassState& state,
                       const SlotRequest& request,
                       TimePoint start_deadline,
                       TimePoint now);
@@ -31,7 +37,7 @@
 /// Returns which waiting requests of the class to refuse: those expected to be
 /// late and, for their items, those that would be next.
 std::vector<bool> FindRefused(const PoolState& pool,
-                              const ClassState& state,
+                              ClassState& state,
                               TimePoint now);
 
 }  // namespace coltsfootvane::dispatch
--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -89,6 +89,9 @@
   PriorityClass settings;
   std::vector<Waiting> waiting;
   double deficit = 0;  ///< Grants owed by the minimum share.
+  /// When requests were first and last expected to miss the first token target.
+  TimePoint late_since;
+  TimePoint late_seen;
   std::map<std::string, std::uint64_t> item_served;     ///< Last turn.
   std::map<std::string, std::uint64_t> caller_served;   ///< Last turn.
   std::map<std::string, DrainRate, std::less<>> drain;  ///< By item.
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -1,4 +1,5 @@
 #include "dispatch/pool_state.h"
+#include "dispatch/lateness.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -322,6 +323,8 @@
     PoolState pool = PoolOf({{"e1", 2}});
     pool.classes[0].settings.first_token_ms = 600;
     const TimePoint now = kStart + std::chrono::seconds{3};
+    pool.classes[0].late_since = kStart;
+    pool.classes[0].late_seen = now;
     SlotOutcome outcome;
     outcome.time_to_first_token = Milliseconds{100};
     ReturnSlot(pool, MustGrant(pool, RequestOf("r1")), outcome, now);
@@ -339,6 +342,26 @@
   }
 }
 
+// Guards against refusals for the first token target in a short disturbance,
+// such as the halved limits of a new dispatcher, and against an overload that
+// is never noticed.
+TEST(PoolState, WaitsOutShortDisturbances) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  pool.classes[0].settings.first_token_ms = 600;
+  const TimePoint start = kStart + std::chrono::seconds{10};
+  ReturnSlot(pool, MustGrant(pool, RequestOf("r1")), SlotOutcome{}, start);
+  MustGrant(pool, RequestOf("r2"), start);
+  SlotRequest waiting = RequestOf("r3");
+  waiting.deadline = start + std::chrono::hours{1};
+  CHECK_FALSE(AskSlot(pool, "e", waiting, start));
+  for (int ms = 250; ms < 3000; ms += 250)
+    CHECK(RefuseLate(pool, start + Milliseconds{ms}).empty());
+  CHECK_FALSE(IsOverloaded(pool.classes[0], start + Milliseconds{2999}));
+  CHECK_EQUAL(1U, RefuseLate(pool, start + Milliseconds{3000}).size());
+  // Without new signs the overload is over.
+  CHECK_FALSE(IsOverloaded(pool.classes[0], start + Milliseconds{6001}));
+}
+
 // Guards against slots that a lost return, a dead entry or a new dispatcher
 // leaves blocked or uncounted.
 TEST(PoolState, RepairsByReportsAndDeadlines) {
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -46,8 +46,8 @@
 
 /// Such a request would take the slot of one that can still meet its target; it
 /// is refused by RefuseLate().
-bool MissedStart(const Waiting& one, TimePoint now) {
-  return !one.resumed && now > one.start_deadline;
+bool MissedStart(const ClassState& state, const Waiting& one, TimePoint now) {
+  return !one.resumed && now > one.start_deadline && IsOverloaded(state, now);
 }
 
 /// Returns the index of the waiting request that is served next, or kNone.
@@ -58,7 +58,7 @@
   std::size_t best = kNone;
   for (std::size_t i = 0; i < state.waiting.size(); ++i) {
     const Waiting& one = state.waiting[i];
-    if (blocked.count(one.request.item) > 0 || MissedStart(one, now))
+    if (blocked.count(one.request.item) > 0 || MissedStart(state, one, now))
       continue;
     if (best != kNone &&
         OrderKey(state, state.waiting[best]) <= OrderKey(state, one))
