Tests: Record the guarantees for answers, shutdown and leaving

Cause: the threshold of 95% complete answers did not notice a daemon without resume (457 of 480, 95.2%); a failed shutdown test did not print its counts.

--- a/src/peer/slot_caller_unittest.cc
+++ b/src/peer/slot_caller_unittest.cc
@@ -66,10 +66,11 @@
   std::set<std::string> full;
   std::uint64_t next_grant = 1;
   std::vector<PeerMessage> sent;
-  SlotCaller caller{"a", &routes, &members,
-                    [this](const membership::Member&, PeerMessage message) {
-                      this->Answer(message);
-                    }};
+  SlotCaller caller{
+      "a", &routes, &members,
+      [this](const membership::Member&, const PeerMessage& message) {
+        this->Answer(message);
+      }};
 };
 
 }  // namespace
@@ -108,9 +109,8 @@
   for (membership::Member& member : nobody->members)
     member.state = membership::MemberState::kLeaving;
   fixture.members.Set(nobody);
-  std::vector<SlotAnswer> held;
-  for (int i = 0; i < 2; ++i)
-    held.push_back(fixture.Ask("r" + std::to_string(i), 5));
+  const std::vector<SlotAnswer> held = {fixture.Ask("r0", 5),
+                                        fixture.Ask("r1", 5)};
   std::thread returning([&] {
     std::this_thread::sleep_for(Milliseconds{3500});
     fixture.caller.GiveBack(held[0], {});
@@ -159,6 +159,7 @@
 TEST(SlotCaller, ReportsAllSlotsInDatagrams) {
   Fixture fixture;
   std::vector<SlotAnswer> answers;
+  answers.reserve(64);
   for (int i = 0; i < 60; ++i)
     answers.push_back(
         fixture.Ask("request-with-a-long-name-" + std::to_string(1000 + i)));
--- a/tests/integration/answer_test.cc
+++ b/tests/integration/answer_test.cc
@@ -115,7 +115,7 @@
 // ended falsely when engines cut streams, answer late, die and return.
 TEST(Answer, EachCallerGetsTheirOwnAnswerUnderFaults) {
   constexpr int kCallers = 24;
-  constexpr int kRequestsEach = 20;
+  constexpr int kRequestsEach = 30;
   SiteOptions options;
   options.proxies = true;
   options.engines = std::vector<EngineOptions>(4);
@@ -127,6 +127,7 @@
   FaultCounts faults;
   std::thread injector([&] { faults = InjectFaults(&site, stop); });
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (unsigned i = 0; i < kCallers; ++i) {
     callers.emplace_back(
         [&, i] { RunCaller(&site, kSeed + i, kRequestsEach, &tally); });
@@ -143,7 +144,7 @@
   LONGS_EQUAL(0, tally.Count(Answer::kBroken));
   CHECK(faults.kills > 0);
   // Retries come from a budget, so a few requests may fail under these faults.
-  CHECK(tally.Count(Answer::kComplete) >= kCallers * kRequestsEach * 95 / 100);
+  CHECK(tally.Count(Answer::kComplete) >= kCallers * kRequestsEach * 98 / 100);
 }
 
 // Guards against engines that go on generating for callers who have gone, in
@@ -157,6 +158,7 @@
   site.StartAll();
   const long before = site.EngineStat("cancelled");
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&site, i] {
       const bool streamed = i % 2 == 0;
@@ -201,6 +203,7 @@
   Tally second;
   std::atomic<int> started{0};
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       http::Request request = AddHeader(
--- a/tests/integration/shutdown_test.cc
+++ b/tests/integration/shutdown_test.cc
@@ -92,10 +92,13 @@
     (streamed ? this->streams : this->whole).Add(CallOnce(to, request), name);
   }
 
-  void Check() {
+  void Print() const {
     this->streams.Print("streams");
     this->whole.Print("whole answers");
     this->bookings.Print("bookings");
+  }
+
+  void Check() {
     for (const Tally* tally : {&this->streams, &this->whole, &this->bookings}) {
       CHECK(tally->Total() > 20);
       LONGS_EQUAL(tally->Total(), tally->Count(Answer::kComplete));
@@ -198,8 +201,9 @@
       PauseMs(1000);
     }
   }
+  calls.Print();
   CheckStops(site, {0, 1, 2}, stops);
-  std::printf("\nplanners stopped: %d", planners);
+  std::printf("\nplanners stopped: %d\n", planners);
   calls.Check();
   CHECK(planners > 0);
 }
@@ -234,6 +238,7 @@
       PauseMs(1000);
     }
   }
+  calls.Print();
   CheckStops(site, centres[0], stops[0]);
   CheckStops(site, centres[1], stops[1]);
   calls.Check();
