--- a/src/peer/slot_caller_unittest.cc
+++ b/src/peer/slot_caller_unittest.cc
@@ -109,9 +109,8 @@
   for (membership::Member& member : nobody->members)
     member.state = membership::MemberState::kLeaving;
   fixture.members.Set(nobody);
-  std::vector<SlotAnswer> held;
-  for (int i = 0; i < 2; ++i)
-    held.push_back(fixture.Ask("r" + std::to_string(i), 5));
+  const std::vector<SlotAnswer> held = {fixture.Ask("r0", 5),
+                                        fixture.Ask("r1", 5)};
   std::thread returning([&] {
     std::this_thread::sleep_for(Milliseconds{3500});
     fixture.caller.GiveBack(held[0], {});
