Scripts: Give the compared daemons ports that no example uses

Cause: the kitchen's engines and services have the ports 9501 to 9604, so its daemons could not listen. Ruled out: other processes (the host is our own). Change: daemons use ports from 9800 on, the platform 9790.

--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -81,7 +81,7 @@
 PY
 mapfile -t centres < <(awk '/- name:/ {print $3}' "$directory/data_centres.yaml")
 region=$(awk '/region:/ {print $2; exit}' "$directory/data_centres.yaml")
-platform=$host:9300
+platform=$host:9790
 
 start_endpoint() {
   local id=$1 kind=$2 address=$3 memory=$4 fencing=$5 slots=$6
@@ -101,9 +101,9 @@
 daemon_id: entry-$n
 data_centre: ${centres[$(((n - 1) % ${#centres[@]}))]}
 region: $region
-entry: {listen: "$host:$((9500 + n))", threads: 64, refusal_threads: 8}
-admin: {listen: "$host:$((9600 + n))"}
-peer: {listen: "$host:$((9700 + n))", first_peers: ["$host:9701", "$host:9702", "$host:9703"]}
+entry: {listen: "$host:$((9800 + n))", threads: 64, refusal_threads: 8}
+admin: {listen: "$host:$((9850 + n))"}
+peer: {listen: "$host:$((9900 + n))", first_peers: ["$host:9901", "$host:9902", "$host:9903"]}
 platform: {address: "$platform"}
 shutdown: {balancer_grace_ms: 200, stop_timeout_ms: 2000}
 dispatch: {mode: $mode}
@@ -116,7 +116,7 @@
 }
 # Prints the declared models and adapters that no endpoint has ready.
 count_unready() {
-  curl -fs "http://$host:9601/status" >"$folder/status.json" || { echo -1; return; }
+  curl -fs "http://$host:9851/status" >"$folder/status.json" || { echo -1; return; }
   python3 - "$folder/status.json" "$directory" <<'PY'
 import glob, json, sys, yaml
 ready = set()
@@ -144,7 +144,7 @@
   wait_for "http://$platform/control/calls"
   apply_rate $startup_loads_per_s
   for n in $(seq "$daemons"); do start_daemon "$n" "$mode"; done
-  for n in $(seq "$daemons"); do wait_for "http://$host:$((9600 + n))/health"; done
+  for n in $(seq "$daemons"); do wait_for "http://$host:$((9850 + n))/health"; done
   wait_until_placed
   apply_rate 1.6
   sleep 2
@@ -163,7 +163,7 @@
 }
 find_dispatcher() {
   for n in $(seq "$daemons"); do
-    if curl -fs "http://$host:$((9600 + n))/status" |
+    if curl -fs "http://$host:$((9850 + n))/status" |
       grep -c "\"name\":\"${centres[0]}/0\"" >/dev/null; then
       echo "$n"
       return
@@ -189,7 +189,7 @@
   local mode=$1 scene=$2 victim=$3
   if [ "$scene" = dispatcher-killed ] && [ -n "$victim" ]; then
     start_daemon "$victim" "$mode"
-    wait_for "http://$host:$((9600 + victim))/health"
+    wait_for "http://$host:$((9850 + victim))/health"
   elif [ "$scene" = data-centre-killed ]; then
     while read -r -a endpoint; do
       if [ "${endpoint[1]}" = engine ] && [ "${endpoint[6]}" = "${centres[0]}" ]; then
@@ -207,7 +207,7 @@
   local output=$results/$mode-$scene-$seed.json victim=""
   if [ "$scene" = dispatcher-killed ]; then victim=$(find_dispatcher); fi
   local before after load entries=() helper=""
-  for n in $(seq "$daemons"); do entries+=(--entry "$host:$((9500 + n))"); done
+  for n in $(seq "$daemons"); do entries+=(--entry "$host:$((9800 + n))"); done
   before=$(engine_totals)
   load=$(cut -d' ' -f1 /proc/loadavg)
   if [ "$scene" = dispatcher-killed ] || [ "$scene" = data-centre-killed ]; then
@@ -251,7 +251,7 @@
     mkdir -p "$results/logs-$mode"
     cp "$folder"/*.log "$results/logs-$mode"
     for n in $(seq "$daemons"); do
-      curl -fs "http://$host:$((9600 + n))/metrics" >"$results/logs-$mode/metrics-$n.txt" || true
+      curl -fs "http://$host:$((9850 + n))/metrics" >"$results/logs-$mode/metrics-$n.txt" || true
     done
   fi
   stop_all
