Dispatch: Refuse for the first token target only on observed waits

Cause: with estimates as the sign of an overload, refused callers that came back at once kept it up while nothing was granted, so the estimate was never corrected: 1,635 of 1,697 calls refused in Leaving.EngineThatRefuses. Ruled out: the limits and the retry budget; with the rule off the test passes. A grace of 3 s was not enough for a new dispatcher and an ejection. Change: an overload begins after 5 s in which requests have waited beyond the target, one request per item may always wait, and refusals extend it only while another one waits.

--- a/src/dispatch/lateness.cc
+++ b/src/dispatch/lateness.cc
@@ -17,8 +17,9 @@
 constexpr double kAdmissionMargin = 1.5;
 constexpr double kNoMargin = 1;
 constexpr double kMsPerSecond = 1000;
-/// Longer than the 2 s for which a new dispatcher grants half of each limit.
-constexpr Milliseconds kOverloadGrace{3000};
+/// Longer than a new dispatcher's 2 s at half of each limit followed by the 2 s
+/// of a first ejection.
+constexpr Milliseconds kOverloadGrace{5000};
 
 enum class Lateness { kInTime, kMissesStart, kMissesDeadline };
 
@@ -172,20 +173,27 @@
                       const SlotRequest& request,
                       TimePoint start_deadline,
                       TimePoint now) {
-  const Lateness lateness =
-      Judge(EstimateFor(pool, request, now), request, start_deadline,
-            CountWaiting(state, request.item), kAdmissionMargin, now);
-  if (lateness == Lateness::kMissesStart)
-    NoteLateStart(state, now);
-  return IsRefused(lateness, IsOverloaded(state, now));
+  const std::size_t ahead = CountWaiting(state, request.item);
+  const Lateness lateness = Judge(EstimateFor(pool, request, now), request,
+                                  start_deadline, ahead, kAdmissionMargin, now);
+  if (lateness != Lateness::kMissesStart)
+    return lateness == Lateness::kMissesDeadline;
+  // One request may always wait: an estimate that is too high is corrected only
+  // by requests that are served.
+  if (ahead == 0 || !IsOverloaded(state, now))
+    return false;
+  NoteLateStart(state, now);
+  return true;
 }
 
 std::vector<bool> FindRefused(const PoolState& pool,
                               ClassState& state,
                               TimePoint now) {
   std::vector<Lateness> judged = JudgeWaiting(pool, state, {}, now);
-  if (std::find(judged.begin(), judged.end(), Lateness::kMissesStart) !=
-      judged.end())
+  if (std::any_of(state.waiting.begin(), state.waiting.end(),
+                  [now](const Waiting& one) {
+                    return !one.resumed && now > one.start_deadline;
+                  }))
     NoteLateStart(state, now);
   const bool overloaded = IsOverloaded(state, now);
   std::set<std::string> late_items;
--- a/src/dispatch/lateness.h
+++ b/src/dispatch/lateness.h
@@ -20,8 +20,8 @@
                         const SlotRequest& request,
                         TimePoint now);
 
-/// Returns whether requests of the class have been expected to miss the first
-/// token target for a while. Only then are they refused for it: a short
+/// Returns whether requests of the class have waited beyond the first token
+/// target for a while. Only then are they refused for it: a short
 /// disturbance, such as a new dispatcher, is waited out.
 bool IsOverloaded(const ClassState& state, TimePoint now);
 
--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -89,7 +89,8 @@
   PriorityClass settings;
   std::vector<Waiting> waiting;
   double deficit = 0;  ///< Grants owed by the minimum share.
-  /// When requests were first and last expected to miss the first token target.
+  /// When requests were first and last seen to wait beyond the first token
+  /// target.
   TimePoint late_since;
   TimePoint late_seen;
   std::map<std::string, std::uint64_t> item_served;     ///< Last turn.
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -322,7 +322,7 @@
   for (const Row& row : rows) {
     PoolState pool = PoolOf({{"e1", 2}});
     pool.classes[0].settings.first_token_ms = 600;
-    const TimePoint now = kStart + std::chrono::seconds{3};
+    const TimePoint now = kStart + std::chrono::seconds{5};
     pool.classes[0].late_since = kStart;
     pool.classes[0].late_seen = now;
     SlotOutcome outcome;
@@ -332,13 +332,15 @@
     MustGrant(pool, RequestOf("r3", row.running), now);
     SlotRequest request = RequestOf("r4");
     request.kind = row.kind;
+    CHECK_FALSE(AskSlot(pool, "e", request, now));
+    request.request_id = "r5";
     CHECK_EQUAL(row.queued, !AskSlot(pool, "e", request, now));
     if (!row.queued || row.kind == EndpointKind::kService)
       continue;
     CHECK(RefuseLate(pool, now + Milliseconds{490}).empty());
     DropSlot(pool, pool.endpoints["e1"].granted[0].grant_id);
     CHECK(NextGrants(pool, now + Milliseconds{501}).empty());
-    CHECK_EQUAL(1U, RefuseLate(pool, now + Milliseconds{501}).size());
+    CHECK_EQUAL(2U, RefuseLate(pool, now + Milliseconds{501}).size());
   }
 }
 
@@ -354,12 +356,29 @@
   SlotRequest waiting = RequestOf("r3");
   waiting.deadline = start + std::chrono::hours{1};
   CHECK_FALSE(AskSlot(pool, "e", waiting, start));
-  for (int ms = 250; ms < 3000; ms += 250)
+  for (int ms = 250; ms < 5600; ms += 250)
     CHECK(RefuseLate(pool, start + Milliseconds{ms}).empty());
-  CHECK_FALSE(IsOverloaded(pool.classes[0], start + Milliseconds{2999}));
-  CHECK_EQUAL(1U, RefuseLate(pool, start + Milliseconds{3000}).size());
+  CHECK_FALSE(IsOverloaded(pool.classes[0], start + Milliseconds{5600}));
+  CHECK_EQUAL(1U, RefuseLate(pool, start + Milliseconds{5750}).size());
   // Without new signs the overload is over.
-  CHECK_FALSE(IsOverloaded(pool.classes[0], start + Milliseconds{6001}));
+  CHECK_FALSE(IsOverloaded(pool.classes[0], start + Milliseconds{10751}));
+}
+
+// Guards against refusing every request for an estimate that only requests that
+// are served can correct.
+TEST(PoolState, LetsOneRequestWaitInAnOverload) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  pool.classes[0].settings.first_token_ms = 600;
+  const TimePoint now = kStart + std::chrono::seconds{10};
+  pool.classes[0].late_since = kStart;
+  pool.classes[0].late_seen = now;
+  ReturnSlot(pool, MustGrant(pool, RequestOf("r1")), SlotOutcome{}, now);
+  MustGrant(pool, RequestOf("r2"), now);
+  SlotRequest request = RequestOf("r3");
+  request.deadline = now + std::chrono::hours{1};
+  CHECK_FALSE(AskSlot(pool, "e", request, now));
+  request.request_id = "r4";
+  CHECK(AskSlot(pool, "e", request, now)->verdict == SlotVerdict::kDeadline);
 }
 
 // Guards against slots that a lost return, a dead entry or a new dispatcher
