Dispatch: Answer no_copy where every copy has failed its trial

Cause: a request whose copies all failed was refused as past its deadline; the slot caller does not ask the next pool after such a refusal if the request has waited 150 ms. Ruled out: the first token rule (same with it off) and the order of pools. Change: the verdict is no_copy, as the pool has no copy to wait for; the row of RefusesOnceATrialHasFailed names the new verdict.

--- a/src/dispatch/lateness.cc
+++ b/src/dispatch/lateness.cc
@@ -32,24 +32,6 @@
   bool all_failed = false;
 };
 
-/// Returns whether every holder is ejected and has failed on trial since its
-/// first ejection: the failure lasts, and more trials are not waited for.
-bool AllFailedTrial(const PoolState& pool,
-                    const std::string& item,
-                    TimePoint now) {
-  const auto holders = pool.holders.find(item);
-  if (holders == pool.holders.end())
-    return false;
-  return std::all_of(holders->second.begin(), holders->second.end(),
-                     [&pool, now](const std::string& id) {
-                       const auto found = pool.endpoints.find(id);
-                       if (found == pool.endpoints.end())
-                         return true;
-                       const OutlierState& outlier = found->second.outlier;
-                       return IsEjected(outlier, now) && outlier.ejections > 1;
-                     });
-}
-
 Estimate EstimateFor(const PoolState& pool,
                      const SlotRequest& request,
                      TimePoint now) {
@@ -151,6 +133,22 @@
          !HasHolder(pool, request);
 }
 
+bool AllFailedTrial(const PoolState& pool,
+                    const std::string& item,
+                    TimePoint now) {
+  const auto holders = pool.holders.find(item);
+  if (holders == pool.holders.end())
+    return false;
+  return std::all_of(holders->second.begin(), holders->second.end(),
+                     [&pool, now](const std::string& id) {
+                       const auto found = pool.endpoints.find(id);
+                       if (found == pool.endpoints.end())
+                         return true;
+                       const OutlierState& outlier = found->second.outlier;
+                       return IsEjected(outlier, now) && outlier.ejections > 1;
+                     });
+}
+
 TimePoint StartDeadline(const ClassState& state,
                         const SlotRequest& request,
                         TimePoint now) {
--- a/src/dispatch/lateness.h
+++ b/src/dispatch/lateness.h
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTVANE_DISPATCH_LATENESS_H_
 #define COLTSFOOTVANE_DISPATCH_LATENESS_H_
 
+#include <string>
 #include <vector>
 
 #include "dispatch/pool_state.h"
@@ -14,6 +15,12 @@
 /// Returns whether the item has copies here and the request can use none.
 bool CannotUseCopies(const PoolState& pool, const SlotRequest& request);
 
+/// Returns whether every holder is ejected and has failed on trial since its
+/// first ejection: the failure lasts, and more trials are not waited for.
+bool AllFailedTrial(const PoolState& pool,
+                    const std::string& item,
+                    TimePoint now);
+
 /// Returns the latest grant that meets the first token target. Only engines
 /// have one.
 TimePoint StartDeadline(const ClassState& state,
--- a/src/dispatch/pool_state_unittest.cc
+++ b/src/dispatch/pool_state_unittest.cc
@@ -258,7 +258,7 @@
   outlier.ejections = 2;
   CHECK_EQUAL(1U, RefuseLate(pool, kStart).size());
   const auto refused = AskSlot(pool, "e", RequestOf("r2"), kStart);
-  CHECK(refused->verdict == SlotVerdict::kDeadline);
+  CHECK(refused->verdict == SlotVerdict::kNoCopy);
 }
 
 // Guards against requests that wait until their deadlines for an endpoint that
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -189,6 +189,15 @@
   state.waiting = std::move(kept);
 }
 
+/// A pool whose copies all fail has no copy to wait for, so the caller asks the
+/// next pool however long it has waited in this one.
+SlotVerdict LateVerdict(const PoolState& pool,
+                        const SlotRequest& request,
+                        TimePoint now) {
+  return AllFailedTrial(pool, request.item, now) ? SlotVerdict::kNoCopy
+                                                 : SlotVerdict::kDeadline;
+}
+
 /// Removes the requests of a class that are late.
 void RefuseLateOf(PoolState& pool,
                   ClassState& state,
@@ -204,7 +213,7 @@
     }
     refusals->push_back({one.entry_id,
                          one.request.request_id,
-                         {SlotVerdict::kDeadline, "", 0,
+                         {LateVerdict(pool, one.request, now), "", 0,
                           RetryAfterMs(pool, one.request, now)}});
   }
   state.waiting = std::move(kept);
@@ -241,7 +250,7 @@
                       RetryAfterMs(pool, request, now)};
   const TimePoint start_deadline = StartDeadline(state, request, now);
   if (!resumed && IsTooLateToQueue(pool, state, request, start_deadline, now))
-    return SlotAnswer{SlotVerdict::kDeadline, "", 0,
+    return SlotAnswer{LateVerdict(pool, request, now), "", 0,
                       RetryAfterMs(pool, request, now)};
   state.waiting.push_back({request, std::string(entry_id), ++pool.turn, resumed,
                            now, start_deadline});
