--- /dev/null
+++ b/src/dispatch/lateness_unittest.cc
@@ -0,0 +1,232 @@
+#include "dispatch/lateness.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "dispatch/limits.h"
+#include "dispatch/outliers.h"
+#include "support/pool_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace coltsfootvane::dispatch {
+
+TEST_GROUP(Lateness){};
+
+// Guards against a request that waits until its deadline at a pool whose copies
+// have gone, while other pools have some.
+TEST(Lateness, WaitingRequestsWithoutACopyAreRefused) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  MustGrant(pool, RequestOf("r1"));
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r2"), kStart));
+  CHECK(RefuseLate(pool, kStart).empty());
+  pool.holders["m"].clear();
+  const auto refusals = RefuseLate(pool, kStart);
+  CHECK_EQUAL(1U, refusals.size());
+  CHECK(refusals[0].answer.verdict == SlotVerdict::kNoCopy);
+  CHECK(pool.classes[0].waiting.empty());
+}
+
+// Guards against a waiting request that is refused only near its deadline
+// although the queue has stopped draining.
+TEST(Lateness, RefusesWaitingRequestsThatHaveBecomeLate) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  const auto grant = MustGrant(pool, RequestOf("r1", Priority::kLookup));
+  TimePoint now = kStart + std::chrono::seconds{1};
+  ReturnSlot(pool, grant, SlotOutcome{}, now);
+  MustGrant(pool, RequestOf("r2", Priority::kLookup), now);
+  SlotRequest hurried = RequestOf("r3", Priority::kLookup);
+  hurried.deadline = now + std::chrono::seconds{30};
+  CHECK_FALSE(AskSlot(pool, "e", hurried, now));
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r4", Priority::kLookup), now));
+  CHECK(RefuseLate(pool, now).empty());
+  now += std::chrono::seconds{15};
+  const auto refusals = RefuseLate(pool, now);
+  CHECK_EQUAL(1U, refusals.size());
+  STRCMP_EQUAL("r3", refusals[0].request_id.c_str());
+  CHECK(refusals[0].answer.verdict == SlotVerdict::kDeadline);
+  CHECK(refusals[0].answer.retry_after_ms > 1000);
+  CHECK_EQUAL(1U, pool.classes[1].waiting.size());
+}
+
+// Guards against a request that waits to its deadline for the only copy, on
+// which it has failed, after the other copies have gone.
+TEST(Lateness, RefusesWaitingRequestsThatExcludeEveryCopy) {
+  PoolState pool = PoolOf({{"e1", 1}, {"e2", 1}});
+  MustGrant(pool, RequestOf("r1"));
+  MustGrant(pool, RequestOf("r2"));
+  SlotRequest failed = RequestOf("r3");
+  failed.excluded = {"e1"};
+  CHECK_FALSE(AskSlot(pool, "e", failed, kStart));
+  CHECK(RefuseLate(pool, kStart).empty());
+  for (auto& [item, holders] : pool.holders)
+    holders = {"e1"};
+  const auto refusals = RefuseLate(pool, kStart);
+  CHECK_EQUAL(1U, refusals.size());
+  CHECK(refusals[0].answer.verdict == SlotVerdict::kNoCopy);
+}
+
+// Guards against an estimate that stays as it was while endpoints have stopped
+// to answer: nothing is returned, so nothing else is observed.
+TEST(Lateness, RefusesWhileTheHoldersStartNothing) {
+  struct Row {
+    const char* name;
+    Priority stuck;
+    int after_ms;
+    bool refused;
+  };
+  const Row rows[] = {
+      {"short stall", Priority::kInteractive, 1000, false},
+      {"stall of a third of the time", Priority::kInteractive, 2200, true},
+      {"streams that can be cancelled", Priority::kOvernight, 2200, false},
+  };
+  for (const Row& row : rows) {
+    PoolState pool = PoolOf({{"e1", 1}});
+    const auto grant = MustGrant(pool, RequestOf("r1"));
+    const TimePoint start = kStart + Milliseconds{100};
+    ReturnSlot(pool, grant, SlotOutcome{}, start);
+    MustGrant(pool, RequestOf("r2", row.stuck), start);
+    SlotRequest waiting = RequestOf("r3");
+    waiting.deadline = start + Milliseconds{6000};
+    CHECK_FALSE(AskSlot(pool, "e", waiting, start));
+    const auto refusals = RefuseLate(pool, start + Milliseconds{row.after_ms});
+    CHECK_EQUAL_TEXT(row.refused, refusals.size() == 1, row.name);
+  }
+}
+
+// Guards against requests that wait through one ejection after another.
+TEST(Lateness, RefusesOnceATrialHasFailed) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  OutlierState& outlier = pool.endpoints["e1"].outlier;
+  outlier.ejected_until = kStart + std::chrono::seconds{2};
+  outlier.ejections = 1;
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r1"), kStart));
+  CHECK(RefuseLate(pool, kStart).empty());
+  outlier.ejections = 2;
+  CHECK_EQUAL(1U, RefuseLate(pool, kStart).size());
+  const auto refused = AskSlot(pool, "e", RequestOf("r2"), kStart);
+  CHECK(refused->verdict == SlotVerdict::kNoCopy);
+}
+
+// Guards against requests that wait until their deadlines for an endpoint that
+// has begun to leave.
+TEST(Lateness, RefusesWaitingRequestsWithoutAHolder) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  MustGrant(pool, RequestOf("r1"));
+  CHECK_FALSE(AskSlot(pool, "e", RequestOf("r2"), kStart));
+  CHECK(RefuseLate(pool, kStart).empty());
+  pool.endpoints["e1"].leaving = true;
+  const auto refusals = RefuseLate(pool, kStart);
+  CHECK_EQUAL(1U, refusals.size());
+  CHECK(refusals[0].answer.verdict == SlotVerdict::kNoCopy);
+}
+
+// Guards against requests that are admitted with no slack and are refused late
+// when the estimate rises a little.
+TEST(Lateness, AdmitsOnlyWithSlack) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  const auto grant = MustGrant(pool, RequestOf("r1"));
+  const TimePoint later = kStart + std::chrono::seconds{1};
+  ReturnSlot(pool, grant, SlotOutcome{}, later);
+  MustGrant(pool, RequestOf("r2"), later);
+  SlotRequest request = RequestOf("r3");
+  // The estimate is 1 s of wait and 1 s of service.
+  request.deadline = later + Milliseconds{2100};
+  CHECK(AskSlot(pool, "e", request, later)->verdict == SlotVerdict::kDeadline);
+  request.deadline = later + Milliseconds{2500};
+  CHECK_FALSE(AskSlot(pool, "e", request, later));
+}
+
+// Guards against an estimate that needs many returns to follow a class whose
+// calls have become longer.
+TEST(Lateness, EstimateFollowsLongerCalls) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  TimePoint now = kStart;
+  for (const int held_ms : {20, 20, 20, 1000, 1000, 1000, 1000}) {
+    const auto grant = MustGrant(pool, RequestOf("r"), now);
+    now += Milliseconds{held_ms};
+    ReturnSlot(pool, grant, SlotOutcome{}, now);
+  }
+  MustGrant(pool, RequestOf("r1"), now);
+  SlotRequest request = RequestOf("r2");
+  request.deadline = now + Milliseconds{1400};
+  CHECK(AskSlot(pool, "e", request, now)->verdict == SlotVerdict::kDeadline);
+}
+
+// Guards against queues in which every request is granted too late for its
+// first token, against refusals of requests that a cancelled stream makes room
+// for, and against such a limit on services.
+TEST(Lateness, RefusesWhatMissesTheFirstTokenTarget) {
+  struct Row {
+    Priority running;
+    EndpointKind kind;
+    bool queued;
+  };
+  const std::vector<Row> rows = {
+      {Priority::kInteractive, EndpointKind::kEngine, false},
+      {Priority::kOvernight, EndpointKind::kEngine, true},
+      {Priority::kInteractive, EndpointKind::kService, true}};
+  for (const Row& row : rows) {
+    PoolState pool = PoolOf({{"e1", 2}});
+    pool.classes[0].settings.first_token_ms = 600;
+    const TimePoint now = kStart + std::chrono::seconds{5};
+    pool.classes[0].late_since = kStart;
+    pool.classes[0].late_seen = now;
+    SlotOutcome outcome;
+    outcome.time_to_first_token = Milliseconds{100};
+    ReturnSlot(pool, MustGrant(pool, RequestOf("r1")), outcome, now);
+    MustGrant(pool, RequestOf("r2", row.running), now);
+    MustGrant(pool, RequestOf("r3", row.running), now);
+    SlotRequest request = RequestOf("r4");
+    request.kind = row.kind;
+    CHECK_FALSE(AskSlot(pool, "e", request, now));
+    request.request_id = "r5";
+    CHECK_EQUAL(row.queued, !AskSlot(pool, "e", request, now));
+    if (!row.queued || row.kind == EndpointKind::kService)
+      continue;
+    CHECK(RefuseLate(pool, now + Milliseconds{490}).empty());
+    DropSlot(pool, pool.endpoints["e1"].granted[0].grant_id);
+    CHECK(NextGrants(pool, now + Milliseconds{501}).empty());
+    CHECK_EQUAL(2U, RefuseLate(pool, now + Milliseconds{501}).size());
+  }
+}
+
+// Guards against refusals for the first token target in a short disturbance,
+// such as the halved limits of a new dispatcher, and against an overload that
+// is never noticed.
+TEST(Lateness, WaitsOutShortDisturbances) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  pool.classes[0].settings.first_token_ms = 600;
+  const TimePoint start = kStart + std::chrono::seconds{10};
+  ReturnSlot(pool, MustGrant(pool, RequestOf("r1")), SlotOutcome{}, start);
+  MustGrant(pool, RequestOf("r2"), start);
+  SlotRequest waiting = RequestOf("r3");
+  waiting.deadline = start + std::chrono::hours{1};
+  CHECK_FALSE(AskSlot(pool, "e", waiting, start));
+  for (int ms = 250; ms < 5600; ms += 250)
+    CHECK(RefuseLate(pool, start + Milliseconds{ms}).empty());
+  CHECK_FALSE(IsOverloaded(pool.classes[0], start + Milliseconds{5600}));
+  CHECK_EQUAL(1U, RefuseLate(pool, start + Milliseconds{5750}).size());
+  // Without new signs the overload is over.
+  CHECK_FALSE(IsOverloaded(pool.classes[0], start + Milliseconds{10751}));
+}
+
+// Guards against refusing every request for an estimate that only requests that
+// are served can correct.
+TEST(Lateness, LetsOneRequestWaitInAnOverload) {
+  PoolState pool = PoolOf({{"e1", 1}});
+  pool.classes[0].settings.first_token_ms = 600;
+  const TimePoint now = kStart + std::chrono::seconds{10};
+  pool.classes[0].late_since = kStart;
+  pool.classes[0].late_seen = now;
+  ReturnSlot(pool, MustGrant(pool, RequestOf("r1")), SlotOutcome{}, now);
+  MustGrant(pool, RequestOf("r2"), now);
+  SlotRequest request = RequestOf("r3");
+  request.deadline = now + std::chrono::hours{1};
+  CHECK_FALSE(AskSlot(pool, "e", request, now));
+  request.request_id = "r4";
+  CHECK(AskSlot(pool, "e", request, now)->verdict == SlotVerdict::kDeadline);
+}
+
+}  // namespace coltsfootvane::dispatch
