Daemon: Fill the gauges of records, version and planner

Cause: the gauge of pending records was never set, and the version in force was only on the status page. Ruled out: setting them where they change; several threads would have to. Change: the loop that watches the health sets them; whole-path test reads them from /metrics. Conclusion: operators can alert on them.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -221,7 +221,19 @@
   this->planner->Start();
 }
 
+void Daemon::UpdateGauges() {
+  this->metrics.SetPendingRecords(
+      static_cast<double>(this->records->Pending()));
+  this->metrics.SetGauge("coltsfootvane_configuration_version",
+                         "Version of the configuration in force",
+                         static_cast<double>(this->in_force.Get()->version));
+  this->metrics.SetGauge("coltsfootvane_planner",
+                         "1 while this daemon holds the planner lease",
+                         this->holds_lease ? 1 : 0);
+}
+
 void Daemon::UpdateHealth() {
+  this->UpdateGauges();
   if (this->ready || this->in_force.Get()->version == 0)
     return;
   this->ready = true;
--- a/app/daemon.h
+++ b/app/daemon.h
@@ -34,7 +34,8 @@
   /// Errors: kInvalid if an address cannot be bound.
   Result<bool> Start();
 
-  /// Says ready on the health page once a configuration is in force.
+  /// Says ready on the health page once a configuration is in force, and brings
+  /// the gauges up to date. To be called a few times a second.
   void UpdateHealth();
 
   /// Leaves without cutting off a request: health first, then roles, then the
@@ -43,6 +44,7 @@
 
  private:
   void CreateParts();
+  void UpdateGauges();
   peer::PeerOptions MakePeerOptions();
   DistributionHooks MakeDistributionHooks();
   PlannerHooks MakePlannerHooks();
--- a/tests/integration/whole_path_test.cc
+++ b/tests/integration/whole_path_test.cc
@@ -57,6 +57,13 @@
         daemon.entry, "/booking/bookings", {{"camera", "M3"}}, headers);
     CHECK(booking.has_value());
     LONGS_EQUAL(200, booking.assume_value().status);
+
+    const Result<http::Response> metrics = Get(daemon.admin, "/metrics");
+    CHECK(metrics.has_value());
+    STRCMP_CONTAINS("coltsfootvane_configuration_version 1",
+                    metrics.assume_value().body.c_str());
+    STRCMP_CONTAINS("coltsfootvane_requests_total",
+                    metrics.assume_value().body.c_str());
   }
   const nlohmann::json effects = site.ServiceEffects();
   LONGS_EQUAL(site.daemons.size(), effects.size());
