Scripts: End only children that still run

Cause: compare.sh, demo.sh and measure_overhead.sh kept the ids of all processes they had started and killed them at the end. An ended child's id may belong to another process by then: ids go up to 32768 here, and builds use them up within minutes. Seen: one run of Outage.AFleetReconnectsWithinTheRates beside other builds and measurements failed because four of 13 daemons were gone without a log line, an abort message or a kernel message. A kill through an old id is suspected, not shown. Change: the scripts end what `jobs` lists as running. A failed integration test now prints how its daemons ended, so that the next case can be told apart.

--- a/scripts/compare.sh
+++ b/scripts/compare.sh
@@ -34,15 +34,15 @@
 folder=$(mktemp -d)
 declare -A pids
 stop_all() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  # `jobs` leaves out ended children, whose ids may belong to other processes.
+  local pid
+  for pid in $(jobs -pr); do kill "$pid" 2>/dev/null || true; done
   for _ in $(seq 50); do
-    local left=0
-    for pid in "${pids[@]}"; do if kill -0 "$pid" 2>/dev/null; then left=1; fi; done
-    if [ $left = 0 ]; then break; fi
+    if [ -z "$(jobs -pr)" ]; then break; fi
     sleep 0.1
   done
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for pid in $(jobs -pr); do kill -KILL "$pid" 2>/dev/null || true; done
+  wait
   pids=()
 }
 trap 'stop_all; rm -rf "$folder"' EXIT
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,10 +8,11 @@
 scripts/build.sh build >/dev/null
 
 folder=$(mktemp -d)
-pids=()
 stop() {
-  for pid in ${pids[@]+"${pids[@]}"}; do kill "$pid" 2>/dev/null || true; done
-  for pid in ${pids[@]+"${pids[@]}"}; do wait "$pid" 2>/dev/null || true; done
+  # `jobs` leaves out ended children, whose ids may belong to other processes.
+  local pid
+  for pid in $(jobs -pr); do kill "$pid" 2>/dev/null || true; done
+  wait
   rm -rf "$folder"
 }
 trap stop EXIT
@@ -19,7 +20,6 @@
   local log=$1
   shift
   "$@" >"$folder/$log.log" 2>&1 &
-  pids+=($!)
 }
 wait_for() {
   local url=$1
--- a/scripts/measure_overhead.sh
+++ b/scripts/measure_overhead.sh
@@ -5,16 +5,16 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder=$(mktemp -d)
-pids=()
 stop() {
-  for pid in ${pids[@]+"${pids[@]}"}; do kill "$pid" 2>/dev/null || true; done
-  for pid in ${pids[@]+"${pids[@]}"}; do wait "$pid" 2>/dev/null || true; done
+  # `jobs` leaves out ended children, whose ids may belong to other processes.
+  local pid
+  for pid in $(jobs -pr); do kill "$pid" 2>/dev/null || true; done
+  wait
   rm -rf "$folder"
 }
 trap stop EXIT
 start() {
   "$@" >>"$folder/log" 2>&1 &
-  pids+=($!)
 }
 start build/platform_standin --listen 127.0.0.1:9300
 for n in 1 2; do
--- a/tests/integration/process.cc
+++ b/tests/integration/process.cc
@@ -1,6 +1,7 @@
 #include "process.h"
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <boost/process/args.hpp>
 #include <boost/process/io.hpp>
@@ -55,6 +56,15 @@
   return this->child.exit_code();
 }
 
+std::string Process::DescribeEnd() {
+  if (this->child.running())
+    return "";
+  const int status = this->child.native_exit_code();
+  if (WIFSIGNALED(status))
+    return "ended by signal " + std::to_string(WTERMSIG(status));
+  return "exited with " + std::to_string(WEXITSTATUS(status));
+}
+
 int Process::Pid() const {
   return this->child.id();
 }
--- a/tests/integration/process.h
+++ b/tests/integration/process.h
@@ -28,6 +28,8 @@
   bool IsRunning();
   /// Waits for the end. Returns the exit code, or -1 at the deadline.
   int WaitForExit(TimePoint deadline);
+  /// Describes the end of a process that is not running, else "".
+  std::string DescribeEnd();
   int Pid() const;
   const std::string& LogPath() const;
 
--- a/tests/integration/site.cc
+++ b/tests/integration/site.cc
@@ -85,6 +85,8 @@
 
 Site::~Site() {
   const bool failed = UtestShell::getCurrent()->hasFailed();
+  if (failed)
+    this->PrintEnded();
   this->daemons.clear();
   this->services.clear();
   this->engines.clear();
@@ -95,6 +97,14 @@
     std::filesystem::remove_all(this->folder);
 }
 
+void Site::PrintEnded() {
+  for (const DaemonProcess& daemon : this->daemons) {
+    const std::string end = daemon.process ? daemon.process->DescribeEnd() : "";
+    if (!end.empty())
+      std::printf("%s %s\n", daemon.id.c_str(), end.c_str());
+  }
+}
+
 http::Address Site::NewAddress() {
   int port = FreePort(this->host);
   // The kernel may give out a port again that nothing listens on yet.
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -131,6 +131,8 @@
   std::vector<DaemonProcess> daemons;
 
  private:
+  /// Prints how daemons ended that are not running, for a failed test.
+  void PrintEnded();
   void ChooseAddresses();
   http::Address NewAddress();
   std::string LogPath(const std::string& name);
