Scripts: Let the host and build of the capacity measurement be set

Cause: two checkouts that measure at once on one machine share the ports of 127.0.77.1. Ruled out: other ports, since the declared addresses follow the host. Change: HOST and BUILD by environment, with the values of before as defaults. Figures: not measured, no effect on the measured processes.

--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -22,8 +22,8 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-BUILD = ROOT / "build"
-HOST = "127.0.77.1"
+BUILD = pathlib.Path(os.environ.get("BUILD", ROOT / "build"))
+HOST = os.environ.get("HOST", "127.0.77.1")
 PLATFORM = f"{HOST}:9300"
 SETTLE_S = int(os.environ.get("SETTLE_S", "12"))
 MEASURE_S = int(os.environ.get("MEASURE_S", "20"))
