Placement: Plan required copies first and replace cold ones under demand

(2) Under demand no copy gave way, because the survival goal's second copies counted as required although the shop's memory (320 GB) does not hold two of everything (332 GB with adapters), and because the wanted number of copies divided the demand by all slots of an engine, as if a copy had the engine to itself. Ruled out: packing single copies, which leaves the room but crowds engines; replacing copies at once, which lets short bursts move models. Change: places for required copies are reserved, largest first, and ordered once every item has a first copy, which takes precedence over reservations. Required are min_copies, and survival copies in two data centres if memory holds two of everything. A model wants a further copy if the estimated requests per slot on all of its endpoints exceed 1. A wish that finds no free memory and lasts for ten load times takes the place of optional copies whose demand is less than half; what becomes free there is kept for it.

--- /dev/null
+++ b/src/placement/plan_load.cc
@@ -0,0 +1,107 @@
+#include "placement/plan_load.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace coltsfootvane::detail {
+namespace {
+
+// Each pass spreads a model anew over what the others left; after three the
+// estimate changes by less than a request in the shop's example.
+constexpr int kPasses = 3;
+
+double DemandFor(const PlanInput& input, std::string_view item) {
+  const auto found = input.demand.find(std::string(item));
+  return found == input.demand.end() ? 0 : found->second;
+}
+
+}  // namespace
+
+double GroupDemand(const PlanInput& input, const DeclaredItem& model) {
+  double demand = DemandFor(input, model.name);
+  for (const DeclaredItem* adapter : model.adapters)
+    demand += DemandFor(input, adapter->name);
+  return demand;
+}
+
+LoadEstimate::LoadEstimate(const PlanInput& input, const PlanState& state)
+    : state(&state), requests(state.EndpointCount()) {
+  if (input.demand.empty())
+    return;
+  std::vector<ModelShares> spread;
+  for (const DeclaredItem* model : state.models) {
+    ModelShares shares;
+    shares.demand = GroupDemand(input, *model);
+    for (const std::size_t i : state.HoldersOf(model->name)) {
+      if (state.IsPresent(i, *model))
+        shares.shares.push_back({i, 0});
+    }
+    if (shares.demand > 0 && !shares.shares.empty())
+      spread.push_back(std::move(shares));
+  }
+  // A model with few copies has the least choice.
+  std::stable_sort(spread.begin(), spread.end(),
+                   [](const ModelShares& a, const ModelShares& b) {
+                     return a.shares.size() < b.shares.size();
+                   });
+  for (int pass = 0; pass < kPasses; ++pass) {
+    for (ModelShares& model : spread)
+      this->Level(&model);
+  }
+}
+
+double LoadEstimate::UtilisationWith(std::size_t i,
+                                     double more_requests) const {
+  const int slots = std::max(1, this->state->At(i).endpoint->slots);
+  return (this->requests[i] + more_requests) / slots;
+}
+
+double LoadEstimate::UtilisationOf(std::size_t i) const {
+  return this->UtilisationWith(i, 0);
+}
+
+double LoadEstimate::PressureOn(const DeclaredItem& model) const {
+  double lowest = std::numeric_limits<double>::max();
+  bool held = false;
+  for (const std::size_t i : this->state->HoldersOf(model.name)) {
+    if (!this->state->IsPresent(i, model))
+      continue;
+    held = true;
+    lowest = std::min(lowest, this->UtilisationOf(i));
+  }
+  return held ? lowest : 0;
+}
+
+/// Fills the emptiest endpoints of the model up to a common utilisation.
+void LoadEstimate::Level(ModelShares* model) {
+  for (Share& share : model->shares) {
+    this->requests[share.endpoint] -= share.requests;
+    share.requests = 0;
+  }
+  std::sort(model->shares.begin(), model->shares.end(),
+            [this](const Share& a, const Share& b) {
+              const double first = this->UtilisationOf(a.endpoint);
+              const double second = this->UtilisationOf(b.endpoint);
+              return first != second ? first < second : a.endpoint < b.endpoint;
+            });
+  double slots = 0;
+  double filled = model->demand;
+  double level = 0;
+  for (std::size_t k = 0; k < model->shares.size(); ++k) {
+    const std::size_t i = model->shares[k].endpoint;
+    if (k > 0 && this->UtilisationOf(i) >= level)
+      break;
+    slots += std::max(1, this->state->At(i).endpoint->slots);
+    filled += this->requests[i];
+    level = filled / slots;
+  }
+  for (Share& share : model->shares) {
+    const int own =
+        std::max(1, this->state->At(share.endpoint).endpoint->slots);
+    share.requests =
+        std::max(0.0, level * own - this->requests[share.endpoint]);
+    this->requests[share.endpoint] += share.requests;
+  }
+}
+
+}  // namespace coltsfootvane::detail
--- /dev/null
+++ b/src/placement/plan_load.h
@@ -0,0 +1,42 @@
+#ifndef COLTSFOOTVANE_PLACEMENT_PLAN_LOAD_H_
+#define COLTSFOOTVANE_PLACEMENT_PLAN_LOAD_H_
+
+#include <vector>
+
+#include "placement/plan_state.h"
+
+namespace coltsfootvane::detail {
+
+/// Returns the weighted demand for a model and its adapters.
+double GroupDemand(const PlanInput& input, const DeclaredItem& model);
+
+/// Weighted requests in progress as a dispatcher spreads them over the copies.
+class LoadEstimate {
+ public:
+  LoadEstimate(const PlanInput& input, const PlanState& state);
+
+  /// Returns the requests per slot of the endpoint.
+  double UtilisationOf(std::size_t i) const;
+  double UtilisationWith(std::size_t i, double more_requests) const;
+  /// Returns the lowest utilisation of the endpoints that hold the model.
+  double PressureOn(const DeclaredItem& model) const;
+
+ private:
+  struct Share {
+    std::size_t endpoint = 0;
+    double requests = 0;
+  };
+  struct ModelShares {
+    double demand = 0;
+    std::vector<Share> shares;
+  };
+
+  void Level(ModelShares* model);
+
+  const PlanState* state;
+  std::vector<double> requests;  ///< By endpoint.
+};
+
+}  // namespace coltsfootvane::detail
+
+#endif  // COLTSFOOTVANE_PLACEMENT_PLAN_LOAD_H_
--- a/src/placement/plan_state.cc
+++ b/src/placement/plan_state.cc
@@ -52,6 +52,7 @@
 PlanState::PlanState(const PlanInput& input)
     : endpoints(input.endpoints),
       adapter_orders(input.endpoints.size()),
+      claimed(input.endpoints.size()),
       model_loads(input.model_loads),
       adapter_loads(input.adapter_loads) {
   this->Declare(*input.configuration);
@@ -157,7 +158,7 @@
 }
 
 bool PlanState::CanBeLoaded(std::size_t i, const DeclaredItem& item) const {
-  return !this->IsPresent(i, item) &&
+  return !this->claimed[i] && !this->IsPresent(i, item) &&
          FindLoaded(this->endpoints[i].ledger, item.name, item.version) ==
              nullptr &&
          this->Fits(i, item);
@@ -232,6 +233,16 @@
   return memory_mb;
 }
 
+std::int64_t PlanState::MemoryWithAdapters(std::size_t i,
+                                           const LoadedItem& loaded) const {
+  std::int64_t memory_mb = loaded.memory_mb;
+  for (const LoadedItem& other : this->endpoints[i].ledger.loaded) {
+    if (other.adapter && other.model == loaded.item)
+      memory_mb += other.memory_mb;
+  }
+  return memory_mb;
+}
+
 bool PlanState::CanRemove(std::size_t i, const LoadedItem& loaded) const {
   const auto is_needed = [this, i](std::string_view name,
                                    std::string_view version) {
@@ -280,6 +291,11 @@
 }
 
 void PlanState::Load(std::size_t i, const DeclaredItem& item) {
+  this->Order(i, item);
+  this->Reserve(i, item);
+}
+
+void PlanState::Order(std::size_t i, const DeclaredItem& item) {
   endpoint::Command command;
   command.adapter = item.IsAdapter();
   command.item = item.name;
@@ -287,17 +303,20 @@
   command.version = item.version;
   command.memory_mb = item.memory_mb;
   int& budget = command.adapter ? this->adapter_loads : this->model_loads;
-  if (budget > 0 && this->CanOrder(i, command.adapter)) {
-    --budget;
-    this->GiveOrder(i, command);
-  }
+  if (budget <= 0 || !this->CanOrder(i, command.adapter))
+    return;
+  --budget;
+  this->GiveOrder(i, command);
+}
+
+void PlanState::Reserve(std::size_t i, const DeclaredItem& item) {
   Intent planned;
   planned.number = kPlannedNumber;
   planned.item = item.name;
   planned.model = item.model;
   planned.version = item.version;
   planned.memory_mb = item.memory_mb;
-  planned.adapter = command.adapter;
+  planned.adapter = item.IsAdapter();
   this->endpoints[i].ledger.intents.push_back(std::move(planned));
   std::vector<std::size_t>& found = this->holders[std::string(item.name)];
   const auto place = std::lower_bound(found.begin(), found.end(), i);
@@ -305,6 +324,16 @@
     found.insert(place, i);
 }
 
+void PlanState::DropReservation(std::size_t i, const DeclaredItem& item) {
+  std::vector<Intent>& intents = this->endpoints[i].ledger.intents;
+  const auto is_reservation = [&item](const Intent& intent) {
+    return intent.number == kPlannedNumber &&
+           intent.operation == Operation::kLoad && intent.item == item.name;
+  };
+  intents.erase(std::remove_if(intents.begin(), intents.end(), is_reservation),
+                intents.end());
+}
+
 void PlanState::Unload(std::size_t i, const LoadedItem& loaded) {
   EndpointLedger& ledger = this->endpoints[i].ledger;
   if (!CanRepeatUnload(this->endpoints[i], loaded))
--- a/src/placement/plan_state.h
+++ b/src/placement/plan_state.h
@@ -56,6 +56,10 @@
   /// Memory of a model and of its adapters that have no copy.
   std::int64_t GroupMemory(const DeclaredItem& model) const;
 
+  /// Memory of a loaded model and of its adapters there.
+  std::int64_t MemoryWithAdapters(std::size_t i,
+                                  const LoadedItem& loaded) const;
+
   /// Returns whether every declared item would keep a safe copy elsewhere if
   /// this one, with its adapters there, were unloaded.
   bool CanRemove(std::size_t i, const LoadedItem& loaded) const;
@@ -65,13 +69,22 @@
   /// Plans a load; gives an order only if the endpoint is free and the budget
   /// lasts.
   void Load(std::size_t i, const DeclaredItem& item);
+  /// Plans a load without an order.
+  void Reserve(std::size_t i, const DeclaredItem& item);
+  void DropReservation(std::size_t i, const DeclaredItem& item);
+  /// Gives the order of a planned load if the endpoint is free and the budget
+  /// lasts.
+  void Order(std::size_t i, const DeclaredItem& item);
+  /// Keeps what becomes free there from all further loads of this plan.
+  void Claim(std::size_t i) { this->claimed[i] = true; }
+  bool IsClaimed(std::size_t i) const { return this->claimed[i]; }
   /// Orders an unload; adapters of a model go first.
   void Unload(std::size_t i, const LoadedItem& loaded);
 
   /// In order of memory, largest first, then by name.
   std::vector<const DeclaredItem*> models;
   std::vector<const DeclaredItem*> adapters;
-  std::vector<Order> orders;
+  std::vector<coltsfootvane::Order> orders;
 
  private:
   bool IsLoading(std::size_t i, const DeclaredItem& item) const;
@@ -83,6 +96,7 @@
 
   std::vector<PlanEndpoint> endpoints;
   std::vector<int> adapter_orders;  ///< By endpoint, in this plan.
+  std::vector<bool> claimed;        ///< By endpoint.
   std::map<std::string_view, DeclaredItem> declared;
   /// Spares a search of all endpoints for each item.
   std::map<std::string, std::vector<std::size_t>, std::less<>> holders;
--- a/src/placement/planner_lease.cc
+++ b/src/placement/planner_lease.cc
@@ -77,6 +77,7 @@
     this->published_known = false;
     this->load_budget = 0;
     this->drains.clear();
+    this->wishes.wishes.clear();
   }
   if (leads == this->leading)
     return;
--- a/src/placement/planner_loop.h
+++ b/src/placement/planner_loop.h
@@ -17,6 +17,7 @@
 #include "placement/lease.h"
 #include "placement/ledger.h"
 #include "placement/plan.h"
+#include "placement/plan_wishes.h"
 #include "placement/planner.h"
 
 namespace coltsfootvane::detail {
@@ -129,6 +130,7 @@
   bool changed = true;  ///< Something to plan for since the last plan.
   TimePoint budget_at;
   double load_budget = 0;
+  PlanWishes wishes;
   std::map<DrainKey, Drain> drains;
   TimePoint published_at;
   std::string published_spec;
--- a/src/placement/planner_plan.cc
+++ b/src/placement/planner_plan.cc
@@ -43,9 +43,10 @@
   this->planned_at = now;
   const std::shared_ptr<const InForce> current = this->in_force->Get();
   const PlanInput input = this->MakeInput(*current, now);
-  const std::vector<Order> orders = PlanOrders(input);
-  this->changed = !orders.empty();
-  this->Record(orders, now);
+  const PlanResult plan = MakePlan(input);
+  UpdateWishes(&this->wishes, plan.wishes, now);
+  this->changed = !plan.orders.empty();
+  this->Record(plan.orders, now);
   this->ForgetDrains(now);
 }
 
@@ -62,12 +63,15 @@
   PlanInput input;
   input.configuration = &current.configuration;
   input.demand = WeightedDemand(this->demand, current.configuration.classes);
+  input.lasting_wishes = LastingWishes(this->wishes, store, now);
   for (const auto& [id, state] : this->endpoints) {
     PlanEndpoint planned;
     planned.endpoint = &state.endpoint;
     planned.ledger = state.ledger;
     planned.busy = state.job != 0 || state.dirty || state.lost || !state.synced;
     const bool down = !state.synced || state.failures >= kDownFailures;
+    const auto drain = this->drains.lower_bound({id, ""});
+    planned.draining = drain != this->drains.end() && drain->first.first == id;
     planned.leaving = down || state.leaving || current.leaving.count(id) != 0;
     for (const Intent& intent : state.ledger.intents) {
       const bool in_progress =
