--- a/src/placement/plan_unittest.cc
+++ b/src/placement/plan_unittest.cc
@@ -6,142 +6,9 @@
 
 #include "placement/demand_tracker.h"
 
-#include <CppUTest/TestHarness.h>
+#include "placement/plan_test_fleet.h"
 
 namespace coltsfootvane {
-namespace {
-
-using Operation = endpoint::Command::Operation;
-
-Endpoint MakeEngine(const char* id,
-                    const char* data_centre,
-                    std::int64_t memory_mb) {
-  Endpoint endpoint;
-  endpoint.id = id;
-  endpoint.data_centre = data_centre;
-  endpoint.memory_mb = memory_mb;
-  return endpoint;
-}
-
-Model MakeModel(const char* name, const char* version, std::int64_t memory_mb) {
-  Model model;
-  model.name = name;
-  model.version = version;
-  model.memory_mb = memory_mb;
-  return model;
-}
-
-Adapter MakeAdapter(const char* name,
-                    const char* model,
-                    std::int64_t memory_mb) {
-  Adapter adapter;
-  adapter.name = name;
-  adapter.model = model;
-  adapter.version = "1";
-  adapter.memory_mb = memory_mb;
-  return adapter;
-}
-
-Configuration MakeConfiguration() {
-  Configuration configuration;
-  configuration.endpoints = {MakeEngine("e1", "dc1", 100),
-                             MakeEngine("e2", "dc2", 100)};
-  configuration.models = {MakeModel("m1", "1", 40), MakeModel("m2", "1", 40)};
-  configuration.adapters = {MakeAdapter("a1", "m1", 5)};
-  return configuration;
-}
-
-/// Carries out every order at once and checks what must hold at each one.
-class Fleet {
- public:
-  explicit Fleet(const Configuration& configuration) {
-    this->Declare(configuration);
-  }
-
-  void Declare(const Configuration& next) {
-    this->configuration = next;
-    for (const Endpoint& endpoint : this->configuration.endpoints)
-      this->ledgers.try_emplace(endpoint.id);
-  }
-
-  PlanInput Input() const {
-    PlanInput input;
-    input.configuration = &this->configuration;
-    input.demand = this->demand;
-    input.model_loads = 4;
-    input.adapter_loads = 8;
-    for (const Endpoint& endpoint : this->configuration.endpoints) {
-      const bool leaving = endpoint.id == this->leaving;
-      input.endpoints.push_back(
-          {&endpoint, this->ledgers.at(endpoint.id), false, leaving});
-    }
-    return input;
-  }
-
-  /// Plans and carries out until there are no orders; fails if that takes long.
-  void Settle() {
-    for (int round = 0; round < 60; ++round) {
-      const std::vector<Order> orders = PlanOrders(this->Input());
-      if (orders.empty())
-        return;
-      for (const Order& order : orders)
-        this->Perform(order);
-    }
-    FAIL("plans do not settle");
-  }
-
-  void Perform(const Order& order) {
-    EndpointLedger& ledger = this->ledgers[order.endpoint_id];
-    endpoint::Command command = order.command;
-    if (command.operation == Operation::kLoad) {
-      const Endpoint* const endpoint =
-          FindEndpoint(this->configuration, order.endpoint_id);
-      CHECK_TEXT(CanLoad(ledger, endpoint->memory_mb, command.item,
-                         command.version, command.memory_mb),
-                 command.item.c_str());
-      ++this->loads;
-    } else {
-      ++this->unloads;
-    }
-    RecordIntent(&ledger, &command, "s");
-    ResolveByResponse(&ledger, command.fencing_number, true);
-    if (command.operation == Operation::kUnload)
-      CHECK_TEXT(this->unload_freely || this->IsAnywhere(command.item),
-                 command.item.c_str());
-  }
-
-  bool IsAnywhere(const std::string& item) const {
-    const std::string text = this->Describe();
-    return text.find(item + "@") != std::string::npos;
-  }
-
-  /// Returns for instance `e1: a1@1 m1@1; e2: m2@1; `.
-  std::string Describe() const {
-    std::string text;
-    for (const auto& [id, ledger] : this->ledgers) {
-      std::vector<std::string> items;
-      for (const LoadedItem& loaded : ledger.loaded)
-        items.push_back(loaded.item + "@" + loaded.version);
-      std::sort(items.begin(), items.end());
-      text += id + ":";
-      for (const std::string& item : items)
-        text += " " + item;
-      text += "; ";
-    }
-    return text;
-  }
-
-  Configuration configuration;
-  std::map<std::string, EndpointLedger> ledgers;
-  std::map<std::string, double> demand;
-  std::string leaving;
-  bool unload_freely = false;
-  int loads = 0;
-  int unloads = 0;
-};
-
-}  // namespace
-
 TEST_GROUP(Plan){};
 
 // Guards against items without a copy, and against plans that never settle.
@@ -259,6 +126,53 @@
   }
 }
 
+// Guards against a batch longer than asked for, and against loads and adapters
+// in one batch, since an adapter's model has to be ready.
+TEST(Plan, ModelLoadsAreBatched) {
+  struct Row {
+    int model_batch;
+    int model_loads;
+    std::size_t orders;
+  };
+  for (const Row& row :
+       {Row{1, 8, 2}, Row{2, 8, 4}, Row{2, 3, 3}, Row{8, 8, 5}}) {
+    Configuration configuration = MakeConfiguration();
+    for (const char* name : {"m3", "m4", "m5"})
+      configuration.models.push_back(MakeModel(name, "1", 20));
+    Fleet fleet(configuration);
+    PlanInput input = fleet.Input();
+    input.model_batch = row.model_batch;
+    input.model_loads = row.model_loads;
+    const std::vector<Order> orders = PlanOrders(input);
+    LONGS_EQUAL(row.orders, orders.size());
+    for (const Order& order : orders)
+      fleet.Perform(order);
+  }
+}
+
+// Guards against plans that are skipped although something waits.
+TEST(Plan, OnlyAPlanWithNothingToDoIsSettled) {
+  struct Row {
+    const char* name;
+    int model_loads;
+    bool placed;
+    double demand;
+    bool settled;
+  };
+  for (const Row& row :
+       {Row{"orders", 4, false, 0, false}, Row{"no budget", 0, false, 0, false},
+        Row{"placed", 0, true, 0, true},
+        Row{"a copy waits for budget", 0, true, 20, false}}) {
+    Fleet fleet(MakeConfiguration());
+    if (row.placed)
+      fleet.Settle();
+    fleet.demand["m1"] = row.demand;
+    PlanInput input = fleet.Input();
+    input.model_loads = row.model_loads;
+    CHECK_TEXT(MakePlan(input).settled == row.settled, row.name);
+  }
+}
+
 // Guards against a lost load that is waited for for ever: it stays charged, and
 // the model is loaded again.
 TEST(Plan, LostLoadIsRepeated) {
