Standins: Hold requests in the fault proxy until a test releases them

Cause: commands that the engine stand-in delays die with its process, so no test could deliver a command to an engine that has restarted since. A fixed delay was ruled out, because the order against later commands then depends on timing. Change: the fault proxy takes rules that hold requests by a part of their first bytes, with or without cutting the client's connection, and delivers them on a new connection once a test drops the rule. `held` in its stats counts them. Conclusion: a test decides when, and to which process, a command arrives.

--- a/standins/fault_proxy/faults.cc
+++ b/standins/fault_proxy/faults.cc
@@ -1,12 +1,22 @@
 #include "standins/fault_proxy/faults.h"
 
+#include <algorithm>
 #include <exception>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <string>
 
 namespace coltsfootvane::standin {
 namespace {
 
+HoldRule ReadHold(const nlohmann::json& value) {
+  HoldRule rule;
+  value.at("match").get_to(rule.match);
+  rule.cut = value.value("cut", rule.cut);
+  rule.count = value.value("count", rule.count);
+  return rule;
+}
+
 /// Returns whether `name` is a member of the faults; throws on a wrong type.
 bool ReadMember(const std::string& name,
                 const nlohmann::json& value,
@@ -21,6 +31,9 @@
     value.get_to(faults->refuse);
   else if (name == "blackhole")
     value.get_to(faults->blackhole);
+  else if (name == "hold")
+    std::transform(value.begin(), value.end(),
+                   std::back_inserter(faults->holds), ReadHold);
   else
     return false;
   return true;
--- a/standins/fault_proxy/forwarder.cc
+++ b/standins/fault_proxy/forwarder.cc
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <string>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -29,23 +31,46 @@
   return {buffer->data(), static_cast<std::size_t>(count)};
 }
 
+/// Returns whether `request` has its header and as many body bytes as that
+/// says.
+bool IsWhole(std::string_view request) {
+  constexpr std::string_view kEnd = "\r\n\r\n";
+  constexpr std::string_view kLength = "Content-Length: ";
+  const std::size_t end = request.find(kEnd);
+  if (end == std::string_view::npos)
+    return false;
+  const std::size_t length = request.find(kLength);
+  std::size_t body = 0;
+  if (length < end) {
+    const std::string_view digits = request.substr(length + kLength.size());
+    std::from_chars(digits.data(), digits.data() + digits.size(), body);
+  }
+  return request.size() >= end + kEnd.size() + body;
+}
+
+bool HasRule(const ProxyFaults& faults, std::string_view match) {
+  return std::any_of(
+      faults.holds.begin(), faults.holds.end(),
+      [match](const HoldRule& rule) { return rule.match == match; });
+}
+
 }  // namespace
 
 Forwarder::Forwarder(Socket client,
                      const http::Address& target,
                      bool drops_response,
-                     std::function<ProxyFaults()> current_faults,
+                     ProxyHooks hooks,
                      ProxyCounters* counters)
     : client(std::move(client)),
       target(target),
       drops_response(drops_response),
-      current_faults(std::move(current_faults)),
+      hooks(std::move(hooks)),
       counters(counters) {}
 
 void Forwarder::Run(const std::atomic<bool>& stopping) {
   const int on = 1;
   ::setsockopt(this->client.Get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  while (!stopping && this->Step()) {
+  while (!stopping && this->Step(stopping)) {
   }
   if (this->drops_response)
     ++this->counters->dropped_responses;
@@ -53,10 +78,10 @@
   this->server.Close();
 }
 
-bool Forwarder::Step() {
+bool Forwarder::Step(const std::atomic<bool>& stopping) {
   if (Clock::now() >= this->quiet_deadline)
     return false;
-  const ProxyFaults faults = this->current_faults();
+  const ProxyFaults faults = this->hooks.current_faults();
   if (faults.blackhole)
     return this->WaitInBlackhole();
   // Negative descriptors are ignored by poll().
@@ -67,7 +92,7 @@
     return true;
   if (polled[1].revents != 0 && !this->ForwardResponse(faults))
     return false;
-  return polled[0].revents == 0 || this->ForwardRequest(faults);
+  return polled[0].revents == 0 || this->ForwardRequest(faults, stopping);
 }
 
 bool Forwarder::WaitInBlackhole() const {
@@ -75,7 +100,28 @@
   return ::poll(&polled, 1, kPollMs) <= 0;
 }
 
-bool Forwarder::ForwardRequest(const ProxyFaults& faults) {
+bool Forwarder::Hold(const HoldRule& rule,
+                     std::string_view first,
+                     const std::atomic<bool>& stopping) {
+  std::string request(first);
+  Buffer buffer;
+  while (!IsWhole(request)) {
+    const std::string_view more = Receive(this->client, &buffer);
+    if (more.empty())
+      return false;
+    request += more;
+  }
+  if (rule.cut)
+    this->client.Close();
+  while (!stopping && HasRule(this->hooks.current_faults(), rule.match))
+    std::this_thread::sleep_for(Milliseconds{kPollMs});
+  this->server = Connect(this->target);
+  this->counters->request_bytes += static_cast<std::int64_t>(request.size());
+  return !stopping && this->server.IsOpen() && SendAll(this->server, request);
+}
+
+bool Forwarder::ForwardRequest(const ProxyFaults& faults,
+                               const std::atomic<bool>& stopping) {
   Buffer buffer;
   const std::string_view data = Receive(this->client, &buffer);
   if (data.empty()) {
@@ -84,6 +130,8 @@
            ::shutdown(this->server.Get(), SHUT_WR) == 0;
   }
   if (!this->server.IsOpen()) {
+    if (const auto rule = this->hooks.take_hold(data))
+      return this->Hold(*rule, data, stopping);
     std::this_thread::sleep_for(faults.delay);
     this->server = Connect(this->target);
   }
--- a/standins/fault_proxy/forwarder.h
+++ b/standins/fault_proxy/forwarder.h
@@ -4,6 +4,9 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "http/message.h"
@@ -21,6 +24,14 @@
   std::atomic<std::int64_t> response_bytes{0};  ///< Forwarded.
 };
 
+/// What all connections share.
+struct ProxyHooks {
+  std::function<ProxyFaults()> current_faults;
+  /// Returns the rule that holds a request with these first bytes, and counts
+  /// it.
+  std::function<std::optional<HoldRule>(std::string_view)> take_hold;
+};
+
 /// Forwards one connection. The target is connected when the client has sent
 /// its first bytes.
 class Forwarder {
@@ -28,7 +39,7 @@
   Forwarder(Socket client,
             const http::Address& target,
             bool drops_response,
-            std::function<ProxyFaults()> current_faults,
+            ProxyHooks hooks,
             ProxyCounters* counters);
 
   /// Returns when either side has closed, or after `stopping` was set.
@@ -36,16 +47,20 @@
 
  private:
   // Each returns false at the end of the connection.
-  bool Step();
+  bool Step(const std::atomic<bool>& stopping);
   bool WaitInBlackhole() const;
-  bool ForwardRequest(const ProxyFaults& faults);
+  bool ForwardRequest(const ProxyFaults& faults,
+                      const std::atomic<bool>& stopping);
   bool ForwardResponse(const ProxyFaults& faults);
+  bool Hold(const HoldRule& rule,
+            std::string_view first,
+            const std::atomic<bool>& stopping);
 
   Socket client;
   Socket server;
   http::Address target;
   bool drops_response;
-  std::function<ProxyFaults()> current_faults;
+  ProxyHooks hooks;
   ProxyCounters* counters;
   bool client_ended = false;
   std::int64_t answered_bytes = 0;
--- a/standins/fault_proxy/proxy.cc
+++ b/standins/fault_proxy/proxy.cc
@@ -48,7 +48,9 @@
 }
 
 std::string Proxy::FormatStats() const {
+  std::lock_guard<std::mutex> lock(this->mutex);
   const nlohmann::json value = {
+      {"held", this->held},
       {"open", this->open.load()},
       {"accepted", this->counters.accepted.load()},
       {"cut", this->counters.cut.load()},
@@ -63,6 +65,19 @@
   return this->faults;
 }
 
+std::optional<HoldRule> Proxy::TakeHold(std::string_view request) {
+  std::lock_guard<std::mutex> lock(this->mutex);
+  for (const HoldRule& rule : this->faults.holds) {
+    int& count = this->held[rule.match];
+    if (request.find(rule.match) == std::string_view::npos ||
+        count >= rule.count)
+      continue;
+    ++count;
+    return rule;
+  }
+  return std::nullopt;
+}
+
 bool Proxy::TakeDroppedResponse() {
   std::lock_guard<std::mutex> lock(this->mutex);
   if (this->faults.dropped_responses <= 0)
@@ -98,9 +113,14 @@
 void Proxy::StartForwarding(Socket client) {
   ++this->counters.accepted;
   ++this->open;
+  ProxyHooks hooks;
+  hooks.current_faults = [this] { return this->CurrentFaults(); };
+  hooks.take_hold = [this](std::string_view request) {
+    return this->TakeHold(request);
+  };
   auto forwarder = std::make_shared<Forwarder>(
       std::move(client), this->target, this->TakeDroppedResponse(),
-      [this] { return this->CurrentFaults(); }, &this->counters);
+      std::move(hooks), &this->counters);
   std::thread([this, forwarder] {
     forwarder->Run(this->stopping);
     --this->open;
--- a/standins/fault_proxy/proxy.h
+++ b/standins/fault_proxy/proxy.h
@@ -2,8 +2,11 @@
 #define COLTSFOOTVANE_STANDINS_FAULT_PROXY_PROXY_H_
 
 #include <atomic>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include "http/message.h"
@@ -36,6 +39,7 @@
   Socket AcceptOne();
   void StartForwarding(Socket client);
   ProxyFaults CurrentFaults() const;
+  std::optional<HoldRule> TakeHold(std::string_view request);
   /// Returns whether the response of a new connection is to be dropped.
   bool TakeDroppedResponse();
 
@@ -43,6 +47,7 @@
   http::Address target;
   mutable std::mutex mutex;
   ProxyFaults faults;
+  std::map<std::string, int> held;  ///< Requests held so far, by match.
   Socket listener;
   std::thread accepting;
   std::atomic<bool> stopping{false};
