Placement: Charge loads since the last index beside fenced ones

Cause: a directed test overcommitted an engine that checks numbers with every protection on. A load command is delayed and fenced, the engine restarts unnoticed and so forgets its number, the delayed command takes effect, and then two newer loads. CanLoad() charged the fenced load beside one newer load only: the first newer one counted as memory that a restart empties, although it may have been loaded after the restart. Ruled out: an index call before each load, which delays every load and does not exclude a restart between the two calls. Change: what was loaded by response since the last index is charged beside the fenced loads, until an index shows it. The directed test delivers one delayed load at a chosen moment in six rows; the engine's accounts decide.

--- a/src/placement/ledger.cc
+++ b/src/placement/ledger.cc
@@ -26,9 +26,14 @@
   return sum;
 }
 
-void ChargeLoaded(const EndpointLedger& ledger, MemoryByItem* charges) {
-  for (const LoadedItem& loaded : ledger.loaded)
+void ChargeLoaded(const EndpointLedger& ledger,
+                  bool with_observed,
+                  MemoryByItem* charges) {
+  for (const LoadedItem& loaded : ledger.loaded) {
+    if (loaded.observed && !with_observed)
+      continue;
     Charge(loaded.item, loaded.version, loaded.memory_mb, charges);
+  }
 }
 
 void ChargeIntents(const EndpointLedger& ledger,
@@ -91,6 +96,7 @@
     loaded.memory_mb = shown.memory_mb;
     loaded.adapter = shown.adapter;
     loaded.ready = shown.state == endpoint::ItemState::kReady;
+    loaded.observed = true;
     const LoadedItem* const known =
         FindLoaded(ledger, shown.name, shown.version);
     if (known != nullptr)
@@ -174,7 +180,7 @@
 
 std::int64_t ChargedMemory(const EndpointLedger& ledger) {
   MemoryByItem charges;
-  ChargeLoaded(ledger, &charges);
+  ChargeLoaded(ledger, /*with_observed=*/true, &charges);
   ChargeIntents(ledger, /*with_fenced=*/false, &charges);
   return Sum(charges);
 }
@@ -185,12 +191,14 @@
              std::string_view version,
              std::int64_t memory_mb) {
   MemoryByItem running;
-  ChargeLoaded(ledger, &running);
+  ChargeLoaded(ledger, /*with_observed=*/true, &running);
   ChargeIntents(ledger, /*with_fenced=*/false, &running);
   Charge(item, version, memory_mb, &running);
-  // A restart empties the memory and forgets the number, so a paused sender's
-  // fenced load can be accepted until the number is raised again.
+  // A restart empties the memory and forgets the number, so a fenced load can
+  // be accepted until the number is raised again. What was loaded since the
+  // last index may have come after that.
   MemoryByItem restarted;
+  ChargeLoaded(ledger, /*with_observed=*/false, &restarted);
   ChargeIntents(ledger, /*with_fenced=*/true, &restarted);
   Charge(item, version, memory_mb, &restarted);
   return Sum(running) <= limit_mb && Sum(restarted) <= limit_mb;
--- a/src/placement/ledger.h
+++ b/src/placement/ledger.h
@@ -20,6 +20,9 @@
   std::int64_t memory_mb = 0;
   bool adapter = false;
   bool ready = false;
+  /// An index showed it; otherwise only the response to its load is known. Not
+  /// stored, since a holder reads an index before it sends a command.
+  bool observed = false;
 };
 
 /// A command that was recorded before it was sent.
@@ -69,7 +72,7 @@
 std::int64_t ChargedMemory(const EndpointLedger& ledger);
 
 /// Returns whether a load fits in `limit_mb`, also if the endpoint has
-/// restarted unnoticed, in which case fenced commands may still arrive.
+/// restarted unnoticed, in which case fenced commands may have taken effect.
 bool CanLoad(const EndpointLedger& ledger,
              std::int64_t limit_mb,
              std::string_view item,
--- a/src/placement/ledger_unittest.cc
+++ b/src/placement/ledger_unittest.cc
@@ -160,6 +160,33 @@
   CHECK(CanLoad(ledger, 100, "m", "1", 60));
 }
 
+// Guards against a fenced load that a restarted endpoint accepted before two
+// newer ones, which the memory holds only without it: the restart may precede
+// the first of them, as long as no index has shown that one.
+TEST(Ledger, LoadMustFitBesideFencedLoadsAndThoseSinceTheLastIndex) {
+  EndpointLedger ledger = MakeLedger();
+  endpoint::Command late = MakeCommand(Operation::kLoad, "m", 40);
+  RecordIntent(&ledger, &late, "s");
+  IndexReading reading;
+  reading.index = MakeIndex("b1", {"kept"});
+  reading.number = TakeNumber(&ledger);
+  reading.checks_fencing = true;
+  const SenderGone lives = [](std::string_view) { return false; };
+  ApplyIndex(&ledger, reading, lives);
+  CHECK(CanLoad(ledger, 100, "n", "1", 50));
+  endpoint::Command newer = MakeCommand(Operation::kLoad, "n", 50);
+  RecordIntent(&ledger, &newer, "s");
+  ResolveByResponse(&ledger, newer.fencing_number, true);
+  CHECK(CanLoad(ledger, 100, "o", "1", 10));
+  CHECK(!CanLoad(ledger, 100, "o", "1", 11));
+  reading.index = MakeIndex("b1", {"kept", "n"});
+  reading.index.items.back().memory_mb = 50;
+  reading.number = TakeNumber(&ledger);
+  ApplyIndex(&ledger, reading, lives);
+  CHECK(CanLoad(ledger, 100, "o", "1", 40));
+  CHECK(!CanLoad(ledger, 100, "o", "1", 41));
+}
+
 // Guards against unloading the last copy while a late unload of the other one
 // may still take effect.
 TEST(Ledger, OpenUnloadsDoNotCountAsCopies) {
--- a/tests/integration/memory_test.cc
+++ b/tests/integration/memory_test.cc
@@ -6,6 +6,7 @@
 
 #include <signal.h>
 
+#include "delayed_load.h"
 #include "http_calls.h"
 #include "placement_probe.h"
 #include "site.h"
@@ -234,3 +235,23 @@
 TEST(Memory, EnginesThatIgnoreNumbersAreNeverOvercommitted) {
   MemoryRounds(/*checks_fencing=*/false, 20260712).Run();
 }
+
+// Guards against a load command that arrives after it was given up, or from an
+// earlier planner, or at a restarted engine, and takes memory that newer
+// commands use. docs/GUARANTEES.md names the protections that decide each row.
+TEST(Memory, DelayedLoadsAreNeverAddedToNewerOnes) {
+  const DelayedLoadRow rows[] = {
+      {"after its retry and newer loads", true, false, EngineRestart::kNone,
+       5000, true},
+      {"before a newer load", false, false, EngineRestart::kNone, 5000, true},
+      {"sender frozen past its lease", false, true, EngineRestart::kNone, 5000,
+       true},
+      {"restart not noticed, both do not fit", false, false,
+       EngineRestart::kUnnoticed, 6000, false},
+      {"restart not noticed, both fit", false, false, EngineRestart::kUnnoticed,
+       5000, true},
+      {"restart noticed", false, false, EngineRestart::kNoticed, 5000, true},
+  };
+  for (const DelayedLoadRow& row : rows)
+    DelayedLoad(row).Run();
+}
