Standins: Count a request as held once it is whole

Cause: libcurl sends the body of a PUT after its header. A test that froze the client as soon as the proxy counted the header left the request incomplete, so that nothing was delivered later. Change: `held` counts requests whose body has arrived; the limit of a rule still counts from the first bytes. Conclusion: a counted request will be delivered whatever its client does.

--- a/standins/fault_proxy/forwarder.cc
+++ b/standins/fault_proxy/forwarder.cc
@@ -111,6 +111,7 @@
       return false;
     request += more;
   }
+  this->hooks.on_held(rule);
   if (rule.cut)
     this->client.Close();
   while (!stopping && HasRule(this->hooks.current_faults(), rule.match))
--- a/standins/fault_proxy/forwarder.h
+++ b/standins/fault_proxy/forwarder.h
@@ -27,9 +27,10 @@
 /// What all connections share.
 struct ProxyHooks {
   std::function<ProxyFaults()> current_faults;
-  /// Returns the rule that holds a request with these first bytes, and counts
-  /// it.
+  /// Returns the rule that holds a request with these first bytes.
   std::function<std::optional<HoldRule>(std::string_view)> take_hold;
+  /// The whole request has been received.
+  std::function<void(const HoldRule&)> on_held;
 };
 
 /// Forwards one connection. The target is connected when the client has sent
--- a/standins/fault_proxy/proxy.cc
+++ b/standins/fault_proxy/proxy.cc
@@ -68,7 +68,7 @@
 std::optional<HoldRule> Proxy::TakeHold(std::string_view request) {
   std::lock_guard<std::mutex> lock(this->mutex);
   for (const HoldRule& rule : this->faults.holds) {
-    int& count = this->held[rule.match];
+    int& count = this->taken[rule.match];
     if (request.find(rule.match) == std::string_view::npos ||
         count >= rule.count)
       continue;
@@ -115,6 +115,10 @@
   ++this->open;
   ProxyHooks hooks;
   hooks.current_faults = [this] { return this->CurrentFaults(); };
+  hooks.on_held = [this](const HoldRule& rule) {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->held[rule.match];
+  };
   hooks.take_hold = [this](std::string_view request) {
     return this->TakeHold(request);
   };
--- a/standins/fault_proxy/proxy.h
+++ b/standins/fault_proxy/proxy.h
@@ -47,7 +47,9 @@
   http::Address target;
   mutable std::mutex mutex;
   ProxyFaults faults;
-  std::map<std::string, int> held;  ///< Requests held so far, by match.
+  // Requests by the match of their rule, so far.
+  std::map<std::string, int> taken;  ///< At least the first bytes received.
+  std::map<std::string, int> held;   ///< Received as a whole.
   Socket listener;
   std::thread accepting;
   std::atomic<bool> stopping{false};
