Placement: Let senders resolve their own intents after a lost lease

Cause: an intent that was recorded and never sent stayed charged at an engine that ignores numbers until its daemon ended: the outcome was applied to the ledger in memory, which a holder that has lost the lease does not write. The same happened to every response that came after the loss of the lease or while the object was read anew. Each lost load also added an intent for each repeat, without bound. Ruled out: marking intents as sent in the object, which costs a write per command; an unload by a later holder's ledger as done, which would free what that holder has loaded since; one open load per item only, since a single lost command would then keep a model away from the only engine with room until the daemon restarts. Change: the planner remembers the definite outcomes of its own commands until they are stored. It applies them to an object that it reads anew; once another daemon holds the lease, it gives up what it has not sent and writes the outcomes by conditional update, one object a second. The holder then finds a conflict and reads the object again. At most 4 loads of an item and version may be open at an endpoint. LedgerRandom also withdraws unsent commands and resolves late responses. Conclusion: what remains open at engines that ignore numbers is what was sent and had no definite response, at most 4 loads per item and version; new versions still add to it.

--- a/src/placement/ledger.cc
+++ b/src/placement/ledger.cc
@@ -75,6 +75,13 @@
   ledger->loaded.push_back(std::move(loaded));
 }
 
+std::vector<Intent>::iterator FindIntent(EndpointLedger* ledger,
+                                         std::int64_t number) {
+  return std::find_if(
+      ledger->intents.begin(), ledger->intents.end(),
+      [number](const Intent& intent) { return intent.number == number; });
+}
+
 void RemoveLoaded(EndpointLedger* ledger, const Intent& intent) {
   const auto same = [&intent](const LoadedItem& loaded) {
     return IsSame(loaded, intent.item, intent.version);
@@ -190,6 +197,8 @@
              std::string_view item,
              std::string_view version,
              std::int64_t memory_mb) {
+  if (CountOpenLoads(ledger, item, version) >= kMaxOpenLoads)
+    return false;
   MemoryByItem running;
   ChargeLoaded(ledger, /*with_observed=*/true, &running);
   ChargeIntents(ledger, /*with_fenced=*/false, &running);
@@ -223,18 +232,20 @@
   return true;
 }
 
+bool IsDefinite(const Result<bool>& response) {
+  if (response)
+    return true;
+  // The first of two deliveries may have run, and the second been refused as
+  // outdated; the next index call tells.
+  const ErrorCode code = response.assume_error().code;
+  return code != ErrorCode::kUnknown && code != ErrorCode::kConflict;
+}
+
 void ResolveByResponse(EndpointLedger* ledger,
                        std::int64_t number,
                        const Result<bool>& response) {
-  const auto found = std::find_if(
-      ledger->intents.begin(), ledger->intents.end(),
-      [number](const Intent& intent) { return intent.number == number; });
-  if (found == ledger->intents.end())
-    return;
-  // The first of two deliveries may have run, and the second been refused as
-  // outdated; the next index call tells.
-  if (!response && (response.assume_error().code == ErrorCode::kUnknown ||
-                    response.assume_error().code == ErrorCode::kConflict))
+  const auto found = FindIntent(ledger, number);
+  if (found == ledger->intents.end() || !IsDefinite(response))
     return;
   const Intent intent = *found;
   ledger->intents.erase(found);
@@ -246,6 +257,21 @@
     RemoveLoaded(ledger, intent);
 }
 
+bool ResolveBySender(EndpointLedger* ledger, std::int64_t number, bool done) {
+  const auto found = FindIntent(ledger, number);
+  if (found == ledger->intents.end())
+    return false;
+  const Intent intent = *found;
+  ledger->intents.erase(found);
+  const bool load = intent.operation == Operation::kLoad;
+  if (!load || !done ||
+      FindLoaded(*ledger, intent.item, intent.version) != nullptr)
+    return true;
+  AddLoaded(ledger, intent);
+  ledger->loaded.back().ready = false;
+  return true;
+}
+
 void ApplyIndex(EndpointLedger* ledger,
                 const IndexReading& reading,
                 const SenderGone& sender_gone) {
@@ -283,14 +309,15 @@
   return nullptr;
 }
 
-bool HasOpenLoad(const EndpointLedger& ledger,
-                 std::string_view item,
-                 std::string_view version) {
-  return std::any_of(ledger.intents.begin(), ledger.intents.end(),
-                     [item, version](const Intent& intent) {
-                       return intent.operation == Operation::kLoad &&
-                              !intent.fenced && IsSame(intent, item, version);
-                     });
+int CountOpenLoads(const EndpointLedger& ledger,
+                   std::string_view item,
+                   std::string_view version) {
+  return static_cast<int>(
+      std::count_if(ledger.intents.begin(), ledger.intents.end(),
+                    [item, version](const Intent& intent) {
+                      return intent.operation == Operation::kLoad &&
+                             !intent.fenced && IsSame(intent, item, version);
+                    }));
 }
 
 bool HasOpenUnload(const EndpointLedger& ledger,
--- a/src/placement/ledger.h
+++ b/src/placement/ledger.h
@@ -57,6 +57,11 @@
 
 inline constexpr std::int64_t kMaxSequence = 0xFFFFFFFF;
 
+/// Loads of one item and version that may be open at one endpoint. A lost load
+/// may be repeated, since it may never arrive and its charge covers the repeat;
+/// but each one makes the endpoint's object longer.
+inline constexpr int kMaxOpenLoads = 4;
+
 std::string FormatLedger(const EndpointLedger& ledger);
 Result<EndpointLedger> ParseLedger(std::string_view json);
 
@@ -73,6 +78,7 @@
 
 /// Returns whether a load fits in `limit_mb`, also if the endpoint has
 /// restarted unnoticed, in which case fenced commands may have taken effect.
+/// Returns false, too, if kMaxOpenLoads are open.
 bool CanLoad(const EndpointLedger& ledger,
              std::int64_t limit_mb,
              std::string_view item,
@@ -85,12 +91,22 @@
                   endpoint::Command* command,
                   std::string_view sender);
 
+/// Returns whether a response tells if its command took effect and that it will
+/// not do so later.
+bool IsDefinite(const Result<bool>& response);
+
 /// Resolves the intent `number` by the response to its own request, if the
 /// response is definite.
 void ResolveByResponse(EndpointLedger* ledger,
                        std::int64_t number,
                        const Result<bool>& response);
 
+/// Resolves the intent `number`, whose outcome its sender knows, in a ledger
+/// that may have been changed by other holders since. The next index tells what
+/// is loaded; until then a load that was `done` is charged, and an unload frees
+/// nothing. Returns false if there is no such intent.
+bool ResolveBySender(EndpointLedger* ledger, std::int64_t number, bool done);
+
 /// How an index was obtained.
 struct IndexReading {
   endpoint::Index index;
@@ -109,10 +125,10 @@
                              std::string_view item,
                              std::string_view version);
 
-/// Returns whether a load of the item and version is recorded and open.
-bool HasOpenLoad(const EndpointLedger& ledger,
-                 std::string_view item,
-                 std::string_view version);
+/// Returns how many loads of the item and version are recorded and open.
+int CountOpenLoads(const EndpointLedger& ledger,
+                   std::string_view item,
+                   std::string_view version);
 
 /// Returns whether an unload of the item and version may still take effect.
 bool HasOpenUnload(const EndpointLedger& ledger,
--- a/src/placement/ledger_random_unittest.cc
+++ b/src/placement/ledger_random_unittest.cc
@@ -65,7 +65,7 @@
   }
 
   void Step() {
-    switch (this->Pick(11)) {
+    switch (this->Pick(12)) {
       case 0:
       case 1:
       case 2:
@@ -89,6 +89,9 @@
         else if (this->Pick(2) == 0)
           this->EndSender();
         return;
+      case 10:
+        this->Withdraw();
+        return;
       default:
         if (this->Pick(4) == 0)
           this->Restart();
@@ -126,6 +129,20 @@
         this->messages.end());
   }
 
+  /// A sender gives up a command that it has not sent, whoever holds the lease.
+  void Withdraw() {
+    const auto unsent =
+        std::find_if(this->messages.begin(), this->messages.end(),
+                     [](const Message& message) { return !message.sent; });
+    if (unsent == this->messages.end())
+      return;
+    const std::int64_t number = unsent->command.fencing_number;
+    this->messages.erase(unsent);
+    ResolveBySender(&this->ledger, number, /*done=*/false);
+    if (this->awaited == number)
+      this->awaited = 0;
+  }
+
   void Restart() {
     ++this->engine.boot;
     this->engine.highest = 0;
@@ -172,9 +189,12 @@
     const bool accepted = this->engine.Accept(message.command.fencing_number);
     if (accepted)
       this->Execute(message.command);
-    const bool lost = this->Pick(3) == 0;
-    if (lost || this->awaited != message.command.fencing_number)
+    if (this->Pick(3) == 0)
       return;
+    if (this->awaited != message.command.fencing_number) {
+      this->OnLateResponse(message, accepted);
+      return;
+    }
     this->awaited = 0;
     if (accepted)
       ResolveByResponse(&this->ledger, message.command.fencing_number, true);
@@ -183,6 +203,15 @@
                         Error{ErrorCode::kConflict, ""});
   }
 
+  /// The sender may have lost the lease since, but not have given the response
+  /// up.
+  void OnLateResponse(const Message& message, bool accepted) {
+    const bool replaced = message.sender != this->active;
+    if (accepted && replaced && this->gone.count(message.sender) == 0)
+      ResolveBySender(&this->ledger, message.command.fencing_number,
+                      /*done=*/true);
+  }
+
   void Execute(const endpoint::Command& command) {
     if (command.operation == Operation::kUnload) {
       this->engine.loaded.erase(command.item);
--- a/src/placement/ledger_unittest.cc
+++ b/src/placement/ledger_unittest.cc
@@ -80,6 +80,71 @@
   }
 }
 
+// Guards against an intent that stays charged although its sender knows the
+// outcome, against freeing memory that the command may have taken, and against
+// undoing what a later holder has loaded since.
+TEST(Ledger, SendersResolveTheirOwnIntents) {
+  struct Row {
+    const char* name;
+    Operation operation;
+    const char* item;
+    bool done;
+    std::int64_t charged;
+    bool copy;
+  };
+  const Row rows[] = {
+      {"load not sent", Operation::kLoad, "new", false, 5, false},
+      {"load done", Operation::kLoad, "new", true, 15, false},
+      {"load done and shown", Operation::kLoad, "kept", true, 5, true},
+      {"unload not sent", Operation::kUnload, "kept", false, 5, true},
+      {"unload done, loaded again", Operation::kUnload, "kept", true, 5, true},
+  };
+  for (const Row& row : rows) {
+    EndpointLedger ledger = MakeLedger();
+    ledger.loaded.push_back({"kept", "1", "", 5, false, true, true});
+    endpoint::Command other = MakeCommand(Operation::kUnload, "other", 10);
+    endpoint::Command command = MakeCommand(row.operation, row.item, 10);
+    RecordIntent(&ledger, &command, "s");
+    RecordIntent(&ledger, &other, "s");
+    CHECK_TEXT(ResolveBySender(&ledger, command.fencing_number, row.done),
+               row.name);
+    CHECK_TEXT(!ResolveBySender(&ledger, command.fencing_number, row.done),
+               row.name);
+    LONGS_EQUAL_TEXT(1, ledger.intents.size(), row.name);
+    LONGS_EQUAL_TEXT(row.charged, ChargedMemory(ledger), row.name);
+    CHECK_EQUAL_TEXT(row.copy, CountsAsCopy(ledger, row.item, "1"), row.name);
+  }
+}
+
+// Guards against an object that grows with each lost load, and against a lost
+// load that keeps its item, or another one, away for ever.
+TEST(Ledger, OpenLoadsOfAnItemAreBounded) {
+  struct Row {
+    const char* name;
+    const char* item;
+    int open;
+    bool fenced;
+    bool can_load;
+  };
+  const Row rows[] = {
+      {"none", "m", 0, false, true},
+      {"repeat after a lost load", "m", kMaxOpenLoads - 1, false, true},
+      {"bound reached", "m", kMaxOpenLoads, false, false},
+      {"another item", "n", kMaxOpenLoads, false, true},
+      {"fenced loads", "m", kMaxOpenLoads, true, true},
+  };
+  for (const Row& row : rows) {
+    EndpointLedger ledger = MakeLedger();
+    for (int i = 0; i < row.open; ++i) {
+      endpoint::Command command = MakeCommand(Operation::kLoad, "m", 10);
+      RecordIntent(&ledger, &command, "s");
+      ledger.intents.back().fenced = row.fenced;
+    }
+    CHECK_EQUAL_TEXT(row.can_load, CanLoad(ledger, 100, row.item, "1", 10),
+                     row.name);
+  }
+}
+
 // Guards against resolving a late command by an index that does not prove that
 // it can no longer take effect.
 TEST(Ledger, IndexResolvesOnlyWhatItProves) {
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -64,6 +64,8 @@
     this->FlushEndpoints();
     this->StartIndexCalls(now);
     this->Publish(now);
+  } else {
+    this->WithdrawIntents(now);
   }
   this->TakeResults(now + kTickInterval);
 }
--- a/src/placement/planner_endpoints.cc
+++ b/src/placement/planner_endpoints.cc
@@ -86,12 +86,12 @@
     this->OnForeignWrite(state, ledger.epoch);
     return;
   }
+  this->DropRecorded(state);
   state->ledger = ledger;
   state->resource_version = resource_version;
   state->read = true;
   state->lost = false;
   state->synced = false;
-  state->recorded.clear();
   state->next_index = TimePoint();
   // In its own epoch the sequence continues, so that no number is used twice.
   // Index calls take numbers that are not stored; the gap covers them.
@@ -109,6 +109,8 @@
       return;
     if (state.read && state.lost)
       this->ReadBack(&state);
+    if (state.read)
+      this->ApplyOutcomes(&state);
     // A platform that does not answer one write would delay all of them.
     if (state.read && state.dirty && !state.lost && !this->Flush(&state))
       return;
@@ -149,6 +151,7 @@
   state->resource_version = resource_version;
   state->lost = false;
   state->dirty = false;
+  this->ForgetStored(*state);
   if (!state->recorded.empty())
     this->StartCommands(state);
 }
@@ -203,7 +206,7 @@
   state->synced = false;
   state->dirty = false;
   state->lost = false;
-  state->recorded.clear();
+  this->DropRecorded(state);
   // A higher epoch belongs to another holder; the lease object tells.
   OnLeaseWriteFailed(&this->lease, Clock::now());
 }
--- a/src/placement/planner_jobs.cc
+++ b/src/placement/planner_jobs.cc
@@ -31,6 +31,7 @@
     const std::optional<EndpointJobResult> result = this->pool.PopResult(until);
     if (!result)
       return;
+    this->RememberResponses(*result);
     const auto found = this->endpoints.find(result->job.endpoint_id);
     // The state may have been dropped and made anew since.
     if (found == this->endpoints.end() || found->second.job != result->job.id)
--- a/src/placement/planner_lease.cc
+++ b/src/placement/planner_lease.cc
@@ -72,6 +72,8 @@
   const bool new_epoch = leads && this->epoch != this->lease.seen.epoch;
   if (new_epoch) {
     this->epoch = this->lease.seen.epoch;
+    for (auto& [id, state] : this->endpoints)
+      this->DropRecorded(&state);
     this->endpoints.clear();
     this->configuration_version = -1;
     this->published_known = false;
--- a/src/placement/planner_loop.h
+++ b/src/placement/planner_loop.h
@@ -39,6 +39,16 @@
   std::int64_t recorded_from = 0;  ///< Object version before `recorded`.
 };
 
+/// What this process knows about one of its own commands and has not stored
+/// yet.
+struct KnownOutcome {
+  std::int64_t number = 0;
+  bool done = false;  ///< Otherwise it had no effect and will have none.
+  /// The write of the intent takes effect on this object version only; 0 if it
+  /// is known to have succeeded.
+  std::int64_t base_version = 0;
+};
+
 /// The planner's thread and state.
 class PlannerLoop {
  public:
@@ -99,6 +109,19 @@
   void StartCommands(EndpointState* state);
   bool StartJob(EndpointState* state, EndpointJob job);
 
+  // Outcomes of own commands, also after the lease was lost:
+  // planner_outcomes.cc.
+  void RememberResponses(const EndpointJobResult& result);
+  /// Gives up the commands that were recorded and not sent.
+  void DropRecorded(EndpointState* state);
+  void ApplyOutcomes(EndpointState* state);
+  void ForgetStored(const EndpointState& state);
+  /// Resolves own intents in the objects of a later holder of the lease.
+  void WithdrawIntents(TimePoint now);
+  /// Returns whether nothing is left to resolve.
+  bool Withdraw(const std::string& endpoint_id,
+                const std::vector<KnownOutcome>& known);
+
   // Decisions and publishing: planner_plan.cc.
   void Plan(TimePoint now);
   PlanInput MakeInput(const InForce& in_force, TimePoint now);
@@ -123,6 +146,9 @@
   std::int64_t epoch = 0;  ///< Of the ledgers; that of the lease held.
   std::int64_t configuration_version = -1;
   std::map<std::string, EndpointState, std::less<>> endpoints;
+  /// By endpoint.
+  std::map<std::string, std::vector<KnownOutcome>, std::less<>> outcomes;
+  TimePoint next_withdrawal;
   DemandTracker demand;
   TimePoint demand_at;
   TimePoint planned_at;
--- /dev/null
+++ b/src/placement/planner_outcomes.cc
@@ -0,0 +1,98 @@
+#include <algorithm>
+
+#include "placement/planner_loop.h"
+
+namespace coltsfootvane::detail {
+namespace {
+
+// Each withdrawal makes the holder of the lease read the object again.
+constexpr Milliseconds kWithdrawInterval{1000};
+
+}  // namespace
+
+void PlannerLoop::RememberResponses(const EndpointJobResult& result) {
+  std::vector<KnownOutcome>& known = this->outcomes[result.job.endpoint_id];
+  for (std::size_t i = 0; i < result.responses.size(); ++i) {
+    const Result<bool>& response = result.responses[i];
+    if (IsDefinite(response))
+      known.push_back({result.job.commands[i].fencing_number,
+                       response.has_value(), /*base_version=*/0});
+  }
+}
+
+void PlannerLoop::DropRecorded(EndpointState* state) {
+  if (state->recorded.empty())
+    return;
+  std::vector<KnownOutcome>& known = this->outcomes[state->endpoint.id];
+  for (const endpoint::Command& command : state->recorded)
+    known.push_back(
+        {command.fencing_number, /*done=*/false, state->resource_version});
+  state->recorded.clear();
+}
+
+void PlannerLoop::ApplyOutcomes(EndpointState* state) {
+  for (const KnownOutcome& outcome : this->outcomes[state->endpoint.id]) {
+    if (ResolveBySender(&state->ledger, outcome.number, outcome.done))
+      state->dirty = true;
+  }
+}
+
+void PlannerLoop::ForgetStored(const EndpointState& state) {
+  std::vector<KnownOutcome>& known = this->outcomes[state.endpoint.id];
+  const auto is_stored = [&state](const KnownOutcome& outcome) {
+    const auto& intents = state.ledger.intents;
+    return std::none_of(intents.begin(), intents.end(),
+                        [&outcome](const Intent& intent) {
+                          return intent.number == outcome.number;
+                        });
+  };
+  known.erase(std::remove_if(known.begin(), known.end(), is_stored),
+              known.end());
+}
+
+void PlannerLoop::WithdrawIntents(TimePoint now) {
+  const bool replaced = this->lease.known && !this->lease.held &&
+                        this->lease.seen.epoch > this->epoch;
+  if (!replaced || now < this->next_withdrawal)
+    return;
+  for (auto& [id, state] : this->endpoints)
+    this->DropRecorded(&state);
+  const auto is_known = [](const auto& entry) { return !entry.second.empty(); };
+  const auto found =
+      std::find_if(this->outcomes.begin(), this->outcomes.end(), is_known);
+  if (found == this->outcomes.end())
+    return;
+  this->next_withdrawal = now + kWithdrawInterval;
+  if (this->Withdraw(found->first, found->second))
+    this->outcomes.erase(found);
+}
+
+bool PlannerLoop::Withdraw(const std::string& endpoint_id,
+                           const std::vector<KnownOutcome>& known) {
+  const TimePoint deadline = Clock::now() + kPlatformTimeout;
+  Result<platform::Object> stored = platform::ReadObject(
+      this->connection, platform::kEndpointKind, endpoint_id, deadline);
+  if (!stored)
+    return stored.assume_error().code == ErrorCode::kNotFound;
+  platform::Object& object = stored.assume_value();
+  Result<EndpointLedger> ledger = ParseLedger(object.spec);
+  if (!ledger)
+    return true;
+  bool changed = false;
+  bool settled = true;
+  for (const KnownOutcome& outcome : known) {
+    if (ResolveBySender(&ledger.assume_value(), outcome.number, outcome.done))
+      changed = true;
+    else
+      // The write that records the intent may still take effect.
+      settled &= object.resource_version > outcome.base_version;
+  }
+  if (!changed)
+    return settled;
+  object.spec = FormatLedger(ledger.assume_value());
+  return platform::UpdateObject(this->connection, object, deadline)
+             .has_value() &&
+         settled;
+}
+
+}  // namespace coltsfootvane::detail
--- a/tests/integration/memory_test.cc
+++ b/tests/integration/memory_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdio>
 #include <random>
 #include <string>
@@ -220,6 +221,51 @@
   EngineAccounts accounts;
 };
 
+/// The numbers of the open commands for `item` in the first engine's object.
+std::vector<std::int64_t> OpenNumbers(const Site& site,
+                                      const std::string& item) {
+  const nlohmann::json object =
+      GetJson(site.platform, "/apis/coltsfootvane/v1/endpoints/engine-1");
+  std::vector<std::int64_t> numbers;
+  if (!object.is_object())
+    return numbers;
+  for (const nlohmann::json& intent : object["spec"]["intents"]) {
+    if (intent["item"] == item)
+      numbers.push_back(intent["number"].get<std::int64_t>());
+  }
+  return numbers;
+}
+
+/// Lets the planner record a load, freezes it before it learns that, and
+/// continues it when another planner holds the lease. Returns the number.
+std::int64_t FreezeBeforeSending(Site* site, const ModelOptions& model) {
+  const std::size_t planner = WaitForPlanner(site);
+  DaemonProcess& daemon = site->daemons[planner];
+  SetFaults(daemon.platform_proxy_control,
+            {{"hold", {{{"match", "PUT /apis/coltsfootvane/v1/endpoints/"}}}}});
+  site->options.models.push_back(model);
+  site->WriteConfiguration();
+  const Output applied = site->Apply();
+  CHECK_TEXT(applied.exit_code == 0, applied.text.c_str());
+  CHECK(WaitUntil(In(kProgressMs), [&daemon] {
+    return !GetJson(daemon.platform_proxy_control, "/control/stats")["held"]
+                .empty();
+  }));
+  daemon.process->Signal(SIGSTOP);
+  SetFaults(daemon.platform_proxy_control, nlohmann::json::object());
+  std::vector<std::int64_t> numbers;
+  CHECK(WaitUntil(In(kProgressMs), [site, &model, &numbers] {
+    numbers = OpenNumbers(*site, model.name);
+    return !numbers.empty();
+  }));
+  LONGS_EQUAL(planner, FindPlanner(site).value_or(site->daemons.size()));
+  CHECK(WaitUntil(In(kProgressMs), [site, planner] {
+    return FindPlanner(site).value_or(planner) != planner;
+  }));
+  daemon.process->Signal(SIGCONT);
+  return numbers.front();
+}
+
 }  // namespace
 
 TEST_GROUP(Memory){};
@@ -255,3 +301,27 @@
   for (const DelayedLoadRow& row : rows)
     DelayedLoad(row).Run();
 }
+
+// Guards against a load that was recorded and never sent, and stays charged at
+// an engine that ignores numbers as long as the daemon lives that recorded it.
+TEST(Memory, UnsentLoadIsResolvedAfterItsSenderLostTheLease) {
+  SiteOptions options = MakeOptions(/*checks_fencing=*/false);
+  options.engines.resize(1);
+  options.adapters.clear();
+  options.models = {{"kept", 1000, 1}};
+  options.daemons = 2;
+  options.platform_proxies = true;
+  Site site{options};
+  site.StartAll();
+  const std::int64_t number = FreezeBeforeSending(&site, {"late", 4000, 1});
+  const auto is_resolved = [&site, number] {
+    const auto open = OpenNumbers(site, "late");
+    return std::find(open.begin(), open.end(), number) == open.end();
+  };
+  const bool resolved = WaitUntil(In(kProgressMs), is_resolved);
+  CHECK_TEXT(resolved, DescribePlacement(site).c_str());
+  const bool placed = WaitPlaced(&site, kProgressMs).has_value();
+  CHECK_TEXT(placed, DescribePlacement(site).c_str());
+  // The load of the later planner only.
+  LONGS_EQUAL(2, site.EngineStat("loads"));
+}
