Placement: Read an object again in which a sender may have resolved intents

Cause: the holder of the lease plans by its ledger in memory and finds a withdrawn intent only when its own write conflicts. Where the stale charge keeps the only wanted model out, it has nothing to write. Ruled out: a watch of the endpoint objects, which delivers every write of the holder itself, and lists of all objects, which grow with the fleet. Change: the holder reads an object that has open intents of other senders every 5 s, one object a tick (200 ms) at most. The test declares a model that needs the memory of the unsent load. Conclusion: a withdrawal takes effect within about 5 s. At most 5 reads a second of one planner, only while other senders have open intents.

--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -64,6 +64,7 @@
     this->FlushEndpoints();
     this->StartIndexCalls(now);
     this->Publish(now);
+    this->ReadWithdrawals(now);
   } else {
     this->WithdrawIntents(now);
   }
--- a/src/placement/planner_loop.h
+++ b/src/placement/planner_loop.h
@@ -34,6 +34,7 @@
   bool leaving = false;
   int failures = 0;  ///< Index calls failed in a row.
   TimePoint next_index;
+  TimePoint next_read;  ///< Of the object, while others have intents in it.
   std::string written_spec;                 ///< Of the last write.
   std::vector<endpoint::Command> recorded;  ///< To send after the next write.
   std::int64_t recorded_from = 0;  ///< Object version before `recorded`.
@@ -116,6 +117,8 @@
   void DropRecorded(EndpointState* state);
   void ApplyOutcomes(EndpointState* state);
   void ForgetStored(const EndpointState& state);
+  /// Reads an object again in which another sender may have resolved intents.
+  void ReadWithdrawals(TimePoint now);
   /// Resolves own intents in the objects of a later holder of the lease.
   void WithdrawIntents(TimePoint now);
   /// Returns whether nothing is left to resolve.
--- a/src/placement/planner_outcomes.cc
+++ b/src/placement/planner_outcomes.cc
@@ -7,6 +7,8 @@
 
 // Each withdrawal makes the holder of the lease read the object again.
 constexpr Milliseconds kWithdrawInterval{1000};
+// Between reads of one object that has open intents of other senders.
+constexpr Milliseconds kForeignReadInterval{5000};
 
 }  // namespace
 
@@ -50,6 +52,33 @@
               known.end());
 }
 
+void PlannerLoop::ReadWithdrawals(TimePoint now) {
+  const auto has_foreign = [this](const EndpointState& state) {
+    const auto& intents = state.ledger.intents;
+    return std::any_of(intents.begin(), intents.end(),
+                       [this](const Intent& intent) {
+                         return intent.sender != this->options.incarnation;
+                       });
+  };
+  EndpointState* due = nullptr;
+  for (auto& [id, state] : this->endpoints) {
+    const bool settled =
+        state.read && !state.dirty && !state.lost && state.job == 0;
+    if (!settled || now < state.next_read || !has_foreign(state))
+      continue;
+    if (due == nullptr || state.next_read < due->next_read)
+      due = &state;
+  }
+  if (due == nullptr)
+    return;
+  due->next_read = now + kForeignReadInterval;
+  const Result<platform::Object> stored =
+      platform::ReadObject(this->connection, platform::kEndpointKind,
+                           due->endpoint.id, Clock::now() + kPlatformTimeout);
+  if (stored && stored.assume_value().resource_version != due->resource_version)
+    this->OnForeignWrite(due, 0);
+}
+
 void PlannerLoop::WithdrawIntents(TimePoint now) {
   const bool replaced = this->lease.known && !this->lease.held &&
                         this->lease.seen.epoch > this->epoch;
--- a/tests/integration/memory_test.cc
+++ b/tests/integration/memory_test.cc
@@ -257,17 +257,25 @@
   return numbers;
 }
 
+void Declare(Site* site, const std::vector<ModelOptions>& models) {
+  site->options.models = models;
+  site->WriteConfiguration();
+  const Output applied = site->Apply();
+  CHECK_TEXT(applied.exit_code == 0, applied.text.c_str());
+}
+
 /// Lets the planner record a load, freezes it before it learns that, and
-/// continues it when another planner holds the lease. Returns the number.
-std::int64_t FreezeBeforeSending(Site* site, const ModelOptions& model) {
+/// continues it when another planner holds the lease and `newer` is declared
+/// instead. Returns the number.
+std::int64_t FreezeBeforeSending(Site* site,
+                                 const ModelOptions& model,
+                                 const ModelOptions& newer) {
+  const std::vector<ModelOptions> models = site->options.models;
   const std::size_t planner = WaitForPlanner(site);
   DaemonProcess& daemon = site->daemons[planner];
   SetFaults(daemon.platform_proxy_control,
             {{"hold", {{{"match", "PUT /apis/coltsfootvane/v1/endpoints/"}}}}});
-  site->options.models.push_back(model);
-  site->WriteConfiguration();
-  const Output applied = site->Apply();
-  CHECK_TEXT(applied.exit_code == 0, applied.text.c_str());
+  Declare(site, {models.front(), model});
   CHECK(WaitUntil(In(kProgressMs), [&daemon] {
     return !GetJson(daemon.platform_proxy_control, "/control/stats")["held"]
                 .empty();
@@ -280,6 +288,7 @@
     return !numbers.empty();
   }));
   LONGS_EQUAL(planner, FindPlanner(site).value_or(site->daemons.size()));
+  Declare(site, {models.front(), newer});
   CHECK(WaitUntil(In(kProgressMs), [site, planner] {
     return FindPlanner(site).value_or(planner) != planner;
   }));
@@ -324,7 +333,8 @@
 }
 
 // Guards against a load that was recorded and never sent, and stays charged at
-// an engine that ignores numbers as long as the daemon lives that recorded it.
+// an engine that ignores numbers as long as the daemon lives that recorded it,
+// so that a model which needs the memory is never loaded.
 TEST(Memory, UnsentLoadIsResolvedAfterItsSenderLostTheLease) {
   SiteOptions options = MakeOptions(/*checks_fencing=*/false);
   options.engines.resize(1);
@@ -334,7 +344,8 @@
   options.platform_proxies = true;
   Site site{options};
   site.StartAll();
-  const std::int64_t number = FreezeBeforeSending(&site, {"late", 4000, 1});
+  const std::int64_t number =
+      FreezeBeforeSending(&site, {"late", 4000, 1}, {"newer", 6000, 1});
   const auto is_resolved = [&site, number] {
     const auto open = OpenNumbers(site, "late");
     return std::find(open.begin(), open.end(), number) == open.end();
@@ -343,6 +354,6 @@
   CHECK_TEXT(resolved, DescribePlacement(site).c_str());
   const bool placed = WaitPlaced(&site, kProgressMs).has_value();
   CHECK_TEXT(placed, DescribePlacement(site).c_str());
-  // The load of the later planner only.
+  // The unsent load is not among them.
   LONGS_EQUAL(2, site.EngineStat("loads"));
 }
