--- a/src/placement/ledger.cc
+++ b/src/placement/ledger.cc
@@ -26,9 +26,14 @@
   return sum;
 }
 
-void ChargeLoaded(const EndpointLedger& ledger, MemoryByItem* charges) {
-  for (const LoadedItem& loaded : ledger.loaded)
+void ChargeLoaded(const EndpointLedger& ledger,
+                  bool with_observed,
+                  MemoryByItem* charges) {
+  for (const LoadedItem& loaded : ledger.loaded) {
+    if (loaded.observed && !with_observed)
+      continue;
     Charge(loaded.item, loaded.version, loaded.memory_mb, charges);
+  }
 }
 
 void ChargeIntents(const EndpointLedger& ledger,
@@ -70,6 +75,13 @@
   ledger->loaded.push_back(std::move(loaded));
 }
 
+std::vector<Intent>::iterator FindIntent(EndpointLedger* ledger,
+                                         std::int64_t number) {
+  return std::find_if(
+      ledger->intents.begin(), ledger->intents.end(),
+      [number](const Intent& intent) { return intent.number == number; });
+}
+
 void RemoveLoaded(EndpointLedger* ledger, const Intent& intent) {
   const auto same = [&intent](const LoadedItem& loaded) {
     return IsSame(loaded, intent.item, intent.version);
@@ -91,6 +103,7 @@
     loaded.memory_mb = shown.memory_mb;
     loaded.adapter = shown.adapter;
     loaded.ready = shown.state == endpoint::ItemState::kReady;
+    loaded.observed = true;
     const LoadedItem* const known =
         FindLoaded(ledger, shown.name, shown.version);
     if (known != nullptr)
@@ -126,17 +139,15 @@
   return was_loaded != is_loaded && is_loaded == load;
 }
 
-bool IsResolved(const Intent& intent,
-                const IndexReading& reading,
-                bool restarted,
-                const SenderGone& sender_gone) {
-  if (!sender_gone(intent.sender))
-    return false;
-  // Without a sender, a connection to the earlier process or a number below the
-  // one just raised cannot lead to an effect any more.
-  if (reading.checks_fencing || restarted)
+/// Returns whether nothing that an ended sender left behind can have an effect
+/// any more.
+bool IsResolved(const Intent& intent, const IndexReading& reading) {
+  // The number just raised refuses it.
+  if (reading.checks_fencing || intent.seen_done)
     return true;
-  return intent.seen_done;
+  // A connection to an earlier process is closed. The sender may have reached
+  // the restarted process, too, unless it ended before the restart.
+  return !intent.last_boot.empty() && intent.last_boot != reading.index.boot_id;
 }
 
 /// A fenced unload finds nothing in a restarted endpoint, and one fenced load
@@ -174,7 +185,7 @@
 
 std::int64_t ChargedMemory(const EndpointLedger& ledger) {
   MemoryByItem charges;
-  ChargeLoaded(ledger, &charges);
+  ChargeLoaded(ledger, /*with_observed=*/true, &charges);
   ChargeIntents(ledger, /*with_fenced=*/false, &charges);
   return Sum(charges);
 }
@@ -184,13 +195,17 @@
              std::string_view item,
              std::string_view version,
              std::int64_t memory_mb) {
+  if (CountOpenLoads(ledger, item, version) >= kMaxOpenLoads)
+    return false;
   MemoryByItem running;
-  ChargeLoaded(ledger, &running);
+  ChargeLoaded(ledger, /*with_observed=*/true, &running);
   ChargeIntents(ledger, /*with_fenced=*/false, &running);
   Charge(item, version, memory_mb, &running);
-  // A restart empties the memory and forgets the number, so a paused sender's
-  // fenced load can be accepted until the number is raised again.
+  // A restart empties the memory and forgets the number, so a fenced load can
+  // be accepted until the number is raised again. What was loaded since the
+  // last index may have come after that.
   MemoryByItem restarted;
+  ChargeLoaded(ledger, /*with_observed=*/false, &restarted);
   ChargeIntents(ledger, /*with_fenced=*/true, &restarted);
   Charge(item, version, memory_mb, &restarted);
   return Sum(running) <= limit_mb && Sum(restarted) <= limit_mb;
@@ -215,18 +230,20 @@
   return true;
 }
 
+bool IsDefinite(const Result<bool>& response) {
+  if (response)
+    return true;
+  // The first of two deliveries may have run, and the second been refused as
+  // outdated; the next index call tells.
+  const ErrorCode code = response.assume_error().code;
+  return code != ErrorCode::kUnknown && code != ErrorCode::kConflict;
+}
+
 void ResolveByResponse(EndpointLedger* ledger,
                        std::int64_t number,
                        const Result<bool>& response) {
-  const auto found = std::find_if(
-      ledger->intents.begin(), ledger->intents.end(),
-      [number](const Intent& intent) { return intent.number == number; });
-  if (found == ledger->intents.end())
-    return;
-  // The first of two deliveries may have run, and the second been refused as
-  // outdated; the next index call tells.
-  if (!response && (response.assume_error().code == ErrorCode::kUnknown ||
-                    response.assume_error().code == ErrorCode::kConflict))
+  const auto found = FindIntent(ledger, number);
+  if (found == ledger->intents.end() || !IsDefinite(response))
     return;
   const Intent intent = *found;
   ledger->intents.erase(found);
@@ -238,6 +255,21 @@
     RemoveLoaded(ledger, intent);
 }
 
+bool ResolveBySender(EndpointLedger* ledger, std::int64_t number, bool done) {
+  const auto found = FindIntent(ledger, number);
+  if (found == ledger->intents.end())
+    return false;
+  const Intent intent = *found;
+  ledger->intents.erase(found);
+  const bool load = intent.operation == Operation::kLoad;
+  if (!load || !done ||
+      FindLoaded(*ledger, intent.item, intent.version) != nullptr)
+    return true;
+  AddLoaded(ledger, intent);
+  ledger->loaded.back().ready = false;
+  return true;
+}
+
 void ApplyIndex(EndpointLedger* ledger,
                 const IndexReading& reading,
                 const SenderGone& sender_gone) {
@@ -252,8 +284,14 @@
     }
     if (!restarted && IsProvedDone(*ledger, loaded, intent))
       next.seen_done = true;
-    if (IsResolved(next, reading, restarted, sender_gone))
+    const bool gone = sender_gone(intent.sender);
+    if (gone && IsResolved(next, reading))
       continue;
+    // Known before this index call, the end precedes the process that answered
+    // or falls into its time.
+    if (intent.orphaned && next.last_boot.empty())
+      next.last_boot = reading.index.boot_id;
+    next.orphaned = intent.orphaned || gone;
     // After a restart the charge comes back until a second call in the same
     // boot confirms that the raised number is in force.
     next.fenced = reading.checks_fencing && !restarted;
@@ -275,14 +313,15 @@
   return nullptr;
 }
 
-bool HasOpenLoad(const EndpointLedger& ledger,
-                 std::string_view item,
-                 std::string_view version) {
-  return std::any_of(ledger.intents.begin(), ledger.intents.end(),
-                     [item, version](const Intent& intent) {
-                       return intent.operation == Operation::kLoad &&
-                              !intent.fenced && IsSame(intent, item, version);
-                     });
+int CountOpenLoads(const EndpointLedger& ledger,
+                   std::string_view item,
+                   std::string_view version) {
+  return static_cast<int>(
+      std::count_if(ledger.intents.begin(), ledger.intents.end(),
+                    [item, version](const Intent& intent) {
+                      return intent.operation == Operation::kLoad &&
+                             !intent.fenced && IsSame(intent, item, version);
+                    }));
 }
 
 bool HasOpenUnload(const EndpointLedger& ledger,
--- a/src/placement/ledger.h
+++ b/src/placement/ledger.h
@@ -20,6 +20,9 @@
   std::int64_t memory_mb = 0;
   bool adapter = false;
   bool ready = false;
+  /// An index showed it; otherwise only the response to its load is known. Not
+  /// stored, since a holder reads an index before it sends a command.
+  bool observed = false;
 };
 
 /// A command that was recorded before it was sent.
@@ -37,6 +40,10 @@
   bool fenced = false;
   /// An index showed the effect, and no other command can have caused it.
   bool seen_done = false;
+  bool orphaned = false;  ///< The sender had ended at an index call.
+  /// What an ended sender left behind was sent to the process with this boot
+  /// id, or to an earlier one; empty if not known.
+  std::string last_boot;
 };
 
 /// What is known about the memory of one endpoint; the spec of the platform
@@ -54,6 +61,11 @@
 
 inline constexpr std::int64_t kMaxSequence = 0xFFFFFFFF;
 
+/// Loads of one item and version that may be open at one endpoint. A lost load
+/// may be repeated, since it may never arrive and its charge covers the repeat;
+/// but each one makes the endpoint's object longer.
+inline constexpr int kMaxOpenLoads = 4;
+
 std::string FormatLedger(const EndpointLedger& ledger);
 Result<EndpointLedger> ParseLedger(std::string_view json);
 
@@ -69,7 +81,8 @@
 std::int64_t ChargedMemory(const EndpointLedger& ledger);
 
 /// Returns whether a load fits in `limit_mb`, also if the endpoint has
-/// restarted unnoticed, in which case fenced commands may still arrive.
+/// restarted unnoticed, in which case fenced commands may have taken effect.
+/// Returns false, too, if kMaxOpenLoads are open.
 bool CanLoad(const EndpointLedger& ledger,
              std::int64_t limit_mb,
              std::string_view item,
@@ -82,12 +95,22 @@
                   endpoint::Command* command,
                   std::string_view sender);
 
+/// Returns whether a response tells if its command took effect and that it will
+/// not do so later.
+bool IsDefinite(const Result<bool>& response);
+
 /// Resolves the intent `number` by the response to its own request, if the
 /// response is definite.
 void ResolveByResponse(EndpointLedger* ledger,
                        std::int64_t number,
                        const Result<bool>& response);
 
+/// Resolves the intent `number`, whose outcome its sender knows, in a ledger
+/// that may have been changed by other holders since. The next index tells what
+/// is loaded; until then a load that was `done` is charged, and an unload frees
+/// nothing. Returns false if there is no such intent.
+bool ResolveBySender(EndpointLedger* ledger, std::int64_t number, bool done);
+
 /// How an index was obtained.
 struct IndexReading {
   endpoint::Index index;
@@ -106,10 +129,10 @@
                              std::string_view item,
                              std::string_view version);
 
-/// Returns whether a load of the item and version is recorded and open.
-bool HasOpenLoad(const EndpointLedger& ledger,
-                 std::string_view item,
-                 std::string_view version);
+/// Returns how many loads of the item and version are recorded and open.
+int CountOpenLoads(const EndpointLedger& ledger,
+                   std::string_view item,
+                   std::string_view version);
 
 /// Returns whether an unload of the item and version may still take effect.
 bool HasOpenUnload(const EndpointLedger& ledger,
--- a/src/placement/ledger_unittest.cc
+++ b/src/placement/ledger_unittest.cc
@@ -80,6 +80,71 @@
   }
 }
 
+// Guards against an intent that stays charged although its sender knows the
+// outcome, against freeing memory that the command may have taken, and against
+// undoing what a later holder has loaded since.
+TEST(Ledger, SendersResolveTheirOwnIntents) {
+  struct Row {
+    const char* name;
+    Operation operation;
+    const char* item;
+    bool done;
+    std::int64_t charged;
+    bool copy;
+  };
+  const Row rows[] = {
+      {"load not sent", Operation::kLoad, "new", false, 5, false},
+      {"load done", Operation::kLoad, "new", true, 15, false},
+      {"load done and shown", Operation::kLoad, "kept", true, 5, true},
+      {"unload not sent", Operation::kUnload, "kept", false, 5, true},
+      {"unload done, loaded again", Operation::kUnload, "kept", true, 5, true},
+  };
+  for (const Row& row : rows) {
+    EndpointLedger ledger = MakeLedger();
+    ledger.loaded.push_back({"kept", "1", "", 5, false, true, true});
+    endpoint::Command other = MakeCommand(Operation::kUnload, "other", 10);
+    endpoint::Command command = MakeCommand(row.operation, row.item, 10);
+    RecordIntent(&ledger, &command, "s");
+    RecordIntent(&ledger, &other, "s");
+    CHECK_TEXT(ResolveBySender(&ledger, command.fencing_number, row.done),
+               row.name);
+    CHECK_TEXT(!ResolveBySender(&ledger, command.fencing_number, row.done),
+               row.name);
+    LONGS_EQUAL_TEXT(1, ledger.intents.size(), row.name);
+    LONGS_EQUAL_TEXT(row.charged, ChargedMemory(ledger), row.name);
+    CHECK_EQUAL_TEXT(row.copy, CountsAsCopy(ledger, row.item, "1"), row.name);
+  }
+}
+
+// Guards against an object that grows with each lost load, and against a lost
+// load that keeps its item, or another one, away for ever.
+TEST(Ledger, OpenLoadsOfAnItemAreBounded) {
+  struct Row {
+    const char* name;
+    const char* item;
+    int open;
+    bool fenced;
+    bool can_load;
+  };
+  const Row rows[] = {
+      {"none", "m", 0, false, true},
+      {"repeat after a lost load", "m", kMaxOpenLoads - 1, false, true},
+      {"bound reached", "m", kMaxOpenLoads, false, false},
+      {"another item", "n", kMaxOpenLoads, false, true},
+      {"fenced loads", "m", kMaxOpenLoads, true, true},
+  };
+  for (const Row& row : rows) {
+    EndpointLedger ledger = MakeLedger();
+    for (int i = 0; i < row.open; ++i) {
+      endpoint::Command command = MakeCommand(Operation::kLoad, "m", 10);
+      RecordIntent(&ledger, &command, "s");
+      ledger.intents.back().fenced = row.fenced;
+    }
+    CHECK_EQUAL_TEXT(row.can_load, CanLoad(ledger, 100, row.item, "1", 10),
+                     row.name);
+  }
+}
+
 // Guards against resolving a late command by an index that does not prove that
 // it can no longer take effect.
 TEST(Ledger, IndexResolvesOnlyWhatItProves) {
@@ -102,8 +167,8 @@
       {"ignores numbers, done, sender may live", false, "b1", true, false, 1,
        10},
       {"ignores numbers, done, sender gone", false, "b1", true, true, 0, 10},
-      {"ignores numbers, restarted, sender gone", false, "b2", false, true, 0,
-       0},
+      {"ignores numbers, restarted, sender may have ended later", false, "b2",
+       false, true, 1, 10},
       {"ignores numbers, restarted, may live", false, "b2", false, false, 1,
        10},
   };
@@ -124,6 +189,45 @@
   }
 }
 
+// Guards against freeing the memory of a load that its sender sent to the
+// restarted process before it ended, and against charging it for ever after the
+// next restart.
+TEST(Ledger, OnlyARestartAfterItsSendersEndResolvesAnIntent) {
+  struct Reading {
+    const char* boot_id;
+    bool gone;
+  };
+  struct Row {
+    const char* name;
+    std::vector<Reading> readings;
+    std::int64_t charged;
+  };
+  const Row rows[] = {
+      {"sender lives", {{"b1", false}, {"b2", false}, {"b3", false}}, 10},
+      {"end not known before the restart", {{"b1", false}, {"b2", true}}, 10},
+      {"end perhaps after the restart", {{"b1", true}, {"b2", true}}, 10},
+      {"no restart", {{"b1", true}, {"b1", true}, {"b1", true}}, 10},
+      {"restart after the end", {{"b1", true}, {"b1", true}, {"b2", true}}, 0},
+      {"second restart", {{"b2", true}, {"b2", true}, {"b3", true}}, 0},
+      {"two restarts", {{"b1", true}, {"b2", true}, {"b3", true}}, 0},
+  };
+  for (const Row& row : rows) {
+    EndpointLedger ledger = MakeLedger();
+    endpoint::Command command = MakeCommand(Operation::kLoad, "m", 10);
+    RecordIntent(&ledger, &command, "s");
+    for (const Reading& step : row.readings) {
+      // Each reading may be that of another holder.
+      ledger = ParseLedger(FormatLedger(ledger)).value();
+      IndexReading reading;
+      reading.index = MakeIndex(step.boot_id, {});
+      reading.number = TakeNumber(&ledger);
+      ApplyIndex(&ledger, reading,
+                 [&step](std::string_view) { return step.gone; });
+    }
+    LONGS_EQUAL_TEXT(row.charged, ChargedMemory(ledger), row.name);
+  }
+}
+
 // Guards against a retry's success resolving the first attempt, which could
 // then load again after an unload.
 TEST(Ledger, RetryDoesNotResolveTheFirstAttempt) {
@@ -160,6 +264,33 @@
   CHECK(CanLoad(ledger, 100, "m", "1", 60));
 }
 
+// Guards against a fenced load that a restarted endpoint accepted before two
+// newer ones, which the memory holds only without it: the restart may precede
+// the first of them, as long as no index has shown that one.
+TEST(Ledger, LoadMustFitBesideFencedLoadsAndThoseSinceTheLastIndex) {
+  EndpointLedger ledger = MakeLedger();
+  endpoint::Command late = MakeCommand(Operation::kLoad, "m", 40);
+  RecordIntent(&ledger, &late, "s");
+  IndexReading reading;
+  reading.index = MakeIndex("b1", {"kept"});
+  reading.number = TakeNumber(&ledger);
+  reading.checks_fencing = true;
+  const SenderGone lives = [](std::string_view) { return false; };
+  ApplyIndex(&ledger, reading, lives);
+  CHECK(CanLoad(ledger, 100, "n", "1", 50));
+  endpoint::Command newer = MakeCommand(Operation::kLoad, "n", 50);
+  RecordIntent(&ledger, &newer, "s");
+  ResolveByResponse(&ledger, newer.fencing_number, true);
+  CHECK(CanLoad(ledger, 100, "o", "1", 10));
+  CHECK(!CanLoad(ledger, 100, "o", "1", 11));
+  reading.index = MakeIndex("b1", {"kept", "n"});
+  reading.index.items.back().memory_mb = 50;
+  reading.number = TakeNumber(&ledger);
+  ApplyIndex(&ledger, reading, lives);
+  CHECK(CanLoad(ledger, 100, "o", "1", 40));
+  CHECK(!CanLoad(ledger, 100, "o", "1", 41));
+}
+
 // Guards against unloading the last copy while a late unload of the other one
 // may still take effect.
 TEST(Ledger, OpenUnloadsDoNotCountAsCopies) {
--- a/src/placement/planner_jobs.cc
+++ b/src/placement/planner_jobs.cc
@@ -22,8 +22,10 @@
 }
 
 bool IsSame(const Intent& a, const Intent& b) {
-  return std::tie(a.number, a.sent, a.fenced, a.seen_done) ==
-         std::tie(b.number, b.sent, b.fenced, b.seen_done);
+  return std::tie(a.number, a.sent, a.fenced, a.seen_done, a.orphaned,
+                  a.last_boot) == std::tie(b.number, b.sent, b.fenced,
+                                           b.seen_done, b.orphaned,
+                                           b.last_boot);
 }
 
 /// Compares ledgers without the sequence, which changes at every index call.
@@ -41,6 +43,12 @@
                     });
 }
 
+std::ptrdiff_t CountObserved(const EndpointLedger& ledger) {
+  return std::count_if(
+      ledger.loaded.begin(), ledger.loaded.end(),
+      [](const LoadedItem& loaded) { return loaded.observed; });
+}
+
 Milliseconds IndexInterval(const EndpointState& state) {
   const std::uint64_t spread =
       Hash64(state.endpoint.id) % static_cast<std::uint64_t>(kIndexSpreadMs);
@@ -54,6 +62,7 @@
     const std::optional<EndpointJobResult> result = this->pool.PopResult(until);
     if (!result)
       return;
+    this->RememberResponses(*result);
     const auto found = this->endpoints.find(result->job.endpoint_id);
     // The state may have been dropped and made anew since.
     if (found == this->endpoints.end() || found->second.job != result->job.id)
@@ -119,6 +128,9 @@
     this->changed = true;
     this->view_changed = true;
   }
+  // Observed items may leave room for further loads, but are not stored.
+  if (CountObserved(state->ledger) != CountObserved(before))
+    this->changed = true;
   if (restarted)
     state->next_index = now;
 }
--- a/src/placement/planner_loop.h
+++ b/src/placement/planner_loop.h
@@ -37,11 +37,22 @@
   bool leaving = false;
   int failures = 0;  ///< Index calls failed in a row.
   TimePoint next_index;
+  TimePoint next_read;  ///< Of the object, while others have intents in it.
   std::string written_spec;                 ///< Of the last write.
   std::vector<endpoint::Command> recorded;  ///< To send after the next write.
   std::int64_t recorded_from = 0;  ///< Object version before `recorded`.
 };
 
+/// What this process knows about one of its own commands and has not stored
+/// yet.
+struct KnownOutcome {
+  std::int64_t number = 0;
+  bool done = false;  ///< Otherwise it had no effect and will have none.
+  /// The write of the intent takes effect on this object version only; 0 if it
+  /// is known to have succeeded.
+  std::int64_t base_version = 0;
+};
+
 /// The planner's thread and state.
 class PlannerLoop {
  public:
@@ -103,6 +114,21 @@
   void StartCommands(EndpointState* state);
   bool StartJob(EndpointState* state, EndpointJob job);
 
+  // Outcomes of own commands, also after the lease was lost:
+  // planner_outcomes.cc.
+  void RememberResponses(const EndpointJobResult& result);
+  /// Gives up the commands that were recorded and not sent.
+  void DropRecorded(EndpointState* state);
+  void ApplyOutcomes(EndpointState* state);
+  void ForgetStored(const EndpointState& state);
+  /// Reads an object again in which another sender may have resolved intents.
+  void ReadWithdrawals(TimePoint now);
+  /// Resolves own intents in the objects of a later holder of the lease.
+  void WithdrawIntents(TimePoint now);
+  /// Returns whether nothing is left to resolve.
+  bool Withdraw(const std::string& endpoint_id,
+                const std::vector<KnownOutcome>& known);
+
   // Decisions and publishing: planner_plan.cc.
   void Plan(TimePoint now);
   bool IsPlanDue(const std::shared_ptr<const InForce>& current, TimePoint now);
@@ -128,6 +154,9 @@
   std::int64_t epoch = 0;  ///< Of the ledgers; that of the lease held.
   std::int64_t configuration_version = -1;
   std::map<std::string, EndpointState, std::less<>> endpoints;
+  /// By endpoint.
+  std::map<std::string, std::vector<KnownOutcome>, std::less<>> outcomes;
+  TimePoint next_withdrawal;
   DemandTracker demand;
   TimePoint demand_at;
   TimePoint planned_at;
--- a/tests/integration/memory_test.cc
+++ b/tests/integration/memory_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdio>
 #include <random>
 #include <string>
@@ -6,6 +7,7 @@
 
 #include <signal.h>
 
+#include "delayed_load.h"
 #include "http_calls.h"
 #include "placement_probe.h"
 #include "site.h"
@@ -25,6 +27,8 @@
 // Shorter than the time until the lease of a killed planner is taken over.
 constexpr int kKilledMs = 5000;
 constexpr int kProgressMs = 25000;
+// Above the time of two index calls.
+constexpr int kMarkedMs = 6000;
 
 enum class PlannerFault { kKilled, kFrozen, kPlatform };
 
@@ -59,6 +63,22 @@
   return options;
 }
 
+/// Returns whether an intent is open of which the planner does not know yet
+/// that its sender ended before a restart to come.
+bool HasUnmarked(const Site& site) {
+  const nlohmann::json list =
+      GetJson(site.platform, "/apis/coltsfootvane/v1/endpoints");
+  if (!list.is_object())
+    return true;
+  for (const nlohmann::json& object : list["items"]) {
+    for (const nlohmann::json& intent : object["spec"]["intents"]) {
+      if (intent.value("last_boot", "").empty())
+        return true;
+    }
+  }
+  return false;
+}
+
 class MemoryRounds {
  public:
   MemoryRounds(bool checks_fencing, unsigned seed)
@@ -157,6 +177,9 @@
       this->site.StartDaemon(i);
       CHECK(this->site.WaitReady(i));
     }
+    // Only a restart that follows the end of its sender resolves an intent. An
+    // open command of a running planner lets the time pass.
+    WaitUntil(In(kMarkedMs), [this] { return !HasUnmarked(this->site); });
     for (std::size_t i = 0; i < this->site.engines.size(); ++i)
       this->accounts.Restart(&this->site, i);
   }
@@ -219,6 +242,60 @@
   EngineAccounts accounts;
 };
 
+/// The numbers of the open commands for `item` in the first engine's object.
+std::vector<std::int64_t> OpenNumbers(const Site& site,
+                                      const std::string& item) {
+  const nlohmann::json object =
+      GetJson(site.platform, "/apis/coltsfootvane/v1/endpoints/engine-1");
+  std::vector<std::int64_t> numbers;
+  if (!object.is_object())
+    return numbers;
+  for (const nlohmann::json& intent : object["spec"]["intents"]) {
+    if (intent["item"] == item)
+      numbers.push_back(intent["number"].get<std::int64_t>());
+  }
+  return numbers;
+}
+
+void Declare(Site* site, const std::vector<ModelOptions>& models) {
+  site->options.models = models;
+  site->WriteConfiguration();
+  const Output applied = site->Apply();
+  CHECK_TEXT(applied.exit_code == 0, applied.text.c_str());
+}
+
+/// Lets the planner record a load, freezes it before it learns that, and
+/// continues it when another planner holds the lease and `newer` is declared
+/// instead. Returns the number.
+std::int64_t FreezeBeforeSending(Site* site,
+                                 const ModelOptions& model,
+                                 const ModelOptions& newer) {
+  const std::vector<ModelOptions> models = site->options.models;
+  const std::size_t planner = WaitForPlanner(site);
+  DaemonProcess& daemon = site->daemons[planner];
+  SetFaults(daemon.platform_proxy_control,
+            {{"hold", {{{"match", "PUT /apis/coltsfootvane/v1/endpoints/"}}}}});
+  Declare(site, {models.front(), model});
+  CHECK(WaitUntil(In(kProgressMs), [&daemon] {
+    return !GetJson(daemon.platform_proxy_control, "/control/stats")["held"]
+                .empty();
+  }));
+  daemon.process->Signal(SIGSTOP);
+  SetFaults(daemon.platform_proxy_control, nlohmann::json::object());
+  std::vector<std::int64_t> numbers;
+  CHECK(WaitUntil(In(kProgressMs), [site, &model, &numbers] {
+    numbers = OpenNumbers(*site, model.name);
+    return !numbers.empty();
+  }));
+  LONGS_EQUAL(planner, FindPlanner(site).value_or(site->daemons.size()));
+  Declare(site, {models.front(), newer});
+  CHECK(WaitUntil(In(kProgressMs), [site, planner] {
+    return FindPlanner(site).value_or(planner) != planner;
+  }));
+  daemon.process->Signal(SIGCONT);
+  return numbers.front();
+}
+
 }  // namespace
 
 TEST_GROUP(Memory){};
@@ -234,3 +311,49 @@
 TEST(Memory, EnginesThatIgnoreNumbersAreNeverOvercommitted) {
   MemoryRounds(/*checks_fencing=*/false, 20260712).Run();
 }
+
+// Guards against a load command that arrives after it was given up, or from an
+// earlier planner, or at a restarted engine, and takes memory that newer
+// commands use. docs/GUARANTEES.md names the protections that decide each row.
+TEST(Memory, DelayedLoadsAreNeverAddedToNewerOnes) {
+  const DelayedLoadRow rows[] = {
+      {"after its retry and newer loads", true, false, EngineRestart::kNone,
+       5000, true},
+      {"before a newer load", false, false, EngineRestart::kNone, 5000, true},
+      {"sender frozen past its lease", false, true, EngineRestart::kNone, 5000,
+       true},
+      {"restart not noticed, both do not fit", false, false,
+       EngineRestart::kUnnoticed, 6000, false},
+      {"restart not noticed, both fit", false, false, EngineRestart::kUnnoticed,
+       5000, true},
+      {"restart noticed", false, false, EngineRestart::kNoticed, 5000, true},
+  };
+  for (const DelayedLoadRow& row : rows)
+    DelayedLoad(row).Run();
+}
+
+// Guards against a load that was recorded and never sent, and stays charged at
+// an engine that ignores numbers as long as the daemon lives that recorded it,
+// so that a model which needs the memory is never loaded.
+TEST(Memory, UnsentLoadIsResolvedAfterItsSenderLostTheLease) {
+  SiteOptions options = MakeOptions(/*checks_fencing=*/false);
+  options.engines.resize(1);
+  options.adapters.clear();
+  options.models = {{"kept", 1000, 1}};
+  options.daemons = 2;
+  options.platform_proxies = true;
+  Site site{options};
+  site.StartAll();
+  const std::int64_t number =
+      FreezeBeforeSending(&site, {"late", 4000, 1}, {"newer", 6000, 1});
+  const auto is_resolved = [&site, number] {
+    const auto open = OpenNumbers(site, "late");
+    return std::find(open.begin(), open.end(), number) == open.end();
+  };
+  const bool resolved = WaitUntil(In(kProgressMs), is_resolved);
+  CHECK_TEXT(resolved, DescribePlacement(site).c_str());
+  const bool placed = WaitPlaced(&site, kProgressMs).has_value();
+  CHECK_TEXT(placed, DescribePlacement(site).c_str());
+  // The unsent load is not among them.
+  LONGS_EQUAL(2, site.EngineStat("loads"));
+}
