Idempotency: Delete expired records

Cause: `records.keep_hours` was read and documented, but nothing deleted a record; the kind grew for ever. A record that is deleted too early could run twice, so the age must not come from a clock. Ruled out: wall time at creation plus the kept time (a planner whose clock jumps ahead deletes everything; the conditional delete does not help, since the record did not change), and the age that one process observes by itself (no planner lives for 168 h).

Change: planners write ticks to `expiry/records`: the version of the list of records, and the time that one process measured with its steady clock between seeing the tick before and taking this one. A record whose version is not above a tick's is at least as old as the spans after it. `sending` records are kept ten times as long. Metric `coltsfootvane_record_expiries_total`, events 1504 and 1505.

Cost at the target size: not measured.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -17,6 +17,8 @@
 constexpr Milliseconds kRegistrationTimeout{5000};
 constexpr Milliseconds kFinalWriteTimeout{3000};
 constexpr Milliseconds kPollInterval{20};
+/// Share of the daemon's platform calls that the deletion of records may use.
+constexpr double kSweepShare = 0.25;
 
 Result<PeerSnapshot> ConvertSnapshot(const peer::FetchedSnapshot& fetched) {
   PeerSnapshot snapshot;
@@ -87,12 +89,23 @@
 
 void Daemon::CreateParts() {
   RecordWriterOptions writer_options;
-  writer_options.keep = std::chrono::hours{this->settings.records_keep_hours};
+  writer_options.keep = std::chrono::seconds{this->settings.records_keep_s};
   writer_options.call_timeout =
       Milliseconds{this->settings.platform_call_timeout_ms};
   writer_options.seed = Hash64(this->instance_id);
   this->records = std::make_unique<RecordWriter>(
       MakeRecordStore(this->record_connection), writer_options);
+  RecordSweeperOptions sweeper_options;
+  sweeper_options.keep = writer_options.keep;
+  sweeper_options.call_timeout = writer_options.call_timeout;
+  sweeper_options.calls_per_s =
+      this->settings.platform_calls_per_s * kSweepShare;
+  sweeper_options.on_expiry = [this](RecordState state,
+                                     std::string_view result) {
+    this->metrics.CountRecordExpiry(RecordStateName(state), result);
+  };
+  this->sweeper =
+      std::make_unique<RecordSweeper>(this->control, sweeper_options);
   this->distribution = std::make_unique<Distribution>(
       this->settings, this->control, &this->in_force,
       this->MakeDistributionHooks());
@@ -152,6 +165,7 @@
   };
   hooks.on_leadership = [this](bool holds) {
     this->holds_lease = holds;
+    this->sweeper->SetActive(holds);
     this->peer_node->SetPlanner(holds);
   };
   return hooks;
@@ -261,6 +275,7 @@
   if (this->registration.joinable())
     this->registration.join();
   this->planner->Stop();
+  this->sweeper->Stop();
   std::this_thread::sleep_until(std::min(drain_start, stop_deadline));
   this->entry->BeginDrain();
   this->WaitForRequests(stop_deadline);
--- a/app/daemon.h
+++ b/app/daemon.h
@@ -10,6 +10,7 @@
 #include "distribution/distribution.h"
 #include "distribution/in_force.h"
 #include "entry/entry_server.h"
+#include "idempotency/record_sweeper.h"
 #include "idempotency/record_writer.h"
 #include "metrics/metrics.h"
 #include "peer/peer_node.h"
@@ -63,6 +64,7 @@
   Metrics metrics;
   SenderRegistry senders;
   std::unique_ptr<RecordWriter> records;
+  std::unique_ptr<RecordSweeper> sweeper;
   std::unique_ptr<Distribution> distribution;
   std::unique_ptr<peer::PeerNode> peer_node;
   std::unique_ptr<Planner> planner;
--- a/src/idempotency/events.h
+++ b/src/idempotency/events.h
@@ -12,6 +12,11 @@
 inline constexpr Event kRecordOverwritten{1503, Severity::kWarning,
                                           "record-overwritten"};
 
+inline constexpr Event kRecordsExpired{1504, Severity::kInfo,
+                                       "records-expired"};
+inline constexpr Event kExpiryRestarted{1505, Severity::kWarning,
+                                        "record-expiry-restarted"};
+
 }  // namespace coltsfootvane
 
 #endif  // COLTSFOOTVANE_IDEMPOTENCY_EVENTS_H_
--- /dev/null
+++ b/src/idempotency/record_expiry.cc
@@ -0,0 +1,97 @@
+#include "idempotency/record_expiry.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace coltsfootvane {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kTicksPerKeep = 50;
+constexpr Milliseconds kShortestInterval{1000};
+
+std::int64_t SumOfSpans(gsl::span<const ExpiryTick> ticks) {
+  std::int64_t sum = 0;
+  for (const ExpiryTick& tick : ticks)
+    sum += tick.span_ms;
+  return sum;
+}
+
+}  // namespace
+
+Milliseconds TickInterval(Milliseconds keep) {
+  return std::max(kShortestInterval, keep / kTicksPerKeep);
+}
+
+bool AppendTick(ExpiryTicks* ticks,
+                std::int64_t version,
+                Milliseconds span,
+                Milliseconds keep) {
+  const bool in_order = ticks->empty() || version >= ticks->back().version;
+  if (!in_order)
+    ticks->clear();
+  ticks->push_back({version, ticks->empty() ? 0 : span.count()});
+  const std::int64_t longest = keep.count() * kSendingKeepFactor;
+  std::int64_t age = SumOfSpans(*ticks);
+  std::size_t dropped = 0;
+  // The age of the second tick is what the spans after it add up to.
+  while (dropped + 1 < ticks->size()) {
+    age -= (*ticks)[dropped].span_ms;
+    if (age - (*ticks)[dropped + 1].span_ms < longest)
+      break;
+    ++dropped;
+  }
+  ticks->erase(ticks->begin(),
+               ticks->begin() + static_cast<std::ptrdiff_t>(dropped));
+  return in_order;
+}
+
+std::int64_t VersionOfAge(gsl::span<const ExpiryTick> ticks, Milliseconds age) {
+  std::int64_t later = 0;
+  for (auto tick = ticks.rbegin(); tick != ticks.rend(); ++tick) {
+    if (later >= age.count())
+      return tick->version;
+    later += tick->span_ms;
+  }
+  return 0;
+}
+
+bool IsExpired(gsl::span<const ExpiryTick> ticks,
+               RecordState state,
+               std::int64_t resource_version,
+               std::int64_t list_version,
+               Milliseconds keep) {
+  if (ticks.empty() || list_version < ticks.back().version)
+    return false;
+  const int factor = state == RecordState::kSending ? kSendingKeepFactor : 1;
+  return resource_version <= VersionOfAge(ticks, keep * factor);
+}
+
+std::string FormatExpiryTicks(const ExpiryTicks& ticks) {
+  json list = json::array();
+  for (const ExpiryTick& tick : ticks)
+    list.push_back({tick.version, tick.span_ms});
+  return json{{"ticks", std::move(list)}}.dump();
+}
+
+Result<ExpiryTicks> ParseExpiryTicks(std::string_view text) {
+  try {
+    const json spec = json::parse(text);
+    ExpiryTicks ticks;
+    for (const json& item : spec.at("ticks")) {
+      const ExpiryTick tick{item.at(0).get<std::int64_t>(),
+                            item.at(1).get<std::int64_t>()};
+      const bool in_order =
+          ticks.empty() || tick.version >= ticks.back().version;
+      if (!in_order || tick.version < 0 || tick.span_ms < 0)
+        return Error{ErrorCode::kInvalid, "ticks are out of order"};
+      ticks.push_back(tick);
+    }
+    return ticks;
+  } catch (const std::exception& error) {
+    return Error{ErrorCode::kInvalid, error.what()};
+  }
+}
+
+}  // namespace coltsfootvane
--- /dev/null
+++ b/src/idempotency/record_expiry_unittest.cc
@@ -0,0 +1,115 @@
+#include "idempotency/record_expiry.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+
+constexpr Milliseconds kKeep{1000};
+
+}  // namespace
+
+TEST_GROUP(RecordExpiry){};
+
+// Guards against the deletion of a record that a repeated call may still need.
+TEST(RecordExpiry, OnlyWhatIsKnownToBeOldExpires) {
+  // 10 s between the versions 100 and 200, 0.5 s to each later tick.
+  const ExpiryTicks ticks = {{100, 0}, {200, 10000}, {300, 500}, {400, 500}};
+  struct Row {
+    const char* name;
+    RecordState state;
+    std::int64_t version;       ///< Of the record.
+    std::int64_t list_version;  ///< Of the list that it was read from.
+    bool expired;
+  };
+  const Row rows[] = {
+      {"as old as kept", RecordState::kDone, 200, 400, true},
+      {"older", RecordState::kDone, 5, 400, true},
+      {"younger by one write", RecordState::kDone, 201, 400, false},
+      {"written since the last tick", RecordState::kDone, 450, 500, false},
+      {"reserved", RecordState::kReserved, 200, 400, true},
+      {"not run", RecordState::kNotRun, 200, 400, true},
+      {"sending, not ten times as old", RecordState::kSending, 101, 400, false},
+      {"sending, ten times as old", RecordState::kSending, 100, 400, true},
+      {"written again meanwhile, an old list", RecordState::kDone, 200, 399,
+       false},
+      {"the platform was restored", RecordState::kDone, 150, 160, false},
+  };
+  for (const Row& row : rows) {
+    CHECK_EQUAL_TEXT(
+        row.expired,
+        IsExpired(ticks, row.state, row.version, row.list_version, kKeep),
+        row.name);
+  }
+}
+
+// Guards against ages from clocks: a wall clock that jumps is not asked, and
+// time that no process has measured does not count.
+TEST(RecordExpiry, AgeIsTheSumOfMeasuredSpans) {
+  struct Row {
+    const char* name;
+    ExpiryTicks ticks;
+    std::int64_t version;  ///< Of the newest version that is as old as kept.
+  };
+  const Row rows[] = {
+      {"no tick", {}, 0},
+      {"one tick", {{10, 0}}, 0},
+      {"the span before the first tick", {{10, 5000}}, 0},
+      {"one span short", {{10, 0}, {20, 999}}, 0},
+      {"one span", {{10, 0}, {20, 1000}}, 10},
+      {"a process that was paused", {{10, 0}, {20, 90000}}, 10},
+      {"many planners that held the lease briefly",
+       {{10, 0}, {20, 0}, {30, 0}, {40, 0}},
+       0},
+      {"no record was written", {{10, 0}, {10, 400}, {10, 400}, {10, 400}}, 10},
+      {"several spans", {{10, 0}, {20, 400}, {30, 600}, {40, 400}}, 20},
+  };
+  for (const Row& row : rows)
+    LONGS_EQUAL_TEXT(row.version, VersionOfAge(row.ticks, kKeep), row.name);
+}
+
+// Guards against ticks that grow without bound, or that are dropped although a
+// `sending` record is still judged by them.
+TEST(RecordExpiry, TicksReachTenTimesTheKeptTime) {
+  ExpiryTicks ticks;
+  for (std::int64_t version = 1; version <= 1000; ++version)
+    CHECK(AppendTick(&ticks, version, Milliseconds{100}, kKeep));
+  LONGS_EQUAL(101, ticks.size());
+  LONGS_EQUAL(990, VersionOfAge(ticks, kKeep));
+  LONGS_EQUAL(900, VersionOfAge(ticks, kKeep * kSendingKeepFactor));
+}
+
+// Guards against versions of a restored platform that are taken for old ones.
+TEST(RecordExpiry, ALowerVersionStartsAnew) {
+  ExpiryTicks ticks = {{100, 0}, {200, 5000}};
+  CHECK(!AppendTick(&ticks, 150, Milliseconds{5000}, kKeep));
+  LONGS_EQUAL(1, ticks.size());
+  LONGS_EQUAL(0, VersionOfAge(ticks, kKeep));
+}
+
+// Guards against damaged ticks that are used.
+TEST(RecordExpiry, ParsesOnlyTicksInOrder) {
+  struct Row {
+    const char* json;
+    bool valid;
+  };
+  const Row rows[] = {
+      {R"({"ticks":[]})", true},
+      {R"({"ticks":[[1,0],[1,5],[2,7]]})", true},
+      {R"({"ticks":[[2,0],[1,5]]})", false},
+      {R"({"ticks":[[1,0],[2,-5]]})", false},
+      {R"({"ticks":[[1]]})", false},
+      {R"({"ticks":["1"]})", false},
+      {R"({})", false},
+      {"", false},
+  };
+  for (const Row& row : rows) {
+    const Result<ExpiryTicks> ticks = ParseExpiryTicks(row.json);
+    CHECK_EQUAL_TEXT(row.valid, ticks.has_value(), row.json);
+    if (ticks)
+      STRCMP_EQUAL(row.json, FormatExpiryTicks(ticks.value()).c_str());
+  }
+}
--- /dev/null
+++ b/src/idempotency/record_sweeper.cc
@@ -0,0 +1,164 @@
+#include "idempotency/record_sweeper.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "idempotency/events.h"
+
+namespace coltsfootvane {
+namespace {
+
+constexpr char kTicksName[] = "records";
+/// A record may have 1 MB, and a daemon has 64 MB for control.
+constexpr int kPageSize = 20;
+constexpr Milliseconds kIdleInterval{1000};
+constexpr Milliseconds kLongestLookInterval{60000};
+
+Milliseconds LookInterval(Milliseconds keep) {
+  return std::min(kLongestLookInterval, TickInterval(keep) / 4);
+}
+
+}  // namespace
+
+RecordSweeper::RecordSweeper(platform::Connection connection,
+                             RecordSweeperOptions options)
+    : connection(std::move(connection)), options(std::move(options)) {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+RecordSweeper::~RecordSweeper() {
+  this->Stop();
+}
+
+void RecordSweeper::Stop() {
+  this->stop.Stop();
+  if (this->thread.joinable())
+    this->thread.join();
+}
+
+void RecordSweeper::Run() {
+  while (!this->stop.IsStopped()) {
+    if (!this->active) {
+      this->seen_version = -1;
+      this->stop.Wait(kIdleInterval);
+      continue;
+    }
+    if (this->UpdateTicks())
+      this->Sweep();
+    this->stop.Wait(LookInterval(this->options.keep));
+  }
+}
+
+TimePoint RecordSweeper::Pace() {
+  const std::chrono::duration<double> pause(1 / this->options.calls_per_s);
+  this->stop.Wait(std::chrono::duration_cast<Milliseconds>(pause));
+  return Clock::now() + this->options.call_timeout;
+}
+
+bool RecordSweeper::UpdateTicks() {
+  const Result<platform::Object> object = platform::ReadObject(
+      this->connection, platform::kExpiryKind, kTicksName, this->Pace());
+  const bool missing = !object && object.error().code == ErrorCode::kNotFound;
+  if (!object && !missing)
+    return false;
+  const std::int64_t version = missing ? 0 : object.value().resource_version;
+  if (version == this->seen_version) {
+    const bool due =
+        Clock::now() - this->seen_at >= TickInterval(this->options.keep);
+    return due && this->TakeTick();
+  }
+  this->seen_version = version;
+  this->seen_at = Clock::now();
+  this->ticks.clear();
+  if (missing)
+    return this->TakeTick();
+  Result<ExpiryTicks> parsed = ParseExpiryTicks(object.value().spec);
+  if (!parsed) {
+    LogEvent(kExpiryRestarted, "reason=" + parsed.error().message);
+    return this->TakeTick();
+  }
+  this->ticks = std::move(parsed.value());
+  return true;
+}
+
+bool RecordSweeper::TakeTick() {
+  const TimePoint deadline = this->Pace();
+  const auto span =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - this->seen_at);
+  const Result<platform::ObjectList> list = platform::ListObjectPage(
+      this->connection, platform::kRecordKind, 1, "", deadline);
+  if (!list)
+    return false;
+  ExpiryTicks next = this->ticks;
+  if (!AppendTick(&next, list.value().resource_version, span,
+                  this->options.keep))
+    LogEvent(kExpiryRestarted, "reason=version went down");
+  platform::Object object;
+  object.kind = platform::kExpiryKind;
+  object.name = kTicksName;
+  object.resource_version = this->seen_version;
+  object.spec = FormatExpiryTicks(next);
+  const TimePoint write_deadline = this->Pace();
+  const Result<platform::Object> stored =
+      object.resource_version == 0
+          ? platform::CreateObject(this->connection, object, write_deadline)
+          : platform::UpdateObject(this->connection, object, write_deadline);
+  // A write that took effect without an answer is seen by the next read.
+  if (!stored)
+    return false;
+  this->ticks = std::move(next);
+  this->seen_version = stored.value().resource_version;
+  this->seen_at = Clock::now();
+  return true;
+}
+
+void RecordSweeper::Sweep() {
+  if (VersionOfAge(this->ticks, this->options.keep) == 0)
+    return;
+  int deleted = 0;
+  std::string token;
+  do {
+    const Result<platform::ObjectList> page =
+        platform::ListObjectPage(this->connection, platform::kRecordKind,
+                                 kPageSize, token, this->Pace());
+    if (!page)
+      break;
+    deleted += this->SweepPage(page.value());
+    token = page.value().continue_token;
+  } while (!token.empty() && this->Goes());
+  if (deleted > 0)
+    LogEvent(kRecordsExpired, "deleted=" + std::to_string(deleted));
+}
+
+int RecordSweeper::SweepPage(const platform::ObjectList& page) {
+  int deleted = 0;
+  for (const platform::Object& object : page.items) {
+    if (!this->Goes())
+      break;
+    const Result<Record> record = ParseRecord(object.spec);
+    if (!record)
+      continue;
+    const RecordState state = record.value().state;
+    if (IsExpired(this->ticks, state, object.resource_version,
+                  page.resource_version, this->options.keep))
+      deleted += this->DeleteRecord(object, state) ? 1 : 0;
+  }
+  return deleted;
+}
+
+bool RecordSweeper::DeleteRecord(const platform::Object& object,
+                                 RecordState state) {
+  const Result<bool> deleted =
+      platform::DeleteObject(this->connection, object, this->Pace());
+  const bool changed =
+      !deleted && (deleted.error().code == ErrorCode::kConflict ||
+                   deleted.error().code == ErrorCode::kNotFound);
+  if (this->options.on_expiry) {
+    const char* const failure = changed ? "changed" : "failed";
+    this->options.on_expiry(state, deleted ? "deleted" : failure);
+  }
+  return deleted.has_value();
+}
+
+}  // namespace coltsfootvane
--- a/src/idempotency/record_writer.h
+++ b/src/idempotency/record_writer.h
@@ -25,7 +25,7 @@
   Milliseconds first_backoff{50};
   Milliseconds max_backoff{5000};
   /// After that the record itself has expired.
-  std::chrono::hours keep{168};
+  Milliseconds keep{std::chrono::hours{168}};
   std::uint64_t seed = 1;  ///< Of the backoff's jitter.
 };
 
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -84,6 +84,11 @@
           .Name("coltsfootvane_record_steps_total")
           .Help("Steps of irreversible calls by result")
           .Register(registry);
+  Family<Counter>& record_expiries =
+      BuildCounter()
+          .Name("coltsfootvane_record_expiries_total")
+          .Help("Deletions of expired records by state and result")
+          .Register(registry);
   Family<Histogram>& first_token =
       BuildHistogram()
           .Name("coltsfootvane_first_token_seconds")
@@ -148,6 +153,13 @@
       .Increment();
 }
 
+void Metrics::CountRecordExpiry(std::string_view state,
+                                std::string_view result) {
+  this->families->record_expiries
+      .Add({{"state", std::string(state)}, {"result", std::string(result)}})
+      .Increment();
+}
+
 void Metrics::ObserveFirstToken(Priority priority, Seconds time) {
   this->families->first_token_of[static_cast<std::size_t>(priority)]->Observe(
       time.count());
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -34,6 +34,9 @@
   void CountResume(Priority priority);
   void CountPreemption(Priority priority);
   void CountRecordStep(std::string_view step, std::string_view result);
+  /// `state` is that of the record; `result` is `deleted`, `changed` (by
+  /// somebody else in the meantime) or `failed`.
+  void CountRecordExpiry(std::string_view state, std::string_view result);
   void ObserveFirstToken(Priority priority, Seconds time);
   void ObserveTokenGap(Priority priority, Seconds time);
   /// From the arrival of a request to its refusal.
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -92,6 +92,20 @@
   return stored;
 }
 
+Result<ObjectList> ListWithQuery(const Connection& connection,
+                                 std::string_view kind,
+                                 const std::string& query,
+                                 TimePoint deadline) {
+  http::Request request;
+  request.method = "GET";
+  request.path = KindPath(kind);
+  request.query = query;
+  const Result<std::string> body = CallPlatform(connection, request, deadline);
+  if (!body)
+    return body.error();
+  return ParseObjectList(kind, body.value());
+}
+
 /// Collects the lines of one watch.
 class WatchReader {
  public:
@@ -260,13 +274,18 @@
 Result<ObjectList> ListObjects(const Connection& connection,
                                std::string_view kind,
                                TimePoint deadline) {
-  http::Request request;
-  request.method = "GET";
-  request.path = KindPath(kind);
-  const Result<std::string> body = CallPlatform(connection, request, deadline);
-  if (!body)
-    return body.error();
-  return ParseObjectList(kind, body.value());
+  return ListWithQuery(connection, kind, "", deadline);
+}
+
+Result<ObjectList> ListObjectPage(const Connection& connection,
+                                  std::string_view kind,
+                                  int limit,
+                                  std::string_view continue_token,
+                                  TimePoint deadline) {
+  std::string query = "limit=" + std::to_string(limit);
+  if (!continue_token.empty())
+    query += "&continue=" + PercentEncode(continue_token);
+  return ListWithQuery(connection, kind, query, deadline);
 }
 
 Result<ChangeBatch> WatchObjects(const Connection& connection,
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -57,6 +57,15 @@
                                std::string_view kind,
                                TimePoint deadline);
 
+/// Returns at most `limit` objects after those of the page that gave
+/// `continue_token`, which is empty for the first page. Also kGone if the token
+/// has expired.
+Result<ObjectList> ListObjectPage(const Connection& connection,
+                                  std::string_view kind,
+                                  int limit,
+                                  std::string_view continue_token,
+                                  TimePoint deadline);
+
 /// Waits for changes of `kind` after `resource_version`. Also kGone: list
 /// again. Counts as one waiting call at the platform; not in the budget.
 /// Ends within about 100 ms with an empty batch once `cancelled`, if given,
--- a/src/platform/object.h
+++ b/src/platform/object.h
@@ -19,6 +19,7 @@
 struct ObjectList {
   std::vector<Object> items;
   std::int64_t resource_version = 0;  ///< Where a watch continues.
+  std::string continue_token;         ///< For the next page; empty on the last.
 };
 
 enum class ChangeType { kAdded, kModified, kDeleted };
@@ -40,6 +41,7 @@
 inline constexpr char kLeaseKind[] = "leases";
 inline constexpr char kPlacementKind[] = "placements";
 inline constexpr char kRecordKind[] = "records";
+inline constexpr char kExpiryKind[] = "expiry";
 inline constexpr char kAuditKind[] = "audit";
 inline constexpr char kDaemonKind[] = "daemons";
 inline constexpr char kVmKind[] = "vms";
--- a/src/platform/object_json.cc
+++ b/src/platform/object_json.cc
@@ -111,6 +111,9 @@
   if (metadata == nullptr || items == nullptr || !items->is_array() ||
       !ReadVersion(*metadata, &list.resource_version))
     return malformed;
+  const Json* const token = FindMember(*metadata, "continue");
+  if (token != nullptr && token->is_string())
+    list.continue_token = token->get<std::string>();
   for (const Json& item : *items) {
     Object object;
     if (!ReadObjectValue(kind, item, &object))
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -77,6 +77,22 @@
               &settings->stop_timeout_ms);
 }
 
+void ReadRecords(MapReader* map, Settings* settings) {
+  constexpr int kSecondsPerHour = 3600;
+  constexpr int kMaxHours = 24 * 366;
+  constexpr int kMaxSeconds = kMaxHours * kSecondsPerHour;
+  const bool in_hours = map->Find("keep_hours", kOptional) != nullptr;
+  const bool in_seconds = map->Find("keep_seconds", kOptional) != nullptr;
+  int hours = settings->records_keep_s / kSecondsPerHour;
+  ReadInteger(map, "keep_hours", kOptional, {1, kMaxHours}, &hours);
+  settings->records_keep_s = hours * kSecondsPerHour;
+  ReadInteger(map, "keep_seconds", kOptional, {1, kMaxSeconds},
+              &settings->records_keep_s);
+  if (in_hours && in_seconds)
+    AddFinding(map->Source().findings, map->PlaceOfKey("keep_seconds"),
+               "'keep_seconds' and 'keep_hours' exclude each other");
+}
+
 void ReadSections(MapReader* root, Settings* settings) {
   ReadSection(root, "entry", kRequired,
               [settings](MapReader* map) { ReadEntry(map, settings); });
@@ -89,10 +105,8 @@
               [settings](MapReader* map) { ReadPlatform(map, settings); });
   ReadSection(root, "shutdown", kOptional,
               [settings](MapReader* map) { ReadShutdown(map, settings); });
-  ReadSection(root, "records", kOptional, [settings](MapReader* map) {
-    ReadInteger(map, "keep_hours", kOptional, {1, 24LL * 366},
-                &settings->records_keep_hours);
-  });
+  ReadSection(root, "records", kOptional,
+              [settings](MapReader* map) { ReadRecords(map, settings); });
   ReadSection(root, "dispatch", kOptional, [settings](MapReader* map) {
     ReadChoice<DispatchMode>(map, "mode", kOptional, kDispatchModes,
                              &settings->dispatch_mode);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -33,7 +33,7 @@
   double platform_calls_per_s = 20;  ///< Budget of this daemon.
   int balancer_grace_ms = 3000;
   int stop_timeout_ms = 60000;
-  int records_keep_hours = 168;
+  int records_keep_s = 168 * 3600;
   DispatchMode dispatch_mode = DispatchMode::kGranted;
 };
 
--- a/standins/platform_standin/object_api.cc
+++ b/standins/platform_standin/object_api.cc
@@ -103,9 +103,10 @@
   std::lock_guard<std::mutex> lock(this->mutex);
   const bool stale = this->faults.stale_reads && kind == platform::kConfigKind;
   if (call.verb == Verb::kList) {
-    reply.Send(
-        JsonResponse(200, FormatStoredList(stale ? this->store.ListOldest(kind)
-                                                 : this->store.List(kind))));
+    platform::ObjectList list =
+        stale ? this->store.ListOldest(kind) : this->store.List(kind);
+    TakePage(call, &list);
+    reply.Send(JsonResponse(200, FormatStoredList(list)));
     return;
   }
   const Result<platform::Object> object =
--- a/standins/platform_standin/object_call.cc
+++ b/standins/platform_standin/object_call.cc
@@ -1,5 +1,6 @@
 #include "standins/platform_standin/object_call.h"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <string_view>
@@ -155,6 +156,11 @@
     call.watch_time = std::chrono::seconds{
         ParseNumber(QueryValue(request.query, "timeoutSeconds"))};
   }
+  if (call.verb == Verb::kList) {
+    call.limit = static_cast<std::size_t>(std::max<std::int64_t>(
+        0, ParseNumber(QueryValue(request.query, "limit"))));
+    call.continue_token = PercentDecode(QueryValue(request.query, "continue"));
+  }
   const bool has_body =
       call.verb == Verb::kCreate || call.verb == Verb::kUpdate;
   if (has_body && !ReadWrittenObject(request.body, &call.object))
@@ -188,6 +194,19 @@
          verb == Verb::kDelete;
 }
 
+void TakePage(const ObjectCall& call, platform::ObjectList* list) {
+  std::vector<platform::Object>& items = list->items;
+  const auto first = std::find_if(items.begin(), items.end(),
+                                  [&call](const platform::Object& object) {
+                                    return object.name > call.continue_token;
+                                  });
+  items.erase(items.begin(), first);
+  if (call.limit == 0 || items.size() <= call.limit)
+    return;
+  items.resize(call.limit);
+  list->continue_token = items.back().name;
+}
+
 std::string FormatStoredObject(const platform::Object& object) {
   // The spec is JSON as it was parsed, so it is not parsed once more.
   return R"({"metadata":{"name":)" + Json(object.name).dump() +
@@ -197,7 +216,9 @@
 
 std::string FormatStoredList(const platform::ObjectList& list) {
   std::string text = R"({"metadata":{"resourceVersion":")" +
-                     std::to_string(list.resource_version) + R"("},"items":[)";
+                     std::to_string(list.resource_version) +
+                     R"(","continue":)" + Json(list.continue_token).dump() +
+                     R"(},"items":[)";
   const char* separator = "";
   for (const platform::Object& object : list.items) {
     text += separator + FormatStoredObject(object);
--- a/standins/platform_standin/object_call.h
+++ b/standins/platform_standin/object_call.h
@@ -2,6 +2,7 @@
 #define COLTSFOOTVANE_STANDINS_PLATFORM_STANDIN_OBJECT_CALL_H_
 
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   /// Kind, name and, as far as the verb has them, version and spec.
   platform::Object object;
   std::chrono::seconds watch_time{0};  ///< 0 if the caller gave none.
+  std::size_t limit = 0;               ///< Of a list; 0 for no limit.
+  std::string continue_token;          ///< Of a list; empty for its first page.
 };
 
 /// Errors: kInvalid; kNotFound for a path outside of the API.
@@ -27,6 +30,10 @@
 const char* VerbName(Verb verb);
 bool IsWrite(Verb verb);
 
+/// Reduces a list in the order of names to the page that `call` asks for. The
+/// token of a page is the name of its last object.
+void TakePage(const ObjectCall& call, platform::ObjectList* list);
+
 std::string FormatStoredObject(const platform::Object& object);
 std::string FormatStoredList(const platform::ObjectList& list);
 /// Returns the lines of `changes`, each with its line break.
--- a/tests/integration/booking_run.cc
+++ b/tests/integration/booking_run.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kWorkers = 25;
+constexpr std::size_t kCallersAtOnce = 16;
 
 constexpr char kShortClasses[] = R"(classes:
   interactive:
@@ -66,6 +67,25 @@
   return object.is_object() ? object["spec"].value("state", "none") : "missing";
 }
 
+std::vector<Answer> CallKeys(const Site& site,
+                             const std::string& prefix,
+                             int count) {
+  std::vector<Answer> answers(static_cast<std::size_t>(count));
+  std::vector<std::thread> workers;
+  for (std::size_t worker = 0; worker < kCallersAtOnce; ++worker) {
+    workers.emplace_back([&, worker] {
+      for (std::size_t i = worker; i < answers.size(); i += kCallersAtOnce) {
+        const std::string key = prefix + std::to_string(i);
+        answers[i] = Ask(site.daemons[i % site.daemons.size()].entry,
+                         BookingRequest(key, BodyOf(key)));
+      }
+    });
+  }
+  for (std::thread& worker : workers)
+    worker.join();
+  return answers;
+}
+
 void BookingRun::CallKey(KeyHistory* history, std::mt19937_64* worker_random) {
   const int refusing_before = this->refusing.load();
   const http::Request request =
--- a/tests/integration/booking_run.h
+++ b/tests/integration/booking_run.h
@@ -30,6 +30,12 @@
 /// Returns the state of the key's record at the platform, or an empty string.
 std::string RecordStateOf(const Site& site, const std::string& key);
 
+/// Calls the keys `prefix`0 to `prefix`<count - 1>, 16 at once, over all
+/// daemons.
+std::vector<Answer> CallKeys(const Site& site,
+                             const std::string& prefix,
+                             int count);
+
 /// Everything that the callers of one key were told.
 struct KeyHistory {
   std::string key;
--- /dev/null
+++ b/tests/integration/record_test.cc
@@ -0,0 +1,113 @@
+#include <algorithm>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "booking_calls.h"
+#include "booking_run.h"
+#include "http_calls.h"
+#include "idempotency/record.h"
+#include "site.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using coltsfootvane::Clock;
+using coltsfootvane::Milliseconds;
+using coltsfootvane::RecordName;
+using coltsfootvane::Result;
+using coltsfootvane::TimePoint;
+using namespace coltsfootvane::testing;  // NOLINT(google-build-using-namespace)
+namespace http = coltsfootvane::http;
+
+/// Reads the states of all records by name. Returns false if the platform does
+/// not answer.
+bool ReadStates(const Site& site, std::map<std::string, std::string>* states) {
+  const Json list = GetJson(site.platform, "/apis/coltsfootvane/v1/records");
+  if (!list.is_object())
+    return false;
+  states->clear();
+  for (const Json& item : list["items"])
+    (*states)[item["metadata"]["name"]] = item["spec"].value("state", "none");
+  return true;
+}
+
+/// Returns the deletions of records in state `done` that the daemon counted.
+long DeletedRecords(const DaemonProcess& daemon) {
+  const Result<http::Response> metrics = Get(daemon.admin, "/metrics");
+  if (!metrics)
+    return 0;
+  const std::string& text = metrics.assume_value().body;
+  const std::string name =
+      "coltsfootvane_record_expiries_total{result=\"deleted\",state=\"done\"} ";
+  const std::size_t place = text.find(name);
+  return place == std::string::npos
+             ? 0
+             : std::stol(text.substr(place + name.size()));
+}
+
+}  // namespace
+
+TEST_GROUP(Records){};
+
+// Guards against records that are kept for ever, and against the deletion of
+// one that is younger than the kept time or whose call may have run.
+TEST(Records, ExpiredRecordsAreDeleted) {
+  constexpr int kCalls = 30;
+  constexpr int kUnknown = 6;
+  constexpr int kKeepSeconds = 3;
+  constexpr int kWaitMs = 25000;
+  SiteOptions options = BookingSite();
+  options.records_keep_seconds = kKeepSeconds;
+  Site site{options};
+  site.StartAll();
+  for (const StandinProcess& service : site.services)
+    SetFaults(service.direct, {{"lose_response", 1000}});
+  for (const Answer& answer : CallKeys(site, "unknown-", kUnknown))
+    STRCMP_EQUAL_TEXT("unknown", answer.run.c_str(), answer.body.c_str());
+  for (const StandinProcess& service : site.services)
+    SetFaults(service.direct, {{"lose_response", 0}});
+  std::map<std::string, TimePoint> written;  ///< By the record's name.
+  for (int i = 0; i < kCalls; ++i) {
+    const std::string key = "old-" + std::to_string(i);
+    written[RecordName("counter", "/booking/bookings", key)] = Clock::now();
+    const Answer answer =
+        Ask(site.daemons[static_cast<std::size_t>(i) % 4].entry,
+            BookingRequest(key, BodyOf(key)));
+    LONGS_EQUAL_TEXT(200, answer.status, answer.body.c_str());
+  }
+  Milliseconds youngest{kWaitMs};
+  Milliseconds oldest{0};
+  std::map<std::string, std::string> stored;
+  const auto all_deleted = [&] {
+    if (!ReadStates(site, &stored))
+      return false;
+    for (auto it = written.begin(); it != written.end();) {
+      if (stored.count(it->first) > 0) {
+        ++it;
+        continue;
+      }
+      const auto age =
+          std::chrono::duration_cast<Milliseconds>(Clock::now() - it->second);
+      youngest = std::min(youngest, age);
+      oldest = std::max(oldest, age);
+      it = written.erase(it);
+    }
+    return written.empty();
+  };
+  CHECK(WaitUntil(In(kWaitMs), all_deleted));
+  const auto sending = std::count_if(
+      stored.begin(), stored.end(),
+      [](const auto& entry) { return entry.second == "sending"; });
+  std::printf("\ndeleted=%d ages=%ld..%ld ms sending kept=%ld\n", kCalls,
+              static_cast<long>(youngest.count()),
+              static_cast<long>(oldest.count()), static_cast<long>(sending));
+  long counted = 0;
+  for (const DaemonProcess& daemon : site.daemons)
+    counted += DeletedRecords(daemon);
+  LONGS_EQUAL(kCalls, counted);
+  CHECK(youngest >= std::chrono::seconds{kKeepSeconds});
+  LONGS_EQUAL(kUnknown, sending);
+}
--- a/tests/integration/site.cc
+++ b/tests/integration/site.cc
@@ -218,8 +218,9 @@
           "\n  call_timeout_ms: 1000\n  calls_per_s: 200\nshutdown:\n"
           "  balancer_grace_ms: " +
           std::to_string(this->options.balancer_grace_ms) +
-          "\n  stop_timeout_ms: 30000\ndispatch:\n  mode: " +
-          this->options.dispatch_mode + "\n";
+          "\n  stop_timeout_ms: 30000\nrecords:\n  keep_seconds: " +
+          std::to_string(this->options.records_keep_seconds) +
+          "\ndispatch:\n  mode: " + this->options.dispatch_mode + "\n";
   this->WriteFile(daemon.id + ".yaml", text);
   if (daemon.platform_proxy_control.port == 0)
     return;
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -54,6 +54,7 @@
   std::string classes;
   std::string survival_goal = "vm";
   int entry_threads = 128;
+  int records_keep_seconds = 604800;
   std::vector<std::string> engine_arguments;  ///< Added to every engine's.
   std::vector<std::string> platform_arguments;
 };
