Entry: Keep the key of a call that a leaving service refused

Cause: a service that leaves and refuses an irreversible call with 503 and `X-Leaving: 1` states that it has not run it. The record became done(503), and every repeat of the key got that 503 although the call could be run safely.

Change: exactly this answer, with the request's id, counts as not run by that replica. The same attempt goes on to another replica within the deadline; with none left the record becomes `not_run` and the caller hears "not run" with `Retry-After`. The record passes through no further step: while it says `sending` no other attempt can take it over, and the first send was refused as a whole. Ruled out: a step back to `reserved`, which costs two writes and lets another attempt in between. A refusal by a leaving replica takes no retry from the budget, as for reads, since the replica is excluded afterwards. Calls that are sent once without a key follow the same rule.

Tests: rows in the step tables; Records.RefusalsOfLeavingServicesUseUpNoKey counts effects per key. ListVm() moves from leaving_test.cc to http_calls.h, so that both tests use it; leaving_test.cc is otherwise unchanged.

A service that says so although it has run the call is believed.

--- a/src/entry/refusal.h
+++ b/src/entry/refusal.h
@@ -10,8 +10,8 @@
 
 class SendTracker;
 
-/// Proof that no byte of a request was written to an endpoint. Only a
-/// SendTracker makes one.
+/// Proof that no byte of a request was written to an endpoint, except to those
+/// that stated that they have not run it. Only a SendTracker makes one.
 class NotSent {
  private:
   friend class SendTracker;
@@ -27,7 +27,8 @@
     this->sent = true;
   }
 
-  /// The call that was begun last failed before its first byte.
+  /// The call that was begun last failed before its first byte, or the endpoint
+  /// states that it has not run it.
   void CallNotSent() { this->sent = this->sent_before; }
 
   /// Returns nothing if a byte may have been written.
--- a/src/entry/service_call.cc
+++ b/src/entry/service_call.cc
@@ -58,6 +58,13 @@
   return http::FindHeader(response.headers, "X-Leaving") == "1";
 }
 
+/// A leaving endpoint refuses what it has not begun; see docs/design.md,
+/// section 6, "Leaving VMs". CallService() has compared the request id.
+bool IsRefusedByLeaving(const Result<http::Response>& response) {
+  return response && response.value().status == 503 &&
+         IsLeaving(response.value());
+}
+
 }  // namespace
 
 ServiceCall::ServiceCall(CallContext* context) : context(context) {}
@@ -114,7 +121,7 @@
       slot.address, this->MakeRequest(slot.call_id), this->context->deadline);
   const bool not_sent =
       !response && response.error().code == ErrorCode::kNotSent;
-  if (not_sent)
+  if (not_sent || IsRefusedByLeaving(response))
     this->context->tracker.CallNotSent();
   SlotOutcome outcome;
   outcome.endpoint_failed = !response && Clock::now() < this->context->deadline;
@@ -126,17 +133,25 @@
 }
 
 Result<http::Response> ServiceCall::SendOnce() {
+  bool refused_before = false;
   for (;;) {
     Result<http::Response> response = this->CallHeld();
+    const bool refused = IsRefusedByLeaving(response);
     const bool not_sent =
         !response && response.error().code == ErrorCode::kNotSent;
-    if (!not_sent || !TryRetry(this->context))
+    refused_before = refused_before || refused;
+    // A leaving replica costs no retry: each refuses a request once.
+    if (!refused && (!not_sent || !TryRetry(this->context)))
       return response;
     const TimePoint limit =
         std::min(this->context->deadline, Clock::now() + kSecondSlotTimeout);
     const Result<bool> prepared = this->Prepare(limit);
-    if (!prepared)
-      return prepared.error();
+    if (prepared)
+      continue;
+    Error error = prepared.error();
+    if (refused_before)
+      error.code = ErrorCode::kRefused;
+    return error;
   }
 }
 
@@ -148,9 +163,7 @@
       return;
     }
     Result<http::Response> response = this->CallHeld();
-    const bool refused_by_leaving = response &&
-                                    response.value().status == 503 &&
-                                    IsLeaving(response.value());
+    const bool refused_by_leaving = IsRefusedByLeaving(response);
     if (response && !refused_by_leaving) {
       this->Deliver(std::move(response.value()), false);
       return;
@@ -231,9 +244,10 @@
                                    retry_after_ms));
       return;
     case RunResult::kKeyReused:
-      SendRefusal(this->context,
-                  RefuseBy(this->context->tracker, 422, "key_reused",
-                           "this Idempotency-Key belongs to another body", 0));
+      SendRefusal(
+          this->context,
+          RefuseBy(this->context->tracker, 422, "key_reused",
+                   "this Idempotency-Key belongs to another request", 0));
       return;
     case RunResult::kDoneNotStored: {
       const nlohmann::ordered_json body = {
--- a/src/entry/service_call.h
+++ b/src/entry/service_call.h
@@ -25,7 +25,9 @@
   Result<bool> Prepare(TimePoint deadline);
   /// Calls the endpoint of the held slot, which is then given back.
   Result<http::Response> CallHeld();
-  /// Sends once; other replicas are tried only before the first byte.
+  /// Sends once; other replicas are tried only before the first byte, or after
+  /// a replica stated that it leaves and has not run the call. kRefused: no
+  /// replica was left after such statements.
   Result<http::Response> SendOnce();
   http::Request MakeRequest(const std::string& call_id) const;
   void ReleaseHeld();
--- a/src/idempotency/next_step.cc
+++ b/src/idempotency/next_step.cc
@@ -179,6 +179,7 @@
     case StepEvent::kSendComplete:
       return Act(state, StepAction::kWriteDone, state->version);
     case StepEvent::kSendNotSent:
+    case StepEvent::kSendRefused:
       return Act(state, StepAction::kFence, state->version);
     case StepEvent::kOutOfTime:
       return GiveUp(state);
@@ -263,6 +264,8 @@
       return "not_prepared";
     case StepEvent::kSendNotSent:
       return "not_sent";
+    case StepEvent::kSendRefused:
+      return "refused";
     case StepEvent::kSendUnknown:
       return "unknown";
     case StepEvent::kSendComplete:
--- a/src/idempotency/next_step.h
+++ b/src/idempotency/next_step.h
@@ -35,6 +35,7 @@
   kPrepared,      ///< The call can be sent.
   kNotPrepared,   ///< The call cannot be sent now.
   kSendNotSent,   ///< No byte of the call was written.
+  kSendRefused,   ///< Every service that got the call states it has not run it.
   kSendUnknown,   ///< The call may have run.
   kSendComplete,  ///< A whole response arrived.
   kOutOfTime,     ///< The deadline passed before the action was begun.
--- a/src/idempotency/next_step_unittest.cc
+++ b/src/idempotency/next_step_unittest.cc
@@ -80,6 +80,7 @@
 constexpr Input kPrepared{StepEvent::kPrepared};
 constexpr Input kNotPrepared{StepEvent::kNotPrepared};
 constexpr Input kNotSent{StepEvent::kSendNotSent};
+constexpr Input kSendRefused{StepEvent::kSendRefused};
 constexpr Input kSendUnknown{StepEvent::kSendUnknown};
 constexpr Input kComplete{StepEvent::kSendComplete};
 constexpr Input kOutOfTime{StepEvent::kOutOfTime};
@@ -93,7 +94,6 @@
 }
 
 constexpr Input kOtherBody{StepEvent::kRead, RecordState::kDone, "other", "x"};
-
 }  // namespace
 
 TEST_GROUP(NextStep){};
@@ -122,6 +122,12 @@
       {"connection refused, fence lost",
        {kWritten, kPrepared, kWritten, kNotSent, kLost},
        "create prepare update_sending send fence answer:not run+fence"},
+      {"refused by leaving replicas",
+       {kWritten, kPrepared, kWritten, kSendRefused, kWritten},
+       "create prepare update_sending send fence answer:not run"},
+      {"refused by leaving replicas, fence lost",
+       {kWritten, kPrepared, kWritten, kSendRefused, kLost},
+       "create prepare update_sending send fence answer:not run+fence"},
       {"paused past the deadline before the send",
        {kWritten, kPrepared, kWritten, kOutOfTime},
        "create prepare update_sending send answer:not run+fence"},
--- a/src/idempotency/run_once.cc
+++ b/src/idempotency/run_once.cc
@@ -90,6 +90,8 @@
   }
   if (result.error().retry_after_ms > 0)
     this->retry_after_ms = result.error().retry_after_ms;
+  if (result.error().code == ErrorCode::kRefused)
+    return Just(StepEvent::kSendRefused);
   const bool not_sent = result.error().code == ErrorCode::kNotSent ||
                         result.error().code == ErrorCode::kTimeout;
   return Just(not_sent ? StepEvent::kSendNotSent : StepEvent::kSendUnknown);
--- a/src/idempotency/run_once.h
+++ b/src/idempotency/run_once.h
@@ -31,7 +31,7 @@
 };
 
 struct RunRequest {
-  std::string name;         ///< RecordName().
+  std::string name;           ///< RecordName().
   std::string body_digest;  ///< DigestHex() of the request's body.
   TimePoint deadline;
   Milliseconds platform_timeout{1000};  ///< Of each platform call.
@@ -43,7 +43,8 @@
   /// not run.
   std::function<Result<bool>()> prepare;
   /// Sends the call. Called at most once. kNotSent and kTimeout mean that no
-  /// byte was written.
+  /// byte was written; kRefused that every service which got the call states
+  /// that it has not run it.
   std::function<Result<http::Response>()> send;
   /// Told each step and its result.
   std::function<void(StepAction, StepEvent)> on_step;
--- a/src/idempotency/run_once_unittest.cc
+++ b/src/idempotency/run_once_unittest.cc
@@ -136,6 +136,8 @@
        RunResult::kUnknown, RunResult::kUnknown, 1},
       {"not sent", Error{ErrorCode::kNotSent, "refused"}, "d",
        RunResult::kNotRun, RunResult::kNotRun, 2},
+      {"refused by a leaving service", Error{ErrorCode::kRefused, "leaving"},
+       "d", RunResult::kNotRun, RunResult::kNotRun, 2},
   };
   for (const Row& row : rows) {
     MemoryStore store;
--- a/tests/integration/http_calls.cc
+++ b/tests/integration/http_calls.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kCallTimeoutMs = 30000;
+constexpr char kVmPath[] = "/apis/coltsfootvane/v1/vms";
 
 void ParseEvent(std::string_view block, ReceivedEvent* event) {
   while (!block.empty()) {
@@ -130,4 +131,24 @@
   return text;
 }
 
+void ListVm(const http::Address& platform,
+            const std::string& endpoint,
+            const char* state) {
+  const std::string path = std::string(kVmPath) + "/vm-" + endpoint;
+  nlohmann::json object = {
+      {"metadata", {{"name", "vm-" + endpoint}}},
+      {"spec", {{"state", state}, {"endpoint", endpoint}}}};
+  const nlohmann::json known = GetJson(platform, path);
+  if (!known.is_null())
+    object["metadata"]["resourceVersion"] =
+        known["metadata"]["resourceVersion"];
+  const Result<http::Response> response =
+      Send(platform, {known.is_null() ? "POST" : "PUT",
+                      known.is_null() ? kVmPath : path,
+                      "",
+                      {{"Content-Type", "application/json"}},
+                      object.dump()});
+  CHECK(response && response.assume_value().status < 300);
+}
+
 }  // namespace coltsfootvane::testing
--- a/tests/integration/http_calls.h
+++ b/tests/integration/http_calls.h
@@ -61,6 +61,12 @@
 /// Joins the text of all data events of a stream.
 std::string StreamText(const ReceivedStream& stream);
 
+/// Writes the VM of `endpoint` into the platform's list; `state` is `live` or
+/// `leaving`.
+void ListVm(const http::Address& platform,
+            const std::string& endpoint,
+            const char* state);
+
 }  // namespace coltsfootvane::testing
 
 #endif  // COLTSFOOTVANE_TESTS_INTEGRATION_HTTP_CALLS_H_
--- a/tests/integration/leaving_test.cc
+++ b/tests/integration/leaving_test.cc
@@ -21,26 +21,6 @@
 
 constexpr unsigned kSeed = 20261204;
 constexpr int kCallers = 22;
-constexpr char kVmPath[] = "/apis/coltsfootvane/v1/vms";
-
-/// Writes the VM of `endpoint` into the platform's list.
-void ListVm(const Site& site, const std::string& endpoint, const char* state) {
-  const std::string path = std::string(kVmPath) + "/vm-" + endpoint;
-  nlohmann::json object = {
-      {"metadata", {{"name", "vm-" + endpoint}}},
-      {"spec", {{"state", state}, {"endpoint", endpoint}}}};
-  const nlohmann::json known = GetJson(site.platform, path);
-  if (!known.is_null())
-    object["metadata"]["resourceVersion"] =
-        known["metadata"]["resourceVersion"];
-  const Result<http::Response> response =
-      Send(site.platform, {known.is_null() ? "POST" : "PUT",
-                           known.is_null() ? kVmPath : path,
-                           "",
-                           {{"Content-Type", "application/json"}},
-                           object.dump()});
-  CHECK(response && response.assume_value().status < 300);
-}
 
 /// Requests that an engine has taken so far.
 long CountStarted(const StandinProcess& engine) {
@@ -94,7 +74,7 @@
 Site site{options};
 site.StartAll();
 StandinProcess& leaving = site.engines[0];
-ListVm(site, leaving.id, "live");
+ListVm(site.platform, leaving.id, "live");
 Tally tally;
 std::atomic<int> number{0};
 BalancedLoad load(&site, kSeed);
@@ -111,7 +91,7 @@
 if (sign.outage)
   SetFaults(site.platform, {{"outage", true}});
 if (sign.faults.is_null())
-  ListVm(site, leaving.id, "leaving");
+  ListVm(site.platform, leaving.id, "leaving");
 else
   SetFaults(leaving.direct, sign.faults);
 const long others =
@@ -123,9 +103,9 @@
 if (!sign.faults.is_null()) {
   SetFaults(site.platform, nlohmann::json::object());
   SetFaults(leaving.direct, {{"leaving", false}, {"fail_requests", 0}});
-  ListVm(site, leaving.id, "leaving");
+  ListVm(site.platform, leaving.id, "leaving");
 }
-ListVm(site, leaving.id, "live");
+ListVm(site.platform, leaving.id, "live");
 const TimePoint live = Clock::now();
 const long before = CountStarted(leaving);
 const bool back =
--- a/tests/integration/record_test.cc
+++ b/tests/integration/record_test.cc
@@ -52,6 +52,51 @@
 
 TEST_GROUP(Records){};
 
+// Guards against a key that is used up by a service that stated that it leaves
+// and has not run the call, and against two effects of one that goes on to
+// another replica.
+TEST(Records, RefusalsOfLeavingServicesUseUpNoKey) {
+  constexpr int kCalls = 40;
+  const Json refusing = {{"leaving", true}, {"refuse_first", 1000000}};
+  const Json working = {{"leaving", false}, {"refuse_first", 0}};
+  Site site{BookingSite()};
+  site.StartAll();
+  for (const StandinProcess& service : site.services)
+    SetFaults(service.direct, refusing);
+  int recorded = 0;
+  for (const Answer& answer : CallKeys(site, "all-", kCalls)) {
+    STRCMP_EQUAL_TEXT("no", answer.run.c_str(), answer.body.c_str());
+    CHECK_TEXT(answer.retry_after_ms > 0, answer.body.c_str());
+  }
+  for (int i = 0; i < kCalls; ++i)
+    recorded +=
+        RecordStateOf(site, "all-" + std::to_string(i)) == "not_run" ? 1 : 0;
+  LONGS_EQUAL(0, site.ServiceEffects().size());
+  for (const StandinProcess& service : site.services) {
+    SetFaults(service.direct, working);
+    // The list ends the note that a replica leaves once it has shown it so.
+    ListVm(site.platform, service.id, "leaving");
+    ListVm(site.platform, service.id, "live");
+  }
+  const bool settled = WaitUntil(In(9000), [&] {
+    const std::vector<Answer> answers = CallKeys(site, "all-", kCalls);
+    return std::all_of(
+        answers.begin(), answers.end(),
+        [](const Answer& answer) { return answer.status == 200; });
+  });
+  CHECK(settled);
+  SetFaults(site.services[0].direct, refusing);
+  for (const Answer& answer : CallKeys(site, "one-", kCalls))
+    LONGS_EQUAL_TEXT(200, answer.status, answer.body.c_str());
+  const Json effects = site.ServiceEffects();
+  std::printf("\nrecorded as not run=%d of %d, effects of %zu keys\n", recorded,
+              kCalls, effects.size());
+  CHECK(recorded > 0);
+  LONGS_EQUAL(2 * kCalls, effects.size());
+  for (const auto& [key, count] : effects.items())
+    LONGS_EQUAL_TEXT(1, count.get<long>(), key.c_str());
+}
+
 // Guards against records that are kept for ever, and against the deletion of
 // one that is younger than the kept time or whose call may have run.
 TEST(Records, ExpiredRecordsAreDeleted) {
