Idempotency: Compare method and query of a repeated key

Cause: only the body was compared. A key that was reused with another query got the stored response of the first request. Ruled out: one digest over method, query and body, because the records of earlier versions, and earlier versions that read new records during a replacement, would find another body and answer 422 to a repeat of a call that has run.

Change: records also hold `target_digest`, of method and query; another one is answered with 422. Records without it are compared by their body.

Tests: rows in the step table and in AtMostOnce.AnswersPerKey (12 rows instead of 8, each with a query); Record.FormatAndParseAgree also compares both digests.

--- a/src/entry/service_call.cc
+++ b/src/entry/service_call.cc
@@ -196,6 +196,8 @@
   RunRequest request;
   request.name = RecordName(call.caller, call.path, call.key);
   request.body_digest = DigestHex(this->context->request->body);
+  request.target_digest = TargetDigest(this->context->request->method,
+                                       this->context->request->query);
   request.deadline = this->context->deadline;
   request.platform_timeout =
       Milliseconds{dependencies.settings.platform_call_timeout_ms};
--- a/src/idempotency/next_step.cc
+++ b/src/idempotency/next_step.cc
@@ -90,6 +90,12 @@
   return Answer(state, StepAnswer::kBadRecord);
 }
 
+bool IsSameRequest(const AttemptState& state, const Record& record) {
+  const bool same_target = record.target_digest.empty() ||
+                           record.target_digest == state.target_digest;
+  return same_target && record.body_digest == state.body_digest;
+}
+
 Step OnRecord(AttemptState* state, const Learned& learned) {
   state->seen = learned.record;
   if (learned.record.attempt == state->attempt)
@@ -97,7 +103,7 @@
   state->others_possible = true;
   // Every write of this attempt is conditional on a version that is gone.
   state->sending_in_doubt = false;
-  if (learned.record.body_digest != state->body_digest)
+  if (!IsSameRequest(*state, learned.record))
     return Answer(state, StepAnswer::kKeyReused);
   return OnForeignRecord(state, learned);
 }
--- a/src/idempotency/next_step.h
+++ b/src/idempotency/next_step.h
@@ -52,7 +52,7 @@
   kReplay,     ///< The stored response, or that it is not stored.
   kNotRun,     ///< Nothing was sent by this attempt.
   kUnknown,    ///< The call may have run, or another attempt may run it.
-  kKeyReused,  ///< The key belongs to another body.
+  kKeyReused,  ///< The key belongs to another request.
   kBadRecord,  ///< The stored record cannot be interpreted: treated as unknown.
 };
 
@@ -78,6 +78,7 @@
 struct AttemptState {
   std::string attempt;
   std::string body_digest;
+  std::string target_digest;
   StepAction last = StepAction::kCreate;
   /// The version that this attempt owns, as reserved or sending.
   std::int64_t version = 0;
--- a/src/idempotency/next_step_unittest.cc
+++ b/src/idempotency/next_step_unittest.cc
@@ -14,6 +14,7 @@
   RecordState state = RecordState::kReserved;
   const char* attempt = "other";
   const char* digest = "d";
+  const char* target = "t";
 };
 
 const char* AnswerName(StepAnswer answer) {
@@ -51,6 +52,7 @@
   AttemptState state;
   state.attempt = "me";
   state.body_digest = "d";
+  state.target_digest = "t";
   Step step = NextStep(&state, {});
   std::string trace(StepActionName(step.action));
   std::int64_t version = 10;
@@ -61,6 +63,7 @@
     learned.record.state = input.state;
     learned.record.attempt = input.attempt;
     learned.record.body_digest = input.digest;
+    learned.record.target_digest = input.target;
     step = NextStep(&state, learned);
     trace += " ";
     trace += StepActionName(step.action);
@@ -94,6 +97,11 @@
 }
 
 constexpr Input kOtherBody{StepEvent::kRead, RecordState::kDone, "other", "x"};
+constexpr Input kOtherQuery{StepEvent::kRead, RecordState::kDone, "other", "d",
+                            "x"};
+constexpr Input kNoTarget{StepEvent::kRead, RecordState::kDone, "other", "d",
+                          ""};
+
 }  // namespace
 
 TEST_GROUP(NextStep){};
@@ -187,6 +195,12 @@
       {"same key, other body",
        {kConflict, kOtherBody},
        "create read answer:key reused"},
+      {"same key, other query",
+       {kConflict, kOtherQuery},
+       "create read answer:key reused"},
+      {"record of a version without the digest of the query",
+       {kConflict, kNoTarget},
+       "create read answer:replay"},
   };
   for (const Row& row : rows)
     STRCMP_EQUAL_TEXT(row.trace, Trace(row.inputs).c_str(), row.name);
--- a/src/idempotency/record.cc
+++ b/src/idempotency/record.cc
@@ -64,6 +64,7 @@
   json spec = {{"state", RecordStateName(record.state)},
                {"attempt", record.attempt},
                {"body_digest", record.body_digest},
+               {"target_digest", record.target_digest},
                {"time_ms", record.time_ms}};
   if (record.state != RecordState::kDone)
     return spec.dump();
@@ -91,6 +92,7 @@
     record.state = *state;
     record.attempt = spec.at("attempt").get<std::string>();
     record.body_digest = spec.at("body_digest").get<std::string>();
+    record.target_digest = spec.value("target_digest", std::string());
     record.time_ms = spec.value("time_ms", std::int64_t{0});
     if (record.state != RecordState::kDone)
       return record;
@@ -114,6 +116,11 @@
   return DigestHex(text);
 }
 
+std::string TargetDigest(std::string_view method, std::string_view query) {
+  // A method has no space.
+  return DigestHex(std::string(method).append(" ").append(query));
+}
+
 Record MakeDone(const Record& record,
                 int status,
                 std::string_view content_type,
--- a/src/idempotency/record.h
+++ b/src/idempotency/record.h
@@ -15,9 +15,12 @@
 /// What is stored about one irreversible call; the spec of a `records` object.
 struct Record {
   RecordState state = RecordState::kReserved;
-  std::string attempt;       ///< Unique per attempt; who wrote the record last.
-  std::string body_digest;   ///< DigestHex() of the request's body.
-  std::int64_t time_ms = 0;  ///< UTC of the last write, for expiry only.
+  std::string attempt;      ///< Unique per attempt; who wrote the record last.
+  std::string body_digest;  ///< DigestHex() of the request's body.
+  /// Of method and query; empty in records of versions that did not compare
+  /// these.
+  std::string target_digest;
+  std::int64_t time_ms = 0;  ///< UTC of the last write, for people only.
   int status = 0;            ///< Of the response; kDone only.
   std::string content_type;
   bool body_stored = false;
@@ -41,6 +44,9 @@
                        std::string_view path,
                        std::string_view key);
 
+/// Returns the digest of what is compared beside the body.
+std::string TargetDigest(std::string_view method, std::string_view query);
+
 /// Returns `record` as done, without the body if that is too large.
 Record MakeDone(const Record& record,
                 int status,
--- a/src/idempotency/run_once.cc
+++ b/src/idempotency/run_once.cc
@@ -19,6 +19,7 @@
       : store(&store), request(&request), functions(&functions) {
     this->state.attempt = RandomId();
     this->state.body_digest = request.body_digest;
+    this->state.target_digest = request.target_digest;
   }
 
   RunOutcome Run();
@@ -58,6 +59,7 @@
   record.state = record_state;
   record.attempt = this->state.attempt;
   record.body_digest = this->state.body_digest;
+  record.target_digest = this->state.target_digest;
   record.time_ms = CurrentTimeMs();
   return record;
 }
--- a/src/idempotency/run_once.h
+++ b/src/idempotency/run_once.h
@@ -17,7 +17,7 @@
   kReplay,         ///< `response` is the stored one.
   kNotRun,         ///< This attempt sent nothing.
   kUnknown,        ///< The call may have run.
-  kKeyReused,      ///< The key belongs to another body; nothing was sent.
+  kKeyReused,      ///< The key belongs to another request; nothing was sent.
   kDoneNotStored,  ///< The call was run; its response is not stored.
 };
 
@@ -32,7 +32,8 @@
 
 struct RunRequest {
   std::string name;           ///< RecordName().
-  std::string body_digest;  ///< DigestHex() of the request's body.
+  std::string body_digest;    ///< DigestHex() of the request's body.
+  std::string target_digest;  ///< TargetDigest().
   TimePoint deadline;
   Milliseconds platform_timeout{1000};  ///< Of each platform call.
 };
--- a/src/idempotency/run_once_unittest.cc
+++ b/src/idempotency/run_once_unittest.cc
@@ -247,6 +247,7 @@
     Record record;
     record.attempt = "a";
     record.body_digest = "d";
+    record.target_digest = "t";
     record.time_ms = 5;
     const Record done = MakeDone(record, 201, "text/plain", body);
     const Result<Record> parsed = ParseRecord(FormatRecord(done));
@@ -257,6 +258,8 @@
     LONGS_EQUAL(201, parsed.value().status);
     STRCMP_EQUAL("text/plain", parsed.value().content_type.c_str());
     STRCMP_EQUAL("a", parsed.value().attempt.c_str());
+    STRCMP_EQUAL("d", parsed.value().body_digest.c_str());
+    STRCMP_EQUAL("t", parsed.value().target_digest.c_str());
   }
 }
 
@@ -269,6 +272,14 @@
     CHECK_TEXT(!ParseRecord(text).has_value(), text);
 }
 
+// Guards against a reused key with another query or method that gets the
+// response of the first request.
+TEST(Record, TargetDigestsDiffer) {
+  CHECK(TargetDigest("POST", "a=1") != TargetDigest("POST", "a=2"));
+  CHECK(TargetDigest("POST", "a=1") != TargetDigest("PUT", "a=1"));
+  CHECK(TargetDigest("POST", "") != TargetDigest("POST", "a"));
+}
+
 // Guards against two different keys sharing one record.
 TEST(Record, NamesDiffer) {
   CHECK(RecordName("ab", "c", "k") != RecordName("a", "bc", "k"));
--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -177,6 +177,7 @@
   struct Row {
     const char* name;
     const char* key;
+    const char* query;
     const char* body;
     std::size_t pad_bytes;
     int status;
@@ -185,14 +186,18 @@
     long effects;  ///< Of the key, afterwards.
   };
   const Row rows[] = {
-      {"no key", "", "{}", 0, 400, "no", false, 0},
-      {"first", "a", R"({"n":1})", 0, 200, "", false, 1},
-      {"repeat", "a", R"({"n":1})", 0, 200, "", true, 1},
-      {"other body", "a", R"({"n":2})", 0, 422, "no", false, 1},
-      {"largest stored", "b", "{}", kStoredBytes, 200, "", false, 1},
-      {"its repeat", "b", "{}", 0, 200, "", true, 1},
-      {"too large to store", "c", "{}", kUnstoredBytes, 200, "", false, 1},
-      {"its repeat", "c", "{}", 0, 409, "yes", true, 1},
+      {"no key", "", "", "{}", 0, 400, "no", false, 0},
+      {"first", "a", "", R"({"n":1})", 0, 200, "", false, 1},
+      {"repeat", "a", "", R"({"n":1})", 0, 200, "", true, 1},
+      {"other body", "a", "", R"({"n":2})", 0, 422, "no", false, 1},
+      {"other query", "a", "n=2", R"({"n":1})", 0, 422, "no", false, 1},
+      {"first with a query", "q", "n=1", "{}", 0, 200, "", false, 1},
+      {"repeat with a query", "q", "n=1", "{}", 0, 200, "", true, 1},
+      {"repeat without its query", "q", "", "{}", 0, 422, "no", false, 1},
+      {"largest stored", "b", "", "{}", kStoredBytes, 200, "", false, 1},
+      {"its repeat", "b", "", "{}", 0, 200, "", true, 1},
+      {"too large to store", "c", "", "{}", kUnstoredBytes, 200, "", false, 1},
+      {"its repeat", "c", "", "{}", 0, 409, "yes", true, 1},
   };
   std::map<std::string, std::string> first_bodies;
   std::size_t daemon = 0;
@@ -200,6 +205,7 @@
     for (const StandinProcess& service : site.services)
       SetFaults(service.direct, {{"pad_bytes", row.pad_bytes}});
     http::Request request = BookingRequest(row.key, row.body);
+    request.query = row.query;
     if (*row.key == '\0')
       request.headers.pop_back();
     const Answer answer =
