Idempotency: Refuse early when the platform does not answer

Cause: a platform that accepts connections and does not answer made every call with a key wait for three platform timeouts, 3.0 s whatever the deadline.

Change: platform calls before the send that end without an answer may use a quarter of the request's time in all; slow answers do not count. All calls of a daemon share a circuit breaker: after 3 timeouts in a row calls are refused at once, and one at a time goes through as a probe, 500 ms after the last, until the platform answers. A call that is not let through sends nothing and is handled like a write that was not sent, so that the step rules stay as they are: a second step in doubt is still fenced off. Ruled out: a share of the deadline for all platform calls (refuses calls that a slow platform would let through), and probes without a pause (every call in a row is then a late probe). Events 1506 and 1507. Background writes keep their own backoff.

The first calls with long deadlines still take up to three times `platform.call_timeout_ms`.

--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -12,12 +12,14 @@
 #include "entry/retry_budget.h"
 #include "entry/route.h"
 #include "http/server.h"
+#include "idempotency/record_store.h"
 
 namespace coltsfootvane {
 
 /// What the calls of one entry listener share.
 struct EntryShared {
   EntryDependencies dependencies;
+  RecordStore records;  ///< With a breaker that all calls share.
   std::atomic<bool> draining{false};
   std::atomic<bool> stopping{false};
   std::mutex retry_mutex;
--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -9,6 +9,7 @@
 #include "entry/completion_call.h"
 #include "entry/events.h"
 #include "entry/service_call.h"
+#include "idempotency/store_breaker.h"
 
 namespace coltsfootvane {
 namespace {
@@ -66,6 +67,7 @@
 }  // namespace
 
 EntryServer::EntryServer(EntryDependencies dependencies) {
+  this->shared.records = GuardStore(MakeRecordStore(dependencies.platform));
   this->shared.dependencies = std::move(dependencies);
 }
 
--- a/src/entry/service_call.cc
+++ b/src/entry/service_call.cc
@@ -209,7 +209,7 @@
                                           StepEventName(event));
   };
   RunOutcome outcome =
-      RunOnce(MakeRecordStore(dependencies.platform), request, functions);
+      RunOnce(this->context->shared->records, request, functions);
   if (outcome.remainder != StepRemainder::kNone)
     dependencies.records->Add(std::move(outcome.settlement));
   this->ReleaseHeld();
--- a/src/idempotency/events.h
+++ b/src/idempotency/events.h
@@ -17,6 +17,11 @@
 inline constexpr Event kExpiryRestarted{1505, Severity::kWarning,
                                         "record-expiry-restarted"};
 
+inline constexpr Event kRecordStoreSilent{1506, Severity::kWarning,
+                                          "record-store-silent"};
+inline constexpr Event kRecordStoreAnswers{1507, Severity::kInfo,
+                                           "record-store-answers"};
+
 }  // namespace coltsfootvane
 
 #endif  // COLTSFOOTVANE_IDEMPOTENCY_EVENTS_H_
--- a/src/idempotency/next_step.cc
+++ b/src/idempotency/next_step.cc
@@ -282,6 +282,11 @@
   return "";
 }
 
+bool IsAnswer(StepEvent event) {
+  return event == StepEvent::kWritten || event == StepEvent::kConflict ||
+         event == StepEvent::kMissing || event == StepEvent::kRead;
+}
+
 Step NextStep(AttemptState* state, const Learned& learned) {
   if (learned.event == StepEvent::kStart)
     return Act(state, StepAction::kCreate);
--- a/src/idempotency/next_step.h
+++ b/src/idempotency/next_step.h
@@ -41,6 +41,10 @@
   kOutOfTime,     ///< The deadline passed before the action was begun.
 };
 
+/// Returns whether a platform call that ended with `event` was answered with
+/// what is stored.
+bool IsAnswer(StepEvent event);
+
 struct Learned {
   StepEvent event = StepEvent::kStart;
   std::int64_t version = 0;
--- a/src/idempotency/run_once.cc
+++ b/src/idempotency/run_once.cc
@@ -8,15 +8,31 @@
 namespace coltsfootvane {
 namespace {
 
+/// Part of the caller's time that platform calls without an answer may use in
+/// all, so that a caller who hears "not run" still has time to go elsewhere.
+constexpr int kSilenceShare = 4;
+
 /// When to ask again after an outcome for which the peer gave no time.
 constexpr int kRetryAfterMs = 1000;
 
+bool Settles(StepAction action) {
+  return action == StepAction::kWriteDone || action == StepAction::kFence;
+}
+
+bool CallsPlatform(StepAction action) {
+  return action == StepAction::kCreate || action == StepAction::kRead ||
+         action == StepAction::kTakeOver ||
+         action == StepAction::kUpdateSending;
+}
+
 class Attempt {
  public:
   Attempt(const RecordStore& store,
           const RunRequest& request,
           const RunFunctions& functions)
       : store(&store), request(&request), functions(&functions) {
+    const auto time_left = TimeLeft(request.deadline, Clock::now());
+    this->silence_left = time_left / kSilenceShare;
     this->state.attempt = RandomId();
     this->state.body_digest = request.body_digest;
     this->state.target_digest = request.target_digest;
@@ -31,8 +47,8 @@
   Learned Send();
   Record MakeRecord(RecordState record_state) const;
   Record MakeDoneRecord() const;
-  Learned Update(const Record& record, std::int64_t version) const;
-  TimePoint CallDeadline() const;
+  Learned Update(const Record& record, const Step& step) const;
+  TimePoint CallDeadline(StepAction action) const;
   RunOutcome Finish(const Step& step);
   void FinishReplay(RunOutcome* outcome);
 
@@ -42,6 +58,8 @@
   AttemptState state;
   http::Response response;
   int retry_after_ms = kRetryAfterMs;
+  /// Time that platform calls before the send may still use without an answer.
+  Milliseconds silence_left{0};
 };
 
 Learned Just(StepEvent event) {
@@ -50,8 +68,11 @@
   return learned;
 }
 
-TimePoint Attempt::CallDeadline() const {
-  return Clock::now() + this->request->platform_timeout;
+TimePoint Attempt::CallDeadline(StepAction action) const {
+  const Milliseconds timeout = this->request->platform_timeout;
+  if (Settles(action))
+    return Clock::now() + timeout;
+  return Clock::now() + std::min(timeout, this->silence_left);
 }
 
 Record Attempt::MakeRecord(RecordState record_state) const {
@@ -70,9 +91,9 @@
                   this->response.body);
 }
 
-Learned Attempt::Update(const Record& record, std::int64_t version) const {
-  return this->store->update(this->request->name, record, version,
-                             this->CallDeadline());
+Learned Attempt::Update(const Record& record, const Step& step) const {
+  return this->store->update(this->request->name, record, step.version,
+                             this->CallDeadline(step.action));
 }
 
 Learned Attempt::Prepare() {
@@ -104,23 +125,22 @@
     case StepAction::kCreate:
       return this->store->create(this->request->name,
                                  this->MakeRecord(RecordState::kReserved),
-                                 this->CallDeadline());
+                                 this->CallDeadline(step.action));
     case StepAction::kRead:
-      return this->store->read(this->request->name, this->CallDeadline());
+      return this->store->read(this->request->name,
+                               this->CallDeadline(step.action));
     case StepAction::kTakeOver:
-      return this->Update(this->MakeRecord(RecordState::kReserved),
-                          step.version);
+      return this->Update(this->MakeRecord(RecordState::kReserved), step);
     case StepAction::kPrepare:
       return this->Prepare();
     case StepAction::kUpdateSending:
-      return this->Update(this->MakeRecord(RecordState::kSending),
-                          step.version);
+      return this->Update(this->MakeRecord(RecordState::kSending), step);
     case StepAction::kSend:
       return this->Send();
     case StepAction::kWriteDone:
-      return this->Update(this->MakeDoneRecord(), step.version);
+      return this->Update(this->MakeDoneRecord(), step);
     case StepAction::kFence:
-      return this->Update(this->MakeRecord(RecordState::kNotRun), step.version);
+      return this->Update(this->MakeRecord(RecordState::kNotRun), step);
     case StepAction::kAnswer:
       break;
   }
@@ -128,12 +148,20 @@
 }
 
 Learned Attempt::ActInTime(const Step& step) {
+  const TimePoint start = Clock::now();
   // A response or a fence is still recorded after the deadline.
-  const bool settles = step.action == StepAction::kWriteDone ||
-                       step.action == StepAction::kFence;
-  if (!settles && Clock::now() >= this->request->deadline)
+  if (Settles(step.action))
+    return this->Act(step);
+  if (start >= this->request->deadline)
+    return Just(StepEvent::kOutOfTime);
+  if (!CallsPlatform(step.action))
+    return this->Act(step);
+  if (this->silence_left.count() <= 0)
     return Just(StepEvent::kOutOfTime);
-  return this->Act(step);
+  Learned learned = this->Act(step);
+  if (!IsAnswer(learned.event))
+    this->silence_left -= std::chrono::ceil<Milliseconds>(Clock::now() - start);
+  return learned;
 }
 
 void Attempt::FinishReplay(RunOutcome* outcome) {
--- a/src/idempotency/run_once_unittest.cc
+++ b/src/idempotency/run_once_unittest.cc
@@ -100,6 +100,36 @@
   return functions;
 }
 
+/// Returns `store` with calls that take `delay`, or end without an answer at
+/// their deadline.
+RecordStore Delayed(const RecordStore& store, Milliseconds delay) {
+  const auto wait = [delay](TimePoint deadline) {
+    const bool answered = Clock::now() + delay < deadline;
+    std::this_thread::sleep_until(answered ? Clock::now() + delay : deadline);
+    return answered;
+  };
+  RecordStore delayed;
+  delayed.read = [store, wait](const std::string& name, TimePoint deadline) {
+    Learned silent;
+    silent.event = StepEvent::kReadFailed;
+    return wait(deadline) ? store.read(name, deadline) : silent;
+  };
+  delayed.create = [store, wait](const std::string& name, const Record& record,
+                                 TimePoint deadline) {
+    Learned silent;
+    silent.event = StepEvent::kLost;
+    return wait(deadline) ? store.create(name, record, deadline) : silent;
+  };
+  delayed.update = [store, wait](const std::string& name, const Record& record,
+                                 std::int64_t version, TimePoint deadline) {
+    Learned silent;
+    silent.event = StepEvent::kLost;
+    return wait(deadline) ? store.update(name, record, version, deadline)
+                          : silent;
+  };
+  return delayed;
+}
+
 http::Response Booked(std::size_t body_bytes) {
   return {201, {{"Content-Type", "text/plain"}}, std::string(body_bytes, 'b')};
 }
@@ -169,6 +199,43 @@
   LONGS_EQUAL(0, sends);
 }
 
+// Guards against a refusal that comes late because the platform does not
+// answer, and against a platform that is slow but answers being taken for one.
+TEST(RunOnce, SilenceUsesAShareOfTheDeadline) {
+  struct Row {
+    const char* name;
+    int delay_ms;  ///< Of each platform call; from the timeout on: silent.
+    int timeout_ms;
+    int completion_ms;  ///< Time of the request.
+    RunResult result;
+    int longest_ms;
+  };
+  const Row rows[] = {
+      {"share below the timeout", 1000, 1000, 400, RunResult::kNotRun, 300},
+      {"three timeouts below the share", 100, 100, 8000, RunResult::kNotRun,
+       1500},
+      {"answers that take more than the share", 300, 1000, 2000,
+       RunResult::kResponse, 2000},
+  };
+  for (const Row& row : rows) {
+    MemoryStore memory;
+    int sends = 0;
+    RunRequest request = MakeRequest("d");
+    request.platform_timeout = Milliseconds{row.timeout_ms};
+    request.deadline = Clock::now() + Milliseconds{row.completion_ms};
+    const TimePoint start = Clock::now();
+    const RunOutcome outcome =
+        RunOnce(Delayed(memory.Functions(), Milliseconds{row.delay_ms}),
+                request, Sending(Booked(1), &sends));
+    const Milliseconds time =
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - start);
+    CHECK_TEXT(outcome.result == row.result, row.name);
+    CHECK_TEXT(time.count() < row.longest_ms, row.name);
+    LONGS_EQUAL_TEXT(row.result == RunResult::kResponse ? 1 : 0, sends,
+                     row.name);
+  }
+}
+
 // Guards against a response that is not recorded because the platform was down
 // when it arrived.
 TEST(RunOnce, WriterRecordsTheResponseLater) {
--- a/tests/integration/record_test.cc
+++ b/tests/integration/record_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <csignal>
 #include <map>
 #include <string>
 #include <thread>
@@ -97,6 +98,71 @@
     LONGS_EQUAL_TEXT(1, count.get<long>(), key.c_str());
 }
 
+// Guards against refusals that come late because the platform accepts
+// connections but does not answer, and against a "not run" of a call that a
+// late write lets run.
+TEST(Records, SilentPlatformIsRefusedEarly) {
+  constexpr int kFirst = 40;
+  constexpr int kNext = 100;
+  /// A quarter of the time of an interactive request of BookingSite().
+  constexpr Milliseconds kShare{1000};
+  /// For processes that wait for a core.
+  constexpr Milliseconds kSlack{400};
+  constexpr Milliseconds kAtOnce{100};
+  Site site{BookingSite()};
+  site.StartAll();
+  site.platform_process->Signal(SIGSTOP);
+  Milliseconds slowest_first{0};
+  for (const Answer& answer : CallKeys(site, "first-", kFirst)) {
+    STRCMP_EQUAL_TEXT("no", answer.run.c_str(), answer.body.c_str());
+    slowest_first = std::max(slowest_first, answer.time);
+  }
+  Milliseconds slowest_next{0};
+  int late = 0;
+  for (int i = 0; i < kNext; ++i) {
+    const std::string key = "next-" + std::to_string(i);
+    const Answer answer =
+        Ask(site.daemons[0].entry, BookingRequest(key, BodyOf(key)));
+    STRCMP_EQUAL_TEXT("no", answer.run.c_str(), answer.body.c_str());
+    CHECK_TEXT(answer.retry_after_ms > 0, answer.body.c_str());
+    slowest_next = std::max(slowest_next, answer.time);
+    late += answer.time > kAtOnce ? 1 : 0;
+    std::this_thread::sleep_for(Milliseconds{20});
+  }
+  LONGS_EQUAL(0, site.ServiceEffects().size());
+  site.platform_process->Signal(SIGCONT);
+  const TimePoint start = Clock::now();
+  const bool returned = WaitUntil(In(9000), [&] {
+    return Ask(site.daemons[0].entry, BookingRequest("back", BodyOf("back")))
+               .status == 200;
+  });
+  const auto back =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - start);
+  CHECK(returned);
+  const auto all_run = [&](const std::string& prefix, int count) {
+    const std::vector<Answer> answers = CallKeys(site, prefix, count);
+    return std::all_of(
+        answers.begin(), answers.end(),
+        [](const Answer& answer) { return answer.status == 200; });
+  };
+  CHECK(WaitUntil(In(9000), [&] { return all_run("first-", kFirst); }));
+  CHECK(WaitUntil(In(9000), [&] { return all_run("next-", kNext); }));
+  const Json effects = site.ServiceEffects();
+  std::printf(
+      "\nslowest of the first %d=%ld ms, of the next %d=%ld ms, above %ld "
+      "ms=%d, back after %ld ms\n",
+      kFirst, static_cast<long>(slowest_first.count()), kNext,
+      static_cast<long>(slowest_next.count()),
+      static_cast<long>(kAtOnce.count()), late,
+      static_cast<long>(back.count()));
+  LONGS_EQUAL(kFirst + kNext + 1, effects.size());
+  for (const auto& [key, count] : effects.items())
+    LONGS_EQUAL_TEXT(1, count.get<long>(), key.c_str());
+  CHECK(slowest_first <= kShare + kSlack);
+  CHECK(slowest_next <= kShare + kSlack);
+  CHECK(late <= kNext / 10);
+}
+
 // Guards against records that are kept for ever, and against the deletion of
 // one that is younger than the kept time or whose call may have run.
 TEST(Records, ExpiredRecordsAreDeleted) {
