--- a/src/idempotency/next_step.cc
+++ b/src/idempotency/next_step.cc
@@ -90,6 +90,12 @@
   return Answer(state, StepAnswer::kBadRecord);
 }
 
+bool IsSameRequest(const AttemptState& state, const Record& record) {
+  const bool same_target = record.target_digest.empty() ||
+                           record.target_digest == state.target_digest;
+  return same_target && record.body_digest == state.body_digest;
+}
+
 Step OnRecord(AttemptState* state, const Learned& learned) {
   state->seen = learned.record;
   if (learned.record.attempt == state->attempt)
@@ -97,7 +103,7 @@
   state->others_possible = true;
   // Every write of this attempt is conditional on a version that is gone.
   state->sending_in_doubt = false;
-  if (learned.record.body_digest != state->body_digest)
+  if (!IsSameRequest(*state, learned.record))
     return Answer(state, StepAnswer::kKeyReused);
   return OnForeignRecord(state, learned);
 }
@@ -179,6 +185,7 @@
     case StepEvent::kSendComplete:
       return Act(state, StepAction::kWriteDone, state->version);
     case StepEvent::kSendNotSent:
+    case StepEvent::kSendRefused:
       return Act(state, StepAction::kFence, state->version);
     case StepEvent::kOutOfTime:
       return GiveUp(state);
@@ -263,6 +270,8 @@
       return "not_prepared";
     case StepEvent::kSendNotSent:
       return "not_sent";
+    case StepEvent::kSendRefused:
+      return "refused";
     case StepEvent::kSendUnknown:
       return "unknown";
     case StepEvent::kSendComplete:
@@ -273,6 +282,11 @@
   return "";
 }
 
+bool IsAnswer(StepEvent event) {
+  return event == StepEvent::kWritten || event == StepEvent::kConflict ||
+         event == StepEvent::kMissing || event == StepEvent::kRead;
+}
+
 Step NextStep(AttemptState* state, const Learned& learned) {
   if (learned.event == StepEvent::kStart)
     return Act(state, StepAction::kCreate);
--- a/src/idempotency/next_step.h
+++ b/src/idempotency/next_step.h
@@ -35,11 +35,16 @@
   kPrepared,      ///< The call can be sent.
   kNotPrepared,   ///< The call cannot be sent now.
   kSendNotSent,   ///< No byte of the call was written.
+  kSendRefused,   ///< Every service that got the call states it has not run it.
   kSendUnknown,   ///< The call may have run.
   kSendComplete,  ///< A whole response arrived.
   kOutOfTime,     ///< The deadline passed before the action was begun.
 };
 
+/// Returns whether a platform call that ended with `event` was answered with
+/// what is stored.
+bool IsAnswer(StepEvent event);
+
 struct Learned {
   StepEvent event = StepEvent::kStart;
   std::int64_t version = 0;
@@ -51,7 +56,7 @@
   kReplay,     ///< The stored response, or that it is not stored.
   kNotRun,     ///< Nothing was sent by this attempt.
   kUnknown,    ///< The call may have run, or another attempt may run it.
-  kKeyReused,  ///< The key belongs to another body.
+  kKeyReused,  ///< The key belongs to another request.
   kBadRecord,  ///< The stored record cannot be interpreted: treated as unknown.
 };
 
@@ -77,6 +82,7 @@
 struct AttemptState {
   std::string attempt;
   std::string body_digest;
+  std::string target_digest;
   StepAction last = StepAction::kCreate;
   /// The version that this attempt owns, as reserved or sending.
   std::int64_t version = 0;
--- a/src/idempotency/run_once.h
+++ b/src/idempotency/run_once.h
@@ -17,7 +17,7 @@
   kReplay,         ///< `response` is the stored one.
   kNotRun,         ///< This attempt sent nothing.
   kUnknown,        ///< The call may have run.
-  kKeyReused,      ///< The key belongs to another body; nothing was sent.
+  kKeyReused,      ///< The key belongs to another request; nothing was sent.
   kDoneNotStored,  ///< The call was run; its response is not stored.
 };
 
@@ -31,8 +31,9 @@
 };
 
 struct RunRequest {
-  std::string name;         ///< RecordName().
-  std::string body_digest;  ///< DigestHex() of the request's body.
+  std::string name;           ///< RecordName().
+  std::string body_digest;    ///< DigestHex() of the request's body.
+  std::string target_digest;  ///< TargetDigest().
   TimePoint deadline;
   Milliseconds platform_timeout{1000};  ///< Of each platform call.
 };
@@ -43,7 +44,8 @@
   /// not run.
   std::function<Result<bool>()> prepare;
   /// Sends the call. Called at most once. kNotSent and kTimeout mean that no
-  /// byte was written.
+  /// byte was written; kRefused that every service which got the call states
+  /// that it has not run it.
   std::function<Result<http::Response>()> send;
   /// Told each step and its result.
   std::function<void(StepAction, StepEvent)> on_step;
--- a/src/idempotency/run_once_unittest.cc
+++ b/src/idempotency/run_once_unittest.cc
@@ -100,6 +100,36 @@
   return functions;
 }
 
+/// Returns `store` with calls that take `delay`, or end without an answer at
+/// their deadline.
+RecordStore Delayed(const RecordStore& store, Milliseconds delay) {
+  const auto wait = [delay](TimePoint deadline) {
+    const bool answered = Clock::now() + delay < deadline;
+    std::this_thread::sleep_until(answered ? Clock::now() + delay : deadline);
+    return answered;
+  };
+  RecordStore delayed;
+  delayed.read = [store, wait](const std::string& name, TimePoint deadline) {
+    Learned silent;
+    silent.event = StepEvent::kReadFailed;
+    return wait(deadline) ? store.read(name, deadline) : silent;
+  };
+  delayed.create = [store, wait](const std::string& name, const Record& record,
+                                 TimePoint deadline) {
+    Learned silent;
+    silent.event = StepEvent::kLost;
+    return wait(deadline) ? store.create(name, record, deadline) : silent;
+  };
+  delayed.update = [store, wait](const std::string& name, const Record& record,
+                                 std::int64_t version, TimePoint deadline) {
+    Learned silent;
+    silent.event = StepEvent::kLost;
+    return wait(deadline) ? store.update(name, record, version, deadline)
+                          : silent;
+  };
+  return delayed;
+}
+
 http::Response Booked(std::size_t body_bytes) {
   return {201, {{"Content-Type", "text/plain"}}, std::string(body_bytes, 'b')};
 }
@@ -136,6 +166,8 @@
        RunResult::kUnknown, RunResult::kUnknown, 1},
       {"not sent", Error{ErrorCode::kNotSent, "refused"}, "d",
        RunResult::kNotRun, RunResult::kNotRun, 2},
+      {"refused by a leaving service", Error{ErrorCode::kRefused, "leaving"},
+       "d", RunResult::kNotRun, RunResult::kNotRun, 2},
   };
   for (const Row& row : rows) {
     MemoryStore store;
@@ -167,6 +199,43 @@
   LONGS_EQUAL(0, sends);
 }
 
+// Guards against a refusal that comes late because the platform does not
+// answer, and against a platform that is slow but answers being taken for one.
+TEST(RunOnce, SilenceUsesAShareOfTheDeadline) {
+  struct Row {
+    const char* name;
+    int delay_ms;  ///< Of each platform call; from the timeout on: silent.
+    int timeout_ms;
+    int completion_ms;  ///< Time of the request.
+    RunResult result;
+    int longest_ms;
+  };
+  const Row rows[] = {
+      {"share below the timeout", 1000, 1000, 400, RunResult::kNotRun, 300},
+      {"three timeouts below the share", 100, 100, 8000, RunResult::kNotRun,
+       1500},
+      {"answers that take more than the share", 300, 1000, 2000,
+       RunResult::kResponse, 2000},
+  };
+  for (const Row& row : rows) {
+    MemoryStore memory;
+    int sends = 0;
+    RunRequest request = MakeRequest("d");
+    request.platform_timeout = Milliseconds{row.timeout_ms};
+    request.deadline = Clock::now() + Milliseconds{row.completion_ms};
+    const TimePoint start = Clock::now();
+    const RunOutcome outcome =
+        RunOnce(Delayed(memory.Functions(), Milliseconds{row.delay_ms}),
+                request, Sending(Booked(1), &sends));
+    const Milliseconds time =
+        std::chrono::duration_cast<Milliseconds>(Clock::now() - start);
+    CHECK_TEXT(outcome.result == row.result, row.name);
+    CHECK_TEXT(time.count() < row.longest_ms, row.name);
+    LONGS_EQUAL_TEXT(row.result == RunResult::kResponse ? 1 : 0, sends,
+                     row.name);
+  }
+}
+
 // Guards against a response that is not recorded because the platform was down
 // when it arrived.
 TEST(RunOnce, WriterRecordsTheResponseLater) {
@@ -245,6 +314,7 @@
     Record record;
     record.attempt = "a";
     record.body_digest = "d";
+    record.target_digest = "t";
     record.time_ms = 5;
     const Record done = MakeDone(record, 201, "text/plain", body);
     const Result<Record> parsed = ParseRecord(FormatRecord(done));
@@ -255,6 +325,8 @@
     LONGS_EQUAL(201, parsed.value().status);
     STRCMP_EQUAL("text/plain", parsed.value().content_type.c_str());
     STRCMP_EQUAL("a", parsed.value().attempt.c_str());
+    STRCMP_EQUAL("d", parsed.value().body_digest.c_str());
+    STRCMP_EQUAL("t", parsed.value().target_digest.c_str());
   }
 }
 
@@ -267,6 +339,14 @@
     CHECK_TEXT(!ParseRecord(text).has_value(), text);
 }
 
+// Guards against a reused key with another query or method that gets the
+// response of the first request.
+TEST(Record, TargetDigestsDiffer) {
+  CHECK(TargetDigest("POST", "a=1") != TargetDigest("POST", "a=2"));
+  CHECK(TargetDigest("POST", "a=1") != TargetDigest("PUT", "a=1"));
+  CHECK(TargetDigest("POST", "") != TargetDigest("POST", "a"));
+}
+
 // Guards against two different keys sharing one record.
 TEST(Record, NamesDiffer) {
   CHECK(RecordName("ab", "c", "k") != RecordName("a", "bc", "k"));
