--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -9,7 +9,8 @@
        scripts/measure_capacity.py requests 0 20 50
        scripts/measure_capacity.py fleet 40 100            (4 regions, see measure_fleet.py)
 
-SETTLE_S and MEASURE_S set the times in seconds; CALLS=1 prints platform calls by kind.
+SETTLE_S and MEASURE_S set the times in seconds; CALLS=1 prints platform calls by kind; BUILD_DIR
+names another folder of programs.
 """
 
 import json
@@ -23,7 +24,7 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-BUILD = ROOT / "build"
+BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build"))
 HOST = "127.0.77.1"
 PLATFORM = f"{HOST}:9300"
 SETTLE_S = int(os.environ.get("SETTLE_S", "12"))
--- a/scripts/measure_fleet.py
+++ b/scripts/measure_fleet.py
@@ -28,6 +28,9 @@
 CUT_S = int(os.environ.get("CUT_S", "30"))
 TIMEOUT_S = 120
 POLL_THREADS = 16
+# Of the machine, whose limit on processes and threads is shared with others.
+MAX_THREADS = 26000
+THREADS_PER_DAEMON = 60
 CHANGES = 3
 MODELS = 20
 REGION_OF_CENTRE = [1, 1, 1, 2, 2, 2, 3, 3, 4, 4]
@@ -157,6 +160,13 @@
         for n in numbers:
             self.running.pop(n).wait()
 
+    def check_running(self):
+        """Ends the run with the log of a daemon that has exited by itself."""
+        for n, process in self.running.items():
+            if process.poll() is not None:
+                log = (self.path / f"{self.daemons[n].name}.log").read_text()
+                raise RuntimeError(f"daemon {n} exited with {process.returncode}:\n{log[-2000:]}")
+
     def wait_until(self, numbers, path, is_done, since=None):
         """Polls `path` of the daemons until `is_done(n, reply)`. Returns the seconds each took,
         in order; one that took longer than TIMEOUT_S has infinity."""
@@ -176,6 +186,7 @@
             times += [at - since for done, at in replies if done]
             waiting = [n for n, (done, _) in zip(waiting, replies) if not done]
             self.longest_poll_s = max(self.longest_poll_s, time.time() - round_start)
+            self.check_running()
             time.sleep(0.05)
         return sorted(times) + [float("inf")] * len(waiting)
 
@@ -340,7 +351,14 @@
     })
 
 
+def count_threads():
+    return sum(1 for _ in pathlib.Path("/proc").glob("[0-9]*/task/*"))
+
+
 def measure_fleet(count):
+    needed = count * (THREADS_PER_DAEMON + 4)
+    if count_threads() + needed > MAX_THREADS:
+        raise SystemExit(f"fleet={count} needs {needed} threads: too many on this machine now")
     fleet = Fleet(count)
     try:
         if CUT:
