Membership: Exchange only the members that differ

Cause: each member asked up to three first peers that it did not see alive for the whole list each second. A restarted member was asked by all and answered each with 43 datagrams. Every member also got a whole list each 30 s, while a member missed at the start stayed unknown for up to 30 s. Ruled out: a longer join period, which delays starts; a limit on answers, which loses them. Change: a join carries 128 hashes of the sender's table, the answer has only members of buckets that differ, at most 64. Exchanges come each 5 s, each 0.5 s while answers bring news. Dead first peers are not joined, the delay between joins doubles to 30 s, and what an answer brings is not spread again. A join without hashes, from an earlier version, gets the whole list.

--- /dev/null
+++ b/src/membership/buckets.cc
@@ -0,0 +1,79 @@
+#include "membership/buckets.h"
+
+#include <array>
+
+#include "base/digest.h"
+#include "membership/updates.h"
+
+namespace coltsfootvane::membership {
+namespace {
+
+std::size_t BucketOf(std::string_view id) {
+  return Hash64(id) % kBuckets;
+}
+
+std::uint64_t HashMember(const Member& member, std::int64_t salt) {
+  const auto incarnation = static_cast<std::uint64_t>(member.incarnation);
+  const std::uint64_t id = Hash64(member.id, static_cast<std::uint64_t>(salt));
+  return Hash64(member.instance, id + incarnation);
+}
+
+/// Returns the members of each bucket that differs, without this daemon.
+std::array<std::vector<const Member*>, kBuckets> GroupDifferent(
+    const MemberTable& table,
+    const Message& request) {
+  const std::string own = HashBuckets(table, request.sequence);
+  std::array<std::vector<const Member*>, kBuckets> groups;
+  for (const auto& [id, record] : table.members) {
+    const std::size_t bucket = BucketOf(id);
+    const std::size_t offset = bucket * kBucketHashBytes;
+    if (own.compare(offset, kBucketHashBytes, request.buckets, offset,
+                    kBucketHashBytes) != 0)
+      groups.at(bucket).push_back(&record.member);
+  }
+  return groups;
+}
+
+}  // namespace
+
+std::string HashBuckets(const MemberTable& table, std::int64_t salt) {
+  std::array<std::uint64_t, kBuckets> sums{};
+  const auto add = [&sums, salt](const Member& member) {
+    if (IsUsable(member))
+      sums.at(BucketOf(member.id)) ^= HashMember(member, salt);
+  };
+  add(table.self);
+  for (const auto& [id, record] : table.members)
+    add(record.member);
+  std::string hashes;
+  for (const std::uint64_t sum : sums) {
+    hashes += static_cast<char>(sum & 255U);
+    hashes += static_cast<char>((sum >> 8U) & 255U);
+  }
+  return hashes;
+}
+
+std::vector<Message> MakeDifference(MemberTable& table,
+                                    const Message& request) {
+  if (request.buckets.size() != kBucketsBytes)
+    return MakeWholeList(table, request.sequence);
+  if (request.buckets == HashBuckets(table, request.sequence))
+    return {};
+  const auto groups = GroupDifferent(table, request);
+  std::vector<const Member*> members;
+  // First, since a member that is held to be dead has to refute that.
+  const auto sender = table.members.find(request.sender.id);
+  if (sender != table.members.end())
+    members.push_back(&sender->second.member);
+  std::uniform_int_distribution<std::size_t> any(0, kBuckets - 1);
+  const std::size_t first = any(table.random);
+  for (std::size_t i = 0; i < kBuckets; ++i) {
+    for (const Member* member : groups.at((first + i) % kBuckets)) {
+      if (members.size() < kMaxDifference && member->id != request.sender.id)
+        members.push_back(member);
+    }
+  }
+  return MakeList(table, members, request.sequence);
+}
+
+}  // namespace coltsfootvane::membership
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -2,14 +2,20 @@
 
 #include <algorithm>
 
+#include "membership/buckets.h"
 #include "membership/updates.h"
 
 namespace coltsfootvane::membership {
 namespace {
 
 constexpr Milliseconds kJoinPeriod{1000};
-/// Once found, members are asked again rarely for what was missed.
-constexpr Milliseconds kExchangePeriod{30000};
+/// First peers include daemons that have been replaced and never answer.
+constexpr Milliseconds kLongestJoinPeriod{30000};
+/// Members are asked for what was missed. Between equal tables that costs two
+/// hashes for each of `kBuckets` and no answer.
+constexpr Milliseconds kExchangePeriod{5000};
+/// While answers bring news, since one answer has a part of the members only.
+constexpr Milliseconds kCatchUpPeriod{500};
 constexpr int kFanOut = 3;
 constexpr std::size_t kMaxRelays = 64;
 
@@ -17,12 +23,13 @@
   return a.port == b.port && a.host == b.host;
 }
 
+/// Also true for a dead member: exchanges reach it when it lives again. Joins
+/// by all members would flood a data centre that returns.
 bool IsKnown(const MemberTable& table, const http::Address& address) {
-  for (const auto& [id, record] : table.members) {
-    if (SameAddress(record.member.address, address) && IsUsable(record.member))
-      return true;
-  }
-  return false;
+  return std::any_of(table.members.begin(), table.members.end(),
+                     [&address](const auto& entry) {
+                       return SameAddress(entry.second.member.address, address);
+                     });
 }
 
 /// Returns up to `count` random usable members, without `excluded`.
@@ -54,8 +61,18 @@
                    TimePoint now,
                    std::vector<Outgoing>* out) {
   ApplyUpdate(table, message.sender, now);
-  for (const Member& update : message.updates)
-    ApplyUpdate(table, update, now);
+  const bool is_answer =
+      message.kind == MessageKind::kUpdates && message.sequence != 0;
+  bool caught_up = false;
+  for (const Member& update : message.updates) {
+    const bool changed = ApplyUpdate(table, update, now);
+    if (!changed || !is_answer)
+      continue;
+    caught_up = true;
+    StopSpreading(table, update.id);
+  }
+  if (caught_up)
+    table.next_exchange = std::min(table.next_exchange, now + kCatchUpPeriod);
   bool learned = false;
   for (const LeavingEndpoint& leaving : message.leaving)
     learned |= ApplyLeaving(table, leaving, now);
@@ -172,12 +189,25 @@
   }
 }
 
+/// Asks for the members that differ; leaves room for `reserved` bytes.
+Message MakeJoin(MemberTable& table, std::size_t reserved) {
+  const std::int64_t salt = table.next_sequence++;
+  Message join =
+      MakeMessage(table, MessageKind::kJoin, salt, reserved + kBucketsBytes);
+  join.buckets = HashBuckets(table, salt);
+  return join;
+}
+
 void JoinFirstPeers(MemberTable& table,
                     TimePoint now,
                     std::vector<Outgoing>* out) {
   if (now < table.next_join || table.first_peers.empty())
     return;
-  table.next_join = now + kJoinPeriod;
+  const bool alone = PickMembers(table, 1).empty();
+  table.join_delay =
+      alone ? kJoinPeriod
+            : std::clamp(2 * table.join_delay, kJoinPeriod, kLongestJoinPeriod);
+  table.next_join = now + table.join_delay;
   std::vector<http::Address> unknown;
   for (const http::Address& address : table.first_peers) {
     if (!IsKnown(table, address))
@@ -187,11 +217,11 @@
   if (unknown.size() > kFanOut)
     unknown.resize(kFanOut);
   for (const http::Address& address : unknown)
-    out->push_back({address, MakeMessage(table, MessageKind::kJoin, 0)});
+    out->push_back({address, MakeJoin(table, 0)});
 }
 
-/// Exchanges whole lists with one random member, dead ones included: regions
-/// that had lost contact find each other again.
+/// Asks one random member for what differs, also one that is held to be dead:
+/// regions that had lost contact find each other again.
 void Exchange(MemberTable& table, TimePoint now, std::vector<Outgoing>* out) {
   if (now < table.next_exchange || table.members.empty())
     return;
@@ -200,8 +230,9 @@
   const auto chosen = std::next(table.members.begin(),
                                 static_cast<std::ptrdiff_t>(any(table.random)));
   const Member& member = chosen->second.member;
-  Message join = MakeMessage(table, MessageKind::kJoin, 0);
-  if (!IsUsable(member))
+  const bool usable = IsUsable(member);
+  Message join = MakeJoin(table, usable ? 0 : SizeOf(member));
+  if (!usable)
     join.updates.insert(join.updates.begin(), member);
   out->push_back({member.address, std::move(join)});
 }
@@ -235,7 +266,7 @@
     case MessageKind::kUpdates:
       break;
     case MessageKind::kJoin:
-      for (Message& part : MakeWholeList(table))
+      for (Message& part : MakeDifference(table, message))
         out.push_back({from, std::move(part)});
       break;
   }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -65,6 +65,7 @@
   std::vector<std::string> probe_order;  ///< Shuffled; the last is next.
   TimePoint next_probe;
   TimePoint next_join;
+  Milliseconds join_delay{0};  ///< Grows while first peers do not answer.
   TimePoint next_exchange;
 };
 
--- a/src/membership/member_table_unittest.cc
+++ b/src/membership/member_table_unittest.cc
@@ -242,7 +242,7 @@
   CHECK(!message.updates.empty());
   CHECK(message.updates.size() <= 7);
   std::size_t listed = 0;
-  for (const Message& part : MakeWholeList(table)) {
+  for (const Message& part : MakeWholeList(table, 1)) {
     CHECK(part.updates.size() <= 7);
     listed += part.updates.size();
   }
--- a/src/membership/message.h
+++ b/src/membership/message.h
@@ -37,8 +37,8 @@
   kPing = 0,
   kAck = 1,
   kPingRequest = 2,  ///< Asks the receiver to ping `target`.
-  kUpdates = 3,      ///< Carries updates only.
-  kJoin = 4,         ///< Asks for the whole list.
+  kUpdates = 3,      ///< Carries updates only; with a sequence, an answer.
+  kJoin = 4,         ///< Asks for members that differ from `buckets`.
 };
 
 struct Message {
@@ -48,6 +48,7 @@
   Member sender;
   std::vector<Member> updates;
   std::vector<LeavingEndpoint> leaving;
+  std::string buckets;  ///< Hashes of the sender's table, salted by `sequence`.
 };
 
 /// A message to send.
--- a/src/membership/updates.cc
+++ b/src/membership/updates.cc
@@ -12,12 +12,6 @@
 constexpr std::size_t kFixedLeavingBytes = 10;
 constexpr int kSendsFactor = 3;
 
-std::size_t SizeOf(const Member& member) {
-  return kFixedMemberBytes + member.id.size() + member.instance.size() +
-         member.data_centre.size() + member.region.size() +
-         member.address.host.size() + member.digest.size();
-}
-
 /// The order in which states replace each other within one incarnation.
 int Rank(MemberState state) {
   switch (state) {
@@ -116,6 +110,12 @@
 
 }  // namespace
 
+std::size_t SizeOf(const Member& member) {
+  return kFixedMemberBytes + member.id.size() + member.instance.size() +
+         member.data_centre.size() + member.region.size() +
+         member.address.host.size() + member.digest.size();
+}
+
 int SendsPerUpdate(const MemberTable& table) {
   const auto count = static_cast<double>(table.members.size() + 2);
   return static_cast<int>(std::ceil(kSendsFactor * std::log2(count)));
@@ -150,6 +150,12 @@
   return true;
 }
 
+void StopSpreading(MemberTable& table, std::string_view id) {
+  const auto found = table.members.find(std::string(id));
+  if (found != table.members.end())
+    found->second.sends_left = 0;
+}
+
 void Suspect(MemberTable& table, MemberRecord& record, TimePoint now) {
   if (record.member.state == MemberState::kAlive)
     SetState(table, record, MemberState::kSuspect, now);
@@ -205,33 +211,38 @@
 
 Message MakeMessage(MemberTable& table,
                     MessageKind kind,
-                    std::int64_t sequence) {
+                    std::int64_t sequence,
+                    std::size_t reserved) {
   Message message;
   message.kind = kind;
   message.sequence = sequence;
   message.sender = table.self;
-  std::size_t room = kUpdateBytes - std::min(kUpdateBytes, SizeOf(table.self));
+  std::size_t room =
+      kUpdateBytes - std::min(kUpdateBytes, SizeOf(table.self) + reserved);
   AddLeavingTo(table, &message, &room);
   AddMembersTo(table, &message, &room);
   return message;
 }
 
-std::vector<Message> MakeWholeList(const MemberTable& table) {
+std::vector<Message> MakeList(const MemberTable& table,
+                              gsl::span<const Member* const> members,
+                              std::int64_t sequence) {
   std::vector<Message> messages;
   std::size_t room = 0;
   const auto reserve = [&](std::size_t size) {
     if (messages.empty() || size > room) {
       Message message;
       message.kind = MessageKind::kUpdates;
+      message.sequence = sequence;
       message.sender = table.self;
       messages.push_back(message);
       room = kUpdateBytes - std::min(kUpdateBytes, SizeOf(table.self));
     }
     room -= std::min(room, size);
   };
-  for (const auto& [id, record] : table.members) {
-    reserve(SizeOf(record.member));
-    messages.back().updates.push_back(record.member);
+  for (const Member* member : members) {
+    reserve(SizeOf(*member));
+    messages.back().updates.push_back(*member);
   }
   for (const auto& [id, record] : table.leaving_endpoints) {
     reserve(kFixedLeavingBytes + id.size());
@@ -240,4 +251,12 @@
   return messages;
 }
 
+std::vector<Message> MakeWholeList(const MemberTable& table,
+                                   std::int64_t sequence) {
+  std::vector<const Member*> members;
+  for (const auto& [id, record] : table.members)
+    members.push_back(&record.member);
+  return MakeList(table, members, sequence);
+}
+
 }  // namespace coltsfootvane::membership
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -88,6 +88,8 @@
     leaving.left_ms = LeftMs(one.deadline, now);
     wire.leaving.push_back(leaving);
   }
+  if (!message.buckets.empty())
+    wire.__set_buckets(message.buckets);
   return wire;
 }
 
@@ -107,6 +109,7 @@
   }
   for (const gen::LeavingEndpoint& one : wire.leaving)
     message->leaving.push_back({one.id, DeadlineFrom(one.left_ms, now)});
+  message->buckets = wire.buckets;
   return true;
 }
 
--- a/src/peer/codec_unittest.cc
+++ b/src/peer/codec_unittest.cc
@@ -27,6 +27,7 @@
   message.membership->sender.version = 12;
   message.membership->updates = {message.membership->sender};
   message.membership->leaving = {{"e4", kNow + Milliseconds{1500}}};
+  message.membership->buckets = std::string("\0\xff", 2);
   SlotRequest request;
   request.request_id = "r1";
   request.item = "m";
--- a/src/peer/gen/peer_types.cpp
+++ b/src/peer/gen/peer_types.cpp
@@ -449,6 +449,11 @@
 void Membership::__set_leaving(const std::vector<LeavingEndpoint> & val) {
   this->leaving = val;
 }
+
+void Membership::__set_buckets(const std::string& val) {
+  this->buckets = val;
+__isset.buckets = true;
+}
 std::ostream& operator<<(std::ostream& out, const Membership& obj)
 {
   obj.printTo(out);
@@ -557,6 +562,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->buckets);
+          this->__isset.buckets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -618,6 +631,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.buckets) {
+    xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_STRING, 8);
+    xfer += oprot->writeBinary(this->buckets);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -632,6 +650,7 @@
   swap(a.sender, b.sender);
   swap(a.updates, b.updates);
   swap(a.leaving, b.leaving);
+  swap(a.buckets, b.buckets);
   swap(a.__isset, b.__isset);
 }
 
@@ -643,6 +662,7 @@
   sender = other16.sender;
   updates = other16.updates;
   leaving = other16.leaving;
+  buckets = other16.buckets;
   __isset = other16.__isset;
 }
 Membership& Membership::operator=(const Membership& other17) {
@@ -653,6 +673,7 @@
   sender = other17.sender;
   updates = other17.updates;
   leaving = other17.leaving;
+  buckets = other17.buckets;
   __isset = other17.__isset;
   return *this;
 }
@@ -666,6 +687,7 @@
   out << ", " << "sender=" << to_string(sender);
   out << ", " << "updates=" << to_string(updates);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "buckets="; (__isset.buckets ? (out << to_string(buckets)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/peer/gen/peer_types.h
+++ b/src/peer/gen/peer_types.h
@@ -211,7 +211,7 @@
 std::ostream& operator<<(std::ostream& out, const LeavingEndpoint& obj);
 
 typedef struct _Membership__isset {
-  _Membership__isset() : kind(false), sequence(false), target_host(false), target_port(false), sender(false), updates(false), leaving(false) {}
+  _Membership__isset() : kind(false), sequence(false), target_host(false), target_port(false), sender(false), updates(false), leaving(false), buckets(false) {}
   bool kind :1;
   bool sequence :1;
   bool target_host :1;
@@ -219,6 +219,7 @@
   bool sender :1;
   bool updates :1;
   bool leaving :1;
+  bool buckets :1;
 } _Membership__isset;
 
 class Membership : public virtual ::apache::thrift::TBase {
@@ -230,7 +231,8 @@
              : kind(0),
                sequence(0),
                target_host(),
-               target_port(0) {
+               target_port(0),
+               buckets() {
   }
 
   virtual ~Membership() noexcept;
@@ -241,6 +243,7 @@
   MemberUpdate sender;
   std::vector<MemberUpdate>  updates;
   std::vector<LeavingEndpoint>  leaving;
+  std::string buckets;
 
   _Membership__isset __isset;
 
@@ -258,6 +261,8 @@
 
   void __set_leaving(const std::vector<LeavingEndpoint> & val);
 
+  void __set_buckets(const std::string& val);
+
   bool operator == (const Membership & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -274,6 +279,10 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (__isset.buckets != rhs.__isset.buckets)
+      return false;
+    else if (__isset.buckets && !(buckets == rhs.buckets))
+      return false;
     return true;
   }
   bool operator != (const Membership &rhs) const {
--- a/src/peer/peer.thrift
+++ b/src/peer/peer.thrift
@@ -30,6 +30,7 @@
   5: MemberUpdate sender
   6: list<MemberUpdate> updates
   7: list<LeavingEndpoint> leaving
+  8: optional binary buckets
 }
 
 struct SlotAsk {
