Membership: Take in no member that is already dead

Cause: a table forgets a dead member after two hours, but an exchange with one that still had it brought it back for two hours more, so that a dead member never went. With VMs that are replaced under new ids the table would be full (2,560) after about three weeks and take in no live member. Ruled out: sending the remaining time, which the tables would have to trust each other for. Change: a member that is not known and not usable is ignored. A late message that shows it alive adds it until the next failed probe. Conclusion: dead members go; regions that were apart still find each other (HealsAfterASplit).

--- a/src/membership/member_table_unittest.cc
+++ b/src/membership/member_table_unittest.cc
@@ -169,6 +169,20 @@
   CHECK(network.AllSeeAll());
 }
 
+// Guards against dead members that tables tell each other for ever: with 110
+// VMs replaced a day, they would leave no room for live ones within a month.
+TEST(Membership, ForgetsTheDead) {
+  Network network(10);
+  network.Run(10);
+  network.tables.erase(1004);
+  network.Run(7000);
+  CHECK_EQUAL(9U, network.CountSeen(MemberState::kDead));
+  network.Add("d11", 11);
+  network.Run(1000);
+  CHECK_EQUAL(0U, network.CountSeen(MemberState::kDead));
+  CHECK(network.AllSeeAll());
+}
+
 // Guards against a cost that grows with the fleet.
 TEST(Membership, HasAConstantCost) {
   std::map<int, double> rates;
--- a/src/membership/updates.cc
+++ b/src/membership/updates.cc
@@ -128,7 +128,8 @@
     return Refute(table, update);
   const auto found = table.members.find(update.id);
   if (found == table.members.end()) {
-    if (table.members.size() >= kMaxMembers)
+    // Tables forget the dead at different times and must not bring them back.
+    if (!IsUsable(update) || table.members.size() >= kMaxMembers)
       return false;
     MemberRecord& record = table.members[update.id];
     record.member = update;
