Settings: Add admin.threads

Cause: a daemon has about 60 threads, of which 32 are those of the admin listener; 200 daemons do not fit beside other work on one machine, whose limit is 32,768 threads. Ruled out: fewer threads by default, which lets slow senders keep health checks waiting. Change: setting admin.threads, 32 by default; measure_fleet.py uses 2 and 4 entry threads. Conclusion: about 26 threads per daemon in the measurement; nothing changes by default.

--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -107,6 +107,7 @@
   this->entry = std::make_unique<EntryServer>(this->MakeEntryDependencies());
   AdminOptions admin_options;
   admin_options.listen = this->settings.admin_listen;
+  admin_options.threads = this->settings.admin_threads;
   admin_options.metrics = &this->metrics;
   admin_options.in_force = &this->in_force;
   admin_options.status = [this] { return this->StatusJson(); };
--- a/scripts/measure_fleet.py
+++ b/scripts/measure_fleet.py
@@ -30,7 +30,7 @@
 POLL_THREADS = 16
 # Of the machine, whose limit on processes and threads is shared with others.
 MAX_THREADS = 26000
-THREADS_PER_DAEMON = 60
+THREADS_PER_DAEMON = 26
 CHANGES = 3
 PUBLISH_S = 10
 MODELS = 20
@@ -131,8 +131,8 @@
         settings.write_text(
             f"daemon_id: {daemon.name}\ndata_centre: dc{daemon.centre}\n"
             f"region: r{daemon.region}\n"
-            f'entry: {{listen: "{host}:{11000 + n}", threads: 8, refusal_threads: 2}}\n'
-            f'admin: {{listen: "{daemon.admin}"}}\n'
+            f'entry: {{listen: "{host}:{11000 + n}", threads: 4, refusal_threads: 1}}\n'
+            f'admin: {{listen: "{daemon.admin}", threads: 2}}\n'
             f'peer: {{listen: "{self.peer_address(n)}", first_peers: [{peers}]}}\n'
             f'platform: {{address: "{PLATFORM}"}}\n'
         )
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -82,6 +82,7 @@
               [settings](MapReader* map) { ReadEntry(map, settings); });
   ReadSection(root, "admin", kRequired, [settings](MapReader* map) {
     ReadAddress(map, "listen", kRequired, &settings->admin_listen);
+    ReadInteger(map, "threads", kOptional, {2, 1024}, &settings->admin_threads);
   });
   ReadSection(root, "peer", kRequired,
               [settings](MapReader* map) { ReadPeer(map, settings); });
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -26,6 +26,9 @@
   unsigned entry_refusal_threads = 32;
   std::size_t entry_max_body_bytes = 1024 * 1024;
   http::Address admin_listen;
+  /// With 4 threads, 200 senders of single bytes kept every health check
+  /// waiting for 2 s; with 32 none.
+  unsigned admin_threads = 32;
   http::Address peer_listen;  ///< The same port number for UDP and TCP.
   std::vector<http::Address> first_peers;
   http::Address platform;
--- a/src/settings/settings_unittest.cc
+++ b/src/settings/settings_unittest.cc
@@ -114,6 +114,7 @@
   STRCMP_EQUAL("entry-1", settings.daemon_id.c_str());
   LONGS_EQUAL(8080, settings.entry_listen.port);
   LONGS_EQUAL(8081, settings.admin_listen.port);
+  LONGS_EQUAL(32, settings.admin_threads);
   LONGS_EQUAL(8082, settings.peer_listen.port);
   LONGS_EQUAL(8090, settings.platform.port);
   LONGS_EQUAL(1, settings.first_peers.size());
