--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -7,8 +7,10 @@
        scripts/measure_capacity.py endpoints 10 100 400    (declared, not running)
        scripts/measure_capacity.py models 20 100 330       (declared on engines not running)
        scripts/measure_capacity.py requests 0 20 50
+       scripts/measure_capacity.py fleet 40 100            (4 regions, see measure_fleet.py)
 
-SETTLE_S and MEASURE_S set the times in seconds; CALLS=1 prints platform calls by kind.
+SETTLE_S and MEASURE_S set the times in seconds; CALLS=1 prints platform calls by kind; BUILD_DIR
+names another folder of programs.
 """
 
 import json
@@ -22,7 +24,7 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-BUILD = pathlib.Path(os.environ.get("BUILD", ROOT / "build"))
+BUILD = pathlib.Path(os.environ.get("BUILD_DIR", ROOT / "build"))
 HOST = os.environ.get("HOST", "127.0.77.1")
 PLATFORM = f"{HOST}:9300"
 SETTLE_S = int(os.environ.get("SETTLE_S", "12"))
@@ -207,6 +209,10 @@
             measure(dimension, value, Deployment(4, 2, value))
         elif dimension == "requests":
             measure(dimension, value, Deployment(4, 2, 20), rate=value)
+        elif dimension == "fleet":
+            from measure_fleet import measure_fleet  # It imports this file.
+
+            measure_fleet(value)
         else:
             sys.exit(__doc__)
 
