Tests: Accept a newer load that was not held in the delayed load test

Cause: the check that the newer load was sent, moved behind the engine's accounts so that runs without a protection show the overcommit, counted held requests only. In the first row the newer load is never held, so the test failed there since it was added, with 0 overcommits. Change: a newer load that is ready counts as sent. The row in which it must not be sent is as strict as before, since it can be neither held nor ready there. Conclusion: a fault of the test, not of the code.

--- a/tests/integration/delayed_load.cc
+++ b/tests/integration/delayed_load.cc
@@ -69,8 +69,8 @@
       sum.excess_mb, taken.count());
   LONGS_EQUAL_TEXT(0, sum.overcommits, this->row.name);
   CHECK_TEXT(sum.excess_mb <= 0, this->row.name);
-  CHECK_EQUAL_TEXT(this->row.newer_is_sent, this->CountHeld("newer") > 0,
-                   this->row.name);
+  const bool sent = this->CountHeld("newer") > 0 || this->IsReady("newer");
+  CHECK_EQUAL_TEXT(this->row.newer_is_sent, sent, this->row.name);
 }
 
 void DelayedLoad::Start() {
