Placement: Take responses that come together before publishing

Cause: with fewer writes between a response and the publishing that follows, a placement was published with the first of three copies that were ready within 1 ms; the others waited for the publishing interval of 1 s. A watch of the placement object showed one copy before the outage. Ruled out: missed publishing, since the next one showed all copies. Change: after the first response of commands the planner takes others for 20 ms before it plans and publishes. Time from a response to the next plan rises by up to 20 ms, not measured.

--- a/src/placement/planner_jobs.cc
+++ b/src/placement/planner_jobs.cc
@@ -13,6 +13,9 @@
 constexpr Milliseconds kIndexInterval{2000};
 constexpr Milliseconds kFailedInterval{1000};
 constexpr std::int64_t kIndexSpreadMs = 400;
+// Responses that come together share a plan and a placement: one published with
+// the first of them would delay the others by the publishing interval.
+constexpr Milliseconds kGatherTime{20};
 constexpr std::size_t kShownBytes = 200;
 
 bool IsSame(const LoadedItem& a, const LoadedItem& b) {
@@ -67,9 +70,9 @@
       this->OnIndex(&state, *result, Clock::now());
     else
       this->OnResponses(&state, *result);
-    // What a response frees is planned at once.
+    // What responses free is planned at once.
     if (!result->index)
-      until = Clock::now();
+      until = std::min(until, Clock::now() + kGatherTime);
   }
 }
 
