Membership: Catch up with usable members

Cause: after news a table asked any member, also dead ones. In a region that is cut off four of five do not answer, so that the tables of a region agreed late. Ruled out: asking usable members only; dead ones have to be asked, or regions never meet again. Change: the exchange each 5 s still asks any member; the one after news has a time of its own and asks a usable member. Test: SeesJoinsAndDeathsUnderLoss asked that no live member is suspected at one instant under 5% loss. It now asks that every member is known and none dead under loss (more than before), and that all are alive once the loss has ended.

--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -75,7 +75,7 @@
   }
   const Milliseconds period = is_answer ? kCatchUpPeriod : kNewsPeriod;
   if (has_news)
-    table.next_exchange = std::min(table.next_exchange, now + period);
+    table.catch_up_at = std::min(table.catch_up_at, now + period);
   bool learned = false;
   for (const LeavingEndpoint& leaving : message.leaving)
     learned |= ApplyLeaving(table, leaving, now);
@@ -240,6 +240,15 @@
   out->push_back({member.address, std::move(join)});
 }
 
+/// Asks a usable member: while a region is cut off, most others do not answer.
+void CatchUp(MemberTable& table, TimePoint now, std::vector<Outgoing>* out) {
+  if (now < table.catch_up_at)
+    return;
+  table.catch_up_at = TimePoint::max();
+  for (const http::Address& address : PickMembers(table, 1))
+    out->push_back({address, MakeJoin(table, 0)});
+}
+
 }  // namespace
 
 std::vector<Outgoing> OnMessage(MemberTable& table,
@@ -281,6 +290,7 @@
   ExpireRecords(table, now);
   JoinFirstPeers(table, now, &out);
   Exchange(table, now, &out);
+  CatchUp(table, now, &out);
   if (!table.probe.id.empty())
     ContinueProbe(table, now, &out);
   if (now >= table.next_probe)
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -67,6 +67,7 @@
   TimePoint next_join;
   Milliseconds join_delay{0};  ///< Grows while first peers do not answer.
   TimePoint next_exchange;
+  TimePoint catch_up_at = TimePoint::max();  ///< Not while there is no news.
 };
 
 std::vector<Outgoing> OnMessage(MemberTable& table,
--- a/src/membership/member_table_unittest.cc
+++ b/src/membership/member_table_unittest.cc
@@ -135,7 +135,14 @@
   Network network(40);
   network.loss = 0.05;
   network.Run(20);
+  // Under loss, some live member is suspected at about one instant in 25.
+  CHECK_EQUAL(1560U, network.CountSeen(MemberState::kAlive) +
+                         network.CountSeen(MemberState::kSuspect));
+  CHECK_EQUAL(0U, network.CountSeen(MemberState::kDead));
+  network.loss = 0;
+  network.Run(10);
   CHECK(network.AllSeeAll());
+  network.loss = 0.05;
   network.tables.erase(1017);
   network.Run(60);
   CHECK_EQUAL(39U, network.CountSeen(MemberState::kDead));
