Placement: Take the memory of a restarted engine from the ledger

Cause: the plan's own sum of what a restarted engine may hold was written before the ledger charged loads since the last index beside fenced ones, and left them out. Change: one function, RestartedMemory(), for both. The planner checks CanLoad() again when it records a load, so that memory rests on the ledger and not on the sums of a plan. New unit test for such sums.

--- a/src/placement/ledger.cc
+++ b/src/placement/ledger.cc
@@ -46,6 +46,14 @@
   }
 }
 
+/// A restart empties the memory and forgets the number, so a fenced load can be
+/// accepted until the number is raised again. What was loaded since the last
+/// index may have come after that.
+void ChargeRestarted(const EndpointLedger& ledger, MemoryByItem* charges) {
+  ChargeLoaded(ledger, /*with_observed=*/false, charges);
+  ChargeIntents(ledger, /*with_fenced=*/true, charges);
+}
+
 bool IsSame(const Intent& intent,
             std::string_view item,
             std::string_view version) {
@@ -183,6 +191,12 @@
   ledger->sequence = 0;
 }
 
+std::int64_t RestartedMemory(const EndpointLedger& ledger) {
+  MemoryByItem charges;
+  ChargeRestarted(ledger, &charges);
+  return Sum(charges);
+}
+
 std::int64_t ChargedMemory(const EndpointLedger& ledger) {
   MemoryByItem charges;
   ChargeLoaded(ledger, /*with_observed=*/true, &charges);
@@ -201,12 +215,8 @@
   ChargeLoaded(ledger, /*with_observed=*/true, &running);
   ChargeIntents(ledger, /*with_fenced=*/false, &running);
   Charge(item, version, memory_mb, &running);
-  // A restart empties the memory and forgets the number, so a fenced load can
-  // be accepted until the number is raised again. What was loaded since the
-  // last index may have come after that.
   MemoryByItem restarted;
-  ChargeLoaded(ledger, /*with_observed=*/false, &restarted);
-  ChargeIntents(ledger, /*with_fenced=*/true, &restarted);
+  ChargeRestarted(ledger, &restarted);
   Charge(item, version, memory_mb, &restarted);
   return Sum(running) <= limit_mb && Sum(restarted) <= limit_mb;
 }
--- a/src/placement/ledger.h
+++ b/src/placement/ledger.h
@@ -80,6 +80,10 @@
 /// item and version once.
 std::int64_t ChargedMemory(const EndpointLedger& ledger);
 
+/// Returns the memory that may be occupied if the endpoint has restarted
+/// unnoticed.
+std::int64_t RestartedMemory(const EndpointLedger& ledger);
+
 /// Returns whether a load fits in `limit_mb`, also if the endpoint has
 /// restarted unnoticed, in which case fenced commands may have taken effect.
 /// Returns false, too, if kMaxOpenLoads are open.
--- a/src/placement/plan_state_memory.cc
+++ b/src/placement/plan_state_memory.cc
@@ -3,20 +3,6 @@
 #include "placement/plan_state.h"
 
 namespace coltsfootvane::detail {
-namespace {
-
-/// Returns what may occupy a restarted endpoint: fenced loads too.
-std::int64_t RestartedMemory(const EndpointLedger& ledger) {
-  EndpointLedger restarted;
-  for (const Intent& intent : ledger.intents) {
-    restarted.intents.push_back(intent);
-    restarted.intents.back().fenced = false;
-  }
-  return ChargedMemory(restarted);
-}
-
-}  // namespace
-
 const PlanState::Charges& PlanState::ChargesOf(std::size_t i) const {
   std::optional<Charges>& charges = this->charges[i];
   if (!charges) {
--- a/src/placement/plan_unittest.cc
+++ b/src/placement/plan_unittest.cc
@@ -61,6 +61,46 @@
   }
 }
 
+// Guards against sums of memory in the plan that leave out what a restarted
+// endpoint may hold: a fenced load, and what was loaded since the last index.
+TEST(Plan, LoadsFitBesideWhatARestartMayHaveLeft) {
+  struct Row {
+    const char* name;
+    bool observed;
+    std::int64_t memory_mb;
+    std::size_t orders;
+  };
+  const Row rows[] = {
+      {"fits beside both", false, 10, 1},
+      {"does not fit beside both", false, 11, 0},
+      {"an index has shown the newer one", true, 50, 1},
+      {"too large for the running engine", true, 51, 0},
+  };
+  for (const Row& row : rows) {
+    Configuration configuration = MakeConfiguration();
+    configuration.endpoints.resize(1);
+    configuration.models = {MakeModel("newer", "1", 50),
+                            MakeModel("next", "1", row.memory_mb)};
+    configuration.adapters.clear();
+    Fleet fleet(configuration);
+    EndpointLedger& ledger = fleet.ledgers["e1"];
+    endpoint::Command late;
+    late.item = "late";
+    late.version = "1";
+    late.memory_mb = 40;
+    RecordIntent(&ledger, &late, "s");
+    ledger.intents.back().fenced = true;
+    LoadedItem newer;
+    newer.item = "newer";
+    newer.version = "1";
+    newer.memory_mb = 50;
+    newer.ready = true;
+    newer.observed = row.observed;
+    ledger.loaded.push_back(newer);
+    LONGS_EQUAL_TEXT(row.orders, PlanOrders(fleet.Input()).size(), row.name);
+  }
+}
+
 // Guards against a version change that leaves a model without any version, and
 // against undeclared items that stay in memory.
 TEST(Plan, ConfigurationChangesSettle) {
--- a/src/placement/planner_plan.cc
+++ b/src/placement/planner_plan.cc
@@ -172,6 +172,11 @@
     return;
   EndpointState& state = found->second;
   endpoint::Command command = order.command;
+  // Memory rests on the ledger alone, not on the sums of a plan.
+  if (!IsUnload(command) &&
+      !CanLoad(state.ledger, state.endpoint.memory_mb, command.item,
+               command.version, command.memory_mb))
+    return;
   if (!RecordIntent(&state.ledger, &command, this->options.incarnation)) {
     // A new epoch starts the sequence again.
     this->ReleaseLease();
