Dispatch: Refuse for the first token target on arrival only

Logged at the refusals: the class entered its overload 5 s after the first late wait, and all requests that had waited until then, 0.8 to 2 s, were refused at once; estimate, rate (13.7/s) and limits had not changed. Change: the state is per item. An overload begins after 1 s of late waits without a break and ends 5 s after the last request that used half of its time. It refuses arrivals; requests that were queued before are not refused for it. Late starts in a takeover, a first ejection and after a holder began to leave do not count. The observed rate is corrected for its short start. The bound is unchanged. The 5 s end is not measured in a flood.

--- a/src/dispatch/drain.cc
+++ b/src/dispatch/drain.cc
@@ -8,6 +8,8 @@
 
 /// Long enough to span several calls, short enough to follow an overload.
 constexpr double kDrainTimeSeconds = 5;
+/// The rate is corrected as if it had been observed for at least this long.
+constexpr double kLeastObservedSeconds = 1;
 constexpr double kHoldWeight = 0.25;
 /// A stall is expected to last this many times as long as it has lasted. With
 /// 1, a waiting request would be refused only at half of its time.
@@ -26,11 +28,19 @@
       smoothed <= 0 ? observed : smoothed + weight * (observed - smoothed);
 }
 
-double DecayedRate(const DrainRate& drain, TimePoint now) {
+double DecayedSum(const DrainRate& drain, TimePoint now) {
   const double elapsed = SecondsBetween(drain.updated, now);
   return drain.per_s * std::exp(-elapsed / kDrainTimeSeconds);
 }
 
+/// The sum starts from 0; without the correction a new dispatcher would see
+/// too low a rate for several seconds, and refuse callers for it.
+double DecayedRate(const DrainRate& drain, TimePoint now) {
+  const double observed =
+      std::max(kLeastObservedSeconds, SecondsBetween(drain.first, now));
+  return DecayedSum(drain, now) / (1 - std::exp(-observed / kDrainTimeSeconds));
+}
+
 bool IsInTheWay(const Slot& slot, Priority priority) {
   // An overnight stream is cancelled for a more urgent request.
   return slot.priority != Priority::kOvernight ||
@@ -80,7 +90,11 @@
 
 void ObserveGrant(ClassState& state, const std::string& item, TimePoint now) {
   DrainRate& drain = state.drain[item];
-  drain.per_s = DecayedRate(drain, now) + 1 / kDrainTimeSeconds;
+  // Grants are counted from the first one, which begins the time.
+  if (drain.updated == TimePoint())
+    drain.first = now;
+  else
+    drain.per_s = DecayedSum(drain, now) + 1 / kDrainTimeSeconds;
   drain.updated = now;
 }
 
--- a/src/dispatch/lateness.cc
+++ b/src/dispatch/lateness.cc
@@ -17,9 +17,12 @@
 constexpr double kAdmissionMargin = 1.5;
 constexpr double kNoMargin = 1;
 constexpr double kMsPerSecond = 1000;
-/// Longer than a new dispatcher's 2 s at half of each limit followed by the 2 s
-/// of a first ejection.
-constexpr Milliseconds kOverloadGrace{5000};
+/// Bursts and the waits of callers that are only a few more than the slots end
+/// within it; in a flood, as much of the backlog as this is served late.
+constexpr Milliseconds kPersistenceTime{1000};
+/// An overload ends when it has shown no sign for this long. Shorter ones would
+/// begin again and again in a flood, each time with late starts.
+constexpr Milliseconds kOverloadTime{5000};
 
 enum class Lateness { kInTime, kMissesStart, kMissesDeadline };
 
@@ -67,15 +70,61 @@
   return wait_s > to_start.count() ? Lateness::kMissesStart : Lateness::kInTime;
 }
 
-bool IsRefused(Lateness lateness, bool overloaded) {
+bool IsRefused(Lateness lateness, const Waiting& one) {
   return lateness == Lateness::kMissesDeadline ||
-         (overloaded && lateness == Lateness::kMissesStart);
+         (one.held_to_start && lateness == Lateness::kMissesStart);
 }
 
-void NoteLateStart(ClassState& state, TimePoint now) {
-  if (now - state.late_seen > kOverloadGrace)
-    state.late_since = now;
-  state.late_seen = now;
+void ExtendOverload(ClassState& state, const std::string& item, TimePoint now) {
+  state.drain[item].overloaded_until = now + kOverloadTime;
+}
+
+/// Returns whether a request for the item has used up half of its time to
+/// start. Only this keeps up an overload: refusals for a wrong estimate alone
+/// would do so without end.
+bool IsHalfLate(const ClassState& state,
+                const std::string& item,
+                TimePoint now) {
+  return std::any_of(state.waiting.begin(), state.waiting.end(),
+                     [&item, now](const Waiting& one) {
+                       return one.request.item == item && !one.resumed &&
+                              now - one.asked >= one.start_deadline - now;
+                     });
+}
+
+/// Notes for which items requests have waited beyond their target, and whether
+/// this has lasted.
+void NoteLateStarts(ClassState& state, TimePoint now) {
+  std::map<std::string, TimePoint> late;
+  for (const Waiting& one : state.waiting) {
+    if (one.resumed || now <= one.start_deadline)
+      continue;
+    const auto found = late.emplace(one.request.item, one.start_deadline).first;
+    found->second = std::min(found->second, one.start_deadline);
+  }
+  for (auto& [item, drain] : state.drain) {
+    if (late.count(item) == 0)
+      drain.late_since = TimePoint();
+    if (IsOverloaded(state, item, now) && IsHalfLate(state, item, now))
+      ExtendOverload(state, item, now);
+  }
+  for (const auto& [item, since] : late) {
+    DrainRate& drain = state.drain[item];
+    if (drain.late_since == TimePoint())
+      drain.late_since = since;
+    if (now - drain.late_since >= kPersistenceTime)
+      ExtendOverload(state, item, now);
+  }
+}
+
+/// Requests that a disturbance has held up keep their deadline only.
+void TolerateLateStarts(const PoolState& pool,
+                        ClassState& state,
+                        TimePoint now) {
+  for (Waiting& one : state.waiting) {
+    if (IsDisturbed(pool, one.request.item, now))
+      one.start_deadline = one.request.deadline;
+  }
 }
 
 /// Judges all waiting requests of the class; those for `tight_items` need the
@@ -84,7 +133,6 @@
                                    const ClassState& state,
                                    const std::set<std::string>& tight_items,
                                    TimePoint now) {
-  const bool overloaded = IsOverloaded(state, now);
   std::map<std::string, Estimate> estimates;
   std::map<std::string, std::size_t> ahead;
   std::vector<Lateness> judged;
@@ -99,12 +147,16 @@
     const double margin =
         tight_items.count(request.item) > 0 ? kAdmissionMargin : kNoMargin;
     std::size_t& before = ahead[request.item];
-    const Lateness lateness =
-        one.resumed ? Lateness::kInTime
-                    : Judge(estimate->second, request, one.start_deadline,
-                            before, margin, now);
+    Lateness lateness = one.resumed
+                            ? Lateness::kInTime
+                            : Judge(estimate->second, request,
+                                    one.start_deadline, before, margin, now);
+    // As on arrival, the first one may wait on a bad estimate.
+    if (lateness == Lateness::kMissesStart && before == 0 &&
+        now <= one.start_deadline)
+      lateness = Lateness::kInTime;
     judged.push_back(lateness);
-    if (!IsRefused(lateness, overloaded))
+    if (!IsRefused(lateness, one))
       ++before;
   }
   return judged;
@@ -149,21 +201,39 @@
                      });
 }
 
-TimePoint StartDeadline(const ClassState& state,
+bool IsDisturbed(const PoolState& pool, std::string_view item, TimePoint now) {
+  if (now < pool.disturbed_until)
+    return true;
+  const auto holders = pool.holders.find(item);
+  if (holders == pool.holders.end())
+    return false;
+  return std::any_of(holders->second.begin(), holders->second.end(),
+                     [&pool, now](const std::string& id) {
+                       const auto found = pool.endpoints.find(id);
+                       return found != pool.endpoints.end() &&
+                              now < found->second.disturbed_until;
+                     });
+}
+
+TimePoint StartDeadline(const PoolState& pool,
                         const SlotRequest& request,
                         TimePoint now) {
-  if (request.kind == EndpointKind::kService)
+  if (request.kind == EndpointKind::kService ||
+      IsDisturbed(pool, request.item, now))
     return request.deadline;
+  const ClassState& state =
+      pool.classes[static_cast<std::size_t>(request.priority)];
   const double left_s = state.settings.first_token_ms / kMsPerSecond -
                         FirstTokenSeconds(state, request.item);
   return now + std::chrono::duration_cast<Clock::duration>(
                    std::chrono::duration<double>(left_s));
 }
 
-bool IsOverloaded(const ClassState& state, TimePoint now) {
-  return state.late_seen != TimePoint() &&
-         now - state.late_seen <= kOverloadGrace &&
-         now - state.late_since >= kOverloadGrace;
+bool IsOverloaded(const ClassState& state,
+                  std::string_view item,
+                  TimePoint now) {
+  const auto found = state.drain.find(item);
+  return found != state.drain.end() && now < found->second.overloaded_until;
 }
 
 bool IsTooLateToQueue(const PoolState& pool,
@@ -178,25 +248,22 @@
     return lateness == Lateness::kMissesDeadline;
   // One request may always wait: an estimate that is too high is corrected only
   // by requests that are served.
-  if (ahead == 0 || !IsOverloaded(state, now))
+  if (ahead == 0 || !IsOverloaded(state, request.item, now))
     return false;
-  NoteLateStart(state, now);
+  if (IsHalfLate(state, request.item, now))
+    ExtendOverload(state, request.item, now);
   return true;
 }
 
 std::vector<bool> FindRefused(const PoolState& pool,
                               ClassState& state,
                               TimePoint now) {
+  TolerateLateStarts(pool, state, now);
+  NoteLateStarts(state, now);
   std::vector<Lateness> judged = JudgeWaiting(pool, state, {}, now);
-  if (std::any_of(state.waiting.begin(), state.waiting.end(),
-                  [now](const Waiting& one) {
-                    return !one.resumed && now > one.start_deadline;
-                  }))
-    NoteLateStart(state, now);
-  const bool overloaded = IsOverloaded(state, now);
   std::set<std::string> late_items;
   for (std::size_t i = 0; i < judged.size(); ++i) {
-    if (IsRefused(judged[i], overloaded))
+    if (IsRefused(judged[i], state.waiting[i]))
       late_items.insert(state.waiting[i].request.item);
   }
   // Where one request is late, those that would be next are refused as well
@@ -205,8 +272,8 @@
     judged = JudgeWaiting(pool, state, late_items, now);
   std::vector<bool> refused;
   refused.reserve(judged.size());
-  for (const Lateness lateness : judged)
-    refused.push_back(IsRefused(lateness, overloaded));
+  for (std::size_t i = 0; i < judged.size(); ++i)
+    refused.push_back(IsRefused(judged[i], state.waiting[i]));
   return refused;
 }
 
--- a/src/dispatch/lateness.h
+++ b/src/dispatch/lateness.h
@@ -2,6 +2,7 @@
 #define COLTSFOOTVANE_DISPATCH_LATENESS_H_
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "dispatch/pool_state.h"
@@ -21,16 +22,23 @@
                     const std::string& item,
                     TimePoint now);
 
+/// Returns whether a disturbance with a known end holds up requests for the
+/// item: a takeover of the pool or the first ejection of a holder. Late starts
+/// are waited out until it is over and its backlog has been served.
+bool IsDisturbed(const PoolState& pool, std::string_view item, TimePoint now);
+
 /// Returns the latest grant that meets the first token target. Only engines
-/// have one.
-TimePoint StartDeadline(const ClassState& state,
+/// have one, and not for requests that arrive in a disturbance.
+TimePoint StartDeadline(const PoolState& pool,
                         const SlotRequest& request,
                         TimePoint now);
 
-/// Returns whether requests of the class have waited beyond the first token
-/// target for a while. Only then are they refused for it: a short
-/// disturbance, such as a new dispatcher, is waited out.
-bool IsOverloaded(const ClassState& state, TimePoint now);
+/// Returns whether requests of the class for the item have lately waited
+/// beyond the first token target for a while. Only then are they refused for
+/// it: a burst is waited out.
+bool IsOverloaded(const ClassState& state,
+                  std::string_view item,
+                  TimePoint now);
 
 /// Returns whether a request that would wait behind all others of its item is
 /// expected to miss its deadline or, in an overload, its first token target.
--- a/src/dispatch/limits.cc
+++ b/src/dispatch/limits.cc
@@ -62,6 +62,7 @@
                      TimePoint now) {
   pool.awaited_reports = std::move(entries);
   pool.cautious_until = now + kCautiousTime;
+  pool.disturbed_until = pool.cautious_until + kRecoveryTime;
 }
 
 int CurrentLimit(const PoolState& pool,
--- a/src/dispatch/pool_state.h
+++ b/src/dispatch/pool_state.h
@@ -25,6 +25,12 @@
 inline constexpr Milliseconds kWaitingTime{3000};
 /// Two report periods: after it, a new dispatcher stops waiting for reports.
 inline constexpr Milliseconds kCautiousTime{2000};
+/// After a disturbance that was waited out, the requests that it has held up
+/// are served before late starts are refused.
+inline constexpr Milliseconds kRecoveryTime{1000};
+/// After an endpoint began to leave, the planner needs 1 to 2 s to see it, and
+/// another copy about as long to load.
+inline constexpr Milliseconds kReplacementTime{5000};
 
 /// One call in progress at an endpoint.
 struct Slot {
@@ -63,6 +69,9 @@
   bool leaving = false;
   LimitState limit;
   OutlierState outlier;
+  /// End of the first ejection, or of the time after the endpoint began to
+  /// leave, and of the recovery from it.
+  TimePoint disturbed_until;
   std::vector<Slot> granted;
 };
 
@@ -72,27 +81,33 @@
   std::string entry_id;
   std::uint64_t arrival = 0;
   bool resumed = false;  ///< Was preempted; goes to the head of its class.
-  TimePoint heard;       ///< When the entry last repeated it.
+  TimePoint asked;
+  TimePoint heard;  ///< When the entry last repeated it.
   /// A later grant misses the first token target.
   TimePoint start_deadline;
+  /// Admitted in an overload: refused when it misses `start_deadline`. Others
+  /// have been accepted and are not refused for it.
+  bool held_to_start = false;
 };
 
 /// How fast the requests of one class for one item are served.
 struct DrainRate {
-  double per_s = 0;   ///< Smoothed over kDrainTime.
+  double per_s = 0;   ///< Smoothed over kDrainTime, from `first` on.
   double hold_s = 0;  ///< Smoothed time that a slot is held; 0 if unknown.
   double first_token_s = 0;  ///< Smoothed time from a grant to the first token.
+  TimePoint first;           ///< First grant.
   TimePoint updated;
+  /// Since when requests have waited beyond the first token target without a
+  /// break; unset if none does.
+  TimePoint late_since;
+  /// Until then, requests are refused for the first token target.
+  TimePoint overloaded_until;
 };
 
 struct ClassState {
   PriorityClass settings;
   std::vector<Waiting> waiting;
   double deficit = 0;  ///< Grants owed by the minimum share.
-  /// When requests were first and last seen to wait beyond the first token
-  /// target.
-  TimePoint late_since;
-  TimePoint late_seen;
   std::map<std::string, std::uint64_t> item_served;     ///< Last turn.
   std::map<std::string, std::uint64_t> caller_served;   ///< Last turn.
   std::map<std::string, DrainRate, std::less<>> drain;  ///< By item.
@@ -113,6 +128,8 @@
   /// `cautious_until`.
   std::set<std::string> awaited_reports;
   TimePoint cautious_until;
+  /// End of the takeover and of the recovery from it.
+  TimePoint disturbed_until;
 };
 
 /// The answer to a request that waited, to be sent to its entry.
@@ -199,6 +216,9 @@
                      std::string_view item,
                      TimePoint now);
 
+/// Notes whether the endpoint is leaving.
+void SetLeaving(EndpointState& endpoint, bool leaving, TimePoint now);
+
 /// Adjusts the limits that are due.
 void AdjustLimits(PoolState& pool, TimePoint now);
 
--- a/src/dispatch/pools.cc
+++ b/src/dispatch/pools.cc
@@ -23,11 +23,12 @@
 
 void SyncEndpoint(EndpointState& state,
                   const Endpoint& endpoint,
-                  bool leaving) {
+                  bool leaving,
+                  TimePoint now) {
   const bool is_new = state.id.empty();
   state.id = endpoint.id;
   state.kind = endpoint.kind;
-  state.leaving = leaving;
+  SetLeaving(state, leaving, now);
   if (!is_new && state.slots == endpoint.slots)
     return;
   state.slots = endpoint.slots;
@@ -146,7 +147,7 @@
     EndpointState& one = state.endpoints[endpoint.id];
     if (one.id.empty())
       one.limit.next_adjustment = now;
-    SyncEndpoint(one, endpoint, IsLeaving(view, leaving, endpoint.id));
+    SyncEndpoint(one, endpoint, IsLeaving(view, leaving, endpoint.id), now);
     SyncHolders(state, endpoint, view);
   }
   for (std::size_t i = 0; i < kPriorityCount; ++i)
--- a/src/dispatch/queue.cc
+++ b/src/dispatch/queue.cc
@@ -46,8 +46,8 @@
 
 /// Such a request would take the slot of one that can still meet its target; it
 /// is refused by RefuseLate().
-bool MissedStart(const ClassState& state, const Waiting& one, TimePoint now) {
-  return !one.resumed && now > one.start_deadline && IsOverloaded(state, now);
+bool MissedStart(const Waiting& one, TimePoint now) {
+  return !one.resumed && one.held_to_start && now > one.start_deadline;
 }
 
 /// Returns the index of the waiting request that is served next, or kNone.
@@ -58,7 +58,7 @@
   std::size_t best = kNone;
   for (std::size_t i = 0; i < state.waiting.size(); ++i) {
     const Waiting& one = state.waiting[i];
-    if (blocked.count(one.request.item) > 0 || MissedStart(state, one, now))
+    if (blocked.count(one.request.item) > 0 || MissedStart(one, now))
       continue;
     if (best != kNone &&
         OrderKey(state, state.waiting[best]) <= OrderKey(state, one))
@@ -248,12 +248,13 @@
   if (!resumed && state.waiting.size() >= bound)
     return SlotAnswer{SlotVerdict::kQueueFull, "", 0,
                       RetryAfterMs(pool, request, now)};
-  const TimePoint start_deadline = StartDeadline(state, request, now);
+  const TimePoint start_deadline = StartDeadline(pool, request, now);
   if (!resumed && IsTooLateToQueue(pool, state, request, start_deadline, now))
     return SlotAnswer{LateVerdict(pool, request, now), "", 0,
                       RetryAfterMs(pool, request, now)};
   state.waiting.push_back({request, std::string(entry_id), ++pool.turn, resumed,
-                           now, start_deadline});
+                           now, now, start_deadline,
+                           IsOverloaded(state, request.item, now)});
   return std::nullopt;
 }
 
--- a/src/dispatch/slots.cc
+++ b/src/dispatch/slots.cc
@@ -29,8 +29,11 @@
                    TimePoint now) {
   ClassState& state = pool.classes[static_cast<std::size_t>(slot.priority)];
   if (outcome.endpoint_leaving)
-    endpoint.leaving = true;
-  ObserveOutcome(endpoint.outlier, outcome.endpoint_failed, now);
+    SetLeaving(endpoint, true, now);
+  const bool ejected =
+      ObserveOutcome(endpoint.outlier, outcome.endpoint_failed, now);
+  if (ejected && endpoint.outlier.ejections == 1)
+    endpoint.disturbed_until = endpoint.outlier.ejected_until + kRecoveryTime;
   ObserveTokenTime(endpoint.limit, outcome.time_per_token, StrictestGap(pool));
   if (slot.preempted && pool.resumable.size() < kMaxResumable)
     pool.resumable.emplace(CallerRequestId(slot.request_id));
@@ -150,6 +153,12 @@
   }
 }
 
+void SetLeaving(EndpointState& endpoint, bool leaving, TimePoint now) {
+  if (leaving && !endpoint.leaving)
+    endpoint.disturbed_until = now + kReplacementTime + kRecoveryTime;
+  endpoint.leaving = leaving;
+}
+
 void DropSlot(PoolState& pool, std::uint64_t grant_id) {
   for (auto& [id, endpoint] : pool.endpoints) {
     auto& granted = endpoint.granted;
@@ -198,7 +207,9 @@
                   std::string_view entry_id,
                   gsl::span<const HeldSlot> held,
                   TimePoint now) {
-  pool.awaited_reports.erase(std::string(entry_id));
+  const bool awaited = pool.awaited_reports.erase(std::string(entry_id)) > 0;
+  if (awaited && pool.awaited_reports.empty())
+    pool.disturbed_until = std::min(pool.disturbed_until, now + kRecoveryTime);
   std::map<std::uint64_t, const HeldSlot*> unknown;
   for (const HeldSlot& one : held)
     unknown[one.grant_id] = &one;
