Peer: Use the share at once while a dispatcher is silent

Cause: each request of an entry waited 300 ms for a dead dispatcher until membership had moved its role. A new dispatcher halved its limits for 2 s, because entries without slots never report; and one that got a pool back within 12 s did not start cautiously at all. Ruled out: a shorter wait for every request, which a busy daemon exceeds. Change: after one unanswered request the dispatcher is silent for the pool (event 1605) until it answers or the role moves. Requests then prefer other pools and use the share at once; one request each 300 ms sends a probe that it does not wait for. A request whose dispatcher changes gets 300 ms for the new one. Every entry reports to each new dispatcher, twice if it holds nothing, counted per pool. A daemon that gets a role back starts cautiously. Two tests of reports look at one pool, since others are reported as well now.

--- a/src/dispatch/events.h
+++ b/src/dispatch/events.h
@@ -10,6 +10,8 @@
 inline constexpr Event kSlotsExpired{1603, Severity::kWarning, "slots-expired"};
 inline constexpr Event kFallbackShare{1604, Severity::kWarning,
                                       "fallback-share"};
+inline constexpr Event kDispatcherSilent{1605, Severity::kWarning,
+                                         "dispatcher-silent"};
 
 }  // namespace coltsfootvane::dispatch
 
--- a/src/peer/dispatcher.cc
+++ b/src/peer/dispatcher.cc
@@ -143,6 +143,10 @@
 void Dispatcher::OnReport(const DispatchInput& input,
                           const dispatch::ReportMessage& report,
                           TimePoint now) {
+  // Every entry reports to the dispatcher that it sees. One without slots must
+  // not make a daemon take or keep a pool that another one dispatches.
+  if (report.held.empty() && this->pools.count(report.pool) == 0)
+    return;
   OwnedPool* owned = this->UsePool(report.pool, now);
   if (owned == nullptr)
     return;
@@ -168,6 +172,7 @@
   const auto found = this->pools.find(name);
   if (found != this->pools.end()) {
     found->second.last_used = now;
+    this->NoteRole(found->second, now);
     return &found->second;
   }
   // An entry may see this daemon as dispatcher before it does itself.
@@ -180,11 +185,28 @@
   owned.state.name = name;
   owned.state.next_grant_id = FirstGrantId();
   dispatch::StartCautiously(owned.state, UsableIds(*this->members->Get()), now);
+  owned.has_role = this->HasRole(*pool);
   this->Sync(owned, routes, now);
   LogEvent(dispatch::kPoolTaken, "pool=" + name);
   return &owned;
 }
 
+bool Dispatcher::HasRole(const dispatch::Pool& pool) {
+  const auto member = this->dispatchers.Get(pool);
+  return member && member->id == this->self_id;
+}
+
+void Dispatcher::NoteRole(OwnedPool& owned, TimePoint now) {
+  const auto routes = this->routes->Get();
+  const dispatch::Pool* pool = dispatch::FindPool(*routes, owned.state.name);
+  const bool has_role = pool != nullptr && this->HasRole(*pool);
+  // A pool that was kept since an earlier time misses what others granted.
+  if (has_role && !owned.has_role)
+    dispatch::StartCautiously(owned.state, UsableIds(*this->members->Get()),
+                              now);
+  owned.has_role = has_role;
+}
+
 void Dispatcher::Sync(OwnedPool& owned,
                       const std::shared_ptr<const dispatch::Routes>& routes,
                       TimePoint now) {
@@ -197,9 +219,11 @@
 
 void Dispatcher::TakeOwnPools(const dispatch::Routes& routes, TimePoint now) {
   for (const dispatch::Pool& pool : routes.pools) {
-    const auto member = this->dispatchers.Get(pool);
-    if (member && member->id == this->self_id)
+    const auto found = this->pools.find(pool.name);
+    if (this->HasRole(pool))
       this->UsePool(pool.name, now);
+    else if (found != this->pools.end())
+      found->second.has_role = false;
   }
 }
 
--- a/src/peer/dispatcher.h
+++ b/src/peer/dispatcher.h
@@ -72,6 +72,7 @@
     std::shared_ptr<const dispatch::Routes> synced;  ///< Null: not yet.
     TimePoint last_used;
     TimePoint next_refusals;
+    bool has_role = false;  ///< As this daemon last saw it.
   };
   struct PartialReport {
     std::int64_t round = 0;
@@ -93,6 +94,8 @@
   void Tick(TimePoint now);
   void TakeOwnPools(const dispatch::Routes& routes, TimePoint now);
   void DropUnusedPools(const dispatch::Routes& routes, TimePoint now);
+  bool HasRole(const dispatch::Pool& pool);
+  void NoteRole(OwnedPool& owned, TimePoint now);
   OwnedPool* UsePool(const std::string& name, TimePoint now);
   void Sync(OwnedPool& owned,
             const std::shared_ptr<const dispatch::Routes>& routes,
--- a/src/peer/slot_caller.cc
+++ b/src/peer/slot_caller.cc
@@ -1,7 +1,6 @@
 #include "peer/slot_caller.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -14,14 +13,10 @@
 
 constexpr Milliseconds kRepeatPeriod{50};
 constexpr Milliseconds kQueuedRepeatPeriod{1000};
-constexpr Milliseconds kFallbackTime{300};
-/// A request that gets neither an answer nor a fallback share is refused then.
-constexpr Milliseconds kUnansweredTime{1000};
 constexpr Milliseconds kHintTime{2000};
 /// A request that has waited longer in one queue is not queued again in the
 /// next pool: the waits would add up beyond its first token target.
 constexpr Milliseconds kNextPoolTime{150};
-constexpr Milliseconds kFallbackLogPeriod{5000};
 constexpr int kUnreadyRetryMs = 1000;
 constexpr int kUnansweredRetryMs = 1000;
 constexpr int kFullPercent = 100;
@@ -60,19 +55,22 @@
     const dispatch::Routes& routes,
     const SlotRequest& request,
     TimePoint now) {
-  using Key = std::tuple<bool, bool, int, std::uint64_t>;
+  using Key = std::tuple<bool, bool, bool, int, std::uint64_t>;
   std::vector<std::pair<Key, const dispatch::PoolHolders*>> keyed;
-  std::lock_guard<std::mutex> lock(this->mutex);
   for (const dispatch::PoolHolders& one :
        dispatch::FindHolders(routes, request.kind, request.item)) {
     if (!HasUsable(one, request))
       continue;
+    this->Probe(*one.pool, request, now);
+    const bool silent = this->IsPoolSilent(*one.pool);
+    std::lock_guard<std::mutex> lock(this->mutex);
     const auto hint = this->hints.find(one.pool->name);
     const bool fresh = hint != this->hints.end() && hint->second.expiry > now;
     const int percent = fresh ? hint->second.percent : 0;
     const bool remote = one.pool->data_centre != this->data_centre;
     keyed.push_back(
-        {{percent >= kFullPercent, remote, percent, this->random()}, &one});
+        {{silent, percent >= kFullPercent, remote, percent, this->random()},
+         &one});
   }
   std::sort(keyed.begin(), keyed.end());
   std::vector<const dispatch::PoolHolders*> ordered;
@@ -157,6 +155,8 @@
   const TimePoint now = Clock::now();
   if (auto given_up = this->GiveUpAsk(ask, now))
     return given_up;
+  if (auto share = this->TakeShareIfSilent(ask))
+    return share;
   this->SendAsk(ask, now);
   const auto reply = this->WaitForReply(
       *ask.pending, std::min(ask.request.deadline, now + kRepeatPeriod));
@@ -185,6 +185,9 @@
   const auto to = this->dispatchers.Get(*ask.holders.pool);
   if (!to || (now < ask.next_send && to->id == ask.dispatcher))
     return;
+  // A new dispatcher gets the time that the last one had.
+  if (!ask.dispatcher.empty() && ask.dispatcher != to->id)
+    ask.answer_due = now;
   ask.dispatcher = to->id;
   ask.next_send = now + (ask.queued ? kQueuedRepeatPeriod : kRepeatPeriod);
   PeerMessage message;
@@ -192,18 +195,6 @@
   this->send(*to, std::move(message));
 }
 
-std::optional<SlotAnswer> SlotCaller::OnSilence(PoolAsk& ask, TimePoint now) {
-  if (now < ask.answer_due + kFallbackTime)
-    return std::nullopt;
-  ask.queued = false;
-  if (auto share = this->TakeShare(ask.routes, ask.holders, ask.request))
-    return share;
-  if (now < ask.answer_due + kUnansweredTime)
-    return std::nullopt;
-  this->Withdraw(*ask.holders.pool, ask.request);
-  return SlotAnswer{SlotVerdict::kQueueFull, "", 0, kUnansweredRetryMs};
-}
-
 SlotAnswer SlotCaller::FinishAsk(const PoolAsk& ask, SlotAnswer answer) {
   std::lock_guard<std::mutex> lock(this->mutex);
   const auto found = this->pending.find(ask.request.request_id);
@@ -222,50 +213,6 @@
   return answer;
 }
 
-int SlotCaller::CountHeldAt(const std::string& endpoint_id) const {
-  int count = 0;
-  for (const auto& [grant_id, one] : this->held)
-    count += one.endpoint_id == endpoint_id ? 1 : 0;
-  return count;
-}
-
-std::optional<SlotAnswer> SlotCaller::TakeShare(
-    const dispatch::Routes& routes,
-    const dispatch::PoolHolders& holders,
-    const SlotRequest& request) {
-  const int daemons = CountUsable(*this->members->Get());
-  const int least = request.priority == Priority::kInteractive ? 1 : 0;
-  std::lock_guard<std::mutex> lock(this->mutex);
-  const std::string* best = nullptr;
-  int most_left = 0;
-  for (const std::string& id : holders.endpoint_ids) {
-    const Endpoint* endpoint = FindEndpoint(routes.view->configuration, id);
-    const bool excluded =
-        std::find(request.excluded.begin(), request.excluded.end(), id) !=
-        request.excluded.end();
-    if (endpoint == nullptr || excluded)
-      continue;
-    const int share = std::max(least, endpoint->slots / daemons);
-    const int left = share - this->CountHeldAt(id);
-    if (left <= most_left)
-      continue;
-    most_left = left;
-    best = &id;
-  }
-  if (best == nullptr)
-    return std::nullopt;
-  if (Clock::now() >= this->next_fallback_log) {
-    this->next_fallback_log = Clock::now() + kFallbackLogPeriod;
-    LogEvent(dispatch::kFallbackShare, "pool=" + holders.pool->name);
-  }
-  const std::uint64_t grant_id =
-      this->random() & std::numeric_limits<std::int64_t>::max();
-  // Other threads must not take the same share before it is recorded.
-  this->held[grant_id] = {
-      holders.pool->name, *best, request, Clock::now(), false, {}, 0};
-  return SlotAnswer{SlotVerdict::kGranted, *best, grant_id, 0};
-}
-
 void SlotCaller::SendToPool(std::string_view pool_name, PeerMessage message) {
   const auto routes = this->routes->Get();
   const dispatch::Pool* pool = dispatch::FindPool(*routes, pool_name);
@@ -313,6 +260,7 @@
       !reply.queued && reply.answer.verdict == SlotVerdict::kGranted;
   {
     std::lock_guard<std::mutex> lock(this->mutex);
+    NoteAnswer(this->silent, reply.pool);
     this->hints[reply.pool] = {reply.pool_load_percent,
                                Clock::now() + kHintTime};
     const auto found = this->pending.find(reply.request_id);
--- a/src/peer/slot_caller.h
+++ b/src/peer/slot_caller.h
@@ -17,6 +17,7 @@
 #include "dispatch/slot_client.h"
 #include "peer/member_view.h"
 #include "peer/message.h"
+#include "peer/silence.h"
 #include "placement/demand.h"
 
 namespace coltsfootvane::peer {
@@ -84,6 +85,7 @@
   struct Reporting {
     std::string dispatcher;
     TimePoint next;
+    std::int64_t round = 0;
     int empty_rounds = 0;
   };
 
@@ -104,6 +106,12 @@
   std::optional<dispatch::ReplyMessage> WaitForReply(Pending& pending,
                                                      TimePoint until);
   std::optional<SlotAnswer> OnSilence(PoolAsk& ask, TimePoint now);
+  std::optional<SlotAnswer> TakeShareIfSilent(const PoolAsk& ask);
+  bool IsPoolSilent(const dispatch::Pool& pool);
+  void NoteUnanswered(const PoolAsk& ask, TimePoint now);
+  void Probe(const dispatch::Pool& pool,
+             const SlotRequest& request,
+             TimePoint now);
   SlotAnswer FinishAsk(const PoolAsk& ask, SlotAnswer answer);
   std::optional<SlotAnswer> TakeShare(const dispatch::Routes& routes,
                                       const dispatch::PoolHolders& holders,
@@ -114,6 +122,7 @@
   void NoteUnready(const SlotRequest& request);
   std::vector<dispatch::HeldSlot> ListHeld(const std::string& pool,
                                            const std::string& dispatcher,
+                                           bool detailed_round,
                                            TimePoint now);
   bool IsReportDue(const std::string& dispatcher,
                    bool is_empty,
@@ -121,6 +130,7 @@
                    TimePoint now);
   void SendReport(const membership::Member& to,
                   const std::string& pool,
+                  std::int64_t round,
                   const std::vector<dispatch::HeldSlot>& held);
 
   const std::string data_centre;
@@ -133,10 +143,10 @@
   std::map<std::string, std::shared_ptr<Pending>> pending;  ///< By request.
   std::map<std::uint64_t, Held> held;                       ///< By grant.
   std::map<std::string, LoadHint> hints;                    ///< By pool.
-  std::map<std::string, Reporting> reporting;               ///< By pool.
+  SilentPools silent;
+  std::map<std::string, Reporting> reporting;  ///< By pool.
   std::map<std::string, ItemDemand> unready;
   std::mt19937_64 random;
-  std::int64_t round = 0;
   TimePoint next_fallback_log;
 };
 
--- a/src/peer/slot_caller_unittest.cc
+++ b/src/peer/slot_caller_unittest.cc
@@ -38,7 +38,7 @@
 
   void Answer(const PeerMessage& message) {
     this->sent.push_back(message);
-    if (!message.ask)
+    if (!message.ask || this->dead.count(message.ask->pool) > 0)
       return;
     dispatch::ReplyMessage reply;
     reply.pool = message.ask->pool;
@@ -60,10 +60,21 @@
     return this->caller.Ask(request, nullptr);
   }
 
+  /// Returns the reports sent for the pool.
+  std::vector<PeerMessage> ReportsOf(const std::string& pool) const {
+    std::vector<PeerMessage> reports;
+    for (const PeerMessage& message : this->sent) {
+      if (message.report && message.report->pool == pool)
+        reports.push_back(message);
+    }
+    return reports;
+  }
+
   InForceHolder in_force;
   MemberViewHolder members;
   RouteCache routes{&in_force, &members};
   std::set<std::string> full;
+  std::set<std::string> dead;  ///< Pools that do not answer.
   std::uint64_t next_grant = 1;
   std::vector<PeerMessage> sent;
   SlotCaller caller{
@@ -101,6 +112,37 @@
   }
 }
 
+// Guards against requests that each wait for a dispatcher which has left one
+// unanswered, and against one that is never asked again.
+TEST(SlotCaller, DoesNotWaitForASilentDispatcher) {
+  struct Row {
+    const char* name;
+    std::set<std::string> dead;
+    std::set<std::string> full;
+    const char* endpoint;
+    bool waits;
+  };
+  const std::vector<Row> rows = {
+      {"first one", {"a/0"}, {}, "e-a", true},
+      {"other pool", {"a/0"}, {}, "e-b", false},
+      {"share", {"a/0"}, {"b/0"}, "e-a", false},
+      {"answers again", {}, {}, "e-a", false},
+  };
+  Fixture fixture;
+  int number = 0;
+  for (const Row& row : rows) {
+    fixture.dead = row.dead;
+    fixture.full = row.full;
+    const TimePoint start = Clock::now();
+    const SlotAnswer answer = fixture.Ask("r" + std::to_string(++number));
+    const bool waited = Clock::now() - start >= Milliseconds{300};
+    STRCMP_EQUAL_TEXT(row.endpoint, answer.endpoint_id.c_str(), row.name);
+    CHECK_EQUAL_TEXT(row.waits, waited, row.name);
+    fixture.caller.GiveBack(answer, SlotOutcome{});
+    std::this_thread::sleep_for(Milliseconds{310});
+  }
+}
+
 // Guards against a refusal by a daemon that stops when no other daemon is left
 // to dispatch: the request waits for a share of the endpoint instead.
 TEST(SlotCaller, WaitsForAShareWhenEveryDaemonIsLeaving) {
@@ -167,13 +209,14 @@
   TimePoint now = Clock::now();
   fixture.caller.Report(now);
   std::size_t reported = 0;
-  for (const PeerMessage& message : fixture.sent) {
+  const std::vector<PeerMessage> chunks = fixture.ReportsOf("a/0");
+  for (const PeerMessage& message : chunks) {
     CHECK(EncodeMessage(message, now).size() <= kMaxDatagramBytes);
-    CHECK_EQUAL(static_cast<int>(fixture.sent.size()), message.report->chunks);
+    CHECK_EQUAL(static_cast<int>(chunks.size()), message.report->chunks);
     reported += message.report->held.size();
   }
   CHECK_EQUAL(60U, reported);
-  CHECK(fixture.sent.size() > 1);
+  CHECK(chunks.size() > 1);
   for (const SlotAnswer& answer : answers)
     fixture.caller.GiveBack(answer, SlotOutcome{});
   fixture.sent.clear();
@@ -181,8 +224,32 @@
     now += std::chrono::seconds{1};
     fixture.caller.Report(now);
   }
-  CHECK_EQUAL(2U, fixture.sent.size());
-  CHECK(fixture.sent[0].report->held.empty());
+  const std::vector<PeerMessage> empty = fixture.ReportsOf("a/0");
+  CHECK_EQUAL(2U, empty.size());
+  CHECK(empty[0].report->held.empty());
+}
+
+// Guards against a new dispatcher that halves its limits for long because
+// entries without slots never report, and against such reports without end.
+TEST(SlotCaller, ReportsToEachNewDispatcher) {
+  Fixture fixture;
+  TimePoint now = Clock::now();
+  const auto count = [&](int rounds) {
+    fixture.sent.clear();
+    for (int i = 0; i < rounds; ++i) {
+      now += std::chrono::seconds{1};
+      fixture.caller.Report(now);
+    }
+    return fixture.ReportsOf("b/0").size();
+  };
+  CHECK_EQUAL(1U, count(1));
+  CHECK_EQUAL(1U, count(5));
+  auto members = std::make_shared<MemberView>(*fixture.members.Get());
+  members->members[1].id = "next";
+  fixture.members.Set(members);
+  CHECK_EQUAL(2U, count(5));
+  CHECK(fixture.ReportsOf("b/0")[0].report->held.empty());
+  CHECK(fixture.ReportsOf("a/0").empty());
 }
 
 // Guards against details that a new dispatcher never gets, and against details
@@ -195,8 +262,9 @@
     now += std::chrono::seconds{1};
     fixture.sent.clear();
     fixture.caller.Report(now);
-    CHECK_EQUAL(1U, fixture.sent.size());
-    return !fixture.sent[0].report->held.at(0).endpoint_id.empty();
+    const std::vector<PeerMessage> reports = fixture.ReportsOf("a/0");
+    CHECK_EQUAL(1U, reports.size());
+    return !reports[0].report->held.at(0).endpoint_id.empty();
   };
   CHECK(is_detailed());
   for (int i = 0; i < 4; ++i)
--- /dev/null
+++ b/src/peer/slot_fallback.cc
@@ -0,0 +1,121 @@
+#include <algorithm>
+#include <limits>
+#include <string_view>
+
+#include "dispatch/events.h"
+#include "peer/slot_caller.h"
+
+namespace coltsfootvane::peer {
+namespace {
+
+constexpr Milliseconds kFallbackTime{300};
+/// A request that gets neither an answer nor a fallback share is refused then.
+constexpr Milliseconds kUnansweredTime{1000};
+constexpr Milliseconds kFallbackLogPeriod{5000};
+constexpr int kUnansweredRetryMs = 1000;
+constexpr std::string_view kProbeSuffix = "/probe";
+
+}  // namespace
+
+std::optional<SlotAnswer> SlotCaller::OnSilence(PoolAsk& ask, TimePoint now) {
+  if (now < ask.answer_due + kFallbackTime)
+    return std::nullopt;
+  ask.queued = false;
+  this->NoteUnanswered(ask, now);
+  if (auto share = this->TakeShare(ask.routes, ask.holders, ask.request))
+    return share;
+  if (now < ask.answer_due + kUnansweredTime)
+    return std::nullopt;
+  this->Withdraw(*ask.holders.pool, ask.request);
+  return SlotAnswer{SlotVerdict::kQueueFull, "", 0, kUnansweredRetryMs};
+}
+
+std::optional<SlotAnswer> SlotCaller::TakeShareIfSilent(const PoolAsk& ask) {
+  if (!this->IsPoolSilent(*ask.holders.pool))
+    return std::nullopt;
+  return this->TakeShare(ask.routes, ask.holders, ask.request);
+}
+
+bool SlotCaller::IsPoolSilent(const dispatch::Pool& pool) {
+  const auto dispatcher = this->dispatchers.Get(pool);
+  std::lock_guard<std::mutex> lock(this->mutex);
+  return dispatcher && IsSilent(this->silent, pool.name, dispatcher->id);
+}
+
+void SlotCaller::NoteUnanswered(const PoolAsk& ask, TimePoint now) {
+  bool is_new = false;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    is_new =
+        NoteSilence(this->silent, ask.holders.pool->name, ask.dispatcher, now);
+  }
+  if (is_new)
+    LogEvent(dispatch::kDispatcherSilent, "pool=" + ask.holders.pool->name +
+                                              " dispatcher=" + ask.dispatcher);
+}
+
+void SlotCaller::Probe(const dispatch::Pool& pool,
+                       const SlotRequest& request,
+                       TimePoint now) {
+  const auto dispatcher = this->dispatchers.Get(pool);
+  if (!dispatcher)
+    return;
+  {
+    std::lock_guard<std::mutex> lock(this->mutex);
+    if (!TakeProbe(this->silent, pool.name, dispatcher->id, now))
+      return;
+  }
+  SlotRequest probe = request;
+  probe.request_id += kProbeSuffix;
+  PeerMessage message;
+  message.ask = dispatch::AskMessage{pool.name, probe};
+  this->send(*dispatcher, std::move(message));
+  // The answer counts; a slot is not needed.
+  this->Withdraw(pool, probe);
+}
+
+int SlotCaller::CountHeldAt(const std::string& endpoint_id) const {
+  int count = 0;
+  for (const auto& [grant_id, one] : this->held)
+    count += one.endpoint_id == endpoint_id ? 1 : 0;
+  return count;
+}
+
+std::optional<SlotAnswer> SlotCaller::TakeShare(
+    const dispatch::Routes& routes,
+    const dispatch::PoolHolders& holders,
+    const SlotRequest& request) {
+  const int daemons = CountUsable(*this->members->Get());
+  const int least = request.priority == Priority::kInteractive ? 1 : 0;
+  std::lock_guard<std::mutex> lock(this->mutex);
+  const std::string* best = nullptr;
+  int most_left = 0;
+  for (const std::string& id : holders.endpoint_ids) {
+    const Endpoint* endpoint = FindEndpoint(routes.view->configuration, id);
+    const bool excluded =
+        std::find(request.excluded.begin(), request.excluded.end(), id) !=
+        request.excluded.end();
+    if (endpoint == nullptr || excluded)
+      continue;
+    const int share = std::max(least, endpoint->slots / daemons);
+    const int left = share - this->CountHeldAt(id);
+    if (left <= most_left)
+      continue;
+    most_left = left;
+    best = &id;
+  }
+  if (best == nullptr)
+    return std::nullopt;
+  if (Clock::now() >= this->next_fallback_log) {
+    this->next_fallback_log = Clock::now() + kFallbackLogPeriod;
+    LogEvent(dispatch::kFallbackShare, "pool=" + holders.pool->name);
+  }
+  const std::uint64_t grant_id =
+      this->random() & std::numeric_limits<std::int64_t>::max();
+  // Other threads must not take the same share before it is recorded.
+  this->held[grant_id] = {
+      holders.pool->name, *best, request, Clock::now(), false, {}, 0};
+  return SlotAnswer{SlotVerdict::kGranted, *best, grant_id, 0};
+}
+
+}  // namespace coltsfootvane::peer
--- a/src/peer/slot_report.cc
+++ b/src/peer/slot_report.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -8,7 +9,9 @@
 namespace {
 
 constexpr Milliseconds kReportPeriod{1000};
-/// Absence from two reports frees a slot, so two empty ones end the reporting.
+/// Absence from two reports frees a slot, so two empty ones end the reporting
+/// to a dispatcher. A new one gets them as well: it halves its limits until all
+/// entries have reported.
 constexpr int kEmptyReports = 2;
 /// A lost report must not leave a new dispatcher without the details.
 constexpr int kDetailedReports = 2;
@@ -54,7 +57,10 @@
                              TimePoint now) {
   // A new dispatcher hears at once what is held.
   const bool changed = reporting.dispatcher != dispatcher;
-  if (!changed && now < reporting.next)
+  if (changed)
+    reporting.empty_rounds = 0;
+  const bool ended = is_empty && reporting.empty_rounds >= kEmptyReports;
+  if (!changed && (ended || now < reporting.next))
     return false;
   reporting.dispatcher = dispatcher;
   reporting.next = now + kReportPeriod;
@@ -64,11 +70,10 @@
 
 void SlotCaller::SendReport(const membership::Member& to,
                             const std::string& pool,
+                            std::int64_t round,
                             const std::vector<dispatch::HeldSlot>& held) {
-  // Only the report thread counts rounds.
-  ++this->round;
   for (dispatch::ReportMessage& chunk : SplitReport(pool, held)) {
-    chunk.round = this->round;
+    chunk.round = round;
     PeerMessage message;
     message.report = std::move(chunk);
     this->send(to, std::move(message));
@@ -78,10 +83,10 @@
 std::vector<dispatch::HeldSlot> SlotCaller::ListHeld(
     const std::string& pool,
     const std::string& dispatcher,
+    bool detailed_round,
     TimePoint now) {
   std::vector<dispatch::HeldSlot> slots;
   std::lock_guard<std::mutex> lock(this->mutex);
-  const bool detailed_round = this->round % kDetailedRound == 0;
   for (auto& [grant_id, one] : this->held) {
     if (one.pool != pool)
       continue;
@@ -106,32 +111,28 @@
 }
 
 void SlotCaller::Report(TimePoint now) {
-  std::map<std::string, Reporting> reporting;
   std::set<std::string> used;
   {
     std::lock_guard<std::mutex> lock(this->mutex);
     for (const auto& [grant_id, one] : this->held)
       used.insert(one.pool);
-    for (const std::string& pool : used)
-      this->reporting.try_emplace(pool);
-    reporting = this->reporting;
   }
   const auto routes = this->routes->Get();
-  for (auto& [name, state] : reporting) {
-    const dispatch::Pool* pool = dispatch::FindPool(*routes, name);
-    if (pool == nullptr)
+  // Only the report thread uses this.
+  for (auto it = this->reporting.begin(); it != this->reporting.end();)
+    it = dispatch::FindPool(*routes, it->first) != nullptr
+             ? std::next(it)
+             : this->reporting.erase(it);
+  for (const dispatch::Pool& pool : routes->pools) {
+    const auto to = this->dispatchers.Get(pool);
+    const bool is_empty = used.count(pool.name) == 0;
+    Reporting& state = this->reporting[pool.name];
+    if (!to || !this->IsReportDue(to->id, is_empty, state, now))
       continue;
-    const auto to = this->dispatchers.Get(*pool);
-    const bool is_empty = used.count(name) == 0;
-    if (to && this->IsReportDue(to->id, is_empty, state, now))
-      this->SendReport(*to, name, this->ListHeld(name, to->id, now));
-  }
-  std::lock_guard<std::mutex> lock(this->mutex);
-  for (const auto& [name, state] : reporting) {
-    if (state.empty_rounds >= kEmptyReports)
-      this->reporting.erase(name);
-    else
-      this->reporting[name] = state;
+    const bool detailed_round = state.round % kDetailedRound == 0;
+    ++state.round;
+    this->SendReport(*to, pool.name, state.round,
+                     this->ListHeld(pool.name, to->id, detailed_round, now));
   }
 }
 
