Entry: Take a leaving service's 503 as not run only where declared

Cause: any service that answered 503 with X-Leaving: 1 was taken to have run nothing, and an irreversible call went on to another replica. A service that sends the header with every answer while it leaves, and fails with 503 after it has run a call, would have had a second effect. Ruled out: going back to 503 as the outcome for all, which uses up a key that could be run again. Change: services[].refuses_when_leaving, off by default, declares it per replica, as checks_fencing does for engines. Unit tests for both; the site of the integration tests declares it.

--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -57,6 +57,8 @@
   bool checks_fencing = false;  ///< Refuses commands with an old number.
   int slots = 8;                ///< Starting limit of calls in progress.
   std::string service;          ///< Services only: what the replica belongs to.
+  /// Services only: a 503 with `X-Leaving: 1` says that the call has not run.
+  bool refuses_when_leaving = false;
   Place place;
 };
 
--- a/src/config/configuration_unittest.cc
+++ b/src/config/configuration_unittest.cc
@@ -66,6 +66,9 @@
      " address: '127.0.0.1:3'}]",
      {"b:1:13: missing key 'service'",
       "b:1:66: 'memory_mb' is allowed for engines only"}},
+    {"endpoints: [{id: e2, kind: engine, data_centre: dc1, memory_mb: 1,"
+     " refuses_when_leaving: true, address: '127.0.0.1:3'}]",
+     {"b:1:90: 'refuses_when_leaving' is allowed for services only"}},
     {"routes: [{path_prefix: /x/, kind: service, service: cookbook}]",
      {"b:1:10: route '/x/' refers to service 'cookbook', which no endpoint "
       "has"}},
--- a/src/config/diff.cc
+++ b/src/config/diff.cc
@@ -51,7 +51,8 @@
         {"memory_mb", item.memory_mb},
         {"checks_fencing", item.checks_fencing},
         {"slots", item.slots},
-        {"service", item.service}};
+        {"service", item.service},
+        {"refuses_when_leaving", item.refuses_when_leaving}};
 }
 
 void DescribeTraffic(const Configuration& configuration, Objects* objects) {
--- a/src/config/sections.cc
+++ b/src/config/sections.cc
@@ -75,6 +75,8 @@
       map, "kind", kRequired, kEndpointKinds, &endpoint->kind);
   if (has_kind && endpoint->kind == EndpointKind::kService) {
     ReadName(map, "service", kRequired, &endpoint->service);
+    ReadBool(map, "refuses_when_leaving", kOptional,
+             &endpoint->refuses_when_leaving);
     ForbidKey(map, "memory_mb", "is allowed for engines only");
     ForbidKey(map, "checks_fencing", "is allowed for engines only");
     return;
@@ -82,10 +84,12 @@
   ReadInteger(map, "memory_mb", has_kind ? kRequired : kOptional,
               {1, kMaxMemoryMb}, &endpoint->memory_mb);
   ReadBool(map, "checks_fencing", kOptional, &endpoint->checks_fencing);
-  if (has_kind)
-    ForbidKey(map, "service", "is allowed for services only");
-  else
-    map->Find("service", kOptional);
+  for (const char* key : {"service", "refuses_when_leaving"}) {
+    if (has_kind)
+      ForbidKey(map, key, "is allowed for services only");
+    else
+      map->Find(key, kOptional);
+  }
 }
 
 /// Reads an absolute path without query, fragment or spaces.
--- a/src/entry/call_context.cc
+++ b/src/entry/call_context.cc
@@ -105,6 +105,7 @@
         FindEndpoint(in_force->configuration, slot.answer.endpoint_id);
     if (endpoint != nullptr) {
       slot.address = endpoint->address;
+      slot.refuses_when_leaving = endpoint->refuses_when_leaving;
       return slot;
     }
     context->excluded.push_back(slot.answer.endpoint_id);
--- a/src/entry/call_context.h
+++ b/src/entry/call_context.h
@@ -51,6 +51,7 @@
   SlotAnswer answer;
   http::Address address;
   std::string call_id;  ///< Of this attempt; sent to the endpoint.
+  bool refuses_when_leaving = false;  ///< Of the endpoint.
 };
 
 /// Waits for a slot until `deadline`. A granted endpoint that the configuration
--- a/src/entry/entry_server_unittest.cc
+++ b/src/entry/entry_server_unittest.cc
@@ -244,6 +244,37 @@
   }
 }
 
+// Guards against a key that is used up by a refusal, and against a second
+// effect at a service that is not declared to refuse only what has not run.
+TEST(EntryServer, OnlyDeclaredRefusalsOfLeavingServicesGoOn) {
+  struct Row {
+    const char* name;
+    bool declared;
+    bool leaving;
+    int status;  ///< Of both answers.
+    int calls_of_second;
+  };
+  const Row rows[] = {
+      {"declared", true, true, 201, 1},
+      {"declared, without the sign", true, false, 503, 0},
+      {"not declared", false, true, 503, 0},
+  };
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.refuses_when_leaving = row.declared;
+    fixture.SetConfiguration();
+    fixture.s1.status = 503;
+    fixture.s1.leaving = row.leaving;
+    const std::vector<http::Header> key = {{"Idempotency-Key", "k"}};
+    for (int repeat = 0; repeat < 2; ++repeat) {
+      const auto answer = fixture.Call("POST", "/booking/new", "x", key);
+      LONGS_EQUAL_TEXT(row.status, answer.status, row.name);
+    }
+    LONGS_EQUAL_TEXT(1, fixture.s1.calls, row.name);
+    LONGS_EQUAL_TEXT(row.calls_of_second, fixture.s2.calls, row.name);
+  }
+}
+
 // Guards against repeating a call that is not a read, and against passing the
 // caller's key on to a service.
 TEST(EntryServer, OnlyReadsAreRepeated) {
--- a/src/entry/service_call.cc
+++ b/src/entry/service_call.cc
@@ -58,8 +58,7 @@
   return http::FindHeader(response.headers, "X-Leaving") == "1";
 }
 
-/// A leaving endpoint refuses what it has not begun; see docs/design.md,
-/// section 6, "Leaving VMs". CallService() has compared the request id.
+/// CallService() has compared the request id.
 bool IsRefusedByLeaving(const Result<http::Response>& response) {
   return response && response.value().status == 503 &&
          IsLeaving(response.value());
@@ -116,12 +115,15 @@
 Result<http::Response> ServiceCall::CallHeld() {
   const GrantedSlot slot = std::move(*this->held);
   this->held.reset();
+  this->refused_unrun = false;
   this->context->tracker.BeginCall();
   Result<http::Response> response = endpoint::CallService(
       slot.address, this->MakeRequest(slot.call_id), this->context->deadline);
   const bool not_sent =
       !response && response.error().code == ErrorCode::kNotSent;
-  if (not_sent || IsRefusedByLeaving(response))
+  this->refused_unrun =
+      slot.refuses_when_leaving && IsRefusedByLeaving(response);
+  if (not_sent || this->refused_unrun)
     this->context->tracker.CallNotSent();
   SlotOutcome outcome;
   outcome.endpoint_failed = !response && Clock::now() < this->context->deadline;
@@ -136,12 +138,11 @@
   bool refused_before = false;
   for (;;) {
     Result<http::Response> response = this->CallHeld();
-    const bool refused = IsRefusedByLeaving(response);
     const bool not_sent =
         !response && response.error().code == ErrorCode::kNotSent;
-    refused_before = refused_before || refused;
+    refused_before = refused_before || this->refused_unrun;
     // A leaving replica costs no retry: each refuses a request once.
-    if (!refused && (!not_sent || !TryRetry(this->context)))
+    if (!this->refused_unrun && (!not_sent || !TryRetry(this->context)))
       return response;
     const TimePoint limit =
         std::min(this->context->deadline, Clock::now() + kSecondSlotTimeout);
--- a/src/entry/service_call.h
+++ b/src/entry/service_call.h
@@ -41,6 +41,8 @@
   /// The slot's answer of the last failed Prepare().
   SlotAnswer no_slot;
   bool slot_denied = false;
+  /// The endpoint called last states that it has not run the call.
+  bool refused_unrun = false;
 };
 
 }  // namespace coltsfootvane
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -49,6 +49,8 @@
   bool platform_proxies = false;
   std::string dispatch_mode = "granted";
   int balancer_grace_ms = 200;
+  /// The services have `refuses_when_leaving`.
+  bool services_refuse_when_leaving = true;
   double loads_per_s = 50;
   /// Text that replaces the default `classes:` part, if not empty.
   std::string classes;
--- a/tests/integration/site_configuration.cc
+++ b/tests/integration/site_configuration.cc
@@ -76,7 +76,10 @@
     text += "  - id: " + service.id + "\n    kind: service\n" +
             "    data_centre: " + this->options.data_centres.front() +
             "\n    address: " + http::FormatAddress(service.address) +
-            "\n    service: booking\n    slots: 16\n";
+            "\n    service: booking\n    slots: 16\n" +
+            "    refuses_when_leaving: " +
+            (this->options.services_refuse_when_leaving ? "true" : "false") +
+            "\n";
   }
   return text;
 }
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -103,6 +103,7 @@
 /// A plain service that can lose its response.
 struct Service {
   bool cut = false;
+  int status = 201;
   bool leaving = false;
   std::atomic<int> calls{0};
   std::string last_caller;
@@ -115,7 +116,7 @@
       reply.Abort();
       return;
     }
-    http::Response response = {201, {}, "booked " + request.body};
+    http::Response response = {this->status, {}, "booked " + request.body};
     response.headers = {{"X-Request-Id", Find(request.headers, "X-Request-Id")},
                         {"Content-Type", "text/plain"}};
     if (this->leaving)
@@ -219,6 +220,7 @@
   platform::Connection connection;
   std::unique_ptr<RecordWriter> records;
   std::set<std::string> leaving;
+  bool refuses_when_leaving = false;  ///< See SetConfiguration().
   std::unique_ptr<EntryServer> entry;
   http::Address address;
 
@@ -253,11 +255,12 @@
     in_force->version = 1;
     Configuration& configuration = in_force->configuration;
     configuration.models.push_back({"m1", "1", 100, 1, {}});
-    const auto add = [&configuration](const char* id,
-                                      const http::Address& address) {
+    const auto add = [this, &configuration](const char* id,
+                                            const http::Address& address) {
       Endpoint endpoint;
       endpoint.id = id;
       endpoint.address = address;
+      endpoint.refuses_when_leaving = this->refuses_when_leaving;
       configuration.endpoints.push_back(endpoint);
     };
     add("e1", this->e1.listener.address);
