Dispatch: Refuse for an estimate only beside an observed wait

Ruled out: the takeover, which is tolerated. Change: an overload begins after 2 s of late waits (1 s before), and refuses an arrival only if a request for the item has used up half of its time. Floods with 2 s are not measured.

--- a/src/dispatch/lateness.cc
+++ b/src/dispatch/lateness.cc
@@ -19,7 +19,7 @@
 constexpr double kMsPerSecond = 1000;
 /// Bursts and the waits of callers that are only a few more than the slots end
 /// within it; in a flood, as much of the backlog as this is served late.
-constexpr Milliseconds kPersistenceTime{1000};
+constexpr Milliseconds kPersistenceTime{2000};
 /// An overload ends when it has shown no sign for this long. Shorter ones would
 /// begin again and again in a flood, each time with late starts.
 constexpr Milliseconds kOverloadTime{5000};
@@ -80,8 +80,8 @@
 }
 
 /// Returns whether a request for the item has used up half of its time to
-/// start. Only this keeps up an overload: refusals for a wrong estimate alone
-/// would do so without end.
+/// start. Without this sign nothing is refused for an estimate, and an overload
+/// ends: refusals for a wrong one would keep it up.
 bool IsHalfLate(const ClassState& state,
                 const std::string& item,
                 TimePoint now) {
@@ -248,10 +248,10 @@
     return lateness == Lateness::kMissesDeadline;
   // One request may always wait: an estimate that is too high is corrected only
   // by requests that are served.
-  if (ahead == 0 || !IsOverloaded(state, request.item, now))
+  if (ahead == 0 || !IsOverloaded(state, request.item, now) ||
+      !IsHalfLate(state, request.item, now))
     return false;
-  if (IsHalfLate(state, request.item, now))
-    ExtendOverload(state, request.item, now);
+  ExtendOverload(state, request.item, now);
   return true;
 }
 
