Peer: Repeat a queued request to a new dispatcher at once

Cause: a request that one dispatcher had queued was sent once to the next one and repeated only after 1 s. A daemon that has just started drops what it is asked before it has taken the pool, so the request got no answer for 1 s and was refused as queue_full, in a planned stop. Seen in Shutdown.EachDaemonIsReplacedUnderLoad: dispatcher-silent from 0.3 s after a restarted daemon had become the dispatcher, 16 ms before it took the pool. Ruled out: too few shares alone (the next dispatcher was alive and answered other requests), lost datagrams (each repeat would have to be lost). Change: a request is not queued any more when its dispatcher changes, so that it is repeated every 50 ms. Unit test, which fails without the change.

--- a/src/peer/slot_caller.cc
+++ b/src/peer/slot_caller.cc
@@ -185,9 +185,12 @@
   const auto to = this->dispatchers.Get(*ask.holders.pool);
   if (!to || (now < ask.next_send && to->id == ask.dispatcher))
     return;
-  // A new dispatcher gets the time that the last one had.
-  if (!ask.dispatcher.empty() && ask.dispatcher != to->id)
+  // A new dispatcher gets the time that the last one had. It has not queued the
+  // request, and drops what it is asked before it knows of its role.
+  if (!ask.dispatcher.empty() && ask.dispatcher != to->id) {
     ask.answer_due = now;
+    ask.queued = false;
+  }
   ask.dispatcher = to->id;
   ask.next_send = now + (ask.queued ? kQueuedRepeatPeriod : kRepeatPeriod);
   PeerMessage message;
--- a/src/peer/slot_caller_unittest.cc
+++ b/src/peer/slot_caller_unittest.cc
@@ -112,6 +112,44 @@
   }
 }
 
+// Guards against a request that was queued by one dispatcher and is sent only
+// once to the next, which drops it because it has not taken the role yet.
+TEST(SlotCaller, RepeatsAQueuedRequestToANewDispatcher) {
+  Fixture fixture;
+  int asks_of_next = 0;
+  SlotCaller* asking = nullptr;
+  SlotCaller caller{
+      "a", &fixture.routes, &fixture.members,
+      [&](const membership::Member& to, const PeerMessage& message) {
+        if (!message.ask || message.ask->pool != "a/0")
+          return;
+        dispatch::ReplyMessage reply;
+        reply.pool = message.ask->pool;
+        reply.request_id = message.ask->request.request_id;
+        reply.answer = {SlotVerdict::kGranted, "e-a", 7, 0};
+        if (to.id == "d-a") {
+          reply.queued = true;
+          auto members = std::make_shared<MemberView>(*fixture.members.Get());
+          members->members.front().id = "d-next";
+          fixture.members.Set(members);
+          asking->OnReply(reply);
+        } else if (++asks_of_next > 1) {
+          asking->OnReply(reply);
+        }
+      }};
+  asking = &caller;
+  SlotRequest request;
+  request.request_id = "r1";
+  request.item = "m";
+  // Without a fallback share.
+  request.priority = Priority::kOvernight;
+  request.deadline = Clock::now() + std::chrono::seconds{10};
+  const SlotAnswer answer = caller.Ask(request, nullptr);
+  CHECK(answer.verdict == SlotVerdict::kGranted);
+  LONGS_EQUAL(7, answer.grant_id);
+  LONGS_EQUAL(2, asks_of_next);
+}
+
 // Guards against requests that each wait for a dispatcher which has left one
 // unanswered, and against one that is never asked again.
 TEST(SlotCaller, DoesNotWaitForASilentDispatcher) {
