--- a/src/placement/plan_unittest.cc
+++ b/src/placement/plan_unittest.cc
@@ -191,7 +191,7 @@
 }
 
 // Guards against plans that are skipped although something waits.
-TEST(Plan, OnlyAPlanWithNothingToDoIsSettled) {
+TEST(Plan, OnlyAPlanWithoutOrdersAndWishesIsSettled) {
   struct Row {
     const char* name;
     int model_loads;
