--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -11,6 +11,7 @@
 constexpr Milliseconds kJoinPeriod{1000};
 /// First peers include daemons that have been replaced and never answer.
 constexpr Milliseconds kLongestJoinPeriod{30000};
+constexpr int kMaxJoinDoublings = 5;
 /// Members are asked for what was missed. Between equal tables that costs two
 /// hashes for each of `kBuckets` and no answer.
 constexpr Milliseconds kExchangePeriod{5000};
@@ -207,10 +208,11 @@
   if (now < table.next_join || table.first_peers.empty())
     return;
   const bool alone = PickMembers(table, 1).empty();
-  table.join_delay =
-      alone ? kJoinPeriod
-            : std::clamp(2 * table.join_delay, kJoinPeriod, kLongestJoinPeriod);
-  table.next_join = now + table.join_delay;
+  if (alone)
+    table.join_attempts = 0;
+  table.next_join = now + std::min(kJoinPeriod * (1 << table.join_attempts),
+                                   kLongestJoinPeriod);
+  table.join_attempts = std::min(table.join_attempts + 1, kMaxJoinDoublings);
   std::vector<http::Address> unknown;
   for (const http::Address& address : table.first_peers) {
     if (!IsKnown(table, address))
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -65,7 +65,7 @@
   std::vector<std::string> probe_order;  ///< Shuffled; the last is next.
   TimePoint next_probe;
   TimePoint next_join;
-  Milliseconds join_delay{0};  ///< Grows while first peers do not answer.
+  int join_attempts = 0;  ///< Without an answer of the first peers.
   TimePoint next_exchange;
   TimePoint catch_up_at = TimePoint::max();  ///< Not while there is no news.
 };
