--- a/app/command_apply.cc
+++ b/app/command_apply.cc
@@ -73,8 +73,8 @@
     PrintFindings(findings);
     return kExitFailure;
   }
-  const platform::Connection connection =
-      platform::MakeConnection(options.platform, kCallsPerSecond);
+  const objectapi::Connection connection =
+      objectapi::MakeConnection(options.platform, kCallsPerSecond);
   ApplyOptions apply;
   apply.based_on = options.based_on;
   apply.changed_by = options.changed_by;
--- a/app/command_audit.cc
+++ b/app/command_audit.cc
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "audit/audit.h"
+#include "objectapi/client.h"
 #include "output.h"
-#include "platform/client.h"
 
 namespace coltsfootvane {
 namespace {
@@ -26,7 +26,7 @@
 
 int RunAudit(const AuditOptions& options) {
   const auto entries =
-      ReadAudit(platform::MakeConnection(options.platform, kCallsPerSecond),
+      ReadAudit(objectapi::MakeConnection(options.platform, kCallsPerSecond),
                 Clock::now() + Milliseconds{options.timeout_ms});
   if (!entries) {
     PrintError(entries.error());
--- a/app/command_diff.cc
+++ b/app/command_diff.cc
@@ -42,8 +42,8 @@
     return kExitFailure;
   }
   const TimePoint deadline = Clock::now() + Milliseconds{options.timeout_ms};
-  const platform::Connection connection =
-      platform::MakeConnection(options.platform, kCallsPerSecond);
+  const objectapi::Connection connection =
+      objectapi::MakeConnection(options.platform, kCallsPerSecond);
   const Result<StoredHead> stored = ReadStoredHead(connection, deadline);
   if (!stored) {
     PrintError(stored.error());
--- a/app/daemon.cc
+++ b/app/daemon.cc
@@ -70,13 +70,13 @@
 Daemon::Daemon(const Settings& settings)
     : settings(settings),
       instance_id(RandomId()),
-      control(platform::MakeConnection(settings.platform,
-                                       settings.platform_calls_per_s)),
+      control(objectapi::MakeConnection(settings.platform,
+                                        settings.platform_calls_per_s)),
       // Records have a budget of their own, so that many irreversible calls
       // cannot stop the watch of the configuration.
       record_connection(
-          platform::MakeConnection(settings.platform,
-                                   settings.platform_calls_per_s)),
+          objectapi::MakeConnection(settings.platform,
+                                    settings.platform_calls_per_s)),
       senders(this->control) {
   this->CreateParts();
 }
--- a/app/daemon.h
+++ b/app/daemon.h
@@ -13,9 +13,9 @@
 #include "idempotency/record_sweeper.h"
 #include "idempotency/record_writer.h"
 #include "metrics/metrics.h"
+#include "objectapi/client.h"
 #include "peer/peer_node.h"
 #include "placement/planner.h"
-#include "platform/client.h"
 #include "settings/settings.h"
 #include "status/admin_server.h"
 
@@ -58,8 +58,8 @@
 
   Settings settings;
   std::string instance_id;
-  platform::Connection control;
-  platform::Connection record_connection;
+  objectapi::Connection control;
+  objectapi::Connection record_connection;
   InForceHolder in_force;
   Metrics metrics;
   SenderRegistry senders;
--- a/app/main.cc
+++ b/app/main.cc
@@ -2,15 +2,18 @@
 
 #include <CLI/CLI.hpp>
 
+#include "command_gateway.h"
+#include "command_version.h"
+#ifndef COLTSFOOTVANE_GATEWAY_ONLY
 #include "command_apply.h"
 #include "command_audit.h"
 #include "command_check.h"
 #include "command_diff.h"
 #include "command_serve.h"
 #include "command_status.h"
-#include "command_version.h"
+#endif
+#include "exit_codes.h"
 #include "log/event.h"
-#include "output.h"
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -24,12 +27,15 @@
       "Run 'coltsfootvane COMMAND --help' for the options and examples.");
   ConfigureLog("coltsfootvane");
   int exit_code = kExitOk;
+  AddGatewayCommand(&app, &exit_code);
+#ifndef COLTSFOOTVANE_GATEWAY_ONLY
   AddServeCommand(&app, &exit_code);
   AddCheckCommand(&app, &exit_code);
   AddDiffCommand(&app, &exit_code);
   AddApplyCommand(&app, &exit_code);
   AddStatusCommand(&app, &exit_code);
   AddAuditCommand(&app, &exit_code);
+#endif
   AddVersionCommand(&app, &exit_code);
   try {
     app.parse(argc, argv);
--- a/app/output.h
+++ b/app/output.h
@@ -9,16 +9,11 @@
 
 #include "base/finding.h"
 #include "base/result.h"
+#include "exit_codes.h"
 #include "http/message.h"
 
 namespace coltsfootvane {
 
-// Exit codes of all commands; see docs/COMMANDS.md.
-inline constexpr int kExitOk = 0;
-inline constexpr int kExitFailure = 1;
-inline constexpr int kExitUsage = 2;
-inline constexpr int kExitConflict = 3;
-
 enum class OutputFormat { kText, kJson };
 
 /// Adds `--output text|json`. `default_name` names the value of `format`.
--- a/app/sender_registry.cc
+++ b/app/sender_registry.cc
@@ -12,15 +12,15 @@
 constexpr Milliseconds kReadInterval{500};
 constexpr Milliseconds kReadTimeout{1000};
 
-bool HasVm(const std::vector<platform::Object>& vms, std::string_view name) {
+bool HasVm(const std::vector<objectapi::Object>& vms, std::string_view name) {
   return std::any_of(
       vms.begin(), vms.end(),
-      [name](const platform::Object& vm) { return vm.name == name; });
+      [name](const objectapi::Object& vm) { return vm.name == name; });
 }
 
 }  // namespace
 
-SenderRegistry::SenderRegistry(platform::Connection connection)
+SenderRegistry::SenderRegistry(objectapi::Connection connection)
     : connection(std::move(connection)) {}
 
 bool SenderRegistry::IsGone(std::string_view incarnation, TimePoint now) {
@@ -41,8 +41,8 @@
       ReadDaemonRecords(this->connection, deadline);
   if (!daemons)
     return;
-  const Result<platform::ObjectList> vms =
-      platform::ListObjects(this->connection, platform::kVmKind, deadline);
+  const Result<objectapi::ObjectList> vms =
+      objectapi::ListObjects(this->connection, objectapi::kVmKind, deadline);
   const bool listed = vms && !vms.assume_value().items.empty();
   const auto& records = daemons.assume_value();
   for (const std::string& incarnation : this->asked) {
--- a/app/sender_registry.h
+++ b/app/sender_registry.h
@@ -7,7 +7,7 @@
 #include <string_view>
 
 #include "base/clock.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 namespace coltsfootvane {
 
@@ -15,7 +15,7 @@
 /// Used by one thread.
 class SenderRegistry {
  public:
-  explicit SenderRegistry(platform::Connection connection);
+  explicit SenderRegistry(objectapi::Connection connection);
 
   /// A daemon registers its incarnation before it sends a command. So an
   /// incarnation that is registered no more was replaced by a later start, and
@@ -27,7 +27,7 @@
  private:
   void Read();
 
-  platform::Connection connection;
+  objectapi::Connection connection;
   TimePoint next_read;
   /// Asked about since the last read; the next read answers for all of them, so
   /// that a sender who lives cannot use up every read.
--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -7,7 +7,7 @@
        scripts/measure_capacity.py endpoints 10 100 400    (declared, not running)
        scripts/measure_capacity.py models 20 100 330       (declared on engines not running)
        scripts/measure_capacity.py requests 0 20 50
-       scripts/measure_capacity.py fleet 40 100            (4 regions, see measure_fleet.py)
+       scripts/measure_capacity.py fleet 40 100            (4 regions, see tests/fleet/measure_fleet.py)
 
 SETTLE_S and MEASURE_S set the times in seconds; CALLS=1 prints platform calls by kind; BUILD_DIR
 names another folder of programs.
@@ -210,6 +210,7 @@
         elif dimension == "requests":
             measure(dimension, value, Deployment(4, 2, 20), rate=value)
         elif dimension == "fleet":
+            sys.path.append(str(pathlib.Path(__file__).parent.parent / "tests" / "fleet"))
             from measure_fleet import measure_fleet  # It imports this file.
 
             measure_fleet(value)
--- a/src/audit/audit.cc
+++ b/src/audit/audit.cc
@@ -8,7 +8,7 @@
 #include <tuple>
 #include <utility>
 
-#include "platform/object.h"
+#include "objectapi/object.h"
 
 namespace coltsfootvane {
 namespace {
@@ -27,7 +27,7 @@
 }
 
 /// A malformed entry stays visible in the trail.
-AuditEntry EntryFromObject(const platform::Object& object) {
+AuditEntry EntryFromObject(const objectapi::Object& object) {
   Result<AuditEntry> entry = ParseAuditEntry(object.spec);
   if (entry)
     return std::move(entry).value();
@@ -75,27 +75,27 @@
   return text;
 }
 
-Result<bool> AppendAudit(const platform::Connection& connection,
+Result<bool> AppendAudit(const objectapi::Connection& connection,
                          const AuditEntry& entry,
                          TimePoint deadline) {
-  const platform::Object object{platform::kAuditKind, entry.id, 0,
-                                FormatAuditEntry(entry)};
-  const Result<platform::Object> created =
-      platform::CreateObject(connection, object, deadline);
+  const objectapi::Object object{objectapi::kAuditKind, entry.id, 0,
+                                 FormatAuditEntry(entry)};
+  const Result<objectapi::Object> created =
+      objectapi::CreateObject(connection, object, deadline);
   if (created || created.error().code == ErrorCode::kConflict)
     return true;
   return created.error();
 }
 
 Result<std::vector<AuditEntry>> ReadAudit(
-    const platform::Connection& connection,
+    const objectapi::Connection& connection,
     TimePoint deadline) {
-  const Result<platform::ObjectList> list =
-      platform::ListObjects(connection, platform::kAuditKind, deadline);
+  const Result<objectapi::ObjectList> list =
+      objectapi::ListObjects(connection, objectapi::kAuditKind, deadline);
   if (!list)
     return list.error();
   std::vector<AuditEntry> entries;
-  for (const platform::Object& object : list.value().items)
+  for (const objectapi::Object& object : list.value().items)
     entries.push_back(EntryFromObject(object));
   std::sort(entries.begin(), entries.end(),
             [](const AuditEntry& left, const AuditEntry& right) {
--- a/src/audit/audit.h
+++ b/src/audit/audit.h
@@ -8,7 +8,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 namespace coltsfootvane {
 
@@ -31,14 +31,14 @@
 std::string CurrentTimeIso();
 
 /// Writes `entry`. An entry with the same id that exists already is a success:
-/// the write is idempotent. Errors as platform::CreateObject().
-Result<bool> AppendAudit(const platform::Connection& connection,
+/// the write is idempotent. Errors as objectapi::CreateObject().
+Result<bool> AppendAudit(const objectapi::Connection& connection,
                          const AuditEntry& entry,
                          TimePoint deadline);
 
 /// Reads the trail, oldest first.
 Result<std::vector<AuditEntry>> ReadAudit(
-    const platform::Connection& connection,
+    const objectapi::Connection& connection,
     TimePoint deadline);
 
 }  // namespace coltsfootvane
--- a/src/config/apply.cc
+++ b/src/config/apply.cc
@@ -22,7 +22,7 @@
 }
 
 /// Writes the audit entry of `head` unless it exists.
-Result<bool> WriteAudit(const platform::Connection& connection,
+Result<bool> WriteAudit(const objectapi::Connection& connection,
                         const ConfigurationHead& head,
                         TimePoint deadline) {
   AuditEntry entry;
@@ -30,8 +30,8 @@
   entry.time = CurrentTimeIso();
   entry.actor = head.changed_by;
   entry.action = kApplyAction;
-  entry.object = std::string(platform::kConfigKind) + "/" +
-                 std::string(platform::kConfigHeadName);
+  entry.object = std::string(objectapi::kConfigKind) + "/" +
+                 std::string(objectapi::kConfigHeadName);
   entry.from_version = head.based_on;
   entry.to_version = head.version;
   entry.detail = AuditDetail(head);
@@ -41,17 +41,17 @@
                     });
 }
 
-Result<bool> WritePart(const platform::Connection& connection,
+Result<bool> WritePart(const objectapi::Connection& connection,
                        const BundlePart& part,
                        TimePoint deadline) {
   Result<std::string> spec = FormatPart(part.text);
   if (!spec)
     return spec.error();
-  const platform::Object object{platform::kConfigPartKind, part.digest, 0,
-                                std::move(spec).value()};
-  const Result<platform::Object> created =
+  const objectapi::Object object{objectapi::kConfigPartKind, part.digest, 0,
+                                 std::move(spec).value()};
+  const Result<objectapi::Object> created =
       RetryUntil(deadline, [&connection, &object](TimePoint attempt_deadline) {
-        return platform::CreateObject(connection, object, attempt_deadline);
+        return objectapi::CreateObject(connection, object, attempt_deadline);
       });
   // Parts are named by their digest, so an existing one has the same text.
   if (created || created.error().code == ErrorCode::kConflict)
@@ -60,7 +60,7 @@
 }
 
 /// Writes the parts that `stored` does not name.
-Result<bool> WriteParts(const platform::Connection& connection,
+Result<bool> WriteParts(const objectapi::Connection& connection,
                         const ConfigurationHead& stored,
                         const Bundle& bundle,
                         TimePoint deadline) {
@@ -93,16 +93,16 @@
 /// Returns whether `next` took effect, given a `newest` head of its version or
 /// a later one. If a later change has replaced it, the audit entry tells: each
 /// apply writes the entry of the version before it, before its own head.
-Result<bool> TookEffect(const platform::Connection& connection,
+Result<bool> TookEffect(const objectapi::Connection& connection,
                         const ConfigurationHead& next,
                         const ConfigurationHead& newest,
                         TimePoint deadline) {
   if (newest.version == next.version)
     return newest.digest == next.digest && newest.changed_by == next.changed_by;
-  const Result<platform::Object> object =
+  const Result<objectapi::Object> object =
       RetryUntil(deadline, [&connection, &next](TimePoint attempt_deadline) {
-        return platform::ReadObject(connection, platform::kAuditKind,
-                                    AuditId(next.version), attempt_deadline);
+        return objectapi::ReadObject(connection, objectapi::kAuditKind,
+                                     AuditId(next.version), attempt_deadline);
       });
   if (!object && object.error().code == ErrorCode::kNotFound)
     return false;
@@ -124,17 +124,17 @@
 
 /// Returns the newest head. Any read may return an older head, which only a
 /// conditional write can tell, so this writes back what it read.
-Result<StoredHead> ReadNewestHead(const platform::Connection& connection,
+Result<StoredHead> ReadNewestHead(const objectapi::Connection& connection,
                                   TimePoint deadline) {
   for (int attempt = 1;; ++attempt) {
     Result<StoredHead> stored = ReadStoredHead(connection, deadline);
     if (!stored || stored.value().head.version == 0)
       return stored;
-    const platform::Object same{
-        platform::kConfigKind, platform::kConfigHeadName,
+    const objectapi::Object same{
+        objectapi::kConfigKind, objectapi::kConfigHeadName,
         stored.value().resource_version, stored.value().spec};
-    const Result<platform::Object> written =
-        platform::UpdateObject(connection, same, AttemptDeadline(deadline));
+    const Result<objectapi::Object> written =
+        objectapi::UpdateObject(connection, same, AttemptDeadline(deadline));
     if (written) {
       stored.value().resource_version = written.value().resource_version;
       return stored;
@@ -149,7 +149,7 @@
 }
 
 /// Reads until the head has at least `version`, which is known to exist.
-Result<StoredHead> ReadHeadFrom(const platform::Connection& connection,
+Result<StoredHead> ReadHeadFrom(const objectapi::Connection& connection,
                                 std::int64_t version,
                                 TimePoint deadline) {
   for (int attempt = 1;; ++attempt) {
@@ -165,19 +165,19 @@
 /// Writes `next` over the head with `resource_version`. Returns whether it took
 /// effect. The write is conditional, so repeating it after a lost response is
 /// safe: only one of the attempts can succeed.
-Result<bool> WriteHead(const platform::Connection& connection,
+Result<bool> WriteHead(const objectapi::Connection& connection,
                        const ConfigurationHead& next,
                        std::int64_t resource_version,
                        TimePoint deadline) {
-  platform::Object object{platform::kConfigKind, platform::kConfigHeadName,
-                          resource_version, FormatHead(next)};
+  objectapi::Object object{objectapi::kConfigKind, objectapi::kConfigHeadName,
+                           resource_version, FormatHead(next)};
   bool may_be_written = false;
   for (int attempt = 1;; ++attempt) {
     const TimePoint attempt_deadline = AttemptDeadline(deadline);
-    const Result<platform::Object> written =
+    const Result<objectapi::Object> written =
         object.resource_version == 0
-            ? platform::CreateObject(connection, object, attempt_deadline)
-            : platform::UpdateObject(connection, object, attempt_deadline);
+            ? objectapi::CreateObject(connection, object, attempt_deadline)
+            : objectapi::UpdateObject(connection, object, attempt_deadline);
     if (written)
       return true;
     Error error = written.error();
@@ -210,7 +210,7 @@
   return report;
 }
 
-ApplyReport ReportWithAudit(const platform::Connection& connection,
+ApplyReport ReportWithAudit(const objectapi::Connection& connection,
                             ApplyOutcome outcome,
                             const ConfigurationHead& head,
                             TimePoint deadline) {
@@ -221,7 +221,7 @@
   return report;
 }
 
-ApplyReport ReportConflict(const platform::Connection& connection,
+ApplyReport ReportConflict(const objectapi::Connection& connection,
                            const ConfigurationHead& newest,
                            const Bundle& bundle,
                            TimePoint deadline) {
@@ -237,7 +237,7 @@
 }
 
 /// Decides what to report after another change became version `version`.
-Result<ApplyReport> ReportOvertaken(const platform::Connection& connection,
+Result<ApplyReport> ReportOvertaken(const objectapi::Connection& connection,
                                     const Bundle& bundle,
                                     std::int64_t version,
                                     TimePoint deadline) {
@@ -256,7 +256,7 @@
 }
 
 /// Reads the head that a change of `bundle` is based on.
-Result<StoredHead> ReadBase(const platform::Connection& connection,
+Result<StoredHead> ReadBase(const objectapi::Connection& connection,
                             const Bundle& bundle,
                             const ApplyOptions& options) {
   Result<StoredHead> stored = ReadStoredHead(connection, options.deadline);
@@ -274,7 +274,7 @@
 }  // namespace
 
 Result<std::vector<std::string>> DiffWithStored(
-    const platform::Connection& connection,
+    const objectapi::Connection& connection,
     const ConfigurationHead& head,
     const Bundle& bundle,
     TimePoint deadline) {
@@ -286,7 +286,7 @@
                             ParseConfiguration(bundle, &ignored));
 }
 
-Result<ApplyReport> ApplyBundle(const platform::Connection& connection,
+Result<ApplyReport> ApplyBundle(const objectapi::Connection& connection,
                                 const Bundle& bundle,
                                 const ApplyOptions& options) {
   const Result<StoredHead> read = ReadBase(connection, bundle, options);
--- a/src/config/apply.h
+++ b/src/config/apply.h
@@ -9,7 +9,7 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "config/bundle.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 namespace coltsfootvane {
 
@@ -39,18 +39,18 @@
 };
 
 /// Makes `bundle`, which must have passed ParseConfiguration(), the newest
-/// configuration. Errors as platform::CreateObject() and ReadStoredHead();
+/// configuration. Errors as objectapi::CreateObject() and ReadStoredHead();
 /// only after kUnknown the change may have taken effect or may still do so; the
 /// call may be repeated. kConflict if another change came first, or may have,
 /// that could not be read until the deadline.
-Result<ApplyReport> ApplyBundle(const platform::Connection& connection,
+Result<ApplyReport> ApplyBundle(const objectapi::Connection& connection,
                                 const Bundle& bundle,
                                 const ApplyOptions& options);
 
 /// Returns the lines that lead from the configuration of `head` to `bundle`.
 /// Errors as ReadStoredBundle().
 Result<std::vector<std::string>> DiffWithStored(
-    const platform::Connection& connection,
+    const objectapi::Connection& connection,
     const ConfigurationHead& head,
     const Bundle& bundle,
     TimePoint deadline);
--- a/src/config/apply_unittest.cc
+++ b/src/config/apply_unittest.cc
@@ -42,12 +42,12 @@
                         http::ReplyStream& reply) { Handle(request, reply); });
     CHECK(started.has_value());
     this->server = std::move(started).value();
-    this->connection = platform::MakeConnection(options.listen, 1000);
+    this->connection = objectapi::MakeConnection(options.listen, 1000);
   }
   ~FakePlatform() { this->server->Stop(); }
 
-  platform::Connection connection;
-  std::string faulty_kind = platform::kConfigKind;
+  objectapi::Connection connection;
+  std::string faulty_kind = objectapi::kConfigKind;
   std::deque<Fault> faults;            ///< One per write of `faulty_kind`.
   std::function<void()> before_fault;  ///< Called before the next fault.
   std::function<void()> after_effect;  ///< Called before a lost response.
@@ -109,9 +109,9 @@
                         metadata.at("resourceVersion").get<std::string>()))
       return {409, {}, ""};
     const bool changed = create || found->second.spec != object.at("spec");
-    this->head_changes += changed && kind == platform::kConfigKind ? 1 : 0;
+    this->head_changes += changed && kind == objectapi::kConfigKind ? 1 : 0;
     this->specs[path] = {object.at("spec"), ++this->version};
-    if (kind == platform::kConfigKind && create)
+    if (kind == objectapi::kConfigKind && create)
       this->first_head = this->Describe(path).dump();
     return {200, {}, this->Describe(path).dump()};
   }
@@ -191,13 +191,13 @@
 };
 
 const FaultRow kResolvedFaults[] = {
-    {platform::kConfigKind, {Fault::kLoseResponse}},
-    {platform::kConfigKind, {Fault::kFailWithoutEffect}},
-    {platform::kConfigKind, {Fault::kFailWithoutEffect, Fault::kLoseResponse}},
-    {platform::kConfigKind, {Fault::kRateLimit}},
-    {platform::kConfigKind, {Fault::kConflict, Fault::kLoseResponse}},
-    {platform::kConfigPartKind, {Fault::kLoseResponse, Fault::kRateLimit}},
-    {platform::kAuditKind, {Fault::kLoseResponse, Fault::kFailWithoutEffect}},
+    {objectapi::kConfigKind, {Fault::kLoseResponse}},
+    {objectapi::kConfigKind, {Fault::kFailWithoutEffect}},
+    {objectapi::kConfigKind, {Fault::kFailWithoutEffect, Fault::kLoseResponse}},
+    {objectapi::kConfigKind, {Fault::kRateLimit}},
+    {objectapi::kConfigKind, {Fault::kConflict, Fault::kLoseResponse}},
+    {objectapi::kConfigPartKind, {Fault::kLoseResponse, Fault::kRateLimit}},
+    {objectapi::kAuditKind, {Fault::kLoseResponse, Fault::kFailWithoutEffect}},
 };
 
 }  // namespace
--- a/src/config/stored_configuration.cc
+++ b/src/config/stored_configuration.cc
@@ -9,7 +9,7 @@
 
 // A whole part of 1 MB takes well below this over a working network.
 constexpr Milliseconds kAttemptTime{2000};
-constexpr platform::Backoff kBackoff{Milliseconds{50}, Milliseconds{1000}};
+constexpr objectapi::Backoff kBackoff{Milliseconds{50}, Milliseconds{1000}};
 
 }  // namespace
 
@@ -19,8 +19,8 @@
 }
 
 bool WaitForRetry(int attempt, const Error& error, TimePoint deadline) {
-  const Milliseconds delay = platform::BackoffDelay(
-      kBackoff, attempt, platform::RandomFraction(), error.retry_after_ms);
+  const Milliseconds delay = objectapi::BackoffDelay(
+      kBackoff, attempt, objectapi::RandomFraction(), error.retry_after_ms);
   if (Clock::now() + delay >= deadline)
     return false;
   std::this_thread::sleep_for(delay);
@@ -31,13 +31,13 @@
   return std::min(deadline, Clock::now() + kAttemptTime);
 }
 
-Result<StoredHead> ReadStoredHead(const platform::Connection& connection,
+Result<StoredHead> ReadStoredHead(const objectapi::Connection& connection,
                                   TimePoint deadline) {
-  const Result<platform::Object> object =
+  const Result<objectapi::Object> object =
       RetryUntil(deadline, [&connection](TimePoint attempt_deadline) {
-        return platform::ReadObject(connection, platform::kConfigKind,
-                                    platform::kConfigHeadName,
-                                    attempt_deadline);
+        return objectapi::ReadObject(connection, objectapi::kConfigKind,
+                                     objectapi::kConfigHeadName,
+                                     attempt_deadline);
       });
   if (!object && object.error().code == ErrorCode::kNotFound)
     return StoredHead{};
@@ -50,17 +50,17 @@
                     object.value().spec};
 }
 
-Result<Bundle> ReadStoredBundle(const platform::Connection& connection,
+Result<Bundle> ReadStoredBundle(const objectapi::Connection& connection,
                                 const ConfigurationHead& head,
                                 TimePoint deadline) {
   if (head.version == 0)
     return MakeBundle({});
   std::vector<BundlePart> parts;
   for (const PartReference& reference : head.parts) {
-    const Result<platform::Object> object = RetryUntil(
+    const Result<objectapi::Object> object = RetryUntil(
         deadline, [&connection, &reference](TimePoint attempt_deadline) {
-          return platform::ReadObject(connection, platform::kConfigPartKind,
-                                      reference.digest, attempt_deadline);
+          return objectapi::ReadObject(connection, objectapi::kConfigPartKind,
+                                       reference.digest, attempt_deadline);
         });
     if (!object)
       return object.error();
--- a/src/config/stored_configuration.h
+++ b/src/config/stored_configuration.h
@@ -9,8 +9,8 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "config/bundle.h"
-#include "platform/client.h"
-#include "platform/retry.h"
+#include "objectapi/client.h"
+#include "objectapi/retry.h"
 
 namespace coltsfootvane {
 
@@ -22,15 +22,15 @@
   std::string spec;  ///< The head as stored, members unknown here included.
 };
 
-/// Repeats until `deadline`. Errors as platform::ReadObject() but kNotFound;
+/// Repeats until `deadline`. Errors as objectapi::ReadObject() but kNotFound;
 /// kInvalid if the head is malformed.
-Result<StoredHead> ReadStoredHead(const platform::Connection& connection,
+Result<StoredHead> ReadStoredHead(const objectapi::Connection& connection,
                                   TimePoint deadline);
 
 /// Reads the parts that `head` names; version 0 has none. Repeats until
-/// `deadline`. Errors as platform::ReadObject(); kInvalid if the digest differs
-/// from the head's.
-Result<Bundle> ReadStoredBundle(const platform::Connection& connection,
+/// `deadline`. Errors as objectapi::ReadObject(); kInvalid if the digest
+/// differs from the head's.
+Result<Bundle> ReadStoredBundle(const objectapi::Connection& connection,
                                 const ConfigurationHead& head,
                                 TimePoint deadline);
 
--- a/src/distribution/daemon_registration.cc
+++ b/src/distribution/daemon_registration.cc
@@ -9,13 +9,13 @@
 
 #include "distribution/events.h"
 #include "log/event.h"
-#include "platform/retry.h"
+#include "objectapi/retry.h"
 
 namespace coltsfootvane {
 namespace {
 
-constexpr platform::Backoff kRegistrationBackoff{Milliseconds{100},
-                                                 Milliseconds{5000}};
+constexpr objectapi::Backoff kRegistrationBackoff{Milliseconds{100},
+                                                  Milliseconds{5000}};
 constexpr Milliseconds kCancelInterval{50};
 
 http::Address ReadAddress(const nlohmann::json& json, const char* name) {
@@ -29,7 +29,7 @@
 /// One attempt after another to store a record.
 class Registration {
  public:
-  Registration(const platform::Connection& connection,
+  Registration(const objectapi::Connection& connection,
                const DaemonRecord& wanted,
                Milliseconds call_timeout,
                TimePoint deadline)
@@ -50,7 +50,7 @@
     return std::min(this->deadline, Clock::now() + this->call_timeout);
   }
 
-  const platform::Connection* connection;
+  const objectapi::Connection* connection;
   const DaemonRecord* wanted;
   Milliseconds call_timeout;
   TimePoint deadline;
@@ -60,9 +60,9 @@
 };
 
 Result<bool> Registration::ReadStored() {
-  const Result<platform::Object> object =
-      platform::ReadObject(*this->connection, platform::kDaemonKind,
-                           this->wanted->daemon_id, this->CallDeadline());
+  const Result<objectapi::Object> object =
+      objectapi::ReadObject(*this->connection, objectapi::kDaemonKind,
+                            this->wanted->daemon_id, this->CallDeadline());
   if (!object && object.error().code != ErrorCode::kNotFound)
     return object.error();
   this->stored.reset();
@@ -80,16 +80,16 @@
 }
 
 Result<bool> Registration::Write() const {
-  platform::Object object;
-  object.kind = platform::kDaemonKind;
+  objectapi::Object object;
+  object.kind = objectapi::kDaemonKind;
   object.name = this->wanted->daemon_id;
   object.spec = FormatDaemonRecord(*this->wanted);
   object.resource_version = this->stored_version;
-  const Result<platform::Object> written =
-      this->stored ? platform::UpdateObject(*this->connection, object,
-                                            this->CallDeadline())
-                   : platform::CreateObject(*this->connection, object,
-                                            this->CallDeadline());
+  const Result<objectapi::Object> written =
+      this->stored ? objectapi::UpdateObject(*this->connection, object,
+                                             this->CallDeadline())
+                   : objectapi::CreateObject(*this->connection, object,
+                                             this->CallDeadline());
   if (!written)
     return written.error();
   return true;
@@ -176,7 +176,7 @@
   return RegistrationStep::kWrite;
 }
 
-Result<bool> WriteDaemonRecord(const platform::Connection& connection,
+Result<bool> WriteDaemonRecord(const objectapi::Connection& connection,
                                const DaemonRecord& record,
                                Milliseconds call_timeout,
                                TimePoint deadline,
@@ -195,8 +195,8 @@
       return done.error();
     const int retry_after_ms = done ? 0 : done.error().retry_after_ms;
     const Milliseconds delay =
-        platform::BackoffDelay(kRegistrationBackoff, attempt,
-                               platform::RandomFraction(), retry_after_ms);
+        objectapi::BackoffDelay(kRegistrationBackoff, attempt,
+                                objectapi::RandomFraction(), retry_after_ms);
     if (!WaitForRetry(delay, deadline, cancelled))
       return done ? Error{ErrorCode::kUnknown, "write is not confirmed"}
                   : done.error();
@@ -204,14 +204,14 @@
 }
 
 Result<std::vector<DaemonRecord>> ReadDaemonRecords(
-    const platform::Connection& connection,
+    const objectapi::Connection& connection,
     TimePoint deadline) {
-  const Result<platform::ObjectList> list =
-      platform::ListObjects(connection, platform::kDaemonKind, deadline);
+  const Result<objectapi::ObjectList> list =
+      objectapi::ListObjects(connection, objectapi::kDaemonKind, deadline);
   if (!list)
     return list.error();
   std::vector<DaemonRecord> records;
-  for (const platform::Object& object : list.value().items) {
+  for (const objectapi::Object& object : list.value().items) {
     Result<DaemonRecord> record = ParseDaemonRecord(object.name, object.spec);
     if (record)
       records.push_back(std::move(record).value());
--- a/src/distribution/daemon_registration.h
+++ b/src/distribution/daemon_registration.h
@@ -8,7 +8,7 @@
 
 #include "base/result.h"
 #include "http/message.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 namespace coltsfootvane {
 
@@ -50,7 +50,7 @@
 /// `cancelled`, asked between attempts, may be empty.
 /// Errors: kConflict if a later start of the daemon has registered; otherwise
 /// the last error at `deadline` or when cancelled.
-Result<bool> WriteDaemonRecord(const platform::Connection& connection,
+Result<bool> WriteDaemonRecord(const objectapi::Connection& connection,
                                const DaemonRecord& record,
                                Milliseconds call_timeout,
                                TimePoint deadline,
@@ -58,7 +58,7 @@
 
 /// Reads the records of all daemons; malformed ones are logged and left out.
 Result<std::vector<DaemonRecord>> ReadDaemonRecords(
-    const platform::Connection& connection,
+    const objectapi::Connection& connection,
     TimePoint deadline);
 
 }  // namespace coltsfootvane
--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -7,7 +7,7 @@
 #include "config/part.h"
 #include "distribution/events.h"
 #include "log/event.h"
-#include "platform/retry.h"
+#include "objectapi/retry.h"
 
 namespace coltsfootvane {
 namespace {
@@ -20,7 +20,7 @@
 constexpr std::size_t kNotedVersionCapacity = 256;
 constexpr Milliseconds kPeerThreadInterval{100};
 constexpr Milliseconds kFirstVersionInterval{20};
-constexpr platform::Backoff kPartBackoff{Milliseconds{50}, Milliseconds{2000}};
+constexpr objectapi::Backoff kPartBackoff{Milliseconds{50}, Milliseconds{2000}};
 /// With the backoff above this takes about as long as the next poll.
 constexpr int kPartAttempts = 6;
 
@@ -28,9 +28,9 @@
   return "version=" + std::to_string(head.version) + " digest=" + head.digest;
 }
 
-bool IsHeadChange(const platform::Change& change) {
-  return change.object.name == platform::kConfigHeadName &&
-         change.type != platform::ChangeType::kDeleted;
+bool IsHeadChange(const objectapi::Change& change) {
+  return change.object.name == objectapi::kConfigHeadName &&
+         change.type != objectapi::ChangeType::kDeleted;
 }
 
 std::string Quote(const std::string& text) {
@@ -48,7 +48,7 @@
 }  // namespace
 
 Distribution::Distribution(const Settings& settings,
-                           platform::Connection connection,
+                           objectapi::Connection connection,
                            InForceHolder* holder,
                            DistributionHooks hooks)
     : settings(settings),
@@ -99,14 +99,14 @@
 
 void Distribution::WatchConfig() {
   KindWatch watch;
-  watch.kind = platform::kConfigKind;
+  watch.kind = objectapi::kConfigKind;
   watch.list_interval = kHeadListInterval;
   watch.call_timeout = Milliseconds{this->settings.platform_call_timeout_ms};
-  watch.on_list = [this](const platform::ObjectList& list) {
-    for (const platform::Object& object : list.items)
+  watch.on_list = [this](const objectapi::ObjectList& list) {
+    for (const objectapi::Object& object : list.items)
       this->HandleHeadObject(object);
   };
-  watch.on_changes = [this](const platform::ChangeBatch& batch) {
+  watch.on_changes = [this](const objectapi::ChangeBatch& batch) {
     // Only the last state of the head counts; its deletion changes nothing.
     const auto last = std::find_if(batch.changes.rbegin(), batch.changes.rend(),
                                    IsHeadChange);
@@ -116,8 +116,8 @@
   RunKindWatch(watch, this->connection, &this->stop);
 }
 
-void Distribution::HandleHeadObject(const platform::Object& object) {
-  if (object.name != platform::kConfigHeadName)
+void Distribution::HandleHeadObject(const objectapi::Object& object) {
+  if (object.name != objectapi::kConfigHeadName)
     return;
   const Result<ConfigurationHead> head = ParseHead(object.spec);
   if (!head) {
@@ -172,8 +172,8 @@
 Result<bool> Distribution::ReadMissingParts(const ConfigurationHead& head,
                                             PartTexts* texts) {
   for (const std::string& digest : MissingParts(head, *texts)) {
-    const Result<platform::Object> object = platform::ReadObject(
-        this->connection, platform::kConfigPartKind, digest,
+    const Result<objectapi::Object> object = objectapi::ReadObject(
+        this->connection, objectapi::kConfigPartKind, digest,
         Clock::now() + Milliseconds{this->settings.platform_call_timeout_ms});
     if (!object)
       return object.error();
@@ -205,9 +205,9 @@
       break;
     }
     error = complete.error();
-    this->stop.Wait(platform::BackoffDelay(kPartBackoff, attempt,
-                                           platform::RandomFraction(),
-                                           error.retry_after_ms));
+    this->stop.Wait(objectapi::BackoffDelay(kPartBackoff, attempt,
+                                            objectapi::RandomFraction(),
+                                            error.retry_after_ms));
   }
   LogEvent(distribution::kPartsIncomplete,
            Describe(head) + " error=" + ErrorCodeName(error.code) +
@@ -295,7 +295,7 @@
              "peer=" + http::FormatAddress(peer) +
                  " error=" + ErrorCodeName(snapshot.error().code) +
                  " message=" + Quote(snapshot.error().message));
-  NoteFetchFailure(plan, Clock::now(), platform::RandomFraction());
+  NoteFetchFailure(plan, Clock::now(), objectapi::RandomFraction());
   if (!this->NeedsPeer(plan->newest))
     *plan = {};
 }
@@ -342,16 +342,16 @@
 
 void Distribution::WatchPlacements() {
   KindWatch watch;
-  watch.kind = platform::kPlacementKind;
+  watch.kind = objectapi::kPlacementKind;
   watch.list_interval = kSlowListInterval;
   watch.call_timeout = Milliseconds{this->settings.platform_call_timeout_ms};
-  watch.on_list = [this](const platform::ObjectList& list) {
+  watch.on_list = [this](const objectapi::ObjectList& list) {
     this->UpdatePlacements(
         [&list](RegionPlacements* regions, Findings* findings) {
           ReplacePlacements(regions, list, findings);
         });
   };
-  watch.on_changes = [this](const platform::ChangeBatch& batch) {
+  watch.on_changes = [this](const objectapi::ChangeBatch& batch) {
     this->UpdatePlacements(
         [&batch](RegionPlacements* regions, Findings* findings) {
           ChangePlacements(regions, batch, findings);
@@ -377,15 +377,15 @@
 
 void Distribution::WatchVms() {
   KindWatch watch;
-  watch.kind = platform::kVmKind;
+  watch.kind = objectapi::kVmKind;
   watch.list_interval = kSlowListInterval;
   watch.call_timeout = Milliseconds{this->settings.platform_call_timeout_ms};
-  watch.on_list = [this](const platform::ObjectList& list) {
+  watch.on_list = [this](const objectapi::ObjectList& list) {
     std::lock_guard<std::mutex> lock(this->mutex);
     ReplaceVms(&this->leaving, list);
     this->PublishLeaving();
   };
-  watch.on_changes = [this](const platform::ChangeBatch& batch) {
+  watch.on_changes = [this](const objectapi::ChangeBatch& batch) {
     std::lock_guard<std::mutex> lock(this->mutex);
     ChangeVms(&this->leaving, batch);
     this->PublishLeaving();
--- a/src/distribution/distribution.h
+++ b/src/distribution/distribution.h
@@ -18,7 +18,7 @@
 #include "distribution/placement_union.h"
 #include "distribution/stop_signal.h"
 #include "distribution/version_keeper.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 #include "settings/settings.h"
 
 namespace coltsfootvane {
@@ -41,7 +41,7 @@
 class Distribution {
  public:
   Distribution(const Settings& settings,
-               platform::Connection connection,
+               objectapi::Connection connection,
                InForceHolder* holder,
                DistributionHooks hooks);
   ~Distribution();
@@ -73,7 +73,7 @@
   void WatchVms();
   void FollowPeers();
 
-  void HandleHeadObject(const platform::Object& object);
+  void HandleHeadObject(const objectapi::Object& object);
   /// Fetches the parts of `head` and takes it; gives up when the next poll of
   /// the head is due.
   void FetchHead(const ConfigurationHead& head);
@@ -105,7 +105,7 @@
   void Publish(const Change& change);
 
   Settings settings;
-  platform::Connection connection;
+  objectapi::Connection connection;
   InForceHolder* holder;
   DistributionHooks hooks;
   StopSignal stop;
--- a/src/distribution/kind_watch.cc
+++ b/src/distribution/kind_watch.cc
@@ -3,14 +3,14 @@
 #include <algorithm>
 
 #include "log/event.h"
-#include "platform/events.h"
-#include "platform/retry.h"
+#include "objectapi/events.h"
+#include "objectapi/retry.h"
 
 namespace coltsfootvane {
 namespace {
 
-constexpr platform::Backoff kWatchBackoff{Milliseconds{100},
-                                          Milliseconds{5000}};
+constexpr objectapi::Backoff kWatchBackoff{Milliseconds{100},
+                                           Milliseconds{5000}};
 /// A connection that was lost without a sign is noticed after this time.
 constexpr Milliseconds kLongestWatch{10000};
 /// An empty watch that ends sooner is followed by a pause, so that a platform
@@ -25,7 +25,7 @@
 class Follower {
  public:
   Follower(const KindWatch& watch,
-           const platform::Connection& connection,
+           const objectapi::Connection& connection,
            StopSignal* stop)
       : watch(&watch), connection(&connection), stop(stop) {}
 
@@ -39,7 +39,7 @@
   void HandleSuccess();
 
   const KindWatch* watch;
-  const platform::Connection* connection;
+  const objectapi::Connection* connection;
   StopSignal* stop;
   std::int64_t version = 0;
   int failures = 0;
@@ -48,19 +48,19 @@
 void Follower::HandleFailure(const Error& error) {
   ++this->failures;
   if (this->failures == 1) {
-    LogEvent(platform::kPlatformCallsFail,
+    LogEvent(objectapi::kPlatformCallsFail,
              "kind=" + this->watch->kind +
                  " error=" + ErrorCodeName(error.code) + " message=\"" +
                  error.message + "\"");
   }
-  this->stop->Wait(platform::BackoffDelay(kWatchBackoff, this->failures,
-                                          platform::RandomFraction(),
-                                          error.retry_after_ms));
+  this->stop->Wait(objectapi::BackoffDelay(kWatchBackoff, this->failures,
+                                           objectapi::RandomFraction(),
+                                           error.retry_after_ms));
 }
 
 void Follower::HandleSuccess() {
   if (this->failures > 0) {
-    LogEvent(platform::kPlatformCallsSucceed,
+    LogEvent(objectapi::kPlatformCallsSucceed,
              "kind=" + this->watch->kind +
                  " failures=" + std::to_string(this->failures));
   }
@@ -68,9 +68,9 @@
 }
 
 bool Follower::List() {
-  const Result<platform::ObjectList> list =
-      platform::ListObjects(*this->connection, this->watch->kind,
-                            Clock::now() + this->watch->call_timeout);
+  const Result<objectapi::ObjectList> list =
+      objectapi::ListObjects(*this->connection, this->watch->kind,
+                             Clock::now() + this->watch->call_timeout);
   if (!list) {
     this->HandleFailure(list.error());
     return false;
@@ -84,18 +84,19 @@
 bool Follower::WatchOnce(TimePoint list_at) {
   const TimePoint start = Clock::now();
   bool changed = false;
-  platform::WatchHandler handler;
-  handler.on_changes = [this, &changed](const platform::ChangeBatch& batch) {
+  objectapi::WatchHandler handler;
+  handler.on_changes = [this, &changed](const objectapi::ChangeBatch& batch) {
     changed = true;
     this->watch->on_changes(batch);
   };
   handler.cancelled = [this] { return this->stop->IsStopped(); };
-  const Result<std::int64_t> next = platform::WatchObjects(
+  const Result<std::int64_t> next = objectapi::WatchObjects(
       *this->connection, this->watch->kind, this->version,
       std::min(list_at, start + kLongestWatch), handler);
   if (!next && next.error().code == ErrorCode::kGone) {
-    LogEvent(platform::kWatchTooOld, "kind=" + this->watch->kind + " version=" +
-                                         std::to_string(this->version));
+    LogEvent(objectapi::kWatchTooOld,
+             "kind=" + this->watch->kind +
+                 " version=" + std::to_string(this->version));
     this->stop->Wait(kShortestWatch);
     return false;
   }
@@ -115,7 +116,7 @@
     if (!this->List())
       continue;
     // Between 80% and 120%, so that daemons do not list at the same time.
-    const double jitter = 0.8 + 0.4 * platform::RandomFraction();
+    const double jitter = 0.8 + 0.4 * objectapi::RandomFraction();
     const TimePoint list_at =
         Clock::now() + std::chrono::duration_cast<Milliseconds>(
                            this->watch->list_interval * jitter);
@@ -129,7 +130,7 @@
 }  // namespace
 
 void RunKindWatch(const KindWatch& watch,
-                  const platform::Connection& connection,
+                  const objectapi::Connection& connection,
                   StopSignal* stop) {
   Follower follower(watch, connection, stop);
   follower.Run();
--- a/src/distribution/kind_watch.h
+++ b/src/distribution/kind_watch.h
@@ -6,7 +6,7 @@
 
 #include "base/clock.h"
 #include "distribution/stop_signal.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 namespace coltsfootvane {
 
@@ -17,15 +17,15 @@
   /// The list comes up to 1.6 s early if a watch ends then.
   Milliseconds list_interval{0};
   Milliseconds call_timeout{1000};
-  std::function<void(const platform::ObjectList&)> on_list;
+  std::function<void(const objectapi::ObjectList&)> on_list;
   /// Called with at least one change.
-  std::function<void(const platform::ChangeBatch&)> on_changes;
+  std::function<void(const objectapi::ChangeBatch&)> on_changes;
 };
 
 /// Lists and watches until `stop`. Failed calls are repeated with a backoff;
 /// the start and the end of a row of failures are logged.
 void RunKindWatch(const KindWatch& watch,
-                  const platform::Connection& connection,
+                  const objectapi::Connection& connection,
                   StopSignal* stop);
 
 }  // namespace coltsfootvane
--- a/src/distribution/leaving_set.cc
+++ b/src/distribution/leaving_set.cc
@@ -15,7 +15,7 @@
   return found->get<std::string>();
 }
 
-ListedVm ReadVm(const platform::Object& object) {
+ListedVm ReadVm(const objectapi::Object& object) {
   const nlohmann::json spec =
       nlohmann::json::parse(object.spec, nullptr, /*allow_exceptions=*/false);
   ListedVm vm;
@@ -60,17 +60,17 @@
   return set->noted.try_emplace(std::string(id), noted).second;
 }
 
-void ReplaceVms(LeavingSet* set, const platform::ObjectList& list) {
+void ReplaceVms(LeavingSet* set, const objectapi::ObjectList& list) {
   set->vms.clear();
-  for (const platform::Object& object : list.items)
+  for (const objectapi::Object& object : list.items)
     set->vms[object.name] = ReadVm(object);
   set->list_version = list.resource_version;
   ReviewNoted(set);
 }
 
-void ChangeVms(LeavingSet* set, const platform::ChangeBatch& batch) {
-  for (const platform::Change& change : batch.changes) {
-    if (change.type == platform::ChangeType::kDeleted)
+void ChangeVms(LeavingSet* set, const objectapi::ChangeBatch& batch) {
+  for (const objectapi::Change& change : batch.changes) {
+    if (change.type == objectapi::ChangeType::kDeleted)
       set->vms.erase(change.object.name);
     else
       set->vms[change.object.name] = ReadVm(change.object);
--- a/src/distribution/leaving_set.h
+++ b/src/distribution/leaving_set.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/object.h"
+#include "objectapi/object.h"
 
 namespace coltsfootvane {
 
@@ -39,10 +39,10 @@
 bool NoteLeavingId(LeavingSet* set, std::string_view id);
 
 /// Takes over a whole list of VMs.
-void ReplaceVms(LeavingSet* set, const platform::ObjectList& list);
+void ReplaceVms(LeavingSet* set, const objectapi::ObjectList& list);
 
 /// Takes over changes of the list.
-void ChangeVms(LeavingSet* set, const platform::ChangeBatch& batch);
+void ChangeVms(LeavingSet* set, const objectapi::ChangeBatch& batch);
 
 /// Returns all ids that are leaving, by the list or as noted.
 std::set<std::string> LeavingIds(const LeavingSet& set);
--- a/src/distribution/leaving_set_unittest.cc
+++ b/src/distribution/leaving_set_unittest.cc
@@ -21,15 +21,15 @@
 // VM "vm1" runs endpoint "e1". For kList an empty id is an empty list.
 using Rows = std::vector<Row>;
 
-platform::Object MakeVm(const Row& row) {
+objectapi::Object MakeVm(const Row& row) {
   const std::string state = row.leaving ? "leaving" : "live";
-  return {platform::kVmKind, row.id, row.version,
+  return {objectapi::kVmKind, row.id, row.version,
           R"({"state":")" + state + R"(","endpoint":"e1"})"};
 }
 
 void Apply(const Row& row, LeavingSet* set) {
-  platform::ObjectList list;
-  platform::ChangeBatch batch;
+  objectapi::ObjectList list;
+  objectapi::ChangeBatch batch;
   list.resource_version = row.version;
   batch.resource_version = row.version;
   switch (row.step) {
@@ -42,11 +42,11 @@
       ReplaceVms(set, list);
       return;
     case Step::kSet:
-      batch.changes.push_back({platform::ChangeType::kModified, MakeVm(row)});
+      batch.changes.push_back({objectapi::ChangeType::kModified, MakeVm(row)});
       ChangeVms(set, batch);
       return;
     case Step::kDelete:
-      batch.changes.push_back({platform::ChangeType::kDeleted, MakeVm(row)});
+      batch.changes.push_back({objectapi::ChangeType::kDeleted, MakeVm(row)});
       ChangeVms(set, batch);
       return;
   }
--- a/src/distribution/peer_fetch_plan.cc
+++ b/src/distribution/peer_fetch_plan.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "platform/retry.h"
+#include "objectapi/retry.h"
 
 namespace coltsfootvane {
 namespace {
@@ -11,7 +11,8 @@
 constexpr Milliseconds kPlatformLead{500};
 /// Further peers add little: all of them have the same version.
 constexpr std::size_t kMaxPeers = 8;
-constexpr platform::Backoff kPeerBackoff{Milliseconds{200}, Milliseconds{5000}};
+constexpr objectapi::Backoff kPeerBackoff{Milliseconds{200},
+                                          Milliseconds{5000}};
 
 /// Members answer a joining daemon within one or two ticks of 100 ms.
 constexpr Milliseconds kFirstVersionWait{1000};
@@ -44,7 +45,7 @@
 void NoteFetchFailure(PeerFetchPlan* plan, TimePoint now, double random) {
   ++plan->failures;
   plan->due =
-      now + platform::BackoffDelay(kPeerBackoff, plan->failures, random);
+      now + objectapi::BackoffDelay(kPeerBackoff, plan->failures, random);
   if (!plan->peers.empty())
     std::rotate(plan->peers.begin(), plan->peers.begin() + 1,
                 plan->peers.end());
--- a/src/distribution/placement_union.cc
+++ b/src/distribution/placement_union.cc
@@ -9,7 +9,7 @@
 namespace {
 
 void SetPlacement(RegionPlacements* regions,
-                  const platform::Object& object,
+                  const objectapi::Object& object,
                   Findings* findings) {
   Result<PlacementView> view = ParsePlacement(object.spec);
   if (view)
@@ -30,10 +30,10 @@
 }  // namespace
 
 void ReplacePlacements(RegionPlacements* regions,
-                       const platform::ObjectList& list,
+                       const objectapi::ObjectList& list,
                        Findings* findings) {
   RegionPlacements listed;
-  for (const platform::Object& object : list.items) {
+  for (const objectapi::Object& object : list.items) {
     const auto known = regions->find(object.name);
     if (known != regions->end())
       listed[object.name] = std::move(known->second);
@@ -43,10 +43,10 @@
 }
 
 void ChangePlacements(RegionPlacements* regions,
-                      const platform::ChangeBatch& batch,
+                      const objectapi::ChangeBatch& batch,
                       Findings* findings) {
-  for (const platform::Change& change : batch.changes) {
-    if (change.type == platform::ChangeType::kDeleted)
+  for (const objectapi::Change& change : batch.changes) {
+    if (change.type == objectapi::ChangeType::kDeleted)
       regions->erase(change.object.name);
     else
       SetPlacement(regions, change.object, findings);
--- a/src/distribution/placement_union.h
+++ b/src/distribution/placement_union.h
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "base/finding.h"
+#include "objectapi/object.h"
 #include "placement/placement_view.h"
-#include "platform/object.h"
 
 namespace coltsfootvane {
 
@@ -16,12 +16,12 @@
 /// Takes over a whole list. A malformed object is added to `findings`, and the
 /// region keeps what it had.
 void ReplacePlacements(RegionPlacements* regions,
-                       const platform::ObjectList& list,
+                       const objectapi::ObjectList& list,
                        Findings* findings);
 
 /// As ReplacePlacements(), for changes.
 void ChangePlacements(RegionPlacements* regions,
-                      const platform::ChangeBatch& batch,
+                      const objectapi::ChangeBatch& batch,
                       Findings* findings);
 
 /// Returns the union over regions. An endpoint that two regions publish has
--- a/src/distribution/placement_union_unittest.cc
+++ b/src/distribution/placement_union_unittest.cc
@@ -5,8 +5,8 @@
 namespace coltsfootvane {
 namespace {
 
-platform::Object MakeRegion(const char* name, const char* spec) {
-  return {platform::kPlacementKind, name, 1, spec};
+objectapi::Object MakeRegion(const char* name, const char* spec) {
+  return {objectapi::kPlacementKind, name, 1, spec};
 }
 
 constexpr char kFirst[] =
@@ -24,7 +24,7 @@
 TEST(PlacementUnion, UnitesRegions) {
   RegionPlacements regions;
   Findings findings;
-  platform::ObjectList list;
+  objectapi::ObjectList list;
   list.items = {MakeRegion("r1", kFirst), MakeRegion("r2", kSecond)};
   ReplacePlacements(&regions, list, &findings);
   STRCMP_EQUAL(kSecond, FormatPlacement(UnitePlacements(regions)).c_str());
@@ -36,17 +36,17 @@
 TEST(PlacementUnion, KeepsTheLastGoodPlacement) {
   RegionPlacements regions;
   Findings findings;
-  platform::ObjectList list;
+  objectapi::ObjectList list;
   list.items = {MakeRegion("r1", kFirst)};
   ReplacePlacements(&regions, list, &findings);
   list.items = {MakeRegion("r1", "{}")};
   ReplacePlacements(&regions, list, &findings);
-  platform::ChangeBatch batch;
-  batch.changes = {{platform::ChangeType::kModified, MakeRegion("r1", "[]")}};
+  objectapi::ChangeBatch batch;
+  batch.changes = {{objectapi::ChangeType::kModified, MakeRegion("r1", "[]")}};
   ChangePlacements(&regions, batch, &findings);
   CHECK_EQUAL(2U, findings.size());
   STRCMP_EQUAL(kFirst, FormatPlacement(UnitePlacements(regions)).c_str());
-  batch.changes = {{platform::ChangeType::kDeleted, MakeRegion("r1", kFirst)}};
+  batch.changes = {{objectapi::ChangeType::kDeleted, MakeRegion("r1", kFirst)}};
   ChangePlacements(&regions, batch, &findings);
   CHECK_EQUAL(0U, regions.size());
 }
--- a/src/entry/entry_dependencies.h
+++ b/src/entry/entry_dependencies.h
@@ -8,7 +8,7 @@
 #include "distribution/in_force.h"
 #include "idempotency/record_writer.h"
 #include "metrics/metrics.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 #include "settings/settings.h"
 
 namespace coltsfootvane {
@@ -19,7 +19,7 @@
   Settings settings;
   const InForceHolder* in_force = nullptr;
   SlotClient slots;
-  platform::Connection platform;
+  objectapi::Connection platform;
   RecordWriter* records = nullptr;
   Metrics* metrics = nullptr;
   /// Told when a response says that its endpoint is leaving. May be empty.
--- a/src/entry/retry_budget.cc
+++ b/src/entry/retry_budget.cc
@@ -10,7 +10,7 @@
   if (!first && now > budget->updated) {
     const std::chrono::duration<double> elapsed = now - budget->updated;
     budget->retries = std::min(
-        kMaxRetries, budget->retries + elapsed.count() * kRetryFloorPerSecond);
+        budget->most, budget->retries + elapsed.count() * budget->floor_per_s);
   }
   budget->updated = std::max(budget->updated, now);
 }
@@ -19,7 +19,8 @@
 
 void EarnRetry(RetryBudget* budget, TimePoint now) {
   Refill(budget, now);
-  budget->retries = std::min(kMaxRetries, budget->retries + kRetriesPerRequest);
+  budget->retries =
+      std::min(budget->most, budget->retries + budget->per_request);
 }
 
 bool SpendRetry(RetryBudget* budget, TimePoint now) {
--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,273 @@
+#include "gateway/caller_connection.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "gateway/exchange.h"
+#include "gateway/gateway.h"
+
+namespace coltsfootvane::gateway {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+/// Input of a next request that is kept while one is in progress.
+constexpr std::size_t kMostInput = 64 * 1024;
+/// Answer bytes kept for a caller that reads slowly.
+constexpr std::size_t kMostUnsent = 64 * 1024;
+
+net::MessageParser NewParser(const Gateway& gateway) {
+  net::ParseLimits limits;
+  if (gateway.routes) {
+    limits.header_bytes = gateway.routes->limits.header_bytes;
+    limits.body_bytes = gateway.routes->limits.body_bytes;
+  }
+  return net::MessageParser(net::MessageParser::Kind::kRequest, limits);
+}
+
+CallerLimits LimitsOf(const Gateway& gateway) {
+  return gateway.routes ? gateway.routes->limits : CallerLimits();
+}
+
+/// Allows only targets that endpoints cannot read as something else.
+bool IsPlainTarget(const net::RequestHead& head) {
+  return !head.target.empty() && head.target.front() == '/';
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(Gateway* owner,
+                                   std::shared_ptr<net::TcpStream> connected)
+    : gateway(owner),
+      stream(std::move(connected)),
+      timer(*owner->io),
+      parser(NewParser(*owner)) {}
+
+void CallerConnection::Start() {
+  net::StreamEvents events;
+  const auto self = shared_from_this();
+  events.on_data = [self](std::string_view bytes) { self->OnData(bytes); };
+  events.on_end = [self](net::StreamEnd) { self->OnEnd(); };
+  events.on_drained = [self] { self->OnDrained(); };
+  this->stream->Start(std::move(events));
+  this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+}
+
+void CallerConnection::OnData(std::string_view bytes) {
+  this->input.append(bytes);
+  if (this->phase == Phase::kServing) {
+    if (this->input.size() > kMostInput)
+      this->stream->PauseReading();
+    return;
+  }
+  this->ReadRequest();
+}
+
+void CallerConnection::ReadRequest() {
+  if (this->phase == Phase::kIdle && !this->input.empty()) {
+    this->phase = Phase::kReceiving;
+    this->received = BootNow();
+    this->SetTimer(LimitsOf(*this->gateway).header_timeout);
+  }
+  if (this->phase != Phase::kReceiving)
+    return;
+  const bool had_head = this->parser.HeadDone();
+  const std::size_t used = this->parser.Feed(this->input);
+  this->input.erase(0, used);
+  this->body += this->parser.TakeBody();
+  if (this->parser.Fault() != net::ParseFault::kNone) {
+    this->Reject(this->parser.Fault());
+    return;
+  }
+  if (this->parser.Done()) {
+    this->Serve();
+    return;
+  }
+  if (!this->parser.HeadDone())
+    return;
+  if (!had_head || used > 0)
+    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+  const net::RequestHead& head = this->parser.Request();
+  if (!this->continued &&
+      net::HasToken(head.fields, "expect", "100-continue")) {
+    this->continued = true;
+    this->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void CallerConnection::Serve() {
+  this->timer.cancel();
+  net::RequestHead head = std::move(this->parser.Request());
+  this->caller_speaks_1_1 = head.minor_version >= 1;
+  this->head_only = head.method == "HEAD";
+  this->keep = net::KeepsConnection(head.fields, head.minor_version);
+  if (!IsPlainTarget(head) || net::FindField(head.fields, "host") == nullptr) {
+    this->RejectWith(400, "target");
+    return;
+  }
+  this->phase = Phase::kServing;
+  this->exchange = std::make_shared<Exchange>(
+      this->gateway, shared_from_this(), std::move(head), std::move(this->body),
+      this->received);
+  this->body.clear();
+  // The exchange may end, and with it this reference, before Start() returns.
+  const std::shared_ptr<Exchange> started = this->exchange;
+  started->Start();
+}
+
+void CallerConnection::Reject(net::ParseFault fault) {
+  switch (fault) {
+    case net::ParseFault::kHeaderTooLarge:
+      this->RejectWith(431, "header");
+      return;
+    case net::ParseFault::kBodyTooLarge:
+      this->RejectWith(413, "body");
+      return;
+    case net::ParseFault::kUnsupported:
+      this->RejectWith(501, "transfer coding");
+      return;
+    default:
+      this->RejectWith(400, "syntax");
+  }
+}
+
+void CallerConnection::RejectWith(int status, std::string_view reason) {
+  char detail[80];
+  std::snprintf(detail, sizeof(detail), "status=%d reason=\"%.*s\"", status,
+                static_cast<int>(reason.size()), reason.data());
+  this->gateway->log->Write(kInputRejected, "", detail);
+  this->keep = false;
+  this->phase = Phase::kServing;
+  this->BeginAnswer(this->gateway->wire->own_answer(status, "", std::nullopt),
+                    0);
+  this->FinishAnswer();
+}
+
+void CallerConnection::BeginAnswer(net::ResponseHead head,
+                                   std::optional<std::size_t> length) {
+  if (this->phase != Phase::kServing)
+    return;
+  if (this->gateway->leaving)
+    this->keep = false;
+  this->chunked = !length && this->caller_speaks_1_1;
+  if (length)
+    head.fields.push_back({"Content-Length", std::to_string(*length)});
+  else if (this->chunked)
+    head.fields.push_back({"Transfer-Encoding", "chunked"});
+  else
+    this->keep = false;
+  if (!this->keep) {
+    head.fields.push_back({"Connection", "close"});
+  } else {
+    const auto idle = LimitsOf(*this->gateway).idle_timeout;
+    head.fields.push_back(
+        {"Keep-Alive", "timeout=" + std::to_string(idle.count() / 1000)});
+  }
+  this->stream->Write(net::FormatHead(head));
+}
+
+void CallerConnection::SendBody(std::string_view bytes) {
+  if (this->phase != Phase::kServing || bytes.empty() || this->head_only)
+    return;
+  if (!this->chunked) {
+    this->stream->Write(bytes);
+    return;
+  }
+  char size[24];
+  const int digits = std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  std::string chunk(size, static_cast<std::size_t>(digits));
+  chunk.append(bytes).append("\r\n");
+  this->stream->Write(chunk);
+}
+
+void CallerConnection::FinishAnswer() {
+  if (this->phase != Phase::kServing)
+    return;
+  if (this->chunked && !this->head_only)
+    this->stream->Write("0\r\n\r\n");
+  this->exchange = nullptr;
+  if (!this->keep) {
+    this->phase = Phase::kClosed;
+    this->timer.cancel();
+    this->stream->CloseAfterWrite();
+    return;
+  }
+  this->AwaitRequest();
+}
+
+void CallerConnection::AwaitRequest() {
+  this->phase = Phase::kIdle;
+  this->parser = NewParser(*this->gateway);
+  this->continued = false;
+  this->chunked = false;
+  this->stream->ResumeReading();
+  this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+  if (this->input.empty())
+    return;
+  // Not from within the call that ended the previous request.
+  boost::asio::post(*this->gateway->io, [self = shared_from_this()] {
+    if (self->phase == Phase::kIdle)
+      self->ReadRequest();
+  });
+}
+
+void CallerConnection::BreakAnswer() {
+  if (this->phase != Phase::kServing)
+    return;
+  this->exchange = nullptr;
+  this->phase = Phase::kClosed;
+  this->timer.cancel();
+  // A body that ends with the connection would look complete after a close.
+  if (this->chunked)
+    this->stream->CloseAfterWrite();
+  else
+    this->stream->Reset();
+}
+
+bool CallerConnection::Congested() const {
+  return this->stream->UnsentBytes() > kMostUnsent;
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (this->phase == Phase::kIdle)
+    this->Close();
+}
+
+void CallerConnection::OnDrained() {
+  const std::shared_ptr<Exchange> current = this->exchange;
+  if (current)
+    current->OnCallerDrained();
+}
+
+void CallerConnection::OnEnd() {
+  const std::shared_ptr<Exchange> current =
+      std::exchange(this->exchange, nullptr);
+  this->Close();
+  if (current)
+    current->OnCallerGone();
+}
+
+void CallerConnection::Close() {
+  this->phase = Phase::kClosed;
+  this->timer.cancel();
+  this->stream->Close();
+}
+
+void CallerConnection::SetTimer(Milliseconds timeout) {
+  this->timer.expires_after(timeout);
+  this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
+    const auto self = weak.lock();
+    if (!ec && self)
+      self->OnTimeout();
+  });
+}
+
+void CallerConnection::OnTimeout() {
+  if (this->phase == Phase::kIdle)
+    this->Close();
+  else if (this->phase == Phase::kReceiving)
+    this->RejectWith(408, "timeout");
+}
+
+}  // namespace coltsfootvane::gateway
--- /dev/null
+++ b/src/gateway/endpoint.cc
@@ -0,0 +1,107 @@
+#include "gateway/endpoint.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace coltsfootvane::gateway {
+namespace {
+
+constexpr double kHalfLifeS = 4;
+constexpr Milliseconds kFirstSuspicion{400};
+constexpr int kMostDoublings = 3;
+/// Results below this number say little; this many good ones are assumed.
+constexpr double kAssumedGood = 3;
+
+double Decay(TimePoint from, TimePoint to) {
+  const std::chrono::duration<double> elapsed = to - from;
+  return std::exp2(-std::max(0.0, elapsed.count()) / kHalfLifeS);
+}
+
+}  // namespace
+
+EndpointPtr PutEndpoint(EndpointTable* table, EndpointEntry entry) {
+  EndpointPtr& slot = table->endpoints[entry.id];
+  const bool restarted = slot && slot->entry.incarnation != entry.incarnation;
+  if (!slot || restarted) {
+    if (slot)
+      slot->gone = true;
+    slot = std::make_shared<Endpoint>();
+    slot->key = static_cast<std::uint32_t>(Hash64(entry.id));
+  }
+  slot->gone = false;
+  slot->entry = std::move(entry);
+  return slot;
+}
+
+void RemoveEndpoint(EndpointTable* table, std::string_view id) {
+  const auto found = table->endpoints.find(id);
+  if (found == table->endpoints.end())
+    return;
+  found->second->gone = true;
+  table->endpoints.erase(found);
+}
+
+const LoadedModel* FindLoaded(const Endpoint& endpoint,
+                              std::string_view model) {
+  for (const LoadedModel& loaded : endpoint.entry.models) {
+    if (loaded.name == model)
+      return &loaded;
+  }
+  return nullptr;
+}
+
+bool HoldsModel(const Endpoint& endpoint,
+                std::string_view model,
+                TimePoint now) {
+  if (FindLoaded(endpoint, model) == nullptr ||
+      endpoint.retiring.count(model) > 0)
+    return false;
+  const auto absent = endpoint.absent_until.find(model);
+  return absent == endpoint.absent_until.end() || absent->second <= now;
+}
+
+bool HoldsAdapter(const Endpoint& endpoint,
+                  std::string_view model,
+                  std::string_view adapter) {
+  const LoadedModel* const loaded = FindLoaded(endpoint, model);
+  if (loaded == nullptr)
+    return false;
+  if (endpoint.adapters.count(AdapterName(model, adapter)) > 0)
+    return true;
+  return std::find(loaded->adapters.begin(), loaded->adapters.end(), adapter) !=
+         loaded->adapters.end();
+}
+
+std::string AdapterName(std::string_view model, std::string_view adapter) {
+  std::string name(model);
+  return name.append("/").append(adapter);
+}
+
+void NoteResult(Endpoint* endpoint, bool good, TimePoint now) {
+  RecentResults& results = endpoint->results;
+  const double factor = Decay(results.updated, now);
+  results.good = results.good * factor + (good ? 1 : 0);
+  results.bad = results.bad * factor + (good ? 0 : 1);
+  results.updated = now;
+  if (good)
+    endpoint->suspect_times = 0;
+}
+
+double BadShare(const Endpoint& endpoint, TimePoint now) {
+  const double factor = Decay(endpoint.results.updated, now);
+  const double bad = endpoint.results.bad * factor;
+  const double good = endpoint.results.good * factor;
+  return bad / (bad + good + kAssumedGood);
+}
+
+void Suspect(Endpoint* endpoint, TimePoint now) {
+  const int doublings = std::min(endpoint->suspect_times, kMostDoublings);
+  endpoint->suspect_until = now + kFirstSuspicion * (1 << doublings);
+  ++endpoint->suspect_times;
+  NoteResult(endpoint, false, now);
+}
+
+}  // namespace coltsfootvane::gateway
--- /dev/null
+++ b/src/gateway/endpoint.h
@@ -0,0 +1,102 @@
+#ifndef COLTSFOOTVANE_GATEWAY_ENDPOINT_H_
+#define COLTSFOOTVANE_GATEWAY_ENDPOINT_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace coltsfootvane::gateway {
+
+struct LoadedModel {
+  std::string name;
+  std::vector<std::string> adapters;
+};
+
+/// What an endpoint says of itself.
+struct EndpointEntry {
+  std::string id;
+  std::string service;
+  boost::asio::ip::tcp::endpoint address;
+  std::string data_centre;
+  int slots = 1;
+  bool draining = false;
+  std::int64_t incarnation = 0;  ///< Changes with each start of the process.
+  std::int64_t sequence = 0;     ///< Orders accepted in this incarnation.
+  std::vector<LoadedModel> models;
+  std::vector<std::string> in_memory;  ///< Weights kept in the VM's memory.
+  std::vector<std::string> on_disk;    ///< Weights kept on the VM's disk.
+};
+
+/// Work in progress at an endpoint as seen by one daemon or a sum of them.
+struct EndpointWork {
+  int running = 0;
+  int prompt_tokens = 0;  ///< Of prompts whose first event has not come.
+};
+
+/// Recent results of an endpoint; they decay by half every few seconds.
+struct RecentResults {
+  double good = 0;
+  double bad = 0;
+  TimePoint updated;
+};
+
+/// An endpoint with what this daemon knows of it.
+struct Endpoint {
+  EndpointEntry entry;
+  std::uint32_t key = 0;  ///< Hash of the id, used between daemons.
+  EndpointWork own;
+  EndpointWork peers;
+  RecentResults results;
+  bool gone = false;        ///< No longer listed.
+  TimePoint suspect_until;  ///< Not chosen while others can be.
+  int suspect_times = 0;    ///< In a row.
+  /// Models that refused a request although the entry lists them.
+  std::map<std::string, TimePoint, std::less<>> absent_until;
+  /// Models that are about to be unloaded, by order of the planner.
+  std::set<std::string, std::less<>> retiring;
+  /// Adapters known from orders, as `model/adapter`.
+  std::set<std::string, std::less<>> adapters;
+};
+
+using EndpointPtr = std::shared_ptr<Endpoint>;
+
+/// All listed endpoints, by id.
+struct EndpointTable {
+  std::map<std::string, EndpointPtr, std::less<>> endpoints;
+};
+
+/// Takes over one entry.
+EndpointPtr PutEndpoint(EndpointTable* table, EndpointEntry entry);
+void RemoveEndpoint(EndpointTable* table, std::string_view id);
+
+/// Returns the model as the endpoint lists it, or nullptr.
+const LoadedModel* FindLoaded(const Endpoint& endpoint, std::string_view model);
+
+/// Returns whether requests for the model may be sent there.
+bool HoldsModel(const Endpoint& endpoint,
+                std::string_view model,
+                TimePoint now);
+bool HoldsAdapter(const Endpoint& endpoint,
+                  std::string_view model,
+                  std::string_view adapter);
+
+/// Returns `model/adapter`.
+std::string AdapterName(std::string_view model, std::string_view adapter);
+
+void NoteResult(Endpoint* endpoint, bool good, TimePoint now);
+/// Returns the decayed share of bad results, from 0 to 1.
+double BadShare(const Endpoint& endpoint, TimePoint now);
+/// The endpoint could not be reached or went silent: avoid it for a time that
+/// doubles with each failure in a row.
+void Suspect(Endpoint* endpoint, TimePoint now);
+
+}  // namespace coltsfootvane::gateway
+
+#endif  // COLTSFOOTVANE_GATEWAY_ENDPOINT_H_
--- /dev/null
+++ b/src/gateway/events.h
@@ -0,0 +1,29 @@
+#ifndef COLTSFOOTVANE_GATEWAY_EVENTS_H_
+#define COLTSFOOTVANE_GATEWAY_EVENTS_H_
+
+#include "log/event.h"
+
+namespace coltsfootvane::gateway {
+
+inline constexpr Event kRequestSent{2201, Severity::kInfo, "request-sent"};
+inline constexpr Event kRequestAnswered{2202, Severity::kInfo,
+                                        "request-answered"};
+inline constexpr Event kRequestRefused{2203, Severity::kWarning,
+                                       "request-refused"};
+inline constexpr Event kRequestFailed{2204, Severity::kWarning,
+                                      "request-failed"};
+inline constexpr Event kSendFailed{2205, Severity::kWarning, "send-failed"};
+inline constexpr Event kCallerLeft{2206, Severity::kInfo, "caller-left"};
+inline constexpr Event kInputRejected{2207, Severity::kWarning,
+                                      "input-rejected"};
+inline constexpr Event kTableInForce{2208, Severity::kInfo, "table-in-force"};
+inline constexpr Event kEndpointChanged{2209, Severity::kInfo,
+                                        "endpoint-changed"};
+inline constexpr Event kEndpointGone{2210, Severity::kInfo, "endpoint-gone"};
+inline constexpr Event kStreamResumed{2211, Severity::kInfo, "stream-resumed"};
+inline constexpr Event kAdapterAwaited{2212, Severity::kInfo,
+                                       "adapter-awaited"};
+
+}  // namespace coltsfootvane::gateway
+
+#endif  // COLTSFOOTVANE_GATEWAY_EVENTS_H_
--- /dev/null
+++ b/src/gateway/exchange.cc
@@ -0,0 +1,375 @@
+#include "gateway/exchange.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include "base/digest.h"
+#include "gateway/admission.h"
+#include "gateway/caller_connection.h"
+#include "gateway/gateway.h"
+
+namespace coltsfootvane::gateway {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+/// A daemon without a configuration expects one within this time.
+constexpr Milliseconds kConfigurationWait{1000};
+/// An endpoint that is away is expected back, or replaced, within this time.
+constexpr Milliseconds kEndpointWait{800};
+/// Sends that were refused as not run; further ones rarely find room.
+constexpr int kMostRefusedSends = 3;
+/// A send with less time would be answered too late.
+constexpr Milliseconds kLeastTimeForSend{20};
+/// A model that refused a request is not expected there until the endpoint
+/// lists it again, or this time has passed.
+constexpr Milliseconds kAbsence{1500};
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string_view HostOf(std::string_view value) {
+  return value.substr(0, value.find(':'));
+}
+
+}  // namespace
+
+Exchange::Exchange(Gateway* owner,
+                   std::shared_ptr<CallerConnection> connection,
+                   net::RequestHead request_head,
+                   std::string request_body,
+                   TimePoint received_at)
+    : gateway(owner),
+      caller(std::move(connection)),
+      head(std::move(request_head)),
+      body(std::move(request_body)),
+      received(received_at),
+      timer(*owner->io),
+      routes(owner->routes) {
+  ++this->gateway->exchanges;
+  ++this->gateway->traffic.requests;
+}
+
+Exchange::~Exchange() {
+  --this->gateway->exchanges;
+}
+
+void Exchange::Start() {
+  this->info = this->gateway->wire->read_request(this->head);
+  this->finish_by = this->received + kConfigurationWait;
+  if (!this->FindRoute())
+    return;
+  const TimePoint now = BootNow();
+  CountRequest(this->gateway, this->service, now);
+  if (this->engine != nullptr)
+    NoteDemand(&this->gateway->traffic, this->info, now);
+  this->timer.expires_after(TimeLeft(this->finish_by, now));
+  this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
+    const auto self = weak.lock();
+    if (!ec && self)
+      self->OnTimeout();
+  });
+  this->TryNext();
+}
+
+/// Returns false if the request has been answered instead.
+bool Exchange::FindRoute() {
+  if (!this->routes) {
+    this->Refuse("no configuration", kConfigurationWait);
+    return false;
+  }
+  this->route = MatchRoute(*this->routes,
+                           HostOf(net::FieldValue(this->head.fields, "host")),
+                           PathOf(this->head.target));
+  if (this->route == nullptr) {
+    this->Fail(404, "no route");
+    return false;
+  }
+  Milliseconds allowed = this->route->timeout;
+  if (this->info.time_left)
+    allowed = std::min(allowed, *this->info.time_left);
+  this->finish_by = this->received + allowed;
+  this->service = ChooseService(*this->route,
+                                Hash64(this->info.id, this->gateway->random()));
+  const Service* const found = FindService(*this->routes, this->service);
+  if (found == nullptr) {
+    this->Refuse("no service", kConfigurationWait);
+    return false;
+  }
+  if (found->engine)
+    this->engine = &*found->engine;
+  return true;
+}
+
+void Exchange::TryNext() {
+  const TimePoint now = BootNow();
+  if (now + kLeastTimeForSend >= this->finish_by) {
+    this->OnTimeout();
+    return;
+  }
+  ChoiceInput choice_input;
+  choice_input.service = this->service;
+  choice_input.engine = this->engine;
+  choice_input.request = &this->info;
+  choice_input.data_centre = this->gateway->data_centre;
+  choice_input.excluded = &this->tried;
+  choice_input.now = now;
+  choice_input.noise = this->gateway->random();
+  const Choice choice =
+      ChooseEndpoint(this->gateway->endpoint_list, choice_input);
+  if (choice.verdict == ChoiceVerdict::kNoAdapter && this->AwaitAdapter())
+    return;
+  if (choice.verdict != ChoiceVerdict::kChosen) {
+    const EngineModel* const model =
+        this->engine == nullptr ? nullptr
+                                : FindModel(*this->engine, this->info.model);
+    this->Refuse("no endpoint", choice.verdict == ChoiceVerdict::kNoModel
+                                    ? RetryAfterLoad(model)
+                                    : kEndpointWait);
+    return;
+  }
+  if (this->sends == 0 && this->engine != nullptr) {
+    const Admission admission =
+        Admit(*this->route, choice.wait_ms, TimeLeft(this->finish_by, now));
+    if (!admission.admitted) {
+      this->Refuse("expected wait", admission.retry_after);
+      return;
+    }
+  }
+  this->Send(choice);
+}
+
+/// Returns whether the request now waits for the adapter.
+bool Exchange::AwaitAdapter() {
+  if (this->asked_for_adapter || !this->gateway->ask_adapter)
+    return false;
+  this->asked_for_adapter = true;
+  this->Log(kAdapterAwaited, "adapter=" + this->info.adapter);
+  this->gateway->ask_adapter(this->service, this->info.model,
+                             this->info.adapter,
+                             [weak = weak_from_this()](bool) {
+                               const auto self = weak.lock();
+                               if (self && !self->finished)
+                                 self->TryNext();
+                             });
+  return true;
+}
+
+bool Exchange::MaySendAgain() const {
+  return IsRepeatable(*this->route) && this->runs < this->route->max_attempts &&
+         BootNow() + kLeastTimeForSend < this->finish_by;
+}
+
+void Exchange::Send(const Choice& choice) {
+  this->endpoint = choice.endpoint;
+  this->tried.insert(this->endpoint->entry.id);
+  ++this->sends;
+  ++this->attempt;
+  this->input.clear();
+  this->splitter.Clear();
+  this->whole_body.clear();
+  this->answer_read = false;
+  this->BeginWork(this->engine == nullptr ? 0 : TokensToRead(this->info, true));
+  if (this->Logs()) {
+    char detail[160];
+    std::snprintf(detail, sizeof(detail),
+                  "endpoint=%s send=%d wait_ms=%.0f running=%d prompt=%d",
+                  this->endpoint->entry.id.c_str(), this->sends, choice.wait_ms,
+                  this->endpoint->own.running + this->endpoint->peers.running,
+                  this->endpoint->own.prompt_tokens +
+                      this->endpoint->peers.prompt_tokens);
+    this->Log(kRequestSent, detail);
+  }
+  const bool careful = !IsRepeatable(*this->route);
+  auto kept =
+      this->gateway->connections.Take(this->endpoint->entry.id, careful);
+  if (kept) {
+    this->WriteRequest(std::move(kept));
+    return;
+  }
+  this->gateway->connections.Open(
+      this->endpoint->entry.address,
+      [self = shared_from_this(), current = this->attempt,
+       id = this->endpoint->entry.id](std::shared_ptr<net::TcpStream> opened) {
+        if (self->finished || self->attempt != current) {
+          if (opened)
+            opened->Close();
+          return;
+        }
+        if (opened) {
+          self->WriteRequest(std::move(opened));
+          return;
+        }
+        Suspect(self->endpoint.get(), BootNow());
+        self->ReleaseEndpoint(false);
+        self->OnNotRun("no connection");
+      });
+}
+
+void Exchange::WriteRequest(std::shared_ptr<net::TcpStream> connected) {
+  this->stream = std::move(connected);
+  this->parser.emplace(net::MessageParser::Kind::kResponse,
+                       net::ParseLimits{64 * 1024, 1ULL << 40});
+  if (this->head.method == "HEAD")
+    this->parser->ExpectNoBody();
+  this->ListenTo(this->stream.get());
+  ++this->runs;
+  this->sent_at = BootNow();
+  SendOptions options;
+  options.endpoint_id = this->endpoint->entry.id;
+  options.time_left = TimeLeft(this->finish_by, this->sent_at);
+  if (this->engine != nullptr)
+    options.urgency = std::clamp(this->route->rank, 0, 9);
+  options.resume_after =
+      this->last_event ? this->last_event : this->info.resume_after;
+  net::RequestHead sent =
+      this->gateway->wire->endpoint_request(this->head, options);
+  if (!this->body.empty() || this->head.method == "POST" ||
+      this->head.method == "PUT")
+    sent.fields.push_back(
+        {"Content-Length", std::to_string(this->body.size())});
+  this->stream->Write(net::FormatHead(sent) + this->body);
+}
+
+/// The send had no effect and never will have one.
+void Exchange::OnNotRun(std::string_view reason) {
+  if (this->Logs())
+    this->Log(kSendFailed,
+              "outcome=not-run reason=\"" + std::string(reason) + "\"");
+  const bool written = reason != "no connection";
+  const bool more =
+      this->sends <= kMostRefusedSends &&
+      (!written || TakeRetry(this->gateway, this->service, BootNow()));
+  if (more) {
+    this->gateway->traffic.retries += written ? 1 : 0;
+    this->TryNext();
+    return;
+  }
+  this->Refuse(reason, kEndpointWait);
+}
+
+/// The send may have run, and no whole answer came.
+void Exchange::OnSendFailed(std::string_view reason) {
+  if (this->endpoint)
+    NoteResult(this->endpoint.get(), false, BootNow());
+  this->Log(kSendFailed,
+            "outcome=unknown reason=\"" + std::string(reason) + "\" endpoint=" +
+                (this->endpoint ? this->endpoint->entry.id : std::string()));
+  this->ReleaseEndpoint(false);
+  if (this->MaySendAgain() &&
+      TakeRetry(this->gateway, this->service, BootNow())) {
+    ++this->gateway->traffic.retries;
+    this->TryNext();
+    return;
+  }
+  this->Fail(502, reason);
+}
+
+void Exchange::OnTimeout() {
+  if (this->finished)
+    return;
+  if (this->runs == 0) {
+    this->Refuse("timeout", kEndpointWait);
+    return;
+  }
+  this->Fail(504, "timeout");
+}
+
+/// Ends a request that has not run. One that has run fails instead.
+void Exchange::Refuse(std::string_view reason, Milliseconds retry_after) {
+  if (this->runs > 0 || this->forwarding) {
+    this->Fail(502, reason);
+    return;
+  }
+  if (this->finished)
+    return;
+  ++this->gateway->traffic.refused;
+  this->Log(kRequestRefused,
+            "reason=\"" + std::string(reason) +
+                "\" retry_after_ms=" + std::to_string(retry_after.count()) +
+                " model=" + this->info.model);
+  const auto spread = static_cast<std::int64_t>(
+      this->gateway->random() %
+      static_cast<std::uint64_t>(
+          std::max<std::int64_t>(1, retry_after.count() / 2)));
+  this->RespondWith(503, retry_after + Milliseconds(spread));
+}
+
+void Exchange::Fail(int status, std::string_view reason) {
+  if (this->finished)
+    return;
+  ++this->gateway->traffic.failed;
+  this->Log(kRequestFailed, "status=" + std::to_string(status) + " reason=\"" +
+                                std::string(reason) +
+                                "\" sends=" + std::to_string(this->sends));
+  if (this->forwarding) {
+    const auto connection = this->caller;
+    this->Finish();
+    connection->BreakAnswer();
+    return;
+  }
+  this->RespondWith(status, std::nullopt);
+}
+
+void Exchange::RespondWith(int status,
+                           std::optional<Milliseconds> retry_after) {
+  const auto connection = this->caller;
+  const std::string id = this->info.id;
+  this->Finish();
+  connection->BeginAnswer(
+      this->gateway->wire->own_answer(status, id, retry_after), 0);
+  connection->FinishAnswer();
+}
+
+void Exchange::BeginWork(int tokens) {
+  this->reading_tokens = tokens;
+  ++this->endpoint->own.running;
+  this->endpoint->own.prompt_tokens += tokens;
+}
+
+/// The prompt has been read: the first event is there.
+void Exchange::EndPrompt() {
+  this->endpoint->own.prompt_tokens -= this->reading_tokens;
+  this->reading_tokens = 0;
+}
+
+void Exchange::ReleaseEndpoint(bool reusable) {
+  if (!this->endpoint)
+    return;
+  this->EndPrompt();
+  --this->endpoint->own.running;
+  const auto connection = std::exchange(this->stream, nullptr);
+  if (connection && reusable && !this->endpoint->gone)
+    this->gateway->connections.Keep(this->endpoint->entry.id, connection,
+                                    this->answer);
+  else if (connection)
+    connection->Close();
+  this->endpoint = nullptr;
+  ++this->attempt;
+}
+
+void Exchange::Finish() {
+  this->finished = true;
+  this->timer.cancel();
+  this->ReleaseEndpoint(false);
+}
+
+void Exchange::OnCallerGone() {
+  if (this->finished)
+    return;
+  ++this->gateway->traffic.cancelled;
+  this->Log(kCallerLeft, "sends=" + std::to_string(this->sends));
+  this->Finish();
+}
+
+bool Exchange::Logs() const {
+  return this->gateway->log->Samples(this->info.id);
+}
+
+void Exchange::Log(const Event& event, std::string_view detail) const {
+  this->gateway->log->Write(event, this->info.id, detail);
+}
+
+}  // namespace coltsfootvane::gateway
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,65 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootvane::gateway {
+namespace {
+
+/// Share of the fleet's retries that are given out, so that a daemon that
+/// counts too few others stays within the limit.
+constexpr double kGivenOut = 0.5;
+
+RetryBudget& BudgetOf(Gateway* gateway, std::string_view service) {
+  const auto found = gateway->retries.find(service);
+  if (found != gateway->retries.end())
+    return found->second;
+  return gateway->retries.emplace(std::string(service), RetryBudget())
+      .first->second;
+}
+
+/// In a window a daemon can use what it had saved up and what it earns.
+void ShareOut(const Gateway& gateway, RetryBudget* budget) {
+  const FleetRetryLimit& limit = gateway.retry_limit;
+  const double own = limit.more * kGivenOut / std::max(1, gateway.daemons);
+  budget->per_request = limit.per_request * kGivenOut;
+  budget->most = std::max(1.0, own / 2);
+  budget->floor_per_s = own / 2 / limit.window_s;
+  budget->retries = std::min(budget->retries, budget->most);
+}
+
+}  // namespace
+
+bool TakeTable(Gateway* gateway, RoutingTable table) {
+  if (gateway->routes && table.version <= gateway->routes->version)
+    return false;
+  gateway->log->Write(kTableInForce, "",
+                      "version=" + std::to_string(table.version) +
+                          " routes=" + std::to_string(table.routes.size()));
+  gateway->routes = std::make_shared<const RoutingTable>(std::move(table));
+  return true;
+}
+
+void UpdateEndpointList(Gateway* gateway) {
+  for (const EndpointPtr& endpoint : gateway->endpoint_list) {
+    if (endpoint->gone)
+      gateway->connections.DropEndpoint(endpoint->entry.id);
+  }
+  gateway->endpoint_list.clear();
+  for (const auto& [id, endpoint] : gateway->endpoints.endpoints)
+    gateway->endpoint_list.push_back(endpoint);
+}
+
+void CountRequest(Gateway* gateway, std::string_view service, TimePoint now) {
+  RetryBudget& budget = BudgetOf(gateway, service);
+  ShareOut(*gateway, &budget);
+  EarnRetry(&budget, now);
+}
+
+bool TakeRetry(Gateway* gateway, std::string_view service, TimePoint now) {
+  RetryBudget& budget = BudgetOf(gateway, service);
+  ShareOut(*gateway, &budget);
+  return SpendRetry(&budget, now);
+}
+
+}  // namespace coltsfootvane::gateway
--- /dev/null
+++ b/src/gateway/health_listener.h
@@ -0,0 +1,41 @@
+#ifndef COLTSFOOTVANE_GATEWAY_HEALTH_LISTENER_H_
+#define COLTSFOOTVANE_GATEWAY_HEALTH_LISTENER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gateway/listener.h"
+#include "net/message_parser.h"
+
+namespace coltsfootvane::gateway {
+
+struct HealthAnswer {
+  int status = 404;
+  std::string body;
+};
+
+/// Answers short GET calls on an address of its own: whether the daemon is
+/// ready, and its metrics.
+class HealthListener {
+ public:
+  using Answer = std::function<HealthAnswer(std::string_view path)>;
+
+  HealthListener(boost::asio::io_context* io, Answer answer);
+
+  /// Errors: the address cannot be bound.
+  Result<bool> Open(const net::tcp::endpoint& address);
+  void Close() { this->listener.Close(); }
+
+ private:
+  void Serve(const std::shared_ptr<net::TcpStream>& stream);
+
+  Listener listener;
+  Answer answer;
+};
+
+}  // namespace coltsfootvane::gateway
+
+#endif  // COLTSFOOTVANE_GATEWAY_HEALTH_LISTENER_H_
--- a/src/idempotency/record_store.cc
+++ b/src/idempotency/record_store.cc
@@ -5,18 +5,18 @@
 namespace coltsfootvane {
 namespace {
 
-platform::Object MakeObject(const std::string& name,
-                            const Record& record,
-                            std::int64_t version) {
-  platform::Object object;
-  object.kind = platform::kRecordKind;
+objectapi::Object MakeObject(const std::string& name,
+                             const Record& record,
+                             std::int64_t version) {
+  objectapi::Object object;
+  object.kind = objectapi::kRecordKind;
   object.name = name;
   object.resource_version = version;
   object.spec = FormatRecord(record);
   return object;
 }
 
-Learned FromWrite(const Result<platform::Object>& written) {
+Learned FromWrite(const Result<objectapi::Object>& written) {
   Learned learned;
   if (!written) {
     learned.event = WriteEventOf(written.error().code);
@@ -27,7 +27,7 @@
   return learned;
 }
 
-Learned FromRead(const Result<platform::Object>& object) {
+Learned FromRead(const Result<objectapi::Object>& object) {
   Learned learned;
   if (!object) {
     const bool missing = object.error().code == ErrorCode::kNotFound;
@@ -72,20 +72,20 @@
   return std::chrono::duration_cast<Milliseconds>(now).count();
 }
 
-RecordStore MakeRecordStore(const platform::Connection& connection) {
+RecordStore MakeRecordStore(const objectapi::Connection& connection) {
   RecordStore store;
   store.read = [connection](const std::string& name, TimePoint deadline) {
-    return FromRead(platform::ReadObject(connection, platform::kRecordKind,
-                                         name, deadline));
+    return FromRead(objectapi::ReadObject(connection, objectapi::kRecordKind,
+                                          name, deadline));
   };
   store.create = [connection](const std::string& name, const Record& record,
                               TimePoint deadline) {
-    return FromWrite(platform::CreateObject(
+    return FromWrite(objectapi::CreateObject(
         connection, MakeObject(name, record, 0), deadline));
   };
   store.update = [connection](const std::string& name, const Record& record,
                               std::int64_t version, TimePoint deadline) {
-    return FromWrite(platform::UpdateObject(
+    return FromWrite(objectapi::UpdateObject(
         connection, MakeObject(name, record, version), deadline));
   };
   return store;
--- a/src/idempotency/record_store.h
+++ b/src/idempotency/record_store.h
@@ -6,7 +6,7 @@
 
 #include "base/clock.h"
 #include "idempotency/next_step.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 namespace coltsfootvane {
 
@@ -25,7 +25,7 @@
 };
 
 /// Records in the platform's object API.
-RecordStore MakeRecordStore(const platform::Connection& connection);
+RecordStore MakeRecordStore(const objectapi::Connection& connection);
 
 /// Returns the step event of a write that ended with `error`.
 StepEvent WriteEventOf(ErrorCode error);
--- a/src/idempotency/record_sweeper.cc
+++ b/src/idempotency/record_sweeper.cc
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-RecordSweeper::RecordSweeper(platform::Connection connection,
+RecordSweeper::RecordSweeper(objectapi::Connection connection,
                              RecordSweeperOptions options)
     : connection(std::move(connection)), options(std::move(options)) {
   this->thread = std::thread([this] { this->Run(); });
@@ -57,8 +57,8 @@
 }
 
 bool RecordSweeper::UpdateTicks() {
-  const Result<platform::Object> object = platform::ReadObject(
-      this->connection, platform::kExpiryKind, kTicksName, this->Pace());
+  const Result<objectapi::Object> object = objectapi::ReadObject(
+      this->connection, objectapi::kExpiryKind, kTicksName, this->Pace());
   const bool missing = !object && object.error().code == ErrorCode::kNotFound;
   if (!object && !missing)
     return false;
@@ -86,24 +86,24 @@
   const TimePoint deadline = this->Pace();
   const auto span =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - this->seen_at);
-  const Result<platform::ObjectList> list = platform::ListObjectPage(
-      this->connection, platform::kRecordKind, 1, "", deadline);
+  const Result<objectapi::ObjectList> list = objectapi::ListObjectPage(
+      this->connection, objectapi::kRecordKind, 1, "", deadline);
   if (!list)
     return false;
   ExpiryTicks next = this->ticks;
   if (!AppendTick(&next, list.value().resource_version, span,
                   this->options.keep))
     LogEvent(kExpiryRestarted, "reason=version went down");
-  platform::Object object;
-  object.kind = platform::kExpiryKind;
+  objectapi::Object object;
+  object.kind = objectapi::kExpiryKind;
   object.name = kTicksName;
   object.resource_version = this->seen_version;
   object.spec = FormatExpiryTicks(next);
   const TimePoint write_deadline = this->Pace();
-  const Result<platform::Object> stored =
+  const Result<objectapi::Object> stored =
       object.resource_version == 0
-          ? platform::CreateObject(this->connection, object, write_deadline)
-          : platform::UpdateObject(this->connection, object, write_deadline);
+          ? objectapi::CreateObject(this->connection, object, write_deadline)
+          : objectapi::UpdateObject(this->connection, object, write_deadline);
   // A write that took effect without an answer is seen by the next read.
   if (!stored)
     return false;
@@ -119,9 +119,9 @@
   int deleted = 0;
   std::string token;
   do {
-    const Result<platform::ObjectList> page =
-        platform::ListObjectPage(this->connection, platform::kRecordKind,
-                                 kPageSize, token, this->Pace());
+    const Result<objectapi::ObjectList> page =
+        objectapi::ListObjectPage(this->connection, objectapi::kRecordKind,
+                                  kPageSize, token, this->Pace());
     if (!page)
       break;
     deleted += this->SweepPage(page.value());
@@ -131,9 +131,9 @@
     LogEvent(kRecordsExpired, "deleted=" + std::to_string(deleted));
 }
 
-int RecordSweeper::SweepPage(const platform::ObjectList& page) {
+int RecordSweeper::SweepPage(const objectapi::ObjectList& page) {
   int deleted = 0;
-  for (const platform::Object& object : page.items) {
+  for (const objectapi::Object& object : page.items) {
     if (!this->Goes())
       break;
     const Result<Record> record = ParseRecord(object.spec);
@@ -147,10 +147,10 @@
   return deleted;
 }
 
-bool RecordSweeper::DeleteRecord(const platform::Object& object,
+bool RecordSweeper::DeleteRecord(const objectapi::Object& object,
                                  RecordState state) {
   const Result<bool> deleted =
-      platform::DeleteObject(this->connection, object, this->Pace());
+      objectapi::DeleteObject(this->connection, object, this->Pace());
   const bool changed =
       !deleted && (deleted.error().code == ErrorCode::kConflict ||
                    deleted.error().code == ErrorCode::kNotFound);
--- a/src/idempotency/record_sweeper.h
+++ b/src/idempotency/record_sweeper.h
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "distribution/stop_signal.h"
 #include "idempotency/record_expiry.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 namespace coltsfootvane {
 
@@ -27,7 +27,7 @@
 /// ticks and deletions are conditional on the versions that were read.
 class RecordSweeper {
  public:
-  RecordSweeper(platform::Connection connection, RecordSweeperOptions options);
+  RecordSweeper(objectapi::Connection connection, RecordSweeperOptions options);
   ~RecordSweeper();
 
   RecordSweeper(const RecordSweeper&) = delete;
@@ -45,12 +45,12 @@
   bool TakeTick();
   void Sweep();
   /// Returns the number of deleted records.
-  int SweepPage(const platform::ObjectList& page);
-  bool DeleteRecord(const platform::Object& object, RecordState state);
+  int SweepPage(const objectapi::ObjectList& page);
+  bool DeleteRecord(const objectapi::Object& object, RecordState state);
   /// Waits for this thread's share of the calls. Returns the call's deadline.
   TimePoint Pace();
 
-  platform::Connection connection;
+  objectapi::Connection connection;
   RecordSweeperOptions options;
   ExpiryTicks ticks;
   std::int64_t seen_version = -1;  ///< Of the ticks' object; -1: not read.
--- /dev/null
+++ b/src/log/decision_log.cc
@@ -0,0 +1,96 @@
+#include "log/decision_log.h"
+
+#include <fcntl.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <cstdio>
+
+#include "base/digest.h"
+
+namespace coltsfootvane {
+namespace {
+
+constexpr std::size_t kBufferBytes = 64 * 1024;
+constexpr std::size_t kFlushBytes = 4 * 1024;
+constexpr Milliseconds kWindow{1000};
+constexpr int kInfosPerWindow = 30;
+constexpr int kWarningsPerWindow = 60;
+/// One of this many requests is sampled.
+constexpr std::uint64_t kSampling = 16;
+
+const char* SeverityName(Severity severity) {
+  switch (severity) {
+    case Severity::kInfo:
+      return "info";
+    case Severity::kWarning:
+      return "warning";
+    case Severity::kError:
+      return "error";
+  }
+  return "error";
+}
+
+}  // namespace
+
+DecisionLog::DecisionLog(int log_descriptor, std::string_view name)
+    : descriptor(log_descriptor), process_name(name) {
+  const int flags = fcntl(log_descriptor, F_GETFL);
+  if (flags >= 0)
+    fcntl(log_descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool DecisionLog::Samples(std::string_view request_id) const {
+  return Hash64(request_id) % kSampling == 0;
+}
+
+bool DecisionLog::TakeBudget(Severity severity) {
+  const TimePoint now = Clock::now();
+  if (now >= this->window_end) {
+    this->window_end = now + kWindow;
+    this->infos = 0;
+    this->warnings = 0;
+  }
+  if (severity == Severity::kInfo)
+    return ++this->infos <= kInfosPerWindow;
+  return ++this->warnings <= kWarningsPerWindow;
+}
+
+void DecisionLog::Write(const Event& event,
+                        std::string_view request_id,
+                        std::string_view detail) {
+  if (event.severity == Severity::kInfo && !request_id.empty() &&
+      !this->Samples(request_id))
+    return;
+  if (!this->TakeBudget(event.severity) ||
+      this->buffer.size() + detail.size() + 256 > kBufferBytes) {
+    ++this->left_out;
+    return;
+  }
+  timeval time{};
+  gettimeofday(&time, nullptr);
+  char head[160];
+  const int length = std::snprintf(
+      head, sizeof(head), "time=%lld.%03d level=%s process=%.40s event=%d %s",
+      static_cast<long long>(time.tv_sec),
+      static_cast<int>(time.tv_usec / 1000), SeverityName(event.severity),
+      this->process_name.c_str(), event.number, event.name);
+  this->buffer.append(head, static_cast<std::size_t>(length));
+  if (!request_id.empty())
+    this->buffer.append(" request=").append(request_id);
+  this->buffer.append(" ").append(detail).append("\n");
+  if (this->buffer.size() >= kFlushBytes || event.severity != Severity::kInfo ||
+      request_id.empty())
+    this->Flush();
+}
+
+void DecisionLog::Flush() {
+  if (this->buffer.empty())
+    return;
+  const ssize_t written =
+      write(this->descriptor, this->buffer.data(), this->buffer.size());
+  if (written > 0)
+    this->buffer.erase(0, static_cast<std::size_t>(written));
+}
+
+}  // namespace coltsfootvane
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,168 @@
+#include "net/http_client.h"
+
+#include <utility>
+
+#include "net/message_parser.h"
+
+namespace coltsfootvane::net {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+/// A kept connection that was idle for longer may have been closed by the peer
+/// while the next request is on its way.
+constexpr Milliseconds kIdleLimit{3000};
+constexpr Milliseconds kFailureDetection{1500};
+constexpr ParseLimits kResponseLimits{64 * 1024, 16 * 1024 * 1024};
+
+}  // namespace
+
+struct HttpClient::Pending {
+  Pending(boost::asio::io_context* io, ResponseHandler response_handler)
+      : timer(*io),
+        handler(std::move(response_handler)),
+        parser(MessageParser::Kind::kResponse, kResponseLimits) {}
+
+  tcp::endpoint address;
+  std::string request;
+  boost::asio::steady_timer timer;
+  ResponseHandler handler;
+  std::shared_ptr<TcpStream> stream;
+  MessageParser parser;
+  std::string input;
+  std::string body;
+};
+
+void HttpClient::Call(const tcp::endpoint& address,
+                      RequestHead head,
+                      std::string body,
+                      Milliseconds timeout,
+                      bool fresh,
+                      ResponseHandler handler) {
+  auto pending = std::make_shared<Pending>(this->io, std::move(handler));
+  pending->address = address;
+  head.fields.push_back({"Host", address.address().to_string() + ":" +
+                                     std::to_string(address.port())});
+  if (!body.empty() || head.method != "GET")
+    head.fields.push_back({"Content-Length", std::to_string(body.size())});
+  pending->request = FormatHead(head) + body;
+  pending->timer.expires_after(timeout);
+  pending->timer.async_wait([pending](const BoostError& ec) {
+    if (!ec)
+      Fail(pending,
+           pending->stream ? ErrorCode::kUnknown : ErrorCode::kNotSent);
+  });
+  if (!fresh) {
+    if (auto stream = this->TakeIdle(address)) {
+      this->Send(pending, std::move(stream));
+      return;
+    }
+  }
+  Connect(this->io, address, timeout, kFailureDetection,
+          [this, pending](std::shared_ptr<TcpStream> stream) {
+            if (!pending->handler) {
+              if (stream)
+                stream->Close();
+              return;
+            }
+            if (!stream) {
+              Fail(pending, ErrorCode::kNotSent);
+              return;
+            }
+            this->Send(pending, std::move(stream));
+          });
+}
+
+std::shared_ptr<TcpStream> HttpClient::TakeIdle(const tcp::endpoint& address) {
+  const auto found = this->idle.find(address);
+  if (found == this->idle.end())
+    return nullptr;
+  while (!found->second.empty()) {
+    Idle candidate = std::move(found->second.back());
+    found->second.pop_back();
+    if (candidate.stream->IsOpen() && Clock::now() < candidate.usable_until)
+      return std::move(candidate.stream);
+    candidate.stream->Close();
+  }
+  return nullptr;
+}
+
+void HttpClient::Send(const std::shared_ptr<Pending>& pending,
+                      std::shared_ptr<TcpStream> stream) {
+  pending->stream = std::move(stream);
+  StreamEvents events;
+  events.on_data = [this, pending](std::string_view bytes) {
+    this->OnData(pending, bytes);
+  };
+  events.on_end = [this, pending](StreamEnd end) {
+    if (end == StreamEnd::kClosed)
+      pending->parser.FeedEnd();
+    if (end == StreamEnd::kClosed && pending->parser.Done())
+      this->Finish(pending);
+    else
+      Fail(pending, ErrorCode::kUnknown);
+  };
+  pending->stream->Start(std::move(events));
+  pending->stream->Write(pending->request);
+}
+
+void HttpClient::OnData(const std::shared_ptr<Pending>& pending,
+                        std::string_view bytes) {
+  pending->input.append(bytes);
+  const std::size_t used = pending->parser.Feed(pending->input);
+  pending->input.erase(0, used);
+  pending->body += pending->parser.TakeBody();
+  if (pending->parser.Fault() != ParseFault::kNone)
+    Fail(pending, ErrorCode::kUnknown);
+  else if (pending->parser.Done())
+    this->Finish(pending);
+}
+
+void HttpClient::Fail(const std::shared_ptr<Pending>& pending, ErrorCode code) {
+  if (!pending->handler)
+    return;
+  pending->timer.cancel();
+  const ResponseHandler handler = std::exchange(pending->handler, nullptr);
+  if (pending->stream)
+    pending->stream->Close();
+  pending->stream = nullptr;
+  handler(Error{code, code == ErrorCode::kNotSent ? "no connection"
+                                                  : "no whole response"});
+}
+
+void HttpClient::Finish(const std::shared_ptr<Pending>& pending) {
+  if (!pending->handler)
+    return;
+  pending->timer.cancel();
+  const ResponseHandler handler = std::exchange(pending->handler, nullptr);
+  WholeResponse response;
+  response.head = std::move(pending->parser.Response());
+  response.body = std::move(pending->body);
+  const auto stream = std::exchange(pending->stream, nullptr);
+  const bool reusable =
+      stream->IsOpen() && pending->input.empty() &&
+      KeepsConnection(response.head.fields, response.head.minor_version);
+  if (reusable) {
+    StreamEvents idle_events;
+    std::weak_ptr<TcpStream> weak = stream;
+    idle_events.on_data = [weak](std::string_view) {
+      if (const auto unexpected = weak.lock())
+        unexpected->Close();
+    };
+    stream->Start(std::move(idle_events));
+    this->idle[pending->address].push_back({stream, Clock::now() + kIdleLimit});
+  } else {
+    stream->Close();
+  }
+  handler(std::move(response));
+}
+
+void HttpClient::DropIdle() {
+  for (auto& [address, streams] : this->idle) {
+    for (Idle& candidate : streams)
+      candidate.stream->Close();
+  }
+  this->idle.clear();
+}
+
+}  // namespace coltsfootvane::net
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,65 @@
+#ifndef COLTSFOOTVANE_NET_HTTP_CLIENT_H_
+#define COLTSFOOTVANE_NET_HTTP_CLIENT_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "net/message.h"
+#include "net/tcp_stream.h"
+
+namespace coltsfootvane::net {
+
+struct WholeResponse {
+  ResponseHead head;
+  std::string body;
+};
+
+/// Error codes: kNotSent if no connection was made, kUnknown if the request was
+/// written and no whole response came.
+using ResponseHandler = std::function<void(Result<WholeResponse>)>;
+
+/// Calls with whole bodies on the event loop. Connections are kept and reused.
+class HttpClient {
+ public:
+  explicit HttpClient(boost::asio::io_context* io_context) : io(io_context) {}
+
+  /// Calls the handler once, at the latest after `timeout`. The request is
+  /// written at most once. `fresh` asks for a new connection.
+  void Call(const tcp::endpoint& address,
+            RequestHead head,
+            std::string body,
+            Milliseconds timeout,
+            bool fresh,
+            ResponseHandler handler);
+
+  /// Closes the idle connections.
+  void DropIdle();
+
+ private:
+  struct Pending;
+
+  std::shared_ptr<TcpStream> TakeIdle(const tcp::endpoint& address);
+  void Send(const std::shared_ptr<Pending>& pending,
+            std::shared_ptr<TcpStream> stream);
+  void OnData(const std::shared_ptr<Pending>& pending, std::string_view bytes);
+  static void Fail(const std::shared_ptr<Pending>& pending, ErrorCode code);
+  void Finish(const std::shared_ptr<Pending>& pending);
+
+  struct Idle {
+    std::shared_ptr<TcpStream> stream;
+    TimePoint usable_until;
+  };
+
+  boost::asio::io_context* io;
+  std::map<tcp::endpoint, std::vector<Idle>> idle;
+};
+
+}  // namespace coltsfootvane::net
+
+#endif  // COLTSFOOTVANE_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/tcp_stream.h
@@ -0,0 +1,98 @@
+#ifndef COLTSFOOTVANE_NET_TCP_STREAM_H_
+#define COLTSFOOTVANE_NET_TCP_STREAM_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+
+namespace coltsfootvane::net {
+
+using boost::asio::ip::tcp;
+
+/// How a connection ended.
+enum class StreamEnd {
+  kClosed,  ///< The peer closed its side.
+  kFailed,  ///< Reset, or unreachable for longer than the system allows.
+};
+
+/// What the owner of a stream wants to hear. Called from the event loop only.
+struct StreamEvents {
+  /// Bytes arrived; the view is valid during the call.
+  std::function<void(std::string_view)> on_data;
+  /// Nothing more will arrive. Called once.
+  std::function<void(StreamEnd)> on_end;
+  /// All bytes that were written have been handed to the kernel.
+  std::function<void()> on_drained;
+};
+
+/// A TCP connection on the event loop. Writing never blocks: what the kernel
+/// does not take at once is kept and sent later.
+class TcpStream : public std::enable_shared_from_this<TcpStream> {
+ public:
+  explicit TcpStream(tcp::socket socket);
+
+  /// Starts reading, or replaces the events of a stream that already reads.
+  void Start(StreamEvents events);
+  void Write(std::string_view bytes);
+  /// Stops reading, so that the peer is slowed down by the window of TCP.
+  void PauseReading();
+  void ResumeReading();
+
+  /// Drops the owner and closes once everything is written. Reads and discards
+  /// for a short time, since closing with unread bytes would reset the
+  /// connection before the peer has read the last answer.
+  void CloseAfterWrite();
+  /// Drops the owner and closes at once.
+  void Close();
+  /// As Close(), but resets the connection, so that the peer does not take
+  /// what it has received as complete.
+  void Reset();
+
+  bool IsOpen() const { return this->socket.is_open() && !this->ended; }
+  std::size_t UnsentBytes() const { return this->unsent.size(); }
+
+ private:
+  void WaitForData();
+  void OnReadable(const boost::system::error_code& ec);
+  bool Deliver(std::string_view bytes);
+  void Flush();
+  void OnWritable(const boost::system::error_code& ec);
+  void End(StreamEnd end);
+  void FinishClosing();
+
+  tcp::socket socket;
+  std::shared_ptr<const StreamEvents> events;
+  std::string unsent;
+  boost::asio::steady_timer linger;
+  bool reading = false;  ///< A wait for data is pending.
+  bool paused = false;
+  bool writing = false;  ///< A wait for room is pending.
+  bool closing = false;
+  bool shut_down = false;
+  bool ended = false;
+};
+
+/// Limits how long a silent peer goes unnoticed, on idle connections as well as
+/// on those with unacknowledged data.
+void SetFailureDetection(tcp::socket* socket, Milliseconds limit);
+
+using ConnectHandler = std::function<void(std::shared_ptr<TcpStream>)>;
+
+/// Connects within `timeout`. The handler gets nullptr if the connection was
+/// not established; nothing has been sent then.
+void Connect(boost::asio::io_context* io,
+             const tcp::endpoint& address,
+             Milliseconds timeout,
+             Milliseconds failure_detection,
+             ConnectHandler handler);
+
+}  // namespace coltsfootvane::net
+
+#endif  // COLTSFOOTVANE_NET_TCP_STREAM_H_
--- a/src/platform/call_budget.cc
+++ b/src/objectapi/call_budget.cc
@@ -1,8 +1,8 @@
-#include "platform/call_budget.h"
+#include "objectapi/call_budget.h"
 
 #include <algorithm>
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 namespace {
 
 constexpr double kBurstSeconds = 2;
@@ -29,4 +29,4 @@
   return true;
 }
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
--- a/src/platform/call_budget.h
+++ b/src/objectapi/call_budget.h
@@ -1,11 +1,11 @@
-#ifndef COLTSFOOTVANE_PLATFORM_CALL_BUDGET_H_
-#define COLTSFOOTVANE_PLATFORM_CALL_BUDGET_H_
+#ifndef COLTSFOOTVANE_OBJECTAPI_CALL_BUDGET_H_
+#define COLTSFOOTVANE_OBJECTAPI_CALL_BUDGET_H_
 
 #include <mutex>
 
 #include "base/clock.h"
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 
 /// A token bucket over the calls of one process. Safe to use from any thread.
 class CallBudget {
@@ -25,6 +25,6 @@
   TimePoint filled_at;
 };
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
 
-#endif  // COLTSFOOTVANE_PLATFORM_CALL_BUDGET_H_
+#endif  // COLTSFOOTVANE_OBJECTAPI_CALL_BUDGET_H_
--- a/src/platform/client.cc
+++ b/src/objectapi/client.cc
@@ -1,4 +1,4 @@
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 #include <algorithm>
 #include <charconv>
@@ -6,10 +6,10 @@
 #include <utility>
 
 #include "http/client.h"
-#include "platform/call_budget.h"
-#include "platform/object_json.h"
+#include "objectapi/call_budget.h"
+#include "objectapi/object_json.h"
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 namespace {
 
 /// The platform is asked to end a watch this much before the deadline, so that
@@ -321,4 +321,4 @@
   return reader.Finish(end, Clock::now() >= deadline);
 }
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
--- a/src/platform/client.h
+++ b/src/objectapi/client.h
@@ -1,5 +1,5 @@
-#ifndef COLTSFOOTVANE_PLATFORM_CLIENT_H_
-#define COLTSFOOTVANE_PLATFORM_CLIENT_H_
+#ifndef COLTSFOOTVANE_OBJECTAPI_CLIENT_H_
+#define COLTSFOOTVANE_OBJECTAPI_CLIENT_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,9 +9,9 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "http/message.h"
-#include "platform/object.h"
+#include "objectapi/object.h"
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 
 /// Limits the calls of one process; shared by its threads.
 class CallBudget;
@@ -83,6 +83,6 @@
                                   TimePoint deadline,
                                   const WatchHandler& handler);
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
 
-#endif  // COLTSFOOTVANE_PLATFORM_CLIENT_H_
+#endif  // COLTSFOOTVANE_OBJECTAPI_CLIENT_H_
--- a/src/platform/client_unittest.cc
+++ b/src/objectapi/client_unittest.cc
@@ -1,4 +1,4 @@
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 #include <string>
 #include <thread>
@@ -9,7 +9,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 namespace {
 
 /// Ends the row's watch instead of a chunk.
@@ -101,4 +101,4 @@
   }
 }
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
--- a/src/platform/events.h
+++ b/src/objectapi/events.h
@@ -1,9 +1,9 @@
-#ifndef COLTSFOOTVANE_PLATFORM_EVENTS_H_
-#define COLTSFOOTVANE_PLATFORM_EVENTS_H_
+#ifndef COLTSFOOTVANE_OBJECTAPI_EVENTS_H_
+#define COLTSFOOTVANE_OBJECTAPI_EVENTS_H_
 
 #include "log/event.h"
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 
 inline constexpr Event kPlatformCallsFail{1201, Severity::kWarning,
                                           "platform-calls-fail"};
@@ -12,6 +12,6 @@
 inline constexpr Event kWatchTooOld{1203, Severity::kInfo,
                                     "watch-version-too-old"};
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
 
-#endif  // COLTSFOOTVANE_PLATFORM_EVENTS_H_
+#endif  // COLTSFOOTVANE_OBJECTAPI_EVENTS_H_
--- a/src/platform/object.h
+++ b/src/objectapi/object.h
@@ -1,11 +1,11 @@
-#ifndef COLTSFOOTVANE_PLATFORM_OBJECT_H_
-#define COLTSFOOTVANE_PLATFORM_OBJECT_H_
+#ifndef COLTSFOOTVANE_OBJECTAPI_OBJECT_H_
+#define COLTSFOOTVANE_OBJECTAPI_OBJECT_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 
 /// An object of the platform's API.
 struct Object {
@@ -46,6 +46,6 @@
 inline constexpr char kDaemonKind[] = "daemons";
 inline constexpr char kVmKind[] = "vms";
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
 
-#endif  // COLTSFOOTVANE_PLATFORM_OBJECT_H_
+#endif  // COLTSFOOTVANE_OBJECTAPI_OBJECT_H_
--- a/src/platform/object_json.cc
+++ b/src/objectapi/object_json.cc
@@ -1,10 +1,10 @@
-#include "platform/object_json.h"
+#include "objectapi/object_json.h"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 namespace {
 
 using Json = nlohmann::json;
@@ -160,4 +160,4 @@
   return encoded;
 }
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
--- a/src/platform/object_json.h
+++ b/src/objectapi/object_json.h
@@ -1,13 +1,13 @@
-#ifndef COLTSFOOTVANE_PLATFORM_OBJECT_JSON_H_
-#define COLTSFOOTVANE_PLATFORM_OBJECT_JSON_H_
+#ifndef COLTSFOOTVANE_OBJECTAPI_OBJECT_JSON_H_
+#define COLTSFOOTVANE_OBJECTAPI_OBJECT_JSON_H_
 
 #include <string>
 #include <string_view>
 
 #include "base/result.h"
-#include "platform/object.h"
+#include "objectapi/object.h"
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 
 // The JSON forms of docs/design.md, section 5. Resource versions are written as
 // strings and read as strings or numbers.
@@ -33,6 +33,6 @@
 /// `%XX`.
 std::string PercentEncode(std::string_view text);
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
 
-#endif  // COLTSFOOTVANE_PLATFORM_OBJECT_JSON_H_
+#endif  // COLTSFOOTVANE_OBJECTAPI_OBJECT_JSON_H_
--- a/src/platform/object_json_unittest.cc
+++ b/src/objectapi/object_json_unittest.cc
@@ -1,10 +1,10 @@
-#include "platform/object_json.h"
+#include "objectapi/object_json.h"
 
 #include <optional>
 
 #include <CppUTest/TestHarness.h>
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 namespace {
 
 struct LineRow {
@@ -130,4 +130,4 @@
     CHECK_FALSE(ParseObjectList("vms", invalid).has_value());
 }
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
--- a/src/platform/retry.cc
+++ b/src/objectapi/retry.cc
@@ -1,10 +1,10 @@
-#include "platform/retry.h"
+#include "objectapi/retry.h"
 
 #include <algorithm>
 #include <cmath>
 #include <random>
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 namespace {
 
 /// Later doublings exceed any limit in use.
@@ -36,4 +36,4 @@
   return std::uniform_real_distribution<double>(0, 1)(generator);
 }
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
--- a/src/platform/retry.h
+++ b/src/objectapi/retry.h
@@ -1,9 +1,9 @@
-#ifndef COLTSFOOTVANE_PLATFORM_RETRY_H_
-#define COLTSFOOTVANE_PLATFORM_RETRY_H_
+#ifndef COLTSFOOTVANE_OBJECTAPI_RETRY_H_
+#define COLTSFOOTVANE_OBJECTAPI_RETRY_H_
 
 #include "base/clock.h"
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 
 /// Bounds of an exponential backoff.
 struct Backoff {
@@ -24,6 +24,6 @@
 /// Returns a uniform number from 0 to 1 from a generator of the calling thread.
 double RandomFraction();
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
 
-#endif  // COLTSFOOTVANE_PLATFORM_RETRY_H_
+#endif  // COLTSFOOTVANE_OBJECTAPI_RETRY_H_
--- a/src/platform/retry_unittest.cc
+++ b/src/objectapi/retry_unittest.cc
@@ -1,10 +1,10 @@
-#include "platform/retry.h"
+#include "objectapi/retry.h"
 
-#include "platform/call_budget.h"
+#include "objectapi/call_budget.h"
 
 #include <CppUTest/TestHarness.h>
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::objectapi {
 namespace {
 
 struct DelayRow {
@@ -65,4 +65,4 @@
     CHECK_EQUAL(row.taken, budget.Take(start + Milliseconds{row.at_ms}));
 }
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::objectapi
--- a/src/placement/audit_writer.cc
+++ b/src/placement/audit_writer.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-AuditWriter::AuditWriter(platform::Connection connection, std::string actor)
+AuditWriter::AuditWriter(objectapi::Connection connection, std::string actor)
     : connection(std::move(connection)),
       actor(std::move(actor)),
       ring(kCapacity) {}
--- a/src/placement/audit_writer.h
+++ b/src/placement/audit_writer.h
@@ -7,7 +7,7 @@
 
 #include "audit/audit.h"
 #include "base/ring.h"
-#include "platform/client.h"
+#include "objectapi/client.h"
 
 namespace coltsfootvane::detail {
 
@@ -15,7 +15,7 @@
 /// Entries are dropped, with an event, if the platform cannot keep up.
 class AuditWriter {
  public:
-  AuditWriter(platform::Connection connection, std::string actor);
+  AuditWriter(objectapi::Connection connection, std::string actor);
   ~AuditWriter();
 
   AuditWriter(const AuditWriter&) = delete;
@@ -36,7 +36,7 @@
   void Work();
   bool Write(const AuditEntry& entry);
 
-  platform::Connection connection;
+  objectapi::Connection connection;
   std::string actor;
   Ring<AuditEntry> ring;
   std::thread thread;
--- a/src/placement/audit_writer_unittest.cc
+++ b/src/placement/audit_writer_unittest.cc
@@ -33,7 +33,7 @@
           reply.Send({409, {}, R"({"reason":"AlreadyExists"})"});
       });
   CHECK(server.has_value());
-  AuditWriter writer(platform::MakeConnection(options.listen, 100), "entry-1");
+  AuditWriter writer(objectapi::MakeConnection(options.listen, 100), "entry-1");
   writer.Start();
   writer.Add("load", "endpoints/e1", "item=m", 4, 5);
   const TimePoint deadline = Clock::now() + Milliseconds{5000};
--- a/src/placement/planner.cc
+++ b/src/placement/planner.cc
@@ -13,7 +13,7 @@
 }  // namespace
 
 PlannerLoop::PlannerLoop(PlannerOptions options,
-                         platform::Connection connection,
+                         objectapi::Connection connection,
                          InForceHolder* in_force,
                          PlannerHooks hooks)
     : options(std::move(options)),
@@ -74,7 +74,7 @@
 }  // namespace detail
 
 Planner::Planner(PlannerOptions options,
-                 platform::Connection connection,
+                 objectapi::Connection connection,
                  InForceHolder* in_force,
                  PlannerHooks hooks)
     : loop(std::make_unique<detail::PlannerLoop>(std::move(options),
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "distribution/in_force.h"
+#include "objectapi/client.h"
 #include "placement/demand.h"
-#include "platform/client.h"
 
 namespace coltsfootvane {
 
@@ -36,7 +36,7 @@
 class Planner {
  public:
   Planner(PlannerOptions options,
-          platform::Connection connection,
+          objectapi::Connection connection,
           InForceHolder* in_force,
           PlannerHooks hooks);
   ~Planner();
--- a/src/placement/planner_endpoints.cc
+++ b/src/placement/planner_endpoints.cc
@@ -51,13 +51,13 @@
       Clock::now() < this->next_list)
     return;
   this->next_list = Clock::now() + kListInterval;
-  const Result<platform::ObjectList> list =
-      platform::ListObjects(this->connection, platform::kEndpointKind,
-                            Clock::now() + kPlatformTimeout);
+  const Result<objectapi::ObjectList> list =
+      objectapi::ListObjects(this->connection, objectapi::kEndpointKind,
+                             Clock::now() + kPlatformTimeout);
   if (!list)
     return;
-  std::map<std::string_view, const platform::Object*> stored;
-  for (const platform::Object& object : list.assume_value().items)
+  std::map<std::string_view, const objectapi::Object*> stored;
+  for (const objectapi::Object& object : list.assume_value().items)
     stored[object.name] = &object;
   for (auto& [id, state] : this->endpoints) {
     if (state.read)
@@ -133,17 +133,17 @@
 }
 
 bool PlannerLoop::Flush(EndpointState* state) {
-  platform::Object object;
-  object.kind = platform::kEndpointKind;
+  objectapi::Object object;
+  object.kind = objectapi::kEndpointKind;
   object.name = state->endpoint.id;
   object.resource_version = state->resource_version;
   object.spec = FormatLedger(state->ledger);
   state->written_spec = object.spec;
   const TimePoint deadline = Clock::now() + kPlatformTimeout;
-  const Result<platform::Object> stored =
+  const Result<objectapi::Object> stored =
       object.resource_version == 0
-          ? platform::CreateObject(this->connection, object, deadline)
-          : platform::UpdateObject(this->connection, object, deadline);
+          ? objectapi::CreateObject(this->connection, object, deadline)
+          : objectapi::UpdateObject(this->connection, object, deadline);
   if (stored) {
     this->OnWritten(state, stored.assume_value().resource_version);
     return true;
@@ -173,9 +173,9 @@
 }
 
 void PlannerLoop::ReadBack(EndpointState* state) {
-  const Result<platform::Object> stored =
-      platform::ReadObject(this->connection, platform::kEndpointKind,
-                           state->endpoint.id, Clock::now() + kPlatformTimeout);
+  const Result<objectapi::Object> stored = objectapi::ReadObject(
+      this->connection, objectapi::kEndpointKind, state->endpoint.id,
+      Clock::now() + kPlatformTimeout);
   if (stored) {
     this->OnStored(state, stored.assume_value());
     return;
@@ -188,7 +188,7 @@
 }
 
 void PlannerLoop::OnStored(EndpointState* state,
-                           const platform::Object& stored) {
+                           const objectapi::Object& stored) {
   const Result<EndpointLedger> ledger = ParseLedger(stored.spec);
   if (!ledger) {
     this->OnForeignWrite(state, 0);
--- a/src/placement/planner_lease.cc
+++ b/src/placement/planner_lease.cc
@@ -26,9 +26,9 @@
 }
 
 void PlannerLoop::ReadLease(TimePoint now) {
-  const Result<platform::Object> object =
-      platform::ReadObject(this->connection, platform::kLeaseKind,
-                           LeaseName(this->options), now + kPlatformTimeout);
+  const Result<objectapi::Object> object =
+      objectapi::ReadObject(this->connection, objectapi::kLeaseKind,
+                            LeaseName(this->options), now + kPlatformTimeout);
   if (object) {
     const Result<LeaseSpec> spec = ParseLease(object.assume_value().spec);
     if (spec) {
@@ -47,17 +47,17 @@
 
 void PlannerLoop::WriteLease(LeaseStep step, TimePoint now) {
   const LeaseSpec spec = NextLeaseSpec(this->lease, step);
-  platform::Object object;
-  object.kind = platform::kLeaseKind;
+  objectapi::Object object;
+  object.kind = objectapi::kLeaseKind;
   object.name = LeaseName(this->options);
   object.resource_version = this->lease.resource_version;
   object.spec = FormatLease(spec);
   const TimePoint start = Clock::now();
   const TimePoint deadline = now + kPlatformTimeout;
-  const Result<platform::Object> stored =
+  const Result<objectapi::Object> stored =
       step == LeaseStep::kCreate
-          ? platform::CreateObject(this->connection, object, deadline)
-          : platform::UpdateObject(this->connection, object, deadline);
+          ? objectapi::CreateObject(this->connection, object, deadline)
+          : objectapi::UpdateObject(this->connection, object, deadline);
   if (stored)
     OnLeaseWritten(&this->lease, spec, stored.assume_value().resource_version,
                    start);
@@ -103,12 +103,12 @@
     return;
   LeaseSpec spec = this->lease.seen;
   spec.holder.clear();
-  platform::Object object;
-  object.kind = platform::kLeaseKind;
+  objectapi::Object object;
+  object.kind = objectapi::kLeaseKind;
   object.name = LeaseName(this->options);
   object.resource_version = this->lease.resource_version;
   object.spec = FormatLease(spec);
-  const Result<platform::Object> stored = platform::UpdateObject(
+  const Result<objectapi::Object> stored = objectapi::UpdateObject(
       this->connection, object, Clock::now() + kPlatformTimeout);
   this->lease.held = false;
   this->lease.send_until = TimePoint();
--- a/src/placement/planner_loop.h
+++ b/src/placement/planner_loop.h
@@ -57,7 +57,7 @@
 class PlannerLoop {
  public:
   PlannerLoop(PlannerOptions options,
-              platform::Connection connection,
+              objectapi::Connection connection,
               InForceHolder* in_force,
               PlannerHooks hooks);
   ~PlannerLoop();
@@ -97,7 +97,7 @@
   bool Flush(EndpointState* state);
   void OnWritten(EndpointState* state, std::int64_t resource_version);
   void ReadBack(EndpointState* state);
-  void OnStored(EndpointState* state, const platform::Object& stored);
+  void OnStored(EndpointState* state, const objectapi::Object& stored);
   void OnForeignWrite(EndpointState* state, std::int64_t epoch);
 
   // Jobs: planner_jobs.cc.
@@ -142,7 +142,7 @@
   PlacementView MakeView() const;
 
   PlannerOptions options;
-  platform::Connection connection;
+  objectapi::Connection connection;
   InForceHolder* in_force;
   PlannerHooks hooks;
   AuditWriter audit;
--- a/src/placement/planner_outcomes.cc
+++ b/src/placement/planner_outcomes.cc
@@ -76,9 +76,9 @@
   if (due == nullptr)
     return;
   due->next_read = now + kForeignReadInterval;
-  const Result<platform::Object> stored =
-      platform::ReadObject(this->connection, platform::kEndpointKind,
-                           due->endpoint.id, Clock::now() + kPlatformTimeout);
+  const Result<objectapi::Object> stored =
+      objectapi::ReadObject(this->connection, objectapi::kEndpointKind,
+                            due->endpoint.id, Clock::now() + kPlatformTimeout);
   if (stored && stored.assume_value().resource_version != due->resource_version)
     this->OnForeignWrite(due, 0);
 }
@@ -103,11 +103,11 @@
 bool PlannerLoop::Withdraw(const std::string& endpoint_id,
                            const std::vector<KnownOutcome>& known) {
   const TimePoint deadline = Clock::now() + kPlatformTimeout;
-  Result<platform::Object> stored = platform::ReadObject(
-      this->connection, platform::kEndpointKind, endpoint_id, deadline);
+  Result<objectapi::Object> stored = objectapi::ReadObject(
+      this->connection, objectapi::kEndpointKind, endpoint_id, deadline);
   if (!stored)
     return stored.assume_error().code == ErrorCode::kNotFound;
-  platform::Object& object = stored.assume_value();
+  objectapi::Object& object = stored.assume_value();
   Result<EndpointLedger> ledger = ParseLedger(object.spec);
   if (!ledger)
     return true;
@@ -123,7 +123,7 @@
   if (!changed)
     return settled;
   object.spec = FormatLedger(ledger.assume_value());
-  return platform::UpdateObject(this->connection, object, deadline)
+  return objectapi::UpdateObject(this->connection, object, deadline)
              .has_value() &&
          settled;
 }
--- a/src/placement/planner_plan.cc
+++ b/src/placement/planner_plan.cc
@@ -222,9 +222,9 @@
     return;
   const TimePoint deadline = Clock::now() + kPlatformTimeout;
   if (!this->published_known) {
-    const Result<platform::Object> stored =
-        platform::ReadObject(this->connection, platform::kPlacementKind,
-                             this->options.region, deadline);
+    const Result<objectapi::Object> stored =
+        objectapi::ReadObject(this->connection, objectapi::kPlacementKind,
+                              this->options.region, deadline);
     const bool absent =
         !stored && stored.assume_error().code == ErrorCode::kNotFound;
     if (!stored && !absent)
@@ -236,8 +236,8 @@
     this->published_spec = view ? FormatPlacement(view.assume_value()) : "";
     this->published_known = true;
   }
-  platform::Object object;
-  object.kind = platform::kPlacementKind;
+  objectapi::Object object;
+  object.kind = objectapi::kPlacementKind;
   object.name = this->options.region;
   object.resource_version = this->published_version;
   object.spec = FormatPlacement(this->MakeView());
@@ -246,10 +246,10 @@
   if (object.spec == this->published_spec)
     return;
   this->published_at = now;
-  const Result<platform::Object> stored =
+  const Result<objectapi::Object> stored =
       object.resource_version == 0
-          ? platform::CreateObject(this->connection, object, deadline)
-          : platform::UpdateObject(this->connection, object, deadline);
+          ? objectapi::CreateObject(this->connection, object, deadline)
+          : objectapi::UpdateObject(this->connection, object, deadline);
   this->published_known = stored.has_value();
   this->view_changed = !stored.has_value();
   if (!stored)
--- /dev/null
+++ b/src/store/kind_follower.cc
@@ -0,0 +1,104 @@
+#include "store/kind_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "store/events.h"
+
+namespace coltsfootvane::store {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+constexpr Milliseconds kWatchWait{20'000};
+/// Between two watches, so that changes in quick succession take one call.
+constexpr Milliseconds kWatchPause{250};
+constexpr Milliseconds kFirstBackoff{300};
+constexpr int kMostDoublings = 2;
+
+}  // namespace
+
+KindFollower::KindFollower(boost::asio::io_context* io,
+                           const ObjectStore* object_store,
+                           std::string followed_kind,
+                           DecisionLog* decision_log,
+                           FollowerEvents follower_events)
+    : timer(*io),
+      store(object_store),
+      kind(std::move(followed_kind)),
+      log(decision_log),
+      events(std::move(follower_events)),
+      random(std::random_device()()) {}
+
+void KindFollower::Start() {
+  this->List();
+}
+
+void KindFollower::List() {
+  this->store->list(this->kind, Freshness::kLatest,
+                    [this](Result<Listing> listing) {
+                      if (!listing) {
+                        this->OnFailure(listing.error());
+                        return;
+                      }
+                      this->SetReachable(true);
+                      this->revision = listing.value().revision;
+                      this->events.on_listing(listing.value());
+                      this->Later(kWatchPause, &KindFollower::Watch);
+                    });
+}
+
+void KindFollower::Watch() {
+  this->store->watch(
+      this->kind, this->revision, kWatchWait, [this](Result<Changes> changes) {
+        if (!changes) {
+          this->OnFailure(changes.error());
+          return;
+        }
+        this->SetReachable(true);
+        this->revision = std::max(this->revision, changes.value().revision);
+        if (!changes.value().changes.empty())
+          this->events.on_changes(changes.value());
+        this->Later(kWatchPause, &KindFollower::Watch);
+      });
+}
+
+void KindFollower::OnFailure(const Error& error) {
+  if (error.code == ErrorCode::kGone) {
+    this->log->Write(
+        kHistoryGone, "",
+        "kind=" + this->kind + " revision=" + std::to_string(this->revision));
+    this->List();
+    return;
+  }
+  this->SetReachable(false);
+  const int doublings = std::min(this->failures++, kMostDoublings);
+  const auto backoff = kFirstBackoff * (1 << doublings);
+  const auto jitter = static_cast<std::int64_t>(
+      this->random() % static_cast<std::uint64_t>(backoff.count() / 2));
+  // Entries may have lapsed or changed without an event meanwhile.
+  this->Later(backoff + Milliseconds(jitter), &KindFollower::List);
+}
+
+void KindFollower::Later(Milliseconds pause, void (KindFollower::*step)()) {
+  this->timer.expires_after(pause);
+  this->timer.async_wait([this, step](const BoostError& ec) {
+    if (!ec)
+      (this->*step)();
+  });
+}
+
+void KindFollower::SetReachable(bool now_reachable) {
+  if (now_reachable)
+    this->failures = 0;
+  if (this->reachable == now_reachable)
+    return;
+  this->reachable = now_reachable;
+  this->log->Write(
+      now_reachable ? kStoreRegained : kStoreLost, "",
+      "kind=" + this->kind + " revision=" + std::to_string(this->revision));
+  if (this->events.on_reachable)
+    this->events.on_reachable(now_reachable);
+}
+
+}  // namespace coltsfootvane::store
--- /dev/null
+++ b/src/store/kind_follower.h
@@ -0,0 +1,57 @@
+#ifndef COLTSFOOTVANE_STORE_KIND_FOLLOWER_H_
+#define COLTSFOOTVANE_STORE_KIND_FOLLOWER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+
+#include "log/decision_log.h"
+#include "store/object_store.h"
+
+namespace coltsfootvane::store {
+
+/// What a follower reports.
+struct FollowerEvents {
+  /// All objects of the kind; others no longer exist.
+  std::function<void(const Listing&)> on_listing;
+  std::function<void(const Changes&)> on_changes;
+  /// The store has answered after it had not, or the reverse.
+  std::function<void(bool)> on_reachable;
+};
+
+/// Keeps up with the objects of one kind: lists them, then watches, and lists
+/// again when the history is gone or after the store was away.
+class KindFollower {
+ public:
+  KindFollower(boost::asio::io_context* io,
+               const ObjectStore* store,
+               std::string kind,
+               DecisionLog* log,
+               FollowerEvents events);
+
+  void Start();
+
+ private:
+  void List();
+  void Watch();
+  void OnFailure(const Error& error);
+  void Later(Milliseconds pause, void (KindFollower::*step)());
+  void SetReachable(bool now_reachable);
+
+  boost::asio::steady_timer timer;
+  const ObjectStore* store;
+  std::string kind;
+  DecisionLog* log;
+  FollowerEvents events;
+  std::minstd_rand random;
+  std::int64_t revision = 0;
+  int failures = 0;  ///< In a row.
+  bool reachable = false;
+};
+
+}  // namespace coltsfootvane::store
+
+#endif  // COLTSFOOTVANE_STORE_KIND_FOLLOWER_H_
--- a/standins/platform_standin/object_api.cc
+++ b/standins/platform_standin/object_api.cc
@@ -101,15 +101,15 @@
 void ObjectApi::HandleRead(const ObjectCall& call, http::ReplyStream& reply) {
   const std::string& kind = call.object.kind;
   std::lock_guard<std::mutex> lock(this->mutex);
-  const bool stale = this->faults.stale_reads && kind == platform::kConfigKind;
+  const bool stale = this->faults.stale_reads && kind == objectapi::kConfigKind;
   if (call.verb == Verb::kList) {
-    platform::ObjectList list =
+    objectapi::ObjectList list =
         stale ? this->store.ListOldest(kind) : this->store.List(kind);
     TakePage(call, &list);
     reply.Send(JsonResponse(200, FormatStoredList(list)));
     return;
   }
-  const Result<platform::Object> object =
+  const Result<objectapi::Object> object =
       stale ? this->store.ReadOldest(kind, call.object.name)
             : this->store.Read(kind, call.object.name);
   reply.Send(object ? JsonResponse(200, FormatStoredObject(object.value()))
@@ -119,7 +119,7 @@
 void ObjectApi::HandleWatch(const ObjectCall& call, http::ReplyStream& reply) {
   {
     std::lock_guard<std::mutex> lock(this->mutex);
-    const Result<platform::ChangeBatch> changes = this->store.ChangesAfter(
+    const Result<objectapi::ChangeBatch> changes = this->store.ChangesAfter(
         call.object.kind, call.object.resource_version);
     if (!changes) {
       reply.Send(ErrorResponse(changes.error()));
@@ -150,8 +150,8 @@
     if (this->faults.outage && HasFaults(this->faults, kind))
       return false;
     const bool stale =
-        this->faults.stale_reads && kind == platform::kConfigKind;
-    const Result<platform::ChangeBatch> batch =
+        this->faults.stale_reads && kind == objectapi::kConfigKind;
+    const Result<objectapi::ChangeBatch> batch =
         this->store.ChangesAfter(kind, version);
     if (!batch)
       return false;
@@ -179,7 +179,7 @@
     reply.Abort();
     return;
   }
-  const Result<platform::Object> stored = this->Apply(call);
+  const Result<objectapi::Object> stored = this->Apply(call);
   lock.unlock();
   if (fault == WriteFault::kLoseResponse) {
     reply.Abort();
@@ -190,12 +190,13 @@
                     : ErrorResponse(stored.error()));
 }
 
-Result<platform::Object> ObjectApi::Apply(const ObjectCall& call) {
+Result<objectapi::Object> ObjectApi::Apply(const ObjectCall& call) {
   const bool creates = call.verb == Verb::kCreate;
   const bool updates = call.verb == Verb::kUpdate;
-  Result<platform::Object> stored = creates   ? this->store.Create(call.object)
-                                    : updates ? this->store.Update(call.object)
-                                              : this->store.Delete(call.object);
+  Result<objectapi::Object> stored = creates ? this->store.Create(call.object)
+                                     : updates
+                                         ? this->store.Update(call.object)
+                                         : this->store.Delete(call.object);
   if (stored)
     this->changed[call.object.kind].notify_all();
   return stored;
--- a/standins/platform_standin/object_api.h
+++ b/standins/platform_standin/object_api.h
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "http/message.h"
 #include "http/server.h"
-#include "platform/object.h"
+#include "objectapi/object.h"
 #include "standins/platform_standin/call_counter.h"
 #include "standins/platform_standin/faults.h"
 #include "standins/platform_standin/object_call.h"
@@ -48,7 +48,7 @@
   /// Sends changes until the end of the watch. Returns false if it is cut.
   bool SendChanges(const ObjectCall& call, http::ReplyStream& reply);
   void HandleWrite(const ObjectCall& call, http::ReplyStream& reply);
-  Result<platform::Object> Apply(const ObjectCall& call);
+  Result<objectapi::Object> Apply(const ObjectCall& call);
   void ApplyLater(const ObjectCall& call, Milliseconds delay);
 
   ObjectApiOptions options;
--- a/standins/platform_standin/object_call.cc
+++ b/standins/platform_standin/object_call.cc
@@ -61,7 +61,7 @@
   return found->is_string() ? ParseNumber(found->get<std::string>()) : 0;
 }
 
-bool ReadWrittenObject(const std::string& body, platform::Object* object) {
+bool ReadWrittenObject(const std::string& body, objectapi::Object* object) {
   const Json value = Json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (!value.is_object() || !value.contains("spec") ||
       !value.contains("metadata") || !value["metadata"].is_object())
@@ -79,7 +79,7 @@
   return !object->name.empty();
 }
 
-bool ReadPrecondition(const std::string& body, platform::Object* object) {
+bool ReadPrecondition(const std::string& body, objectapi::Object* object) {
   const Json value = Json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (!value.is_object() || !value.contains("preconditions") ||
       !value["preconditions"].is_object())
@@ -106,13 +106,13 @@
   return true;
 }
 
-const char* ChangeTypeName(platform::ChangeType type) {
+const char* ChangeTypeName(objectapi::ChangeType type) {
   switch (type) {
-    case platform::ChangeType::kAdded:
+    case objectapi::ChangeType::kAdded:
       return "ADDED";
-    case platform::ChangeType::kModified:
+    case objectapi::ChangeType::kModified:
       return "MODIFIED";
-    case platform::ChangeType::kDeleted:
+    case objectapi::ChangeType::kDeleted:
       return "DELETED";
   }
   return "";
@@ -194,10 +194,10 @@
          verb == Verb::kDelete;
 }
 
-void TakePage(const ObjectCall& call, platform::ObjectList* list) {
-  std::vector<platform::Object>& items = list->items;
+void TakePage(const ObjectCall& call, objectapi::ObjectList* list) {
+  std::vector<objectapi::Object>& items = list->items;
   const auto first = std::find_if(items.begin(), items.end(),
-                                  [&call](const platform::Object& object) {
+                                  [&call](const objectapi::Object& object) {
                                     return object.name > call.continue_token;
                                   });
   items.erase(items.begin(), first);
@@ -207,29 +207,29 @@
   list->continue_token = items.back().name;
 }
 
-std::string FormatStoredObject(const platform::Object& object) {
+std::string FormatStoredObject(const objectapi::Object& object) {
   // The spec is JSON as it was parsed, so it is not parsed once more.
   return R"({"metadata":{"name":)" + Json(object.name).dump() +
          R"(,"resourceVersion":")" + std::to_string(object.resource_version) +
          R"("},"spec":)" + object.spec + "}";
 }
 
-std::string FormatStoredList(const platform::ObjectList& list) {
+std::string FormatStoredList(const objectapi::ObjectList& list) {
   std::string text = R"({"metadata":{"resourceVersion":")" +
                      std::to_string(list.resource_version) +
                      R"(","continue":)" + Json(list.continue_token).dump() +
                      R"(},"items":[)";
   const char* separator = "";
-  for (const platform::Object& object : list.items) {
+  for (const objectapi::Object& object : list.items) {
     text += separator + FormatStoredObject(object);
     separator = ",";
   }
   return text + "]}";
 }
 
-std::string FormatWatchLines(const std::vector<platform::Change>& changes) {
+std::string FormatWatchLines(const std::vector<objectapi::Change>& changes) {
   std::string lines;
-  for (const platform::Change& change : changes) {
+  for (const objectapi::Change& change : changes) {
     lines += R"({"type":")";
     lines += ChangeTypeName(change.type);
     lines += R"(","object":)" + FormatStoredObject(change.object) + "}\n";
--- a/standins/platform_standin/object_call.h
+++ b/standins/platform_standin/object_call.h
@@ -8,7 +8,7 @@
 
 #include "base/result.h"
 #include "http/message.h"
-#include "platform/object.h"
+#include "objectapi/object.h"
 
 namespace coltsfootvane::standin {
 
@@ -18,7 +18,7 @@
 struct ObjectCall {
   Verb verb = Verb::kGet;
   /// Kind, name and, as far as the verb has them, version and spec.
-  platform::Object object;
+  objectapi::Object object;
   std::chrono::seconds watch_time{0};  ///< 0 if the caller gave none.
   std::size_t limit = 0;               ///< Of a list; 0 for no limit.
   std::string continue_token;          ///< Of a list; empty for its first page.
@@ -32,12 +32,12 @@
 
 /// Reduces a list in the order of names to the page that `call` asks for. The
 /// token of a page is the name of its last object.
-void TakePage(const ObjectCall& call, platform::ObjectList* list);
+void TakePage(const ObjectCall& call, objectapi::ObjectList* list);
 
-std::string FormatStoredObject(const platform::Object& object);
-std::string FormatStoredList(const platform::ObjectList& list);
+std::string FormatStoredObject(const objectapi::Object& object);
+std::string FormatStoredList(const objectapi::ObjectList& list);
 /// Returns the lines of `changes`, each with its line break.
-std::string FormatWatchLines(const std::vector<platform::Change>& changes);
+std::string FormatWatchLines(const std::vector<objectapi::Change>& changes);
 
 /// Returns the response that stands for `error`.
 http::Response ErrorResponse(const Error& error);
--- a/standins/platform_standin/object_store.cc
+++ b/standins/platform_standin/object_store.cc
@@ -5,11 +5,11 @@
 
 namespace coltsfootvane::standin {
 
-using platform::Change;
-using platform::ChangeBatch;
-using platform::ChangeType;
-using platform::Object;
-using platform::ObjectList;
+using objectapi::Change;
+using objectapi::ChangeBatch;
+using objectapi::ChangeType;
+using objectapi::Object;
+using objectapi::ObjectList;
 
 namespace {
 
--- a/standins/platform_standin/object_store.h
+++ b/standins/platform_standin/object_store.h
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "base/result.h"
-#include "platform/object.h"
+#include "objectapi/object.h"
 
 namespace coltsfootvane::standin {
 
@@ -20,45 +20,45 @@
   explicit ObjectStore(std::size_t log_size) : log_size(log_size) {}
 
   /// Errors: kNotFound.
-  Result<platform::Object> Read(std::string_view kind,
-                                std::string_view name) const;
-  platform::ObjectList List(std::string_view kind) const;
+  Result<objectapi::Object> Read(std::string_view kind,
+                                 std::string_view name) const;
+  objectapi::ObjectList List(std::string_view kind) const;
 
   /// As Read() and List(), with the first version of each object.
-  Result<platform::Object> ReadOldest(std::string_view kind,
-                                      std::string_view name) const;
-  platform::ObjectList ListOldest(std::string_view kind) const;
+  Result<objectapi::Object> ReadOldest(std::string_view kind,
+                                       std::string_view name) const;
+  objectapi::ObjectList ListOldest(std::string_view kind) const;
 
   /// Errors: kConflict if the name exists.
-  Result<platform::Object> Create(const platform::Object& object);
+  Result<objectapi::Object> Create(const objectapi::Object& object);
 
   /// Errors: kNotFound, kConflict.
-  Result<platform::Object> Update(const platform::Object& object);
+  Result<objectapi::Object> Update(const objectapi::Object& object);
 
   /// Returns the deleted object with the version of the deletion. Errors:
   /// kNotFound, kConflict.
-  Result<platform::Object> Delete(const platform::Object& object);
+  Result<objectapi::Object> Delete(const objectapi::Object& object);
 
   /// Errors: kGone if a later change has left the log.
-  Result<platform::ChangeBatch> ChangesAfter(std::string_view kind,
-                                             std::int64_t version) const;
+  Result<objectapi::ChangeBatch> ChangesAfter(std::string_view kind,
+                                              std::int64_t version) const;
 
  private:
   struct Entry {
-    platform::Object current;
-    platform::Object oldest;
+    objectapi::Object current;
+    objectapi::Object oldest;
   };
   struct KindState {
     std::map<std::string, Entry, std::less<>> entries;
-    std::deque<platform::Change> log;
+    std::deque<objectapi::Change> log;
     std::int64_t last_dropped = 0;  ///< Version of the last change dropped.
   };
 
   const KindState* FindKind(std::string_view kind) const;
   const Entry* FindEntry(std::string_view kind, std::string_view name) const;
   /// Returns null after it set `error` if `object` is not at its version.
-  Entry* FindAtVersion(const platform::Object& object, Error* error);
-  void AppendToLog(platform::ChangeType type, const platform::Object& object);
+  Entry* FindAtVersion(const objectapi::Object& object, Error* error);
+  void AppendToLog(objectapi::ChangeType type, const objectapi::Object& object);
 
   std::size_t log_size;
   std::int64_t version = 0;
--- a/standins/platform_standin/object_store_unittest.cc
+++ b/standins/platform_standin/object_store_unittest.cc
@@ -33,13 +33,13 @@
     {Verb::kCreate, "a", 0, {}, 5},
 };
 
-platform::Object MakeObject(const char* name, std::int64_t version) {
+objectapi::Object MakeObject(const char* name, std::int64_t version) {
   return {"things", name, version,
           "{\"from\":" + std::to_string(version) + "}"};
 }
 
-Result<platform::Object> Write(ObjectStore* store, const WriteRow& row) {
-  const platform::Object object = MakeObject(row.name, row.version);
+Result<objectapi::Object> Write(ObjectStore* store, const WriteRow& row) {
+  const objectapi::Object object = MakeObject(row.name, row.version);
   switch (row.verb) {
     case Verb::kCreate:
       return store->Create(object);
@@ -60,7 +60,7 @@
 TEST(ObjectStore, ConditionalWrites) {
   ObjectStore store(100);
   for (const WriteRow& row : kWriteRows) {
-    const Result<platform::Object> stored = Write(&store, row);
+    const Result<objectapi::Object> stored = Write(&store, row);
     CHECK_EQUAL(!row.error.has_value(), stored.has_value());
     if (stored)
       CHECK_EQUAL(row.stored_version, stored.value().resource_version);
@@ -77,12 +77,12 @@
   for (const char* name : {"a", "b", "c", "d"})
     CHECK(store.Create(MakeObject(name, 0)).has_value());
   for (std::int64_t version : {0, 1}) {
-    const Result<platform::ChangeBatch> changes =
+    const Result<objectapi::ChangeBatch> changes =
         store.ChangesAfter("things", version);
     CHECK(!changes && changes.error().code == ErrorCode::kGone);
   }
   for (std::int64_t version : {2, 3, 4}) {
-    const Result<platform::ChangeBatch> changes =
+    const Result<objectapi::ChangeBatch> changes =
         store.ChangesAfter("things", version);
     CHECK(changes.has_value());
     CHECK_EQUAL(static_cast<std::size_t>(4 - version),
--- a/tests/integration/placement_probe.cc
+++ b/tests/integration/placement_probe.cc
@@ -5,8 +5,8 @@
 #include <utility>
 
 #include "http_calls.h"
+#include "objectapi/client.h"
 #include "placement/lease.h"
-#include "platform/client.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -47,7 +47,7 @@
 std::optional<std::size_t> FindPlanner(Site* site) {
   const Json object =
       GetJson(site->platform,
-              std::string(kObjects) + platform::kLeaseKind + "/planner-r1");
+              std::string(kObjects) + objectapi::kLeaseKind + "/planner-r1");
   if (!object.is_object())
     return std::nullopt;
   const std::string holder = object["spec"].value("holder", "");
@@ -128,7 +128,7 @@
   std::string text;
   for (const StandinProcess& engine : site.engines)
     text += engine.id + ": " + ReadIndexPage(engine.direct).dump() + "\n";
-  for (const char* kind : {platform::kEndpointKind, platform::kPlacementKind})
+  for (const char* kind : {objectapi::kEndpointKind, objectapi::kPlacementKind})
     text += GetJson(site.platform, kObjects + std::string(kind)).dump() + "\n";
   return text;
 }
@@ -158,8 +158,8 @@
 }
 
 std::vector<AuditEntry> ReadAuditTrail(const Site& site) {
-  const platform::Connection connection =
-      platform::MakeConnection(site.platform, 1000);
+  const objectapi::Connection connection =
+      objectapi::MakeConnection(site.platform, 1000);
   Result<std::vector<AuditEntry>> trail = ReadAudit(connection, In(5000));
   CHECK_TEXT(trail.has_value(), "audit trail");
   return std::move(trail).value();
--- a/tests/integration/sender_registry_test.cc
+++ b/tests/integration/sender_registry_test.cc
@@ -14,7 +14,7 @@
 using coltsfootvane::SenderRegistry;
 using coltsfootvane::TimePoint;
 using namespace coltsfootvane::testing;  // NOLINT(google-build-using-namespace)
-namespace platform = coltsfootvane::platform;
+namespace objectapi = coltsfootvane::objectapi;
 
 TEST_GROUP(SenderRegistry){};
 
@@ -26,8 +26,8 @@
   options.daemons = 1;
   Site site{options};
   site.StartPlatform();
-  const platform::Connection connection =
-      platform::MakeConnection(site.platform, 1000);
+  const objectapi::Connection connection =
+      objectapi::MakeConnection(site.platform, 1000);
   for (const char* id : {"entry-1", "entry-2"}) {
     DaemonRecord record;
     record.daemon_id = id;
@@ -49,8 +49,8 @@
   CHECK(ended_is_gone);
   CHECK(!senders.IsGone("live-entry-2", start + Milliseconds{6000}));
   // The list of VMs errs only late, so that a missing one has ended.
-  const platform::Object vm{platform::kVmKind, "entry-1", 0, "{}"};
-  CHECK(platform::CreateObject(connection, vm, In(5000)).has_value());
+  const objectapi::Object vm{objectapi::kVmKind, "entry-1", 0, "{}"};
+  CHECK(objectapi::CreateObject(connection, vm, In(5000)).has_value());
   CHECK(senders.IsGone("live-entry-2", start + Milliseconds{8000}));
   CHECK(!senders.IsGone("live-entry-1", start + Milliseconds{10000}));
 }
--- a/tests/support/entry_fixture.h
+++ b/tests/support/entry_fixture.h
@@ -17,7 +17,7 @@
 
 #include "entry/entry_server.h"
 #include "http/client.h"
-#include "platform/object_json.h"
+#include "objectapi/object_json.h"
 #include "support/free_port.h"
 
 namespace coltsfootvane::testing {
@@ -128,7 +128,7 @@
 /// The platform's object API for records.
 struct Platform {
   std::mutex mutex;
-  std::map<std::string, platform::Object> objects;
+  std::map<std::string, objectapi::Object> objects;
   std::int64_t version = 0;
   Listener listener = StartListener(
       [this](const http::Request& request, http::ReplyStream& reply) {
@@ -143,11 +143,11 @@
     if (request.method == "GET") {
       if (found == this->objects.end())
         return {404, {}, "{}"};
-      return {200, {}, platform::FormatObject(found->second).value()};
+      return {200, {}, objectapi::FormatObject(found->second).value()};
     }
     const nlohmann::json body = nlohmann::json::parse(request.body);
-    platform::Object object;
-    object.kind = platform::kRecordKind;
+    objectapi::Object object;
+    object.kind = objectapi::kRecordKind;
     object.name = body["metadata"]["name"].get<std::string>();
     object.resource_version =
         std::stoll(body["metadata"].value("resourceVersion", "0"));
@@ -162,7 +162,7 @@
       return {409, {}, "{}"};
     object.resource_version = ++this->version;
     this->objects[object.name] = object;
-    return {200, {}, platform::FormatObject(object).value()};
+    return {200, {}, objectapi::FormatObject(object).value()};
   }
 };
 
@@ -217,7 +217,7 @@
   Slots slots;
   InForceHolder in_force;
   Metrics metrics;
-  platform::Connection connection;
+  objectapi::Connection connection;
   std::unique_ptr<RecordWriter> records;
   std::set<std::string> leaving;
   bool refuses_when_leaving = false;  ///< See SetConfiguration().
@@ -228,7 +228,7 @@
     this->SetConfiguration();
     this->slots.endpoints = {{"m1", {"e1", "e2"}}, {"booking", {"s1", "s2"}}};
     this->connection =
-        platform::MakeConnection(this->platform.listener.address, 1000);
+        objectapi::MakeConnection(this->platform.listener.address, 1000);
     this->records = std::make_unique<RecordWriter>(
         MakeRecordStore(this->connection), RecordWriterOptions());
     EntryDependencies dependencies;
