Orders: Plan copies by demand and load adapters on request

Cause: requests for models and adapters without a copy were refused (5 of 21 never served); no daemon gave orders.

--- a/cmake/gateway_only.cmake
+++ b/cmake/gateway_only.cmake
@@ -8,8 +8,9 @@
   app/command_version.cc app/output.cc src/http/message.cc
   src/entry/retry_budget.cc src/placement/lease.cc ${GATEWAY_SOURCES}
   /usr/include/easylogging++.cc)
+set_source_files_properties(src/fleet/gen/fleet_types.cpp PROPERTIES COMPILE_OPTIONS -w)
 set_source_files_properties(/usr/include/easylogging++.cc PROPERTIES COMPILE_OPTIONS -w)
 target_compile_definitions(coltsfootvane PRIVATE COLTSFOOTVANE_GATEWAY_ONLY
   COLTSFOOTVANE_VERSION="${PROJECT_VERSION}")
 target_link_libraries(coltsfootvane PRIVATE project_options Threads::Threads
-  xxhash -static-libstdc++ -static-libgcc)
+  xxhash libthrift.a -static-libstdc++ -static-libgcc)
--- /dev/null
+++ b/src/fleet/codec.cc
@@ -0,0 +1,43 @@
+#include "fleet/codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+namespace coltsfootvane::fleet {
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+/// No valid datagram has longer strings or lists. Thrift reserves memory for a
+/// list before it reads the elements.
+constexpr int kMaxString = 1400;
+constexpr int kMaxList = 512;
+
+}  // namespace
+
+std::string Encode(const gen::Datagram& datagram) {
+  const auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  datagram.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+Result<gen::Datagram> Decode(std::string_view bytes) {
+  try {
+    // The buffer is only read.
+    const auto buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())),
+        static_cast<std::uint32_t>(bytes.size()));
+    TCompactProtocolT<TMemoryBuffer> protocol(buffer, kMaxString, kMaxList);
+    gen::Datagram datagram;
+    datagram.read(&protocol);
+    return datagram;
+  } catch (const std::exception& error) {
+    return Error{ErrorCode::kInvalid, error.what()};
+  }
+}
+
+}  // namespace coltsfootvane::fleet
--- /dev/null
+++ b/src/fleet/fleet.cc
@@ -0,0 +1,353 @@
+#include "fleet/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "fleet/codec.h"
+
+namespace coltsfootvane::fleet {
+namespace {
+
+using boost::asio::ip::udp;
+using gateway::KeyOf;
+using BoostError = boost::system::error_code;
+
+constexpr Milliseconds kReportInterval{250};
+/// A daemon receives at most one report in this time on average, however many
+/// others there are.
+constexpr Milliseconds kIntervalPerMember{20};
+/// A reply to a request for an adapter takes some ms; after this the request is
+/// refused instead.
+constexpr Milliseconds kAdapterPatience{150};
+constexpr std::size_t kMembersInReport = 60;
+constexpr std::size_t kWorkInReport = 48;
+constexpr std::size_t kDemandInReport = 48;
+
+std::uint32_t ToNumber(const boost::asio::ip::address& address) {
+  return address.is_v4() ? address.to_v4().to_uint() : 0;
+}
+
+std::int16_t Rounded(double count) {
+  return static_cast<std::int16_t>(std::lround(std::min(count, 30000.0)));
+}
+
+}  // namespace
+
+Fleet::Fleet(boost::asio::io_context* io_context, gateway::Gateway* owner)
+    : io(io_context), gateway(owner), socket(*io_context), timer(*io_context) {}
+
+Result<bool> Fleet::Open(const udp::endpoint& address) {
+  BoostError ec;
+  this->socket.open(udp::v4(), ec);
+  if (!ec)
+    this->socket.bind(address, ec);
+  if (!ec)
+    this->socket.non_blocking(true, ec);
+  if (ec)
+    return Error{ErrorCode::kInvalid, ec.message()};
+  this->own_address = ToNumber(address.address());
+  this->port = address.port();
+  this->incarnation = static_cast<std::int64_t>(this->gateway->random() >> 2);
+  this->Receive();
+  this->Tick();
+  return true;
+}
+
+void Fleet::AddPeer(const boost::asio::ip::address& address) {
+  const std::uint32_t number = ToNumber(address);
+  if (number != 0 && number != this->own_address)
+    this->table.members.try_emplace(number);
+}
+
+void Fleet::SetLease(std::int64_t epoch, AdapterLoader adapter_loader) {
+  this->lease_epoch = epoch;
+  this->loader = std::move(adapter_loader);
+}
+
+void Fleet::Receive() {
+  this->socket.async_receive_from(
+      boost::asio::buffer(this->buffer), this->sender,
+      [this](const BoostError& ec, std::size_t length) {
+        if (ec == boost::asio::error::operation_aborted)
+          return;
+        if (!ec) {
+          const Result<gen::Datagram> datagram =
+              Decode(std::string_view(this->buffer.data(), length));
+          if (datagram)
+            this->OnDatagram(datagram.value(), this->sender);
+        }
+        this->Receive();
+      });
+}
+
+void Fleet::OnDatagram(const gen::Datagram& datagram,
+                       const udp::endpoint& from) {
+  const std::uint32_t address = ToNumber(from.address());
+  if (datagram.__isset.report)
+    this->OnReport(datagram.report, address);
+  else if (datagram.__isset.placement)
+    this->OnPlacement(datagram.placement);
+  else if (datagram.__isset.adapter_request)
+    this->OnAdapterRequest(datagram.adapter_request, address);
+  else if (datagram.__isset.adapter_reply)
+    this->OnAdapterReply(datagram.adapter_reply);
+}
+
+void Fleet::OnReport(const gen::Report& report, std::uint32_t from) {
+  if (from == this->own_address)
+    return;
+  const auto known = this->table.members.find(from);
+  const bool stranger =
+      known == this->table.members.end() || known->second.heard == TimePoint();
+  const TimePoint now = BootNow();
+  for (const std::int32_t member : report.members)
+    this->AddPeer(
+        boost::asio::ip::address_v4(static_cast<std::uint32_t>(member)));
+  if (!TakeReport(&this->table, from, report, now) || !stranger)
+    return;
+  // Tells a daemon that has just started whom else there is.
+  gen::Report own = this->MakeReport(now);
+  for (const auto& [address, member] : this->table.members) {
+    if (own.members.size() < kMembersInReport && IsLive(member, now))
+      own.members.push_back(static_cast<std::int32_t>(address));
+  }
+  own.__isset.members = true;
+  gen::Datagram datagram;
+  datagram.__set_report(own);
+  this->SendTo(from, Encode(datagram));
+}
+
+void Fleet::OnPlacement(const gen::Placement& placement) {
+  const bool older = placement.lease_epoch < this->placement_epoch ||
+                     (placement.lease_epoch == this->placement_epoch &&
+                      placement.sequence <= this->placement_sequence);
+  if (older)
+    return;
+  this->placement_epoch = placement.lease_epoch;
+  this->placement_sequence = placement.sequence;
+  for (const gen::EnginePlacement& engine : placement.engines) {
+    const auto key = static_cast<std::uint32_t>(engine.endpoint);
+    for (const gateway::EndpointPtr& endpoint : this->gateway->endpoint_list) {
+      if (endpoint->key != key)
+        continue;
+      endpoint->retiring.clear();
+      endpoint->adapters.clear();
+      for (const std::int32_t model : engine.retiring)
+        endpoint->retiring.insert(static_cast<std::uint32_t>(model));
+      for (const std::int32_t adapter : engine.adapters)
+        endpoint->adapters.insert(static_cast<std::uint32_t>(adapter));
+    }
+  }
+}
+
+void Fleet::OnAdapterRequest(const gen::AdapterRequest& request,
+                             std::uint32_t from) {
+  const auto reply = [this, from,
+                      number = request.number](std::uint32_t endpoint) {
+    gen::AdapterReply answer;
+    answer.number = number;
+    answer.ready = endpoint != 0;
+    answer.endpoint = static_cast<std::int32_t>(endpoint);
+    gen::Datagram datagram;
+    datagram.__set_adapter_reply(answer);
+    this->SendTo(from, Encode(datagram));
+  };
+  if (!this->loader) {
+    reply(0);
+    return;
+  }
+  this->loader(request.service_name, request.model, request.adapter, reply);
+}
+
+void Fleet::OnAdapterReply(const gen::AdapterReply& reply) {
+  const auto found = this->asked.find(reply.number);
+  if (found == this->asked.end())
+    return;
+  const Asked request = std::move(found->second);
+  this->asked.erase(found);
+  if (reply.ready)
+    this->NoteAdapter(static_cast<std::uint32_t>(reply.endpoint),
+                      request.adapter_name);
+  request.done(reply.ready);
+}
+
+void Fleet::NoteAdapter(std::uint32_t endpoint_key,
+                        const std::string& adapter_name) {
+  for (const gateway::EndpointPtr& endpoint : this->gateway->endpoint_list) {
+    if (endpoint->key == endpoint_key)
+      endpoint->adapters.insert(KeyOf(adapter_name));
+  }
+}
+
+void Fleet::AskAdapter(const std::string& service,
+                       const std::string& model,
+                       const std::string& adapter,
+                       std::function<void(bool)> done) {
+  const std::string name = gateway::AdapterName(model, adapter);
+  if (this->loader) {
+    this->loader(service, model, adapter,
+                 [this, name, done = std::move(done)](std::uint32_t endpoint) {
+                   if (endpoint != 0)
+                     this->NoteAdapter(endpoint, name);
+                   done(endpoint != 0);
+                 });
+    return;
+  }
+  const TimePoint now = BootNow();
+  const std::uint32_t holder = FindHolder(this->table, now);
+  if (holder == 0) {
+    boost::asio::post(*this->io, [done = std::move(done)] { done(false); });
+    return;
+  }
+  const std::int64_t number = ++this->last_asked;
+  this->asked[number] = {name, std::move(done), now + kAdapterPatience};
+  gen::AdapterRequest request;
+  request.number = number;
+  request.service_name = service;
+  request.model = model;
+  request.adapter = adapter;
+  gen::Datagram datagram;
+  datagram.__set_adapter_request(request);
+  this->SendTo(holder, Encode(datagram));
+  auto expiry = std::make_shared<boost::asio::steady_timer>(*this->io);
+  expiry->expires_after(kAdapterPatience);
+  expiry->async_wait([this, expiry](const BoostError& ec) {
+    if (!ec)
+      this->ExpireAsked(BootNow());
+  });
+}
+
+void Fleet::ExpireAsked(TimePoint now) {
+  std::vector<Asked> expired;
+  for (auto it = this->asked.begin(); it != this->asked.end();) {
+    if (it->second.give_up_at > now) {
+      ++it;
+      continue;
+    }
+    expired.push_back(std::move(it->second));
+    it = this->asked.erase(it);
+  }
+  for (const Asked& request : expired)
+    request.done(false);
+}
+
+void Fleet::Publish(const std::vector<EnginePlacement>& engines) {
+  gen::Placement placement;
+  placement.lease_epoch = this->lease_epoch;
+  const auto send = [this, &placement] {
+    placement.sequence = ++this->sequence;
+    gen::Datagram datagram;
+    datagram.__set_placement(placement);
+    const std::string bytes = Encode(datagram);
+    for (const auto& [address, member] : this->table.members)
+      this->SendTo(address, bytes);
+    this->OnPlacement(placement);
+    placement.engines.clear();
+  };
+  std::size_t items = 0;
+  for (const EnginePlacement& engine : engines) {
+    gen::EnginePlacement wire;
+    wire.endpoint = static_cast<std::int32_t>(engine.endpoint);
+    for (const std::uint32_t model : engine.retiring)
+      wire.retiring.push_back(static_cast<std::int32_t>(model));
+    for (const std::uint32_t adapter : engine.adapters)
+      wire.adapters.push_back(static_cast<std::int32_t>(adapter));
+    items += 2 + engine.retiring.size() + engine.adapters.size();
+    placement.engines.push_back(std::move(wire));
+    constexpr std::size_t kMostItems = 200;
+    if (items < kMostItems)
+      continue;
+    send();
+    items = 0;
+  }
+  if (!placement.engines.empty())
+    send();
+}
+
+void Fleet::AnnounceLeaving() {
+  this->SendReports();
+}
+
+gen::Report Fleet::MakeReport(TimePoint now) {
+  gen::Report report;
+  report.incarnation = this->incarnation;
+  report.sequence = ++this->sequence;
+  report.leaving = this->gateway->leaving;
+  report.config_version =
+      this->gateway->routes ? this->gateway->routes->version : 0;
+  report.lease_epoch = this->lease_epoch;
+  for (const gateway::EndpointPtr& endpoint : this->gateway->endpoint_list) {
+    gen::EndpointWork work;
+    work.endpoint = static_cast<std::int32_t>(endpoint->key);
+    work.running = endpoint->own.running;
+    work.prompt_tokens = endpoint->own.prompt_tokens;
+    const double factor = gateway::ResultDecay(*endpoint, now);
+    work.good = Rounded(endpoint->results.good * factor);
+    work.bad = Rounded(endpoint->results.bad * factor);
+    const bool idle = work.running == 0 && work.bad == 0 && work.good == 0;
+    if (!idle && report.work.size() < kWorkInReport)
+      report.work.push_back(work);
+  }
+  for (const auto& [model, demand] : this->gateway->traffic.demand) {
+    gen::ModelDemand wire;
+    wire.model = static_cast<std::int32_t>(KeyOf(model));
+    wire.ms_per_s =
+        static_cast<std::int32_t>(std::lround(gateway::DemandAt(demand, now)));
+    if (wire.ms_per_s > 0 && report.demand.size() < kDemandInReport)
+      report.demand.push_back(wire);
+  }
+  return report;
+}
+
+void Fleet::SendReports() {
+  gen::Datagram datagram;
+  datagram.__set_report(this->MakeReport(BootNow()));
+  const std::string bytes = Encode(datagram);
+  for (const auto& [address, member] : this->table.members)
+    this->SendTo(address, bytes);
+}
+
+void Fleet::SendTo(std::uint32_t address, const std::string& bytes) {
+  // A datagram that is lost here is no worse than one lost on the way.
+  BoostError ignored;
+  this->socket.send_to(
+      boost::asio::buffer(bytes),
+      udp::endpoint(boost::asio::ip::address_v4(address), this->port), 0,
+      ignored);
+}
+
+Milliseconds Fleet::Interval() const {
+  return std::max(
+      kReportInterval,
+      kIntervalPerMember * static_cast<int>(this->table.members.size()));
+}
+
+void Fleet::Tick() {
+  const TimePoint now = BootNow();
+  ForgetSilent(&this->table, now);
+  SumWork(this->table, this->gateway->endpoint_list, now);
+  this->peer_demand = SumDemand(this->table, now);
+  this->gateway->daemons = 1 + CountLive(this->table, now);
+  this->SendReports();
+  this->timer.expires_after(this->Interval());
+  this->timer.async_wait([this](const BoostError& ec) {
+    if (!ec)
+      this->Tick();
+  });
+}
+
+double Fleet::DemandFor(const std::string& model, TimePoint now) const {
+  const auto own = this->gateway->traffic.demand.find(model);
+  const auto peers = this->peer_demand.find(KeyOf(model));
+  return (own == this->gateway->traffic.demand.end()
+              ? 0
+              : gateway::DemandAt(own->second, now)) +
+         (peers == this->peer_demand.end() ? 0 : peers->second);
+}
+
+int Fleet::LiveCount() const {
+  return 1 + CountLive(this->table, BootNow());
+}
+
+}  // namespace coltsfootvane::fleet
--- /dev/null
+++ b/src/fleet/fleet.thrift
@@ -0,0 +1,63 @@
+namespace cpp coltsfootvane.fleet.gen
+
+// Datagrams between the daemons of a deployment. Models, adapters and endpoints
+// are named by 32-bit hashes of their names to keep datagrams short. Times are
+// durations: clocks of VMs are not compared.
+
+struct EndpointWork {
+  1: i32 endpoint
+  2: i32 running
+  3: i32 prompt_tokens
+  4: i16 good  // Recent results.
+  5: i16 bad
+}
+
+struct ModelDemand {
+  1: i32 model
+  2: i32 ms_per_s
+}
+
+// Sent regularly to all known daemons.
+struct Report {
+  1: i64 incarnation
+  2: i64 sequence
+  3: bool leaving
+  4: i64 config_version
+  5: i64 lease_epoch  // 0 if the sender does not hold the planner's lease.
+  6: list<EndpointWork> work
+  7: list<ModelDemand> demand
+  8: optional list<i32> members  // IPv4 addresses, after a report of a stranger.
+}
+
+// From the holder of the planner's lease.
+struct EnginePlacement {
+  1: i32 endpoint
+  2: list<i32> retiring  // Models about to be unloaded.
+  3: list<i32> adapters  // Ready for requests.
+}
+
+struct Placement {
+  1: i64 lease_epoch
+  2: i64 sequence
+  3: list<EnginePlacement> engines
+}
+
+struct AdapterRequest {
+  1: i64 number
+  2: string service_name
+  3: string model
+  4: string adapter
+}
+
+struct AdapterReply {
+  1: i64 number
+  2: bool ready
+  3: i32 endpoint
+}
+
+union Datagram {
+  1: Report report
+  2: Placement placement
+  3: AdapterRequest adapter_request
+  4: AdapterReply adapter_reply
+}
--- /dev/null
+++ b/src/fleet/member_table.cc
@@ -0,0 +1,89 @@
+#include "fleet/member_table.h"
+
+#include <unordered_map>
+#include <utility>
+
+namespace coltsfootvane::fleet {
+
+bool IsLive(const Member& member, TimePoint now) {
+  return member.heard != TimePoint() && now - member.heard < kMemberTimeout;
+}
+
+bool TakeReport(MemberTable* table,
+                std::uint32_t address,
+                gen::Report report,
+                TimePoint now) {
+  Member& member = table->members[address];
+  const bool restarted = member.report.incarnation != report.incarnation;
+  if (!restarted && report.sequence <= member.report.sequence)
+    return false;
+  member.report = std::move(report);
+  member.heard = now;
+  return true;
+}
+
+void ForgetSilent(MemberTable* table, TimePoint now) {
+  for (auto it = table->members.begin(); it != table->members.end();) {
+    const bool forgotten = it->second.heard != TimePoint() &&
+                           now - it->second.heard > kMemberForgotten;
+    it = forgotten ? table->members.erase(it) : std::next(it);
+  }
+}
+
+int CountLive(const MemberTable& table, TimePoint now) {
+  int count = 0;
+  for (const auto& [address, member] : table.members)
+    count += IsLive(member, now) && !member.report.leaving ? 1 : 0;
+  return count;
+}
+
+std::uint32_t FindHolder(const MemberTable& table, TimePoint now) {
+  std::uint32_t holder = 0;
+  std::int64_t highest = 0;
+  for (const auto& [address, member] : table.members) {
+    if (!IsLive(member, now) || member.report.lease_epoch <= highest)
+      continue;
+    highest = member.report.lease_epoch;
+    holder = address;
+  }
+  return holder;
+}
+
+void SumWork(const MemberTable& table,
+             const std::vector<gateway::EndpointPtr>& endpoints,
+             TimePoint now) {
+  std::unordered_map<std::uint32_t, gateway::Endpoint*> by_key;
+  for (const gateway::EndpointPtr& endpoint : endpoints) {
+    endpoint->peers = {};
+    endpoint->peers_good = 0;
+    endpoint->peers_bad = 0;
+    by_key[endpoint->key] = endpoint.get();
+  }
+  for (const auto& [address, member] : table.members) {
+    if (!IsLive(member, now))
+      continue;
+    for (const gen::EndpointWork& work : member.report.work) {
+      const auto found = by_key.find(static_cast<std::uint32_t>(work.endpoint));
+      if (found == by_key.end())
+        continue;
+      found->second->peers.running += work.running;
+      found->second->peers.prompt_tokens += work.prompt_tokens;
+      found->second->peers_good += work.good;
+      found->second->peers_bad += work.bad;
+    }
+  }
+}
+
+std::map<std::uint32_t, double> SumDemand(const MemberTable& table,
+                                          TimePoint now) {
+  std::map<std::uint32_t, double> sums;
+  for (const auto& [address, member] : table.members) {
+    if (!IsLive(member, now))
+      continue;
+    for (const gen::ModelDemand& demand : member.report.demand)
+      sums[static_cast<std::uint32_t>(demand.model)] += demand.ms_per_s;
+  }
+  return sums;
+}
+
+}  // namespace coltsfootvane::fleet
--- /dev/null
+++ b/src/fleet/registry.cc
@@ -0,0 +1,107 @@
+#include "fleet/registry.h"
+
+#include <utility>
+
+namespace coltsfootvane::fleet {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+constexpr char kKind[] = "coltsfootvane-daemons";
+constexpr char kAddressField[] = "address";
+constexpr Milliseconds kRetryPause{1000};
+constexpr Milliseconds kListInterval{10'000};
+
+}  // namespace
+
+Registry::Registry(boost::asio::io_context* io,
+                   const store::ObjectStore* object_store,
+                   std::string name,
+                   const boost::asio::ip::address& own_address,
+                   Found on_found)
+    : timer(*io),
+      store(object_store),
+      daemon_name(std::move(name)),
+      address(own_address.to_string()),
+      found(std::move(on_found)) {}
+
+void Registry::Start() {
+  this->Announce();
+}
+
+store::Object Registry::OwnEntry() const {
+  store::Object object;
+  object.name = this->daemon_name;
+  object.spec = {{kAddressField, this->address}};
+  return object;
+}
+
+void Registry::Announce() {
+  this->store->create(kKind, this->OwnEntry(),
+                      [this](const Result<store::Object>& created) {
+                        if (created) {
+                          this->List(store::Freshness::kLatest);
+                          return;
+                        }
+                        if (created.error().code == ErrorCode::kConflict) {
+                          this->Correct();
+                          return;
+                        }
+                        this->Later(kRetryPause, [this] { this->Announce(); });
+                      });
+}
+
+/// The entry of an earlier process may name another address.
+void Registry::Correct() {
+  this->store->read(
+      kKind, this->daemon_name, store::Freshness::kLatest,
+      [this](const Result<store::Object>& entry) {
+        if (!entry) {
+          this->Later(kRetryPause, [this] { this->Announce(); });
+          return;
+        }
+        store::Object own = this->OwnEntry();
+        if (entry.value().spec == own.spec) {
+          this->List(store::Freshness::kLatest);
+          return;
+        }
+        own.revision = entry.value().revision;
+        this->store->replace(
+            kKind, own, [this](const Result<store::Object>& replaced) {
+              if (replaced)
+                this->List(store::Freshness::kLatest);
+              else
+                this->Later(kRetryPause, [this] { this->Announce(); });
+            });
+      });
+}
+
+void Registry::List(store::Freshness freshness) {
+  this->store->list(
+      kKind, freshness, [this](const Result<store::Listing>& listing) {
+        if (listing) {
+          for (const store::Object& object : listing.value().objects) {
+            const auto field = object.spec.find(kAddressField);
+            if (field == object.spec.end() || !field->is_string())
+              continue;
+            BoostError ec;
+            const auto ip =
+                boost::asio::ip::make_address(field->get<std::string>(), ec);
+            if (!ec)
+              this->found(ip);
+          }
+        }
+        this->Later(kListInterval,
+                    [this] { this->List(store::Freshness::kStale); });
+      });
+}
+
+void Registry::Later(Milliseconds pause, std::function<void()> step) {
+  this->timer.expires_after(pause);
+  this->timer.async_wait([step = std::move(step)](const BoostError& ec) {
+    if (!ec)
+      step();
+  });
+}
+
+}  // namespace coltsfootvane::fleet
--- /dev/null
+++ b/src/fleet/registry.h
@@ -0,0 +1,45 @@
+#ifndef COLTSFOOTVANE_FLEET_REGISTRY_H_
+#define COLTSFOOTVANE_FLEET_REGISTRY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+
+#include "store/object_store.h"
+
+namespace coltsfootvane::fleet {
+
+/// Announces this daemon in the store and finds the others there. Entries are
+/// not heartbeats: those of daemons that have gone stay until they are
+/// replaced.
+class Registry {
+ public:
+  using Found = std::function<void(const boost::asio::ip::address&)>;
+
+  Registry(boost::asio::io_context* io,
+           const store::ObjectStore* store,
+           std::string daemon_name,
+           const boost::asio::ip::address& address,
+           Found found);
+
+  void Start();
+
+ private:
+  void Announce();
+  void Correct();
+  void List(store::Freshness freshness);
+  void Later(Milliseconds pause, std::function<void()> step);
+  store::Object OwnEntry() const;
+
+  boost::asio::steady_timer timer;
+  const store::ObjectStore* store;
+  std::string daemon_name;
+  std::string address;
+  Found found;
+};
+
+}  // namespace coltsfootvane::fleet
+
+#endif  // COLTSFOOTVANE_FLEET_REGISTRY_H_
--- a/src/gateway/endpoint.cc
+++ b/src/gateway/endpoint.cc
@@ -29,7 +29,7 @@
     if (slot)
       slot->gone = true;
     slot = std::make_shared<Endpoint>();
-    slot->key = static_cast<std::uint32_t>(Hash64(entry.id));
+    slot->key = KeyOf(entry.id);
   }
   slot->gone = false;
   slot->entry = std::move(entry);
@@ -57,7 +57,7 @@
                 std::string_view model,
                 TimePoint now) {
   if (FindLoaded(endpoint, model) == nullptr ||
-      endpoint.retiring.count(model) > 0)
+      endpoint.retiring.count(KeyOf(model)) > 0)
     return false;
   const auto absent = endpoint.absent_until.find(model);
   return absent == endpoint.absent_until.end() || absent->second <= now;
@@ -69,12 +69,16 @@
   const LoadedModel* const loaded = FindLoaded(endpoint, model);
   if (loaded == nullptr)
     return false;
-  if (endpoint.adapters.count(AdapterName(model, adapter)) > 0)
+  if (endpoint.adapters.count(KeyOf(AdapterName(model, adapter))) > 0)
     return true;
   return std::find(loaded->adapters.begin(), loaded->adapters.end(), adapter) !=
          loaded->adapters.end();
 }
 
+std::uint32_t KeyOf(std::string_view name) {
+  return static_cast<std::uint32_t>(Hash64(name));
+}
+
 std::string AdapterName(std::string_view model, std::string_view adapter) {
   std::string name(model);
   return name.append("/").append(adapter);
@@ -90,10 +94,14 @@
     endpoint->suspect_times = 0;
 }
 
+double ResultDecay(const Endpoint& endpoint, TimePoint now) {
+  return Decay(endpoint.results.updated, now);
+}
+
 double BadShare(const Endpoint& endpoint, TimePoint now) {
-  const double factor = Decay(endpoint.results.updated, now);
-  const double bad = endpoint.results.bad * factor;
-  const double good = endpoint.results.good * factor;
+  const double factor = ResultDecay(endpoint, now);
+  const double bad = endpoint.results.bad * factor + endpoint.peers_bad;
+  const double good = endpoint.results.good * factor + endpoint.peers_good;
   return bad / (bad + good + kAssumedGood);
 }
 
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -28,7 +28,6 @@
   int slots = 1;
   bool draining = false;
   std::int64_t incarnation = 0;  ///< Changes with each start of the process.
-  std::int64_t sequence = 0;     ///< Orders accepted in this incarnation.
   std::vector<LoadedModel> models;
   std::vector<std::string> in_memory;  ///< Weights kept in the VM's memory.
   std::vector<std::string> on_disk;    ///< Weights kept on the VM's disk.
@@ -54,15 +53,17 @@
   EndpointWork own;
   EndpointWork peers;
   RecentResults results;
+  int peers_good = 0;  ///< Recent results of the other daemons.
+  int peers_bad = 0;
   bool gone = false;        ///< No longer listed.
   TimePoint suspect_until;  ///< Not chosen while others can be.
   int suspect_times = 0;    ///< In a row.
   /// Models that refused a request although the entry lists them.
   std::map<std::string, TimePoint, std::less<>> absent_until;
-  /// Models that are about to be unloaded, by order of the planner.
-  std::set<std::string, std::less<>> retiring;
-  /// Adapters known from orders, as `model/adapter`.
-  std::set<std::string, std::less<>> adapters;
+  /// Keys of models that are about to be unloaded, by order of the planner.
+  std::set<std::uint32_t> retiring;
+  /// Keys of adapters known from orders; see AdapterName().
+  std::set<std::uint32_t> adapters;
 };
 
 using EndpointPtr = std::shared_ptr<Endpoint>;
@@ -87,10 +88,15 @@
                   std::string_view model,
                   std::string_view adapter);
 
+/// Returns the hash that stands for a name between daemons.
+std::uint32_t KeyOf(std::string_view name);
+
 /// Returns `model/adapter`.
 std::string AdapterName(std::string_view model, std::string_view adapter);
 
 void NoteResult(Endpoint* endpoint, bool good, TimePoint now);
+/// Returns the factor by which results have decayed.
+double ResultDecay(const Endpoint& endpoint, TimePoint now);
 /// Returns the decayed share of bad results, from 0 to 1.
 double BadShare(const Endpoint& endpoint, TimePoint now);
 /// The endpoint could not be reached or went silent: avoid it for a time that
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -18,12 +18,20 @@
          request.output_tokens * kOutputTokenMs;
 }
 
+void AddDemand(ModelDemand* demand, double work_ms, TimePoint now) {
+  demand->ms_per_s = DemandAt(*demand, now) + work_ms / kTimeConstantS;
+  demand->updated = now;
+}
+
 }  // namespace
 
 void NoteDemand(Traffic* traffic, const RequestInfo& request, TimePoint now) {
-  ModelDemand& demand = traffic->demand[request.model];
-  demand.ms_per_s = DemandAt(demand, now) + WorkMs(request) / kTimeConstantS;
-  demand.updated = now;
+  const double work_ms = WorkMs(request);
+  AddDemand(&traffic->demand[request.model], work_ms, now);
+  if (request.adapter.empty())
+    return;
+  AddDemand(&traffic->demand[AdapterName(request.model, request.adapter)],
+            work_ms, now);
 }
 
 double DemandAt(const ModelDemand& demand, TimePoint now) {
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -17,7 +17,7 @@
   TimePoint updated;
 };
 
-/// Counters of one daemon and its demand by model.
+/// Counters of one daemon and its demand by model and by AdapterName().
 struct Traffic {
   std::map<std::string, ModelDemand, std::less<>> demand;
   std::uint64_t requests = 0;
@@ -28,7 +28,7 @@
   std::uint64_t retries = 0;
 };
 
-/// Counts the work of a request towards the demand for its model.
+/// Counts the work of a request towards the demand for its model and adapter.
 void NoteDemand(Traffic* traffic, const RequestInfo& request, TimePoint now);
 
 /// Returns the demand decayed to `now`.
--- /dev/null
+++ b/src/orders/adapter_orders.cc
@@ -0,0 +1,190 @@
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "orders/engine_orders.h"
+
+namespace coltsfootvane::orders {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+/// From the acceptance of an order until an adapter can be used.
+constexpr Milliseconds kAdapterLoadTime{12};
+constexpr std::size_t kMostWaitingJobs = 32;  ///< Per engine.
+
+}  // namespace
+
+void EngineOrders::LoadAdapter(const std::string& service,
+                               const std::string& model,
+                               const std::string& adapter,
+                               fleet::AdapterDone done) {
+  const std::string name = gateway::AdapterName(model, adapter);
+  for (const auto& [id, engine] : this->engines) {
+    if (Serves(engine, model) && engine.adapters.count(name) > 0) {
+      done(engine.endpoint->key);
+      return;
+    }
+  }
+  AdapterJob job{service, model, adapter, std::move(done)};
+  EngineState* const engine = this->ChooseForAdapter(job);
+  if (engine == nullptr) {
+    job.done(0);
+    return;
+  }
+  engine->adapter_jobs.push_back(std::move(job));
+  this->PumpAdapters(engine);
+}
+
+/// Prefers an engine that is about to load the same adapter, then one with a
+/// free place, then the one with the least work.
+EngineState* EngineOrders::ChooseForAdapter(const AdapterJob& job) {
+  EngineState* best = nullptr;
+  double least = std::numeric_limits<double>::max();
+  for (auto& [id, engine] : this->engines) {
+    const gateway::EngineSpec* const spec = this->SpecOf(engine);
+    if (spec == nullptr || engine.endpoint->entry.service != job.service ||
+        !Serves(engine, job.model) || !engine.loading.empty() ||
+        engine.unload_sent || engine.adapter_jobs.size() >= kMostWaitingJobs)
+      continue;
+    const bool same = std::any_of(
+        engine.adapter_jobs.begin(), engine.adapter_jobs.end(),
+        [&job](const AdapterJob& other) {
+          return other.model == job.model && other.adapter == job.adapter;
+        });
+    if (same)
+      return &engine;
+    constexpr double kNoRoom = 1000;
+    constexpr double kWaitingJob = 10;
+    const auto& work = engine.endpoint->peers;
+    const double cost =
+        (AdapterFits(engine, *spec, job.model) ? 0 : kNoRoom) +
+        static_cast<double>(engine.adapter_jobs.size()) * kWaitingJob +
+        engine.endpoint->own.running + work.running;
+    if (cost >= least)
+      continue;
+    least = cost;
+    best = &engine;
+  }
+  return best;
+}
+
+void EngineOrders::PumpAdapters(EngineState* engine) {
+  if (engine->calling || !engine->known || engine->adapter_jobs.empty())
+    return;
+  const AdapterJob& job = engine->adapter_jobs.front();
+  const gateway::EngineSpec* const spec = this->SpecOf(*engine);
+  if (spec == nullptr || !Serves(*engine, job.model)) {
+    this->FinishAdapterJob(engine, false);
+    return;
+  }
+  if (engine->adapters.count(gateway::AdapterName(job.model, job.adapter)) >
+      0) {
+    this->FinishAdapterJob(engine, true);
+    return;
+  }
+  if (AdapterFits(*engine, *spec, job.model))
+    this->GiveAdapterLoad(engine);
+  else
+    this->EvictAdapter(engine);
+}
+
+std::string EngineOrders::LeastWantedAdapter(const EngineState& engine) const {
+  const TimePoint now = BootNow();
+  std::string least_wanted;
+  double least = std::numeric_limits<double>::max();
+  for (const std::string& name : engine.adapters) {
+    const double demand = this->fleet->DemandFor(name, now);
+    if (demand >= least)
+      continue;
+    least = demand;
+    least_wanted = name;
+  }
+  return least_wanted;
+}
+
+void EngineOrders::EvictAdapter(EngineState* engine) {
+  const std::string victim = this->LeastWantedAdapter(*engine);
+  if (victim.empty()) {
+    this->FinishAdapterJob(engine, false);
+    return;
+  }
+  engine->adapters.erase(victim);
+  this->Publish();
+  const std::size_t slash = victim.find('/');
+  EngineOrder order;
+  order.operation = Operation::kUnload;
+  order.model = victim.substr(0, slash);
+  order.adapter = victim.substr(slash + 1);
+  this->GiveOrder(engine, std::move(order),
+                  [this](EngineState* engine, OrderResult result) {
+                    // An adapter that no request uses is unloaded at once.
+                    if (result == OrderResult::kHoldsAlready) {
+                      engine->known = true;
+                      ++engine->sequence;
+                    }
+                    this->PumpAdapters(engine);
+                  });
+}
+
+void EngineOrders::GiveAdapterLoad(EngineState* engine) {
+  EngineOrder order;
+  order.operation = Operation::kLoad;
+  order.model = engine->adapter_jobs.front().model;
+  order.adapter = engine->adapter_jobs.front().adapter;
+  this->GiveOrder(engine, std::move(order),
+                  [this](EngineState* engine, OrderResult result) {
+                    this->OnAdapterLoad(engine, result);
+                  });
+}
+
+void EngineOrders::OnAdapterLoad(EngineState* engine, OrderResult result) {
+  if (engine->adapter_jobs.empty())
+    return;
+  AdapterJob& job = engine->adapter_jobs.front();
+  if (result == OrderResult::kBusy && !job.retried) {
+    job.retried = true;  // The report read next tells the sequence.
+    return;
+  }
+  if (result != OrderResult::kAccepted &&
+      result != OrderResult::kHoldsAlready) {
+    this->FinishAdapterJob(engine, false);
+    return;
+  }
+  engine->adapters.insert(gateway::AdapterName(job.model, job.adapter));
+  this->changed = true;
+  this->FinishAdapterJob(engine, true);
+  this->PumpAdapters(engine);
+}
+
+/// Ends the first job of the engine and all others for the same adapter.
+void EngineOrders::FinishAdapterJob(EngineState* engine, bool loaded) {
+  AdapterJob job = std::move(engine->adapter_jobs.front());
+  engine->adapter_jobs.pop_front();
+  std::vector<fleet::AdapterDone> waiting;
+  waiting.push_back(std::move(job.done));
+  for (auto it = engine->adapter_jobs.begin();
+       it != engine->adapter_jobs.end();) {
+    if (it->model != job.model || it->adapter != job.adapter) {
+      ++it;
+      continue;
+    }
+    waiting.push_back(std::move(it->done));
+    it = engine->adapter_jobs.erase(it);
+  }
+  const std::uint32_t key = loaded ? engine->endpoint->key : 0;
+  if (!loaded) {
+    for (const fleet::AdapterDone& done : waiting)
+      done(0);
+    return;
+  }
+  auto delay = std::make_shared<boost::asio::steady_timer>(*this->io);
+  delay->expires_after(kAdapterLoadTime);
+  delay->async_wait(
+      [delay, key, waiting = std::move(waiting)](const BoostError& ec) {
+        for (const fleet::AdapterDone& done : waiting)
+          done(ec ? 0 : key);
+      });
+}
+
+}  // namespace coltsfootvane::orders
--- /dev/null
+++ b/src/orders/engine_state.cc
@@ -0,0 +1,131 @@
+#include "orders/engine_state.h"
+
+#include <algorithm>
+
+namespace coltsfootvane::orders {
+namespace {
+
+std::string ModelOf(const std::string& adapter_name) {
+  return adapter_name.substr(0, adapter_name.find('/'));
+}
+
+int IndexOf(const gateway::EngineSpec& spec, const std::string& model) {
+  for (std::size_t i = 0; i < spec.models.size(); ++i) {
+    if (spec.models[i].name == model)
+      return static_cast<int>(i);
+  }
+  return -1;
+}
+
+template <class Names>
+std::vector<int> IndicesOf(const gateway::EngineSpec& spec,
+                           const Names& names) {
+  std::vector<int> indices;
+  for (const std::string& name : names) {
+    const int index = IndexOf(spec, name);
+    if (index >= 0)
+      indices.push_back(index);
+  }
+  return indices;
+}
+
+double ModelMemory(const std::set<std::string>& names,
+                   const gateway::EngineSpec& spec) {
+  double memory_mb = 0;
+  for (const std::string& name : names) {
+    const gateway::EngineModel* const model = FindModel(spec, name);
+    memory_mb += model == nullptr ? 0 : model->memory_mb;
+  }
+  return memory_mb;
+}
+
+}  // namespace
+
+bool Serves(const EngineState& engine, const std::string& model) {
+  return engine.known && !engine.endpoint->gone &&
+         !engine.endpoint->entry.draining && engine.models.count(model) > 0 &&
+         engine.unloading != model;
+}
+
+bool AnnouncesCompletion(const EngineState& engine) {
+  if (!engine.loading.empty())
+    return FindLoaded(*engine.endpoint, engine.loading) != nullptr;
+  return engine.unload_sent &&
+         FindLoaded(*engine.endpoint, engine.unloading) == nullptr;
+}
+
+bool TakeReport(EngineState* engine, const EngineReport& report) {
+  if (engine->known && report.sequence < engine->sequence)
+    return false;
+  engine->known = true;
+  engine->sequence = report.sequence;
+  engine->models.clear();
+  engine->adapters.clear();
+  for (const gateway::LoadedModel& model : report.models) {
+    engine->models.insert(model.name);
+    for (const std::string& adapter : model.adapters)
+      engine->adapters.insert(gateway::AdapterName(model.name, adapter));
+  }
+  if (report.busy)
+    return true;
+  engine->loading.clear();
+  if (engine->unload_sent) {
+    engine->unloading.clear();
+    engine->unload_sent = false;
+  }
+  return true;
+}
+
+double AdapterMemory(const EngineState& engine,
+                     const gateway::EngineSpec& spec) {
+  double memory_mb = 0;
+  for (const std::string& name : engine.adapters) {
+    const gateway::EngineModel* const model = FindModel(spec, ModelOf(name));
+    memory_mb += model == nullptr ? 0 : model->adapter_memory_mb;
+  }
+  return memory_mb;
+}
+
+bool AdapterFits(const EngineState& engine,
+                 const gateway::EngineSpec& spec,
+                 const std::string& model_name) {
+  if (static_cast<int>(engine.adapters.size()) >= spec.adapter_slots)
+    return false;
+  const gateway::EngineModel* const model = FindModel(spec, model_name);
+  if (model == nullptr)
+    return false;
+  std::set<std::string> now = engine.models;
+  now.insert(engine.loading);
+  std::set<std::string> later = now;
+  later.erase(engine.unloading);
+  later.insert(engine.load_next);
+  const double most =
+      std::max(ModelMemory(now, spec), ModelMemory(later, spec));
+  return most + AdapterMemory(engine, spec) + model->adapter_memory_mb <=
+         spec.memory_mb;
+}
+
+PlannedEngine ToPlanned(const EngineState& engine,
+                        const gateway::EngineSpec& spec) {
+  PlannedEngine planned;
+  const gateway::EndpointEntry& entry = engine.endpoint->entry;
+  planned.id = entry.id;
+  planned.memory_mb = spec.memory_mb;
+  planned.adapter_memory_mb = AdapterMemory(engine, spec);
+  planned.usable = !engine.endpoint->gone && !entry.draining;
+  planned.busy = engine.Busy() || engine.calling;
+  planned.models = IndicesOf(spec, engine.models);
+  for (const std::string& coming : {engine.loading, engine.load_next}) {
+    const int index = IndexOf(spec, coming);
+    if (index >= 0 && engine.models.count(coming) == 0)
+      planned.models.push_back(index);
+  }
+  const int leaving = IndexOf(spec, engine.unloading);
+  if (leaving >= 0)
+    planned.retiring.push_back(leaving);
+  planned.in_memory = IndicesOf(spec, entry.in_memory);
+  planned.on_disk = IndicesOf(spec, entry.on_disk);
+  return planned;
+}
+
+}  // namespace coltsfootvane::orders
--- /dev/null
+++ b/src/orders/lease_keeper.cc
@@ -0,0 +1,173 @@
+#include "orders/lease_keeper.h"
+
+#include <utility>
+
+#include "base/digest.h"
+#include "orders/events.h"
+
+namespace coltsfootvane::orders {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+constexpr char kLeaseKind[] = "coltsfootvane-leases";
+constexpr char kLeaseName[] = "planner";
+constexpr Milliseconds kTick{250};
+/// Daemons that start together do not all create the lease.
+constexpr int kStartSpreadMs = 1500;
+/// Covers the time that an order is on its way.
+constexpr Milliseconds kOrderTravel{500};
+
+store::Object ToObject(const LeaseSpec& spec, std::int64_t revision) {
+  store::Object object;
+  object.name = kLeaseName;
+  object.revision = revision;
+  object.spec = nlohmann::json::parse(FormatLease(spec));
+  return object;
+}
+
+}  // namespace
+
+LeaseKeeper::LeaseKeeper(boost::asio::io_context* io,
+                         const store::ObjectStore* object_store,
+                         DecisionLog* decision_log,
+                         const std::string& daemon_name,
+                         Milliseconds gap)
+    : timer(*io),
+      store(object_store),
+      log(decision_log),
+      random(std::random_device()()),
+      least_gap(gap) {
+  // The name is new with each start of the process.
+  this->lease.self = daemon_name + "-" + RandomId().substr(0, 8);
+  this->lease.times.renewal = gap / 2;
+  this->lease.times.observation = gap * 2 / 3;
+  this->lease.times.send = gap * 5 / 6;
+  this->lease.times.expiry = this->lease.times.send + gap + kOrderTravel;
+}
+
+void LeaseKeeper::Start() {
+  this->timer.expires_after(
+      Milliseconds(static_cast<int>(this->random() % kStartSpreadMs)));
+  this->timer.async_wait([this](const BoostError& ec) {
+    if (!ec)
+      this->Tick();
+  });
+}
+
+void LeaseKeeper::Tick() {
+  const TimePoint now = BootNow();
+  this->NoteHolding(now);
+  if (!this->calling && !this->released) {
+    const LeaseStep step = NextLeaseStep(this->lease, now);
+    if (step == LeaseStep::kRead)
+      this->Read();
+    else if (step != LeaseStep::kNone)
+      this->Write(step);
+  }
+  this->timer.expires_after(kTick);
+  this->timer.async_wait([this](const BoostError& ec) {
+    if (!ec)
+      this->Tick();
+  });
+}
+
+void LeaseKeeper::Read() {
+  this->calling = true;
+  // An observation may be old: taking over is conditional on its revision.
+  const auto freshness =
+      this->lease.known ? store::Freshness::kStale : store::Freshness::kLatest;
+  this->store->read(
+      kLeaseKind, kLeaseName, freshness, [this](Result<store::Object> object) {
+        this->calling = false;
+        const TimePoint now = BootNow();
+        if (object) {
+          const Result<LeaseSpec> spec = ParseLease(object.value().spec.dump());
+          OnLeaseRead(&this->lease, spec ? spec.value() : LeaseSpec{},
+                      object.value().revision, now);
+          return;
+        }
+        if (object.error().code == ErrorCode::kNotFound) {
+          OnLeaseRead(&this->lease, LeaseSpec{}, 0, now);
+          return;
+        }
+        this->lease.next_call = now + this->lease.times.renewal;
+      });
+}
+
+void LeaseKeeper::Write(LeaseStep step) {
+  this->calling = true;
+  const TimePoint start = BootNow();
+  const LeaseSpec spec = NextLeaseSpec(this->lease, step);
+  const bool was_released =
+      step == LeaseStep::kTakeOver && this->lease.seen.holder.empty();
+  auto done = [this, step, spec, start,
+               was_released](const Result<store::Object>& written) {
+    this->OnWritten(step, spec, written, start, was_released);
+  };
+  const store::Object object = ToObject(spec, this->lease.resource_version);
+  if (step == LeaseStep::kCreate)
+    this->store->create(kLeaseKind, object, std::move(done));
+  else
+    this->store->replace(kLeaseKind, object, std::move(done));
+}
+
+void LeaseKeeper::OnWritten(LeaseStep step,
+                            const LeaseSpec& spec,
+                            const Result<store::Object>& written,
+                            TimePoint start,
+                            bool was_released) {
+  this->calling = false;
+  const TimePoint now = BootNow();
+  if (!written) {
+    OnLeaseWriteFailed(&this->lease, now);
+    // A store that is away is not asked at every tick.
+    this->lease.next_call = now + kTick * 2;
+    return;
+  }
+  if (this->released) {
+    return;
+  }
+  OnLeaseWritten(&this->lease, spec, written.value().revision, start);
+  if (step != LeaseStep::kRenew)
+    this->orders_from = was_released ? now + this->least_gap : now;
+  this->NoteHolding(now);
+}
+
+void LeaseKeeper::Release() {
+  if (this->released)
+    return;
+  this->released = true;
+  if (!this->lease.held)
+    return;
+  this->lease.held = false;
+  LeaseSpec spec = this->lease.seen;
+  spec.holder.clear();
+  this->store->replace(kLeaseKind, ToObject(spec, this->lease.resource_version),
+                       [](const Result<store::Object>&) {
+                         // Without an effect the lease expires instead.
+                       });
+}
+
+bool LeaseKeeper::MayOrder(TimePoint now) const {
+  return !this->released && MaySend(this->lease, now) &&
+         now >= this->orders_from;
+}
+
+void LeaseKeeper::OnFenced() {
+  this->lease.held = false;
+  this->lease.send_until = TimePoint();
+  this->lease.known = false;
+}
+
+void LeaseKeeper::NoteHolding(TimePoint now) {
+  const bool now_holding = MaySend(this->lease, now) && !this->released;
+  if (now_holding == this->holding)
+    return;
+  this->holding = now_holding;
+  this->log->Write(now_holding ? kLeaseTaken : kLeaseLost, "",
+                   "epoch=" + std::to_string(this->lease.seen.epoch) +
+                       " holder=" + this->lease.self);
+}
+
+}  // namespace coltsfootvane::orders
--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -38,7 +38,7 @@
   if (now < lease.next_call)
     return LeaseStep::kNone;
   // The observation is confirmed by the conditional update itself.
-  if (now - lease.changed_at >= kLeaseExpiry)
+  if (now - lease.changed_at >= lease.times.expiry)
     return LeaseStep::kTakeOver;
   return LeaseStep::kRead;
 }
@@ -75,7 +75,8 @@
   if (own)
     lease->next_call = now;
   else
-    lease->next_call = now + (changed ? kLeaseObservation : kLeaseRenewal);
+    lease->next_call =
+        now + (changed ? lease->times.observation : lease->times.renewal);
 }
 
 void OnLeaseWritten(Lease* lease,
@@ -87,8 +88,8 @@
   lease->changed_at = start;
   lease->known = true;
   lease->held = spec.holder == lease->self;
-  lease->send_until = lease->held ? start + kLeaseSendTime : TimePoint();
-  lease->next_call = start + kLeaseRenewal;
+  lease->send_until = lease->held ? start + lease->times.send : TimePoint();
+  lease->next_call = start + lease->times.renewal;
 }
 
 void OnLeaseWriteFailed(Lease* lease, TimePoint now) {
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -21,6 +21,15 @@
 /// takes over. Safety does not depend on it.
 inline constexpr Milliseconds kLeaseSendTime{5000};
 
+/// The times of one lease. The gap between `send` and `expiry` is the least
+/// time between the commands of two holders.
+struct LeaseTimes {
+  Milliseconds renewal = kLeaseRenewal;
+  Milliseconds observation = kLeaseObservation;
+  Milliseconds expiry = kLeaseExpiry;
+  Milliseconds send = kLeaseSendTime;
+};
+
 /// The spec of the platform object `leases/planner-<region>`.
 struct LeaseSpec {
   std::string holder;  ///< Empty if released.
@@ -34,6 +43,7 @@
 /// One daemon's view of the lease.
 struct Lease {
   std::string self;
+  LeaseTimes times;
   LeaseSpec seen;
   std::int64_t resource_version = 0;  ///< 0 if the object does not exist.
   TimePoint changed_at;               ///< When `seen` last changed.
