--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -18,6 +18,8 @@
 constexpr Milliseconds kConfigurationWait{1000};
 /// An endpoint that is away is expected back, or replaced, within this time.
 constexpr Milliseconds kEndpointWait{800};
+/// A caller that comes back is led to another daemon.
+constexpr Milliseconds kOtherDaemonWait{20};
 /// Sends that were refused as not run; further ones rarely find room.
 constexpr int kMostRefusedSends = 3;
 /// A send with less time would be answered too late.
@@ -87,6 +89,11 @@
     this->Fail(404, "no route");
     return false;
   }
+  if (this->gateway->leaving && this->route->kind == RouteKind::kStreaming &&
+      BootNow() >= this->gateway->last_stream_at) {
+    this->Refuse("shutdown", kOtherDaemonWait);
+    return false;
+  }
   Milliseconds allowed = this->route->timeout;
   if (this->info.time_left)
     allowed = std::min(allowed, *this->info.time_left);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,7 +55,9 @@
   AdapterRequest ask_adapter;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown has begun.
-  int exchanges = 0;     ///< Requests in progress.
+  /// In a shutdown, streams that arrive later could not be completed.
+  TimePoint last_stream_at;
+  int exchanges = 0;  ///< Requests in progress.
 };
 
 /// Puts a configuration in force if it is newer than the one that is. Returns
