Orders: Give no order to an engine that carries out an unknown one

After a change of the lease's holder, or after a refused order, a report says that the engine is busy and does not list the model that it loads; the plan took the memory for free. Change: a busy engine gets no order until a report shows it idle. Besides: engines without a report count by their announcement, unloads of busy copies cost, others hear of a retiring model 80 ms before its unload, the holder of the lease goes on through an outage of the store where engines check fencing numbers, and a restarted process takes over the lease of its own VM at once.

--- a/src/orders/adapter_orders.cc
+++ b/src/orders/adapter_orders.cc
@@ -44,8 +44,9 @@
   for (auto& [id, engine] : this->engines) {
     const gateway::EngineSpec* const spec = this->SpecOf(engine);
     if (spec == nullptr || engine.endpoint->entry.service != job.service ||
-        !Serves(engine, job.model) || !engine.loading.empty() ||
-        engine.unload_sent || engine.adapter_jobs.size() >= kMostWaitingJobs)
+        !Serves(engine, job.model) || engine.carrying_out ||
+        !engine.loading.empty() || engine.unload_sent ||
+        engine.adapter_jobs.size() >= kMostWaitingJobs)
       continue;
     const bool same = std::any_of(
         engine.adapter_jobs.begin(), engine.adapter_jobs.end(),
--- a/src/orders/copy_plan.cc
+++ b/src/orders/copy_plan.cc
@@ -11,6 +11,9 @@
 constexpr double kMemoryLoadCost = 0.01;
 constexpr double kDiskLoadCost = 0.02;
 constexpr double kStoreLoadCost = 0.06;
+/// What the unload of a model costs for each engine kept busy by its copy: the
+/// load has to wait for the runs on it.
+constexpr double kUnloadCost = 0.15;
 /// Demand assumed for every model, so that idle models are spread too.
 constexpr double kLeastDemand = 0.002;
 
@@ -107,6 +110,15 @@
   return CostWith(input, CountCopies(input));
 }
 
+double UnloadCost(const CopyPlanInput& input,
+                  const std::vector<int>& copies,
+                  const std::vector<int>& unload) {
+  double cost = 0;
+  for (const int model : unload)
+    cost += kUnloadCost * input.models[model].demand / copies[model];
+  return cost;
+}
+
 struct BestMove {
   std::optional<CopyMove> move;
   double cost = std::numeric_limits<double>::max();
@@ -123,7 +135,8 @@
     for (auto& unload : WaysToMakeRoom(input, engine, copies, model)) {
       CopyMove move{static_cast<int>(i), model, unload,
                     SourceOf(engine, model)};
-      const double cost = CostAfter(input, move) + CostOf(move.source);
+      const double cost = CostAfter(input, move) + CostOf(move.source) +
+                          UnloadCost(input, copies, unload);
       if (cost >= best->cost)
         continue;
       best->cost = cost;
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -10,9 +10,9 @@
 
 using BoostError = boost::system::error_code;
 
-constexpr Milliseconds kTick{150};
+constexpr Milliseconds kTick{100};
 /// Time for the daemons to hear that a model retires before it is unloaded.
-constexpr Milliseconds kRetireNotice{350};
+constexpr Milliseconds kRetireNotice{80};
 /// An engine that did not answer is asked again after this time.
 constexpr Milliseconds kReportPause{400};
 /// The values of a report are some hundred ms old.
@@ -159,9 +159,13 @@
         engine->check_at = now + kUnloadCheck;
         engine->report_at = now + kReportPause;
         this->changed = true;
-        if (!TakeReport(engine, report.value()))
+        const bool current = TakeReport(engine, report.value());
+        const bool unknown_order = engine->carrying_out &&
+                                   engine->loading.empty() &&
+                                   !engine->unload_sent;
+        if (!current || unknown_order)
           engine->check_at = now + kReportPause;
-        else
+        if (current)
           this->Step(engine, now);
       });
 }
@@ -176,7 +180,8 @@
       this->ReadReport(engine);
     return;
   }
-  const bool waiting = !engine->loading.empty() || engine->unload_sent;
+  const bool waiting =
+      engine->carrying_out || !engine->loading.empty() || engine->unload_sent;
   const bool announced =
       AnnouncesCompletion(*engine) && now >= engine->report_at;
   if (waiting && (announced || now >= engine->check_at)) {
--- a/src/orders/engine_state.cc
+++ b/src/orders/engine_state.cc
@@ -59,6 +59,7 @@
     return false;
   engine->known = true;
   engine->sequence = report.sequence;
+  engine->carrying_out = report.busy;
   engine->models.clear();
   engine->adapters.clear();
   for (const gateway::LoadedModel& model : report.models) {
@@ -114,10 +115,16 @@
   planned.adapter_memory_mb = AdapterMemory(engine, spec);
   planned.usable = !engine.endpoint->gone && !entry.draining;
   planned.busy = engine.Busy() || engine.calling;
-  planned.models = IndicesOf(spec, engine.models);
+  // Before the first report the announcement tells which copies there are.
+  std::set<std::string> models = engine.models;
+  if (!engine.known) {
+    for (const gateway::LoadedModel& announced : entry.models)
+      models.insert(announced.name);
+  }
+  planned.models = IndicesOf(spec, models);
   for (const std::string& coming : {engine.loading, engine.load_next}) {
     const int index = IndexOf(spec, coming);
-    if (index >= 0 && engine.models.count(coming) == 0)
+    if (index >= 0 && models.count(coming) == 0)
       planned.models.push_back(index);
   }
   const int leaving = IndexOf(spec, engine.unloading);
--- a/src/orders/engine_state.h
+++ b/src/orders/engine_state.h
@@ -29,8 +29,10 @@
 /// What the holder of the lease knows about an engine and does with it.
 struct EngineState {
   gateway::EndpointPtr endpoint;
-  bool known = false;    ///< A report was read, and no outcome is open since.
-  bool calling = false;  ///< An order or a report is on its way.
+  bool known = false;  ///< A report was read, and no outcome is open since.
+  /// Carries out an order, as reported; it may be one of another holder.
+  bool carrying_out = false;
+  bool calling = false;            ///< An order or a report is on its way.
   std::int64_t sequence = 0;       ///< Orders that the engine has accepted.
   std::set<std::string> models;    ///< Loaded, as reported.
   std::set<std::string> adapters;  ///< Loaded, as `model/adapter`.
@@ -44,7 +46,8 @@
   std::deque<AdapterJob> adapter_jobs;
 
   bool Busy() const {
-    return !this->known || !this->loading.empty() || !this->unloading.empty();
+    return !this->known || this->carrying_out || !this->loading.empty() ||
+           !this->unloading.empty();
   }
 };
 
--- a/src/orders/lease_keeper.cc
+++ b/src/orders/lease_keeper.cc
@@ -14,7 +14,15 @@
 constexpr char kLeaseName[] = "planner";
 constexpr Milliseconds kTick{250};
 /// Daemons that start together do not all create the lease.
-constexpr int kStartSpreadMs = 1500;
+constexpr int kStartSpreadMs = 600;
+/// While the store is away nobody can take the lease over, and a holder that
+/// was replaced unseen is refused by its fencing number.
+constexpr Milliseconds kOutageHolding{30'000};
+/// A call that takes longer counts as one without an answer.
+constexpr Milliseconds kLateAnswer{600};
+/// A process that did not run for longer may have been suspended and knows
+/// nothing of what happened meanwhile.
+constexpr Milliseconds kLongestPause{1000};
 /// Covers the time that an order is on its way.
 constexpr Milliseconds kOrderTravel{500};
 
@@ -31,15 +39,18 @@
 LeaseKeeper::LeaseKeeper(boost::asio::io_context* io,
                          const store::ObjectStore* object_store,
                          DecisionLog* decision_log,
-                         const std::string& daemon_name,
-                         Milliseconds gap)
+                         const std::string& own_vm,
+                         Milliseconds gap,
+                         bool fences_are_checked)
     : timer(*io),
       store(object_store),
       log(decision_log),
       random(std::random_device()()),
-      least_gap(gap) {
+      least_gap(gap),
+      engines_check_fences(fences_are_checked) {
+  this->lease.own_vm = own_vm + "/";
   // The name is new with each start of the process.
-  this->lease.self = daemon_name + "-" + RandomId().substr(0, 8);
+  this->lease.self = this->lease.own_vm + RandomId().substr(0, 8);
   this->lease.times.renewal = gap / 2;
   this->lease.times.observation = gap * 2 / 3;
   this->lease.times.send = gap * 5 / 6;
@@ -57,6 +68,9 @@
 
 void LeaseKeeper::Tick() {
   const TimePoint now = BootNow();
+  if (now - this->last_tick > kLongestPause)
+    this->outage_ends = TimePoint();
+  this->last_tick = now;
   this->NoteHolding(now);
   if (!this->calling && !this->released) {
     const LeaseStep step = NextLeaseStep(this->lease, now);
@@ -74,6 +88,7 @@
 
 void LeaseKeeper::Read() {
   this->calling = true;
+  this->call_began = BootNow();
   // An observation may be old: taking over is conditional on its revision.
   const auto freshness =
       this->lease.known ? store::Freshness::kStale : store::Freshness::kLatest;
@@ -81,6 +96,8 @@
       kLeaseKind, kLeaseName, freshness, [this](Result<store::Object> object) {
         this->calling = false;
         const TimePoint now = BootNow();
+        this->store_away =
+            !object && object.error().code != ErrorCode::kNotFound;
         if (object) {
           const Result<LeaseSpec> spec = ParseLease(object.value().spec.dump());
           OnLeaseRead(&this->lease, spec ? spec.value() : LeaseSpec{},
@@ -98,9 +115,11 @@
 void LeaseKeeper::Write(LeaseStep step) {
   this->calling = true;
   const TimePoint start = BootNow();
+  this->call_began = start;
   const LeaseSpec spec = NextLeaseSpec(this->lease, step);
-  const bool was_released =
-      step == LeaseStep::kTakeOver && this->lease.seen.holder.empty();
+  const bool was_released = step == LeaseStep::kTakeOver &&
+                            this->lease.seen.holder.empty() &&
+                            this->lease.resource_version != 0;
   auto done = [this, step, spec, start,
                was_released](const Result<store::Object>& written) {
     this->OnWritten(step, spec, written, start, was_released);
@@ -119,16 +138,17 @@
                             bool was_released) {
   this->calling = false;
   const TimePoint now = BootNow();
+  this->store_away = !written && written.error().code != ErrorCode::kConflict;
   if (!written) {
     OnLeaseWriteFailed(&this->lease, now);
     // A store that is away is not asked at every tick.
     this->lease.next_call = now + kTick * 2;
     return;
   }
-  if (this->released) {
+  if (this->released)
     return;
-  }
   OnLeaseWritten(&this->lease, spec, written.value().revision, start);
+  this->outage_ends = now + kOutageHolding;
   if (step != LeaseStep::kRenew)
     this->orders_from = was_released ? now + this->least_gap : now;
   this->NoteHolding(now);
@@ -149,19 +169,28 @@
                        });
 }
 
+bool LeaseKeeper::HoldsThroughOutage(TimePoint now) const {
+  const bool away = this->store_away ||
+                    (this->calling && now - this->call_began > kLateAnswer);
+  return this->engines_check_fences && this->lease.held && away &&
+         now < this->outage_ends && now - this->last_tick <= kLongestPause;
+}
+
 bool LeaseKeeper::MayOrder(TimePoint now) const {
-  return !this->released && MaySend(this->lease, now) &&
-         now >= this->orders_from;
+  return !this->released && now >= this->orders_from &&
+         (MaySend(this->lease, now) || this->HoldsThroughOutage(now));
 }
 
 void LeaseKeeper::OnFenced() {
   this->lease.held = false;
   this->lease.send_until = TimePoint();
   this->lease.known = false;
+  this->outage_ends = TimePoint();
 }
 
 void LeaseKeeper::NoteHolding(TimePoint now) {
-  const bool now_holding = MaySend(this->lease, now) && !this->released;
+  const bool now_holding = !this->released && (MaySend(this->lease, now) ||
+                                               this->HoldsThroughOutage(now));
   if (now_holding == this->holding)
     return;
   this->holding = now_holding;
--- a/src/orders/lease_keeper.h
+++ b/src/orders/lease_keeper.h
@@ -17,12 +17,14 @@
 /// so that a suspended holder finds its lease expired.
 class LeaseKeeper {
  public:
-  /// `least_gap` is the least time between the orders of two holders.
+  /// `own_vm` names this VM and address. `least_gap` is the least time between
+  /// the orders of two holders.
   LeaseKeeper(boost::asio::io_context* io,
               const store::ObjectStore* store,
               DecisionLog* log,
-              const std::string& daemon_name,
-              Milliseconds least_gap);
+              const std::string& own_vm,
+              Milliseconds least_gap,
+              bool engines_check_fences);
 
   void Start();
   /// Gives the lease up, so that another daemon can take it at once.
@@ -45,14 +47,21 @@
                  TimePoint start,
                  bool was_released);
   void NoteHolding(TimePoint now);
+  bool HoldsThroughOutage(TimePoint now) const;
 
   boost::asio::steady_timer timer;
   const store::ObjectStore* store;
   DecisionLog* log;
   std::minstd_rand random;
   Milliseconds least_gap;
+  /// Engines refuse the orders of a holder that was replaced.
+  bool engines_check_fences;
   Lease lease;
   TimePoint orders_from;  ///< A holder that was released may have just ordered.
+  TimePoint last_tick;
+  TimePoint call_began;
+  TimePoint outage_ends;    ///< Until then an outage does not end the holding.
+  bool store_away = false;  ///< The last call had no answer of the store.
   bool calling = false;
   bool released = false;
   bool holding = false;  ///< As logged last.
--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -26,6 +26,12 @@
   }
 }
 
+bool IsHeldByPredecessor(const Lease& lease) {
+  const std::string& holder = lease.seen.holder;
+  return !lease.own_vm.empty() && holder != lease.self &&
+         holder.compare(0, lease.own_vm.size(), lease.own_vm) == 0;
+}
+
 LeaseStep NextLeaseStep(const Lease& lease, TimePoint now) {
   if (!lease.known)
     return now >= lease.next_call ? LeaseStep::kRead : LeaseStep::kNone;
@@ -33,7 +39,7 @@
     return LeaseStep::kCreate;
   if (lease.held)
     return now >= lease.next_call ? LeaseStep::kRenew : LeaseStep::kNone;
-  if (lease.seen.holder.empty())
+  if (lease.seen.holder.empty() || IsHeldByPredecessor(lease))
     return LeaseStep::kTakeOver;
   if (now < lease.next_call)
     return LeaseStep::kNone;
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -43,6 +43,9 @@
 /// One daemon's view of the lease.
 struct Lease {
   std::string self;
+  /// Prefix of all holders on this VM; empty if none is known. Of these only
+  /// this process is alive, so that it need not wait for another to expire.
+  std::string own_vm;
   LeaseTimes times;
   LeaseSpec seen;
   std::int64_t resource_version = 0;  ///< 0 if the object does not exist.
@@ -55,6 +58,9 @@
 
 enum class LeaseStep { kNone, kRead, kCreate, kTakeOver, kRenew };
 
+/// Returns whether the lease is held by an earlier process of this VM.
+bool IsHeldByPredecessor(const Lease& lease);
+
 LeaseStep NextLeaseStep(const Lease& lease, TimePoint now);
 
 /// Returns the spec to write for kCreate, kTakeOver and kRenew.
