Gateway: Use kept connections as long as endpoints state

Change: up to seven tenths of the idle time that the endpoint states, eight tenths for requests that may be repeated; as before if it states none.

--- a/src/gateway/endpoint_connections.cc
+++ b/src/gateway/endpoint_connections.cc
@@ -14,21 +14,30 @@
 constexpr Milliseconds kFailureDetection{1500};
 /// Idle time allowed if the endpoint states none.
 constexpr Milliseconds kDefaultIdle{3000};
-constexpr Milliseconds kMostIdle{8000};
-constexpr Milliseconds kCarefulIdle{1000};
+constexpr Milliseconds kMostIdle{20'000};
+/// Without a stated time an endpoint may close at any moment.
+constexpr Milliseconds kDefaultCarefulIdle{1000};
 constexpr std::size_t kMostKept = 64;  ///< Per endpoint.
 
-/// Returns two thirds of the idle time that the endpoint states.
-Milliseconds AllowedIdle(const net::Fields& fields) {
+/// For how long a connection may be used after an answer.
+struct IdleTimes {
+  Milliseconds careful = kDefaultCarefulIdle;
+  Milliseconds usable = kDefaultIdle;
+};
+
+/// Stays clear of the moment at which the endpoint closes.
+IdleTimes AllowedIdle(const net::Fields& fields) {
   const std::string_view value = net::FieldValue(fields, "keep-alive");
   constexpr std::string_view kName = "timeout=";
   const std::size_t at = value.find(kName);
   if (at == std::string_view::npos)
-    return kDefaultIdle;
+    return {};
   int seconds = 0;
   const char* const begin = value.data() + at + kName.size();
   std::from_chars(begin, value.data() + value.size(), seconds);
-  return std::min(kMostIdle, Milliseconds(seconds * 1000 * 2 / 3));
+  const Milliseconds stated = std::chrono::seconds(seconds);
+  return {std::min(kMostIdle, stated * 7 / 10),
+          std::min(kMostIdle, stated * 8 / 10)};
 }
 
 }  // namespace
@@ -64,9 +73,10 @@
 void EndpointConnections::Keep(const std::string& endpoint_id,
                                std::shared_ptr<net::TcpStream> stream,
                                const net::ResponseHead& head) {
-  const Milliseconds idle = AllowedIdle(head.fields);
+  const IdleTimes idle = AllowedIdle(head.fields);
   std::vector<Kept>& list = this->kept[endpoint_id];
-  if (!stream->IsOpen() || idle.count() == 0 || list.size() >= kMostKept) {
+  if (!stream->IsOpen() || idle.usable.count() == 0 ||
+      list.size() >= kMostKept) {
     stream->Close();
     return;
   }
@@ -79,8 +89,7 @@
   };
   stream->Start(std::move(events));
   const TimePoint now = BootNow();
-  list.push_back(
-      {std::move(stream), now + std::min(idle, kCarefulIdle), now + idle});
+  list.push_back({std::move(stream), now + idle.careful, now + idle.usable});
 }
 
 void EndpointConnections::DropEndpoint(const std::string& endpoint_id) {
