--- a/src/orders/copy_plan.cc
+++ b/src/orders/copy_plan.cc
@@ -11,12 +11,9 @@
 constexpr double kMemoryLoadCost = 0.01;
 constexpr double kDiskLoadCost = 0.02;
 constexpr double kStoreLoadCost = 0.06;
-/// The time over which a copy has to pay; demand shifts every 10 to 20 s.
-constexpr double kHorizonS = 8;
-/// Longest wait for the runs on a model that is unloaded, and the demand per
-/// copy from which on it is that long.
-constexpr double kUnloadS = 4;
-constexpr double kBusyCopy = 0.3;
+/// What the unload of a model costs for each engine kept busy by its copy: the
+/// load has to wait for the runs on it.
+constexpr double kUnloadCost = 0.15;
 /// Demand assumed for every model, so that idle models are spread too.
 constexpr double kLeastDemand = 0.002;
 
@@ -113,38 +110,24 @@
   return CostWith(input, CountCopies(input));
 }
 
-/// Returns the time until the move is done.
-double DelayS(const CopyPlanInput& input,
-              const std::vector<int>& copies,
-              const CopyMove& move) {
-  double unload_s = 0;
-  for (const int model : move.unload) {
-    const double per_copy = input.models[model].demand / copies[model];
-    unload_s =
-        std::max(unload_s, kUnloadS * std::min(1.0, per_copy / kBusyCopy));
-  }
-  const PlannedModel& model = input.models[move.load];
-  switch (move.source) {
-    case WeightSource::kMemory:
-      return unload_s + model.memory_load_s;
-    case WeightSource::kDisk:
-      return unload_s + model.disk_load_s;
-    case WeightSource::kStore:
-      return unload_s + model.store_load_s;
-  }
-  return unload_s;
+double UnloadCost(const CopyPlanInput& input,
+                  const std::vector<int>& copies,
+                  const std::vector<int>& unload) {
+  double cost = 0;
+  for (const int model : unload)
+    cost += kUnloadCost * input.models[model].demand / copies[model];
+  return cost;
 }
 
 struct BestMove {
   std::optional<CopyMove> move;
-  double gain = std::numeric_limits<double>::lowest();
+  double cost = std::numeric_limits<double>::max();
 };
 
 void ConsiderModel(const CopyPlanInput& input,
                    const std::vector<int>& copies,
                    int model,
                    BestMove* best) {
-  const double present_cost = CostWith(input, copies);
   for (std::size_t i = 0; i < input.engines.size(); ++i) {
     const PlannedEngine& engine = input.engines[i];
     if (!CanTake(input, engine, model))
@@ -152,13 +135,11 @@
     for (auto& unload : WaysToMakeRoom(input, engine, copies, model)) {
       CopyMove move{static_cast<int>(i), model, unload,
                     SourceOf(engine, model)};
-      const double share =
-          std::max(0.05, 1 - DelayS(input, copies, move) / kHorizonS);
-      const double gain =
-          (present_cost - CostAfter(input, move)) * share - CostOf(move.source);
-      if (gain <= best->gain)
+      const double cost = CostAfter(input, move) + CostOf(move.source) +
+                          UnloadCost(input, copies, unload);
+      if (cost >= best->cost)
         continue;
-      best->gain = gain;
+      best->cost = cost;
       best->move = std::move(move);
     }
   }
@@ -205,7 +186,7 @@
       return best.move;
   }
   BestMove best;
-  best.gain = 0;
+  best.cost = LoadCost(input);
   for (const int model : BusiestModels(input, copies))
     ConsiderModel(input, copies, model, &best);
   return best.move;
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -221,11 +221,10 @@
     CopyPlanInput input;
     for (const gateway::EngineModel& model : service.engine->models) {
       constexpr double kMsPerS = 1000;
-      input.models.push_back(
-          {model.name, model.memory_mb,
-           FollowDemand(&this->trends[model.name],
-                        this->fleet->DemandFor(model.name, now) / kMsPerS, now),
-           model.store_load_s, model.disk_load_s, model.memory_load_s});
+      input.models.push_back({model.name, model.memory_mb,
+                              this->fleet->DemandFor(model.name, now) / kMsPerS,
+                              model.store_load_s, model.disk_load_s,
+                              model.memory_load_s});
     }
     bool all_known = true;
     for (const auto& [id, engine] : this->engines) {
--- a/src/orders/engine_orders.h
+++ b/src/orders/engine_orders.h
@@ -9,7 +9,6 @@
 #include "fleet/fleet.h"
 #include "gateway/gateway.h"
 #include "log/decision_log.h"
-#include "orders/demand_trend.h"
 #include "orders/engine_state.h"
 #include "orders/lease_keeper.h"
 #include "orders/order.h"
@@ -85,7 +84,6 @@
   EngineAccess access;
   StoreLoadLimit limit;
   std::map<std::string, EngineState> engines;  ///< By endpoint id.
-  std::map<std::string, DemandTrend> trends;   ///< By model.
   bool holding = false;
   TimePoint holding_since;
   double store_loads = 0;  ///< Allowed now.
