Fleet: Let a few daemons watch the store closely for the others

Change: three daemons that reach the store watch it linearizably and report the revision of new configurations and of leaving endpoints at once; the others list on that news and otherwise watch at the low price. A daemon without live peers watches closely itself.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -104,7 +104,10 @@
   for (const std::int32_t member : report.members)
     this->AddPeer(
         boost::asio::ip::address_v4(static_cast<std::uint32_t>(member)));
-  if (!TakeReport(&this->table, from, report, now) || !stranger)
+  const bool news = TakeReport(&this->table, from, report, now);
+  if (news && this->on_news)
+    this->on_news({report.config_revision, report.endpoints_revision, true});
+  if (!news || !stranger)
     return;
   // Tells a daemon that has just started whom else there is.
   gen::Report own = this->MakeReport(now);
@@ -265,10 +268,14 @@
     send();
 }
 
-void Fleet::AnnounceLeaving() {
+void Fleet::ReportNow() {
   this->SendReports();
 }
 
+bool Fleet::Lookout() const {
+  return IsLookout(this->table, this->own_address, this->Interval(), BootNow());
+}
+
 gen::Report Fleet::MakeReport(TimePoint now) {
   gen::Report report;
   report.incarnation = this->incarnation;
@@ -277,6 +284,9 @@
   report.config_version =
       this->gateway->routes ? this->gateway->routes->version : 0;
   report.lease_epoch = this->lease_epoch;
+  report.config_revision = this->news.config_revision;
+  report.endpoints_revision = this->news.endpoints_revision;
+  report.store_reachable = this->news.reachable;
   for (const gateway::EndpointPtr& endpoint : this->gateway->endpoint_list) {
     gen::EndpointWork work;
     work.endpoint = static_cast<std::int32_t>(endpoint->key);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -24,6 +24,13 @@
   std::vector<std::uint32_t> adapters;
 };
 
+/// Urgent changes seen in the store, as its revisions.
+struct StoreNews {
+  std::int64_t config_revision = 0;     ///< Of the newest configuration.
+  std::int64_t endpoints_revision = 0;  ///< When an endpoint last left.
+  bool reachable = false;
+};
+
 /// Called with the endpoint that has the adapter, or with 0 if none has.
 using AdapterDone = std::function<void(std::uint32_t endpoint)>;
 /// Loads an adapter; only at the holder of the lease.
@@ -52,8 +59,15 @@
                   const std::string& model,
                   const std::string& adapter,
                   std::function<void(bool)> done);
-  /// Tells the others at once that this daemon is leaving.
-  void AnnounceLeaving();
+  /// Sends a report at once, since something urgent has changed.
+  void ReportNow();
+
+  /// What this daemon has seen in the store; part of its reports.
+  StoreNews news;
+  /// Called when another daemon has seen more.
+  std::function<void(const StoreNews&)> on_news;
+  /// Returns whether this daemon watches the store closely for the others.
+  bool Lookout() const;
 
   /// Returns the demand for a model over all daemons, in engine ms a second.
   double DemandFor(const std::string& model, TimePoint now) const;
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -27,6 +27,9 @@
   6: list<EndpointWork> work
   7: list<ModelDemand> demand
   8: optional list<i32> members  // IPv4 addresses, after a report of a stranger.
+  9: i64 config_revision  // Of the store, at the newest configuration.
+  10: i64 endpoints_revision  // Of the store, when an endpoint last left.
+  11: bool store_reachable
 }
 
 // From the holder of the planner's lease.
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -362,6 +362,18 @@
   this->members = val;
 __isset.members = true;
 }
+
+void Report::__set_config_revision(const int64_t val) {
+  this->config_revision = val;
+}
+
+void Report::__set_endpoints_revision(const int64_t val) {
+  this->endpoints_revision = val;
+}
+
+void Report::__set_store_reachable(const bool val) {
+  this->store_reachable = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -490,6 +502,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->config_revision);
+          this->__isset.config_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endpoints_revision);
+          this->__isset.endpoints_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->store_reachable);
+          this->__isset.store_reachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -564,6 +600,18 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("config_revision", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->config_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoints_revision", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->endpoints_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("store_reachable", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->store_reachable);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -579,6 +627,9 @@
   swap(a.work, b.work);
   swap(a.demand, b.demand);
   swap(a.members, b.members);
+  swap(a.config_revision, b.config_revision);
+  swap(a.endpoints_revision, b.endpoints_revision);
+  swap(a.store_reachable, b.store_reachable);
   swap(a.__isset, b.__isset);
 }
 
@@ -591,6 +642,9 @@
   work = other26.work;
   demand = other26.demand;
   members = other26.members;
+  config_revision = other26.config_revision;
+  endpoints_revision = other26.endpoints_revision;
+  store_reachable = other26.store_reachable;
   __isset = other26.__isset;
 }
 Report::Report(Report&& other27) noexcept {
@@ -602,6 +656,9 @@
   work = std::move(other27.work);
   demand = std::move(other27.demand);
   members = std::move(other27.members);
+  config_revision = other27.config_revision;
+  endpoints_revision = other27.endpoints_revision;
+  store_reachable = other27.store_reachable;
   __isset = other27.__isset;
 }
 Report& Report::operator=(const Report& other28) {
@@ -613,6 +670,9 @@
   work = other28.work;
   demand = other28.demand;
   members = other28.members;
+  config_revision = other28.config_revision;
+  endpoints_revision = other28.endpoints_revision;
+  store_reachable = other28.store_reachable;
   __isset = other28.__isset;
   return *this;
 }
@@ -625,6 +685,9 @@
   work = std::move(other29.work);
   demand = std::move(other29.demand);
   members = std::move(other29.members);
+  config_revision = other29.config_revision;
+  endpoints_revision = other29.endpoints_revision;
+  store_reachable = other29.store_reachable;
   __isset = other29.__isset;
   return *this;
 }
@@ -639,6 +702,9 @@
   out << ", " << "work=" << to_string(work);
   out << ", " << "demand=" << to_string(demand);
   out << ", " << "members="; (__isset.members ? (out << to_string(members)) : (out << "<null>"));
+  out << ", " << "config_revision=" << to_string(config_revision);
+  out << ", " << "endpoints_revision=" << to_string(endpoints_revision);
+  out << ", " << "store_reachable=" << to_string(store_reachable);
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -163,7 +163,7 @@
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false) {}
+  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool leaving :1;
@@ -172,6 +172,9 @@
   bool work :1;
   bool demand :1;
   bool members :1;
+  bool config_revision :1;
+  bool endpoints_revision :1;
+  bool store_reachable :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -186,7 +189,10 @@
            sequence(0),
            leaving(0),
            config_version(0),
-           lease_epoch(0) {
+           lease_epoch(0),
+           config_revision(0),
+           endpoints_revision(0),
+           store_reachable(0) {
   }
 
   virtual ~Report() noexcept;
@@ -198,6 +204,9 @@
   std::vector<EndpointWork>  work;
   std::vector<ModelDemand>  demand;
   std::vector<int32_t>  members;
+  int64_t config_revision;
+  int64_t endpoints_revision;
+  bool store_reachable;
 
   _Report__isset __isset;
 
@@ -217,6 +226,12 @@
 
   void __set_members(const std::vector<int32_t> & val);
 
+  void __set_config_revision(const int64_t val);
+
+  void __set_endpoints_revision(const int64_t val);
+
+  void __set_store_reachable(const bool val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -237,6 +252,12 @@
       return false;
     else if (__isset.members && !(members == rhs.members))
       return false;
+    if (!(config_revision == rhs.config_revision))
+      return false;
+    if (!(endpoints_revision == rhs.endpoints_revision))
+      return false;
+    if (!(store_reachable == rhs.store_reachable))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -37,6 +37,22 @@
   return count;
 }
 
+bool IsLookout(const MemberTable& table,
+               std::uint32_t own_address,
+               Milliseconds report_interval,
+               TimePoint now) {
+  constexpr int kLookouts = 3;
+  constexpr int kMissedReports = 5;
+  int before = 0;
+  for (const auto& [address, member] : table.members) {
+    const bool counts = member.heard != TimePoint() &&
+                        now - member.heard < report_interval * kMissedReports &&
+                        member.report.store_reachable && !member.report.leaving;
+    before += counts && address < own_address ? 1 : 0;
+  }
+  return before < kLookouts;
+}
+
 std::uint32_t FindHolder(const MemberTable& table, TimePoint now) {
   std::uint32_t holder = 0;
   std::int64_t highest = 0;
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -36,31 +36,62 @@
 
 void KindFollower::List() {
   this->store->list(this->kind, Freshness::kLatest,
-                    [this](Result<Listing> listing) {
+                    [this](const Result<Listing>& listing) {
                       if (!listing) {
                         this->OnFailure(listing.error());
                         return;
                       }
                       this->SetReachable(true);
-                      this->revision = listing.value().revision;
-                      this->events.on_listing(listing.value());
+                      this->OnListing(listing.value());
                       this->Later(kWatchPause, &KindFollower::Watch);
                     });
 }
 
+void KindFollower::OnListing(const Listing& listing) {
+  if (listing.revision < this->revision)
+    return;
+  this->revision = listing.revision;
+  this->events.on_listing(listing);
+}
+
+void KindFollower::CatchUp(std::int64_t known_revision) {
+  if (known_revision <= std::max(this->revision, this->catching_up_to))
+    return;
+  this->catching_up_to = known_revision;
+  this->store->list(this->kind, Freshness::kLatest,
+                    [this](const Result<Listing>& listing) {
+                      this->catching_up_to = 0;
+                      if (listing)
+                        this->OnListing(listing.value());
+                    });
+}
+
 void KindFollower::Watch() {
-  this->store->watch(
-      this->kind, this->revision, kWatchWait, [this](Result<Changes> changes) {
-        if (!changes) {
-          this->OnFailure(changes.error());
-          return;
-        }
-        this->SetReachable(true);
-        this->revision = std::max(this->revision, changes.value().revision);
-        if (!changes.value().changes.empty())
-          this->events.on_changes(changes.value());
-        this->Later(kWatchPause, &KindFollower::Watch);
+  this->store->watch(this->kind, this->revision, kWatchWait, this->freshness,
+                     [this](Result<Changes> changes) {
+                       if (!changes) {
+                         this->OnFailure(changes.error());
+                         return;
+                       }
+                       this->SetReachable(true);
+                       this->OnChanges(std::move(changes).value());
+                       this->Later(kWatchPause, &KindFollower::Watch);
+                     });
+}
+
+void KindFollower::OnChanges(Changes changes) {
+  // A listing may have overtaken the watch.
+  if (changes.revision <= this->revision)
+    return;
+  const auto known = std::remove_if(
+      changes.changes.begin(), changes.changes.end(),
+      [this](const Change& change) {
+        return !change.deleted && change.object.revision <= this->revision;
       });
+  changes.changes.erase(known, changes.changes.end());
+  this->revision = changes.revision;
+  if (!changes.changes.empty())
+    this->events.on_changes(changes);
 }
 
 void KindFollower::OnFailure(const Error& error) {
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -23,7 +23,8 @@
 };
 
 /// Keeps up with the objects of one kind: lists them, then watches, and lists
-/// again when the history is gone or after the store was away.
+/// again when the history is gone or after the store was away. A follower that
+/// others tell of urgent changes may watch at little cost, see SetFreshness().
 class KindFollower {
  public:
   KindFollower(boost::asio::io_context* io,
@@ -34,9 +35,18 @@
 
   void Start();
 
+  /// Applies to the next watch. One that may be late relies on CatchUp().
+  void SetFreshness(Freshness wanted) { this->freshness = wanted; }
+  /// Lists at once what has changed up to `known_revision`, if that is news.
+  void CatchUp(std::int64_t known_revision);
+  std::int64_t Revision() const { return this->revision; }
+  bool Reachable() const { return this->reachable; }
+
  private:
   void List();
+  void OnListing(const Listing& listing);
   void Watch();
+  void OnChanges(Changes changes);
   void OnFailure(const Error& error);
   void Later(Milliseconds pause, void (KindFollower::*step)());
   void SetReachable(bool now_reachable);
@@ -47,8 +57,10 @@
   DecisionLog* log;
   FollowerEvents events;
   std::minstd_rand random;
+  Freshness freshness = Freshness::kLatest;
   std::int64_t revision = 0;
-  int failures = 0;  ///< In a row.
+  std::int64_t catching_up_to = 0;  ///< Asked for and not yet answered.
+  int failures = 0;                 ///< In a row.
   bool reachable = false;
 };
 
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -51,6 +51,7 @@
   std::function<void(const std::string& kind,
                      std::int64_t revision,
                      Milliseconds wait,
+                     Freshness,
                      Handler<Changes>)>
       watch;
   std::function<void(const std::string& kind,
