--- a/cmake/gateway_only.cmake
+++ b/cmake/gateway_only.cmake
@@ -10,6 +10,8 @@
   /usr/include/easylogging++.cc)
 set_source_files_properties(src/fleet/gen/fleet_types.cpp PROPERTIES COMPILE_OPTIONS -w)
 set_source_files_properties(/usr/include/easylogging++.cc PROPERTIES COMPILE_OPTIONS -w)
+# g++ 12 reports moved-from members of optimised code.
+target_compile_options(coltsfootvane PRIVATE -Wno-error=maybe-uninitialized)
 target_compile_definitions(coltsfootvane PRIVATE COLTSFOOTVANE_GATEWAY_ONLY
   COLTSFOOTVANE_VERSION="${PROJECT_VERSION}")
 target_link_libraries(coltsfootvane PRIVATE project_options Threads::Threads
--- /dev/null
+++ b/src/fleet/member_table_unittest.cc
@@ -0,0 +1,124 @@
+#include "fleet/member_table.h"
+
+#include "fleet/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using fleet::MemberTable;
+
+namespace {
+
+constexpr TimePoint kNow{Milliseconds(5'000'000)};
+constexpr Milliseconds kInterval{250};
+
+fleet::gen::Report Report(std::int64_t incarnation, std::int64_t sequence) {
+  fleet::gen::Report report;
+  report.incarnation = incarnation;
+  report.sequence = sequence;
+  report.store_reachable = true;
+  return report;
+}
+
+}  // namespace
+
+TEST_GROUP(MemberTable){};
+
+TEST(MemberTable, OldReportsOfAProcessAreIgnored) {
+  struct Row {
+    const char* name;
+    std::int64_t incarnation;
+    std::int64_t sequence;
+    bool taken;
+  };
+  const Row rows[] = {{"next", 1, 6, true},
+                      {"repeated", 1, 5, false},
+                      {"overtaken", 1, 4, false},
+                      {"of a new process", 2, 1, true}};
+  for (const Row& row : rows) {
+    MemberTable table;
+    CHECK(TakeReport(&table, 7, Report(1, 5), kNow));
+    CHECK_EQUAL_TEXT(
+        row.taken,
+        TakeReport(&table, 7, Report(row.incarnation, row.sequence), kNow),
+        row.name);
+  }
+}
+
+TEST(MemberTable, SilentAndLeavingMembersDoNotCount) {
+  MemberTable table;
+  TakeReport(&table, 1, Report(1, 1), kNow);
+  fleet::gen::Report leaving = Report(1, 1);
+  leaving.leaving = true;
+  TakeReport(&table, 2, leaving, kNow);
+  table.members.try_emplace(3);  // Known, never heard.
+  LONGS_EQUAL(1, CountLive(table, kNow));
+  LONGS_EQUAL(0, CountLive(table, kNow + fleet::kMemberTimeout));
+  ForgetSilent(&table, kNow + fleet::kMemberForgotten + kInterval);
+  LONGS_EQUAL(1, table.members.size());
+}
+
+/// Whoever reaches the store watches it for the others; when those in front
+/// fall silent or lose the store, the next ones do.
+TEST(MemberTable, LookoutsAreTheFirstThatReachTheStore) {
+  MemberTable table;
+  for (std::uint32_t address = 1; address <= 5; ++address)
+    TakeReport(&table, address, Report(1, 1), kNow);
+  CHECK(IsLookout(table, 3, kInterval, kNow));
+  CHECK_FALSE(IsLookout(table, 4, kInterval, kNow));
+  fleet::gen::Report without_store = Report(1, 2);
+  without_store.store_reachable = false;
+  TakeReport(&table, 1, without_store, kNow);
+  CHECK(IsLookout(table, 4, kInterval, kNow));
+  CHECK_FALSE(IsLookout(table, 5, kInterval, kNow));
+  CHECK(IsLookout(table, 5, kInterval, kNow + kInterval * 6));
+  CHECK(IsLookout(MemberTable(), 9, kInterval, kNow));
+}
+
+TEST(MemberTable, WorkIsAddedUpOverLiveMembers) {
+  MemberTable table;
+  auto endpoint = std::make_shared<gateway::Endpoint>();
+  endpoint->key = gateway::KeyOf("e1");
+  fleet::gen::EndpointWork work;
+  work.endpoint = static_cast<std::int32_t>(endpoint->key);
+  work.running = 3;
+  work.prompt_tokens = 500;
+  work.bad = 1;
+  for (std::uint32_t address = 1; address <= 2; ++address) {
+    fleet::gen::Report report = Report(1, 1);
+    report.work = {work};
+    TakeReport(&table, address, report, kNow + kInterval * address);
+  }
+  SumWork(table, {endpoint}, kNow + kInterval * 2);
+  LONGS_EQUAL(6, endpoint->peers.running);
+  LONGS_EQUAL(1000, endpoint->peers.prompt_tokens);
+  LONGS_EQUAL(2, endpoint->peers_bad);
+  SumWork(table, {endpoint}, kNow + kInterval + fleet::kMemberTimeout);
+  LONGS_EQUAL(3, endpoint->peers.running);
+}
+
+TEST(MemberTable, HolderIsTheLiveMemberWithTheHighestEpoch) {
+  MemberTable table;
+  fleet::gen::Report before = Report(1, 1);
+  before.lease_epoch = 4;
+  fleet::gen::Report after = Report(1, 1);
+  after.lease_epoch = 5;
+  TakeReport(&table, 1, before, kNow + kInterval);
+  TakeReport(&table, 2, after, kNow);
+  LONGS_EQUAL(2, FindHolder(table, kNow));
+  LONGS_EQUAL(1, FindHolder(table, kNow + fleet::kMemberTimeout));
+}
+
+/// Bytes from the network never end the process.
+TEST(MemberTable, DatagramsThatAreNoneAreRejected) {
+  fleet::gen::Datagram datagram;
+  datagram.__set_report(Report(3, 9));
+  const std::string bytes = fleet::Encode(datagram);
+  const auto decoded = fleet::Decode(bytes);
+  CHECK(decoded.has_value());
+  LONGS_EQUAL(9, decoded.value().report.sequence);
+  for (std::size_t length = 0; length < bytes.size(); ++length)
+    CHECK_FALSE(
+        fleet::Decode(std::string_view(bytes).substr(0, length)).has_value());
+  CHECK_FALSE(fleet::Decode(std::string(64, '\x7f')).has_value());
+}
--- /dev/null
+++ b/src/gateway/admission_unittest.cc
@@ -0,0 +1,43 @@
+#include "gateway/admission.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+
+TEST_GROUP(Admission){};
+
+/// Load pattern: a flood, in which the queue outlasts what callers wait for.
+TEST(Admission, RefusesWhatWouldStartTooLate) {
+  struct Row {
+    const char* name;
+    int target_ms;
+    double wait_ms;
+    int left_ms;
+    bool admitted;
+  };
+  const Row rows[] = {
+      {"idle", 250, 20, 12000, true},
+      {"a little late", 250, 800, 12000, true},
+      {"far beyond the objective", 250, 1200, 12000, false},
+      {"patient work waits longer", 6000, 1200, 20000, true},
+      {"no time to complete", 6000, 1200, 2000, false},
+  };
+  for (const Row& row : rows) {
+    gateway::Route route;
+    route.target_latency = Milliseconds(row.target_ms);
+    const auto admission = Admit(route, row.wait_ms, Milliseconds(row.left_ms));
+    CHECK_EQUAL_TEXT(row.admitted, admission.admitted, row.name);
+    CHECK_EQUAL_TEXT(row.admitted, admission.retry_after.count() == 0,
+                     row.name);
+  }
+}
+
+TEST(Admission, RetryAfterIsWhenTheQueueHasRoomAgain) {
+  gateway::Route route;
+  route.target_latency = Milliseconds(200);
+  LONGS_EQUAL(1900,
+              Admit(route, 2000, Milliseconds(12000)).retry_after.count());
+  gateway::EngineModel model;
+  model.store_load_s = 2.5;
+  LONGS_EQUAL(2500, RetryAfterLoad(&model).count());
+}
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -13,9 +13,9 @@
 using BoostError = boost::system::error_code;
 
 /// Input of a next request that is kept while one is in progress.
-constexpr std::size_t kMostInput = 64 * 1024;
+constexpr std::size_t kMostInput = 64UL * 1024;
 /// Answer bytes kept for a caller that reads slowly.
-constexpr std::size_t kMostUnsent = 64 * 1024;
+constexpr std::size_t kMostUnsent = 64UL * 1024;
 
 net::MessageParser NewParser(const Gateway& gateway) {
   net::ParseLimits limits;
--- /dev/null
+++ b/src/gateway/choice_unittest.cc
@@ -0,0 +1,174 @@
+#include "gateway/choice.h"
+
+#include <random>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using gateway::ChoiceVerdict;
+using gateway::EndpointPtr;
+
+namespace {
+
+struct Fleet {
+  std::vector<EndpointPtr> endpoints;
+  gateway::EngineSpec engine;
+  gateway::RequestInfo request;
+  std::set<std::string> excluded;
+  TimePoint now{Milliseconds(1'000'000)};
+
+  Fleet() {
+    this->engine.slots = 64;
+    this->request.model = "m";
+    this->request.prompt_tokens = 800;
+    this->request.prompt = {{1, 100}, {2, 100}, {3, 600}};
+  }
+
+  EndpointPtr Add(const char* id, const char* model = "m") {
+    auto endpoint = std::make_shared<gateway::Endpoint>();
+    endpoint->entry.id = id;
+    endpoint->entry.service = "s";
+    endpoint->entry.data_centre = "dc";
+    endpoint->entry.models = {{model, {}}};
+    endpoint->key = gateway::KeyOf(id);
+    this->endpoints.push_back(endpoint);
+    return endpoint;
+  }
+
+  gateway::Choice Choose(std::uint64_t noise = 1) const {
+    gateway::ChoiceInput input;
+    input.service = "s";
+    input.engine = &this->engine;
+    input.request = &this->request;
+    input.data_centre = "dc";
+    input.excluded = &this->excluded;
+    input.now = this->now;
+    input.noise = noise;
+    return ChooseEndpoint(this->endpoints, input);
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(Choice){};
+
+TEST(Choice, EndpointsThatMayNotBeUsedAreNeverChosen) {
+  struct Row {
+    const char* name;
+    void (*change)(Fleet*, gateway::Endpoint*);
+    ChoiceVerdict verdict;
+  };
+  const Row rows[] = {
+      {"draining",
+       [](Fleet*, gateway::Endpoint* e) { e->entry.draining = true; },
+       ChoiceVerdict::kNoEndpoint},
+      {"gone", [](Fleet*, gateway::Endpoint* e) { e->gone = true; },
+       ChoiceVerdict::kNoEndpoint},
+      {"of another service",
+       [](Fleet*, gateway::Endpoint* e) { e->entry.service = "t"; },
+       ChoiceVerdict::kNoEndpoint},
+      {"tried before",
+       [](Fleet* f, gateway::Endpoint* e) { f->excluded.insert(e->entry.id); },
+       ChoiceVerdict::kNoEndpoint},
+      {"without the model",
+       [](Fleet*, gateway::Endpoint* e) { e->entry.models.clear(); },
+       ChoiceVerdict::kNoModel},
+      {"about to unload the model",
+       [](Fleet*, gateway::Endpoint* e) {
+         e->retiring.insert(gateway::KeyOf("m"));
+       },
+       ChoiceVerdict::kNoModel},
+      {"has just refused the model",
+       [](Fleet* f, gateway::Endpoint* e) {
+         e->absent_until["m"] = f->now + Milliseconds(1);
+       },
+       ChoiceVerdict::kNoModel},
+      {"without the adapter",
+       [](Fleet* f, gateway::Endpoint*) { f->request.adapter = "a1"; },
+       ChoiceVerdict::kNoAdapter},
+      {"with the adapter",
+       [](Fleet* f, gateway::Endpoint* e) {
+         f->request.adapter = "a1";
+         e->adapters.insert(gateway::KeyOf("m/a1"));
+       },
+       ChoiceVerdict::kChosen},
+      {"suspect, but the only one",
+       [](Fleet* f, gateway::Endpoint* e) {
+         e->suspect_until = f->now + Milliseconds(1000);
+       },
+       ChoiceVerdict::kChosen},
+  };
+  for (const Row& row : rows) {
+    Fleet fleet;
+    const EndpointPtr endpoint = fleet.Add("e1");
+    row.change(&fleet, endpoint.get());
+    CHECK_TEXT(row.verdict == fleet.Choose().verdict, row.name);
+  }
+}
+
+/// Load pattern: one engine is behind, by prompts to read, by requests beyond
+/// its slots, or by failures.
+TEST(Choice, AvoidsTheEngineThatIsBehind) {
+  struct Row {
+    const char* name;
+    void (*change)(Fleet*, gateway::Endpoint*);
+  };
+  const Row rows[] = {
+      {"prompts of this daemon",
+       [](Fleet*, gateway::Endpoint* e) { e->own.prompt_tokens = 5000; }},
+      {"prompts of other daemons",
+       [](Fleet*, gateway::Endpoint* e) { e->peers.prompt_tokens = 5000; }},
+      {"all slots taken",
+       [](Fleet*, gateway::Endpoint* e) { e->peers.running = 70; }},
+      {"suspect",
+       [](Fleet* f, gateway::Endpoint* e) {
+         e->suspect_until = f->now + Milliseconds(1000);
+       }},
+      {"failing for other daemons",
+       [](Fleet*, gateway::Endpoint* e) { e->peers_bad = 5; }},
+  };
+  for (const Row& row : rows) {
+    for (std::uint64_t noise = 1; noise < 50; ++noise) {
+      Fleet fleet;
+      const EndpointPtr behind = fleet.Add("e1");
+      const EndpointPtr other = fleet.Add("e2");
+      row.change(&fleet, behind.get());
+      CHECK_TEXT(fleet.Choose(noise).endpoint == other, row.name);
+    }
+  }
+}
+
+/// Load pattern: many requests share a prompt; where the loads are equal they
+/// meet at one engine, whatever daemon sends them.
+TEST(Choice, SharedPromptsMeetAtOneEngine) {
+  Fleet fleet;
+  fleet.request.prompt = {{1, 100}, {2, 600}, {3, 100}};
+  for (const char* id : {"e1", "e2", "e3", "e4"})
+    fleet.Add(id);
+  const EndpointPtr first = fleet.Choose(1).endpoint;
+  for (std::uint64_t noise = 2; noise < 50; ++noise)
+    CHECK(fleet.Choose(noise).endpoint == first);
+}
+
+/// The naive version looks at the expected wait alone. Without failures and at
+/// one data centre the choice is never worse by more than the noise.
+TEST(Choice, IsAsGoodAsTheNaiveVersionOnWait) {
+  std::mt19937_64 random(20261204);
+  for (int round = 0; round < 500; ++round) {
+    Fleet fleet;
+    for (const char* id : {"e1", "e2", "e3", "e4", "e5"}) {
+      const EndpointPtr endpoint = fleet.Add(id);
+      endpoint->own.prompt_tokens = static_cast<int>(random() % 20'000);
+      endpoint->peers.running = static_cast<int>(random() % 90);
+    }
+    double least = 1e9;
+    for (const EndpointPtr& endpoint : fleet.endpoints) {
+      least =
+          std::min(least, ExpectedWaitMs(*endpoint, &fleet.engine,
+                                         TokensToRead(fleet.request, false)));
+    }
+    constexpr double kNoiseMs = 3;
+    CHECK(fleet.Choose(random()).wait_ms <= least + kNoiseMs);
+  }
+}
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -231,6 +231,10 @@
     options.urgency = std::clamp(this->route->rank, 0, 9);
   options.resume_after =
       this->last_event ? this->last_event : this->info.resume_after;
+  if (this->forwarding)
+    this->Log(kStreamResumed,
+              "endpoint=" + this->endpoint->entry.id +
+                  " after=" + std::to_string(this->last_event.value_or(0)));
   net::RequestHead sent =
       this->gateway->wire->endpoint_request(this->head, options);
   if (!this->body.empty() || this->head.method == "POST" ||
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -75,7 +75,7 @@
   void OnEnd(net::StreamEnd end);
   void ReadAnswer();
   bool ReadHead();
-  void ForwardBody(std::string bytes);
+  void ForwardBody(const std::string& bytes);
   void ForwardEvents();
   void OnAnswerDone();
   void OnWholeAnswer();
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -9,8 +9,8 @@
 namespace {
 
 /// Longer answers are forwarded as they arrive.
-constexpr std::size_t kMostWholeBody = 256 * 1024;
-constexpr std::size_t kMostEventBytes = 1024 * 1024;
+constexpr std::size_t kMostWholeBody = 256UL * 1024;
+constexpr std::size_t kMostEventBytes = 1024UL * 1024;
 constexpr Milliseconds kModelAbsence{1500};
 
 bool IsSuccess(int status) {
@@ -66,10 +66,10 @@
       return;
     if (this->attempt != current || this->finished)
       return;
-    std::string bytes = this->parser->TakeBody();
+    const std::string bytes = this->parser->TakeBody();
     const bool done = this->parser->Done();
     if (!bytes.empty())
-      this->ForwardBody(std::move(bytes));
+      this->ForwardBody(bytes);
     if (this->attempt != current || this->finished)
       return;
     if (!done)
@@ -129,7 +129,7 @@
   return !PromisesNotRun(this->answer.status);
 }
 
-void Exchange::ForwardBody(std::string bytes) {
+void Exchange::ForwardBody(const std::string& bytes) {
   switch (this->mode) {
     case Mode::kSkipped:
       return;
--- /dev/null
+++ b/src/gateway/exchange_unittest.cc
@@ -0,0 +1,445 @@
+#include <string>
+#include <vector>
+
+#include "support/gateway_scene.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using testing::GatewayScene;
+using testing::ScriptedAnswer;
+using Then = ScriptedAnswer::Then;
+
+namespace {
+
+const std::string kProof = "Request-Id: id1\r\nServer-Signature: p\r\n";
+
+std::string Request(const std::string& path, const std::string& more = "") {
+  return "POST " + path +
+         "x HTTP/1.1\r\nHost: h\r\nRequest-Id: id1\r\nDeadline-Ms: 2000\r\n"
+         "Connection: close\r\nContent-Length: 2\r\n" +
+         more + "\r\nhi";
+}
+
+std::string Whole(const std::string& status,
+                  const std::string& fields,
+                  const std::string& body) {
+  return "HTTP/1.1 " + status + "\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string Chunk(const std::string& bytes) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+const std::string kEvents =
+    "HTTP/1.1 200 OK\r\n" + kProof +
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string EventOf(int id) {
+  return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
+         "\n\n";
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+struct Row {
+  const char* name;
+  const char* path;
+  std::vector<ScriptedAnswer> answers;
+  const char* status;
+  const char* contains;  ///< In the answer.
+  std::size_t sends;     ///< Requests that reached endpoints.
+  bool complete;         ///< The answer is framed as complete.
+};
+
+bool IsComplete(const std::string& answer) {
+  if (Has(answer, "Transfer-Encoding: chunked"))
+    return Has(answer, "\r\n0\r\n\r\n");
+  const std::size_t at = answer.find("Content-Length: ");
+  const std::size_t body = answer.find("\r\n\r\n");
+  if (at == std::string::npos || body == std::string::npos)
+    return false;
+  return answer.size() - body - 4 == std::stoul(answer.substr(at + 16));
+}
+
+void RunRows(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    scene.AddEndpoint("e2");
+    scene.answers = row.answers;
+    const std::string answer = scene.Call(Request(row.path));
+    const std::string context = std::string(row.name) + ": " + answer;
+    CHECK_TEXT(Has(answer, std::string("HTTP/1.1 ") + row.status),
+               context.c_str());
+    CHECK_TEXT(Has(answer, row.contains), context.c_str());
+    LONGS_EQUAL_TEXT(row.sends, scene.received.size(), row.name);
+    CHECK_EQUAL_TEXT(row.complete, IsComplete(answer), context.c_str());
+    LONGS_EQUAL_TEXT(0, scene.gateway.exchanges, row.name);
+    for (const auto& endpoint : scene.gateway.endpoint_list) {
+      LONGS_EQUAL_TEXT(0, endpoint->own.running, row.name);
+      LONGS_EQUAL_TEXT(0, endpoint->own.prompt_tokens, row.name);
+    }
+  }
+}
+
+const std::string kNotRun =
+    Whole("503 Busy", "Request-Id: id1\r\nNot-Executed: 1\r\n", "");
+const std::string kOk = Whole("200 OK", kProof, "done");
+
+}  // namespace
+
+TEST_GROUP(Exchange){};
+
+/// Calls that may run once: after a byte has been read, only a statement that
+/// it has not run allows another send or a refusal.
+TEST(Exchange, UnsafeCallsRunAtMostOnce) {
+  RunRows({
+      {"answered", "/unsafe/", {{kOk}}, "200", "done", 1, true},
+      {"its own failure",
+       "/unsafe/",
+       {{Whole("500 Failed", kProof, "why")}},
+       "500",
+       "why",
+       1,
+       true},
+      {"not run, then answered",
+       "/unsafe/",
+       {{kNotRun}, {kOk}},
+       "200",
+       "done",
+       2,
+       true},
+      {"not run anywhere",
+       "/unsafe/",
+       {{kNotRun}, {kNotRun}},
+       "503",
+       "Retry-After: ",
+       2,
+       true},
+      {"another process has the address",
+       "/unsafe/",
+       {{Whole("421 Misdirected", "Instance-Id: other\r\n", "")}, {kOk}},
+       "200",
+       "done",
+       2,
+       true},
+      {"a 503 that does not say so",
+       "/unsafe/",
+       {{Whole("503 Busy", kProof, "")}},
+       "502",
+       "",
+       1,
+       true},
+      {"connection closed",
+       "/unsafe/",
+       {{"", Then::kClose}},
+       "502",
+       "",
+       1,
+       true},
+      {"connection reset",
+       "/unsafe/",
+       {{"", Then::kReset}},
+       "502",
+       "",
+       1,
+       true},
+      {"answer cut",
+       "/unsafe/",
+       {{"HTTP/1.1 200 OK\r\n" + kProof + "Content-Length: 9\r\n\r\nhalf",
+         Then::kClose}},
+       "502",
+       "",
+       1,
+       true},
+      {"bytes that are no answer",
+       "/unsafe/",
+       {{"nonsense\r\n\r\n"}},
+       "502",
+       "",
+       1,
+       true},
+      {"success without proof",
+       "/unsafe/",
+       {{Whole("200 OK", "Request-Id: id1\r\n", "x")}},
+       "502",
+       "",
+       1,
+       true},
+      {"encoded body",
+       "/unsafe/",
+       {{Whole("200 OK", kProof + "Content-Encoding: gzip\r\n", "x")}},
+       "502",
+       "",
+       1,
+       true},
+      {"silence until the timeout of the route",
+       "/unsafe/",
+       {},
+       "504",
+       "",
+       1,
+       true},
+      {"no length, clean end",
+       "/unsafe/",
+       {{"HTTP/1.1 200 OK\r\n" + kProof + "\r\nbody", Then::kClose}},
+       "200",
+       "body",
+       1,
+       true},
+      {"no length, reset",
+       "/unsafe/",
+       {{"HTTP/1.1 200 OK\r\n" + kProof + "\r\nbody", Then::kReset}},
+       "502",
+       "",
+       1,
+       true},
+  });
+}
+
+/// Calls that may be repeated go to another endpoint after any failure.
+TEST(Exchange, SafeCallsAreRepeatedElsewhere) {
+  RunRows({
+      {"connection closed",
+       "/safe/",
+       {{"", Then::kClose}, {kOk}},
+       "200",
+       "done",
+       2,
+       true},
+      {"a failure of the endpoint",
+       "/safe/",
+       {{Whole("500 Failed", kProof, "")}, {kOk}},
+       "200",
+       "done",
+       2,
+       true},
+      {"the last failure is passed on",
+       "/safe/",
+       {{Whole("500 Failed", kProof, "first")},
+        {Whole("500 Failed", kProof, "second")}},
+       "500",
+       "second",
+       2,
+       true},
+      {"success without proof",
+       "/safe/",
+       {{Whole("200 OK", "Request-Id: id1\r\n", "x")}, {kOk}},
+       "200",
+       "done",
+       2,
+       true},
+  });
+}
+
+/// Endpoints send answers late, crossed or twice.
+TEST(Exchange, AnswersOfOtherRequestsAreSkipped) {
+  const std::string other =
+      Whole("200 OK", "Request-Id: other\r\nServer-Signature: p\r\n", "wrong");
+  RunRows({
+      {"a late answer first",
+       "/unsafe/",
+       {{other + kOk}},
+       "200",
+       "done",
+       1,
+       true},
+      {"an interim answer first",
+       "/unsafe/",
+       {{"HTTP/1.1 100 Continue\r\n\r\n" + kOk}},
+       "200",
+       "done",
+       1,
+       true},
+      {"a second answer after it",
+       "/unsafe/",
+       {{kOk + other}},
+       "200",
+       "done",
+       1,
+       true},
+      {"only the other answer",
+       "/unsafe/",
+       {{other, Then::kClose}},
+       "502",
+       "",
+       1,
+       true},
+  });
+}
+
+TEST(Exchange, StreamsForwardWholeEventsInOrder) {
+  RunRows({
+      {"whole",
+       "/stream/",
+       {{kEvents + Chunk(EventOf(1) + "id: 2\nda") + Chunk("ta: e2\n\n") +
+         "0\r\n\r\n"}},
+       "200",
+       "data: e2",
+       1,
+       true},
+      {"an event twice",
+       "/stream/",
+       {{kEvents + Chunk(EventOf(1) + EventOf(1) + EventOf(2)) + "0\r\n\r\n"}},
+       "200",
+       "data: e2",
+       1,
+       true},
+      {"cut between events",
+       "/stream/",
+       {{kEvents + Chunk(EventOf(1)), Then::kClose}},
+       "200",
+       "data: e1",
+       1,
+       false},
+      {"ends within an event",
+       "/stream/",
+       {{kEvents + Chunk(EventOf(1) + "id: 2\nda") + "0\r\n\r\n"}},
+       "200",
+       "data: e1",
+       1,
+       false},
+      {"cut before the first event",
+       "/stream/",
+       {{kEvents, Then::kClose}},
+       "502",
+       "",
+       1,
+       true},
+      {"resumed elsewhere",
+       "/resume/",
+       {{kEvents + Chunk(EventOf(1) + "id: 2"), Then::kClose},
+        {kEvents + Chunk(EventOf(2) + EventOf(3)) + "0\r\n\r\n"}},
+       "200",
+       "data: e1\n\n",
+       2,
+       true},
+      {"cut again",
+       "/resume/",
+       {{kEvents + Chunk(EventOf(1)), Then::kReset},
+        {kEvents + Chunk(EventOf(2)), Then::kReset}},
+       "200",
+       "data: e2",
+       2,
+       false},
+  });
+}
+
+TEST(Exchange, RepeatedEventsAreForwardedOnce) {
+  GatewayScene scene;
+  scene.AddEndpoint("e1");
+  scene.answers = {
+      {kEvents + Chunk(EventOf(1) + EventOf(1) + EventOf(2)) + "0\r\n\r\n"}};
+  const std::string answer = scene.Call(Request("/stream/"));
+  const std::size_t first = answer.find("data: e1");
+  CHECK(first != std::string::npos);
+  CHECK(answer.find("data: e1", first + 1) == std::string::npos);
+}
+
+TEST(Exchange, ResumedStreamsNameTheLastEvent) {
+  GatewayScene scene;
+  scene.AddEndpoint("e1");
+  scene.AddEndpoint("e2");
+  scene.answers = {{kEvents + Chunk(EventOf(1) + EventOf(2)), Then::kReset},
+                   {kEvents + Chunk(EventOf(3)) + "0\r\n\r\n"}};
+  const std::string answer = scene.Call(Request("/resume/"));
+  CHECK(Has(answer, "data: e3"));
+  CHECK_FALSE(Has(scene.received.at(0), "Last-Event-Id"));
+  CHECK(Has(scene.received.at(1), "Last-Event-Id: 2\r\n"));
+}
+
+/// What callers say about fields of the system does not reach endpoints.
+TEST(Exchange, RequestsReachEndpointsAsTheCallerSentThem) {
+  GatewayScene scene;
+  scene.AddEndpoint("e1");
+  scene.answers = {{kOk}};
+  scene.Call(Request("/unsafe/",
+                     "Hold: 3\r\nPin-Ms: 9\r\nKv-Backup: x\r\nKv-From: y\r\n"
+                     "Expect-Instance: other\r\nX-Own: kept\r\n"
+                     "Connection: X-Hop\r\nX-Hop: 1\r\n"));
+  const std::string& received = scene.received.at(0);
+  CHECK(Has(received, "POST /unsafe/x HTTP/1.1\r\n"));
+  CHECK(Has(received, "X-Own: kept\r\n"));
+  CHECK(Has(received, "Request-Id: id1\r\n"));
+  CHECK(Has(received, "Expect-Instance: e1\r\n"));
+  CHECK(Has(received, "\r\n\r\nhi"));
+  for (const char* field : {"Hold:", "Pin-Ms", "Kv-", "other", "X-Hop"})
+    CHECK_FALSE_TEXT(Has(received, field), field);
+}
+
+/// A caller that leaves frees the endpoint at once.
+TEST(Exchange, LeavingCallersCancelTheirRequest) {
+  struct Leaving {
+    const char* name;
+    std::vector<ScriptedAnswer> answers;
+  };
+  const Leaving rows[] = {{"before the answer", {}},
+                          {"within a stream", {{kEvents + Chunk(EventOf(1))}}}};
+  for (const Leaving& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    scene.answers = row.answers;
+    scene.Call(Request("/stream/"), Milliseconds(60));
+    CHECK_TEXT(
+        scene.RunUntil([&scene] { return scene.closed_by_gateway == 1; }),
+        row.name);
+    LONGS_EQUAL_TEXT(0, scene.gateway.exchanges, row.name);
+  }
+}
+
+TEST(Exchange, RefusalsOnArrival) {
+  struct Refusal {
+    const char* name;
+    std::string request;
+    const char* status;
+  };
+  const Refusal rows[] = {
+      {"no route", Request("/none/"), "404"},
+      {"no host", "GET /safe/ HTTP/1.1\r\n\r\n", "400"},
+      {"two lengths", Request("/safe/", "Content-Length: 3\r\n"), "400"},
+      {"large header", Request("/safe/", "X: " + std::string(3000, 'x')),
+       "431"},
+      {"large body",
+       "POST /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n",
+       "413"},
+      {"a header that never ends", "GET /safe/ HTTP/1.1\r\nHost", "408"},
+  };
+  for (const Refusal& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    const std::string answer = scene.Call(row.request);
+    CHECK_TEXT(Has(answer, std::string("HTTP/1.1 ") + row.status),
+               (row.name + (": " + answer)).c_str());
+    CHECK_TEXT(Has(answer, "Connection: close"), row.name);
+    LONGS_EQUAL_TEXT(0, scene.received.size(), row.name);
+  }
+}
+
+/// Without an endpoint, and before the first configuration, nothing has run.
+TEST(Exchange, RefusesAtOnceWhatCannotBeServed) {
+  GatewayScene scene;
+  CHECK(Has(scene.Call(Request("/unsafe/")), "HTTP/1.1 503"));
+  scene.gateway.routes = nullptr;
+  const std::string answer = scene.Call(Request("/unsafe/"));
+  CHECK(Has(answer, "HTTP/1.1 503"));
+  CHECK(Has(answer, "Retry-After: "));
+}
+
+/// Retries stay within the share of the fleet that this daemon has.
+TEST(Exchange, RetriesEndWithTheBudget) {
+  GatewayScene scene;
+  scene.AddEndpoint("e1");
+  scene.AddEndpoint("e2");
+  scene.gateway.retry_limit = {0, 8, 10};
+  scene.gateway.daemons = 2;  // Two retries saved up, 0.1 a second.
+  scene.answers.assign(100, {"", Then::kReset});
+  for (int i = 0; i < 10; ++i)
+    scene.Call(Request("/safe/"));
+  LONGS_EQUAL(11, scene.received.size());
+}
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 Listener::Listener(boost::asio::io_context* io_context)
-    : io(io_context), acceptor(*io_context), pause(*io_context) {}
+    : acceptor(*io_context), pause(*io_context) {}
 
 Result<bool> Listener::Open(const net::tcp::endpoint& address,
                             Accepted handler) {
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -26,7 +26,6 @@
   void AcceptNext();
   void PauseAccepting();
 
-  boost::asio::io_context* io;
   net::tcp::acceptor acceptor;
   boost::asio::steady_timer pause;
   Accepted accepted;
--- a/src/log/decision_log.cc
+++ b/src/log/decision_log.cc
@@ -11,8 +11,8 @@
 namespace coltsfootvane {
 namespace {
 
-constexpr std::size_t kBufferBytes = 64 * 1024;
-constexpr std::size_t kFlushBytes = 4 * 1024;
+constexpr std::size_t kBufferBytes = 64UL * 1024;
+constexpr std::size_t kFlushBytes = 4UL * 1024;
 constexpr Milliseconds kWindow{1000};
 constexpr int kInfosPerWindow = 30;
 constexpr int kWarningsPerWindow = 60;
--- a/src/log/event_catalogue_unittest.cc
+++ b/src/log/event_catalogue_unittest.cc
@@ -39,7 +39,7 @@
   const std::regex in_catalogue(R"(\|\s*(\d{4})\s*\|\s*`([a-z0-9-]+)`)");
   std::set<std::string> declared;
   std::map<std::string, int> uses;
-  for (const char* folder : {"src", "app"}) {
+  for (const char* folder : {"src", "app", "platform"}) {
     for (const auto& entry :
          std::filesystem::recursive_directory_iterator(root / folder)) {
       if (entry.path().extension() != ".h")
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -13,7 +13,7 @@
 /// while the next request is on its way.
 constexpr Milliseconds kIdleLimit{3000};
 constexpr Milliseconds kFailureDetection{1500};
-constexpr ParseLimits kResponseLimits{64 * 1024, 16 * 1024 * 1024};
+constexpr ParseLimits kResponseLimits{64 * 1024, 16ULL * 1024 * 1024};
 
 }  // namespace
 
@@ -35,7 +35,7 @@
 
 void HttpClient::Call(const tcp::endpoint& address,
                       RequestHead head,
-                      std::string body,
+                      const std::string& body,
                       Milliseconds timeout,
                       bool fresh,
                       ResponseHandler handler) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -33,7 +33,7 @@
   /// written at most once. `fresh` asks for a new connection.
   void Call(const tcp::endpoint& address,
             RequestHead head,
-            std::string body,
+            const std::string& body,
             Milliseconds timeout,
             bool fresh,
             ResponseHandler handler);
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -13,7 +13,7 @@
 
 using BoostError = boost::system::error_code;
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16UL * 1024;
 /// Reads of one stream in a row, so that a fast sender does not keep the loop
 /// from the others.
 constexpr int kReadsInARow = 4;
--- /dev/null
+++ b/src/orders/copy_plan_unittest.cc
@@ -0,0 +1,152 @@
+#include "orders/copy_plan.h"
+
+#include <algorithm>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using orders::CopyMove;
+using orders::CopyPlanInput;
+using orders::PlannedEngine;
+
+namespace {
+
+constexpr double kModelMb = 70;
+
+CopyPlanInput Input(std::vector<double> demands,
+                    std::vector<std::vector<int>> holdings) {
+  CopyPlanInput input;
+  for (std::size_t i = 0; i < demands.size(); ++i) {
+    input.models.push_back(
+        {"m" + std::to_string(i), kModelMb, demands[i], 4, 0.8, 0.4});
+  }
+  for (std::size_t i = 0; i < holdings.size(); ++i) {
+    PlannedEngine engine;
+    engine.id = "e" + std::to_string(i);
+    engine.memory_mb = 3 * kModelMb;
+    engine.models = holdings[i];
+    input.engines.push_back(engine);
+  }
+  return input;
+}
+
+int Copies(const CopyPlanInput& input, int model) {
+  int copies = 0;
+  for (const PlannedEngine& engine : input.engines) {
+    copies += static_cast<int>(
+        std::count(engine.models.begin(), engine.models.end(), model));
+  }
+  return copies;
+}
+
+void Apply(CopyPlanInput* input, const CopyMove& move) {
+  std::vector<int>& models = input->engines[move.engine].models;
+  for (const int model : move.unload)
+    models.erase(std::find(models.begin(), models.end(), model));
+  models.push_back(move.load);
+}
+
+}  // namespace
+
+TEST_GROUP(CopyPlan){};
+
+TEST(CopyPlan, ChoosesTheNextStep) {
+  struct Row {
+    const char* name;
+    std::vector<double> demands;
+    std::vector<std::vector<int>> holdings;
+    int load;  ///< -1 for no step.
+    std::vector<int> unload;
+  };
+  const Row rows[] = {
+      {"balanced", {0.3, 0.3}, {{0}, {1}}, -1, {}},
+      {"a model without a copy", {0.3, 0}, {{0}, {0}}, 1, {}},
+      {"a model without a copy where all is full",
+       {0.3, 0, 0, 0},
+       {{0, 1, 2}, {0, 1, 2}},
+       3,
+       {1}},
+      {"demand for one model beyond one engine", {1.5, 0.1}, {{0}, {1}}, 0, {}},
+      {"the hot model takes the place of a spare copy",
+       {1.5, 0, 0, 0, 0},
+       {{0, 1, 2}, {3, 4, 1}},
+       0,
+       {1}},
+      {"no spare copy to give way",
+       {1.5, 0, 0, 0, 0, 0},
+       {{0, 1, 2}, {3, 4, 5}},
+       -1,
+       {}},
+  };
+  for (const Row& row : rows) {
+    const auto move = NextMove(Input(row.demands, row.holdings));
+    LONGS_EQUAL_TEXT(row.load, move ? move->load : -1, row.name);
+    if (move)
+      CHECK_TEXT(row.unload == move->unload, row.name);
+  }
+}
+
+TEST(CopyPlan, PrefersWeightsAtHand) {
+  CopyPlanInput input = Input({1.5, 0.1, 0.1}, {{0}, {1}, {2}});
+  input.engines[2].in_memory = {0};
+  const auto move = NextMove(input);
+  CHECK(move.has_value());
+  LONGS_EQUAL(2, move->engine);
+  CHECK(move->source == orders::WeightSource::kMemory);
+}
+
+TEST(CopyPlan, EnginesThatMayNotTakeALoadGetNone) {
+  struct Row {
+    const char* name;
+    void (*change)(CopyPlanInput*);
+  };
+  const Row rows[] = {
+      {"busy", [](CopyPlanInput* i) { i->engines[1].busy = true; }},
+      {"leaving", [](CopyPlanInput* i) { i->engines[1].usable = false; }},
+      {"unloading", [](CopyPlanInput* i) { i->engines[1].retiring = {1}; }},
+      {"no load from the store allowed",
+       [](CopyPlanInput* i) { i->store_load_allowed = false; }},
+      {"memory taken by adapters",
+       [](CopyPlanInput* i) {
+         i->engines[1].adapter_memory_mb = 2 * kModelMb + 1;
+       }},
+  };
+  for (const Row& row : rows) {
+    CopyPlanInput input = Input({2, 0.1}, {{0}, {1}});
+    CHECK_TEXT(NextMove(input).has_value(), row.name);
+    row.change(&input);
+    const auto move = NextMove(input);
+    CHECK_TEXT(!move || move->engine != 1, row.name);
+  }
+}
+
+/// Load pattern: demand moves from model to model. The steps end, they never
+/// overcommit an engine, and every model keeps a copy.
+TEST(CopyPlan, ShiftsOfDemandKeepMemoryAndLastCopies) {
+  std::mt19937 random(4711);
+  CopyPlanInput input =
+      Input(std::vector<double>(17, 0), std::vector<std::vector<int>>(9));
+  for (int shift = 0; shift < 40; ++shift) {
+    for (auto& model : input.models)
+      model.demand = 0.01 * static_cast<double>(random() % 10);
+    input.models[random() % 5].demand = 3;
+    input.models[random() % 5].demand = 1;
+    int steps = 0;
+    while (const auto move = NextMove(input)) {
+      CHECK(++steps < 100);
+      Apply(&input, *move);
+      for (const PlannedEngine& engine : input.engines) {
+        CHECK(static_cast<double>(engine.models.size()) * kModelMb <=
+              engine.memory_mb);
+      }
+    }
+    for (int model = 0; model < 17; ++model)
+      CHECK(Copies(input, model) >= 1);
+    // The naive version, one copy of each model, is worse by far.
+    int hot = 0;
+    for (int model = 1; model < 17; ++model)
+      hot = input.models[model].demand > input.models[hot].demand ? model : hot;
+    CHECK(Copies(input, hot) >= 4);
+  }
+}
--- a/src/placement/lease_unittest.cc
+++ b/src/placement/lease_unittest.cc
@@ -85,4 +85,26 @@
   CHECK(!ParseLease("{}").has_value());
 }
 
+// Guards against a restarted process that waits for its own lease to expire,
+// and against one that takes the lease of another VM whose name begins alike.
+TEST(Lease, OnlyAPredecessorOnTheSameVmIsReplacedAtOnce) {
+  struct Row {
+    const char* own_vm;
+    const char* holder;
+    LeaseStep step;
+  };
+  const Row rows[] = {
+      {"vm-1@10.0.0.1/", "vm-1@10.0.0.1/abc", LeaseStep::kTakeOver},
+      {"vm-1@10.0.0.1/", "vm-1@10.0.0.17/abc", LeaseStep::kNone},
+      {"vm-1@10.0.0.1/", "vm-11@10.0.0.1/abc", LeaseStep::kNone},
+      {"", "vm-1@10.0.0.1/abc", LeaseStep::kNone},
+  };
+  for (const Row& row : rows) {
+    Lease lease = MakeLease("vm-1@10.0.0.1/def");
+    lease.own_vm = row.own_vm;
+    OnLeaseRead(&lease, {row.holder, 7, 1}, 5, At(0));
+    CHECK(NextLeaseStep(lease, At(1)) == row.step);
+  }
+}
+
 }  // namespace coltsfootvane
--- /dev/null
+++ b/src/store/kind_follower_unittest.cc
@@ -0,0 +1,142 @@
+#include "store/kind_follower.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <utility>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using store::Changes;
+using store::Freshness;
+using store::Listing;
+
+namespace {
+
+store::Object MakeObject(const char* name, std::int64_t revision) {
+  store::Object object;
+  object.name = name;
+  object.revision = revision;
+  return object;
+}
+
+/// A store whose calls are answered by the test.
+struct FakeStore {
+  store::ObjectStore access;
+  std::vector<store::Handler<Listing>> lists;
+  std::vector<store::Handler<Changes>> watches;
+  std::int64_t watched_revision = 0;
+  Freshness watched = Freshness::kLatest;
+
+  FakeStore() {
+    this->access.list = [this](const std::string&, Freshness,
+                               store::Handler<Listing> handler) {
+      this->lists.push_back(std::move(handler));
+    };
+    this->access.watch = [this](const std::string&, std::int64_t revision,
+                                Milliseconds, Freshness freshness,
+                                store::Handler<Changes> handler) {
+      this->watched_revision = revision;
+      this->watched = freshness;
+      this->watches.push_back(std::move(handler));
+    };
+  }
+};
+
+struct Fixture {
+  boost::asio::io_context io;
+  FakeStore store;
+  DecisionLog log{open("/dev/null", O_WRONLY), "test"};
+  int listings = 0;
+  std::vector<std::string> changed;
+  store::KindFollower follower;
+
+  Fixture()
+      : follower(&this->io,
+                 &this->store.access,
+                 "things",
+                 &this->log,
+                 this->Events()) {
+    this->follower.Start();
+  }
+
+  store::FollowerEvents Events() {
+    store::FollowerEvents events;
+    events.on_listing = [this](const Listing&) { ++this->listings; };
+    events.on_changes = [this](const Changes& changes) {
+      for (const store::Change& change : changes.changes)
+        this->changed.push_back(change.object.name);
+    };
+    return events;
+  }
+
+  /// Runs timers until the next call reaches the store.
+  void RunUntilCalls(std::size_t lists, std::size_t watches) {
+    while (this->store.lists.size() < lists ||
+           this->store.watches.size() < watches) {
+      this->io.restart();
+      CHECK_TRUE(this->io.run_one_for(Milliseconds(5000)) > 0);
+    }
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(KindFollower){};
+
+TEST(KindFollower, ListsAgainWhenTheHistoryIsGoneOrTheStoreWasAway) {
+  struct Row {
+    const char* name;
+    ErrorCode code;
+    bool reachable;
+  };
+  const Row rows[] = {{"history gone", ErrorCode::kGone, true},
+                      {"unavailable", ErrorCode::kRefused, false},
+                      {"no answer", ErrorCode::kUnknown, false},
+                      {"too many calls", ErrorCode::kRateLimited, false}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.store.lists[0](Listing{{}, 10});
+    fixture.RunUntilCalls(1, 1);
+    LONGS_EQUAL_TEXT(10, fixture.store.watched_revision, row.name);
+    fixture.store.watches[0](Error{row.code, "test"});
+    CHECK_EQUAL_TEXT(row.reachable, fixture.follower.Reachable(), row.name);
+    fixture.RunUntilCalls(2, 1);
+    fixture.store.lists[1](Listing{{}, 20});
+    CHECK_TEXT(fixture.follower.Reachable(), row.name);
+    LONGS_EQUAL_TEXT(2, fixture.listings, row.name);
+  }
+}
+
+/// A watch that may be late must not undo what a listing has shown.
+TEST(KindFollower, LateWatchDoesNotRevertAListing) {
+  Fixture fixture;
+  fixture.follower.SetFreshness(Freshness::kStale);
+  fixture.store.lists[0](Listing{{}, 10});
+  fixture.RunUntilCalls(1, 1);
+  CHECK(fixture.store.watched == Freshness::kStale);
+  fixture.follower.CatchUp(15);
+  fixture.follower.CatchUp(15);
+  LONGS_EQUAL(2, fixture.store.lists.size());
+  fixture.store.lists[1](Listing{{MakeObject("a", 14)}, 16});
+  Changes changes;
+  changes.revision = 18;
+  changes.changes = {{MakeObject("old", 12), false},
+                     {MakeObject("new", 17), false}};
+  fixture.store.watches[0](changes);
+  LONGS_EQUAL(1, fixture.changed.size());
+  STRCMP_EQUAL("new", fixture.changed[0].c_str());
+  fixture.RunUntilCalls(2, 2);
+  changes.revision = 17;
+  fixture.store.watches[1](changes);
+  LONGS_EQUAL(1, fixture.changed.size());
+  LONGS_EQUAL(18, fixture.follower.Revision());
+}
+
+TEST(KindFollower, NewsThatIsKnownCostsNoCall) {
+  Fixture fixture;
+  fixture.store.lists[0](Listing{{}, 10});
+  fixture.follower.CatchUp(10);
+  LONGS_EQUAL(1, fixture.store.lists.size());
+}
--- /dev/null
+++ b/tests/support/gateway_scene.cc
@@ -0,0 +1,184 @@
+#include "support/gateway_scene.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "net/message_parser.h"
+#include "platform/request_format.h"
+#include "support/free_port.h"
+
+namespace coltsfootvane::testing {
+namespace {
+
+using BoostError = boost::system::error_code;
+using net::tcp;
+
+constexpr Milliseconds kPatience{5000};
+
+gateway::Route MakeRoute(const char* prefix, gateway::RouteKind kind) {
+  gateway::Route route;
+  route.name = prefix;
+  route.host = "h";
+  route.path_prefix = prefix;
+  route.kind = kind;
+  route.timeout = Milliseconds(600);
+  route.target_latency = Milliseconds(300);
+  route.services = {{"s", 1}};
+  return route;
+}
+
+}  // namespace
+
+struct GatewayScene::Endpoint {
+  Endpoint(GatewayScene* owner, const tcp::endpoint& address)
+      : scene(owner), acceptor(owner->io, address) {}
+
+  void Accept() {
+    this->acceptor.async_accept([this](const BoostError& ec, tcp::socket peer) {
+      if (ec)
+        return;
+      auto stream = std::make_shared<net::TcpStream>(std::move(peer));
+      auto parser = std::make_shared<net::MessageParser>(
+          net::MessageParser::Kind::kRequest, net::ParseLimits());
+      auto input = std::make_shared<std::string>();
+      net::StreamEvents events;
+      events.on_data = [this, parser, input,
+                        raw = stream.get()](std::string_view bytes) {
+        input->append(bytes);
+        std::string rest = *input;
+        *parser = net::MessageParser(net::MessageParser::Kind::kRequest,
+                                     net::ParseLimits());
+        parser->Feed(rest);
+        if (!parser->Done())
+          return;
+        this->scene->received.push_back(std::exchange(*input, {}));
+        this->Answer(raw);
+      };
+      events.on_end = [this](net::StreamEnd) {
+        ++this->scene->closed_by_gateway;
+      };
+      stream->Start(std::move(events));
+      this->streams.push_back(stream);
+      this->Accept();
+    });
+  }
+
+  void Answer(net::TcpStream* stream) {
+    const std::size_t index = this->scene->received.size() - 1;
+    if (index >= this->scene->answers.size())
+      return;
+    const ScriptedAnswer& answer = this->scene->answers[index];
+    stream->Write(answer.bytes);
+    if (answer.then == ScriptedAnswer::Then::kClose)
+      stream->CloseAfterWrite();
+    else if (answer.then == ScriptedAnswer::Then::kReset)
+      stream->Reset();
+  }
+
+  GatewayScene* scene;
+  tcp::acceptor acceptor;
+  std::vector<std::shared_ptr<net::TcpStream>> streams;
+};
+
+std::shared_ptr<gateway::RoutingTable> SceneRoutes() {
+  using gateway::RouteKind;
+  auto table = std::make_shared<gateway::RoutingTable>();
+  table->version = 1;
+  table->routes = {MakeRoute("/safe/", RouteKind::kSafe),
+                   MakeRoute("/unsafe/", RouteKind::kUnsafe),
+                   MakeRoute("/stream/", RouteKind::kStreaming),
+                   MakeRoute("/resume/", RouteKind::kStreaming)};
+  table->routes[0].max_attempts = 2;
+  table->routes[3].max_attempts = 2;
+  table->routes[3].resumable = true;
+  gateway::Service service;
+  service.name = "s";
+  table->services = {service};
+  table->limits.header_bytes = 2000;
+  table->limits.body_bytes = 1000;
+  table->limits.header_timeout = Milliseconds(150);
+  table->limits.idle_timeout = Milliseconds(300);
+  return table;
+}
+
+GatewayScene::GatewayScene()
+    : log(open("/dev/null", O_WRONLY), "test"),
+      gateway(&this->io),
+      host(OwnLoopbackHost()),
+      callers(&this->io) {
+  this->gateway.wire = &platform::RequestFormat();
+  this->gateway.log = &this->log;
+  this->gateway.data_centre = "dc";
+  this->gateway.routes = SceneRoutes();
+  this->gateway.random.seed(7);
+  this->callers_address = {boost::asio::ip::make_address(this->host),
+                           static_cast<unsigned short>(FreePort(this->host))};
+  const Result<bool> opened = this->callers.Open(
+      this->callers_address, [this](std::shared_ptr<net::TcpStream> stream) {
+        std::make_shared<gateway::CallerConnection>(&this->gateway,
+                                                    std::move(stream))
+            ->Start();
+      });
+  if (!opened)
+    std::abort();
+}
+
+void GatewayScene::AddEndpoint(const std::string& id) {
+  const tcp::endpoint address(
+      boost::asio::ip::make_address(this->host),
+      static_cast<unsigned short>(FreePort(this->host)));
+  auto endpoint = std::make_shared<Endpoint>(this, address);
+  endpoint->Accept();
+  this->endpoints.push_back(endpoint);
+  gateway::EndpointEntry entry;
+  entry.id = id;
+  entry.service = "s";
+  entry.address = address;
+  entry.data_centre = "dc";
+  entry.slots = 4;
+  PutEndpoint(&this->gateway.endpoints, std::move(entry));
+  UpdateEndpointList(&this->gateway);
+}
+
+std::string GatewayScene::Call(const std::string& request,
+                               Milliseconds leave_after) {
+  tcp::socket socket(this->io);
+  socket.connect(this->callers_address);
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string answer;
+  bool ended = false;
+  boost::asio::async_read(
+      socket, boost::asio::dynamic_buffer(answer),
+      [&ended](const BoostError&, std::size_t) { ended = true; });
+  boost::asio::steady_timer leave(this->io);
+  if (leave_after.count() > 0) {
+    leave.expires_after(leave_after);
+    leave.async_wait([&socket](const BoostError& ec) {
+      if (!ec)
+        socket.close();
+    });
+  }
+  this->RunUntil([&ended] { return ended; });
+  leave.cancel();
+  BoostError ignored;
+  socket.close(ignored);
+  this->RunUntil([&ended] { return ended; });
+  return answer;
+}
+
+bool GatewayScene::RunUntil(const std::function<bool()>& condition) {
+  const auto deadline = Clock::now() + kPatience;
+  while (!condition()) {
+    if (Clock::now() >= deadline)
+      return false;
+    this->io.run_one_for(Milliseconds(20));
+  }
+  return true;
+}
+
+}  // namespace coltsfootvane::testing
--- /dev/null
+++ b/tests/support/gateway_scene.h
@@ -0,0 +1,63 @@
+#ifndef COLTSFOOTVANE_TESTS_SUPPORT_GATEWAY_SCENE_H_
+#define COLTSFOOTVANE_TESTS_SUPPORT_GATEWAY_SCENE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/caller_connection.h"
+#include "gateway/gateway.h"
+#include "gateway/listener.h"
+#include "log/decision_log.h"
+
+namespace coltsfootvane::testing {
+
+/// What an endpoint does once it has read a request.
+struct ScriptedAnswer {
+  enum class Then { kKeep, kClose, kReset };
+  std::string bytes;
+  Then then = Then::kKeep;
+};
+
+/// A gateway with callers and endpoints on loopback, all on one event loop.
+/// The n-th request that reaches any endpoint gets the n-th scripted answer;
+/// later ones get none.
+class GatewayScene {
+ public:
+  GatewayScene();
+
+  /// Adds an endpoint of the service `s`.
+  void AddEndpoint(const std::string& id);
+  /// Sends `request` on a new connection and returns all bytes up to its end.
+  /// The connection is closed by the caller after `leave_after`, if that is
+  /// set.
+  std::string Call(const std::string& request,
+                   Milliseconds leave_after = Milliseconds(0));
+  /// Runs the loop until the condition holds; false after 5 s.
+  bool RunUntil(const std::function<bool()>& condition);
+
+  boost::asio::io_context io;
+  DecisionLog log;
+  gateway::Gateway gateway;
+  std::vector<ScriptedAnswer> answers;
+  std::vector<std::string> received;  ///< Requests as they reached endpoints.
+  int closed_by_gateway = 0;          ///< Endpoint connections.
+
+ private:
+  struct Endpoint;
+
+  std::string host;
+  net::tcp::endpoint callers_address;
+  gateway::Listener callers;
+  std::vector<std::shared_ptr<Endpoint>> endpoints;
+};
+
+/// Returns a configuration with one host `h` and the routes `/safe/`,
+/// `/unsafe/`, `/stream/` and `/resume/`, all of the service `s`.
+std::shared_ptr<gateway::RoutingTable> SceneRoutes();
+
+}  // namespace coltsfootvane::testing
+
+#endif  // COLTSFOOTVANE_TESTS_SUPPORT_GATEWAY_SCENE_H_
