Store: List again when the store is back after a call without an answer

Cause: found by the new test Gateway.ConfigurationsApplyAndNeverRevert: the answer to a waiting watch was lost in an outage, and the watch stood for its 20 s; a version acknowledged meanwhile was not in force after 5 s. Tests: stand-ins of the platform's store, an engine and a service by the published protocol; the real daemon runs against them from end to end.

--- a/src/orders/lease_keeper.cc
+++ b/src/orders/lease_keeper.cc
@@ -96,8 +96,8 @@
       kLeaseKind, kLeaseName, freshness, [this](Result<store::Object> object) {
         this->calling = false;
         const TimePoint now = BootNow();
-        this->store_away =
-            !object && object.error().code != ErrorCode::kNotFound;
+        this->SetStoreAway(!object &&
+                           object.error().code != ErrorCode::kNotFound);
         if (object) {
           const Result<LeaseSpec> spec = ParseLease(object.value().spec.dump());
           OnLeaseRead(&this->lease, spec ? spec.value() : LeaseSpec{},
@@ -138,7 +138,7 @@
                             bool was_released) {
   this->calling = false;
   const TimePoint now = BootNow();
-  this->store_away = !written && written.error().code != ErrorCode::kConflict;
+  this->SetStoreAway(!written && written.error().code != ErrorCode::kConflict);
   if (!written) {
     OnLeaseWriteFailed(&this->lease, now);
     // A store that is away is not asked at every tick.
@@ -154,6 +154,13 @@
   this->NoteHolding(now);
 }
 
+void LeaseKeeper::SetStoreAway(bool away) {
+  const bool back = this->store_away && !away;
+  this->store_away = away;
+  if (back && this->on_store_back)
+    this->on_store_back();
+}
+
 void LeaseKeeper::Release() {
   if (this->released)
     return;
--- a/src/orders/lease_keeper.h
+++ b/src/orders/lease_keeper.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <string>
 
@@ -34,6 +35,9 @@
   bool MayOrder(TimePoint now) const;
   std::int64_t Epoch() const { return this->lease.seen.epoch; }
   const std::string& Holder() const { return this->lease.self; }
+  /// Called when the store answers again after it had not.
+  std::function<void()> on_store_back;
+
   /// Another holder has given an order: stops until the lease has been read.
   void OnFenced();
 
@@ -48,6 +52,7 @@
                  bool was_released);
   void NoteHolding(TimePoint now);
   bool HoldsThroughOutage(TimePoint now) const;
+  void SetStoreAway(bool away);
 
   boost::asio::steady_timer timer;
   const store::ObjectStore* store;
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -58,6 +58,10 @@
   if (known_revision <= std::max(this->revision, this->catching_up_to))
     return;
   this->catching_up_to = known_revision;
+  this->Refresh();
+}
+
+void KindFollower::Refresh() {
   this->store->list(this->kind, Freshness::kLatest,
                     [this](const Result<Listing>& listing) {
                       this->catching_up_to = 0;
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -39,6 +39,8 @@
   void SetFreshness(Freshness wanted) { this->freshness = wanted; }
   /// Lists at once what has changed up to `known_revision`, if that is news.
   void CatchUp(std::int64_t known_revision);
+  /// Lists again, since the answer to a watch may have been lost.
+  void Refresh();
   std::int64_t Revision() const { return this->revision; }
   bool Reachable() const { return this->reachable; }
 
--- /dev/null
+++ b/tests/integration/platform_site.cc
@@ -0,0 +1,245 @@
+#include "platform_site.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <utility>
+
+#include "support/free_port.h"
+
+namespace coltsfootvane::testing {
+namespace {
+
+using Json = nlohmann::json;
+using StreamPtr = std::shared_ptr<net::TcpStream>;
+using BoostError = boost::system::error_code;
+
+constexpr char kEvents[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+net::Fields AnswerFields(const ReceivedRequest& request) {
+  return {{"Request-Id",
+           std::string(net::FieldValue(request.head.fields, "Request-Id"))},
+          {"Server-Signature", "proof"}};
+}
+
+net::tcp::endpoint FreeAddress(const std::string& host) {
+  return {boost::asio::ip::make_address(host),
+          static_cast<unsigned short>(FreePort(host))};
+}
+
+std::string ToText(const net::tcp::endpoint& address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+Json MakeRoute(const char* path, const char* kind, const char* service) {
+  return {{"name", path},      {"host", "h"},        {"pathPrefix", path},
+          {"routeKind", kind}, {"timeoutMs", 5000},  {"targetLatencyMs", 1000},
+          {"priority", 0},     {"service", service}, {"maxAttempts", 1},
+          {"resumable", false}};
+}
+
+}  // namespace
+
+PlatformSite::PlatformSite()
+    : host(OwnLoopbackHost()),
+      store(&this->io, this->host),
+      engine(&this->io,
+             this->host,
+             [this](const ReceivedRequest& request, const StreamPtr& stream) {
+               this->OnEngineRequest(request, stream);
+             }),
+      service(&this->io,
+              this->host,
+              [this](const ReceivedRequest& request, const StreamPtr& stream) {
+                this->OnServiceRequest(request, stream);
+              }),
+      client(&this->io),
+      callers(FreeAddress(this->host)),
+      health(FreeAddress(this->host)) {
+  const std::string prefix =
+      "/tmp/coltsfootvane-gateway-" + std::to_string(getpid());
+  this->settings_path = prefix + ".conf";
+  this->log_path = prefix + ".log";
+}
+
+void PlatformSite::PutConfig(int version) {
+  Json routes = {MakeRoute("/safe/", "safe", "books"),
+                 MakeRoute("/unsafe/", "unsafe", "books"),
+                 MakeRoute("/chat/", "streaming", "models")};
+  for (int i = 0; i < version; ++i) {
+    const std::string path = "/extra" + std::to_string(i) + "/";
+    routes.push_back(MakeRoute(path.c_str(), "safe", "books"));
+  }
+  const Json models = {{{"name", "m1"},
+                        {"weightsMb", 70},
+                        {"loadS", 0.2},
+                        {"adapters", 2},
+                        {"adapterSizeMb", 1}},
+                       {{"name", "m2"},
+                        {"weightsMb", 70},
+                        {"loadS", 0.2},
+                        {"adapters", 0},
+                        {"adapterSizeMb", 1}}};
+  this->store.Put("config", "main",
+                  {{"version", version},
+                   {"routes", routes},
+                   {"services",
+                    {{{"name", "books"}},
+                     {{"name", "models"},
+                      {"engine",
+                       {{"slots", 8},
+                        {"weightsMb", 150},
+                        {"adapterSlots", 4},
+                        {"loadsPerS", 5},
+                        {"models", models}}}}}},
+                   {"limits",
+                    {{"maxHeaderBytes", 16384},
+                     {"maxBodyBytes", 100000},
+                     {"headerTimeoutMs", 1000},
+                     {"idleTimeoutMs", 5000}}}});
+}
+
+Json PlatformSite::EngineModels() const {
+  Json models = Json::array();
+  for (const std::string& name : this->engine_models) {
+    const std::size_t slash = name.find('/');
+    if (slash == std::string::npos)
+      models.push_back(
+          {{"name", name}, {"version", 1}, {"adapters", Json::array()}});
+    else
+      models.back()["adapters"].push_back(name.substr(slash + 1));
+  }
+  return models;
+}
+
+void PlatformSite::Announce(const char* state) {
+  const auto entry = [state](const char* name, const std::string& address) {
+    return Json{{"service", name}, {"address", address}, {"zone", "dc"},
+                {"slots", 8},      {"state", state},     {"born", 17},
+                {"sequence", 99}};
+  };
+  Json engine_entry = entry("models", this->engine.AddressText());
+  engine_entry["models"] = this->EngineModels();
+  this->store.Put("servers", "engine-1", engine_entry);
+  this->store.Put("servers", "service-1",
+                  entry("books", this->service.AddressText()));
+  this->store.Put("servers", "unreadable", {{"service", 3}});
+}
+
+void PlatformSite::Start() {
+  std::ofstream settings(this->settings_path);
+  const int port = FreePort(this->host);
+  settings << "nodeName=vm-1\nzone=dc\nlisten.front=" << ToText(this->callers)
+           << "\nlisten.ready=" << ToText(this->health)
+           << "\ninternalPorts=" << port << "," << port
+           << "\nplatform.address=" << this->store.server.AddressText()
+           << "\nbounds.graceS=8\nbounds.leaseMs=1000\n"
+           << "bounds.requireFencing=true\n";
+  settings.close();
+  this->daemon = std::make_unique<Process>(
+      "coltsfootvane",
+      std::vector<std::string>{"gateway", "--settings", this->settings_path},
+      this->log_path);
+}
+
+bool PlatformSite::RunUntil(const std::function<bool()>& condition,
+                            int milliseconds) {
+  const TimePoint deadline = Clock::now() + Milliseconds(milliseconds);
+  while (!condition()) {
+    if (Clock::now() >= deadline)
+      return false;
+    this->io.restart();
+    this->io.run_one_for(Milliseconds(20));
+  }
+  return true;
+}
+
+std::optional<Result<net::WholeResponse>> PlatformSite::CallAt(
+    const net::tcp::endpoint& address,
+    net::RequestHead head) {
+  std::optional<Result<net::WholeResponse>> answer;
+  this->client.Call(address, std::move(head), {}, Milliseconds(9000), true,
+                    [&answer](Result<net::WholeResponse> response) {
+                      answer = std::move(response);
+                    });
+  this->RunUntil([&answer] { return answer.has_value(); }, 10'000);
+  return answer;
+}
+
+Result<net::WholeResponse> PlatformSite::Call(const std::string& path,
+                                              const net::Fields& fields) {
+  net::RequestHead head;
+  head.method = "POST";
+  head.target = path;
+  head.fields = fields;
+  head.fields.push_back({"Request-Id", "id" + std::to_string(++this->calls)});
+  head.fields.push_back({"Deadline-Ms", "6000"});
+  head.fields.push_back({"Host", "h"});
+  auto answer = this->CallAt(this->callers, std::move(head));
+  return answer ? std::move(*answer) : Error{ErrorCode::kTimeout, "no answer"};
+}
+
+int PlatformSite::Ready() {
+  net::RequestHead head;
+  head.method = "GET";
+  head.target = "/readyz";
+  const auto answer = this->CallAt(this->health, std::move(head));
+  return answer && answer->has_value() ? answer->value().head.status : 0;
+}
+
+bool PlatformSite::AwaitReady() {
+  return this->RunUntil([this] { return this->Ready() == 200; }, 20'000);
+}
+
+void PlatformSite::OnServiceRequest(const ReceivedRequest& request,
+                                    const StreamPtr& stream) {
+  ++this->service_requests;
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->io);
+  timer->expires_after(this->service_time);
+  timer->async_wait([timer, stream, request](const BoostError&) {
+    Reply(stream, 200, "booked", AnswerFields(request));
+  });
+}
+
+void PlatformSite::OnEngineRequest(const ReceivedRequest& request,
+                                   const StreamPtr& stream) {
+  if (request.head.target == "/report") {
+    const Json report = {{"models", this->EngineModels()},
+                         {"busy", false},
+                         {"sequence", this->engine_orders}};
+    Reply(stream, 200, report.dump());
+    return;
+  }
+  if (request.head.target == "/order") {
+    this->OnOrder(Json::parse(request.body), stream);
+    return;
+  }
+  ++this->engine_requests;
+  const std::string model(net::FieldValue(request.head.fields, "Model"));
+  if (this->engine_models.count(model) == 0) {
+    Reply(stream, 421, "");
+    return;
+  }
+  net::Fields fields = AnswerFields(request);
+  fields.push_back({"Content-Type", "text/event-stream"});
+  Reply(stream, 200, kEvents, fields);
+}
+
+void PlatformSite::OnOrder(const Json& order, const StreamPtr& stream) {
+  if (order.at("expected") != this->engine_orders) {
+    Reply(stream, 409, "");
+    return;
+  }
+  ++this->engine_orders;
+  std::string name = order.at("model").get<std::string>();
+  if (order.contains("adapter"))
+    name += "/" + order["adapter"].get<std::string>();
+  if (order.at("operation") == "load")
+    this->engine_models.insert(name);
+  else
+    this->engine_models.erase(name);
+  Reply(stream, 202, "");
+  this->Announce();
+}
+
+}  // namespace coltsfootvane::testing
--- /dev/null
+++ b/tests/support/store_standin.cc
@@ -0,0 +1,198 @@
+#include "support/store_standin.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootvane::testing {
+namespace {
+
+using Json = nlohmann::json;
+using StreamPtr = std::shared_ptr<net::TcpStream>;
+
+struct Target {
+  std::string kind;
+  std::string name;
+  std::map<std::string, std::string> query;
+};
+
+/// Reads `/objects/KIND[/NAME][?a=b&c=d]`.
+Target ReadTarget(const std::string& text) {
+  Target target;
+  const std::size_t question = text.find('?');
+  std::string path = text.substr(0, question);
+  path.erase(0, std::string("/objects/").size());
+  const std::size_t slash = path.find('/');
+  target.kind = path.substr(0, slash);
+  if (slash != std::string::npos)
+    target.name = path.substr(slash + 1);
+  std::string query =
+      question == std::string::npos ? "" : text.substr(question + 1);
+  while (!query.empty()) {
+    const std::size_t end = query.find('&');
+    const std::string pair = query.substr(0, end);
+    const std::size_t equals = pair.find('=');
+    target.query[pair.substr(0, equals)] = pair.substr(equals + 1);
+    query.erase(0, end == std::string::npos ? query.size() : end + 1);
+  }
+  return target;
+}
+
+void ReplyJson(const StreamPtr& stream, int status, const Json& json) {
+  Reply(stream, status, json.dump(), {{"Content-Type", "application/json"}});
+}
+
+}  // namespace
+
+StoreStandin::StoreStandin(boost::asio::io_context* io, const std::string& host)
+    : server(io,
+             host,
+             [this](const ReceivedRequest& request, const StreamPtr& stream) {
+               this->OnRequest(request, stream);
+             }) {}
+
+void StoreStandin::Put(const std::string& kind,
+                       const std::string& name,
+                       const Json& spec) {
+  this->kinds[kind][name] = {++this->revision, spec};
+  this->Note(kind, name, false);
+}
+
+void StoreStandin::Remove(const std::string& kind, const std::string& name) {
+  ++this->revision;
+  this->Note(kind, name, true);
+  this->kinds[kind].erase(name);
+}
+
+Json StoreStandin::Get(const std::string& kind, const std::string& name) const {
+  const auto found = this->kinds.find(kind);
+  if (found == this->kinds.end() || found->second.count(name) == 0)
+    return nullptr;
+  return found->second.at(name).spec;
+}
+
+Json StoreStandin::ToJson(const std::string& name, const Object& object) const {
+  return {{"metadata",
+           {{"name", name},
+            {"revision", object.revision},
+            {"created", 1},
+            {"finalizers", Json::array()},
+            {"deleting", false}}},
+          {"spec", object.spec},
+          {"status", nullptr}};
+}
+
+void StoreStandin::Note(const std::string& kind,
+                        const std::string& name,
+                        bool deleted) {
+  this->events.push_back(
+      {this->revision,
+       kind,
+       {{"object", this->ToJson(name, this->kinds[kind][name])},
+        {"deleted", deleted}}});
+  const auto answered = std::remove_if(
+      this->waiting.begin(), this->waiting.end(),
+      [this](const Waiting& watch) { return this->AnswerWatch(watch); });
+  this->waiting.erase(answered, this->waiting.end());
+}
+
+bool StoreStandin::AnswerWatch(const Waiting& watch) {
+  Json found = Json::array();
+  for (const Event& event : this->events) {
+    if (event.kind == watch.kind && event.revision > watch.revision)
+      found.push_back(event.json);
+  }
+  if (found.empty())
+    return false;
+  if (!this->faults.unavailable && !this->faults.silent)
+    ReplyJson(watch.stream, 200, {{"events", found}, {"at", this->revision}});
+  return true;
+}
+
+void StoreStandin::OnRequest(const ReceivedRequest& request,
+                             const StreamPtr& stream) {
+  ++this->calls;
+  if (this->faults.silent)
+    return;
+  if (this->faults.unavailable) {
+    Reply(stream, 503, "");
+    return;
+  }
+  const Target target = ReadTarget(request.head.target);
+  if (request.head.method == "GET") {
+    this->OnGet(target.kind, target.name, target.query, stream);
+    return;
+  }
+  this->OnWrite(request.head.method, target.kind,
+                Json::parse(request.body, nullptr, false), stream);
+}
+
+void StoreStandin::OnGet(const std::string& kind,
+                         const std::string& name,
+                         const std::map<std::string, std::string>& query,
+                         const StreamPtr& stream) {
+  const auto& objects = this->kinds[kind];
+  if (!name.empty()) {
+    const auto found = objects.find(name);
+    if (found == objects.end())
+      Reply(stream, 404, "");
+    else
+      ReplyJson(stream, 200, this->ToJson(name, found->second));
+    return;
+  }
+  const auto watch = query.find("watch");
+  if (watch != query.end()) {
+    if (std::exchange(this->faults.history_gone, false)) {
+      Reply(stream, 410, "");
+      return;
+    }
+    const Waiting waiting_watch{kind, std::stoll(watch->second), stream};
+    if (!this->AnswerWatch(waiting_watch))
+      this->waiting.push_back(waiting_watch);
+    return;
+  }
+  // Two objects a page, so that paging is used.
+  constexpr std::size_t kPage = 2;
+  const auto after = query.find("after");
+  Json items = Json::array();
+  bool more = false;
+  for (const auto& [object_name, object] : objects) {
+    if (after != query.end() && object_name <= after->second)
+      continue;
+    more = items.size() == kPage;
+    if (more)
+      break;
+    items.push_back(this->ToJson(object_name, object));
+  }
+  ReplyJson(stream, 200,
+            {{"items", items}, {"hasMore", more}, {"at", this->revision}});
+}
+
+void StoreStandin::OnWrite(const std::string& method,
+                           const std::string& kind,
+                           const Json& object,
+                           const StreamPtr& stream) {
+  const Json& metadata = object.at("metadata");
+  const std::string name = metadata.at("name").get<std::string>();
+  auto& objects = this->kinds[kind];
+  const auto found = objects.find(name);
+  const bool exists = found != objects.end();
+  if (method == "PUT" && !exists) {
+    Reply(stream, 404, "");
+    return;
+  }
+  const bool conflict =
+      method == "POST" ? exists
+                       : metadata.contains("revision") &&
+                             metadata["revision"] != found->second.revision;
+  if (conflict) {
+    ReplyJson(stream, 409, this->ToJson(name, found->second));
+    return;
+  }
+  this->Put(kind, name, object.at("spec"));
+  if (this->faults.loses_answers)
+    stream->Close();
+  else
+    ReplyJson(stream, 200, this->ToJson(name, this->kinds[kind][name]));
+}
+
+}  // namespace coltsfootvane::testing
