--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -125,25 +125,40 @@
   if (choice.verdict == ChoiceVerdict::kNoAdapter && this->AwaitAdapter())
     return;
   if (choice.verdict != ChoiceVerdict::kChosen) {
-    const EngineModel* const model =
-        this->engine == nullptr ? nullptr
-                                : FindModel(*this->engine, this->info.model);
-    this->Refuse("no endpoint", choice.verdict == ChoiceVerdict::kNoModel
-                                    ? RetryAfterLoad(model)
-                                    : kEndpointWait);
+    this->RefuseChoice(choice);
     return;
   }
   if (this->sends == 0 && this->engine != nullptr) {
     const Admission admission =
         Admit(*this->route, choice.wait_ms, TimeLeft(this->finish_by, now));
     if (!admission.admitted) {
-      this->Refuse("expected wait", admission.retry_after);
+      char inputs[120];
+      std::snprintf(inputs, sizeof(inputs), "wait_ms=%.0f best=%s",
+                    choice.wait_ms, choice.endpoint->entry.id.c_str());
+      this->Refuse("expected wait", admission.retry_after, inputs);
       return;
     }
   }
   this->Send(choice);
 }
 
+void Exchange::RefuseChoice(const Choice& choice) {
+  const std::string inputs =
+      "tried=" + std::to_string(this->tried.size()) +
+      " endpoints=" + std::to_string(this->gateway->endpoint_list.size()) +
+      " version=" + std::to_string(this->routes->version);
+  if (choice.verdict == ChoiceVerdict::kNoModel) {
+    this->Refuse("no copy of the model",
+                 RetryAfterLoad(FindModel(*this->engine, this->info.model)),
+                 inputs);
+    return;
+  }
+  this->Refuse(choice.verdict == ChoiceVerdict::kNoAdapter
+                   ? "no copy of the adapter"
+                   : "no endpoint",
+               kEndpointWait, inputs);
+}
+
 /// Returns whether the request now waits for the adapter.
 bool Exchange::AwaitAdapter() {
   if (this->asked_for_adapter || !this->gateway->ask_adapter)
@@ -285,7 +300,9 @@
 }
 
 /// Ends a request that has not run. One that has run fails instead.
-void Exchange::Refuse(std::string_view reason, Milliseconds retry_after) {
+void Exchange::Refuse(std::string_view reason,
+                      Milliseconds retry_after,
+                      std::string_view inputs) {
   if (this->runs > 0 || this->forwarding) {
     this->Fail(502, reason);
     return;
@@ -296,7 +313,7 @@
   this->Log(kRequestRefused,
             "reason=\"" + std::string(reason) +
                 "\" retry_after_ms=" + std::to_string(retry_after.count()) +
-                " model=" + this->info.model);
+                " model=" + this->info.model + " " + std::string(inputs));
   const auto spread = static_cast<std::int64_t>(
       this->gateway->random() %
       static_cast<std::uint64_t>(
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -59,7 +59,10 @@
   void OnNotRun(std::string_view reason);
   void OnSendFailed(std::string_view reason);
   void OnTimeout();
-  void Refuse(std::string_view reason, Milliseconds retry_after);
+  void RefuseChoice(const Choice& choice);
+  void Refuse(std::string_view reason,
+              Milliseconds retry_after,
+              std::string_view inputs = {});
   void Fail(int status, std::string_view reason);
   void RespondWith(int status, std::optional<Milliseconds> retry_after);
   void BeginWork(int tokens);
