Gateway: Refuse late requests of a shutdown that could not be completed

Ruled out: the closing of idle connections and slow readers. Test: ExchangeEnd.LateRequestsOfAShutdownAreRefused.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -85,8 +85,10 @@
     this->Fail(404, "no route");
     return false;
   }
-  if (this->gateway->leaving && this->route->kind == RouteKind::kStreaming &&
-      BootNow() >= this->gateway->last_stream_at) {
+  const TimePoint last_at = this->route->kind == RouteKind::kStreaming
+                                ? this->gateway->last_stream_at
+                                : this->gateway->last_request_at;
+  if (this->gateway->leaving && BootNow() >= last_at) {
     this->Refuse("shutdown", kOtherDaemonWait);
     return false;
   }
--- a/src/gateway/exchange_end_unittest.cc
+++ b/src/gateway/exchange_end_unittest.cc
@@ -94,3 +94,35 @@
     scene.Call(CallerRequest("/safe/"));
   LONGS_EQUAL(11, scene.received.size());
 }
+
+/// In a shutdown a request is refused as not run if it could not be completed
+/// before the process ends; streams take longer than other requests.
+TEST(ExchangeEnd, LateRequestsOfAShutdownAreRefused) {
+  struct Row {
+    const char* path;
+    int last_stream_ms;   ///< From now.
+    int last_request_ms;  ///< From now.
+    const char* status;
+  };
+  const Row rows[] = {{"/unsafe/", -1, 5000, "200"},
+                      {"/unsafe/", -1, -1, "503"},
+                      {"/safe/", 5000, -1, "503"},
+                      {"/stream/", -1, 5000, "503"},
+                      {"/stream/", 5000, 5000, "200"}};
+  for (const Row& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    scene.answers = {
+        {"HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n"
+         "Server-Signature: p\r\nContent-Length: 0\r\n\r\n"}};
+    scene.gateway.leaving = true;
+    const TimePoint now = BootNow();
+    scene.gateway.last_stream_at = now + Milliseconds(row.last_stream_ms);
+    scene.gateway.last_request_at = now + Milliseconds(row.last_request_ms);
+    const std::string answer = scene.Call(CallerRequest(row.path));
+    CHECK_TEXT(Has(answer, std::string("HTTP/1.1 ") + row.status), row.path);
+    CHECK_TEXT(Has(answer, "Connection: close"), row.path);
+    LONGS_EQUAL_TEXT(row.status[0] == '2' ? 1 : 0, scene.received.size(),
+                     row.path);
+  }
+}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,8 +55,10 @@
   AdapterRequest ask_adapter;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown has begun.
-  /// In a shutdown, streams that arrive later could not be completed.
+  /// In a shutdown, streams and other requests that arrive later could not be
+  /// completed.
   TimePoint last_stream_at;
+  TimePoint last_request_at;
   int exchanges = 0;  ///< Requests in progress.
 };
 
