--- a/tests/integration/platform_site.cc
+++ b/tests/integration/platform_site.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <utility>
 
@@ -57,7 +58,9 @@
       callers(FreeAddress(this->host)),
       health(FreeAddress(this->host)) {
   const std::string prefix =
-      "/tmp/coltsfootvane-gateway-" + std::to_string(getpid());
+      (std::filesystem::temp_directory_path() /
+       ("coltsfootvane-gateway-" + std::to_string(getpid())))
+          .string();
   this->settings_path = prefix + ".conf";
   this->log_path = prefix + ".log";
 }
