Tests: Wait until a restarted engine answers

Cause: the test released the held load right after it had started the engine's process. The proxy looks at its rules every 20 ms and connects once; an engine that did not listen yet lost the load, and the test waited for it in vain. Ruled out: planner and sender, which had nothing to do with this delivery. Shown with an engine whose start is delayed by 150 ms (a trial): fails before ("restart not noticed, both do not fit: late"), passes with the wait.

--- a/tests/integration/placement_probe.cc
+++ b/tests/integration/placement_probe.cc
@@ -16,6 +16,7 @@
 using Json = nlohmann::json;
 
 constexpr char kObjects[] = "/apis/coltsfootvane/v1/";
+constexpr int kStartMs = 10000;
 
 Json ReadIndexPage(const http::Address& engine) {
   const Result<http::Response> page =
@@ -148,8 +149,14 @@
 
 void EngineAccounts::Restart(Site* site, std::size_t engine) {
   this->Collect(site->engines[engine], site->options.engines[engine].memory_mb);
-  site->engines[engine].process->Kill();
+  const StandinProcess& restarted = site->engines[engine];
+  restarted.process->Kill();
   site->StartEngine(engine);
+  // A command that a proxy delivers before the engine listens would be lost.
+  const auto answers = [&restarted] {
+    return !GetJson(restarted.direct, "/control/stats").is_null();
+  };
+  CHECK_TEXT(WaitUntil(In(kStartMs), answers), restarted.id.c_str());
 }
 
 void EngineAccounts::CollectAll(const Site& site) {
