Dispatch: Do not judge by the service rate in a takeover

Now the rate counts only once the takeover is over. Lateness.JudgesByTheRateOnlyAfterATakeover fails before.

--- a/src/dispatch/lateness.cc
+++ b/src/dispatch/lateness.cc
@@ -39,7 +39,9 @@
                      const SlotRequest& request,
                      TimePoint now) {
   Estimate estimate;
-  estimate.rate = ServiceRate(pool, request.priority, request.item, now);
+  // Grants and limits in a takeover do not show how fast requests are served.
+  if (now >= pool.disturbed_until)
+    estimate.rate = ServiceRate(pool, request.priority, request.item, now);
   estimate.hold_s = HoldSeconds(pool, request.priority, request.item, now);
   estimate.all_failed = AllFailedTrial(pool, request.item, now);
   if (request.priority == Priority::kInteractive)
--- a/src/dispatch/lateness_unittest.cc
+++ b/src/dispatch/lateness_unittest.cc
@@ -258,6 +258,47 @@
     CHECK(RefuseLate(pool, kStart + Milliseconds{ms}).empty());
 }
 
+// Guards against refusals for the rate that a dispatcher estimates just after
+// it has taken a pool over: limits are halved, and the grants of a less urgent
+// class beyond its minimum share have not been seen yet.
+TEST(Lateness, JudgesByTheRateOnlyAfterATakeover) {
+  struct Row {
+    const char* name;
+    bool takeover;
+    int arrival_ms;  // After the takeover.
+    bool refused;
+  };
+  const Row rows[] = {
+      {"no takeover", false, 900, true},
+      {"in the takeover", true, 900, false},
+      {"after it", true, 3100, true},
+  };
+  constexpr int kWaiting = 20;
+  for (const Row& row : rows) {
+    PoolState pool = PoolOf({{"e1", 4}});
+    pool.classes[1].settings.minimum_share = 0.2;
+    pool.classes[1].settings.queue_length = 2 * kWaiting;
+    if (row.takeover)
+      StartCautiously(pool, {"x"}, kStart);
+    const auto grant = MustGrant(pool, RequestOf("r1", Priority::kLookup));
+    ReturnSlot(pool, grant, SlotOutcome{}, kStart + Milliseconds{820});
+    const TimePoint arrival = kStart + Milliseconds{row.arrival_ms};
+    for (int i = 0; i < (row.arrival_ms < 2000 && row.takeover ? 2 : 4); ++i)
+      MustGrant(pool, RequestOf("i" + std::to_string(i)), arrival);
+    for (int i = 0; i < kWaiting; ++i) {
+      CHECK_FALSE(AskSlot(pool, "e",
+                          RequestOf("w" + std::to_string(i), Priority::kLookup),
+                          arrival));
+    }
+    SlotRequest last = RequestOf("last", Priority::kLookup);
+    last.deadline = arrival + std::chrono::seconds{30};
+    const auto answer = AskSlot(pool, "e", last, arrival);
+    CHECK_EQUAL_TEXT(row.refused, answer.has_value(), row.name);
+    if (!row.refused)
+      CHECK_TEXT(RefuseLate(pool, arrival).empty(), row.name);
+  }
+}
+
 // Guards against a burst that is taken for an overload, and against one that
 // never ends.
 TEST(Lateness, EndsAnOverload) {
