--- a/app/command_gateway.cc
+++ b/app/command_gateway.cc
@@ -6,16 +6,17 @@
 #include <memory>
 #include <string>
 
+#include "daemon/daemon.h"
 #include "exit_codes.h"
-#include "platform/platform_daemon.h"
+#include "platform/deployment.h"
 #include "platform/settings_file.h"
 
 namespace coltsfootvane {
 namespace {
 
-int RunGateway(const std::string& settings_path) {
+int RunGateway(const std::string& settings_path, unsigned short metrics_port) {
   Findings findings;
-  const platform::PlatformSettings settings =
+  daemon::DaemonSettings settings =
       platform::ReadSettingsFile(settings_path, &findings);
   for (const Finding& finding : findings)
     std::cerr << FormatFinding(finding) << '\n';
@@ -23,8 +24,10 @@
     return kExitFailure;
   // A write to a connection that the peer has closed fails by its error code.
   signal(SIGPIPE, SIG_IGN);
-  platform::PlatformDaemon daemon(settings_path, settings);
-  const Result<bool> result = daemon.Run();
+  settings.metrics_port = metrics_port;
+  daemon::Daemon process(
+      settings, platform::MakeDeployment(settings_path, settings.store));
+  const Result<bool> result = process.Run();
   if (!result) {
     std::cerr << result.error().message << '\n';
     return kExitFailure;
@@ -44,10 +47,16 @@
       ->type_name("FILE")
       ->envname("COLTSFOOTVANE_SETTINGS")
       ->required();
+  const auto metrics_port = std::make_shared<unsigned short>(0);
+  command->add_option("--metrics-port", *metrics_port,
+                      "Port for Prometheus metrics, /metrics; the health port "
+                      "serves them as well");
   command->footer(
       "Example:\n  coltsfootvane gateway --settings "
       "/etc/coltsfootvane/boot.conf");
-  command->callback([path, exit_code] { *exit_code = RunGateway(*path); });
+  command->callback([path, metrics_port, exit_code] {
+    *exit_code = RunGateway(*path, *metrics_port);
+  });
 }
 
 }  // namespace coltsfootvane
--- a/cmake/gateway_only.cmake
+++ b/cmake/gateway_only.cmake
@@ -1,7 +1,8 @@
 # The binary with the commands that a VM of the users' platform runs. It leaves
 # out the libraries that only the project's own interface needs, and all tests.
+find_package(prometheus-cpp CONFIG REQUIRED)
 file(GLOB GATEWAY_SOURCES CONFIGURE_DEPENDS src/base/*.cc src/log/*.cc src/net/*.cc
-  src/gateway/*.cc src/store/*.cc src/fleet/*.cc src/orders/*.cc platform/*.cc
+  src/gateway/*.cc src/daemon/*.cc src/store/*.cc src/fleet/*.cc src/orders/*.cc platform/*.cc
   src/fleet/gen/*.cpp)
 list(FILTER GATEWAY_SOURCES EXCLUDE REGEX "_unittest\\.cc$")
 add_executable(coltsfootvane app/main.cc app/command_gateway.cc
@@ -15,4 +16,4 @@
 target_compile_definitions(coltsfootvane PRIVATE COLTSFOOTVANE_GATEWAY_ONLY
   COLTSFOOTVANE_VERSION="${PROJECT_VERSION}")
 target_link_libraries(coltsfootvane PRIVATE project_options Threads::Threads
-  xxhash libthrift.a -static-libstdc++ -static-libgcc)
+  prometheus-cpp::core xxhash libthrift.a -static-libstdc++ -static-libgcc)
--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,256 @@
+#include "daemon/daemon.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <system_error>
+#include <utility>
+
+#include "daemon/daemon_metrics.h"
+#include "daemon/events.h"
+#include "orders/metered_access.h"
+#include "store/metered_store.h"
+
+namespace coltsfootvane::daemon {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+constexpr Milliseconds kTick{250};
+constexpr Milliseconds kSettingsCheck{1000};
+
+/// Returns the time of the last write, or the least time if the file cannot be
+/// examined.
+std::filesystem::file_time_type LastWrite(const std::string& path) {
+  std::error_code error;
+  const auto time = std::filesystem::last_write_time(path, error);
+  return error ? std::filesystem::file_time_type::min() : time;
+}
+
+}  // namespace
+
+Daemon::Daemon(const DaemonSettings& daemon_settings,
+               const DeploymentMaker& make)
+    : settings(daemon_settings),
+      io(1),
+      log(STDOUT_FILENO, daemon_settings.name),
+      client(&this->io),
+      deployment(make(&this->client)),
+      gateway(&this->io),
+      store(store::Metered(this->deployment.store, &this->gateway.registry)),
+      callers(&this->io),
+      health(
+          &this->io,
+          [this](std::string_view path) { return this->AnswerHealth(path); }),
+      metrics(
+          &this->io,
+          [this](std::string_view path) { return this->AnswerHealth(path); }),
+      fleet(&this->io, &this->gateway),
+      store_view(&this->io,
+                 &this->deployment,
+                 &this->store,
+                 &this->gateway,
+                 &this->fleet,
+                 &this->log),
+      registry(&this->io,
+               &this->store,
+               daemon_settings.name,
+               daemon_settings.ip,
+               [this](const boost::asio::ip::address& address) {
+                 this->fleet.AddPeer(address);
+               }),
+      lease(&this->io,
+            &this->store,
+            &this->log,
+            daemon_settings.name + "@" + daemon_settings.ip.to_string(),
+            daemon_settings.lease_time,
+            daemon_settings.engines_check_fences),
+      orders(&this->io,
+             &this->gateway,
+             &this->fleet,
+             &this->lease,
+             &this->log,
+             orders::Metered(this->deployment.engines, &this->gateway.registry),
+             daemon_settings.store_load_limit),
+      signals(this->io, SIGTERM, SIGINT, SIGHUP),
+      ticker(this->io),
+      settings_written(LastWrite(this->deployment.settings_path)) {
+  this->gateway.wire = this->deployment.wire;
+  this->gateway.log = &this->log;
+  this->gateway.data_centre = this->settings.data_centre;
+  this->gateway.random.seed(std::random_device()());
+  this->ApplyChangeable(daemon_settings);
+  this->fleet.on_news = [this](const fleet::StoreNews& news) {
+    this->store_view.CatchUp(news);
+  };
+  this->lease.on_store_back = [this] { this->store_view.Refresh(); };
+  this->gateway.ask_adapter =
+      [this](const std::string& service, const std::string& model,
+             const std::string& adapter, std::function<void(bool)> done) {
+        this->fleet.AskAdapter(service, model, adapter, std::move(done));
+      };
+}
+
+Result<bool> Daemon::Run() {
+  const Result<bool> listening = this->Listen();
+  if (!listening)
+    return listening.error();
+  this->log.Write(kDaemonStarted, "", "pid=" + std::to_string(getpid()));
+  this->AwaitSignals();
+  this->store_view.Start();
+  for (const boost::asio::ip::address& peer : this->settings.first_peers)
+    this->fleet.AddPeer(peer);
+  this->registry.Start();
+  this->lease.Start();
+  this->orders.Start();
+  this->Tick();
+  this->io.run();
+  this->log.Write(kDaemonStopped, "",
+                  "requests=" + std::to_string(this->gateway.traffic.requests));
+  this->log.Flush();
+  return true;
+}
+
+Result<bool> Daemon::Listen() {
+  const Result<bool> fleet_open =
+      this->fleet.Open({this->settings.ip, this->settings.peer_port});
+  if (!fleet_open)
+    return fleet_open.error();
+  const Result<bool> health_open = this->health.Open(this->settings.health);
+  if (!health_open)
+    return health_open.error();
+  if (this->settings.metrics_port != 0) {
+    const Result<bool> metrics_open =
+        this->metrics.Open({this->settings.ip, this->settings.metrics_port});
+    if (!metrics_open)
+      return metrics_open.error();
+  }
+  return this->callers.Open(
+      this->settings.callers, [this](std::shared_ptr<net::TcpStream> stream) {
+        auto connection = std::make_shared<gateway::CallerConnection>(
+            &this->gateway, std::move(stream));
+        connection->Start();
+        this->connections.push_back(connection);
+      });
+}
+
+bool Daemon::IsReady() const {
+  return this->gateway.routes && this->store_view.KnowsEndpoints() &&
+         !this->gateway.leaving;
+}
+
+std::string Daemon::Metrics() const {
+  DaemonParts parts;
+  parts.gateway = &this->gateway;
+  parts.fleet = &this->fleet;
+  parts.lease = &this->lease;
+  parts.log = &this->log;
+  parts.followers = {&this->store_view.Config(), &this->store_view.Endpoints()};
+  return FormatMetrics(parts, BootNow());
+}
+
+gateway::HealthAnswer Daemon::AnswerHealth(std::string_view path) const {
+  if (path == "/readyz")
+    return this->IsReady() ? gateway::HealthAnswer{200, "ready\n"}
+                           : gateway::HealthAnswer{503, "not ready\n"};
+  if (path == "/metrics")
+    return {200, this->Metrics()};
+  return {};
+}
+
+void Daemon::AwaitSignals() {
+  this->signals.async_wait([this](const BoostError& ec, int signal) {
+    if (ec)
+      return;
+    this->OnSignal(signal);
+    this->AwaitSignals();
+  });
+}
+
+void Daemon::OnSignal(int signal) {
+  if (signal == SIGHUP)
+    this->ReloadSettings();
+  else
+    this->StartShutdown();
+}
+
+/// The file may change without a signal.
+void Daemon::CheckSettingsFile() {
+  const TimePoint now = BootNow();
+  if (now < this->settings_check_at)
+    return;
+  this->settings_check_at = now + kSettingsCheck;
+  if (LastWrite(this->deployment.settings_path) != this->settings_written)
+    this->ReloadSettings();
+}
+
+void Daemon::ReloadSettings() {
+  this->settings_written = LastWrite(this->deployment.settings_path);
+  Findings findings;
+  const DaemonSettings changed = this->deployment.read_settings(&findings);
+  for (const Finding& finding : findings)
+    this->log.Write(kSettingsRejected, "", FormatFinding(finding));
+  if (!findings.empty())
+    return;
+  this->ApplyChangeable(changed);
+  this->log.Write(kSettingsReloaded, "",
+                  "path=" + this->deployment.settings_path);
+}
+
+void Daemon::ApplyChangeable(const DaemonSettings& changed) {
+  this->settings.stop_timeout = changed.stop_timeout;
+  this->gateway.retry_limit = changed.retry_limit;
+}
+
+void Daemon::StartShutdown() {
+  if (this->gateway.leaving)
+    return;
+  this->gateway.leaving = true;
+  this->shutdown = BeginShutdown(this->settings.stop_timeout, BootNow());
+  this->gateway.last_stream_at = this->shutdown.last_stream_at;
+  this->gateway.last_request_at = this->shutdown.last_request_at;
+  this->CloseIdleConnections();
+  this->lease.Release();
+  this->fleet.ReportNow();
+  this->log.Write(kShutdownBegan, "",
+                  "requests=" + std::to_string(this->gateway.exchanges));
+}
+
+void Daemon::CloseIdleConnections() {
+  for (const auto& weak : this->connections) {
+    if (const auto connection = weak.lock())
+      connection->CloseIfIdle();
+  }
+}
+
+void Daemon::ForgetEndedConnections() {
+  const auto ended = std::remove_if(
+      this->connections.begin(), this->connections.end(),
+      [](const std::weak_ptr<gateway::CallerConnection>& connection) {
+        return connection.expired();
+      });
+  this->connections.erase(ended, this->connections.end());
+}
+
+void Daemon::Tick() {
+  this->gateway.connections.DropExpired();
+  this->store_view.Tick();
+  this->log.Flush();
+  this->ForgetEndedConnections();
+  this->CheckSettingsFile();
+  const bool complete =
+      this->gateway.leaving &&
+      IsComplete(&this->shutdown, this->gateway.exchanges, BootNow());
+  if (complete) {
+    this->io.stop();
+    return;
+  }
+  this->ticker.expires_after(kTick);
+  this->ticker.async_wait([this](const BoostError& ec) {
+    if (!ec)
+      this->Tick();
+  });
+}
+
+}  // namespace coltsfootvane::daemon
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,79 @@
+#ifndef COLTSFOOTVANE_DAEMON_DAEMON_H_
+#define COLTSFOOTVANE_DAEMON_DAEMON_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "daemon/daemon_settings.h"
+#include "daemon/deployment.h"
+#include "daemon/shutdown.h"
+#include "daemon/store_view.h"
+#include "fleet/fleet.h"
+#include "fleet/registry.h"
+#include "gateway/caller_connection.h"
+#include "gateway/gateway.h"
+#include "gateway/health_listener.h"
+#include "gateway/listener.h"
+#include "log/decision_log.h"
+#include "net/http_client.h"
+#include "orders/engine_orders.h"
+#include "orders/lease_keeper.h"
+
+namespace coltsfootvane::daemon {
+
+/// The process of one VM: serves callers, follows the store, reports to the
+/// other daemons and, while it holds the lease, orders copies of models.
+class Daemon {
+ public:
+  Daemon(const DaemonSettings& settings, const DeploymentMaker& make);
+
+  /// Serves until a graceful shutdown is complete. Errors: an address cannot be
+  /// bound.
+  Result<bool> Run();
+
+ private:
+  Result<bool> Listen();
+  bool IsReady() const;
+  std::string Metrics() const;
+  gateway::HealthAnswer AnswerHealth(std::string_view path) const;
+  void AwaitSignals();
+  void OnSignal(int signal);
+  void CheckSettingsFile();
+  void ReloadSettings();
+  void ApplyChangeable(const DaemonSettings& changed);
+  void StartShutdown();
+  void CloseIdleConnections();
+  void ForgetEndedConnections();
+  void Tick();
+
+  DaemonSettings settings;
+  boost::asio::io_context io;
+  DecisionLog log;
+  net::HttpClient client;
+  Deployment deployment;
+  gateway::Gateway gateway;
+  store::ObjectStore store;
+  gateway::Listener callers;
+  gateway::HealthListener health;
+  gateway::HealthListener metrics;
+  fleet::Fleet fleet;
+  StoreView store_view;
+  fleet::Registry registry;
+  orders::LeaseKeeper lease;
+  orders::EngineOrders orders;
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer ticker;
+  std::vector<std::weak_ptr<gateway::CallerConnection>> connections;
+  std::filesystem::file_time_type settings_written;
+  TimePoint settings_check_at;
+  Shutdown shutdown;
+};
+
+}  // namespace coltsfootvane::daemon
+
+#endif  // COLTSFOOTVANE_DAEMON_DAEMON_H_
--- /dev/null
+++ b/src/daemon/daemon_metrics.cc
@@ -0,0 +1,167 @@
+#include "daemon/daemon_metrics.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <chrono>
+#include <map>
+#include <utility>
+
+#include "fleet/fleet.h"
+#include "gateway/gateway.h"
+#include "log/decision_log.h"
+#include "orders/lease_keeper.h"
+#include "store/kind_follower.h"
+
+namespace coltsfootvane::daemon {
+namespace {
+
+using prometheus::Labels;
+using prometheus::Registry;
+
+/// The work at the endpoints of one service.
+struct ServiceWork {
+  int ready = 0;
+  int draining = 0;
+  int suspect = 0;
+  int slots = 0;
+  gateway::EndpointWork own;
+  gateway::EndpointWork peers;
+};
+
+void SetGauge(Registry* registry,
+              const char* name,
+              const char* help,
+              const Labels& labels,
+              double value) {
+  prometheus::BuildGauge()
+      .Name(name)
+      .Help(help)
+      .Register(*registry)
+      .Add(labels)
+      .Set(value);
+}
+
+double SecondsSince(TimePoint start, TimePoint now) {
+  return std::chrono::duration<double>(now - start).count();
+}
+
+void AddWork(gateway::EndpointWork* sum, const gateway::EndpointWork& one) {
+  sum->running += one.running;
+  sum->prompt_tokens += one.prompt_tokens;
+}
+
+std::map<std::string, ServiceWork> SumServices(const gateway::Gateway& gateway,
+                                               TimePoint now) {
+  std::map<std::string, ServiceWork> services;
+  for (const gateway::EndpointPtr& endpoint : gateway.endpoint_list) {
+    ServiceWork& work = services[endpoint->entry.service];
+    if (endpoint->entry.draining)
+      ++work.draining;
+    else if (now < endpoint->suspect_until)
+      ++work.suspect;
+    else
+      ++work.ready;
+    work.slots += endpoint->entry.slots;
+    AddWork(&work.own, endpoint->own);
+    AddWork(&work.peers, endpoint->peers);
+  }
+  return services;
+}
+
+void SetWork(Registry* registry,
+             const std::string& service,
+             const char* daemons,
+             const gateway::EndpointWork& work) {
+  const Labels labels = {{"service", service}, {"daemons", daemons}};
+  SetGauge(registry, "coltsfootvane_endpoint_running_requests",
+           "Requests in progress at the endpoints of a service, from this "
+           "daemon and from the others",
+           labels, work.running);
+  SetGauge(registry, "coltsfootvane_endpoint_prompt_tokens",
+           "Prompt tokens that the engines of a service have yet to read",
+           labels, work.prompt_tokens);
+}
+
+void SetServices(Registry* registry,
+                 const gateway::Gateway& gateway,
+                 TimePoint now) {
+  const char* const name = "coltsfootvane_endpoints";
+  const char* const help = "Endpoints by service and state";
+  for (const auto& [service, work] : SumServices(gateway, now)) {
+    SetGauge(registry, name, help, {{"service", service}, {"state", "ready"}},
+             work.ready);
+    SetGauge(registry, name, help,
+             {{"service", service}, {"state", "draining"}}, work.draining);
+    SetGauge(registry, name, help, {{"service", service}, {"state", "suspect"}},
+             work.suspect);
+    SetGauge(registry, "coltsfootvane_endpoint_slots",
+             "Requests that the endpoints of a service take at once",
+             {{"service", service}}, work.slots);
+    SetWork(registry, service, "own", work.own);
+    SetWork(registry, service, "peers", work.peers);
+  }
+}
+
+void SetBeliefs(Registry* registry, const DaemonParts& parts, TimePoint now) {
+  const gateway::Gateway& gateway = *parts.gateway;
+  SetGauge(registry, "coltsfootvane_gateway_requests_in_progress",
+           "Requests in progress", {}, gateway.exchanges);
+  if (gateway.routes) {
+    SetGauge(registry, "coltsfootvane_config_version",
+             "Version of the configuration in force", {},
+             static_cast<double>(gateway.routes->version));
+    SetGauge(registry, "coltsfootvane_config_age_seconds",
+             "Since when the configuration is in force", {},
+             SecondsSince(gateway.routes_since, now));
+  }
+  for (const store::KindFollower* follower : parts.followers) {
+    const Labels kind = {{"kind", follower->Kind()}};
+    SetGauge(registry, "coltsfootvane_store_reachable",
+             "Whether the last call for the kind was answered", kind,
+             follower->Reachable() ? 1 : 0);
+    SetGauge(registry, "coltsfootvane_store_revision",
+             "Revision of the store that is known for the kind", kind,
+             static_cast<double>(follower->Revision()));
+    if (follower->HeardAt() != TimePoint())
+      SetGauge(registry, "coltsfootvane_store_answer_age_seconds",
+               "Time since the last answer of the store for the kind", kind,
+               SecondsSince(follower->HeardAt(), now));
+  }
+  SetGauge(registry, "coltsfootvane_live_daemons",
+           "Daemons that report, this one included", {},
+           parts.fleet->LiveCount());
+  SetGauge(registry, "coltsfootvane_lease_held",
+           "Whether this daemon may give orders to engines", {},
+           parts.lease->MayOrder(now) ? 1 : 0);
+  SetGauge(registry, "coltsfootvane_lease_epoch",
+           "Number of the latest known holder of the lease", {},
+           static_cast<double>(parts.lease->Epoch()));
+}
+
+void SetLogLines(Registry* registry, const DecisionLog& log) {
+  const char* const name = "coltsfootvane_log_lines_left_out";
+  const char* const help = "Log lines that were not written since the start";
+  SetGauge(registry, name, help, {{"reason", "rate"}},
+           static_cast<double>(log.left_out_by_rate));
+  SetGauge(registry, name, help, {{"reason", "buffer_full"}},
+           static_cast<double>(log.left_out_by_buffer));
+}
+
+}  // namespace
+
+std::string FormatMetrics(const DaemonParts& parts, TimePoint now) {
+  // State is collected anew, so that nothing stays of a service that left.
+  Registry state;
+  SetServices(&state, *parts.gateway, now);
+  SetBeliefs(&state, parts, now);
+  SetLogLines(&state, *parts.log);
+  std::vector<prometheus::MetricFamily> families =
+      parts.gateway->registry.Collect();
+  for (prometheus::MetricFamily& family : state.Collect())
+    families.push_back(std::move(family));
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}  // namespace coltsfootvane::daemon
--- /dev/null
+++ b/src/daemon/daemon_metrics.h
@@ -0,0 +1,44 @@
+#ifndef COLTSFOOTVANE_DAEMON_DAEMON_METRICS_H_
+#define COLTSFOOTVANE_DAEMON_DAEMON_METRICS_H_
+
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace coltsfootvane {
+
+class DecisionLog;
+
+namespace fleet {
+class Fleet;
+}
+namespace gateway {
+struct Gateway;
+}
+namespace orders {
+class LeaseKeeper;
+}
+namespace store {
+class KindFollower;
+}
+
+namespace daemon {
+
+/// The parts of a daemon whose state its metrics show.
+struct DaemonParts {
+  const gateway::Gateway* gateway = nullptr;
+  const fleet::Fleet* fleet = nullptr;
+  const orders::LeaseKeeper* lease = nullptr;
+  const DecisionLog* log = nullptr;
+  std::vector<const store::KindFollower*> followers;
+};
+
+/// Returns the counters and histograms of the gateway's registry and the
+/// present state of the parts in Prometheus' text format.
+std::string FormatMetrics(const DaemonParts& parts, TimePoint now);
+
+}  // namespace daemon
+}  // namespace coltsfootvane
+
+#endif  // COLTSFOOTVANE_DAEMON_DAEMON_METRICS_H_
--- /dev/null
+++ b/src/daemon/daemon_metrics_unittest.cc
@@ -0,0 +1,80 @@
+#include "daemon/daemon_metrics.h"
+
+#include <string>
+#include <utility>
+
+#include "fleet/fleet.h"
+#include "orders/lease_keeper.h"
+#include "store/kind_follower.h"
+#include "support/gateway_scene.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using testing::CallerRequest;
+using testing::GatewayScene;
+using testing::Has;
+
+namespace {
+
+std::string MetricsOf(GatewayScene* scene) {
+  const fleet::Fleet peers(&scene->io, &scene->gateway);
+  const store::ObjectStore store;
+  const orders::LeaseKeeper lease(&scene->io, &store, &scene->log, "vm",
+                                  Milliseconds(3000), false);
+  const store::KindFollower follower(&scene->io, &store, "kind-a", &scene->log,
+                                     {});
+  daemon::DaemonParts parts;
+  parts.gateway = &scene->gateway;
+  parts.fleet = &peers;
+  parts.lease = &lease;
+  parts.log = &scene->log;
+  parts.followers = {&follower};
+  return daemon::FormatMetrics(parts, BootNow());
+}
+
+}  // namespace
+
+TEST_GROUP(DaemonMetrics){};
+
+/// Each way in which a request ends is counted with its reason.
+TEST(DaemonMetrics, CountHowRequestsEnd) {
+  GatewayScene scene;
+  scene.AddEndpoint("e1");
+  scene.answers = {
+      {"HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n"
+       "Server-Signature: p\r\nContent-Length: 2\r\n\r\nok"}};
+  scene.Call(CallerRequest("/safe/"));
+  scene.Call(CallerRequest("/none/"));
+  scene.Call("GET /safe/ HTTP/1.1\r\n\r\n");
+  const std::string text = MetricsOf(&scene);
+  const char* const lines[] = {
+      "coltsfootvane_gateway_requests_total{outcome=\"answered\",rank=\"0\","
+      "reason=\"\",route=\"/safe/\",service=\"s\"} 1",
+      "coltsfootvane_gateway_requests_total{outcome=\"failed\",rank=\"none\","
+      "reason=\"no route\",route=\"none\",service=\"\"} 1",
+      "coltsfootvane_gateway_rejected_requests_total{reason=\"target\"} 1",
+      "coltsfootvane_gateway_sends_total{service=\"s\"} 1",
+      "coltsfootvane_endpoints{service=\"s\",state=\"ready\"} 1",
+      "coltsfootvane_store_reachable{kind=\"kind-a\"} 0",
+      "coltsfootvane_lease_held 0",
+      "coltsfootvane_log_lines_left_out{reason=\"rate\"} 0",
+  };
+  for (const char* line : lines)
+    CHECK_TEXT(Has(text, line), (std::string(line) + "\n" + text).c_str());
+}
+
+/// Every family has a help text and is listed once.
+TEST(DaemonMetrics, FamiliesHaveHelpTexts) {
+  GatewayScene scene;
+  scene.AddEndpoint("e1");
+  const std::string text = MetricsOf(&scene);
+  std::size_t types = 0;
+  std::size_t helps = 0;
+  for (std::size_t at = 0; (at = text.find("# TYPE ", at)) != text.npos; ++at)
+    ++types;
+  for (std::size_t at = 0; (at = text.find("# HELP ", at)) != text.npos; ++at)
+    ++helps;
+  CHECK(types >= 12);
+  LONGS_EQUAL(types, helps);
+}
--- a/platform/events.h
+++ b/src/daemon/events.h
@@ -1,9 +1,9 @@
-#ifndef COLTSFOOTVANE_PLATFORM_EVENTS_H_
-#define COLTSFOOTVANE_PLATFORM_EVENTS_H_
+#ifndef COLTSFOOTVANE_DAEMON_EVENTS_H_
+#define COLTSFOOTVANE_DAEMON_EVENTS_H_
 
 #include "log/event.h"
 
-namespace coltsfootvane::platform {
+namespace coltsfootvane::daemon {
 
 inline constexpr Event kDaemonStarted{2401, Severity::kInfo, "daemon-started"};
 inline constexpr Event kDaemonStopped{2402, Severity::kInfo, "daemon-stopped"};
@@ -17,6 +17,6 @@
 inline constexpr Event kEndpointUnreadable{2407, Severity::kWarning,
                                            "endpoint-unreadable"};
 
-}  // namespace coltsfootvane::platform
+}  // namespace coltsfootvane::daemon
 
-#endif  // COLTSFOOTVANE_PLATFORM_EVENTS_H_
+#endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- /dev/null
+++ b/src/daemon/shutdown.h
@@ -0,0 +1,28 @@
+#ifndef COLTSFOOTVANE_DAEMON_SHUTDOWN_H_
+#define COLTSFOOTVANE_DAEMON_SHUTDOWN_H_
+
+#include "base/clock.h"
+
+namespace coltsfootvane::daemon {
+
+/// The times of a graceful shutdown, which begins with a signal and ends before
+/// the process would be killed.
+struct Shutdown {
+  TimePoint began;
+  TimePoint ends;  ///< At the latest.
+  /// Later streams and other requests could not be completed.
+  TimePoint last_stream_at;
+  TimePoint last_request_at;
+  TimePoint last_busy;  ///< When a request was last in progress.
+};
+
+/// `stop_timeout` is the time from the signal until the process is killed.
+Shutdown BeginShutdown(Milliseconds stop_timeout, TimePoint now);
+
+/// Returns whether the process can end: callers have had the time to turn to
+/// other daemons, and the last answers to reach them.
+bool IsComplete(Shutdown* shutdown, int requests_in_progress, TimePoint now);
+
+}  // namespace coltsfootvane::daemon
+
+#endif  // COLTSFOOTVANE_DAEMON_SHUTDOWN_H_
--- /dev/null
+++ b/src/daemon/store_view.cc
@@ -0,0 +1,186 @@
+#include "daemon/store_view.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "daemon/events.h"
+
+namespace coltsfootvane::daemon {
+namespace {
+
+store::FollowerEvents Events(
+    std::function<void(const store::Listing&)> on_listing,
+    std::function<void(const store::Changes&)> on_changes) {
+  store::FollowerEvents events;
+  events.on_listing = std::move(on_listing);
+  events.on_changes = std::move(on_changes);
+  return events;
+}
+
+}  // namespace
+
+StoreView::StoreView(boost::asio::io_context* io,
+                     const Deployment* own_deployment,
+                     const store::ObjectStore* store,
+                     gateway::Gateway* own_gateway,
+                     fleet::Fleet* own_fleet,
+                     DecisionLog* decision_log)
+    : deployment(own_deployment),
+      gateway(own_gateway),
+      fleet(own_fleet),
+      log(decision_log),
+      config(io,
+             store,
+             own_deployment->config_kind,
+             decision_log,
+             Events(
+                 [this](const store::Listing& listing) {
+                   for (const store::Object& object : listing.objects)
+                     this->OnConfig(object);
+                   this->SendNews();
+                 },
+                 [this](const store::Changes& changes) {
+                   for (const store::Change& change : changes.changes) {
+                     if (!change.deleted)
+                       this->OnConfig(change.object);
+                   }
+                   this->SendNews();
+                 })),
+      endpoints(io,
+                store,
+                own_deployment->endpoint_kind,
+                decision_log,
+                Events(
+                    [this](const store::Listing& listing) {
+                      this->OnEndpointListing(listing);
+                    },
+                    [this](const store::Changes& changes) {
+                      this->OnEndpointChanges(changes);
+                    })) {}
+
+void StoreView::Start() {
+  this->config.Start();
+  this->endpoints.Start();
+}
+
+void StoreView::CatchUp(const fleet::StoreNews& news) {
+  this->config.CatchUp(news.config_revision);
+  this->endpoints.CatchUp(news.endpoints_revision);
+}
+
+void StoreView::Refresh() {
+  this->config.Refresh();
+  this->endpoints.Refresh();
+}
+
+void StoreView::Tick() {
+  this->SendNews();
+  const auto freshness = this->fleet->IsCloseWatcher()
+                             ? store::Freshness::kLatest
+                             : store::Freshness::kStale;
+  this->config.SetFreshness(freshness);
+  this->endpoints.SetFreshness(freshness);
+}
+
+void StoreView::OnConfig(const store::Object& object) {
+  if (object.name != this->deployment->config_name)
+    return;
+  if (object.revision > this->fleet->news.config_revision) {
+    this->fleet->news.config_revision = object.revision;
+    this->news_to_send = true;
+  }
+  Result<gateway::RoutingTable> table =
+      this->deployment->read_config(object.spec);
+  if (!table) {
+    this->log->Write(kConfigUnreadable, "",
+                     "reason=\"" + table.error().message + "\"");
+    return;
+  }
+  gateway::TakeTable(this->gateway, std::move(table).value());
+}
+
+void StoreView::OnEndpointListing(const store::Listing& listing) {
+  std::set<std::string> listed;
+  for (const store::Object& object : listing.objects) {
+    listed.insert(object.name);
+    this->PutEndpoint(object);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [id, endpoint] : this->gateway->endpoints.endpoints) {
+    if (listed.count(id) == 0)
+      gone.push_back(id);
+  }
+  for (const std::string& id : gone)
+    this->RemoveEndpoint(id);
+  if (!gone.empty())
+    this->NoteDeparture(listing.revision);
+  this->endpoints_known = true;
+  gateway::UpdateEndpointList(this->gateway);
+  this->SendNews();
+}
+
+void StoreView::OnEndpointChanges(const store::Changes& changes) {
+  for (const store::Change& change : changes.changes) {
+    if (!change.deleted) {
+      this->PutEndpoint(change.object);
+      continue;
+    }
+    this->RemoveEndpoint(change.object.name);
+    this->NoteDeparture(changes.revision);
+  }
+  gateway::UpdateEndpointList(this->gateway);
+  this->SendNews();
+}
+
+void StoreView::PutEndpoint(const store::Object& object) {
+  Result<gateway::EndpointEntry> entry =
+      this->deployment->read_endpoint(object.name, object.spec);
+  if (!entry) {
+    this->log->Write(kEndpointUnreadable, "",
+                     "endpoint=" + object.name + " reason=\"" +
+                         entry.error().message + "\"");
+    this->RemoveEndpoint(object.name);
+    return;
+  }
+  const auto found = this->gateway->endpoints.endpoints.find(object.name);
+  const bool news =
+      found == this->gateway->endpoints.endpoints.end() ||
+      found->second->entry.draining != entry.value().draining ||
+      found->second->entry.incarnation != entry.value().incarnation;
+  if (news && entry.value().draining)
+    this->NoteDeparture(object.revision);
+  if (news) {
+    this->log->Write(
+        gateway::kEndpointChanged, "",
+        "endpoint=" + object.name + " service=" + entry.value().service +
+            " state=" + (entry.value().draining ? "draining" : "ready") +
+            " revision=" + std::to_string(object.revision));
+  }
+  gateway::PutEndpoint(&this->gateway->endpoints, std::move(entry).value());
+}
+
+/// Endpoints that leave are urgent news: they get no new work.
+void StoreView::NoteDeparture(std::int64_t revision) {
+  if (revision <= this->fleet->news.endpoints_revision)
+    return;
+  this->fleet->news.endpoints_revision = revision;
+  this->news_to_send = true;
+}
+
+void StoreView::SendNews() {
+  this->fleet->news.reachable =
+      this->config.Reachable() && this->endpoints.Reachable();
+  const bool urgent = std::exchange(this->news_to_send, false);
+  if (urgent && this->fleet->IsCloseWatcher())
+    this->fleet->ReportNow();
+}
+
+void StoreView::RemoveEndpoint(const std::string& id) {
+  if (this->gateway->endpoints.endpoints.count(id) == 0)
+    return;
+  this->log->Write(gateway::kEndpointGone, "", "endpoint=" + id);
+  gateway::RemoveEndpoint(&this->gateway->endpoints, id);
+}
+
+}  // namespace coltsfootvane::daemon
--- /dev/null
+++ b/src/daemon/store_view.h
@@ -0,0 +1,59 @@
+#ifndef COLTSFOOTVANE_DAEMON_STORE_VIEW_H_
+#define COLTSFOOTVANE_DAEMON_STORE_VIEW_H_
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+
+#include "daemon/deployment.h"
+#include "fleet/fleet.h"
+#include "gateway/gateway.h"
+#include "log/decision_log.h"
+#include "store/kind_follower.h"
+
+namespace coltsfootvane::daemon {
+
+/// Takes the configuration and the endpoints from the store over into the
+/// gateway, and tells the other daemons of urgent changes.
+class StoreView {
+ public:
+  StoreView(boost::asio::io_context* io,
+            const Deployment* deployment,
+            const store::ObjectStore* store,
+            gateway::Gateway* gateway,
+            fleet::Fleet* fleet,
+            DecisionLog* log);
+
+  void Start();
+  /// Returns whether the endpoints have been listed once.
+  bool KnowsEndpoints() const { return this->endpoints_known; }
+  /// Lists what another daemon has seen and this one has not.
+  void CatchUp(const fleet::StoreNews& news);
+  /// Lists again, since answers of the store may have been lost.
+  void Refresh();
+  /// Reports news and adapts how closely the store is watched.
+  void Tick();
+  const store::KindFollower& Config() const { return this->config; }
+  const store::KindFollower& Endpoints() const { return this->endpoints; }
+
+ private:
+  void OnConfig(const store::Object& object);
+  void OnEndpointListing(const store::Listing& listing);
+  void OnEndpointChanges(const store::Changes& changes);
+  void PutEndpoint(const store::Object& object);
+  void RemoveEndpoint(const std::string& id);
+  void NoteDeparture(std::int64_t revision);
+  void SendNews();
+
+  const Deployment* deployment;
+  gateway::Gateway* gateway;
+  fleet::Fleet* fleet;
+  DecisionLog* log;
+  store::KindFollower config;
+  store::KindFollower endpoints;
+  bool endpoints_known = false;
+  bool news_to_send = false;  ///< Since the last report to the others.
+};
+
+}  // namespace coltsfootvane::daemon
+
+#endif  // COLTSFOOTVANE_DAEMON_STORE_VIEW_H_
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -272,8 +272,9 @@
   this->SendReports();
 }
 
-bool Fleet::Lookout() const {
-  return IsLookout(this->table, this->own_address, this->Interval(), BootNow());
+bool Fleet::IsCloseWatcher() const {
+  return fleet::IsCloseWatcher(this->table, this->own_address, this->Interval(),
+                               BootNow());
 }
 
 gen::Report Fleet::MakeReport(TimePoint now) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -67,7 +67,7 @@
   /// Called when another daemon has seen more.
   std::function<void(const StoreNews&)> on_news;
   /// Returns whether this daemon watches the store closely for the others.
-  bool Lookout() const;
+  bool IsCloseWatcher() const;
 
   /// Returns the demand for a model over all daemons, in engine ms a second.
   double DemandFor(const std::string& model, TimePoint now) const;
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -37,11 +37,11 @@
   return count;
 }
 
-bool IsLookout(const MemberTable& table,
-               std::uint32_t own_address,
-               Milliseconds report_interval,
-               TimePoint now) {
-  constexpr int kLookouts = 3;
+bool IsCloseWatcher(const MemberTable& table,
+                    std::uint32_t own_address,
+                    Milliseconds report_interval,
+                    TimePoint now) {
+  constexpr int kCloseWatchers = 3;
   constexpr int kMissedReports = 5;
   int before = 0;
   for (const auto& [address, member] : table.members) {
@@ -50,7 +50,7 @@
                         member.report.store_reachable && !member.report.leaving;
     before += counts && address < own_address ? 1 : 0;
   }
-  return before < kLookouts;
+  return before < kCloseWatchers;
 }
 
 std::uint32_t FindHolder(const MemberTable& table, TimePoint now) {
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -44,10 +44,10 @@
 
 /// Returns whether this daemon should watch the store closely on behalf of the
 /// others: it is among the first few of those that reach the store.
-bool IsLookout(const MemberTable& table,
-               std::uint32_t own_address,
-               Milliseconds report_interval,
-               TimePoint now);
+bool IsCloseWatcher(const MemberTable& table,
+                    std::uint32_t own_address,
+                    Milliseconds report_interval,
+                    TimePoint now);
 
 /// Returns the address of the live member with the highest lease epoch, or 0.
 std::uint32_t FindHolder(const MemberTable& table, TimePoint now);
--- a/src/fleet/member_table_unittest.cc
+++ b/src/fleet/member_table_unittest.cc
@@ -60,19 +60,19 @@
 
 /// Whoever reaches the store watches it for the others; when those in front
 /// fall silent or lose the store, the next ones do.
-TEST(MemberTable, LookoutsAreTheFirstThatReachTheStore) {
+TEST(MemberTable, CloseWatchersAreTheFirstThatReachTheStore) {
   MemberTable table;
   for (std::uint32_t address = 1; address <= 5; ++address)
     TakeReport(&table, address, Report(1, 1), kNow);
-  CHECK(IsLookout(table, 3, kInterval, kNow));
-  CHECK_FALSE(IsLookout(table, 4, kInterval, kNow));
+  CHECK(IsCloseWatcher(table, 3, kInterval, kNow));
+  CHECK_FALSE(IsCloseWatcher(table, 4, kInterval, kNow));
   fleet::gen::Report without_store = Report(1, 2);
   without_store.store_reachable = false;
   TakeReport(&table, 1, without_store, kNow);
-  CHECK(IsLookout(table, 4, kInterval, kNow));
-  CHECK_FALSE(IsLookout(table, 5, kInterval, kNow));
-  CHECK(IsLookout(table, 5, kInterval, kNow + kInterval * 6));
-  CHECK(IsLookout(MemberTable(), 9, kInterval, kNow));
+  CHECK(IsCloseWatcher(table, 4, kInterval, kNow));
+  CHECK_FALSE(IsCloseWatcher(table, 5, kInterval, kNow));
+  CHECK(IsCloseWatcher(table, 5, kInterval, kNow + kInterval * 6));
+  CHECK(IsCloseWatcher(MemberTable(), 9, kInterval, kNow));
 }
 
 TEST(MemberTable, WorkIsAddedUpOverLiveMembers) {
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -137,6 +137,7 @@
   std::snprintf(detail, sizeof(detail), "status=%d reason=\"%.*s\"", status,
                 static_cast<int>(reason.size()), reason.data());
   this->gateway->log->Write(kInputRejected, "", detail);
+  this->gateway->metrics.CountRejected(reason);
   this->keep = false;
   this->phase = Phase::kServing;
   this->BeginAnswer(this->gateway->wire->own_answer(status, "", std::nullopt),
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -24,6 +24,7 @@
 constexpr int kMostRefusedSends = 3;
 /// A send with less time would be answered too late.
 constexpr Milliseconds kLeastTimeForSend{20};
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -186,6 +187,7 @@
   this->endpoint = choice.endpoint;
   this->tried.insert(this->endpoint->entry.id);
   ++this->sends;
+  this->gateway->metrics.CountSend(this->service);
   ++this->attempt;
   this->input.clear();
   this->splitter.Clear();
@@ -244,10 +246,12 @@
     options.urgency = std::clamp(this->route->rank, 0, 9);
   options.resume_after =
       this->last_event ? this->last_event : this->info.resume_after;
-  if (this->forwarding)
+  if (this->forwarding) {
+    this->gateway->metrics.CountResumedStream(this->service);
     this->Log(kStreamResumed,
               "endpoint=" + this->endpoint->entry.id +
                   " after=" + std::to_string(this->last_event.value_or(0)));
+  }
   net::RequestHead sent =
       this->gateway->wire->endpoint_request(this->head, options);
   if (!this->body.empty() || this->head.method == "POST" ||
@@ -259,6 +263,7 @@
 
 /// The send had no effect and never will have one.
 void Exchange::OnNotRun(std::string_view reason) {
+  this->gateway->metrics.CountFailedSend(this->service, "not_run", reason);
   if (this->Logs())
     this->Log(kSendFailed,
               "outcome=not-run reason=\"" + std::string(reason) + "\"");
@@ -267,7 +272,6 @@
       this->sends <= kMostRefusedSends &&
       (!written || TakeRetry(this->gateway, this->service, BootNow()));
   if (more) {
-    this->gateway->traffic.retries += written ? 1 : 0;
     this->TryNext();
     return;
   }
@@ -276,6 +280,7 @@
 
 /// The send may have run, and no whole answer came.
 void Exchange::OnSendFailed(std::string_view reason) {
+  this->gateway->metrics.CountFailedSend(this->service, "unknown", reason);
   if (this->endpoint)
     NoteResult(this->endpoint.get(), false, BootNow());
   this->Log(kSendFailed,
@@ -284,7 +289,6 @@
   this->ReleaseEndpoint(false);
   if (this->MaySendAgain() &&
       TakeRetry(this->gateway, this->service, BootNow())) {
-    ++this->gateway->traffic.retries;
     this->TryNext();
     return;
   }
@@ -301,101 +305,4 @@
   this->Fail(504, "timeout");
 }
 
-/// Ends a request that has not run. One that has run fails instead.
-void Exchange::Refuse(std::string_view reason,
-                      Milliseconds retry_after,
-                      std::string_view inputs) {
-  if (this->runs > 0 || this->forwarding) {
-    this->Fail(502, reason);
-    return;
-  }
-  if (this->finished)
-    return;
-  ++this->gateway->traffic.refused;
-  this->Log(kRequestRefused,
-            "reason=\"" + std::string(reason) +
-                "\" retry_after_ms=" + std::to_string(retry_after.count()) +
-                " model=" + this->info.model + " " + std::string(inputs));
-  const auto spread = static_cast<std::int64_t>(
-      this->gateway->random() %
-      static_cast<std::uint64_t>(
-          std::max<std::int64_t>(1, retry_after.count() / 2)));
-  this->RespondWith(503, retry_after + Milliseconds(spread));
-}
-
-void Exchange::Fail(int status, std::string_view reason) {
-  if (this->finished)
-    return;
-  ++this->gateway->traffic.failed;
-  this->Log(kRequestFailed, "status=" + std::to_string(status) + " reason=\"" +
-                                std::string(reason) +
-                                "\" sends=" + std::to_string(this->sends));
-  if (this->forwarding) {
-    const auto connection = this->caller;
-    this->Finish();
-    connection->BreakAnswer();
-    return;
-  }
-  this->RespondWith(status, std::nullopt);
-}
-
-void Exchange::RespondWith(int status,
-                           std::optional<Milliseconds> retry_after) {
-  const auto connection = this->caller;
-  const std::string id = this->info.id;
-  this->Finish();
-  connection->BeginAnswer(
-      this->gateway->wire->own_answer(status, id, retry_after), 0);
-  connection->FinishAnswer();
-}
-
-void Exchange::BeginWork(int tokens) {
-  this->reading_tokens = tokens;
-  ++this->endpoint->own.running;
-  this->endpoint->own.prompt_tokens += tokens;
-}
-
-/// The prompt has been read: the first event is there.
-void Exchange::EndPrompt() {
-  this->endpoint->own.prompt_tokens -= this->reading_tokens;
-  this->reading_tokens = 0;
-}
-
-void Exchange::ReleaseEndpoint(bool reusable) {
-  if (!this->endpoint)
-    return;
-  this->EndPrompt();
-  --this->endpoint->own.running;
-  const auto connection = std::exchange(this->stream, nullptr);
-  if (connection && reusable && !this->endpoint->gone)
-    this->gateway->connections.Keep(this->endpoint->entry.id, connection,
-                                    this->answer);
-  else if (connection)
-    connection->Close();
-  this->endpoint = nullptr;
-  ++this->attempt;
-}
-
-void Exchange::Finish() {
-  this->finished = true;
-  this->timer.cancel();
-  this->ReleaseEndpoint(false);
-}
-
-void Exchange::OnCallerGone() {
-  if (this->finished)
-    return;
-  ++this->gateway->traffic.cancelled;
-  this->Log(kCallerLeft, "sends=" + std::to_string(this->sends));
-  this->Finish();
-}
-
-bool Exchange::Logs() const {
-  return this->gateway->log->Samples(this->info.id);
-}
-
-void Exchange::Log(const Event& event, std::string_view detail) const {
-  this->gateway->log->Write(event, this->info.id, detail);
-}
-
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -13,6 +13,7 @@
 #include "gateway/choice.h"
 #include "gateway/endpoint.h"
 #include "gateway/event_splitter.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/routing_table.h"
 #include "gateway/wire_format.h"
 #include "log/event.h"
@@ -49,7 +50,7 @@
     kSkipped,  ///< It belongs to another request.
   };
 
-  // exchange.cc: what to do with the request.
+  // exchange.cc: where to send the request.
   bool FindRoute();
   void TryNext();
   bool AwaitAdapter();
@@ -60,6 +61,8 @@
   void OnSendFailed(std::string_view reason);
   void OnTimeout();
   void RefuseChoice(const Choice& choice);
+
+  // exchange_end.cc: how the request ends.
   void Refuse(std::string_view reason,
               Milliseconds retry_after,
               std::string_view inputs = {});
@@ -69,6 +72,7 @@
   void EndPrompt();
   void ReleaseEndpoint(bool reusable);
   void Finish();
+  void CountEnd(Outcome outcome, std::string_view reason = {});
   bool Logs() const;
   void Log(const Event& event, std::string_view detail) const;
 
@@ -80,6 +84,7 @@
   bool ReadHead();
   void ForwardBody(const std::string& bytes);
   void ForwardEvents();
+  void ObserveEvent();
   void OnAnswerDone();
   void OnWholeAnswer();
   bool IsAcceptable() const;
@@ -119,6 +124,7 @@
   EventSplitter splitter;
   bool forwarding = false;                 ///< The caller has got the head.
   std::optional<std::int64_t> last_event;  ///< Id, of those forwarded.
+  TimePoint last_event_at;
 };
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -162,6 +162,7 @@
       this->BeginForwarding(std::nullopt);
     if (this->reading_tokens > 0)
       this->EndPrompt();
+    this->ObserveEvent();
     this->caller->SendBody(event->bytes);
     if (event->id)
       this->last_event = event->id;
@@ -170,6 +171,17 @@
     this->OnSendFailed("event too long");
 }
 
+void Exchange::ObserveEvent() {
+  const TimePoint now = BootNow();
+  if (this->last_event_at == TimePoint())
+    this->gateway->metrics.ObserveFirstEvent(*this->route,
+                                             now - this->received);
+  else
+    this->gateway->metrics.ObserveEventGap(*this->route,
+                                           now - this->last_event_at);
+  this->last_event_at = now;
+}
+
 void Exchange::BeginForwarding(std::optional<std::size_t> length) {
   this->forwarding = true;
   this->caller->BeginAnswer(this->gateway->wire->caller_answer(this->answer),
@@ -212,7 +224,7 @@
   if (this->Logs())
     this->Log(kRequestAnswered,
               "status=" + std::to_string(this->answer.status));
-  ++this->gateway->traffic.answered;
+  this->CountEnd(Outcome::kAnswered);
   this->ReleaseEndpoint(reusable);
   const auto connection = this->caller;
   this->Finish();
@@ -232,7 +244,6 @@
   const bool again = failed && this->MaySendAgain() && !this->forwarding &&
                      TakeRetry(this->gateway, this->service, BootNow());
   if (again) {
-    ++this->gateway->traffic.retries;
     this->ReleaseEndpoint(reusable);
     this->TryNext();
     return;
@@ -245,7 +256,7 @@
   if (this->Logs())
     this->Log(kRequestAnswered,
               "status=" + std::to_string(this->answer.status));
-  ++this->gateway->traffic.answered;
+  this->CountEnd(Outcome::kAnswered);
   const std::string bytes = std::move(this->whole_body);
   this->ReleaseEndpoint(reusable);
   const auto connection = this->caller;
--- /dev/null
+++ b/src/gateway/exchange_end.cc
@@ -0,0 +1,112 @@
+#include <algorithm>
+#include <utility>
+
+#include "gateway/caller_connection.h"
+#include "gateway/exchange.h"
+#include "gateway/gateway.h"
+
+namespace coltsfootvane::gateway {
+
+/// Ends a request that has not run. One that has run fails instead.
+void Exchange::Refuse(std::string_view reason,
+                      Milliseconds retry_after,
+                      std::string_view inputs) {
+  if (this->runs > 0 || this->forwarding) {
+    this->Fail(502, reason);
+    return;
+  }
+  if (this->finished)
+    return;
+  this->CountEnd(Outcome::kRefused, reason);
+  this->Log(kRequestRefused,
+            "reason=\"" + std::string(reason) +
+                "\" retry_after_ms=" + std::to_string(retry_after.count()) +
+                " model=" + this->info.model + " " + std::string(inputs));
+  const auto spread = static_cast<std::int64_t>(
+      this->gateway->random() %
+      static_cast<std::uint64_t>(
+          std::max<std::int64_t>(1, retry_after.count() / 2)));
+  this->RespondWith(503, retry_after + Milliseconds(spread));
+}
+
+void Exchange::Fail(int status, std::string_view reason) {
+  if (this->finished)
+    return;
+  this->CountEnd(Outcome::kFailed, reason);
+  this->Log(kRequestFailed, "status=" + std::to_string(status) + " reason=\"" +
+                                std::string(reason) +
+                                "\" sends=" + std::to_string(this->sends));
+  if (this->forwarding) {
+    const auto connection = this->caller;
+    this->Finish();
+    connection->BreakAnswer();
+    return;
+  }
+  this->RespondWith(status, std::nullopt);
+}
+
+void Exchange::RespondWith(int status,
+                           std::optional<Milliseconds> retry_after) {
+  const auto connection = this->caller;
+  const std::string id = this->info.id;
+  this->Finish();
+  connection->BeginAnswer(
+      this->gateway->wire->own_answer(status, id, retry_after), 0);
+  connection->FinishAnswer();
+}
+
+void Exchange::BeginWork(int tokens) {
+  this->reading_tokens = tokens;
+  ++this->endpoint->own.running;
+  this->endpoint->own.prompt_tokens += tokens;
+}
+
+/// The prompt has been read: the first event is there.
+void Exchange::EndPrompt() {
+  this->endpoint->own.prompt_tokens -= this->reading_tokens;
+  this->reading_tokens = 0;
+}
+
+void Exchange::ReleaseEndpoint(bool reusable) {
+  if (!this->endpoint)
+    return;
+  this->EndPrompt();
+  --this->endpoint->own.running;
+  const auto connection = std::exchange(this->stream, nullptr);
+  if (connection && reusable && !this->endpoint->gone)
+    this->gateway->connections.Keep(this->endpoint->entry.id, connection,
+                                    this->answer);
+  else if (connection)
+    connection->Close();
+  this->endpoint = nullptr;
+  ++this->attempt;
+}
+
+void Exchange::Finish() {
+  this->finished = true;
+  this->timer.cancel();
+  this->ReleaseEndpoint(false);
+}
+
+void Exchange::OnCallerGone() {
+  if (this->finished)
+    return;
+  this->CountEnd(Outcome::kCallerLeft);
+  this->Log(kCallerLeft, "sends=" + std::to_string(this->sends));
+  this->Finish();
+}
+
+void Exchange::CountEnd(Outcome outcome, std::string_view reason) {
+  this->gateway->metrics.CountRequest(this->route, this->service, outcome,
+                                      reason, BootNow() - this->received);
+}
+
+bool Exchange::Logs() const {
+  return this->gateway->log->Samples(this->info.id);
+}
+
+void Exchange::Log(const Event& event, std::string_view detail) const {
+  this->gateway->log->Write(event, this->info.id, detail);
+}
+
+}  // namespace coltsfootvane::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,6 +37,7 @@
                       "version=" + std::to_string(table.version) +
                           " routes=" + std::to_string(table.routes.size()));
   gateway->routes = std::make_shared<const RoutingTable>(std::move(table));
+  gateway->routes_since = BootNow();
   return true;
 }
 
@@ -59,7 +60,9 @@
 bool TakeRetry(Gateway* gateway, std::string_view service, TimePoint now) {
   RetryBudget& budget = BudgetOf(gateway, service);
   ShareOut(*gateway, &budget);
-  return SpendRetry(&budget, now);
+  const bool granted = SpendRetry(&budget, now);
+  gateway->metrics.CountRetry(service, granted);
+  return granted;
 }
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,8 @@
 #ifndef COLTSFOOTVANE_GATEWAY_GATEWAY_H_
 #define COLTSFOOTVANE_GATEWAY_GATEWAY_H_
 
+#include <prometheus/registry.h>
+
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
@@ -13,6 +15,7 @@
 #include "gateway/endpoint.h"
 #include "gateway/endpoint_connections.h"
 #include "gateway/events.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/routing_table.h"
 #include "gateway/traffic.h"
 #include "gateway/wire_format.h"
@@ -41,10 +44,13 @@
       : io(io_context), connections(io_context) {}
 
   boost::asio::io_context* io;
+  prometheus::Registry registry;  ///< Of all metrics of the daemon.
+  GatewayMetrics metrics{&registry};
   const WireFormat* wire = nullptr;
   DecisionLog* log = nullptr;
   std::string data_centre;
   std::shared_ptr<const RoutingTable> routes;  ///< nullptr before the first.
+  TimePoint routes_since;
   EndpointTable endpoints;
   std::vector<EndpointPtr> endpoint_list;  ///< Those of the table.
   EndpointConnections connections;
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,143 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace coltsfootvane::gateway {
+namespace {
+
+using Bounds = prometheus::Histogram::BucketBoundaries;
+using prometheus::Counter;
+using prometheus::Histogram;
+using prometheus::Labels;
+
+/// In seconds.
+const Bounds kRequestTimeBounds = {0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1,
+                                   2,     5,    10,   20,  60,  120};
+const Bounds kFirstEventBounds = {0.01, 0.05, 0.1, 0.2, 0.4, 0.6,
+                                  0.8,  1.2,  2,   4,   8,   16};
+const Bounds kEventGapBounds = {0.01, 0.02, 0.03, 0.04, 0.054, 0.07,
+                                0.1,  0.2,  0.5,  1,    2,     5};
+
+prometheus::Family<Counter>* AddCounter(prometheus::Registry* registry,
+                                        const char* name,
+                                        const char* help) {
+  return &prometheus::BuildCounter().Name(name).Help(help).Register(*registry);
+}
+
+prometheus::Family<Histogram>* AddHistogram(prometheus::Registry* registry,
+                                            const char* name,
+                                            const char* help) {
+  return &prometheus::BuildHistogram().Name(name).Help(help).Register(
+      *registry);
+}
+
+const char* OutcomeName(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kAnswered:
+      return "answered";
+    case Outcome::kRefused:
+      return "refused";
+    case Outcome::kFailed:
+      return "failed";
+    case Outcome::kCallerLeft:
+      break;
+  }
+  return "caller_left";
+}
+
+Labels RouteLabels(const Route& route) {
+  return {{"route", route.name}, {"rank", std::to_string(route.rank)}};
+}
+
+Labels ServiceLabel(std::string_view service) {
+  return {{"service", std::string(service)}};
+}
+
+}  // namespace
+
+GatewayMetrics::GatewayMetrics(prometheus::Registry* registry)
+    : requests(AddCounter(registry,
+                          "coltsfootvane_gateway_requests_total",
+                          "Requests by route, outcome and reason")),
+      request_time(AddHistogram(registry,
+                                "coltsfootvane_gateway_request_seconds",
+                                "From the arrival of a request to its end")),
+      rejected(AddCounter(registry,
+                          "coltsfootvane_gateway_rejected_requests_total",
+                          "Malformed or too large requests")),
+      first_event(
+          AddHistogram(registry,
+                       "coltsfootvane_gateway_first_event_seconds",
+                       "From the arrival of a request to the first event of "
+                       "its stream")),
+      event_gap(AddHistogram(registry,
+                             "coltsfootvane_gateway_event_gap_seconds",
+                             "Time between two events of a stream")),
+      sends(AddCounter(registry,
+                       "coltsfootvane_gateway_sends_total",
+                       "Requests sent to endpoints, repeated ones included")),
+      failed_sends(AddCounter(registry,
+                              "coltsfootvane_gateway_failed_sends_total",
+                              "Sends without a usable answer; not_run ones "
+                              "had no effect")),
+      retries(AddCounter(registry,
+                         "coltsfootvane_gateway_retries_total",
+                         "Retries that the budget allowed or denied")),
+      resumed(AddCounter(registry,
+                         "coltsfootvane_gateway_resumed_streams_total",
+                         "Streams continued at another endpoint")) {}
+
+void GatewayMetrics::CountRequest(const Route* route,
+                                  std::string_view service,
+                                  Outcome outcome,
+                                  std::string_view reason,
+                                  Seconds time) {
+  Labels labels = route == nullptr ? Labels{{"route", "none"}, {"rank", "none"}}
+                                   : RouteLabels(*route);
+  labels["outcome"] = OutcomeName(outcome);
+  this->request_time->Add(labels, kRequestTimeBounds).Observe(time.count());
+  labels["service"] = service;
+  labels["reason"] = reason;
+  this->requests->Add(labels).Increment();
+}
+
+void GatewayMetrics::CountRejected(std::string_view reason) {
+  this->rejected->Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void GatewayMetrics::ObserveFirstEvent(const Route& route, Seconds time) {
+  this->first_event->Add(RouteLabels(route), kFirstEventBounds)
+      .Observe(time.count());
+}
+
+void GatewayMetrics::ObserveEventGap(const Route& route, Seconds time) {
+  this->event_gap->Add(RouteLabels(route), kEventGapBounds)
+      .Observe(time.count());
+}
+
+void GatewayMetrics::CountSend(std::string_view service) {
+  this->sends->Add(ServiceLabel(service)).Increment();
+}
+
+void GatewayMetrics::CountFailedSend(std::string_view service,
+                                     std::string_view outcome,
+                                     std::string_view reason) {
+  Labels labels = ServiceLabel(service);
+  labels["outcome"] = outcome;
+  labels["reason"] = reason;
+  this->failed_sends->Add(labels).Increment();
+}
+
+void GatewayMetrics::CountRetry(std::string_view service, bool granted) {
+  Labels labels = ServiceLabel(service);
+  labels["result"] = granted ? "granted" : "denied";
+  this->retries->Add(labels).Increment();
+}
+
+void GatewayMetrics::CountResumedStream(std::string_view service) {
+  this->resumed->Add(ServiceLabel(service)).Increment();
+}
+
+}  // namespace coltsfootvane::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,71 @@
+#ifndef COLTSFOOTVANE_GATEWAY_GATEWAY_METRICS_H_
+#define COLTSFOOTVANE_GATEWAY_GATEWAY_METRICS_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "gateway/routing_table.h"
+
+namespace prometheus {
+class Counter;
+class Histogram;
+class Registry;
+template <class T>
+class Family;
+}  // namespace prometheus
+
+namespace coltsfootvane::gateway {
+
+struct Gateway;
+
+/// How a request ended, as the caller sees it.
+enum class Outcome { kAnswered, kRefused, kFailed, kCallerLeft };
+
+/// The counters and latency histograms of the requests of one daemon.
+class GatewayMetrics {
+ public:
+  using Seconds = std::chrono::duration<double>;
+
+  /// The registry must outlive this object.
+  explicit GatewayMetrics(prometheus::Registry* registry);
+
+  /// `route` is nullptr for a request that no route matches. `reason` is one of
+  /// the fixed texts that the log line of the outcome has, or empty.
+  void CountRequest(const Route* route,
+                    std::string_view service,
+                    Outcome outcome,
+                    std::string_view reason,
+                    Seconds time);
+  /// `reason` is that of the rejection of a malformed request.
+  void CountRejected(std::string_view reason);
+  /// From the arrival of a request to the first part of its answer.
+  void ObserveFirstEvent(const Route& route, Seconds time);
+  void ObserveEventGap(const Route& route, Seconds time);
+  void CountSend(std::string_view service);
+  /// `outcome` is `not_run` or `unknown`.
+  void CountFailedSend(std::string_view service,
+                       std::string_view outcome,
+                       std::string_view reason);
+  /// `granted` tells whether the share of retries of this daemon allowed it.
+  void CountRetry(std::string_view service, bool granted);
+  void CountResumedStream(std::string_view service);
+
+ private:
+  template <class T>
+  using Family = prometheus::Family<T>;
+
+  Family<prometheus::Counter>* requests;
+  Family<prometheus::Histogram>* request_time;
+  Family<prometheus::Counter>* rejected;
+  Family<prometheus::Histogram>* first_event;
+  Family<prometheus::Histogram>* event_gap;
+  Family<prometheus::Counter>* sends;
+  Family<prometheus::Counter>* failed_sends;
+  Family<prometheus::Counter>* retries;
+  Family<prometheus::Counter>* resumed;
+};
+
+}  // namespace coltsfootvane::gateway
+
+#endif  // COLTSFOOTVANE_GATEWAY_GATEWAY_METRICS_H_
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -17,15 +17,10 @@
   TimePoint updated;
 };
 
-/// Counters of one daemon and its demand by model and by AdapterName().
+/// Requests of one daemon and its demand by model and by AdapterName().
 struct Traffic {
   std::map<std::string, ModelDemand, std::less<>> demand;
   std::uint64_t requests = 0;
-  std::uint64_t answered = 0;   ///< With the answer of an endpoint.
-  std::uint64_t refused = 0;    ///< Not run.
-  std::uint64_t failed = 0;     ///< Outcome unknown, or cut off.
-  std::uint64_t cancelled = 0;  ///< By the caller.
-  std::uint64_t retries = 0;
 };
 
 /// Counts the work of a request towards the demand for its model and adapter.
--- a/src/log/decision_log.cc
+++ b/src/log/decision_log.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kBufferBytes = 64UL * 1024;
+/// At most, of a line before its details.
+constexpr std::size_t kHeadBytes = 256;
 constexpr std::size_t kFlushBytes = 4UL * 1024;
 constexpr Milliseconds kWindow{1000};
 constexpr int kInfosPerWindow = 30;
@@ -62,9 +64,12 @@
   if (event.severity == Severity::kInfo && !request_id.empty() &&
       !this->Samples(request_id))
     return;
-  if (!this->TakeBudget(event.severity) ||
-      this->buffer.size() + detail.size() + 256 > kBufferBytes) {
-    ++this->left_out;
+  if (!this->TakeBudget(event.severity)) {
+    ++this->left_out_by_rate;
+    return;
+  }
+  if (this->buffer.size() + detail.size() + kHeadBytes > kBufferBytes) {
+    ++this->left_out_by_buffer;
     return;
   }
   timeval time{};
--- a/src/log/decision_log.h
+++ b/src/log/decision_log.h
@@ -32,7 +32,8 @@
   /// Hands to the descriptor what it takes without blocking.
   void Flush();
 
-  std::uint64_t left_out = 0;  ///< Lines.
+  std::uint64_t left_out_by_rate = 0;    ///< Lines beyond the budget.
+  std::uint64_t left_out_by_buffer = 0;  ///< Lines that nobody has read.
 
  private:
   bool TakeBudget(Severity severity);
--- /dev/null
+++ b/src/orders/metered_access.cc
@@ -0,0 +1,48 @@
+#include "orders/metered_access.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/registry.h>
+
+#include <utility>
+
+namespace coltsfootvane::orders {
+
+EngineAccess Metered(EngineAccess inner, prometheus::Registry* registry) {
+  auto* const orders = &prometheus::BuildCounter()
+                            .Name("coltsfootvane_engine_orders_total")
+                            .Help("Orders to engines by result")
+                            .Register(*registry);
+  auto* const reports = &prometheus::BuildCounter()
+                             .Name("coltsfootvane_engine_reports_total")
+                             .Help("Reports read from engines by result")
+                             .Register(*registry);
+  EngineAccess metered;
+  metered.give_order = [orders, call = std::move(inner.give_order)](
+                           const EngineOrder& order,
+                           std::function<void(OrderResult)> done) {
+    prometheus::Labels labels = {
+        {"operation", OperationName(order.operation)},
+        {"object", order.adapter.empty() ? "model" : "adapter"}};
+    call(order, [orders, labels = std::move(labels),
+                 done = std::move(done)](OrderResult result) mutable {
+      labels["result"] = OrderResultName(result);
+      orders->Add(labels).Increment();
+      done(result);
+    });
+  };
+  metered.read_report = [reports, call = std::move(inner.read_report)](
+                            const std::string& endpoint_id,
+                            const boost::asio::ip::tcp::endpoint& address,
+                            std::function<void(Result<EngineReport>)> done) {
+    call(endpoint_id, address,
+         [reports, done = std::move(done)](Result<EngineReport> report) {
+           const char* const result =
+               report ? "ok" : ErrorCodeName(report.error().code);
+           reports->Add({{"result", result}}).Increment();
+           done(std::move(report));
+         });
+  };
+  return metered;
+}
+
+}  // namespace coltsfootvane::orders
--- a/src/orders/order.cc
+++ b/src/orders/order.cc
@@ -2,6 +2,10 @@
 
 namespace coltsfootvane::orders {
 
+const char* OperationName(Operation operation) {
+  return operation == Operation::kLoad ? "load" : "unload";
+}
+
 const char* OrderResultName(OrderResult result) {
   switch (result) {
     case OrderResult::kAccepted:
--- a/src/orders/order.h
+++ b/src/orders/order.h
@@ -39,6 +39,7 @@
   kNotSent,
 };
 
+const char* OperationName(Operation operation);
 const char* OrderResultName(OrderResult result);
 
 /// What an engine says about itself on request.
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -124,8 +124,10 @@
 }
 
 void KindFollower::SetReachable(bool now_reachable) {
-  if (now_reachable)
+  if (now_reachable) {
     this->failures = 0;
+    this->heard_at = BootNow();
+  }
   if (this->reachable == now_reachable)
     return;
   this->reachable = now_reachable;
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -43,6 +43,9 @@
   void Refresh();
   std::int64_t Revision() const { return this->revision; }
   bool Reachable() const { return this->reachable; }
+  const std::string& Kind() const { return this->kind; }
+  /// When the last answer came that says what the store holds.
+  TimePoint HeardAt() const { return this->heard_at; }
 
  private:
   void List();
@@ -64,6 +67,7 @@
   std::int64_t catching_up_to = 0;  ///< Asked for and not yet answered.
   int failures = 0;                 ///< In a row.
   bool reachable = false;
+  TimePoint heard_at;
 };
 
 }  // namespace coltsfootvane::store
