Orders: Do not unload a model whose other copy is still to come

Only a copy that another engine has loaded makes one spare. CopyPlan.CopiesToComeAreNotSpare fails before.

--- a/src/orders/copy_plan.cc
+++ b/src/orders/copy_plan.cc
@@ -47,6 +47,20 @@
   return copies;
 }
 
+/// Returns whether another engine than `holder` has the model loaded and keeps
+/// it.
+bool IsLoadedElsewhere(const CopyPlanInput& input,
+                       const PlannedEngine& holder,
+                       int model) {
+  return std::any_of(input.engines.begin(), input.engines.end(),
+                     [&](const PlannedEngine& engine) {
+                       return &engine != &holder && engine.usable &&
+                              Contains(engine.models, model) &&
+                              !Contains(engine.pending, model) &&
+                              !Contains(engine.retiring, model);
+                     });
+}
+
 double DemandOf(const CopyPlanInput& input, int model) {
   return input.models[model].demand + kLeastDemand;
 }
@@ -82,11 +96,10 @@
           SourceOf(engine, model) != WeightSource::kStore);
 }
 
-/// The sets of models that may make room for a load: none, or one that has
-/// other copies.
+/// The sets of models that may make room for a load: none, or one that another
+/// engine answers. A copy that is still being loaded there does not count.
 std::vector<std::vector<int>> WaysToMakeRoom(const CopyPlanInput& input,
                                              const PlannedEngine& engine,
-                                             const std::vector<int>& copies,
                                              int model) {
   const double free_mb = FreeMemory(input, engine);
   const double needed_mb = input.models[model].memory_mb;
@@ -94,8 +107,8 @@
     return {{}};
   std::vector<std::vector<int>> ways;
   for (const int victim : engine.models) {
-    if (copies[victim] >= 2 &&
-        free_mb + input.models[victim].memory_mb >= needed_mb)
+    if (free_mb + input.models[victim].memory_mb >= needed_mb &&
+        IsLoadedElsewhere(input, engine, victim))
       ways.push_back({victim});
   }
   return ways;
@@ -132,7 +145,7 @@
     const PlannedEngine& engine = input.engines[i];
     if (!CanTake(input, engine, model))
       continue;
-    for (auto& unload : WaysToMakeRoom(input, engine, copies, model)) {
+    for (auto& unload : WaysToMakeRoom(input, engine, model)) {
       CopyMove move{static_cast<int>(i), model, unload,
                     SourceOf(engine, model)};
       const double cost = CostAfter(input, move) + CostOf(move.source) +
--- a/src/orders/copy_plan.h
+++ b/src/orders/copy_plan.h
@@ -28,6 +28,7 @@
   bool usable = true;            ///< Holds copies that count; not leaving.
   bool busy = false;           ///< Carries out an order; it gets no other one.
   std::vector<int> models;     ///< Indices, loaded or being loaded.
+  std::vector<int> pending;    ///< Indices, of those not loaded yet.
   std::vector<int> retiring;   ///< Indices, of those to be unloaded.
   std::vector<int> in_memory;  ///< Indices, weights at hand.
   std::vector<int> on_disk;    ///< Indices, weights at hand.
--- a/src/orders/copy_plan_unittest.cc
+++ b/src/orders/copy_plan_unittest.cc
@@ -87,6 +87,26 @@
   }
 }
 
+/// A copy that is still being loaded answers nothing: it does not make another
+/// one spare.
+TEST(CopyPlan, CopiesToComeAreNotSpare) {
+  struct Row {
+    const char* name;
+    std::vector<int> pending;  ///< At the second engine.
+    int unload;                ///< -1 if nothing may give way.
+  };
+  const Row rows[] = {
+      {"both copies are loaded", {}, 1},
+      {"one is to come", {1}, -1},
+  };
+  for (const Row& row : rows) {
+    CopyPlanInput input = Input({1.5, 0, 0, 0, 0}, {{4, 1, 2}, {0, 3, 1}});
+    input.engines[1].pending = row.pending;
+    const auto move = NextMove(input);
+    LONGS_EQUAL_TEXT(row.unload, move ? move->unload.front() : -1, row.name);
+  }
+}
+
 TEST(CopyPlan, PrefersWeightsAtHand) {
   CopyPlanInput input = Input({1.5, 0.1, 0.1}, {{0}, {1}, {2}});
   input.engines[2].in_memory = {0};
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -242,6 +242,7 @@
         break;
       PlannedEngine& planned = input.engines[move->engine];
       planned.models.push_back(move->load);
+      planned.pending.push_back(move->load);
       planned.retiring = move->unload;
       planned.busy = true;
     }
@@ -327,13 +328,12 @@
   order.holder = this->lease->Holder();
   order.fencing_number = this->lease->Epoch();
   engine->calling = true;
-  this->log->Write(
-      kOrderGiven, "",
-      "endpoint=" + entry.id + " operation=" +
-          (order.operation == Operation::kLoad ? "load" : "unload") +
-          " model=" + order.model + " adapter=" + order.adapter +
-          " expected=" + std::to_string(order.expected) +
-          " epoch=" + std::to_string(order.fencing_number));
+  this->log->Write(kOrderGiven, "",
+                   "endpoint=" + entry.id +
+                       " operation=" + OperationName(order.operation) +
+                       " model=" + order.model + " adapter=" + order.adapter +
+                       " expected=" + std::to_string(order.expected) +
+                       " epoch=" + std::to_string(order.fencing_number));
   this->access.give_order(order, [this, order, incarnation = entry.incarnation,
                                   done = std::move(done)](OrderResult result) {
     this->log->Write(kOrderAnswered, "",
--- a/src/orders/engine_state.cc
+++ b/src/orders/engine_state.cc
@@ -124,8 +124,10 @@
   planned.models = IndicesOf(spec, models);
   for (const std::string& coming : {engine.loading, engine.load_next}) {
     const int index = IndexOf(spec, coming);
-    if (index >= 0 && models.count(coming) == 0)
-      planned.models.push_back(index);
+    if (index < 0 || models.count(coming) > 0)
+      continue;
+    planned.models.push_back(index);
+    planned.pending.push_back(index);
   }
   const int leaving = IndexOf(spec, engine.unloading);
   if (leaving >= 0)
