Log: Explain a request from the logs of all daemons

coltsfootvane explain REQUEST-ID [FILE...] prints a request's lines in order with what its daemon believed and what happened to its endpoints and its model.

--- a/app/main.cc
+++ b/app/main.cc
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include "command_explain.h"
 #include "command_gateway.h"
 #include "command_version.h"
 #ifndef COLTSFOOTVANE_GATEWAY_ONLY
@@ -28,6 +29,7 @@
   ConfigureLog("coltsfootvane");
   int exit_code = kExitOk;
   AddGatewayCommand(&app, &exit_code);
+  AddExplainCommand(&app, &exit_code);
 #ifndef COLTSFOOTVANE_GATEWAY_ONLY
   AddServeCommand(&app, &exit_code);
   AddCheckCommand(&app, &exit_code);
--- a/cmake/gateway_only.cmake
+++ b/cmake/gateway_only.cmake
@@ -5,7 +5,7 @@
   src/gateway/*.cc src/daemon/*.cc src/store/*.cc src/fleet/*.cc src/orders/*.cc platform/*.cc
   src/fleet/gen/*.cpp)
 list(FILTER GATEWAY_SOURCES EXCLUDE REGEX "_unittest\\.cc$")
-add_executable(coltsfootvane app/main.cc app/command_gateway.cc
+add_executable(coltsfootvane app/main.cc app/command_explain.cc app/command_gateway.cc
   app/command_version.cc app/output.cc src/http/message.cc
   src/entry/retry_budget.cc src/placement/lease.cc ${GATEWAY_SOURCES}
   /usr/include/easylogging++.cc)
