Gateway: A refused adapter does not take its model away

Cause of most requests that were refused with "no copy of the model" beside a loaded one, found with explain: adapters are replaced under requests on their way; the engine's 421 for the adapter marked the whole model absent there for 1.5 s. Now only the adapter is. GatewayEndpoint.RefusedAdaptersLeaveTheModel fails before. Ruled out: unloads of the model (none at that engine). Answers with a status of a failure are logged, also when they are repeated.

--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -57,8 +57,8 @@
     return ChoiceVerdict::kChosen;
   if (!HoldsModel(endpoint, input.request->model, input.now))
     return ChoiceVerdict::kNoModel;
-  if (UsesAdapter(input) &&
-      !HoldsAdapter(endpoint, input.request->model, input.request->adapter))
+  if (UsesAdapter(input) && !HoldsAdapter(endpoint, input.request->model,
+                                          input.request->adapter, input.now))
     return ChoiceVerdict::kNoAdapter;
   return ChoiceVerdict::kChosen;
 }
--- a/src/gateway/endpoint.cc
+++ b/src/gateway/endpoint.cc
@@ -9,6 +9,11 @@
 namespace coltsfootvane::gateway {
 namespace {
 
+/// A model or adapter that refused a request is not expected there for this
+/// time. Adapters are replaced and come back faster.
+constexpr Milliseconds kModelAbsence{1500};
+constexpr Milliseconds kAdapterAbsence{400};
+
 constexpr double kHalfLifeS = 4;
 constexpr Milliseconds kFirstSuspicion{400};
 constexpr int kMostDoublings = 3;
@@ -20,6 +25,11 @@
   return std::exp2(-std::max(0.0, elapsed.count()) / kHalfLifeS);
 }
 
+bool IsAbsent(const Endpoint& endpoint, std::string_view name, TimePoint now) {
+  const auto absent = endpoint.absent_until.find(name);
+  return absent != endpoint.absent_until.end() && now < absent->second;
+}
+
 }  // namespace
 
 EndpointPtr PutEndpoint(EndpointTable* table, EndpointEntry entry) {
@@ -59,22 +69,36 @@
   if (FindLoaded(endpoint, model) == nullptr ||
       endpoint.retiring.count(KeyOf(model)) > 0)
     return false;
-  const auto absent = endpoint.absent_until.find(model);
-  return absent == endpoint.absent_until.end() || absent->second <= now;
+  return !IsAbsent(endpoint, model, now);
 }
 
 bool HoldsAdapter(const Endpoint& endpoint,
                   std::string_view model,
-                  std::string_view adapter) {
+                  std::string_view adapter,
+                  TimePoint now) {
   const LoadedModel* const loaded = FindLoaded(endpoint, model);
-  if (loaded == nullptr)
+  const std::string name = AdapterName(model, adapter);
+  if (loaded == nullptr || IsAbsent(endpoint, name, now))
     return false;
-  if (endpoint.adapters.count(KeyOf(AdapterName(model, adapter))) > 0)
+  if (endpoint.adapters.count(KeyOf(name)) > 0)
     return true;
   return std::find(loaded->adapters.begin(), loaded->adapters.end(), adapter) !=
          loaded->adapters.end();
 }
 
+void NoteAbsence(Endpoint* endpoint,
+                 std::string_view model,
+                 std::string_view adapter,
+                 TimePoint now) {
+  if (adapter.empty()) {
+    endpoint->absent_until[std::string(model)] = now + kModelAbsence;
+    return;
+  }
+  const std::string name = AdapterName(model, adapter);
+  endpoint->adapters.erase(KeyOf(name));
+  endpoint->absent_until[name] = now + kAdapterAbsence;
+}
+
 std::uint32_t KeyOf(std::string_view name) {
   return static_cast<std::uint32_t>(Hash64(name));
 }
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -58,7 +58,8 @@
   bool gone = false;        ///< No longer listed.
   TimePoint suspect_until;  ///< Not chosen while others can be.
   int suspect_times = 0;    ///< In a row.
-  /// Models that refused a request although the entry lists them.
+  /// Models and adapters, by AdapterName(), that refused a request although
+  /// they are listed.
   std::map<std::string, TimePoint, std::less<>> absent_until;
   /// Keys of models that are about to be unloaded, by order of the planner.
   std::set<std::uint32_t> retiring;
@@ -86,7 +87,16 @@
                 TimePoint now);
 bool HoldsAdapter(const Endpoint& endpoint,
                   std::string_view model,
-                  std::string_view adapter);
+                  std::string_view adapter,
+                  TimePoint now);
+
+/// The endpoint refused a request since it does not have the adapter or, if
+/// that is empty, the model: neither is expected there for a while. The model
+/// of an adapter that was replaced is still there.
+void NoteAbsence(Endpoint* endpoint,
+                 std::string_view model,
+                 std::string_view adapter,
+                 TimePoint now);
 
 /// Returns the hash that stands for a name between daemons.
 std::uint32_t KeyOf(std::string_view name);
--- a/src/gateway/endpoint_unittest.cc
+++ b/src/gateway/endpoint_unittest.cc
@@ -28,12 +28,38 @@
   const EndpointPtr before = PutEndpoint(&table, Entry(1));
   before->adapters.insert(gateway::KeyOf("m/a7"));
   CHECK(PutEndpoint(&table, Entry(1)) == before);
-  CHECK(HoldsAdapter(*before, "m", "a7"));
+  CHECK(HoldsAdapter(*before, "m", "a7", kNow));
   const EndpointPtr after = PutEndpoint(&table, Entry(2));
   CHECK(after != before);
   CHECK(before->gone);
-  CHECK_FALSE(HoldsAdapter(*after, "m", "a7"));
-  CHECK(HoldsAdapter(*after, "m", "a1"));
+  CHECK_FALSE(HoldsAdapter(*after, "m", "a7", kNow));
+  CHECK(HoldsAdapter(*after, "m", "a1", kNow));
+}
+
+/// An adapter that was replaced does not take its model away from other
+/// requests.
+TEST(GatewayEndpoint, RefusedAdaptersLeaveTheModel) {
+  struct Row {
+    const char* refused_adapter;
+    bool holds_model;
+    bool holds_adapter;
+    bool holds_other_adapter;
+  };
+  const Row rows[] = {
+      {"", false, true, true},
+      {"a1", true, false, true},
+  };
+  for (const Row& row : rows) {
+    gateway::EndpointTable table;
+    const EndpointPtr endpoint = PutEndpoint(&table, Entry(1));
+    endpoint->adapters = {gateway::KeyOf("m/a1"), gateway::KeyOf("m/a2")};
+    NoteAbsence(endpoint.get(), "m", row.refused_adapter, kNow);
+    CHECK_EQUAL(row.holds_model, HoldsModel(*endpoint, "m", kNow));
+    CHECK_EQUAL(row.holds_adapter, HoldsAdapter(*endpoint, "m", "a1", kNow));
+    CHECK_EQUAL(row.holds_other_adapter,
+                HoldsAdapter(*endpoint, "m", "a2", kNow));
+    CHECK(HoldsModel(*endpoint, "m", kNow + Milliseconds(10'000)));
+  }
 }
 
 TEST(GatewayEndpoint, RemovedEndpointsAreGoneForThoseWhoHoldThem) {
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -11,8 +11,6 @@
 /// Longer answers are forwarded as they arrive.
 constexpr std::size_t kMostWholeBody = 256UL * 1024;
 constexpr std::size_t kMostEventBytes = 1024UL * 1024;
-/// A model that refused a request is not expected there for this time.
-constexpr Milliseconds kModelAbsence{1500};
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -103,7 +101,8 @@
     --this->runs;
     const TimePoint now = BootNow();
     if (this->answer_info.lacks_model)
-      this->endpoint->absent_until[this->info.model] = now + kModelAbsence;
+      NoteAbsence(this->endpoint.get(), this->info.model, this->info.adapter,
+                  now);
     else if (this->answer_info.wrong_endpoint)
       Suspect(this->endpoint.get(), now);
     const bool reusable =
@@ -243,6 +242,14 @@
       net::KeepsConnection(this->answer.fields, this->answer.minor_version);
   const bool again = failed && this->MaySendAgain() && !this->forwarding &&
                      TakeRetry(this->gateway, this->service, BootNow());
+  if (failed) {
+    this->gateway->metrics.CountFailedSend(this->service, "answered",
+                                           "status of a failure");
+    this->Log(kSendFailed,
+              "outcome=answered status=" + std::to_string(this->answer.status) +
+                  " endpoint=" + this->endpoint->entry.id +
+                  (again ? " then=retry" : " then=forward"));
+  }
   if (again) {
     this->ReleaseEndpoint(reusable);
     this->TryNext();
