--- a/src/orders/adapter_orders.cc
+++ b/src/orders/adapter_orders.cc
@@ -119,11 +119,7 @@
   order.adapter = victim.substr(slash + 1);
   this->GiveOrder(engine, std::move(order),
                   [this](EngineState* engine, OrderResult result) {
-                    // An adapter that no request uses is unloaded at once.
-                    if (result == OrderResult::kHoldsAlready) {
-                      engine->known = true;
-                      ++engine->sequence;
-                    }
+                    NoteAdapterUnload(engine, result);
                     this->PumpAdapters(engine);
                   });
 }
--- a/src/orders/engine_state.cc
+++ b/src/orders/engine_state.cc
@@ -67,6 +67,8 @@
     for (const std::string& adapter : model.adapters)
       engine->adapters.insert(gateway::AdapterName(model.name, adapter));
   }
+  engine->adapters.insert(report.coming_adapters.begin(),
+                          report.coming_adapters.end());
   if (report.busy)
     return true;
   engine->loading.clear();
@@ -77,6 +79,15 @@
   return true;
 }
 
+void NoteAdapterUnload(EngineState* engine, OrderResult result) {
+  if (result == OrderResult::kHoldsAlready) {
+    engine->known = true;
+    ++engine->sequence;
+  } else if (result == OrderResult::kAccepted) {
+    engine->known = false;
+  }
+}
+
 double AdapterMemory(const EngineState& engine,
                      const gateway::EngineSpec& spec) {
   double memory_mb = 0;
--- a/src/orders/engine_state.h
+++ b/src/orders/engine_state.h
@@ -63,6 +63,10 @@
 /// report is older than the last order that was accepted.
 bool TakeReport(EngineState* engine, const EngineReport& report);
 
+/// Takes over the answer to an unload of an adapter. One that is in use keeps
+/// its place until a report shows that it has gone.
+void NoteAdapterUnload(EngineState* engine, OrderResult result);
+
 /// Returns the memory that adapters there take, in MB.
 double AdapterMemory(const EngineState& engine,
                      const gateway::EngineSpec& spec);
--- a/src/orders/engine_state_unittest.cc
+++ b/src/orders/engine_state_unittest.cc
@@ -40,6 +40,37 @@
 
 TEST_GROUP(EngineState){};
 
+/// Adapters on their way and adapters whose unload waits for requests take
+/// places: a load beside them would be one too many.
+TEST(EngineState, AdapterPlacesAreFreeOnlyWhenTheyAreEmpty) {
+  struct Row {
+    const char* name;
+    std::vector<std::string> coming;
+    orders::OrderResult unload;  ///< The answer to the unload of a/x.
+    bool takes_load;
+  };
+  using orders::OrderResult;
+  const Row rows[] = {
+      {"unloaded at once", {}, OrderResult::kHoldsAlready, true},
+      {"still in use", {}, OrderResult::kAccepted, false},
+      {"another one is on its way", {"a/z"}, OrderResult::kHoldsAlready, false},
+  };
+  for (const Row& row : rows) {
+    orders::EngineState engine = Engine();
+    orders::EngineReport report = Report({{"a", {"x", "y"}}}, 6, false);
+    report.coming_adapters = row.coming;
+    CHECK(TakeReport(&engine, report));
+    CHECK_FALSE(AdapterFits(engine, Spec(), "a"));
+    engine.adapters.erase("a/x");
+    NoteAdapterUnload(&engine, row.unload);
+    CHECK_EQUAL_TEXT(row.takes_load,
+                     engine.known && AdapterFits(engine, Spec(), "a"),
+                     row.name);
+    if (row.unload == OrderResult::kHoldsAlready)
+      LONGS_EQUAL_TEXT(7, engine.sequence, row.name);
+  }
+}
+
 /// A holder that took over does not know what the engine is loading, and the
 /// report does not show it: an order beside it could overcommit the memory.
 TEST(EngineState, EngineWithAnUnknownOrderGetsNoOther) {
--- a/src/orders/order.h
+++ b/src/orders/order.h
@@ -45,6 +45,9 @@
 /// What an engine says about itself on request.
 struct EngineReport {
   std::vector<gateway::LoadedModel> models;
+  /// Adapters on their way to the engine, by AdapterName(). They take places
+  /// already.
+  std::vector<std::string> coming_adapters;
   bool busy = false;  ///< An order is in progress.
   std::int64_t sequence = 0;
   std::int64_t incarnation = 0;  ///< 0 if not stated.
