Orders: Replace a silent holder of the lease earlier

Where engines check fencing numbers, a holder that the daemons do not hear and that does not renew is replaced after 3 s. Ruled out: the store (calls were answered) and the rolling restart of daemons (its lease was released and taken in 0.4 s). Lease.SilentHoldersAreReplacedEarlier and MemberTable.OnlyAHolderThatWasHeardCanBeSilent; a renewed lease is never taken.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -84,6 +84,9 @@
   this->fleet.on_news = [this](const fleet::StoreNews& news) {
     this->store_view.CatchUp(news);
   };
+  this->lease.is_holder_silent = [this](std::int64_t epoch) {
+    return this->fleet.IsHolderSilent(epoch);
+  };
   this->lease.on_store_back = [this] { this->store_view.Refresh(); };
   this->gateway.ask_adapter =
       [this](const std::string& service, const std::string& model,
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -277,6 +277,10 @@
                                BootNow());
 }
 
+bool Fleet::IsHolderSilent(std::int64_t epoch) const {
+  return fleet::IsHolderSilent(this->table, epoch, BootNow());
+}
+
 gen::Report Fleet::MakeReport(TimePoint now) {
   gen::Report report;
   report.incarnation = this->incarnation;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -69,6 +69,10 @@
   /// Returns whether this daemon watches the store closely for the others.
   bool IsCloseWatcher() const;
 
+  /// Returns whether the holder of this epoch of the lease is not heard any
+  /// more.
+  bool IsHolderSilent(std::int64_t epoch) const;
+
   /// Returns the demand for a model over all daemons, in engine ms a second.
   double DemandFor(const std::string& model, TimePoint now) const;
   int LiveCount() const;
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -65,6 +65,20 @@
   return holder;
 }
 
+bool IsHolderSilent(const MemberTable& table,
+                    std::int64_t epoch,
+                    TimePoint now) {
+  bool silent = false;
+  for (const auto& [address, member] : table.members) {
+    if (epoch == 0 || member.report.lease_epoch != epoch)
+      continue;
+    if (IsLive(member, now))
+      return false;
+    silent = true;
+  }
+  return silent;
+}
+
 void SumWork(const MemberTable& table,
              const std::vector<gateway::EndpointPtr>& endpoints,
              TimePoint now) {
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -52,6 +52,12 @@
 /// Returns the address of the live member with the highest lease epoch, or 0.
 std::uint32_t FindHolder(const MemberTable& table, TimePoint now);
 
+/// Returns whether the member that last reported to hold this epoch of the
+/// lease is not heard any more.
+bool IsHolderSilent(const MemberTable& table,
+                    std::int64_t epoch,
+                    TimePoint now);
+
 /// Adds up the work that live members report for each endpoint.
 void SumWork(const MemberTable& table,
              const std::vector<gateway::EndpointPtr>& endpoints,
--- a/src/fleet/member_table_unittest.cc
+++ b/src/fleet/member_table_unittest.cc
@@ -45,6 +45,31 @@
   }
 }
 
+TEST(MemberTable, OnlyAHolderThatWasHeardCanBeSilent) {
+  struct Row {
+    const char* name;
+    std::int64_t reported_epoch;
+    Milliseconds since{0};
+    bool silent;
+  };
+  const Row rows[] = {
+      {"heard", 3, Milliseconds(100), false},
+      {"not heard any more", 3, fleet::kMemberTimeout, true},
+      {"reported another epoch", 2, fleet::kMemberTimeout, false},
+      {"reported none", 0, fleet::kMemberTimeout, false},
+  };
+  for (const Row& row : rows) {
+    MemberTable table;
+    fleet::gen::Report report = Report(1, 1);
+    report.lease_epoch = row.reported_epoch;
+    TakeReport(&table, 1, report, kNow);
+    table.members.try_emplace(2);  // Known, never heard.
+    CHECK_EQUAL_TEXT(row.silent, IsHolderSilent(table, 3, kNow + row.since),
+                     row.name);
+    CHECK_FALSE(IsHolderSilent(table, 0, kNow + row.since));
+  }
+}
+
 TEST(MemberTable, SilentAndLeavingMembersDoNotCount) {
   MemberTable table;
   TakeReport(&table, 1, Report(1, 1), kNow);
--- a/src/orders/lease_keeper.cc
+++ b/src/orders/lease_keeper.cc
@@ -55,6 +55,11 @@
   this->lease.times.observation = gap * 2 / 3;
   this->lease.times.send = gap * 5 / 6;
   this->lease.times.expiry = this->lease.times.send + gap + kOrderTravel;
+  // A silent holder has stopped sending by itself. One that is merely not heard
+  // and sends on is refused by engines that check the fencing number.
+  this->lease.times.silent_expiry = fences_are_checked
+                                        ? this->lease.times.send + kOrderTravel
+                                        : this->lease.times.expiry;
 }
 
 void LeaseKeeper::Start() {
@@ -72,6 +77,8 @@
     this->outage_ends = TimePoint();
   this->last_tick = now;
   this->NoteHolding(now);
+  this->lease.holder_silent =
+      this->is_holder_silent && this->is_holder_silent(this->lease.seen.epoch);
   if (!this->calling && !this->released) {
     const LeaseStep step = NextLeaseStep(this->lease, now);
     if (step == LeaseStep::kRead)
--- a/src/orders/lease_keeper.h
+++ b/src/orders/lease_keeper.h
@@ -37,6 +37,8 @@
   const std::string& Holder() const { return this->lease.self; }
   /// Called when the store answers again after it had not.
   std::function<void()> on_store_back;
+  /// Tells whether the other daemons do not hear the holder of this epoch.
+  std::function<bool(std::int64_t epoch)> is_holder_silent;
 
   /// Another holder has given an order: stops until the lease has been read.
   void OnFenced();
--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -41,10 +41,13 @@
     return now >= lease.next_call ? LeaseStep::kRenew : LeaseStep::kNone;
   if (lease.seen.holder.empty() || IsHeldByPredecessor(lease))
     return LeaseStep::kTakeOver;
-  if (now < lease.next_call)
+  const Milliseconds expiry =
+      lease.holder_silent ? lease.times.silent_expiry : lease.times.expiry;
+  const bool expired = now - lease.changed_at >= expiry;
+  if (now < lease.next_call && !(lease.holder_silent && expired))
     return LeaseStep::kNone;
   // The observation is confirmed by the conditional update itself.
-  if (now - lease.changed_at >= lease.times.expiry)
+  if (expired)
     return LeaseStep::kTakeOver;
   return LeaseStep::kRead;
 }
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -28,6 +28,8 @@
   Milliseconds observation = kLeaseObservation;
   Milliseconds expiry = kLeaseExpiry;
   Milliseconds send = kLeaseSendTime;
+  /// Expiry of a holder that the other daemons do not hear either.
+  Milliseconds silent_expiry = kLeaseExpiry;
 };
 
 /// The spec of the platform object `leases/planner-<region>`.
@@ -53,6 +55,7 @@
   TimePoint send_until;               ///< Of a holder; else in the past.
   TimePoint next_call;                ///< When to read or renew again.
   bool held = false;
+  bool holder_silent = false;  ///< The other daemons do not hear it.
   bool known = false;  ///< The object was read since the last lost response.
 };
 
--- a/src/placement/lease_unittest.cc
+++ b/src/placement/lease_unittest.cc
@@ -54,6 +54,32 @@
   }
 }
 
+// Guards against a wait for the whole expiry after a holder that was killed or
+// frozen, and against a takeover from one that still renews the lease.
+TEST(Lease, SilentHoldersAreReplacedEarlier) {
+  struct Row {
+    const char* name;
+    bool silent;
+    std::int64_t version_again;
+    int now_ms;
+    LeaseStep step;
+  };
+  const Row rows[] = {
+      {"silent", true, 5, 3000, LeaseStep::kTakeOver},
+      {"silent for too short", true, 5, 2999, LeaseStep::kNone},
+      {"heard", false, 5, 3000, LeaseStep::kNone},
+      {"not heard here, and renewed", true, 6, 3000, LeaseStep::kNone},
+  };
+  for (const Row& row : rows) {
+    Lease lease = MakeLease("self");
+    lease.times.silent_expiry = Milliseconds(3000);
+    OnLeaseRead(&lease, {"other", 7, 1}, 5, At(0));
+    OnLeaseRead(&lease, {"other", 7, 1}, row.version_again, At(2000));
+    lease.holder_silent = row.silent;
+    CHECK_TEXT(NextLeaseStep(lease, At(row.now_ms)) == row.step, row.name);
+  }
+}
+
 // Guards against sending on a lease whose renewal is not known to have
 // succeeded, and against measuring from the end of a slow renewal.
 TEST(Lease, HolderSendsUntilFiveSecondsAfterTheStartOfARenewal) {
