--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -131,3 +131,40 @@
   CHECK(site.RunUntil([&site] { return !site.daemon->IsRunning(); }, 9000));
   LONGS_EQUAL(0, site.daemon->WaitForExit(testing::In(100)));
 }
+
+// What an on-call engineer reads: how requests ended and what the daemon
+// believes, from the real process.
+TEST(Gateway, MetricsShowRequestsAndBeliefs) {
+  PlatformSite site;
+  StartSite(&site);
+  LONGS_EQUAL(200, StatusOf(site.Call("/safe/1")));
+  LONGS_EQUAL(404, StatusOf(site.Call("/none/1")));
+  const char* const parts[] = {
+      "coltsfootvane_gateway_requests_total{outcome=\"answered\"",
+      "reason=\"no route\"",
+      "coltsfootvane_config_version ",
+      "coltsfootvane_endpoints{service=\"books\",state=\"ready\"} 1",
+      "coltsfootvane_store_reachable{kind=\"servers\"} 1",
+      "coltsfootvane_store_calls_total{",
+      "coltsfootvane_gateway_request_seconds_bucket{",
+  };
+  const std::string text = site.Metrics();
+  for (const char* part : parts)
+    CHECK_TEXT(text.find(part) != std::string::npos, part);
+}
+
+// Settings change without a signal; a file with faults changes nothing.
+TEST(Gateway, TakesUpSettingsWithoutASignal) {
+  PlatformSite site;
+  StartSite(&site);
+  constexpr int kNoticedMs = 3000;
+  const auto logged = [&site](const char* event) {
+    return site.Log().find(event) != std::string::npos;
+  };
+  site.WriteSettings(-1);
+  CHECK(site.RunUntil([&] { return logged("settings-rejected"); }, kNoticedMs));
+  CHECK_FALSE(logged("settings-reloaded"));
+  site.WriteSettings(4);
+  CHECK(site.RunUntil([&] { return logged("settings-reloaded"); }, kNoticedMs));
+  LONGS_EQUAL(200, StatusOf(site.Call("/safe/1")));
+}
--- a/tests/integration/platform_site.cc
+++ b/tests/integration/platform_site.cc
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 #include "support/free_port.h"
@@ -129,16 +130,21 @@
   this->store.Put("servers", "unreadable", {{"service", 3}});
 }
 
-void PlatformSite::Start() {
+void PlatformSite::WriteSettings(int stop_timeout_s) {
   std::ofstream settings(this->settings_path);
-  const int port = FreePort(this->host);
+  const int port = this->peer_port;
   settings << "nodeName=vm-1\nzone=dc\nlisten.front=" << ToText(this->callers)
            << "\nlisten.ready=" << ToText(this->health)
            << "\ninternalPorts=" << port << "," << port
            << "\nplatform.address=" << this->store.server.AddressText()
-           << "\nbounds.graceS=8\nbounds.leaseMs=1000\n"
-           << "bounds.requireFencing=true\n";
-  settings.close();
+           << "\nbounds.graceS=" << stop_timeout_s
+           << "\nbounds.leaseMs=1000\nbounds.requireFencing=true\n";
+}
+
+void PlatformSite::Start() {
+  constexpr int kStopTimeoutS = 8;
+  this->peer_port = FreePort(this->host);
+  this->WriteSettings(kStopTimeoutS);
   this->daemon = std::make_unique<Process>(
       "coltsfootvane",
       std::vector<std::string>{"gateway", "--settings", this->settings_path},
@@ -182,14 +188,30 @@
   return answer ? std::move(*answer) : Error{ErrorCode::kTimeout, "no answer"};
 }
 
-int PlatformSite::Ready() {
+std::optional<Result<net::WholeResponse>> PlatformSite::Get(
+    const std::string& path) {
   net::RequestHead head;
   head.method = "GET";
-  head.target = "/readyz";
-  const auto answer = this->CallAt(this->health, std::move(head));
+  head.target = path;
+  return this->CallAt(this->health, std::move(head));
+}
+
+int PlatformSite::Ready() {
+  const auto answer = this->Get("/readyz");
   return answer && answer->has_value() ? answer->value().head.status : 0;
 }
 
+std::string PlatformSite::Metrics() {
+  const auto answer = this->Get("/metrics");
+  return answer && answer->has_value() ? answer->value().body : std::string();
+}
+
+std::string PlatformSite::Log() const {
+  std::ifstream log(this->log_path);
+  return {std::istreambuf_iterator<char>(log),
+          std::istreambuf_iterator<char>()};
+}
+
 bool PlatformSite::AwaitReady() {
   return this->RunUntil([this] { return this->Ready() == 200; }, 20'000);
 }
--- a/tests/integration/platform_site.h
+++ b/tests/integration/platform_site.h
@@ -28,6 +28,8 @@
   /// Announces the endpoints in this state.
   void Announce(const char* state = "ready");
   void Start();
+  /// Writes the settings file; the daemon may run already.
+  void WriteSettings(int stop_timeout_s);
   bool AwaitReady();
 
   /// Calls the daemon as a caller does.
@@ -35,6 +37,10 @@
                                   const net::Fields& fields = {});
   /// Returns the status of the health check, or 0 without an answer.
   int Ready();
+  /// Returns the daemon's metrics, or an empty string without an answer.
+  std::string Metrics();
+  /// Returns what the daemon has logged so far.
+  std::string Log() const;
   bool RunUntil(const std::function<bool()>& condition, int milliseconds);
 
   boost::asio::io_context io;
@@ -58,12 +64,14 @@
   void OnServiceRequest(const ReceivedRequest& request,
                         const std::shared_ptr<net::TcpStream>& stream);
   nlohmann::json EngineModels() const;
+  std::optional<Result<net::WholeResponse>> Get(const std::string& path);
   std::optional<Result<net::WholeResponse>> CallAt(
       const net::tcp::endpoint& address,
       net::RequestHead head);
 
   net::tcp::endpoint callers;
   net::tcp::endpoint health;
+  int peer_port = 0;
   std::string settings_path;
   std::string log_path;
   int calls = 0;
