--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -43,7 +43,8 @@
   void ObserveFirstEvent(const Route& route, Seconds time);
   void ObserveEventGap(const Route& route, Seconds time);
   void CountSend(std::string_view service);
-  /// `outcome` is `not_run` or `unknown`.
+  /// `outcome` is `not_run`, `unknown` (it may have run, and no whole answer
+  /// came) or `answered` (with a status of a failure).
   void CountFailedSend(std::string_view service,
                        std::string_view outcome,
                        std::string_view reason);
