Tests: Wait until a process that gets SIGSTOP has stopped

Cause of the failure of Records.SilentPlatformIsRefusedEarly: kill() returns before the process has stopped. Ruled out: a booking without the platform (the echo shows a whole run, and all later calls were refused). Process::Signal() now returns once all threads are stopped.

--- a/tests/integration/process.cc
+++ b/tests/integration/process.cc
@@ -34,8 +34,15 @@
 }
 
 void Process::Signal(int number) {
-  if (this->child.running())
-    ::kill(this->child.id(), number);
+  if (!this->child.running())
+    return;
+  ::kill(this->child.id(), number);
+  if (number != SIGSTOP)
+    return;
+  // A busy machine lets threads of the process run on for some ms.
+  siginfo_t info{};
+  ::waitid(P_PID, static_cast<id_t>(this->child.id()), &info,
+           WSTOPPED | WEXITED | WNOWAIT);
 }
 
 void Process::Kill() {
--- a/tests/integration/process.h
+++ b/tests/integration/process.h
@@ -22,6 +22,7 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  /// After SIGSTOP no thread of the process runs any more.
   void Signal(int number);
   /// Kills without notice and waits for the end.
   void Kill();
