Gateway, orders: Log why an endpoint refused and what the planner works with

One reason, 'refused by endpoint', stood for full engines, missing models and other instances, without endpoint and status; nothing showed how many copies busy models have and why none is added. Change: three reasons in log and metric, with endpoint, status, believed work and age of reports; event 2507, placement-state, once a second from the holder of the lease. Decisions are unchanged.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -202,14 +202,10 @@
   this->AddWork(this->engine == nullptr ? 0
                                         : TokensToPrefill(this->info, true));
   if (this->IsSampled()) {
-    char detail[160];
-    std::snprintf(detail, sizeof(detail),
-                  "endpoint=%s send=%d wait_ms=%.0f running=%d prompt=%d",
-                  this->endpoint->entry.id.c_str(), this->sends, choice.wait_ms,
-                  this->endpoint->own.running + this->endpoint->peers.running,
-                  this->endpoint->own.prompt_tokens +
-                      this->endpoint->peers.prompt_tokens);
-    this->Log(kRequestSent, detail);
+    char detail[64];
+    std::snprintf(detail, sizeof(detail), " send=%d wait_ms=%.0f", this->sends,
+                  choice.wait_ms);
+    this->Log(kRequestSent, this->DescribeEndpoint() + detail);
   }
   const bool require_fresh = !IsRepeatable(*this->route);
   auto reused =
@@ -232,8 +228,9 @@
           return;
         }
         Eject(self->endpoint.get(), BootNow());
+        const std::string detail = self->DescribeEndpoint();
         self->ReleaseEndpoint(false);
-        self->OnNotExecuted("no connection");
+        self->OnNotExecuted("no connection", detail);
       });
 }
 
@@ -269,11 +266,11 @@
 }
 
 /// The endpoint has not executed the request and never will.
-void Exchange::OnNotExecuted(std::string_view reason) {
+void Exchange::OnNotExecuted(std::string_view reason, std::string_view detail) {
   this->gateway->metrics.CountFailedSend(this->service, "not_run", reason);
   if (this->IsSampled())
-    this->Log(kSendFailed,
-              "outcome=not-run reason=\"" + std::string(reason) + "\"");
+    this->Log(kSendFailed, "outcome=not-run reason=\"" + std::string(reason) +
+                               "\" " + std::string(detail));
   const bool written = reason != "no connection";
   const bool may_continue =
       this->sends <= kMaxRefusedSends &&
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -58,7 +58,7 @@
   bool MayRetry() const;
   void Send(const Choice& choice);
   void WriteRequest(std::shared_ptr<net::TcpStream> stream);
-  void OnNotExecuted(std::string_view reason);
+  void OnNotExecuted(std::string_view reason, std::string_view detail);
   void OnSendFailed(std::string_view reason);
   void OnTimeout();
   void RefuseChoice(const Choice& choice);
@@ -76,6 +76,8 @@
   void Finish();
   void CountOutcome(Outcome outcome, std::string_view reason = {});
   bool IsSampled() const;
+  /// Returns what this daemon believes of the current endpoint, for log lines.
+  std::string DescribeEndpoint() const;
   void Log(const Event& event, std::string_view detail) const;
 
   // Defined in exchange_answer.cc: reading and forwarding the answer.
@@ -84,6 +86,7 @@
   void OnEnd(net::StreamEnd end);
   void ReadAnswer();
   bool ReadHead();
+  void OnRefusedByEndpoint();
   void ForwardBody(const std::string& bytes);
   void ForwardEvents();
   void ObserveEvent();
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -99,18 +99,7 @@
     return true;
   }
   if (this->answer_info.not_executed || this->answer_info.wrong_endpoint) {
-    --this->possible_executions;
-    const TimePoint now = BootNow();
-    if (this->answer_info.lacks_model)
-      RecordAbsence(this->endpoint.get(), this->info.model, this->info.adapter,
-                    now);
-    else if (this->answer_info.wrong_endpoint)
-      Eject(this->endpoint.get(), now);
-    const bool reusable =
-        this->parser->Done() && this->input.empty() &&
-        net::KeepsConnection(this->answer.fields, this->answer.minor_version);
-    this->ReleaseEndpoint(reusable);
-    this->OnNotExecuted("refused by endpoint");
+    this->OnRefusedByEndpoint();
     return false;
   }
   const bool is_event_stream = this->route->kind == RouteKind::kStreaming &&
@@ -124,6 +113,28 @@
   return true;
 }
 
+/// The endpoint states that it has not executed the request.
+void Exchange::OnRefusedByEndpoint() {
+  --this->possible_executions;
+  const TimePoint now = BootNow();
+  const char* reason = "refused by endpoint";
+  if (this->answer_info.lacks_model) {
+    reason = "model or adapter missing";
+    RecordAbsence(this->endpoint.get(), this->info.model, this->info.adapter,
+                  now);
+  } else if (this->answer_info.wrong_endpoint) {
+    reason = "other instance";
+    Eject(this->endpoint.get(), now);
+  }
+  const std::string detail = this->DescribeEndpoint() +
+                             " status=" + std::to_string(this->answer.status);
+  const bool reusable =
+      this->parser->Done() && this->input.empty() &&
+      net::KeepsConnection(this->answer.fields, this->answer.minor_version);
+  this->ReleaseEndpoint(reusable);
+  this->OnNotExecuted(reason, detail);
+}
+
 bool Exchange::IsAcceptable() const {
   if (IsSuccess(this->answer.status))
     return this->answer_info.authentic && !this->answer_info.encoded;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 #include "gateway/caller_connection.h"
@@ -107,6 +108,18 @@
   return this->gateway->log->Samples(this->info.id);
 }
 
+std::string Exchange::DescribeEndpoint() const {
+  const Endpoint& current = *this->endpoint;
+  char detail[160];
+  std::snprintf(detail, sizeof(detail),
+                "endpoint=%s running=%d prompt=%d report_age_ms=%d",
+                current.entry.id.c_str(),
+                current.own.running + current.peers.running,
+                current.own.prompt_tokens + current.peers.prompt_tokens,
+                static_cast<int>(this->gateway->report_interval.count()));
+  return detail;
+}
+
 void Exchange::Log(const Event& event, std::string_view detail) const {
   this->gateway->log->Write(event, this->info.id, detail);
 }
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -1,9 +1,11 @@
 #include "orders/engine_orders.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 #include "orders/events.h"
+#include "orders/placement_state.h"
 
 namespace coltsfootvane::orders {
 namespace {
@@ -28,6 +30,8 @@
 constexpr Milliseconds kUnloadCheckDelay{3000};
 constexpr Milliseconds kPublishInterval{1000};
 constexpr int kMaxMovesPerTick = 3;
+constexpr Milliseconds kPlacementLogInterval{1000};
+constexpr std::size_t kMaxLoggedModels = 6;
 
 }  // namespace
 
@@ -250,6 +254,7 @@
     }
     if (!all_known && now < this->lease_held_since + kFirstReportTimeout)
       continue;
+    this->LogPlacement(service.name, input, now);
     for (int i = 0; i < kMaxMovesPerTick; ++i) {
       input.store_load_allowed =
           MayPlanLoad(this->store_loads, this->CountPlannedStoreLoads());
@@ -265,6 +270,22 @@
   }
 }
 
+void EngineOrders::LogPlacement(const std::string& service,
+                                const CopyPlanInput& input,
+                                TimePoint now) {
+  TimePoint& next_log_at = this->next_placement_log_at[service];
+  if (now < next_log_at)
+    return;
+  next_log_at = now + kPlacementLogInterval;
+  char loads[32];
+  std::snprintf(loads, sizeof(loads), " store_loads=%.1f ",
+                this->store_loads.available);
+  this->log->Write(
+      kPlacementState, "",
+      "service=" + service + loads +
+          FormatPlacementState(DescribePlacement(input, kMaxLoggedModels)));
+}
+
 /// Begins a planned move. Returns false if it cannot begin.
 bool EngineOrders::BeginMove(const CopyMove& move,
                              const CopyPlanInput& input,
--- a/src/orders/engine_orders.h
+++ b/src/orders/engine_orders.h
@@ -45,6 +45,9 @@
   void ReadReport(EngineState* engine);
   void AdvanceEngine(EngineState* engine, TimePoint now);
   void PlanCopies(TimePoint now);
+  void LogPlacement(const std::string& service,
+                    const CopyPlanInput& input,
+                    TimePoint now);
   bool BeginMove(const CopyMove& move,
                  const CopyPlanInput& input,
                  const std::string& service,
@@ -90,6 +93,7 @@
   bool is_lease_holder = false;
   TimePoint lease_held_since;
   StoreLoads store_loads;
+  std::map<std::string, TimePoint> next_placement_log_at;  ///< By service.
   TimePoint next_publish_at;
   bool placement_changed = false;  ///< Since the last publication.
 };
--- a/src/orders/events.h
+++ b/src/orders/events.h
@@ -12,6 +12,8 @@
 inline constexpr Event kEngineReportMissing{2505, Severity::kWarning,
                                             "engine-report-missing"};
 inline constexpr Event kCopyPlanned{2506, Severity::kInfo, "copy-planned"};
+inline constexpr Event kPlacementState{2507, Severity::kInfo,
+                                       "placement-state"};
 
 }  // namespace coltsfootvane::orders
 
