Fleet: Make the contents of reports with free functions

Cause: work and demand in reports were a private part of Fleet, which owns a socket, so that no test could use them.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -1,10 +1,10 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "fleet/codec.h"
+#include "fleet/report.h"
 
 namespace coltsfootvane::fleet {
 namespace {
@@ -24,17 +24,11 @@
 /// after this time.
 constexpr Milliseconds kAdapterRequestTimeout{150};
 constexpr std::size_t kMaxMembersInReport = 60;
-constexpr std::size_t kMaxWorkInReport = 48;
-constexpr std::size_t kMaxDemandInReport = 48;
 
 std::uint32_t ToNumber(const boost::asio::ip::address& address) {
   return address.is_v4() ? address.to_v4().to_uint() : 0;
 }
 
-std::int16_t RoundedCount(double count) {
-  return static_cast<std::int16_t>(std::lround(std::min(count, 30000.0)));
-}
-
 }  // namespace
 
 Milliseconds ReportInterval(std::size_t members, double report_bytes) {
@@ -317,28 +311,8 @@
   report.config_revision = this->seen_revisions.config_revision;
   report.endpoints_revision = this->seen_revisions.endpoints_revision;
   report.store_reachable = this->seen_revisions.reachable;
-  for (const gateway::EndpointPtr& endpoint : this->gateway->endpoint_list) {
-    gen::EndpointWork work;
-    work.endpoint = static_cast<std::int32_t>(endpoint->key);
-    work.running = endpoint->own.running;
-    work.prompt_tokens = endpoint->own.prompt_tokens;
-    const double factor = gateway::OutcomeDecay(*endpoint, now);
-    work.good = RoundedCount(endpoint->outcomes.successes * factor);
-    work.bad = RoundedCount(endpoint->outcomes.failures * factor);
-    // Good results matter only if other daemons have reported bad ones.
-    const bool good_counts = work.good > 0 && endpoint->peer_failures > 0;
-    const bool idle = work.running == 0 && work.bad == 0 && !good_counts;
-    if (!idle && report.work.size() < kMaxWorkInReport)
-      report.work.push_back(work);
-  }
-  for (const auto& [model, demand] : this->gateway->traffic.demand) {
-    gen::ModelDemand wire;
-    wire.model = static_cast<std::int32_t>(KeyOf(model));
-    wire.ms_per_s =
-        static_cast<std::int32_t>(std::lround(gateway::DemandAt(demand, now)));
-    if (wire.ms_per_s > 0 && report.demand.size() < kMaxDemandInReport)
-      report.demand.push_back(wire);
-  }
+  AddWork(this->gateway->endpoint_list, now, &report);
+  AddDemand(this->gateway->traffic, now, &report);
   return report;
 }
 
