--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,12 +11,12 @@
 step lint
 scripts/lint.sh
 step "unit tests"
-build/unit_tests
+scripts/run_tests.sh build/unit_tests
 step "unit tests with address and undefined sanitizers"
 BUILD_TARGET=unit_tests scripts/build.sh build-asan -DCOLTSFOOTVANE_ASAN=ON -DCMAKE_BUILD_TYPE=Debug
-build-asan/unit_tests
+scripts/run_tests.sh build-asan/unit_tests
 if [ -x build/integration_tests ]; then
   step "integration tests"
-  scripts/integration.sh
+  scripts/run_tests.sh build/integration_tests -v
 fi
 step done
