--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -23,6 +23,8 @@
 /// A reply normally takes a few ms. Without one, the adapter request fails
 /// after this time.
 constexpr Milliseconds kAdapterRequestTimeout{150};
+/// Sums of demand are used for this time.
+constexpr Milliseconds kDemandSumInterval{200};
 constexpr std::size_t kMaxMembersInReport = 60;
 
 std::uint32_t ToNumber(const boost::asio::ip::address& address) {
@@ -119,15 +121,19 @@
   for (const std::int32_t member : report.members)
     this->AddPeer(
         boost::asio::ip::address_v4(static_cast<std::uint32_t>(member)));
+  std::vector<WorkChange> changes;
   const bool is_new =
-      ApplyReport(&this->table, from, report, now, this->Interval());
+      ApplyReport(&this->table, from, report, now, this->Interval(), &changes);
+  ApplyWorkChanges(changes, this->gateway->endpoint_list);
   if (is_new && this->on_seen_revisions)
     this->on_seen_revisions(
         {report.config_revision, report.endpoints_revision, true});
   if (!is_new || !first_report)
     return;
   // Sends the known members to a daemon that was not known before.
-  gen::Report own = this->MakeReport(now);
+  gen::Report own = this->MakeReport();
+  AddAll(CollectWork(this->gateway->endpoint_list, now),
+         CollectDemand(this->gateway->traffic, now), &own);
   for (const auto& [address, member] : this->table.members) {
     if (own.members.size() < kMaxMembersInReport && IsLive(member, now))
       own.members.push_back(static_cast<std::int32_t>(address));
@@ -300,7 +306,8 @@
   return fleet::IsHolderSilent(this->table, epoch, BootNow());
 }
 
-gen::Report Fleet::MakeReport(TimePoint now) {
+/// Returns a report without work and demand.
+gen::Report Fleet::MakeReport() {
   gen::Report report;
   report.incarnation = this->incarnation;
   report.sequence = ++this->sequence;
@@ -311,14 +318,17 @@
   report.config_revision = this->seen_revisions.config_revision;
   report.endpoints_revision = this->seen_revisions.endpoints_revision;
   report.store_reachable = this->seen_revisions.reachable;
-  AddWork(this->gateway->endpoint_list, now, &report);
-  AddDemand(this->gateway->traffic, now, &report);
   return report;
 }
 
 void Fleet::SendReports() {
+  const TimePoint now = BootNow();
+  gen::Report report = this->MakeReport();
+  AddChanges(CollectWork(this->gateway->endpoint_list, now),
+             CollectDemand(this->gateway->traffic, now), &this->sent_reports,
+             &report);
   gen::Datagram datagram;
-  datagram.__set_report(this->MakeReport(BootNow()));
+  datagram.__set_report(report);
   const std::string bytes = Encode(datagram);
   for (const auto& [address, member] : this->table.members)
     this->SendTo(address, bytes);
@@ -341,7 +351,6 @@
   const TimePoint now = BootNow();
   RemoveSilent(&this->table, now);
   SumWork(this->table, this->gateway->endpoint_list, now);
-  this->peer_demand = SumDemand(this->table, now);
   this->gateway->daemons = 1 + CountLive(this->table, now);
   this->gateway->report_interval = this->Interval();
   this->SendReports();
@@ -352,13 +361,21 @@
   });
 }
 
-double Fleet::DemandFor(const std::string& model, TimePoint now) const {
+gateway::ModelDemand Fleet::DemandFor(const std::string& model, TimePoint now) {
+  if (now >= this->peer_demand_until) {
+    this->peer_demand = SumDemand(this->table, now);
+    this->peer_demand_until = now + kDemandSumInterval;
+  }
+  gateway::ModelDemand sum;
   const auto own = this->gateway->traffic.demand.find(model);
+  if (own != this->gateway->traffic.demand.end())
+    sum = gateway::DemandAt(own->second, now);
   const auto peers = this->peer_demand.find(KeyOf(model));
-  return (own == this->gateway->traffic.demand.end()
-              ? 0
-              : gateway::DemandAt(own->second, now)) +
-         (peers == this->peer_demand.end() ? 0 : peers->second);
+  if (peers != this->peer_demand.end()) {
+    sum.ms_per_s += peers->second.ms_per_s;
+    sum.recent_ms_per_s += peers->second.recent_ms_per_s;
+  }
+  return sum;
 }
 
 int Fleet::CountLiveDaemons() const {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -80,8 +80,8 @@
   /// Returns whether reports of the lease holder of this epoch have stopped.
   bool IsHolderSilent(std::int64_t epoch) const;
 
-  /// Returns the demand for a model over all daemons, in engine ms per second.
-  double DemandFor(const std::string& model, TimePoint now) const;
+  /// Returns the demand for a model or adapter over all daemons.
+  gateway::ModelDemand DemandFor(const std::string& model, TimePoint now);
   int CountLiveDaemons() const;
 
  private:
@@ -101,7 +101,7 @@
   void Tick();
   void SendReports();
   void ExpirePendingRequests(TimePoint now);
-  gen::Report MakeReport(TimePoint now);
+  gen::Report MakeReport();
   void SendTo(std::uint32_t address, const std::string& bytes);
   void RecordAdapter(std::uint32_t endpoint, const std::string& adapter_name);
   Milliseconds Interval() const;
@@ -123,7 +123,9 @@
   AdapterLoader loader;
   std::map<std::int64_t, PendingRequest> pending_requests;
   std::int64_t last_request_number = 0;
-  std::map<std::uint32_t, double> peer_demand;
+  SentReports sent_reports;
+  std::map<std::uint32_t, gateway::ModelDemand> peer_demand;
+  TimePoint peer_demand_until;
   double report_bytes = 200;  ///< Moving average of received report sizes.
 };
 
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -7,17 +7,24 @@
 struct EndpointWork {
   1: i32 endpoint
   2: i32 running
-  3: i32 prompt_tokens
-  4: i16 good  // Counts of recent results, decaying with time.
-  5: i16 bad
+  // 0 if not set, as for the counts.
+  3: optional i32 prompt_tokens
+  4: optional i16 good  // Counts of recent results, decaying with time.
+  5: optional i16 bad
+  // Requests sent as deferred that have no first event so far.
+  6: optional i16 deferred
+  7: optional i32 deferred_tokens
 }
 
 struct ModelDemand {
   1: i32 model
   2: i32 ms_per_s
+  3: i32 recent_ms_per_s  // Over a shorter time.
 }
 
-// Sent periodically to all known daemons.
+// Sent periodically to all known daemons. Work and demand that a report does not
+// list are as in the earlier reports of the same incarnation, unless it lists
+// all work.
 struct Report {
   1: i64 incarnation
   2: i64 sequence
@@ -31,6 +38,7 @@
   9: i64 config_revision  // Store revision of the latest configuration.
   10: i64 endpoints_revision  // Store revision of the last endpoint departure.
   11: bool store_reachable
+  12: optional bool lists_all_work
 }
 
 // Sent by the lease holder.
--- a/src/fleet/fleet_load_unittest.cc
+++ b/src/fleet/fleet_load_unittest.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <gsl/span>
 #include <queue>
 #include <random>
 #include <vector>
@@ -42,6 +43,7 @@
   std::vector<gateway::EndpointPtr> endpoints;
   fleet::MemberTable table;
   gateway::Traffic traffic;
+  fleet::SentReports sent;
   std::int64_t reports = 0;
   Milliseconds interval{250};
 };
@@ -248,6 +250,8 @@
     Engine& engine = this->engines[number];
     if (engine.running == kSlots && engine.queue.size() == kQueue) {
       this->outcome.rejected += request.avoidable && this->IsCounted() ? 1 : 0;
+      RecordRefusal(this->daemons[request.daemon].endpoints[number].get(),
+                    this->Now());
       return;
     }
     ++this->daemons[request.daemon].endpoints[number]->own.running;
@@ -297,19 +301,21 @@
     fleet::gen::Report report;
     report.incarnation = 1;
     report.sequence = ++sender.reports;
-    fleet::AddWork(sender.endpoints, this->Now(), &report);
-    fleet::AddDemand(sender.traffic, this->Now(), &report);
+    AddChanges(fleet::CollectWork(sender.endpoints, this->Now()),
+               fleet::CollectDemand(sender.traffic, this->Now()), &sender.sent,
+               &report);
     datagram.__set_report(report);
     sender.interval = fleet::ReportInterval(
         this->scene.daemons - 1,
         static_cast<double>(fleet::Encode(datagram).size()));
     for (int i = 0; i < this->scene.daemons; ++i) {
-      if (i != reporter)
-        ApplyReport(&this->daemons[i].table,
-                    static_cast<std::uint32_t>(reporter), report, this->Now(),
-                    sender.interval);
+      if (i == reporter)
+        continue;
+      std::vector<fleet::WorkChange> changes;
+      ApplyReport(&this->daemons[i].table, static_cast<std::uint32_t>(reporter),
+                  report, this->Now(), sender.interval, &changes);
+      ApplyWorkChanges(changes, this->daemons[i].endpoints);
     }
-    SumWork(sender.table, sender.endpoints, this->Now());
     this->At(this->now_ms + static_cast<double>(sender.interval.count()),
              [this, reporter] { this->Report(reporter); });
   }
@@ -326,6 +332,17 @@
   Outcome outcome;
 };
 
+/// The first token comes within the target for 95 in 100: no more than the
+/// others may be rejected or late though another copy had free slots.
+void CheckScenes(gsl::span<const Scene> scenes) {
+  for (const Scene& scene : scenes) {
+    const Outcome outcome = Simulation(scene).Run();
+    CHECK_TEXT(outcome.arrivals > 1000, scene.name);
+    CHECK_TEXT((outcome.rejected + outcome.late) * 20 <= outcome.arrivals,
+               scene.name);
+  }
+}
+
 }  // namespace
 
 TEST_GROUP(FleetLoad){};
@@ -341,13 +358,14 @@
       {"93 daemons, a shift", 93, 60, 20, 600, 0, true},
       {"93 daemons, many models, a shift", 93, 60, 100, 600, 10, true},
       {"320 daemons", 320, 240, 80, 2400, 20, false},
+  };
+  CheckScenes(scenes);
+}
+
+/// The same in a fleet of two years on, where reports are seconds old again.
+TEST(FleetLoad, CopiesAreNotOverrunBy320DaemonsInAShift) {
+  const Scene scenes[] = {
       {"320 daemons, a shift", 320, 240, 80, 2400, 0, true},
   };
-  for (const Scene& scene : scenes) {
-    const Outcome outcome = Simulation(scene).Run();
-    CHECK_TEXT(outcome.arrivals > 1000, scene.name);
-    // The first token within the target for 95 in 100.
-    CHECK_TEXT((outcome.rejected + outcome.late) * 20 <= outcome.arrivals,
-               scene.name);
-  }
+  CheckScenes(scenes);
 }
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -28,14 +28,27 @@
 
 void EndpointWork::__set_prompt_tokens(const int32_t val) {
   this->prompt_tokens = val;
+__isset.prompt_tokens = true;
 }
 
 void EndpointWork::__set_good(const int16_t val) {
   this->good = val;
+__isset.good = true;
 }
 
 void EndpointWork::__set_bad(const int16_t val) {
   this->bad = val;
+__isset.bad = true;
+}
+
+void EndpointWork::__set_deferred(const int16_t val) {
+  this->deferred = val;
+__isset.deferred = true;
+}
+
+void EndpointWork::__set_deferred_tokens(const int32_t val) {
+  this->deferred_tokens = val;
+__isset.deferred_tokens = true;
 }
 std::ostream& operator<<(std::ostream& out, const EndpointWork& obj)
 {
@@ -105,6 +118,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->deferred);
+          this->__isset.deferred = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->deferred_tokens);
+          this->__isset.deferred_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -130,18 +159,31 @@
   xfer += oprot->writeI32(this->running);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->prompt_tokens);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("good", ::apache::thrift::protocol::T_I16, 4);
-  xfer += oprot->writeI16(this->good);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I16, 5);
-  xfer += oprot->writeI16(this->bad);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.prompt_tokens) {
+    xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->prompt_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.good) {
+    xfer += oprot->writeFieldBegin("good", ::apache::thrift::protocol::T_I16, 4);
+    xfer += oprot->writeI16(this->good);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.bad) {
+    xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I16, 5);
+    xfer += oprot->writeI16(this->bad);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.deferred) {
+    xfer += oprot->writeFieldBegin("deferred", ::apache::thrift::protocol::T_I16, 6);
+    xfer += oprot->writeI16(this->deferred);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.deferred_tokens) {
+    xfer += oprot->writeFieldBegin("deferred_tokens", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->deferred_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -154,6 +196,8 @@
   swap(a.prompt_tokens, b.prompt_tokens);
   swap(a.good, b.good);
   swap(a.bad, b.bad);
+  swap(a.deferred, b.deferred);
+  swap(a.deferred_tokens, b.deferred_tokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -163,32 +207,19 @@
   prompt_tokens = other0.prompt_tokens;
   good = other0.good;
   bad = other0.bad;
+  deferred = other0.deferred;
+  deferred_tokens = other0.deferred_tokens;
   __isset = other0.__isset;
 }
-EndpointWork::EndpointWork(EndpointWork&& other1) noexcept {
+EndpointWork& EndpointWork::operator=(const EndpointWork& other1) noexcept {
   endpoint = other1.endpoint;
   running = other1.running;
   prompt_tokens = other1.prompt_tokens;
   good = other1.good;
   bad = other1.bad;
+  deferred = other1.deferred;
+  deferred_tokens = other1.deferred_tokens;
   __isset = other1.__isset;
-}
-EndpointWork& EndpointWork::operator=(const EndpointWork& other2) noexcept {
-  endpoint = other2.endpoint;
-  running = other2.running;
-  prompt_tokens = other2.prompt_tokens;
-  good = other2.good;
-  bad = other2.bad;
-  __isset = other2.__isset;
-  return *this;
-}
-EndpointWork& EndpointWork::operator=(EndpointWork&& other3) noexcept {
-  endpoint = other3.endpoint;
-  running = other3.running;
-  prompt_tokens = other3.prompt_tokens;
-  good = other3.good;
-  bad = other3.bad;
-  __isset = other3.__isset;
   return *this;
 }
 void EndpointWork::printTo(std::ostream& out) const {
@@ -196,9 +227,11 @@
   out << "EndpointWork(";
   out << "endpoint=" << to_string(endpoint);
   out << ", " << "running=" << to_string(running);
-  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
-  out << ", " << "good=" << to_string(good);
-  out << ", " << "bad=" << to_string(bad);
+  out << ", " << "prompt_tokens="; (__isset.prompt_tokens ? (out << to_string(prompt_tokens)) : (out << "<null>"));
+  out << ", " << "good="; (__isset.good ? (out << to_string(good)) : (out << "<null>"));
+  out << ", " << "bad="; (__isset.bad ? (out << to_string(bad)) : (out << "<null>"));
+  out << ", " << "deferred="; (__isset.deferred ? (out << to_string(deferred)) : (out << "<null>"));
+  out << ", " << "deferred_tokens="; (__isset.deferred_tokens ? (out << to_string(deferred_tokens)) : (out << "<null>"));
   out << ")";
 }
 
@@ -214,6 +247,10 @@
 void ModelDemand::__set_ms_per_s(const int32_t val) {
   this->ms_per_s = val;
 }
+
+void ModelDemand::__set_recent_ms_per_s(const int32_t val) {
+  this->recent_ms_per_s = val;
+}
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj)
 {
   obj.printTo(out);
@@ -258,6 +295,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->recent_ms_per_s);
+          this->__isset.recent_ms_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -283,6 +328,10 @@
   xfer += oprot->writeI32(this->ms_per_s);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("recent_ms_per_s", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->recent_ms_per_s);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -292,29 +341,21 @@
   using ::std::swap;
   swap(a.model, b.model);
   swap(a.ms_per_s, b.ms_per_s);
+  swap(a.recent_ms_per_s, b.recent_ms_per_s);
   swap(a.__isset, b.__isset);
 }
 
-ModelDemand::ModelDemand(const ModelDemand& other4) noexcept {
-  model = other4.model;
-  ms_per_s = other4.ms_per_s;
-  __isset = other4.__isset;
-}
-ModelDemand::ModelDemand(ModelDemand&& other5) noexcept {
-  model = other5.model;
-  ms_per_s = other5.ms_per_s;
-  __isset = other5.__isset;
-}
-ModelDemand& ModelDemand::operator=(const ModelDemand& other6) noexcept {
-  model = other6.model;
-  ms_per_s = other6.ms_per_s;
-  __isset = other6.__isset;
-  return *this;
+ModelDemand::ModelDemand(const ModelDemand& other2) noexcept {
+  model = other2.model;
+  ms_per_s = other2.ms_per_s;
+  recent_ms_per_s = other2.recent_ms_per_s;
+  __isset = other2.__isset;
 }
-ModelDemand& ModelDemand::operator=(ModelDemand&& other7) noexcept {
-  model = other7.model;
-  ms_per_s = other7.ms_per_s;
-  __isset = other7.__isset;
+ModelDemand& ModelDemand::operator=(const ModelDemand& other3) noexcept {
+  model = other3.model;
+  ms_per_s = other3.ms_per_s;
+  recent_ms_per_s = other3.recent_ms_per_s;
+  __isset = other3.__isset;
   return *this;
 }
 void ModelDemand::printTo(std::ostream& out) const {
@@ -322,6 +363,7 @@
   out << "ModelDemand(";
   out << "model=" << to_string(model);
   out << ", " << "ms_per_s=" << to_string(ms_per_s);
+  out << ", " << "recent_ms_per_s=" << to_string(recent_ms_per_s);
   out << ")";
 }
 
@@ -374,6 +416,11 @@
 void Report::__set_store_reachable(const bool val) {
   this->store_reachable = val;
 }
+
+void Report::__set_lists_all_work(const bool val) {
+  this->lists_all_work = val;
+__isset.lists_all_work = true;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -446,14 +493,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->work.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size4;
+            ::apache::thrift::protocol::TType _etype7;
+            xfer += iprot->readListBegin(_etype7, _size4);
+            this->work.resize(_size4);
+            uint32_t _i8;
+            for (_i8 = 0; _i8 < _size4; ++_i8)
             {
-              xfer += this->work[_i12].read(iprot);
+              xfer += this->work[_i8].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -466,14 +513,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->demand.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size9;
+            ::apache::thrift::protocol::TType _etype12;
+            xfer += iprot->readListBegin(_etype12, _size9);
+            this->demand.resize(_size9);
+            uint32_t _i13;
+            for (_i13 = 0; _i13 < _size9; ++_i13)
             {
-              xfer += this->demand[_i17].read(iprot);
+              xfer += this->demand[_i13].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -486,14 +533,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->members.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->members.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += iprot->readI32(this->members[_i22]);
+              xfer += iprot->readI32(this->members[_i18]);
             }
             xfer += iprot->readListEnd();
           }
@@ -526,6 +573,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lists_all_work);
+          this->__isset.lists_all_work = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -566,10 +621,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter23;
-    for (_iter23 = this->work.begin(); _iter23 != this->work.end(); ++_iter23)
+    std::vector<EndpointWork> ::const_iterator _iter19;
+    for (_iter19 = this->work.begin(); _iter19 != this->work.end(); ++_iter19)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter19).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -578,10 +633,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter24;
-    for (_iter24 = this->demand.begin(); _iter24 != this->demand.end(); ++_iter24)
+    std::vector<ModelDemand> ::const_iterator _iter20;
+    for (_iter20 = this->demand.begin(); _iter20 != this->demand.end(); ++_iter20)
     {
-      xfer += (*_iter24).write(oprot);
+      xfer += (*_iter20).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -591,10 +646,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-      std::vector<int32_t> ::const_iterator _iter25;
-      for (_iter25 = this->members.begin(); _iter25 != this->members.end(); ++_iter25)
+      std::vector<int32_t> ::const_iterator _iter21;
+      for (_iter21 = this->members.begin(); _iter21 != this->members.end(); ++_iter21)
       {
-        xfer += oprot->writeI32((*_iter25));
+        xfer += oprot->writeI32((*_iter21));
       }
       xfer += oprot->writeListEnd();
     }
@@ -612,6 +667,11 @@
   xfer += oprot->writeBool(this->store_reachable);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.lists_all_work) {
+    xfer += oprot->writeFieldBegin("lists_all_work", ::apache::thrift::protocol::T_BOOL, 12);
+    xfer += oprot->writeBool(this->lists_all_work);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -630,65 +690,39 @@
   swap(a.config_revision, b.config_revision);
   swap(a.endpoints_revision, b.endpoints_revision);
   swap(a.store_reachable, b.store_reachable);
+  swap(a.lists_all_work, b.lists_all_work);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other26) {
-  incarnation = other26.incarnation;
-  sequence = other26.sequence;
-  leaving = other26.leaving;
-  config_version = other26.config_version;
-  lease_epoch = other26.lease_epoch;
-  work = other26.work;
-  demand = other26.demand;
-  members = other26.members;
-  config_revision = other26.config_revision;
-  endpoints_revision = other26.endpoints_revision;
-  store_reachable = other26.store_reachable;
-  __isset = other26.__isset;
-}
-Report::Report(Report&& other27) noexcept {
-  incarnation = other27.incarnation;
-  sequence = other27.sequence;
-  leaving = other27.leaving;
-  config_version = other27.config_version;
-  lease_epoch = other27.lease_epoch;
-  work = std::move(other27.work);
-  demand = std::move(other27.demand);
-  members = std::move(other27.members);
-  config_revision = other27.config_revision;
-  endpoints_revision = other27.endpoints_revision;
-  store_reachable = other27.store_reachable;
-  __isset = other27.__isset;
-}
-Report& Report::operator=(const Report& other28) {
-  incarnation = other28.incarnation;
-  sequence = other28.sequence;
-  leaving = other28.leaving;
-  config_version = other28.config_version;
-  lease_epoch = other28.lease_epoch;
-  work = other28.work;
-  demand = other28.demand;
-  members = other28.members;
-  config_revision = other28.config_revision;
-  endpoints_revision = other28.endpoints_revision;
-  store_reachable = other28.store_reachable;
-  __isset = other28.__isset;
-  return *this;
-}
-Report& Report::operator=(Report&& other29) noexcept {
-  incarnation = other29.incarnation;
-  sequence = other29.sequence;
-  leaving = other29.leaving;
-  config_version = other29.config_version;
-  lease_epoch = other29.lease_epoch;
-  work = std::move(other29.work);
-  demand = std::move(other29.demand);
-  members = std::move(other29.members);
-  config_revision = other29.config_revision;
-  endpoints_revision = other29.endpoints_revision;
-  store_reachable = other29.store_reachable;
-  __isset = other29.__isset;
+Report::Report(const Report& other22) {
+  incarnation = other22.incarnation;
+  sequence = other22.sequence;
+  leaving = other22.leaving;
+  config_version = other22.config_version;
+  lease_epoch = other22.lease_epoch;
+  work = other22.work;
+  demand = other22.demand;
+  members = other22.members;
+  config_revision = other22.config_revision;
+  endpoints_revision = other22.endpoints_revision;
+  store_reachable = other22.store_reachable;
+  lists_all_work = other22.lists_all_work;
+  __isset = other22.__isset;
+}
+Report& Report::operator=(const Report& other23) {
+  incarnation = other23.incarnation;
+  sequence = other23.sequence;
+  leaving = other23.leaving;
+  config_version = other23.config_version;
+  lease_epoch = other23.lease_epoch;
+  work = other23.work;
+  demand = other23.demand;
+  members = other23.members;
+  config_revision = other23.config_revision;
+  endpoints_revision = other23.endpoints_revision;
+  store_reachable = other23.store_reachable;
+  lists_all_work = other23.lists_all_work;
+  __isset = other23.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -705,6 +739,7 @@
   out << ", " << "config_revision=" << to_string(config_revision);
   out << ", " << "endpoints_revision=" << to_string(endpoints_revision);
   out << ", " << "store_reachable=" << to_string(store_reachable);
+  out << ", " << "lists_all_work="; (__isset.lists_all_work ? (out << to_string(lists_all_work)) : (out << "<null>"));
   out << ")";
 }
 
@@ -764,14 +799,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retiring.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->retiring.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->retiring.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += iprot->readI32(this->retiring[_i34]);
+              xfer += iprot->readI32(this->retiring[_i28]);
             }
             xfer += iprot->readListEnd();
           }
@@ -784,14 +819,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->adapters.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->adapters.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += iprot->readI32(this->adapters[_i39]);
+              xfer += iprot->readI32(this->adapters[_i33]);
             }
             xfer += iprot->readListEnd();
           }
@@ -824,10 +859,10 @@
   xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->retiring.size()));
-    std::vector<int32_t> ::const_iterator _iter40;
-    for (_iter40 = this->retiring.begin(); _iter40 != this->retiring.end(); ++_iter40)
+    std::vector<int32_t> ::const_iterator _iter34;
+    for (_iter34 = this->retiring.begin(); _iter34 != this->retiring.end(); ++_iter34)
     {
-      xfer += oprot->writeI32((*_iter40));
+      xfer += oprot->writeI32((*_iter34));
     }
     xfer += oprot->writeListEnd();
   }
@@ -836,10 +871,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<int32_t> ::const_iterator _iter41;
-    for (_iter41 = this->adapters.begin(); _iter41 != this->adapters.end(); ++_iter41)
+    std::vector<int32_t> ::const_iterator _iter35;
+    for (_iter35 = this->adapters.begin(); _iter35 != this->adapters.end(); ++_iter35)
     {
-      xfer += oprot->writeI32((*_iter41));
+      xfer += oprot->writeI32((*_iter35));
     }
     xfer += oprot->writeListEnd();
   }
@@ -858,30 +893,17 @@
   swap(a.__isset, b.__isset);
 }
 
-EnginePlacement::EnginePlacement(const EnginePlacement& other42) {
-  endpoint = other42.endpoint;
-  retiring = other42.retiring;
-  adapters = other42.adapters;
-  __isset = other42.__isset;
-}
-EnginePlacement::EnginePlacement(EnginePlacement&& other43) noexcept {
-  endpoint = other43.endpoint;
-  retiring = std::move(other43.retiring);
-  adapters = std::move(other43.adapters);
-  __isset = other43.__isset;
+EnginePlacement::EnginePlacement(const EnginePlacement& other36) {
+  endpoint = other36.endpoint;
+  retiring = other36.retiring;
+  adapters = other36.adapters;
+  __isset = other36.__isset;
 }
-EnginePlacement& EnginePlacement::operator=(const EnginePlacement& other44) {
-  endpoint = other44.endpoint;
-  retiring = other44.retiring;
-  adapters = other44.adapters;
-  __isset = other44.__isset;
-  return *this;
-}
-EnginePlacement& EnginePlacement::operator=(EnginePlacement&& other45) noexcept {
-  endpoint = other45.endpoint;
-  retiring = std::move(other45.retiring);
-  adapters = std::move(other45.adapters);
-  __isset = other45.__isset;
+EnginePlacement& EnginePlacement::operator=(const EnginePlacement& other37) {
+  endpoint = other37.endpoint;
+  retiring = other37.retiring;
+  adapters = other37.adapters;
+  __isset = other37.__isset;
   return *this;
 }
 void EnginePlacement::printTo(std::ostream& out) const {
@@ -957,14 +979,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->engines.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->engines.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->engines[_i50].read(iprot);
+              xfer += this->engines[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1001,10 +1023,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EnginePlacement> ::const_iterator _iter51;
-    for (_iter51 = this->engines.begin(); _iter51 != this->engines.end(); ++_iter51)
+    std::vector<EnginePlacement> ::const_iterator _iter43;
+    for (_iter43 = this->engines.begin(); _iter43 != this->engines.end(); ++_iter43)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1023,30 +1045,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Placement::Placement(const Placement& other52) {
-  lease_epoch = other52.lease_epoch;
-  sequence = other52.sequence;
-  engines = other52.engines;
-  __isset = other52.__isset;
-}
-Placement::Placement(Placement&& other53) noexcept {
-  lease_epoch = other53.lease_epoch;
-  sequence = other53.sequence;
-  engines = std::move(other53.engines);
-  __isset = other53.__isset;
-}
-Placement& Placement::operator=(const Placement& other54) {
-  lease_epoch = other54.lease_epoch;
-  sequence = other54.sequence;
-  engines = other54.engines;
-  __isset = other54.__isset;
-  return *this;
+Placement::Placement(const Placement& other44) {
+  lease_epoch = other44.lease_epoch;
+  sequence = other44.sequence;
+  engines = other44.engines;
+  __isset = other44.__isset;
 }
-Placement& Placement::operator=(Placement&& other55) noexcept {
-  lease_epoch = other55.lease_epoch;
-  sequence = other55.sequence;
-  engines = std::move(other55.engines);
-  __isset = other55.__isset;
+Placement& Placement::operator=(const Placement& other45) {
+  lease_epoch = other45.lease_epoch;
+  sequence = other45.sequence;
+  engines = other45.engines;
+  __isset = other45.__isset;
   return *this;
 }
 void Placement::printTo(std::ostream& out) const {
@@ -1185,34 +1194,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AdapterRequest::AdapterRequest(const AdapterRequest& other56) {
-  number = other56.number;
-  service_name = other56.service_name;
-  model = other56.model;
-  adapter = other56.adapter;
-  __isset = other56.__isset;
-}
-AdapterRequest::AdapterRequest(AdapterRequest&& other57) noexcept {
-  number = other57.number;
-  service_name = std::move(other57.service_name);
-  model = std::move(other57.model);
-  adapter = std::move(other57.adapter);
-  __isset = other57.__isset;
-}
-AdapterRequest& AdapterRequest::operator=(const AdapterRequest& other58) {
-  number = other58.number;
-  service_name = other58.service_name;
-  model = other58.model;
-  adapter = other58.adapter;
-  __isset = other58.__isset;
-  return *this;
+AdapterRequest::AdapterRequest(const AdapterRequest& other46) {
+  number = other46.number;
+  service_name = other46.service_name;
+  model = other46.model;
+  adapter = other46.adapter;
+  __isset = other46.__isset;
 }
-AdapterRequest& AdapterRequest::operator=(AdapterRequest&& other59) noexcept {
-  number = other59.number;
-  service_name = std::move(other59.service_name);
-  model = std::move(other59.model);
-  adapter = std::move(other59.adapter);
-  __isset = other59.__isset;
+AdapterRequest& AdapterRequest::operator=(const AdapterRequest& other47) {
+  number = other47.number;
+  service_name = other47.service_name;
+  model = other47.model;
+  adapter = other47.adapter;
+  __isset = other47.__isset;
   return *this;
 }
 void AdapterRequest::printTo(std::ostream& out) const {
@@ -1335,30 +1329,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AdapterReply::AdapterReply(const AdapterReply& other60) noexcept {
-  number = other60.number;
-  ready = other60.ready;
-  endpoint = other60.endpoint;
-  __isset = other60.__isset;
+AdapterReply::AdapterReply(const AdapterReply& other48) noexcept {
+  number = other48.number;
+  ready = other48.ready;
+  endpoint = other48.endpoint;
+  __isset = other48.__isset;
 }
-AdapterReply::AdapterReply(AdapterReply&& other61) noexcept {
-  number = other61.number;
-  ready = other61.ready;
-  endpoint = other61.endpoint;
-  __isset = other61.__isset;
-}
-AdapterReply& AdapterReply::operator=(const AdapterReply& other62) noexcept {
-  number = other62.number;
-  ready = other62.ready;
-  endpoint = other62.endpoint;
-  __isset = other62.__isset;
-  return *this;
-}
-AdapterReply& AdapterReply::operator=(AdapterReply&& other63) noexcept {
-  number = other63.number;
-  ready = other63.ready;
-  endpoint = other63.endpoint;
-  __isset = other63.__isset;
+AdapterReply& AdapterReply::operator=(const AdapterReply& other49) noexcept {
+  number = other49.number;
+  ready = other49.ready;
+  endpoint = other49.endpoint;
+  __isset = other49.__isset;
   return *this;
 }
 void AdapterReply::printTo(std::ostream& out) const {
@@ -1505,34 +1486,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other64) {
-  report = other64.report;
-  placement = other64.placement;
-  adapter_request = other64.adapter_request;
-  adapter_reply = other64.adapter_reply;
-  __isset = other64.__isset;
-}
-Datagram::Datagram(Datagram&& other65) noexcept {
-  report = std::move(other65.report);
-  placement = std::move(other65.placement);
-  adapter_request = std::move(other65.adapter_request);
-  adapter_reply = std::move(other65.adapter_reply);
-  __isset = other65.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other66) {
-  report = other66.report;
-  placement = other66.placement;
-  adapter_request = other66.adapter_request;
-  adapter_reply = other66.adapter_reply;
-  __isset = other66.__isset;
-  return *this;
+Datagram::Datagram(const Datagram& other50) {
+  report = other50.report;
+  placement = other50.placement;
+  adapter_request = other50.adapter_request;
+  adapter_reply = other50.adapter_reply;
+  __isset = other50.__isset;
 }
-Datagram& Datagram::operator=(Datagram&& other67) noexcept {
-  report = std::move(other67.report);
-  placement = std::move(other67.placement);
-  adapter_request = std::move(other67.adapter_request);
-  adapter_reply = std::move(other67.adapter_reply);
-  __isset = other67.__isset;
+Datagram& Datagram::operator=(const Datagram& other51) {
+  report = other51.report;
+  placement = other51.placement;
+  adapter_request = other51.adapter_request;
+  adapter_reply = other51.adapter_reply;
+  __isset = other51.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -38,27 +38,29 @@
 class Datagram;
 
 typedef struct _EndpointWork__isset {
-  _EndpointWork__isset() : endpoint(false), running(false), prompt_tokens(false), good(false), bad(false) {}
+  _EndpointWork__isset() : endpoint(false), running(false), prompt_tokens(false), good(false), bad(false), deferred(false), deferred_tokens(false) {}
   bool endpoint :1;
   bool running :1;
   bool prompt_tokens :1;
   bool good :1;
   bool bad :1;
+  bool deferred :1;
+  bool deferred_tokens :1;
 } _EndpointWork__isset;
 
 class EndpointWork : public virtual ::apache::thrift::TBase {
  public:
 
   EndpointWork(const EndpointWork&) noexcept;
-  EndpointWork(EndpointWork&&) noexcept;
   EndpointWork& operator=(const EndpointWork&) noexcept;
-  EndpointWork& operator=(EndpointWork&&) noexcept;
   EndpointWork() noexcept
                : endpoint(0),
                  running(0),
                  prompt_tokens(0),
                  good(0),
-                 bad(0) {
+                 bad(0),
+                 deferred(0),
+                 deferred_tokens(0) {
   }
 
   virtual ~EndpointWork() noexcept;
@@ -67,6 +69,8 @@
   int32_t prompt_tokens;
   int16_t good;
   int16_t bad;
+  int16_t deferred;
+  int32_t deferred_tokens;
 
   _EndpointWork__isset __isset;
 
@@ -80,17 +84,35 @@
 
   void __set_bad(const int16_t val);
 
+  void __set_deferred(const int16_t val);
+
+  void __set_deferred_tokens(const int32_t val);
+
   bool operator == (const EndpointWork & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
       return false;
     if (!(running == rhs.running))
       return false;
-    if (!(prompt_tokens == rhs.prompt_tokens))
+    if (__isset.prompt_tokens != rhs.__isset.prompt_tokens)
+      return false;
+    else if (__isset.prompt_tokens && !(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (__isset.good != rhs.__isset.good)
+      return false;
+    else if (__isset.good && !(good == rhs.good))
+      return false;
+    if (__isset.bad != rhs.__isset.bad)
+      return false;
+    else if (__isset.bad && !(bad == rhs.bad))
       return false;
-    if (!(good == rhs.good))
+    if (__isset.deferred != rhs.__isset.deferred)
       return false;
-    if (!(bad == rhs.bad))
+    else if (__isset.deferred && !(deferred == rhs.deferred))
+      return false;
+    if (__isset.deferred_tokens != rhs.__isset.deferred_tokens)
+      return false;
+    else if (__isset.deferred_tokens && !(deferred_tokens == rhs.deferred_tokens))
       return false;
     return true;
   }
@@ -111,26 +133,27 @@
 std::ostream& operator<<(std::ostream& out, const EndpointWork& obj);
 
 typedef struct _ModelDemand__isset {
-  _ModelDemand__isset() : model(false), ms_per_s(false) {}
+  _ModelDemand__isset() : model(false), ms_per_s(false), recent_ms_per_s(false) {}
   bool model :1;
   bool ms_per_s :1;
+  bool recent_ms_per_s :1;
 } _ModelDemand__isset;
 
 class ModelDemand : public virtual ::apache::thrift::TBase {
  public:
 
   ModelDemand(const ModelDemand&) noexcept;
-  ModelDemand(ModelDemand&&) noexcept;
   ModelDemand& operator=(const ModelDemand&) noexcept;
-  ModelDemand& operator=(ModelDemand&&) noexcept;
   ModelDemand() noexcept
               : model(0),
-                ms_per_s(0) {
+                ms_per_s(0),
+                recent_ms_per_s(0) {
   }
 
   virtual ~ModelDemand() noexcept;
   int32_t model;
   int32_t ms_per_s;
+  int32_t recent_ms_per_s;
 
   _ModelDemand__isset __isset;
 
@@ -138,12 +161,16 @@
 
   void __set_ms_per_s(const int32_t val);
 
+  void __set_recent_ms_per_s(const int32_t val);
+
   bool operator == (const ModelDemand & rhs) const
   {
     if (!(model == rhs.model))
       return false;
     if (!(ms_per_s == rhs.ms_per_s))
       return false;
+    if (!(recent_ms_per_s == rhs.recent_ms_per_s))
+      return false;
     return true;
   }
   bool operator != (const ModelDemand &rhs) const {
@@ -163,7 +190,7 @@
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false) {}
+  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false), lists_all_work(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool leaving :1;
@@ -175,15 +202,14 @@
   bool config_revision :1;
   bool endpoints_revision :1;
   bool store_reachable :1;
+  bool lists_all_work :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
  public:
 
   Report(const Report&);
-  Report(Report&&) noexcept;
   Report& operator=(const Report&);
-  Report& operator=(Report&&) noexcept;
   Report() noexcept
          : incarnation(0),
            sequence(0),
@@ -192,7 +218,8 @@
            lease_epoch(0),
            config_revision(0),
            endpoints_revision(0),
-           store_reachable(0) {
+           store_reachable(0),
+           lists_all_work(0) {
   }
 
   virtual ~Report() noexcept;
@@ -207,6 +234,7 @@
   int64_t config_revision;
   int64_t endpoints_revision;
   bool store_reachable;
+  bool lists_all_work;
 
   _Report__isset __isset;
 
@@ -232,6 +260,8 @@
 
   void __set_store_reachable(const bool val);
 
+  void __set_lists_all_work(const bool val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -258,6 +288,10 @@
       return false;
     if (!(store_reachable == rhs.store_reachable))
       return false;
+    if (__isset.lists_all_work != rhs.__isset.lists_all_work)
+      return false;
+    else if (__isset.lists_all_work && !(lists_all_work == rhs.lists_all_work))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -287,9 +321,7 @@
  public:
 
   EnginePlacement(const EnginePlacement&);
-  EnginePlacement(EnginePlacement&&) noexcept;
   EnginePlacement& operator=(const EnginePlacement&);
-  EnginePlacement& operator=(EnginePlacement&&) noexcept;
   EnginePlacement() noexcept
                   : endpoint(0) {
   }
@@ -344,9 +376,7 @@
  public:
 
   Placement(const Placement&);
-  Placement(Placement&&) noexcept;
   Placement& operator=(const Placement&);
-  Placement& operator=(Placement&&) noexcept;
   Placement() noexcept
             : lease_epoch(0),
               sequence(0) {
@@ -403,9 +433,7 @@
  public:
 
   AdapterRequest(const AdapterRequest&);
-  AdapterRequest(AdapterRequest&&) noexcept;
   AdapterRequest& operator=(const AdapterRequest&);
-  AdapterRequest& operator=(AdapterRequest&&) noexcept;
   AdapterRequest() noexcept
                  : number(0),
                    service_name(),
@@ -468,9 +496,7 @@
  public:
 
   AdapterReply(const AdapterReply&) noexcept;
-  AdapterReply(AdapterReply&&) noexcept;
   AdapterReply& operator=(const AdapterReply&) noexcept;
-  AdapterReply& operator=(AdapterReply&&) noexcept;
   AdapterReply() noexcept
                : number(0),
                  ready(0),
@@ -528,9 +554,7 @@
  public:
 
   Datagram(const Datagram&);
-  Datagram(Datagram&&) noexcept;
   Datagram& operator=(const Datagram&);
-  Datagram& operator=(Datagram&&) noexcept;
   Datagram() noexcept {
   }
 
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -5,6 +5,75 @@
 #include <utility>
 
 namespace coltsfootvane::fleet {
+namespace {
+
+void AddWork(const gateway::EndpointWork& work, gateway::EndpointWork* sum) {
+  sum->running += work.running;
+  sum->prompt_tokens += work.prompt_tokens;
+  sum->deferred += work.deferred;
+  sum->deferred_tokens += work.deferred_tokens;
+}
+
+/// Appends the difference between two reports on an endpoint, unless there is
+/// none.
+void AppendChange(std::int32_t endpoint,
+                  const gen::EndpointWork& before,
+                  const gen::EndpointWork& after,
+                  std::vector<WorkChange>* changes) {
+  if (changes == nullptr)
+    return;
+  WorkChange change;
+  change.endpoint = static_cast<std::uint32_t>(endpoint);
+  change.work.running = after.running - before.running;
+  change.work.prompt_tokens = after.prompt_tokens - before.prompt_tokens;
+  change.work.deferred = after.deferred - before.deferred;
+  change.work.deferred_tokens = after.deferred_tokens - before.deferred_tokens;
+  change.successes = after.good - before.good;
+  change.failures = after.bad - before.bad;
+  if (change.work.running != 0 || change.work.prompt_tokens != 0 ||
+      change.work.deferred != 0 || change.work.deferred_tokens != 0 ||
+      change.successes != 0 || change.failures != 0)
+    changes->push_back(change);
+}
+
+/// Applies the work that a report lists.
+void ApplyWork(const std::vector<gen::EndpointWork>& listed,
+               WorkByEndpoint* work,
+               std::vector<WorkChange>* changes) {
+  for (const gen::EndpointWork& item : listed) {
+    const gen::EndpointWork current = IsIdle(item) ? gen::EndpointWork() : item;
+    gen::EndpointWork& known = (*work)[item.endpoint];
+    AppendChange(item.endpoint, known, current, changes);
+    known = current;
+    if (IsIdle(item))
+      work->erase(item.endpoint);
+  }
+}
+
+/// Applies a report that lists all work, or one of a member whose work was not
+/// counted so far.
+void ReplaceWork(const gen::Report& report,
+                 bool restarted,
+                 bool was_counted,
+                 WorkByEndpoint* work,
+                 std::vector<WorkChange>* changes) {
+  const WorkByEndpoint before = was_counted ? *work : WorkByEndpoint();
+  if (restarted || report.lists_all_work)
+    work->clear();
+  ApplyWork(report.work, work, nullptr);
+  const gen::EndpointWork none;
+  for (const auto& [endpoint, item] : *work) {
+    const auto known = before.find(endpoint);
+    AppendChange(endpoint, known == before.end() ? none : known->second, item,
+                 changes);
+  }
+  for (const auto& [endpoint, item] : before) {
+    if (work->count(endpoint) == 0)
+      AppendChange(endpoint, item, none, changes);
+  }
+}
+
+}  // namespace
 
 bool IsLive(const Member& member, TimePoint now) {
   return member.last_heard_at != TimePoint() && now < member.live_until;
@@ -14,11 +83,26 @@
                  std::uint32_t address,
                  gen::Report report,
                  TimePoint now,
-                 Milliseconds report_interval) {
+                 Milliseconds report_interval,
+                 std::vector<WorkChange>* changes) {
   Member& member = table->members[address];
   const bool restarted = member.report.incarnation != report.incarnation;
   if (!restarted && report.sequence <= member.report.sequence)
     return false;
+  if (restarted)
+    member.demand.clear();
+  // Only the work of live members is in the sums.
+  const bool was_counted = IsLive(member, now);
+  if (was_counted && !restarted && !report.lists_all_work)
+    ApplyWork(report.work, &member.work, changes);
+  else
+    ReplaceWork(report, restarted, was_counted, &member.work, changes);
+  for (const gen::ModelDemand& demand : report.demand)
+    member.demand[demand.model] = {static_cast<double>(demand.ms_per_s),
+                                   static_cast<double>(demand.recent_ms_per_s),
+                                   now};
+  report.work.clear();
+  report.demand.clear();
   member.report = std::move(report);
   member.last_heard_at = now;
   member.live_until =
@@ -26,6 +110,21 @@
   return true;
 }
 
+void ApplyWorkChanges(gsl::span<const WorkChange> changes,
+                      gsl::span<const gateway::EndpointPtr> endpoints) {
+  if (changes.empty())
+    return;
+  for (const gateway::EndpointPtr& endpoint : endpoints) {
+    for (const WorkChange& change : changes) {
+      if (endpoint->key != change.endpoint)
+        continue;
+      AddWork(change.work, &endpoint->peers);
+      endpoint->peer_successes += change.successes;
+      endpoint->peer_failures += change.failures;
+    }
+  }
+}
+
 void RemoveSilent(MemberTable* table, TimePoint now) {
   for (auto it = table->members.begin(); it != table->members.end();) {
     const bool expired = it->second.last_heard_at != TimePoint() &&
@@ -96,26 +195,33 @@
   for (const auto& [address, member] : table.members) {
     if (!IsLive(member, now))
       continue;
-    for (const gen::EndpointWork& work : member.report.work) {
-      const auto found = by_key.find(static_cast<std::uint32_t>(work.endpoint));
+    for (const auto& [key, work] : member.work) {
+      const auto found = by_key.find(static_cast<std::uint32_t>(key));
       if (found == by_key.end())
         continue;
-      found->second->peers.running += work.running;
-      found->second->peers.prompt_tokens += work.prompt_tokens;
+      AddWork({work.running, work.prompt_tokens, work.deferred,
+               work.deferred_tokens},
+              &found->second->peers);
       found->second->peer_successes += work.good;
       found->second->peer_failures += work.bad;
     }
   }
 }
 
-std::map<std::uint32_t, double> SumDemand(const MemberTable& table,
-                                          TimePoint now) {
-  std::map<std::uint32_t, double> sums;
+std::map<std::uint32_t, gateway::ModelDemand> SumDemand(
+    const MemberTable& table,
+    TimePoint now) {
+  std::map<std::uint32_t, gateway::ModelDemand> sums;
   for (const auto& [address, member] : table.members) {
     if (!IsLive(member, now))
       continue;
-    for (const gen::ModelDemand& demand : member.report.demand)
-      sums[static_cast<std::uint32_t>(demand.model)] += demand.ms_per_s;
+    for (const auto& [model, reported] : member.demand) {
+      const gateway::ModelDemand demand = gateway::DemandAt(reported, now);
+      gateway::ModelDemand& sum = sums[static_cast<std::uint32_t>(model)];
+      sum.ms_per_s += demand.ms_per_s;
+      sum.recent_ms_per_s += demand.recent_ms_per_s;
+      sum.updated = now;
+    }
   }
   return sums;
 }
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -2,18 +2,22 @@
 #define COLTSFOOTVANE_FLEET_MEMBER_TABLE_H_
 
 #include <cstdint>
+#include <gsl/span>
 #include <map>
 #include <vector>
 
 #include "base/clock.h"
 #include "fleet/gen/fleet_types.h"
+#include "fleet/report.h"
 #include "gateway/endpoint.h"
 
 namespace coltsfootvane::fleet {
 
-/// A daemon with its last report.
+/// A daemon with what it has reported.
 struct Member {
-  gen::Report report;
+  gen::Report report;  ///< The last one; its lists are not kept.
+  WorkByEndpoint work;
+  DemandByModel demand;
   TimePoint last_heard_at;  ///< Of the last report; TimePoint() if none.
   TimePoint live_until;     ///< From then on it counts as failed.
 };
@@ -33,13 +37,27 @@
 
 bool IsLive(const Member& member, TimePoint now);
 
+/// The difference that a report makes to the work of peers at an endpoint.
+struct WorkChange {
+  std::uint32_t endpoint = 0;  ///< KeyOf(id).
+  gateway::EndpointWork work;
+  int successes = 0;
+  int failures = 0;
+};
+
 /// Applies a report. Returns false if it is not newer than the last one of the
-/// same process.
+/// same process. Appends the differences in work to `changes`, which may be
+/// nullptr.
 bool ApplyReport(MemberTable* table,
                  std::uint32_t address,
                  gen::Report report,
                  TimePoint now,
-                 Milliseconds report_interval);
+                 Milliseconds report_interval,
+                 std::vector<WorkChange>* changes = nullptr);
+
+/// Adds the differences to the work and results of peers on each endpoint.
+void ApplyWorkChanges(gsl::span<const WorkChange> changes,
+                      gsl::span<const gateway::EndpointPtr> endpoints);
 
 /// Removes members that have been silent for longer than kMemberRetention.
 void RemoveSilent(MemberTable* table, TimePoint now);
@@ -71,9 +89,11 @@
              const std::vector<gateway::EndpointPtr>& endpoints,
              TimePoint now);
 
-/// Returns the sums of the demand that live members report, by model key.
-std::map<std::uint32_t, double> SumDemand(const MemberTable& table,
-                                          TimePoint now);
+/// Returns the sums of the demand that live members report, decayed to `now`,
+/// by model key.
+std::map<std::uint32_t, gateway::ModelDemand> SumDemand(
+    const MemberTable& table,
+    TimePoint now);
 
 }  // namespace coltsfootvane::fleet
 
--- a/src/fleet/member_table_unittest.cc
+++ b/src/fleet/member_table_unittest.cc
@@ -1,5 +1,7 @@
 #include "fleet/member_table.h"
 
+#include <random>
+
 #include "fleet/codec.h"
 
 #include <CppUTest/TestHarness.h>
@@ -145,6 +147,41 @@
   LONGS_EQUAL(3, endpoint->peers.running);
 }
 
+/// The sums that are kept up with each report are those of a whole addition,
+/// whatever reports are lost or late.
+TEST(MemberTable, ChangesOfWorkGiveTheSums) {
+  std::mt19937 random(20261204);
+  MemberTable table;
+  std::vector<gateway::EndpointPtr> kept;
+  std::vector<gateway::EndpointPtr> summed;
+  for (std::uint32_t key = 1; key <= 5; ++key) {
+    for (auto* endpoints : {&kept, &summed}) {
+      endpoints->push_back(std::make_shared<gateway::Endpoint>());
+      endpoints->back()->key = key;
+    }
+  }
+  for (int round = 1; round < 2000; ++round) {
+    fleet::gen::Report report =
+        Report(1 + static_cast<int>(random() % 50 == 0), round);
+    for (int i = 0; i < 3; ++i) {
+      fleet::gen::EndpointWork work;
+      work.endpoint = static_cast<std::int32_t>(1 + random() % 5);
+      work.running = static_cast<std::int32_t>(random() % 3);
+      work.__set_deferred(static_cast<std::int16_t>(random() % 2));
+      report.work.push_back(work);
+    }
+    report.__set_lists_all_work(random() % 10 == 0);
+    std::vector<fleet::WorkChange> changes;
+    ApplyReport(&table, 1 + random() % 4, report, kNow, kInterval, &changes);
+    ApplyWorkChanges(changes, kept);
+    SumWork(table, summed, kNow);
+    for (std::size_t i = 0; i < kept.size(); ++i) {
+      LONGS_EQUAL(summed[i]->peers.running, kept[i]->peers.running);
+      LONGS_EQUAL(summed[i]->peers.deferred, kept[i]->peers.deferred);
+    }
+  }
+}
+
 TEST(MemberTable, HolderIsTheLiveMemberWithTheHighestEpoch) {
   MemberTable table;
   fleet::gen::Report old_holder = Report(1, 1);
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -26,17 +26,23 @@
 }  // namespace
 
 Admission Admit(const Route& route,
-                double expected_wait_ms,
-                Milliseconds time_left) {
+                const ExpectedWaits& waits,
+                Milliseconds time_left,
+                std::optional<Milliseconds> caller_time_left) {
   const double objective = static_cast<double>(route.target_latency.count());
   const double limit =
       std::min(objective * kMaxWaitInObjectives,
                static_cast<double>(time_left.count()) * kLatestStartShare);
+  const bool has_waited =
+      caller_time_left &&
+      route.timeout - *caller_time_left > route.target_latency;
   Admission admission;
-  if (expected_wait_ms <= limit)
+  admission.deferred = has_waited || waits.ms > objective;
+  const double wait_ms = admission.deferred ? waits.deferred_ms : waits.ms;
+  if (wait_ms <= limit)
     return admission;
   admission.admitted = false;
-  admission.retry_after = ClampRetryAfter(expected_wait_ms - objective / 2);
+  admission.retry_after = ClampRetryAfter(wait_ms - objective / 2);
   return admission;
 }
 
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -1,22 +1,36 @@
 #ifndef COLTSFOOTVANE_GATEWAY_ADMISSION_H_
 #define COLTSFOOTVANE_GATEWAY_ADMISSION_H_
 
+#include <optional>
+
 #include "base/clock.h"
 #include "gateway/routing_table.h"
 
 namespace coltsfootvane::gateway {
 
+/// Expected waits for the first event at the chosen engine, in ms.
+struct ExpectedWaits {
+  double ms = 0;
+  double deferred_ms = 0;  ///< If the request is sent as deferred.
+};
+
 struct Admission {
   bool admitted = true;
+  /// The first event cannot come within the latency objective. The engine
+  /// begins such a request after those for which it still can.
+  bool deferred = false;
   Milliseconds retry_after{0};  ///< Earliest useful retry, if not admitted.
 };
 
 /// Decides on arrival whether an engine can start a request soon enough. In an
-/// overload, a queue that is longer than the latency objective makes every
-/// request late; a short queue keeps the admitted requests on time.
+/// overload, a queue that is longer than the latency objective would make every
+/// request late. Requests that are late anyway are deferred, so that the others
+/// remain on time. `caller_time_left` is how long the caller said to wait, if
+/// it did: one that has waited for longer than the objective is late.
 Admission Admit(const Route& route,
-                double expected_wait_ms,
-                Milliseconds time_left);
+                const ExpectedWaits& waits,
+                Milliseconds time_left,
+                std::optional<Milliseconds> caller_time_left);
 
 /// Returns the retry delay for a model that no endpoint has loaded. `model` may
 /// be nullptr.
--- a/src/gateway/admission_unittest.cc
+++ b/src/gateway/admission_unittest.cc
@@ -25,7 +25,8 @@
   for (const Row& row : rows) {
     gateway::Route route;
     route.target_latency = Milliseconds(row.target_ms);
-    const auto admission = Admit(route, row.wait_ms, Milliseconds(row.left_ms));
+    const auto admission = Admit(route, {row.wait_ms, row.wait_ms},
+                                 Milliseconds(row.left_ms), std::nullopt);
     CHECK_EQUAL_TEXT(row.admitted, admission.admitted, row.name);
     CHECK_EQUAL_TEXT(row.admitted, admission.retry_after.count() == 0,
                      row.name);
@@ -36,8 +37,43 @@
   gateway::Route route;
   route.target_latency = Milliseconds(200);
   LONGS_EQUAL(2000,
-              Admit(route, 2100, Milliseconds(12000)).retry_after.count());
+              Admit(route, {2100, 2100}, Milliseconds(12000), std::nullopt)
+                  .retry_after.count());
   gateway::EngineModel model;
   model.store_load_s = 2.5;
   LONGS_EQUAL(2500, RetryAfterLoad(&model).count());
 }
+
+/// Guards against late requests that make others late: in an overload every
+/// request would wait behind those whose objective has passed.
+TEST(Admission, DefersWhatIsLateAnyway) {
+  struct Row {
+    const char* name;
+    double wait_ms;
+    double deferred_wait_ms;
+    int caller_time_left_ms;  ///< -1 if the caller does not say.
+    bool admitted;
+    bool deferred;
+  };
+  const Row rows[] = {
+      {"on time", 240, 900, 10'000, true, false},
+      {"on time, no word from the caller", 240, 900, -1, true, false},
+      {"on time, behind many late ones", 240, 9000, 10'000, true, false},
+      {"late", 260, 900, 10'000, true, true},
+      {"late, and too long a queue", 260, 2600, 10'000, false, true},
+      {"came back a little later", 20, 900, 9760, true, false},
+      {"came back after the objective", 20, 900, 9740, true, true},
+  };
+  for (const Row& row : rows) {
+    gateway::Route route;
+    route.target_latency = Milliseconds(250);
+    route.timeout = Milliseconds(10'000);
+    std::optional<Milliseconds> caller_time_left;
+    if (row.caller_time_left_ms >= 0)
+      caller_time_left = Milliseconds(row.caller_time_left_ms);
+    const auto admission = Admit(route, {row.wait_ms, row.deferred_wait_ms},
+                                 Milliseconds(9000), caller_time_left);
+    CHECK_EQUAL_TEXT(row.admitted, admission.admitted, row.name);
+    CHECK_EQUAL_TEXT(row.deferred, admission.deferred, row.name);
+  }
+}
--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -1,6 +1,7 @@
 #include "gateway/choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "base/digest.h"
@@ -8,8 +9,6 @@
 namespace coltsfootvane::gateway {
 namespace {
 
-/// Assumed duration of a call to a plain service.
-constexpr double kServiceCallMs = 60;
 /// Time by which each request that runs on an engine delays the first event of
 /// a new one, since the time per token grows with the batch.
 constexpr double kRunningRequestMs = 0.5;
@@ -19,24 +18,34 @@
 constexpr double kOtherDataCentrePenaltyMs = 3;
 /// Jitter between equal endpoints, so that daemons that see the same loads do
 /// not all choose the same endpoint.
-constexpr double kMinJitterMs = 3;
-/// Jitter in ms for each ms of age of the other daemons' reports.
-constexpr double kJitterPerReportAge = 0.15;
-/// Less than the penalty of a full or failing endpoint, so that jitter cannot
-/// hide it.
-constexpr double kMaxJitterMs = 200;
-/// Report age up to which the least jitter is enough for engines: their
-/// requests run longer than this, so that the reported loads still hold. Calls
-/// to plain services are shorter, so that this does not apply to them.
-constexpr Milliseconds kEngineReportFreshness{250};
+constexpr double kJitterMs = 3;
+/// Reports are fresh up to this age, as a share of the time of a run: most of
+/// the requests that they count are still running.
+constexpr double kFreshShareOfRun = 0.25;
 /// An ejected endpoint is used only if all are ejected.
 constexpr double kEjectedPenaltyMs = 100'000;
-/// Makes endpoints with a free slot preferred over full ones.
-constexpr double kFullPenaltyMs = 400;
+/// An endpoint that has just refused a request has no room, whatever the
+/// reports say.
+constexpr double kRefusingPenaltyMs = 1000;
+/// Least number of requests that an endpoint is expected to take, so that one
+/// believed full is used if all are.
+constexpr double kMinCapacity = 0.05;
+/// Wait that halves the chance of an endpoint to be drawn.
+constexpr double kHalvingWaitMs = 100;
+/// Factors of that chance.
+constexpr double kEjectedFactor = 1e-6;
+constexpr double kRefusingFactor = 0.02;
+constexpr double kOtherDataCentreFactor = 0.8;
+/// Of the share of successes: one failure without a success leaves a thousandth
+/// of the chance.
+constexpr double kFailureExponent = 24;
 
-double Jitter(std::uint64_t seed, std::uint32_t key) {
-  const std::uint64_t mixed = (seed ^ key) * 0x9E3779B97F4A7C15ULL;
-  return static_cast<double>(mixed >> 40) / static_cast<double>(1 << 24);
+/// Returns a number from 0 to 1, independent for each endpoint and seed.
+double Draw(std::uint64_t seed, const Endpoint& endpoint) {
+  constexpr int kMantissaBits = 53;
+  const std::uint64_t hash = Hash64(endpoint.entry.id, seed);
+  return std::ldexp(static_cast<double>(hash >> (64 - kMantissaBits)),
+                    -kMantissaBits);
 }
 
 bool IsExcluded(const ChoiceInput& input, const Endpoint& endpoint) {
@@ -44,21 +53,52 @@
          input.excluded->count(endpoint.entry.id) > 0;
 }
 
-double JitterRangeMs(const ChoiceInput& input) {
-  const Milliseconds fresh =
-      input.engine == nullptr ? Milliseconds{0} : kEngineReportFreshness;
-  const auto age = static_cast<double>((input.report_age - fresh).count());
-  return std::clamp(kJitterPerReportAge * age, kMinJitterMs, kMaxJitterMs);
+/// Returns whether the reports show the present work at the endpoints.
+bool HasFreshReports(const ChoiceInput& input) {
+  const double run_ms = input.engine == nullptr ? kServiceCallMs : input.run_ms;
+  return static_cast<double>(input.report_age.count()) <=
+         kFreshShareOfRun * run_ms;
 }
 
 double PenaltyMs(const Endpoint& endpoint, const ChoiceInput& input) {
   double penalty = FailureShare(endpoint, input.now) * kFailurePenaltyMs;
   if (endpoint.ejected_until > input.now)
     penalty += kEjectedPenaltyMs;
+  if (endpoint.refusing_until > input.now)
+    penalty += kRefusingPenaltyMs;
   if (endpoint.entry.data_centre != input.data_centre)
     penalty += kOtherDataCentrePenaltyMs;
-  return penalty +
-         Jitter(input.jitter_seed, endpoint.key) * JitterRangeMs(input);
+  return penalty + Draw(input.jitter_seed, endpoint) * kJitterMs;
+}
+
+/// Returns the number of requests that the endpoint can begin until the next
+/// reports: in its free slots, and as others end.
+double CapacityUntilNextReports(const Endpoint& endpoint,
+                                const ChoiceInput& input) {
+  const bool plain = input.engine == nullptr;
+  const double slots =
+      std::max(1, plain ? endpoint.entry.slots : input.engine->slots);
+  const double run_ms = plain ? kServiceCallMs : input.run_ms;
+  const double ends =
+      static_cast<double>(input.report_age.count()) / run_ms * slots;
+  const int running = endpoint.own.running + endpoint.peers.running;
+  return std::max(kMinCapacity, slots + ends - running);
+}
+
+/// Returns the chance of the endpoint to be drawn, in relation to the others.
+double Weight(const Endpoint& endpoint,
+              const ChoiceInput& input,
+              double wait_ms) {
+  double weight = CapacityUntilNextReports(endpoint, input) /
+                  (1 + wait_ms / kHalvingWaitMs);
+  if (endpoint.ejected_until > input.now)
+    weight *= kEjectedFactor;
+  if (endpoint.refusing_until > input.now)
+    weight *= kRefusingFactor;
+  if (endpoint.entry.data_centre != input.data_centre)
+    weight *= kOtherDataCentreFactor;
+  return weight *
+         std::pow(1 - FailureShare(endpoint, input.now), kFailureExponent);
 }
 
 bool UsesAdapter(const ChoiceInput& input) {
@@ -96,6 +136,21 @@
   return 0;
 }
 
+int PromptTokens(const Endpoint& endpoint) {
+  return endpoint.own.prompt_tokens + endpoint.peers.prompt_tokens;
+}
+
+/// Returns the time until an engine with `ahead` requests and `tokens` of
+/// prompts before a new one gives its first event.
+double EngineWaitMs(int ahead,
+                    int tokens,
+                    const EngineSpec& engine,
+                    double run_ms) {
+  const int queued = std::max(0, ahead - engine.slots + 1);
+  return tokens / kPromptTokensPerMs + ahead * kRunningRequestMs +
+         queued * run_ms / std::max(1, engine.slots);
+}
+
 const Endpoint* PreferredForPrompt(gsl::span<const EndpointPtr> endpoints,
                                    const ChoiceInput& input) {
   const Endpoint* preferred = nullptr;
@@ -135,7 +190,8 @@
 
 double ExpectedWaitMs(const Endpoint& endpoint,
                       const EngineSpec* engine,
-                      int tokens) {
+                      int tokens,
+                      double run_ms) {
   const int running = endpoint.own.running + endpoint.peers.running;
   if (engine == nullptr) {
     const int slots = std::max(1, endpoint.entry.slots);
@@ -143,16 +199,28 @@
     return kServiceCallMs * (static_cast<double>(queued) / slots) +
            static_cast<double>(running) / slots;
   }
-  const int queued = endpoint.own.prompt_tokens + endpoint.peers.prompt_tokens;
-  const int excess = std::max(0, running - engine->slots + 1);
-  return (queued + tokens) / kPromptTokensPerMs + running * kRunningRequestMs +
-         (excess > 0 ? kFullPenaltyMs + excess * kRunningRequestMs : 0);
+  const int deferred = endpoint.own.deferred + endpoint.peers.deferred;
+  const int deferred_tokens =
+      endpoint.own.deferred_tokens + endpoint.peers.deferred_tokens;
+  return EngineWaitMs(running - deferred,
+                      PromptTokens(endpoint) - deferred_tokens + tokens,
+                      *engine, run_ms);
+}
+
+double DeferredWaitMs(const Endpoint& endpoint,
+                      const EngineSpec& engine,
+                      int tokens,
+                      double run_ms) {
+  return EngineWaitMs(endpoint.own.running + endpoint.peers.running,
+                      PromptTokens(endpoint) + tokens, engine, run_ms);
 }
 
 Choice ChooseEndpoint(gsl::span<const EndpointPtr> endpoints,
                       const ChoiceInput& input) {
   Choice best;
+  const bool fresh = HasFreshReports(input);
   double least_cost = std::numeric_limits<double>::max();
+  double weight_sum = 0;
   const Endpoint* const preferred =
       input.engine == nullptr ? nullptr : PreferredForPrompt(endpoints, input);
   for (const EndpointPtr& endpoint : endpoints) {
@@ -165,13 +233,27 @@
         input.engine == nullptr
             ? 0
             : TokensToPrefill(*input.request, endpoint.get() == preferred);
-    const double wait = ExpectedWaitMs(*endpoint, input.engine, tokens);
-    const double cost = wait + PenaltyMs(*endpoint, input);
-    if (cost >= least_cost)
-      continue;
-    least_cost = cost;
+    const double wait =
+        ExpectedWaitMs(*endpoint, input.engine, tokens, input.run_ms);
+    if (fresh) {
+      const double cost = wait + PenaltyMs(*endpoint, input);
+      if (cost >= least_cost)
+        continue;
+      least_cost = cost;
+    } else {
+      // Replaces the one drawn so far with the chance that gives each endpoint
+      // its share of the sum in the end.
+      const double weight = Weight(*endpoint, input, wait);
+      weight_sum += weight;
+      if (Draw(input.jitter_seed, *endpoint) * weight_sum >= weight)
+        continue;
+    }
     best.endpoint = endpoint;
     best.wait_ms = wait;
+    best.deferred_wait_ms =
+        input.engine == nullptr
+            ? wait
+            : DeferredWaitMs(*endpoint, *input.engine, tokens, input.run_ms);
   }
   return best;
 }
--- a/src/gateway/choice.h
+++ b/src/gateway/choice.h
@@ -14,6 +14,12 @@
 
 namespace coltsfootvane::gateway {
 
+/// Time for which a request occupies a slot of an engine, in ms, until some
+/// have been observed.
+inline constexpr double kDefaultRunMs = 1500;
+/// The same for a plain service.
+inline constexpr double kServiceCallMs = 60;
+
 /// Inputs of the choice of an endpoint, apart from the endpoints themselves.
 struct ChoiceInput {
   std::string_view service;
@@ -23,6 +29,8 @@
   const std::set<std::string>* excluded = nullptr;  ///< Ids of tried endpoints.
   TimePoint now;
   Milliseconds report_age{0};  ///< Greatest age of the other daemons' reports.
+  /// Typical time for which a request to this service occupies a slot, in ms.
+  double run_ms = kDefaultRunMs;
   std::uint64_t jitter_seed = 0;  ///< Random; differs between daemons.
 };
 
@@ -37,6 +45,7 @@
   ChoiceVerdict verdict = ChoiceVerdict::kNoEndpoint;
   EndpointPtr endpoint;
   double wait_ms = 0;  ///< Expected time to the first byte of the answer.
+  double deferred_wait_ms = 0;  ///< The same if it is sent as deferred.
 };
 
 /// Assumed prefill rate of an engine that also generates tokens for other
@@ -52,16 +61,28 @@
 /// with the highest hash is preferred.
 std::uint64_t PromptRank(const RequestInfo& request, const Endpoint& endpoint);
 
-/// Returns the expected time to the first byte of an answer, in ms.
+/// Returns the expected time to the first byte of an answer, in ms. A request
+/// beyond the slots waits until enough of the others have ended.
 double ExpectedWaitMs(const Endpoint& endpoint,
                       const EngineSpec* engine,
-                      int tokens);
+                      int tokens,
+                      double run_ms = kDefaultRunMs);
+
+/// Returns the same for a request that is sent as deferred: the engine begins
+/// it after those that are not.
+double DeferredWaitMs(const Endpoint& endpoint,
+                      const EngineSpec& engine,
+                      int tokens,
+                      double run_ms);
 
 /// Chooses the endpoint with the least cost: the expected wait plus penalties
-/// for recent failures and for traffic between data centres, plus random jitter
-/// that grows with the age of the other daemons' reports. All daemons see the
-/// same reports, so that without jitter the endpoint with the least load in
-/// them would get every request until the next reports.
+/// for recent failures and for traffic between data centres.
+///
+/// All daemons see the same reports. With reports that are old compared with
+/// the run of a request, the endpoint with the least work in them would get
+/// every request until the next ones. It is then drawn at random instead, in
+/// proportion to the requests that each endpoint can begin within the age of
+/// the reports, so that all daemons together fill each endpoint evenly.
 Choice ChooseEndpoint(gsl::span<const EndpointPtr> endpoints,
                       const ChoiceInput& input);
 
--- a/src/gateway/choice_unittest.cc
+++ b/src/gateway/choice_unittest.cc
@@ -130,6 +130,10 @@
        }},
       {"failing for other daemons",
        [](Fleet*, gateway::Endpoint* e) { e->peer_failures = 5; }},
+      // Guards against an endpoint that refuses at once, so that it has no
+      // work, and attracts all requests.
+      {"refuses, though it has no work",
+       [](Fleet* f, gateway::Endpoint* e) { RecordRefusal(e, f->now); }},
   };
   for (const Row& row : rows) {
     for (std::uint64_t jitter_seed = 1; jitter_seed < 50; ++jitter_seed) {
@@ -142,15 +146,13 @@
   }
 }
 
-/// Guards against jitter that hides a full or failing endpoint.
-TEST(Choice, AvoidsFullAndFailingEnginesAtAnyReportAge) {
+/// Guards against chance that hides a failing endpoint.
+TEST(Choice, AvoidsFailingEnginesAtAnyReportAge) {
   struct Row {
     const char* name;
     void (*change)(Fleet*, gateway::Endpoint*);
   };
   const Row rows[] = {
-      {"all slots taken",
-       [](Fleet*, gateway::Endpoint* e) { e->peers.running = 64; }},
       {"suspect",
        [](Fleet* f, gateway::Endpoint* e) {
          e->ejected_until = f->now + Milliseconds(1000);
@@ -171,6 +173,30 @@
   }
 }
 
+/// An engine that was full at the last reports gets no requests while these are
+/// fresh, and later no more than its share of what all can begin until the next
+/// reports. Guards against every daemon sending everything to the other one.
+TEST(Choice, FullEnginesGetWhatTheyCanBeginUntilTheNextReports) {
+  constexpr double kSlots = 64;
+  constexpr int kDraws = 2000;
+  std::mt19937_64 random(20261204);
+  for (const int age_ms : {0, 250, 375, 1000, 3400, 10'000}) {
+    const bool fresh = age_ms * 4 <= gateway::kDefaultRunMs;
+    const double ends = fresh ? 0 : age_ms / gateway::kDefaultRunMs * kSlots;
+    int chosen = 0;
+    for (int i = 0; i < kDraws; ++i) {
+      Fleet fleet;
+      const EndpointPtr full = fleet.Add("e1");
+      fleet.Add("e2");
+      full->peers.running = static_cast<int>(kSlots);
+      const auto choice = fleet.Choose(random(), Milliseconds(age_ms));
+      chosen += choice.endpoint == full ? 1 : 0;
+    }
+    CHECK_TEXT(chosen <= kDraws * ends / (kSlots + 2 * ends),
+               std::to_string(age_ms).c_str());
+  }
+}
+
 /// Requests that share a prompt go to the same engine, whichever daemon sends
 /// them, as long as the loads are equal.
 TEST(Choice, SharedPromptsGoToOneEngine) {
--- a/src/gateway/endpoint.cc
+++ b/src/gateway/endpoint.cc
@@ -16,6 +16,7 @@
 
 constexpr double kOutcomeHalfLifeS = 4;
 constexpr Milliseconds kFirstEjection{400};
+constexpr Milliseconds kFirstRefusalPause{200};
 constexpr int kMaxDoublings = 3;
 /// Successes added to the recent ones, so that a few failures do not already
 /// give a high share.
@@ -123,8 +124,10 @@
   results.successes = results.successes * factor + (success ? 1 : 0);
   results.failures = results.failures * factor + (success ? 0 : 1);
   results.updated = now;
-  if (success)
+  if (success) {
     endpoint->ejections = 0;
+    endpoint->refusals = 0;
+  }
 }
 
 double OutcomeDecay(const Endpoint& endpoint, TimePoint now) {
@@ -147,4 +150,10 @@
   RecordOutcome(endpoint, false, now);
 }
 
+void RecordRefusal(Endpoint* endpoint, TimePoint now) {
+  const int doublings = std::min(endpoint->refusals, kMaxDoublings);
+  endpoint->refusing_until = now + kFirstRefusalPause * (1 << doublings);
+  ++endpoint->refusals;
+}
+
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -39,6 +39,9 @@
 struct EndpointWork {
   int running = 0;
   int prompt_tokens = 0;  ///< Of requests without a first event so far.
+  /// Of these, the requests that were sent as deferred, and their tokens.
+  int deferred = 0;
+  int deferred_tokens = 0;
 };
 
 /// Exponentially decaying counts of the outcomes of calls to an endpoint.
@@ -57,9 +60,11 @@
   RecentOutcomes outcomes;
   int peer_successes = 0;  ///< Recent outcomes reported by the other daemons.
   int peer_failures = 0;
-  bool gone = false;        ///< Removed from the table or replaced.
-  TimePoint ejected_until;  ///< Avoided until then.
-  int ejections = 0;        ///< Since the last success.
+  bool gone = false;         ///< Removed from the table or replaced.
+  TimePoint ejected_until;   ///< Avoided until then.
+  int ejections = 0;         ///< Since the last success.
+  TimePoint refusing_until;  ///< Believed full until then.
+  int refusals = 0;          ///< Since the last success.
   /// Models and adapters, by name and by AdapterName(), that the endpoint
   /// lists but does not have, as it refused a request for them. Requests for
   /// them avoid the endpoint until the time given.
@@ -123,6 +128,12 @@
 /// doubles, up to a limit, with each ejection since the last success.
 void Eject(Endpoint* endpoint, TimePoint now);
 
+/// Records that the endpoint refused a request although this daemon believed
+/// that it had room. It counts as full for a time that doubles, up to a limit,
+/// with each refusal since the last success: an endpoint that refuses at once
+/// has little work and would attract all requests.
+void RecordRefusal(Endpoint* endpoint, TimePoint now);
+
 }  // namespace coltsfootvane::gateway
 
 #endif  // COLTSFOOTVANE_GATEWAY_ENDPOINT_H_
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -31,6 +31,13 @@
   return target.substr(0, target.find('?'));
 }
 
+/// Returns the urgency of a request at an engine, from 0 to 9. A deferred one
+/// comes after the others of its rank and before those of the next.
+int UrgencyOf(const Route& route, bool deferred) {
+  constexpr int kLastRank = 4;
+  return 2 * std::clamp(route.rank, 0, kLastRank) + (deferred ? 1 : 0);
+}
+
 std::string_view HostOf(std::string_view value) {
   return value.substr(0, value.find(':'));
 }
@@ -126,6 +133,7 @@
   choice_input.excluded = &this->tried_endpoints;
   choice_input.now = now;
   choice_input.report_age = this->gateway->report_interval;
+  choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
   choice_input.jitter_seed = this->gateway->random();
   const Choice choice =
       ChooseEndpoint(this->gateway->endpoint_list, choice_input);
@@ -135,10 +143,12 @@
     this->RefuseChoice(choice);
     return;
   }
-  if (this->sends == 0 && this->engine != nullptr) {
+  if (this->engine != nullptr) {
     const Admission admission =
-        Admit(*this->route, choice.wait_ms, TimeLeft(this->deadline, now));
-    if (!admission.admitted) {
+        Admit(*this->route, {choice.wait_ms, choice.deferred_wait_ms},
+              TimeLeft(this->deadline, now), this->info.time_left);
+    this->deferred = admission.deferred;
+    if (this->sends == 0 && !admission.admitted) {
       char inputs[120];
       std::snprintf(inputs, sizeof(inputs), "wait_ms=%.0f best=%s",
                     choice.wait_ms, choice.endpoint->entry.id.c_str());
@@ -199,6 +209,7 @@
   this->splitter.Clear();
   this->buffered_body.clear();
   this->head_read = false;
+  this->first_event_at = TimePoint();
   this->AddWork(this->engine == nullptr ? 0
                                         : TokensToPrefill(this->info, true));
   if (this->IsSampled()) {
@@ -247,7 +258,7 @@
   options.endpoint_id = this->endpoint->entry.id;
   options.time_left = TimeLeft(this->deadline, this->sent_at);
   if (this->engine != nullptr)
-    options.urgency = std::clamp(this->route->rank, 0, 9);
+    options.urgency = UrgencyOf(*this->route, this->deferred);
   options.resume_after =
       this->last_event_id ? this->last_event_id : this->info.resume_after;
   if (this->forwarding) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,7 @@
   bool IsSampled() const;
   /// Returns what this daemon believes of the current endpoint, for log lines.
   std::string DescribeEndpoint() const;
+  std::string DescribeAnswer() const;
   void Log(const Event& event, std::string_view detail) const;
 
   // Defined in exchange_answer.cc: reading and forwarding the answer.
@@ -112,6 +113,7 @@
   int sends = 0;
   int possible_executions = 0;  ///< Sends that may have been executed.
   bool adapter_requested = false;
+  bool deferred = false;  ///< The current send; see Admission.
   bool finished = false;
 
   EndpointPtr endpoint;  ///< Of the current send.
@@ -129,7 +131,10 @@
   EventSplitter splitter;
   bool forwarding = false;  ///< The head has been sent to the caller.
   std::optional<std::int64_t> last_event_id;  ///< Of the last event forwarded.
+  TimePoint first_event_at;                   ///< Of the current send.
   TimePoint last_event_at;
+  double first_event_ms = 0;  ///< From the arrival of the request.
+  double longest_gap_ms = 0;  ///< Between two events.
 };
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 #include "gateway/caller_connection.h"
@@ -12,6 +13,10 @@
 constexpr std::size_t kMaxBufferedBodyBytes = 256UL * 1024;
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 
+double MillisecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
@@ -125,6 +130,8 @@
   } else if (this->answer_info.wrong_endpoint) {
     reason = "other instance";
     Eject(this->endpoint.get(), now);
+  } else {
+    RecordRefusal(this->endpoint.get(), now);
   }
   const std::string detail = this->DescribeEndpoint() +
                              " status=" + std::to_string(this->answer.status);
@@ -185,15 +192,31 @@
 
 void Exchange::ObserveEvent() {
   const TimePoint now = BootNow();
-  if (this->last_event_at == TimePoint())
+  if (this->first_event_at == TimePoint())
+    this->first_event_at = now;
+  if (this->last_event_at == TimePoint()) {
+    this->first_event_ms = MillisecondsBetween(this->received, now);
     this->gateway->metrics.ObserveFirstEvent(*this->route,
                                              now - this->received);
-  else
+  } else {
+    this->longest_gap_ms = std::max(
+        this->longest_gap_ms, MillisecondsBetween(this->last_event_at, now));
     this->gateway->metrics.ObserveEventGap(*this->route,
                                            now - this->last_event_at);
+  }
   this->last_event_at = now;
 }
 
+std::string Exchange::DescribeAnswer() const {
+  char detail[160];
+  std::snprintf(detail, sizeof(detail),
+                "status=%d rank=%d endpoint=%s first_ms=%.0f gap_ms=%.0f",
+                this->answer.status, this->route->rank,
+                this->endpoint->entry.id.c_str(), this->first_event_ms,
+                this->longest_gap_ms);
+  return detail;
+}
+
 void Exchange::BeginForwarding(std::optional<std::size_t> length) {
   this->forwarding = true;
   this->caller->BeginAnswer(this->gateway->wire->caller_answer(this->answer),
@@ -229,13 +252,16 @@
   }
   if (!this->forwarding)
     this->BeginForwarding(std::nullopt);
-  RecordOutcome(this->endpoint.get(), true, BootNow());
+  const TimePoint now = BootNow();
+  RecordOutcome(this->endpoint.get(), true, now);
+  if (this->engine != nullptr && this->first_event_at != TimePoint())
+    RecordRun(&this->gateway->traffic, this->service,
+              MillisecondsBetween(this->first_event_at, now));
   const bool reusable =
       this->parser->Done() && this->input.empty() &&
       net::KeepsConnection(this->answer.fields, this->answer.minor_version);
   if (this->IsSampled())
-    this->Log(kRequestAnswered,
-              "status=" + std::to_string(this->answer.status));
+    this->Log(kRequestAnswered, this->DescribeAnswer());
   this->CountOutcome(Outcome::kAnswered);
   this->ReleaseEndpoint(reusable);
   const auto connection = this->caller;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -61,12 +61,21 @@
   this->prefill_tokens = tokens;
   ++this->endpoint->own.running;
   this->endpoint->own.prompt_tokens += tokens;
+  if (!this->deferred)
+    return;
+  ++this->endpoint->own.deferred;
+  this->endpoint->own.deferred_tokens += tokens;
 }
 
 /// Called with the first event, when the prompt has been processed, or when the
 /// send ends.
 void Exchange::EndPrefill() {
   this->endpoint->own.prompt_tokens -= this->prefill_tokens;
+  if (this->deferred) {
+    --this->endpoint->own.deferred;
+    this->endpoint->own.deferred_tokens -= this->prefill_tokens;
+    this->deferred = false;
+  }
   this->prefill_tokens = 0;
 }
 
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -5,15 +5,18 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "gateway/wire_format.h"
 
 namespace coltsfootvane::gateway {
 
-/// Smoothed demand of requests for a model or adapter.
+/// Demand of requests for a model or adapter, in engine time per second,
+/// smoothed over a longer and a shorter time. Their difference shows a trend.
 struct ModelDemand {
-  double ms_per_s = 0;  ///< Engine time per second.
+  double ms_per_s = 0;
+  double recent_ms_per_s = 0;
   TimePoint updated;
 };
 
@@ -21,13 +24,28 @@
 struct Traffic {
   std::map<std::string, ModelDemand, std::less<>> demand;
   std::uint64_t requests = 0;
+  /// Smoothed time from the first event of a stream to its end, in ms, by
+  /// service.
+  std::map<std::string, double, std::less<>> run_ms;
 };
 
 /// Adds the work of a request to the demand for its model and adapter.
 void RecordDemand(Traffic* traffic, const RequestInfo& request, TimePoint now);
 
+/// Records how long a stream of the service took from its first event.
+void RecordRun(Traffic* traffic, const std::string& service, double run_ms);
+
+/// Returns the typical time for which a request to the service occupies a slot
+/// of an engine, in ms.
+double RunMs(const Traffic& traffic, std::string_view service);
+
 /// Returns the demand decayed to `now`.
-double DemandAt(const ModelDemand& demand, TimePoint now);
+ModelDemand DemandAt(const ModelDemand& demand, TimePoint now);
+
+/// Returns the demand to expect after `ahead_s` seconds, in engine time per
+/// second. A rise continues that is steeper than the noise of single requests;
+/// a fall is followed, but not continued.
+double ExpectedDemand(const ModelDemand& demand, double ahead_s);
 
 }  // namespace coltsfootvane::gateway
 
