Net, gateway, http: Bound bytes of endpoints that are no answer

Cause: a body without proof was collected whole before it was judged, and what the parser could not parse yet (the line before a chunk, a trailer) was kept without limit, as were answers to other requests and interim heads read until the deadline. The client of serve kept all header lines. Change: an answer without proof ends the send when its head is read; unparsed bytes are bounded by the header limit in MessageParser, so for callers, store and reports as well; 256 KB may come before the answer's head; heads at the client of serve are bounded at 256 KB, interim ones included.

--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <unordered_map>
-#include <utility>
 
 namespace coltsfootvane::fleet {
 namespace {
@@ -103,7 +102,7 @@
                                    now};
   report.work.clear();
   report.demand.clear();
-  member.report = std::move(report);
+  member.report = report;
   member.last_heard_at = now;
   member.live_until =
       now + std::max(kMemberTimeout, report_interval * kMissedReports);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -209,6 +209,7 @@
   this->splitter.Clear();
   this->buffered_body.clear();
   this->head_read = false;
+  this->discarded_bytes = 0;
   this->first_event_at = TimePoint();
   this->AddWork(this->engine == nullptr ? 0
                                         : TokensToPrefill(this->info, true));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -126,6 +126,7 @@
   net::ResponseHead answer;
   AnswerInfo answer_info;
   bool head_read = false;  ///< The head has been taken from the parser.
+  std::size_t discarded_bytes = 0;  ///< Received before the head.
   Mode mode = Mode::kBuffered;
   std::string buffered_body;
   EventSplitter splitter;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -12,6 +12,8 @@
 /// Longer answers are forwarded as they arrive.
 constexpr std::size_t kMaxBufferedBodyBytes = 256UL * 1024;
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+/// Of interim answers and answers to other requests, which may come first.
+constexpr std::size_t kMaxDiscardedBytes = 256UL * 1024;
 
 double MillisecondsBetween(TimePoint from, TimePoint to) {
   return std::chrono::duration<double, std::milli>(to - from).count();
@@ -53,7 +55,14 @@
 
 void Exchange::OnData(std::string_view bytes) {
   this->input.append(bytes);
+  if (!this->head_read || this->mode == Mode::kDiscarded)
+    this->discarded_bytes += bytes.size();
+  const int current = this->send_generation;
   this->ReadAnswer();
+  const bool answered = this->send_generation != current || this->finished ||
+                        (this->head_read && this->mode != Mode::kDiscarded);
+  if (!answered && this->discarded_bytes > kMaxDiscardedBytes)
+    this->OnSendFailed("no answer among the bytes received");
 }
 
 void Exchange::ReadAnswer() {
@@ -111,8 +120,8 @@
                                IsEventStream(this->answer.fields) &&
                                IsSuccess(this->answer.status);
   this->mode = is_event_stream ? Mode::kEvents : Mode::kBuffered;
-  if (is_event_stream && !this->IsAcceptable()) {
-    this->OnSendFailed("answer without proof");
+  if (!this->IsAcceptable()) {
+    this->OnSendFailed("answer without proof or of unknown outcome");
     return false;
   }
   return true;
@@ -161,8 +170,7 @@
       break;
     case Mode::kBuffered:
       this->buffered_body.append(bytes);
-      if (this->buffered_body.size() <= kMaxBufferedBodyBytes ||
-          !this->IsAcceptable())
+      if (this->buffered_body.size() <= kMaxBufferedBodyBytes)
         break;
       this->mode = Mode::kPassThrough;
       this->BeginForwarding(std::nullopt);
@@ -270,10 +278,6 @@
 }
 
 void Exchange::OnBufferedAnswer() {
-  if (!this->IsAcceptable()) {
-    this->OnSendFailed("answer without proof or of unknown outcome");
-    return;
-  }
   const bool failed = this->answer.status >= 500;
   RecordOutcome(this->endpoint.get(), !failed, BootNow());
   const bool reusable =
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,6 +12,9 @@
 namespace coltsfootvane::http {
 namespace {
 
+/// Of an answer and the interim ones before it.
+constexpr std::size_t kMaxHeaderBytes = 256UL * 1024;
+
 constexpr Milliseconds kIdleInterval{100};
 
 struct EasyDeleter {
@@ -73,7 +76,8 @@
   MultiHandle multi;
   int status = 0;
   std::vector<Header> headers;
-  std::size_t received_bytes = 0;
+  std::size_t header_bytes = 0;    ///< Of interim heads as well.
+  std::size_t received_bytes = 0;  ///< Of the body.
   bool cancelled = false;
   bool too_large = false;
 };
@@ -84,6 +88,10 @@
                                    void* exchange) {
   auto* self = static_cast<Exchange*>(exchange);
   const std::string_view line = Trim({data, size * count});
+  self->header_bytes += size * count;
+  self->too_large = self->header_bytes > kMaxHeaderBytes;
+  if (self->too_large)
+    return 0;
   if (!line.empty()) {
     self->AddHeaderLine(line);
     return size * count;
--- a/src/http/http_unittest.cc
+++ b/src/http/http_unittest.cc
@@ -212,6 +212,32 @@
   }
 }
 
+// Guards against heads without end, which the client would keep in memory.
+TEST(Http, HeadsWithoutEndAreErrors) {
+  struct Row {
+    const char* name;
+    std::string start;
+    std::string repeated;
+  };
+  const Row rows[] = {
+      {"header lines", "HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n"},
+      {"interim heads", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+  };
+  for (const Row& row : rows) {
+    std::string head = row.start;
+    constexpr std::size_t kHeadBytes = 1024UL * 1024;
+    while (head.size() < kHeadBytes)
+      head += row.repeated;
+    RawPeer peer(head);
+    const Result<http::Response> response =
+        http::Call({peer.address, In(2000), In(5000)}, Post("{}"));
+    CHECK_TEXT(!response.has_value(), row.name);
+    CHECK_TEXT(response.assume_error().code == ErrorCode::kUnknown, row.name);
+    STRCMP_EQUAL_TEXT("response is too large",
+                      response.assume_error().message.c_str(), row.name);
+  }
+}
+
 // Guards against a client that waits for more input, or reports an error, when
 // the last chunk comes in one segment with data.
 TEST(Http, WholeAnswersInOneSegmentAreWhole) {
--- a/src/net/message_parser.cc
+++ b/src/net/message_parser.cc
@@ -148,6 +148,7 @@
 template <class ReaderType>
 std::size_t FeedReader(ReaderType* reader,
                        ReaderState* state,
+                       std::size_t header_bytes,
                        std::string_view input) {
   std::size_t consumed = 0;
   while (consumed < input.size() && !reader->is_done()) {
@@ -165,6 +166,10 @@
       break;
   }
   state->started = state->started || !input.empty();
+  // What is left is part of a head, a trailer or the line before a chunk.
+  if (!reader->is_done() && input.size() - consumed > header_bytes &&
+      state->fault == ParseFault::kNone)
+    state->fault = ParseFault::kHeaderTooLarge;
   return consumed;
 }
 
@@ -172,7 +177,8 @@
 }  // namespace detail
 
 MessageParser::MessageParser(Kind kind, const ParseLimits& limits)
-    : state(std::make_unique<detail::ReaderState>()) {
+    : header_bytes(limits.header_bytes),
+      state(std::make_unique<detail::ReaderState>()) {
   if (kind == Kind::kRequest) {
     this->request =
         detail::MakeReader<detail::RequestReader>(this->state.get(), limits);
@@ -190,9 +196,10 @@
   if (this->state->fault != ParseFault::kNone)
     return 0;
   return this->request
-             ? detail::FeedReader(this->request.get(), this->state.get(), input)
+             ? detail::FeedReader(this->request.get(), this->state.get(),
+                                  this->header_bytes, input)
              : detail::FeedReader(this->response.get(), this->state.get(),
-                                  input);
+                                  this->header_bytes, input);
 }
 
 void MessageParser::ExpectNoBody() {
--- a/src/net/message_parser.h
+++ b/src/net/message_parser.h
@@ -20,6 +20,8 @@
 };
 
 struct ParseLimits {
+  /// Of the head. Also of what stands unparsed elsewhere: the line before a
+  /// chunk, or the trailer.
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 4 * 1024 * 1024;
 };
@@ -65,6 +67,7 @@
   std::string TakeBody();
 
  private:
+  std::uint32_t header_bytes;
   std::unique_ptr<detail::ReaderState> state;
   std::unique_ptr<detail::RequestReader> request;
   std::unique_ptr<detail::ResponseReader> response;
--- a/src/net/message_parser_unittest.cc
+++ b/src/net/message_parser_unittest.cc
@@ -89,6 +89,27 @@
   }
 }
 
+/// Guards against lines without end, which would be kept until they end.
+TEST(MessageParser, RejectsLinesWithoutEnd) {
+  struct Row {
+    const char* name;
+    std::string bytes;
+  };
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const Row rows[] = {{"status line", "HTTP/1.1 200 "},
+                      {"header line", "HTTP/1.1 200 OK\r\nA: "},
+                      {"chunk extension", chunked + "1;"},
+                      {"trailer", chunked + "0\r\nA: "}};
+  for (const Row& row : rows) {
+    MessageParser parser(MessageParser::Kind::kResponse, kLimits);
+    const std::string left =
+        FeedInPieces(&parser, row.bytes + std::string(10'000, 'x'), 50);
+    CHECK_TEXT(parser.Fault() != ParseFault::kNone, row.name);
+    CHECK_FALSE_TEXT(parser.Done(), row.name);
+  }
+}
+
 TEST(MessageParser, LeavesWhatFollowsTheMessage) {
   MessageParser parser(MessageParser::Kind::kRequest, kLimits);
   const std::string first = "POST /a/ HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
--- a/tests/support/gateway_scene.cc
+++ b/tests/support/gateway_scene.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -62,6 +63,9 @@
       events.on_end = [this](net::StreamEnd) {
         ++this->scene->closed_by_gateway;
       };
+      events.on_drained = [this, raw = stream.get()] {
+        this->SendEndless(raw);
+      };
       stream->Start(std::move(events));
       this->streams.push_back(stream);
       this->Accept();
@@ -78,6 +82,25 @@
       stream->CloseAfterWrite();
     else if (answer.then == ScriptedAnswer::Then::kReset)
       stream->Reset();
+    else
+      this->SendEndless(stream);
+  }
+
+  void SendEndless(net::TcpStream* stream) {
+    const std::size_t index = this->scene->received.size() - 1;
+    if (this->scene->received.empty() || index >= this->scene->answers.size() ||
+        !stream->IsOpen())
+      return;
+    const std::string& endless = this->scene->answers[index].endless;
+    if (endless.empty())
+      return;
+    this->scene->endless_bytes += endless.size();
+    stream->Write(endless);
+    // The stream reports that it is drained only if the kernel did not take all
+    // bytes at once.
+    if (stream->UnsentBytes() == 0)
+      boost::asio::post(this->scene->io,
+                        [this, stream] { this->SendEndless(stream); });
   }
 
   GatewayScene* scene;
--- a/tests/support/gateway_scene.h
+++ b/tests/support/gateway_scene.h
@@ -19,6 +19,8 @@
   enum class Then { kKeep, kClose, kReset };
   std::string bytes;
   Then then = Then::kKeep;
+  std::string endless =
+      {};  ///< Sent again and again until the connection ends.
 };
 
 /// A gateway with callers and endpoints on loopback, all on one event loop.
@@ -44,6 +46,7 @@
   std::vector<ScriptedAnswer> answers;
   std::vector<std::string> received;  ///< Requests as they reached endpoints.
   int closed_by_gateway = 0;          ///< Endpoint connections.
+  std::size_t endless_bytes = 0;      ///< Sent of `ScriptedAnswer::endless`.
 
  private:
   struct Endpoint;
