Fleet, orders: Plan copies for the present demand again

On the small sites the noise of single requests moved copies about. Change: the trend is taken out of traffic, reports and plan; three moves a tick as before.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -361,21 +361,17 @@
   });
 }
 
-gateway::ModelDemand Fleet::DemandFor(const std::string& model, TimePoint now) {
+double Fleet::DemandFor(const std::string& model, TimePoint now) {
   if (now >= this->peer_demand_until) {
     this->peer_demand = SumDemand(this->table, now);
     this->peer_demand_until = now + kDemandSumInterval;
   }
-  gateway::ModelDemand sum;
   const auto own = this->gateway->traffic.demand.find(model);
-  if (own != this->gateway->traffic.demand.end())
-    sum = gateway::DemandAt(own->second, now);
   const auto peers = this->peer_demand.find(KeyOf(model));
-  if (peers != this->peer_demand.end()) {
-    sum.ms_per_s += peers->second.ms_per_s;
-    sum.recent_ms_per_s += peers->second.recent_ms_per_s;
-  }
-  return sum;
+  return (own == this->gateway->traffic.demand.end()
+              ? 0
+              : gateway::DemandAt(own->second, now).ms_per_s) +
+         (peers == this->peer_demand.end() ? 0 : peers->second);
 }
 
 int Fleet::CountLiveDaemons() const {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -80,8 +80,9 @@
   /// Returns whether reports of the lease holder of this epoch have stopped.
   bool IsHolderSilent(std::int64_t epoch) const;
 
-  /// Returns the demand for a model or adapter over all daemons.
-  gateway::ModelDemand DemandFor(const std::string& model, TimePoint now);
+  /// Returns the demand for a model or adapter over all daemons, in engine ms
+  /// per second.
+  double DemandFor(const std::string& model, TimePoint now);
   int CountLiveDaemons() const;
 
  private:
@@ -124,7 +125,7 @@
   std::map<std::int64_t, PendingRequest> pending_requests;
   std::int64_t last_request_number = 0;
   SentReports sent_reports;
-  std::map<std::uint32_t, gateway::ModelDemand> peer_demand;
+  std::map<std::uint32_t, double> peer_demand;
   TimePoint peer_demand_until;
   double report_bytes = 200;  ///< Moving average of received report sizes.
 };
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -19,7 +19,6 @@
 struct ModelDemand {
   1: i32 model
   2: i32 ms_per_s
-  3: i32 recent_ms_per_s  // Over a shorter time.
 }
 
 // Sent periodically to all known daemons. Work and demand that a report does not
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -247,10 +247,6 @@
 void ModelDemand::__set_ms_per_s(const int32_t val) {
   this->ms_per_s = val;
 }
-
-void ModelDemand::__set_recent_ms_per_s(const int32_t val) {
-  this->recent_ms_per_s = val;
-}
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj)
 {
   obj.printTo(out);
@@ -295,14 +291,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->recent_ms_per_s);
-          this->__isset.recent_ms_per_s = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -328,10 +316,6 @@
   xfer += oprot->writeI32(this->ms_per_s);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("recent_ms_per_s", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->recent_ms_per_s);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -341,20 +325,17 @@
   using ::std::swap;
   swap(a.model, b.model);
   swap(a.ms_per_s, b.ms_per_s);
-  swap(a.recent_ms_per_s, b.recent_ms_per_s);
   swap(a.__isset, b.__isset);
 }
 
 ModelDemand::ModelDemand(const ModelDemand& other2) noexcept {
   model = other2.model;
   ms_per_s = other2.ms_per_s;
-  recent_ms_per_s = other2.recent_ms_per_s;
   __isset = other2.__isset;
 }
 ModelDemand& ModelDemand::operator=(const ModelDemand& other3) noexcept {
   model = other3.model;
   ms_per_s = other3.ms_per_s;
-  recent_ms_per_s = other3.recent_ms_per_s;
   __isset = other3.__isset;
   return *this;
 }
@@ -363,7 +344,6 @@
   out << "ModelDemand(";
   out << "model=" << to_string(model);
   out << ", " << "ms_per_s=" << to_string(ms_per_s);
-  out << ", " << "recent_ms_per_s=" << to_string(recent_ms_per_s);
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -133,10 +133,9 @@
 std::ostream& operator<<(std::ostream& out, const EndpointWork& obj);
 
 typedef struct _ModelDemand__isset {
-  _ModelDemand__isset() : model(false), ms_per_s(false), recent_ms_per_s(false) {}
+  _ModelDemand__isset() : model(false), ms_per_s(false) {}
   bool model :1;
   bool ms_per_s :1;
-  bool recent_ms_per_s :1;
 } _ModelDemand__isset;
 
 class ModelDemand : public virtual ::apache::thrift::TBase {
@@ -146,14 +145,12 @@
   ModelDemand& operator=(const ModelDemand&) noexcept;
   ModelDemand() noexcept
               : model(0),
-                ms_per_s(0),
-                recent_ms_per_s(0) {
+                ms_per_s(0) {
   }
 
   virtual ~ModelDemand() noexcept;
   int32_t model;
   int32_t ms_per_s;
-  int32_t recent_ms_per_s;
 
   _ModelDemand__isset __isset;
 
@@ -161,16 +158,12 @@
 
   void __set_ms_per_s(const int32_t val);
 
-  void __set_recent_ms_per_s(const int32_t val);
-
   bool operator == (const ModelDemand & rhs) const
   {
     if (!(model == rhs.model))
       return false;
     if (!(ms_per_s == rhs.ms_per_s))
       return false;
-    if (!(recent_ms_per_s == rhs.recent_ms_per_s))
-      return false;
     return true;
   }
   bool operator != (const ModelDemand &rhs) const {
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -97,9 +97,7 @@
   else
     ReplaceWork(report, restarted, was_counted, &member.work, changes);
   for (const gen::ModelDemand& demand : report.demand)
-    member.demand[demand.model] = {static_cast<double>(demand.ms_per_s),
-                                   static_cast<double>(demand.recent_ms_per_s),
-                                   now};
+    member.demand[demand.model] = {static_cast<double>(demand.ms_per_s), now};
   report.work.clear();
   report.demand.clear();
   member.report = report;
@@ -207,20 +205,15 @@
   }
 }
 
-std::map<std::uint32_t, gateway::ModelDemand> SumDemand(
-    const MemberTable& table,
-    TimePoint now) {
-  std::map<std::uint32_t, gateway::ModelDemand> sums;
+std::map<std::uint32_t, double> SumDemand(const MemberTable& table,
+                                          TimePoint now) {
+  std::map<std::uint32_t, double> sums;
   for (const auto& [address, member] : table.members) {
     if (!IsLive(member, now))
       continue;
-    for (const auto& [model, reported] : member.demand) {
-      const gateway::ModelDemand demand = gateway::DemandAt(reported, now);
-      gateway::ModelDemand& sum = sums[static_cast<std::uint32_t>(model)];
-      sum.ms_per_s += demand.ms_per_s;
-      sum.recent_ms_per_s += demand.recent_ms_per_s;
-      sum.updated = now;
-    }
+    for (const auto& [model, demand] : member.demand)
+      sums[static_cast<std::uint32_t>(model)] +=
+          gateway::DemandAt(demand, now).ms_per_s;
   }
   return sums;
 }
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -91,9 +91,8 @@
 
 /// Returns the sums of the demand that live members report, decayed to `now`,
 /// by model key.
-std::map<std::uint32_t, gateway::ModelDemand> SumDemand(
-    const MemberTable& table,
-    TimePoint now);
+std::map<std::uint32_t, double> SumDemand(const MemberTable& table,
+                                          TimePoint now);
 
 }  // namespace coltsfootvane::fleet
 
--- a/src/fleet/report.cc
+++ b/src/fleet/report.cc
@@ -45,7 +45,6 @@
   gen::ModelDemand wire;
   wire.model = model;
   wire.ms_per_s = Rounded(demand.ms_per_s);
-  wire.recent_ms_per_s = Rounded(demand.recent_ms_per_s);
   return wire;
 }
 
--- a/src/fleet/report_unittest.cc
+++ b/src/fleet/report_unittest.cc
@@ -131,7 +131,7 @@
     for (const auto& [model, demand] : pair.traffic.demand) {
       const auto heard = sums.find(gateway::KeyOf(model));
       CHECK(heard != sums.end());
-      DOUBLES_EQUAL(DemandAt(demand, now).ms_per_s, heard->second.ms_per_s, 3);
+      DOUBLES_EQUAL(DemandAt(demand, now).ms_per_s, heard->second, 3);
     }
   }
 }
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -10,9 +10,6 @@
 
 /// Short enough to follow a shift of demand within the load time of a model.
 constexpr double kTimeConstantS = 3;
-constexpr double kRecentTimeConstantS = 1;
-/// Engine time of the requests of a caller that arrive together.
-constexpr double kBurstWorkMs = 200;
 /// Engine time per generated token in a batch.
 constexpr double kOutputTokenMs = 0.15;
 
@@ -25,14 +22,9 @@
          request.output_tokens * kOutputTokenMs;
 }
 
-double Decay(double value, double elapsed_s, double time_constant_s) {
-  return value * std::exp(-std::max(0.0, elapsed_s) / time_constant_s);
-}
-
 void AddDemand(ModelDemand* demand, double work_ms, TimePoint now) {
   *demand = DemandAt(*demand, now);
   demand->ms_per_s += work_ms / kTimeConstantS;
-  demand->recent_ms_per_s += work_ms / kRecentTimeConstantS;
 }
 
 }  // namespace
@@ -59,27 +51,9 @@
 
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now) {
   const std::chrono::duration<double> elapsed = now - demand.updated;
-  ModelDemand decayed;
-  decayed.ms_per_s = Decay(demand.ms_per_s, elapsed.count(), kTimeConstantS);
-  decayed.recent_ms_per_s =
-      Decay(demand.recent_ms_per_s, elapsed.count(), kRecentTimeConstantS);
-  decayed.updated = now;
-  return decayed;
-}
-
-double ExpectedDemand(const ModelDemand& demand, double ahead_s) {
-  const double slow = demand.ms_per_s;
-  const double recent = demand.recent_ms_per_s;
-  const double noise = std::sqrt(kBurstWorkMs * std::max(slow, recent) /
-                                 (2 * kRecentTimeConstantS));
-  if (recent < slow)
-    return std::min(slow, recent + noise);
-  const double rise = std::max(0.0, recent - slow - noise);
-  // Each average lags behind a steady rise by its time constant.
-  const double rise_per_s = rise / (kTimeConstantS - kRecentTimeConstantS);
-  constexpr double kMostOfRecent = 2;
-  return std::clamp(recent + rise_per_s * (kRecentTimeConstantS + ahead_s),
-                    slow, recent * kMostOfRecent);
+  const double decay =
+      std::exp(-std::max(0.0, elapsed.count()) / kTimeConstantS);
+  return {demand.ms_per_s * decay, now};
 }
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -12,11 +12,9 @@
 
 namespace coltsfootvane::gateway {
 
-/// Demand of requests for a model or adapter, in engine time per second,
-/// smoothed over a longer and a shorter time. Their difference shows a trend.
+/// Smoothed demand of requests for a model or adapter.
 struct ModelDemand {
-  double ms_per_s = 0;
-  double recent_ms_per_s = 0;
+  double ms_per_s = 0;  ///< Engine time per second.
   TimePoint updated;
 };
 
@@ -42,11 +40,6 @@
 /// Returns the demand decayed to `now`.
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now);
 
-/// Returns the demand to expect after `ahead_s` seconds, in engine time per
-/// second. A rise continues that is steeper than the noise of single requests;
-/// a fall is followed, but not continued.
-double ExpectedDemand(const ModelDemand& demand, double ahead_s);
-
 }  // namespace coltsfootvane::gateway
 
 #endif  // COLTSFOOTVANE_GATEWAY_TRAFFIC_H_
--- a/src/orders/adapter_orders.cc
+++ b/src/orders/adapter_orders.cc
@@ -97,7 +97,7 @@
   std::string least_requested;
   double least_demand = std::numeric_limits<double>::max();
   for (const std::string& name : engine.adapters) {
-    const double demand = this->fleet->DemandFor(name, now).ms_per_s;
+    const double demand = this->fleet->DemandFor(name, now);
     if (demand >= least_demand)
       continue;
     least_demand = demand;
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -29,7 +29,7 @@
 /// it have ended.
 constexpr Milliseconds kUnloadCheckDelay{3000};
 constexpr Milliseconds kPublishInterval{1000};
-constexpr int kMaxMovesPerTick = 6;
+constexpr int kMaxMovesPerTick = 3;
 constexpr Milliseconds kPlacementLogInterval{1000};
 constexpr std::size_t kMaxLoggedModels = 6;
 
@@ -240,10 +240,8 @@
     CopyPlanInput input;
     for (const gateway::EngineModel& model : service.engine->models) {
       constexpr double kMsPerS = 1000;
-      // A copy that is planned now serves when its load is done.
-      const double demand_ms = gateway::ExpectedDemand(
-          this->fleet->DemandFor(model.name, now), model.store_load_s);
-      input.models.push_back({model.name, model.memory_mb, demand_ms / kMsPerS,
+      input.models.push_back({model.name, model.memory_mb,
+                              this->fleet->DemandFor(model.name, now) / kMsPerS,
                               model.store_load_s, model.disk_load_s,
                               model.memory_load_s});
     }
