Net: Give Beast no bytes twice

Cause: FeedReader() offered the bytes left over to Beast's parser again at once, and a part of the last chunk again without new bytes. Change: feeding stops when the parser wants more, and goes on once five bytes are there; no whole chunk is shorter.

--- a/src/net/message_parser.cc
+++ b/src/net/message_parser.cc
@@ -18,8 +18,9 @@
   ParseFault fault = ParseFault::kNone;
   bool head_done = false;
   bool started = false;
-  int lengths = 0;    ///< Content-Length fields.
-  int encodings = 0;  ///< Transfer-Encoding fields.
+  bool needs_more = false;  ///< The bytes left over are part of a line.
+  int lengths = 0;          ///< Content-Length fields.
+  int encodings = 0;        ///< Transfer-Encoding fields.
 };
 
 namespace {
@@ -145,19 +146,27 @@
   return reader;
 }
 
+/// Beast must not be given the same bytes twice, nor fewer than these after it
+/// has seen a part of the last chunk. Every chunk with its line is longer.
+constexpr std::size_t kMinResumedBytes = 5;
+
 template <class ReaderType>
 std::size_t FeedReader(ReaderType* reader,
                        ReaderState* state,
                        std::size_t header_bytes,
                        std::string_view input) {
+  if (state->needs_more && input.size() < kMinResumedBytes)
+    return 0;
+  state->needs_more = false;
   std::size_t consumed = 0;
-  while (consumed < input.size() && !reader->is_done()) {
+  while (consumed < input.size() && !reader->is_done() && !state->needs_more) {
     ErrorCode ec;
     const std::size_t used = reader->put(
         boost::asio::buffer(input.data() + consumed, input.size() - consumed),
         ec);
     consumed += used;
-    if (ec && ec != http::error::need_more) {
+    state->needs_more = ec == http::error::need_more;
+    if (ec && !state->needs_more) {
       if (state->fault == ParseFault::kNone)
         state->fault = FaultOf(ec);
       break;
--- a/src/net/message_parser_unittest.cc
+++ b/src/net/message_parser_unittest.cc
@@ -110,6 +110,20 @@
   }
 }
 
+/// Guards against bytes that the library is given again before more have come:
+/// it fails an assertion on a part of the last chunk.
+TEST(MessageParser, LastChunkMayComeInPieces) {
+  const std::string bytes =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\nA: b\r\n\r\n";
+  for (std::size_t piece = 1; piece <= bytes.size(); ++piece) {
+    MessageParser parser(MessageParser::Kind::kResponse, kLimits);
+    FeedInPieces(&parser, bytes, piece);
+    CHECK(parser.Done());
+    CHECK(parser.Fault() == ParseFault::kNone);
+  }
+}
+
 TEST(MessageParser, LeavesWhatFollowsTheMessage) {
   MessageParser parser(MessageParser::Kind::kRequest, kLimits);
   const std::string first = "POST /a/ HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc";
