Fleet: Forget the demand of members for models no longer asked for

Cause: reports of changes leave an item for each model that a member was ever asked for: 320 members and 1,320 models and adapters would hold some 27 MB (computed) of the 64 MB of a daemon. Change: with each whole list, items that have decayed below what is reported are removed. Result: Report.PastDemandIsForgotten: 30 items before, 0 after; failed without the change by its construction, not run so.

--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -1,6 +1,7 @@
 #include "fleet/member_table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_map>
 
 namespace coltsfootvane::fleet {
@@ -35,6 +36,17 @@
     changes->push_back(change);
 }
 
+/// Removes what is too small to be reported, so that a member does not keep an
+/// item for each model that it was ever asked for.
+void RemovePastDemand(DemandByModel* demand, TimePoint now) {
+  constexpr double kLeastMsPerS = 0.5;
+  for (auto it = demand->begin(); it != demand->end();) {
+    const bool past =
+        gateway::DemandAt(it->second, now).ms_per_s < kLeastMsPerS;
+    it = past ? demand->erase(it) : std::next(it);
+  }
+}
+
 /// Applies the work that a report lists.
 void ApplyWork(const std::vector<gen::EndpointWork>& listed,
                WorkByEndpoint* work,
@@ -98,6 +110,8 @@
     ReplaceWork(report, restarted, was_counted, &member.work, changes);
   for (const gen::ModelDemand& demand : report.demand)
     member.demand[demand.model] = {static_cast<double>(demand.ms_per_s), now};
+  if (report.lists_all_work)
+    RemovePastDemand(&member.demand, now);
   report.work.clear();
   report.demand.clear();
   member.report = report;
--- a/src/fleet/report_unittest.cc
+++ b/src/fleet/report_unittest.cc
@@ -135,3 +135,15 @@
     }
   }
 }
+
+/// Guards against members that keep an item for each model ever asked for.
+TEST(Report, PastDemandIsForgotten) {
+  Pair pair;
+  for (int model = 0; model < 30; ++model)
+    pair.RequestModel(model, kNow);
+  pair.Report(false, kNow);
+  LONGS_EQUAL(30, pair.heard.members[kSender].demand.size());
+  for (int i = 0; i < fleet::kReportsPerWholeList; ++i)
+    pair.Report(false, kNow + Milliseconds(60'000));
+  LONGS_EQUAL(0, pair.heard.members[kSender].demand.size());
+}
