Tests: Let the gateway process and scripted replicas stand by themselves

Cause: the process of the daemon with its settings file was a part of the site with one engine and one service.

--- a/tests/integration/gateway_test.cc
+++ b/tests/integration/gateway_test.cc
@@ -19,8 +19,9 @@
   site->engine_models = {"m1"};
   site->PutConfig(1);
   site->Announce();
-  site->Start();
-  CHECK_TEXT(site->AwaitReady(), site->daemon->DescribeEnd().c_str());
+  site->daemon.Start();
+  CHECK_TEXT(site->daemon.AwaitReady(),
+             site->daemon.process->DescribeEnd().c_str());
 }
 
 }  // namespace
@@ -88,7 +89,7 @@
   site.PutConfig(7);
   site.store.faults.unavailable = false;
   CHECK(site.RunUntil([&] { return knows("/extra6/x"); }, 5000));
-  LONGS_EQUAL(200, site.Ready());
+  LONGS_EQUAL(200, site.daemon.Ready());
 }
 
 // A draining endpoint gets no request once that is known; the callers are told
@@ -119,17 +120,18 @@
   boost::asio::steady_timer stop(site.io);
   stop.expires_after(Milliseconds(300));
   stop.async_wait([&site](const boost::system::error_code&) {
-    site.daemon->Signal(SIGTERM);
+    site.daemon.process->Signal(SIGTERM);
   });
   const auto response = site.Call("/unsafe/1");
   LONGS_EQUAL(200, StatusOf(response));
   CHECK(net::HasToken(response.value().head.fields, "connection", "close"));
-  LONGS_EQUAL(503, site.Ready());
+  LONGS_EQUAL(503, site.daemon.Ready());
   site.service_time = Milliseconds(0);
   LONGS_EQUAL_TEXT(200, StatusOf(site.Call("/unsafe/2")),
                    "callers that were led here before are still served");
-  CHECK(site.RunUntil([&site] { return !site.daemon->IsRunning(); }, 9000));
-  LONGS_EQUAL(0, site.daemon->WaitForExit(testing::In(100)));
+  CHECK(site.RunUntil([&site] { return !site.daemon.process->IsRunning(); },
+                      9000));
+  LONGS_EQUAL(0, site.daemon.process->WaitForExit(testing::In(100)));
 }
 
 // What an on-call engineer reads: how requests ended and what the daemon
@@ -148,7 +150,7 @@
       "coltsfootvane_store_calls_total{",
       "coltsfootvane_gateway_request_seconds_bucket{",
   };
-  const std::string text = site.Metrics();
+  const std::string text = site.daemon.Metrics();
   for (const char* part : parts)
     CHECK_TEXT(text.find(part) != std::string::npos, part);
 }
@@ -159,12 +161,12 @@
   StartSite(&site);
   constexpr int kNoticedMs = 3000;
   const auto logged = [&site](const char* event) {
-    return site.Log().find(event) != std::string::npos;
+    return site.daemon.Log().find(event) != std::string::npos;
   };
-  site.WriteSettings(-1);
+  site.daemon.WriteSettings(-1);
   CHECK(site.RunUntil([&] { return logged("settings-rejected"); }, kNoticedMs));
   CHECK_FALSE(logged("settings-reloaded"));
-  site.WriteSettings(4);
+  site.daemon.WriteSettings(4);
   CHECK(site.RunUntil([&] { return logged("settings-reloaded"); }, kNoticedMs));
   LONGS_EQUAL(200, StatusOf(site.Call("/safe/1")));
 }
--- a/tests/integration/platform_site.cc
+++ b/tests/integration/platform_site.cc
@@ -1,13 +1,9 @@
 #include "platform_site.h"
 
-#include <unistd.h>
-
-#include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <utility>
 
 #include "support/free_port.h"
+#include "support/replica_standin.h"
 
 namespace coltsfootvane::testing {
 namespace {
@@ -18,21 +14,6 @@
 
 constexpr char kEvents[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
-net::Fields AnswerFields(const ReceivedRequest& request) {
-  return {{"Request-Id",
-           std::string(net::FieldValue(request.head.fields, "Request-Id"))},
-          {"Server-Signature", "proof"}};
-}
-
-net::tcp::endpoint FreeAddress(const std::string& host) {
-  return {boost::asio::ip::make_address(host),
-          static_cast<unsigned short>(FreePort(host))};
-}
-
-std::string ToText(const net::tcp::endpoint& address) {
-  return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
 Json MakeRoute(const char* path, const char* kind, const char* service) {
   return {{"name", path},      {"host", "h"},        {"pathPrefix", path},
           {"routeKind", kind}, {"timeoutMs", 5000},  {"targetLatencyMs", 1000},
@@ -55,16 +36,7 @@
               [this](const ReceivedRequest& request, const StreamPtr& stream) {
                 this->OnServiceRequest(request, stream);
               }),
-      client(&this->io),
-      callers(FreeAddress(this->host)),
-      health(FreeAddress(this->host)) {
-  const std::string prefix =
-      (std::filesystem::temp_directory_path() /
-       ("coltsfootvane-gateway-" + std::to_string(getpid())))
-          .string();
-  this->settings_path = prefix + ".conf";
-  this->log_path = prefix + ".log";
-}
+      daemon(&this->io, this->host, this->store.server.AddressText()) {}
 
 void PlatformSite::PutConfig(int version) {
   Json routes = {MakeRoute("/safe/", "safe", "books"),
@@ -130,51 +102,6 @@
   this->store.Put("servers", "unreadable", {{"service", 3}});
 }
 
-void PlatformSite::WriteSettings(int stop_timeout_s) {
-  std::ofstream settings(this->settings_path);
-  const int port = this->peer_port;
-  settings << "nodeName=vm-1\nzone=dc\nlisten.front=" << ToText(this->callers)
-           << "\nlisten.ready=" << ToText(this->health)
-           << "\ninternalPorts=" << port << "," << port
-           << "\nplatform.address=" << this->store.server.AddressText()
-           << "\nbounds.graceS=" << stop_timeout_s
-           << "\nbounds.leaseMs=1000\nbounds.requireFencing=true\n";
-}
-
-void PlatformSite::Start() {
-  constexpr int kStopTimeoutS = 8;
-  this->peer_port = FreePort(this->host);
-  this->WriteSettings(kStopTimeoutS);
-  this->daemon = std::make_unique<Process>(
-      "coltsfootvane",
-      std::vector<std::string>{"gateway", "--settings", this->settings_path},
-      this->log_path);
-}
-
-bool PlatformSite::RunUntil(const std::function<bool()>& condition,
-                            int milliseconds) {
-  const TimePoint deadline = Clock::now() + Milliseconds(milliseconds);
-  while (!condition()) {
-    if (Clock::now() >= deadline)
-      return false;
-    this->io.restart();
-    this->io.run_one_for(Milliseconds(20));
-  }
-  return true;
-}
-
-std::optional<Result<net::WholeResponse>> PlatformSite::CallAt(
-    const net::tcp::endpoint& address,
-    net::RequestHead head) {
-  std::optional<Result<net::WholeResponse>> answer;
-  this->client.Call(address, std::move(head), {}, Milliseconds(9000), true,
-                    [&answer](Result<net::WholeResponse> response) {
-                      answer = std::move(response);
-                    });
-  this->RunUntil([&answer] { return answer.has_value(); }, 10'000);
-  return answer;
-}
-
 Result<net::WholeResponse> PlatformSite::Call(const std::string& path,
                                               const net::Fields& fields) {
   net::RequestHead head;
@@ -184,38 +111,10 @@
   head.fields.push_back({"Request-Id", "id" + std::to_string(++this->calls)});
   head.fields.push_back({"Deadline-Ms", "6000"});
   head.fields.push_back({"Host", "h"});
-  auto answer = this->CallAt(this->callers, std::move(head));
+  auto answer = this->daemon.CallAt(this->daemon.Callers(), std::move(head));
   return answer ? std::move(*answer) : Error{ErrorCode::kTimeout, "no answer"};
 }
 
-std::optional<Result<net::WholeResponse>> PlatformSite::Get(
-    const std::string& path) {
-  net::RequestHead head;
-  head.method = "GET";
-  head.target = path;
-  return this->CallAt(this->health, std::move(head));
-}
-
-int PlatformSite::Ready() {
-  const auto answer = this->Get("/readyz");
-  return answer && answer->has_value() ? answer->value().head.status : 0;
-}
-
-std::string PlatformSite::Metrics() {
-  const auto answer = this->Get("/metrics");
-  return answer && answer->has_value() ? answer->value().body : std::string();
-}
-
-std::string PlatformSite::Log() const {
-  std::ifstream log(this->log_path);
-  return {std::istreambuf_iterator<char>(log),
-          std::istreambuf_iterator<char>()};
-}
-
-bool PlatformSite::AwaitReady() {
-  return this->RunUntil([this] { return this->Ready() == 200; }, 20'000);
-}
-
 void PlatformSite::OnServiceRequest(const ReceivedRequest& request,
                                     const StreamPtr& stream) {
   ++this->service_requests;
--- a/tests/integration/platform_site.h
+++ b/tests/integration/platform_site.h
@@ -5,13 +5,12 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <set>
 #include <string>
 
 #include "base/result.h"
+#include "gateway_process.h"
 #include "net/http_client.h"
-#include "process.h"
 #include "support/loopback_server.h"
 #include "support/store_standin.h"
 
@@ -27,29 +26,20 @@
   void PutConfig(int version);
   /// Announces the endpoints in this state.
   void Announce(const char* state = "ready");
-  void Start();
-  /// Writes the settings file; the daemon may run already.
-  void WriteSettings(int stop_timeout_s);
-  bool AwaitReady();
 
   /// Calls the daemon as a caller does.
   Result<net::WholeResponse> Call(const std::string& path,
                                   const net::Fields& fields = {});
-  /// Returns the status of the health check, or 0 without an answer.
-  int Ready();
-  /// Returns the daemon's metrics, or an empty string without an answer.
-  std::string Metrics();
-  /// Returns what the daemon has logged so far.
-  std::string Log() const;
-  bool RunUntil(const std::function<bool()>& condition, int milliseconds);
+  bool RunUntil(const std::function<bool()>& condition, int milliseconds) {
+    return this->daemon.RunUntil(condition, milliseconds);
+  }
 
   boost::asio::io_context io;
   std::string host;
   StoreStandin store;
   LoopbackServer engine;
   LoopbackServer service;
-  net::HttpClient client;
-  std::unique_ptr<Process> daemon;
+  GatewayProcess daemon;
   std::set<std::string> engine_models;  ///< And adapters, as `model/adapter`.
   std::int64_t engine_orders = 0;       ///< Accepted.
   int engine_requests = 0;
@@ -64,16 +54,7 @@
   void OnServiceRequest(const ReceivedRequest& request,
                         const std::shared_ptr<net::TcpStream>& stream);
   nlohmann::json EngineModels() const;
-  std::optional<Result<net::WholeResponse>> Get(const std::string& path);
-  std::optional<Result<net::WholeResponse>> CallAt(
-      const net::tcp::endpoint& address,
-      net::RequestHead head);
 
-  net::tcp::endpoint callers;
-  net::tcp::endpoint health;
-  int peer_port = 0;
-  std::string settings_path;
-  std::string log_path;
   int calls = 0;
 };
 
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -37,8 +37,39 @@
   return target;
 }
 
-void ReplyJson(const StreamPtr& stream, int status, const Json& json) {
-  Reply(stream, status, json.dump(), {{"Content-Type", "application/json"}});
+void ReplyJson(const StreamPtr& stream, int status, const std::string& json) {
+  Reply(stream, status, json, {{"Content-Type", "application/json"}});
+}
+
+/// Returns an object as JSON text. The spec is inserted as it is, since it need
+/// not be readable.
+std::string ObjectText(const std::string& name,
+                       std::int64_t revision,
+                       const std::string& spec) {
+  const Json metadata = {{"name", name},
+                         {"revision", revision},
+                         {"created", 1},
+                         {"finalizers", Json::array()},
+                         {"deleting", false}};
+  return R"({"metadata":)" + metadata.dump() + R"(,"spec":)" + spec +
+         R"(,"status":null})";
+}
+
+/// Returns `{"NAME":[ITEM,...],MORE}`.
+std::string ListText(const char* name,
+                     const std::vector<std::string>& items,
+                     const std::string& more) {
+  std::string text = std::string("{\"") + name + "\":[";
+  for (const std::string& item : items) {
+    if (&item != &items.front())
+      text += ",";
+    text += item;
+  }
+  return text + "]," + more + "}";
+}
+
+std::string RevisionText(std::int64_t revision) {
+  return "\"at\":" + std::to_string(revision);
 }
 
 }  // namespace
@@ -53,6 +84,12 @@
 void StoreStandin::Put(const std::string& kind,
                        const std::string& name,
                        const Json& spec) {
+  this->PutText(kind, name, spec.dump());
+}
+
+void StoreStandin::PutText(const std::string& kind,
+                           const std::string& name,
+                           const std::string& spec) {
   this->kinds[kind][name] = {++this->revision, spec};
   this->Note(kind, name, false);
 }
@@ -67,28 +104,17 @@
   const auto found = this->kinds.find(kind);
   if (found == this->kinds.end() || found->second.count(name) == 0)
     return nullptr;
-  return found->second.at(name).spec;
-}
-
-Json StoreStandin::ToJson(const std::string& name, const Object& object) const {
-  return {{"metadata",
-           {{"name", name},
-            {"revision", object.revision},
-            {"created", 1},
-            {"finalizers", Json::array()},
-            {"deleting", false}}},
-          {"spec", object.spec},
-          {"status", nullptr}};
+  return Json::parse(found->second.at(name).spec, nullptr, false);
 }
 
 void StoreStandin::Note(const std::string& kind,
                         const std::string& name,
                         bool deleted) {
+  const Object& object = this->kinds[kind][name];
   this->events.push_back(
-      {this->revision,
-       kind,
-       {{"object", this->ToJson(name, this->kinds[kind][name])},
-        {"deleted", deleted}}});
+      {this->revision, kind,
+       R"({"object":)" + ObjectText(name, object.revision, object.spec) +
+           R"(,"deleted":)" + (deleted ? "true}" : "false}")});
   const auto answered = std::remove_if(
       this->waiting.begin(), this->waiting.end(),
       [this](const Waiting& watch) { return this->AnswerWatch(watch); });
@@ -96,7 +122,7 @@
 }
 
 bool StoreStandin::AnswerWatch(const Waiting& watch) {
-  Json found = Json::array();
+  std::vector<std::string> found;
   for (const Event& event : this->events) {
     if (event.kind == watch.kind && event.revision > watch.revision)
       found.push_back(event.json);
@@ -104,7 +130,8 @@
   if (found.empty())
     return false;
   if (!this->faults.unavailable && !this->faults.silent)
-    ReplyJson(watch.stream, 200, {{"events", found}, {"at", this->revision}});
+    ReplyJson(watch.stream, 200,
+              ListText("events", found, RevisionText(this->revision)));
   return true;
 }
 
@@ -136,7 +163,8 @@
     if (found == objects.end())
       Reply(stream, 404, "");
     else
-      ReplyJson(stream, 200, this->ToJson(name, found->second));
+      ReplyJson(stream, 200,
+                ObjectText(name, found->second.revision, found->second.spec));
     return;
   }
   const auto watch = query.find("watch");
@@ -153,7 +181,7 @@
   // Two objects a page, so that paging is used.
   constexpr std::size_t kPage = 2;
   const auto after = query.find("after");
-  Json items = Json::array();
+  std::vector<std::string> items;
   bool more = false;
   for (const auto& [object_name, object] : objects) {
     if (after != query.end() && object_name <= after->second)
@@ -161,10 +189,12 @@
     more = items.size() == kPage;
     if (more)
       break;
-    items.push_back(this->ToJson(object_name, object));
+    items.push_back(ObjectText(object_name, object.revision, object.spec));
   }
   ReplyJson(stream, 200,
-            {{"items", items}, {"hasMore", more}, {"at", this->revision}});
+            ListText("items", items,
+                     std::string("\"hasMore\":") + (more ? "true" : "false") +
+                         "," + RevisionText(this->revision)));
 }
 
 void StoreStandin::OnWrite(const std::string& method,
@@ -185,14 +215,17 @@
                        : metadata.contains("revision") &&
                              metadata["revision"] != found->second.revision;
   if (conflict) {
-    ReplyJson(stream, 409, this->ToJson(name, found->second));
+    ReplyJson(stream, 409,
+              ObjectText(name, found->second.revision, found->second.spec));
     return;
   }
   this->Put(kind, name, object.at("spec"));
-  if (this->faults.loses_answers)
+  if (this->faults.loses_answers) {
     stream->Close();
-  else
-    ReplyJson(stream, 200, this->ToJson(name, this->kinds[kind][name]));
+    return;
+  }
+  const Object& written = this->kinds[kind][name];
+  ReplyJson(stream, 200, ObjectText(name, written.revision, written.spec));
 }
 
 }  // namespace coltsfootvane::testing
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -28,6 +28,10 @@
   void Put(const std::string& kind,
            const std::string& name,
            const nlohmann::json& spec);
+  /// The same with the text of a spec that need not be readable.
+  void PutText(const std::string& kind,
+               const std::string& name,
+               const std::string& spec);
   void Remove(const std::string& kind, const std::string& name);
   /// Returns the spec, or null.
   nlohmann::json Get(const std::string& kind, const std::string& name) const;
@@ -39,12 +43,12 @@
  private:
   struct Object {
     std::int64_t revision = 0;
-    nlohmann::json spec;
+    std::string spec = "null";  ///< As JSON text.
   };
   struct Event {
     std::int64_t revision = 0;
     std::string kind;
-    nlohmann::json json;
+    std::string json;
   };
   struct Waiting {
     std::string kind;
@@ -64,7 +68,6 @@
                const std::shared_ptr<net::TcpStream>& stream);
   void Note(const std::string& kind, const std::string& name, bool deleted);
   bool AnswerWatch(const Waiting& waiting);
-  nlohmann::json ToJson(const std::string& name, const Object& object) const;
 
   std::int64_t revision = 100;
   std::map<std::string, std::map<std::string, Object>> kinds;
