--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -24,6 +24,8 @@
 struct ServiceWork {
   int ready = 0;
   int draining = 0;
+  int leaving = 0;  ///< By their own answers, and listed as ready.
+  int paused = 0;
   int suspect = 0;
   int slots = 0;
   gateway::EndpointWork own;
@@ -59,6 +61,10 @@
     ServiceWork& work = services[endpoint->entry.service];
     if (endpoint->entry.draining)
       ++work.draining;
+    else if (endpoint->stated->leaving)
+      ++work.leaving;
+    else if (now < endpoint->stated->paused_until)
+      ++work.paused;
     else if (now < endpoint->ejected_until)
       ++work.suspect;
     else
@@ -94,6 +100,10 @@
              work.ready);
     SetGauge(registry, name, help,
              {{"service", service}, {"state", "draining"}}, work.draining);
+    SetGauge(registry, name, help, {{"service", service}, {"state", "leaving"}},
+             work.leaving);
+    SetGauge(registry, name, help, {{"service", service}, {"state", "paused"}},
+             work.paused);
     SetGauge(registry, name, help, {{"service", service}, {"state", "suspect"}},
              work.suspect);
     SetGauge(registry, "coltsfootvane_endpoint_slots",
--- a/src/gateway/endpoint.cc
+++ b/src/gateway/endpoint.cc
@@ -42,6 +42,8 @@
       slot->gone = true;
     slot = std::make_shared<Endpoint>();
     slot->key = KeyOf(entry.id);
+    slot->stated =
+        RecallInstance(&table->memory, {entry.id, entry.incarnation});
   }
   slot->gone = false;
   slot->entry = std::move(entry);
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/endpoint_notice.h"
 
 namespace coltsfootvane::gateway {
 
@@ -60,7 +61,10 @@
   RecentOutcomes outcomes;
   int peer_successes = 0;  ///< Recent outcomes reported by the other daemons.
   int peer_failures = 0;
-  bool gone = false;         ///< Removed from the table or replaced.
+  bool gone = false;  ///< Removed from the table or replaced.
+  /// Shared by all table entries that the same instance has had.
+  std::shared_ptr<StatedAvailability> stated =
+      std::make_shared<StatedAvailability>();
   TimePoint ejected_until;   ///< Avoided until then.
   int ejections = 0;         ///< Since the last success.
   TimePoint refusing_until;  ///< Believed full until then.
@@ -81,6 +85,7 @@
 /// All registered endpoints, by id.
 struct EndpointTable {
   std::map<std::string, EndpointPtr, std::less<>> endpoints;
+  InstanceMemory memory;
 };
 
 /// Adds an endpoint or updates its entry. An endpoint with a new incarnation
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -24,6 +24,11 @@
 inline constexpr Event kAdapterAwaited{2212, Severity::kInfo,
                                        "adapter-awaited"};
 
+inline constexpr Event kEndpointLeaving{2213, Severity::kInfo,
+                                        "endpoint-leaving"};
+inline constexpr Event kEndpointPaused{2214, Severity::kInfo,
+                                       "endpoint-paused"};
+
 }  // namespace coltsfootvane::gateway
 
 #endif  // COLTSFOOTVANE_GATEWAY_EVENTS_H_
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -112,6 +112,8 @@
     this->mode = Mode::kDiscarded;
     return true;
   }
+  RecordNotice(this->gateway, this->endpoint, this->answer_info.notice,
+               BootNow());
   if (this->answer_info.not_executed || this->answer_info.wrong_endpoint) {
     this->OnRefusedByEndpoint();
     return false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -54,6 +54,28 @@
     gateway->endpoint_list.push_back(endpoint);
 }
 
+void RecordNotice(Gateway* gateway,
+                  const EndpointPtr& endpoint,
+                  const EndpointNotice& notice,
+                  TimePoint now) {
+  const NoticeEffect effect = ApplyNotice(endpoint->stated.get(), notice, now);
+  const EndpointEntry& entry = endpoint->entry;
+  if (effect.leaves) {
+    gateway->metrics.CountNotice(entry.service, "leaving");
+    gateway->log->Write(
+        kEndpointLeaving, "",
+        "endpoint=" + entry.id + " service=" + entry.service +
+            " listed=" + (entry.draining ? "draining" : "ready"));
+  }
+  if (effect.pauses) {
+    gateway->metrics.CountNotice(entry.service, "paused");
+    gateway->log->Write(
+        kEndpointPaused, "",
+        "endpoint=" + entry.id + " service=" + entry.service +
+            " pause_ms=" + std::to_string(notice.pause.count()));
+  }
+}
+
 void CountRequest(Gateway* gateway, std::string_view service, TimePoint now) {
   RetryBudget& budget = BudgetOf(gateway, service);
   UpdateBudget(*gateway, &budget);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,12 @@
 /// endpoints that were removed.
 void UpdateEndpointList(Gateway* gateway);
 
+/// Applies what an endpoint has stated in an answer, and logs what is new.
+void RecordNotice(Gateway* gateway,
+                  const EndpointPtr& endpoint,
+                  const EndpointNotice& notice,
+                  TimePoint now);
+
 /// Counts a request towards the retry budget of its service.
 void CountRequest(Gateway* gateway, std::string_view service, TimePoint now);
 /// Takes one retry from this daemon's budget for the service. Returns false if
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -87,7 +87,11 @@
                          "Retries that the budget allowed or denied")),
       resumed(AddCounter(registry,
                          "coltsfootvane_gateway_resumed_streams_total",
-                         "Streams continued at another endpoint")) {}
+                         "Streams continued at another endpoint")),
+      notices(AddCounter(registry,
+                         "coltsfootvane_gateway_endpoint_notices_total",
+                         "Endpoints that have stated in an answer that they "
+                         "leave or want no requests for a while")) {}
 
 void GatewayMetrics::CountRequest(const Route* route,
                                   std::string_view service,
@@ -140,4 +144,11 @@
   this->resumed->Add(ServiceLabel(service)).Increment();
 }
 
+void GatewayMetrics::CountNotice(std::string_view service,
+                                 std::string_view notice) {
+  Labels labels = ServiceLabel(service);
+  labels["notice"] = notice;
+  this->notices->Add(labels).Increment();
+}
+
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -52,6 +52,8 @@
   /// `granted` tells whether the daemon's retry budget allowed it.
   void CountRetry(std::string_view service, bool granted);
   void CountResumedStream(std::string_view service);
+  /// `notice` is `leaving` or `paused`.
+  void CountNotice(std::string_view service, std::string_view notice);
 
  private:
   template <class T>
@@ -66,6 +68,7 @@
   Family<prometheus::Counter>* failed_sends;
   Family<prometheus::Counter>* retries;
   Family<prometheus::Counter>* resumed;
+  Family<prometheus::Counter>* notices;
 };
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/endpoint_notice.h"
 #include "net/message.h"
 
 namespace coltsfootvane::gateway {
@@ -45,6 +46,7 @@
   bool lacks_model = false;     ///< The model or adapter is not loaded.
   bool authentic = false;       ///< Has the endpoint's signature.
   bool encoded = false;         ///< The body has a content coding.
+  EndpointNotice notice;        ///< Not of another process; see above.
 };
 
 /// Translates between the gateway and the protocols of callers and endpoints.
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -106,7 +106,7 @@
     this->List();
     return;
   }
-  this->SetReachable(false);
+  this->SetReachable(false, error.message);
   const int doublings = std::min(this->failures++, kMostDoublings);
   const auto backoff = kFirstBackoff * (1 << doublings);
   const auto jitter = static_cast<std::int64_t>(
@@ -123,7 +123,7 @@
   });
 }
 
-void KindFollower::SetReachable(bool now_reachable) {
+void KindFollower::SetReachable(bool now_reachable, std::string_view reason) {
   if (now_reachable) {
     this->failures = 0;
     this->heard_at = BootNow();
@@ -133,7 +133,8 @@
   this->reachable = now_reachable;
   this->log->Write(
       now_reachable ? kStoreRegained : kStoreLost, "",
-      "kind=" + this->kind + " revision=" + std::to_string(this->revision));
+      "kind=" + this->kind + " revision=" + std::to_string(this->revision) +
+          (reason.empty() ? "" : " reason=\"" + std::string(reason) + "\""));
   if (this->events.on_reachable)
     this->events.on_reachable(now_reachable);
 }
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "log/decision_log.h"
 #include "store/object_store.h"
@@ -54,7 +55,8 @@
   void OnChanges(Changes changes);
   void OnFailure(const Error& error);
   void Later(Milliseconds pause, void (KindFollower::*step)());
-  void SetReachable(bool now_reachable);
+  /// `reason` tells why it is not.
+  void SetReachable(bool now_reachable, std::string_view reason = {});
 
   boost::asio::steady_timer timer;
   const ObjectStore* store;
