Tests: Show what endpoints and entries of others do to the gateway (fails)

Change: the group Replicas runs the real gateway before scripted replicas of a plain service; Exchange.BrokenAnswersAreNotContinuedByOthers shows answers in the middle of others.

--- a/src/gateway/exchange_unittest.cc
+++ b/src/gateway/exchange_unittest.cc
@@ -323,6 +323,61 @@
   });
 }
 
+/// Guards against an answer that is forwarded in the middle of another one: a
+/// stream that broke off goes on only with events, and an answer of which a
+/// part has been forwarded is not begun again.
+TEST(Exchange, BrokenAnswersAreNotContinuedByOthers) {
+  constexpr std::size_t kShort = 90;
+  constexpr std::size_t kLong = 400'000;  // Longer than what is collected.
+  const std::string cut_stream = kEvents + Chunk(EventOf(1) + EventOf(2));
+  const std::string cut_body = "HTTP/1.1 200 OK\r\n" + kSignature +
+                               "Content-Length: 400000\r\n\r\n" +
+                               std::string(kLong - 1, 'y');
+  struct ContinuedRow {
+    const char* name;
+    const char* path;
+    std::string first;
+    std::string second;
+    const char* contains;
+  };
+  const auto failure = [](std::size_t bytes) {
+    return MakeAnswer("500 Failed", kSignature, std::string(bytes, 'x'));
+  };
+  const ContinuedRow rows[] = {
+      {"short failure", "/resume/", cut_stream, failure(kShort), "data: e2"},
+      {"long failure", "/resume/", cut_stream, failure(kLong), "data: e2"},
+      {"long failure without a length", "/resume/", cut_stream,
+       "HTTP/1.1 500 Failed\r\n" + kSignature + "\r\n" +
+           std::string(kLong, 'x'),
+       "data: e2"},
+      {"failure of the type of a stream", "/resume/", cut_stream,
+       MakeAnswer("500 Failed",
+                  kSignature + "Content-Type: text/event-stream\r\n",
+                  std::string(kLong, 'x') + "\n\n"),
+       "data: e2"},
+      {"long success that is no stream", "/resume/", cut_stream,
+       MakeAnswer("200 OK", kSignature, std::string(kLong, 'x')), "data: e2"},
+      {"a body begun again", "/safe/", cut_body,
+       MakeAnswer("200 OK", kSignature, std::string(kLong, 'x')), "yyyy"},
+      {"a body that is no stream", "/resume/", cut_body,
+       kEvents + Chunk(EventOf(1) + "id: 2\ndata: xxxx\n\n") + "0\r\n\r\n",
+       "yyyy"},
+      {"events without ids", "/resume/", kEvents + Chunk("data: e2\n\n"),
+       kEvents + Chunk("data: xxxx\n\n") + "0\r\n\r\n", "data: e2"},
+  };
+  for (const ContinuedRow& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    scene.AddEndpoint("e2");
+    scene.answers = {{row.first, Then::kClose}, {row.second, Then::kClose}};
+    const std::string answer = scene.Call(CallerRequest(row.path));
+    CHECK_TEXT(Has(answer, row.contains), row.name);
+    CHECK_FALSE_TEXT(Has(answer, "xxxx"), row.name);
+    CHECK_FALSE_TEXT(Has(answer, "500 Failed"), row.name);
+    CHECK_FALSE_TEXT(IsComplete(answer), row.name);
+  }
+}
+
 TEST(Exchange, RepeatedEventsAreForwardedOnce) {
   GatewayScene scene;
   scene.AddEndpoint("e1");
--- /dev/null
+++ b/tests/integration/replica_site.h
@@ -0,0 +1,71 @@
+#ifndef COLTSFOOTVANE_TESTS_INTEGRATION_REPLICA_SITE_H_
+#define COLTSFOOTVANE_TESTS_INTEGRATION_REPLICA_SITE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway_process.h"
+#include "support/replica_standin.h"
+#include "support/store_standin.h"
+
+namespace coltsfootvane::testing {
+
+/// How the call of a caller ended.
+struct CallResult {
+  std::string id;
+  TimePoint sent;
+  TimePoint ended;
+  int status = 0;             ///< 0 without a whole answer.
+  double retry_after_s = -1;  ///< -1 if the answer has none.
+};
+
+/// The real daemon before scripted replicas of one plain service, `books`,
+/// which register in the store's stand-in again and again, and callers.
+class ReplicaSite {
+ public:
+  explicit ReplicaSite(int replicas);
+
+  /// Puts the configuration, registers the replicas, starts the daemon and
+  /// waits until it is ready.
+  bool Start();
+  /// Adds a replica that registers from now on.
+  ReplicaStandin* AddReplica();
+  /// Calls `path` again and again, about 50 times a second.
+  void StartCalls(const std::string& path);
+  void StopCalls();
+  /// Runs the loop for that time.
+  void RunFor(int milliseconds);
+  bool RunUntil(const std::function<bool()>& condition, int milliseconds) {
+    return this->daemon.RunUntil(condition, milliseconds);
+  }
+  /// Calls once and waits for the answer.
+  CallResult Call(const std::string& path);
+
+  boost::asio::io_context io;
+  std::string host;
+  StoreStandin store;
+  std::vector<std::unique_ptr<ReplicaStandin>> replicas;
+  std::set<std::string> silent;  ///< Ids of replicas that do not register.
+  GatewayProcess daemon;
+  std::vector<CallResult> results;
+
+ private:
+  void PutConfig();
+  void Register();
+  void SendNext();
+  void Send(const std::string& path);
+
+  boost::asio::steady_timer heartbeat;
+  boost::asio::steady_timer pace;
+  std::string path;  ///< Of the calls; empty while there are none.
+  int calls = 0;
+};
+
+}  // namespace coltsfootvane::testing
+
+#endif  // COLTSFOOTVANE_TESTS_INTEGRATION_REPLICA_SITE_H_
