Gateway, orders: Send nothing more to endpoints that say they leave

What callers saw: during a release requests went to endpoints that had already said that they leave, and failed or were refused there.

Cause: the daemon knew of a leaving endpoint from its entry in the store alone. Server-Leaving was forwarded to callers like any other field. An endpoint knows before the store does, and the store may be away or show an older view.

Change: TakesNewWork() is the one question that every way to an endpoint asks: the choice for first sends, retries and resumed streams; again once a connection is open; kept connections; orders, reports, adapters and planned copies. The statement belongs to the instance (id and incarnation) and outlasts its entry, so that a lapse or an older view that says `ready` does not undo it; a new start under the same id is another instance. Answers to orders and reports count too. Ruled out: telling the other daemons. Each hears it with its next answer, and a false word of one daemon cannot take an endpoint from all.

--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -108,8 +108,8 @@
 /// Returns the first requirement that the endpoint does not meet, or kChosen.
 ChoiceVerdict CheckEligibility(const Endpoint& endpoint,
                                const ChoiceInput& input) {
-  if (endpoint.gone || endpoint.entry.draining ||
-      endpoint.entry.service != input.service || IsExcluded(input, endpoint))
+  if (!TakesNewWork(endpoint) || endpoint.entry.service != input.service ||
+      IsExcluded(input, endpoint))
     return ChoiceVerdict::kNoEndpoint;
   if (input.engine == nullptr)
     return ChoiceVerdict::kChosen;
--- a/src/gateway/endpoint.cc
+++ b/src/gateway/endpoint.cc
@@ -58,6 +58,11 @@
   table->endpoints.erase(found);
 }
 
+bool TakesNewWork(const Endpoint& endpoint) {
+  return !endpoint.gone && !endpoint.entry.draining &&
+         !endpoint.stated->leaving;
+}
+
 const LoadedModel* FindLoaded(const Endpoint& endpoint,
                               std::string_view model) {
   for (const LoadedModel& loaded : endpoint.entry.models) {
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -93,6 +93,10 @@
 EndpointPtr UpsertEndpoint(EndpointTable* table, EndpointEntry entry);
 void RemoveEndpoint(EndpointTable* table, std::string_view id);
 
+/// Returns whether the endpoint may get new work: it is listed as ready and has
+/// not stated that it leaves.
+bool TakesNewWork(const Endpoint& endpoint);
+
 /// Returns the endpoint's entry for the model, or nullptr.
 const LoadedModel* FindLoaded(const Endpoint& endpoint, std::string_view model);
 
--- a/src/gateway/endpoint_unittest.cc
+++ b/src/gateway/endpoint_unittest.cc
@@ -97,3 +97,14 @@
   Eject(&endpoint, kNow);
   CHECK(endpoint.ejected_until - kNow == first);
 }
+
+/// An answer that arrives after the entry of its endpoint has lapsed counts for
+/// the entry that returns.
+TEST(GatewayEndpoint, LateAnswersCountForTheEntryThatReturned) {
+  gateway::EndpointTable table;
+  const EndpointPtr lapsed = UpsertEndpoint(&table, Entry(1));
+  RemoveEndpoint(&table, "e1");
+  const EndpointPtr returned = UpsertEndpoint(&table, Entry(1));
+  ApplyNotice(lapsed->stated.get(), {true, Milliseconds(0)}, kNow);
+  CHECK_FALSE(TakesNewWork(*returned));
+}
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -235,17 +235,29 @@
             opened->Close();
           return;
         }
-        if (opened) {
-          self->WriteRequest(std::move(opened));
-          return;
-        }
-        Eject(self->endpoint.get(), BootNow());
-        const std::string detail = self->DescribeEndpoint();
-        self->ReleaseEndpoint(false);
-        self->OnNotExecuted("no connection", detail);
+        self->OnConnected(std::move(opened));
       });
 }
 
+/// Goes on with a send after its connection was opened, or could not be. The
+/// endpoint may have left meanwhile.
+void Exchange::OnConnected(std::shared_ptr<net::TcpStream> opened) {
+  const bool usable = TakesNewWork(*this->endpoint);
+  if (opened && usable) {
+    this->WriteRequest(std::move(opened));
+    return;
+  }
+  if (opened)
+    opened->Close();
+  else
+    Eject(this->endpoint.get(), BootNow());
+  const char* const reason =
+      usable ? "no connection" : "endpoint left before the send";
+  const std::string detail = this->DescribeEndpoint();
+  this->ReleaseEndpoint(false);
+  this->OnNotExecuted({reason, detail, false});
+}
+
 void Exchange::WriteRequest(std::shared_ptr<net::TcpStream> connected) {
   this->stream = std::move(connected);
   this->parser.emplace(net::MessageParser::Kind::kResponse,
@@ -278,20 +290,21 @@
 }
 
 /// The endpoint has not executed the request and never will.
-void Exchange::OnNotExecuted(std::string_view reason, std::string_view detail) {
-  this->gateway->metrics.CountFailedSend(this->service, "not_run", reason);
+void Exchange::OnNotExecuted(const FailedSend& failed) {
+  this->gateway->metrics.CountFailedSend(this->service, "not_run",
+                                         failed.reason);
   if (this->IsSampled())
-    this->Log(kSendFailed, "outcome=not-run reason=\"" + std::string(reason) +
-                               "\" " + std::string(detail));
-  const bool written = reason != "no connection";
+    this->Log(kSendFailed, "outcome=not-run reason=\"" +
+                               std::string(failed.reason) + "\" " +
+                               failed.detail);
   const bool may_continue =
       this->sends <= kMaxRefusedSends &&
-      (!written || TakeRetry(this->gateway, this->service, BootNow()));
+      (!failed.written || TakeRetry(this->gateway, this->service, BootNow()));
   if (may_continue) {
     this->TryNextEndpoint();
     return;
   }
-  this->Refuse(reason, kEndpointRetryAfter);
+  this->Refuse(failed.reason, kEndpointRetryAfter);
 }
 
 /// The endpoint may have executed the request, and there is no complete answer.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,14 +51,22 @@
     kDiscarded,    ///< Interim, or belongs to another request.
   };
 
+  /// A send that the endpoint has not executed.
+  struct FailedSend {
+    std::string_view reason;  ///< A fixed text.
+    std::string detail;       ///< What was believed of the endpoint.
+    bool written = false;     ///< The endpoint has received the request.
+  };
+
   // Defined in exchange.cc: routing and sending.
   bool FindRoute();
   void TryNextEndpoint();
   bool AwaitAdapter();
   bool MayRetry() const;
   void Send(const Choice& choice);
+  void OnConnected(std::shared_ptr<net::TcpStream> opened);
   void WriteRequest(std::shared_ptr<net::TcpStream> stream);
-  void OnNotExecuted(std::string_view reason, std::string_view detail);
+  void OnNotExecuted(const FailedSend& failed);
   void OnSendFailed(std::string_view reason);
   void OnTimeout();
   void RefuseChoice(const Choice& choice);
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -150,7 +150,7 @@
       this->parser->Done() && this->input.empty() &&
       net::KeepsConnection(this->answer.fields, this->answer.minor_version);
   this->ReleaseEndpoint(reusable);
-  this->OnNotExecuted(reason, detail);
+  this->OnNotExecuted({reason, detail, true});
 }
 
 bool Exchange::IsAcceptable() const {
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -85,7 +85,7 @@
   this->EndPrefill();
   --this->endpoint->own.running;
   const auto connection = std::exchange(this->stream, nullptr);
-  if (connection && reusable && !this->endpoint->gone)
+  if (connection && reusable && TakesNewWork(*this->endpoint))
     this->gateway->connections.Keep(this->endpoint->entry.id, connection,
                                     this->answer);
   else if (connection)
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -61,6 +61,8 @@
   const NoticeEffect effect = ApplyNotice(endpoint->stated.get(), notice, now);
   const EndpointEntry& entry = endpoint->entry;
   if (effect.leaves) {
+    if (!endpoint->gone)
+      gateway->connections.DropEndpoint(entry.id);
     gateway->metrics.CountNotice(entry.service, "leaving");
     gateway->log->Write(
         kEndpointLeaving, "",
--- a/src/orders/adapter_orders.cc
+++ b/src/orders/adapter_orders.cc
@@ -44,9 +44,9 @@
   for (auto& [id, engine] : this->engines) {
     const gateway::EngineSpec* const spec = this->SpecOf(engine);
     if (spec == nullptr || engine.endpoint->entry.service != job.service ||
-        !Serves(engine, job.model) || engine.executing_order ||
-        !engine.loading.empty() || engine.unload_sent ||
-        engine.adapter_jobs.size() >= kMaxWaitingJobs)
+        !Serves(engine, job.model) || !MayBeCalled(engine) ||
+        engine.executing_order || !engine.loading.empty() ||
+        engine.unload_sent || engine.adapter_jobs.size() >= kMaxWaitingJobs)
       continue;
     const bool same_adapter_queued = std::any_of(
         engine.adapter_jobs.begin(), engine.adapter_jobs.end(),
@@ -74,6 +74,10 @@
   if (engine->call_in_progress || !engine->known ||
       engine->adapter_jobs.empty())
     return;
+  if (!MayBeCalled(*engine)) {
+    this->FailAdapterJobs(engine);
+    return;
+  }
   const AdapterJob& job = engine->adapter_jobs.front();
   const gateway::EngineSpec* const spec = this->SpecOf(*engine);
   if (spec == nullptr || !Serves(*engine, job.model)) {
@@ -156,6 +160,11 @@
   this->StartNextAdapterJob(engine);
 }
 
+void EngineOrders::FailAdapterJobs(EngineState* engine) {
+  while (!engine->adapter_jobs.empty())
+    this->FinishAdapterJob(engine, false);
+}
+
 /// Completes the first job in the queue and all others for the same adapter.
 void EngineOrders::FinishAdapterJob(EngineState* engine, bool loaded) {
   AdapterJob job = std::move(engine->adapter_jobs.front());
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -96,10 +96,8 @@
 void EngineOrders::OnLeaseLost() {
   this->is_lease_holder = false;
   this->fleet->SetLease(0, nullptr);
-  for (auto& [id, engine] : this->engines) {
-    while (!engine.adapter_jobs.empty())
-      this->FinishAdapterJob(&engine, false);
-  }
+  for (auto& [id, engine] : this->engines)
+    this->FailAdapterJobs(&engine);
   this->engines.clear();
 }
 
@@ -115,8 +113,7 @@
     if (engine.endpoint == endpoint)
       continue;
     // The engine is new or was restarted, so that no earlier state applies.
-    while (!engine.adapter_jobs.empty())
-      this->FinishAdapterJob(&engine, false);
+    this->FailAdapterJobs(&engine);
     engine = EngineState();
     engine.endpoint = endpoint;
     engine.next_report_at = now;
@@ -127,8 +124,7 @@
       ++it;
       continue;
     }
-    while (!it->second.adapter_jobs.empty())
-      this->FinishAdapterJob(&it->second, false);
+    this->FailAdapterJobs(&it->second);
     it = this->engines.erase(it);
     this->placement_changed = true;
   }
@@ -148,13 +144,15 @@
   const gateway::EndpointEntry& entry = engine->endpoint->entry;
   this->access.read_report(
       entry.id, entry.address,
-      [this, id = entry.id,
-       incarnation = entry.incarnation](const Result<EngineReport>& report) {
+      [this, id = entry.id, incarnation = entry.incarnation,
+       endpoint = engine->endpoint](const ReportAnswer& answer) {
+        const TimePoint now = BootNow();
+        RecordNotice(this->gateway, endpoint, answer.notice, now);
         EngineState* const engine = this->FindEngine(id, incarnation);
         if (engine == nullptr)
           return;
         engine->call_in_progress = false;
-        const TimePoint now = BootNow();
+        const Result<EngineReport>& report = answer.report;
         const bool other_process = report && report.value().incarnation != 0 &&
                                    report.value().incarnation != incarnation;
         if (!report || other_process) {
@@ -182,6 +180,10 @@
 void EngineOrders::AdvanceEngine(EngineState* engine, TimePoint now) {
   if (engine->call_in_progress)
     return;
+  if (!MayBeCalled(*engine)) {
+    this->FailAdapterJobs(engine);
+    return;
+  }
   if (!engine->known) {
     if (now >= engine->next_report_at)
       this->ReadReport(engine);
@@ -371,23 +373,27 @@
                        " model=" + order.model + " adapter=" + order.adapter +
                        " expected=" + std::to_string(order.expected_sequence) +
                        " epoch=" + std::to_string(order.fencing_number));
-  this->access.send_order(order, [this, order, incarnation = entry.incarnation,
-                                  done = std::move(done)](OrderResult result) {
-    this->log->Write(kOrderAnswered, "",
-                     "endpoint=" + order.endpoint_id + " model=" + order.model +
-                         " adapter=" + order.adapter +
-                         " result=" + OrderResultName(result));
-    EngineState* const engine =
-        this->FindEngine(order.endpoint_id, incarnation);
-    if (engine != nullptr) {
-      engine->call_in_progress = false;
-      this->OnOrderResult(engine, order, result);
-    }
-    if (result == OrderResult::kFenced)
-      this->lease->OnFenced();
-    if (done && engine != nullptr)
-      done(engine, result);
-  });
+  this->access.send_order(
+      order, [this, order, incarnation = entry.incarnation,
+              endpoint = engine->endpoint,
+              done = std::move(done)](const OrderAnswer& answer) {
+        const OrderResult result = answer.result;
+        RecordNotice(this->gateway, endpoint, answer.notice, BootNow());
+        this->log->Write(kOrderAnswered, "",
+                         "endpoint=" + order.endpoint_id + " model=" +
+                             order.model + " adapter=" + order.adapter +
+                             " result=" + OrderResultName(result));
+        EngineState* const engine =
+            this->FindEngine(order.endpoint_id, incarnation);
+        if (engine != nullptr) {
+          engine->call_in_progress = false;
+          this->OnOrderResult(engine, order, result);
+        }
+        if (result == OrderResult::kFenced)
+          this->lease->OnFenced();
+        if (done && engine != nullptr)
+          done(engine, result);
+      });
 }
 
 void EngineOrders::OnOrderResult(EngineState* engine,
--- a/src/orders/engine_orders.h
+++ b/src/orders/engine_orders.h
@@ -79,6 +79,7 @@
   void EvictAdapter(EngineState* engine);
   void OnAdapterLoad(EngineState* engine, OrderResult result);
   void FinishAdapterJob(EngineState* engine, bool loaded);
+  void FailAdapterJobs(EngineState* engine);
   std::string LeastRequestedAdapter(const EngineState& engine) const;
 
   boost::asio::io_context* io;
--- a/src/orders/engine_state.cc
+++ b/src/orders/engine_state.cc
@@ -41,10 +41,13 @@
 
 }  // namespace
 
+bool MayBeCalled(const EngineState& engine) {
+  return TakesNewWork(*engine.endpoint);
+}
+
 bool Serves(const EngineState& engine, const std::string& model) {
-  return engine.known && !engine.endpoint->gone &&
-         !engine.endpoint->entry.draining && engine.models.count(model) > 0 &&
-         engine.unloading != model;
+  return engine.known && TakesNewWork(*engine.endpoint) &&
+         engine.models.count(model) > 0 && engine.unloading != model;
 }
 
 bool AnnouncesCompletion(const EngineState& engine) {
@@ -124,7 +127,7 @@
   planned.id = entry.id;
   planned.memory_mb = spec.memory_mb;
   planned.adapter_memory_mb = AdapterMemory(engine, spec);
-  planned.usable = !engine.endpoint->gone && !entry.draining;
+  planned.usable = TakesNewWork(*engine.endpoint);
   planned.busy = engine.IsBusy() || engine.call_in_progress;
   // Before the first report only the announcement shows which copies exist.
   std::set<std::string> models = engine.models;
--- a/src/orders/engine_state.h
+++ b/src/orders/engine_state.h
@@ -56,6 +56,9 @@
   }
 };
 
+/// Returns whether the engine may be sent orders and asked for reports.
+bool MayBeCalled(const EngineState& engine);
+
 /// Returns whether requests for the model are sent to the engine: the model is
 /// loaded there and not retiring.
 bool Serves(const EngineState& engine, const std::string& model);
--- a/src/orders/metered_access.cc
+++ b/src/orders/metered_access.cc
@@ -18,28 +18,27 @@
                              .Register(*registry);
   EngineAccess metered;
   metered.send_order = [orders, call = std::move(inner.send_order)](
-                           const EngineOrder& order,
-                           std::function<void(OrderResult)> done) {
+                           const EngineOrder& order, OrderHandler done) {
     prometheus::Labels labels = {
         {"operation", OperationName(order.operation)},
         {"object", order.adapter.empty() ? "model" : "adapter"}};
     call(order, [orders, labels = std::move(labels),
-                 done = std::move(done)](OrderResult result) mutable {
-      labels["result"] = OrderResultName(result);
+                 done = std::move(done)](const OrderAnswer& answer) mutable {
+      labels["result"] = OrderResultName(answer.result);
       orders->Add(labels).Increment();
-      done(result);
+      done(answer);
     });
   };
   metered.read_report = [reports, call = std::move(inner.read_report)](
                             const std::string& endpoint_id,
                             const boost::asio::ip::tcp::endpoint& address,
-                            std::function<void(Result<EngineReport>)> done) {
+                            ReportHandler done) {
     call(endpoint_id, address,
-         [reports, done = std::move(done)](Result<EngineReport> report) {
+         [reports, done = std::move(done)](const ReportAnswer& answer) {
            const char* const result =
-               report ? "ok" : ErrorCodeName(report.error().code);
+               answer.report ? "ok" : ErrorCodeName(answer.report.error().code);
            reports->Add({{"result", result}}).Increment();
-           done(std::move(report));
+           done(answer);
          });
   };
   return metered;
--- a/src/orders/order.h
+++ b/src/orders/order.h
@@ -54,13 +54,27 @@
   std::int64_t incarnation = 0;  ///< 0 if not reported.
 };
 
+/// The answer to an order.
+struct OrderAnswer {
+  OrderResult result = OrderResult::kUnknown;
+  gateway::EndpointNotice notice;
+};
+
+/// The answer to the request for a report.
+struct ReportAnswer {
+  Result<EngineReport> report;
+  gateway::EndpointNotice notice;
+};
+
+using OrderHandler = std::function<void(const OrderAnswer&)>;
+using ReportHandler = std::function<void(const ReportAnswer&)>;
+
 /// Calls to engines. Each handler is called once, on the event loop.
 struct EngineAccess {
-  std::function<void(const EngineOrder&, std::function<void(OrderResult)>)>
-      send_order;
+  std::function<void(const EngineOrder&, OrderHandler)> send_order;
   std::function<void(const std::string& endpoint_id,
                      const boost::asio::ip::tcp::endpoint& address,
-                     std::function<void(Result<EngineReport>)>)>
+                     ReportHandler)>
       read_report;
 };
 
