Gateway, orders: Give endpoints the pause that they ask for

What callers saw: while all endpoints of a service wanted no requests, callers were told to return after 0.8 to 1.2 s, into the pause, and were refused again.

Cause: Retry-After of an endpoint was not read. A refusal counted as full for 0.2 to 1.6 s as a penalty among the others, so that requests came back during the pause, all the more when no other endpoint had room.

Change: a refusal with Retry-After pauses the instance for this daemon until the latest end that it has stated. A paused endpoint gets no request, order or report call on any way; adapters that wait for it fail at once; a send whose connection opens during a pause is sent elsewhere. If nothing else is usable, the caller is refused at once and told when the first pause ends, spread over as long as the pause lasted, at most 2 s, and not so late that it could not be served.

--- a/src/daemon/daemon_metrics_unittest.cc
+++ b/src/daemon/daemon_metrics_unittest.cc
@@ -64,6 +64,33 @@
     CHECK_TEXT(Has(text, line), (std::string(line) + "\n" + text).c_str());
 }
 
+/// What endpoints state about themselves is shown beside what they register.
+TEST(DaemonMetrics, ShowWhatEndpointsState) {
+  GatewayScene scene;
+  for (const char* id : {"e1", "e2", "e3"})
+    scene.AddEndpoint(id);
+  const TimePoint now = BootNow();
+  const auto state = [&](const char* id, bool leaving, int pause_ms) {
+    RecordNotice(&scene.gateway, scene.gateway.endpoints.endpoints.at(id),
+                 {leaving, Milliseconds(pause_ms)}, now);
+  };
+  state("e1", true, 0);
+  state("e1", true, 0);
+  state("e2", false, 60'000);
+  const std::string text = MetricsOf(&scene);
+  const char* const lines[] = {
+      "coltsfootvane_endpoints{service=\"s\",state=\"ready\"} 1",
+      "coltsfootvane_endpoints{service=\"s\",state=\"leaving\"} 1",
+      "coltsfootvane_endpoints{service=\"s\",state=\"paused\"} 1",
+      "coltsfootvane_gateway_endpoint_notices_total{notice=\"leaving\","
+      "service=\"s\"} 1",
+      "coltsfootvane_gateway_endpoint_notices_total{notice=\"paused\","
+      "service=\"s\"} 1",
+  };
+  for (const char* line : lines)
+    CHECK_TEXT(Has(text, line), (std::string(line) + "\n" + text).c_str());
+}
+
 /// Every family has a help text and is listed once.
 TEST(DaemonMetrics, FamiliesHaveHelpTexts) {
   GatewayScene scene;
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -14,6 +14,8 @@
 /// complete.
 constexpr double kLatestStartShare = 0.5;
 constexpr Milliseconds kMinRetryAfter{200};
+/// Of callers that were refused during a pause.
+constexpr Milliseconds kMaxReturnSpread{2000};
 constexpr Milliseconds kMaxRetryAfter{4000};
 /// Load time assumed for a model that the configuration does not declare.
 constexpr double kDefaultLoadS = 4;
@@ -25,6 +27,23 @@
 
 }  // namespace
 
+ReturnTime ReturnAfter(Milliseconds wait) {
+  return {wait, wait / 2};
+}
+
+ReturnTime ReturnAfterPause(TimePoint since,
+                            TimePoint until,
+                            TimePoint now,
+                            Milliseconds time_left) {
+  ReturnTime time;
+  time.earliest = TimeLeft(until, now) + Milliseconds(1);  // Rounded up.
+  const Milliseconds useful = (time_left - time.earliest) / 2;
+  const Milliseconds length = TimeLeft(until, since);
+  time.spread =
+      std::clamp(useful, Milliseconds(0), std::min(length, kMaxReturnSpread));
+  return time;
+}
+
 Admission Admit(const Route& route,
                 const ExpectedWaits& waits,
                 Milliseconds time_left,
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -22,6 +22,25 @@
   Milliseconds retry_after{0};  ///< Earliest useful retry, if not admitted.
 };
 
+/// When a refused caller may come back: at a random time within `spread` after
+/// `earliest`, both from now. The spread keeps callers that were refused for
+/// the same reason from returning all at once.
+struct ReturnTime {
+  Milliseconds earliest{0};
+  Milliseconds spread{0};
+};
+
+/// Returns a time around an estimated wait.
+ReturnTime ReturnAfter(Milliseconds wait);
+
+/// Returns a time after the end of a pause that began at `since`. Callers that
+/// were refused during a pause return over as long a time as it has lasted, but
+/// not so late that they cannot be served within `time_left`.
+ReturnTime ReturnAfterPause(TimePoint since,
+                            TimePoint until,
+                            TimePoint now,
+                            Milliseconds time_left);
+
 /// Decides on arrival whether an engine can start a request soon enough. In an
 /// overload, a queue that is longer than the latency objective would make every
 /// request late. Requests that are late anyway are deferred, so that the others
--- a/src/gateway/admission_unittest.cc
+++ b/src/gateway/admission_unittest.cc
@@ -77,3 +77,31 @@
     CHECK_EQUAL_TEXT(row.deferred, admission.deferred, row.name);
   }
 }
+
+/// Guards against callers that return all at once, or too late to be served,
+/// after a pause in which they were refused.
+TEST(Admission, CallersReturnSpreadAfterAPause) {
+  struct Row {
+    const char* name;
+    int paused_ms;  ///< Since the begin of the pause.
+    int left_ms;    ///< Until its end.
+    int time_left_ms;
+    int earliest_ms;
+    int spread_ms;
+  };
+  const Row rows[] = {
+      {"over the length of the pause", 500, 500, 10'000, 501, 1000},
+      {"not over the whole of a long pause", 50'000, 10'000, 60'000, 10'001,
+       2000},
+      {"while there is time", 500, 2500, 4000, 2501, 749},
+      {"without time", 500, 2500, 1000, 2501, 0},
+  };
+  constexpr TimePoint kNow{Milliseconds(5'000'000)};
+  for (const Row& row : rows) {
+    const gateway::ReturnTime time = gateway::ReturnAfterPause(
+        kNow - Milliseconds(row.paused_ms), kNow + Milliseconds(row.left_ms),
+        kNow, Milliseconds(row.time_left_ms));
+    LONGS_EQUAL_TEXT(row.earliest_ms, time.earliest.count(), row.name);
+    LONGS_EQUAL_TEXT(row.spread_ms, time.spread.count(), row.name);
+  }
+}
--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -108,13 +108,16 @@
 /// Returns the first requirement that the endpoint does not meet, or kChosen.
 ChoiceVerdict CheckEligibility(const Endpoint& endpoint,
                                const ChoiceInput& input) {
+  const bool paused = IsPaused(endpoint, input.now);
+  // One that was tried and asked for a pause may be used after it.
   if (!TakesNewWork(endpoint) || endpoint.entry.service != input.service ||
-      IsExcluded(input, endpoint))
+      (!paused && IsExcluded(input, endpoint)))
     return ChoiceVerdict::kNoEndpoint;
-  if (input.engine == nullptr)
-    return ChoiceVerdict::kChosen;
-  if (!HoldsModel(endpoint, input.request->model, input.now))
+  if (input.engine != nullptr &&
+      !HoldsModel(endpoint, input.request->model, input.now))
     return ChoiceVerdict::kNoModel;
+  if (paused)
+    return ChoiceVerdict::kPaused;
   if (UsesAdapter(input) && !HoldsAdapter(endpoint, input.request->model,
                                           input.request->adapter, input.now))
     return ChoiceVerdict::kNoAdapter;
@@ -128,10 +131,12 @@
       return 0;
     case ChoiceVerdict::kNoModel:
       return 1;
-    case ChoiceVerdict::kNoAdapter:
+    case ChoiceVerdict::kPaused:
       return 2;
-    case ChoiceVerdict::kChosen:
+    case ChoiceVerdict::kNoAdapter:
       return 3;
+    case ChoiceVerdict::kChosen:
+      return 4;
   }
   return 0;
 }
@@ -151,6 +156,16 @@
          queued * run_ms / std::max(1, engine.slots);
 }
 
+/// Keeps the pause of the endpoint if it ends before those seen so far.
+void KeepFirstPause(const Endpoint& endpoint, Choice* choice) {
+  const StatedAvailability& stated = *endpoint.stated;
+  if (choice->paused_until != TimePoint() &&
+      stated.paused_until >= choice->paused_until)
+    return;
+  choice->paused_since = stated.paused_since;
+  choice->paused_until = stated.paused_until;
+}
+
 const Endpoint* PreferredForPrompt(gsl::span<const EndpointPtr> endpoints,
                                    const ChoiceInput& input) {
   const Endpoint* preferred = nullptr;
@@ -227,6 +242,8 @@
     const ChoiceVerdict verdict = CheckEligibility(*endpoint, input);
     if (Progress(verdict) > Progress(best.verdict))
       best.verdict = verdict;
+    if (verdict == ChoiceVerdict::kPaused)
+      KeepFirstPause(*endpoint, &best);
     if (verdict != ChoiceVerdict::kChosen)
       continue;
     const int tokens =
--- a/src/gateway/choice.h
+++ b/src/gateway/choice.h
@@ -39,6 +39,7 @@
   kNoEndpoint,  ///< The service has no usable endpoint.
   kNoModel,     ///< No endpoint has the model loaded.
   kNoAdapter,   ///< Endpoints have the model, but not the adapter.
+  kPaused,      ///< All that could be used want no requests for a while.
 };
 
 struct Choice {
@@ -46,6 +47,9 @@
   EndpointPtr endpoint;
   double wait_ms = 0;  ///< Expected time to the first byte of the answer.
   double deferred_wait_ms = 0;  ///< The same if it is sent as deferred.
+  /// If all are paused, the pause that ends first.
+  TimePoint paused_since;
+  TimePoint paused_until;
 };
 
 /// Assumed prefill rate of an engine that also generates tokens for other
--- a/src/gateway/choice_unittest.cc
+++ b/src/gateway/choice_unittest.cc
@@ -71,6 +71,32 @@
       {"leaving by its own word",
        [](Fleet*, gateway::Endpoint* e) { e->stated->leaving = true; },
        ChoiceVerdict::kNoEndpoint},
+      {"paused",
+       [](Fleet* f, gateway::Endpoint* e) {
+         e->stated->paused_until = f->now + Milliseconds(1);
+       },
+       ChoiceVerdict::kPaused},
+      {"paused and tried before",
+       [](Fleet* f, gateway::Endpoint* e) {
+         e->stated->paused_until = f->now + Milliseconds(1);
+         f->excluded.insert(e->entry.id);
+       },
+       ChoiceVerdict::kPaused},
+      {"paused and without the model",
+       [](Fleet* f, gateway::Endpoint* e) {
+         e->stated->paused_until = f->now + Milliseconds(1);
+         e->entry.models.clear();
+       },
+       ChoiceVerdict::kNoModel},
+      {"paused and leaving",
+       [](Fleet* f, gateway::Endpoint* e) {
+         e->stated->paused_until = f->now + Milliseconds(1);
+         e->stated->leaving = true;
+       },
+       ChoiceVerdict::kNoEndpoint},
+      {"after its pause",
+       [](Fleet* f, gateway::Endpoint* e) { e->stated->paused_until = f->now; },
+       ChoiceVerdict::kChosen},
       {"of another service",
        [](Fleet*, gateway::Endpoint* e) { e->entry.service = "t"; },
        ChoiceVerdict::kNoEndpoint},
@@ -272,3 +298,31 @@
     CHECK(fleet.Choose(random()).wait_ms <= least + kJitterMs);
   }
 }
+
+/// Callers that no endpoint serves now are told of the pause that ends first.
+TEST(Choice, NamesThePauseThatEndsFirst) {
+  Fleet fleet;
+  const int pauses_ms[] = {300, 100, 200};
+  const char* const ids[] = {"e1", "e2", "e3"};
+  for (int i = 0; i < 3; ++i) {
+    const EndpointPtr endpoint = fleet.Add(ids[i]);
+    endpoint->stated->paused_since = fleet.now - Milliseconds(pauses_ms[i]);
+    endpoint->stated->paused_until = fleet.now + Milliseconds(pauses_ms[i]);
+  }
+  const gateway::Choice choice = fleet.Choose();
+  CHECK(choice.verdict == ChoiceVerdict::kPaused);
+  CHECK(choice.paused_until == fleet.now + Milliseconds(100));
+  CHECK(choice.paused_since == fleet.now - Milliseconds(100));
+}
+
+/// An adapter is loaded where it can be while the engine that has it is paused.
+TEST(Choice, AsksForAnAdapterWhileItsEngineIsPaused) {
+  Fleet fleet;
+  fleet.request.adapter = "a1";
+  const EndpointPtr paused = fleet.Add("e1");
+  paused->adapters.insert(gateway::KeyOf("m/a1"));
+  paused->stated->paused_until = fleet.now + Milliseconds(1000);
+  CHECK(fleet.Choose().verdict == ChoiceVerdict::kPaused);
+  fleet.Add("e2");
+  CHECK(fleet.Choose().verdict == ChoiceVerdict::kNoAdapter);
+}
--- a/src/gateway/endpoint.cc
+++ b/src/gateway/endpoint.cc
@@ -63,6 +63,10 @@
          !endpoint.stated->leaving;
 }
 
+bool IsPaused(const Endpoint& endpoint, TimePoint now) {
+  return now < endpoint.stated->paused_until;
+}
+
 const LoadedModel* FindLoaded(const Endpoint& endpoint,
                               std::string_view model) {
   for (const LoadedModel& loaded : endpoint.entry.models) {
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -97,6 +97,9 @@
 /// not stated that it leaves.
 bool TakesNewWork(const Endpoint& endpoint);
 
+/// Returns whether the endpoint has asked this daemon for a pause that lasts.
+bool IsPaused(const Endpoint& endpoint, TimePoint now);
+
 /// Returns the endpoint's entry for the model, or nullptr.
 const LoadedModel* FindLoaded(const Endpoint& endpoint, std::string_view model);
 
--- a/src/gateway/endpoint_unittest.cc
+++ b/src/gateway/endpoint_unittest.cc
@@ -98,6 +98,26 @@
   CHECK(endpoint.ejected_until - kNow == first);
 }
 
+/// The word of an endpoint holds for one start of it: an entry that lapses, or
+/// an older view of the store, does not undo it; a new start may be used.
+TEST(GatewayEndpoint, StatementsHoldForTheInstanceThatMadeThem) {
+  gateway::EndpointTable table;
+  const EndpointPtr first = UpsertEndpoint(&table, Entry(1));
+  ApplyNotice(first->stated.get(), {true, Milliseconds(500)}, kNow);
+  CHECK_FALSE(TakesNewWork(*first));
+  CHECK(IsPaused(*first, kNow + Milliseconds(499)));
+  CHECK_FALSE(IsPaused(*first, kNow + Milliseconds(500)));
+  RemoveEndpoint(&table, "e1");
+  const EndpointPtr listed_again = UpsertEndpoint(&table, Entry(1));
+  CHECK(listed_again != first);
+  CHECK_FALSE(TakesNewWork(*listed_again));
+  CHECK(IsPaused(*listed_again, kNow));
+  const EndpointPtr restarted = UpsertEndpoint(&table, Entry(2));
+  CHECK(TakesNewWork(*restarted));
+  CHECK_FALSE(IsPaused(*restarted, kNow));
+  CHECK_FALSE(TakesNewWork(*UpsertEndpoint(&table, Entry(1))));
+}
+
 /// An answer that arrives after the entry of its endpoint has lapsed counts for
 /// the entry that returns.
 TEST(GatewayEndpoint, LateAnswersCountForTheEntryThatReturned) {
@@ -108,3 +128,46 @@
   ApplyNotice(lapsed->stated.get(), {true, Milliseconds(0)}, kNow);
   CHECK_FALSE(TakesNewWork(*returned));
 }
+
+TEST(GatewayEndpoint, OverlappingPausesLastUntilTheLatestEnd) {
+  struct Row {
+    const char* name;
+    Milliseconds at;
+    Milliseconds pause;
+    bool changed;
+    Milliseconds since;
+    Milliseconds until;
+  };
+  using Ms = Milliseconds;
+  const Row rows[] = {
+      {"first", Ms(0), Ms(1000), true, Ms(0), Ms(1000)},
+      {"none stated", Ms(100), Ms(0), false, Ms(0), Ms(1000)},
+      {"shorter", Ms(200), Ms(300), false, Ms(0), Ms(1000)},
+      {"longer", Ms(300), Ms(1000), true, Ms(0), Ms(1300)},
+      {"after it", Ms(2000), Ms(500), true, Ms(2000), Ms(2500)},
+  };
+  gateway::StatedAvailability stated;
+  for (const Row& row : rows) {
+    const gateway::NoticeEffect effect =
+        ApplyNotice(&stated, {false, row.pause}, kNow + row.at);
+    CHECK_EQUAL_TEXT(row.changed, effect.pauses, row.name);
+    CHECK_FALSE_TEXT(effect.leaves, row.name);
+    CHECK_TEXT(stated.paused_since == kNow + row.since, row.name);
+    CHECK_TEXT(stated.paused_until == kNow + row.until, row.name);
+  }
+}
+
+/// A fleet in which endpoints come and go does not fill the memory, and those
+/// in use are not forgotten.
+TEST(GatewayEndpoint, OldInstancesAreForgotten) {
+  gateway::InstanceMemory memory;
+  const auto used = RecallInstance(&memory, {"used", 1});
+  used->leaving = true;
+  for (std::int64_t i = 0;
+       i < 2 * static_cast<std::int64_t>(gateway::kMaxRememberedInstances); ++i)
+    RecallInstance(&memory, {"e", i})->leaving = true;
+  CHECK(memory.instances.size() <= gateway::kMaxRememberedInstances);
+  LONGS_EQUAL(memory.instances.size(), memory.order.size());
+  CHECK(RecallInstance(&memory, {"used", 1}) == used);
+  CHECK_FALSE(RecallInstance(&memory, {"e", 0})->leaving);
+}
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -86,7 +86,7 @@
 /// returns false.
 bool Exchange::FindRoute() {
   if (!this->routes) {
-    this->Refuse("no configuration", kConfigurationWait);
+    this->Refuse("no configuration", ReturnAfter(kConfigurationWait));
     return false;
   }
   this->route = MatchRoute(*this->routes,
@@ -100,7 +100,7 @@
                                     ? this->gateway->last_stream_at
                                     : this->gateway->last_request_at;
   if (this->gateway->leaving && BootNow() >= refuse_from) {
-    this->Refuse("shutdown", kShutdownRetryAfter);
+    this->Refuse("shutdown", ReturnAfter(kShutdownRetryAfter));
     return false;
   }
   Milliseconds allowed = this->route->timeout;
@@ -111,7 +111,7 @@
                                 Hash64(this->info.id, this->gateway->random()));
   const Service* const found = FindService(*this->routes, this->service);
   if (found == nullptr) {
-    this->Refuse("no service", kConfigurationWait);
+    this->Refuse("no service", ReturnAfter(kConfigurationWait));
     return false;
   }
   if (found->engine)
@@ -125,18 +125,7 @@
     this->OnTimeout();
     return;
   }
-  ChoiceInput choice_input;
-  choice_input.service = this->service;
-  choice_input.engine = this->engine;
-  choice_input.request = &this->info;
-  choice_input.data_centre = this->gateway->data_centre;
-  choice_input.excluded = &this->tried_endpoints;
-  choice_input.now = now;
-  choice_input.report_age = this->gateway->report_interval;
-  choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
-  choice_input.jitter_seed = this->gateway->random();
-  const Choice choice =
-      ChooseEndpoint(this->gateway->endpoint_list, choice_input);
+  const Choice choice = this->ChooseNext(now);
   if (choice.verdict == ChoiceVerdict::kNoAdapter && this->AwaitAdapter())
     return;
   if (choice.verdict != ChoiceVerdict::kChosen) {
@@ -152,28 +141,59 @@
       char inputs[120];
       std::snprintf(inputs, sizeof(inputs), "wait_ms=%.0f best=%s",
                     choice.wait_ms, choice.endpoint->entry.id.c_str());
-      this->Refuse("expected wait", admission.retry_after, inputs);
+      this->Refuse("expected wait", ReturnAfter(admission.retry_after), inputs);
       return;
     }
   }
   this->Send(choice);
 }
 
+Choice Exchange::ChooseNext(TimePoint now) {
+  ChoiceInput choice_input;
+  choice_input.service = this->service;
+  choice_input.engine = this->engine;
+  choice_input.request = &this->info;
+  choice_input.data_centre = this->gateway->data_centre;
+  choice_input.excluded = &this->tried_endpoints;
+  choice_input.now = now;
+  choice_input.report_age = this->gateway->report_interval;
+  choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
+  choice_input.jitter_seed = this->gateway->random();
+  return ChooseEndpoint(this->gateway->endpoint_list, choice_input);
+}
+
 void Exchange::RefuseChoice(const Choice& choice) {
   const std::string inputs =
       "tried=" + std::to_string(this->tried_endpoints.size()) +
       " endpoints=" + std::to_string(this->gateway->endpoint_list.size()) +
       " version=" + std::to_string(this->routes->version);
   if (choice.verdict == ChoiceVerdict::kNoModel) {
-    this->Refuse("no copy of the model",
-                 RetryAfterLoad(FindModel(*this->engine, this->info.model)),
-                 inputs);
+    this->Refuse(
+        "no copy of the model",
+        ReturnAfter(RetryAfterLoad(FindModel(*this->engine, this->info.model))),
+        inputs);
+    return;
+  }
+  if (choice.verdict == ChoiceVerdict::kPaused) {
+    this->Refuse("endpoints paused", this->ReturnAfterAll(choice), inputs);
     return;
   }
   this->Refuse(choice.verdict == ChoiceVerdict::kNoAdapter
                    ? "no copy of the adapter"
                    : "no endpoint",
-               kEndpointRetryAfter, inputs);
+               ReturnAfter(kEndpointRetryAfter), inputs);
+}
+
+/// Returns when a caller may come back after all endpoints were tried or ruled
+/// out.
+ReturnTime Exchange::ReturnAfterAll(const Choice& choice) const {
+  if (choice.verdict != ChoiceVerdict::kPaused)
+    return ReturnAfter(kEndpointRetryAfter);
+  const TimePoint now = BootNow();
+  const Milliseconds patience =
+      this->info.time_left.value_or(this->route->timeout);
+  return ReturnAfterPause(choice.paused_since, choice.paused_until, now,
+                          TimeLeft(this->received + patience, now));
 }
 
 /// Requests the adapter, at most once per exchange. Returns whether the
@@ -240,9 +260,10 @@
 }
 
 /// Goes on with a send after its connection was opened, or could not be. The
-/// endpoint may have left meanwhile.
+/// endpoint may want no requests any more.
 void Exchange::OnConnected(std::shared_ptr<net::TcpStream> opened) {
-  const bool usable = TakesNewWork(*this->endpoint);
+  const bool usable =
+      TakesNewWork(*this->endpoint) && !IsPaused(*this->endpoint, BootNow());
   if (opened && usable) {
     this->WriteRequest(std::move(opened));
     return;
@@ -252,7 +273,7 @@
   else
     Eject(this->endpoint.get(), BootNow());
   const char* const reason =
-      usable ? "no connection" : "endpoint left before the send";
+      usable ? "no connection" : "endpoint left or paused before the send";
   const std::string detail = this->DescribeEndpoint();
   this->ReleaseEndpoint(false);
   this->OnNotExecuted({reason, detail, false});
@@ -304,7 +325,8 @@
     this->TryNextEndpoint();
     return;
   }
-  this->Refuse(failed.reason, kEndpointRetryAfter);
+  this->Refuse(failed.reason,
+               this->ReturnAfterAll(this->ChooseNext(BootNow())));
 }
 
 /// The endpoint may have executed the request, and there is no complete answer.
@@ -327,7 +349,7 @@
   if (this->finished)
     return;
   if (this->possible_executions == 0) {
-    this->Refuse("timeout", kEndpointRetryAfter);
+    this->Refuse("timeout", ReturnAfter(kEndpointRetryAfter));
     return;
   }
   this->Fail(504, "timeout");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "base/clock.h"
+#include "gateway/admission.h"
 #include "gateway/choice.h"
 #include "gateway/endpoint.h"
 #include "gateway/event_splitter.h"
@@ -61,6 +62,7 @@
   // Defined in exchange.cc: routing and sending.
   bool FindRoute();
   void TryNextEndpoint();
+  Choice ChooseNext(TimePoint now);
   bool AwaitAdapter();
   bool MayRetry() const;
   void Send(const Choice& choice);
@@ -70,11 +72,12 @@
   void OnSendFailed(std::string_view reason);
   void OnTimeout();
   void RefuseChoice(const Choice& choice);
+  ReturnTime ReturnAfterAll(const Choice& choice) const;
 
   // Defined in exchange_end.cc: the end of the request.
   // Refuse() tells the caller when to retry; Fail() suggests no retry.
   void Refuse(std::string_view reason,
-              Milliseconds retry_after,
+              const ReturnTime& return_time,
               std::string_view inputs = {});
   void Fail(int status, std::string_view reason);
   void RespondWith(int status, std::optional<Milliseconds> retry_after);
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -11,7 +11,7 @@
 /// Ends a request that has not been executed and tells the caller when to
 /// retry. A request that may have been executed fails instead.
 void Exchange::Refuse(std::string_view reason,
-                      Milliseconds retry_after,
+                      const ReturnTime& return_time,
                       std::string_view inputs) {
   if (this->possible_executions > 0 || this->forwarding) {
     this->Fail(502, reason);
@@ -21,14 +21,13 @@
     return;
   this->CountOutcome(Outcome::kRefused, reason);
   this->Log(kRequestRefused,
-            "reason=\"" + std::string(reason) +
-                "\" retry_after_ms=" + std::to_string(retry_after.count()) +
+            "reason=\"" + std::string(reason) + "\" retry_after_ms=" +
+                std::to_string(return_time.earliest.count()) +
                 " model=" + this->info.model + " " + std::string(inputs));
   const auto jitter = static_cast<std::int64_t>(
       this->gateway->random() %
-      static_cast<std::uint64_t>(
-          std::max<std::int64_t>(1, retry_after.count() / 2)));
-  this->RespondWith(503, retry_after + Milliseconds(jitter));
+      (static_cast<std::uint64_t>(return_time.spread.count()) + 1));
+  this->RespondWith(503, return_time.earliest + Milliseconds(jitter));
 }
 
 void Exchange::Fail(int status, std::string_view reason) {
--- a/src/orders/adapter_orders.cc
+++ b/src/orders/adapter_orders.cc
@@ -39,12 +39,13 @@
 /// Prefers an engine that has the same adapter queued, then one with a free
 /// adapter slot, then the one with the least work.
 EngineState* EngineOrders::ChooseEngineForAdapter(const AdapterJob& job) {
+  const TimePoint now = BootNow();
   EngineState* best = nullptr;
   double least_cost = std::numeric_limits<double>::max();
   for (auto& [id, engine] : this->engines) {
     const gateway::EngineSpec* const spec = this->SpecOf(engine);
     if (spec == nullptr || engine.endpoint->entry.service != job.service ||
-        !Serves(engine, job.model) || !MayBeCalled(engine) ||
+        !Serves(engine, job.model) || !MayBeCalled(engine, now) ||
         engine.executing_order || !engine.loading.empty() ||
         engine.unload_sent || engine.adapter_jobs.size() >= kMaxWaitingJobs)
       continue;
@@ -74,7 +75,7 @@
   if (engine->call_in_progress || !engine->known ||
       engine->adapter_jobs.empty())
     return;
-  if (!MayBeCalled(*engine)) {
+  if (!MayBeCalled(*engine, BootNow())) {
     this->FailAdapterJobs(engine);
     return;
   }
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -180,7 +180,7 @@
 void EngineOrders::AdvanceEngine(EngineState* engine, TimePoint now) {
   if (engine->call_in_progress)
     return;
-  if (!MayBeCalled(*engine)) {
+  if (!MayBeCalled(*engine, now)) {
     this->FailAdapterJobs(engine);
     return;
   }
@@ -252,7 +252,7 @@
       if (engine.endpoint->entry.service != service.name)
         continue;
       all_known = all_known && engine.known;
-      input.engines.push_back(ToPlannedEngine(engine, *service.engine));
+      input.engines.push_back(ToPlannedEngine(engine, *service.engine, now));
     }
     if (!all_known && now < this->lease_held_since + kFirstReportTimeout)
       continue;
--- a/src/orders/engine_state.cc
+++ b/src/orders/engine_state.cc
@@ -41,8 +41,8 @@
 
 }  // namespace
 
-bool MayBeCalled(const EngineState& engine) {
-  return TakesNewWork(*engine.endpoint);
+bool MayBeCalled(const EngineState& engine, TimePoint now) {
+  return TakesNewWork(*engine.endpoint) && !IsPaused(*engine.endpoint, now);
 }
 
 bool Serves(const EngineState& engine, const std::string& model) {
@@ -121,14 +121,16 @@
 }
 
 PlannedEngine ToPlannedEngine(const EngineState& engine,
-                              const gateway::EngineSpec& spec) {
+                              const gateway::EngineSpec& spec,
+                              TimePoint now) {
   PlannedEngine planned;
   const gateway::EndpointEntry& entry = engine.endpoint->entry;
   planned.id = entry.id;
   planned.memory_mb = spec.memory_mb;
   planned.adapter_memory_mb = AdapterMemory(engine, spec);
   planned.usable = TakesNewWork(*engine.endpoint);
-  planned.busy = engine.IsBusy() || engine.call_in_progress;
+  planned.busy =
+      engine.IsBusy() || engine.call_in_progress || !MayBeCalled(engine, now);
   // Before the first report only the announcement shows which copies exist.
   std::set<std::string> models = engine.models;
   if (!engine.known) {
--- a/src/orders/engine_state.h
+++ b/src/orders/engine_state.h
@@ -57,7 +57,7 @@
 };
 
 /// Returns whether the engine may be sent orders and asked for reports.
-bool MayBeCalled(const EngineState& engine);
+bool MayBeCalled(const EngineState& engine, TimePoint now);
 
 /// Returns whether requests for the model are sent to the engine: the model is
 /// loaded there and not retiring.
@@ -88,7 +88,8 @@
 
 /// Returns the engine as an input of the copy plan.
 PlannedEngine ToPlannedEngine(const EngineState& engine,
-                              const gateway::EngineSpec& spec);
+                              const gateway::EngineSpec& spec,
+                              TimePoint now);
 
 }  // namespace coltsfootvane::orders
 
--- a/src/orders/engine_state_unittest.cc
+++ b/src/orders/engine_state_unittest.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr TimePoint kNow{Milliseconds(5'000'000)};
+
 gateway::EngineSpec Spec() {
   gateway::EngineSpec spec;
   spec.memory_mb = 220;
@@ -40,6 +42,36 @@
 
 TEST_GROUP(EngineState){};
 
+/// Guards against orders, reports and planned copies for an engine that has
+/// stated that it leaves or wants no requests for a while.
+TEST(EngineState, EnginesThatWantNoRequestsGetNoOrder) {
+  struct Row {
+    const char* name;
+    bool leaving;
+    Milliseconds pause;
+    bool called;
+    bool serves;
+    bool usable;
+  };
+  const Row rows[] = {
+      {"ready", false, Milliseconds(0), true, true, true},
+      {"leaving", true, Milliseconds(0), false, false, false},
+      {"paused", false, Milliseconds(1), false, true, true},
+      {"after its pause", false, Milliseconds(-1), true, true, true},
+  };
+  for (const Row& row : rows) {
+    orders::EngineState engine = Engine();
+    ApplyReport(&engine, Report({{"a", {}}}, 1, false));
+    engine.endpoint->stated->leaving = row.leaving;
+    engine.endpoint->stated->paused_until = kNow + row.pause;
+    CHECK_EQUAL_TEXT(row.called, MayBeCalled(engine, kNow), row.name);
+    CHECK_EQUAL_TEXT(row.serves, Serves(engine, "a"), row.name);
+    const orders::PlannedEngine planned = ToPlannedEngine(engine, Spec(), kNow);
+    CHECK_EQUAL_TEXT(row.usable, planned.usable, row.name);
+    CHECK_EQUAL_TEXT(row.called, !planned.busy, row.name);
+  }
+}
+
 /// Adapters being loaded and adapters whose unload waits for requests occupy
 /// slots. Guards against a load beyond the number of slots.
 TEST(EngineState, PendingAndBusyAdaptersOccupySlots) {
@@ -95,8 +127,8 @@
                row.name);
     engine.next_load = row.next_load;
     CHECK_EQUAL_TEXT(row.accepts_orders, !engine.IsBusy(), row.name);
-    CHECK_EQUAL_TEXT(row.accepts_orders, !ToPlannedEngine(engine, Spec()).busy,
-                     row.name);
+    CHECK_EQUAL_TEXT(row.accepts_orders,
+                     !ToPlannedEngine(engine, Spec(), kNow).busy, row.name);
   }
 }
 
@@ -119,7 +151,7 @@
 TEST(EngineState, AnnouncedCopiesCountBeforeTheFirstReport) {
   orders::EngineState engine = Engine();
   engine.endpoint->entry.models = {{"b", {}}, {"d", {}}};
-  const orders::PlannedEngine planned = ToPlannedEngine(engine, Spec());
+  const orders::PlannedEngine planned = ToPlannedEngine(engine, Spec(), kNow);
   LONGS_EQUAL(2, planned.models.size());
   LONGS_EQUAL(1, planned.models[0]);
   LONGS_EQUAL(3, planned.models[1]);
