Gateway: Continue a broken answer with nothing but its own events

What callers saw: head and text of a failure in the middle of their stream, which then ended as if it were complete.

Cause: after a stream broke off, the answer of the next endpoint was judged only when it was whole. A failure of up to 256 KB was rejected then; a longer one was passed through as it came, with a second head. The same for any answer of which a part had been passed through: a repeatable call was sent again and the second answer written behind the first part. A stream of events without ids was resumed from its start.

Change: once a part of an answer has been forwarded, it goes on only with an event stream, which is decided at the head of the next answer, and only after an event whose id is known. Otherwise the answer is broken off visibly.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -214,6 +214,9 @@
 }
 
 bool Exchange::MayRetry() const {
+  // What has been forwarded can only be continued after an event.
+  if (this->forwarding && !this->last_event_id)
+    return false;
   return IsRepeatable(*this->route) &&
          this->possible_executions < this->route->max_attempts &&
          BootNow() + kMinTimeForSend < this->deadline;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -122,6 +122,10 @@
                                IsEventStream(this->answer.fields) &&
                                IsSuccess(this->answer.status);
   this->mode = is_event_stream ? Mode::kEvents : Mode::kBuffered;
+  if (this->forwarding && !is_event_stream) {
+    this->OnSendFailed("no event stream");
+    return false;
+  }
   if (!this->IsAcceptable()) {
     this->OnSendFailed("answer without proof or of unknown outcome");
     return false;
@@ -285,7 +289,7 @@
   const bool reusable =
       this->parser->Done() && this->input.empty() &&
       net::KeepsConnection(this->answer.fields, this->answer.minor_version);
-  const bool retry = failed && this->MayRetry() && !this->forwarding &&
+  const bool retry = failed && this->MayRetry() &&
                      TakeRetry(this->gateway, this->service, BootNow());
   if (failed) {
     this->gateway->metrics.CountFailedSend(this->service, "answered",
@@ -300,11 +304,6 @@
     this->TryNextEndpoint();
     return;
   }
-  if (this->forwarding) {
-    // A stream that is being forwarded can only be continued by a stream.
-    this->OnSendFailed("no event stream");
-    return;
-  }
   if (this->IsSampled())
     this->Log(kRequestAnswered,
               "status=" + std::to_string(this->answer.status));
