Gateway: Believe an answer without an id on new connections only

What callers saw: "not run, try again" for requests that an endpoint had run or was running, and calls that may run once ran twice.

Cause: answers that bear another request's id were discarded, but one without an id counted as the answer to the request in progress. A faulty endpoint that writes an earlier refusal once more, without its id, thus refused the next request on the connection, which it then ran.

Change: an answer without an id belongs to the request only if the connection has carried no other; else it is discarded like one with another id, and the answer that names the request is awaited. A connection on which a stray answer came is not used again. Requests without an id get a new connection.

Exchange: 6 rows of refusals, other instances and successes without an id, and two of closed connections.

Calls to engines (orders, reports) bear no id at all; that a stray answer misleads them is suspected.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -243,8 +243,13 @@
     this->Log(kRequestSent, this->DescribeEndpoint() + detail);
   }
   const bool require_fresh = !IsRepeatable(*this->route);
-  auto reused =
-      this->gateway->connections.Take(this->endpoint->entry.id, require_fresh);
+  this->stray_answers = false;
+  // Without an id, answers to earlier requests cannot be told from the own one.
+  auto reused = this->info.id.empty()
+                    ? nullptr
+                    : this->gateway->connections.Take(this->endpoint->entry.id,
+                                                      require_fresh);
+  this->stream_was_used = reused != nullptr;
   if (reused) {
     this->WriteRequest(std::move(reused));
     return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -105,6 +105,8 @@
   void OnAnswerDone();
   void OnBufferedAnswer();
   bool IsAcceptable() const;
+  bool BelongsToThisRequest() const;
+  bool IsReusable() const;
   void BeginForwarding(std::optional<std::size_t> length);
 
   Gateway* gateway;
@@ -129,8 +131,10 @@
 
   EndpointPtr endpoint;  ///< Of the current send.
   std::shared_ptr<net::TcpStream> stream;
-  int send_generation = 0;  ///< Identifies callbacks of earlier sends.
-  int prefill_tokens = 0;   ///< Included in `endpoint->own.prompt_tokens`.
+  bool stream_was_used = false;  ///< It has carried an earlier request.
+  bool stray_answers = false;    ///< Of other requests, in the current send.
+  int send_generation = 0;       ///< Identifies callbacks of earlier sends.
+  int prefill_tokens = 0;        ///< Included in `endpoint->own.prompt_tokens`.
   TimePoint sent_at;
   std::string input;
   std::optional<net::MessageParser> parser;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -106,9 +106,9 @@
   this->head_read = true;
   this->answer = std::move(this->parser->Response());
   this->answer_info = this->gateway->wire->read_answer(this->answer);
-  const bool is_other_request = !this->answer_info.request_id.empty() &&
-                                this->answer_info.request_id != this->info.id;
-  if (is_other_request || this->answer.status < 200) {
+  const bool is_interim = this->answer.status < 200;
+  if (is_interim || !this->BelongsToThisRequest()) {
+    this->stray_answers = this->stray_answers || !is_interim;
     this->mode = Mode::kDiscarded;
     return true;
   }
@@ -133,6 +133,19 @@
   return true;
 }
 
+/// An endpoint may send an answer twice, or late. One without an id can only be
+/// told from the answers to earlier requests if the connection has had none.
+bool Exchange::BelongsToThisRequest() const {
+  const std::string& id = this->answer_info.request_id;
+  return id.empty() ? !this->stream_was_used : id == this->info.id;
+}
+
+/// Returns whether the connection may carry another request after the answer.
+bool Exchange::IsReusable() const {
+  return this->parser->Done() && this->input.empty() && !this->stray_answers &&
+         net::KeepsConnection(this->answer.fields, this->answer.minor_version);
+}
+
 /// The endpoint states that it has not executed the request.
 void Exchange::OnRefusedByEndpoint() {
   --this->possible_executions;
@@ -150,9 +163,7 @@
   }
   const std::string detail = this->DescribeEndpoint() +
                              " status=" + std::to_string(this->answer.status);
-  const bool reusable =
-      this->parser->Done() && this->input.empty() &&
-      net::KeepsConnection(this->answer.fields, this->answer.minor_version);
+  const bool reusable = this->IsReusable();
   this->ReleaseEndpoint(reusable);
   this->OnNotExecuted({reason, detail, true});
 }
@@ -271,9 +282,7 @@
   if (this->engine != nullptr && this->first_event_at != TimePoint())
     RecordRun(&this->gateway->traffic, this->service,
               MillisecondsBetween(this->first_event_at, now));
-  const bool reusable =
-      this->parser->Done() && this->input.empty() &&
-      net::KeepsConnection(this->answer.fields, this->answer.minor_version);
+  const bool reusable = this->IsReusable();
   if (this->IsSampled())
     this->Log(kRequestAnswered, this->DescribeAnswer());
   this->CountOutcome(Outcome::kAnswered);
@@ -286,9 +295,7 @@
 void Exchange::OnBufferedAnswer() {
   const bool failed = this->answer.status >= 500;
   RecordOutcome(this->endpoint.get(), !failed, BootNow());
-  const bool reusable =
-      this->parser->Done() && this->input.empty() &&
-      net::KeepsConnection(this->answer.fields, this->answer.minor_version);
+  const bool reusable = this->IsReusable();
   const bool retry = failed && this->MayRetry() &&
                      TakeRetry(this->gateway, this->service, BootNow());
   if (failed) {
--- a/src/gateway/exchange_unittest.cc
+++ b/src/gateway/exchange_unittest.cc
@@ -266,6 +266,69 @@
   });
 }
 
+/// Guards against an answer to an earlier request that is taken for the one to
+/// the next request on the same connection: without an id it tells nothing
+/// there, neither that the request has not run nor that it succeeded.
+TEST(Exchange, AnswersWithoutAnIdCountOnNewConnectionsOnly) {
+  struct KeptRow {
+    const char* name;
+    const char* path;
+    std::string second;  ///< Answer to the second request on the connection.
+    Then then;
+    const char* status;
+    const char* contains;
+    std::size_t sends;  ///< Of both requests.
+  };
+  const std::string refusal = MakeAnswer("503 Busy", "Not-Executed: 1\r\n", "");
+  const std::string misdirected =
+      MakeAnswer("421 Misdirected", "Instance-Id: other\r\n", "");
+  const std::string success =
+      MakeAnswer("200 OK", "Server-Signature: p\r\n", "wrong");
+  const KeptRow rows[] = {
+      {"refusal, then the answer", "/unsafe/", refusal + kOk, Then::kKeep,
+       "200", "done", 2},
+      {"refusal of another instance", "/unsafe/", misdirected + kOk,
+       Then::kKeep, "200", "done", 2},
+      {"refusal alone", "/unsafe/", refusal, Then::kClose, "502", "", 2},
+      {"refusal alone of a repeatable call", "/safe/", refusal, Then::kClose,
+       "200", "done", 3},
+      {"success, then the answer", "/unsafe/", success + kOk, Then::kKeep,
+       "200", "done", 2},
+      {"a refusal that names the request", "/unsafe/", kNotExecuted,
+       Then::kKeep, "200", "done", 3},
+  };
+  for (const KeptRow& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    scene.answers = {{kOk}, {row.second, row.then}, {kOk}};
+    scene.Call(CallerRequest(row.path));
+    scene.AddEndpoint("e2");
+    scene.gateway.endpoints.endpoints.at("e2")->entry.data_centre = "far";
+    const std::string answer = scene.Call(CallerRequest(row.path));
+    const std::string context = std::string(row.name) + ": " + answer;
+    CHECK_TEXT(Has(answer, std::string("HTTP/1.1 ") + row.status),
+               context.c_str());
+    CHECK_TEXT(Has(answer, row.contains), context.c_str());
+    LONGS_EQUAL_TEXT(row.sends, scene.received.size(), row.name);
+  }
+}
+
+/// A connection on which a stray answer came is not used again.
+TEST(Exchange, StrayAnswersCloseTheConnection) {
+  const std::string stray = MakeAnswer("503 Busy", "Not-Executed: 1\r\n", "");
+  const std::string other =
+      MakeAnswer("503 Busy", "Request-Id: other\r\nNot-Executed: 1\r\n", "");
+  for (const std::string& first : {stray, other}) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    scene.answers = {{kOk}, {first + kOk}};
+    scene.Call(CallerRequest("/unsafe/"));
+    LONGS_EQUAL(0, scene.closed_by_gateway);
+    scene.Call(CallerRequest("/unsafe/"));
+    CHECK(scene.RunUntil([&scene] { return scene.closed_by_gateway == 1; }));
+  }
+}
+
 TEST(Exchange, StreamsForwardCompleteEventsInOrder) {
   RunRows({
       {"complete events",
