Platform: Read each object of the store by itself

What callers saw: endpoints that registered after another writer had left an odd entry got no requests; the daemon no longer followed the list.

Cause: an answer of the store was parsed as a whole. A number that no double holds, or bytes that are no text, made the whole listing unreadable, and every listing and watch after it.

An object that cannot be read keeps its name and tells why (Object::fault). The endpoints skip it, log each version of it once (2407, with the reason) and count it (coltsfootvane_store_entries_skipped_total). Names of others cannot break a log line.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -1,5 +1,9 @@
 #include "daemon/store_view.h"
 
+#include <prometheus/counter.h>
+#include <prometheus/registry.h>
+
+#include <iterator>
 #include <set>
 #include <utility>
 #include <vector>
@@ -57,7 +61,12 @@
                     },
                     [this](const store::Changes& changes) {
                       this->OnEndpointChanges(changes);
-                    })) {}
+                    })),
+      skipped_entries(&prometheus::BuildCounter()
+                           .Name("coltsfootvane_store_entries_skipped_total")
+                           .Help("Versions of entries that name no endpoint or "
+                                 "cannot be read")
+                           .Register(own_gateway->registry)) {}
 
 void StoreView::Start() {
   this->config.Start();
@@ -91,7 +100,8 @@
     this->news_to_send = true;
   }
   Result<gateway::RoutingTable> table =
-      this->deployment->read_config(object.spec);
+      object.fault.empty() ? this->deployment->read_config(object.spec)
+                           : Error{ErrorCode::kInvalid, object.fault};
   if (!table) {
     this->log->Write(kConfigUnreadable, "",
                      "reason=\"" + table.error().message + "\"");
@@ -113,6 +123,10 @@
   }
   for (const std::string& id : gone)
     this->RemoveEndpoint(id);
+  for (auto it = this->skipped_revisions.begin();
+       it != this->skipped_revisions.end();)
+    it = listed.count(it->first) == 0 ? this->skipped_revisions.erase(it)
+                                      : std::next(it);
   if (!gone.empty())
     this->NoteDeparture(listing.revision);
   this->endpoints_known = true;
@@ -126,6 +140,7 @@
       this->UpsertEndpoint(change.object);
       continue;
     }
+    this->skipped_revisions.erase(change.object.name);
     this->RemoveEndpoint(change.object.name);
     this->NoteDeparture(changes.revision);
   }
@@ -135,14 +150,14 @@
 
 void StoreView::UpsertEndpoint(const store::Object& object) {
   Result<gateway::EndpointEntry> entry =
-      this->deployment->read_endpoint(object.name, object.spec);
+      object.fault.empty()
+          ? this->deployment->read_endpoint(object.name, object.spec)
+          : Error{ErrorCode::kInvalid, object.fault};
   if (!entry) {
-    this->log->Write(kEndpointUnreadable, "",
-                     "endpoint=" + object.name + " reason=\"" +
-                         entry.error().message + "\"");
-    this->RemoveEndpoint(object.name);
+    this->SkipEndpoint(object, entry.error().message);
     return;
   }
+  this->skipped_revisions.erase(object.name);
   const auto found = this->gateway->endpoints.endpoints.find(object.name);
   const bool news =
       found == this->gateway->endpoints.endpoints.end() ||
@@ -160,6 +175,24 @@
   gateway::UpsertEndpoint(&this->gateway->endpoints, std::move(entry).value());
 }
 
+/// Called for an entry that names no endpoint. Each version of it is logged
+/// once, however often it is listed.
+void StoreView::SkipEndpoint(const store::Object& object,
+                             const std::string& reason) {
+  this->RemoveEndpoint(object.name);
+  const auto [known, inserted] =
+      this->skipped_revisions.emplace(object.name, object.revision);
+  if (!inserted && known->second == object.revision)
+    return;
+  known->second = object.revision;
+  this->skipped_entries->Add({{"kind", this->deployment->endpoint_kind}})
+      .Increment();
+  this->log->Write(kEndpointUnreadable, "",
+                   "endpoint=" + Printable(object.name) + " reason=\"" +
+                       reason +
+                       "\" revision=" + std::to_string(object.revision));
+}
+
 /// Endpoints that leave are urgent news: they get no new work.
 void StoreView::NoteDeparture(std::int64_t revision) {
   if (revision <= this->fleet->seen_revisions.endpoints_revision)
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -2,6 +2,8 @@
 #define COLTSFOOTVANE_DAEMON_STORE_VIEW_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
 #include <string>
 
 #include "daemon/deployment.h"
@@ -10,6 +12,12 @@
 #include "log/decision_log.h"
 #include "store/kind_follower.h"
 
+namespace prometheus {
+class Counter;
+template <class T>
+class Family;
+}  // namespace prometheus
+
 namespace coltsfootvane::daemon {
 
 /// Takes the configuration and the endpoints from the store over into the
@@ -40,6 +48,7 @@
   void OnEndpointListing(const store::Listing& listing);
   void OnEndpointChanges(const store::Changes& changes);
   void UpsertEndpoint(const store::Object& object);
+  void SkipEndpoint(const store::Object& object, const std::string& reason);
   void RemoveEndpoint(const std::string& id);
   void NoteDeparture(std::int64_t revision);
   void SendNews();
@@ -50,6 +59,9 @@
   DecisionLog* log;
   store::KindFollower config;
   store::KindFollower endpoints;
+  prometheus::Family<prometheus::Counter>* skipped_entries;
+  /// Revisions of the entries that name no endpoint, by name.
+  std::map<std::string, std::int64_t> skipped_revisions;
   bool endpoints_known = false;
   bool news_to_send = false;  ///< Since the last report to the others.
 };
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -15,7 +15,8 @@
 struct Object {
   std::string name;
   std::int64_t revision = 0;  ///< Of its last change; 0 if not known.
-  nlohmann::json spec;
+  nlohmann::json spec;        ///< Null if it cannot be read.
+  std::string fault;          ///< Why it cannot be read, else empty.
 };
 
 struct Listing {
