Platform: Skip objects that are nested too deeply

What callers saw: daemons that read the list of endpoints ended again and again.

Cause: an entry of under 1 MB can be nested 450,000 deep. nlohmann's parser takes it, but copying the value takes stack for each level: signal 11. Since specs are no longer copied on their way, the entry did no harm any more but counted as an endpoint; any later copy would end the process again.

Change: ParseUntrustedJson() measures the depth before it parses and refuses more than 32 levels; no object that daemons read has more than eight. Reports of engines are read in the same way.

--- a/src/base/json_text.cc
+++ b/src/base/json_text.cc
@@ -1,5 +1,6 @@
 #include "base/json_text.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coltsfootvane {
@@ -7,6 +8,9 @@
 
 using Json = nlohmann::json;
 
+/// Copies and comparisons of a parsed value take stack for each level.
+constexpr int kMaxDepth = 32;
+
 /// Id of nlohmann's exception for a number that no double holds.
 constexpr int kNumberOutOfRange = 406;
 
@@ -114,6 +118,26 @@
   return JsonMember{name.get<std::string>(), *value};
 }
 
+int DepthOf(std::string_view text) {
+  Scanner scanner{text};
+  int depth = 0;
+  int deepest = 0;
+  while (!scanner.AtEnd()) {
+    const char c = scanner.Peek();
+    if (c == '"') {
+      if (!SkipString(&scanner))
+        break;
+      continue;
+    }
+    ++scanner.position;
+    if (c == '{' || c == '[')
+      deepest = std::max(deepest, ++depth);
+    else if (c == '}' || c == ']')
+      --depth;
+  }
+  return deepest;
+}
+
 }  // namespace
 
 Result<JsonMembers> SplitJsonObject(std::string_view text) {
@@ -165,6 +189,8 @@
 }
 
 Result<Json> ParseUntrustedJson(std::string_view text) {
+  if (DepthOf(text) > kMaxDepth)
+    return Error{ErrorCode::kInvalid, "nested too deeply"};
   try {
     return Json::parse(text);
   } catch (const Json::exception& error) {
--- a/src/base/json_text.h
+++ b/src/base/json_text.h
@@ -33,7 +33,8 @@
                                 std::string_view name);
 
 /// Parses a value that others have written. Errors: kInvalid if it is no JSON
-/// text or has a number that no double holds.
+/// text, is nested more deeply than any object that the daemons read, or has a
+/// number that no double holds.
 Result<nlohmann::json> ParseUntrustedJson(std::string_view text);
 
 }  // namespace coltsfootvane
--- a/src/base/json_text_unittest.cc
+++ b/src/base/json_text_unittest.cc
@@ -4,6 +4,15 @@
 
 using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
 
+namespace {
+
+std::string Nested(int depth) {
+  return std::string(static_cast<std::size_t>(depth), '[') +
+         std::string(static_cast<std::size_t>(depth), ']');
+}
+
+}  // namespace
+
 TEST_GROUP(JsonText){};
 
 TEST(JsonText, SplitsObjectsWithoutReadingTheirValues) {
@@ -82,6 +91,10 @@
       {"", "not JSON"},
       {"\"\xff\"", "not JSON"},
       {R"({"a":[}])", "not JSON"},
+      {Nested(32), ""},
+      {Nested(33), "nested too deeply"},
+      {Nested(500'000), "nested too deeply"},
+      {std::string(500'000, '['), "nested too deeply"},
       {"\"" + std::string(100, '[') + "\"", ""},
   };
   for (const Row& row : rows) {
