Store, daemon: Notice within seconds that the answer to a watch was lost

What callers saw: up to 21 s after the store was silent for a moment, requests went to endpoints that had been draining for long, none to new ones, and by an old configuration.

A watch may wait for 20 s; if its answer is lost on a connection that stays open, nothing is heard until then. Only a failed read of the lease, every 2 s, made the daemon list again, which a shorter silence does not cause.

Change: the watch of endpoints waits for 2 s at most, as endpoints announce themselves more often than that; unanswered, it is given up and the endpoints are listed. If the configuration's watch has heard nothing since, it is given up and listed as well. Refresh() watches anew in place of listing beside a watch that may be lost. Ruled out: shorter watches of the configuration; they would cost ten times the calls.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -13,6 +13,12 @@
 namespace coltsfootvane::daemon {
 namespace {
 
+/// Configurations are rare, and other daemons tell of them.
+constexpr Milliseconds kConfigWatchWait{20'000};
+/// Endpoints announce themselves again and again: a watch without an answer has
+/// lost it, or the store is away.
+constexpr Milliseconds kEndpointWatchWait{2000};
+
 store::FollowerEvents Events(
     std::function<void(const store::Listing&)> on_listing,
     std::function<void(const store::Changes&)> on_changes) {
@@ -36,7 +42,7 @@
       log(decision_log),
       config(io,
              store,
-             own_deployment->config_kind,
+             {own_deployment->config_kind, kConfigWatchWait},
              decision_log,
              Events(
                  [this](const store::Listing& listing) {
@@ -53,21 +59,38 @@
                  })),
       endpoints(io,
                 store,
-                own_deployment->endpoint_kind,
+                {own_deployment->endpoint_kind, kEndpointWatchWait},
                 decision_log,
-                Events(
-                    [this](const store::Listing& listing) {
-                      this->OnEndpointListing(listing);
-                    },
-                    [this](const store::Changes& changes) {
-                      this->OnEndpointChanges(changes);
-                    })),
+                this->EndpointEvents()),
       skipped_entries(&prometheus::BuildCounter()
                            .Name("coltsfootvane_store_entries_skipped_total")
                            .Help("Versions of entries that name no endpoint or "
                                  "cannot be read")
                            .Register(own_gateway->registry)) {}
 
+store::FollowerEvents StoreView::EndpointEvents() {
+  store::FollowerEvents events = Events(
+      [this](const store::Listing& listing) {
+        this->OnEndpointListing(listing);
+      },
+      [this](const store::Changes& changes) {
+        this->OnEndpointChanges(changes);
+      });
+  events.on_reachable = [this](bool reachable) {
+    this->OnEndpointsReachable(reachable);
+  };
+  return events;
+}
+
+/// What has kept the answer of one watch may have kept that of the other.
+void StoreView::OnEndpointsReachable(bool reachable) {
+  if (!reachable)
+    this->endpoints_lost_at = BootNow();
+  else if (this->config.Reachable() &&
+           this->config.HeardAt() < this->endpoints_lost_at)
+    this->config.Refresh();
+}
+
 void StoreView::Start() {
   this->config.Start();
   this->endpoints.Start();
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -44,6 +44,8 @@
   const store::KindFollower& Endpoints() const { return this->endpoints; }
 
  private:
+  store::FollowerEvents EndpointEvents();
+  void OnEndpointsReachable(bool reachable);
   void OnConfig(const store::Object& object);
   void OnEndpointListing(const store::Listing& listing);
   void OnEndpointChanges(const store::Changes& changes);
@@ -62,6 +64,7 @@
   prometheus::Family<prometheus::Counter>* skipped_entries;
   /// Revisions of the entries that name no endpoint, by name.
   std::map<std::string, std::int64_t> skipped_revisions;
+  TimePoint endpoints_lost_at;  ///< When the store last left them unanswered.
   bool endpoints_known = false;
   bool news_to_send = false;  ///< Since the last report to the others.
 };
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -10,7 +10,6 @@
 
 using BoostError = boost::system::error_code;
 
-constexpr Milliseconds kWatchWait{20'000};
 /// Between two watches, so that changes in quick succession take one call.
 constexpr Milliseconds kWatchPause{250};
 constexpr Milliseconds kFirstBackoff{300};
@@ -20,7 +19,7 @@
 
 KindFollower::KindFollower(boost::asio::io_context* io,
                            const ObjectStore* object_store,
-                           std::string followed_kind,
+                           FollowedKind followed_kind,
                            DecisionLog* decision_log,
                            FollowerEvents follower_events)
     : timer(*io),
@@ -35,16 +34,19 @@
 }
 
 void KindFollower::List() {
-  this->store->list(this->kind, Freshness::kLatest,
-                    [this](const Result<Listing>& listing) {
-                      if (!listing) {
-                        this->OnFailure(listing.error());
-                        return;
-                      }
-                      this->SetReachable(true);
-                      this->OnListing(listing.value());
-                      this->Later(kWatchPause, &KindFollower::Watch);
-                    });
+  this->store->list(
+      this->kind.name, Freshness::kLatest,
+      [this, current = this->generation](const Result<Listing>& listing) {
+        if (current != this->generation)
+          return;
+        if (!listing) {
+          this->OnFailure(listing.error());
+          return;
+        }
+        this->SetReachable(true);
+        this->OnListing(listing.value());
+        this->Later(kWatchPause, &KindFollower::Watch);
+      });
 }
 
 void KindFollower::OnListing(const Listing& listing) {
@@ -58,11 +60,7 @@
   if (known_revision <= std::max(this->revision, this->catching_up_to))
     return;
   this->catching_up_to = known_revision;
-  this->Refresh();
-}
-
-void KindFollower::Refresh() {
-  this->store->list(this->kind, Freshness::kLatest,
+  this->store->list(this->kind.name, Freshness::kLatest,
                     [this](const Result<Listing>& listing) {
                       this->catching_up_to = 0;
                       if (listing)
@@ -70,17 +68,26 @@
                     });
 }
 
+void KindFollower::Refresh() {
+  ++this->generation;
+  this->timer.cancel();
+  this->List();
+}
+
 void KindFollower::Watch() {
-  this->store->watch(this->kind, this->revision, kWatchWait, this->freshness,
-                     [this](Result<Changes> changes) {
-                       if (!changes) {
-                         this->OnFailure(changes.error());
-                         return;
-                       }
-                       this->SetReachable(true);
-                       this->OnChanges(std::move(changes).value());
-                       this->Later(kWatchPause, &KindFollower::Watch);
-                     });
+  this->store->watch(
+      this->kind.name, this->revision, this->kind.watch_wait, this->freshness,
+      [this, current = this->generation](Result<Changes> changes) {
+        if (current != this->generation)
+          return;
+        if (!changes) {
+          this->OnFailure(changes.error());
+          return;
+        }
+        this->SetReachable(true);
+        this->OnChanges(std::move(changes).value());
+        this->Later(kWatchPause, &KindFollower::Watch);
+      });
 }
 
 void KindFollower::OnChanges(Changes changes) {
@@ -100,9 +107,9 @@
 
 void KindFollower::OnFailure(const Error& error) {
   if (error.code == ErrorCode::kGone) {
-    this->log->Write(
-        kHistoryGone, "",
-        "kind=" + this->kind + " revision=" + std::to_string(this->revision));
+    this->log->Write(kHistoryGone, "",
+                     "kind=" + this->kind.name +
+                         " revision=" + std::to_string(this->revision));
     this->List();
     return;
   }
@@ -133,7 +140,8 @@
   this->reachable = now_reachable;
   this->log->Write(
       now_reachable ? kStoreRegained : kStoreLost, "",
-      "kind=" + this->kind + " revision=" + std::to_string(this->revision) +
+      "kind=" + this->kind.name +
+          " revision=" + std::to_string(this->revision) +
           (reason.empty() ? "" : " reason=\"" + std::string(reason) + "\""));
   if (this->events.on_reachable)
     this->events.on_reachable(now_reachable);
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -14,6 +14,14 @@
 
 namespace coltsfootvane::store {
 
+/// What a follower follows.
+struct FollowedKind {
+  std::string name;
+  /// Longest time that a watch waits for a change. If the answer to a watch is
+  /// lost, changes go unnoticed until then.
+  Milliseconds watch_wait{20'000};
+};
+
 /// What a follower reports.
 struct FollowerEvents {
   /// All objects of the kind; others no longer exist.
@@ -30,7 +38,7 @@
  public:
   KindFollower(boost::asio::io_context* io,
                const ObjectStore* store,
-               std::string kind,
+               FollowedKind kind,
                DecisionLog* log,
                FollowerEvents events);
 
@@ -40,11 +48,11 @@
   void SetFreshness(Freshness wanted) { this->freshness = wanted; }
   /// Lists at once what has changed up to `known_revision`, if that is news.
   void CatchUp(std::int64_t known_revision);
-  /// Lists again, since the answer to a watch may have been lost.
+  /// Lists and watches anew, since the answer to the watch may have been lost.
   void Refresh();
   std::int64_t Revision() const { return this->revision; }
   bool Reachable() const { return this->reachable; }
-  const std::string& Kind() const { return this->kind; }
+  const std::string& Kind() const { return this->kind.name; }
   /// When the last answer came that says what the store holds.
   TimePoint HeardAt() const { return this->heard_at; }
 
@@ -60,13 +68,14 @@
 
   boost::asio::steady_timer timer;
   const ObjectStore* store;
-  std::string kind;
+  FollowedKind kind;
   DecisionLog* log;
   FollowerEvents events;
   std::minstd_rand random;
   Freshness freshness = Freshness::kLatest;
   std::int64_t revision = 0;
   std::int64_t catching_up_to = 0;  ///< Asked for and not yet answered.
+  int generation = 0;               ///< Identifies answers to earlier calls.
   int failures = 0;                 ///< In a row.
   bool reachable = false;
   TimePoint heard_at;
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -55,7 +55,7 @@
   Fixture()
       : follower(&this->io,
                  &this->store.access,
-                 "things",
+                 {"things"},
                  &this->log,
                  this->Events()) {
     this->follower.Start();
@@ -140,3 +140,25 @@
   fixture.follower.CatchUp(10);
   LONGS_EQUAL(1, fixture.store.lists.size());
 }
+
+/// Guards against a watch whose answer was lost: it is not waited for any more,
+/// and an answer that comes all the same does no harm.
+TEST(KindFollower, RefreshWatchesAnew) {
+  Fixture fixture;
+  fixture.store.lists[0](Listing{{}, 10});
+  fixture.RunUntilCalls(1, 1);
+  fixture.follower.Refresh();
+  LONGS_EQUAL(2, fixture.store.lists.size());
+  fixture.store.lists[1](Listing{{}, 12});
+  fixture.RunUntilCalls(2, 2);
+  LONGS_EQUAL(12, fixture.store.watched_revision);
+  Changes late;
+  late.revision = 13;
+  late.changes = {{MakeObject("late", 13), false}};
+  fixture.store.watches[0](late);
+  fixture.store.watches[0](Error{ErrorCode::kUnknown, "test"});
+  CHECK(fixture.follower.Reachable());
+  LONGS_EQUAL(0, fixture.changed.size());
+  fixture.store.watches[1](late);
+  LONGS_EQUAL(1, fixture.changed.size());
+}
--- a/tests/integration/replica_site.cc
+++ b/tests/integration/replica_site.cc
@@ -35,6 +35,21 @@
 
 }  // namespace
 
+Json BooksConfig(int version) {
+  const std::string newest = "/version" + std::to_string(version) + "/";
+  return {
+      {"version", version},
+      {"routes",
+       {MakeRoute("/safe/", "safe"), MakeRoute("/unsafe/", "unsafe"),
+        MakeRoute("/stream/", "streaming"), MakeRoute(newest.c_str(), "safe")}},
+      {"services", {{{"name", "books"}}}},
+      {"limits",
+       {{"maxHeaderBytes", 16384},
+        {"maxBodyBytes", 100000},
+        {"headerTimeoutMs", 1000},
+        {"idleTimeoutMs", 5000}}}};
+}
+
 ReplicaSite::ReplicaSite(int count)
     : host(OwnLoopbackHost()),
       store(&this->io, this->host),
@@ -46,7 +61,7 @@
 }
 
 bool ReplicaSite::Start() {
-  this->PutConfig();
+  this->PutConfig(1);
   this->Register();
   this->daemon.Start();
   return this->daemon.AwaitReady();
@@ -59,19 +74,8 @@
   return this->replicas.back().get();
 }
 
-void ReplicaSite::PutConfig() {
-  this->store.Put(
-      "config", "main",
-      {{"version", 1},
-       {"routes",
-        {MakeRoute("/safe/", "safe"), MakeRoute("/unsafe/", "unsafe"),
-         MakeRoute("/stream/", "streaming")}},
-       {"services", {{{"name", "books"}}}},
-       {"limits",
-        {{"maxHeaderBytes", 16384},
-         {"maxBodyBytes", 100000},
-         {"headerTimeoutMs", 1000},
-         {"idleTimeoutMs", 5000}}}});
+void ReplicaSite::PutConfig(int version) {
+  this->store.Put("config", "main", BooksConfig(version));
 }
 
 void ReplicaSite::Register() {
--- a/tests/integration/replica_site.h
+++ b/tests/integration/replica_site.h
@@ -15,6 +15,10 @@
 
 namespace coltsfootvane::testing {
 
+/// Returns a configuration with the routes `/safe/`, `/unsafe/`, `/stream/`
+/// (resumable) and `/versionN/` of the plain service `books`.
+nlohmann::json BooksConfig(int version);
+
 /// How the call of a caller ended.
 struct CallResult {
   std::string id;
@@ -35,6 +39,7 @@
   bool Start();
   /// Adds a replica that registers from now on.
   ReplicaStandin* AddReplica();
+  void PutConfig(int version);
   /// Calls `path` again and again, about 50 times a second.
   void StartCalls(const std::string& path);
   void StopCalls();
@@ -55,7 +60,6 @@
   std::vector<CallResult> results;
 
  private:
-  void PutConfig();
   void Register();
   void SendNext();
   void Send(const std::string& path);
--- a/tests/integration/replica_test.cc
+++ b/tests/integration/replica_test.cc
@@ -186,6 +186,32 @@
       (std::to_string(most) + " of " + std::to_string(returns.size())).c_str());
 }
 
+// Guards against a daemon that does not hear of changes for as long as a watch
+// may last, since the answer to its watch was lost.
+TEST(Replicas, LostAnswersToWatchesAreNoticed) {
+  constexpr int kContactMs = 3000;  // From the end of a disturbance.
+  ReplicaSite site(2);
+  CHECK_TEXT(site.Start(), site.daemon.process->DescribeEnd().c_str());
+  site.StartCalls("/safe/1");
+  site.RunFor(1000);
+  site.store.faults.loses_watches = true;
+  site.PutConfig(2);
+  site.RunFor(500);
+  site.store.faults.loses_watches = false;
+  site.RunFor(kContactMs);
+  ReplicaStandin* const draining = site.replicas[0].get();
+  site.silent.insert(draining->id);
+  site.store.Put("servers", draining->id, draining->Entry("draining"));
+  site.PutConfig(3);
+  // A configuration has to be in force within the same time.
+  site.RunFor(static_cast<int>(kDrainTime.count()));
+  const TimePoint from = Clock::now();
+  CHECK_TEXT(site.Call("/version3/1").status == 200,
+             "the configuration is in force");
+  site.RunFor(1000);
+  LONGS_EQUAL(0, draining->CountArrivals(from, Clock::now()));
+}
+
 namespace {
 
 std::string Repeat(const char* text, int times) {
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -129,7 +129,8 @@
   }
   if (found.empty())
     return false;
-  if (!this->faults.unavailable && !this->faults.silent)
+  if (!this->faults.unavailable && !this->faults.silent &&
+      !this->faults.loses_watches)
     ReplyJson(watch.stream, 200,
               ListText("events", found, RevisionText(this->revision)));
   return true;
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -17,6 +17,7 @@
   bool silent = false;         ///< Reads and never answers.
   bool loses_answers = false;  ///< Does writes and closes without an answer.
   bool history_gone = false;   ///< Answers watches with 410, once.
+  bool loses_watches = false;  ///< Never answers watches.
 };
 
 /// Stands in for the platform's store, by its published protocol.
