--- a/tests/integration/gateway_process.cc
+++ b/tests/integration/gateway_process.cc
@@ -25,17 +25,21 @@
 }  // namespace
 
 GatewayProcess::GatewayProcess(boost::asio::io_context* io_context,
-                               std::string host,
-                               std::string store_address)
+                               const std::string& host,
+                               std::string store_address,
+                               GatewayOptions gateway_options)
     : io(io_context),
       client(io_context),
       store(std::move(store_address)),
+      options(std::move(gateway_options)),
       callers(FreeAddress(host)),
-      health(FreeAddress(host)),
-      peer_port(FreePort(host)) {
+      health(FreeAddress(host)) {
+  if (this->options.peer_port == 0)
+    this->options.peer_port = FreePort(host);
   const std::string prefix =
       (std::filesystem::temp_directory_path() /
-       ("coltsfootvane-gateway-" + std::to_string(getpid())))
+       ("coltsfootvane-gateway-" + std::to_string(getpid()) + "-" +
+        this->options.name))
           .string();
   this->settings_path = prefix + ".conf";
   this->log_path = prefix + ".log";
@@ -43,8 +47,9 @@
 
 void GatewayProcess::WriteSettings(int stop_timeout_s) {
   std::ofstream settings(this->settings_path);
-  const int port = this->peer_port;
-  settings << "nodeName=vm-1\nzone=dc\nlisten.front=" << ToText(this->callers)
+  const int port = this->options.peer_port;
+  settings << "nodeName=" << this->options.name
+           << "\nzone=dc\nlisten.front=" << ToText(this->callers)
            << "\nlisten.ready=" << ToText(this->health)
            << "\ninternalPorts=" << port << "," << port
            << "\nplatform.address=" << this->store
--- a/tests/integration/gateway_process.h
+++ b/tests/integration/gateway_process.h
@@ -13,14 +13,21 @@
 
 namespace coltsfootvane::testing {
 
+/// How one daemon of several differs from the others.
+struct GatewayOptions {
+  std::string name = "vm-1";
+  int peer_port = 0;  ///< The same for all; 0 for a free one.
+};
+
 /// The real daemon of the users' platform as a process, with its settings file.
 /// The stand-ins that it talks to run on the test's event loop.
 class GatewayProcess {
  public:
   /// `host` is a loopback address, `store` the `IP:PORT` of the store.
   GatewayProcess(boost::asio::io_context* io,
-                 std::string host,
-                 std::string store);
+                 const std::string& host,
+                 std::string store,
+                 GatewayOptions options = {});
 
   /// Starts the process, again if it has run before.
   void Start();
@@ -50,9 +57,9 @@
   std::optional<Result<net::WholeResponse>> Get(const std::string& path);
 
   std::string store;
+  GatewayOptions options;
   net::tcp::endpoint callers;
   net::tcp::endpoint health;
-  int peer_port = 0;
   std::string settings_path;
   std::string log_path;
 };
--- a/tests/support/free_port.cc
+++ b/tests/support/free_port.cc
@@ -38,11 +38,25 @@
   }
 }
 
-std::string OwnLoopbackHost() {
+namespace {
+
+/// Returns the part of a loopback address that differs between processes.
+std::string OwnNetwork() {
   const auto id = static_cast<unsigned>(::getpid());
-  return "127." + std::to_string(64 + id / 62500 % 64) + "." +
-         std::to_string(1 + id / 250 % 250) + "." +
+  return std::to_string(1 + id / 250 % 250) + "." +
          std::to_string(1 + id % 250);
 }
 
+}  // namespace
+
+std::string OwnLoopbackHost() {
+  const auto id = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(64 + id / 62500 % 64) + "." + OwnNetwork();
+}
+
+std::string MoreLoopbackHost(int number) {
+  constexpr int kFirst = 128;
+  return "127." + std::to_string(kFirst + number) + "." + OwnNetwork();
+}
+
 }  // namespace coltsfootvane::testing
--- a/tests/support/free_port.h
+++ b/tests/support/free_port.h
@@ -17,6 +17,9 @@
 /// 127.0.0.1.
 std::string OwnLoopbackHost();
 
+/// Returns one more loopback address of this process, from 0 to 119.
+std::string MoreLoopbackHost(int number);
+
 }  // namespace coltsfootvane::testing
 
 #endif  // COLTSFOOTVANE_TESTS_SUPPORT_FREE_PORT_H_
