Objectapi: Read each object of the platform by itself

What operators saw: with one odd object among the VMs or daemons, `serve` no longer followed the kind.

Change: lists and lines are split by base/json_text; a spec that cannot be read is null, which every reader of a kind refuses, and is logged (1204). Items without metadata still make a list malformed: what is absent from a list counts as gone.

Measured: ObjectJson.UnreadableSpecsHideNoOthers failed at its first row (1e999) before and passes with four; ListsAreWholeOrInvalid and ParsesWatchLines unchanged.

--- a/src/objectapi/events.h
+++ b/src/objectapi/events.h
@@ -12,6 +12,9 @@
 inline constexpr Event kWatchTooOld{1203, Severity::kInfo,
                                     "watch-version-too-old"};
 
+inline constexpr Event kObjectUnreadable{1204, Severity::kWarning,
+                                         "object-unreadable"};
+
 }  // namespace coltsfootvane::objectapi
 
 #endif  // COLTSFOOTVANE_OBJECTAPI_EVENTS_H_
--- a/src/objectapi/object_json.cc
+++ b/src/objectapi/object_json.cc
@@ -4,6 +4,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/json_text.h"
+#include "log/decision_log.h"
+#include "objectapi/events.h"
+
 namespace coltsfootvane::objectapi {
 namespace {
 
@@ -42,41 +46,62 @@
   return value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-bool ReadObjectValue(std::string_view kind, const Json& value, Object* object) {
-  const Json* const metadata = FindMember(value, "metadata");
-  const Json* const spec = FindMember(value, "spec");
-  if (metadata == nullptr || spec == nullptr)
+/// Returns the spec as it is handed to the readers of its kind. One that cannot
+/// be read is null, so that they refuse it and the other objects hold.
+std::string ReadSpec(const Object& object, std::string_view text) {
+  const Result<Json> spec = ParseUntrustedJson(text);
+  if (spec)
+    return DumpLossless(spec.assume_value());
+  LogEvent(kObjectUnreadable, "kind=" + object.kind +
+                                  " name=" + Printable(object.name) +
+                                  " reason=\"" + spec.error().message + "\"");
+  return "null";
+}
+
+bool ReadObjectValue(std::string_view kind,
+                     std::string_view text,
+                     Object* object) {
+  const Result<JsonMembers> members = SplitJsonObject(text);
+  if (!members)
     return false;
-  const Json* const name = FindMember(*metadata, "name");
-  if (name == nullptr || !name->is_string())
+  const Result<Json> metadata =
+      ParseUntrustedJson(FindJsonMember(members.assume_value(), "metadata"));
+  const std::string_view spec = FindJsonMember(members.assume_value(), "spec");
+  if (!metadata || spec.empty())
+    return false;
+  const Json* const name = FindMember(metadata.assume_value(), "name");
+  if (name == nullptr || !name->is_string() ||
+      !ReadVersion(metadata.assume_value(), &object->resource_version))
     return false;
   object->kind = std::string(kind);
   object->name = name->get<std::string>();
-  object->spec = DumpLossless(*spec);
-  return ReadVersion(*metadata, &object->resource_version);
+  object->spec = ReadSpec(*object, spec);
+  return true;
 }
 
-bool ReadChangeType(const Json& line, ChangeType* type) {
-  const Json* const value = FindMember(line, "type");
-  if (value == nullptr)
-    return false;
-  if (*value == "ADDED")
+bool ReadChangeType(const Json& value, ChangeType* type) {
+  if (value == "ADDED")
     *type = ChangeType::kAdded;
-  else if (*value == "MODIFIED")
+  else if (value == "MODIFIED")
     *type = ChangeType::kModified;
-  else if (*value == "DELETED")
+  else if (value == "DELETED")
     *type = ChangeType::kDeleted;
   else
     return false;
   return true;
 }
 
-bool IsGone(const Json& line) {
-  const Json* const type = FindMember(line, "type");
-  const Json* const object = FindMember(line, "object");
-  if (type == nullptr || object == nullptr || *type != "ERROR")
+/// Returns the value of a member, or null if it is missing or unreadable.
+Json MemberValue(const JsonMembers& members, std::string_view name) {
+  const Result<Json> value = ParseUntrustedJson(FindJsonMember(members, name));
+  return value ? value.assume_value() : Json();
+}
+
+bool IsGone(const JsonMembers& line) {
+  if (MemberValue(line, "type") != "ERROR")
     return false;
-  const Json* const code = FindMember(*object, "code");
+  const Json status = MemberValue(line, "object");
+  const Json* const code = FindMember(status, "code");
   return code != nullptr && *code == 410;
 }
 
@@ -96,7 +121,7 @@
 
 Result<Object> ParseObject(std::string_view kind, std::string_view json) {
   Object object;
-  if (!ReadObjectValue(kind, ParseJson(json), &object))
+  if (!ReadObjectValue(kind, json, &object))
     return Error{ErrorCode::kInvalid, "malformed object"};
   return object;
 }
@@ -104,17 +129,19 @@
 Result<ObjectList> ParseObjectList(std::string_view kind,
                                    std::string_view json) {
   const Error malformed{ErrorCode::kInvalid, "malformed list"};
-  const Json value = ParseJson(json);
-  const Json* const metadata = FindMember(value, "metadata");
-  const Json* const items = FindMember(value, "items");
+  const Result<JsonMembers> members = SplitJsonObject(json);
+  if (!members)
+    return malformed;
+  const Json metadata = MemberValue(members.assume_value(), "metadata");
+  const auto items =
+      SplitJsonArray(FindJsonMember(members.assume_value(), "items"));
   ObjectList list;
-  if (metadata == nullptr || items == nullptr || !items->is_array() ||
-      !ReadVersion(*metadata, &list.resource_version))
+  if (!items || !ReadVersion(metadata, &list.resource_version))
     return malformed;
-  const Json* const token = FindMember(*metadata, "continue");
+  const Json* const token = FindMember(metadata, "continue");
   if (token != nullptr && token->is_string())
     list.continue_token = token->get<std::string>();
-  for (const Json& item : *items) {
+  for (const std::string_view item : items.assume_value()) {
     Object object;
     if (!ReadObjectValue(kind, item, &object))
       return malformed;
@@ -124,14 +151,19 @@
 }
 
 Result<Change> ParseWatchLine(std::string_view kind, std::string_view line) {
-  const Json value = ParseJson(line);
-  if (IsGone(value))
+  const Error malformed{ErrorCode::kInvalid, "malformed watch line"};
+  const Result<JsonMembers> members = SplitJsonObject(line);
+  if (!members)
+    return malformed;
+  if (IsGone(members.assume_value()))
     return Error{ErrorCode::kGone, "version is too old"};
   Change change;
-  const Json* const object = FindMember(value, "object");
-  if (object == nullptr || !ReadChangeType(value, &change.type) ||
-      !ReadObjectValue(kind, *object, &change.object))
-    return Error{ErrorCode::kInvalid, "malformed watch line"};
+  const std::string_view object =
+      FindJsonMember(members.assume_value(), "object");
+  if (!ReadChangeType(MemberValue(members.assume_value(), "type"),
+                      &change.type) ||
+      !ReadObjectValue(kind, object, &change.object))
+    return malformed;
   return change;
 }
 
--- a/src/objectapi/object_json_unittest.cc
+++ b/src/objectapi/object_json_unittest.cc
@@ -130,4 +130,31 @@
     CHECK_FALSE(ParseObjectList("vms", invalid).has_value());
 }
 
+// Guards against an object of another writer that hides all others of its kind
+// or ends the process: its spec is read as null, which no reader takes.
+TEST(ObjectJson, UnreadableSpecsHideNoOthers) {
+  const std::string deep =
+      std::string(450'000, '[') + std::string(450'000, ']');
+  const std::string specs[] = {R"({"x":1e999})", R"({"x":nan})", "\"\xff\"",
+                               deep};
+  for (const std::string& spec : specs) {
+    const std::string odd =
+        R"({"metadata":{"name":"odd","resourceVersion":"4"},"spec":)" + spec +
+        "}";
+    const Result<ObjectList> list = ParseObjectList(
+        "vms", R"({"metadata":{"resourceVersion":"5"},"items":[)" + odd +
+                   R"(,{"metadata":{"name":"a","resourceVersion":"3"},)"
+                   R"("spec":{"b":1}}]})");
+    CHECK(list.has_value());
+    LONGS_EQUAL(2, list.value().items.size());
+    STRCMP_EQUAL("odd", list.value().items[0].name.c_str());
+    STRCMP_EQUAL("null", list.value().items[0].spec.c_str());
+    STRCMP_EQUAL(R"({"b":1})", list.value().items[1].spec.c_str());
+    const Result<Change> change =
+        ParseWatchLine("vms", R"({"type":"ADDED","object":)" + odd + "}");
+    CHECK(change.has_value());
+    STRCMP_EQUAL("null", change.value().object.spec.c_str());
+  }
+}
+
 }  // namespace coltsfootvane::objectapi
