--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -63,7 +63,7 @@
       ++work.draining;
     else if (endpoint->stated->leaving)
       ++work.leaving;
-    else if (now < endpoint->stated->paused_until)
+    else if (IsPaused(*endpoint, now))
       ++work.paused;
     else if (now < endpoint->ejected_until)
       ++work.suspect;
