--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -344,7 +344,8 @@
     RecordOutcome(this->endpoint.get(), false, BootNow());
   this->Log(kSendFailed,
             "outcome=unknown reason=\"" + std::string(reason) + "\" endpoint=" +
-                (this->endpoint ? this->endpoint->entry.id : std::string()));
+                (this->endpoint ? this->endpoint->entry.id : std::string()) +
+                " " + this->DescribeProgress());
   this->ReleaseEndpoint(false);
   if (this->MayRetry() && TakeRetry(this->gateway, this->service, BootNow())) {
     this->TryNextEndpoint();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -90,6 +90,8 @@
   /// Returns what this daemon believes of the current endpoint, for log lines.
   std::string DescribeEndpoint() const;
   std::string DescribeAnswer() const;
+  /// Returns how far the current send came, and the parts of the prompt.
+  std::string DescribeProgress() const;
   void Log(const Event& event, std::string_view detail) const;
 
   // Defined in exchange_answer.cc: reading and forwarding the answer.
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
+#include <cinttypes>
 #include <cstdio>
+#include <gsl/span>
 #include <utility>
 
 #include "gateway/caller_connection.h"
@@ -7,6 +9,23 @@
 #include "gateway/gateway.h"
 
 namespace coltsfootvane::gateway {
+namespace {
+
+/// Returns the ids of the first parts of a prompt, for log lines.
+std::string PartList(gsl::span<const PromptPart> prompt) {
+  constexpr std::size_t kMaxListed = 6;
+  std::string list;
+  for (const PromptPart& part :
+       prompt.first(std::min(prompt.size(), kMaxListed))) {
+    char id[20];
+    std::snprintf(id, sizeof(id), "%s%" PRIx64, list.empty() ? "" : ",",
+                  part.id);
+    list += id;
+  }
+  return list;
+}
+
+}  // namespace
 
 /// Ends a request that has not been executed and tells the caller when to
 /// retry. A request that may have been executed fails instead.
@@ -128,6 +147,19 @@
   return detail;
 }
 
+std::string Exchange::DescribeProgress() const {
+  const char* answered = this->head_read ? "head" : "nothing";
+  if (this->first_event_at != TimePoint())
+    answered = "events";
+  const auto sent_ms =
+      std::chrono::duration_cast<Milliseconds>(BootNow() - this->sent_at);
+  std::string text = "answered=" + std::string(answered) +
+                     " sent_ms=" + std::to_string(sent_ms.count());
+  if (!this->info.prompt.empty())
+    text += " parts=" + PartList(this->info.prompt);
+  return text;
+}
+
 void Exchange::Log(const Event& event, std::string_view detail) const {
   this->gateway->log->Write(event, this->info.id, detail);
 }
