--- a/app/command_explain.cc
+++ b/app/command_explain.cc
@@ -30,6 +30,8 @@
       return "endpoint";
     case LineReason::kModel:
       return "model   ";
+    case LineReason::kPart:
+      return "part    ";
   }
   return "request ";
 }
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -238,6 +238,7 @@
 
 void Daemon::Tick() {
   this->gateway.connections.DropExpired();
+  this->gateway.crash_watch.Tick(BootNow());
   this->store_view.Tick();
   this->log.Flush();
   this->ForgetEndedConnections();
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -150,6 +150,29 @@
            static_cast<double>(parts.lease->Epoch()));
 }
 
+void SetQuarantine(Registry* registry,
+                   const gateway::PartQuarantine& state,
+                   TimePoint now) {
+  SetGauge(registry, "coltsfootvane_suspected_parts",
+           "Parts of prompts that stood in requests during crashes of "
+           "endpoints",
+           {}, static_cast<double>(state.ledger.suspects.size()));
+  SetGauge(registry, "coltsfootvane_quarantines",
+           "Quarantines of parts of prompts that crash endpoints", {},
+           static_cast<double>(state.quarantines.size()));
+  for (const quarantine::Quarantine& one : state.quarantines) {
+    const Labels parts = {{"parts", gateway::PartList(one.parts)}};
+    SetGauge(registry, "coltsfootvane_quarantine_crashes",
+             "Crashes that count against quarantined parts", parts,
+             one.crashes);
+    SetGauge(registry, "coltsfootvane_quarantine_observers",
+             "Daemons that have seen these crashes", parts, one.observers);
+    SetGauge(registry, "coltsfootvane_quarantine_age_seconds",
+             "Since when the parts are quarantined", parts,
+             SecondsSince(state.since.at(one.parts.front()), now));
+  }
+}
+
 void SetLogLines(Registry* registry, const DecisionLog& log) {
   const char* const name = "coltsfootvane_log_lines_left_out";
   const char* const help = "Log lines that were not written since the start";
@@ -166,6 +189,7 @@
   Registry state;
   SetServices(&state, *parts.gateway, now);
   SetBeliefs(&state, parts, now);
+  SetQuarantine(&state, parts.gateway->quarantine, now);
   SetLogLines(&state, *parts.log);
   std::vector<prometheus::MetricFamily> families =
       parts.gateway->registry.Collect();
--- a/src/daemon/daemon_metrics_unittest.cc
+++ b/src/daemon/daemon_metrics_unittest.cc
@@ -91,6 +91,31 @@
     CHECK_TEXT(Has(text, line), (std::string(line) + "\n" + text).c_str());
 }
 
+/// Operators see which parts are quarantined, since when and on what evidence.
+TEST(DaemonMetrics, ShowQuarantines) {
+  GatewayScene scene;
+  scene.gateway.quarantine.self = 1;
+  for (quarantine::CrashKey crash = 1; crash <= 3; ++crash) {
+    quarantine::Involvement seen;
+    seen.crash = crash;
+    seen.at = BootNow() - std::chrono::seconds(crash);
+    seen.answering = true;
+    seen.observers = {1};
+    RecordCrash(&scene.gateway, std::vector<quarantine::PartId>{0xab}, seen);
+  }
+  const std::string text = MetricsOf(&scene);
+  const char* const lines[] = {
+      "coltsfootvane_quarantines 1",
+      "coltsfootvane_suspected_parts 1",
+      "coltsfootvane_quarantine_crashes{parts=\"ab\"} 3",
+      "coltsfootvane_quarantine_observers{parts=\"ab\"} 1",
+      "coltsfootvane_quarantine_age_seconds{parts=\"ab\"}",
+      "coltsfootvane_gateway_quarantine_changes_total{change=\"begun\"} 1",
+  };
+  for (const char* line : lines)
+    CHECK_TEXT(Has(text, line), (std::string(line) + "\n" + text).c_str());
+}
+
 /// Every family has a help text and is listed once.
 TEST(DaemonMetrics, FamiliesHaveHelpTexts) {
   GatewayScene scene;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -47,7 +47,8 @@
     : io(io_context),
       gateway(request_gateway),
       socket(*io_context),
-      timer(*io_context) {}
+      timer(*io_context),
+      suspect_timer(*io_context) {}
 
 Result<bool> Fleet::Open(const udp::endpoint& address) {
   BoostError ec;
@@ -60,6 +61,12 @@
     return Error{ErrorCode::kInvalid, ec.message()};
   this->own_address = ToNumber(address.address());
   this->port = address.port();
+  this->gateway->quarantine.self = this->own_address;
+  this->gateway->quarantine.on_news =
+      [this](gsl::span<const quarantine::PartId> parts,
+             gateway::SuspectSource source) {
+        this->OnSuspectNews(parts, source);
+      };
   this->incarnation = static_cast<std::int64_t>(this->gateway->random() >> 2);
   this->Receive();
   this->Tick();
@@ -109,6 +116,8 @@
     this->OnAdapterRequest(datagram.adapter_request, address);
   else if (datagram.__isset.adapter_reply)
     this->OnAdapterReply(datagram.adapter_reply);
+  else if (datagram.__isset.suspects)
+    this->OnSuspects(datagram.suspects, address);
 }
 
 void Fleet::OnReport(const gen::Report& report, std::uint32_t from) {
@@ -117,6 +126,8 @@
   const auto known = this->table.members.find(from);
   const bool first_report = known == this->table.members.end() ||
                             known->second.last_heard_at == TimePoint();
+  const bool restarted =
+      first_report || known->second.report.incarnation != report.incarnation;
   const TimePoint now = BootNow();
   for (const std::int32_t member : report.members)
     this->AddPeer(
@@ -131,6 +142,8 @@
   if (is_new && this->on_seen_revisions)
     this->on_seen_revisions(
         {report.config_revision, report.endpoints_revision, true});
+  if (is_new && restarted)
+    this->SendAllSuspects(from);
   if (!is_new || !first_report)
     return;
   // Sends the known members to a daemon that was not known before.
@@ -357,7 +370,12 @@
   CopyPeerWork(this->peer_work, this->gateway->endpoint_list);
   this->gateway->daemons = 1 + CountLive(this->table, now);
   this->gateway->report_interval = this->Interval();
-  this->SendReports();
+  // News of suspects come first where both do not fit.
+  if (!IsBusyTelling(this->suspect_news))
+    this->SendReports();
+  this->UpdateTrialOrder(now);
+  this->RemindOfQuarantine(now);
+  gateway::ExpireSuspects(this->gateway, now);
   this->timer.expires_after(this->Interval());
   this->timer.async_wait([this](const BoostError& ec) {
     if (!ec)
@@ -365,6 +383,100 @@
   });
 }
 
+void Fleet::OnSuspects(const gen::Suspects& suspects, std::uint32_t from) {
+  if (from == this->own_address)
+    return;
+  const TimePoint now = BootNow();
+  const auto told = ReadSuspects(suspects, from, now);
+  PlanReplies(&this->suspect_news, this->gateway->quarantine.ledger,
+              this->gateway->quarantine.answered, told, now,
+              &this->gateway->random);
+  gateway::MergeSuspects(this->gateway, told);
+  this->SendSuspects();
+}
+
+void Fleet::OnSuspectNews(gsl::span<const quarantine::PartId> parts,
+                          gateway::SuspectSource source) {
+  const TimePoint now = BootNow();
+  if (source == gateway::SuspectSource::kCrash)
+    TellSeen(&this->suspect_news, parts, now);
+  else if (source == gateway::SuspectSource::kAnswer)
+    TellAnswered(&this->suspect_news, this->gateway->quarantine.ledger, parts,
+                 now, &this->gateway->random);
+  this->SendSuspects();
+}
+
+/// Sends what is due, and comes back while there is more.
+void Fleet::SendSuspects() {
+  if (this->suspects_scheduled || !HasNews(this->suspect_news))
+    return;
+  this->suspects_scheduled = true;
+  this->suspect_timer.expires_after(Milliseconds(0));
+  this->suspect_timer.async_wait([this](const BoostError& ec) {
+    if (!ec)
+      this->OnSuspectTimer();
+  });
+}
+
+void Fleet::OnSuspectTimer() {
+  const TimePoint now = BootNow();
+  std::vector<std::uint32_t> live;
+  for (const auto& [address, member] : this->table.members) {
+    if (IsLive(member, now))
+      live.push_back(address);
+  }
+  const std::vector<OutgoingSuspects> outgoing =
+      TakeDue(&this->suspect_news, this->gateway->quarantine.ledger,
+              this->own_address, live, now, &this->gateway->random);
+  for (const OutgoingSuspects& one : outgoing)
+    this->SendSuspectsTo(one.to, one.suspects);
+  this->suspects_scheduled = false;
+  if (!HasNews(this->suspect_news))
+    return;
+  this->suspects_scheduled = true;
+  this->suspect_timer.expires_after(kSuspectSendInterval);
+  this->suspect_timer.async_wait([this](const BoostError& ec) {
+    if (!ec)
+      this->OnSuspectTimer();
+  });
+}
+
+void Fleet::SendSuspectsTo(std::uint32_t to, const gen::Suspects& suspects) {
+  if (suspects.parts.empty())
+    return;
+  gen::Datagram datagram;
+  datagram.__set_suspects(suspects);
+  this->SendTo(to, Encode(datagram));
+}
+
+void Fleet::SendAllSuspects(std::uint32_t to) {
+  const gateway::PartQuarantine& state = this->gateway->quarantine;
+  this->SendSuspectsTo(to, AllSuspects(state.ledger, state.quarantines,
+                                       this->own_address, BootNow()));
+}
+
+/// Tells a random live daemon, so that those that missed the news hear it.
+void Fleet::RemindOfQuarantine(TimePoint now) {
+  if (this->gateway->quarantine.quarantines.empty() ||
+      now < this->suspect_news.reminder_due)
+    return;
+  this->suspect_news.reminder_due = now + kReminderInterval;
+  std::vector<std::uint32_t> live;
+  for (const auto& [address, member] : this->table.members) {
+    if (IsLive(member, now))
+      live.push_back(address);
+  }
+  if (!live.empty())
+    this->SendAllSuspects(live[this->gateway->random() % live.size()]);
+}
+
+void Fleet::UpdateTrialOrder(TimePoint now) {
+  int rank = 0;
+  for (const auto& [address, member] : this->table.members)
+    rank += IsLive(member, now) && address < this->own_address ? 1 : 0;
+  this->gateway->quarantine.rank = rank;
+}
+
 double Fleet::DemandFor(const std::string& model, TimePoint now) {
   if (now >= this->peer_demand_until) {
     this->peer_demand = SumDemand(this->table, now);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,7 @@
 
 #include "base/result.h"
 #include "fleet/member_table.h"
+#include "fleet/suspect_news.h"
 #include "gateway/gateway.h"
 
 namespace coltsfootvane::fleet {
@@ -99,6 +100,15 @@
   void OnPlacement(const gen::Placement& placement);
   void OnAdapterRequest(const gen::AdapterRequest& request, std::uint32_t from);
   void OnAdapterReply(const gen::AdapterReply& reply);
+  void OnSuspects(const gen::Suspects& suspects, std::uint32_t from);
+  void OnSuspectNews(gsl::span<const quarantine::PartId> parts,
+                     gateway::SuspectSource source);
+  void SendSuspects();
+  void OnSuspectTimer();
+  void SendSuspectsTo(std::uint32_t to, const gen::Suspects& suspects);
+  void SendAllSuspects(std::uint32_t to);
+  void RemindOfQuarantine(TimePoint now);
+  void UpdateTrialOrder(TimePoint now);
   void Tick();
   void SendReports();
   void ExpirePendingRequests(TimePoint now);
@@ -128,6 +138,9 @@
   PeerWorkByEndpoint peer_work;
   std::map<std::uint32_t, double> peer_demand;
   TimePoint peer_demand_until;
+  SuspectNews suspect_news;
+  boost::asio::steady_timer suspect_timer;
+  bool suspects_scheduled = false;
   double report_bytes = 200;  ///< Moving average of received report sizes.
 };
 
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -66,9 +66,30 @@
   3: i32 endpoint
 }
 
+// A crash of an endpoint during which requests with a part had no answer yet.
+struct CrashInvolvement {
+  1: i32 crash  // Identifies the process of the endpoint that ended.
+  2: i32 age_ms
+  3: bool answering
+  4: bool cleared
+}
+
+struct SuspectPart {
+  1: i64 part
+  2: bool answered_before
+  3: list<CrashInvolvement> involvements
+}
+
+// What the sender vouches for about parts of prompts that may crash endpoints:
+// what it has seen itself and, of quarantined parts, what it believes.
+struct Suspects {
+  1: list<SuspectPart> parts
+}
+
 union Datagram {
   1: Report report
   2: Placement placement
   3: AdapterRequest adapter_request
   4: AdapterReply adapter_reply
+  5: Suspects suspects
 }
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -1332,6 +1332,422 @@
 }
 
 
+CrashInvolvement::~CrashInvolvement() noexcept {
+}
+
+
+void CrashInvolvement::__set_crash(const int32_t val) {
+  this->crash = val;
+}
+
+void CrashInvolvement::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void CrashInvolvement::__set_answering(const bool val) {
+  this->answering = val;
+}
+
+void CrashInvolvement::__set_cleared(const bool val) {
+  this->cleared = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashInvolvement& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashInvolvement::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->crash);
+          this->__isset.crash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answering);
+          this->__isset.answering = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->cleared);
+          this->__isset.cleared = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashInvolvement::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashInvolvement");
+
+  xfer += oprot->writeFieldBegin("crash", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->crash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answering", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->answering);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cleared", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->cleared);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashInvolvement &a, CrashInvolvement &b) {
+  using ::std::swap;
+  swap(a.crash, b.crash);
+  swap(a.age_ms, b.age_ms);
+  swap(a.answering, b.answering);
+  swap(a.cleared, b.cleared);
+  swap(a.__isset, b.__isset);
+}
+
+CrashInvolvement::CrashInvolvement(const CrashInvolvement& other50) noexcept {
+  crash = other50.crash;
+  age_ms = other50.age_ms;
+  answering = other50.answering;
+  cleared = other50.cleared;
+  __isset = other50.__isset;
+}
+CrashInvolvement& CrashInvolvement::operator=(const CrashInvolvement& other51) noexcept {
+  crash = other51.crash;
+  age_ms = other51.age_ms;
+  answering = other51.answering;
+  cleared = other51.cleared;
+  __isset = other51.__isset;
+  return *this;
+}
+void CrashInvolvement::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashInvolvement(";
+  out << "crash=" << to_string(crash);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "answering=" << to_string(answering);
+  out << ", " << "cleared=" << to_string(cleared);
+  out << ")";
+}
+
+
+SuspectPart::~SuspectPart() noexcept {
+}
+
+
+void SuspectPart::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void SuspectPart::__set_answered_before(const bool val) {
+  this->answered_before = val;
+}
+
+void SuspectPart::__set_involvements(const std::vector<CrashInvolvement> & val) {
+  this->involvements = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answered_before);
+          this->__isset.answered_before = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->involvements.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->involvements.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->involvements[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.involvements = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuspectPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered_before", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->answered_before);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("involvements", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->involvements.size()));
+    std::vector<CrashInvolvement> ::const_iterator _iter57;
+    for (_iter57 = this->involvements.begin(); _iter57 != this->involvements.end(); ++_iter57)
+    {
+      xfer += (*_iter57).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectPart &a, SuspectPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.answered_before, b.answered_before);
+  swap(a.involvements, b.involvements);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectPart::SuspectPart(const SuspectPart& other58) {
+  part = other58.part;
+  answered_before = other58.answered_before;
+  involvements = other58.involvements;
+  __isset = other58.__isset;
+}
+SuspectPart& SuspectPart::operator=(const SuspectPart& other59) {
+  part = other59.part;
+  answered_before = other59.answered_before;
+  involvements = other59.involvements;
+  __isset = other59.__isset;
+  return *this;
+}
+void SuspectPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "answered_before=" << to_string(answered_before);
+  out << ", " << "involvements=" << to_string(involvements);
+  out << ")";
+}
+
+
+Suspects::~Suspects() noexcept {
+}
+
+
+void Suspects::__set_parts(const std::vector<SuspectPart> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const Suspects& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Suspects::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->parts.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->parts[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Suspects::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Suspects");
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
+    std::vector<SuspectPart> ::const_iterator _iter65;
+    for (_iter65 = this->parts.begin(); _iter65 != this->parts.end(); ++_iter65)
+    {
+      xfer += (*_iter65).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Suspects &a, Suspects &b) {
+  using ::std::swap;
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+Suspects::Suspects(const Suspects& other66) {
+  parts = other66.parts;
+  __isset = other66.__isset;
+}
+Suspects& Suspects::operator=(const Suspects& other67) {
+  parts = other67.parts;
+  __isset = other67.__isset;
+  return *this;
+}
+void Suspects::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Suspects(";
+  out << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -1355,6 +1771,11 @@
   this->adapter_reply = val;
 __isset.adapter_reply = true;
 }
+
+void Datagram::__set_suspects(const Suspects& val) {
+  this->suspects = val;
+__isset.suspects = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1415,6 +1836,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->suspects.read(iprot);
+          this->__isset.suspects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1452,6 +1881,11 @@
     xfer += this->adapter_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->suspects.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1463,22 +1897,25 @@
   swap(a.placement, b.placement);
   swap(a.adapter_request, b.adapter_request);
   swap(a.adapter_reply, b.adapter_reply);
+  swap(a.suspects, b.suspects);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other50) {
-  report = other50.report;
-  placement = other50.placement;
-  adapter_request = other50.adapter_request;
-  adapter_reply = other50.adapter_reply;
-  __isset = other50.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other51) {
-  report = other51.report;
-  placement = other51.placement;
-  adapter_request = other51.adapter_request;
-  adapter_reply = other51.adapter_reply;
-  __isset = other51.__isset;
+Datagram::Datagram(const Datagram& other68) {
+  report = other68.report;
+  placement = other68.placement;
+  adapter_request = other68.adapter_request;
+  adapter_reply = other68.adapter_reply;
+  suspects = other68.suspects;
+  __isset = other68.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other69) {
+  report = other69.report;
+  placement = other69.placement;
+  adapter_request = other69.adapter_request;
+  adapter_reply = other69.adapter_reply;
+  suspects = other69.suspects;
+  __isset = other69.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1488,6 +1925,7 @@
   out << ", " << "placement="; (__isset.placement ? (out << to_string(placement)) : (out << "<null>"));
   out << ", " << "adapter_request="; (__isset.adapter_request ? (out << to_string(adapter_request)) : (out << "<null>"));
   out << ", " << "adapter_reply="; (__isset.adapter_reply ? (out << to_string(adapter_reply)) : (out << "<null>"));
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -35,6 +35,12 @@
 
 class AdapterReply;
 
+class CrashInvolvement;
+
+class SuspectPart;
+
+class Suspects;
+
 class Datagram;
 
 typedef struct _EndpointWork__isset {
@@ -535,12 +541,175 @@
 
 std::ostream& operator<<(std::ostream& out, const AdapterReply& obj);
 
+typedef struct _CrashInvolvement__isset {
+  _CrashInvolvement__isset() : crash(false), age_ms(false), answering(false), cleared(false) {}
+  bool crash :1;
+  bool age_ms :1;
+  bool answering :1;
+  bool cleared :1;
+} _CrashInvolvement__isset;
+
+class CrashInvolvement : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashInvolvement(const CrashInvolvement&) noexcept;
+  CrashInvolvement& operator=(const CrashInvolvement&) noexcept;
+  CrashInvolvement() noexcept
+                   : crash(0),
+                     age_ms(0),
+                     answering(0),
+                     cleared(0) {
+  }
+
+  virtual ~CrashInvolvement() noexcept;
+  int32_t crash;
+  int32_t age_ms;
+  bool answering;
+  bool cleared;
+
+  _CrashInvolvement__isset __isset;
+
+  void __set_crash(const int32_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_answering(const bool val);
+
+  void __set_cleared(const bool val);
+
+  bool operator == (const CrashInvolvement & rhs) const
+  {
+    if (!(crash == rhs.crash))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(answering == rhs.answering))
+      return false;
+    if (!(cleared == rhs.cleared))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashInvolvement &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashInvolvement & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashInvolvement &a, CrashInvolvement &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashInvolvement& obj);
+
+typedef struct _SuspectPart__isset {
+  _SuspectPart__isset() : part(false), answered_before(false), involvements(false) {}
+  bool part :1;
+  bool answered_before :1;
+  bool involvements :1;
+} _SuspectPart__isset;
+
+class SuspectPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectPart(const SuspectPart&);
+  SuspectPart& operator=(const SuspectPart&);
+  SuspectPart() noexcept
+              : part(0),
+                answered_before(0) {
+  }
+
+  virtual ~SuspectPart() noexcept;
+  int64_t part;
+  bool answered_before;
+  std::vector<CrashInvolvement>  involvements;
+
+  _SuspectPart__isset __isset;
+
+  void __set_part(const int64_t val);
+
+  void __set_answered_before(const bool val);
+
+  void __set_involvements(const std::vector<CrashInvolvement> & val);
+
+  bool operator == (const SuspectPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(answered_before == rhs.answered_before))
+      return false;
+    if (!(involvements == rhs.involvements))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectPart &a, SuspectPart &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectPart& obj);
+
+typedef struct _Suspects__isset {
+  _Suspects__isset() : parts(false) {}
+  bool parts :1;
+} _Suspects__isset;
+
+class Suspects : public virtual ::apache::thrift::TBase {
+ public:
+
+  Suspects(const Suspects&);
+  Suspects& operator=(const Suspects&);
+  Suspects() noexcept {
+  }
+
+  virtual ~Suspects() noexcept;
+  std::vector<SuspectPart>  parts;
+
+  _Suspects__isset __isset;
+
+  void __set_parts(const std::vector<SuspectPart> & val);
+
+  bool operator == (const Suspects & rhs) const
+  {
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const Suspects &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Suspects & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Suspects &a, Suspects &b);
+
+std::ostream& operator<<(std::ostream& out, const Suspects& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : report(false), placement(false), adapter_request(false), adapter_reply(false) {}
+  _Datagram__isset() : report(false), placement(false), adapter_request(false), adapter_reply(false), suspects(false) {}
   bool report :1;
   bool placement :1;
   bool adapter_request :1;
   bool adapter_reply :1;
+  bool suspects :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -556,6 +725,7 @@
   Placement placement;
   AdapterRequest adapter_request;
   AdapterReply adapter_reply;
+  Suspects suspects;
 
   _Datagram__isset __isset;
 
@@ -567,6 +737,8 @@
 
   void __set_adapter_reply(const AdapterReply& val);
 
+  void __set_suspects(const Suspects& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -585,6 +757,10 @@
       return false;
     else if (__isset.adapter_reply && !(adapter_reply == rhs.adapter_reply))
       return false;
+    if (__isset.suspects != rhs.__isset.suspects)
+      return false;
+    else if (__isset.suspects && !(suspects == rhs.suspects))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -28,6 +28,13 @@
                                         "endpoint-leaving"};
 inline constexpr Event kEndpointPaused{2214, Severity::kInfo,
                                        "endpoint-paused"};
+inline constexpr Event kEndpointCrashed{2215, Severity::kWarning,
+                                        "endpoint-crashed"};
+inline constexpr Event kPartQuarantined{2216, Severity::kError,
+                                        "part-quarantined"};
+inline constexpr Event kPartReleased{2217, Severity::kInfo, "part-released"};
+inline constexpr Event kQuarantineTried{2218, Severity::kInfo,
+                                        "quarantine-tried"};
 
 }  // namespace coltsfootvane::gateway
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -58,9 +58,11 @@
       routes(owner->routes) {
   ++this->gateway->exchanges;
   ++this->gateway->traffic.requests;
+  this->gateway->open_exchanges.insert(this);
 }
 
 Exchange::~Exchange() {
+  this->gateway->open_exchanges.erase(this);
   --this->gateway->exchanges;
 }
 
@@ -71,8 +73,12 @@
     return;
   const TimePoint now = BootNow();
   CountRequest(this->gateway, this->service, now);
-  if (this->engine != nullptr)
+  if (this->engine != nullptr) {
+    this->shared_parts = SharedParts(this->info);
+    if (this->IsQuarantined())
+      return;
     RecordDemand(&this->gateway->traffic, this->info, now);
+  }
   this->timer.expires_after(TimeLeft(this->deadline, now));
   this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
     const auto self = weak.lock();
@@ -125,6 +131,8 @@
     this->OnTimeout();
     return;
   }
+  if (this->IsQuarantined())
+    return;
   const Choice choice = this->ChooseNext(now);
   if (choice.verdict == ChoiceVerdict::kNoAdapter && this->AwaitAdapter())
     return;
@@ -272,10 +280,14 @@
 void Exchange::OnConnected(std::shared_ptr<net::TcpStream> opened) {
   const bool usable =
       TakesNewWork(*this->endpoint) && !IsPaused(*this->endpoint, BootNow());
-  if (opened && usable) {
+  if (opened && usable && !this->IsQuarantined()) {
     this->WriteRequest(std::move(opened));
     return;
   }
+  if (this->finished) {
+    opened->Close();
+    return;
+  }
   if (opened)
     opened->Close();
   else
@@ -337,8 +349,77 @@
                this->ReturnAfterAll(this->ChooseNext(BootNow())));
 }
 
+/// Ends a request that would crash an endpoint, and returns whether it has. The
+/// status does not state that the request has not been executed: callers would
+/// repeat it.
+bool Exchange::IsQuarantined() {
+  if (this->shared_parts.empty() || this->tried_part)
+    return false;
+  PartQuarantine& state = this->gateway->quarantine;
+  const TimePoint now = BootNow();
+  const quarantine::Quarantine* const active = FindActiveQuarantine(
+      state, this->shared_parts, this->gateway->daemons, now);
+  if (active != nullptr) {
+    this->Fail(502, "quarantined part",
+               " parts=" + PartList(this->shared_parts));
+    return true;
+  }
+  const quarantine::Quarantine* const over =
+      quarantine::FindQuarantine(state.quarantines, this->shared_parts);
+  if (over != nullptr) {
+    this->tried_part = over->parts.front();
+    ++state.trials[*this->tried_part];
+    this->Log(kQuarantineTried, "parts=" + PartList(over->parts));
+  }
+  return false;
+}
+
+void Exchange::OnQuarantineChanged() {
+  const bool has_begun = this->first_event_at != TimePoint();
+  if (!this->finished && !has_begun && this->engine != nullptr)
+    (void)this->IsQuarantined();
+}
+
 /// The endpoint may have executed the request, and there is no complete answer.
 void Exchange::OnSendFailed(std::string_view reason) {
+  this->EndFailedSend(reason);
+  this->RetryOrFail(reason);
+}
+
+/// The connection ended before the answer. If the endpoint has crashed, this
+/// request may be the cause: it is not sent to another one, unless endpoints
+/// are known to answer such requests.
+void Exchange::OnSendBroken(const char* reason) {
+  const bool may_be_cause =
+      this->first_event_at == TimePoint() && !this->shared_parts.empty();
+  if (!may_be_cause) {
+    this->OnSendFailed(reason);
+    return;
+  }
+  const EndpointPtr broken = this->endpoint;
+  BrokenRequest request{this->shared_parts, this->head_read, BootNow()};
+  this->EndFailedSend(reason);
+  std::function<void(bool)> done;
+  const bool is_sound =
+      IsUnsuspected(this->gateway->quarantine, this->shared_parts);
+  if (!is_sound && this->MayRetry())
+    done = [weak = weak_from_this(), reason](bool crashed) {
+      const auto self = weak.lock();
+      if (!self || self->finished)
+        return;
+      if (crashed)
+        self->Fail(502, "endpoint crashed");
+      else
+        self->RetryOrFail(reason);
+    };
+  const bool waits = done != nullptr;
+  this->gateway->crash_watch.OnBroken(broken, std::move(request),
+                                      std::move(done));
+  if (!waits && !this->finished)
+    this->RetryOrFail(reason);
+}
+
+void Exchange::EndFailedSend(std::string_view reason) {
   this->gateway->metrics.CountFailedSend(this->service, "unknown", reason);
   if (this->endpoint)
     RecordOutcome(this->endpoint.get(), false, BootNow());
@@ -347,6 +428,9 @@
                 (this->endpoint ? this->endpoint->entry.id : std::string()) +
                 " " + this->DescribeProgress());
   this->ReleaseEndpoint(false);
+}
+
+void Exchange::RetryOrFail(std::string_view reason) {
   if (this->MayRetry() && TakeRetry(this->gateway, this->service, BootNow())) {
     this->TryNextEndpoint();
     return;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.h"
 #include "gateway/admission.h"
@@ -21,6 +22,7 @@
 #include "net/message.h"
 #include "net/message_parser.h"
 #include "net/tcp_stream.h"
+#include "quarantine/suspicion.h"
 
 namespace coltsfootvane::gateway {
 
@@ -42,6 +44,9 @@
   void Start();
   void OnCallerGone();
   void OnCallerDrained();
+  /// Ends the request if its parts have been quarantined and no endpoint has
+  /// begun its answer.
+  void OnQuarantineChanged();
 
  private:
   /// How the answer of the endpoint reaches the caller.
@@ -70,6 +75,10 @@
   void WriteRequest(std::shared_ptr<net::TcpStream> stream);
   void OnNotExecuted(const FailedSend& failed);
   void OnSendFailed(std::string_view reason);
+  void OnSendBroken(const char* reason);
+  void EndFailedSend(std::string_view reason);
+  void RetryOrFail(std::string_view reason);
+  bool IsQuarantined();
   void OnTimeout();
   void RefuseChoice(const Choice& choice);
   ReturnTime ReturnAfterAll(const Choice& choice) const;
@@ -79,7 +88,7 @@
   void Refuse(std::string_view reason,
               const ReturnTime& return_time,
               std::string_view inputs = {});
-  void Fail(int status, std::string_view reason);
+  void Fail(int status, std::string_view reason, std::string_view inputs = {});
   void RespondWith(int status, std::optional<Milliseconds> retry_after);
   void AddWork(int tokens);
   void EndPrefill();
@@ -123,6 +132,9 @@
   std::string service;
   const EngineSpec* engine = nullptr;
   RequestInfo info;
+  std::vector<quarantine::PartId> shared_parts;  ///< Of an engine's request.
+  /// First part of the quarantine that this request may show to be over.
+  std::optional<quarantine::PartId> tried_part;
 
   std::set<std::string> tried_endpoints;  ///< Ids of the endpoints sent to.
   int sends = 0;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -206,6 +206,8 @@
       this->BeginForwarding(std::nullopt);
     if (this->prefill_tokens > 0)
       this->EndPrefill();
+    if (this->first_event_at == TimePoint())
+      RecordAnsweredParts(this->gateway, this->shared_parts);
     this->ObserveEvent();
     this->caller->SendBody(event->bytes);
     if (event->id)
@@ -262,7 +264,7 @@
   // Reset, or the endpoint has not responded for too long.
   if (end == net::StreamEnd::kFailed && !this->head_read)
     Eject(this->endpoint.get(), BootNow());
-  this->OnSendFailed(end == net::StreamEnd::kClosed ? "connection closed"
+  this->OnSendBroken(end == net::StreamEnd::kClosed ? "connection closed"
                                                     : "connection failed");
 }
 
@@ -294,6 +296,8 @@
 
 void Exchange::OnBufferedAnswer() {
   const bool failed = this->answer.status >= 500;
+  if (IsSuccess(this->answer.status))
+    RecordAnsweredParts(this->gateway, this->shared_parts);
   RecordOutcome(this->endpoint.get(), !failed, BootNow());
   const bool reusable = this->IsReusable();
   const bool retry = failed && this->MayRetry() &&
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -1,7 +1,5 @@
 #include <algorithm>
-#include <cinttypes>
 #include <cstdio>
-#include <gsl/span>
 #include <utility>
 
 #include "gateway/caller_connection.h"
@@ -9,24 +7,6 @@
 #include "gateway/gateway.h"
 
 namespace coltsfootvane::gateway {
-namespace {
-
-/// Returns the ids of the first parts of a prompt, for log lines.
-std::string PartList(gsl::span<const PromptPart> prompt) {
-  constexpr std::size_t kMaxListed = 6;
-  std::string list;
-  for (const PromptPart& part :
-       prompt.first(std::min(prompt.size(), kMaxListed))) {
-    char id[20];
-    std::snprintf(id, sizeof(id), "%s%" PRIx64, list.empty() ? "" : ",",
-                  part.id);
-    list += id;
-  }
-  return list;
-}
-
-}  // namespace
-
 /// Ends a request that has not been executed and tells the caller when to
 /// retry. A request that may have been executed fails instead.
 void Exchange::Refuse(std::string_view reason,
@@ -49,13 +29,16 @@
   this->RespondWith(503, return_time.earliest + Milliseconds(jitter));
 }
 
-void Exchange::Fail(int status, std::string_view reason) {
+void Exchange::Fail(int status,
+                    std::string_view reason,
+                    std::string_view inputs) {
   if (this->finished)
     return;
   this->CountOutcome(Outcome::kFailed, reason);
   this->Log(kRequestFailed, "status=" + std::to_string(status) + " reason=\"" +
                                 std::string(reason) +
-                                "\" sends=" + std::to_string(this->sends));
+                                "\" sends=" + std::to_string(this->sends) +
+                                std::string(inputs));
   if (this->forwarding) {
     const auto connection = this->caller;
     this->Finish();
@@ -114,6 +97,10 @@
 
 void Exchange::Finish() {
   this->finished = true;
+  if (this->tried_part) {
+    --this->gateway->quarantine.trials[*this->tried_part];
+    this->tried_part.reset();
+  }
   this->timer.cancel();
   this->ReleaseEndpoint(false);
 }
@@ -155,8 +142,8 @@
       std::chrono::duration_cast<Milliseconds>(BootNow() - this->sent_at);
   std::string text = "answered=" + std::string(answered) +
                      " sent_ms=" + std::to_string(sent_ms.count());
-  if (!this->info.prompt.empty())
-    text += " parts=" + PartList(this->info.prompt);
+  if (!this->shared_parts.empty())
+    text += " parts=" + PartList(this->shared_parts);
   return text;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,13 +9,16 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "entry/retry_budget.h"
+#include "gateway/crash_watch.h"
 #include "gateway/endpoint.h"
 #include "gateway/endpoint_connections.h"
 #include "gateway/events.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/part_quarantine.h"
 #include "gateway/routing_table.h"
 #include "gateway/traffic.h"
 #include "gateway/wire_format.h"
@@ -39,6 +42,8 @@
                                           const std::string& adapter,
                                           std::function<void(bool)> done)>;
 
+class Exchange;
+
 /// State shared by all requests of a daemon. Used on the event loop only.
 struct Gateway {
   explicit Gateway(boost::asio::io_context* io_context)
@@ -68,6 +73,9 @@
   TimePoint last_stream_at;
   TimePoint last_request_at;
   int exchanges = 0;  ///< Requests in progress.
+  std::unordered_set<Exchange*> open_exchanges;
+  PartQuarantine quarantine;  ///< Of parts of prompts that crash endpoints.
+  CrashWatch crash_watch{this};
 };
 
 /// Applies a configuration if it is newer than the current one. Returns false
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -91,7 +91,14 @@
       notices(AddCounter(registry,
                          "coltsfootvane_gateway_endpoint_notices_total",
                          "Endpoints that have stated in an answer that they "
-                         "leave or want no requests for a while")) {}
+                         "leave or want no requests for a while")),
+      crashes(AddCounter(registry,
+                         "coltsfootvane_gateway_endpoint_crashes_total",
+                         "Endpoints that ended with requests unanswered")),
+      quarantines(AddCounter(registry,
+                             "coltsfootvane_gateway_quarantine_changes_total",
+                             "Parts of prompts that were quarantined or "
+                             "released, since they crash endpoints")) {}
 
 void GatewayMetrics::CountRequest(const Route* route,
                                   std::string_view service,
@@ -151,4 +158,12 @@
   this->notices->Add(labels).Increment();
 }
 
+void GatewayMetrics::CountCrash(std::string_view service) {
+  this->crashes->Add(ServiceLabel(service)).Increment();
+}
+
+void GatewayMetrics::CountQuarantine(std::string_view change) {
+  this->quarantines->Add({{"change", std::string(change)}}).Increment();
+}
+
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -54,6 +54,10 @@
   void CountResumedStream(std::string_view service);
   /// `notice` is `leaving` or `paused`.
   void CountNotice(std::string_view service, std::string_view notice);
+  /// Counts an endpoint that ended with requests unanswered.
+  void CountCrash(std::string_view service);
+  /// `change` is `begun` or `ended`.
+  void CountQuarantine(std::string_view change);
 
  private:
   template <class T>
@@ -69,6 +73,8 @@
   Family<prometheus::Counter>* retries;
   Family<prometheus::Counter>* resumed;
   Family<prometheus::Counter>* notices;
+  Family<prometheus::Counter>* crashes;
+  Family<prometheus::Counter>* quarantines;
 };
 
 }  // namespace coltsfootvane::gateway
--- a/src/log/explain.cc
+++ b/src/log/explain.cc
@@ -23,6 +23,17 @@
   return std::string(value.substr(0, value.find(' ')));
 }
 
+/// Splits a list at its commas.
+std::vector<std::string> ItemsOf(std::string_view list) {
+  std::vector<std::string> items;
+  while (!list.empty()) {
+    const std::size_t end = list.find(',');
+    items.emplace_back(list.substr(0, end));
+    list.remove_prefix(end == std::string_view::npos ? list.size() : end + 1);
+  }
+  return items;
+}
+
 std::optional<LogLine> ReadLine(std::string_view text) {
   constexpr std::string_view kTime = "time=";
   const std::size_t at = text.find(kTime);
@@ -37,6 +48,7 @@
   if (line.model.empty())
     line.model = ValueOf(line.text, "load");
   line.process = ValueOf(line.text, "process");
+  line.parts = ItemsOf(ValueOf(line.text, "parts"));
   return line;
 }
 
@@ -45,6 +57,7 @@
   std::set<std::string> processes;
   std::set<std::string> endpoints;
   std::set<std::string> models;
+  std::set<std::string> parts;
   double first_s = 0;
   double last_s = 0;
 };
@@ -56,7 +69,7 @@
     if (line.request != request)
       continue;
     if (!subject)
-      subject = Subject{{}, {}, {}, line.time_s, line.time_s};
+      subject = Subject{{}, {}, {}, {}, line.time_s, line.time_s};
     subject->first_s = std::min(subject->first_s, line.time_s);
     subject->last_s = std::max(subject->last_s, line.time_s);
     subject->processes.insert(line.process);
@@ -64,16 +77,29 @@
       subject->endpoints.insert(line.endpoint);
     if (!line.model.empty())
       subject->models.insert(line.model);
+    subject->parts.insert(line.parts.begin(), line.parts.end());
   }
   return subject;
 }
 
+bool HasAll(const std::set<std::string>& set,
+            gsl::span<const std::string> items) {
+  return std::all_of(items.begin(), items.end(),
+                     [&set](const auto& item) { return set.count(item) > 0; });
+}
+
 /// Returns why the line is part of the story, if it is.
 std::optional<LineReason> ReasonOf(const LogLine& line,
                                    const Subject& subject,
                                    std::string_view request) {
   if (line.request == request)
     return LineReason::kRequest;
+  // A quarantine may have begun long before.
+  if (line.request.empty() && !line.parts.empty() &&
+      line.time_s <= subject.last_s)
+    return HasAll(subject.parts, line.parts)
+               ? std::optional<LineReason>(LineReason::kPart)
+               : std::nullopt;
   const bool near = line.time_s >= subject.first_s - kBeforeS &&
                     line.time_s <= subject.last_s + kAfterS;
   if (!line.request.empty() || !near)
@@ -124,7 +150,8 @@
   std::set<std::string> seen;
   const auto repeated = [&seen](const StoryLine& one) {
     return (one.reason == LineReason::kEndpoint ||
-            one.reason == LineReason::kModel) &&
+            one.reason == LineReason::kModel ||
+            one.reason == LineReason::kPart) &&
            !seen.insert(WithoutWriter(one.line)).second;
   };
   story.erase(std::remove_if(story.begin(), story.end(), repeated),
--- a/src/log/explain.h
+++ b/src/log/explain.h
@@ -16,6 +16,7 @@
   std::string endpoint;
   std::string model;
   std::string process;
+  std::vector<std::string> parts;  ///< Of a prompt, or of a quarantine.
 };
 
 /// Why a line is part of the story of a request.
@@ -24,6 +25,7 @@
   kProcess,   ///< What the daemon that decided believed.
   kEndpoint,  ///< It is about an endpoint that the request was sent to.
   kModel,     ///< It is about the model that was asked for.
+  kPart,      ///< It is about a quarantine of parts of its prompt.
 };
 
 struct StoryLine {
--- a/src/log/explain_unittest.cc
+++ b/src/log/explain_unittest.cc
@@ -52,6 +52,24 @@
   }
 }
 
+/// A quarantine is part of the story however long ago it began, if the prompt
+/// has all its parts.
+TEST(Explain, ShowsQuarantinesOfPartsOfThePrompt) {
+  const std::vector<LogLine> lines = ReadLogLines(
+      "time=10.000 process=d1 event=2216 part-quarantined parts=b crashes=3\n"
+      "time=10.001 process=d2 event=2216 part-quarantined parts=b crashes=3\n"
+      "time=11.000 process=d1 event=2216 part-quarantined parts=b,x crashes=3\n"
+      "time=12.000 process=d1 event=2216 part-quarantined parts=y crashes=4\n"
+      "time=900.000 process=d1 event=2204 request-failed request=r1 "
+      "reason=\"quarantined part\" sends=0 parts=a,b\n"
+      "time=950.000 process=d1 event=2217 part-released parts=b\n");
+  const std::vector<StoryLine> story = Explain(lines, "r1");
+  LONGS_EQUAL(2, story.size());
+  CHECK(story[0].reason == LineReason::kPart);
+  DOUBLES_EQUAL(10, story[0].line.time_s, 1e-9);
+  CHECK(story[1].reason == LineReason::kRequest);
+}
+
 TEST(Explain, UnknownRequestsHaveNoStory) {
   CHECK(Explain(ReadLogLines(kLogs), "r9").empty());
   CHECK(Explain({}, "r1").empty());
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -257,4 +257,32 @@
       });
 }
 
+void CheckListening(boost::asio::io_context* io,
+                    const tcp::endpoint& address,
+                    Milliseconds timeout,
+                    std::function<void(ListenState)> done) {
+  struct PendingCheck {
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+  };
+  auto pending = std::make_shared<PendingCheck>(
+      PendingCheck{tcp::socket(*io), boost::asio::steady_timer(*io)});
+  pending->timer.expires_after(timeout);
+  pending->timer.async_wait([pending](const BoostError& ec) {
+    BoostError ignored;
+    if (!ec)
+      pending->socket.close(ignored);
+  });
+  pending->socket.async_connect(
+      address, [pending, done = std::move(done)](const BoostError& ec) {
+        pending->timer.cancel();
+        if (!ec)
+          done(ListenState::kListening);
+        else if (ec == boost::asio::error::connection_refused)
+          done(ListenState::kRefused);
+        else
+          done(ListenState::kUnreachable);
+      });
+}
+
 }  // namespace coltsfootvane::net
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -93,6 +93,18 @@
              Milliseconds failure_detection,
              ConnectHandler handler);
 
+enum class ListenState {
+  kListening,
+  kRefused,      ///< The host runs, and no process listens at the address.
+  kUnreachable,  ///< No answer within the time allowed.
+};
+
+/// Finds out whether a process listens at the address. Nothing is sent.
+void CheckListening(boost::asio::io_context* io,
+                    const tcp::endpoint& address,
+                    Milliseconds timeout,
+                    std::function<void(ListenState)> done);
+
 }  // namespace coltsfootvane::net
 
 #endif  // COLTSFOOTVANE_NET_TCP_STREAM_H_
--- /dev/null
+++ b/tests/integration/crash_test.cc
@@ -0,0 +1,98 @@
+#include <signal.h>
+
+#include <algorithm>
+#include <string>
+
+#include "crash_site.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using testing::CrashSite;
+using testing::CrashSiteCall;
+
+namespace {
+
+/// The rule: not more requests than this reach engines later than that after
+/// the fifth crash.
+constexpr int kMaxLateArrivals = 3;
+constexpr Milliseconds kContactTime{3000};
+constexpr std::size_t kLastFreeCrash = 5;
+/// What will not be sent is answered within this time.
+constexpr Milliseconds kAnswerTime{200};
+
+int CountLateArrivals(const CrashSite& site) {
+  if (site.crashes.size() < kLastFreeCrash)
+    return 0;
+  const TimePoint from = site.crashes[kLastFreeCrash - 1] + kContactTime;
+  return static_cast<int>(
+      std::count_if(site.deadly_arrivals.begin(), site.deadly_arrivals.end(),
+                    [from](TimePoint at) { return at > from; }));
+}
+
+/// Returns the share of the sound calls sent from then on that were answered.
+double ShareServed(const CrashSite& site, TimePoint from) {
+  double sound = 0;
+  double served = 0;
+  for (const CrashSiteCall& call : site.calls) {
+    if (call.deadly || call.sent < from)
+      continue;
+    ++sound;
+    served += call.status == 200 ? 1 : 0;
+  }
+  return sound == 0 ? 0 : served / sound;
+}
+
+}  // namespace
+
+TEST_GROUP(Crashes){};
+
+/// Guards against requests with one part that crash one engine after the other
+/// (BUDGET): daemons that each see a few of the crashes have to find the part
+/// together, and one that starts later has to hear of it.
+TEST(Crashes, PartsThatCrashEnginesStopReachingThem) {
+  CrashSite site(3, 6, 1);
+  CHECK(site.Start());
+  site.StartCalls(60, 0);
+  site.RunFor(2000);
+  site.StopCalls();
+  const TimePoint begin = Clock::now();
+  site.StartCalls(60, 0.1);
+  site.RunFor(4000);
+  site.daemons[2]->process->Signal(SIGKILL);
+  site.RunFor(200);
+  site.daemons[2]->Start();
+  CHECK(site.daemons[2]->AwaitReady());
+  const TimePoint restarted = Clock::now();
+  site.RunFor(5000);
+  site.StopCalls();
+  CHECK(site.RunUntil([&] { return site.in_progress == 0; }, 7000));
+  CHECK(CountLateArrivals(site) <= kMaxLateArrivals);
+  CHECK(site.crashes.size() < 2 * kLastFreeCrash);
+  CHECK(ShareServed(site, begin + 2 * kContactTime) > 0.9);
+  for (const CrashSiteCall& call : site.calls) {
+    if (!call.deadly || call.sent < restarted + Milliseconds(1000))
+      continue;
+    CHECK_EQUAL(502, call.status);
+    CHECK(call.ended - call.sent < kAnswerTime);
+  }
+  CHECK(site.daemons[0]->Log().find("part-quarantined parts=dead") !=
+        std::string::npos);
+}
+
+/// Guards against the quarantine of sound parts when engines end for another
+/// cause.
+TEST(Crashes, KilledEnginesBlameNoPart) {
+  CrashSite site(3, 6, 2);
+  CHECK(site.Start());
+  site.StartCalls(60, 0);
+  for (int i = 0; i < 8; ++i) {
+    site.RunFor(400);
+    site.KillEngine();
+  }
+  site.RunFor(1000);
+  site.StopCalls();
+  CHECK(site.RunUntil([&] { return site.in_progress == 0; }, 7000));
+  for (const auto& daemon : site.daemons)
+    CHECK(daemon->Log().find("part-quarantined") == std::string::npos);
+}
--- a/tests/support/gateway_scene.cc
+++ b/tests/support/gateway_scene.cc
@@ -82,10 +82,19 @@
       stream->CloseAfterWrite();
     else if (answer.then == ScriptedAnswer::Then::kReset)
       stream->Reset();
+    else if (answer.then == ScriptedAnswer::Then::kCrash)
+      this->Crash();
     else
       this->SendEndless(stream);
   }
 
+  void Crash() {
+    BoostError ignored;
+    this->acceptor.close(ignored);
+    for (const auto& stream : this->streams)
+      stream->CloseAfterWrite();
+  }
+
   void SendEndless(net::TcpStream* stream) {
     const std::size_t index = this->scene->received.size() - 1;
     if (this->scene->received.empty() || index >= this->scene->answers.size() ||
@@ -168,6 +177,18 @@
   UpdateEndpointList(&this->gateway);
 }
 
+void GatewayScene::MakeEngines() {
+  gateway::EngineSpec engine;
+  engine.slots = 8;
+  engine.models.resize(1);
+  engine.models[0].name = "m";
+  auto table = std::make_shared<gateway::RoutingTable>(*this->gateway.routes);
+  table->services[0].engine = engine;
+  this->gateway.routes = table;
+  for (const gateway::EndpointPtr& endpoint : this->gateway.endpoint_list)
+    endpoint->entry.models = {{"m", {}}};
+}
+
 std::string GatewayScene::Call(const std::string& request,
                                Milliseconds leave_after) {
   tcp::socket socket(this->io);
--- a/tests/support/gateway_scene.h
+++ b/tests/support/gateway_scene.h
@@ -16,7 +16,13 @@
 
 /// What an endpoint does once it has read a request.
 struct ScriptedAnswer {
-  enum class Then { kKeep, kClose, kReset };
+  enum class Then {
+    kKeep,
+    kClose,
+    kReset,
+    kCrash,  ///< The endpoint ends: all its connections, and it listens no
+             ///< more.
+  };
   std::string bytes;
   Then then = Then::kKeep;
   std::string endless =
@@ -32,6 +38,8 @@
 
   /// Adds an endpoint of the service `s`.
   void AddEndpoint(const std::string& id);
+  /// Makes `s` a service of engines that all hold the model `m`.
+  void MakeEngines();
   /// Sends `request` on a new connection and returns all bytes up to its end.
   /// The connection is closed by the caller after `leave_after`, if that is
   /// set.
--- a/tests/support/loopback_server.cc
+++ b/tests/support/loopback_server.cc
@@ -34,6 +34,13 @@
          std::to_string(this->address.port());
 }
 
+void LoopbackServer::Stop() {
+  BoostError ignored;
+  this->acceptor.close(ignored);
+  for (const auto& stream : this->streams)
+    stream->CloseAfterWrite();
+}
+
 void LoopbackServer::Accept() {
   this->acceptor.async_accept(
       [this](const BoostError& ec, net::tcp::socket peer) {
--- a/tests/support/loopback_server.h
+++ b/tests/support/loopback_server.h
@@ -32,6 +32,8 @@
   const net::tcp::endpoint& Address() const { return this->address; }
   /// Returns `IP:PORT`.
   std::string AddressText() const;
+  /// Ends as a process does: listens no more and closes all connections.
+  void Stop();
 
  private:
   void Accept();
