Daemon, gateway: Take nothing late in a planned stop that may not be answered

What callers saw: in a planned stop, requests sent 4.3 to 5.3 s after the signal were passed on and cut off without an answer when the time was over, among them requests that may not be repeated (LOST). Cause: plain requests were taken until 2 s before the end, whatever their deadline, and the process ended with requests in progress. Change: from 2.8 s on a request is taken only if its deadline passes before the end, and is refused as not run otherwise. What is left at the end gets a final answer: 502 if it may have run, 503 if it has not.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -211,8 +211,8 @@
     return;
   this->gateway.leaving = true;
   this->shutdown = BeginShutdown(this->settings.stop_timeout, BootNow());
-  this->gateway.last_stream_at = this->shutdown.last_stream_at;
   this->gateway.last_request_at = this->shutdown.last_request_at;
+  this->gateway.last_answer_at = this->shutdown.last_answer_at;
   this->CloseIdleConnections();
   this->lease.Release();
   this->fleet.ReportNow();
@@ -243,14 +243,18 @@
   this->log.Flush();
   this->ForgetEndedConnections();
   this->CheckSettingsFile();
-  const bool complete =
-      this->gateway.leaving &&
-      IsComplete(&this->shutdown, this->gateway.exchanges, BootNow());
-  if (complete) {
-    this->io.stop();
-    return;
+  const TimePoint now = BootNow();
+  TimePoint next = now + kTick;
+  if (this->gateway.leaving) {
+    if (now >= this->shutdown.last_answer_at)
+      gateway::EndOpenRequests(&this->gateway);
+    if (IsComplete(&this->shutdown, this->gateway.exchanges, now)) {
+      this->io.stop();
+      return;
+    }
+    next = NextCheck(this->shutdown, now, kTick);
   }
-  this->ticker.expires_after(kTick);
+  this->ticker.expires_after(TimeLeft(next, now) + Milliseconds(1));
   this->ticker.async_wait([this](const BoostError& ec) {
     if (!ec)
       this->Tick();
--- a/src/daemon/shutdown.cc
+++ b/src/daemon/shutdown.cc
@@ -1,5 +1,7 @@
 #include "daemon/shutdown.h"
 
+#include <algorithm>
+
 namespace coltsfootvane::daemon {
 namespace {
 
@@ -7,12 +9,14 @@
 constexpr Milliseconds kTurnAwayTime{3500};
 /// For the last answers to reach callers that read slowly.
 constexpr Milliseconds kLastAnswer{600};
-/// Streams that begin later in a shutdown are left to other daemons.
-constexpr Milliseconds kLastStream{2800};
-/// Left at the end of a shutdown for other requests that are in progress.
-constexpr Milliseconds kLastRequests{2000};
-/// Left for the end of the process before it would be killed.
-constexpr Milliseconds kStopMargin{600};
+/// Until then callers may not know better than to come here.
+constexpr Milliseconds kLastRequest{2800};
+/// Left for requests that are in progress, however short the shutdown is.
+constexpr Milliseconds kLeftForRequests{2000};
+/// Left for the final answers, and for the end of the process before it would
+/// be killed.
+constexpr Milliseconds kFinalAnswers{200};
+constexpr Milliseconds kStopMargin{400};
 
 }  // namespace
 
@@ -20,11 +24,23 @@
   Shutdown shutdown;
   shutdown.began = now;
   shutdown.ends = now + stop_timeout - kStopMargin;
-  shutdown.last_stream_at = now + kLastStream;
-  shutdown.last_request_at = shutdown.ends - kLastRequests;
+  shutdown.last_answer_at = shutdown.ends - kFinalAnswers;
+  shutdown.last_request_at =
+      std::min(now + kLastRequest, shutdown.last_answer_at - kLeftForRequests);
   return shutdown;
 }
 
+TimePoint NextCheck(const Shutdown& shutdown,
+                    TimePoint now,
+                    Milliseconds interval) {
+  TimePoint next = now + interval;
+  for (const TimePoint due : {shutdown.last_answer_at, shutdown.ends}) {
+    if (due > now)
+      next = std::min(next, due);
+  }
+  return next;
+}
+
 bool IsComplete(Shutdown* shutdown, int requests_in_progress, TimePoint now) {
   if (now >= shutdown->ends)
     return true;
--- a/src/daemon/shutdown.h
+++ b/src/daemon/shutdown.h
@@ -9,16 +9,24 @@
 /// the process would be killed.
 struct Shutdown {
   TimePoint began;
-  TimePoint ends;  ///< At the latest.
-  /// Later streams and other requests could not be completed.
-  TimePoint last_stream_at;
+  /// Requests that arrive later are taken only if their deadline passes before
+  /// `last_answer_at`.
   TimePoint last_request_at;
+  /// Requests that are still in progress get a final answer.
+  TimePoint last_answer_at;
+  TimePoint ends;       ///< At the latest.
   TimePoint last_busy;  ///< When a request was last in progress.
 };
 
 /// `stop_timeout` is the time from the signal until the process is killed.
 Shutdown BeginShutdown(Milliseconds stop_timeout, TimePoint now);
 
+/// Returns when the state of the shutdown next has to be examined, at most
+/// `interval` from now.
+TimePoint NextCheck(const Shutdown& shutdown,
+                    TimePoint now,
+                    Milliseconds interval);
+
 /// Returns whether the process can end: callers have had the time to turn to
 /// other daemons, and the last answers to reach them.
 bool IsComplete(Shutdown* shutdown, int requests_in_progress, TimePoint now);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -102,17 +102,14 @@
     this->Fail(404, "no route");
     return false;
   }
-  const TimePoint refuse_from = this->route->kind == RouteKind::kStreaming
-                                    ? this->gateway->last_stream_at
-                                    : this->gateway->last_request_at;
-  if (this->gateway->leaving && BootNow() >= refuse_from) {
-    this->Refuse("shutdown", ReturnAfter(kShutdownRetryAfter));
-    return false;
-  }
   Milliseconds allowed = this->route->timeout;
   if (this->info.time_left)
     allowed = std::min(allowed, *this->info.time_left);
   this->deadline = this->received + allowed;
+  if (this->gateway->leaving && !this->FitsIntoShutdown()) {
+    this->Refuse("shutdown", ReturnAfter(kShutdownRetryAfter));
+    return false;
+  }
   this->service = ChooseService(*this->route,
                                 Hash64(this->info.id, this->gateway->random()));
   const Service* const found = FindService(*this->routes, this->service);
@@ -125,6 +122,22 @@
   return true;
 }
 
+/// Returns whether the request is answered before the process ends, or came so
+/// early in the shutdown that its caller could not know better.
+bool Exchange::FitsIntoShutdown() const {
+  return BootNow() < this->gateway->last_request_at ||
+         this->deadline < this->gateway->last_answer_at;
+}
+
+void Exchange::OnShutdownOver() {
+  if (this->finished)
+    return;
+  if (this->possible_executions > 0)
+    this->Fail(502, "shutdown");
+  else
+    this->Refuse("shutdown", ReturnAfter(kShutdownRetryAfter));
+}
+
 void Exchange::TryNextEndpoint() {
   const TimePoint now = BootNow();
   if (now + kMinTimeForSend >= this->deadline) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -47,6 +47,8 @@
   /// Ends the request if its parts have been quarantined and no endpoint has
   /// begun its answer.
   void OnQuarantineChanged();
+  /// Ends the request with a final answer, since the process ends.
+  void OnShutdownOver();
 
  private:
   /// How the answer of the endpoint reaches the caller.
@@ -66,6 +68,7 @@
 
   // Defined in exchange.cc: routing and sending.
   bool FindRoute();
+  bool FitsIntoShutdown() const;
   void TryNextEndpoint();
   Choice ChooseNext(TimePoint now);
   bool AwaitAdapter();
--- a/src/gateway/exchange_end_unittest.cc
+++ b/src/gateway/exchange_end_unittest.cc
@@ -96,20 +96,20 @@
   LONGS_EQUAL(11, scene.received.size());
 }
 
-/// During shutdown, a request that could not be completed before the process
-/// ends is refused as not executed. Streams take longer than other requests.
+/// During shutdown, a request that might not be completed before the process
+/// ends is refused as not executed.
 TEST(ExchangeEnd, LateRequestsDuringShutdownAreRefused) {
   struct Row {
-    const char* path;
-    int last_stream_ms;   ///< From now.
+    const char* path;     ///< Its timeout is 600 ms.
     int last_request_ms;  ///< From now.
+    int last_answer_ms;   ///< From now.
     const char* status;
   };
-  const Row rows[] = {{"/unsafe/", -1, 5000, "200"},
-                      {"/unsafe/", -1, -1, "503"},
-                      {"/safe/", 5000, -1, "503"},
-                      {"/stream/", -1, 5000, "503"},
-                      {"/stream/", 5000, 5000, "200"}};
+  const Row rows[] = {
+      {"/unsafe/", 5000, 5000, "200"}, {"/unsafe/", -1, 500, "503"},
+      {"/unsafe/", -1, 5000, "200"},   {"/safe/", -1, 500, "503"},
+      {"/safe/", -1, 5000, "200"},     {"/stream/", -1, 500, "503"},
+      {"/stream/", -1, 5000, "200"},   {"/stream/", 5000, 500, "200"}};
   for (const Row& row : rows) {
     GatewayScene scene;
     scene.AddEndpoint("e1");
@@ -118,8 +118,8 @@
          "Server-Signature: p\r\nContent-Length: 0\r\n\r\n"}};
     scene.gateway.leaving = true;
     const TimePoint now = BootNow();
-    scene.gateway.last_stream_at = now + Milliseconds(row.last_stream_ms);
     scene.gateway.last_request_at = now + Milliseconds(row.last_request_ms);
+    scene.gateway.last_answer_at = now + Milliseconds(row.last_answer_ms);
     const std::string answer = scene.Call(CallerRequest(row.path));
     CHECK_TEXT(Has(answer, std::string("HTTP/1.1 ") + row.status), row.path);
     CHECK_TEXT(Has(answer, "Connection: close"), row.path);
@@ -127,3 +127,30 @@
                      row.path);
   }
 }
+
+/// Guards against requests that are cut off when the time of a shutdown is
+/// over: each gets an answer, which says "not run" only if that is true.
+TEST(ExchangeEnd, RequestsLeftAtTheEndOfAShutdownAreAnswered) {
+  struct Row {
+    const char* path;
+    const char* sent;  ///< By the endpoint before the end.
+    const char* status;
+  };
+  const Row rows[] = {
+      {"/unsafe/", "", "HTTP/1.1 502"},
+      {"/safe/", "", "HTTP/1.1 502"},
+      {"/stream/", "", "HTTP/1.1 502"},
+      {"/unsafe/", "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n", "HTTP/1.1 502"},
+  };
+  for (const Row& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    scene.answers = {{row.sent}};
+    boost::asio::steady_timer over(scene.io);
+    over.expires_after(Milliseconds(60));
+    over.async_wait([&scene](const boost::system::error_code&) {
+      EndOpenRequests(&scene.gateway);
+    });
+    CHECK_TEXT(Has(scene.Call(CallerRequest(row.path)), row.status), row.path);
+  }
+}
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/exchange.h"
+
 namespace coltsfootvane::gateway {
 namespace {
 
@@ -54,6 +56,20 @@
     gateway->endpoint_list.push_back(endpoint);
 }
 
+void EndOpenRequests(Gateway* gateway) {
+  for (const std::shared_ptr<Exchange>& exchange : OpenExchanges(*gateway))
+    exchange->OnShutdownOver();
+}
+
+std::vector<std::shared_ptr<Exchange>> OpenExchanges(const Gateway& gateway) {
+  std::vector<std::shared_ptr<Exchange>> open;
+  for (Exchange* const exchange : gateway.open_exchanges) {
+    if (auto held = exchange->weak_from_this().lock())
+      open.push_back(std::move(held));
+  }
+  return open;
+}
+
 void RecordNotice(Gateway* gateway,
                   const EndpointPtr& endpoint,
                   const EndpointNotice& notice,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,10 +68,10 @@
   AdapterRequest request_adapter;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
-  /// During shutdown, streams and other requests that arrive at or after these
-  /// times are refused, as they could not be completed.
-  TimePoint last_stream_at;
+  /// During shutdown, requests that arrive from then on are refused, unless
+  /// their deadline passes before `last_answer_at`.
   TimePoint last_request_at;
+  TimePoint last_answer_at;
   int exchanges = 0;  ///< Requests in progress.
   std::unordered_set<Exchange*> open_exchanges;
   PartQuarantine quarantine;  ///< Of parts of prompts that crash endpoints.
@@ -86,6 +86,12 @@
 /// endpoints that were removed.
 void UpdateEndpointList(Gateway* gateway);
 
+/// Returns the requests in progress. They may end while they are visited.
+std::vector<std::shared_ptr<Exchange>> OpenExchanges(const Gateway& gateway);
+
+/// Gives all requests in progress a final answer, at the end of a shutdown.
+void EndOpenRequests(Gateway* gateway);
+
 /// Applies what an endpoint has stated in an answer, and logs what is new.
 void RecordNotice(Gateway* gateway,
                   const EndpointPtr& endpoint,
--- a/src/gateway/part_quarantine.cc
+++ b/src/gateway/part_quarantine.cc
@@ -38,10 +38,7 @@
 
 /// Ends the requests in progress that have become subject to a quarantine.
 void EndQuarantinedRequests(Gateway* gateway) {
-  std::vector<std::shared_ptr<Exchange>> open;
-  for (Exchange* const exchange : gateway->open_exchanges)
-    open.push_back(exchange->shared_from_this());
-  for (const std::shared_ptr<Exchange>& exchange : open)
+  for (const std::shared_ptr<Exchange>& exchange : OpenExchanges(*gateway))
     exchange->OnQuarantineChanged();
 }
 
