Gateway: Show no answer as complete whose endpoint crashed within it

A stream without an event is broken. Result: of ten rows of ExchangeCrash.BrokenAnswersAreNotShownAsComplete three fail without the change: a stream and a body cut by a crash, and a stream without an event. Heads that stop midway, closed or reset, were told as 502 before and are now.

--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -9,8 +9,6 @@
 
 /// Within this time the store shows that a process has ended.
 constexpr Milliseconds kRemovalTime{5000};
-/// A host that does not answer within this time may be cut off.
-constexpr Milliseconds kListenCheckTimeout{700};
 
 }  // namespace
 
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -13,6 +13,9 @@
 
 struct Gateway;
 
+/// A host that does not answer within this time may be cut off.
+inline constexpr Milliseconds kListenCheckTimeout{700};
+
 /// A request whose connection ended before the first event of its answer.
 struct BrokenRequest {
   std::vector<quarantine::PartId> parts;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -116,6 +116,7 @@
   void ForwardBody(const std::string& bytes);
   void ForwardEvents();
   void ObserveEvent();
+  void OnUnframedEnd();
   void OnAnswerDone();
   void OnBufferedAnswer();
   bool IsAcceptable() const;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -258,7 +258,7 @@
 void Exchange::OnEnd(net::StreamEnd end) {
   if (end == net::StreamEnd::kClosed && this->parser->EndsWithConnection() &&
       this->head_read && this->mode != Mode::kDiscarded) {
-    this->OnAnswerDone();
+    this->OnUnframedEnd();
     return;
   }
   // Reset, or the endpoint has not responded for too long.
@@ -268,6 +268,28 @@
                                                     : "connection failed");
 }
 
+/// An answer without a length ends with its connection, and so does that of an
+/// endpoint that crashes meanwhile. Nothing listens at the address of the
+/// latter.
+void Exchange::OnUnframedEnd() {
+  if (!TakesNewWork(*this->endpoint)) {
+    this->OnAnswerDone();
+    return;
+  }
+  net::CheckListening(
+      this->gateway->io, this->endpoint->entry.address, kListenCheckTimeout,
+      [weak = weak_from_this(),
+       current = this->send_generation](net::ListenState state) {
+        const auto self = weak.lock();
+        if (!self || self->finished || self->send_generation != current)
+          return;
+        if (state == net::ListenState::kRefused)
+          self->OnSendBroken("endpoint crashed");
+        else
+          self->OnAnswerDone();
+      });
+}
+
 void Exchange::OnAnswerDone() {
   if (this->mode == Mode::kBuffered) {
     this->OnBufferedAnswer();
@@ -277,6 +299,11 @@
     this->OnSendFailed("stream ends within an event");
     return;
   }
+  const bool has_events = this->first_event_at != TimePoint();
+  if (this->mode == Mode::kEvents && !has_events && !this->parser->Done()) {
+    this->OnSendFailed("stream ends without an event");
+    return;
+  }
   if (!this->forwarding)
     this->BeginForwarding(std::nullopt);
   const TimePoint now = BootNow();
--- a/src/gateway/exchange_crash_unittest.cc
+++ b/src/gateway/exchange_crash_unittest.cc
@@ -233,3 +233,75 @@
   CHECK(FindActiveQuarantine(state, parts, kDaemons,
                              one.until + std::chrono::hours(1)) != nullptr);
 }
+
+/// Guards against an answer without a length that is shown as complete although
+/// its endpoint has crashed within it, and against a head that stops midway.
+TEST(ExchangeCrash, BrokenAnswersAreNotShownAsComplete) {
+  const std::string unframed =
+      "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nServer-Signature: p\r\n";
+  const std::string stream =
+      unframed + "Content-Type: text/event-stream\r\n\r\n";
+  const std::string event = "id: 1\ndata: a\n\n";
+  struct Row {
+    const char* name;
+    const char* path;
+    ScriptedAnswer answer;
+    const char* status;
+    bool complete;
+  };
+  const std::vector<Row> rows = {
+      {"a stream", "/stream/", {stream + event, Then::kClose}, "200", true},
+      {"a stream cut by a crash",
+       "/stream/",
+       {stream + event, Then::kCrash},
+       "200",
+       false},
+      {"a stream without an event",
+       "/stream/",
+       {stream, Then::kClose},
+       "502",
+       true},
+      {"a stream cut within an event",
+       "/stream/",
+       {stream + event + "id: 2\nda", Then::kClose},
+       "200",
+       false},
+      {"a body",
+       "/unsafe/",
+       {unframed + "\r\nbooked", Then::kClose},
+       "200",
+       true},
+      {"a body cut by a crash",
+       "/unsafe/",
+       {unframed + "\r\nboo", Then::kCrash},
+       "502",
+       true},
+      {"half a head, closed",
+       "/unsafe/",
+       {unframed, Then::kClose},
+       "502",
+       true},
+      {"half a head, reset", "/unsafe/", {unframed, Then::kReset}, "502", true},
+      {"half a refusal, closed",
+       "/unsafe/",
+       {"HTTP/1.1 503 Busy\r\nRequest-Id: id1\r\nNot-Executed: 1\r\n",
+        Then::kClose},
+       "502",
+       true},
+      {"half a refusal, reset",
+       "/unsafe/",
+       {"HTTP/1.1 421 Other\r\nRequest-Id: id1\r\nNot-Execu", Then::kReset},
+       "502",
+       true},
+  };
+  for (const Row& row : rows) {
+    const auto scene = MakeScene();
+    scene->answers = {row.answer};
+    const std::string answer = scene->Call(Request(row.path));
+    CHECK_TEXT(Has(answer, std::string("HTTP/1.1 ") + row.status), row.name);
+    const bool complete =
+        Has(answer, "\r\n0\r\n\r\n") || Has(answer, "Content-Length: ");
+    CHECK_EQUAL_TEXT(row.complete, complete, (row.name + answer).c_str());
+    CHECK_EQUAL_TEXT(1U, scene->received.size(), row.name);
+  }
+}
