Gateway: Serve requests that have arrived when a shutdown begins

Cause: idle connections were closed at once; closing one with unread bytes resets it. Change: a connection with unread bytes is not idle; the request is served, or refused as not run, and the connection closed after the answer. Result: ExchangeEnd.RequestsThatCrossAShutdownAreAnswered fails without the change. Bytes still on the wire cross the close as before.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -234,7 +234,7 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (this->phase == Phase::kIdle)
+  if (this->phase == Phase::kIdle && !this->stream->HasUnreadBytes())
     this->Close();
 }
 
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -36,7 +36,7 @@
   /// Returns whether too many answer bytes are waiting to be sent.
   bool IsCongested() const;
 
-  /// Closes the connection if no request is in progress.
+  /// Closes the connection if no request is in progress or has arrived unread.
   void CloseIfIdle();
 
  private:
--- a/src/gateway/exchange_end_unittest.cc
+++ b/src/gateway/exchange_end_unittest.cc
@@ -1,3 +1,7 @@
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -154,3 +158,32 @@
     CHECK_TEXT(Has(scene.Call(CallerRequest(row.path)), row.status), row.path);
   }
 }
+
+/// Guards against a request that has arrived on an idle connection when a
+/// shutdown begins: closing the connection would reset it unanswered.
+TEST(ExchangeEnd, RequestsThatCrossAShutdownAreAnswered) {
+  GatewayScene scene;
+  scene.AddEndpoint("e1");
+  scene.answers = {
+      {"HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n"
+       "Server-Signature: p\r\nContent-Length: 0\r\n\r\n"}};
+  net::tcp::acceptor acceptor(scene.io,
+                              {boost::asio::ip::make_address("127.0.0.1"), 0});
+  net::tcp::socket caller(scene.io);
+  caller.connect(acceptor.local_endpoint());
+  const auto connection = std::make_shared<gateway::CallerConnection>(
+      &scene.gateway, std::make_shared<net::TcpStream>(acceptor.accept()));
+  connection->Start();
+  boost::asio::write(caller, boost::asio::buffer(CallerRequest("/unsafe/")));
+  scene.gateway.leaving = true;
+  scene.gateway.last_request_at = BootNow() + Milliseconds(2000);
+  connection->CloseIfIdle();
+  std::string answer;
+  bool ended = false;
+  boost::asio::async_read(caller, boost::asio::dynamic_buffer(answer),
+                          [&ended](const boost::system::error_code&,
+                                   std::size_t) { ended = true; });
+  CHECK(scene.RunUntil([&ended] { return ended; }));
+  CHECK(Has(answer, "HTTP/1.1 200"));
+  CHECK(Has(answer, "Connection: close"));
+}
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -171,6 +171,11 @@
     current->on_drained();
 }
 
+bool TcpStream::HasUnreadBytes() const {
+  BoostError ec;
+  return this->IsOpen() && this->socket.available(ec) > 0 && !ec;
+}
+
 void TcpStream::PauseReading() {
   this->paused = true;
 }
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -56,6 +56,8 @@
   void Reset();
 
   bool IsOpen() const { return this->socket.is_open() && !this->ended; }
+  /// Returns whether bytes have arrived that the owner has not seen yet.
+  bool HasUnreadBytes() const;
   std::size_t UnsentBytes() const { return this->unsent.size(); }
 
  private:
