Fleet, gateway: Split the files that had grown by duty

Change: requests for adapters and news of suspects have files of their own, and so have requests that may crash endpoints; no behaviour changes.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -10,7 +10,6 @@
 namespace {
 
 using boost::asio::ip::udp;
-using gateway::KeyOf;
 using BoostError = boost::system::error_code;
 
 constexpr Milliseconds kReportInterval{250};
@@ -20,9 +19,6 @@
 constexpr double kDatagramHeaderBytes = 28;  // IP and UDP.
 /// Weight of a new report in the moving average of report sizes.
 constexpr double kReportSizeWeight = 1.0 / 64;
-/// A reply normally takes a few ms. Without one, the adapter request fails
-/// after this time.
-constexpr Milliseconds kAdapterRequestTimeout{150};
 /// Sums of demand are used for this time.
 constexpr Milliseconds kDemandSumInterval{200};
 constexpr std::size_t kMaxMembersInReport = 60;
@@ -183,99 +179,6 @@
   }
 }
 
-void Fleet::OnAdapterRequest(const gen::AdapterRequest& request,
-                             std::uint32_t from) {
-  const auto reply = [this, from,
-                      number = request.number](std::uint32_t endpoint) {
-    gen::AdapterReply answer;
-    answer.number = number;
-    answer.ready = endpoint != 0;
-    answer.endpoint = static_cast<std::int32_t>(endpoint);
-    gen::Datagram datagram;
-    datagram.__set_adapter_reply(answer);
-    this->SendTo(from, Encode(datagram));
-  };
-  if (!this->loader) {
-    reply(0);
-    return;
-  }
-  this->loader(request.service_name, request.model, request.adapter, reply);
-}
-
-void Fleet::OnAdapterReply(const gen::AdapterReply& reply) {
-  const auto found = this->pending_requests.find(reply.number);
-  if (found == this->pending_requests.end())
-    return;
-  const PendingRequest request = std::move(found->second);
-  this->pending_requests.erase(found);
-  if (reply.ready)
-    this->RecordAdapter(static_cast<std::uint32_t>(reply.endpoint),
-                        request.adapter_name);
-  request.done(reply.ready);
-}
-
-void Fleet::RecordAdapter(std::uint32_t endpoint_key,
-                          const std::string& adapter_name) {
-  for (const gateway::EndpointPtr& endpoint : this->gateway->endpoint_list) {
-    if (endpoint->key == endpoint_key)
-      endpoint->adapters.insert(KeyOf(adapter_name));
-  }
-}
-
-void Fleet::RequestAdapter(const std::string& service,
-                           const std::string& model,
-                           const std::string& adapter,
-                           std::function<void(bool)> done) {
-  const std::string name = gateway::AdapterName(model, adapter);
-  if (this->loader) {
-    this->loader(service, model, adapter,
-                 [this, name, done = std::move(done)](std::uint32_t endpoint) {
-                   if (endpoint != 0)
-                     this->RecordAdapter(endpoint, name);
-                   done(endpoint != 0);
-                 });
-    return;
-  }
-  const TimePoint now = BootNow();
-  const std::uint32_t holder = FindHolder(this->table, now);
-  if (holder == 0) {
-    boost::asio::post(*this->io, [done = std::move(done)] { done(false); });
-    return;
-  }
-  const std::int64_t number = ++this->last_request_number;
-  this->pending_requests[number] = {name, std::move(done),
-                                    now + kAdapterRequestTimeout};
-  gen::AdapterRequest request;
-  request.number = number;
-  request.service_name = service;
-  request.model = model;
-  request.adapter = adapter;
-  gen::Datagram datagram;
-  datagram.__set_adapter_request(request);
-  this->SendTo(holder, Encode(datagram));
-  auto expiry = std::make_shared<boost::asio::steady_timer>(*this->io);
-  expiry->expires_after(kAdapterRequestTimeout);
-  expiry->async_wait([this, expiry](const BoostError& ec) {
-    if (!ec)
-      this->ExpirePendingRequests(BootNow());
-  });
-}
-
-void Fleet::ExpirePendingRequests(TimePoint now) {
-  std::vector<PendingRequest> expired;
-  for (auto it = this->pending_requests.begin();
-       it != this->pending_requests.end();) {
-    if (it->second.expires_at > now) {
-      ++it;
-      continue;
-    }
-    expired.push_back(std::move(it->second));
-    it = this->pending_requests.erase(it);
-  }
-  for (const PendingRequest& request : expired)
-    request.done(false);
-}
-
 void Fleet::Publish(const std::vector<EnginePlacement>& engines) {
   gen::Placement placement;
   placement.lease_epoch = this->lease_epoch;
@@ -383,107 +286,13 @@
   });
 }
 
-void Fleet::OnSuspects(const gen::Suspects& suspects, std::uint32_t from) {
-  if (from == this->own_address)
-    return;
-  const TimePoint now = BootNow();
-  const auto told = ReadSuspects(suspects, from, now);
-  PlanReplies(&this->suspect_news, this->gateway->quarantine.ledger,
-              this->gateway->quarantine.answered, told, now,
-              &this->gateway->random);
-  gateway::MergeSuspects(this->gateway, told);
-  this->SendSuspects();
-}
-
-void Fleet::OnSuspectNews(gsl::span<const quarantine::PartId> parts,
-                          gateway::SuspectSource source) {
-  const TimePoint now = BootNow();
-  if (source == gateway::SuspectSource::kCrash)
-    TellSeen(&this->suspect_news, parts, now);
-  else if (source == gateway::SuspectSource::kAnswer)
-    TellAnswered(&this->suspect_news, this->gateway->quarantine.ledger, parts,
-                 now, &this->gateway->random);
-  this->SendSuspects();
-}
-
-/// Sends what is due, and comes back while there is more.
-void Fleet::SendSuspects() {
-  if (this->suspects_scheduled || !HasNews(this->suspect_news))
-    return;
-  this->suspects_scheduled = true;
-  this->suspect_timer.expires_after(Milliseconds(0));
-  this->suspect_timer.async_wait([this](const BoostError& ec) {
-    if (!ec)
-      this->OnSuspectTimer();
-  });
-}
-
-void Fleet::OnSuspectTimer() {
-  const TimePoint now = BootNow();
-  std::vector<std::uint32_t> live;
-  for (const auto& [address, member] : this->table.members) {
-    if (IsLive(member, now))
-      live.push_back(address);
-  }
-  const std::vector<OutgoingSuspects> outgoing =
-      TakeDue(&this->suspect_news, this->gateway->quarantine.ledger,
-              this->own_address, live, now, &this->gateway->random);
-  for (const OutgoingSuspects& one : outgoing)
-    this->SendSuspectsTo(one.to, one.suspects);
-  this->suspects_scheduled = false;
-  if (!HasNews(this->suspect_news))
-    return;
-  this->suspects_scheduled = true;
-  this->suspect_timer.expires_after(kSuspectSendInterval);
-  this->suspect_timer.async_wait([this](const BoostError& ec) {
-    if (!ec)
-      this->OnSuspectTimer();
-  });
-}
-
-void Fleet::SendSuspectsTo(std::uint32_t to, const gen::Suspects& suspects) {
-  if (suspects.parts.empty())
-    return;
-  gen::Datagram datagram;
-  datagram.__set_suspects(suspects);
-  this->SendTo(to, Encode(datagram));
-}
-
-void Fleet::SendAllSuspects(std::uint32_t to) {
-  const gateway::PartQuarantine& state = this->gateway->quarantine;
-  this->SendSuspectsTo(to, AllSuspects(state.ledger, state.quarantines,
-                                       this->own_address, BootNow()));
-}
-
-/// Tells a random live daemon, so that those that missed the news hear it.
-void Fleet::RemindOfQuarantine(TimePoint now) {
-  if (this->gateway->quarantine.quarantines.empty() ||
-      now < this->suspect_news.reminder_due)
-    return;
-  this->suspect_news.reminder_due = now + kReminderInterval;
-  std::vector<std::uint32_t> live;
-  for (const auto& [address, member] : this->table.members) {
-    if (IsLive(member, now))
-      live.push_back(address);
-  }
-  if (!live.empty())
-    this->SendAllSuspects(live[this->gateway->random() % live.size()]);
-}
-
-void Fleet::UpdateTrialOrder(TimePoint now) {
-  int rank = 0;
-  for (const auto& [address, member] : this->table.members)
-    rank += IsLive(member, now) && address < this->own_address ? 1 : 0;
-  this->gateway->quarantine.rank = rank;
-}
-
 double Fleet::DemandFor(const std::string& model, TimePoint now) {
   if (now >= this->peer_demand_until) {
     this->peer_demand = SumDemand(this->table, now);
     this->peer_demand_until = now + kDemandSumInterval;
   }
   const auto own = this->gateway->traffic.demand.find(model);
-  const auto peers = this->peer_demand.find(KeyOf(model));
+  const auto peers = this->peer_demand.find(gateway::KeyOf(model));
   return (own == this->gateway->traffic.demand.end()
               ? 0
               : gateway::DemandAt(own->second, now).ms_per_s) +
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -19,8 +19,6 @@
 /// Time within which an unavailable endpoint is expected to return or to be
 /// replaced.
 constexpr Milliseconds kEndpointRetryAfter{800};
-/// During shutdown. It is short, as the retry reaches another daemon.
-constexpr Milliseconds kShutdownRetryAfter{20};
 /// Number of sends up to which a request that was refused as not executed is
 /// sent to another endpoint. Further endpoints rarely have room.
 constexpr int kMaxRefusedSends = 3;
@@ -129,15 +127,6 @@
          this->deadline < this->gateway->last_answer_at;
 }
 
-void Exchange::OnShutdownOver() {
-  if (this->finished)
-    return;
-  if (this->possible_executions > 0)
-    this->Fail(502, "shutdown");
-  else
-    this->Refuse("shutdown", ReturnAfter(kShutdownRetryAfter));
-}
-
 void Exchange::TryNextEndpoint() {
   const TimePoint now = BootNow();
   if (now + kMinTimeForSend >= this->deadline) {
@@ -362,76 +351,12 @@
                this->ReturnAfterAll(this->ChooseNext(BootNow())));
 }
 
-/// Ends a request that would crash an endpoint, and returns whether it has. The
-/// status does not state that the request has not been executed: callers would
-/// repeat it.
-bool Exchange::IsQuarantined() {
-  if (this->shared_parts.empty() || this->tried_part)
-    return false;
-  PartQuarantine& state = this->gateway->quarantine;
-  const TimePoint now = BootNow();
-  const quarantine::Quarantine* const active = FindActiveQuarantine(
-      state, this->shared_parts, this->gateway->daemons, now);
-  if (active != nullptr) {
-    this->Fail(502, "quarantined part",
-               " parts=" + PartList(this->shared_parts));
-    return true;
-  }
-  const quarantine::Quarantine* const over =
-      quarantine::FindQuarantine(state.quarantines, this->shared_parts);
-  if (over != nullptr) {
-    this->tried_part = over->parts.front();
-    ++state.trials[*this->tried_part];
-    this->Log(kQuarantineTried, "parts=" + PartList(over->parts));
-  }
-  return false;
-}
-
-void Exchange::OnQuarantineChanged() {
-  const bool has_begun = this->first_event_at != TimePoint();
-  if (!this->finished && !has_begun && this->engine != nullptr)
-    (void)this->IsQuarantined();
-}
-
 /// The endpoint may have executed the request, and there is no complete answer.
 void Exchange::OnSendFailed(std::string_view reason) {
   this->EndFailedSend(reason);
   this->RetryOrFail(reason);
 }
 
-/// The connection ended before the answer. If the endpoint has crashed, this
-/// request may be the cause: it is not sent to another one, unless endpoints
-/// are known to answer such requests.
-void Exchange::OnSendBroken(const char* reason) {
-  const bool may_be_cause =
-      this->first_event_at == TimePoint() && !this->shared_parts.empty();
-  if (!may_be_cause) {
-    this->OnSendFailed(reason);
-    return;
-  }
-  const EndpointPtr broken = this->endpoint;
-  BrokenRequest request{this->shared_parts, this->head_read, BootNow()};
-  this->EndFailedSend(reason);
-  std::function<void(bool)> done;
-  const bool is_sound =
-      IsUnsuspected(this->gateway->quarantine, this->shared_parts);
-  if (!is_sound && this->MayRetry())
-    done = [weak = weak_from_this(), reason](bool crashed) {
-      const auto self = weak.lock();
-      if (!self || self->finished)
-        return;
-      if (crashed)
-        self->Fail(502, "endpoint crashed");
-      else
-        self->RetryOrFail(reason);
-    };
-  const bool waits = done != nullptr;
-  this->gateway->crash_watch.OnBroken(broken, std::move(request),
-                                      std::move(done));
-  if (!waits && !this->finished)
-    this->RetryOrFail(reason);
-}
-
 void Exchange::EndFailedSend(std::string_view reason) {
   this->gateway->metrics.CountFailedSend(this->service, "unknown", reason);
   if (this->endpoint)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -29,6 +29,10 @@
 class CallerConnection;
 struct Gateway;
 
+/// Retry delay during shutdown. It is short, as the retry reaches another
+/// daemon.
+inline constexpr Milliseconds kShutdownRetryAfter{20};
+
 /// Handles one request from its arrival to the end of its answer: routes it,
 /// sends it to an endpoint, retries at other endpoints where the route allows
 /// that, and forwards the answer.
@@ -78,14 +82,16 @@
   void WriteRequest(std::shared_ptr<net::TcpStream> stream);
   void OnNotExecuted(const FailedSend& failed);
   void OnSendFailed(std::string_view reason);
-  void OnSendBroken(const char* reason);
   void EndFailedSend(std::string_view reason);
   void RetryOrFail(std::string_view reason);
-  bool IsQuarantined();
   void OnTimeout();
   void RefuseChoice(const Choice& choice);
   ReturnTime ReturnAfterAll(const Choice& choice) const;
 
+  // Defined in exchange_crash.cc: requests that may crash endpoints.
+  void OnSendBroken(const char* reason);
+  bool IsQuarantined();
+
   // Defined in exchange_end.cc: the end of the request.
   // Refuse() tells the caller when to retry; Fail() suggests no retry.
   void Refuse(std::string_view reason,
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -48,6 +48,15 @@
   this->RespondWith(status, std::nullopt);
 }
 
+void Exchange::OnShutdownOver() {
+  if (this->finished)
+    return;
+  if (this->possible_executions > 0)
+    this->Fail(502, "shutdown");
+  else
+    this->Refuse("shutdown", ReturnAfter(kShutdownRetryAfter));
+}
+
 void Exchange::RespondWith(int status,
                            std::optional<Milliseconds> retry_after) {
   const auto connection = this->caller;
