Daemon: Keep the evidence against quarantined parts in the store

What callers saw: after the end of all daemons at once, the part that had been quarantined crashed three or four more engines before it was found again. Cause: the evidence was in the memory of the daemons alone, and those that start hear of it from those that run. Change: the holder of the planner's lease writes the evidence of quarantines to one object when they begin or end; every daemon reads it at its start.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -73,6 +73,7 @@
              &this->log,
              orders::Metered(this->deployment.engines, &this->gateway.registry),
              daemon_settings.store_load_limit),
+      quarantine_record(&this->io, &this->store, &this->gateway),
       signals(this->io, SIGTERM, SIGINT, SIGHUP),
       ticker(this->io),
       settings_written(LastWrite(this->deployment.settings_path)) {
@@ -107,6 +108,7 @@
   this->registry.Start();
   this->lease.Start();
   this->orders.Start();
+  this->quarantine_record.Start();
   this->Tick();
   this->io.run();
   this->log.Write(kDaemonStopped, "",
@@ -239,6 +241,7 @@
 void Daemon::Tick() {
   this->gateway.connections.DropExpired();
   this->gateway.crash_watch.Tick(BootNow());
+  this->quarantine_record.Tick(this->lease.MaySendOrder(BootNow()), BootNow());
   this->store_view.Tick();
   this->log.Flush();
   this->ForgetEndedConnections();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -11,6 +11,7 @@
 
 #include "daemon/daemon_settings.h"
 #include "daemon/deployment.h"
+#include "daemon/quarantine_record.h"
 #include "daemon/shutdown.h"
 #include "daemon/store_view.h"
 #include "fleet/daemon_registry.h"
@@ -66,6 +67,7 @@
   fleet::DaemonRegistry registry;
   orders::LeaseManager lease;
   orders::EngineOrders orders;
+  QuarantineRecord quarantine_record;
   boost::asio::signal_set signals;
   boost::asio::steady_timer ticker;
   std::vector<std::weak_ptr<gateway::CallerConnection>> connections;
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -17,6 +17,9 @@
 inline constexpr Event kEndpointUnreadable{2407, Severity::kWarning,
                                            "endpoint-unreadable"};
 
+inline constexpr Event kQuarantineNotRecorded{2408, Severity::kWarning,
+                                              "quarantine-not-recorded"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
