--- a/tests/integration/crash_site.h
+++ b/tests/integration/crash_site.h
@@ -39,6 +39,7 @@
   bool RunUntil(const std::function<bool()>& condition, int milliseconds);
   /// Ends an engine for no request's sake.
   void KillEngine();
+  void After(Milliseconds delay, std::function<void()> action);
 
   boost::asio::io_context io;
   StoreStandin store;
@@ -65,7 +66,6 @@
   void Stop(Engine* engine);
   void Register();
   void SendNext();
-  void After(Milliseconds delay, std::function<void()> action);
 
   std::string host;
   std::mt19937 random;
--- a/tests/integration/crash_test.cc
+++ b/tests/integration/crash_test.cc
@@ -1,6 +1,10 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+#include <sstream>
 #include <string>
 
 #include "crash_site.h"
@@ -43,10 +47,90 @@
   return sound == 0 ? 0 : served / sound;
 }
 
+int NumberOf(const char* variable, int fallback) {
+  const char* const text = std::getenv(variable);
+  return text == nullptr ? fallback : std::atoi(text);
+}
+
+/// Disturbs engines, daemons and the store one after the other, at random times
+/// and overlapping, while requests crash engines.
+void Disturb(CrashSite* site, std::mt19937* random) {
+  const auto pick = [random](int count) {
+    return static_cast<int>((*random)() % static_cast<unsigned>(count));
+  };
+  const auto daemon =
+      static_cast<std::size_t>(pick(static_cast<int>(site->daemons.size())));
+  testing::Process& process = *site->daemons[daemon]->process;
+  const int pause_ms = 300 + pick(2000);
+  switch (pick(4)) {
+    case 0:
+      site->KillEngine();
+      break;
+    case 1:
+      process.Kill();
+      site->daemons[daemon]->Start();
+      break;
+    case 2:
+      process.Signal(SIGSTOP);
+      site->After(Milliseconds(pause_ms), [site, daemon] {
+        site->daemons[daemon]->process->Signal(SIGCONT);
+      });
+      break;
+    default:
+      site->store.faults.silent = true;
+      site->After(Milliseconds(pause_ms),
+                  [site] { site->store.faults.silent = false; });
+  }
+}
+
+/// Returns the parts that a daemon has quarantined without the deadly one.
+std::string BlamedParts(const CrashSite& site) {
+  std::string blamed;
+  for (const auto& daemon : site.daemons) {
+    std::istringstream log(daemon->Log());
+    for (std::string line; std::getline(log, line);) {
+      if (line.find("part-quarantined") != std::string::npos &&
+          line.find("dead") == std::string::npos)
+        blamed += line + "\n";
+    }
+  }
+  return blamed;
+}
+
 }  // namespace
 
 TEST_GROUP(Crashes){};
 
+// Requests that crash engines beside engines that are killed, daemons that are
+// killed or stand still, and a silent store. By hand: SOAK_SEED=1 SOAK_RUNS=50.
+TEST(Crashes, RuleHoldsBesideSeededDisturbances) {
+  constexpr int kSeed = 20261205;
+  constexpr int kDisturbances = 8;
+  const int first = NumberOf("SOAK_SEED", kSeed);
+  for (int seed = first; seed < first + NumberOf("SOAK_RUNS", 1); ++seed) {
+    std::mt19937 random(static_cast<unsigned>(seed));
+    CrashSite site(3, 6, static_cast<unsigned>(seed));
+    CHECK(site.Start());
+    site.StartCalls(60, 0);
+    site.RunFor(1000);
+    site.StopCalls();
+    site.StartCalls(60, 0.02 + 0.01 * static_cast<double>(random() % 20));
+    for (int i = 0; i < kDisturbances; ++i) {
+      site.RunFor(300 + static_cast<int>(random() % 1200));
+      Disturb(&site, &random);
+    }
+    site.RunFor(3000);
+    site.StopCalls();
+    const std::string text = "seed " + std::to_string(seed) + ": " +
+                             std::to_string(site.crashes.size()) +
+                             " crashes, " +
+                             std::to_string(CountLateArrivals(site)) + " late";
+    std::printf("\n%s", text.c_str());
+    CHECK_TEXT(CountLateArrivals(site) <= kMaxLateArrivals, text.c_str());
+    STRCMP_EQUAL_TEXT("", BlamedParts(site).c_str(), text.c_str());
+  }
+}
+
 /// Guards against requests with one part that crash one engine after the other
 /// (BUDGET): daemons that each see a few of the crashes have to find the part
 /// together, and one that starts later has to hear of it.
