--- a/tests/integration/crash_site.cc
+++ b/tests/integration/crash_site.cc
@@ -39,7 +39,12 @@
               {{"slots", 64},
                {"weightsMb", 1000},
                {"loadsPerS", 1},
-               {"models", {{{"name", "m"}, {"weightsMb", 500}}}}}}}}},
+               {"adapterSlots", 5000},
+               {"models",
+                {{{"name", "m"},
+                  {"weightsMb", 500},
+                  {"adapters", 5000},
+                  {"adapterSizeMb", 0.01}}}}}}}}},
           {"limits",
            {{"maxHeaderBytes", 16384},
             {"maxBodyBytes", 100000},
@@ -118,14 +123,11 @@
                           const ReceivedRequest& request,
                           const StreamPtr& stream) {
   if (request.head.target == "/report") {
-    Reply(
-        stream, 200,
-        R"({"phase":"unified","models":[{"name":"m","version":1,"adapters":[]}],)"
-        R"("busy":false,"sequence":0,"queued":0,"active":0})");
+    Report(*engine, stream);
     return;
   }
   if (request.head.target == "/order") {
-    Reply(stream, 200, "");
+    this->Order(engine, request, stream);
     return;
   }
   if (IsDeadly(request))
@@ -135,6 +137,30 @@
   });
 }
 
+void CrashSite::Report(const Engine& engine, const StreamPtr& stream) {
+  const Json report = {
+      {"phase", "unified"},
+      {"models",
+       {{{"name", "m"}, {"version", 1}, {"adapters", engine.adapters}}}},
+      {"busy", false},
+      {"sequence", engine.sequence},
+      {"queued", 0},
+      {"active", 0}};
+  Reply(stream, 200, report.dump());
+}
+
+void CrashSite::Order(Engine* engine,
+                      const ReceivedRequest& request,
+                      const StreamPtr& stream) {
+  const Json order = Json::parse(request.body);
+  this->orders.push_back({engine->id, order.value("leaseHolder", ""),
+                          order.value("fencingToken", 0), Clock::now()});
+  ++engine->sequence;
+  if (order.contains("adapter"))
+    engine->adapters.push_back(order["adapter"]);
+  Reply(stream, 202, "");
+}
+
 void CrashSite::Answer(Engine* engine,
                        const ReceivedRequest& request,
                        const StreamPtr& stream) {
@@ -214,7 +240,7 @@
   head.fields = {{"Request-Id", "id" + id},
                  {"Deadline-Ms", "4000"},
                  {"Host", "h"},
-                 {"Model", "m"},
+                 {"Model", this->asks_for_adapters ? "m/a" + id : "m"},
                  {"Token-Usage", "100,50"},
                  {"Prompt-Prefix",
                   "f1:50," + subject + ":20," +
--- a/tests/integration/crash_site.h
+++ b/tests/integration/crash_site.h
@@ -25,6 +25,14 @@
   int status = 0;
 };
 
+/// An order that reached an engine.
+struct CrashSiteOrder {
+  std::string engine;
+  std::string holder;
+  int fencing_token = 0;
+  TimePoint at;
+};
+
 /// Several real daemons before engines that end when they begin to answer a
 /// prompt with one part. An engine is back after a second, under another id.
 class CrashSite {
@@ -34,6 +42,8 @@
   bool Start();
   /// Lets callers ask all daemons in turn, about `per_s` times a second.
   void StartCalls(int per_s, double deadly_share);
+  /// Lets requests ask for another adapter each, which has to be loaded.
+  void AskForAdapters() { this->asks_for_adapters = true; }
   void StopCalls() { this->interval = Milliseconds(0); }
   void RunFor(int milliseconds);
   bool RunUntil(const std::function<bool()>& condition, int milliseconds);
@@ -46,7 +56,8 @@
   std::vector<std::unique_ptr<GatewayProcess>> daemons;
   std::vector<TimePoint> crashes;          ///< By requests.
   std::vector<TimePoint> deadly_arrivals;  ///< At engines.
-  std::vector<CrashSiteCall> calls;        ///< That have ended.
+  std::vector<CrashSiteOrder> orders;
+  std::vector<CrashSiteCall> calls;  ///< That have ended.
   int in_progress = 0;
 
  private:
@@ -54,12 +65,19 @@
     std::string id;
     std::unique_ptr<LoopbackServer> server;
     bool up = true;
+    int sequence = 0;  ///< Orders accepted.
+    std::vector<std::string> adapters;
   };
 
   void AddEngine();
   void OnRequest(Engine* engine,
                  const ReceivedRequest& request,
                  const std::shared_ptr<net::TcpStream>& stream);
+  static void Report(const Engine& engine,
+                     const std::shared_ptr<net::TcpStream>& stream);
+  void Order(Engine* engine,
+             const ReceivedRequest& request,
+             const std::shared_ptr<net::TcpStream>& stream);
   void Answer(Engine* engine,
               const ReceivedRequest& request,
               const std::shared_ptr<net::TcpStream>& stream);
@@ -74,6 +92,7 @@
   boost::asio::steady_timer pace;
   Milliseconds interval{0};
   double deadly_share = 0;
+  bool asks_for_adapters = false;
   int last_call = 0;
 };
 
