Tests: Write stray refusals on kept connections only

Cause: the stand-in wrote each seventh refusal without an id on whatever connection, also on a new one. On that no earlier request can have been refused, and the daemon believes an answer without an id there, as the protocol has it (docs/platform.md). Under load more connections are opened. Change: each seventh request on a kept connection has the stray, as the line above the test says, and the test checks that there were some.

--- a/tests/integration/replica_test.cc
+++ b/tests/integration/replica_test.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cstdio>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -288,13 +289,17 @@
 TEST(Replicas, RefusalsWithoutAnIdAreNotBelieved) {
   ReplicaSite site(2);
   CHECK_TEXT(site.Start(), site.daemon.process->DescribeEnd().c_str());
-  int requests = 0;
+  int requests_on_kept = 0;
+  int strays = 0;
+  std::set<StreamPtr> kept;  ///< Connections that have carried a request.
   for (const auto& replica : site.replicas) {
-    replica->answer = [&requests, raw = replica.get()](
-                          const ReceivedRequest& request,
-                          const StreamPtr& stream) {
+    replica->answer = [&, raw = replica.get()](const ReceivedRequest& request,
+                                               const StreamPtr& stream) {
       constexpr int kStrayEvery = 7;
-      if (++requests % kStrayEvery == 0)
+      const bool is_kept = !kept.insert(stream).second;
+      const bool is_stray = is_kept && ++requests_on_kept % kStrayEvery == 0;
+      strays += is_stray ? 1 : 0;
+      if (is_stray)
         stream->Write(
             "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
             "Content-Length: 0\r\n\r\n");
@@ -311,6 +316,7 @@
       runs[id] += count;
   }
   CHECK(runs.size() > 50);
+  CHECK(strays > 5);
   int twice = 0;
   for (const auto& [id, count] : runs)
     twice += count > 1 ? 1 : 0;
