--- a/tests/integration/crash_test.cc
+++ b/tests/integration/crash_test.cc
@@ -2,18 +2,19 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <cstdlib>
 #include <random>
 #include <sstream>
 #include <string>
 
 #include "crash_site.h"
+#include "soak_options.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
 using testing::CrashSite;
 using testing::CrashSiteCall;
+using testing::NumberOf;
 
 namespace {
 
@@ -47,11 +48,6 @@
   return sound == 0 ? 0 : served / sound;
 }
 
-int NumberOf(const char* variable, int fallback) {
-  const char* const text = std::getenv(variable);
-  return text == nullptr ? fallback : std::atoi(text);
-}
-
 /// Disturbs engines, daemons and the store one after the other, at random times
 /// and overlapping, while requests crash engines.
 void Disturb(CrashSite* site, std::mt19937* random) {
--- a/tests/integration/replica_soak_test.cc
+++ b/tests/integration/replica_soak_test.cc
@@ -1,23 +1,19 @@
 #include <cstdio>
-#include <cstdlib>
 #include <string>
 
 #include "replica_soak.h"
+#include "soak_options.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using testing::NumberOf;
 using testing::ReplicaSoak;
 using testing::SoakOptions;
 using testing::SoakTally;
 
 namespace {
 
-int NumberOf(const char* variable, int fallback) {
-  const char* const text = std::getenv(variable);
-  return text == nullptr ? fallback : std::atoi(text);
-}
-
 template <class Counts>
 std::string Describe(const Counts& counts) {
   std::string text;
