Gateway: Send nothing for callers that have left, and drop what waits

Callers saw nothing, engines worked in vain: requests reached replicas after their caller had left (GONE).

Two ways lead there. A daemon that was held up reads a request and the end of its connection in one turn of the loop, and sent the request before it came to the end: the end is now looked for before each choice and each write, also after a connection was opened. And an ordinary close delivers what still waits for a busy link: an exchange that is given up now resets its connection.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -233,6 +233,13 @@
   return this->stream->UnsentBytes() > kMaxUnsentBytes;
 }
 
+bool CallerConnection::EndIfCallerLeft() {
+  if (!this->stream->HasPeerEnded())
+    return false;
+  this->OnEnd();
+  return true;
+}
+
 void CallerConnection::CloseIfIdle() {
   if (this->phase == Phase::kIdle && !this->stream->HasUnreadBytes())
     this->Close();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -35,6 +35,9 @@
   void AbortAnswer();
   /// Returns whether too many answer bytes are waiting to be sent.
   bool IsCongested() const;
+  /// Ends the connection and its request if the caller has left, though its
+  /// leaving has not been read yet. Returns whether it has left.
+  bool EndIfCallerLeft();
 
   /// Closes the connection if no request is in progress or has arrived unread.
   void CloseIfIdle();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -133,7 +133,7 @@
     this->OnTimeout();
     return;
   }
-  if (this->EndIfQuarantined())
+  if (this->EndIfQuarantined() || this->caller->EndIfCallerLeft())
     return;
   const Choice choice = this->ChooseNext(now);
   if (choice.verdict == ChoiceVerdict::kNoAdapter && this->AwaitAdapter())
@@ -282,12 +282,12 @@
 void Exchange::OnConnected(std::shared_ptr<net::TcpStream> opened) {
   const bool usable =
       TakesNewWork(*this->endpoint) && !IsPaused(*this->endpoint, BootNow());
-  if (opened && usable && !this->EndIfQuarantined()) {
-    this->WriteRequest(std::move(opened));
+  if (opened && (this->EndIfQuarantined() || this->caller->EndIfCallerLeft())) {
+    opened->Close();
     return;
   }
-  if (this->finished) {
-    opened->Close();
+  if (opened && usable) {
+    this->WriteRequest(std::move(opened));
     return;
   }
   if (opened)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -80,6 +80,7 @@
   void Send(const Choice& choice);
   void OnConnected(std::shared_ptr<net::TcpStream> opened);
   void WriteRequest(std::shared_ptr<net::TcpStream> stream);
+  bool IsAnswerComplete() const;
   void OnNotExecuted(const FailedSend& failed);
   void OnSendFailed(std::string_view reason);
   void EndFailedSend(std::string_view reason);
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -98,12 +98,21 @@
   if (connection && reusable && TakesNewWork(*this->endpoint))
     this->gateway->connections.Keep(this->endpoint->entry.id, connection,
                                     this->answer);
-  else if (connection)
+  else if (connection && this->IsAnswerComplete())
     connection->Close();
+  else if (connection)
+    // What has not reached the endpoint yet is dropped, so that it does not
+    // begin a request that nobody waits for.
+    connection->Reset();
   this->endpoint = nullptr;
   ++this->send_generation;
 }
 
+bool Exchange::IsAnswerComplete() const {
+  return this->parser && this->parser->Done() && this->head_read &&
+         this->mode != Mode::kDiscarded;
+}
+
 void Exchange::Finish() {
   this->finished = true;
   if (this->tried_part) {
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -176,6 +176,17 @@
   return this->IsOpen() && this->socket.available(ec) > 0 && !ec;
 }
 
+bool TcpStream::HasPeerEnded() {
+  if (!this->IsOpen())
+    return true;
+  char byte = 0;
+  BoostError ec;
+  const std::size_t count =
+      this->socket.receive(boost::asio::buffer(&byte, 1),
+                           boost::asio::socket_base::message_peek, ec);
+  return ec ? !MustWait(ec) : count == 0;
+}
+
 void TcpStream::PauseReading() {
   this->paused = true;
 }
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -58,6 +58,9 @@
   bool IsOpen() const { return this->socket.is_open() && !this->ended; }
   /// Returns whether bytes have arrived that the owner has not seen yet.
   bool HasUnreadBytes() const;
+  /// Returns whether the peer has ended the connection, though the loop has not
+  /// come to read that yet. Unread bytes before the end hide it.
+  bool HasPeerEnded();
   std::size_t UnsentBytes() const { return this->unsent.size(); }
 
  private:
--- a/tests/support/gateway_scene.cc
+++ b/tests/support/gateway_scene.cc
@@ -60,8 +60,10 @@
         this->scene->received.push_back(std::exchange(*input, {}));
         this->Answer(raw);
       };
-      events.on_end = [this](net::StreamEnd) {
+      events.on_end = [this](net::StreamEnd end) {
         ++this->scene->closed_by_gateway;
+        if (end == net::StreamEnd::kFailed)
+          ++this->scene->reset_by_gateway;
       };
       events.on_drained = [this, raw = stream.get()] {
         this->SendEndless(raw);
@@ -215,6 +217,13 @@
   return answer;
 }
 
+void GatewayScene::CallAndLeave(const std::string& request) {
+  tcp::socket socket(this->io);
+  socket.connect(this->callers_address);
+  boost::asio::write(socket, boost::asio::buffer(request));
+  socket.close();
+}
+
 bool GatewayScene::RunUntil(const std::function<bool()>& condition) {
   const auto deadline = Clock::now() + kPatience;
   while (!condition()) {
--- a/tests/support/gateway_scene.h
+++ b/tests/support/gateway_scene.h
@@ -45,6 +45,8 @@
   /// set.
   std::string Call(const std::string& request,
                    Milliseconds leave_after = Milliseconds(0));
+  /// Sends `request` and closes the connection before the gateway has read it.
+  void CallAndLeave(const std::string& request);
   /// Runs the loop until the condition holds; false after 5 s.
   bool RunUntil(const std::function<bool()>& condition);
 
@@ -54,6 +56,7 @@
   std::vector<ScriptedAnswer> answers;
   std::vector<std::string> received;  ///< Requests as they reached endpoints.
   int closed_by_gateway = 0;          ///< Endpoint connections.
+  int reset_by_gateway = 0;           ///< Of these, those that were reset.
   std::size_t endless_bytes = 0;      ///< Sent of `ScriptedAnswer::endless`.
 
  private:
