Orders, gateway: Plan copies in a time that hundreds of engines allow

The holder of the planner's lease plans ten times a second. Each time it looked up each model, cached weights and adapter of each engine by comparing names one by one with all declared models (160 engines, 347 models: about a million comparisons), and summed the effect of each candidate in a map. On a machine with a tenth of a core it was never done.

Models of a routing table are found by an index made when it is applied; the change of the cost is summed over the two ascending lists of holders, in the same order as before, so that the moves are the same (PlanIndex, CopyPlan).

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -41,6 +41,10 @@
   gateway->log->Write(kTableInForce, "",
                       "version=" + std::to_string(table.version) +
                           " routes=" + std::to_string(table.routes.size()));
+  for (Service& service : table.services) {
+    if (service.engine)
+      IndexModels(&*service.engine);
+  }
   gateway->routes = std::make_shared<const RoutingTable>(std::move(table));
   gateway->routes_since = BootNow();
   return true;
--- a/src/gateway/routing_table.cc
+++ b/src/gateway/routing_table.cc
@@ -34,7 +34,18 @@
   return nullptr;
 }
 
+void IndexModels(EngineSpec* engine) {
+  engine->positions.clear();
+  for (std::size_t i = 0; i < engine->models.size(); ++i)
+    engine->positions.emplace(engine->models[i].name, i);
+}
+
 const EngineModel* FindModel(const EngineSpec& engine, std::string_view name) {
+  const auto found = engine.positions.find(name);
+  if (found != engine.positions.end())
+    return &engine.models[found->second];
+  if (!engine.positions.empty())
+    return nullptr;
   for (const EngineModel& model : engine.models) {
     if (model.name == name)
       return &model;
--- a/src/gateway/routing_table.h
+++ b/src/gateway/routing_table.h
@@ -1,7 +1,10 @@
 #ifndef COLTSFOOTVANE_GATEWAY_ROUTING_TABLE_H_
 #define COLTSFOOTVANE_GATEWAY_ROUTING_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,6 +58,8 @@
   int adapter_slots = 0;
   double store_loads_per_s = 0;  ///< Limit on all engines together.
   std::vector<EngineModel> models;
+  /// Positions in `models`, by name; see IndexModels().
+  std::map<std::string, std::size_t, std::less<>> positions;
 };
 
 struct Service {
@@ -87,6 +92,9 @@
                         std::string_view path);
 
 const Service* FindService(const RoutingTable& table, std::string_view name);
+/// Records the positions of the models, so that FindModel() does not have to
+/// search all of them.
+void IndexModels(EngineSpec* engine);
 const EngineModel* FindModel(const EngineSpec& engine, std::string_view name);
 
 /// Chooses a service by weight. `hash` must be uniformly distributed over
--- a/src/orders/copy_plan.h
+++ b/src/orders/copy_plan.h
@@ -39,7 +39,7 @@
 struct CopyMove {
   int engine = -1;
   int load = -1;
-  std::vector<int> unload;
+  std::vector<int> unload;  ///< One model at most.
   WeightSource source = WeightSource::kStore;
 };
 
--- a/src/orders/engine_state.cc
+++ b/src/orders/engine_state.cc
@@ -10,11 +10,8 @@
 }
 
 int IndexOf(const gateway::EngineSpec& spec, const std::string& model) {
-  for (std::size_t i = 0; i < spec.models.size(); ++i) {
-    if (spec.models[i].name == model)
-      return static_cast<int>(i);
-  }
-  return -1;
+  const gateway::EngineModel* const found = FindModel(spec, model);
+  return found == nullptr ? -1 : static_cast<int>(found - spec.models.data());
 }
 
 template <class Names>
--- a/src/orders/plan_index.cc
+++ b/src/orders/plan_index.cc
@@ -1,7 +1,7 @@
 #include "orders/plan_index.h"
 
 #include <algorithm>
-#include <map>
+#include <gsl/span>
 
 namespace coltsfootvane::orders {
 namespace {
@@ -24,20 +24,32 @@
   }
 }
 
-/// Changes of utilization by engine.
-using Changes = std::map<int, double>;
+/// The engines that hold a model, and by how much the utilization of each
+/// changes with one copy more or less.
+struct ShareChange {
+  gsl::span<const int> holders;  ///< Ascending.
+  double added = 0;
+};
 
-/// Adds the effect of one copy more or less on the engines that hold the model.
-void ChangeShares(const CopyPlanInput& input,
-                  const PlanIndex& index,
-                  int model,
-                  int added,
-                  Changes* changes) {
+ShareChange ChangeOfShares(const CopyPlanInput& input,
+                           const PlanIndex& index,
+                           int model,
+                           int added_copies) {
   const std::vector<int>& holders = index.holders[model];
-  const double before = DemandPerCopy(input, model, holders.size());
-  const double after = DemandPerCopy(input, model, holders.size() + added);
-  for (const int engine : holders)
-    (*changes)[engine] += after - before;
+  return {holders, DemandPerCopy(input, model, holders.size() + added_copies) -
+                       DemandPerCopy(input, model, holders.size())};
+}
+
+/// Takes the next holder if it is `engine`.
+bool TakeNext(ShareChange* shares, int engine) {
+  if (shares->holders.empty() || shares->holders[0] != engine)
+    return false;
+  shares->holders = shares->holders.subspan(1);
+  return true;
+}
+
+int FirstOr(const ShareChange& shares, int engine) {
+  return shares.holders.empty() ? engine : shares.holders[0];
 }
 
 }  // namespace
@@ -79,19 +91,32 @@
 double CostChange(const CopyPlanInput& input,
                   const PlanIndex& index,
                   const CopyMove& move) {
-  Changes changes;
-  const std::size_t copies = index.holders[move.load].size();
-  ChangeShares(input, index, move.load, 1, &changes);
-  changes[move.engine] += DemandPerCopy(input, move.load, copies + 1);
-  for (const int model : move.unload) {
-    const std::size_t others = index.holders[model].size() - 1;
-    ChangeShares(input, index, model, -1, &changes);
-    changes[move.engine] -= DemandPerCopy(input, model, others);
+  ShareChange loaded = ChangeOfShares(input, index, move.load, 1);
+  const double added_here =
+      DemandPerCopy(input, move.load, loaded.holders.size() + 1);
+  ShareChange unloaded;
+  double removed_here = 0;
+  if (!move.unload.empty()) {
+    const int model = move.unload.front();
+    unloaded = ChangeOfShares(input, index, model, -1);
+    removed_here = DemandPerCopy(input, model, unloaded.holders.size() - 1);
   }
+  const int end = static_cast<int>(input.engines.size());
   double change = 0;
-  for (const auto& [engine, added] : changes)
+  bool here_done = false;
+  while (true) {
+    const int engine = std::min({FirstOr(loaded, end), FirstOr(unloaded, end),
+                                 here_done ? end : move.engine});
+    if (engine == end)
+      return change;
+    const bool here = engine == move.engine;
+    here_done = here_done || here;
+    double added = TakeNext(&loaded, engine) ? loaded.added : 0;
+    added += here ? added_here : 0;
+    added += TakeNext(&unloaded, engine) ? unloaded.added : 0;
+    added -= here ? removed_here : 0;
     change += added * (2 * index.utilization[engine] + added);
-  return change;
+  }
 }
 
 bool IsLoadedElsewhere(const CopyPlanInput& input,
--- a/src/orders/plan_index.h
+++ b/src/orders/plan_index.h
@@ -25,7 +25,8 @@
 /// utilization, so that uneven work costs more.
 double CostOf(const PlanIndex& index);
 
-/// Returns by how much a move changes the cost.
+/// Returns by how much a move changes the cost. The time taken grows with the
+/// copies of the models moved, not with the engines.
 double CostChange(const CopyPlanInput& input,
                   const PlanIndex& index,
                   const CopyMove& move);
