Orders: Keep adapters that a daemon waits for

In a fleet of hundreds, reports show the demand for an adapter seconds after it was loaded. The holder of the lease took the adapter with the least reported demand to make room, which was the one loaded last: adapters replaced each other before a request had used them.

The holder now remembers when it was asked for an adapter. The victim is the one with the least demand among those not asked for in the last 3 s, else the one asked for first; engines with such a victim come before engines without. AdapterChoice.* has the load pattern; the order by demand alone fails its rows "just loaded" and "all asked for recently".

--- a/src/orders/adapter_orders.cc
+++ b/src/orders/adapter_orders.cc
@@ -20,8 +20,9 @@
                                const std::string& adapter,
                                fleet::AdapterDone done) {
   const std::string name = gateway::AdapterName(model, adapter);
-  for (const auto& [id, engine] : this->engines) {
+  for (auto& [id, engine] : this->engines) {
     if (Serves(engine, model) && engine.adapters.count(name) > 0) {
+      engine.adapter_requested_at[name] = BootNow();
       done(engine.endpoint->key);
       return;
     }
@@ -37,7 +38,8 @@
 }
 
 /// Prefers an engine that has the same adapter queued, then one with a free
-/// adapter slot, then the one with the least work.
+/// adapter slot, then one with an adapter that is not waited for, then the one
+/// with the least work.
 EngineState* EngineOrders::ChooseEngineForAdapter(const AdapterJob& job) {
   const TimePoint now = BootNow();
   EngineState* best = nullptr;
@@ -59,8 +61,15 @@
     constexpr double kNoRoomCost = 1000;
     constexpr double kWaitingJobCost = 10;
     const auto& peer_work = engine.endpoint->peers;
+    double room_cost = 0;
+    if (!AdapterFits(engine, *spec, job.model)) {
+      const std::vector<AdapterUse> uses = this->AdapterUses(engine, now);
+      const AdapterUse* const victim = ChooseVictim(uses, now);
+      const bool free = victim != nullptr && !IsRecent(*victim, now);
+      room_cost = free ? kNoRoomCost : 2 * kNoRoomCost;
+    }
     const double cost =
-        (AdapterFits(engine, *spec, job.model) ? 0 : kNoRoomCost) +
+        room_cost +
         static_cast<double>(engine.adapter_jobs.size()) * kWaitingJobCost +
         engine.endpoint->own.running + peer_work.running;
     if (cost >= least_cost)
@@ -96,27 +105,29 @@
     this->EvictAdapter(engine);
 }
 
-std::string EngineOrders::LeastRequestedAdapter(
-    const EngineState& engine) const {
-  const TimePoint now = BootNow();
-  std::string least_requested;
-  double least_demand = std::numeric_limits<double>::max();
+std::vector<AdapterUse> EngineOrders::AdapterUses(const EngineState& engine,
+                                                  TimePoint now) const {
+  std::vector<AdapterUse> uses;
   for (const std::string& name : engine.adapters) {
-    const double demand = this->fleet->DemandFor(name, now);
-    if (demand >= least_demand)
-      continue;
-    least_demand = demand;
-    least_requested = name;
+    AdapterUse use{name, this->fleet->DemandFor(name, now), {}};
+    const auto requested = engine.adapter_requested_at.find(name);
+    if (requested != engine.adapter_requested_at.end())
+      use.requested_at = requested->second;
+    uses.push_back(std::move(use));
   }
-  return least_requested;
+  return uses;
 }
 
 void EngineOrders::EvictAdapter(EngineState* engine) {
-  const std::string victim = this->LeastRequestedAdapter(*engine);
-  if (victim.empty()) {
+  const TimePoint now = BootNow();
+  const std::vector<AdapterUse> uses = this->AdapterUses(*engine, now);
+  const AdapterUse* const chosen = ChooseVictim(uses, now);
+  if (chosen == nullptr) {
     this->FinishAdapterJob(engine, false);
     return;
   }
+  const std::string victim = chosen->name;
+  engine->adapter_requested_at.erase(victim);
   engine->adapters.erase(victim);
   this->Publish();
   const std::size_t slash = victim.find('/');
@@ -155,7 +166,9 @@
     this->FinishAdapterJob(engine, false);
     return;
   }
-  engine->adapters.insert(gateway::AdapterName(job.model, job.adapter));
+  const std::string name = gateway::AdapterName(job.model, job.adapter);
+  engine->adapters.insert(name);
+  engine->adapter_requested_at[name] = BootNow();
   this->placement_changed = true;
   this->FinishAdapterJob(engine, true);
   this->StartNextAdapterJob(engine);
--- a/src/orders/engine_orders.h
+++ b/src/orders/engine_orders.h
@@ -5,10 +5,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "fleet/fleet.h"
 #include "gateway/gateway.h"
 #include "log/decision_log.h"
+#include "orders/adapter_choice.h"
 #include "orders/engine_state.h"
 #include "orders/lease_manager.h"
 #include "orders/order.h"
@@ -80,7 +82,8 @@
   void OnAdapterLoad(EngineState* engine, OrderResult result);
   void FinishAdapterJob(EngineState* engine, bool loaded);
   void FailAdapterJobs(EngineState* engine);
-  std::string LeastRequestedAdapter(const EngineState& engine) const;
+  std::vector<AdapterUse> AdapterUses(const EngineState& engine,
+                                      TimePoint now) const;
 
   boost::asio::io_context* io;
   boost::asio::steady_timer timer;
--- a/src/orders/engine_state.h
+++ b/src/orders/engine_state.h
@@ -49,6 +49,8 @@
   TimePoint completion_check_at;
   TimePoint next_report_at;  ///< Earliest time of the next report request.
   std::deque<AdapterJob> adapter_jobs;
+  /// When a daemon last asked for an adapter that is loaded, or was.
+  std::map<std::string, TimePoint> adapter_requested_at;
 
   bool IsBusy() const {
     return !this->known || this->executing_order || !this->loading.empty() ||
