Fleet, orders: Bound what the lease holder tells all daemons

Callers of rare adapters were refused, and callers at the lease holder's VM were served late or not at all (GONE). At each adapter that it replaced, and ten times a second, the holder sent the placements of all engines to all daemons: with 160 engines and 294 peers 2,000 datagrams each time, more than the link of its VM carries in a second. Orders to engines and answers to daemons waited behind them, requests for adapters were given up after 150 ms, and requests and ends of connections at this VM came seconds late.

- Publications hold what has changed, and the rest in turn, within 200 KB/s for all daemons together; models that are about to be unloaded come at once.
- Placements carry their version per engine, since datagrams hold parts.
- Daemons know the holder from its datagrams (250 ms) instead of the reports, which are seconds old in large fleets: a silent holder is noticed after 1.5 s, not 20 s.
- A request for an adapter is sent again after 60, 120, 240 ms, to whoever is the holder then, for 1 s or half of the time left.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -89,11 +89,10 @@
     return this->fleet.IsHolderSilent(epoch);
   };
   this->lease.on_store_back = [this] { this->store_view.Refresh(); };
-  this->gateway.request_adapter =
-      [this](const std::string& service, const std::string& model,
-             const std::string& adapter, std::function<void(bool)> done) {
-        this->fleet.RequestAdapter(service, model, adapter, std::move(done));
-      };
+  this->gateway.request_adapter = [this](const gateway::AdapterWanted& wanted,
+                                         std::function<void(bool)> done) {
+    this->fleet.RequestAdapter(wanted, std::move(done));
+  };
 }
 
 Result<bool> Daemon::Run() {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -27,6 +27,16 @@
   return address.is_v4() ? address.to_v4().to_uint() : 0;
 }
 
+gen::EnginePlacement ToWire(const EnginePlacement& engine) {
+  gen::EnginePlacement wire;
+  wire.endpoint = static_cast<std::int32_t>(engine.endpoint);
+  for (const std::uint32_t model : engine.retiring)
+    wire.retiring.push_back(static_cast<std::int32_t>(model));
+  for (const std::uint32_t adapter : engine.adapters)
+    wire.adapters.push_back(static_cast<std::int32_t>(adapter));
+  return wire;
+}
+
 }  // namespace
 
 Milliseconds ReportInterval(std::size_t members, double report_bytes) {
@@ -78,6 +88,7 @@
 void Fleet::SetLease(std::int64_t epoch, AdapterLoader adapter_loader) {
   this->lease_epoch = epoch;
   this->loader = std::move(adapter_loader);
+  this->placement_news = {};
 }
 
 void Fleet::Receive() {
@@ -107,7 +118,7 @@
   if (datagram.__isset.report)
     this->OnReport(datagram.report, address);
   else if (datagram.__isset.placement)
-    this->OnPlacement(datagram.placement);
+    this->OnPlacement(datagram.placement, address);
   else if (datagram.__isset.adapter_request)
     this->OnAdapterRequest(datagram.adapter_request, address);
   else if (datagram.__isset.adapter_reply)
@@ -156,60 +167,55 @@
   this->SendTo(from, Encode(datagram));
 }
 
-void Fleet::OnPlacement(const gen::Placement& placement) {
-  const bool older = placement.lease_epoch < this->placement_epoch ||
-                     (placement.lease_epoch == this->placement_epoch &&
-                      placement.sequence <= this->placement_sequence);
-  if (older)
+void Fleet::OnPlacement(const gen::Placement& placement, std::uint32_t from) {
+  if (!RecordHolder(from, placement.lease_epoch, BootNow(), &this->holder))
     return;
-  this->placement_epoch = placement.lease_epoch;
-  this->placement_sequence = placement.sequence;
+  const PlacementVersion version{placement.lease_epoch, placement.sequence};
   for (const gen::EnginePlacement& engine : placement.engines) {
-    const auto key = static_cast<std::uint32_t>(engine.endpoint);
-    for (const gateway::EndpointPtr& endpoint : this->gateway->endpoint_list) {
-      if (endpoint->key != key)
-        continue;
-      endpoint->retiring.clear();
-      endpoint->adapters.clear();
-      for (const std::int32_t model : engine.retiring)
-        endpoint->retiring.insert(static_cast<std::uint32_t>(model));
-      for (const std::int32_t adapter : engine.adapters)
-        endpoint->adapters.insert(static_cast<std::uint32_t>(adapter));
-    }
+    if (TryApply(static_cast<std::uint32_t>(engine.endpoint), version,
+                 &this->applied_placements))
+      this->ApplyPlacement(engine);
   }
 }
 
-void Fleet::Publish(const std::vector<EnginePlacement>& engines) {
-  gen::Placement placement;
-  placement.lease_epoch = this->lease_epoch;
-  const auto send = [this, &placement] {
+void Fleet::ApplyPlacement(const gen::EnginePlacement& placement) {
+  const auto key = static_cast<std::uint32_t>(placement.endpoint);
+  for (const gateway::EndpointPtr& endpoint : this->gateway->endpoint_list) {
+    if (endpoint->key != key)
+      continue;
+    endpoint->retiring.clear();
+    endpoint->adapters.clear();
+    for (const std::int32_t model : placement.retiring)
+      endpoint->retiring.insert(static_cast<std::uint32_t>(model));
+    for (const std::int32_t adapter : placement.adapters)
+      endpoint->adapters.insert(static_cast<std::uint32_t>(adapter));
+  }
+}
+
+void Fleet::Publish(gsl::span<const EnginePlacement> engines) {
+  const TimePoint now = BootNow();
+  AddRoom(this->table.members.size(), now, &this->placement_news);
+  std::vector<std::vector<EnginePlacement>> datagrams =
+      SplitIntoDatagrams(TakeNews(engines, &this->placement_news));
+  if (datagrams.empty() && now < this->next_holder_sign_at)
+    return;
+  // An empty one shows the others that the holder is live.
+  if (datagrams.empty())
+    datagrams.emplace_back();
+  this->next_holder_sign_at = now + kHolderInterval;
+  for (const std::vector<EnginePlacement>& contents : datagrams) {
+    gen::Placement placement;
+    placement.lease_epoch = this->lease_epoch;
     placement.sequence = ++this->sequence;
+    for (const EnginePlacement& engine : contents)
+      placement.engines.push_back(ToWire(engine));
     gen::Datagram datagram;
     datagram.__set_placement(placement);
     const std::string bytes = Encode(datagram);
     for (const auto& [address, member] : this->table.members)
       this->SendTo(address, bytes);
-    this->OnPlacement(placement);
-    placement.engines.clear();
-  };
-  std::size_t items = 0;
-  for (const EnginePlacement& engine : engines) {
-    gen::EnginePlacement wire;
-    wire.endpoint = static_cast<std::int32_t>(engine.endpoint);
-    for (const std::uint32_t model : engine.retiring)
-      wire.retiring.push_back(static_cast<std::int32_t>(model));
-    for (const std::uint32_t adapter : engine.adapters)
-      wire.adapters.push_back(static_cast<std::int32_t>(adapter));
-    items += 2 + engine.retiring.size() + engine.adapters.size();
-    placement.engines.push_back(std::move(wire));
-    constexpr std::size_t kMaxPlacementItems = 200;
-    if (items < kMaxPlacementItems)
-      continue;
-    send();
-    items = 0;
+    this->OnPlacement(placement, this->own_address);
   }
-  if (!placement.engines.empty())
-    send();
 }
 
 void Fleet::ReportNow() {
@@ -222,7 +228,7 @@
 }
 
 bool Fleet::IsHolderSilent(std::int64_t epoch) const {
-  return fleet::IsHolderSilent(this->table, epoch, BootNow());
+  return IsSilent(this->holder, this->table, epoch, BootNow());
 }
 
 /// Returns a report without work and demand.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -12,20 +12,15 @@
 #include <vector>
 
 #include "base/result.h"
+#include "fleet/adapter_requests.h"
+#include "fleet/holder_contact.h"
 #include "fleet/member_table.h"
+#include "fleet/placement_news.h"
 #include "fleet/suspect_news.h"
 #include "gateway/gateway.h"
 
 namespace coltsfootvane::fleet {
 
-/// What the lease holder publishes about one engine; names are given by
-/// KeyOf().
-struct EnginePlacement {
-  std::uint32_t endpoint = 0;
-  std::vector<std::uint32_t> retiring;
-  std::vector<std::uint32_t> adapters;
-};
-
 /// Store revisions of the latest urgent changes that a daemon has seen.
 struct SeenRevisions {
   std::int64_t config_revision = 0;     ///< Of the latest configuration.
@@ -61,11 +56,11 @@
 
   /// Sets the epoch of the lease that this daemon holds; 0 if it holds none.
   void SetLease(std::int64_t epoch, AdapterLoader loader);
-  void Publish(const std::vector<EnginePlacement>& engines);
-  /// Requests the load of an adapter from the lease holder.
-  void RequestAdapter(const std::string& service,
-                      const std::string& model,
-                      const std::string& adapter,
+  /// Sends the other daemons what has changed, and some of the rest in turn.
+  void Publish(gsl::span<const EnginePlacement> engines);
+  /// Requests the load of an adapter from the lease holder, again and again
+  /// until one answers or the deadline passes.
+  void RequestAdapter(const gateway::AdapterWanted& wanted,
                       std::function<void(bool)> done);
   /// Sends a report at once, without waiting for the interval to end.
   void ReportNow();
@@ -87,17 +82,12 @@
   int CountLiveDaemons() const;
 
  private:
-  struct PendingRequest {
-    std::string adapter_name;
-    std::function<void(bool)> done;
-    TimePoint expires_at;
-  };
-
   void Receive();
   void OnDatagram(const gen::Datagram& datagram,
                   const boost::asio::ip::udp::endpoint& from);
   void OnReport(const gen::Report& report, std::uint32_t from);
-  void OnPlacement(const gen::Placement& placement);
+  void OnPlacement(const gen::Placement& placement, std::uint32_t from);
+  void ApplyPlacement(const gen::EnginePlacement& placement);
   void OnAdapterRequest(const gen::AdapterRequest& request, std::uint32_t from);
   void OnAdapterReply(const gen::AdapterReply& reply);
   void OnSuspects(const gen::Suspects& suspects, std::uint32_t from);
@@ -112,7 +102,8 @@
   void UpdateTrialOrder(TimePoint now);
   void Tick();
   void SendReports();
-  void ExpirePendingRequests(TimePoint now);
+  void SendAdapterRequest(std::int64_t number);
+  void OnAdapterTimer(std::int64_t number);
   gen::Report MakeReport();
   void SendTo(std::uint32_t address, const std::string& bytes);
   void RecordAdapter(std::uint32_t endpoint, const std::string& adapter_name);
@@ -130,10 +121,13 @@
   std::int64_t incarnation = 0;
   std::int64_t sequence = 0;
   std::int64_t lease_epoch = 0;
-  std::int64_t placement_epoch = 0;     ///< Of the last applied placement.
-  std::int64_t placement_sequence = 0;  ///< Of the last applied placement.
+  HolderContact holder;
+  PlacementNews placement_news;  ///< While this daemon is the holder.
+  TimePoint
+      next_holder_sign_at;  ///< Of an empty placement, if there is no news.
+  AppliedPlacements applied_placements;  ///< Of all holders.
   AdapterLoader loader;
-  std::map<std::int64_t, PendingRequest> pending_requests;
+  std::map<std::int64_t, PendingAdapter> pending_adapters;  ///< By number.
   std::int64_t last_request_number = 0;
   SentReports sent_reports;
   PeerWorkByEndpoint peer_work;
--- a/src/fleet/fleet_adapters.cc
+++ b/src/fleet/fleet_adapters.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "fleet/codec.h"
@@ -9,40 +10,43 @@
 using gateway::KeyOf;
 using BoostError = boost::system::error_code;
 
-/// A reply normally takes a few ms. Without one, the adapter request fails
-/// after this time.
-constexpr Milliseconds kAdapterRequestTimeout{150};
+/// An answer normally takes a few ms, or the time of an order that comes first.
+constexpr Milliseconds kFirstResend{60};
+constexpr int kMaxDoublings = 2;
 
 }  // namespace
 
+TimePoint NextSend(int sends, TimePoint now) {
+  return now + kFirstResend * (1 << std::min(sends - 1, kMaxDoublings));
+}
+
 void Fleet::OnAdapterRequest(const gen::AdapterRequest& request,
                              std::uint32_t from) {
-  const auto reply = [this, from,
-                      number = request.number](std::uint32_t endpoint) {
-    gen::AdapterReply answer;
-    answer.number = number;
+  gen::AdapterReply answer;
+  answer.number = request.number;
+  const auto reply = [this, from, answer](std::uint32_t endpoint) mutable {
     answer.ready = endpoint != 0;
     answer.endpoint = static_cast<std::int32_t>(endpoint);
     gen::Datagram datagram;
     datagram.__set_adapter_reply(answer);
     this->SendTo(from, Encode(datagram));
   };
-  if (!this->loader) {
-    reply(0);
+  // The sender asks again, by then another daemon.
+  if (!this->loader)
     return;
-  }
   this->loader(request.service_name, request.model, request.adapter, reply);
 }
 
 void Fleet::OnAdapterReply(const gen::AdapterReply& reply) {
-  const auto found = this->pending_requests.find(reply.number);
-  if (found == this->pending_requests.end())
+  const auto found = this->pending_adapters.find(reply.number);
+  if (found == this->pending_adapters.end())
     return;
-  const PendingRequest request = std::move(found->second);
-  this->pending_requests.erase(found);
+  const PendingAdapter request = std::move(found->second);
+  this->pending_adapters.erase(found);
   if (reply.ready)
-    this->RecordAdapter(static_cast<std::uint32_t>(reply.endpoint),
-                        request.adapter_name);
+    this->RecordAdapter(
+        static_cast<std::uint32_t>(reply.endpoint),
+        gateway::AdapterName(request.wanted.model, request.wanted.adapter));
   request.done(reply.ready);
 }
 
@@ -54,13 +58,11 @@
   }
 }
 
-void Fleet::RequestAdapter(const std::string& service,
-                           const std::string& model,
-                           const std::string& adapter,
+void Fleet::RequestAdapter(const gateway::AdapterWanted& wanted,
                            std::function<void(bool)> done) {
-  const std::string name = gateway::AdapterName(model, adapter);
   if (this->loader) {
-    this->loader(service, model, adapter,
+    const std::string name = gateway::AdapterName(wanted.model, wanted.adapter);
+    this->loader(wanted.service, wanted.model, wanted.adapter,
                  [this, name, done = std::move(done)](std::uint32_t endpoint) {
                    if (endpoint != 0)
                      this->RecordAdapter(endpoint, name);
@@ -68,44 +70,52 @@
                  });
     return;
   }
+  const std::int64_t number = ++this->last_request_number;
+  PendingAdapter& pending = this->pending_adapters[number];
+  pending.wanted = wanted;
+  pending.done = std::move(done);
+  pending.timer = std::make_unique<boost::asio::steady_timer>(*this->io);
+  this->SendAdapterRequest(number);
+}
+
+/// Sends the request to the present holder, if there is one, and sets the time
+/// of the next attempt.
+void Fleet::SendAdapterRequest(std::int64_t number) {
+  PendingAdapter& pending = this->pending_adapters.at(number);
   const TimePoint now = BootNow();
-  const std::uint32_t holder = FindHolder(this->table, now);
-  if (holder == 0) {
-    boost::asio::post(*this->io, [done = std::move(done)] { done(false); });
-    return;
+  const std::uint32_t holder_address =
+      FindLiveHolder(this->holder, this->table, now);
+  if (holder_address != 0) {
+    gen::AdapterRequest request;
+    request.number = number;
+    request.service_name = pending.wanted.service;
+    request.model = pending.wanted.model;
+    request.adapter = pending.wanted.adapter;
+    gen::Datagram datagram;
+    datagram.__set_adapter_request(request);
+    this->SendTo(holder_address, Encode(datagram));
   }
-  const std::int64_t number = ++this->last_request_number;
-  this->pending_requests[number] = {name, std::move(done),
-                                    now + kAdapterRequestTimeout};
-  gen::AdapterRequest request;
-  request.number = number;
-  request.service_name = service;
-  request.model = model;
-  request.adapter = adapter;
-  gen::Datagram datagram;
-  datagram.__set_adapter_request(request);
-  this->SendTo(holder, Encode(datagram));
-  auto expiry = std::make_shared<boost::asio::steady_timer>(*this->io);
-  expiry->expires_after(kAdapterRequestTimeout);
-  expiry->async_wait([this, expiry](const BoostError& ec) {
+  ++pending.sends;
+  const TimePoint next =
+      std::min(NextSend(pending.sends, now), pending.wanted.deadline);
+  pending.timer->expires_after(TimeLeft(next, now));
+  pending.timer->async_wait([this, number](const BoostError& ec) {
     if (!ec)
-      this->ExpirePendingRequests(BootNow());
+      this->OnAdapterTimer(number);
   });
 }
 
-void Fleet::ExpirePendingRequests(TimePoint now) {
-  std::vector<PendingRequest> expired;
-  for (auto it = this->pending_requests.begin();
-       it != this->pending_requests.end();) {
-    if (it->second.expires_at > now) {
-      ++it;
-      continue;
-    }
-    expired.push_back(std::move(it->second));
-    it = this->pending_requests.erase(it);
+void Fleet::OnAdapterTimer(std::int64_t number) {
+  const auto found = this->pending_adapters.find(number);
+  if (found == this->pending_adapters.end())
+    return;
+  if (BootNow() < found->second.wanted.deadline) {
+    this->SendAdapterRequest(number);
+    return;
   }
-  for (const PendingRequest& request : expired)
-    request.done(false);
+  const PendingAdapter request = std::move(found->second);
+  this->pending_adapters.erase(found);
+  request.done(false);
 }
 
 }  // namespace coltsfootvane::fleet
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -22,6 +22,9 @@
 /// Number of sends up to which a request that was refused as not executed is
 /// sent to another endpoint. Further endpoints rarely have room.
 constexpr int kMaxRefusedSends = 3;
+/// A holder of the lease that ends is replaced later than that, so that a
+/// caller had better come back.
+constexpr Milliseconds kMaxAdapterWait{1000};
 /// A request that is sent with less time left would be answered too late.
 constexpr Milliseconds kMinTimeForSend{20};
 
@@ -213,13 +216,15 @@
     return false;
   this->adapter_requested = true;
   this->Log(kAdapterAwaited, "adapter=" + this->info.adapter);
-  this->gateway->request_adapter(this->service, this->info.model,
-                                 this->info.adapter,
-                                 [weak = weak_from_this()](bool) {
-                                   const auto self = weak.lock();
-                                   if (self && !self->finished)
-                                     self->TryNextEndpoint();
-                                 });
+  const TimePoint now = BootNow();
+  const AdapterWanted wanted{
+      this->service, this->info.model, this->info.adapter,
+      std::min(now + kMaxAdapterWait, now + TimeLeft(this->deadline, now) / 2)};
+  this->gateway->request_adapter(wanted, [weak = weak_from_this()](bool) {
+    const auto self = weak.lock();
+    if (self && !self->finished)
+      self->TryNextEndpoint();
+  });
   return true;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -34,12 +34,17 @@
   double window_s = 10;
 };
 
-/// Requests an adapter that no endpoint is known to have loaded. `done` is
-/// called once, when an endpoint has the adapter or when it cannot be loaded
-/// now.
-using AdapterRequest = std::function<void(const std::string& service,
-                                          const std::string& model,
-                                          const std::string& adapter,
+/// An adapter that a request needs and that no endpoint is known to have.
+struct AdapterWanted {
+  std::string service;
+  std::string model;
+  std::string adapter;
+  TimePoint deadline;  ///< Until then its load may be awaited.
+};
+
+/// Requests an adapter. `done` is called once, when an endpoint has the adapter
+/// or when it cannot be loaded before the deadline.
+using AdapterRequest = std::function<void(const AdapterWanted& wanted,
                                           std::function<void(bool)> done)>;
 
 class Exchange;
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -28,7 +28,6 @@
 /// earlier report. An engine unloads a model only once the requests running on
 /// it have ended.
 constexpr Milliseconds kUnloadCheckDelay{3000};
-constexpr Milliseconds kPublishInterval{1000};
 constexpr int kMaxMovesPerTick = 3;
 constexpr Milliseconds kPlacementLogInterval{1000};
 constexpr std::size_t kMaxLoggedModels = 6;
@@ -421,7 +420,7 @@
 
 void EngineOrders::Publish() {
   this->placement_changed = false;
-  this->next_publish_at = BootNow() + kPublishInterval;
+  this->next_publish_at = BootNow() + fleet::kHolderInterval;
   std::vector<fleet::EnginePlacement> placements;
   for (const auto& [id, engine] : this->engines) {
     fleet::EnginePlacement placement;
