Gateway, fleet: Say why an adapter was refused

"no copy of the adapter" did not tell a holder without a usable engine from one that did not answer. The refusal (event 2203) and a new counter, gateway_adapter_requests_total, now say how the request to the holder ended.

Behaviour is otherwise unchanged.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -90,7 +90,7 @@
   };
   this->lease.on_store_back = [this] { this->store_view.Refresh(); };
   this->gateway.request_adapter = [this](const gateway::AdapterWanted& wanted,
-                                         std::function<void(bool)> done) {
+                                         gateway::AdapterHandler done) {
     this->fleet.RequestAdapter(wanted, std::move(done));
   };
 }
--- a/src/fleet/adapter_requests.h
+++ b/src/fleet/adapter_requests.h
@@ -2,7 +2,6 @@
 #define COLTSFOOTVANE_FLEET_ADAPTER_REQUESTS_H_
 
 #include <boost/asio/steady_timer.hpp>
-#include <functional>
 #include <memory>
 
 #include "base/clock.h"
@@ -13,7 +12,7 @@
 /// A request to the lease holder that has no answer yet.
 struct PendingAdapter {
   gateway::AdapterWanted wanted;
-  std::function<void(bool)> done;
+  gateway::AdapterHandler done;
   std::unique_ptr<boost::asio::steady_timer> timer;
   int sends = 0;
 };
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -61,7 +61,7 @@
   /// Requests the load of an adapter from the lease holder, again and again
   /// until one answers or the deadline passes.
   void RequestAdapter(const gateway::AdapterWanted& wanted,
-                      std::function<void(bool)> done);
+                      gateway::AdapterHandler done);
   /// Sends a report at once, without waiting for the interval to end.
   void ReportNow();
 
--- a/src/fleet/fleet_adapters.cc
+++ b/src/fleet/fleet_adapters.cc
@@ -7,6 +7,7 @@
 namespace coltsfootvane::fleet {
 namespace {
 
+using gateway::AdapterOutcome;
 using gateway::KeyOf;
 using BoostError = boost::system::error_code;
 
@@ -47,7 +48,8 @@
     this->RecordAdapter(
         static_cast<std::uint32_t>(reply.endpoint),
         gateway::AdapterName(request.wanted.model, request.wanted.adapter));
-  request.done(reply.ready);
+  request.done(reply.ready ? AdapterOutcome::kReady
+                           : AdapterOutcome::kNoEngine);
 }
 
 void Fleet::RecordAdapter(std::uint32_t endpoint_key,
@@ -59,14 +61,15 @@
 }
 
 void Fleet::RequestAdapter(const gateway::AdapterWanted& wanted,
-                           std::function<void(bool)> done) {
+                           gateway::AdapterHandler done) {
   if (this->loader) {
     const std::string name = gateway::AdapterName(wanted.model, wanted.adapter);
     this->loader(wanted.service, wanted.model, wanted.adapter,
                  [this, name, done = std::move(done)](std::uint32_t endpoint) {
                    if (endpoint != 0)
                      this->RecordAdapter(endpoint, name);
-                   done(endpoint != 0);
+                   done(endpoint != 0 ? AdapterOutcome::kReady
+                                      : AdapterOutcome::kNoEngine);
                  });
     return;
   }
@@ -115,7 +118,7 @@
   }
   const PendingAdapter request = std::move(found->second);
   this->pending_adapters.erase(found);
-  request.done(false);
+  request.done(AdapterOutcome::kNoAnswer);
 }
 
 }  // namespace coltsfootvane::fleet
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -176,10 +176,13 @@
 }
 
 void Exchange::RefuseChoice(const Choice& choice) {
-  const std::string inputs =
+  std::string inputs =
       "tried=" + std::to_string(this->tried_endpoints.size()) +
       " endpoints=" + std::to_string(this->gateway->endpoint_list.size()) +
       " version=" + std::to_string(this->routes->version);
+  if (this->adapter_outcome)
+    inputs += std::string(" adapter_request=\"") +
+              AdapterOutcomeName(*this->adapter_outcome) + "\"";
   if (choice.verdict == ChoiceVerdict::kNoModel) {
     this->Refuse(
         "no copy of the model",
@@ -220,14 +223,22 @@
   const AdapterWanted wanted{
       this->service, this->info.model, this->info.adapter,
       std::min(now + kMaxAdapterWait, now + TimeLeft(this->deadline, now) / 2)};
-  this->gateway->request_adapter(wanted, [weak = weak_from_this()](bool) {
-    const auto self = weak.lock();
-    if (self && !self->finished)
-      self->TryNextEndpoint();
-  });
+  this->gateway->request_adapter(
+      wanted, [weak = weak_from_this()](AdapterOutcome outcome) {
+        const auto self = weak.lock();
+        if (self && !self->finished)
+          self->OnAdapterDone(outcome);
+      });
   return true;
 }
 
+void Exchange::OnAdapterDone(AdapterOutcome outcome) {
+  this->adapter_outcome = outcome;
+  this->gateway->metrics.CountAdapterRequest(this->service,
+                                             AdapterOutcomeName(outcome));
+  this->TryNextEndpoint();
+}
+
 bool Exchange::MayRetry() const {
   // What has been forwarded can only be continued after an event.
   if (this->forwarding && !this->last_event_id)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -28,6 +28,7 @@
 
 class CallerConnection;
 struct Gateway;
+enum class AdapterOutcome;
 
 /// Retry delay during shutdown. It is short, as the retry reaches another
 /// daemon.
@@ -76,6 +77,7 @@
   void TryNextEndpoint();
   Choice ChooseNext(TimePoint now);
   bool AwaitAdapter();
+  void OnAdapterDone(AdapterOutcome outcome);
   bool MayRetry() const;
   void Send(const Choice& choice);
   void OnConnected(std::shared_ptr<net::TcpStream> opened);
@@ -151,6 +153,7 @@
   int sends = 0;
   int possible_executions = 0;  ///< Sends that may have been executed.
   bool adapter_requested = false;
+  std::optional<AdapterOutcome> adapter_outcome;  ///< Of that request.
   bool deferred = false;  ///< The current send; see Admission.
   bool finished = false;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -35,6 +35,18 @@
 
 }  // namespace
 
+const char* AdapterOutcomeName(AdapterOutcome outcome) {
+  switch (outcome) {
+    case AdapterOutcome::kReady:
+      return "ready";
+    case AdapterOutcome::kNoEngine:
+      return "no engine";
+    case AdapterOutcome::kNoAnswer:
+      return "no answer";
+  }
+  return "";
+}
+
 bool ApplyRoutingTable(Gateway* gateway, RoutingTable table) {
   if (gateway->routes && table.version <= gateway->routes->version)
     return false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,10 +42,19 @@
   TimePoint deadline;  ///< Until then its load may be awaited.
 };
 
-/// Requests an adapter. `done` is called once, when an endpoint has the adapter
-/// or when it cannot be loaded before the deadline.
-using AdapterRequest = std::function<void(const AdapterWanted& wanted,
-                                          std::function<void(bool)> done)>;
+/// How a request for an adapter ended.
+enum class AdapterOutcome {
+  kReady,     ///< An endpoint has the adapter.
+  kNoEngine,  ///< The lease holder has no engine that can load it now.
+  kNoAnswer,  ///< No lease holder answered before the deadline.
+};
+
+const char* AdapterOutcomeName(AdapterOutcome outcome);
+
+using AdapterHandler = std::function<void(AdapterOutcome outcome)>;
+/// Requests an adapter. `done` is called once.
+using AdapterRequest =
+    std::function<void(const AdapterWanted& wanted, AdapterHandler done)>;
 
 class Exchange;
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -92,6 +92,11 @@
                          "coltsfootvane_gateway_endpoint_notices_total",
                          "Endpoints that have stated in an answer that they "
                          "leave or want no requests for a while")),
+      adapter_requests(
+          AddCounter(registry,
+                     "coltsfootvane_gateway_adapter_requests_total",
+                     "Requests to the lease holder for adapters "
+                     "that no endpoint was known to have")),
       crashes(AddCounter(registry,
                          "coltsfootvane_gateway_endpoint_crashes_total",
                          "Endpoints that ended with requests unanswered")),
@@ -158,6 +163,13 @@
   this->notices->Add(labels).Increment();
 }
 
+void GatewayMetrics::CountAdapterRequest(std::string_view service,
+                                         std::string_view outcome) {
+  Labels labels = ServiceLabel(service);
+  labels["outcome"] = outcome;
+  this->adapter_requests->Add(labels).Increment();
+}
+
 void GatewayMetrics::CountCrash(std::string_view service) {
   this->crashes->Add(ServiceLabel(service)).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -54,6 +54,8 @@
   void CountResumedStream(std::string_view service);
   /// `notice` is `leaving` or `paused`.
   void CountNotice(std::string_view service, std::string_view notice);
+  /// `outcome` is that of a request to the lease holder for an adapter.
+  void CountAdapterRequest(std::string_view service, std::string_view outcome);
   /// Counts an endpoint that ended with requests unanswered.
   void CountCrash(std::string_view service);
   /// `change` is `begun` or `ended`.
@@ -73,6 +75,7 @@
   Family<prometheus::Counter>* retries;
   Family<prometheus::Counter>* resumed;
   Family<prometheus::Counter>* notices;
+  Family<prometheus::Counter>* adapter_requests;
   Family<prometheus::Counter>* crashes;
   Family<prometheus::Counter>* quarantines;
 };
--- a/tools/holder_simulation/simulation.cc
+++ b/tools/holder_simulation/simulation.cc
@@ -197,8 +197,8 @@
     std::size_t items = 0;
     for (const fleet::EnginePlacement& placement : sent)
       items += fleet::CountItems(placement);
-    const double datagrams = static_cast<double>(
-        (items / kItemsPerDatagram + 1) * this->scene.daemons);
+    const std::size_t each = items / kItemsPerDatagram + 1;
+    const auto datagrams = static_cast<double>(each * this->scene.daemons);
     const double bytes =
         datagrams * kDatagramHeaderBytes +
         static_cast<double>(items * this->scene.daemons) * kItemBytes;
