Fleet: Forget the placements of endpoints that have gone

The versions of applied placements were kept for each endpoint that had ever registered. They are dropped once they are most of those recorded (PlacementNews.EndpointsThatHaveGoneAreForgotten; found while reading the diff). A member of Fleet gets a clearer name.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -197,12 +197,12 @@
   AddRoom(this->table.members.size(), now, &this->placement_news);
   std::vector<std::vector<EnginePlacement>> datagrams =
       SplitIntoDatagrams(TakeNews(engines, &this->placement_news));
-  if (datagrams.empty() && now < this->next_holder_sign_at)
+  if (datagrams.empty() && now < this->next_empty_placement_at)
     return;
   // An empty one shows the others that the holder is live.
   if (datagrams.empty())
     datagrams.emplace_back();
-  this->next_holder_sign_at = now + kHolderInterval;
+  this->next_empty_placement_at = now + kHolderInterval;
   for (const std::vector<EnginePlacement>& contents : datagrams) {
     gen::Placement placement;
     placement.lease_epoch = this->lease_epoch;
@@ -275,6 +275,7 @@
 void Fleet::Tick() {
   const TimePoint now = BootNow();
   RemoveSilent(&this->table, now);
+  ForgetGone(this->gateway->endpoint_list, &this->applied_placements);
   this->peer_work = SumWork(this->table, now);
   CopyPeerWork(this->peer_work, this->gateway->endpoint_list);
   this->gateway->daemons = 1 + CountLive(this->table, now);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -123,8 +123,8 @@
   std::int64_t lease_epoch = 0;
   HolderContact holder;
   PlacementNews placement_news;  ///< While this daemon is the holder.
-  TimePoint
-      next_holder_sign_at;  ///< Of an empty placement, if there is no news.
+  /// When to send an empty placement if there is no news.
+  TimePoint next_empty_placement_at;
   AppliedPlacements applied_placements;  ///< Of all holders.
   AdapterLoader loader;
   std::map<std::int64_t, PendingAdapter> pending_adapters;  ///< By number.
--- a/src/fleet/placement_news.cc
+++ b/src/fleet/placement_news.cc
@@ -145,4 +145,17 @@
   return true;
 }
 
+void ForgetGone(gsl::span<const gateway::EndpointPtr> endpoints,
+                AppliedPlacements* applied) {
+  if (applied->size() <= 2 * endpoints.size())
+    return;
+  AppliedPlacements kept;
+  for (const gateway::EndpointPtr& endpoint : endpoints) {
+    const auto known = applied->find(endpoint->key);
+    if (known != applied->end())
+      kept.insert(*known);
+  }
+  *applied = std::move(kept);
+}
+
 }  // namespace coltsfootvane::fleet
--- a/src/fleet/placement_news.h
+++ b/src/fleet/placement_news.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/endpoint.h"
 
 namespace coltsfootvane::fleet {
 
@@ -72,6 +73,10 @@
               const PlacementVersion& version,
               AppliedPlacements* applied);
 
+/// Forgets endpoints that have gone, once they are most of those recorded.
+void ForgetGone(gsl::span<const gateway::EndpointPtr> endpoints,
+                AppliedPlacements* applied);
+
 }  // namespace coltsfootvane::fleet
 
 #endif  // COLTSFOOTVANE_FLEET_PLACEMENT_NEWS_H_
--- a/src/fleet/placement_news_unittest.cc
+++ b/src/fleet/placement_news_unittest.cc
@@ -151,3 +151,16 @@
                      row.name);
   CHECK(fleet::TryApply(2, {3, 1}, &applied));
 }
+
+// Guards against memory that grows with each endpoint that was ever registered.
+TEST(PlacementNews, EndpointsThatHaveGoneAreForgotten) {
+  auto endpoint = std::make_shared<gateway::Endpoint>();
+  endpoint->key = 1;
+  fleet::AppliedPlacements applied;
+  for (std::uint32_t key = 1; key <= 100; ++key) {
+    CHECK(fleet::TryApply(key, {1, key}, &applied));
+    fleet::ForgetGone(std::vector<gateway::EndpointPtr>{endpoint}, &applied);
+    CHECK(applied.size() <= 2);
+  }
+  CHECK_FALSE(fleet::TryApply(1, {1, 1}, &applied));
+}
