--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -55,8 +55,7 @@
 
 /// Returns whether the reports show the present work at the endpoints.
 bool HasFreshReports(const ChoiceInput& input) {
-  const double run_ms =
-      input.engine == nullptr ? kServiceCallMs : input.typical.run_ms;
+  const double run_ms = input.engine == nullptr ? kServiceCallMs : input.run_ms;
   return static_cast<double>(input.report_age.count()) <=
          kFreshShareOfRun * run_ms;
 }
@@ -77,9 +76,9 @@
 double CapacityUntilNextReports(const Endpoint& endpoint,
                                 const ChoiceInput& input) {
   const bool plain = input.engine == nullptr;
-  const double slots = plain ? std::max(1, endpoint.entry.slots)
-                             : RequestsAtOnce(*input.engine, input.typical);
-  const double run_ms = plain ? kServiceCallMs : input.typical.run_ms;
+  const double slots =
+      std::max(1, plain ? endpoint.entry.slots : input.engine->slots);
+  const double run_ms = plain ? kServiceCallMs : input.run_ms;
   const double ends =
       static_cast<double>(input.report_age.count()) / run_ms * slots;
   const int running = endpoint.own.running + endpoint.peers.running;
@@ -151,11 +150,10 @@
 double EngineWaitMs(int ahead,
                     int tokens,
                     const EngineSpec& engine,
-                    const TypicalRequest& typical) {
-  const int at_once = RequestsAtOnce(engine, typical);
-  const int queued = std::max(0, ahead - at_once + 1);
+                    double run_ms) {
+  const int queued = std::max(0, ahead - engine.slots + 1);
   return tokens / kPromptTokensPerMs + ahead * kRunningRequestMs +
-         queued * typical.run_ms / at_once;
+         queued * run_ms / std::max(1, engine.slots);
 }
 
 /// Keeps the pause of the endpoint if it ends before those seen so far.
@@ -186,15 +184,6 @@
 
 }  // namespace
 
-int RequestsAtOnce(const EngineSpec& engine, const TypicalRequest& typical) {
-  const int slots = std::max(1, engine.slots);
-  if (engine.memory_tokens <= 0 || typical.tokens <= 0)
-    return slots;
-  const double held =
-      static_cast<double>(engine.memory_tokens) / typical.tokens;
-  return static_cast<int>(std::clamp(held, 1.0, static_cast<double>(slots)));
-}
-
 int TokensToPrefill(const RequestInfo& request, bool preferred) {
   if (request.prompt.size() < 2)
     return request.prompt_tokens;
@@ -217,7 +206,7 @@
 double ExpectedWaitMs(const Endpoint& endpoint,
                       const EngineSpec* engine,
                       int tokens,
-                      const TypicalRequest& typical) {
+                      double run_ms) {
   const int running = endpoint.own.running + endpoint.peers.running;
   if (engine == nullptr) {
     const int slots = std::max(1, endpoint.entry.slots);
@@ -230,15 +219,15 @@
       endpoint.own.deferred_tokens + endpoint.peers.deferred_tokens;
   return EngineWaitMs(running - deferred,
                       PromptTokens(endpoint) - deferred_tokens + tokens,
-                      *engine, typical);
+                      *engine, run_ms);
 }
 
 double DeferredWaitMs(const Endpoint& endpoint,
                       const EngineSpec& engine,
                       int tokens,
-                      const TypicalRequest& typical) {
+                      double run_ms) {
   return EngineWaitMs(endpoint.own.running + endpoint.peers.running,
-                      PromptTokens(endpoint) + tokens, engine, typical);
+                      PromptTokens(endpoint) + tokens, engine, run_ms);
 }
 
 Choice ChooseEndpoint(gsl::span<const EndpointPtr> endpoints,
@@ -262,7 +251,7 @@
             ? 0
             : TokensToPrefill(*input.request, endpoint.get() == preferred);
     const double wait =
-        ExpectedWaitMs(*endpoint, input.engine, tokens, input.typical);
+        ExpectedWaitMs(*endpoint, input.engine, tokens, input.run_ms);
     if (fresh) {
       const double cost = wait + PenaltyMs(*endpoint, input);
       if (best.endpoint != nullptr && cost >= least_cost)
@@ -282,7 +271,7 @@
     best.deferred_wait_ms =
         input.engine == nullptr
             ? wait
-            : DeferredWaitMs(*endpoint, *input.engine, tokens, input.typical);
+            : DeferredWaitMs(*endpoint, *input.engine, tokens, input.run_ms);
   }
   return best;
 }
--- a/src/gateway/choice.h
+++ b/src/gateway/choice.h
@@ -20,16 +20,6 @@
 /// The same for a plain service.
 inline constexpr double kServiceCallMs = 60;
 
-/// What a typical request to a service takes.
-struct TypicalRequest {
-  double run_ms = kDefaultRunMs;  ///< For which it occupies a slot.
-  double tokens = 0;  ///< That it holds in an engine; 0 if not known.
-};
-
-/// Returns how many requests an engine runs at once: it has no more slots, or
-/// its memory holds no more typical requests.
-int RequestsAtOnce(const EngineSpec& engine, const TypicalRequest& typical);
-
 /// Inputs of the choice of an endpoint, apart from the endpoints themselves.
 struct ChoiceInput {
   std::string_view service;
@@ -39,7 +29,8 @@
   const std::set<std::string>* excluded = nullptr;  ///< Ids of tried endpoints.
   TimePoint now;
   Milliseconds report_age{0};  ///< Greatest age of the other daemons' reports.
-  TypicalRequest typical;      ///< Of this service.
+  /// Typical time for which a request to this service occupies a slot, in ms.
+  double run_ms = kDefaultRunMs;
   std::uint64_t jitter_seed = 0;  ///< Random; differs between daemons.
 };
 
@@ -75,18 +66,18 @@
 std::uint64_t PromptRank(const RequestInfo& request, const Endpoint& endpoint);
 
 /// Returns the expected time to the first byte of an answer, in ms. A request
-/// beyond those that run at once waits until enough of the others have ended.
+/// beyond the slots waits until enough of the others have ended.
 double ExpectedWaitMs(const Endpoint& endpoint,
                       const EngineSpec* engine,
                       int tokens,
-                      const TypicalRequest& typical = {});
+                      double run_ms = kDefaultRunMs);
 
 /// Returns the same for a request that is sent as deferred: the engine begins
 /// it after those that are not.
 double DeferredWaitMs(const Endpoint& endpoint,
                       const EngineSpec& engine,
                       int tokens,
-                      const TypicalRequest& typical);
+                      double run_ms);
 
 /// Chooses the endpoint with the least cost: the expected wait plus penalties
 /// for recent failures and for traffic between data centres.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -79,7 +79,6 @@
     if (this->EndIfQuarantined())
       return;
     RecordDemand(&this->gateway->traffic, this->info, now);
-    RecordSize(&this->gateway->traffic, this->service, this->info);
   }
   this->timer.expires_after(TimeLeft(this->deadline, now));
   this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
@@ -171,8 +170,7 @@
   choice_input.excluded = &this->tried_endpoints;
   choice_input.now = now;
   choice_input.report_age = this->gateway->report_interval;
-  choice_input.typical = {RunMs(this->gateway->traffic, this->service),
-                          RequestTokens(this->gateway->traffic, this->service)};
+  choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
   choice_input.jitter_seed = this->gateway->random();
   return ChooseEndpoint(this->gateway->endpoint_list, choice_input);
 }
--- a/src/gateway/routing_table.h
+++ b/src/gateway/routing_table.h
@@ -54,8 +54,6 @@
 /// Capacity and models of the engines of a service.
 struct EngineSpec {
   int slots = 1;
-  /// Tokens that running requests may hold together; 0 if not declared.
-  std::int64_t memory_tokens = 0;
   double memory_mb = 0;
   int adapter_slots = 0;
   double store_loads_per_s = 0;  ///< Limit on all engines together.
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -13,8 +13,6 @@
 /// Engine time per generated token in a batch.
 constexpr double kOutputTokenMs = 0.15;
 
-/// Weight of a new request in the moving average of sizes, which vary widely.
-constexpr double kNewRequestWeight = 1.0 / 64;
 /// Weight of a new run in the moving average.
 constexpr double kNewRunWeight = 1.0 / 16;
 constexpr double kMinRunMs = 50;
@@ -40,15 +38,6 @@
             work_ms, now);
 }
 
-void RecordSize(Traffic* traffic,
-                const std::string& service,
-                const RequestInfo& request) {
-  const double tokens = TokensToPrefill(request, true) + request.output_tokens;
-  const auto [typical, inserted] =
-      traffic->request_tokens.emplace(service, tokens);
-  typical->second += kNewRequestWeight * (tokens - typical->second);
-}
-
 void RecordRun(Traffic* traffic, const std::string& service, double run_ms) {
   const auto [run, inserted] = traffic->run_ms.emplace(service, kDefaultRunMs);
   run->second += kNewRunWeight * (run_ms - run->second);
@@ -60,11 +49,6 @@
                                      : std::max(kMinRunMs, run->second);
 }
 
-double RequestTokens(const Traffic& traffic, std::string_view service) {
-  const auto tokens = traffic.request_tokens.find(service);
-  return tokens == traffic.request_tokens.end() ? 0 : tokens->second;
-}
-
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now) {
   const std::chrono::duration<double> elapsed = now - demand.updated;
   const double decay =
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -25,19 +25,11 @@
   /// Smoothed time from the first event of a stream to its end, in ms, by
   /// service.
   std::map<std::string, double, std::less<>> run_ms;
-  /// Smoothed number of tokens that a request holds in an engine, by service.
-  std::map<std::string, double, std::less<>> request_tokens;
 };
 
 /// Adds the work of a request to the demand for its model and adapter.
 void RecordDemand(Traffic* traffic, const RequestInfo& request, TimePoint now);
 
-/// Records how many tokens a request to the service holds while it runs.
-/// Parts of prompts that requests share are held once and not counted.
-void RecordSize(Traffic* traffic,
-                const std::string& service,
-                const RequestInfo& request);
-
 /// Records how long a stream of the service took from its first event.
 void RecordRun(Traffic* traffic, const std::string& service, double run_ms);
 
@@ -45,10 +37,6 @@
 /// of an engine, in ms.
 double RunMs(const Traffic& traffic, std::string_view service);
 
-/// Returns the typical number of tokens that a request to the service holds; 0
-/// if none has been seen.
-double RequestTokens(const Traffic& traffic, std::string_view service);
-
 /// Returns the demand decayed to `now`.
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now);
 
