--- a/review/standins/site.cc
+++ b/review/standins/site.cc
@@ -141,6 +141,11 @@
   this->entries.erase(id);
 }
 
+void Site::Remove(const std::string& id) {
+  this->Silence(id);
+  this->store.Remove("servers", id);
+}
+
 void Site::Register() {
   std::vector<ReplicaEntry> current;
   {
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -78,6 +78,8 @@
                 const nlohmann::json& extra);
   /// The replica does not register any more.
   void Silence(const std::string& id);
+  /// The same, and its entry is removed.
+  void Remove(const std::string& id);
   void StartDaemon(int number);
   /// Starts a program and returns its process id.
   static pid_t Spawn(const std::vector<std::string>& words,
--- a/review/standins/store.cc
+++ b/review/standins/store.cc
@@ -35,13 +35,23 @@
   return Now();
 }
 
+void Store::Remove(const std::string& kind, const std::string& name) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->Append(kind, name, nullptr, true);
+  }
+  this->changed.notify_all();
+}
+
 Json Store::Append(const std::string& kind,
                    const std::string& name,
-                   const Json& spec) {
+                   const Json& spec,
+                   bool deleted) {
   Event event;
   event.revision = ++this->revision;
   event.at = Now();
   event.kind = kind;
+  event.deleted = deleted;
   event.object = {{"metadata",
                    {{"name", name},
                     {"revision", event.revision},
@@ -63,8 +73,13 @@
     if (event.at > time)
       break;
     *at = event.revision;
-    if (event.kind == kind)
-      state[event.object["metadata"]["name"].get<std::string>()] = event.object;
+    if (event.kind != kind)
+      continue;
+    const auto name = event.object["metadata"]["name"].get<std::string>();
+    if (event.deleted)
+      state.erase(name);
+    else
+      state[name] = event.object;
   }
   return state;
 }
@@ -132,7 +147,7 @@
         continue;
       at = event.revision;
       if (event.kind == query.kind)
-        found.push_back({{"object", event.object}, {"deleted", false}});
+        found.push_back({{"object", event.object}, {"deleted", event.deleted}});
     }
     if (!found.empty() || Now() >= until)
       return Reply(200, {{"events", found}, {"at", at}});
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -25,6 +25,7 @@
   double Put(const std::string& kind,
              const std::string& name,
              const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
 
  private:
   struct Event {
@@ -32,6 +33,7 @@
     double at = 0;
     std::string kind;
     nlohmann::json object;
+    bool deleted = false;
   };
   struct Query {
     std::string kind;
@@ -46,7 +48,8 @@
   std::string WriteObject(const Query& query, const Message& request);
   nlohmann::json Append(const std::string& kind,
                         const std::string& name,
-                        const nlohmann::json& spec);
+                        const nlohmann::json& spec,
+                        bool deleted = false);
   /// Returns the objects of a kind as of that time, and the revision then.
   std::map<std::string, nlohmann::json> StateAt(const std::string& kind,
                                                 double time,
