Store: Replace a stale watch at once when the latest state is wanted

Cause: SetFreshness() applied to the next watch only. When the three daemons that watch the latest state for the others are lost, the next three are told to do so after some report intervals, but go on with the watch in progress, which may be late, for up to 20 s (configuration) or 2 s (endpoints). Meanwhile no daemon sees the latest state, and a change is in force as late as stale reads are.

Change: a watch in progress that may be late is replaced; its answer is ignored.

KindFollower.SwitchesToTheLatestStateAtOnce: fails on the code before (1 call where 2 are expected), passes now.

--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -33,7 +33,19 @@
   this->List();
 }
 
+void KindFollower::SetFreshness(Freshness wanted) {
+  if (wanted == this->freshness)
+    return;
+  this->freshness = wanted;
+  const bool may_be_late = this->watching && this->watched == Freshness::kStale;
+  if (wanted == Freshness::kStale || !may_be_late)
+    return;
+  ++this->generation;
+  this->Watch();
+}
+
 void KindFollower::List() {
+  this->watching = false;
   this->store->list(
       this->kind.name, Freshness::kLatest,
       [this, current = this->generation](const Result<Listing>& listing) {
@@ -75,11 +87,14 @@
 }
 
 void KindFollower::Watch() {
+  this->watching = true;
+  this->watched = this->freshness;
   this->store->watch(
       this->kind.name, this->revision, this->kind.watch_wait, this->freshness,
       [this, current = this->generation](Result<Changes> changes) {
         if (current != this->generation)
           return;
+        this->watching = false;
         if (!changes) {
           this->OnFailure(changes.error());
           return;
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -44,8 +44,9 @@
 
   void Start();
 
-  /// Applies to the next watch. One that may be late relies on CatchUp().
-  void SetFreshness(Freshness wanted) { this->freshness = wanted; }
+  /// A view that may be late relies on CatchUp(). A change to the latest state
+  /// has an effect at once: a watch in progress that may be late is replaced.
+  void SetFreshness(Freshness wanted);
   /// Lists at once what has changed up to `known_revision`, if that is news.
   void CatchUp(std::int64_t known_revision);
   /// Lists and watches anew, since the answer to the watch may have been lost.
@@ -73,6 +74,8 @@
   FollowerEvents events;
   std::minstd_rand random;
   Freshness freshness = Freshness::kLatest;
+  bool watching = false;                   ///< A watch is in progress.
+  Freshness watched = Freshness::kLatest;  ///< Of the watch in progress.
   std::int64_t revision = 0;
   std::int64_t catching_up_to = 0;  ///< Asked for and not yet answered.
   int generation = 0;               ///< Identifies answers to earlier calls.
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -162,3 +162,28 @@
   fixture.store.watches[1](late);
   LONGS_EQUAL(1, fixture.changed.size());
 }
+
+/// Guards against a daemon that is to read the latest state for others and goes
+/// on for up to 20 s with a watch that may be late.
+TEST(KindFollower, SwitchesToTheLatestStateAtOnce) {
+  Fixture fixture;
+  fixture.follower.SetFreshness(Freshness::kStale);
+  fixture.store.lists[0](Listing{{}, 10});
+  fixture.RunUntilCalls(1, 1);
+  CHECK(fixture.store.watched == Freshness::kStale);
+  fixture.follower.SetFreshness(Freshness::kLatest);
+  LONGS_EQUAL(2, fixture.store.watches.size());
+  CHECK(fixture.store.watched == Freshness::kLatest);
+  Changes changes;
+  changes.revision = 12;
+  changes.changes = {{MakeObject("new", 12), false}};
+  fixture.store.watches[1](changes);
+  LONGS_EQUAL(1, fixture.changed.size());
+  fixture.store.watches[0](changes);
+  LONGS_EQUAL(1, fixture.changed.size());
+  // One of the latest state goes on.
+  fixture.RunUntilCalls(1, 3);
+  fixture.follower.SetFreshness(Freshness::kStale);
+  fixture.follower.SetFreshness(Freshness::kLatest);
+  LONGS_EQUAL(3, fixture.store.watches.size());
+}
