Fleet, daemon: Know how far the view of the store is complete, and check it in time

Cause: all but three daemons rely on the word of these three for changes in the store, and on their own stale watches as a fallback. A loss of the three is noticed after five report intervals (1.25 s with 6 daemons, 17 s with 295). What is acknowledged in between is in force as late as stale reads are. Departures of endpoints take the same way (DRAIN). Nothing told a daemon how old its view was. Ruled out: a shorter member timeout, since at 295 daemons reports come every 3.4 s; watches of the latest state by all, at ten times the price for each change.

Change: a follower knows up to when its view holds all changes of interest, by answers that are linearizable, or by the word of another daemon whose news it has. Reports carry that age, and the highest store revision of a departure that it covers, as a listing hides what came and went before it. In fleets with longer report intervals a reader tells 24 others after each answer, who pass it on with their own reports. When a view has not been confirmed for 0.5 to 0.7 of the time in which changes must be in force (drawn anew each time), the daemon reads the latest state in place of the watch in progress and tells all; the others are spared. Readers watch for 0.4 of that time at most, both kinds. Added: store_view_age_seconds, store_view_checks_total, event 2409. The store's stand-in has stale reads and watches that end.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -52,7 +52,8 @@
                  &this->store,
                  &this->gateway,
                  &this->fleet,
-                 &this->log),
+                 &this->log,
+                 daemon_settings.in_force_limit),
       registry(&this->io,
                &this->store,
                daemon_settings.name,
@@ -150,6 +151,7 @@
   parts.fleet = &this->fleet;
   parts.lease = &this->lease;
   parts.log = &this->log;
+  parts.view_confirmed_at = this->store_view.ConfirmedAt();
   parts.followers = {&this->store_view.Config(), &this->store_view.Endpoints()};
   return FormatMetrics(parts, BootNow());
 }
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -139,6 +139,10 @@
                "Time since the last answer of the store for the kind", kind,
                SecondsSince(follower->HeardAt(), now));
   }
+  if (parts.view_confirmed_at != TimePoint())
+    SetGauge(registry, "coltsfootvane_store_view_age_seconds",
+             "Time since the view of the store was known to be complete", {},
+             SecondsSince(parts.view_confirmed_at, now));
   SetGauge(registry, "coltsfootvane_live_daemons",
            "Daemons that report, this one included", {},
            parts.fleet->CountLiveDaemons());
--- a/src/daemon/daemon_metrics.h
+++ b/src/daemon/daemon_metrics.h
@@ -32,6 +32,7 @@
   const orders::LeaseManager* lease = nullptr;
   const DecisionLog* log = nullptr;
   std::vector<const store::KindFollower*> followers;
+  TimePoint view_confirmed_at;  ///< See StoreView::ConfirmedAt().
 };
 
 /// Returns the counters and histograms of the gateway's registry and the
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -28,6 +28,8 @@
   std::vector<boost::asio::ip::address> first_peers;
   Milliseconds stop_timeout{8000};  ///< From SIGTERM to SIGKILL.
   Milliseconds lease_time{3000};    ///< Least time between two holders.
+  /// Changes in the store must be in force within this time.
+  Milliseconds in_force_limit{2000};
   bool engines_check_fences = false;
   gateway::FleetRetryLimit retry_limit;
   orders::StoreLoadLimit store_load_limit;
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -20,6 +20,9 @@
 inline constexpr Event kQuarantineNotRecorded{2408, Severity::kWarning,
                                               "quarantine-not-recorded"};
 
+inline constexpr Event kViewUnconfirmed{2409, Severity::kInfo,
+                                        "view-unconfirmed"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -3,6 +3,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/registry.h>
 
+#include <algorithm>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -35,38 +36,54 @@
                      const store::ObjectStore* store,
                      gateway::Gateway* own_gateway,
                      fleet::Fleet* own_fleet,
-                     DecisionLog* decision_log)
+                     DecisionLog* decision_log,
+                     Milliseconds change_limit)
     : deployment(own_deployment),
       gateway(own_gateway),
       fleet(own_fleet),
       log(decision_log),
       config(io,
              store,
-             {own_deployment->config_kind, kConfigWatchWait},
+             {own_deployment->config_kind, kConfigWatchWait,
+              LatestWatchWait(change_limit)},
              decision_log,
-             Events(
-                 [this](const store::Listing& listing) {
-                   for (const store::Object& object : listing.objects)
-                     this->OnConfig(object);
-                   this->SendNews();
-                 },
-                 [this](const store::Changes& changes) {
-                   for (const store::Change& change : changes.changes) {
-                     if (!change.deleted)
-                       this->OnConfig(change.object);
-                   }
-                   this->SendNews();
-                 })),
+             this->ConfigEvents()),
       endpoints(io,
                 store,
-                {own_deployment->endpoint_kind, kEndpointWatchWait},
+                {own_deployment->endpoint_kind, kEndpointWatchWait,
+                 LatestWatchWait(change_limit)},
                 decision_log,
                 this->EndpointEvents()),
       skipped_entries(&prometheus::BuildCounter()
                            .Name("coltsfootvane_store_entries_skipped_total")
                            .Help("Versions of entries that name no endpoint or "
                                  "cannot be read")
-                           .Register(own_gateway->registry)) {}
+                           .Register(own_gateway->registry)),
+      in_force_limit(change_limit),
+      checks(&prometheus::BuildCounter()
+                  .Name("coltsfootvane_store_view_checks_total")
+                  .Help("Reads of the latest state because no daemon had shown "
+                        "for too long that the view is complete")
+                  .Register(own_gateway->registry)
+                  .Add({})) {}
+
+store::FollowerEvents StoreView::ConfigEvents() {
+  store::FollowerEvents events = Events(
+      [this](const store::Listing& listing) {
+        for (const store::Object& object : listing.objects)
+          this->OnConfig(object);
+        this->SendNews();
+      },
+      [this](const store::Changes& changes) {
+        for (const store::Change& change : changes.changes) {
+          if (!change.deleted)
+            this->OnConfig(change.object);
+        }
+        this->SendNews();
+      });
+  events.on_confirmed = [this] { this->OnConfirmed(); };
+  return events;
+}
 
 store::FollowerEvents StoreView::EndpointEvents() {
   store::FollowerEvents events = Events(
@@ -79,6 +96,7 @@
   events.on_reachable = [this](bool reachable) {
     this->OnEndpointsReachable(reachable);
   };
+  events.on_confirmed = [this] { this->OnConfirmed(); };
   return events;
 }
 
@@ -99,6 +117,43 @@
 void StoreView::CatchUp(const fleet::SeenRevisions& news) {
   this->config.CatchUp(news.config_revision);
   this->endpoints.CatchUp(news.endpoints_revision);
+  this->config.Confirm(news.config_revision, news.confirmed_at);
+  this->endpoints.Confirm(news.max_departure_revision, news.confirmed_at);
+  this->UpdateConfirmation();
+}
+
+/// Returns whether the view is known to be complete for longer than before.
+bool StoreView::UpdateConfirmation() {
+  const TimePoint at =
+      std::min(this->config.ConfirmedAt(), this->endpoints.ConfirmedAt());
+  const bool is_news = at > this->check.confirmed_at;
+  RecordConfirmation(at, this->in_force_limit, &this->gateway->random,
+                     &this->check);
+  this->fleet->seen_revisions.confirmed_at = this->check.confirmed_at;
+  return is_news;
+}
+
+/// Called when the store has shown its latest state to this daemon.
+void StoreView::OnConfirmed() {
+  if (!this->UpdateConfirmation())
+    return;
+  // The others are about to check as well, unless they hear of this.
+  if (std::exchange(this->checking, false))
+    this->fleet->ReportNow();
+  else if (this->fleet->ReadsLatestState())
+    this->fleet->SpreadConfirmation();
+}
+
+void StoreView::BeginCheck(TimePoint now) {
+  this->checking = true;
+  this->checks->Increment();
+  const auto age =
+      std::chrono::duration_cast<Milliseconds>(now - this->check.confirmed_at);
+  this->log->Write(
+      kViewUnconfirmed, "",
+      "age_ms=" + std::to_string(age.count()) +
+          " config_revision=" + std::to_string(this->config.Revision()) +
+          " endpoints_revision=" + std::to_string(this->endpoints.Revision()));
 }
 
 void StoreView::Refresh() {
@@ -108,9 +163,13 @@
 
 void StoreView::Tick() {
   this->SendNews();
-  const auto freshness = this->fleet->ReadsLatestState()
-                             ? store::Freshness::kLatest
-                             : store::Freshness::kStale;
+  const TimePoint now = BootNow();
+  const bool reads_latest = this->fleet->ReadsLatestState();
+  const bool due = IsCheckDue(this->check, now);
+  if (due && !reads_latest && !this->checking && this->endpoints_known)
+    this->BeginCheck(now);
+  const auto freshness = reads_latest || due ? store::Freshness::kLatest
+                                             : store::Freshness::kStale;
   this->config.SetFreshness(freshness);
   this->endpoints.SetFreshness(freshness);
 }
@@ -152,6 +211,8 @@
                                       : std::next(it);
   if (!gone.empty())
     this->NoteDeparture(listing.revision);
+  // Endpoints may have come and gone unseen before it.
+  this->RaiseMaxDeparture(listing.revision);
   this->endpoints_known = true;
   gateway::UpdateEndpointList(this->gateway);
   this->SendNews();
@@ -216,8 +277,14 @@
                        "\" revision=" + std::to_string(object.revision));
 }
 
+void StoreView::RaiseMaxDeparture(std::int64_t revision) {
+  std::int64_t& highest = this->fleet->seen_revisions.max_departure_revision;
+  highest = std::max(highest, revision);
+}
+
 /// Endpoints that leave are urgent news: they get no new work.
 void StoreView::NoteDeparture(std::int64_t revision) {
+  this->RaiseMaxDeparture(revision);
   if (revision <= this->fleet->seen_revisions.endpoints_revision)
     return;
   this->fleet->seen_revisions.endpoints_revision = revision;
@@ -228,7 +295,7 @@
   this->fleet->seen_revisions.reachable =
       this->config.Reachable() && this->endpoints.Reachable();
   const bool urgent = std::exchange(this->news_to_send, false);
-  if (urgent && this->fleet->ReadsLatestState())
+  if (urgent && (this->checking || this->fleet->ReadsLatestState()))
     this->fleet->ReportNow();
 }
 
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "daemon/deployment.h"
+#include "daemon/view_check.h"
 #include "fleet/fleet.h"
 #include "gateway/gateway.h"
 #include "log/decision_log.h"
@@ -29,7 +30,8 @@
             const store::ObjectStore* store,
             gateway::Gateway* gateway,
             fleet::Fleet* fleet,
-            DecisionLog* log);
+            DecisionLog* log,
+            Milliseconds in_force_limit);
 
   void Start();
   /// Returns whether the endpoints have been listed once.
@@ -40,18 +42,26 @@
   void Refresh();
   /// Reports news and adapts how closely the store is watched.
   void Tick();
+  /// All changes that were acknowledged before are in force; TimePoint() if
+  /// that is not known.
+  TimePoint ConfirmedAt() const { return this->check.confirmed_at; }
   const store::KindFollower& Config() const { return this->config; }
   const store::KindFollower& Endpoints() const { return this->endpoints; }
 
  private:
+  store::FollowerEvents ConfigEvents();
   store::FollowerEvents EndpointEvents();
   void OnEndpointsReachable(bool reachable);
+  void OnConfirmed();
+  bool UpdateConfirmation();
+  void BeginCheck(TimePoint now);
   void OnConfig(const store::Object& object);
   void OnEndpointListing(const store::Listing& listing);
   void OnEndpointChanges(const store::Changes& changes);
   void UpsertEndpoint(const store::Object& object);
   void SkipEndpoint(const store::Object& object, const std::string& reason);
   void RemoveEndpoint(const std::string& id);
+  void RaiseMaxDeparture(std::int64_t revision);
   void NoteDeparture(std::int64_t revision);
   void SendNews();
 
@@ -64,6 +74,12 @@
   prometheus::Family<prometheus::Counter>* skipped_entries;
   /// Revisions of the entries that name no endpoint, by name.
   std::map<std::string, std::int64_t> skipped_revisions;
+  /// Time within which changes must be in force.
+  Milliseconds in_force_limit;
+  ViewCheck check;
+  /// This daemon reads the latest state, since nobody has confirmed its view.
+  bool checking = false;
+  prometheus::Counter* checks;
   TimePoint endpoints_lost_at;  ///< When the store last left them unanswered.
   bool endpoints_known = false;
   bool news_to_send = false;  ///< Since the last report to the others.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -22,6 +22,11 @@
 /// Sums of demand are used for this time.
 constexpr Milliseconds kDemandSumInterval{200};
 constexpr std::size_t kMaxMembersInReport = 60;
+/// Longest confirmation age that a report may state.
+constexpr Milliseconds kMaxConfirmedAge{60'000};
+/// Daemons that SpreadConfirmation() tells. Reports go to all daemons, so that
+/// the first of these to report passes the news on.
+constexpr std::size_t kSpreadCount = 24;
 
 std::uint32_t ToNumber(const boost::asio::ip::address& address) {
   return address.is_v4() ? address.to_v4().to_uint() : 0;
@@ -37,6 +42,17 @@
   return wire;
 }
 
+SeenRevisions ReadSeenRevisions(const gen::Report& report, TimePoint now) {
+  SeenRevisions seen;
+  seen.config_revision = report.config_revision;
+  seen.endpoints_revision = report.endpoints_revision;
+  seen.reachable = report.store_reachable;
+  seen.max_departure_revision = report.max_departure_revision;
+  if (report.__isset.confirmed_age_ms && report.confirmed_age_ms >= 0)
+    seen.confirmed_at = now - Milliseconds(report.confirmed_age_ms);
+  return seen;
+}
+
 }  // namespace
 
 Milliseconds ReportInterval(std::size_t members, double report_bytes) {
@@ -147,8 +163,7 @@
     CopyPeerWork(this->peer_work, this->gateway->endpoint_list);
   }
   if (is_new && this->on_seen_revisions)
-    this->on_seen_revisions(
-        {report.config_revision, report.endpoints_revision, true});
+    this->on_seen_revisions(ReadSeenRevisions(report, now));
   if (is_new && restarted)
     this->SendAllSuspects(from);
   if (!is_new || !first_report)
@@ -240,12 +255,40 @@
   report.config_version =
       this->gateway->routes ? this->gateway->routes->version : 0;
   report.lease_epoch = this->lease_epoch;
-  report.config_revision = this->seen_revisions.config_revision;
-  report.endpoints_revision = this->seen_revisions.endpoints_revision;
-  report.store_reachable = this->seen_revisions.reachable;
+  this->FillSeenRevisions(&report);
   return report;
 }
 
+void Fleet::FillSeenRevisions(gen::Report* report) const {
+  const SeenRevisions& seen = this->seen_revisions;
+  report->config_revision = seen.config_revision;
+  report->endpoints_revision = seen.endpoints_revision;
+  report->store_reachable = seen.reachable;
+  const auto age = std::chrono::duration_cast<Milliseconds>(
+      BootNow() - seen.confirmed_at + Milliseconds(1));
+  if (seen.confirmed_at == TimePoint() || age > kMaxConfirmedAge)
+    return;
+  report->__set_confirmed_age_ms(static_cast<std::int32_t>(age.count()));
+  report->__set_max_departure_revision(seen.max_departure_revision);
+}
+
+void Fleet::SpreadConfirmation() {
+  std::vector<std::uint32_t> told;
+  for (const auto& [address, member] : this->table.members) {
+    if (IsLive(member, BootNow()))
+      told.push_back(address);
+  }
+  if (told.size() > kSpreadCount) {
+    std::shuffle(told.begin(), told.end(), this->gateway->random);
+    told.resize(kSpreadCount);
+  }
+  gen::Datagram datagram;
+  datagram.__set_report(this->MakeReport());
+  const std::string bytes = Encode(datagram);
+  for (const std::uint32_t address : told)
+    this->SendTo(address, bytes);
+}
+
 void Fleet::SendReports() {
   const TimePoint now = BootNow();
   gen::Report report = this->MakeReport();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -26,6 +26,12 @@
   std::int64_t config_revision = 0;     ///< Of the latest configuration.
   std::int64_t endpoints_revision = 0;  ///< Of the last endpoint departure.
   bool reachable = false;
+  /// The daemon's view holds all configurations and departures that were
+  /// acknowledged before; TimePoint() if that is not known.
+  TimePoint confirmed_at;
+  /// None of these departures is newer. A listing may hide departures, so that
+  /// this may be higher than endpoints_revision.
+  std::int64_t max_departure_revision = 0;
 };
 
 /// Called with the key of the endpoint that has loaded the adapter, or with 0
@@ -64,6 +70,9 @@
                       gateway::AdapterHandler done);
   /// Sends a report at once, without waiting for the interval to end.
   void ReportNow();
+  /// Tells some daemons, or all of a small fleet, how far the view of the store
+  /// is complete. They pass it on in their own reports.
+  void SpreadConfirmation();
 
   /// The changes in the store that this daemon has seen; part of its reports.
   SeenRevisions seen_revisions;
@@ -105,6 +114,7 @@
   void SendAdapterRequest(std::int64_t number);
   void OnAdapterTimer(std::int64_t number);
   gen::Report MakeReport();
+  void FillSeenRevisions(gen::Report* report) const;
   void SendTo(std::uint32_t address, const std::string& bytes);
   void RecordAdapter(std::uint32_t endpoint, const std::string& adapter_name);
   Milliseconds Interval() const;
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -38,6 +38,11 @@
   10: i64 endpoints_revision  // Store revision of the last endpoint departure.
   11: bool store_reachable
   12: optional bool lists_all_work
+  // The sender's view of the store held all configurations and departures that
+  // were acknowledged this long ago; not set if that is not known.
+  13: optional i32 confirmed_age_ms
+  // None of these departures has a higher store revision.
+  14: optional i64 max_departure_revision
 }
 
 // Sent by the lease holder.
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -401,6 +401,16 @@
   this->lists_all_work = val;
 __isset.lists_all_work = true;
 }
+
+void Report::__set_confirmed_age_ms(const int32_t val) {
+  this->confirmed_age_ms = val;
+__isset.confirmed_age_ms = true;
+}
+
+void Report::__set_max_departure_revision(const int64_t val) {
+  this->max_departure_revision = val;
+__isset.max_departure_revision = true;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -561,6 +571,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->confirmed_age_ms);
+          this->__isset.confirmed_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_departure_revision);
+          this->__isset.max_departure_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -652,6 +678,16 @@
     xfer += oprot->writeBool(this->lists_all_work);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.confirmed_age_ms) {
+    xfer += oprot->writeFieldBegin("confirmed_age_ms", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->confirmed_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.max_departure_revision) {
+    xfer += oprot->writeFieldBegin("max_departure_revision", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->max_departure_revision);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -671,6 +707,8 @@
   swap(a.endpoints_revision, b.endpoints_revision);
   swap(a.store_reachable, b.store_reachable);
   swap(a.lists_all_work, b.lists_all_work);
+  swap(a.confirmed_age_ms, b.confirmed_age_ms);
+  swap(a.max_departure_revision, b.max_departure_revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -687,6 +725,8 @@
   endpoints_revision = other22.endpoints_revision;
   store_reachable = other22.store_reachable;
   lists_all_work = other22.lists_all_work;
+  confirmed_age_ms = other22.confirmed_age_ms;
+  max_departure_revision = other22.max_departure_revision;
   __isset = other22.__isset;
 }
 Report& Report::operator=(const Report& other23) {
@@ -702,6 +742,8 @@
   endpoints_revision = other23.endpoints_revision;
   store_reachable = other23.store_reachable;
   lists_all_work = other23.lists_all_work;
+  confirmed_age_ms = other23.confirmed_age_ms;
+  max_departure_revision = other23.max_departure_revision;
   __isset = other23.__isset;
   return *this;
 }
@@ -720,6 +762,8 @@
   out << ", " << "endpoints_revision=" << to_string(endpoints_revision);
   out << ", " << "store_reachable=" << to_string(store_reachable);
   out << ", " << "lists_all_work="; (__isset.lists_all_work ? (out << to_string(lists_all_work)) : (out << "<null>"));
+  out << ", " << "confirmed_age_ms="; (__isset.confirmed_age_ms ? (out << to_string(confirmed_age_ms)) : (out << "<null>"));
+  out << ", " << "max_departure_revision="; (__isset.max_departure_revision ? (out << to_string(max_departure_revision)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -189,7 +189,7 @@
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false), lists_all_work(false) {}
+  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false), lists_all_work(false), confirmed_age_ms(false), max_departure_revision(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool leaving :1;
@@ -202,6 +202,8 @@
   bool endpoints_revision :1;
   bool store_reachable :1;
   bool lists_all_work :1;
+  bool confirmed_age_ms :1;
+  bool max_departure_revision :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -218,7 +220,9 @@
            config_revision(0),
            endpoints_revision(0),
            store_reachable(0),
-           lists_all_work(0) {
+           lists_all_work(0),
+           confirmed_age_ms(0),
+           max_departure_revision(0) {
   }
 
   virtual ~Report() noexcept;
@@ -234,6 +238,8 @@
   int64_t endpoints_revision;
   bool store_reachable;
   bool lists_all_work;
+  int32_t confirmed_age_ms;
+  int64_t max_departure_revision;
 
   _Report__isset __isset;
 
@@ -261,6 +267,10 @@
 
   void __set_lists_all_work(const bool val);
 
+  void __set_confirmed_age_ms(const int32_t val);
+
+  void __set_max_departure_revision(const int64_t val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -291,6 +301,14 @@
       return false;
     else if (__isset.lists_all_work && !(lists_all_work == rhs.lists_all_work))
       return false;
+    if (__isset.confirmed_age_ms != rhs.__isset.confirmed_age_ms)
+      return false;
+    else if (__isset.confirmed_age_ms && !(confirmed_age_ms == rhs.confirmed_age_ms))
+      return false;
+    if (__isset.max_departure_revision != rhs.__isset.max_departure_revision)
+      return false;
+    else if (__isset.max_departure_revision && !(max_departure_revision == rhs.max_departure_revision))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -12,6 +12,8 @@
 
 /// Between two watches, so that changes in quick succession take one call.
 constexpr Milliseconds kWatchPause{250};
+/// Of a watch that is answered whether there is a change or not.
+constexpr Milliseconds kNoWait{1};
 constexpr Milliseconds kFirstBackoff{300};
 constexpr int kMostDoublings = 2;
 
@@ -37,8 +39,10 @@
   if (wanted == this->freshness)
     return;
   this->freshness = wanted;
-  const bool may_be_late = this->watching && this->watched == Freshness::kStale;
-  if (wanted == Freshness::kStale || !may_be_late)
+  const bool is_answered_soon =
+      this->watching && this->watched == Freshness::kLatest;
+  this->confirm_at_once = wanted == Freshness::kLatest && !is_answered_soon;
+  if (!this->confirm_at_once || !this->watching)
     return;
   ++this->generation;
   this->Watch();
@@ -46,19 +50,21 @@
 
 void KindFollower::List() {
   this->watching = false;
-  this->store->list(
-      this->kind.name, Freshness::kLatest,
-      [this, current = this->generation](const Result<Listing>& listing) {
-        if (current != this->generation)
-          return;
-        if (!listing) {
-          this->OnFailure(listing.error());
-          return;
-        }
-        this->SetReachable(true);
-        this->OnListing(listing.value());
-        this->Later(kWatchPause, &KindFollower::Watch);
-      });
+  this->store->list(this->kind.name, Freshness::kLatest,
+                    [this, current = this->generation,
+                     start = BootNow()](const Result<Listing>& listing) {
+                      if (current != this->generation)
+                        return;
+                      if (!listing) {
+                        this->OnFailure(listing.error());
+                        return;
+                      }
+                      this->SetReachable(true);
+                      this->OnListing(listing.value());
+                      this->confirm_at_once = false;
+                      this->SetConfirmed(start);
+                      this->Later(kWatchPause, &KindFollower::Watch);
+                    });
 }
 
 void KindFollower::OnListing(const Listing& listing) {
@@ -73,13 +79,28 @@
     return;
   this->catching_up_to = known_revision;
   this->store->list(this->kind.name, Freshness::kLatest,
-                    [this](const Result<Listing>& listing) {
+                    [this, start = BootNow()](const Result<Listing>& listing) {
                       this->catching_up_to = 0;
-                      if (listing)
-                        this->OnListing(listing.value());
+                      if (!listing)
+                        return;
+                      this->OnListing(listing.value());
+                      this->SetConfirmed(start);
                     });
 }
 
+void KindFollower::Confirm(std::int64_t known_revision, TimePoint at) {
+  if (this->revision > 0 && this->revision >= known_revision)
+    this->confirmed_at = std::max(this->confirmed_at, at);
+}
+
+void KindFollower::SetConfirmed(TimePoint at) {
+  if (at <= this->confirmed_at)
+    return;
+  this->confirmed_at = at;
+  if (this->events.on_confirmed)
+    this->events.on_confirmed();
+}
+
 void KindFollower::Refresh() {
   ++this->generation;
   this->timer.cancel();
@@ -87,22 +108,39 @@
 }
 
 void KindFollower::Watch() {
+  const bool latest = this->freshness == Freshness::kLatest;
+  Milliseconds wait =
+      latest ? this->kind.latest_watch_wait : this->kind.watch_wait;
+  if (latest && std::exchange(this->confirm_at_once, false))
+    wait = kNoWait;
   this->watching = true;
   this->watched = this->freshness;
-  this->store->watch(
-      this->kind.name, this->revision, this->kind.watch_wait, this->freshness,
-      [this, current = this->generation](Result<Changes> changes) {
-        if (current != this->generation)
-          return;
-        this->watching = false;
-        if (!changes) {
-          this->OnFailure(changes.error());
-          return;
-        }
-        this->SetReachable(true);
-        this->OnChanges(std::move(changes).value());
-        this->Later(kWatchPause, &KindFollower::Watch);
-      });
+  this->store->watch(this->kind.name, this->revision, wait, this->freshness,
+                     [this, current = this->generation, start = BootNow(), wait,
+                      latest](Result<Changes> changes) {
+                       if (current != this->generation)
+                         return;
+                       this->watching = false;
+                       if (!changes) {
+                         this->OnFailure(changes.error());
+                         return;
+                       }
+                       // An answer may be long on its way. An empty one shows
+                       // that nothing had changed until its wait was over.
+                       TimePoint confirmed;
+                       if (latest)
+                         confirmed = changes.value().changes.empty()
+                                         ? std::min(BootNow(), start + wait)
+                                         : start;
+                       this->OnWatched(std::move(changes).value(), confirmed);
+                     });
+}
+
+void KindFollower::OnWatched(Changes changes, TimePoint confirmed) {
+  this->SetReachable(true);
+  this->OnChanges(std::move(changes));
+  this->SetConfirmed(confirmed);
+  this->Later(kWatchPause, &KindFollower::Watch);
 }
 
 void KindFollower::OnChanges(Changes changes) {
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -20,6 +20,9 @@
   /// Longest time that a watch waits for a change. If the answer to a watch is
   /// lost, changes go unnoticed until then.
   Milliseconds watch_wait{20'000};
+  /// The same for watches of the latest state. Their answers show how far the
+  /// view is complete, so that they have to come often.
+  Milliseconds latest_watch_wait{20'000};
 };
 
 /// What a follower reports.
@@ -29,6 +32,8 @@
   std::function<void(const Changes&)> on_changes;
   /// The store has answered after it had not, or the reverse.
   std::function<void(bool)> on_reachable;
+  /// The store has shown its latest state; see KindFollower::ConfirmedAt().
+  std::function<void()> on_confirmed;
 };
 
 /// Keeps up with the objects of one kind: lists them, then watches, and lists
@@ -44,11 +49,18 @@
 
   void Start();
 
-  /// A view that may be late relies on CatchUp(). A change to the latest state
-  /// has an effect at once: a watch in progress that may be late is replaced.
+  /// A view that may be late relies on CatchUp() and Confirm(). A change to the
+  /// latest state has an effect at once: a watch in progress that may be late
+  /// is replaced by one that is answered immediately.
   void SetFreshness(Freshness wanted);
   /// Lists at once what has changed up to `known_revision`, if that is news.
   void CatchUp(std::int64_t known_revision);
+  /// Another daemon has shown that no change of interest that was acknowledged
+  /// before `at` is newer than `known_revision`.
+  void Confirm(std::int64_t known_revision, TimePoint at);
+  /// The view holds all changes of interest that were acknowledged before this
+  /// time; TimePoint() before the first listing.
+  TimePoint ConfirmedAt() const { return this->confirmed_at; }
   /// Lists and watches anew, since the answer to the watch may have been lost.
   void Refresh();
   std::int64_t Revision() const { return this->revision; }
@@ -61,8 +73,10 @@
   void List();
   void OnListing(const Listing& listing);
   void Watch();
+  void OnWatched(Changes changes, TimePoint confirmed);
   void OnChanges(Changes changes);
   void OnFailure(const Error& error);
+  void SetConfirmed(TimePoint at);
   void Later(Milliseconds pause, void (KindFollower::*step)());
   /// `reason` tells why it is not.
   void SetReachable(bool now_reachable, std::string_view reason = {});
@@ -76,12 +90,15 @@
   Freshness freshness = Freshness::kLatest;
   bool watching = false;                   ///< A watch is in progress.
   Freshness watched = Freshness::kLatest;  ///< Of the watch in progress.
+  /// The next watch is answered at once, to show how far the view is complete.
+  bool confirm_at_once = false;
   std::int64_t revision = 0;
   std::int64_t catching_up_to = 0;  ///< Asked for and not yet answered.
   int generation = 0;               ///< Identifies answers to earlier calls.
   int failures = 0;                 ///< In a row.
   bool reachable = false;
   TimePoint heard_at;
+  TimePoint confirmed_at;
 };
 
 }  // namespace coltsfootvane::store
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -21,12 +21,16 @@
   return object;
 }
 
+constexpr Milliseconds kStaleWait{20'000};
+constexpr Milliseconds kLatestWait{30};
+
 /// A store whose calls are answered by the test.
 struct FakeStore {
   store::ObjectStore access;
   std::vector<store::Handler<Listing>> lists;
   std::vector<store::Handler<Changes>> watches;
   std::int64_t watched_revision = 0;
+  Milliseconds watched_for{0};
   Freshness watched = Freshness::kLatest;
 
   FakeStore() {
@@ -35,9 +39,10 @@
       this->lists.push_back(std::move(handler));
     };
     this->access.watch = [this](const std::string&, std::int64_t revision,
-                                Milliseconds, Freshness freshness,
+                                Milliseconds wait, Freshness freshness,
                                 store::Handler<Changes> handler) {
       this->watched_revision = revision;
+      this->watched_for = wait;
       this->watched = freshness;
       this->watches.push_back(std::move(handler));
     };
@@ -55,7 +60,7 @@
   Fixture()
       : follower(&this->io,
                  &this->store.access,
-                 {"things"},
+                 {"things", kStaleWait, kLatestWait},
                  &this->log,
                  this->Events()) {
     this->follower.Start();
@@ -171,9 +176,11 @@
   fixture.store.lists[0](Listing{{}, 10});
   fixture.RunUntilCalls(1, 1);
   CHECK(fixture.store.watched == Freshness::kStale);
+  CHECK(fixture.store.watched_for == kStaleWait);
   fixture.follower.SetFreshness(Freshness::kLatest);
-  LONGS_EQUAL(2, fixture.store.watches.size());
+  fixture.RunUntilCalls(1, 2);
   CHECK(fixture.store.watched == Freshness::kLatest);
+  CHECK(fixture.store.watched_for < kLatestWait);
   Changes changes;
   changes.revision = 12;
   changes.changes = {{MakeObject("new", 12), false}};
@@ -181,9 +188,50 @@
   LONGS_EQUAL(1, fixture.changed.size());
   fixture.store.watches[0](changes);
   LONGS_EQUAL(1, fixture.changed.size());
-  // One of the latest state goes on.
   fixture.RunUntilCalls(1, 3);
+  CHECK(fixture.store.watched_for == kLatestWait);
+  // One of the latest state is answered soon enough.
   fixture.follower.SetFreshness(Freshness::kStale);
   fixture.follower.SetFreshness(Freshness::kLatest);
   LONGS_EQUAL(3, fixture.store.watches.size());
 }
+
+/// A view is complete up to the last answer that shows the latest state, and up
+/// to what others vouch for.
+TEST(KindFollower, KnowsHowFarItsViewIsComplete) {
+  struct Row {
+    const char* name;
+    Freshness freshness;
+    bool with_change;
+    std::int64_t told_revision;  ///< 0: nobody vouches.
+    bool confirmed;              ///< Later than by the listing.
+  };
+  const Row rows[] = {
+      {"latest", Freshness::kLatest, false, 0, true},
+      {"latest, with a change", Freshness::kLatest, true, 0, true},
+      {"stale", Freshness::kStale, false, 0, false},
+      {"stale, vouched for", Freshness::kStale, false, 10, true},
+      {"stale, vouched for with news", Freshness::kStale, false, 30, false},
+  };
+  for (const Row& row : rows) {
+    Fixture fixture;
+    CHECK_TEXT(fixture.follower.ConfirmedAt() == TimePoint(), row.name);
+    fixture.follower.SetFreshness(row.freshness);
+    fixture.store.lists[0](Listing{{}, 10});
+    const TimePoint listed = fixture.follower.ConfirmedAt();
+    CHECK_TEXT(listed != TimePoint(), row.name);
+    fixture.RunUntilCalls(1, 1);
+    Changes changes;
+    changes.revision = 12;
+    if (row.with_change)
+      changes.changes = {{MakeObject("new", 12), false}};
+    fixture.store.watches[0](changes);
+    if (row.told_revision != 0)
+      fixture.follower.Confirm(row.told_revision, listed + Milliseconds(100));
+    CHECK_EQUAL_TEXT(row.confirmed, fixture.follower.ConfirmedAt() > listed,
+                     row.name);
+    CHECK_TEXT(fixture.follower.ConfirmedAt() <=
+                   std::max(BootNow(), listed + Milliseconds(100)),
+               row.name);
+  }
+}
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -9,6 +9,9 @@
 using Json = nlohmann::json;
 using StreamPtr = std::shared_ptr<net::TcpStream>;
 
+/// Between two looks at watches whose time may be over.
+constexpr Milliseconds kPollInterval{10};
+
 struct Target {
   std::string kind;
   std::string name;
@@ -68,6 +71,14 @@
   return text + "]," + more + "}";
 }
 
+std::string EventText(const std::string& name,
+                      std::int64_t revision,
+                      const std::string& spec,
+                      bool deleted) {
+  return R"({"object":)" + ObjectText(name, revision, spec) + R"(,"deleted":)" +
+         (deleted ? "true}" : "false}");
+}
+
 std::string RevisionText(std::int64_t revision) {
   return "\"at\":" + std::to_string(revision);
 }
@@ -79,7 +90,10 @@
              host,
              [this](const ReceivedRequest& request, const StreamPtr& stream) {
                this->OnRequest(request, stream);
-             }) {}
+             }),
+      poll(*io) {
+  this->PollWatches();
+}
 
 void StoreStandin::Put(const std::string& kind,
                        const std::string& name,
@@ -110,29 +124,70 @@
 void StoreStandin::Note(const std::string& kind,
                         const std::string& name,
                         bool deleted) {
-  const Object& object = this->kinds[kind][name];
-  this->events.push_back(
-      {this->revision, kind,
-       R"({"object":)" + ObjectText(name, object.revision, object.spec) +
-           R"(,"deleted":)" + (deleted ? "true}" : "false}")});
+  this->events.push_back({this->revision, kind, name, this->kinds[kind][name],
+                          deleted, Clock::now()});
+  this->AnswerWatches();
+}
+
+std::int64_t StoreStandin::VisibleRevision(bool stale) const {
+  if (!stale || this->faults.stale_by == Milliseconds(0))
+    return this->revision;
+  const TimePoint shown = Clock::now() - this->faults.stale_by;
+  std::int64_t visible = kFirstRevision;
+  for (const Event& event : this->events) {
+    if (event.at <= shown)
+      visible = event.revision;
+  }
+  return visible;
+}
+
+std::map<std::string, StoreStandin::Object> StoreStandin::ObjectsAt(
+    const std::string& kind,
+    std::int64_t shown) const {
+  std::map<std::string, Object> objects;
+  for (const Event& event : this->events) {
+    if (event.kind != kind || event.revision > shown)
+      continue;
+    if (event.deleted)
+      objects.erase(event.name);
+    else
+      objects[event.name] = event.object;
+  }
+  return objects;
+}
+
+void StoreStandin::AnswerWatches() {
   const auto answered = std::remove_if(
       this->waiting.begin(), this->waiting.end(),
       [this](const Waiting& watch) { return this->AnswerWatch(watch); });
   this->waiting.erase(answered, this->waiting.end());
 }
 
+void StoreStandin::PollWatches() {
+  this->AnswerWatches();
+  this->poll.expires_after(kPollInterval);
+  this->poll.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec)
+      this->PollWatches();
+  });
+}
+
 bool StoreStandin::AnswerWatch(const Waiting& watch) {
+  const std::int64_t visible = this->VisibleRevision(watch.stale);
   std::vector<std::string> found;
   for (const Event& event : this->events) {
-    if (event.kind == watch.kind && event.revision > watch.revision)
-      found.push_back(event.json);
+    if (event.kind == watch.kind && event.revision > watch.revision &&
+        event.revision <= visible)
+      found.push_back(EventText(event.name, event.object.revision,
+                                event.object.spec, event.deleted));
   }
-  if (found.empty())
+  if (found.empty() && Clock::now() < watch.until)
     return false;
   if (!this->faults.unavailable && !this->faults.silent &&
       !this->faults.loses_watches)
     ReplyJson(watch.stream, 200,
-              ListText("events", found, RevisionText(this->revision)));
+              ListText("events", found,
+                       RevisionText(std::max(visible, watch.revision))));
   return true;
 }
 
@@ -158,7 +213,9 @@
                          const std::string& name,
                          const std::map<std::string, std::string>& query,
                          const StreamPtr& stream) {
-  const auto& objects = this->kinds[kind];
+  const bool stale = query.count("serializable") != 0;
+  const std::int64_t shown = this->VisibleRevision(stale);
+  const auto objects = this->ObjectsAt(kind, shown);
   if (!name.empty()) {
     const auto found = objects.find(name);
     if (found == objects.end())
@@ -174,7 +231,11 @@
       Reply(stream, 410, "");
       return;
     }
-    const Waiting waiting_watch{kind, std::stoll(watch->second), stream};
+    Waiting waiting_watch{kind, std::stoll(watch->second), stale, {}, stream};
+    const auto wait = query.find("waitMs");
+    waiting_watch.until =
+        Clock::now() +
+        Milliseconds(wait == query.end() ? 0 : std::stoll(wait->second));
     if (!this->AnswerWatch(waiting_watch))
       this->waiting.push_back(waiting_watch);
     return;
@@ -195,7 +256,7 @@
   ReplyJson(stream, 200,
             ListText("items", items,
                      std::string("\"hasMore\":") + (more ? "true" : "false") +
-                         "," + RevisionText(this->revision)));
+                         "," + RevisionText(shown)));
 }
 
 void StoreStandin::OnWrite(const std::string& method,
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -1,12 +1,14 @@
 #ifndef COLTSFOOTVANE_TESTS_SUPPORT_STORE_STANDIN_H_
 #define COLTSFOOTVANE_TESTS_SUPPORT_STORE_STANDIN_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "support/loopback_server.h"
 
 namespace coltsfootvane::testing {
@@ -18,6 +20,8 @@
   bool loses_answers = false;  ///< Does writes and closes without an answer.
   bool history_gone = false;   ///< Answers watches with 410, once.
   bool loses_watches = false;  ///< Never answers watches.
+  /// Lists and watches that ask for it show the state of that long ago.
+  Milliseconds stale_by{0};
 };
 
 /// Stands in for the platform's store, by its published protocol.
@@ -42,6 +46,8 @@
   int calls = 0;
 
  private:
+  static constexpr std::int64_t kFirstRevision = 100;
+
   struct Object {
     std::int64_t revision = 0;
     std::string spec = "null";  ///< As JSON text.
@@ -49,11 +55,16 @@
   struct Event {
     std::int64_t revision = 0;
     std::string kind;
-    std::string json;
+    std::string name;
+    Object object;
+    bool deleted = false;
+    TimePoint at;
   };
   struct Waiting {
     std::string kind;
     std::int64_t revision = 0;
+    bool stale = false;
+    TimePoint until;
     std::shared_ptr<net::TcpStream> stream;
   };
 
@@ -69,11 +80,18 @@
                const std::shared_ptr<net::TcpStream>& stream);
   void Note(const std::string& kind, const std::string& name, bool deleted);
   bool AnswerWatch(const Waiting& waiting);
+  void AnswerWatches();
+  void PollWatches();
+  /// Returns the revision that a call shows, which may be a stale one.
+  std::int64_t VisibleRevision(bool stale) const;
+  std::map<std::string, Object> ObjectsAt(const std::string& kind,
+                                          std::int64_t revision) const;
 
-  std::int64_t revision = 100;
+  std::int64_t revision = kFirstRevision;
   std::map<std::string, std::map<std::string, Object>> kinds;
   std::vector<Event> events;
   std::vector<Waiting> waiting;
+  boost::asio::steady_timer poll;
 };
 
 }  // namespace coltsfootvane::testing
