Http, endpoint: Bound the answers of endpoints that serve is reading together

Cause: each call of `serve` to an endpoint could collect 64 MB, so that endpoints that send without end could fill the memory from 64 threads at once.

Change: answers on an engine's state (index, metrics, commands) may have 4 MB, and the bodies of all whole answers in progress 256 MB together. Complete() uses the same call as the others in place of a copy of its own.

Http.AnswersInProgressHaveACommonLimit: the option did not exist before, so that the test does not compile on the old code, which had no such limit.

--- a/src/endpoint/engine.cc
+++ b/src/endpoint/engine.cc
@@ -18,6 +18,8 @@
 // A TCP connect inside a region takes a few ms; a SYN is repeated after 1 s.
 constexpr Milliseconds kConnectTimeout{1500};
 constexpr std::size_t kMaxErrorBytes = std::size_t{64} * 1024;
+/// Of answers that describe the engine's state.
+constexpr std::size_t kMaxStateBytes = std::size_t{4} * 1024 * 1024;
 constexpr char kDone[] = "[DONE]";
 
 http::CallOptions MakeOptions(const http::Address& engine, TimePoint deadline) {
@@ -28,6 +30,13 @@
   return options;
 }
 
+http::CallOptions MakeStateOptions(const http::Address& engine,
+                                   TimePoint deadline) {
+  http::CallOptions options = MakeOptions(engine, deadline);
+  options.max_body_bytes = kMaxStateBytes;
+  return options;
+}
+
 http::Header FencingHeader(std::int64_t number) {
   return {"X-Fencing-Number", std::to_string(number)};
 }
@@ -262,7 +271,7 @@
   };
   handler.on_idle = [&cancelled] { return !cancelled || !cancelled(); };
   const Result<int> outcome =
-      http::StreamCall(MakeOptions(engine, deadline), request, handler);
+      http::StreamCall(MakeStateOptions(engine, deadline), request, handler);
   if (!outcome && outcome.assume_error().code == ErrorCode::kRefused)
     return Error{ErrorCode::kUnknown, "cancelled"};
   if (!outcome)
@@ -287,7 +296,7 @@
   if (fencing_number > 0)
     request.headers.push_back(FencingHeader(fencing_number));
   const Result<http::Response> response =
-      http::Call(MakeOptions(engine, deadline), request);
+      http::Call(MakeStateOptions(engine, deadline), request);
   if (!response)
     return response.assume_error();
   const http::Response& answer = response.assume_value();
@@ -303,7 +312,7 @@
   request.method = "GET";
   request.path = "/metrics";
   const Result<http::Response> response =
-      http::Call(MakeOptions(engine, deadline), request);
+      http::Call(MakeStateOptions(engine, deadline), request);
   if (!response)
     return response.assume_error();
   if (response.assume_value().status != 200)
@@ -345,25 +354,13 @@
                                 const CompletionRequest& request,
                                 const std::function<bool()>& on_idle,
                                 TimePoint deadline) {
-  http::Response response;
-  http::StreamHandler stream;
-  stream.on_header = [&response](int status,
-                                 gsl::span<const http::Header> headers) {
-    response.status = status;
-    response.headers.assign(headers.begin(), headers.end());
-    return true;
-  };
-  stream.on_data = [&response](std::string_view data) {
-    response.body.append(data);
-    return true;
-  };
-  stream.on_idle = on_idle;
-  const Result<int> outcome = http::StreamCall(
-      MakeOptions(engine, deadline), MakeCompletionRequest(request), stream);
-  if (!outcome && outcome.assume_error().code == ErrorCode::kRefused)
+  const Result<http::Response> answer = http::Call(
+      MakeOptions(engine, deadline), MakeCompletionRequest(request), on_idle);
+  if (!answer && answer.assume_error().code == ErrorCode::kRefused)
     return Error{ErrorCode::kConflict, "cancelled by the caller"};
-  if (!outcome)
-    return outcome.assume_error();
+  if (!answer)
+    return answer.assume_error();
+  const http::Response& response = answer.assume_value();
   if (!EchoMatches(engine, request, response.headers))
     return Error{ErrorCode::kUnknown, "response has another request id"};
   if (response.status >= 400)
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -4,6 +4,7 @@
 #include <strings.h>
 
 #include <algorithm>
+#include <atomic>
 #include <charconv>
 #include <memory>
 #include <string>
@@ -17,6 +18,33 @@
 
 constexpr Milliseconds kIdleInterval{100};
 
+/// Bytes of the body of one answer, counted in the sum of the process.
+class HeldAnswer {
+ public:
+  explicit HeldAnswer(std::size_t max_held_bytes) : limit(max_held_bytes) {}
+  ~HeldAnswer() { Sum() -= this->bytes; }
+  HeldAnswer(const HeldAnswer&) = delete;
+  HeldAnswer& operator=(const HeldAnswer&) = delete;
+
+  /// Returns whether there is room.
+  bool Add(std::size_t count) {
+    this->bytes += count;
+    this->over_limit = (Sum() += count) > this->limit;
+    return !this->over_limit;
+  }
+  bool IsOverLimit() const { return this->over_limit; }
+
+ private:
+  static std::atomic<std::size_t>& Sum() {
+    static std::atomic<std::size_t> sum{0};
+    return sum;
+  }
+
+  std::size_t limit;
+  std::size_t bytes = 0;
+  bool over_limit = false;
+};
+
 struct EasyDeleter {
   void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
 };
@@ -266,19 +294,27 @@
   return exchange.Run(request);
 }
 
-Result<Response> Call(const CallOptions& options, const Request& request) {
+Result<Response> Call(const CallOptions& options,
+                      const Request& request,
+                      const std::function<bool()>& on_idle) {
   Response response;
+  HeldAnswer held(options.max_held_bytes);
   StreamHandler handler;
+  handler.on_idle = on_idle;
   handler.on_header = [&response](int status, gsl::span<const Header> headers) {
     response.status = status;
     response.headers.assign(headers.begin(), headers.end());
     return true;
   };
-  handler.on_data = [&response](std::string_view data) {
+  handler.on_data = [&response, &held](std::string_view data) {
+    if (!held.Add(data.size()))
+      return false;
     response.body.append(data);
     return true;
   };
   const Result<int> result = StreamCall(options, request, handler);
+  if (held.IsOverLimit())
+    return Error{ErrorCode::kUnknown, "answers in progress are too large"};
   if (!result)
     return result.error();
   return response;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -16,15 +16,22 @@
   /// The whole answer must have arrived by then.
   TimePoint deadline;
   std::size_t max_body_bytes = 64U * 1024 * 1024;
+  /// Of the bodies of all whole answers that the process is reading.
+  std::size_t max_held_bytes = 256U * 1024 * 1024;
 };
 
 /// Sends `request` once on a new connection and reads the whole answer.
 /// Connections are never reused: a client that finds a kept-alive connection
 /// closed sends the request again, and left-over bytes of one response would be
 /// read as the next.
+/// `on_idle` is as in StreamHandler. The answers that a process is reading have
+/// a common limit, whatever their number: one that passes it is given up.
 /// Errors: kNotSent if the connection failed before the first byte; kUnknown
-/// for every later failure, including an answer that was cut.
-Result<Response> Call(const CallOptions& options, const Request& request);
+/// for every later failure, including an answer that was cut or is too long;
+/// kRefused if `on_idle` cancelled.
+Result<Response> Call(const CallOptions& options,
+                      const Request& request,
+                      const std::function<bool()>& on_idle = {});
 
 /// Receives the parts of a streamed answer. A handler returns false to cancel.
 struct StreamHandler {
--- a/src/http/http_unittest.cc
+++ b/src/http/http_unittest.cc
@@ -238,6 +238,28 @@
   }
 }
 
+// Guards against answers that fill the memory together, each of them within its
+// own limit.
+TEST(Http, AnswersInProgressHaveACommonLimit) {
+  constexpr std::size_t kBodyBytes = 200'000;
+  struct Row {
+    std::size_t max_held_bytes;
+    bool answered;
+  };
+  // The second call shows that the first one has left nothing behind.
+  const Row rows[] = {{100'000, false}, {kBodyBytes, true}};
+  for (const Row& row : rows) {
+    RawPeer peer("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" +
+                 std::string(kBodyBytes, 'x'));
+    http::CallOptions options{peer.address, In(2000), In(3000)};
+    options.max_held_bytes = row.max_held_bytes;
+    const Result<http::Response> response = http::Call(options, Post("{}"));
+    CHECK_EQUAL(row.answered, response.has_value());
+    if (!row.answered)
+      CHECK(response.assume_error().code == ErrorCode::kUnknown);
+  }
+}
+
 // Guards against a client that waits for more input, or reports an error, when
 // the last chunk comes in one segment with data.
 TEST(Http, WholeAnswersInOneSegmentAreWhole) {
