Gateway, net: Count what requests and answers hold, and bound it by the memory

Cause: bounds on endless bytes held for one connection each (256 KB for a body, 1 MB for an event, 16 MB for the answer to an order or a report). Many at once filled the daemon's memory, which it did not know. Heads, trailers, chunk lines and idle connections were bounded already.

Change: one account of the bytes of requests and answers, limited by a fifth of limits.memoryMb. While it is full, new requests get 503 at once, answers are read no faster than callers take them, collected answers are passed on, and long events are given up. A caller that does not take its answers is not served further requests: its next one was sent, and its answer left unread, until its deadline.

HttpClient.AnswersWithoutEndAreGivenUp needs the new limits to compile.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -19,6 +19,11 @@
 
 constexpr Milliseconds kTick{250};
 constexpr Milliseconds kSettingsCheck{1000};
+/// Share of the memory for requests and answers. Strings that grow take up to
+/// twice their length; the rest is for tables, the heap's own needs and what
+/// the kernel holds for sockets.
+constexpr double kHeldBytesShare = 0.2;
+constexpr double kBytesPerMb = 1024.0 * 1024.0;
 
 /// Returns the time of the last write, or the least time if the file cannot be
 /// examined.
@@ -81,6 +86,9 @@
   this->gateway.wire = this->deployment.wire;
   this->gateway.log = &this->log;
   this->gateway.data_centre = this->settings.data_centre;
+  this->gateway.held_bytes.limit = static_cast<std::size_t>(
+      daemon_settings.memory_mb * kBytesPerMb * kHeldBytesShare);
+  this->client.SetAccount(&this->gateway.held_bytes);
   this->gateway.random.seed(std::random_device()());
   this->ApplyChangeable(daemon_settings);
   this->fleet.on_seen_revisions = [this](const fleet::SeenRevisions& news) {
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -118,6 +118,13 @@
   const gateway::Gateway& gateway = *parts.gateway;
   SetGauge(registry, "coltsfootvane_gateway_requests_in_progress",
            "Requests in progress", {}, gateway.exchanges);
+  SetGauge(registry, "coltsfootvane_held_bytes",
+           "Bytes held for requests and answers", {},
+           static_cast<double>(gateway.held_bytes.held));
+  SetGauge(registry, "coltsfootvane_held_bytes_limit",
+           "Bytes held for requests and answers from which on new requests are "
+           "refused",
+           {}, static_cast<double>(gateway.held_bytes.limit));
   if (gateway.routes) {
     SetGauge(registry, "coltsfootvane_config_version",
              "Version of the configuration in force", {},
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -31,6 +31,7 @@
   /// Changes in the store must be in force within this time.
   Milliseconds in_force_limit{2000};
   bool engines_check_fences = false;
+  double memory_mb = 512;  ///< Beyond which the process is ended.
   gateway::FleetRetryLimit retry_limit;
   orders::StoreLoadLimit store_load_limit;
 };
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -44,7 +44,8 @@
     : gateway(owner),
       stream(std::move(connected)),
       timer(*owner->io),
-      parser(NewParser(*owner)) {}
+      parser(NewParser(*owner)),
+      held_bytes(&owner->held_bytes) {}
 
 void CallerConnection::Start() {
   net::StreamEvents events;
@@ -56,14 +57,25 @@
   this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
 }
 
+void CallerConnection::Write(std::string_view bytes) {
+  this->stream->Write(bytes);
+  this->CountHeldBytes();
+}
+
+void CallerConnection::CountHeldBytes() {
+  this->held_bytes.Set(this->input.size() + this->body.size() +
+                       this->stream->UnsentBytes());
+}
+
 void CallerConnection::OnData(std::string_view bytes) {
   this->input.append(bytes);
-  if (this->phase == Phase::kServing) {
+  if (this->phase == Phase::kServing || this->IsCongested()) {
     if (this->input.size() > kMaxPipelinedBytes)
       this->stream->PauseReading();
-    return;
+  } else {
+    this->ReadRequest();
   }
-  this->ReadRequest();
+  this->CountHeldBytes();
 }
 
 void CallerConnection::ReadRequest() {
@@ -94,7 +106,7 @@
   if (!this->continue_sent &&
       net::HasToken(head.fields, "expect", "100-continue")) {
     this->continue_sent = true;
-    this->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    this->Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
 
@@ -167,28 +179,28 @@
     head.fields.push_back(
         {"Keep-Alive", "timeout=" + std::to_string(idle.count() / 1000)});
   }
-  this->stream->Write(net::FormatHead(head));
+  this->Write(net::FormatHead(head));
 }
 
 void CallerConnection::SendBody(std::string_view bytes) {
   if (this->phase != Phase::kServing || bytes.empty() || this->is_head_request)
     return;
   if (!this->chunked) {
-    this->stream->Write(bytes);
+    this->Write(bytes);
     return;
   }
   char size[24];
   const int digits = std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
   std::string chunk(size, static_cast<std::size_t>(digits));
   chunk.append(bytes).append("\r\n");
-  this->stream->Write(chunk);
+  this->Write(chunk);
 }
 
 void CallerConnection::FinishAnswer() {
   if (this->phase != Phase::kServing)
     return;
   if (this->chunked && !this->is_head_request)
-    this->stream->Write("0\r\n\r\n");
+    this->Write("0\r\n\r\n");
   this->exchange = nullptr;
   if (!this->keep_alive) {
     this->phase = Phase::kClosed;
@@ -210,11 +222,19 @@
     return;
   // Posted, since this runs within the call that ended the previous request.
   boost::asio::post(*this->gateway->io, [self = shared_from_this()] {
-    if (self->phase == Phase::kIdle)
-      self->ReadRequest();
+    self->ReadBufferedRequest();
   });
 }
 
+/// Reads a request that has arrived during the one before. A caller that does
+/// not take its answers is not served further ones.
+void CallerConnection::ReadBufferedRequest() {
+  const bool may_read =
+      this->phase == Phase::kIdle || this->phase == Phase::kReceiving;
+  if (may_read && !this->input.empty() && !this->IsCongested())
+    this->ReadRequest();
+}
+
 void CallerConnection::AbortAnswer() {
   if (this->phase != Phase::kServing)
     return;
@@ -230,7 +250,9 @@
 }
 
 bool CallerConnection::IsCongested() const {
-  return this->stream->UnsentBytes() > kMaxUnsentBytes;
+  const std::size_t limit =
+      IsFull(this->gateway->held_bytes) ? 0 : kMaxUnsentBytes;
+  return this->stream->UnsentBytes() > limit;
 }
 
 bool CallerConnection::EndIfCallerLeft() {
@@ -246,9 +268,16 @@
 }
 
 void CallerConnection::OnDrained() {
+  this->CountHeldBytes();
   const std::shared_ptr<Exchange> current = this->exchange;
-  if (current)
+  if (current) {
     current->OnCallerDrained();
+    return;
+  }
+  if (this->phase == Phase::kServing || this->phase == Phase::kClosed)
+    return;
+  this->stream->ResumeReading();
+  this->ReadBufferedRequest();
 }
 
 void CallerConnection::OnEnd() {
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "base/clock.h"
+#include "net/byte_account.h"
 #include "net/message.h"
 #include "net/message_parser.h"
 #include "net/tcp_stream.h"
@@ -48,11 +49,14 @@
   void OnData(std::string_view bytes);
   void OnEnd();
   void OnDrained();
+  void Write(std::string_view bytes);
+  void CountHeldBytes();
   void ReadRequest();
   void Serve();
   void Reject(net::ParseFault fault);
   void RejectWith(int status, std::string_view reason);
   void AwaitRequest();
+  void ReadBufferedRequest();
   void SetTimer(Milliseconds timeout);
   void OnTimeout();
   void Close();
@@ -71,6 +75,7 @@
   bool is_http_1_1 = true;
   bool is_head_request = false;  ///< The request method is HEAD.
   bool chunked = false;          ///< The current answer uses chunked coding.
+  net::HeldBytes held_bytes;
 };
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -56,7 +56,8 @@
       body(std::move(request_body)),
       received(received_at),
       timer(*owner->io),
-      routes(owner->routes) {
+      routes(owner->routes),
+      held_bytes(&owner->held_bytes) {
   ++this->gateway->exchanges;
   ++this->gateway->traffic.requests;
   this->gateway->open_exchanges.insert(this);
@@ -72,6 +73,11 @@
   this->deadline = this->received + kConfigurationWait;
   if (!this->FindRoute())
     return;
+  if (IsFull(this->gateway->held_bytes)) {
+    this->Refuse("memory", ReturnAfter(kEndpointRetryAfter));
+    return;
+  }
+  this->CountHeldBytes();
   const TimePoint now = BootNow();
   CountRequest(this->gateway, this->service, now);
   if (this->engine != nullptr) {
@@ -346,6 +352,7 @@
     sent.fields.push_back(
         {"Content-Length", std::to_string(this->body.size())});
   this->stream->Write(net::FormatHead(sent) + this->body);
+  this->CountHeldBytes();
 }
 
 /// The endpoint has not executed the request and never will.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,6 +19,7 @@
 #include "gateway/routing_table.h"
 #include "gateway/wire_format.h"
 #include "log/event.h"
+#include "net/byte_account.h"
 #include "net/message.h"
 #include "net/message_parser.h"
 #include "net/tcp_stream.h"
@@ -122,6 +123,8 @@
   void ReadAnswer();
   bool ReadHead();
   void OnRefusedByEndpoint();
+  /// Counts the bytes that this request holds now.
+  void CountHeldBytes();
   void ForwardBody(const std::string& bytes);
   void ForwardEvents();
   void ObserveEvent();
@@ -173,6 +176,7 @@
   Mode mode = Mode::kBuffered;
   std::string buffered_body;
   EventSplitter splitter;
+  net::HeldBytes held_bytes;
   bool forwarding = false;  ///< The head has been sent to the caller.
   std::optional<std::int64_t> last_event_id;  ///< Of the last event forwarded.
   TimePoint first_event_at;                   ///< Of the current send.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -12,6 +12,8 @@
 /// Longer answers are forwarded as they arrive.
 constexpr std::size_t kMaxBufferedBodyBytes = 256UL * 1024;
 constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
+/// The same while the daemon holds as much as it may.
+constexpr std::size_t kMaxEventBytesWhenFull = 16UL * 1024;
 /// Of interim answers and answers to other requests, which may come first.
 constexpr std::size_t kMaxDiscardedBytes = 256UL * 1024;
 
@@ -59,6 +61,7 @@
     this->discarded_bytes += bytes.size();
   const int current = this->send_generation;
   this->ReadAnswer();
+  this->CountHeldBytes();
   const bool answered = this->send_generation != current || this->finished ||
                         (this->head_read && this->mode != Mode::kDiscarded);
   if (!answered && this->discarded_bytes > kMaxDiscardedBytes)
@@ -174,6 +177,13 @@
   return !ImpliesNotExecuted(this->answer.status);
 }
 
+void Exchange::CountHeldBytes() {
+  const std::size_t unsent = this->stream ? this->stream->UnsentBytes() : 0;
+  this->held_bytes.Set(this->body.size() + unsent + this->input.size() +
+                       this->buffered_body.size() +
+                       this->splitter.PendingBytes());
+}
+
 void Exchange::ForwardBody(const std::string& bytes) {
   switch (this->mode) {
     case Mode::kDiscarded:
@@ -187,7 +197,8 @@
       break;
     case Mode::kBuffered:
       this->buffered_body.append(bytes);
-      if (this->buffered_body.size() <= kMaxBufferedBodyBytes)
+      if (this->buffered_body.size() <= kMaxBufferedBodyBytes &&
+          !IsFull(this->gateway->held_bytes))
         break;
       this->mode = Mode::kPassThrough;
       this->BeginForwarding(std::nullopt);
@@ -213,7 +224,10 @@
     if (event->id)
       this->last_event_id = event->id;
   }
-  if (this->splitter.PendingBytes() > kMaxEventBytes)
+  const std::size_t limit = IsFull(this->gateway->held_bytes)
+                                ? kMaxEventBytesWhenFull
+                                : kMaxEventBytes;
+  if (this->splitter.PendingBytes() > limit)
     this->OnSendFailed("event too long");
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "gateway/traffic.h"
 #include "gateway/wire_format.h"
 #include "log/decision_log.h"
+#include "net/byte_account.h"
 
 namespace coltsfootvane::gateway {
 
@@ -86,6 +87,9 @@
   /// their deadline passes before `last_answer_at`.
   TimePoint last_request_at;
   TimePoint last_answer_at;
+  /// Bytes held for requests and answers. While it is full, new requests are
+  /// refused and answers are read no faster than callers take them.
+  net::ByteAccount held_bytes;
   int exchanges = 0;  ///< Requests in progress.
   std::unordered_set<Exchange*> open_exchanges;
   PartQuarantine quarantine;  ///< Of parts of prompts that crash endpoints.
--- a/src/gateway/health_listener.cc
+++ b/src/gateway/health_listener.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr net::ParseLimits kLimits{8 * 1024, 1024};
+/// A client that leaves more answer bytes unread is disconnected.
+constexpr std::size_t kMaxUnsentBytes = 1024UL * 1024;
 
 struct Session {
   net::MessageParser parser{net::MessageParser::Kind::kRequest, kLimits};
@@ -51,6 +53,10 @@
         }
         if (!session->parser.Done())
           return;
+        if (connection->UnsentBytes() > kMaxUnsentBytes) {
+          connection->Close();
+          return;
+        }
         const net::RequestHead& head = session->parser.Request();
         const std::string path = head.target.substr(0, head.target.find('?'));
         const bool keep_alive =
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -13,15 +13,21 @@
 /// while the next request is on its way.
 constexpr Milliseconds kIdleLimit{3000};
 constexpr Milliseconds kFailureDetection{1500};
-constexpr ParseLimits kResponseLimits{64 * 1024, 16ULL * 1024 * 1024};
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 
 }  // namespace
 
 struct HttpClient::Pending {
-  Pending(boost::asio::io_context* io, ResponseHandler response_handler)
+  Pending(boost::asio::io_context* io,
+          ByteAccount* account,
+          ResponseHandler response_handler,
+          const AnswerLimits& answer_limits)
       : timer(*io),
         handler(std::move(response_handler)),
-        parser(MessageParser::Kind::kResponse, kResponseLimits) {}
+        parser(MessageParser::Kind::kResponse,
+               {kMaxHeaderBytes, answer_limits.body_bytes}),
+        limits(answer_limits),
+        held_bytes(account) {}
 
   tcp::endpoint address;
   std::string request;
@@ -31,6 +37,8 @@
   MessageParser parser;
   std::string input;
   std::string body;
+  AnswerLimits limits;
+  HeldBytes held_bytes;
 };
 
 void HttpClient::Call(const tcp::endpoint& address,
@@ -38,8 +46,10 @@
                       const std::string& body,
                       Milliseconds timeout,
                       bool fresh,
-                      ResponseHandler handler) {
-  auto pending = std::make_shared<Pending>(this->io, std::move(handler));
+                      ResponseHandler handler,
+                      const AnswerLimits& limits) {
+  auto pending = std::make_shared<Pending>(this->io, this->account,
+                                           std::move(handler), limits);
   pending->address = address;
   head.fields.push_back({"Host", address.address().to_string() + ":" +
                                      std::to_string(address.port())});
@@ -112,7 +122,11 @@
   const std::size_t used = pending->parser.Feed(pending->input);
   pending->input.erase(0, used);
   pending->body += pending->parser.TakeBody();
-  if (pending->parser.Fault() != ParseFault::kNone)
+  pending->held_bytes.Set(pending->input.size() + pending->body.size());
+  const bool lacks_room = pending->limits.needs_room &&
+                          this->account != nullptr &&
+                          IsHalfFull(*this->account) && !pending->parser.Done();
+  if (pending->parser.Fault() != ParseFault::kNone || lacks_room)
     Fail(pending, ErrorCode::kUnknown);
   else if (pending->parser.Done())
     this->Finish(pending);
@@ -122,6 +136,7 @@
   if (!pending->handler)
     return;
   pending->timer.cancel();
+  pending->held_bytes.Set(0);
   const ResponseHandler handler = std::exchange(pending->handler, nullptr);
   if (pending->stream)
     pending->stream->Close();
@@ -134,6 +149,7 @@
   if (!pending->handler)
     return;
   pending->timer.cancel();
+  pending->held_bytes.Set(0);
   const ResponseHandler handler = std::exchange(pending->handler, nullptr);
   WholeResponse response;
   response.head = std::move(pending->parser.Response());
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -2,6 +2,7 @@
 #define COLTSFOOTVANE_NET_HTTP_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +11,7 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "net/byte_account.h"
 #include "net/message.h"
 #include "net/tcp_stream.h"
 
@@ -24,20 +26,32 @@
 /// written and no whole response came.
 using ResponseHandler = std::function<void(Result<WholeResponse>)>;
 
+struct AnswerLimits {
+  std::uint64_t body_bytes = 16ULL * 1024 * 1024;
+  /// The call fails if the account of the client is half full, so that it
+  /// leaves the memory to requests.
+  bool needs_room = false;
+};
+
 /// Calls with whole bodies on the event loop. Connections are kept and reused.
 class HttpClient {
  public:
   explicit HttpClient(boost::asio::io_context* io_context) : io(io_context) {}
 
   /// Calls the handler once, at the latest after `timeout`. The request is
-  /// written at most once. `fresh` asks for a new connection.
+  /// written at most once. `fresh` asks for a new connection. A longer answer
+  /// than the limits allow counts as none.
   void Call(const tcp::endpoint& address,
             RequestHead head,
             const std::string& body,
             Milliseconds timeout,
             bool fresh,
-            ResponseHandler handler);
+            ResponseHandler handler,
+            const AnswerLimits& limits = AnswerLimits());
 
+  /// Counts the bytes of answers in `byte_account`, which must outlive the
+  /// calls.
+  void SetAccount(ByteAccount* byte_account) { this->account = byte_account; }
   /// Closes the idle connections.
   void DropIdle();
 
@@ -57,6 +71,7 @@
   };
 
   boost::asio::io_context* io;
+  ByteAccount* account = nullptr;
   std::map<tcp::endpoint, std::vector<Idle>> idle;
 };
 
--- /dev/null
+++ b/src/net/http_client_unittest.cc
@@ -0,0 +1,112 @@
+#include "net/http_client.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+
+#include "support/free_port.h"
+#include "support/loopback_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using net::AnswerLimits;
+using testing::LoopbackServer;
+using testing::ReceivedRequest;
+
+namespace {
+
+using StreamPtr = std::shared_ptr<net::TcpStream>;
+
+std::string Repeat(const std::string& text, std::size_t bytes) {
+  std::string repeated;
+  while (repeated.size() < bytes)
+    repeated += text;
+  return repeated;
+}
+
+/// A client and a server that writes given bytes as its answer.
+struct Fixture {
+  boost::asio::io_context io;
+  net::ByteAccount account;
+  std::string bytes;
+  LoopbackServer server{
+      &this->io, testing::OwnLoopbackHost(),
+      [this](const ReceivedRequest&, const StreamPtr& stream) {
+        stream->Write(this->bytes);
+      }};
+  net::HttpClient client{&this->io};
+  std::size_t most_held = 0;
+
+  std::optional<Result<net::WholeResponse>> Call(const AnswerLimits& limits) {
+    this->client.SetAccount(&this->account);
+    std::optional<Result<net::WholeResponse>> answer;
+    net::RequestHead head;
+    head.method = "GET";
+    head.target = "/";
+    this->client.Call(
+        this->server.Address(), head, {}, Milliseconds(3000), false,
+        [&answer](Result<net::WholeResponse> response) {
+          answer = std::move(response);
+        },
+        limits);
+    while (!answer) {
+      this->io.restart();
+      this->io.run_one_for(Milliseconds(20));
+      this->most_held = std::max(this->most_held, this->account.held);
+    }
+    return answer;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(HttpClient){};
+
+// Guards against an endpoint whose answer to an order or a request for a report
+// never ends: the client would collect it in memory until the call times out.
+TEST(HttpClient, AnswersWithoutEndAreGivenUp) {
+  constexpr std::size_t kBodyLimit = 100'000;
+  constexpr std::size_t kMuch = 4'000'000;
+  constexpr std::size_t kMostHeld = 200'000;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Row {
+    const char* name;
+    std::string bytes;
+    std::size_t held_by_others;  ///< Of the limit of 100.
+    bool needs_room;
+    bool answered;
+  };
+  const std::string whole = ok + "Content-Length: 50000\r\n\r\n";
+  const std::string body(50'000, 'x');
+  const Row rows[] = {
+      {"short", whole + body, 0, true, true},
+      {"full, in one piece", ok + "Content-Length: 2\r\n\r\nok", 100, true,
+       true},
+      {"full", whole + body.substr(1), 100, true, false},
+      {"half full", whole + body.substr(1), 50, true, false},
+      {"full, and important", whole + body, 100, false, true},
+      {"body", ok + "\r\n" + std::string(kMuch, 'x'), 0, true, false},
+      {"stated length", ok + "Content-Length: 4000000\r\n\r\n", 0, true, false},
+      {"chunks", chunked + Repeat("2\r\nxx\r\n", kMuch), 0, true, false},
+      {"chunk extension", chunked + "1;" + std::string(kMuch, 'x'), 0, true,
+       false},
+      {"trailer", chunked + "0\r\n" + Repeat("A: b\r\n", kMuch), 0, true,
+       false},
+      {"head", ok + Repeat("A: b\r\n", kMuch), 0, true, false},
+      {"header line", ok + "A: " + std::string(kMuch, 'x'), 0, true, false},
+      {"status line", "HTTP/1.1 200 " + std::string(kMuch, 'x'), 0, true,
+       false},
+  };
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.bytes = row.bytes;
+    fixture.account.held = row.held_by_others;
+    fixture.account.limit = row.held_by_others == 0 ? kMuch : 100;
+    const auto answer = fixture.Call({kBodyLimit, row.needs_room});
+    CHECK_EQUAL_TEXT(row.answered, answer->has_value(), row.name);
+    CHECK_TEXT(fixture.most_held < kMostHeld, row.name);
+    LONGS_EQUAL_TEXT(row.held_by_others, fixture.account.held, row.name);
+  }
+}
--- a/tests/integration/gateway_process.cc
+++ b/tests/integration/gateway_process.cc
@@ -53,6 +53,7 @@
            << "\nlisten.ready=" << ToText(this->health)
            << "\ninternalPorts=" << port << "," << port
            << "\nplatform.address=" << this->store
+           << "\nlimits.memoryMb=" << this->options.memory_mb
            << "\nbounds.graceS=" << stop_timeout_s
            << "\nbounds.leaseMs=1000\nbounds.requireFencing=true\n";
 }
--- a/tests/integration/gateway_process.h
+++ b/tests/integration/gateway_process.h
@@ -17,6 +17,7 @@
 struct GatewayOptions {
   std::string name = "vm-1";
   int peer_port = 0;  ///< The same for all; 0 for a free one.
+  int memory_mb = 512;
 };
 
 /// The real daemon of the users' platform as a process, with its settings file.
