Gateway: Let late requests interrupt none that can be on time

A traced part-match was begun after 0.5 s and unfinished 2.1 s later.

Cause: the urgency at an engine was 2 x rank, and one more for a deferred request. An engine admits by urgency and interrupts less urgent requests.

Change: requests that can meet their objective come first, by rank; deferred ones follow, by rank. Requests with an objective of 3 s or more can wait and come last, as night-diag did before.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -13,6 +13,11 @@
 /// Latest start, as a share of the time left. Requests that start later rarely
 /// complete.
 constexpr double kLatestStartShare = 0.5;
+/// An objective from which on a request can wait for several runs of others.
+constexpr Milliseconds kFarObjective{3000};
+/// Ranks that an engine can tell apart, with a near and with a far objective.
+constexpr int kNearRanks = 3;
+constexpr int kFarRanks = 2;
 constexpr Milliseconds kMinRetryAfter{200};
 /// Of callers that were refused during a pause.
 constexpr Milliseconds kMaxReturnSpread{2000};
@@ -65,6 +70,15 @@
   return admission;
 }
 
+int UrgencyOf(const Route& route, bool deferred) {
+  if (route.target_latency >= kFarObjective) {
+    const int rank = std::clamp(route.rank, 0, kFarRanks - 1);
+    return kNearRanks * 2 + rank * 2 + (deferred ? 1 : 0);
+  }
+  const int rank = std::clamp(route.rank, 0, kNearRanks - 1);
+  return deferred ? kNearRanks + rank : rank;
+}
+
 Milliseconds RetryAfterLoad(const EngineModel* model) {
   const double load_s = model == nullptr ? kDefaultLoadS : model->store_load_s;
   return ClampRetryAfter(load_s * 1000);
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -51,6 +51,13 @@
                 Milliseconds time_left,
                 std::optional<Milliseconds> caller_time_left);
 
+/// Returns the urgency of a request at an engine, from 0 to 9. Requests that
+/// can meet their objective come first, by rank. Deferred ones follow, by rank:
+/// an engine preempts for what is more urgent, so that a late request must not
+/// make one late that is not. Requests whose objective is far off wait without
+/// harm, and come last.
+int UrgencyOf(const Route& route, bool deferred);
+
 /// Returns the retry delay for a model that no endpoint has loaded. `model` may
 /// be nullptr.
 Milliseconds RetryAfterLoad(const EngineModel* model);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -32,13 +32,6 @@
   return target.substr(0, target.find('?'));
 }
 
-/// Returns the urgency of a request at an engine, from 0 to 9. A deferred one
-/// comes after the others of its rank and before those of the next.
-int UrgencyOf(const Route& route, bool deferred) {
-  constexpr int kLastRank = 4;
-  return 2 * std::clamp(route.rank, 0, kLastRank) + (deferred ? 1 : 0);
-}
-
 std::string_view HostOf(std::string_view value) {
   return value.substr(0, value.find(':'));
 }
