Gateway, fleet: Leave requests that yield out of the expected wait of others

Cause: the expected wait at an engine counted all its requests but the late ones without an event. Late streams that the engine interrupts, and overnight requests that it begins last, count as work ahead of an urgent request though it passes them. In an overload they pile up, so that each new request is expected to be late, is sent as late, and is late: the engine stays overrun.

Change: late requests and those with a far objective yield, from their begin to their end; the expected wait of the others leaves them out. They compare engines by all work there. Reports carry yielding requests where they had late ones without an event; the field of the datagram keeps its number.

--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -11,9 +11,9 @@
   3: optional i32 prompt_tokens
   4: optional i16 good  // Counts of recent results, decaying with time.
   5: optional i16 bad
-  // Requests sent as deferred that have no first event so far.
-  6: optional i16 deferred
-  7: optional i32 deferred_tokens
+  // Requests that engines interrupt for others, and their prompt tokens.
+  6: optional i16 yielding
+  7: optional i32 yielding_tokens
 }
 
 struct ModelDemand {
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -41,14 +41,14 @@
 __isset.bad = true;
 }
 
-void EndpointWork::__set_deferred(const int16_t val) {
-  this->deferred = val;
-__isset.deferred = true;
+void EndpointWork::__set_yielding(const int16_t val) {
+  this->yielding = val;
+__isset.yielding = true;
 }
 
-void EndpointWork::__set_deferred_tokens(const int32_t val) {
-  this->deferred_tokens = val;
-__isset.deferred_tokens = true;
+void EndpointWork::__set_yielding_tokens(const int32_t val) {
+  this->yielding_tokens = val;
+__isset.yielding_tokens = true;
 }
 std::ostream& operator<<(std::ostream& out, const EndpointWork& obj)
 {
@@ -120,16 +120,16 @@
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_I16) {
-          xfer += iprot->readI16(this->deferred);
-          this->__isset.deferred = true;
+          xfer += iprot->readI16(this->yielding);
+          this->__isset.yielding = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->deferred_tokens);
-          this->__isset.deferred_tokens = true;
+          xfer += iprot->readI32(this->yielding_tokens);
+          this->__isset.yielding_tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -174,14 +174,14 @@
     xfer += oprot->writeI16(this->bad);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.deferred) {
-    xfer += oprot->writeFieldBegin("deferred", ::apache::thrift::protocol::T_I16, 6);
-    xfer += oprot->writeI16(this->deferred);
+  if (this->__isset.yielding) {
+    xfer += oprot->writeFieldBegin("yielding", ::apache::thrift::protocol::T_I16, 6);
+    xfer += oprot->writeI16(this->yielding);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.deferred_tokens) {
-    xfer += oprot->writeFieldBegin("deferred_tokens", ::apache::thrift::protocol::T_I32, 7);
-    xfer += oprot->writeI32(this->deferred_tokens);
+  if (this->__isset.yielding_tokens) {
+    xfer += oprot->writeFieldBegin("yielding_tokens", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->yielding_tokens);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -196,8 +196,8 @@
   swap(a.prompt_tokens, b.prompt_tokens);
   swap(a.good, b.good);
   swap(a.bad, b.bad);
-  swap(a.deferred, b.deferred);
-  swap(a.deferred_tokens, b.deferred_tokens);
+  swap(a.yielding, b.yielding);
+  swap(a.yielding_tokens, b.yielding_tokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -207,8 +207,8 @@
   prompt_tokens = other0.prompt_tokens;
   good = other0.good;
   bad = other0.bad;
-  deferred = other0.deferred;
-  deferred_tokens = other0.deferred_tokens;
+  yielding = other0.yielding;
+  yielding_tokens = other0.yielding_tokens;
   __isset = other0.__isset;
 }
 EndpointWork& EndpointWork::operator=(const EndpointWork& other1) noexcept {
@@ -217,8 +217,8 @@
   prompt_tokens = other1.prompt_tokens;
   good = other1.good;
   bad = other1.bad;
-  deferred = other1.deferred;
-  deferred_tokens = other1.deferred_tokens;
+  yielding = other1.yielding;
+  yielding_tokens = other1.yielding_tokens;
   __isset = other1.__isset;
   return *this;
 }
@@ -230,8 +230,8 @@
   out << ", " << "prompt_tokens="; (__isset.prompt_tokens ? (out << to_string(prompt_tokens)) : (out << "<null>"));
   out << ", " << "good="; (__isset.good ? (out << to_string(good)) : (out << "<null>"));
   out << ", " << "bad="; (__isset.bad ? (out << to_string(bad)) : (out << "<null>"));
-  out << ", " << "deferred="; (__isset.deferred ? (out << to_string(deferred)) : (out << "<null>"));
-  out << ", " << "deferred_tokens="; (__isset.deferred_tokens ? (out << to_string(deferred_tokens)) : (out << "<null>"));
+  out << ", " << "yielding="; (__isset.yielding ? (out << to_string(yielding)) : (out << "<null>"));
+  out << ", " << "yielding_tokens="; (__isset.yielding_tokens ? (out << to_string(yielding_tokens)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -44,14 +44,14 @@
 class Datagram;
 
 typedef struct _EndpointWork__isset {
-  _EndpointWork__isset() : endpoint(false), running(false), prompt_tokens(false), good(false), bad(false), deferred(false), deferred_tokens(false) {}
+  _EndpointWork__isset() : endpoint(false), running(false), prompt_tokens(false), good(false), bad(false), yielding(false), yielding_tokens(false) {}
   bool endpoint :1;
   bool running :1;
   bool prompt_tokens :1;
   bool good :1;
   bool bad :1;
-  bool deferred :1;
-  bool deferred_tokens :1;
+  bool yielding :1;
+  bool yielding_tokens :1;
 } _EndpointWork__isset;
 
 class EndpointWork : public virtual ::apache::thrift::TBase {
@@ -65,8 +65,8 @@
                  prompt_tokens(0),
                  good(0),
                  bad(0),
-                 deferred(0),
-                 deferred_tokens(0) {
+                 yielding(0),
+                 yielding_tokens(0) {
   }
 
   virtual ~EndpointWork() noexcept;
@@ -75,8 +75,8 @@
   int32_t prompt_tokens;
   int16_t good;
   int16_t bad;
-  int16_t deferred;
-  int32_t deferred_tokens;
+  int16_t yielding;
+  int32_t yielding_tokens;
 
   _EndpointWork__isset __isset;
 
@@ -90,9 +90,9 @@
 
   void __set_bad(const int16_t val);
 
-  void __set_deferred(const int16_t val);
+  void __set_yielding(const int16_t val);
 
-  void __set_deferred_tokens(const int32_t val);
+  void __set_yielding_tokens(const int32_t val);
 
   bool operator == (const EndpointWork & rhs) const
   {
@@ -112,13 +112,13 @@
       return false;
     else if (__isset.bad && !(bad == rhs.bad))
       return false;
-    if (__isset.deferred != rhs.__isset.deferred)
+    if (__isset.yielding != rhs.__isset.yielding)
       return false;
-    else if (__isset.deferred && !(deferred == rhs.deferred))
+    else if (__isset.yielding && !(yielding == rhs.yielding))
       return false;
-    if (__isset.deferred_tokens != rhs.__isset.deferred_tokens)
+    if (__isset.yielding_tokens != rhs.__isset.yielding_tokens)
       return false;
-    else if (__isset.deferred_tokens && !(deferred_tokens == rhs.deferred_tokens))
+    else if (__isset.yielding_tokens && !(yielding_tokens == rhs.yielding_tokens))
       return false;
     return true;
   }
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -9,8 +9,8 @@
 void AddWork(const gateway::EndpointWork& work, gateway::EndpointWork* sum) {
   sum->running += work.running;
   sum->prompt_tokens += work.prompt_tokens;
-  sum->deferred += work.deferred;
-  sum->deferred_tokens += work.deferred_tokens;
+  sum->yielding += work.yielding;
+  sum->yielding_tokens += work.yielding_tokens;
 }
 
 /// Appends the difference between two reports on an endpoint, unless there is
@@ -25,12 +25,12 @@
   change.endpoint = static_cast<std::uint32_t>(endpoint);
   change.work.running = after.running - before.running;
   change.work.prompt_tokens = after.prompt_tokens - before.prompt_tokens;
-  change.work.deferred = after.deferred - before.deferred;
-  change.work.deferred_tokens = after.deferred_tokens - before.deferred_tokens;
+  change.work.yielding = after.yielding - before.yielding;
+  change.work.yielding_tokens = after.yielding_tokens - before.yielding_tokens;
   change.successes = after.good - before.good;
   change.failures = after.bad - before.bad;
   if (change.work.running != 0 || change.work.prompt_tokens != 0 ||
-      change.work.deferred != 0 || change.work.deferred_tokens != 0 ||
+      change.work.yielding != 0 || change.work.yielding_tokens != 0 ||
       change.successes != 0 || change.failures != 0)
     changes->push_back(change);
 }
@@ -194,8 +194,8 @@
       continue;
     for (const auto& [key, work] : member.work) {
       PeerWork& sum = sums[static_cast<std::uint32_t>(key)];
-      AddWork({work.running, work.prompt_tokens, work.deferred,
-               work.deferred_tokens},
+      AddWork({work.running, work.prompt_tokens, work.yielding,
+               work.yielding_tokens},
               &sum.work);
       sum.successes += work.good;
       sum.failures += work.bad;
--- a/src/fleet/member_table_unittest.cc
+++ b/src/fleet/member_table_unittest.cc
@@ -170,7 +170,7 @@
       fleet::gen::EndpointWork work;
       work.endpoint = static_cast<std::int32_t>(1 + random() % 5);
       work.running = static_cast<std::int32_t>(random() % 3);
-      work.__set_deferred(static_cast<std::int16_t>(random() % 2));
+      work.__set_yielding(static_cast<std::int16_t>(random() % 2));
       report.work.push_back(work);
     }
     report.__set_lists_all_work(random() % 10 == 0);
@@ -181,7 +181,7 @@
     CopyPeerWork(SumWork(table, kNow), summed);
     for (std::size_t i = 0; i < kept.size(); ++i) {
       LONGS_EQUAL(summed[i]->peers.running, kept[i]->peers.running);
-      LONGS_EQUAL(summed[i]->peers.deferred, kept[i]->peers.deferred);
+      LONGS_EQUAL(summed[i]->peers.yielding, kept[i]->peers.yielding);
     }
   }
 }
--- a/src/fleet/report.cc
+++ b/src/fleet/report.cc
@@ -25,7 +25,7 @@
 bool HasChanged(const gen::EndpointWork& work, const gen::EndpointWork& sent) {
   return work.running != sent.running ||
          work.prompt_tokens != sent.prompt_tokens ||
-         work.deferred != sent.deferred || work.bad != sent.bad ||
+         work.yielding != sent.yielding || work.bad != sent.bad ||
          (work.good == 0) != (sent.good == 0);
 }
 
@@ -113,9 +113,9 @@
     const std::int16_t bad = RoundedCount(endpoint->outcomes.failures * factor);
     if (endpoint->own.prompt_tokens != 0)
       work.__set_prompt_tokens(endpoint->own.prompt_tokens);
-    if (endpoint->own.deferred != 0) {
-      work.__set_deferred(RoundedCount(endpoint->own.deferred));
-      work.__set_deferred_tokens(endpoint->own.deferred_tokens);
+    if (endpoint->own.yielding != 0) {
+      work.__set_yielding(RoundedCount(endpoint->own.yielding));
+      work.__set_yielding_tokens(endpoint->own.yielding_tokens);
     }
     // Good results matter only beside bad ones.
     if (good != 0 && (bad != 0 || endpoint->peer_failures > 0))
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -13,9 +13,9 @@
 /// Latest start, as a share of the time left. Requests that start later rarely
 /// complete.
 constexpr double kLatestStartShare = 0.5;
-/// An objective from which on a request can wait for several runs of others.
+/// A request with such an objective can wait for several runs of others.
 constexpr Milliseconds kFarObjective{3000};
-/// Ranks that an engine can tell apart, with a near and with a far objective.
+/// Ranks told apart at an engine, of near and of far objectives.
 constexpr int kNearRanks = 3;
 constexpr int kFarRanks = 2;
 constexpr Milliseconds kMinRetryAfter{200};
@@ -61,8 +61,11 @@
       caller_time_left &&
       route.timeout - *caller_time_left > route.target_latency;
   Admission admission;
-  admission.deferred = has_waited || waits.ms > objective;
-  const double wait_ms = admission.deferred ? waits.deferred_ms : waits.ms;
+  const bool is_far = HasFarObjective(route);
+  const double on_time_ms = is_far ? waits.yielding_ms : waits.ms;
+  admission.deferred = has_waited || on_time_ms > objective;
+  admission.yields = is_far || admission.deferred;
+  const double wait_ms = admission.yields ? waits.yielding_ms : waits.ms;
   if (wait_ms <= limit)
     return admission;
   admission.admitted = false;
@@ -70,10 +73,14 @@
   return admission;
 }
 
+bool HasFarObjective(const Route& route) {
+  return route.target_latency >= kFarObjective;
+}
+
 int UrgencyOf(const Route& route, bool deferred) {
-  if (route.target_latency >= kFarObjective) {
+  if (HasFarObjective(route)) {
     const int rank = std::clamp(route.rank, 0, kFarRanks - 1);
-    return kNearRanks * 2 + rank * 2 + (deferred ? 1 : 0);
+    return 2 * kNearRanks + 2 * rank + (deferred ? 1 : 0);
   }
   const int rank = std::clamp(route.rank, 0, kNearRanks - 1);
   return deferred ? kNearRanks + rank : rank;
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -11,14 +11,17 @@
 /// Expected waits for the first event at the chosen engine, in ms.
 struct ExpectedWaits {
   double ms = 0;
-  double deferred_ms = 0;  ///< If the request is sent as deferred.
+  double yielding_ms = 0;  ///< If the request yields to others.
 };
 
 struct Admission {
   bool admitted = true;
   /// The first event cannot come within the latency objective. The engine
-  /// begins such a request after those for which it still can.
+  /// begins such a request after those for which it still can; see UrgencyOf().
   bool deferred = false;
+  /// The engine interrupts it for requests that can meet a near objective: it
+  /// is deferred, or its own objective is far off.
+  bool yields = false;
   Milliseconds retry_after{0};  ///< Earliest useful retry, if not admitted.
 };
 
@@ -52,12 +55,16 @@
                 std::optional<Milliseconds> caller_time_left);
 
 /// Returns the urgency of a request at an engine, from 0 to 9. Requests that
-/// can meet their objective come first, by rank. Deferred ones follow, by rank:
-/// an engine preempts for what is more urgent, so that a late request must not
-/// make one late that is not. Requests whose objective is far off wait without
-/// harm, and come last.
+/// can meet their objective come first, by rank, and deferred ones after all of
+/// them: an engine interrupts requests for more urgent ones, so that a late one
+/// of a high rank would make others late too. Requests whose objective is far
+/// off can wait without harm and come last.
 int UrgencyOf(const Route& route, bool deferred);
 
+/// Returns whether the objective of the route is so far off that its requests
+/// yield to others even if they can meet it.
+bool HasFarObjective(const Route& route);
+
 /// Returns the retry delay for a model that no endpoint has loaded. `model` may
 /// be nullptr.
 Milliseconds RetryAfterLoad(const EngineModel* model);
--- a/src/gateway/admission_unittest.cc
+++ b/src/gateway/admission_unittest.cc
@@ -50,7 +50,7 @@
   struct Row {
     const char* name;
     double wait_ms;
-    double deferred_wait_ms;
+    double yielding_wait_ms;
     int caller_time_left_ms;  ///< -1 if the caller does not say.
     bool admitted;
     bool deferred;
@@ -71,7 +71,7 @@
     std::optional<Milliseconds> caller_time_left;
     if (row.caller_time_left_ms >= 0)
       caller_time_left = Milliseconds(row.caller_time_left_ms);
-    const auto admission = Admit(route, {row.wait_ms, row.deferred_wait_ms},
+    const auto admission = Admit(route, {row.wait_ms, row.yielding_wait_ms},
                                  Milliseconds(9000), caller_time_left);
     CHECK_EQUAL_TEXT(row.admitted, admission.admitted, row.name);
     CHECK_EQUAL_TEXT(row.deferred, admission.deferred, row.name);
--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -214,15 +214,15 @@
     return kServiceCallMs * (static_cast<double>(queued) / slots) +
            static_cast<double>(running) / slots;
   }
-  const int deferred = endpoint.own.deferred + endpoint.peers.deferred;
-  const int deferred_tokens =
-      endpoint.own.deferred_tokens + endpoint.peers.deferred_tokens;
-  return EngineWaitMs(running - deferred,
-                      PromptTokens(endpoint) - deferred_tokens + tokens,
+  const int yielding = endpoint.own.yielding + endpoint.peers.yielding;
+  const int yielding_tokens =
+      endpoint.own.yielding_tokens + endpoint.peers.yielding_tokens;
+  return EngineWaitMs(running - yielding,
+                      PromptTokens(endpoint) - yielding_tokens + tokens,
                       *engine, run_ms);
 }
 
-double DeferredWaitMs(const Endpoint& endpoint,
+double YieldingWaitMs(const Endpoint& endpoint,
                       const EngineSpec& engine,
                       int tokens,
                       double run_ms) {
@@ -230,6 +230,29 @@
                       PromptTokens(endpoint) + tokens, engine, run_ms);
 }
 
+namespace {
+
+/// The expected waits of a request at one endpoint, in ms.
+struct Waits {
+  double on_time = 0;
+  double yielding = 0;
+  double that_counts = 0;  ///< By which endpoints are compared.
+};
+
+Waits WaitsAt(const Endpoint& endpoint, const ChoiceInput& input, int tokens) {
+  Waits waits;
+  waits.on_time = ExpectedWaitMs(endpoint, input.engine, tokens, input.run_ms);
+  waits.yielding =
+      input.engine == nullptr
+          ? waits.on_time
+          : YieldingWaitMs(endpoint, *input.engine, tokens, input.run_ms);
+  waits.that_counts =
+      waits.on_time > input.objective_ms ? waits.yielding : waits.on_time;
+  return waits;
+}
+
+}  // namespace
+
 Choice ChooseEndpoint(gsl::span<const EndpointPtr> endpoints,
                       const ChoiceInput& input) {
   Choice best;
@@ -250,8 +273,8 @@
         input.engine == nullptr
             ? 0
             : TokensToPrefill(*input.request, endpoint.get() == preferred);
-    const double wait =
-        ExpectedWaitMs(*endpoint, input.engine, tokens, input.run_ms);
+    const Waits waits = WaitsAt(*endpoint, input, tokens);
+    const double wait = waits.that_counts;
     if (fresh) {
       const double cost = wait + PenaltyMs(*endpoint, input);
       if (best.endpoint != nullptr && cost >= least_cost)
@@ -267,11 +290,8 @@
         continue;
     }
     best.endpoint = endpoint;
-    best.wait_ms = wait;
-    best.deferred_wait_ms =
-        input.engine == nullptr
-            ? wait
-            : DeferredWaitMs(*endpoint, *input.engine, tokens, input.run_ms);
+    best.wait_ms = waits.on_time;
+    best.yielding_wait_ms = waits.yielding;
   }
   return best;
 }
--- a/src/gateway/choice.h
+++ b/src/gateway/choice.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <gsl/span>
+#include <limits>
 #include <set>
 #include <string>
 #include <string_view>
@@ -32,6 +33,9 @@
   /// Typical time for which a request to this service occupies a slot, in ms.
   double run_ms = kDefaultRunMs;
   std::uint64_t jitter_seed = 0;  ///< Random; differs between daemons.
+  /// The request yields to others wherever it would begin later than this; 0 if
+  /// it does in any case.
+  double objective_ms = std::numeric_limits<double>::infinity();
 };
 
 enum class ChoiceVerdict {
@@ -46,7 +50,7 @@
   ChoiceVerdict verdict = ChoiceVerdict::kNoEndpoint;
   EndpointPtr endpoint;
   double wait_ms = 0;  ///< Expected time to the first byte of the answer.
-  double deferred_wait_ms = 0;  ///< The same if it is sent as deferred.
+  double yielding_wait_ms = 0;  ///< The same if the request yields to others.
   /// If all are paused, the pause that ends first.
   TimePoint paused_since;
   TimePoint paused_until;
@@ -72,9 +76,9 @@
                       int tokens,
                       double run_ms = kDefaultRunMs);
 
-/// Returns the same for a request that is sent as deferred: the engine begins
-/// it after those that are not.
-double DeferredWaitMs(const Endpoint& endpoint,
+/// Returns the same for a request that yields to others: the engine begins it
+/// after them.
+double YieldingWaitMs(const Endpoint& endpoint,
                       const EngineSpec& engine,
                       int tokens,
                       double run_ms);
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -40,9 +40,10 @@
 struct EndpointWork {
   int running = 0;
   int prompt_tokens = 0;  ///< Of requests without a first event so far.
-  /// Of these, the requests that were sent as deferred, and their tokens.
-  int deferred = 0;
-  int deferred_tokens = 0;
+  /// Of these, requests that an engine interrupts for others, whether they have
+  /// had an event or not, and their tokens; see Admission::yields.
+  int yielding = 0;
+  int yielding_tokens = 0;
 };
 
 /// Exponentially decaying counts of the outcomes of calls to an endpoint.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -146,9 +146,10 @@
   }
   if (this->engine != nullptr) {
     const Admission admission =
-        Admit(*this->route, {choice.wait_ms, choice.deferred_wait_ms},
+        Admit(*this->route, {choice.wait_ms, choice.yielding_wait_ms},
               TimeLeft(this->deadline, now), this->info.time_left);
     this->deferred = admission.deferred;
+    this->yields = admission.yields;
     if (this->sends == 0 && !admission.admitted) {
       char inputs[120];
       std::snprintf(inputs, sizeof(inputs), "wait_ms=%.0f best=%s",
@@ -171,6 +172,10 @@
   choice_input.report_age = this->gateway->report_interval;
   choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
   choice_input.jitter_seed = this->gateway->random();
+  choice_input.objective_ms =
+      HasFarObjective(*this->route)
+          ? 0
+          : static_cast<double>(this->route->target_latency.count());
   return ChooseEndpoint(this->gateway->endpoint_list, choice_input);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -158,6 +158,7 @@
   bool adapter_requested = false;
   std::optional<AdapterOutcome> adapter_outcome;  ///< Of that request.
   bool deferred = false;  ///< The current send; see Admission.
+  bool yields = false;    ///< The current send; see Admission.
   bool finished = false;
 
   EndpointPtr endpoint;  ///< Of the current send.
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -71,21 +71,18 @@
   this->prefill_tokens = tokens;
   ++this->endpoint->own.running;
   this->endpoint->own.prompt_tokens += tokens;
-  if (!this->deferred)
+  if (!this->yields)
     return;
-  ++this->endpoint->own.deferred;
-  this->endpoint->own.deferred_tokens += tokens;
+  ++this->endpoint->own.yielding;
+  this->endpoint->own.yielding_tokens += tokens;
 }
 
 /// Called with the first event, when the prompt has been processed, or when the
 /// send ends.
 void Exchange::EndPrefill() {
   this->endpoint->own.prompt_tokens -= this->prefill_tokens;
-  if (this->deferred) {
-    --this->endpoint->own.deferred;
-    this->endpoint->own.deferred_tokens -= this->prefill_tokens;
-    this->deferred = false;
-  }
+  if (this->yields)
+    this->endpoint->own.yielding_tokens -= this->prefill_tokens;
   this->prefill_tokens = 0;
 }
 
@@ -94,6 +91,8 @@
     return;
   this->EndPrefill();
   --this->endpoint->own.running;
+  if (this->yields)
+    --this->endpoint->own.yielding;
   const auto connection = std::exchange(this->stream, nullptr);
   if (connection && reusable && TakesNewWork(*this->endpoint))
     this->gateway->connections.Keep(this->endpoint->entry.id, connection,
