Gateway: Read connections that were paused when they were kept

Cause: reading from an endpoint pauses while a caller is slow. If that happens with the last bytes of an answer, the connection is kept while paused, and stays so: its next request gets no answer until its deadline, and bytes on the idle connection do not close it.

Change: a kept connection is read again.

EndpointConnections.KeptConnectionsAreRead: no answer within 3 s before, passes now.

--- a/src/gateway/endpoint_connections.cc
+++ b/src/gateway/endpoint_connections.cc
@@ -89,6 +89,8 @@
       unexpected->Close();
   };
   stream->Start(std::move(events));
+  // Paused for a slow caller of the last answer.
+  stream->ResumeReading();
   const TimePoint now = BootNow();
   list.push_back({std::move(stream), now + idle.fresh, now + idle.usable});
 }
