Gateway: Count all running requests in the time that each adds to others

Cause: requests that yield were left out of the expected wait as a whole, though they run in the same batch and slow the first event of a new one. Engines with many overnight requests looked as good as idle ones.

Change: the time added by running requests counts all of them; those that yield are left out of the queue and of the prompts only.

--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -145,14 +145,19 @@
   return endpoint.own.prompt_tokens + endpoint.peers.prompt_tokens;
 }
 
-/// Returns the time until an engine with `ahead` requests and `tokens` of
-/// prompts before a new one gives its first event.
-double EngineWaitMs(int ahead,
-                    int tokens,
+/// The work at an engine before a new request.
+struct WorkAhead {
+  int running = 0;  ///< All requests, which slow each other down.
+  int ahead = 0;    ///< Of these, those that the new one does not pass.
+  int tokens = 0;   ///< Of prompts.
+};
+
+/// Returns the time until the engine gives the first event of a new request.
+double EngineWaitMs(const WorkAhead& work,
                     const EngineSpec& engine,
                     double run_ms) {
-  const int queued = std::max(0, ahead - engine.slots + 1);
-  return tokens / kPromptTokensPerMs + ahead * kRunningRequestMs +
+  const int queued = std::max(0, work.ahead - engine.slots + 1);
+  return work.tokens / kPromptTokensPerMs + work.running * kRunningRequestMs +
          queued * run_ms / std::max(1, engine.slots);
 }
 
@@ -217,8 +222,8 @@
   const int yielding = endpoint.own.yielding + endpoint.peers.yielding;
   const int yielding_tokens =
       endpoint.own.yielding_tokens + endpoint.peers.yielding_tokens;
-  return EngineWaitMs(running - yielding,
-                      PromptTokens(endpoint) - yielding_tokens + tokens,
+  return EngineWaitMs({running, running - yielding,
+                       PromptTokens(endpoint) - yielding_tokens + tokens},
                       *engine, run_ms);
 }
 
@@ -226,8 +231,9 @@
                       const EngineSpec& engine,
                       int tokens,
                       double run_ms) {
-  return EngineWaitMs(endpoint.own.running + endpoint.peers.running,
-                      PromptTokens(endpoint) + tokens, engine, run_ms);
+  const int running = endpoint.own.running + endpoint.peers.running;
+  return EngineWaitMs({running, running, PromptTokens(endpoint) + tokens},
+                      engine, run_ms);
 }
 
 namespace {
@@ -236,7 +242,7 @@
 struct Waits {
   double on_time = 0;
   double yielding = 0;
-  double that_counts = 0;  ///< By which endpoints are compared.
+  double compared = 0;  ///< The one by which endpoints are compared.
 };
 
 Waits WaitsAt(const Endpoint& endpoint, const ChoiceInput& input, int tokens) {
@@ -246,7 +252,7 @@
       input.engine == nullptr
           ? waits.on_time
           : YieldingWaitMs(endpoint, *input.engine, tokens, input.run_ms);
-  waits.that_counts =
+  waits.compared =
       waits.on_time > input.objective_ms ? waits.yielding : waits.on_time;
   return waits;
 }
@@ -274,7 +280,7 @@
             ? 0
             : TokensToPrefill(*input.request, endpoint.get() == preferred);
     const Waits waits = WaitsAt(*endpoint, input, tokens);
-    const double wait = waits.that_counts;
+    const double wait = waits.compared;
     if (fresh) {
       const double cost = wait + PenaltyMs(*endpoint, input);
       if (best.endpoint != nullptr && cost >= least_cost)
