Daemon: Let a listing hold back confirmations only after a gap

Cause: each listing raised the revision up to which departures may be hidden, since an endpoint may have come and gone before it. After each departure all daemons list, at slightly different revisions, so that they did not take each other's word for their views and read the latest state themselves.

Change: the revision is raised only if the view was not known to be complete within the time for changes. An endpoint that came and went within that time is not waited for.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -60,12 +60,13 @@
                                  "cannot be read")
                            .Register(own_gateway->registry)),
       in_force_limit(change_limit),
-      checks(&prometheus::BuildCounter()
-                  .Name("coltsfootvane_store_view_checks_total")
-                  .Help("Reads of the latest state because no daemon had shown "
-                        "for too long that the view is complete")
-                  .Register(own_gateway->registry)
-                  .Add({})) {}
+      check_counter(
+          &prometheus::BuildCounter()
+               .Name("coltsfootvane_store_view_checks_total")
+               .Help("Reads of the latest state because no daemon had shown "
+                     "for too long that the view is complete")
+               .Register(own_gateway->registry)
+               .Add({})) {}
 
 store::FollowerEvents StoreView::ConfigEvents() {
   store::FollowerEvents events = Events(
@@ -146,7 +147,7 @@
 
 void StoreView::BeginCheck(TimePoint now) {
   this->checking = true;
-  this->checks->Increment();
+  this->check_counter->Increment();
   const auto age =
       std::chrono::duration_cast<Milliseconds>(now - this->check.confirmed_at);
   this->log->Write(
@@ -211,8 +212,10 @@
                                       : std::next(it);
   if (!gone.empty())
     this->NoteDeparture(listing.revision);
-  // Endpoints may have come and gone unseen before it.
-  this->RaiseMaxDeparture(listing.revision);
+  // Endpoints may have come and gone unseen since the view was last complete.
+  // One that lives for less than the time for changes is not waited for.
+  if (BootNow() - this->check.confirmed_at > this->in_force_limit)
+    this->RaiseMaxDeparture(listing.revision);
   this->endpoints_known = true;
   gateway::UpdateEndpointList(this->gateway);
   this->SendNews();
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -79,7 +79,7 @@
   ViewCheck check;
   /// This daemon reads the latest state, since nobody has confirmed its view.
   bool checking = false;
-  prometheus::Counter* checks;
+  prometheus::Counter* check_counter;
   TimePoint endpoints_lost_at;  ///< When the store last left them unanswered.
   bool endpoints_known = false;
   bool news_to_send = false;  ///< Since the last report to the others.
