Gateway, team: Route requests by API keys where a configuration has teams

Cause: the gateway knew no teams: every key reached the endpoints, no team was named to them, and unknown or withdrawn keys ran. Change: teams, keys and quotas are read from the configuration; a request without a known key gets 401 unless its route is public; endpoints get no key, and the name of the team from the gateway alone; a team's rank goes before its route's.

--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -77,12 +77,12 @@
   return route.target_latency >= kFarObjective;
 }
 
-int UrgencyOf(const Route& route, bool deferred) {
+int UrgencyOf(const Route& route, int stated_rank, bool deferred) {
   if (HasFarObjective(route)) {
-    const int rank = std::clamp(route.rank, 0, kFarRanks - 1);
+    const int rank = std::clamp(stated_rank, 0, kFarRanks - 1);
     return 2 * kNearRanks + 2 * rank + (deferred ? 1 : 0);
   }
-  const int rank = std::clamp(route.rank, 0, kNearRanks - 1);
+  const int rank = std::clamp(stated_rank, 0, kNearRanks - 1);
   return deferred ? kNearRanks + rank : rank;
 }
 
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -55,11 +55,11 @@
                 std::optional<Milliseconds> caller_time_left);
 
 /// Returns the urgency of a request at an engine, from 0 to 9. Requests that
-/// can meet their objective come first, by rank, and deferred ones after all of
+/// can meet their objective come first, by `rank`, and deferred ones after all of
 /// them: an engine interrupts requests for more urgent ones, so that a late one
 /// of a high rank would make others late too. Requests whose objective is far
 /// off can wait without harm and come last.
-int UrgencyOf(const Route& route, bool deferred);
+int UrgencyOf(const Route& route, int rank, bool deferred);
 
 /// Returns whether the objective of the route is so far off that its requests
 /// yield to others even if they can meet it.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -102,6 +102,10 @@
     this->Fail(404, "no route");
     return false;
   }
+  if (!this->FindTeam()) {
+    this->Fail(401, "unknown key");
+    return false;
+  }
   Milliseconds allowed = this->route->timeout;
   if (this->info.time_left)
     allowed = std::min(allowed, *this->info.time_left);
@@ -122,6 +126,20 @@
   return true;
 }
 
+/// Finds the team of the request. Returns false if its route needs one.
+bool Exchange::FindTeam() {
+  const team::TeamTable& teams = this->routes->teams;
+  if (teams.teams.empty())
+    return true;
+  this->team = team::FindTeam(teams, this->info.key);
+  return this->team != nullptr || this->route->is_public;
+}
+
+int Exchange::Rank() const {
+  const bool has_own = this->team != nullptr && this->team->rank;
+  return has_own ? *this->team->rank : this->route->rank;
+}
+
 /// Returns whether the request is answered before the process ends, or came so
 /// early in the shutdown that its caller could not know better.
 bool Exchange::FitsIntoShutdown() const {
@@ -334,7 +352,10 @@
   options.endpoint_id = this->endpoint->entry.id;
   options.time_left = TimeLeft(this->deadline, this->sent_at);
   if (this->engine != nullptr)
-    options.urgency = UrgencyOf(*this->route, this->deferred);
+    options.urgency = UrgencyOf(*this->route, this->Rank(), this->deferred);
+  options.has_teams = !this->routes->teams.teams.empty();
+  if (this->team != nullptr)
+    options.team = this->team->name;
   options.resume_after =
       this->last_event_id ? this->last_event_id : this->info.resume_after;
   if (this->forwarding) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,6 +74,8 @@
 
   // Defined in exchange.cc: routing and sending.
   bool FindRoute();
+  bool FindTeam();
+  int Rank() const;
   bool FitsIntoShutdown() const;
   void TryNextEndpoint();
   Choice ChooseNext(TimePoint now);
@@ -145,6 +147,7 @@
   boost::asio::steady_timer timer;
   std::shared_ptr<const RoutingTable> routes;
   const Route* route = nullptr;
+  const team::Team* team = nullptr;  ///< That holds the key; may be null.
   std::string service;
   const EngineSpec* engine = nullptr;
   RequestInfo info;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -57,6 +57,7 @@
     if (service.engine)
       IndexModels(&*service.engine);
   }
+  team::IndexKeys(&table.teams, gateway->random());
   gateway->routes = std::make_shared<const RoutingTable>(std::move(table));
   gateway->routes_since = BootNow();
   return true;
--- a/src/gateway/routing_table.h
+++ b/src/gateway/routing_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "team/team.h"
 
 namespace coltsfootvane::gateway {
 
@@ -38,6 +39,10 @@
   std::vector<WeightedService> services;
   int max_attempts = 1;  ///< Limit on sends that may be executed, per request.
   bool resumable = false;
+  bool is_public = false;  ///< Needs no API key where there are teams.
+  /// Longest pause between events of an answer that is on time; 0 if none is
+  /// declared.
+  Milliseconds gap_target{0};
 };
 
 /// A model that the engines of a service can load.
@@ -83,6 +88,7 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
+  team::TeamTable teams;
 };
 
 /// Returns the route for `host` with the longest prefix that matches `path`, or
--- a/src/gateway/urgency_unittest.cc
+++ b/src/gateway/urgency_unittest.cc
@@ -192,6 +192,10 @@
   int now_ms = 0;
 };
 
+int ByRoute(const Route& route, bool deferred) {
+  return gateway::UrgencyOf(route, route.rank, deferred);
+}
+
 /// The naive rule: deferred requests go after the others of their rank only.
 int ByRankFirst(const Route& route, bool deferred) {
   return 2 * std::clamp(route.rank, 0, 4) + (deferred ? 1 : 0);
@@ -221,7 +225,7 @@
         {2, 8000, 20'000, 30, kRunMs, 0.5}};
     const double begun_per_s = 1000.0 * kSlots / kRunMs;
     const double share = std::min(1.0, begun_per_s / row.urgent_per_s);
-    const auto outcomes = Engine(kinds, gateway::UrgencyOf).Run();
+    const auto outcomes = Engine(kinds, ByRoute).Run();
     const auto naive = Engine(kinds, ByRankFirst).Run();
     CHECK_TEXT(outcomes[0].OnTime() >= kMinUrgent * share, row.name);
     CHECK_TEXT(outcomes[1].OnTime() >= kMinNext * share, row.name);
@@ -254,7 +258,6 @@
     Route route;
     route.rank = row.rank;
     route.target_latency = Milliseconds(row.target_ms);
-    LONGS_EQUAL_TEXT(row.urgency, gateway::UrgencyOf(route, row.deferred),
-                     row.name);
+    LONGS_EQUAL_TEXT(row.urgency, ByRoute(route, row.deferred), row.name);
   }
 }
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -25,6 +26,9 @@
   std::string adapter;  ///< Empty for the model itself.
   int prompt_tokens = 0;
   int output_tokens = 0;  ///< Expected, otherwise the maximum allowed.
+  /// Of the prompt and of the longest output allowed, if the request states it.
+  std::optional<double> quota_tokens;
+  std::string key;  ///< API key; empty if there is none or more than one.
   std::vector<PromptPart> prompt;
   std::optional<Milliseconds> time_left;     ///< Until the caller's deadline.
   std::optional<std::int64_t> resume_after;  ///< Id of the last event received.
@@ -36,6 +40,10 @@
   Milliseconds time_left{0};
   std::optional<int> urgency;  ///< 0 (most urgent) to 9; engines only.
   std::optional<std::int64_t> resume_after;
+  /// The configuration has teams: endpoints get no key, and the name of a team
+  /// from the gateway only.
+  bool has_teams = false;
+  std::string_view team;  ///< Name of the request's team; may be empty.
 };
 
 /// Parsed head of an endpoint's answer.
