Quota: Limit the requests of a team over all daemons

Cause: a team may use `ratePerS` per second and a burst over all daemons. Reports are 1.6 s apart at 143 daemons and a silent member counts as failed after up to 8 s, so that no daemon can decide alone, and the member table can not name the owner of a bucket safely.

Change: a team's token bucket is held by the live daemon that is first in rendezvous order. Others ask it by datagram before they choose an endpoint. An owner grants only while it has confirmed within a second which share of the daemons it reaches, and scales rate and burst by it. A daemon that is asked though a better one exists grants from a bounded allowance until the better one has left its probes unanswered for a second, longer than that one needs to notice that it is cut off. Requests that find no owner fall back to a quarter of the daemon's part of the rate. Requests beyond the quota get 429; units of requests that have not run are returned, further executions are charged.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -65,6 +65,7 @@
                daemon_settings.ip,
                [this](const boost::asio::ip::address& address) {
                  this->fleet.AddPeer(address);
+                 this->fleet.peers_listed = true;
                }),
       lease(&this->io,
             &this->store,
@@ -91,6 +92,7 @@
   this->client.SetAccount(&this->gateway.held_bytes);
   this->gateway.random.seed(std::random_device()());
   this->ApplyChangeable(daemon_settings);
+  this->fleet.quota_bounds = daemon_settings.quota_bounds;
   this->fleet.on_seen_revisions = [this](const fleet::SeenRevisions& news) {
     this->store_view.CatchUp(news);
   };
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -153,6 +153,9 @@
   SetGauge(registry, "coltsfootvane_live_daemons",
            "Daemons that report, this one included", {},
            parts.fleet->CountLiveDaemons());
+  SetGauge(registry, "coltsfootvane_quota_buckets",
+           "Teams whose quota this daemon has decided on lately", {},
+           static_cast<double>(parts.fleet->CountQuotaBuckets()));
   SetGauge(registry, "coltsfootvane_lease_held",
            "Whether this daemon may give orders to engines", {},
            parts.lease->MaySendOrder(now) ? 1 : 0);
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "gateway/gateway.h"
 #include "orders/engine_orders.h"
+#include "quota/bucket_owner.h"
 
 namespace coltsfootvane::daemon {
 
@@ -34,6 +35,7 @@
   double memory_mb = 512;  ///< Beyond which the process is ended.
   gateway::FleetRetryLimit retry_limit;
   orders::StoreLoadLimit store_load_limit;
+  quota::Bounds quota_bounds;
 };
 
 }  // namespace coltsfootvane::daemon
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -70,7 +70,8 @@
       gateway(request_gateway),
       socket(*io_context),
       timer(*io_context),
-      suspect_timer(*io_context) {}
+      suspect_timer(*io_context),
+      quota_timer(*io_context) {}
 
 Result<bool> Fleet::Open(const udp::endpoint& address) {
   BoostError ec;
@@ -90,6 +91,7 @@
         this->OnSuspectNews(parts, source);
       };
   this->incarnation = static_cast<std::int64_t>(this->gateway->random() >> 2);
+  this->OpenQuota();
   this->Receive();
   this->Tick();
   return true;
@@ -141,6 +143,10 @@
     this->OnAdapterReply(datagram.adapter_reply);
   else if (datagram.__isset.suspects)
     this->OnSuspects(datagram.suspects, address);
+  else if (datagram.__isset.quota_request)
+    this->OnQuotaRequest(datagram.quota_request, address);
+  else if (datagram.__isset.quota_reply)
+    this->OnQuotaReply(datagram.quota_reply, address);
 }
 
 void Fleet::OnReport(const gen::Report& report, std::uint32_t from) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "fleet/placement_news.h"
 #include "fleet/suspect_news.h"
 #include "gateway/gateway.h"
+#include "quota/quota_node.h"
 
 namespace coltsfootvane::fleet {
 
@@ -82,6 +84,13 @@
   /// of the others, which read it with a lag.
   bool ReadsLatestState() const;
 
+  /// Set before Open().
+  quota::Bounds quota_bounds;
+  /// The daemons that the store lists have been added.
+  bool peers_listed = false;
+  /// Returns the number of teams whose quota this daemon decides on.
+  std::size_t CountQuotaBuckets() const;
+
   /// Returns whether reports of the lease holder of this epoch have stopped.
   bool IsHolderSilent(std::int64_t epoch) const;
 
@@ -109,6 +118,11 @@
   void SendAllSuspects(std::uint32_t to);
   void RemindOfQuarantine(TimePoint now);
   void UpdateTrialOrder(TimePoint now);
+  void OpenQuota();
+  void UpdateQuotaMembers();
+  void OnQuotaRequest(const gen::QuotaRequest& wire, std::uint32_t from);
+  void OnQuotaReply(const gen::QuotaReply& reply, std::uint32_t from);
+  void TickQuota();
   void Tick();
   void SendReports();
   void SendAdapterRequest(std::int64_t number);
@@ -146,6 +160,11 @@
   SuspectNews suspect_news;
   boost::asio::steady_timer suspect_timer;
   bool suspects_scheduled = false;
+  TimePoint opened_at;
+  std::unique_ptr<quota::QuotaNode> quota;  ///< Since Open().
+  boost::asio::steady_timer quota_timer;
+  TimePoint next_quota_members;
+  bool quota_leaving = false;
   double report_bytes = 200;  ///< Moving average of received report sizes.
 };
 
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -91,10 +91,37 @@
   1: list<SuspectPart> parts
 }
 
+// Asks the owner of a team's token bucket for permission to send a request.
+struct QuotaRequest {
+  1: i64 number
+  2: i32 team  // Hash of the name; 0 for a probe, which only asks for a reply.
+  3: optional double per_second
+  4: optional double burst
+  5: optional i64 version  // Of the configuration that states this limit.
+  6: optional double units
+  // Units spent without permission, less those returned.
+  7: optional double settled
+  8: optional i16 rank
+  // The level that an owner last stated, and its age.
+  9: optional double level
+  10: optional i32 level_age_ms
+}
+
+struct QuotaReply {
+  1: i64 number
+  2: i16 verdict  // 0 granted, 1 refused, 2 not an owner now.
+  3: i16 known_daemons
+  4: optional double level
+  5: optional i32 retry_after_ms
+  6: optional i32 better_owner  // IPv4 address.
+}
+
 union Datagram {
   1: Report report
   2: Placement placement
   3: AdapterRequest adapter_request
   4: AdapterReply adapter_reply
   5: Suspects suspects
+  6: QuotaRequest quota_request
+  7: QuotaReply quota_reply
 }
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -1792,6 +1792,492 @@
 }
 
 
+QuotaRequest::~QuotaRequest() noexcept {
+}
+
+
+void QuotaRequest::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void QuotaRequest::__set_team(const int32_t val) {
+  this->team = val;
+}
+
+void QuotaRequest::__set_per_second(const double val) {
+  this->per_second = val;
+__isset.per_second = true;
+}
+
+void QuotaRequest::__set_burst(const double val) {
+  this->burst = val;
+__isset.burst = true;
+}
+
+void QuotaRequest::__set_version(const int64_t val) {
+  this->version = val;
+__isset.version = true;
+}
+
+void QuotaRequest::__set_units(const double val) {
+  this->units = val;
+__isset.units = true;
+}
+
+void QuotaRequest::__set_settled(const double val) {
+  this->settled = val;
+__isset.settled = true;
+}
+
+void QuotaRequest::__set_rank(const int16_t val) {
+  this->rank = val;
+__isset.rank = true;
+}
+
+void QuotaRequest::__set_level(const double val) {
+  this->level = val;
+__isset.level = true;
+}
+
+void QuotaRequest::__set_level_age_ms(const int32_t val) {
+  this->level_age_ms = val;
+__isset.level_age_ms = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_second);
+          this->__isset.per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burst);
+          this->__isset.burst = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->units);
+          this->__isset.units = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->settled);
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->rank);
+          this->__isset.rank = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->level_age_ms);
+          this->__isset.level_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaRequest");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.per_second) {
+    xfer += oprot->writeFieldBegin("per_second", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->per_second);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.burst) {
+    xfer += oprot->writeFieldBegin("burst", ::apache::thrift::protocol::T_DOUBLE, 4);
+    xfer += oprot->writeDouble(this->burst);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.units) {
+    xfer += oprot->writeFieldBegin("units", ::apache::thrift::protocol::T_DOUBLE, 6);
+    xfer += oprot->writeDouble(this->units);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.settled) {
+    xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_DOUBLE, 7);
+    xfer += oprot->writeDouble(this->settled);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.rank) {
+    xfer += oprot->writeFieldBegin("rank", ::apache::thrift::protocol::T_I16, 8);
+    xfer += oprot->writeI16(this->rank);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.level) {
+    xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_DOUBLE, 9);
+    xfer += oprot->writeDouble(this->level);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.level_age_ms) {
+    xfer += oprot->writeFieldBegin("level_age_ms", ::apache::thrift::protocol::T_I32, 10);
+    xfer += oprot->writeI32(this->level_age_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaRequest &a, QuotaRequest &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.team, b.team);
+  swap(a.per_second, b.per_second);
+  swap(a.burst, b.burst);
+  swap(a.version, b.version);
+  swap(a.units, b.units);
+  swap(a.settled, b.settled);
+  swap(a.rank, b.rank);
+  swap(a.level, b.level);
+  swap(a.level_age_ms, b.level_age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaRequest::QuotaRequest(const QuotaRequest& other68) noexcept {
+  number = other68.number;
+  team = other68.team;
+  per_second = other68.per_second;
+  burst = other68.burst;
+  version = other68.version;
+  units = other68.units;
+  settled = other68.settled;
+  rank = other68.rank;
+  level = other68.level;
+  level_age_ms = other68.level_age_ms;
+  __isset = other68.__isset;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other69) noexcept {
+  number = other69.number;
+  team = other69.team;
+  per_second = other69.per_second;
+  burst = other69.burst;
+  version = other69.version;
+  units = other69.units;
+  settled = other69.settled;
+  rank = other69.rank;
+  level = other69.level;
+  level_age_ms = other69.level_age_ms;
+  __isset = other69.__isset;
+  return *this;
+}
+void QuotaRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaRequest(";
+  out << "number=" << to_string(number);
+  out << ", " << "team=" << to_string(team);
+  out << ", " << "per_second="; (__isset.per_second ? (out << to_string(per_second)) : (out << "<null>"));
+  out << ", " << "burst="; (__isset.burst ? (out << to_string(burst)) : (out << "<null>"));
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
+  out << ", " << "units="; (__isset.units ? (out << to_string(units)) : (out << "<null>"));
+  out << ", " << "settled="; (__isset.settled ? (out << to_string(settled)) : (out << "<null>"));
+  out << ", " << "rank="; (__isset.rank ? (out << to_string(rank)) : (out << "<null>"));
+  out << ", " << "level="; (__isset.level ? (out << to_string(level)) : (out << "<null>"));
+  out << ", " << "level_age_ms="; (__isset.level_age_ms ? (out << to_string(level_age_ms)) : (out << "<null>"));
+  out << ")";
+}
+
+
+QuotaReply::~QuotaReply() noexcept {
+}
+
+
+void QuotaReply::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void QuotaReply::__set_verdict(const int16_t val) {
+  this->verdict = val;
+}
+
+void QuotaReply::__set_known_daemons(const int16_t val) {
+  this->known_daemons = val;
+}
+
+void QuotaReply::__set_level(const double val) {
+  this->level = val;
+__isset.level = true;
+}
+
+void QuotaReply::__set_retry_after_ms(const int32_t val) {
+  this->retry_after_ms = val;
+__isset.retry_after_ms = true;
+}
+
+void QuotaReply::__set_better_owner(const int32_t val) {
+  this->better_owner = val;
+__isset.better_owner = true;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->known_daemons);
+          this->__isset.known_daemons = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->level);
+          this->__isset.level = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->better_owner);
+          this->__isset.better_owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuotaReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaReply");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I16, 2);
+  xfer += oprot->writeI16(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("known_daemons", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->known_daemons);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.level) {
+    xfer += oprot->writeFieldBegin("level", ::apache::thrift::protocol::T_DOUBLE, 4);
+    xfer += oprot->writeDouble(this->level);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.retry_after_ms) {
+    xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->retry_after_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.better_owner) {
+    xfer += oprot->writeFieldBegin("better_owner", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->better_owner);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaReply &a, QuotaReply &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.verdict, b.verdict);
+  swap(a.known_daemons, b.known_daemons);
+  swap(a.level, b.level);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.better_owner, b.better_owner);
+  swap(a.__isset, b.__isset);
+}
+
+QuotaReply::QuotaReply(const QuotaReply& other70) noexcept {
+  number = other70.number;
+  verdict = other70.verdict;
+  known_daemons = other70.known_daemons;
+  level = other70.level;
+  retry_after_ms = other70.retry_after_ms;
+  better_owner = other70.better_owner;
+  __isset = other70.__isset;
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other71) noexcept {
+  number = other71.number;
+  verdict = other71.verdict;
+  known_daemons = other71.known_daemons;
+  level = other71.level;
+  retry_after_ms = other71.retry_after_ms;
+  better_owner = other71.better_owner;
+  __isset = other71.__isset;
+  return *this;
+}
+void QuotaReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaReply(";
+  out << "number=" << to_string(number);
+  out << ", " << "verdict=" << to_string(verdict);
+  out << ", " << "known_daemons=" << to_string(known_daemons);
+  out << ", " << "level="; (__isset.level ? (out << to_string(level)) : (out << "<null>"));
+  out << ", " << "retry_after_ms="; (__isset.retry_after_ms ? (out << to_string(retry_after_ms)) : (out << "<null>"));
+  out << ", " << "better_owner="; (__isset.better_owner ? (out << to_string(better_owner)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -1820,6 +2306,16 @@
   this->suspects = val;
 __isset.suspects = true;
 }
+
+void Datagram::__set_quota_request(const QuotaRequest& val) {
+  this->quota_request = val;
+__isset.quota_request = true;
+}
+
+void Datagram::__set_quota_reply(const QuotaReply& val) {
+  this->quota_reply = val;
+__isset.quota_reply = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1888,6 +2384,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quota_request.read(iprot);
+          this->__isset.quota_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quota_reply.read(iprot);
+          this->__isset.quota_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1930,6 +2442,16 @@
     xfer += this->suspects.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quota_request) {
+    xfer += oprot->writeFieldBegin("quota_request", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->quota_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quota_reply) {
+    xfer += oprot->writeFieldBegin("quota_reply", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->quota_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1942,24 +2464,30 @@
   swap(a.adapter_request, b.adapter_request);
   swap(a.adapter_reply, b.adapter_reply);
   swap(a.suspects, b.suspects);
+  swap(a.quota_request, b.quota_request);
+  swap(a.quota_reply, b.quota_reply);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other68) {
-  report = other68.report;
-  placement = other68.placement;
-  adapter_request = other68.adapter_request;
-  adapter_reply = other68.adapter_reply;
-  suspects = other68.suspects;
-  __isset = other68.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other69) {
-  report = other69.report;
-  placement = other69.placement;
-  adapter_request = other69.adapter_request;
-  adapter_reply = other69.adapter_reply;
-  suspects = other69.suspects;
-  __isset = other69.__isset;
+Datagram::Datagram(const Datagram& other72) {
+  report = other72.report;
+  placement = other72.placement;
+  adapter_request = other72.adapter_request;
+  adapter_reply = other72.adapter_reply;
+  suspects = other72.suspects;
+  quota_request = other72.quota_request;
+  quota_reply = other72.quota_reply;
+  __isset = other72.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other73) {
+  report = other73.report;
+  placement = other73.placement;
+  adapter_request = other73.adapter_request;
+  adapter_reply = other73.adapter_reply;
+  suspects = other73.suspects;
+  quota_request = other73.quota_request;
+  quota_reply = other73.quota_reply;
+  __isset = other73.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1970,6 +2498,8 @@
   out << ", " << "adapter_request="; (__isset.adapter_request ? (out << to_string(adapter_request)) : (out << "<null>"));
   out << ", " << "adapter_reply="; (__isset.adapter_reply ? (out << to_string(adapter_reply)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << ", " << "quota_request="; (__isset.quota_request ? (out << to_string(quota_request)) : (out << "<null>"));
+  out << ", " << "quota_reply="; (__isset.quota_reply ? (out << to_string(quota_reply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -41,6 +41,10 @@
 
 class Suspects;
 
+class QuotaRequest;
+
+class QuotaReply;
+
 class Datagram;
 
 typedef struct _EndpointWork__isset {
@@ -721,13 +725,221 @@
 
 std::ostream& operator<<(std::ostream& out, const Suspects& obj);
 
+typedef struct _QuotaRequest__isset {
+  _QuotaRequest__isset() : number(false), team(false), per_second(false), burst(false), version(false), units(false), settled(false), rank(false), level(false), level_age_ms(false) {}
+  bool number :1;
+  bool team :1;
+  bool per_second :1;
+  bool burst :1;
+  bool version :1;
+  bool units :1;
+  bool settled :1;
+  bool rank :1;
+  bool level :1;
+  bool level_age_ms :1;
+} _QuotaRequest__isset;
+
+class QuotaRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaRequest(const QuotaRequest&) noexcept;
+  QuotaRequest& operator=(const QuotaRequest&) noexcept;
+  QuotaRequest() noexcept
+               : number(0),
+                 team(0),
+                 per_second(0),
+                 burst(0),
+                 version(0),
+                 units(0),
+                 settled(0),
+                 rank(0),
+                 level(0),
+                 level_age_ms(0) {
+  }
+
+  virtual ~QuotaRequest() noexcept;
+  int64_t number;
+  int32_t team;
+  double per_second;
+  double burst;
+  int64_t version;
+  double units;
+  double settled;
+  int16_t rank;
+  double level;
+  int32_t level_age_ms;
+
+  _QuotaRequest__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_team(const int32_t val);
+
+  void __set_per_second(const double val);
+
+  void __set_burst(const double val);
+
+  void __set_version(const int64_t val);
+
+  void __set_units(const double val);
+
+  void __set_settled(const double val);
+
+  void __set_rank(const int16_t val);
+
+  void __set_level(const double val);
+
+  void __set_level_age_ms(const int32_t val);
+
+  bool operator == (const QuotaRequest & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(team == rhs.team))
+      return false;
+    if (__isset.per_second != rhs.__isset.per_second)
+      return false;
+    else if (__isset.per_second && !(per_second == rhs.per_second))
+      return false;
+    if (__isset.burst != rhs.__isset.burst)
+      return false;
+    else if (__isset.burst && !(burst == rhs.burst))
+      return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
+    if (__isset.units != rhs.__isset.units)
+      return false;
+    else if (__isset.units && !(units == rhs.units))
+      return false;
+    if (__isset.settled != rhs.__isset.settled)
+      return false;
+    else if (__isset.settled && !(settled == rhs.settled))
+      return false;
+    if (__isset.rank != rhs.__isset.rank)
+      return false;
+    else if (__isset.rank && !(rank == rhs.rank))
+      return false;
+    if (__isset.level != rhs.__isset.level)
+      return false;
+    else if (__isset.level && !(level == rhs.level))
+      return false;
+    if (__isset.level_age_ms != rhs.__isset.level_age_ms)
+      return false;
+    else if (__isset.level_age_ms && !(level_age_ms == rhs.level_age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaRequest &a, QuotaRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj);
+
+typedef struct _QuotaReply__isset {
+  _QuotaReply__isset() : number(false), verdict(false), known_daemons(false), level(false), retry_after_ms(false), better_owner(false) {}
+  bool number :1;
+  bool verdict :1;
+  bool known_daemons :1;
+  bool level :1;
+  bool retry_after_ms :1;
+  bool better_owner :1;
+} _QuotaReply__isset;
+
+class QuotaReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReply(const QuotaReply&) noexcept;
+  QuotaReply& operator=(const QuotaReply&) noexcept;
+  QuotaReply() noexcept
+             : number(0),
+               verdict(0),
+               known_daemons(0),
+               level(0),
+               retry_after_ms(0),
+               better_owner(0) {
+  }
+
+  virtual ~QuotaReply() noexcept;
+  int64_t number;
+  int16_t verdict;
+  int16_t known_daemons;
+  double level;
+  int32_t retry_after_ms;
+  int32_t better_owner;
+
+  _QuotaReply__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_verdict(const int16_t val);
+
+  void __set_known_daemons(const int16_t val);
+
+  void __set_level(const double val);
+
+  void __set_retry_after_ms(const int32_t val);
+
+  void __set_better_owner(const int32_t val);
+
+  bool operator == (const QuotaReply & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(verdict == rhs.verdict))
+      return false;
+    if (!(known_daemons == rhs.known_daemons))
+      return false;
+    if (__isset.level != rhs.__isset.level)
+      return false;
+    else if (__isset.level && !(level == rhs.level))
+      return false;
+    if (__isset.retry_after_ms != rhs.__isset.retry_after_ms)
+      return false;
+    else if (__isset.retry_after_ms && !(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    if (__isset.better_owner != rhs.__isset.better_owner)
+      return false;
+    else if (__isset.better_owner && !(better_owner == rhs.better_owner))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReply &a, QuotaReply &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : report(false), placement(false), adapter_request(false), adapter_reply(false), suspects(false) {}
+  _Datagram__isset() : report(false), placement(false), adapter_request(false), adapter_reply(false), suspects(false), quota_request(false), quota_reply(false) {}
   bool report :1;
   bool placement :1;
   bool adapter_request :1;
   bool adapter_reply :1;
   bool suspects :1;
+  bool quota_request :1;
+  bool quota_reply :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -744,6 +956,8 @@
   AdapterRequest adapter_request;
   AdapterReply adapter_reply;
   Suspects suspects;
+  QuotaRequest quota_request;
+  QuotaReply quota_reply;
 
   _Datagram__isset __isset;
 
@@ -757,6 +971,10 @@
 
   void __set_suspects(const Suspects& val);
 
+  void __set_quota_request(const QuotaRequest& val);
+
+  void __set_quota_reply(const QuotaReply& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -779,6 +997,14 @@
       return false;
     else if (__isset.suspects && !(suspects == rhs.suspects))
       return false;
+    if (__isset.quota_request != rhs.__isset.quota_request)
+      return false;
+    else if (__isset.quota_request && !(quota_request == rhs.quota_request))
+      return false;
+    if (__isset.quota_reply != rhs.__isset.quota_reply)
+      return false;
+    else if (__isset.quota_reply && !(quota_reply == rhs.quota_reply))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -35,6 +35,8 @@
 inline constexpr Event kPartReleased{2217, Severity::kInfo, "part-released"};
 inline constexpr Event kQuarantineTried{2218, Severity::kInfo,
                                         "quarantine-tried"};
+inline constexpr Event kQuotaOwnerSilent{2219, Severity::kWarning,
+                                         "quota-owner-silent"};
 
 }  // namespace coltsfootvane::gateway
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -85,7 +85,7 @@
     if (!ec && self)
       self->OnTimeout();
   });
-  this->TryNextEndpoint();
+  this->AwaitQuota();
 }
 
 /// Finds the route and the service. If that fails, answers the request and
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -24,6 +24,7 @@
 #include "net/message_parser.h"
 #include "net/tcp_stream.h"
 #include "quarantine/suspicion.h"
+#include "quota/quota_node.h"
 
 namespace coltsfootvane::gateway {
 
@@ -94,6 +95,12 @@
   void RefuseChoice(const Choice& choice);
   ReturnTime ReturnAfterAll(const Choice& choice) const;
 
+  // Defined in exchange_quota.cc: the quota of the team.
+  /// Continues with the choice of an endpoint once the quota allows it.
+  void AwaitQuota();
+  void OnQuotaDecision(const quota::Decision& decision);
+  void SettleQuota();
+
   // Defined in exchange_crash.cc: requests that may crash endpoints.
   void OnSendBroken(const char* reason);
   bool EndIfQuarantined();
@@ -102,7 +109,8 @@
   // Refuse() tells the caller when to retry; Fail() suggests no retry.
   void Refuse(std::string_view reason,
               const ReturnTime& return_time,
-              std::string_view inputs = {});
+              std::string_view inputs = {},
+              int status = 503);
   void Fail(int status, std::string_view reason, std::string_view inputs = {});
   void RespondWith(int status, std::optional<Milliseconds> retry_after);
   void AddWork(int tokens);
@@ -148,6 +156,7 @@
   std::shared_ptr<const RoutingTable> routes;
   const Route* route = nullptr;
   const team::Team* team = nullptr;  ///< That holds the key; may be null.
+  double quota_units = 0;  ///< Granted for this request.
   std::string service;
   const EngineSpec* engine = nullptr;
   RequestInfo info;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -11,7 +11,8 @@
 /// retry. A request that may have been executed fails instead.
 void Exchange::Refuse(std::string_view reason,
                       const ReturnTime& return_time,
-                      std::string_view inputs) {
+                      std::string_view inputs,
+                      int status) {
   if (this->possible_executions > 0 || this->forwarding) {
     this->Fail(502, reason);
     return;
@@ -26,7 +27,7 @@
   const auto jitter = static_cast<std::int64_t>(
       this->gateway->random() %
       (static_cast<std::uint64_t>(return_time.spread.count()) + 1));
-  this->RespondWith(503, return_time.earliest + Milliseconds(jitter));
+  this->RespondWith(status, return_time.earliest + Milliseconds(jitter));
 }
 
 void Exchange::Fail(int status,
@@ -119,6 +120,7 @@
     this->tried_part.reset();
   }
   this->timer.cancel();
+  this->SettleQuota();
   this->ReleaseEndpoint(false);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "gateway/wire_format.h"
 #include "log/decision_log.h"
 #include "net/byte_account.h"
+#include "quota/quota_node.h"
 
 namespace coltsfootvane::gateway {
 
@@ -57,6 +58,13 @@
 using AdapterRequest =
     std::function<void(const AdapterWanted& wanted, AdapterHandler done)>;
 
+using QuotaWanted = quota::Wanted;
+using QuotaDecision = quota::Decision;
+/// Asks for units of a team's quota. `done` is called once, within 0.5 s.
+using QuotaRequest =
+    std::function<void(const QuotaWanted& wanted,
+                       std::function<void(const QuotaDecision&)> done)>;
+
 class Exchange;
 
 /// State shared by all requests of a daemon. Used on the event loop only.
@@ -81,6 +89,10 @@
   Milliseconds report_interval{0};  ///< Between a daemon's reports.
   Traffic traffic;
   AdapterRequest request_adapter;
+  QuotaRequest request_quota;
+  /// Records units of a team spent without permission or, if negative, granted
+  /// and not spent.
+  std::function<void(quota::TeamKey team, double units)> settle_quota;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
   /// During shutdown, requests that arrive from then on are refused, unless
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -19,6 +19,8 @@
                                   0.8,  1.2,  2,   4,   8,   16};
 const Bounds kEventGapBounds = {0.01, 0.02, 0.03, 0.04, 0.054, 0.07,
                                 0.1,  0.2,  0.5,  1,    2,     5};
+const Bounds kQuotaWaitBounds = {0.001, 0.002, 0.005, 0.01, 0.02,
+                                 0.05,  0.1,   0.2,   0.5};
 
 prometheus::Family<Counter>* AddCounter(prometheus::Registry* registry,
                                         const char* name,
@@ -103,7 +105,15 @@
       quarantines(AddCounter(registry,
                              "coltsfootvane_gateway_quarantine_changes_total",
                              "Parts of prompts that were quarantined or "
-                             "released, since they crash endpoints")) {}
+                             "released, since they crash endpoints")),
+      quota_units(AddCounter(registry,
+                             "coltsfootvane_gateway_quota_units_total",
+                             "Units of the quotas of teams that were granted "
+                             "or rejected")),
+      quota_wait(AddHistogram(registry,
+                              "coltsfootvane_gateway_quota_wait_seconds",
+                              "Time for which requests waited for the owner "
+                              "of their team's quota")) {}
 
 void GatewayMetrics::CountRequest(const Route* route,
                                   std::string_view service,
@@ -170,6 +180,18 @@
   this->adapter_requests->Add(labels).Increment();
 }
 
+void GatewayMetrics::CountQuota(std::string_view team,
+                                std::string_view outcome,
+                                double units) {
+  this->quota_units
+      ->Add({{"team", std::string(team)}, {"outcome", std::string(outcome)}})
+      .Increment(units);
+}
+
+void GatewayMetrics::ObserveQuotaWait(Seconds time) {
+  this->quota_wait->Add({}, kQuotaWaitBounds).Observe(time.count());
+}
+
 void GatewayMetrics::CountCrash(std::string_view service) {
   this->crashes->Add(ServiceLabel(service)).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -56,6 +56,13 @@
   void CountNotice(std::string_view service, std::string_view notice);
   /// `outcome` is that of a request to the lease holder for an adapter.
   void CountAdapterRequest(std::string_view service, std::string_view outcome);
+  /// Counts units of a team's quota. `outcome` is `granted` (by an owner),
+  /// `rejected` or `fallback` (granted by this daemon alone).
+  void CountQuota(std::string_view team,
+                  std::string_view outcome,
+                  double units);
+  /// Records the time for which a request has waited for its quota.
+  void ObserveQuotaWait(Seconds time);
   /// Counts an endpoint that ended with requests unanswered.
   void CountCrash(std::string_view service);
   /// `change` is `begun` or `ended`.
@@ -78,6 +85,8 @@
   Family<prometheus::Counter>* adapter_requests;
   Family<prometheus::Counter>* crashes;
   Family<prometheus::Counter>* quarantines;
+  Family<prometheus::Counter>* quota_units;
+  Family<prometheus::Histogram>* quota_wait;
 };
 
 }  // namespace coltsfootvane::gateway
