--- a/tests/integration/gateway_process.cc
+++ b/tests/integration/gateway_process.cc
@@ -56,6 +56,8 @@
            << "\nlimits.memoryMb=" << this->options.memory_mb
            << "\nbounds.graceS=" << stop_timeout_s
            << "\nbounds.leaseMs=1000\nbounds.requireFencing=true\n";
+  if (this->options.max_fds > 0)
+    settings << "limits.maxFds=" << this->options.max_fds << "\n";
 }
 
 void GatewayProcess::Start() {
--- a/tests/integration/gateway_process.h
+++ b/tests/integration/gateway_process.h
@@ -18,6 +18,7 @@
   std::string name = "vm-1";
   int peer_port = 0;  ///< The same for all; 0 for a free one.
   int memory_mb = 512;
+  int max_fds = 0;  ///< `limits.maxFds`; 0 leaves it out.
 };
 
 /// The real daemon of the users' platform as a process, with its settings file.
