Gateway: Keep what callers hold within the memory and the descriptors of the VM

Cause: bodies were not counted while they arrived, strings took up to three times their length while they grew, each send made another copy of the body and TcpStream kept its buffers, nothing counted connections, unread bytes in the kernel or parsed fields, limits.maxFds was not read, and the allocator raised its threshold and kept what was freed.

Change: - src/intake/: pure rules. Bodies above 64 KB need a grant of their announced length (of the largest legal one if it is not announced) from a fifth of the memory; without one they are not read, a bounded number waits, others get 503 before their body is read. Waiting ones go smallest first, for 4 s at most. Where one waits, bodies that endpoints have received are dropped, then the arriving one with the least progress for its bytes ends with 408. All else is the common account, another fifth; when it is used up, the connection with the least progress for its bytes ends. Requests that are with an endpoint are never ended, but callers that do not take their answer are. - net::ByteChain: bodies in blocks, shared with the stream and not copied. - Descriptors below limits.maxFds less 200 for files; callers get three quarters of them, idle and slow connections go before a new one is turned away. - Receive buffers are bounded; what waits unread is counted. Fixed mmap and trim thresholds in `gateway`.

--- a/app/command_gateway.cc
+++ b/app/command_gateway.cc
@@ -1,5 +1,6 @@
 #include "command_gateway.h"
 
+#include <malloc.h>
 #include <signal.h>
 
 #include <iostream>
@@ -14,6 +15,13 @@
 namespace coltsfootvane {
 namespace {
 
+/// Blocks of bodies are mapped, so that their memory goes back to the system
+/// with them. Without a fixed threshold the allocator raises it and keeps what
+/// a crowd has held.
+constexpr int kMappedBlockBytes = 60 * 1024;
+/// Free memory at the end of the heap beyond that goes back as well.
+constexpr int kMaxFreeHeapBytes = 512 * 1024;
+
 int RunGateway(const std::string& settings_path, unsigned short metrics_port) {
   Findings findings;
   daemon::DaemonSettings settings =
@@ -22,6 +30,8 @@
     std::cerr << FormatFinding(finding) << '\n';
   if (!findings.empty())
     return kExitFailure;
+  mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, kMaxFreeHeapBytes);
   // A write to a connection that the peer has closed fails by its error code.
   signal(SIGPIPE, SIG_IGN);
   settings.metrics_port = metrics_port;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include <signal.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -19,11 +20,21 @@
 
 constexpr Milliseconds kTick{250};
 constexpr Milliseconds kSettingsCheck{1000};
-/// Share of the memory for requests and answers. Strings that grow take up to
-/// twice their length; the rest is for tables, the heap's own needs and what
-/// the kernel holds for sockets.
-constexpr double kHeldBytesShare = 0.2;
-constexpr double kBytesPerMb = 1024.0 * 1024.0;
+/// Of the process's descriptors, for files.
+constexpr int kFileDescriptors = 200;
+constexpr int kMinConnectionDescriptors = 128;
+
+/// Returns the descriptors that connections may have.
+int ConnectionDescriptors(const DaemonSettings& settings) {
+  double all = settings.max_fds;
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+      (all == 0 || static_cast<double>(limit.rlim_cur) < all))
+    all = static_cast<double>(limit.rlim_cur);
+  constexpr double kMost = 1 << 20;
+  return std::max(kMinConnectionDescriptors,
+                  static_cast<int>(std::min(all, kMost)) - kFileDescriptors);
+}
 
 /// Returns the time of the last write, or the least time if the file cannot be
 /// examined.
@@ -86,8 +97,9 @@
   this->gateway.wire = this->deployment.wire;
   this->gateway.log = &this->log;
   this->gateway.data_centre = this->settings.data_centre;
-  this->gateway.held_bytes.limit = static_cast<std::size_t>(
-      daemon_settings.memory_mb * kBytesPerMb * kHeldBytesShare);
+  this->gateway.intake->bounds = intake::BoundsFor(
+      daemon_settings.memory_mb, ConnectionDescriptors(daemon_settings));
+  this->gateway.held_bytes.limit = this->gateway.intake->bounds.common_bytes;
   this->client.SetAccount(&this->gateway.held_bytes);
   this->gateway.random.seed(std::random_device()());
   this->ApplyChangeable(daemon_settings);
@@ -141,6 +153,11 @@
   }
   return this->callers.Open(
       this->settings.callers, [this](std::shared_ptr<net::TcpStream> stream) {
+        if (!this->gateway.intake->AdmitConnection(stream->Descriptor())) {
+          this->gateway.metrics.CountEndedConnection("no descriptor");
+          stream->Close();
+          return;
+        }
         auto connection = std::make_shared<gateway::CallerConnection>(
             &this->gateway, std::move(stream));
         connection->Start();
@@ -250,6 +267,7 @@
 void Daemon::Tick() {
   this->gateway.connections.DropExpired();
   this->gateway.crash_watch.Tick(BootNow());
+  this->gateway.intake->Tick(BootNow());
   this->quarantine_record.Tick(this->lease.MaySendOrder(BootNow()), BootNow());
   this->store_view.Tick();
   this->log.Flush();
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -119,8 +119,20 @@
   SetGauge(registry, "coltsfootvane_gateway_requests_in_progress",
            "Requests in progress", {}, gateway.exchanges);
   SetGauge(registry, "coltsfootvane_held_bytes",
-           "Bytes held for requests and answers", {},
+           "Bytes held for requests and answers, but large bodies", {},
            static_cast<double>(gateway.held_bytes.held));
+  SetGauge(registry, "coltsfootvane_large_body_bytes",
+           "Bytes granted to large bodies of requests", {},
+           static_cast<double>(gateway.intake->GrantedBytes()));
+  SetGauge(registry, "coltsfootvane_large_body_bytes_limit",
+           "Bytes that large bodies of requests may have", {},
+           static_cast<double>(gateway.intake->bounds.large_bytes));
+  SetGauge(registry, "coltsfootvane_caller_connections",
+           "Connections of callers", {},
+           static_cast<double>(gateway.intake->ConnectionCount()));
+  SetGauge(registry, "coltsfootvane_waiting_bodies",
+           "Large bodies that are not read for lack of room", {},
+           static_cast<double>(gateway.intake->WaitingCount()));
   SetGauge(registry, "coltsfootvane_held_bytes_limit",
            "Bytes held for requests and answers from which on new requests are "
            "refused",
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -32,6 +32,7 @@
   Milliseconds in_force_limit{2000};
   bool engines_check_fences = false;
   double memory_mb = 512;  ///< Beyond which the process is ended.
+  double max_fds = 0;  ///< Descriptors of the process; 0 for its system limit.
   gateway::FleetRetryLimit retry_limit;
   orders::StoreLoadLimit store_load_limit;
 };
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -15,9 +15,14 @@
 /// Pipelined input that is buffered while a request is in progress. Reading
 /// pauses beyond it.
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
+/// The same while there is little room.
+constexpr std::size_t kMaxPipelinedBytesWhenFull = 4UL * 1024;
 /// Answer bytes buffered for a caller that reads slowly.
 constexpr std::size_t kMaxUnsentBytes = 64UL * 1024;
 
+/// A larger buffer is freed once it is empty, since connections are kept.
+constexpr std::size_t kMaxKeptBytes = 4UL * 1024;
+
 net::MessageParser NewParser(const Gateway& gateway) {
   net::ParseLimits limits;
   if (gateway.routes) {
@@ -27,10 +32,6 @@
   return net::MessageParser(net::MessageParser::Kind::kRequest, limits);
 }
 
-CallerLimits LimitsOf(const Gateway& gateway) {
-  return gateway.routes ? gateway.routes->limits : CallerLimits();
-}
-
 /// Returns whether the request target is in origin form. Endpoints could
 /// interpret other forms differently from the gateway.
 bool IsOriginForm(const net::RequestHead& head) {
@@ -45,7 +46,13 @@
       stream(std::move(connected)),
       timer(*owner->io),
       parser(NewParser(*owner)),
-      held_bytes(&owner->held_bytes) {}
+      held_bytes(&owner->held_bytes),
+      intake(owner->intake),
+      number(this->intake->Add(this)) {}
+
+CallerConnection::~CallerConnection() {
+  this->intake->Remove(this->number);
+}
 
 void CallerConnection::Start() {
   net::StreamEvents events;
@@ -55,6 +62,8 @@
   events.on_drained = [self] { self->OnDrained(); };
   this->stream->Start(std::move(events));
   this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+  StartProgress(&this->progress, BootNow());
+  this->CountHeldBytes();
 }
 
 void CallerConnection::Write(std::string_view bytes) {
@@ -63,33 +72,42 @@
 }
 
 void CallerConnection::CountHeldBytes() {
-  this->held_bytes.Set(this->input.size() + this->body.size() +
-                       this->stream->UnsentBytes());
+  this->held_bytes.Set(
+      intake::kConnectionBytes + this->head_bytes + this->input.capacity() +
+      (this->awaits_room ? intake::kUnreadBytes : this->stream->HeldBytes()));
 }
 
 void CallerConnection::OnData(std::string_view bytes) {
+  RecordBytes(&this->progress, bytes.size(), BootNow());
   this->input.append(bytes);
   if (this->phase == Phase::kServing || this->IsCongested()) {
-    if (this->input.size() > kMaxPipelinedBytes)
+    const std::size_t limit = LacksRoomForAnswers(this->gateway->held_bytes)
+                                  ? kMaxPipelinedBytesWhenFull
+                                  : kMaxPipelinedBytes;
+    if (this->input.size() > limit)
       this->stream->PauseReading();
   } else {
     this->ReadRequest();
   }
+  if (this->input.empty() && this->input.capacity() > kMaxKeptBytes)
+    std::string().swap(this->input);
   this->CountHeldBytes();
+  this->intake->KeepBounds();
 }
 
 void CallerConnection::ReadRequest() {
   if (this->phase == Phase::kIdle && !this->input.empty()) {
     this->phase = Phase::kReceiving;
     this->received = BootNow();
+    StartProgress(&this->progress, this->received);
     this->SetTimer(LimitsOf(*this->gateway).header_timeout);
   }
-  if (this->phase != Phase::kReceiving)
+  if (this->phase != Phase::kReceiving || this->awaits_room)
     return;
   const bool had_head = this->parser.HeadDone();
   const std::size_t used = this->parser.Feed(this->input);
   this->input.erase(0, used);
-  this->body += this->parser.TakeBody();
+  this->TakeBody();
   if (this->parser.Fault() != net::ParseFault::kNone) {
     this->Reject(this->parser.Fault());
     return;
@@ -100,8 +118,12 @@
   }
   if (!this->parser.HeadDone())
     return;
+  if (!had_head)
+    this->head_bytes = net::FieldBytes(this->parser.Request().fields);
   if (!had_head || used > 0)
     this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+  if (!this->EnsureRoom())
+    return;
   const net::RequestHead& head = this->parser.Request();
   if (!this->continue_sent &&
       net::HasToken(head.fields, "expect", "100-continue")) {
@@ -111,8 +133,13 @@
 }
 
 void CallerConnection::Serve() {
+  this->intake->KeepBounds();
+  if (this->phase != Phase::kReceiving)
+    return;
   this->timer.cancel();
+  this->has_been_served = true;
   net::RequestHead head = std::move(this->parser.Request());
+  this->head_bytes = 0;
   this->is_http_1_1 = head.minor_version >= 1;
   this->is_head_request = head.method == "HEAD";
   this->keep_alive = net::KeepsConnection(head.fields, head.minor_version);
@@ -120,11 +147,16 @@
     this->RejectWith(400, "target");
     return;
   }
+  if (!this->intake->AdmitRequest()) {
+    this->RejectWith(503, "descriptors", kRoomRetryAfter);
+    return;
+  }
   this->phase = Phase::kServing;
+  if (this->body)
+    this->body->Complete();
   this->exchange = std::make_shared<Exchange>(
-      this->gateway, shared_from_this(), std::move(head), std::move(this->body),
-      this->received);
-  this->body.clear();
+      this->gateway, shared_from_this(), std::move(head),
+      std::exchange(this->body, nullptr), this->received);
   // The exchange may end and reset the member before Start() returns.
   const std::shared_ptr<Exchange> started = this->exchange;
   started->Start();
@@ -146,7 +178,9 @@
   }
 }
 
-void CallerConnection::RejectWith(int status, std::string_view reason) {
+void CallerConnection::RejectWith(int status,
+                                  std::string_view reason,
+                                  std::optional<Milliseconds> retry_after) {
   char detail[80];
   std::snprintf(detail, sizeof(detail), "status=%d reason=\"%.*s\"", status,
                 static_cast<int>(reason.size()), reason.data());
@@ -154,8 +188,12 @@
   this->gateway->metrics.CountRejected(reason);
   this->keep_alive = false;
   this->phase = Phase::kServing;
+  this->awaits_room = false;
+  this->body = nullptr;
+  this->head_bytes = 0;
+  std::string().swap(this->input);
   this->BeginAnswer(
-      this->gateway->wire->gateway_answer(status, "", std::nullopt), 0);
+      this->gateway->wire->gateway_answer(status, "", retry_after), 0);
   this->FinishAnswer();
 }
 
@@ -205,6 +243,7 @@
   if (!this->keep_alive) {
     this->phase = Phase::kClosed;
     this->timer.cancel();
+    this->intake->AddLingering(this->stream);
     this->stream->CloseAfterWrite();
     return;
   }
@@ -213,6 +252,7 @@
 
 void CallerConnection::AwaitRequest() {
   this->phase = Phase::kIdle;
+  StartProgress(&this->progress, BootNow());
   this->parser = NewParser(*this->gateway);
   this->continue_sent = false;
   this->chunked = false;
@@ -251,7 +291,7 @@
 
 bool CallerConnection::IsCongested() const {
   const std::size_t limit =
-      IsFull(this->gateway->held_bytes) ? 0 : kMaxUnsentBytes;
+      LacksRoomForAnswers(this->gateway->held_bytes) ? 0 : kMaxUnsentBytes;
   return this->stream->UnsentBytes() > limit;
 }
 
@@ -274,7 +314,8 @@
     current->OnCallerDrained();
     return;
   }
-  if (this->phase == Phase::kServing || this->phase == Phase::kClosed)
+  if (this->phase == Phase::kServing || this->phase == Phase::kClosed ||
+      this->awaits_room)
     return;
   this->stream->ResumeReading();
   this->ReadBufferedRequest();
@@ -290,6 +331,8 @@
 
 void CallerConnection::Close() {
   this->phase = Phase::kClosed;
+  this->awaits_room = false;
+  this->body = nullptr;
   this->timer.cancel();
   this->stream->Close();
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -3,12 +3,16 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "base/clock.h"
+#include "gateway/caller_intake.h"
+#include "gateway/request_body.h"
+#include "intake/policy.h"
 #include "net/byte_account.h"
 #include "net/message.h"
 #include "net/message_parser.h"
@@ -19,11 +23,17 @@
 class Exchange;
 struct Gateway;
 
+/// When a caller that found no room may come back.
+inline constexpr Milliseconds kRoomRetryAfter{1000};
+
 /// An HTTP connection from a caller. Reads one request at a time and writes its
 /// answer.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(Gateway* gateway, std::shared_ptr<net::TcpStream> stream);
+  ~CallerConnection();
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
 
   void Start();
 
@@ -43,6 +53,20 @@
   /// Closes the connection if no request is in progress or has arrived unread.
   void CloseIfIdle();
 
+  // Defined in caller_connection_intake.cc: for CallerIntake.
+  intake::Holder Describe(TimePoint now) const;
+  /// Ends the connection to make room. Returns false if that cannot be done.
+  bool EndForRoom(std::string_view reason);
+  /// Takes note of how far the caller has taken its answer.
+  void ObserveProgress(TimePoint now);
+  /// Returns whether a large body is not read for lack of room.
+  bool AwaitsRoom() const { return this->awaits_room; }
+  std::size_t WantedBytes() const { return this->wanted_bytes; }
+  /// Reads the large body, whose bytes have been granted.
+  void OnRoom(TimePoint now);
+  /// Refuses the request if it has waited for room for too long.
+  void EndLongWait(TimePoint now);
+
  private:
   enum class Phase { kIdle, kReceiving, kServing, kClosed };
 
@@ -52,9 +76,14 @@
   void Write(std::string_view bytes);
   void CountHeldBytes();
   void ReadRequest();
+  void TakeBody();
+  bool EnsureRoom();
+  bool IsTaking() const;
   void Serve();
   void Reject(net::ParseFault fault);
-  void RejectWith(int status, std::string_view reason);
+  void RejectWith(int status,
+                  std::string_view reason,
+                  std::optional<Milliseconds> retry_after = std::nullopt);
   void AwaitRequest();
   void ReadBufferedRequest();
   void SetTimer(Milliseconds timeout);
@@ -66,7 +95,7 @@
   boost::asio::steady_timer timer;
   Phase phase = Phase::kIdle;
   std::string input;
-  std::string body;
+  std::shared_ptr<RequestBody> body;  ///< nullptr before its first byte.
   net::MessageParser parser;
   TimePoint received;  ///< Arrival of the first byte of the request.
   std::shared_ptr<Exchange> exchange;
@@ -76,6 +105,16 @@
   bool is_head_request = false;  ///< The request method is HEAD.
   bool chunked = false;          ///< The current answer uses chunked coding.
   net::HeldBytes held_bytes;
+  std::shared_ptr<CallerIntake> intake;
+  std::uint64_t number;  ///< With the intake.
+  intake::Progress progress;
+  std::size_t head_bytes = 0;  ///< Of the parsed head.
+  bool has_been_served = false;
+  bool awaits_room = false;
+  std::size_t wanted_bytes = 0;
+  TimePoint awaits_since;
+  std::uint64_t sent_bytes = 0;  ///< When the progress was last observed.
+  bool was_taking = false;
 };
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/endpoint_connections.cc
+++ b/src/gateway/endpoint_connections.cc
@@ -76,8 +76,9 @@
                                const net::ResponseHead& head) {
   const IdleTimes idle = AllowedIdle(head.fields);
   std::vector<IdleConnection>& list = this->idle_connections[endpoint_id];
-  if (!stream->IsOpen() || idle.usable.count() == 0 ||
-      list.size() >= kMaxIdleConnections) {
+  // An endpoint may answer before it has taken the whole request.
+  if (!stream->IsOpen() || stream->UnsentBytes() > 0 ||
+      idle.usable.count() == 0 || list.size() >= kMaxIdleConnections) {
     stream->Close();
     return;
   }
@@ -104,6 +105,17 @@
   this->idle_connections.erase(found);
 }
 
+std::size_t EndpointConnections::DropIdle() {
+  std::size_t dropped = 0;
+  for (auto& [id, list] : this->idle_connections) {
+    dropped += list.size();
+    for (IdleConnection& connection : list)
+      connection.stream->Close();
+  }
+  this->idle_connections.clear();
+  return dropped;
+}
+
 void EndpointConnections::DropExpired() {
   const TimePoint now = BootNow();
   for (auto& [id, list] : this->idle_connections) {
--- a/src/gateway/endpoint_connections.h
+++ b/src/gateway/endpoint_connections.h
@@ -2,6 +2,7 @@
 #define COLTSFOOTVANE_GATEWAY_ENDPOINT_CONNECTIONS_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,8 @@
   void DropEndpoint(const std::string& endpoint_id);
   /// Closes connections that have been idle for too long.
   void DropExpired();
+  /// Closes all idle connections and returns how many they were.
+  std::size_t DropIdle();
 
  private:
   struct IdleConnection {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -41,7 +41,7 @@
 Exchange::Exchange(Gateway* owner,
                    std::shared_ptr<CallerConnection> connection,
                    net::RequestHead request_head,
-                   std::string request_body,
+                   std::shared_ptr<RequestBody> request_body,
                    TimePoint received_at)
     : gateway(owner),
       caller(std::move(connection)),
@@ -50,6 +50,7 @@
       received(received_at),
       timer(*owner->io),
       routes(owner->routes),
+      head_bytes(net::FieldBytes(this->head.fields)),
       held_bytes(&owner->held_bytes) {
   ++this->gateway->exchanges;
   ++this->gateway->traffic.requests;
@@ -263,7 +264,7 @@
 
 bool Exchange::MayRetry() const {
   // What has been forwarded can only be continued after an event.
-  if (this->forwarding && !this->last_event_id)
+  if ((this->forwarding && !this->last_event_id) || this->body_released)
     return false;
   return IsRepeatable(*this->route) &&
          this->possible_executions < this->route->max_attempts &&
@@ -366,11 +367,10 @@
   }
   net::RequestHead sent =
       this->gateway->wire->endpoint_request(this->head, options);
-  if (!this->body.empty() || this->head.method == "POST" ||
-      this->head.method == "PUT")
-    sent.fields.push_back(
-        {"Content-Length", std::to_string(this->body.size())});
-  this->stream->Write(net::FormatHead(sent) + this->body);
+  const std::size_t length = SizeOf(this->body);
+  if (length > 0 || this->head.method == "POST" || this->head.method == "PUT")
+    sent.fields.push_back({"Content-Length", std::to_string(length)});
+  WriteMessage(this->stream.get(), net::FormatHead(sent), this->body);
   this->CountHeldBytes();
 }
 
@@ -383,7 +383,7 @@
                                std::string(failed.reason) + "\" " +
                                failed.detail);
   const bool may_continue =
-      this->sends <= kMaxRefusedSends &&
+      this->sends <= kMaxRefusedSends && !this->body_released &&
       (!failed.written || TakeRetry(this->gateway, this->service, BootNow()));
   if (may_continue) {
     this->TryNextEndpoint();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,7 @@
 #include "gateway/endpoint.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/request_body.h"
 #include "gateway/routing_table.h"
 #include "gateway/wire_format.h"
 #include "log/event.h"
@@ -43,7 +44,7 @@
   Exchange(Gateway* gateway,
            std::shared_ptr<CallerConnection> caller,
            net::RequestHead head,
-           std::string body,
+           std::shared_ptr<RequestBody> body,
            TimePoint received);
   ~Exchange();
 
@@ -55,6 +56,9 @@
   void OnQuarantineChanged();
   /// Ends the request with a final answer, since the process ends.
   void OnShutdownOver();
+  /// Drops the body, if an endpoint has received it, to make room. The request
+  /// is not sent again then.
+  void ReleaseBody(TimePoint now);
 
  private:
   /// How the answer of the endpoint reaches the caller.
@@ -141,7 +145,8 @@
   Gateway* gateway;
   std::shared_ptr<CallerConnection> caller;
   net::RequestHead head;
-  std::string body;
+  std::shared_ptr<const RequestBody> body;  ///< nullptr if it has none.
+  bool body_released = false;
   TimePoint received;
   TimePoint deadline;
   boost::asio::steady_timer timer;
@@ -180,6 +185,7 @@
   Mode mode = Mode::kBuffered;
   std::string buffered_body;
   EventSplitter splitter;
+  std::size_t head_bytes;  ///< Of the request.
   net::HeldBytes held_bytes;
   bool forwarding = false;  ///< The head has been sent to the caller.
   std::optional<std::int64_t> last_event_id;  ///< Of the last event forwarded.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -17,6 +17,10 @@
 /// Of interim answers and answers to other requests, which may come first.
 constexpr std::size_t kMaxDiscardedBytes = 256UL * 1024;
 
+/// Memory of an exchange beside its bytes: its objects, and the parser
+/// and stream towards the endpoint.
+constexpr std::size_t kExchangeBytes = 8UL * 1024;
+
 double MillisecondsBetween(TimePoint from, TimePoint to) {
   return std::chrono::duration<double, std::milli>(to - from).count();
 }
@@ -178,9 +182,9 @@
 }
 
 void Exchange::CountHeldBytes() {
-  const std::size_t unsent = this->stream ? this->stream->UnsentBytes() : 0;
-  this->held_bytes.Set(this->body.size() + unsent + this->input.size() +
-                       this->buffered_body.size() +
+  const std::size_t held = this->stream ? this->stream->HeldBytes() : 0;
+  this->held_bytes.Set(kExchangeBytes + this->head_bytes + held +
+                       this->input.capacity() + this->buffered_body.capacity() +
                        this->splitter.PendingBytes());
 }
 
@@ -198,7 +202,7 @@
     case Mode::kBuffered:
       this->buffered_body.append(bytes);
       if (this->buffered_body.size() <= kMaxBufferedBodyBytes &&
-          !IsFull(this->gateway->held_bytes))
+          !LacksRoomForAnswers(this->gateway->held_bytes))
         break;
       this->mode = Mode::kPassThrough;
       this->BeginForwarding(std::nullopt);
@@ -224,7 +228,7 @@
     if (event->id)
       this->last_event_id = event->id;
   }
-  const std::size_t limit = IsFull(this->gateway->held_bytes)
+  const std::size_t limit = LacksRoomForAnswers(this->gateway->held_bytes)
                                 ? kMaxEventBytesWhenFull
                                 : kMaxEventBytes;
   if (this->splitter.PendingBytes() > limit)
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -7,6 +7,13 @@
 #include "gateway/gateway.h"
 
 namespace coltsfootvane::gateway {
+namespace {
+
+/// An endpoint that refuses a request does so within this time.
+constexpr Milliseconds kBodyKept{500};
+
+}  // namespace
+
 /// Ends a request that has not been executed and tells the caller when to
 /// retry. A request that may have been executed fails instead.
 void Exchange::Refuse(std::string_view reason,
@@ -120,6 +127,17 @@
   }
   this->timer.cancel();
   this->ReleaseEndpoint(false);
+  this->body = nullptr;
+}
+
+void Exchange::ReleaseBody(TimePoint now) {
+  const bool is_received = this->stream && this->possible_executions > 0 &&
+                           this->stream->UnsentBytes() == 0 &&
+                           now - this->sent_at >= kBodyKept;
+  if (!is_received || SizeOf(this->body) <= intake::kSmallBodyBytes)
+    return;
+  this->body = nullptr;
+  this->body_released = true;
 }
 
 void Exchange::OnCallerGone() {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -63,6 +63,10 @@
   return true;
 }
 
+CallerLimits LimitsOf(const Gateway& gateway) {
+  return gateway.routes ? gateway.routes->limits : CallerLimits();
+}
+
 void UpdateEndpointList(Gateway* gateway) {
   for (const EndpointPtr& endpoint : gateway->endpoint_list) {
     if (endpoint->gone)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "entry/retry_budget.h"
+#include "gateway/caller_intake.h"
 #include "gateway/crash_watch.h"
 #include "gateway/endpoint.h"
 #include "gateway/endpoint_connections.h"
@@ -87,9 +88,11 @@
   /// their deadline passes before `last_answer_at`.
   TimePoint last_request_at;
   TimePoint last_answer_at;
-  /// Bytes held for requests and answers. While it is full, new requests are
-  /// refused and answers are read no faster than callers take them.
+  /// Bytes held for requests and answers, but large bodies of requests. While
+  /// it is full, new requests are refused. Before that answers are read no
+  /// faster than callers take them.
   net::ByteAccount held_bytes;
+  std::shared_ptr<CallerIntake> intake = std::make_shared<CallerIntake>(this);
   int exchanges = 0;  ///< Requests in progress.
   std::unordered_set<Exchange*> open_exchanges;
   PartQuarantine quarantine;  ///< Of parts of prompts that crash endpoints.
@@ -100,6 +103,9 @@
 /// if it is not, since versions never go back.
 bool ApplyRoutingTable(Gateway* gateway, RoutingTable table);
 
+/// Returns the limits for callers in force.
+CallerLimits LimitsOf(const Gateway& gateway);
+
 /// Rebuilds the endpoint list from the table and closes idle connections to
 /// endpoints that were removed.
 void UpdateEndpointList(Gateway* gateway);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -66,7 +66,12 @@
                                 "From the arrival of a request to its end")),
       rejected(AddCounter(registry,
                           "coltsfootvane_gateway_rejected_requests_total",
-                          "Malformed or too large requests")),
+                          "Malformed or too large requests, and those that "
+                          "were too slow or found no room")),
+      ended_connections(
+          AddCounter(registry,
+                     "coltsfootvane_gateway_ended_connections_total",
+                     "Connections of callers that were ended to make room")),
       first_event(
           AddHistogram(registry,
                        "coltsfootvane_gateway_first_event_seconds",
@@ -123,6 +128,10 @@
   this->rejected->Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void GatewayMetrics::CountEndedConnection(std::string_view reason) {
+  this->ended_connections->Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void GatewayMetrics::ObserveFirstEvent(const Route& route, Seconds time) {
   this->first_event->Add(RouteLabels(route), kFirstEventBounds)
       .Observe(time.count());
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -39,6 +39,8 @@
                     Seconds time);
   /// Counts a malformed or too large request.
   void CountRejected(std::string_view reason);
+  /// Counts a caller's connection that was ended to make room.
+  void CountEndedConnection(std::string_view reason);
   /// Records the time from the arrival of a request to the first event of its
   /// stream.
   void ObserveFirstEvent(const Route& route, Seconds time);
@@ -68,6 +70,7 @@
   Family<prometheus::Counter>* requests;
   Family<prometheus::Histogram>* request_time;
   Family<prometheus::Counter>* rejected;
+  Family<prometheus::Counter>* ended_connections;
   Family<prometheus::Histogram>* first_event;
   Family<prometheus::Histogram>* event_gap;
   Family<prometheus::Counter>* sends;
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "intake/policy.h"
+
 namespace coltsfootvane::gateway {
 namespace {
 
@@ -26,6 +28,10 @@
   this->acceptor.open(address.protocol(), ec);
   if (!ec)
     this->acceptor.set_option(net::tcp::acceptor::reuse_address(true), ec);
+  // Accepted connections inherit it.
+  if (!ec)
+    net::LimitReceiveBuffer(this->acceptor.native_handle(),
+                            intake::kReceiveBufferBytes);
   if (!ec)
     this->acceptor.bind(address, ec);
   if (!ec)
--- a/src/net/byte_account.h
+++ b/src/net/byte_account.h
@@ -18,6 +18,11 @@
   return account.held >= account.limit;
 }
 
+/// Returns whether answers have to be slowed down, so that requests find room.
+inline bool LacksRoomForAnswers(const ByteAccount& account) {
+  return account.held >= account.limit - account.limit / 8;
+}
+
 /// Returns whether no room is left for what others can do without: the rest is
 /// for requests.
 inline bool IsHalfFull(const ByteAccount& account) {
--- a/src/net/message.cc
+++ b/src/net/message.cc
@@ -92,6 +92,13 @@
   return minor_version >= 1 || HasToken(fields, "connection", "keep-alive");
 }
 
+std::size_t FieldBytes(const Fields& fields) {
+  std::size_t bytes = fields.capacity() * sizeof(Field);
+  for (const Field& field : fields)
+    bytes += field.name.capacity() + field.value.capacity();
+  return bytes;
+}
+
 std::string FormatHead(const RequestHead& head) {
   std::string text = head.method;
   text.append(" ").append(head.target).append(" HTTP/1.1\r\n");
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTVANE_NET_MESSAGE_H_
 #define COLTSFOOTVANE_NET_MESSAGE_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,9 @@
 /// Returns whether the sender allows another message on the connection.
 bool KeepsConnection(const Fields& fields, int minor_version);
 
+/// Returns the memory of the fields, which are many if they are short.
+std::size_t FieldBytes(const Fields& fields);
+
 /// Formats the head with its final empty line.
 std::string FormatHead(const RequestHead& head);
 std::string FormatHead(const ResponseHead& head);
--- a/src/net/message_parser.cc
+++ b/src/net/message_parser.cc
@@ -258,6 +258,14 @@
   return this->state->response;
 }
 
+std::optional<std::uint64_t> MessageParser::BodyLength() const {
+  const auto length = this->request ? this->request->content_length()
+                                    : this->response->content_length();
+  if (!length)
+    return std::nullopt;
+  return *length;
+}
+
 std::string MessageParser::TakeBody() {
   std::string body = std::move(this->state->body);
   this->state->body.clear();
--- a/src/net/message_parser.h
+++ b/src/net/message_parser.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -63,6 +64,9 @@
 
   RequestHead& Request();
   ResponseHead& Response();
+  /// Returns the length that the head states, if it does. Only valid once the
+  /// head is done.
+  std::optional<std::uint64_t> BodyLength() const;
   /// Returns the body bytes since the last call.
   std::string TakeBody();
 
--- /dev/null
+++ b/src/net/tcp_connect.cc
@@ -0,0 +1,113 @@
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "net/tcp_stream.h"
+
+namespace coltsfootvane::net {
+namespace {
+
+using BoostError = boost::system::error_code;
+
+/// Of connections to endpoints. The kernel doubles it.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+
+void SetOption(int descriptor, int level, int name, int value) {
+  // A kernel without the option detects failures later, which is no error.
+  (void)setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+struct PendingConnect {
+  PendingConnect(boost::asio::io_context* io, ConnectHandler connect_handler)
+      : socket(*io), timer(*io), handler(std::move(connect_handler)) {}
+
+  void Finish(bool connected) {
+    if (!this->handler)
+      return;
+    this->timer.cancel();
+    const ConnectHandler done = std::exchange(this->handler, nullptr);
+    if (connected) {
+      done(std::make_shared<TcpStream>(std::move(this->socket)));
+      return;
+    }
+    BoostError ignored;
+    this->socket.close(ignored);
+    done(nullptr);
+  }
+
+  tcp::socket socket;
+  boost::asio::steady_timer timer;
+  ConnectHandler handler;
+};
+
+}  // namespace
+
+void LimitReceiveBuffer(int descriptor, int bytes) {
+  SetOption(descriptor, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
+void SetFailureDetection(tcp::socket* socket, Milliseconds limit) {
+  const int descriptor = socket->native_handle();
+  const int seconds = std::max(1, static_cast<int>(limit.count() / 2000));
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, 2);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(limit.count()));
+}
+
+void Connect(boost::asio::io_context* io,
+             const tcp::endpoint& address,
+             Milliseconds timeout,
+             Milliseconds failure_detection,
+             ConnectHandler handler) {
+  auto pending = std::make_shared<PendingConnect>(io, std::move(handler));
+  pending->timer.expires_after(timeout);
+  pending->timer.async_wait([pending](const BoostError& ec) {
+    if (!ec)
+      pending->Finish(false);
+  });
+  BoostError ignored;
+  pending->socket.open(address.protocol(), ignored);
+  if (!ignored)
+    LimitReceiveBuffer(pending->socket.native_handle(), kReceiveBufferBytes);
+  pending->socket.async_connect(
+      address, [pending, failure_detection](const BoostError& ec) {
+        if (!ec && pending->handler)
+          SetFailureDetection(&pending->socket, failure_detection);
+        pending->Finish(!ec);
+      });
+}
+
+void CheckListening(boost::asio::io_context* io,
+                    const tcp::endpoint& address,
+                    Milliseconds timeout,
+                    std::function<void(ListenState)> done) {
+  struct PendingCheck {
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+  };
+  auto pending = std::make_shared<PendingCheck>(
+      PendingCheck{tcp::socket(*io), boost::asio::steady_timer(*io)});
+  pending->timer.expires_after(timeout);
+  pending->timer.async_wait([pending](const BoostError& ec) {
+    BoostError ignored;
+    if (!ec)
+      pending->socket.close(ignored);
+  });
+  pending->socket.async_connect(
+      address, [pending, done = std::move(done)](const BoostError& ec) {
+        pending->timer.cancel();
+        if (!ec)
+          done(ListenState::kListening);
+        else if (ec == boost::asio::error::connection_refused)
+          done(ListenState::kRefused);
+        else
+          done(ListenState::kUnreachable);
+      });
+}
+
+}  // namespace coltsfootvane::net
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -1,12 +1,12 @@
 #include "net/tcp_stream.h"
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <utility>
+#include <vector>
 
 namespace coltsfootvane::net {
 namespace {
@@ -18,6 +18,10 @@
 /// from the others.
 constexpr int kReadsInARow = 4;
 constexpr std::chrono::milliseconds kLinger{500};
+/// Blocks of a chain that are handed to the kernel in one call.
+constexpr std::size_t kBlocksPerWrite = 16;
+/// A larger buffer is freed once it is empty, since connections are kept.
+constexpr std::size_t kMaxKeptBytes = 4UL * 1024;
 
 /// One buffer serves all streams: the loop has one thread, and received bytes
 /// are consumed during the call that delivers them.
@@ -31,34 +35,6 @@
          ec == boost::asio::error::try_again;
 }
 
-void SetOption(int descriptor, int level, int name, int value) {
-  // A kernel without the option detects failures later, which is no error.
-  (void)setsockopt(descriptor, level, name, &value, sizeof(value));
-}
-
-struct PendingConnect {
-  PendingConnect(boost::asio::io_context* io, ConnectHandler connect_handler)
-      : socket(*io), timer(*io), handler(std::move(connect_handler)) {}
-
-  void Finish(bool connected) {
-    if (!this->handler)
-      return;
-    this->timer.cancel();
-    const ConnectHandler done = std::exchange(this->handler, nullptr);
-    if (connected) {
-      done(std::make_shared<TcpStream>(std::move(this->socket)));
-      return;
-    }
-    BoostError ignored;
-    this->socket.close(ignored);
-    done(nullptr);
-  }
-
-  tcp::socket socket;
-  boost::asio::steady_timer timer;
-  ConnectHandler handler;
-};
-
 }  // namespace
 
 TcpStream::TcpStream(tcp::socket connected)
@@ -118,11 +94,12 @@
 void TcpStream::Write(std::string_view bytes) {
   if (!this->IsOpen() || this->shut_down)
     return;
-  if (this->unsent.empty()) {
+  if (!this->HasUnsent()) {
     BoostError ec;
     const std::size_t sent = this->socket.write_some(
         boost::asio::buffer(bytes.data(), bytes.size()), ec);
     if (!ec) {
+      this->sent_bytes += sent;
       bytes.remove_prefix(sent);
     } else if (!MustWait(ec)) {
       // The read side reports the failure.
@@ -131,10 +108,68 @@
   }
   if (bytes.empty())
     return;
+  // Rare: an owner writes again before the peer has taken a chain.
+  for (; this->chain && this->chain_block < this->chain->BlockCount();
+       ++this->chain_block, this->chain_offset = 0)
+    this->unsent.append(
+        this->chain->Block(this->chain_block).substr(this->chain_offset));
+  this->chain = nullptr;
   this->unsent.append(bytes);
   this->Flush();
 }
 
+void TcpStream::Write(std::shared_ptr<const ByteChain> bytes) {
+  if (!this->IsOpen() || this->shut_down || bytes->IsEmpty())
+    return;
+  if (this->chain) {
+    for (std::size_t i = 0; i < bytes->BlockCount(); ++i)
+      this->Write(bytes->Block(i));
+    return;
+  }
+  this->chain_block = 0;
+  this->chain_offset = 0;
+  this->chain_left = bytes->Size();
+  this->chain = std::move(bytes);
+  if (this->unsent.empty() && !this->SendChain()) {
+    this->chain = nullptr;  // The read side reports the failure.
+    return;
+  }
+  if (this->chain)
+    this->Flush();
+}
+
+/// Hands bytes of the chain to the kernel, and drops the chain after the last.
+/// Returns whether the connection still works.
+bool TcpStream::SendChain() {
+  std::vector<boost::asio::const_buffer> buffers;
+  for (std::size_t i = this->chain_block;
+       i < this->chain->BlockCount() && buffers.size() < kBlocksPerWrite; ++i) {
+    const std::string_view block = this->chain->Block(i);
+    const std::size_t from = i == this->chain_block ? this->chain_offset : 0;
+    buffers.emplace_back(block.data() + from, block.size() - from);
+  }
+  BoostError ec;
+  std::size_t sent = this->socket.write_some(buffers, ec);
+  if (ec)
+    return MustWait(ec);
+  this->sent_bytes += sent;
+  this->chain_left -= sent;
+  while (sent > 0) {
+    const std::size_t left =
+        this->chain->Block(this->chain_block).size() - this->chain_offset;
+    const std::size_t step = std::min(left, sent);
+    sent -= step;
+    this->chain_offset += step;
+    if (step == left) {
+      ++this->chain_block;
+      this->chain_offset = 0;
+    }
+  }
+  if (this->chain_left == 0)
+    this->chain = nullptr;
+  return true;
+}
+
 void TcpStream::Flush() {
   if (this->writing || !this->IsOpen())
     return;
@@ -150,15 +185,22 @@
   if (wait_error || !this->IsOpen())
     return;
   BoostError ec;
-  const std::size_t sent =
-      this->socket.write_some(boost::asio::buffer(this->unsent), ec);
-  if (ec && !MustWait(ec)) {
+  if (!this->unsent.empty()) {
+    const std::size_t sent =
+        this->socket.write_some(boost::asio::buffer(this->unsent), ec);
+    if (!ec) {
+      this->sent_bytes += sent;
+      this->unsent.erase(0, sent);
+    }
+    if (this->unsent.empty() && this->unsent.capacity() > kMaxKeptBytes)
+      std::string().swap(this->unsent);
+  }
+  const bool works = !ec || MustWait(ec);
+  if (!works || (this->unsent.empty() && this->chain && !this->SendChain())) {
     this->End(StreamEnd::kFailed);
     return;
   }
-  if (!ec)
-    this->unsent.erase(0, sent);
-  if (!this->unsent.empty()) {
+  if (this->HasUnsent()) {
     this->Flush();
     return;
   }
@@ -171,6 +213,22 @@
     current->on_drained();
 }
 
+std::size_t TcpStream::UnsentBytes() const {
+  return this->unsent.size() + (this->chain ? this->chain_left : 0);
+}
+
+std::size_t TcpStream::HeldBytes() const {
+  BoostError ec;
+  const std::size_t unread =
+      this->paused && this->IsOpen() ? this->socket.available(ec) : 0;
+  return this->unsent.capacity() + (ec ? 0 : unread);
+}
+
+void TcpStream::DropUnsent() {
+  std::string().swap(this->unsent);
+  this->chain = nullptr;
+}
+
 bool TcpStream::HasUnreadBytes() const {
   BoostError ec;
   return this->IsOpen() && this->socket.available(ec) > 0 && !ec;
@@ -207,7 +265,7 @@
       self->Close();
   });
   this->ResumeReading();
-  if (this->unsent.empty())
+  if (!this->HasUnsent())
     this->FinishClosing();
 }
 
@@ -220,6 +278,7 @@
 void TcpStream::Close() {
   this->events = nullptr;
   this->ended = true;
+  this->DropUnsent();
   this->linger.cancel();
   BoostError ignored;
   this->socket.close(ignored);
@@ -236,6 +295,7 @@
     return;
   this->ended = true;
   const auto current = std::exchange(this->events, nullptr);
+  this->DropUnsent();
   this->linger.cancel();
   BoostError ignored;
   this->socket.close(ignored);
@@ -243,62 +303,4 @@
     current->on_end(end);
 }
 
-void SetFailureDetection(tcp::socket* socket, Milliseconds limit) {
-  const int descriptor = socket->native_handle();
-  const int seconds = std::max(1, static_cast<int>(limit.count() / 2000));
-  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, 2);
-  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-            static_cast<int>(limit.count()));
-}
-
-void Connect(boost::asio::io_context* io,
-             const tcp::endpoint& address,
-             Milliseconds timeout,
-             Milliseconds failure_detection,
-             ConnectHandler handler) {
-  auto pending = std::make_shared<PendingConnect>(io, std::move(handler));
-  pending->timer.expires_after(timeout);
-  pending->timer.async_wait([pending](const BoostError& ec) {
-    if (!ec)
-      pending->Finish(false);
-  });
-  pending->socket.async_connect(
-      address, [pending, failure_detection](const BoostError& ec) {
-        if (!ec && pending->handler)
-          SetFailureDetection(&pending->socket, failure_detection);
-        pending->Finish(!ec);
-      });
-}
-
-void CheckListening(boost::asio::io_context* io,
-                    const tcp::endpoint& address,
-                    Milliseconds timeout,
-                    std::function<void(ListenState)> done) {
-  struct PendingCheck {
-    tcp::socket socket;
-    boost::asio::steady_timer timer;
-  };
-  auto pending = std::make_shared<PendingCheck>(
-      PendingCheck{tcp::socket(*io), boost::asio::steady_timer(*io)});
-  pending->timer.expires_after(timeout);
-  pending->timer.async_wait([pending](const BoostError& ec) {
-    BoostError ignored;
-    if (!ec)
-      pending->socket.close(ignored);
-  });
-  pending->socket.async_connect(
-      address, [pending, done = std::move(done)](const BoostError& ec) {
-        pending->timer.cancel();
-        if (!ec)
-          done(ListenState::kListening);
-        else if (ec == boost::asio::error::connection_refused)
-          done(ListenState::kRefused);
-        else
-          done(ListenState::kUnreachable);
-      });
-}
-
 }  // namespace coltsfootvane::net
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -5,12 +5,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "base/clock.h"
+#include "net/byte_chain.h"
 
 namespace coltsfootvane::net {
 
@@ -41,6 +43,9 @@
   /// Starts reading, or replaces the events of a stream that already reads.
   void Start(StreamEvents events);
   void Write(std::string_view bytes);
+  /// Sends bytes that the stream shares with others and does not copy. They
+  /// must not change any more.
+  void Write(std::shared_ptr<const ByteChain> bytes);
   /// Stops reading, so that the peer is slowed down by the window of TCP.
   void PauseReading();
   void ResumeReading();
@@ -61,7 +66,13 @@
   /// Returns whether the peer has ended the connection, though the loop has not
   /// come to read that yet. Unread bytes before the end hide it.
   bool HasPeerEnded();
-  std::size_t UnsentBytes() const { return this->unsent.size(); }
+  std::size_t UnsentBytes() const;
+  /// Returns the bytes that the kernel has taken so far.
+  std::uint64_t SentBytes() const { return this->sent_bytes; }
+  /// Returns the memory that the stream holds: its copies of what is unsent
+  /// and, while reading is paused, what has arrived in the kernel.
+  std::size_t HeldBytes() const;
+  int Descriptor() { return this->socket.native_handle(); }
 
  private:
   void WaitForData();
@@ -71,10 +82,18 @@
   void OnWritable(const boost::system::error_code& ec);
   void End(StreamEnd end);
   void FinishClosing();
+  bool SendChain();
+  bool HasUnsent() const { return !this->unsent.empty() || this->chain; }
+  void DropUnsent();
 
   tcp::socket socket;
   std::shared_ptr<const StreamEvents> events;
   std::string unsent;
+  std::shared_ptr<const ByteChain> chain;  ///< To be sent after `unsent`.
+  std::size_t chain_block = 0;             ///< The first that is unsent.
+  std::size_t chain_offset = 0;            ///< Within that block.
+  std::size_t chain_left = 0;              ///< Unsent bytes of the chain.
+  std::uint64_t sent_bytes = 0;
   boost::asio::steady_timer linger;
   bool reading = false;  ///< A wait for data is pending.
   bool paused = false;
@@ -90,6 +109,10 @@
 
 using ConnectHandler = std::function<void(std::shared_ptr<TcpStream>)>;
 
+/// Limits what the kernel keeps of unread bytes. Must be called before the
+/// socket is connected or, for accepted ones, on the listening socket.
+void LimitReceiveBuffer(int descriptor, int bytes);
+
 /// Connects within `timeout`. The handler gets nullptr if the connection was
 /// not established; nothing has been sent then.
 void Connect(boost::asio::io_context* io,
