--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -98,6 +98,14 @@
     return this->fleet.IsHolderSilent(epoch);
   };
   this->lease.on_store_back = [this] { this->store_view.Refresh(); };
+  this->gateway.query_load = [this](gsl::span<const gateway::EndpointPtr> asked,
+                                    std::function<void()> done) {
+    this->fleet.QueryLoad(asked, std::move(done));
+  };
+  this->gateway.update_load = [this](const gateway::Endpoint& endpoint,
+                                     bool refused) {
+    this->fleet.UpdateLoad(endpoint, refused);
+  };
   this->gateway.request_adapter = [this](const gateway::AdapterWanted& wanted,
                                          gateway::AdapterHandler done) {
     this->fleet.RequestAdapter(wanted, std::move(done));
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -16,6 +16,10 @@
 /// Target rate of the reports that a daemon receives, whatever the number of
 /// daemons.
 constexpr double kReportBytesPerS = 20'000;
+/// Target rate of reports, queries and updates together. Reports get what the
+/// others leave, but never less than kMinReportBytesPerS.
+constexpr double kControlBytesPerS = 23'500;
+constexpr double kMinReportBytesPerS = 12'000;
 constexpr double kDatagramHeaderBytes = 28;  // IP and UDP.
 /// Weight of a new report in the moving average of report sizes.
 constexpr double kReportSizeWeight = 1.0 / 64;
@@ -55,11 +59,15 @@
 
 }  // namespace
 
-Milliseconds ReportInterval(std::size_t members, double report_bytes) {
+Milliseconds ReportInterval(std::size_t members,
+                            double report_bytes,
+                            double load_bytes_per_s) {
+  const double bytes_per_s = std::clamp(kControlBytesPerS - load_bytes_per_s,
+                                        kMinReportBytesPerS, kReportBytesPerS);
   const double received_bytes =
       static_cast<double>(members) * (report_bytes + kDatagramHeaderBytes);
   const std::chrono::duration<double> min_interval(received_bytes /
-                                                   kReportBytesPerS);
+                                                   bytes_per_s);
   return std::max(kReportInterval,
                   std::chrono::duration_cast<Milliseconds>(min_interval));
 }
@@ -70,7 +78,8 @@
       gateway(request_gateway),
       socket(*io_context),
       timer(*io_context),
-      suspect_timer(*io_context) {}
+      suspect_timer(*io_context),
+      load_timer(*io_context) {}
 
 Result<bool> Fleet::Open(const udp::endpoint& address) {
   BoostError ec;
@@ -92,6 +101,7 @@
   this->incarnation = static_cast<std::int64_t>(this->gateway->random() >> 2);
   this->Receive();
   this->Tick();
+  this->RepeatLoad();
   return true;
 }
 
@@ -117,10 +127,7 @@
           const Result<gen::Datagram> datagram =
               Decode(std::string_view(this->buffer.data(), length));
           if (datagram) {
-            if (datagram.value().__isset.report)
-              this->report_bytes +=
-                  kReportSizeWeight *
-                  (static_cast<double>(length) - this->report_bytes);
+            this->CountReceived(datagram.value(), length);
             this->OnDatagram(datagram.value(), this->sender);
           }
         }
@@ -128,6 +135,15 @@
       });
 }
 
+void Fleet::CountReceived(const gen::Datagram& datagram, std::size_t bytes) {
+  const auto length = static_cast<double>(bytes);
+  if (datagram.__isset.report)
+    this->report_bytes += kReportSizeWeight * (length - this->report_bytes);
+  else if (datagram.__isset.load_query || datagram.__isset.load_answer ||
+           datagram.__isset.work_update)
+    this->load_tracking.received_bytes += length + kDatagramHeaderBytes;
+}
+
 void Fleet::OnDatagram(const gen::Datagram& datagram,
                        const udp::endpoint& from) {
   const std::uint32_t address = ToNumber(from.address());
@@ -141,6 +157,12 @@
     this->OnAdapterReply(datagram.adapter_reply);
   else if (datagram.__isset.suspects)
     this->OnSuspects(datagram.suspects, address);
+  else if (datagram.__isset.load_query)
+    this->OnLoadQuery(datagram.load_query, address);
+  else if (datagram.__isset.load_answer)
+    this->OnLoadAnswer(datagram.load_answer, address);
+  else if (datagram.__isset.work_update)
+    this->OnWorkUpdate(datagram.work_update, address);
 }
 
 void Fleet::OnReport(const gen::Report& report, std::uint32_t from) {
@@ -160,7 +182,7 @@
       ApplyReport(&this->table, from, report, now, this->Interval(), &changes);
   if (!changes.empty()) {
     ApplyWorkChanges(changes, &this->peer_work);
-    CopyPeerWork(this->peer_work, this->gateway->endpoint_list);
+    CopyPeerWork(this->peer_work, this->gateway->endpoint_list, now);
   }
   if (is_new && this->on_seen_revisions)
     this->on_seen_revisions(ReadSeenRevisions(report, now));
@@ -312,7 +334,8 @@
 }
 
 Milliseconds Fleet::Interval() const {
-  return ReportInterval(this->table.members.size(), this->report_bytes);
+  return ReportInterval(this->table.members.size(), this->report_bytes,
+                        this->load_tracking.bytes_per_s);
 }
 
 void Fleet::Tick() {
@@ -320,7 +343,7 @@
   RemoveSilent(&this->table, now);
   ForgetGone(this->gateway->endpoint_list, &this->applied_placements);
   this->peer_work = SumWork(this->table, now);
-  CopyPeerWork(this->peer_work, this->gateway->endpoint_list);
+  CopyPeerWork(this->peer_work, this->gateway->endpoint_list, now);
   this->gateway->daemons = 1 + CountLive(this->table, now);
   this->gateway->report_interval = this->Interval();
   // News of suspects come first where both do not fit.
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -8,12 +8,14 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "base/result.h"
 #include "fleet/adapter_requests.h"
 #include "fleet/holder_contact.h"
+#include "fleet/load_tracking.h"
 #include "fleet/member_table.h"
 #include "fleet/placement_news.h"
 #include "fleet/suspect_news.h"
@@ -45,8 +47,11 @@
 
 /// Returns the interval between two reports of a daemon. It grows with the
 /// number of members and the size of their reports, which bounds the bytes per
-/// second that each daemon receives.
-Milliseconds ReportInterval(std::size_t members, double report_bytes);
+/// second that each daemon receives. `load_bytes_per_s` are those of queries
+/// for the load of endpoints and of updates for load trackers.
+Milliseconds ReportInterval(std::size_t members,
+                            double report_bytes,
+                            double load_bytes_per_s = 0);
 
 /// Exchanges datagrams with the other daemons: requests in progress, demand,
 /// placement and requests for adapters.
@@ -68,6 +73,10 @@
   /// until one answers or the deadline passes.
   void RequestAdapter(const gateway::AdapterWanted& wanted,
                       gateway::AdapterHandler done);
+  /// See gateway::LoadQuery and gateway::LoadUpdate.
+  void QueryLoad(gsl::span<const gateway::EndpointPtr> endpoints,
+                 std::function<void()> done);
+  void UpdateLoad(const gateway::Endpoint& endpoint, bool refused);
   /// Sends a report at once, without waiting for the interval to end.
   void ReportNow();
   /// Tells some daemons, or all of a small fleet, how far the view of the store
@@ -109,6 +118,19 @@
   void SendAllSuspects(std::uint32_t to);
   void RemindOfQuarantine(TimePoint now);
   void UpdateTrialOrder(TimePoint now);
+  std::uint32_t TrackerOf(std::uint32_t endpoint, TimePoint now);
+  void BeginTracking(std::uint32_t endpoint, TimePoint now);
+  void SendLoadQuery(const gateway::EndpointPtr& endpoint,
+                     std::uint32_t tracker,
+                     TimePoint now,
+                     const std::shared_ptr<LoadRound>& round);
+  void OnLoadQuery(const gen::LoadQuery& query, std::uint32_t from);
+  void OnLoadAnswer(const gen::LoadAnswer& answer, std::uint32_t from);
+  void EndLoadRound(const std::shared_ptr<LoadRound>& round);
+  void OnWorkUpdate(const gen::WorkUpdate& wire, std::uint32_t from);
+  void RepeatLoad();
+  void ReportTracking();
+  void CountReceived(const gen::Datagram& datagram, std::size_t bytes);
   void Tick();
   void SendReports();
   void SendAdapterRequest(std::int64_t number);
@@ -146,6 +168,8 @@
   SuspectNews suspect_news;
   boost::asio::steady_timer suspect_timer;
   bool suspects_scheduled = false;
+  LoadTracking load_tracking;
+  boost::asio::steady_timer load_timer;
   double report_bytes = 200;  ///< Moving average of received report sizes.
 };
 
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -91,10 +91,43 @@
   1: list<SuspectPart> parts
 }
 
+// Asks the load tracker of an endpoint for the work of all other daemons there.
+struct LoadQuery {
+  1: i64 number
+  2: i32 endpoint
+}
+
+// Counts are 0 if not set.
+struct LoadAnswer {
+  1: i64 number
+  2: i32 tracked_ms  // How long the sender has tracked the endpoint.
+  3: optional i32 running
+  4: optional i32 prompt_tokens
+  5: optional i32 yielding
+  6: optional i32 yielding_tokens
+  // Requests that the endpoint takes, as learned from refusals.
+  7: optional i32 limit
+}
+
+// The sender's own work at an endpoint, for its load tracker: absolute figures.
+struct WorkUpdate {
+  1: i32 endpoint
+  2: i32 process  // Differs between processes of a daemon.
+  3: i64 sequence
+  4: optional i32 running
+  5: optional i32 prompt_tokens
+  6: optional i32 yielding
+  7: optional i32 yielding_tokens
+  8: optional bool refused  // The endpoint has just refused a request.
+}
+
 union Datagram {
   1: Report report
   2: Placement placement
   3: AdapterRequest adapter_request
   4: AdapterReply adapter_reply
   5: Suspects suspects
+  10: LoadQuery load_query
+  11: LoadAnswer load_answer
+  12: WorkUpdate work_update
 }
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -1792,6 +1792,582 @@
 }
 
 
+LoadQuery::~LoadQuery() noexcept {
+}
+
+
+void LoadQuery::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LoadQuery::__set_endpoint(const int32_t val) {
+  this->endpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadQuery");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadQuery &a, LoadQuery &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.endpoint, b.endpoint);
+  swap(a.__isset, b.__isset);
+}
+
+LoadQuery::LoadQuery(const LoadQuery& other68) noexcept {
+  number = other68.number;
+  endpoint = other68.endpoint;
+  __isset = other68.__isset;
+}
+LoadQuery& LoadQuery::operator=(const LoadQuery& other69) noexcept {
+  number = other69.number;
+  endpoint = other69.endpoint;
+  __isset = other69.__isset;
+  return *this;
+}
+void LoadQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadQuery(";
+  out << "number=" << to_string(number);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ")";
+}
+
+
+LoadAnswer::~LoadAnswer() noexcept {
+}
+
+
+void LoadAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LoadAnswer::__set_tracked_ms(const int32_t val) {
+  this->tracked_ms = val;
+}
+
+void LoadAnswer::__set_running(const int32_t val) {
+  this->running = val;
+__isset.running = true;
+}
+
+void LoadAnswer::__set_prompt_tokens(const int32_t val) {
+  this->prompt_tokens = val;
+__isset.prompt_tokens = true;
+}
+
+void LoadAnswer::__set_yielding(const int32_t val) {
+  this->yielding = val;
+__isset.yielding = true;
+}
+
+void LoadAnswer::__set_yielding_tokens(const int32_t val) {
+  this->yielding_tokens = val;
+__isset.yielding_tokens = true;
+}
+
+void LoadAnswer::__set_limit(const int32_t val) {
+  this->limit = val;
+__isset.limit = true;
+}
+std::ostream& operator<<(std::ostream& out, const LoadAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tracked_ms);
+          this->__isset.tracked_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->yielding);
+          this->__isset.yielding = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->yielding_tokens);
+          this->__isset.yielding_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadAnswer");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tracked_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tracked_ms);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.running) {
+    xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->running);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.prompt_tokens) {
+    xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->prompt_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielding) {
+    xfer += oprot->writeFieldBegin("yielding", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->yielding);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielding_tokens) {
+    xfer += oprot->writeFieldBegin("yielding_tokens", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->yielding_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limit) {
+    xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->limit);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadAnswer &a, LoadAnswer &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.tracked_ms, b.tracked_ms);
+  swap(a.running, b.running);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.yielding, b.yielding);
+  swap(a.yielding_tokens, b.yielding_tokens);
+  swap(a.limit, b.limit);
+  swap(a.__isset, b.__isset);
+}
+
+LoadAnswer::LoadAnswer(const LoadAnswer& other70) noexcept {
+  number = other70.number;
+  tracked_ms = other70.tracked_ms;
+  running = other70.running;
+  prompt_tokens = other70.prompt_tokens;
+  yielding = other70.yielding;
+  yielding_tokens = other70.yielding_tokens;
+  limit = other70.limit;
+  __isset = other70.__isset;
+}
+LoadAnswer& LoadAnswer::operator=(const LoadAnswer& other71) noexcept {
+  number = other71.number;
+  tracked_ms = other71.tracked_ms;
+  running = other71.running;
+  prompt_tokens = other71.prompt_tokens;
+  yielding = other71.yielding;
+  yielding_tokens = other71.yielding_tokens;
+  limit = other71.limit;
+  __isset = other71.__isset;
+  return *this;
+}
+void LoadAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadAnswer(";
+  out << "number=" << to_string(number);
+  out << ", " << "tracked_ms=" << to_string(tracked_ms);
+  out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
+  out << ", " << "prompt_tokens="; (__isset.prompt_tokens ? (out << to_string(prompt_tokens)) : (out << "<null>"));
+  out << ", " << "yielding="; (__isset.yielding ? (out << to_string(yielding)) : (out << "<null>"));
+  out << ", " << "yielding_tokens="; (__isset.yielding_tokens ? (out << to_string(yielding_tokens)) : (out << "<null>"));
+  out << ", " << "limit="; (__isset.limit ? (out << to_string(limit)) : (out << "<null>"));
+  out << ")";
+}
+
+
+WorkUpdate::~WorkUpdate() noexcept {
+}
+
+
+void WorkUpdate::__set_endpoint(const int32_t val) {
+  this->endpoint = val;
+}
+
+void WorkUpdate::__set_process(const int32_t val) {
+  this->process = val;
+}
+
+void WorkUpdate::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void WorkUpdate::__set_running(const int32_t val) {
+  this->running = val;
+__isset.running = true;
+}
+
+void WorkUpdate::__set_prompt_tokens(const int32_t val) {
+  this->prompt_tokens = val;
+__isset.prompt_tokens = true;
+}
+
+void WorkUpdate::__set_yielding(const int32_t val) {
+  this->yielding = val;
+__isset.yielding = true;
+}
+
+void WorkUpdate::__set_yielding_tokens(const int32_t val) {
+  this->yielding_tokens = val;
+__isset.yielding_tokens = true;
+}
+
+void WorkUpdate::__set_refused(const bool val) {
+  this->refused = val;
+__isset.refused = true;
+}
+std::ostream& operator<<(std::ostream& out, const WorkUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->yielding);
+          this->__isset.yielding = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->yielding_tokens);
+          this->__isset.yielding_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refused);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkUpdate");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.running) {
+    xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->running);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.prompt_tokens) {
+    xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->prompt_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielding) {
+    xfer += oprot->writeFieldBegin("yielding", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->yielding);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielding_tokens) {
+    xfer += oprot->writeFieldBegin("yielding_tokens", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->yielding_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refused) {
+    xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->refused);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkUpdate &a, WorkUpdate &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.process, b.process);
+  swap(a.sequence, b.sequence);
+  swap(a.running, b.running);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.yielding, b.yielding);
+  swap(a.yielding_tokens, b.yielding_tokens);
+  swap(a.refused, b.refused);
+  swap(a.__isset, b.__isset);
+}
+
+WorkUpdate::WorkUpdate(const WorkUpdate& other72) noexcept {
+  endpoint = other72.endpoint;
+  process = other72.process;
+  sequence = other72.sequence;
+  running = other72.running;
+  prompt_tokens = other72.prompt_tokens;
+  yielding = other72.yielding;
+  yielding_tokens = other72.yielding_tokens;
+  refused = other72.refused;
+  __isset = other72.__isset;
+}
+WorkUpdate& WorkUpdate::operator=(const WorkUpdate& other73) noexcept {
+  endpoint = other73.endpoint;
+  process = other73.process;
+  sequence = other73.sequence;
+  running = other73.running;
+  prompt_tokens = other73.prompt_tokens;
+  yielding = other73.yielding;
+  yielding_tokens = other73.yielding_tokens;
+  refused = other73.refused;
+  __isset = other73.__isset;
+  return *this;
+}
+void WorkUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkUpdate(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
+  out << ", " << "prompt_tokens="; (__isset.prompt_tokens ? (out << to_string(prompt_tokens)) : (out << "<null>"));
+  out << ", " << "yielding="; (__isset.yielding ? (out << to_string(yielding)) : (out << "<null>"));
+  out << ", " << "yielding_tokens="; (__isset.yielding_tokens ? (out << to_string(yielding_tokens)) : (out << "<null>"));
+  out << ", " << "refused="; (__isset.refused ? (out << to_string(refused)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -1820,6 +2396,21 @@
   this->suspects = val;
 __isset.suspects = true;
 }
+
+void Datagram::__set_load_query(const LoadQuery& val) {
+  this->load_query = val;
+__isset.load_query = true;
+}
+
+void Datagram::__set_load_answer(const LoadAnswer& val) {
+  this->load_answer = val;
+__isset.load_answer = true;
+}
+
+void Datagram::__set_work_update(const WorkUpdate& val) {
+  this->work_update = val;
+__isset.work_update = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1888,6 +2479,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load_query.read(iprot);
+          this->__isset.load_query = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load_answer.read(iprot);
+          this->__isset.load_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->work_update.read(iprot);
+          this->__isset.work_update = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1930,6 +2545,21 @@
     xfer += this->suspects.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.load_query) {
+    xfer += oprot->writeFieldBegin("load_query", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->load_query.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.load_answer) {
+    xfer += oprot->writeFieldBegin("load_answer", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->load_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.work_update) {
+    xfer += oprot->writeFieldBegin("work_update", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->work_update.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1942,24 +2572,33 @@
   swap(a.adapter_request, b.adapter_request);
   swap(a.adapter_reply, b.adapter_reply);
   swap(a.suspects, b.suspects);
+  swap(a.load_query, b.load_query);
+  swap(a.load_answer, b.load_answer);
+  swap(a.work_update, b.work_update);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other68) {
-  report = other68.report;
-  placement = other68.placement;
-  adapter_request = other68.adapter_request;
-  adapter_reply = other68.adapter_reply;
-  suspects = other68.suspects;
-  __isset = other68.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other69) {
-  report = other69.report;
-  placement = other69.placement;
-  adapter_request = other69.adapter_request;
-  adapter_reply = other69.adapter_reply;
-  suspects = other69.suspects;
-  __isset = other69.__isset;
+Datagram::Datagram(const Datagram& other74) {
+  report = other74.report;
+  placement = other74.placement;
+  adapter_request = other74.adapter_request;
+  adapter_reply = other74.adapter_reply;
+  suspects = other74.suspects;
+  load_query = other74.load_query;
+  load_answer = other74.load_answer;
+  work_update = other74.work_update;
+  __isset = other74.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other75) {
+  report = other75.report;
+  placement = other75.placement;
+  adapter_request = other75.adapter_request;
+  adapter_reply = other75.adapter_reply;
+  suspects = other75.suspects;
+  load_query = other75.load_query;
+  load_answer = other75.load_answer;
+  work_update = other75.work_update;
+  __isset = other75.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1970,6 +2609,9 @@
   out << ", " << "adapter_request="; (__isset.adapter_request ? (out << to_string(adapter_request)) : (out << "<null>"));
   out << ", " << "adapter_reply="; (__isset.adapter_reply ? (out << to_string(adapter_reply)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << ", " << "load_query="; (__isset.load_query ? (out << to_string(load_query)) : (out << "<null>"));
+  out << ", " << "load_answer="; (__isset.load_answer ? (out << to_string(load_answer)) : (out << "<null>"));
+  out << ", " << "work_update="; (__isset.work_update ? (out << to_string(work_update)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -41,6 +41,12 @@
 
 class Suspects;
 
+class LoadQuery;
+
+class LoadAnswer;
+
+class WorkUpdate;
+
 class Datagram;
 
 typedef struct _EndpointWork__isset {
@@ -721,13 +727,263 @@
 
 std::ostream& operator<<(std::ostream& out, const Suspects& obj);
 
+typedef struct _LoadQuery__isset {
+  _LoadQuery__isset() : number(false), endpoint(false) {}
+  bool number :1;
+  bool endpoint :1;
+} _LoadQuery__isset;
+
+class LoadQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadQuery(const LoadQuery&) noexcept;
+  LoadQuery& operator=(const LoadQuery&) noexcept;
+  LoadQuery() noexcept
+            : number(0),
+              endpoint(0) {
+  }
+
+  virtual ~LoadQuery() noexcept;
+  int64_t number;
+  int32_t endpoint;
+
+  _LoadQuery__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_endpoint(const int32_t val);
+
+  bool operator == (const LoadQuery & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadQuery &a, LoadQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadQuery& obj);
+
+typedef struct _LoadAnswer__isset {
+  _LoadAnswer__isset() : number(false), tracked_ms(false), running(false), prompt_tokens(false), yielding(false), yielding_tokens(false), limit(false) {}
+  bool number :1;
+  bool tracked_ms :1;
+  bool running :1;
+  bool prompt_tokens :1;
+  bool yielding :1;
+  bool yielding_tokens :1;
+  bool limit :1;
+} _LoadAnswer__isset;
+
+class LoadAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadAnswer(const LoadAnswer&) noexcept;
+  LoadAnswer& operator=(const LoadAnswer&) noexcept;
+  LoadAnswer() noexcept
+             : number(0),
+               tracked_ms(0),
+               running(0),
+               prompt_tokens(0),
+               yielding(0),
+               yielding_tokens(0),
+               limit(0) {
+  }
+
+  virtual ~LoadAnswer() noexcept;
+  int64_t number;
+  int32_t tracked_ms;
+  int32_t running;
+  int32_t prompt_tokens;
+  int32_t yielding;
+  int32_t yielding_tokens;
+  int32_t limit;
+
+  _LoadAnswer__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_tracked_ms(const int32_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_prompt_tokens(const int32_t val);
+
+  void __set_yielding(const int32_t val);
+
+  void __set_yielding_tokens(const int32_t val);
+
+  void __set_limit(const int32_t val);
+
+  bool operator == (const LoadAnswer & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(tracked_ms == rhs.tracked_ms))
+      return false;
+    if (__isset.running != rhs.__isset.running)
+      return false;
+    else if (__isset.running && !(running == rhs.running))
+      return false;
+    if (__isset.prompt_tokens != rhs.__isset.prompt_tokens)
+      return false;
+    else if (__isset.prompt_tokens && !(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (__isset.yielding != rhs.__isset.yielding)
+      return false;
+    else if (__isset.yielding && !(yielding == rhs.yielding))
+      return false;
+    if (__isset.yielding_tokens != rhs.__isset.yielding_tokens)
+      return false;
+    else if (__isset.yielding_tokens && !(yielding_tokens == rhs.yielding_tokens))
+      return false;
+    if (__isset.limit != rhs.__isset.limit)
+      return false;
+    else if (__isset.limit && !(limit == rhs.limit))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadAnswer &a, LoadAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadAnswer& obj);
+
+typedef struct _WorkUpdate__isset {
+  _WorkUpdate__isset() : endpoint(false), process(false), sequence(false), running(false), prompt_tokens(false), yielding(false), yielding_tokens(false), refused(false) {}
+  bool endpoint :1;
+  bool process :1;
+  bool sequence :1;
+  bool running :1;
+  bool prompt_tokens :1;
+  bool yielding :1;
+  bool yielding_tokens :1;
+  bool refused :1;
+} _WorkUpdate__isset;
+
+class WorkUpdate : public virtual ::apache::thrift::TBase {
+ public:
+
+  WorkUpdate(const WorkUpdate&) noexcept;
+  WorkUpdate& operator=(const WorkUpdate&) noexcept;
+  WorkUpdate() noexcept
+             : endpoint(0),
+               process(0),
+               sequence(0),
+               running(0),
+               prompt_tokens(0),
+               yielding(0),
+               yielding_tokens(0),
+               refused(0) {
+  }
+
+  virtual ~WorkUpdate() noexcept;
+  int32_t endpoint;
+  int32_t process;
+  int64_t sequence;
+  int32_t running;
+  int32_t prompt_tokens;
+  int32_t yielding;
+  int32_t yielding_tokens;
+  bool refused;
+
+  _WorkUpdate__isset __isset;
+
+  void __set_endpoint(const int32_t val);
+
+  void __set_process(const int32_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_prompt_tokens(const int32_t val);
+
+  void __set_yielding(const int32_t val);
+
+  void __set_yielding_tokens(const int32_t val);
+
+  void __set_refused(const bool val);
+
+  bool operator == (const WorkUpdate & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(process == rhs.process))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (__isset.running != rhs.__isset.running)
+      return false;
+    else if (__isset.running && !(running == rhs.running))
+      return false;
+    if (__isset.prompt_tokens != rhs.__isset.prompt_tokens)
+      return false;
+    else if (__isset.prompt_tokens && !(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (__isset.yielding != rhs.__isset.yielding)
+      return false;
+    else if (__isset.yielding && !(yielding == rhs.yielding))
+      return false;
+    if (__isset.yielding_tokens != rhs.__isset.yielding_tokens)
+      return false;
+    else if (__isset.yielding_tokens && !(yielding_tokens == rhs.yielding_tokens))
+      return false;
+    if (__isset.refused != rhs.__isset.refused)
+      return false;
+    else if (__isset.refused && !(refused == rhs.refused))
+      return false;
+    return true;
+  }
+  bool operator != (const WorkUpdate &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WorkUpdate & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(WorkUpdate &a, WorkUpdate &b);
+
+std::ostream& operator<<(std::ostream& out, const WorkUpdate& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : report(false), placement(false), adapter_request(false), adapter_reply(false), suspects(false) {}
+  _Datagram__isset() : report(false), placement(false), adapter_request(false), adapter_reply(false), suspects(false), load_query(false), load_answer(false), work_update(false) {}
   bool report :1;
   bool placement :1;
   bool adapter_request :1;
   bool adapter_reply :1;
   bool suspects :1;
+  bool load_query :1;
+  bool load_answer :1;
+  bool work_update :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -744,6 +1000,9 @@
   AdapterRequest adapter_request;
   AdapterReply adapter_reply;
   Suspects suspects;
+  LoadQuery load_query;
+  LoadAnswer load_answer;
+  WorkUpdate work_update;
 
   _Datagram__isset __isset;
 
@@ -757,6 +1016,12 @@
 
   void __set_suspects(const Suspects& val);
 
+  void __set_load_query(const LoadQuery& val);
+
+  void __set_load_answer(const LoadAnswer& val);
+
+  void __set_work_update(const WorkUpdate& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -779,6 +1044,18 @@
       return false;
     else if (__isset.suspects && !(suspects == rhs.suspects))
       return false;
+    if (__isset.load_query != rhs.__isset.load_query)
+      return false;
+    else if (__isset.load_query && !(load_query == rhs.load_query))
+      return false;
+    if (__isset.load_answer != rhs.__isset.load_answer)
+      return false;
+    else if (__isset.load_answer && !(load_answer == rhs.load_answer))
+      return false;
+    if (__isset.work_update != rhs.__isset.work_update)
+      return false;
+    else if (__isset.work_update && !(work_update == rhs.work_update))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -205,11 +205,13 @@
 }
 
 void CopyPeerWork(const PeerWorkByEndpoint& sums,
-                  gsl::span<const gateway::EndpointPtr> endpoints) {
+                  gsl::span<const gateway::EndpointPtr> endpoints,
+                  TimePoint now) {
   for (const gateway::EndpointPtr& endpoint : endpoints) {
     const auto found = sums.find(endpoint->key);
     const PeerWork sum = found == sums.end() ? PeerWork() : found->second;
-    endpoint->peers = sum.work;
+    if (now >= endpoint->exact_until)
+      endpoint->peers = sum.work;
     endpoint->peer_successes = sum.successes;
     endpoint->peer_failures = sum.failures;
   }
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -96,9 +96,11 @@
 /// Returns the sums over the live members.
 PeerWorkByEndpoint SumWork(const MemberTable& table, TimePoint now);
 
-/// Sets the work and results of peers on each endpoint to the sums.
+/// Sets the work and results of peers on each endpoint to the sums. The work at
+/// endpoints with exact figures that hold at `now` is kept.
 void CopyPeerWork(const PeerWorkByEndpoint& sums,
-                  gsl::span<const gateway::EndpointPtr> endpoints);
+                  gsl::span<const gateway::EndpointPtr> endpoints,
+                  TimePoint now = TimePoint::max());
 
 /// Returns the sums of the demand that live members report, decayed to `now`,
 /// by model key.
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -66,6 +66,13 @@
   admission.deferred = has_waited || on_time_ms > objective;
   admission.yields = is_far || admission.deferred;
   const double wait_ms = admission.yields ? waits.yielding_ms : waits.ms;
+  const std::optional<double> begin_ms =
+      admission.yields ? waits.yielding_begin_ms : waits.begin_ms;
+  if (begin_ms && *begin_ms > objective) {
+    admission.admitted = false;
+    admission.retry_after = ClampRetryAfter(*begin_ms - objective / 2);
+    return admission;
+  }
   if (wait_ms <= limit)
     return admission;
   admission.admitted = false;
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -12,6 +12,9 @@
 struct ExpectedWaits {
   double ms = 0;
   double yielding_ms = 0;  ///< If the request yields to others.
+  /// Time until a slot is free, by exact figures; see Choice.
+  std::optional<double> begin_ms = {};
+  std::optional<double> yielding_begin_ms = {};
 };
 
 struct Admission {
@@ -48,17 +51,20 @@
 /// overload, a queue that is longer than the latency objective would make every
 /// request late. Requests that are late anyway are deferred, so that the others
 /// remain on time. `caller_time_left` is how long the caller said to wait, if
-/// it did: one that has waited for longer than the objective is late.
+/// it did: one that has waited for longer than the objective is late. By exact
+/// figures an engine gets no more requests than its slots and those that can
+/// begin within the objective: further ones would only make it interrupt runs
+/// and read their prompts again.
 Admission Admit(const Route& route,
                 const ExpectedWaits& waits,
                 Milliseconds time_left,
                 std::optional<Milliseconds> caller_time_left);
 
 /// Returns the urgency of a request at an engine, from 0 to 9. Requests that
-/// can meet their objective come first, by `rank`, and deferred ones after all of
-/// them: an engine interrupts requests for more urgent ones, so that a late one
-/// of a high rank would make others late too. Requests whose objective is far
-/// off can wait without harm and come last.
+/// can meet their objective come first, by `rank`, and deferred ones after all
+/// of them: an engine interrupts requests for more urgent ones, so that a late
+/// one of a high rank would make others late too. Requests whose objective is
+/// far off can wait without harm and come last.
 int UrgencyOf(const Route& route, int rank, bool deferred);
 
 /// Returns whether the objective of the route is so far off that its requests
--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 #include "base/digest.h"
 
@@ -53,13 +54,6 @@
          input.excluded->count(endpoint.entry.id) > 0;
 }
 
-/// Returns whether the reports show the present work at the endpoints.
-bool HasFreshReports(const ChoiceInput& input) {
-  const double run_ms = input.engine == nullptr ? kServiceCallMs : input.run_ms;
-  return static_cast<double>(input.report_age.count()) <=
-         kFreshShareOfRun * run_ms;
-}
-
 double PenaltyMs(const Endpoint& endpoint, const ChoiceInput& input) {
   double penalty = FailureShare(endpoint, input.now) * kFailurePenaltyMs;
   if (endpoint.ejected_until > input.now)
@@ -78,7 +72,7 @@
   const bool plain = input.engine == nullptr;
   const double slots =
       std::max(1, plain ? endpoint.entry.slots : input.engine->slots);
-  const double run_ms = plain ? kServiceCallMs : input.run_ms;
+  const double run_ms = plain ? input.call_ms : input.run_ms;
   const double ends =
       static_cast<double>(input.report_age.count()) / run_ms * slots;
   const int running = endpoint.own.running + endpoint.peers.running;
@@ -211,12 +205,13 @@
 double ExpectedWaitMs(const Endpoint& endpoint,
                       const EngineSpec* engine,
                       int tokens,
-                      double run_ms) {
+                      double run_ms,
+                      double call_ms) {
   const int running = endpoint.own.running + endpoint.peers.running;
   if (engine == nullptr) {
     const int slots = std::max(1, endpoint.entry.slots);
     const int queued = std::max(0, running - slots + 1);
-    return kServiceCallMs * (static_cast<double>(queued) / slots) +
+    return call_ms * (static_cast<double>(queued) / slots) +
            static_cast<double>(running) / slots;
   }
   const int yielding = endpoint.own.yielding + endpoint.peers.yielding;
@@ -247,7 +242,8 @@
 
 Waits WaitsAt(const Endpoint& endpoint, const ChoiceInput& input, int tokens) {
   Waits waits;
-  waits.on_time = ExpectedWaitMs(endpoint, input.engine, tokens, input.run_ms);
+  waits.on_time = ExpectedWaitMs(endpoint, input.engine, tokens, input.run_ms,
+                                 input.call_ms);
   waits.yielding =
       input.engine == nullptr
           ? waits.on_time
@@ -302,4 +298,36 @@
   return best;
 }
 
+bool HasFreshReports(const ChoiceInput& input) {
+  const double run_ms = input.engine == nullptr ? input.call_ms : input.run_ms;
+  return static_cast<double>(input.report_age.count()) <=
+         kFreshShareOfRun * run_ms;
+}
+
+std::vector<AssessedEndpoint> AssessEndpoints(
+    gsl::span<const EndpointPtr> endpoints,
+    const ChoiceInput& input) {
+  const Endpoint* const preferred =
+      input.engine == nullptr ? nullptr : PreferredForPrompt(endpoints, input);
+  std::vector<AssessedEndpoint> assessed;
+  for (const EndpointPtr& endpoint : endpoints) {
+    if (CheckEligibility(*endpoint, input) != ChoiceVerdict::kChosen)
+      continue;
+    AssessedEndpoint one;
+    one.endpoint = endpoint;
+    one.preferred = endpoint.get() == preferred;
+    const int tokens = input.engine == nullptr
+                           ? 0
+                           : TokensToPrefill(*input.request, one.preferred);
+    const Waits waits = WaitsAt(*endpoint, input, tokens);
+    one.wait_ms = waits.on_time;
+    one.yielding_wait_ms = waits.yielding;
+    one.penalty_ms = PenaltyMs(*endpoint, input);
+    one.weight = Weight(*endpoint, input, waits.compared);
+    one.draw = Draw(input.jitter_seed, *endpoint);
+    assessed.push_back(std::move(one));
+  }
+  return assessed;
+}
+
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/choice.h
+++ b/src/gateway/choice.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <gsl/span>
 #include <limits>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.h"
 #include "gateway/endpoint.h"
@@ -32,6 +34,8 @@
   Milliseconds report_age{0};  ///< Greatest age of the other daemons' reports.
   /// Typical time for which a request to this service occupies a slot, in ms.
   double run_ms = kDefaultRunMs;
+  /// Typical time of a call to a plain service, in ms.
+  double call_ms = kServiceCallMs;
   std::uint64_t jitter_seed = 0;  ///< Random; differs between daemons.
   /// The request yields to others wherever it would begin later than this; 0 if
   /// it does in any case.
@@ -51,6 +55,10 @@
   EndpointPtr endpoint;
   double wait_ms = 0;  ///< Expected time to the first byte of the answer.
   double yielding_wait_ms = 0;  ///< The same if the request yields to others.
+  /// Time until the engine has a free slot for the request, and for one that
+  /// yields, by exact figures; not set if the figures are those of reports.
+  std::optional<double> begin_ms;
+  std::optional<double> yielding_begin_ms;
   /// If all are paused, the pause that ends first.
   TimePoint paused_since;
   TimePoint paused_until;
@@ -74,7 +82,8 @@
 double ExpectedWaitMs(const Endpoint& endpoint,
                       const EngineSpec* engine,
                       int tokens,
-                      double run_ms = kDefaultRunMs);
+                      double run_ms = kDefaultRunMs,
+                      double call_ms = kServiceCallMs);
 
 /// Returns the same for a request that yields to others: the engine begins it
 /// after them.
@@ -94,6 +103,25 @@
 Choice ChooseEndpoint(gsl::span<const EndpointPtr> endpoints,
                       const ChoiceInput& input);
 
+/// Returns whether the reports show the present work at the endpoints.
+bool HasFreshReports(const ChoiceInput& input);
+
+/// An endpoint that a request may be sent to, as this daemon sees it.
+struct AssessedEndpoint {
+  EndpointPtr endpoint;
+  double wait_ms = 0;  ///< As in Choice.
+  double yielding_wait_ms = 0;
+  double penalty_ms = 0;   ///< For failures, refusals and distance.
+  double weight = 0;       ///< In a draw by reports.
+  double draw = 0;         ///< From 0 to 1, by ChoiceInput::jitter_seed.
+  bool preferred = false;  ///< For the cached parts of the prompt.
+};
+
+/// Returns the endpoints that meet all requirements of the request.
+std::vector<AssessedEndpoint> AssessEndpoints(
+    gsl::span<const EndpointPtr> endpoints,
+    const ChoiceInput& input);
+
 }  // namespace coltsfootvane::gateway
 
 #endif  // COLTSFOOTVANE_GATEWAY_CHOICE_H_
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "gateway/endpoint_notice.h"
+#include "occupancy/work.h"
 
 namespace coltsfootvane::gateway {
 
@@ -36,15 +37,7 @@
   std::vector<std::string> cached_on_disk;
 };
 
-/// Work in progress at an endpoint, of one daemon or summed over several.
-struct EndpointWork {
-  int running = 0;
-  int prompt_tokens = 0;  ///< Of requests without a first event so far.
-  /// Of these, requests that an engine interrupts for others, whether they have
-  /// had an event or not, and their tokens; see Admission::yields.
-  int yielding = 0;
-  int yielding_tokens = 0;
-};
+using occupancy::EndpointWork;
 
 /// Exponentially decaying counts of the outcomes of calls to an endpoint.
 struct RecentOutcomes {
@@ -59,6 +52,13 @@
   std::uint32_t key = 0;  ///< KeyOf(id); identifies it in reports.
   EndpointWork own;
   EndpointWork peers;
+  /// When the load tracker of the endpoint last gave the exact work of peers,
+  /// and until when reports do not replace it.
+  TimePoint exact_at;
+  TimePoint exact_until;
+  /// Requests that the endpoint takes, as its load tracker has learned; 0 if
+  /// that is not known.
+  int place_limit = 0;
   RecentOutcomes outcomes;
   int peer_successes = 0;  ///< Recent outcomes reported by the other daemons.
   int peer_failures = 0;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -25,8 +25,6 @@
 /// A holder of the lease that ends is replaced later than that, so that a
 /// caller had better come back.
 constexpr Milliseconds kMaxAdapterWait{1000};
-/// A request that is sent with less time left would be answered too late.
-constexpr Milliseconds kMinTimeForSend{20};
 
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
@@ -158,17 +156,31 @@
   const Choice choice = this->ChooseNext(now);
   if (choice.verdict == ChoiceVerdict::kNoAdapter && this->AwaitAdapter())
     return;
+  if (choice.verdict == ChoiceVerdict::kChosen && this->AskForLoad(choice, now))
+    return;
+  this->SendOrRefuse(choice, now);
+}
+
+Admission Exchange::AdmitAt(const Choice& choice, TimePoint now) const {
+  return Admit(*this->route,
+               {choice.wait_ms, choice.yielding_wait_ms, choice.begin_ms,
+                choice.yielding_begin_ms},
+               TimeLeft(this->deadline, now), this->info.time_left);
+}
+
+void Exchange::SendOrRefuse(const Choice& choice, TimePoint now) {
   if (choice.verdict != ChoiceVerdict::kChosen) {
     this->RefuseChoice(choice);
     return;
   }
   if (this->engine != nullptr) {
-    const Admission admission =
-        Admit(*this->route, {choice.wait_ms, choice.yielding_wait_ms},
-              TimeLeft(this->deadline, now), this->info.time_left);
+    const Admission admission = this->AdmitAt(choice, now);
     this->deferred = admission.deferred;
     this->yields = admission.yields;
-    if (this->sends == 0 && !admission.admitted) {
+    // A retry after a refusal goes only where exact figures show room.
+    const bool may_refuse =
+        this->sends == 0 || (choice.begin_ms && this->possible_executions == 0);
+    if (may_refuse && !admission.admitted) {
       char inputs[120];
       std::snprintf(inputs, sizeof(inputs), "wait_ms=%.0f best=%s",
                     choice.wait_ms, choice.endpoint->entry.id.c_str());
@@ -179,7 +191,7 @@
   this->Send(choice);
 }
 
-Choice Exchange::ChooseNext(TimePoint now) {
+ChoiceInput Exchange::MakeChoiceInput(TimePoint now) const {
   ChoiceInput choice_input;
   choice_input.service = this->service;
   choice_input.engine = this->engine;
@@ -189,11 +201,16 @@
   choice_input.now = now;
   choice_input.report_age = this->gateway->report_interval;
   choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
-  choice_input.jitter_seed = this->gateway->random();
   choice_input.objective_ms =
       HasFarObjective(*this->route)
           ? 0
           : static_cast<double>(this->route->target_latency.count());
+  return choice_input;
+}
+
+Choice Exchange::ChooseNext(TimePoint now) {
+  ChoiceInput choice_input = this->MakeChoiceInput(now);
+  choice_input.jitter_seed = this->gateway->random();
   return ChooseEndpoint(this->gateway->endpoint_list, choice_input);
 }
 
@@ -282,6 +299,11 @@
   this->head_read = false;
   this->discarded_bytes = 0;
   this->first_event_at = TimePoint();
+  const bool is_exact = this->endpoint->exact_at >= this->load.asked_at;
+  this->load.found_running.reset();
+  if (this->load.rounds > 0 && is_exact)
+    this->load.found_running =
+        this->endpoint->own.running + this->endpoint->peers.running;
   this->AddWork(this->engine == nullptr ? 0
                                         : TokensToPrefill(this->info, true));
   if (this->IsSampled()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "gateway/choice.h"
 #include "gateway/endpoint.h"
 #include "gateway/event_splitter.h"
+#include "gateway/exchange_load.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/routing_table.h"
 #include "gateway/wire_format.h"
@@ -34,6 +35,8 @@
 /// Retry delay during shutdown. It is short, as the retry reaches another
 /// daemon.
 inline constexpr Milliseconds kShutdownRetryAfter{20};
+/// A request that is sent with less time left would be answered too late.
+inline constexpr Milliseconds kMinTimeForSend{20};
 
 /// Handles one request from its arrival to the end of its answer: routes it,
 /// sends it to an endpoint, retries at other endpoints where the route allows
@@ -78,7 +81,10 @@
   int Rank() const;
   bool FitsIntoShutdown() const;
   void TryNextEndpoint();
+  ChoiceInput MakeChoiceInput(TimePoint now) const;
   Choice ChooseNext(TimePoint now);
+  Admission AdmitAt(const Choice& choice, TimePoint now) const;
+  void SendOrRefuse(const Choice& choice, TimePoint now);
   bool AwaitAdapter();
   void OnAdapterDone(AdapterOutcome outcome);
   bool MayRetry() const;
@@ -94,6 +100,17 @@
   void RefuseChoice(const Choice& choice);
   ReturnTime ReturnAfterAll(const Choice& choice) const;
 
+  // Defined in exchange_load.cc: exact load of endpoints in large fleets.
+  bool AskForLoad(const Choice& by_reports, TimePoint now);
+  ChoiceInput MakeExactInput(TimePoint now) const;
+  bool QueryLoad(TimePoint now);
+  void OnLoadKnown();
+  void ChooseEngine(TimePoint now);
+  void ChooseCall(TimePoint now);
+  void CountChangedChoice(const Choice& choice);
+  void WaitForPlace(double wait_ms);
+  void RecordCallTime(TimePoint now);
+
   // Defined in exchange_crash.cc: requests that may crash endpoints.
   void OnSendBroken(const char* reason);
   bool EndIfQuarantined();
@@ -163,6 +180,7 @@
   bool deferred = false;  ///< The current send; see Admission.
   bool yields = false;    ///< The current send; see Admission.
   bool finished = false;
+  LoadSearch load;
 
   EndpointPtr endpoint;  ///< Of the current send.
   std::shared_ptr<net::TcpStream> stream;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -163,6 +163,7 @@
     Eject(this->endpoint.get(), now);
   } else {
     RecordRefusal(this->endpoint.get(), now);
+    this->load.refused = true;
   }
   const std::string detail = this->DescribeEndpoint() +
                              " status=" + std::to_string(this->answer.status);
@@ -215,8 +216,10 @@
       continue;
     if (!this->forwarding)
       this->BeginForwarding(std::nullopt);
-    if (this->prefill_tokens > 0)
+    if (this->prefill_tokens > 0) {
       this->EndPrefill();
+      UpdateLoad(this->gateway, *this->endpoint, false);
+    }
     if (this->first_event_at == TimePoint())
       RecordAnsweredParts(this->gateway, this->shared_parts);
     this->ObserveEvent();
@@ -337,8 +340,10 @@
 
 void Exchange::OnBufferedAnswer() {
   const bool failed = this->answer.status >= 500;
-  if (IsSuccess(this->answer.status))
+  if (IsSuccess(this->answer.status)) {
     RecordAnsweredParts(this->gateway, this->shared_parts);
+    this->RecordCallTime(BootNow());
+  }
   RecordOutcome(this->endpoint.get(), !failed, BootNow());
   const bool reusable = this->IsReusable();
   const bool retry = failed && this->MayRetry() &&
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -71,10 +71,11 @@
   this->prefill_tokens = tokens;
   ++this->endpoint->own.running;
   this->endpoint->own.prompt_tokens += tokens;
-  if (!this->yields)
-    return;
-  ++this->endpoint->own.yielding;
-  this->endpoint->own.yielding_tokens += tokens;
+  if (this->yields) {
+    ++this->endpoint->own.yielding;
+    this->endpoint->own.yielding_tokens += tokens;
+  }
+  UpdateLoad(this->gateway, *this->endpoint, false);
 }
 
 /// Called with the first event, when the prompt has been processed, or when the
@@ -93,6 +94,8 @@
   --this->endpoint->own.running;
   if (this->yields)
     --this->endpoint->own.yielding;
+  UpdateLoad(this->gateway, *this->endpoint,
+             std::exchange(this->load.refused, false));
   const auto connection = std::exchange(this->stream, nullptr);
   if (connection && reusable && TakesNewWork(*this->endpoint))
     this->gateway->connections.Keep(this->endpoint->entry.id, connection,
@@ -119,6 +122,7 @@
     this->tried_part.reset();
   }
   this->timer.cancel();
+  this->load.wait_timer.reset();
   this->ReleaseEndpoint(false);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <gsl/span>
 #include <map>
 #include <memory>
 #include <random>
@@ -18,6 +19,7 @@
 #include "gateway/endpoint_connections.h"
 #include "gateway/events.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/load_metrics.h"
 #include "gateway/part_quarantine.h"
 #include "gateway/routing_table.h"
 #include "gateway/traffic.h"
@@ -57,6 +59,15 @@
 using AdapterRequest =
     std::function<void(const AdapterWanted& wanted, AdapterHandler done)>;
 
+/// Asks the load trackers of endpoints for the work of the other daemons there.
+/// Their answers are in Endpoint::peers and Endpoint::exact_at by the time that
+/// `done` is called, once, possibly before the call returns.
+using LoadQuery = std::function<void(gsl::span<const EndpointPtr> endpoints,
+                                     std::function<void()> done)>;
+/// Tells the load tracker of an endpoint of this daemon's own work there.
+/// `refused` states that the endpoint has just refused a request as full.
+using LoadUpdate = std::function<void(const Endpoint& endpoint, bool refused)>;
+
 class Exchange;
 
 /// State shared by all requests of a daemon. Used on the event loop only.
@@ -67,6 +78,7 @@
   boost::asio::io_context* io;
   prometheus::Registry registry;  ///< Of all of the daemon's metrics.
   GatewayMetrics metrics{&registry};
+  LoadMetrics load_metrics{&registry};
   const WireFormat* wire = nullptr;
   DecisionLog* log = nullptr;
   std::string data_centre;
@@ -81,6 +93,8 @@
   Milliseconds report_interval{0};  ///< Between a daemon's reports.
   Traffic traffic;
   AdapterRequest request_adapter;
+  LoadQuery query_load;    ///< May be empty, as is `update_load`.
+  LoadUpdate update_load;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
   /// During shutdown, requests that arrive from then on are refused, unless
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -16,6 +16,10 @@
 /// Weight of a new run in the moving average.
 constexpr double kNewRunWeight = 1.0 / 16;
 constexpr double kMinRunMs = 50;
+constexpr double kMinCallMs = 1;
+/// Of one call, in relation to the average: one that hung says little of
+/// others.
+constexpr double kMaxCallRatio = 8;
 
 double WorkMs(const RequestInfo& request) {
   return TokensToPrefill(request, true) / kPromptTokensPerMs +
@@ -49,6 +53,19 @@
                                      : std::max(kMinRunMs, run->second);
 }
 
+void RecordCall(Traffic* traffic, const std::string& service, double call_ms) {
+  const auto [call, inserted] =
+      traffic->call_ms.emplace(service, kServiceCallMs);
+  const double bounded = std::min(call_ms, call->second * kMaxCallRatio);
+  call->second += kNewRunWeight * (bounded - call->second);
+}
+
+double CallMs(const Traffic& traffic, std::string_view service) {
+  const auto call = traffic.call_ms.find(service);
+  return call == traffic.call_ms.end() ? kServiceCallMs
+                                       : std::max(kMinCallMs, call->second);
+}
+
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now) {
   const std::chrono::duration<double> elapsed = now - demand.updated;
   const double decay =
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -25,6 +25,9 @@
   /// Smoothed time from the first event of a stream to its end, in ms, by
   /// service.
   std::map<std::string, double, std::less<>> run_ms;
+  /// Smoothed time of a call to a plain service without waiting, in ms, by
+  /// service.
+  std::map<std::string, double, std::less<>> call_ms;
 };
 
 /// Adds the work of a request to the demand for its model and adapter.
@@ -37,6 +40,12 @@
 /// of an engine, in ms.
 double RunMs(const Traffic& traffic, std::string_view service);
 
+/// Records how long a call to a plain service took without waiting there.
+void RecordCall(Traffic* traffic, const std::string& service, double call_ms);
+
+/// Returns the typical time of a call to a plain service, in ms.
+double CallMs(const Traffic& traffic, std::string_view service);
+
 /// Returns the demand decayed to `now`.
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now);
 
