--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -161,13 +161,6 @@
   this->SendOrRefuse(choice, now);
 }
 
-Admission Exchange::AdmitAt(const Choice& choice, TimePoint now) const {
-  return Admit(*this->route,
-               {choice.wait_ms, choice.yielding_wait_ms, choice.begin_ms,
-                choice.yielding_begin_ms},
-               TimeLeft(this->deadline, now), this->info.time_left);
-}
-
 void Exchange::SendOrRefuse(const Choice& choice, TimePoint now) {
   if (choice.verdict != ChoiceVerdict::kChosen) {
     this->RefuseChoice(choice);
@@ -191,23 +184,6 @@
   this->Send(choice);
 }
 
-ChoiceInput Exchange::MakeChoiceInput(TimePoint now) const {
-  ChoiceInput choice_input;
-  choice_input.service = this->service;
-  choice_input.engine = this->engine;
-  choice_input.request = &this->info;
-  choice_input.data_centre = this->gateway->data_centre;
-  choice_input.excluded = &this->tried_endpoints;
-  choice_input.now = now;
-  choice_input.report_age = this->gateway->report_interval;
-  choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
-  choice_input.objective_ms =
-      HasFarObjective(*this->route)
-          ? 0
-          : static_cast<double>(this->route->target_latency.count());
-  return choice_input;
-}
-
 Choice Exchange::ChooseNext(TimePoint now) {
   ChoiceInput choice_input = this->MakeChoiceInput(now);
   choice_input.jitter_seed = this->gateway->random();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -81,9 +81,7 @@
   int Rank() const;
   bool FitsIntoShutdown() const;
   void TryNextEndpoint();
-  ChoiceInput MakeChoiceInput(TimePoint now) const;
   Choice ChooseNext(TimePoint now);
-  Admission AdmitAt(const Choice& choice, TimePoint now) const;
   void SendOrRefuse(const Choice& choice, TimePoint now);
   bool AwaitAdapter();
   void OnAdapterDone(AdapterOutcome outcome);
@@ -100,7 +98,10 @@
   void RefuseChoice(const Choice& choice);
   ReturnTime ReturnAfterAll(const Choice& choice) const;
 
-  // Defined in exchange_load.cc: exact load of endpoints in large fleets.
+  // Defined in exchange_load.cc: exact load of endpoints in large fleets,
+  // and what choices with and without it have in common.
+  ChoiceInput MakeChoiceInput(TimePoint now) const;
+  Admission AdmitAt(const Choice& choice, TimePoint now) const;
   bool AskForLoad(const Choice& by_reports, TimePoint now);
   ChoiceInput MakeExactInput(TimePoint now) const;
   bool QueryLoad(TimePoint now);
--- a/src/gateway/exchange_load.cc
+++ b/src/gateway/exchange_load.cc
@@ -31,6 +31,30 @@
     gateway->update_load(endpoint, refused);
 }
 
+ChoiceInput Exchange::MakeChoiceInput(TimePoint now) const {
+  ChoiceInput choice_input;
+  choice_input.service = this->service;
+  choice_input.engine = this->engine;
+  choice_input.request = &this->info;
+  choice_input.data_centre = this->gateway->data_centre;
+  choice_input.excluded = &this->tried_endpoints;
+  choice_input.now = now;
+  choice_input.report_age = this->gateway->report_interval;
+  choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
+  choice_input.objective_ms =
+      HasFarObjective(*this->route)
+          ? 0
+          : static_cast<double>(this->route->target_latency.count());
+  return choice_input;
+}
+
+Admission Exchange::AdmitAt(const Choice& choice, TimePoint now) const {
+  return Admit(*this->route,
+               {choice.wait_ms, choice.yielding_wait_ms, choice.begin_ms,
+                choice.yielding_begin_ms},
+               TimeLeft(this->deadline, now), this->info.time_left);
+}
+
 /// Asks for the exact load of some endpoints, if reports are old compared with
 /// a run. Returns whether the exchange goes on with the answers.
 bool Exchange::AskForLoad(const Choice& by_reports, TimePoint now) {
