--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -2278,6 +2278,582 @@
 }
 
 
+LoadQuery::~LoadQuery() noexcept {
+}
+
+
+void LoadQuery::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LoadQuery::__set_endpoint(const int32_t val) {
+  this->endpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadQuery");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadQuery &a, LoadQuery &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.endpoint, b.endpoint);
+  swap(a.__isset, b.__isset);
+}
+
+LoadQuery::LoadQuery(const LoadQuery& other72) noexcept {
+  number = other72.number;
+  endpoint = other72.endpoint;
+  __isset = other72.__isset;
+}
+LoadQuery& LoadQuery::operator=(const LoadQuery& other73) noexcept {
+  number = other73.number;
+  endpoint = other73.endpoint;
+  __isset = other73.__isset;
+  return *this;
+}
+void LoadQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadQuery(";
+  out << "number=" << to_string(number);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ")";
+}
+
+
+LoadAnswer::~LoadAnswer() noexcept {
+}
+
+
+void LoadAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void LoadAnswer::__set_tracked_ms(const int32_t val) {
+  this->tracked_ms = val;
+}
+
+void LoadAnswer::__set_running(const int32_t val) {
+  this->running = val;
+__isset.running = true;
+}
+
+void LoadAnswer::__set_prompt_tokens(const int32_t val) {
+  this->prompt_tokens = val;
+__isset.prompt_tokens = true;
+}
+
+void LoadAnswer::__set_yielding(const int32_t val) {
+  this->yielding = val;
+__isset.yielding = true;
+}
+
+void LoadAnswer::__set_yielding_tokens(const int32_t val) {
+  this->yielding_tokens = val;
+__isset.yielding_tokens = true;
+}
+
+void LoadAnswer::__set_limit(const int32_t val) {
+  this->limit = val;
+__isset.limit = true;
+}
+std::ostream& operator<<(std::ostream& out, const LoadAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tracked_ms);
+          this->__isset.tracked_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->yielding);
+          this->__isset.yielding = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->yielding_tokens);
+          this->__isset.yielding_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadAnswer");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tracked_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tracked_ms);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.running) {
+    xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->running);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.prompt_tokens) {
+    xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->prompt_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielding) {
+    xfer += oprot->writeFieldBegin("yielding", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->yielding);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielding_tokens) {
+    xfer += oprot->writeFieldBegin("yielding_tokens", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->yielding_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limit) {
+    xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->limit);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadAnswer &a, LoadAnswer &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.tracked_ms, b.tracked_ms);
+  swap(a.running, b.running);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.yielding, b.yielding);
+  swap(a.yielding_tokens, b.yielding_tokens);
+  swap(a.limit, b.limit);
+  swap(a.__isset, b.__isset);
+}
+
+LoadAnswer::LoadAnswer(const LoadAnswer& other74) noexcept {
+  number = other74.number;
+  tracked_ms = other74.tracked_ms;
+  running = other74.running;
+  prompt_tokens = other74.prompt_tokens;
+  yielding = other74.yielding;
+  yielding_tokens = other74.yielding_tokens;
+  limit = other74.limit;
+  __isset = other74.__isset;
+}
+LoadAnswer& LoadAnswer::operator=(const LoadAnswer& other75) noexcept {
+  number = other75.number;
+  tracked_ms = other75.tracked_ms;
+  running = other75.running;
+  prompt_tokens = other75.prompt_tokens;
+  yielding = other75.yielding;
+  yielding_tokens = other75.yielding_tokens;
+  limit = other75.limit;
+  __isset = other75.__isset;
+  return *this;
+}
+void LoadAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadAnswer(";
+  out << "number=" << to_string(number);
+  out << ", " << "tracked_ms=" << to_string(tracked_ms);
+  out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
+  out << ", " << "prompt_tokens="; (__isset.prompt_tokens ? (out << to_string(prompt_tokens)) : (out << "<null>"));
+  out << ", " << "yielding="; (__isset.yielding ? (out << to_string(yielding)) : (out << "<null>"));
+  out << ", " << "yielding_tokens="; (__isset.yielding_tokens ? (out << to_string(yielding_tokens)) : (out << "<null>"));
+  out << ", " << "limit="; (__isset.limit ? (out << to_string(limit)) : (out << "<null>"));
+  out << ")";
+}
+
+
+WorkUpdate::~WorkUpdate() noexcept {
+}
+
+
+void WorkUpdate::__set_endpoint(const int32_t val) {
+  this->endpoint = val;
+}
+
+void WorkUpdate::__set_process(const int32_t val) {
+  this->process = val;
+}
+
+void WorkUpdate::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void WorkUpdate::__set_running(const int32_t val) {
+  this->running = val;
+__isset.running = true;
+}
+
+void WorkUpdate::__set_prompt_tokens(const int32_t val) {
+  this->prompt_tokens = val;
+__isset.prompt_tokens = true;
+}
+
+void WorkUpdate::__set_yielding(const int32_t val) {
+  this->yielding = val;
+__isset.yielding = true;
+}
+
+void WorkUpdate::__set_yielding_tokens(const int32_t val) {
+  this->yielding_tokens = val;
+__isset.yielding_tokens = true;
+}
+
+void WorkUpdate::__set_refused(const bool val) {
+  this->refused = val;
+__isset.refused = true;
+}
+std::ostream& operator<<(std::ostream& out, const WorkUpdate& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WorkUpdate::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->yielding);
+          this->__isset.yielding = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->yielding_tokens);
+          this->__isset.yielding_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refused);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WorkUpdate::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WorkUpdate");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.running) {
+    xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->running);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.prompt_tokens) {
+    xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 5);
+    xfer += oprot->writeI32(this->prompt_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielding) {
+    xfer += oprot->writeFieldBegin("yielding", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->yielding);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.yielding_tokens) {
+    xfer += oprot->writeFieldBegin("yielding_tokens", ::apache::thrift::protocol::T_I32, 7);
+    xfer += oprot->writeI32(this->yielding_tokens);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.refused) {
+    xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_BOOL, 8);
+    xfer += oprot->writeBool(this->refused);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WorkUpdate &a, WorkUpdate &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.process, b.process);
+  swap(a.sequence, b.sequence);
+  swap(a.running, b.running);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.yielding, b.yielding);
+  swap(a.yielding_tokens, b.yielding_tokens);
+  swap(a.refused, b.refused);
+  swap(a.__isset, b.__isset);
+}
+
+WorkUpdate::WorkUpdate(const WorkUpdate& other76) noexcept {
+  endpoint = other76.endpoint;
+  process = other76.process;
+  sequence = other76.sequence;
+  running = other76.running;
+  prompt_tokens = other76.prompt_tokens;
+  yielding = other76.yielding;
+  yielding_tokens = other76.yielding_tokens;
+  refused = other76.refused;
+  __isset = other76.__isset;
+}
+WorkUpdate& WorkUpdate::operator=(const WorkUpdate& other77) noexcept {
+  endpoint = other77.endpoint;
+  process = other77.process;
+  sequence = other77.sequence;
+  running = other77.running;
+  prompt_tokens = other77.prompt_tokens;
+  yielding = other77.yielding;
+  yielding_tokens = other77.yielding_tokens;
+  refused = other77.refused;
+  __isset = other77.__isset;
+  return *this;
+}
+void WorkUpdate::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WorkUpdate(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "process=" << to_string(process);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
+  out << ", " << "prompt_tokens="; (__isset.prompt_tokens ? (out << to_string(prompt_tokens)) : (out << "<null>"));
+  out << ", " << "yielding="; (__isset.yielding ? (out << to_string(yielding)) : (out << "<null>"));
+  out << ", " << "yielding_tokens="; (__isset.yielding_tokens ? (out << to_string(yielding_tokens)) : (out << "<null>"));
+  out << ", " << "refused="; (__isset.refused ? (out << to_string(refused)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -2316,6 +2892,21 @@
   this->quota_reply = val;
 __isset.quota_reply = true;
 }
+
+void Datagram::__set_load_query(const LoadQuery& val) {
+  this->load_query = val;
+__isset.load_query = true;
+}
+
+void Datagram::__set_load_answer(const LoadAnswer& val) {
+  this->load_answer = val;
+__isset.load_answer = true;
+}
+
+void Datagram::__set_work_update(const WorkUpdate& val) {
+  this->work_update = val;
+__isset.work_update = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -2400,6 +2991,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load_query.read(iprot);
+          this->__isset.load_query = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load_answer.read(iprot);
+          this->__isset.load_answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->work_update.read(iprot);
+          this->__isset.work_update = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2452,6 +3067,21 @@
     xfer += this->quota_reply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.load_query) {
+    xfer += oprot->writeFieldBegin("load_query", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->load_query.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.load_answer) {
+    xfer += oprot->writeFieldBegin("load_answer", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->load_answer.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.work_update) {
+    xfer += oprot->writeFieldBegin("work_update", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->work_update.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2466,28 +3096,37 @@
   swap(a.suspects, b.suspects);
   swap(a.quota_request, b.quota_request);
   swap(a.quota_reply, b.quota_reply);
+  swap(a.load_query, b.load_query);
+  swap(a.load_answer, b.load_answer);
+  swap(a.work_update, b.work_update);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other72) {
-  report = other72.report;
-  placement = other72.placement;
-  adapter_request = other72.adapter_request;
-  adapter_reply = other72.adapter_reply;
-  suspects = other72.suspects;
-  quota_request = other72.quota_request;
-  quota_reply = other72.quota_reply;
-  __isset = other72.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other73) {
-  report = other73.report;
-  placement = other73.placement;
-  adapter_request = other73.adapter_request;
-  adapter_reply = other73.adapter_reply;
-  suspects = other73.suspects;
-  quota_request = other73.quota_request;
-  quota_reply = other73.quota_reply;
-  __isset = other73.__isset;
+Datagram::Datagram(const Datagram& other78) {
+  report = other78.report;
+  placement = other78.placement;
+  adapter_request = other78.adapter_request;
+  adapter_reply = other78.adapter_reply;
+  suspects = other78.suspects;
+  quota_request = other78.quota_request;
+  quota_reply = other78.quota_reply;
+  load_query = other78.load_query;
+  load_answer = other78.load_answer;
+  work_update = other78.work_update;
+  __isset = other78.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other79) {
+  report = other79.report;
+  placement = other79.placement;
+  adapter_request = other79.adapter_request;
+  adapter_reply = other79.adapter_reply;
+  suspects = other79.suspects;
+  quota_request = other79.quota_request;
+  quota_reply = other79.quota_reply;
+  load_query = other79.load_query;
+  load_answer = other79.load_answer;
+  work_update = other79.work_update;
+  __isset = other79.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -2500,6 +3139,9 @@
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "quota_request="; (__isset.quota_request ? (out << to_string(quota_request)) : (out << "<null>"));
   out << ", " << "quota_reply="; (__isset.quota_reply ? (out << to_string(quota_reply)) : (out << "<null>"));
+  out << ", " << "load_query="; (__isset.load_query ? (out << to_string(load_query)) : (out << "<null>"));
+  out << ", " << "load_answer="; (__isset.load_answer ? (out << to_string(load_answer)) : (out << "<null>"));
+  out << ", " << "work_update="; (__isset.work_update ? (out << to_string(work_update)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -25,8 +25,6 @@
 /// A holder of the lease that ends is replaced later than that, so that a
 /// caller had better come back.
 constexpr Milliseconds kMaxAdapterWait{1000};
-/// A request that is sent with less time left would be answered too late.
-constexpr Milliseconds kMinTimeForSend{20};
 
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
@@ -159,17 +157,24 @@
   const Choice choice = this->ChooseNext(now);
   if (choice.verdict == ChoiceVerdict::kNoAdapter && this->AwaitAdapter())
     return;
+  if (choice.verdict == ChoiceVerdict::kChosen && this->AskForLoad(choice, now))
+    return;
+  this->SendOrRefuse(choice, now);
+}
+
+void Exchange::SendOrRefuse(const Choice& choice, TimePoint now) {
   if (choice.verdict != ChoiceVerdict::kChosen) {
     this->RefuseChoice(choice);
     return;
   }
   if (this->engine != nullptr) {
-    const Admission admission =
-        Admit(*this->route, {choice.wait_ms, choice.yielding_wait_ms},
-              TimeLeft(this->deadline, now), this->info.time_left);
+    const Admission admission = this->AdmitAt(choice, now);
     this->deferred = admission.deferred;
     this->yields = admission.yields;
-    if (this->sends == 0 && !admission.admitted) {
+    // A retry after a refusal goes only where exact figures show room.
+    const bool may_refuse =
+        this->sends == 0 || (choice.begin_ms && this->possible_executions == 0);
+    if (may_refuse && !admission.admitted) {
       char inputs[120];
       std::snprintf(inputs, sizeof(inputs), "wait_ms=%.0f best=%s",
                     choice.wait_ms, choice.endpoint->entry.id.c_str());
@@ -181,20 +186,8 @@
 }
 
 Choice Exchange::ChooseNext(TimePoint now) {
-  ChoiceInput choice_input;
-  choice_input.service = this->service;
-  choice_input.engine = this->engine;
-  choice_input.request = &this->info;
-  choice_input.data_centre = this->gateway->data_centre;
-  choice_input.excluded = &this->tried_endpoints;
-  choice_input.now = now;
-  choice_input.report_age = this->gateway->report_interval;
-  choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
+  ChoiceInput choice_input = this->MakeChoiceInput(now);
   choice_input.jitter_seed = this->gateway->random();
-  choice_input.objective_ms =
-      HasFarObjective(*this->route)
-          ? 0
-          : static_cast<double>(this->route->target_latency.count());
   return ChooseEndpoint(this->gateway->endpoint_list, choice_input);
 }
 
@@ -283,6 +276,11 @@
   this->head_read = false;
   this->discarded_bytes = 0;
   this->first_event_at = TimePoint();
+  const bool is_exact = this->endpoint->exact_at >= this->load.asked_at;
+  this->load.found_running.reset();
+  if (this->load.rounds > 0 && is_exact)
+    this->load.found_running =
+        this->endpoint->own.running + this->endpoint->peers.running;
   this->AddWork(this->engine == nullptr ? 0
                                         : TokensToPrefill(this->info, true));
   if (this->IsSampled()) {
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -79,10 +79,11 @@
   this->prefill_tokens = tokens;
   ++this->endpoint->own.running;
   this->endpoint->own.prompt_tokens += tokens;
-  if (!this->yields)
-    return;
-  ++this->endpoint->own.yielding;
-  this->endpoint->own.yielding_tokens += tokens;
+  if (this->yields) {
+    ++this->endpoint->own.yielding;
+    this->endpoint->own.yielding_tokens += tokens;
+  }
+  UpdateLoad(this->gateway, *this->endpoint, false);
 }
 
 /// Called with the first event, when the prompt has been processed, or when the
@@ -101,6 +102,8 @@
   --this->endpoint->own.running;
   if (this->yields)
     --this->endpoint->own.yielding;
+  UpdateLoad(this->gateway, *this->endpoint,
+             std::exchange(this->load.refused, false));
   const auto connection = std::exchange(this->stream, nullptr);
   if (connection && reusable && TakesNewWork(*this->endpoint))
     this->gateway->connections.Keep(this->endpoint->entry.id, connection,
@@ -128,6 +131,7 @@
   }
   this->timer.cancel();
   this->SettleQuota();
+  this->load.wait_timer.reset();
   this->ReleaseEndpoint(false);
   this->body = nullptr;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <gsl/span>
 #include <map>
 #include <memory>
 #include <random>
@@ -19,6 +20,7 @@
 #include "gateway/endpoint_connections.h"
 #include "gateway/events.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/load_metrics.h"
 #include "gateway/part_quarantine.h"
 #include "gateway/routing_table.h"
 #include "gateway/traffic.h"
@@ -65,6 +67,14 @@
 using QuotaRequest =
     std::function<void(const QuotaWanted& wanted,
                        std::function<void(const QuotaDecision&)> done)>;
+/// Asks the load trackers of endpoints for the work of the other daemons there.
+/// Their answers are in Endpoint::peers and Endpoint::exact_at by the time that
+/// `done` is called, once, possibly before the call returns.
+using LoadQuery = std::function<void(gsl::span<const EndpointPtr> endpoints,
+                                     std::function<void()> done)>;
+/// Tells the load tracker of an endpoint of this daemon's own work there.
+/// `refused` states that the endpoint has just refused a request as full.
+using LoadUpdate = std::function<void(const Endpoint& endpoint, bool refused)>;
 
 class Exchange;
 
@@ -76,6 +86,7 @@
   boost::asio::io_context* io;
   prometheus::Registry registry;  ///< Of all of the daemon's metrics.
   GatewayMetrics metrics{&registry};
+  LoadMetrics load_metrics{&registry};
   const WireFormat* wire = nullptr;
   DecisionLog* log = nullptr;
   std::string data_centre;
@@ -94,6 +105,8 @@
   /// Records units of a team spent without permission or, if negative, granted
   /// and not spent.
   std::function<void(quota::TeamKey team, double units)> settle_quota;
+  LoadQuery query_load;    ///< May be empty, as is `update_load`.
+  LoadUpdate update_load;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
   /// During shutdown, requests that arrive from then on are refused, unless
