Gateway, stall: Give up streams that earn nothing while another try has time

Cause: a stream at an endpoint that is stuck or cannot be reached was kept until its caller left, 2 to 2.4 s later, or until the connection failed after about 3 s. Streams whose expected wait was beyond that time were begun too. Change: src/stall/ decides by the callers' patience, the pace of events and the expected waits. A daemon probes an endpoint that is silent for all its runs and ends them if it cannot be reached; repeatable streams go on elsewhere within the retry budget where that is expected to be much sooner; waits beyond the patience are refused at once. Requests that may not be repeated get 502 only once their endpoint is known to have stopped. The crash watch does not ask for itself at a host that does not answer, as that shows no crash either way.

--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -27,6 +27,7 @@
     return;
   }
   Case& one = is_new ? this->cases[crash] : known->second;
+  const bool unreachable = request.unreachable;
   one.requests.push_back(std::move(request));
   if (done)
     one.waiting.push_back(std::move(done));
@@ -35,10 +36,19 @@
     one.endpoint = endpoint;
   if (one.state == State::kCrashed)
     this->RecordAll(crash, &one);
+  else if (unreachable && (is_new || one.state == State::kListening))
+    EndWaiting(&one);
   else if (is_new || one.state == State::kListening)
     this->Ask(crash);
 }
 
+/// Without a crash so far. Tick() may still show one.
+void CrashWatch::EndWaiting(Case* one) {
+  one->state = State::kListening;
+  for (const auto& done : std::exchange(one->waiting, {}))
+    done(false);
+}
+
 void CrashWatch::Ask(quarantine::CrashKey crash) {
   Case& one = this->cases.at(crash);
   one.state = State::kAsking;
@@ -59,9 +69,7 @@
     this->OnCrashed(crash, &one);
     return;
   }
-  one.state = State::kListening;
-  for (const auto& done : std::exchange(one.waiting, {}))
-    done(false);
+  EndWaiting(&one);
 }
 
 void CrashWatch::OnCrashed(quarantine::CrashKey crash, Case* one) {
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -21,6 +21,8 @@
   std::vector<quarantine::PartId> parts;
   bool answering = false;  ///< The head of the answer had come.
   TimePoint at;
+  /// The host of the endpoint does not answer, so that asking shows nothing.
+  bool unreachable = false;
 };
 
 /// Tells an endpoint that has crashed from one that has only closed or lost
@@ -42,8 +44,10 @@
 
  private:
   enum class State {
-    kAsking,     ///< A connection is being opened.
-    kListening,  ///< Something accepts connections at the address.
+    kAsking,  ///< A connection is being opened.
+    /// Something accepts connections at the address, or the host does not
+    /// answer.
+    kListening,
     kCrashed,
   };
 
@@ -55,6 +59,7 @@
     std::vector<std::function<void(bool)>> waiting;
   };
 
+  static void EndWaiting(Case* one);
   void Ask(quarantine::CrashKey crash);
   void OnAsked(quarantine::CrashKey crash, bool refused);
   void OnCrashed(quarantine::CrashKey crash, Case* one);
--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "gateway/endpoint_notice.h"
+#include "stall/stall.h"
 
 namespace coltsfootvane::gateway {
 
@@ -59,6 +60,7 @@
   std::uint32_t key = 0;  ///< KeyOf(id); identifies it in reports.
   EndpointWork own;
   EndpointWork peers;
+  stall::Activity activity;  ///< Of this daemon's runs.
   RecentOutcomes outcomes;
   int peer_successes = 0;  ///< Recent outcomes reported by the other daemons.
   int peer_failures = 0;
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -35,6 +35,9 @@
 inline constexpr Event kPartReleased{2217, Severity::kInfo, "part-released"};
 inline constexpr Event kQuarantineTried{2218, Severity::kInfo,
                                         "quarantine-tried"};
+inline constexpr Event kStreamMoved{2230, Severity::kInfo, "stream-moved"};
+inline constexpr Event kEndpointSilent{2231, Severity::kWarning,
+                                       "endpoint-silent"};
 
 }  // namespace coltsfootvane::gateway
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -49,6 +49,7 @@
       body(std::move(request_body)),
       received(received_at),
       timer(*owner->io),
+      silence_timer(*owner->io),
       routes(owner->routes),
       held_bytes(&owner->held_bytes) {
   ++this->gateway->exchanges;
@@ -176,7 +177,8 @@
       return;
     }
   }
-  this->Send(choice);
+  if (!this->RefuseBeyondPatience(choice))
+    this->Send(choice);
 }
 
 Choice Exchange::ChooseNext(TimePoint now) {
@@ -282,6 +284,8 @@
   this->head_read = false;
   this->discarded_bytes = 0;
   this->first_event_at = TimePoint();
+  this->last_bytes_at = TimePoint();
+  this->expected_ms = this->yields ? choice.yielding_wait_ms : choice.wait_ms;
   this->AddWork(this->engine == nullptr ? 0
                                         : TokensToPrefill(this->info, true));
   if (this->IsSampled()) {
@@ -372,6 +376,7 @@
         {"Content-Length", std::to_string(this->body.size())});
   this->stream->Write(net::FormatHead(sent) + this->body);
   this->CountHeldBytes();
+  this->WatchSilence();
 }
 
 /// The endpoint has not executed the request and never will.
@@ -399,9 +404,9 @@
   this->RetryOrFail(reason);
 }
 
-void Exchange::EndFailedSend(std::string_view reason) {
+void Exchange::EndFailedSend(std::string_view reason, bool blames_endpoint) {
   this->gateway->metrics.CountFailedSend(this->service, "unknown", reason);
-  if (this->endpoint)
+  if (this->endpoint && blames_endpoint)
     RecordOutcome(this->endpoint.get(), false, BootNow());
   this->Log(kSendFailed,
             "outcome=unknown reason=\"" + std::string(reason) + "\" endpoint=" +
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -24,6 +24,7 @@
 #include "net/message_parser.h"
 #include "net/tcp_stream.h"
 #include "quarantine/suspicion.h"
+#include "stall/stall.h"
 
 namespace coltsfootvane::gateway {
 
@@ -53,6 +54,9 @@
   /// Ends the request if its parts have been quarantined and no endpoint has
   /// begun its answer.
   void OnQuarantineChanged();
+  /// Ends the current send if it is at the endpoint, which is known to have
+  /// stopped. `unreachable`: its host does not answer.
+  void OnEndpointStopped(const EndpointPtr& stopped, bool unreachable);
   /// Ends the request with a final answer, since the process ends.
   void OnShutdownOver();
 
@@ -88,16 +92,27 @@
   bool IsAnswerComplete() const;
   void OnNotExecuted(const FailedSend& failed);
   void OnSendFailed(std::string_view reason);
-  void EndFailedSend(std::string_view reason);
+  void EndFailedSend(std::string_view reason, bool blames_endpoint = true);
   void RetryOrFail(std::string_view reason);
   void OnTimeout();
   void RefuseChoice(const Choice& choice);
   ReturnTime ReturnAfterAll(const Choice& choice) const;
 
   // Defined in exchange_crash.cc: requests that may crash endpoints.
-  void OnSendBroken(const char* reason);
+  void OnSendBroken(const char* reason, bool unreachable = false);
   bool EndIfQuarantined();
 
+  // Defined in exchange_stall.cc: streams that earn nothing.
+  bool RefuseBeyondPatience(const Choice& choice);
+  stall::Run DescribeRun() const;
+  stall::Waits ExpectedWaits(const Choice& choice) const;
+  bool IsSilent() const;
+  bool MayMove() const;
+  void WatchSilence();
+  void CheckSilenceAt(TimePoint at);
+  void CheckSilence();
+  bool MoveIfWorthwhile(TimePoint now);
+
   // Defined in exchange_end.cc: the end of the request.
   // Refuse() tells the caller when to retry; Fail() suggests no retry.
   void Refuse(std::string_view reason,
@@ -145,6 +160,8 @@
   TimePoint received;
   TimePoint deadline;
   boost::asio::steady_timer timer;
+  boost::asio::steady_timer silence_timer;
+  TimePoint silence_check_at;
   std::shared_ptr<const RoutingTable> routes;
   const Route* route = nullptr;
   const team::Team* team = nullptr;  ///< That holds the key; may be null.
@@ -171,6 +188,9 @@
   int send_generation = 0;       ///< Identifies callbacks of earlier sends.
   int prefill_tokens = 0;        ///< Included in `endpoint->own.prompt_tokens`.
   TimePoint sent_at;
+  TimePoint last_bytes_at;   ///< Of the current send.
+  double expected_ms = 0;    ///< Wait for its first event.
+  bool move_denied = false;  ///< The retry budget is used up.
   std::string input;
   std::optional<net::MessageParser> parser;
   net::ResponseHead answer;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -56,6 +56,8 @@
 }
 
 void Exchange::OnData(std::string_view bytes) {
+  this->last_bytes_at = BootNow();
+  this->endpoint->activity.last_bytes = this->last_bytes_at;
   this->input.append(bytes);
   if (!this->head_read || this->mode == Mode::kDiscarded)
     this->discarded_bytes += bytes.size();
@@ -240,8 +242,11 @@
     this->gateway->metrics.ObserveFirstEvent(*this->route,
                                              now - this->received);
   } else {
-    this->longest_gap_ms = std::max(
-        this->longest_gap_ms, MillisecondsBetween(this->last_event_at, now));
+    const double gap_ms = MillisecondsBetween(this->last_event_at, now);
+    this->longest_gap_ms = std::max(this->longest_gap_ms, gap_ms);
+    // The gap at a resumption is none of this endpoint.
+    if (this->first_event_at != now)
+      stall::RecordGap(&this->endpoint->activity.pace, gap_ms);
     this->gateway->metrics.ObserveEventGap(*this->route,
                                            now - this->last_event_at);
   }
--- a/src/gateway/exchange_crash.cc
+++ b/src/gateway/exchange_crash.cc
@@ -39,7 +39,7 @@
 /// The connection ended before the answer. If the endpoint has crashed, this
 /// request may be the cause: it is not sent to another one, unless endpoints
 /// are known to answer such requests.
-void Exchange::OnSendBroken(const char* reason) {
+void Exchange::OnSendBroken(const char* reason, bool unreachable) {
   const bool may_be_cause =
       this->first_event_at == TimePoint() && !this->shared_parts.empty();
   if (!may_be_cause) {
@@ -47,7 +47,8 @@
     return;
   }
   const EndpointPtr broken = this->endpoint;
-  BrokenRequest request{this->shared_parts, this->head_read, BootNow()};
+  BrokenRequest request{this->shared_parts, this->head_read, BootNow(),
+                        unreachable};
   this->EndFailedSend(reason);
   std::function<void(bool)> done;
   const bool is_sound =
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -119,6 +119,7 @@
     this->tried_part.reset();
   }
   this->timer.cancel();
+  this->silence_timer.cancel();
   this->ReleaseEndpoint(false);
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -97,6 +97,14 @@
                      "coltsfootvane_gateway_adapter_requests_total",
                      "Requests to the lease holder for adapters "
                      "that no endpoint was known to have")),
+      stalled_sends(AddCounter(registry,
+                               "coltsfootvane_gateway_stalled_sends_total",
+                               "Sends without events that were given up for "
+                               "another endpoint")),
+      silence_probes(AddCounter(registry,
+                                "coltsfootvane_gateway_silence_probes_total",
+                                "Probes of endpoints whose answers had all "
+                                "fallen silent")),
       crashes(AddCounter(registry,
                          "coltsfootvane_gateway_endpoint_crashes_total",
                          "Endpoints that ended with requests unanswered")),
@@ -170,6 +178,22 @@
   this->adapter_requests->Add(labels).Increment();
 }
 
+void GatewayMetrics::CountStalledSend(std::string_view service,
+                                      std::string_view phase,
+                                      std::string_view result) {
+  Labels labels = ServiceLabel(service);
+  labels["phase"] = phase;
+  labels["result"] = result;
+  this->stalled_sends->Add(labels).Increment();
+}
+
+void GatewayMetrics::CountSilenceProbe(std::string_view service,
+                                       std::string_view result) {
+  Labels labels = ServiceLabel(service);
+  labels["result"] = result;
+  this->silence_probes->Add(labels).Increment();
+}
+
 void GatewayMetrics::CountCrash(std::string_view service) {
   this->crashes->Add(ServiceLabel(service)).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -56,6 +56,14 @@
   void CountNotice(std::string_view service, std::string_view notice);
   /// `outcome` is that of a request to the lease holder for an adapter.
   void CountAdapterRequest(std::string_view service, std::string_view outcome);
+  /// Counts a send that was given up for another one. `phase` is
+  /// `first_event` or `gap`, `result` is `moved` or `denied` by the budget.
+  void CountStalledSend(std::string_view service,
+                        std::string_view phase,
+                        std::string_view result);
+  /// `result` is `listening`, `refused`, `unreachable` or `answering`, if an
+  /// answer went on meanwhile.
+  void CountSilenceProbe(std::string_view service, std::string_view result);
   /// Counts an endpoint that ended with requests unanswered.
   void CountCrash(std::string_view service);
   /// `change` is `begun` or `ended`.
@@ -76,6 +84,8 @@
   Family<prometheus::Counter>* resumed;
   Family<prometheus::Counter>* notices;
   Family<prometheus::Counter>* adapter_requests;
+  Family<prometheus::Counter>* stalled_sends;
+  Family<prometheus::Counter>* silence_probes;
   Family<prometheus::Counter>* crashes;
   Family<prometheus::Counter>* quarantines;
 };
--- a/tests/support/gateway_scene.cc
+++ b/tests/support/gateway_scene.cc
@@ -1,6 +1,7 @@
 #include "support/gateway_scene.h"
 
 #include <fcntl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/asio/buffer.hpp>
@@ -20,6 +21,7 @@
 using net::tcp;
 
 constexpr Milliseconds kPatience{5000};
+constexpr int kQueueFillers = 3;
 
 gateway::Route MakeRoute(const char* prefix, gateway::RouteKind kind) {
   gateway::Route route;
@@ -86,8 +88,37 @@
       stream->Reset();
     else if (answer.then == ScriptedAnswer::Then::kCrash)
       this->Crash();
+    else if (answer.then == ScriptedAnswer::Then::kDark)
+      this->GoDark();
     else
       this->SendEndless(stream);
+    this->SendLater(stream->shared_from_this(), index, 0);
+  }
+
+  void SendLater(const std::shared_ptr<net::TcpStream>& stream,
+                 std::size_t index,
+                 std::size_t piece) {
+    const ScriptedAnswer& answer = this->scene->answers[index];
+    if (piece >= answer.later.size())
+      return;
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->scene->io,
+                                                             answer.interval);
+    timer->async_wait([this, timer, stream, index, piece](const BoostError&) {
+      stream->Write(this->scene->answers[index].later[piece]);
+      this->SendLater(stream, index, piece + 1);
+    });
+  }
+
+  /// The kernel drops new connections to a listener whose queue is full.
+  void GoDark() {
+    BoostError ignored;
+    this->acceptor.cancel(ignored);
+    ::listen(this->acceptor.native_handle(), 0);
+    for (int i = 0; i < kQueueFillers; ++i) {
+      this->fillers.emplace_back(this->scene->io);
+      this->fillers.back().async_connect(this->acceptor.local_endpoint(),
+                                         [](const BoostError&) {});
+    }
   }
 
   void Crash() {
@@ -117,6 +148,7 @@
   GatewayScene* scene;
   tcp::acceptor acceptor;
   std::vector<std::shared_ptr<net::TcpStream>> streams;
+  std::vector<tcp::socket> fillers;  ///< Of the queue, if it is dark.
 };
 
 std::shared_ptr<gateway::RoutingTable> SceneRoutes() {
--- a/tests/support/gateway_scene.h
+++ b/tests/support/gateway_scene.h
@@ -22,11 +22,14 @@
     kReset,
     kCrash,  ///< The endpoint ends: all its connections, and it listens no
              ///< more.
+    kDark,   ///< Its host answers nothing more: no new connections.
   };
   std::string bytes;
   Then then = Then::kKeep;
   std::string endless =
       {};  ///< Sent again and again until the connection ends.
+  std::vector<std::string> later = {};  ///< Sent one by one.
+  Milliseconds interval{0};             ///< Before each of these.
 };
 
 /// A gateway with callers and endpoints on loopback, all on one event loop.
