--- a/src/gateway/endpoint.h
+++ b/src/gateway/endpoint.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "gateway/endpoint_notice.h"
 #include "occupancy/work.h"
+#include "stall/stall.h"
 
 namespace coltsfootvane::gateway {
 
@@ -59,6 +60,7 @@
   /// Requests that the endpoint takes, as its load tracker has learned; 0 if
   /// that is not known.
   int place_limit = 0;
+  stall::Activity activity;  ///< Of this daemon's runs.
   RecentOutcomes outcomes;
   int peer_successes = 0;  ///< Recent outcomes reported by the other daemons.
   int peer_failures = 0;
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -37,6 +37,9 @@
                                         "quarantine-tried"};
 inline constexpr Event kQuotaOwnerSilent{2219, Severity::kWarning,
                                          "quota-owner-silent"};
+inline constexpr Event kStreamMoved{2230, Severity::kInfo, "stream-moved"};
+inline constexpr Event kEndpointSilent{2231, Severity::kWarning,
+                                       "endpoint-silent"};
 
 }  // namespace coltsfootvane::gateway
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -47,6 +47,7 @@
       body(std::move(request_body)),
       received(received_at),
       timer(*owner->io),
+      silence_timer(*owner->io),
       routes(owner->routes),
       head_bytes(net::FieldBytes(this->head.fields)),
       held_bytes(&owner->held_bytes) {
@@ -182,7 +183,8 @@
       return;
     }
   }
-  this->Send(choice);
+  if (!this->RefuseBeyondPatience(choice))
+    this->Send(choice);
 }
 
 Choice Exchange::ChooseNext(TimePoint now) {
@@ -281,6 +283,8 @@
   if (this->load.rounds > 0 && is_exact)
     this->load.found_running =
         this->endpoint->own.running + this->endpoint->peers.running;
+  this->last_bytes_at = TimePoint();
+  this->expected_ms = this->yields ? choice.yielding_wait_ms : choice.wait_ms;
   this->AddWork(this->engine == nullptr ? 0
                                         : TokensToPrefill(this->info, true));
   if (this->IsSampled()) {
@@ -370,6 +374,7 @@
     sent.fields.push_back({"Content-Length", std::to_string(length)});
   WriteMessage(this->stream.get(), net::FormatHead(sent), this->body);
   this->CountHeldBytes();
+  this->WatchSilence();
 }
 
 /// The endpoint has not executed the request and never will.
@@ -397,9 +402,9 @@
   this->RetryOrFail(reason);
 }
 
-void Exchange::EndFailedSend(std::string_view reason) {
+void Exchange::EndFailedSend(std::string_view reason, bool blames_endpoint) {
   this->gateway->metrics.CountFailedSend(this->service, "unknown", reason);
-  if (this->endpoint)
+  if (this->endpoint && blames_endpoint)
     RecordOutcome(this->endpoint.get(), false, BootNow());
   this->Log(kSendFailed,
             "outcome=unknown reason=\"" + std::string(reason) + "\" endpoint=" +
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -132,6 +132,7 @@
   this->timer.cancel();
   this->SettleQuota();
   this->load.wait_timer.reset();
+  this->silence_timer.cancel();
   this->ReleaseEndpoint(false);
   this->body = nullptr;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -105,7 +105,7 @@
   /// Records units of a team spent without permission or, if negative, granted
   /// and not spent.
   std::function<void(quota::TeamKey team, double units)> settle_quota;
-  LoadQuery query_load;    ///< May be empty, as is `update_load`.
+  LoadQuery query_load;  ///< May be empty, as is `update_load`.
   LoadUpdate update_load;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
