Gateway: Count generated tokens by the slots of an engine in the demand for models

Cause: the work of a generated token was that in a large batch, 0.15 ms. An engine of 12 slots needs three times as much, so that the plan of copies saw half of the work of streams and kept too few copies of models that are asked for. Change: the time per token of the runs that a daemon sees, divided by the slots of the engine; 0.15 ms at least, so that engines of 64 slots are planned as before.

--- a/src/fleet/report_unittest.cc
+++ b/src/fleet/report_unittest.cc
@@ -46,7 +46,7 @@
     request.model = "m" + std::to_string(model);
     request.prompt_tokens = 600;
     request.output_tokens = 300;
-    RecordDemand(&this->traffic, request, now);
+    RecordDemand(&this->traffic, request, 0.15, now);
   }
 
   /// Makes the next report and, unless it is lost, lets it be heard.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -77,7 +77,10 @@
     this->shared_parts = SharedParts(this->info);
     if (this->EndIfQuarantined())
       return;
-    RecordDemand(&this->gateway->traffic, this->info, now);
+    RecordDemand(&this->gateway->traffic, this->info,
+                 OutputTokenMs(this->gateway->traffic, this->service,
+                               this->engine->slots),
+                 now);
   }
   this->timer.expires_after(TimeLeft(this->deadline, now));
   this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -336,7 +336,8 @@
   RecordOutcome(this->endpoint.get(), true, now);
   if (this->engine != nullptr && this->first_event_at != TimePoint())
     RecordRun(&this->gateway->traffic, this->service,
-              MillisecondsBetween(this->first_event_at, now));
+              MillisecondsBetween(this->first_event_at, now),
+              this->info.output_tokens);
   const bool reusable = this->IsReusable();
   if (this->IsSampled())
     this->Log(kRequestAnswered, this->DescribeAnswer());
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -10,8 +10,8 @@
 
 /// Short enough to follow a shift of demand within the load time of a model.
 constexpr double kTimeConstantS = 3;
-/// Engine time per generated token in a batch.
-constexpr double kOutputTokenMs = 0.15;
+/// Least engine time of a generated token: that in a large batch.
+constexpr double kMinOutputTokenMs = 0.15;
 
 /// Weight of a new run in the moving average.
 constexpr double kNewRunWeight = 1.0 / 16;
@@ -21,9 +21,9 @@
 /// others.
 constexpr double kMaxCallRatio = 8;
 
-double WorkMs(const RequestInfo& request) {
+double WorkMs(const RequestInfo& request, double output_token_ms) {
   return TokensToPrefill(request, true) / kPromptTokensPerMs +
-         request.output_tokens * kOutputTokenMs;
+         request.output_tokens * output_token_ms;
 }
 
 void AddDemand(ModelDemand* demand, double work_ms, TimePoint now) {
@@ -33,8 +33,11 @@
 
 }  // namespace
 
-void RecordDemand(Traffic* traffic, const RequestInfo& request, TimePoint now) {
-  const double work_ms = WorkMs(request);
+void RecordDemand(Traffic* traffic,
+                  const RequestInfo& request,
+                  double output_token_ms,
+                  TimePoint now) {
+  const double work_ms = WorkMs(request, output_token_ms);
   AddDemand(&traffic->demand[request.model], work_ms, now);
   if (request.adapter.empty())
     return;
@@ -42,9 +45,26 @@
             work_ms, now);
 }
 
-void RecordRun(Traffic* traffic, const std::string& service, double run_ms) {
+void RecordRun(Traffic* traffic,
+               const std::string& service,
+               double run_ms,
+               int output_tokens) {
   const auto [run, inserted] = traffic->run_ms.emplace(service, kDefaultRunMs);
   run->second += kNewRunWeight * (run_ms - run->second);
+  if (output_tokens <= 0)
+    return;
+  const double token_ms = run_ms / output_tokens;
+  const auto [token, is_first] = traffic->token_ms.emplace(service, token_ms);
+  token->second += kNewRunWeight * (token_ms - token->second);
+}
+
+double OutputTokenMs(const Traffic& traffic,
+                     std::string_view service,
+                     int slots) {
+  const auto token = traffic.token_ms.find(service);
+  if (token == traffic.token_ms.end())
+    return kMinOutputTokenMs;
+  return std::max(kMinOutputTokenMs, token->second / std::max(1, slots));
 }
 
 double RunMs(const Traffic& traffic, std::string_view service) {
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -25,16 +25,34 @@
   /// Smoothed time from the first event of a stream to its end, in ms, by
   /// service.
   std::map<std::string, double, std::less<>> run_ms;
+  /// Smoothed time of a stream for each token that it was expected to generate,
+  /// in ms, by service.
+  std::map<std::string, double, std::less<>> token_ms;
   /// Smoothed time of a call to a plain service without waiting, in ms, by
   /// service.
   std::map<std::string, double, std::less<>> call_ms;
 };
 
 /// Adds the work of a request to the demand for its model and adapter.
-void RecordDemand(Traffic* traffic, const RequestInfo& request, TimePoint now);
+/// `output_token_ms` is the engine time of a generated token.
+void RecordDemand(Traffic* traffic,
+                  const RequestInfo& request,
+                  double output_token_ms,
+                  TimePoint now);
 
-/// Records how long a stream of the service took from its first event.
-void RecordRun(Traffic* traffic, const std::string& service, double run_ms);
+/// Records how long a stream of the service took from its first event, and how
+/// many tokens it was expected to generate.
+void RecordRun(Traffic* traffic,
+               const std::string& service,
+               double run_ms,
+               int output_tokens);
+
+/// Returns the time of an engine that a generated token takes, in ms: the time
+/// of the token in its stream, divided between the streams that an engine with
+/// so many slots generates at once.
+double OutputTokenMs(const Traffic& traffic,
+                     std::string_view service,
+                     int slots);
 
 /// Returns the typical time for which a request to the service occupies a slot
 /// of an engine, in ms.
