Store: Count the calls by cause, and log them

Change: Each caller names the cause of its call. Event 2410 lists the calls by cause and price every 10 s and at the end. Result: not measured; this is the means to measure.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -19,6 +19,7 @@
 
 constexpr Milliseconds kTick{250};
 constexpr Milliseconds kSettingsCheck{1000};
+constexpr Milliseconds kStoreCallsLogInterval{10'000};
 /// Share of the memory for requests and answers. Strings that grow take up to
 /// twice their length; the rest is for tables, the heap's own needs and what
 /// the kernel holds for sockets.
@@ -119,6 +120,8 @@
   this->quarantine_record.Start();
   this->Tick();
   this->io.run();
+  this->store_calls_log_at = TimePoint();
+  this->LogStoreCalls(BootNow());
   this->log.Write(kDaemonStopped, "",
                   "requests=" + std::to_string(this->gateway.traffic.requests));
   this->log.Flush();
@@ -247,6 +250,19 @@
   this->connections.erase(ended, this->connections.end());
 }
 
+void Daemon::LogStoreCalls(TimePoint now) {
+  const std::uint64_t calls = store::TotalCalls(*this->store.tally);
+  if (now < this->store_calls_log_at || calls == this->logged_store_calls)
+    return;
+  this->store_calls_log_at = now + kStoreCallsLogInterval;
+  this->logged_store_calls = calls;
+  this->log.Write(
+      kStoreCalls, "",
+      "total=" + std::to_string(calls) + " " +
+          store::FormatTally(*this->store.tally) +
+          " reader=" + (this->fleet.ReadsLatestState() ? "1" : "0"));
+}
+
 void Daemon::Tick() {
   this->gateway.connections.DropExpired();
   this->gateway.crash_watch.Tick(BootNow());
@@ -256,6 +272,7 @@
   this->ForgetEndedConnections();
   this->CheckSettingsFile();
   const TimePoint now = BootNow();
+  this->LogStoreCalls(now);
   TimePoint next = now + kTick;
   if (this->gateway.leaving) {
     if (now >= this->shutdown.last_answer_at)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -51,6 +51,8 @@
   void CloseIdleConnections();
   void ForgetEndedConnections();
   void Tick();
+  /// Logs the calls to the store now and then, if there were any.
+  void LogStoreCalls(TimePoint now);
 
   DaemonSettings settings;
   boost::asio::io_context io;
@@ -73,6 +75,8 @@
   std::vector<std::weak_ptr<gateway::CallerConnection>> connections;
   std::filesystem::file_time_type settings_written;
   TimePoint settings_check_at;
+  TimePoint store_calls_log_at;
+  std::uint64_t logged_store_calls = 0;
   Shutdown shutdown;
 };
 
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -23,6 +23,8 @@
 inline constexpr Event kViewUnconfirmed{2409, Severity::kInfo,
                                         "view-unconfirmed"};
 
+inline constexpr Event kStoreCalls{2410, Severity::kInfo, "store-calls"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- a/src/daemon/quarantine_record.cc
+++ b/src/daemon/quarantine_record.cc
@@ -150,6 +150,8 @@
 
 void QuarantineRecord::Load() {
   this->call_in_progress = true;
+  store::CountCall(*this->store, store::CallCause::kRecord,
+                   store::Freshness::kLatest);
   this->store->read(
       kKind, kName, store::Freshness::kLatest,
       [this](const Result<store::Object>& object) { this->OnLoaded(object); });
@@ -197,6 +199,8 @@
   const auto done = [this](const Result<store::Object>& written) {
     this->OnWritten(written);
   };
+  store::CountCall(*this->store, store::CallCause::kRecord,
+                   store::Freshness::kLatest);
   if (this->revision == 0)
     this->store->create(kKind, object, done);
   else
--- a/src/fleet/daemon_registry.cc
+++ b/src/fleet/daemon_registry.cc
@@ -37,6 +37,8 @@
 }
 
 void DaemonRegistry::Announce() {
+  store::CountCall(*this->store, store::CallCause::kRegistry,
+                   store::Freshness::kLatest);
   this->store->create(
       kKind, this->OwnEntry(), [this](const Result<store::Object>& created) {
         if (created) {
@@ -53,6 +55,8 @@
 
 /// Replaces the entry of an earlier process if it has another address.
 void DaemonRegistry::UpdateEntry() {
+  store::CountCall(*this->store, store::CallCause::kRegistry,
+                   store::Freshness::kLatest);
   this->store->read(
       kKind, this->daemon_name, store::Freshness::kLatest,
       [this](const Result<store::Object>& entry) {
@@ -66,6 +70,8 @@
           return;
         }
         own.revision = entry.value().revision;
+        store::CountCall(*this->store, store::CallCause::kRegistry,
+                         store::Freshness::kLatest);
         this->store->replace(
             kKind, own, [this](const Result<store::Object>& replaced) {
               if (replaced)
@@ -77,6 +83,7 @@
 }
 
 void DaemonRegistry::List(store::Freshness freshness) {
+  store::CountCall(*this->store, store::CallCause::kRegistry, freshness);
   this->store->list(
       kKind, freshness, [this](const Result<store::Listing>& listing) {
         if (listing) {
--- a/src/orders/lease_manager.cc
+++ b/src/orders/lease_manager.cc
@@ -105,6 +105,7 @@
   // A stale read is sufficient: a takeover is conditional on its revision.
   const auto freshness = this->lease.up_to_date ? store::Freshness::kStale
                                                 : store::Freshness::kLatest;
+  store::CountCall(*this->store, store::CallCause::kLease, freshness);
   this->store->read(
       kLeaseKind, kLeaseName, freshness, [this](Result<store::Object> object) {
         this->call_in_progress = false;
@@ -138,6 +139,8 @@
     this->OnWritten(step, spec, written, start, was_released);
   };
   const store::Object object = ToObject(spec, this->lease.resource_version);
+  store::CountCall(*this->store, store::CallCause::kLease,
+                   store::Freshness::kLatest);
   if (step == LeaseStep::kCreate)
     this->store->create(kLeaseKind, object, std::move(done));
   else
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -50,6 +50,7 @@
 
 void KindFollower::List() {
   this->watching = false;
+  CountCall(*this->store, this->list_cause, Freshness::kLatest);
   this->store->list(this->kind.name, Freshness::kLatest,
                     [this, current = this->generation,
                      start = BootNow()](const Result<Listing>& listing) {
@@ -78,6 +79,7 @@
   if (known_revision <= std::max(this->revision, this->catching_up_to))
     return;
   this->catching_up_to = known_revision;
+  CountCall(*this->store, CallCause::kGap, Freshness::kLatest);
   this->store->list(this->kind.name, Freshness::kLatest,
                     [this, start = BootNow()](const Result<Listing>& listing) {
                       this->catching_up_to = 0;
@@ -104,6 +106,7 @@
 void KindFollower::Refresh() {
   ++this->generation;
   this->timer.cancel();
+  this->list_cause = CallCause::kRetry;
   this->List();
 }
 
@@ -111,8 +114,11 @@
   const bool latest = this->freshness == Freshness::kLatest;
   Milliseconds wait =
       latest ? this->kind.latest_watch_wait : this->kind.watch_wait;
-  if (latest && std::exchange(this->confirm_at_once, false))
+  const bool at_once = latest && std::exchange(this->confirm_at_once, false);
+  if (at_once)
     wait = kNoWait;
+  CountCall(*this->store, at_once ? CallCause::kCheck : CallCause::kWatch,
+            this->freshness);
   this->watching = true;
   this->watched = this->freshness;
   this->store->watch(this->kind.name, this->revision, wait, this->freshness,
@@ -163,10 +169,12 @@
     this->log->Write(kHistoryGone, "",
                      "kind=" + this->kind.name +
                          " revision=" + std::to_string(this->revision));
+    this->list_cause = CallCause::kGap;
     this->List();
     return;
   }
   this->SetReachable(false, error.message);
+  this->list_cause = CallCause::kRetry;
   const int doublings = std::min(this->failures++, kMostDoublings);
   const auto backoff = kFirstBackoff * (1 << doublings);
   const auto jitter = static_cast<std::int64_t>(
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -96,6 +96,7 @@
   std::int64_t catching_up_to = 0;  ///< Asked for and not yet answered.
   int generation = 0;               ///< Identifies answers to earlier calls.
   int failures = 0;                 ///< In a row.
+  CallCause list_cause = CallCause::kStart;  ///< Of the next listing.
   bool reachable = false;
   TimePoint heard_at;
   TimePoint confirmed_at;
--- a/src/store/metered_store.cc
+++ b/src/store/metered_store.cc
@@ -72,6 +72,7 @@
            .Help("From a call to the store to its answer")
            .Register(*registry)};
   ObjectStore metered;
+  metered.tally = std::make_shared<CallTally>();
   metered.list = [metrics, call = std::move(inner.list)](
                      const std::string& kind, Freshness freshness,
                      Handler<Listing> handler) {
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "store/call_tally.h"
 
 namespace coltsfootvane::store {
 
@@ -66,6 +68,8 @@
   /// Replaces the object if it still has the revision.
   std::function<void(const std::string& kind, const Object&, Handler<Object>)>
       replace;
+  /// Counts the calls by cause; may be null.
+  std::shared_ptr<CallTally> tally;
 };
 
 }  // namespace coltsfootvane::store
