--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -19,6 +19,10 @@
 
 constexpr Milliseconds kTick{250};
 constexpr Milliseconds kSettingsCheck{1000};
+/// Of a large fleet, so many daemons watch the lease to take it over, and so
+/// many look often for daemons that are not known.
+constexpr std::size_t kLeaseCandidates = 6;
+constexpr std::size_t kListers = 2;
 constexpr Milliseconds kStoreCallsLogInterval{10'000};
 /// Share of the memory for requests and answers. Strings that grow take up to
 /// twice their length; the rest is for tables, the heap's own needs and what
@@ -52,6 +56,10 @@
       metrics(
           &this->io,
           [this](std::string_view path) { return this->AnswerHealth(path); }),
+      peers(&this->io,
+            [this](std::string_view path) {
+              return this->store_view.News().Answer(path);
+            }),
       fleet(&this->io, &this->gateway),
       store_view(&this->io,
                  &this->deployment,
@@ -59,7 +67,9 @@
                  &this->gateway,
                  &this->fleet,
                  &this->log,
-                 daemon_settings.in_force_limit),
+                 daemon_settings.in_force_limit,
+                 &this->client,
+                 daemon_settings.peer_port),
       registry(&this->io,
                &this->store,
                daemon_settings.name,
@@ -98,6 +108,12 @@
   this->lease.is_holder_silent = [this](std::int64_t epoch) {
     return this->fleet.IsHolderSilent(epoch);
   };
+  this->lease.may_compete = [this] {
+    return !this->fleet.IsLarge() || this->fleet.IsAmongReaders(kLeaseCandidates);
+  };
+  this->registry.lists_rarely = [this] {
+    return this->fleet.IsLarge() && !this->fleet.IsAmongReaders(kListers);
+  };
   this->lease.on_store_back = [this] { this->store_view.Refresh(); };
   this->gateway.request_adapter = [this](const gateway::AdapterWanted& wanted,
                                          gateway::AdapterHandler done) {
@@ -133,6 +149,9 @@
       this->fleet.Open({this->settings.ip, this->settings.peer_port});
   if (!fleet_open)
     return fleet_open.error();
+  // If it is not open, the others fetch from elsewhere.
+  static_cast<void>(
+      this->peers.Open({this->settings.ip, this->settings.peer_port}));
   const Result<bool> health_open = this->health.Open(this->settings.health);
   if (!health_open)
     return health_open.error();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -64,6 +64,7 @@
   gateway::Listener callers;
   gateway::HealthListener health;
   gateway::HealthListener metrics;
+  gateway::HealthListener peers;  ///< Other daemons, see StoreNews::Answer().
   fleet::Fleet fleet;
   StoreView store_view;
   fleet::DaemonRegistry registry;
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -25,6 +25,8 @@
 
 inline constexpr Event kStoreCalls{2410, Severity::kInfo, "store-calls"};
 
+inline constexpr Event kStoreReader{2411, Severity::kInfo, "store-reader"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- /dev/null
+++ b/src/daemon/news_recovery.cc
@@ -0,0 +1,79 @@
+#include "daemon/news_recovery.h"
+
+#include <algorithm>
+
+namespace coltsfootvane::daemon {
+namespace {
+
+constexpr int kAsks = 2;
+constexpr int kFetches = 4;
+/// A daemon answers in a few ms; one that shares a core with others, later.
+constexpr Milliseconds kAskTimeout{120};
+/// Beyond the longest time of a fetch.
+constexpr Milliseconds kFetchTimeout{1500};
+constexpr int kMinFetchPauseMs = 60;
+constexpr int kMaxFetchPauseMs = 200;
+/// From one listing to the next, with as much at random.
+constexpr int kListPauseMs = 2000;
+
+Milliseconds Between(int least, int most, std::mt19937_64* random) {
+  return Milliseconds(
+      std::uniform_int_distribution<int>(least, most)(*random));
+}
+
+}  // namespace
+
+void Want(std::int64_t revision,
+          std::uint32_t source,
+          RecoveryKind kind,
+          TimePoint now,
+          Milliseconds delay,
+          NewsRecovery* recovery) {
+  if (revision <= recovery->wanted)
+    return;
+  const bool is_first = recovery->wanted == 0;
+  recovery->wanted = revision;
+  recovery->source = source;
+  if (!is_first)
+    return;
+  recovery->asks_left = kind == RecoveryKind::kChanges ? kAsks : 0;
+  recovery->fetches_left = kFetches;
+  recovery->next_at = now + delay;
+}
+
+RecoveryStep NextStep(std::int64_t own_revision,
+                      TimePoint now,
+                      std::mt19937_64* random,
+                      NewsRecovery* recovery) {
+  if (recovery->wanted <= own_revision)
+    recovery->wanted = 0;
+  if (recovery->wanted == 0 || now < recovery->next_at)
+    return RecoveryStep::kNone;
+  if (recovery->asks_left > 0) {
+    --recovery->asks_left;
+    recovery->next_at = now + kAskTimeout;
+    return RecoveryStep::kAsk;
+  }
+  if (recovery->fetches_left > 0) {
+    --recovery->fetches_left;
+    recovery->next_at = now + kFetchTimeout;
+    return RecoveryStep::kFetch;
+  }
+  recovery->next_at = now + Between(kListPauseMs, kListPauseMs * 2, random);
+  return RecoveryStep::kList;
+}
+
+void SkipAsks(TimePoint now, NewsRecovery* recovery) {
+  if (recovery->wanted == 0 || recovery->asks_left == 0)
+    return;
+  recovery->asks_left = 0;
+  recovery->next_at = now;
+}
+
+void EndFetch(TimePoint now, std::mt19937_64* random, NewsRecovery* recovery) {
+  recovery->next_at = std::min(
+      recovery->next_at,
+      now + Between(kMinFetchPauseMs, kMaxFetchPauseMs, random));
+}
+
+}  // namespace coltsfootvane::daemon
--- /dev/null
+++ b/src/daemon/news_recovery.h
@@ -0,0 +1,56 @@
+#ifndef COLTSFOOTVANE_DAEMON_NEWS_RECOVERY_H_
+#define COLTSFOOTVANE_DAEMON_NEWS_RECOVERY_H_
+
+#include <cstdint>
+#include <random>
+
+#include "base/clock.h"
+
+namespace coltsfootvane::daemon {
+
+/// What to do about changes that others have seen and this daemon has not.
+enum class RecoveryStep {
+  kNone,
+  kAsk,    ///< Ask a daemon for the changes, by datagram.
+  kFetch,  ///< Fetch the whole state from a daemon.
+  kList,   ///< List the kind in the store.
+};
+
+/// Recovers the changes of one kind that the news have not brought. Daemons are
+/// asked first, so that a lost datagram costs no call to the store.
+struct NewsRecovery {
+  std::int64_t wanted = 0;     ///< Revision to reach; 0 if nothing is missing.
+  std::uint32_t source = 0;    ///< A daemon that has it.
+  int asks_left = 0;
+  int fetches_left = 0;
+  TimePoint next_at;
+};
+
+/// Whether daemons answer requests for single changes of the kind.
+enum class RecoveryKind { kChanges, kWhole };
+
+/// Records that `source` has seen `revision`. The first step is due after
+/// `delay`, which gives news that are on their way time to arrive.
+void Want(std::int64_t revision,
+          std::uint32_t source,
+          RecoveryKind kind,
+          TimePoint now,
+          Milliseconds delay,
+          NewsRecovery* recovery);
+
+/// Returns the step that is due for a view that holds `own_revision`, and
+/// schedules the next one.
+RecoveryStep NextStep(std::int64_t own_revision,
+                      TimePoint now,
+                      std::mt19937_64* random,
+                      NewsRecovery* recovery);
+
+/// Records that daemons cannot answer with single changes any more.
+void SkipAsks(TimePoint now, NewsRecovery* recovery);
+/// Records that a fetch has ended. A failed one is repeated soon, from another
+/// daemon.
+void EndFetch(TimePoint now, std::mt19937_64* random, NewsRecovery* recovery);
+
+}  // namespace coltsfootvane::daemon
+
+#endif  // COLTSFOOTVANE_DAEMON_NEWS_RECOVERY_H_
--- /dev/null
+++ b/src/daemon/store_news.cc
@@ -0,0 +1,330 @@
+#include "daemon/store_news.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootvane::daemon {
+namespace {
+
+namespace gen = fleet::gen;
+using BoostError = boost::system::error_code;
+
+/// While something is missing or to be repeated.
+constexpr Milliseconds kTimerInterval{40};
+/// A datagram of the same news that takes another way is some ms behind.
+constexpr int kMaxNewsDelayMs = 30;
+/// Reports may overtake news, which take up to three hops.
+constexpr int kMinReportDelayMs = 60;
+constexpr int kMaxReportDelayMs = 140;
+/// A configuration passes from daemon to daemon, each of which fetches it.
+constexpr int kMinConfigDelayMs = 300;
+constexpr int kMaxConfigDelayMs = 600;
+/// Urgent changes are sent again after these times, through other relays.
+constexpr Milliseconds kRepeats[] = {Milliseconds(100), Milliseconds(260)};
+constexpr std::size_t kMaxRepeatBytes = 900;
+constexpr std::size_t kMaxPatchBytes = 1000;
+/// A daemon that lacks more gets no single changes.
+constexpr std::size_t kMaxAnswerDatagrams = 6;
+
+std::vector<std::uint32_t> FromWire(const std::vector<std::int32_t>& wire) {
+  std::vector<std::uint32_t> addresses;
+  addresses.reserve(wire.size());
+  for (const std::int32_t address : wire)
+    addresses.push_back(static_cast<std::uint32_t>(address));
+  return addresses;
+}
+
+bool LeavesOut(const gen::StoreBatch& batch) {
+  return std::any_of(batch.changes.begin(), batch.changes.end(),
+                     [](const gen::EndpointNews& one) { return one.left_out; });
+}
+
+}  // namespace
+
+StoreNews::StoreNews(boost::asio::io_context* io,
+                     gateway::Gateway* own_gateway,
+                     fleet::Fleet* own_fleet,
+                     net::HttpClient* http_client,
+                     unsigned short port,
+                     NewsTarget news_target)
+    : timer(*io),
+      gateway(own_gateway),
+      fleet(own_fleet),
+      client(http_client),
+      peer_port(port),
+      target(std::move(news_target)) {
+  this->fleet->on_store_news = [this](const gen::StoreNews& news,
+                                      std::uint32_t from) {
+    this->OnNews(news, from);
+  };
+  this->fleet->on_store_news_request = [this](std::int64_t revision,
+                                              std::uint32_t from) {
+    this->OnRequest(revision, from);
+  };
+  this->fleet->on_config_news = [this](const gen::ConfigNews& news,
+                                       std::uint32_t from) {
+    this->OnConfigNews(news, from);
+  };
+}
+
+void StoreNews::BeginLog(std::int64_t revision) {
+  this->log = {};
+  this->log.covered_to = revision;
+}
+
+void StoreNews::Record(gen::StoreBatch batch, bool tells, bool urgent) {
+  const std::vector<gen::StoreBatch> parts =
+      fleet::SplitBatch(std::move(batch));
+  std::size_t bytes = 0;
+  for (const gen::StoreBatch& part : parts) {
+    fleet::Append(part, &this->log);
+    bytes += fleet::SizeOf(part);
+  }
+  if (!tells)
+    return;
+  ++this->counts.pushed;
+  // What was sent before mends a datagram that was lost.
+  if (bytes < kMaxRepeatBytes) {
+    this->Send(fleet::LastBatches(this->log, kMaxRepeatBytes));
+  } else {
+    for (const std::vector<gen::StoreBatch>& group :
+         fleet::GroupBatches(parts))
+      this->Send(group);
+  }
+  if (!urgent)
+    return;
+  const TimePoint now = BootNow();
+  this->repeats.clear();
+  for (const Milliseconds after : kRepeats)
+    this->repeats.push_back(now + after);
+  this->Schedule();
+}
+
+void StoreNews::Send(const std::vector<gen::StoreBatch>& batches) {
+  if (batches.empty())
+    return;
+  gen::StoreNews news;
+  news.batches = batches;
+  news.origin = static_cast<std::int32_t>(this->fleet->OwnAddress());
+  this->fleet->Spread(std::move(news), this->fleet->LiveAddresses());
+}
+
+void StoreNews::SendRepeats() {
+  const std::vector<gen::StoreBatch> last =
+      fleet::LastBatches(this->log, kMaxRepeatBytes);
+  if (!last.empty())
+    this->Send(last);
+  else if (!this->log.batches.empty())
+    this->Send({this->log.batches.back()});
+}
+
+void StoreNews::RecordConfig(std::int64_t revision,
+                             const nlohmann::json& spec,
+                             bool tells) {
+  if (revision <= this->config.revision || spec.is_null())
+    return;
+  ConfigText text{revision, FormatConfig(spec)};
+  gen::ConfigNews news;
+  news.revision = revision;
+  news.base_revision = this->config.revision;
+  news.digest = DigestOf(text.text);
+  news.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
+  if (tells && this->config.revision > 0) {
+    Result<std::string> patch =
+        MakePatch(this->config.text, text.text, kMaxPatchBytes);
+    if (patch)
+      news.__set_patch(std::move(patch).value());
+  }
+  this->config = std::move(text);
+  if (!tells) {
+    this->PassOnConfig();
+    return;
+  }
+  ++this->counts.pushed;
+  this->config_news = news;
+  this->fleet->Spread(std::move(news), this->fleet->LiveAddresses());
+}
+
+void StoreNews::OnNews(const gen::StoreNews& news, std::uint32_t from) {
+  if (!news.relay_to.empty()) {
+    gen::StoreNews passed_on = news;
+    passed_on.relay_to.clear();
+    this->fleet->Spread(std::move(passed_on), FromWire(news.relay_to));
+  }
+  if (news.too_old)
+    SkipAsks(BootNow(), &this->endpoints_recovery);
+  // Before the first listing there is nothing that changes could apply to.
+  if (this->target.endpoints_revision() == 0)
+    return;
+  for (const gen::StoreBatch& batch : news.batches)
+    this->OnBatch(batch, from);
+}
+
+void StoreNews::OnBatch(gen::StoreBatch batch, std::uint32_t from) {
+  const std::int64_t revision = this->target.endpoints_revision();
+  switch (fleet::Fit(batch, revision)) {
+    case fleet::BatchFit::kKnown:
+      return;
+    case fleet::BatchFit::kApplies:
+      break;
+    case fleet::BatchFit::kGap: {
+      const TimePoint now = BootNow();
+      const auto delay = static_cast<int>(this->gateway->random() %
+                                          kMaxNewsDelayMs);
+      Want(batch.to_revision, from, RecoveryKind::kChanges, now,
+           Milliseconds(delay), &this->endpoints_recovery);
+      if (LeavesOut(batch) && revision >= batch.from_revision)
+        SkipAsks(now, &this->endpoints_recovery);
+      ++this->counts.gaps;
+      this->Schedule();
+      return;
+    }
+  }
+  this->target.apply_batch(batch);
+  ++this->counts.applied;
+  // There was nothing between the end of the log and the view.
+  batch.from_revision = std::min(batch.from_revision, this->log.covered_to);
+  fleet::Append(std::move(batch), &this->log);
+}
+
+void StoreNews::OnRequest(std::int64_t revision, std::uint32_t from) {
+  ++this->counts.answered;
+  gen::StoreNews answer;
+  answer.origin = static_cast<std::int32_t>(this->fleet->OwnAddress());
+  Result<std::vector<gen::StoreBatch>> batches =
+      fleet::BatchesSince(this->log, revision);
+  const auto groups =
+      batches ? fleet::GroupBatches(batches.value())
+              : std::vector<std::vector<gen::StoreBatch>>();
+  if (!batches || groups.size() > kMaxAnswerDatagrams) {
+    answer.__set_too_old(true);
+    this->fleet->SendStoreNews(from, answer);
+    return;
+  }
+  for (const std::vector<gen::StoreBatch>& group : groups) {
+    answer.batches = group;
+    this->fleet->SendStoreNews(from, answer);
+  }
+  // Nothing has changed since the end of the log.
+  const std::int64_t own = this->target.endpoints_revision();
+  if (own <= this->log.covered_to)
+    return;
+  gen::StoreBatch empty;
+  empty.from_revision = this->log.covered_to;
+  empty.base_until = own;
+  empty.to_revision = own;
+  answer.batches = {empty};
+  this->fleet->SendStoreNews(from, answer);
+}
+
+void StoreNews::OnConfigNews(const gen::ConfigNews& news, std::uint32_t from) {
+  const std::vector<std::uint32_t> relay_to = FromWire(news.relay_to);
+  const bool has_it =
+      this->config.revision >= news.revision || this->TryPatch(news);
+  if (news.__isset.patch || has_it) {
+    gen::ConfigNews passed_on = news;
+    if (has_it)
+      passed_on.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
+    this->fleet->Spread(std::move(passed_on), relay_to);
+  } else if (news.revision >= this->config_news.revision) {
+    if (news.revision > this->config_news.revision)
+      this->config_relay_to.clear();
+    this->config_news = news;
+    this->config_relay_to.insert(this->config_relay_to.end(), relay_to.begin(),
+                                 relay_to.end());
+  }
+  if (has_it)
+    return;
+  const auto source = static_cast<std::uint32_t>(news.source);
+  Want(news.revision, source != 0 ? source : from, RecoveryKind::kWhole,
+       BootNow(), Milliseconds(0), &this->config_recovery);
+  this->config_recovery.source = source != 0 ? source : from;
+  this->config_recovery.next_at = BootNow();
+  this->RecoverConfig(BootNow());
+  this->Schedule();
+}
+
+bool StoreNews::TryPatch(const gen::ConfigNews& news) {
+  if (!news.__isset.patch || this->config.revision == 0 ||
+      news.base_revision != this->config.revision)
+    return false;
+  Result<std::string> patched =
+      ApplyPatch(this->config.text, news.patch, news.digest);
+  if (!patched)
+    return false;
+  this->TakeConfig({news.revision, std::move(patched).value()});
+  return true;
+}
+
+void StoreNews::TakeConfig(ConfigText taken) {
+  nlohmann::json spec = nlohmann::json::parse(taken.text, nullptr, false);
+  if (taken.revision <= this->config.revision || spec.is_discarded())
+    return;
+  ++this->counts.applied;
+  this->config = std::move(taken);
+  this->target.apply_config(this->config.revision, std::move(spec));
+}
+
+void StoreNews::PassOnConfig() {
+  if (this->config.revision < this->config_news.revision ||
+      this->config_relay_to.empty())
+    return;
+  gen::ConfigNews news = this->config_news;
+  news.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
+  this->fleet->Spread(std::move(news),
+                      std::exchange(this->config_relay_to, {}));
+}
+
+void StoreNews::WantEndpoints(std::int64_t revision, std::uint32_t source) {
+  if (revision <= this->endpoints_recovery.wanted)
+    return;
+  std::uniform_int_distribution<int> delay(kMinReportDelayMs,
+                                           kMaxReportDelayMs);
+  Want(revision, source,
+       this->target.endpoints_revision() == 0 ? RecoveryKind::kWhole
+                                              : RecoveryKind::kChanges,
+       BootNow(), Milliseconds(delay(this->gateway->random)),
+       &this->endpoints_recovery);
+  ++this->counts.gaps;
+  this->Schedule();
+}
+
+void StoreNews::WantConfig(std::int64_t revision, std::uint32_t source) {
+  if (revision <= this->config_recovery.wanted)
+    return;
+  std::uniform_int_distribution<int> delay(kMinConfigDelayMs,
+                                           kMaxConfigDelayMs);
+  Want(revision, source, RecoveryKind::kWhole, BootNow(),
+       Milliseconds(delay(this->gateway->random)), &this->config_recovery);
+  ++this->counts.gaps;
+  this->Schedule();
+}
+
+void StoreNews::Schedule() {
+  if (this->scheduled)
+    return;
+  this->scheduled = true;
+  this->timer.expires_after(kTimerInterval);
+  this->timer.async_wait([this](const BoostError& ec) {
+    if (!ec)
+      this->OnTimer();
+  });
+}
+
+void StoreNews::OnTimer() {
+  const TimePoint now = BootNow();
+  this->scheduled = false;
+  const auto due = std::remove_if(this->repeats.begin(), this->repeats.end(),
+                                  [now](TimePoint at) { return at <= now; });
+  if (due != this->repeats.end()) {
+    this->repeats.erase(due, this->repeats.end());
+    this->SendRepeats();
+  }
+  this->RecoverEndpoints(now);
+  this->RecoverConfig(now);
+  if (!this->repeats.empty() || this->endpoints_recovery.wanted != 0 ||
+      this->config_recovery.wanted != 0)
+    this->Schedule();
+}
+
+}  // namespace coltsfootvane::daemon
--- /dev/null
+++ b/src/daemon/store_news_fetch.cc
@@ -0,0 +1,139 @@
+#include <utility>
+
+#include "daemon/store_news.h"
+#include "fleet/codec.h"
+
+namespace coltsfootvane::daemon {
+namespace {
+
+namespace gen = fleet::gen;
+
+constexpr char kEndpointsPath[] = "/store/endpoints";
+constexpr char kConfigPath[] = "/store/config";
+constexpr Milliseconds kFetchTimeout{1200};
+
+}  // namespace
+
+void StoreNews::RecoverEndpoints(TimePoint now) {
+  const std::int64_t own = this->target.endpoints_revision();
+  NewsRecovery& recovery = this->endpoints_recovery;
+  const RecoveryStep step =
+      NextStep(own, now, &this->gateway->random, &recovery);
+  if (step == RecoveryStep::kNone)
+    return;
+  if (step == RecoveryStep::kList) {
+    this->target.list_endpoints();
+    return;
+  }
+  // The daemon that told of the changes is asked once.
+  std::uint32_t from = std::exchange(recovery.source, 0);
+  if (from == 0)
+    from = this->fleet->PickMember([&recovery](const gen::Report& report) {
+      return report.endpoints_revision >= recovery.wanted;
+    });
+  if (from == 0)
+    from = this->fleet->PickMember([](const gen::Report&) { return true; });
+  if (from == 0)
+    return;
+  if (step == RecoveryStep::kAsk) {
+    ++this->counts.asked;
+    this->fleet->RequestStoreNews(from, own);
+  } else {
+    this->FetchEndpoints(from);
+  }
+}
+
+void StoreNews::RecoverConfig(TimePoint now) {
+  NewsRecovery& recovery = this->config_recovery;
+  const RecoveryStep step = NextStep(this->config.revision, now,
+                                     &this->gateway->random, &recovery);
+  if (step == RecoveryStep::kNone)
+    return;
+  if (step == RecoveryStep::kList) {
+    this->target.list_config();
+    return;
+  }
+  std::uint32_t from = std::exchange(recovery.source, 0);
+  if (from == 0)
+    from = this->fleet->PickMember([&recovery](const gen::Report& report) {
+      return report.config_revision >= recovery.wanted;
+    });
+  if (from != 0)
+    this->FetchConfig(from);
+  else
+    EndFetch(now, &this->gateway->random, &recovery);
+}
+
+void StoreNews::Fetch(std::uint32_t from,
+                      const char* path,
+                      std::function<void(const std::string*)> done) {
+  net::RequestHead head;
+  head.method = "GET";
+  head.target = path;
+  head.fields.push_back({"Connection", "close"});
+  this->client->Call(
+      {boost::asio::ip::address_v4(from), this->peer_port}, std::move(head), {},
+      kFetchTimeout, true,
+      [done = std::move(done)](const Result<net::WholeResponse>& response) {
+        const bool ok = response && response.value().head.status == 200;
+        done(ok ? &response.value().body : nullptr);
+      });
+}
+
+void StoreNews::FetchEndpoints(std::uint32_t from) {
+  if (std::exchange(this->fetching_endpoints, true))
+    return;
+  this->Fetch(from, kEndpointsPath, [this](const std::string* body) {
+    this->fetching_endpoints = false;
+    EndFetch(BootNow(), &this->gateway->random, &this->endpoints_recovery);
+    if (body == nullptr)
+      return;
+    const Result<gen::Datagram> decoded = fleet::DecodeSnapshot(*body);
+    if (!decoded || !decoded.value().__isset.store_news ||
+        decoded.value().store_news.batches.size() != 1)
+      return;
+    const gen::StoreBatch& all = decoded.value().store_news.batches[0];
+    if (all.to_revision <= this->target.endpoints_revision())
+      return;
+    ++this->counts.fetched;
+    this->target.apply_snapshot(all);
+    this->BeginLog(all.to_revision);
+  });
+}
+
+void StoreNews::FetchConfig(std::uint32_t from) {
+  if (std::exchange(this->fetching_config, true))
+    return;
+  this->Fetch(from, kConfigPath, [this](const std::string* body) {
+    this->fetching_config = false;
+    EndFetch(BootNow(), &this->gateway->random, &this->config_recovery);
+    if (body == nullptr)
+      return;
+    Result<ConfigText> taken = ReadTransfer(*body);
+    if (!taken || taken.value().revision <= this->config.revision)
+      return;
+    ++this->counts.fetched;
+    this->TakeConfig(std::move(taken).value());
+    this->PassOnConfig();
+  });
+}
+
+gateway::HealthAnswer StoreNews::Answer(std::string_view path) {
+  constexpr int kNoRoom = 503;
+  gateway::HealthAnswer answer;
+  if (path == kConfigPath && this->config.revision > 0) {
+    answer = {200, FormatTransfer(this->config)};
+  } else if (path == kEndpointsPath && this->target.endpoints_revision() > 0) {
+    gen::StoreNews news;
+    news.batches = {this->target.make_snapshot()};
+    gen::Datagram datagram;
+    datagram.__set_store_news(news);
+    answer = {200, fleet::Encode(datagram)};
+  }
+  if (answer.status == 200 &&
+      !TryTransfer(answer.body.size(), BootNow(), &this->transfers))
+    return {kNoRoom, "busy\n"};
+  return answer;
+}
+
+}  // namespace coltsfootvane::daemon
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -37,7 +37,9 @@
                      gateway::Gateway* own_gateway,
                      fleet::Fleet* own_fleet,
                      DecisionLog* decision_log,
-                     Milliseconds change_limit)
+                     Milliseconds change_limit,
+                     net::HttpClient* client,
+                     unsigned short peer_port)
     : deployment(own_deployment),
       gateway(own_gateway),
       fleet(own_fleet),
@@ -66,7 +68,8 @@
                .Help("Reads of the latest state because no daemon had shown "
                      "for too long that the view is complete")
                .Register(own_gateway->registry)
-               .Add({})) {}
+               .Add({})),
+      news(io, own_gateway, own_fleet, client, peer_port, this->Target()) {}
 
 store::FollowerEvents StoreView::ConfigEvents() {
   store::FollowerEvents events = Events(
@@ -105,7 +108,7 @@
 void StoreView::OnEndpointsReachable(bool reachable) {
   if (!reachable)
     this->endpoints_lost_at = BootNow();
-  else if (this->config.Reachable() &&
+  else if (!this->relies_on_news && this->config.Reachable() &&
            this->config.HeardAt() < this->endpoints_lost_at)
     this->config.Refresh();
 }
@@ -115,11 +118,22 @@
   this->endpoints.Start();
 }
 
-void StoreView::CatchUp(const fleet::SeenRevisions& news) {
-  this->config.CatchUp(news.config_revision);
-  this->endpoints.CatchUp(news.endpoints_revision);
-  this->config.Confirm(news.config_revision, news.confirmed_at);
-  this->endpoints.Confirm(news.max_departure_revision, news.confirmed_at);
+void StoreView::CatchUp(const fleet::SeenRevisions& seen) {
+  if (this->large) {
+    if (seen.config_revision > this->fleet->seen_revisions.config_revision)
+      this->news.WantConfig(seen.config_revision, seen.reporter);
+    if (seen.endpoints_revision > this->endpoints.Revision())
+      this->news.WantEndpoints(seen.endpoints_revision, seen.reporter);
+  } else {
+    this->config.CatchUp(seen.config_revision);
+    this->endpoints.CatchUp(seen.endpoints_revision);
+  }
+  const TimePoint before = this->endpoints.ConfirmedAt();
+  this->config.Confirm(seen.config_revision, seen.confirmed_at);
+  this->endpoints.Confirm(seen.max_departure_revision, seen.confirmed_at);
+  // Whom this daemon confirms in turn must have the same departures.
+  if (this->large && this->endpoints.ConfirmedAt() > before)
+    this->RaiseMaxDeparture(seen.max_departure_revision);
   this->UpdateConfirmation();
 }
 
@@ -138,9 +152,16 @@
 void StoreView::OnConfirmed() {
   if (!this->UpdateConfirmation())
     return;
+  // Others can be confirmed only if they know the same departures.
+  const std::int64_t departures_to =
+      this->fleet->seen_revisions.max_departure_revision;
+  if (this->Tells() && departures_to > this->news.LoggedTo())
+    this->RecordChanges({});
   // The others are about to check as well, unless they hear of this.
-  if (std::exchange(this->checking, false))
+  if (std::exchange(this->checking, false) && !this->large)
     this->fleet->ReportNow();
+  else if (this->large)
+    this->fleet->SpreadConfirmation();
   else if (this->fleet->ReadsLatestState())
     this->fleet->SpreadConfirmation();
 }
@@ -158,6 +179,8 @@
 }
 
 void StoreView::Refresh() {
+  if (this->relies_on_news)
+    return;
   this->config.Refresh();
   this->endpoints.Refresh();
 }
@@ -165,14 +188,22 @@
 void StoreView::Tick() {
   this->SendNews();
   const TimePoint now = BootNow();
-  const bool reads_latest = this->fleet->ReadsLatestState();
-  const bool due = IsCheckDue(this->check, now);
+  this->UpdateRole(now);
+  const bool due =
+      IsCheckDue(this->check, now) || (this->large && this->IsStandbyDue(now));
+  const bool reads_latest =
+      this->large ? this->rank == 0 || now < this->reads_until
+                  : this->fleet->ReadsLatestState();
   if (due && !reads_latest && !this->checking && this->endpoints_known)
     this->BeginCheck(now);
   const auto freshness = reads_latest || due ? store::Freshness::kLatest
                                              : store::Freshness::kStale;
+  this->relies_on_news = this->large && freshness == store::Freshness::kStale &&
+                         this->config.Revision() > 0 && this->endpoints_known;
   this->config.SetFreshness(freshness);
   this->endpoints.SetFreshness(freshness);
+  this->config.SetPassive(this->relies_on_news);
+  this->endpoints.SetPassive(this->relies_on_news);
 }
 
 void StoreView::OnConfig(const store::Object& object) {
@@ -181,6 +212,8 @@
   if (object.revision > this->fleet->seen_revisions.config_revision) {
     this->fleet->seen_revisions.config_revision = object.revision;
     this->news_to_send = true;
+    if (object.fault.empty())
+      this->news.RecordConfig(object.revision, object.spec, this->Tells());
   }
   Result<gateway::RoutingTable> table =
       object.fault.empty() ? this->deployment->read_config(object.spec)
@@ -199,25 +232,27 @@
     listed.insert(object.name);
     this->UpsertEndpoint(object);
   }
-  std::vector<std::string> gone;
-  for (const auto& [id, endpoint] : this->gateway->endpoints.endpoints) {
-    if (listed.count(id) == 0)
-      gone.push_back(id);
-  }
-  for (const std::string& id : gone)
-    this->RemoveEndpoint(id);
+  const bool gone = this->RemoveOthers(listed);
   for (auto it = this->skipped_revisions.begin();
        it != this->skipped_revisions.end();)
     it = listed.count(it->first) == 0 ? this->skipped_revisions.erase(it)
                                       : std::next(it);
-  if (!gone.empty())
+  if (gone)
     this->NoteDeparture(listing.revision);
   // Endpoints may have come and gone unseen since the view was last complete.
   // One that lives for less than the time for changes is not waited for.
   if (BootNow() - this->check.confirmed_at > this->in_force_limit)
     this->RaiseMaxDeparture(listing.revision);
-  this->endpoints_known = true;
   gateway::UpdateEndpointList(this->gateway);
+  if (!std::exchange(this->endpoints_known, true)) {
+    this->changes.clear();
+    this->news.BeginLog(listing.revision);
+  } else {
+    fleet::gen::StoreBatch batch;
+    batch.base_until = listing.since;
+    fleet::OrderListed(&this->changes);
+    this->RecordChanges(std::move(batch));
+  }
   this->SendNews();
 }
 
@@ -228,10 +263,11 @@
       continue;
     }
     this->skipped_revisions.erase(change.object.name);
-    this->RemoveEndpoint(change.object.name);
+    this->RemoveEndpoint(change.object.name, true);
     this->NoteDeparture(changes.revision);
   }
   gateway::UpdateEndpointList(this->gateway);
+  this->RecordChanges({});
   this->SendNews();
 }
 
@@ -245,28 +281,40 @@
     return;
   }
   this->skipped_revisions.erase(object.name);
-  const auto found = this->gateway->endpoints.endpoints.find(object.name);
-  const bool news =
-      found == this->gateway->endpoints.endpoints.end() ||
-      found->second->entry.draining != entry.value().draining ||
-      found->second->entry.incarnation != entry.value().incarnation;
-  if (news && entry.value().draining)
-    this->NoteDeparture(object.revision);
+  this->UpsertEntry(std::move(entry).value(), object.revision);
+}
+
+void StoreView::UpsertEntry(gateway::EndpointEntry entry,
+                            std::int64_t revision) {
+  const auto found = this->gateway->endpoints.endpoints.find(entry.id);
+  const bool is_known = found != this->gateway->endpoints.endpoints.end();
+  const bool news = !is_known ||
+                    found->second->entry.draining != entry.draining ||
+                    found->second->entry.incarnation != entry.incarnation;
+  fleet::gen::EndpointFields fields = fleet::ToWire(entry);
+  if (!is_known || fields != fleet::ToWire(found->second->entry)) {
+    fleet::gen::EndpointNews change;
+    change.id = entry.id;
+    change.revision = revision;
+    change.__set_fields(std::move(fields));
+    this->changes.push_back(std::move(change));
+  }
+  if (news && entry.draining)
+    this->NoteDeparture(revision);
   if (news) {
-    this->log->Write(
-        gateway::kEndpointChanged, "",
-        "endpoint=" + object.name + " service=" + entry.value().service +
-            " state=" + (entry.value().draining ? "draining" : "ready") +
-            " revision=" + std::to_string(object.revision));
+    this->log->Write(gateway::kEndpointChanged, "",
+                     "endpoint=" + entry.id + " service=" + entry.service +
+                         " state=" + (entry.draining ? "draining" : "ready") +
+                         " revision=" + std::to_string(revision));
   }
-  gateway::UpsertEndpoint(&this->gateway->endpoints, std::move(entry).value());
+  gateway::UpsertEndpoint(&this->gateway->endpoints, std::move(entry));
 }
 
 /// Called for an entry that names no endpoint. Each version of it is logged
 /// once, however often it is listed.
 void StoreView::SkipEndpoint(const store::Object& object,
                              const std::string& reason) {
-  this->RemoveEndpoint(object.name);
+  this->RemoveEndpoint(object.name, false);
   const auto [known, inserted] =
       this->skipped_revisions.emplace(object.name, object.revision);
   if (!inserted && known->second == object.revision)
@@ -288,6 +336,10 @@
 /// Endpoints that leave are urgent news: they get no new work.
 void StoreView::NoteDeparture(std::int64_t revision) {
   this->RaiseMaxDeparture(revision);
+  this->departures = true;
+  // The others are to rely on what this daemon tells them.
+  if (this->large && !this->Tells() && !this->relies_on_news)
+    return;
   if (revision <= this->fleet->seen_revisions.endpoints_revision)
     return;
   this->fleet->seen_revisions.endpoints_revision = revision;
@@ -295,18 +347,41 @@
 }
 
 void StoreView::SendNews() {
-  this->fleet->seen_revisions.reachable =
+  const bool reachable =
       this->config.Reachable() && this->endpoints.Reachable();
+  const bool was_reachable =
+      std::exchange(this->fleet->seen_revisions.reachable, reachable);
   const bool urgent = std::exchange(this->news_to_send, false);
+  if (this->large) {
+    // The others choose another reader.
+    if (was_reachable && !reachable && this->Tells())
+      this->fleet->SpreadConfirmation();
+    return;
+  }
   if (urgent && (this->checking || this->fleet->ReadsLatestState()))
     this->fleet->ReportNow();
 }
 
-void StoreView::RemoveEndpoint(const std::string& id) {
+void StoreView::RemoveEndpoint(const std::string& id, bool deleted) {
   if (this->gateway->endpoints.endpoints.count(id) == 0)
     return;
   this->log->Write(gateway::kEndpointGone, "", "endpoint=" + id);
   gateway::RemoveEndpoint(&this->gateway->endpoints, id);
+  fleet::gen::EndpointNews change;
+  change.id = id;
+  change.deleted = deleted;
+  this->changes.push_back(std::move(change));
+}
+
+bool StoreView::RemoveOthers(const std::set<std::string>& listed) {
+  std::vector<std::string> gone;
+  for (const auto& [id, endpoint] : this->gateway->endpoints.endpoints) {
+    if (listed.count(id) == 0)
+      gone.push_back(id);
+  }
+  for (const std::string& id : gone)
+    this->RemoveEndpoint(id, true);
+  return !gone.empty();
 }
 
 }  // namespace coltsfootvane::daemon
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -4,9 +4,12 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "daemon/deployment.h"
+#include "daemon/store_news.h"
 #include "daemon/view_check.h"
 #include "fleet/fleet.h"
 #include "gateway/gateway.h"
@@ -31,36 +34,54 @@
             gateway::Gateway* gateway,
             fleet::Fleet* fleet,
             DecisionLog* log,
-            Milliseconds in_force_limit);
+            Milliseconds in_force_limit,
+            net::HttpClient* client,
+            unsigned short peer_port);
 
   void Start();
   /// Returns whether the endpoints have been listed once.
   bool KnowsEndpoints() const { return this->endpoints_known; }
   /// Lists what another daemon has seen and this one has not.
   void CatchUp(const fleet::SeenRevisions& news);
-  /// Lists again, since answers of the store may have been lost.
+  /// Lists again, since answers of the store may have been lost. A daemon that
+  /// relies on the news of others makes no calls.
   void Refresh();
   /// Reports news and adapts how closely the store is watched.
   void Tick();
   /// All changes that were acknowledged before are in force; TimePoint() if
   /// that is not known.
   TimePoint ConfirmedAt() const { return this->check.confirmed_at; }
+  StoreNews& News() { return this->news; }
+  const NewsCounts& Counts() const { return this->news.counts; }
   const store::KindFollower& Config() const { return this->config; }
   const store::KindFollower& Endpoints() const { return this->endpoints; }
 
  private:
+  NewsTarget Target();
+  void ApplyBatch(const fleet::gen::StoreBatch& batch);
+  void ApplySnapshot(const fleet::gen::StoreBatch& all);
+  fleet::gen::StoreBatch MakeSnapshot() const;
+  void UpsertEntry(gateway::EndpointEntry entry, std::int64_t revision);
+  /// Returns whether this daemon tells the others what it reads.
+  bool Tells() const;
+  void RecordChanges(fleet::gen::StoreBatch batch);
+  void UpdateRole(TimePoint now);
+  bool IsStandbyDue(TimePoint now) const;
   store::FollowerEvents ConfigEvents();
   store::FollowerEvents EndpointEvents();
   void OnEndpointsReachable(bool reachable);
   void OnConfirmed();
   bool UpdateConfirmation();
+  /// Removes the endpoints that are not listed. Returns whether there were any.
+  bool RemoveOthers(const std::set<std::string>& listed);
   void BeginCheck(TimePoint now);
   void OnConfig(const store::Object& object);
   void OnEndpointListing(const store::Listing& listing);
   void OnEndpointChanges(const store::Changes& changes);
   void UpsertEndpoint(const store::Object& object);
   void SkipEndpoint(const store::Object& object, const std::string& reason);
-  void RemoveEndpoint(const std::string& id);
+  /// `deleted` tells whether its entry is gone, or cannot be used.
+  void RemoveEndpoint(const std::string& id, bool deleted);
   void RaiseMaxDeparture(std::int64_t revision);
   void NoteDeparture(std::int64_t revision);
   void SendNews();
@@ -83,6 +104,15 @@
   TimePoint endpoints_lost_at;  ///< When the store last left them unanswered.
   bool endpoints_known = false;
   bool news_to_send = false;  ///< Since the last report to the others.
+  StoreNews news;
+  /// Changes of the answer that is being applied, for the others.
+  std::vector<fleet::gen::EndpointNews> changes;
+  bool departures = false;  ///< There are some among the changes.
+  bool large = false;       ///< One daemon reads for all; see Fleet::IsLarge().
+  bool relies_on_news = false;
+  int rank = 0;              ///< Among those who read; 0 is the first.
+  TimePoint reads_until;     ///< As a standby whose reader has been silent.
+  std::string logged_role;
 };
 
 }  // namespace coltsfootvane::daemon
--- /dev/null
+++ b/src/daemon/store_view_news.cc
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <utility>
+
+#include "daemon/events.h"
+#include "daemon/store_view.h"
+
+namespace coltsfootvane::daemon {
+namespace {
+
+namespace gen = fleet::gen;
+
+/// The first reads the store for all, the next ones stand by.
+constexpr std::size_t kReaders = 3;
+// Shares of the time within which changes must be in force.
+/// Of the reader between two watches, and of a watch without a change. News
+/// are then so frequent that a single lost datagram makes nobody read itself.
+constexpr double kReaderShare = 0.1;
+/// After which the first standby reads, as nobody has confirmed its view; the
+/// next ones follow after another kStandbyStep each.
+constexpr double kStandbyShare = 0.42;
+constexpr double kStandbyStep = 0.04;
+/// For which a standby goes on reading.
+constexpr double kActingShare = 3;
+/// So that refused daemons come back after up to 7 s, at different times. The
+/// readers bring the news meanwhile.
+constexpr int kFollowerDoublings = 4;
+
+Milliseconds Share(Milliseconds limit, double share) {
+  return Milliseconds(
+      static_cast<std::int64_t>(static_cast<double>(limit.count()) * share));
+}
+
+}  // namespace
+
+NewsTarget StoreView::Target() {
+  NewsTarget target;
+  target.endpoints_revision = [this] {
+    return this->endpoints_known ? this->endpoints.Revision() : 0;
+  };
+  target.apply_batch = [this](const gen::StoreBatch& batch) {
+    this->ApplyBatch(batch);
+  };
+  target.apply_snapshot = [this](const gen::StoreBatch& all) {
+    this->ApplySnapshot(all);
+  };
+  target.make_snapshot = [this] { return this->MakeSnapshot(); };
+  target.apply_config = [this](std::int64_t revision, nlohmann::json spec) {
+    store::Object object;
+    object.name = this->deployment->config_name;
+    object.revision = revision;
+    object.spec = std::move(spec);
+    this->OnConfig(object);
+    this->config.AdvanceTo(revision);
+    this->SendNews();
+  };
+  target.list_endpoints = [this] {
+    this->endpoints.Refresh(store::CallCause::kGap);
+  };
+  target.list_config = [this] {
+    this->config.Refresh(store::CallCause::kGap);
+  };
+  return target;
+}
+
+bool StoreView::Tells() const {
+  return this->large &&
+         (this->rank == 0 || this->checking || BootNow() < this->reads_until);
+}
+
+/// Records the changes of an answer of the store, and tells them.
+void StoreView::RecordChanges(gen::StoreBatch batch) {
+  batch.changes = std::exchange(this->changes, {});
+  const bool urgent = std::exchange(this->departures, false);
+  batch.from_revision = this->news.LoggedTo();
+  batch.to_revision = this->endpoints.Revision();
+  const bool lists = batch.base_until != 0;
+  if (!lists)
+    batch.base_until = batch.to_revision;
+  const bool has_news =
+      !batch.changes.empty() ||
+      this->fleet->seen_revisions.max_departure_revision > batch.from_revision;
+  if (has_news && batch.to_revision > batch.from_revision)
+    this->news.Record(std::move(batch), this->Tells(), urgent);
+}
+
+void StoreView::ApplyBatch(const gen::StoreBatch& batch) {
+  const std::int64_t revision = this->endpoints.Revision();
+  for (std::size_t i = 0; i < batch.changes.size(); ++i) {
+    const gen::EndpointNews& change = batch.changes[i];
+    if (!fleet::IsNews(batch, i, revision))
+      continue;
+    Result<gateway::EndpointEntry> entry =
+        change.__isset.fields ? fleet::FromWire(change.id, change.fields)
+                              : Error{ErrorCode::kInvalid, "no entry"};
+    this->skipped_revisions.erase(change.id);
+    if (entry) {
+      this->UpsertEntry(std::move(entry).value(), change.revision);
+      continue;
+    }
+    this->RemoveEndpoint(change.id, change.deleted);
+    if (change.deleted)
+      this->NoteDeparture(batch.to_revision);
+  }
+  this->changes.clear();
+  this->departures = false;
+  this->endpoints.AdvanceTo(batch.to_revision);
+  gateway::UpdateEndpointList(this->gateway);
+  this->SendNews();
+}
+
+void StoreView::ApplySnapshot(const gen::StoreBatch& all) {
+  std::set<std::string> listed;
+  for (const gen::EndpointNews& change : all.changes) {
+    Result<gateway::EndpointEntry> entry =
+        fleet::FromWire(change.id, change.fields);
+    if (!entry)
+      continue;
+    listed.insert(change.id);
+    this->UpsertEntry(std::move(entry).value(), change.revision);
+  }
+  this->RemoveOthers(listed);
+  // It does not tell when endpoints have left, nor of those that came and went.
+  this->RaiseMaxDeparture(all.to_revision);
+  this->changes.clear();
+  this->departures = false;
+  this->endpoints_known = true;
+  this->endpoints.AdvanceTo(all.to_revision);
+  gateway::UpdateEndpointList(this->gateway);
+  this->SendNews();
+}
+
+gen::StoreBatch StoreView::MakeSnapshot() const {
+  gen::StoreBatch all;
+  all.to_revision = this->endpoints.Revision();
+  for (const auto& [id, endpoint] : this->gateway->endpoints.endpoints) {
+    gen::EndpointNews change;
+    change.id = id;
+    change.revision = all.to_revision;
+    change.__set_fields(fleet::ToWire(endpoint->entry));
+    all.changes.push_back(std::move(change));
+  }
+  return all;
+}
+
+bool StoreView::IsStandbyDue(TimePoint now) const {
+  if (this->rank == 0 || this->rank >= static_cast<int>(kReaders) ||
+      this->check.confirmed_at == TimePoint())
+    return false;
+  const double share = kStandbyShare + kStandbyStep * this->rank;
+  return now - this->check.confirmed_at > Share(this->in_force_limit, share);
+}
+
+/// Finds out whether this daemon reads for the others.
+void StoreView::UpdateRole(TimePoint now) {
+  const bool was_reader = this->large && this->rank == 0;
+  this->large = this->fleet->IsLarge();
+  const std::vector<std::uint32_t> readers =
+      this->large ? this->fleet->Readers(kReaders)
+                  : std::vector<std::uint32_t>();
+  const auto own = std::find(readers.begin(), readers.end(),
+                             this->fleet->OwnAddress());
+  this->rank = static_cast<int>(own - readers.begin());
+  if (this->large && this->IsStandbyDue(now))
+    this->reads_until = now + Share(this->in_force_limit, kActingShare);
+  store::FollowerPace pace;
+  Milliseconds latest_wait = LatestWatchWait(this->in_force_limit);
+  if (this->large) {
+    latest_wait = Share(this->in_force_limit, kReaderShare);
+    pace.watch_pause = latest_wait;
+    if (this->rank >= static_cast<int>(readers.size()))
+      pace.max_doublings = kFollowerDoublings;
+  }
+  this->config.SetPace(pace, latest_wait);
+  this->endpoints.SetPace(pace, latest_wait);
+  // What has lapsed without an event while nobody read is seen by a listing.
+  if (this->large && this->rank == 0 && !was_reader && this->relies_on_news)
+    this->endpoints.Refresh(store::CallCause::kCheck);
+  std::string role = "all";
+  if (this->large)
+    role = this->rank == 0 ? "reader"
+           : this->rank < static_cast<int>(readers.size()) ? "standby"
+                                                           : "follower";
+  std::string state = "role=" + role;
+  if (this->large)
+    state += " reader=" +
+             boost::asio::ip::address_v4(readers.front()).to_string();
+  if (state == this->logged_role)
+    return;
+  this->logged_role = state;
+  this->log->Write(kStoreReader, "",
+                   state + " daemons=" +
+                       std::to_string(this->fleet->CountLiveDaemons()));
+}
+
+}  // namespace coltsfootvane::daemon
--- a/src/fleet/codec.h
+++ b/src/fleet/codec.h
@@ -17,6 +17,8 @@
 std::string Encode(const gen::Datagram& datagram);
 /// Errors: kInvalid if the bytes are malformed.
 Result<gen::Datagram> Decode(std::string_view bytes);
+/// Decodes what another daemon sent over TCP, which may be longer.
+Result<gen::Datagram> DecodeSnapshot(std::string_view bytes);
 
 }  // namespace coltsfootvane::fleet
 
--- a/src/fleet/daemon_registry.cc
+++ b/src/fleet/daemon_registry.cc
@@ -11,6 +11,9 @@
 constexpr char kAddressField[] = "address";
 constexpr Milliseconds kRetryDelay{1000};
 constexpr Milliseconds kListInterval{10'000};
+/// Plus up to as much. A new daemon reports to all that are listed, so that the
+/// others need no list to find it.
+constexpr Milliseconds kRareListInterval{60'000};
 
 }  // namespace
 
@@ -23,7 +26,8 @@
       store(object_store),
       daemon_name(std::move(name)),
       address(own_address.to_string()),
-      found(std::move(on_found)) {}
+      found(std::move(on_found)),
+      random(std::random_device()()) {}
 
 void DaemonRegistry::Start() {
   this->Announce();
@@ -41,66 +45,72 @@
                    store::Freshness::kLatest);
   this->store->create(
       kKind, this->OwnEntry(), [this](const Result<store::Object>& created) {
-        if (created) {
+        this->announced = static_cast<bool>(created);
+        if (created || created.error().code == ErrorCode::kConflict)
           this->List(store::Freshness::kLatest);
-          return;
-        }
-        if (created.error().code == ErrorCode::kConflict) {
-          this->UpdateEntry();
-          return;
-        }
-        this->RunAfter(kRetryDelay, [this] { this->Announce(); });
+        else
+          this->RunAfter(kRetryDelay, [this] { this->Announce(); });
       });
 }
 
-/// Replaces the entry of an earlier process if it has another address.
-void DaemonRegistry::UpdateEntry() {
+/// Replaces the entry of an earlier process, which has another address.
+void DaemonRegistry::UpdateEntry(std::int64_t revision) {
+  store::Object own = this->OwnEntry();
+  own.revision = revision;
   store::CountCall(*this->store, store::CallCause::kRegistry,
                    store::Freshness::kLatest);
-  this->store->read(
-      kKind, this->daemon_name, store::Freshness::kLatest,
-      [this](const Result<store::Object>& entry) {
-        if (!entry) {
-          this->RunAfter(kRetryDelay, [this] { this->Announce(); });
-          return;
-        }
-        store::Object own = this->OwnEntry();
-        if (entry.value().spec == own.spec) {
+  this->store->replace(
+      kKind, own, [this](const Result<store::Object>& replaced) {
+        this->announced = static_cast<bool>(replaced);
+        if (replaced)
           this->List(store::Freshness::kLatest);
-          return;
-        }
-        own.revision = entry.value().revision;
-        store::CountCall(*this->store, store::CallCause::kRegistry,
-                         store::Freshness::kLatest);
-        this->store->replace(
-            kKind, own, [this](const Result<store::Object>& replaced) {
-              if (replaced)
-                this->List(store::Freshness::kLatest);
-              else
-                this->RunAfter(kRetryDelay, [this] { this->Announce(); });
-            });
+        else
+          this->RunAfter(kRetryDelay, [this] { this->Announce(); });
       });
 }
 
 void DaemonRegistry::List(store::Freshness freshness) {
   store::CountCall(*this->store, store::CallCause::kRegistry, freshness);
-  this->store->list(
-      kKind, freshness, [this](const Result<store::Listing>& listing) {
-        if (listing) {
-          for (const store::Object& object : listing.value().objects) {
-            const auto field = object.spec.find(kAddressField);
-            if (field == object.spec.end() || !field->is_string())
-              continue;
-            BoostError ec;
-            const auto ip =
-                boost::asio::ip::make_address(field->get<std::string>(), ec);
-            if (!ec)
-              this->found(ip);
-          }
-        }
-        this->RunAfter(kListInterval,
-                       [this] { this->List(store::Freshness::kStale); });
-      });
+  this->store->list(kKind, freshness,
+                    [this](const Result<store::Listing>& listing) {
+                      this->OnListing(listing);
+                    });
+}
+
+void DaemonRegistry::OnListing(const Result<store::Listing>& listing) {
+  const store::Object* other_own = nullptr;
+  if (listing) {
+    for (const store::Object& object : listing.value().objects) {
+      if (object.name == this->daemon_name &&
+          object.spec != this->OwnEntry().spec)
+        other_own = &object;
+      const auto field = object.spec.find(kAddressField);
+      if (field == object.spec.end() || !field->is_string())
+        continue;
+      BoostError ec;
+      const auto ip =
+          boost::asio::ip::make_address(field->get<std::string>(), ec);
+      if (!ec)
+        this->found(ip);
+    }
+  }
+  if (!this->announced && !listing) {
+    this->RunAfter(kRetryDelay, [this] { this->Announce(); });
+    return;
+  }
+  if (!this->announced && other_own != nullptr) {
+    this->UpdateEntry(other_own->revision);
+    return;
+  }
+  this->announced = true;
+  Milliseconds pause = kListInterval;
+  // Not all daemons that started together list together.
+  if (this->lists_rarely && this->lists_rarely())
+    pause = kRareListInterval +
+            Milliseconds(static_cast<std::int64_t>(
+                this->random() %
+                static_cast<std::uint64_t>(kRareListInterval.count())));
+  this->RunAfter(pause, [this] { this->List(store::Freshness::kStale); });
 }
 
 void DaemonRegistry::RunAfter(Milliseconds delay,
--- a/src/fleet/daemon_registry.h
+++ b/src/fleet/daemon_registry.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <random>
 #include <string>
 
 #include "store/object_store.h"
@@ -25,10 +26,14 @@
 
   void Start();
 
+  /// Returns whether others look often for daemons that are not known here.
+  std::function<bool()> lists_rarely;
+
  private:
   void Announce();
-  void UpdateEntry();
+  void UpdateEntry(std::int64_t revision);
   void List(store::Freshness freshness);
+  void OnListing(const Result<store::Listing>& listing);
   void RunAfter(Milliseconds delay, std::function<void()> action);
   store::Object OwnEntry() const;
 
@@ -37,6 +42,8 @@
   std::string daemon_name;
   std::string address;
   Found found;
+  std::minstd_rand random;
+  bool announced = false;
 };
 
 }  // namespace coltsfootvane::fleet
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -83,6 +83,7 @@
     return Error{ErrorCode::kInvalid, ec.message()};
   this->own_address = ToNumber(address.address());
   this->port = address.port();
+  this->opened_at = BootNow();
   this->gateway->quarantine.self = this->own_address;
   this->gateway->quarantine.on_news =
       [this](gsl::span<const quarantine::PartId> parts,
@@ -141,6 +142,12 @@
     this->OnAdapterReply(datagram.adapter_reply);
   else if (datagram.__isset.suspects)
     this->OnSuspects(datagram.suspects, address);
+  else if (datagram.__isset.store_news && this->on_store_news)
+    this->on_store_news(datagram.store_news, address);
+  else if (datagram.__isset.store_news_request && this->on_store_news_request)
+    this->on_store_news_request(datagram.store_news_request.revision, address);
+  else if (datagram.__isset.config_news && this->on_config_news)
+    this->on_config_news(datagram.config_news, address);
 }
 
 void Fleet::OnReport(const gen::Report& report, std::uint32_t from) {
@@ -162,8 +169,11 @@
     ApplyWorkChanges(changes, &this->peer_work);
     CopyPeerWork(this->peer_work, this->gateway->endpoint_list);
   }
-  if (is_new && this->on_seen_revisions)
-    this->on_seen_revisions(ReadSeenRevisions(report, now));
+  if (is_new && this->on_seen_revisions) {
+    SeenRevisions seen = ReadSeenRevisions(report, now);
+    seen.reporter = from;
+    this->on_seen_revisions(seen);
+  }
   if (is_new && restarted)
     this->SendAllSuspects(from);
   if (!is_new || !first_report)
@@ -238,6 +248,8 @@
 }
 
 bool Fleet::ReadsLatestState() const {
+  if (this->IsLarge())
+    return this->Readers(1).front() == this->own_address;
   return fleet::ReadsLatestState(this->table, this->own_address,
                                  this->Interval(), BootNow());
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -32,6 +32,7 @@
   /// None of these departures is newer. A listing may hide departures, so that
   /// this may be higher than endpoints_revision.
   std::int64_t max_departure_revision = 0;
+  std::uint32_t reporter = 0;  ///< The IPv4 address of the other daemon.
 };
 
 /// Called with the key of the endpoint that has loaded the adapter, or with 0
@@ -82,6 +83,31 @@
   /// of the others, which read it with a lag.
   bool ReadsLatestState() const;
 
+  /// Returns whether there are so many daemons that one reads the store for all
+  /// and the others rely on its news.
+  bool IsLarge() const;
+  /// Returns the daemons that are to read the store for the others, in order.
+  /// The first does, the next stand by.
+  std::vector<std::uint32_t> Readers(std::size_t max_readers) const;
+  bool IsAmongReaders(std::size_t max_readers) const;
+  std::uint32_t OwnAddress() const { return this->own_address; }
+  std::vector<std::uint32_t> LiveAddresses() const;
+  /// Returns a random live daemon for which the predicate holds, or 0.
+  std::uint32_t PickMember(
+      const std::function<bool(const gen::Report&)>& suits) const;
+
+  /// Sends to the addresses through relays, or passes on what came.
+  void Spread(gen::StoreNews news, const std::vector<std::uint32_t>& to);
+  void Spread(gen::ConfigNews news, const std::vector<std::uint32_t>& to);
+  void SendStoreNews(std::uint32_t to, const gen::StoreNews& news);
+  /// Asks a daemon for the changes after `revision`.
+  void RequestStoreNews(std::uint32_t from, std::int64_t revision);
+  std::function<void(const gen::StoreNews&, std::uint32_t from)> on_store_news;
+  std::function<void(std::int64_t revision, std::uint32_t from)>
+      on_store_news_request;
+  std::function<void(const gen::ConfigNews&, std::uint32_t from)>
+      on_config_news;
+
   /// Returns whether reports of the lease holder of this epoch have stopped.
   bool IsHolderSilent(std::int64_t epoch) const;
 
@@ -107,6 +133,8 @@
   void OnSuspectTimer();
   void SendSuspectsTo(std::uint32_t to, const gen::Suspects& suspects);
   void SendAllSuspects(std::uint32_t to);
+  TimePoint HeardAt(std::uint32_t address) const;
+  bool CountsUnheard(TimePoint now) const;
   void RemindOfQuarantine(TimePoint now);
   void UpdateTrialOrder(TimePoint now);
   void Tick();
@@ -126,6 +154,7 @@
   boost::asio::ip::udp::endpoint sender;
   std::array<char, 2048> buffer{};
   MemberTable table;
+  TimePoint opened_at;
   std::uint32_t own_address = 0;
   unsigned short port = 0;
   std::int64_t incarnation = 0;
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -91,10 +91,77 @@
   1: list<SuspectPart> parts
 }
 
+// An endpoint's entry as far as daemons use it.
+struct EndpointModel {
+  1: string name
+  2: list<string> adapters
+}
+
+struct EndpointFields {
+  1: string service_name
+  2: string host
+  3: i32 port
+  4: string data_centre
+  5: i32 slots
+  6: bool draining
+  7: i64 incarnation
+  8: list<EndpointModel> models
+  9: list<string> cached_in_memory
+  10: list<string> cached_on_disk
+}
+
+// A change of an endpoint's entry. Without an entry the endpoint is not usable:
+// it was deleted, or its entry cannot be read.
+struct EndpointNews {
+  1: string id
+  2: i64 revision  // Of the change; 0 if not known.
+  3: bool deleted
+  4: optional EndpointFields fields
+  // The entry does not fit into a datagram.
+  5: optional bool left_out
+}
+
+// All changes of endpoints in the store after `from_revision`, up to
+// `to_revision`. They lead from the state at any revision from `from_revision`
+// to `base_until`.
+struct StoreBatch {
+  1: i64 from_revision
+  2: i64 base_until
+  3: i64 to_revision
+  4: list<EndpointNews> changes
+}
+
+// Sent by the daemon that reads the store for the others, through relays, and in
+// answer to StoreNewsRequest.
+struct StoreNews {
+  1: list<StoreBatch> batches
+  2: list<i32> relay_to  // IPv4 addresses that the receiver passes it on to.
+  3: i32 origin  // Of the first sender.
+  // The sender's log does not reach back to the revision asked for.
+  4: optional bool too_old
+}
+
+struct StoreNewsRequest {
+  1: i64 revision  // Up to which the sender knows all changes.
+}
+
+// A new configuration. Without a patch it is fetched from `source`.
+struct ConfigNews {
+  1: i64 revision
+  2: i64 base_revision  // Of the configuration that the patch changes.
+  3: i64 digest  // Of the text of the new one.
+  4: optional string patch  // RFC 6902.
+  5: list<i32> relay_to
+  6: i32 source
+}
+
 union Datagram {
   1: Report report
   2: Placement placement
   3: AdapterRequest adapter_request
   4: AdapterReply adapter_reply
   5: Suspects suspects
+  15: StoreNews store_news
+  16: StoreNewsRequest store_news_request
+  17: ConfigNews config_news
 }
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -1792,6 +1792,1318 @@
 }
 
 
+EndpointModel::~EndpointModel() noexcept {
+}
+
+
+void EndpointModel::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void EndpointModel::__set_adapters(const std::vector<std::string> & val) {
+  this->adapters = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointModel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointModel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->adapters.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->adapters.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += iprot->readString(this->adapters[_i72]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.adapters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointModel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointModel");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
+    std::vector<std::string> ::const_iterator _iter73;
+    for (_iter73 = this->adapters.begin(); _iter73 != this->adapters.end(); ++_iter73)
+    {
+      xfer += oprot->writeString((*_iter73));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointModel &a, EndpointModel &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.adapters, b.adapters);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointModel::EndpointModel(const EndpointModel& other74) {
+  name = other74.name;
+  adapters = other74.adapters;
+  __isset = other74.__isset;
+}
+EndpointModel& EndpointModel::operator=(const EndpointModel& other75) {
+  name = other75.name;
+  adapters = other75.adapters;
+  __isset = other75.__isset;
+  return *this;
+}
+void EndpointModel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointModel(";
+  out << "name=" << to_string(name);
+  out << ", " << "adapters=" << to_string(adapters);
+  out << ")";
+}
+
+
+EndpointFields::~EndpointFields() noexcept {
+}
+
+
+void EndpointFields::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void EndpointFields::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void EndpointFields::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void EndpointFields::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void EndpointFields::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void EndpointFields::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void EndpointFields::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void EndpointFields::__set_models(const std::vector<EndpointModel> & val) {
+  this->models = val;
+}
+
+void EndpointFields::__set_cached_in_memory(const std::vector<std::string> & val) {
+  this->cached_in_memory = val;
+}
+
+void EndpointFields::__set_cached_on_disk(const std::vector<std::string> & val) {
+  this->cached_on_disk = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointFields& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointFields::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->models.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->models.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->models[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cached_in_memory.clear();
+            uint32_t _size81;
+            ::apache::thrift::protocol::TType _etype84;
+            xfer += iprot->readListBegin(_etype84, _size81);
+            this->cached_in_memory.resize(_size81);
+            uint32_t _i85;
+            for (_i85 = 0; _i85 < _size81; ++_i85)
+            {
+              xfer += iprot->readString(this->cached_in_memory[_i85]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cached_in_memory = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cached_on_disk.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->cached_on_disk.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += iprot->readString(this->cached_on_disk[_i90]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cached_on_disk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointFields::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointFields");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
+    std::vector<EndpointModel> ::const_iterator _iter91;
+    for (_iter91 = this->models.begin(); _iter91 != this->models.end(); ++_iter91)
+    {
+      xfer += (*_iter91).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cached_in_memory", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cached_in_memory.size()));
+    std::vector<std::string> ::const_iterator _iter92;
+    for (_iter92 = this->cached_in_memory.begin(); _iter92 != this->cached_in_memory.end(); ++_iter92)
+    {
+      xfer += oprot->writeString((*_iter92));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cached_on_disk", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cached_on_disk.size()));
+    std::vector<std::string> ::const_iterator _iter93;
+    for (_iter93 = this->cached_on_disk.begin(); _iter93 != this->cached_on_disk.end(); ++_iter93)
+    {
+      xfer += oprot->writeString((*_iter93));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointFields &a, EndpointFields &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.host, b.host);
+  swap(a.port, b.port);
+  swap(a.data_centre, b.data_centre);
+  swap(a.slots, b.slots);
+  swap(a.draining, b.draining);
+  swap(a.incarnation, b.incarnation);
+  swap(a.models, b.models);
+  swap(a.cached_in_memory, b.cached_in_memory);
+  swap(a.cached_on_disk, b.cached_on_disk);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointFields::EndpointFields(const EndpointFields& other94) {
+  service_name = other94.service_name;
+  host = other94.host;
+  port = other94.port;
+  data_centre = other94.data_centre;
+  slots = other94.slots;
+  draining = other94.draining;
+  incarnation = other94.incarnation;
+  models = other94.models;
+  cached_in_memory = other94.cached_in_memory;
+  cached_on_disk = other94.cached_on_disk;
+  __isset = other94.__isset;
+}
+EndpointFields& EndpointFields::operator=(const EndpointFields& other95) {
+  service_name = other95.service_name;
+  host = other95.host;
+  port = other95.port;
+  data_centre = other95.data_centre;
+  slots = other95.slots;
+  draining = other95.draining;
+  incarnation = other95.incarnation;
+  models = other95.models;
+  cached_in_memory = other95.cached_in_memory;
+  cached_on_disk = other95.cached_on_disk;
+  __isset = other95.__isset;
+  return *this;
+}
+void EndpointFields::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointFields(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "models=" << to_string(models);
+  out << ", " << "cached_in_memory=" << to_string(cached_in_memory);
+  out << ", " << "cached_on_disk=" << to_string(cached_on_disk);
+  out << ")";
+}
+
+
+EndpointNews::~EndpointNews() noexcept {
+}
+
+
+void EndpointNews::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void EndpointNews::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void EndpointNews::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+
+void EndpointNews::__set_fields(const EndpointFields& val) {
+  this->fields = val;
+__isset.fields = true;
+}
+
+void EndpointNews::__set_left_out(const bool val) {
+  this->left_out = val;
+__isset.left_out = true;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          this->__isset.deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->fields.read(iprot);
+          this->__isset.fields = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->left_out);
+          this->__isset.left_out = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointNews");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.fields) {
+    xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->fields.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.left_out) {
+    xfer += oprot->writeFieldBegin("left_out", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->left_out);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointNews &a, EndpointNews &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.revision, b.revision);
+  swap(a.deleted, b.deleted);
+  swap(a.fields, b.fields);
+  swap(a.left_out, b.left_out);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointNews::EndpointNews(const EndpointNews& other96) {
+  id = other96.id;
+  revision = other96.revision;
+  deleted = other96.deleted;
+  fields = other96.fields;
+  left_out = other96.left_out;
+  __isset = other96.__isset;
+}
+EndpointNews& EndpointNews::operator=(const EndpointNews& other97) {
+  id = other97.id;
+  revision = other97.revision;
+  deleted = other97.deleted;
+  fields = other97.fields;
+  left_out = other97.left_out;
+  __isset = other97.__isset;
+  return *this;
+}
+void EndpointNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointNews(";
+  out << "id=" << to_string(id);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "deleted=" << to_string(deleted);
+  out << ", " << "fields="; (__isset.fields ? (out << to_string(fields)) : (out << "<null>"));
+  out << ", " << "left_out="; (__isset.left_out ? (out << to_string(left_out)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StoreBatch::~StoreBatch() noexcept {
+}
+
+
+void StoreBatch::__set_from_revision(const int64_t val) {
+  this->from_revision = val;
+}
+
+void StoreBatch::__set_base_until(const int64_t val) {
+  this->base_until = val;
+}
+
+void StoreBatch::__set_to_revision(const int64_t val) {
+  this->to_revision = val;
+}
+
+void StoreBatch::__set_changes(const std::vector<EndpointNews> & val) {
+  this->changes = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_revision);
+          this->__isset.from_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_until);
+          this->__isset.base_until = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->to_revision);
+          this->__isset.to_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->changes.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
+            {
+              xfer += this->changes[_i102].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreBatch");
+
+  xfer += oprot->writeFieldBegin("from_revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->from_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_until", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base_until);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to_revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->to_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<EndpointNews> ::const_iterator _iter103;
+    for (_iter103 = this->changes.begin(); _iter103 != this->changes.end(); ++_iter103)
+    {
+      xfer += (*_iter103).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreBatch &a, StoreBatch &b) {
+  using ::std::swap;
+  swap(a.from_revision, b.from_revision);
+  swap(a.base_until, b.base_until);
+  swap(a.to_revision, b.to_revision);
+  swap(a.changes, b.changes);
+  swap(a.__isset, b.__isset);
+}
+
+StoreBatch::StoreBatch(const StoreBatch& other104) {
+  from_revision = other104.from_revision;
+  base_until = other104.base_until;
+  to_revision = other104.to_revision;
+  changes = other104.changes;
+  __isset = other104.__isset;
+}
+StoreBatch& StoreBatch::operator=(const StoreBatch& other105) {
+  from_revision = other105.from_revision;
+  base_until = other105.base_until;
+  to_revision = other105.to_revision;
+  changes = other105.changes;
+  __isset = other105.__isset;
+  return *this;
+}
+void StoreBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreBatch(";
+  out << "from_revision=" << to_string(from_revision);
+  out << ", " << "base_until=" << to_string(base_until);
+  out << ", " << "to_revision=" << to_string(to_revision);
+  out << ", " << "changes=" << to_string(changes);
+  out << ")";
+}
+
+
+StoreNews::~StoreNews() noexcept {
+}
+
+
+void StoreNews::__set_batches(const std::vector<StoreBatch> & val) {
+  this->batches = val;
+}
+
+void StoreNews::__set_relay_to(const std::vector<int32_t> & val) {
+  this->relay_to = val;
+}
+
+void StoreNews::__set_origin(const int32_t val) {
+  this->origin = val;
+}
+
+void StoreNews::__set_too_old(const bool val) {
+  this->too_old = val;
+__isset.too_old = true;
+}
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->batches.clear();
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->batches.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
+            {
+              xfer += this->batches[_i110].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.batches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relay_to.clear();
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->relay_to.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
+            {
+              xfer += iprot->readI32(this->relay_to[_i115]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relay_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->origin);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->too_old);
+          this->__isset.too_old = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreNews");
+
+  xfer += oprot->writeFieldBegin("batches", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->batches.size()));
+    std::vector<StoreBatch> ::const_iterator _iter116;
+    for (_iter116 = this->batches.begin(); _iter116 != this->batches.end(); ++_iter116)
+    {
+      xfer += (*_iter116).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->relay_to.size()));
+    std::vector<int32_t> ::const_iterator _iter117;
+    for (_iter117 = this->relay_to.begin(); _iter117 != this->relay_to.end(); ++_iter117)
+    {
+      xfer += oprot->writeI32((*_iter117));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.too_old) {
+    xfer += oprot->writeFieldBegin("too_old", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->too_old);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreNews &a, StoreNews &b) {
+  using ::std::swap;
+  swap(a.batches, b.batches);
+  swap(a.relay_to, b.relay_to);
+  swap(a.origin, b.origin);
+  swap(a.too_old, b.too_old);
+  swap(a.__isset, b.__isset);
+}
+
+StoreNews::StoreNews(const StoreNews& other118) {
+  batches = other118.batches;
+  relay_to = other118.relay_to;
+  origin = other118.origin;
+  too_old = other118.too_old;
+  __isset = other118.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other119) {
+  batches = other119.batches;
+  relay_to = other119.relay_to;
+  origin = other119.origin;
+  too_old = other119.too_old;
+  __isset = other119.__isset;
+  return *this;
+}
+void StoreNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreNews(";
+  out << "batches=" << to_string(batches);
+  out << ", " << "relay_to=" << to_string(relay_to);
+  out << ", " << "origin=" << to_string(origin);
+  out << ", " << "too_old="; (__isset.too_old ? (out << to_string(too_old)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StoreNewsRequest::~StoreNewsRequest() noexcept {
+}
+
+
+void StoreNewsRequest::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreNewsRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreNewsRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreNewsRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreNewsRequest");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreNewsRequest &a, StoreNewsRequest &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+StoreNewsRequest::StoreNewsRequest(const StoreNewsRequest& other120) noexcept {
+  revision = other120.revision;
+  __isset = other120.__isset;
+}
+StoreNewsRequest& StoreNewsRequest::operator=(const StoreNewsRequest& other121) noexcept {
+  revision = other121.revision;
+  __isset = other121.__isset;
+  return *this;
+}
+void StoreNewsRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreNewsRequest(";
+  out << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+ConfigNews::~ConfigNews() noexcept {
+}
+
+
+void ConfigNews::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ConfigNews::__set_base_revision(const int64_t val) {
+  this->base_revision = val;
+}
+
+void ConfigNews::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void ConfigNews::__set_patch(const std::string& val) {
+  this->patch = val;
+__isset.patch = true;
+}
+
+void ConfigNews::__set_relay_to(const std::vector<int32_t> & val) {
+  this->relay_to = val;
+}
+
+void ConfigNews::__set_source(const int32_t val) {
+  this->source = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_revision);
+          this->__isset.base_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->patch);
+          this->__isset.patch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relay_to.clear();
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->relay_to.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
+            {
+              xfer += iprot->readI32(this->relay_to[_i126]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relay_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->source);
+          this->__isset.source = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigNews");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.patch) {
+    xfer += oprot->writeFieldBegin("patch", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->patch);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->relay_to.size()));
+    std::vector<int32_t> ::const_iterator _iter127;
+    for (_iter127 = this->relay_to.begin(); _iter127 != this->relay_to.end(); ++_iter127)
+    {
+      xfer += oprot->writeI32((*_iter127));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("source", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->source);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigNews &a, ConfigNews &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.base_revision, b.base_revision);
+  swap(a.digest, b.digest);
+  swap(a.patch, b.patch);
+  swap(a.relay_to, b.relay_to);
+  swap(a.source, b.source);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigNews::ConfigNews(const ConfigNews& other128) {
+  revision = other128.revision;
+  base_revision = other128.base_revision;
+  digest = other128.digest;
+  patch = other128.patch;
+  relay_to = other128.relay_to;
+  source = other128.source;
+  __isset = other128.__isset;
+}
+ConfigNews& ConfigNews::operator=(const ConfigNews& other129) {
+  revision = other129.revision;
+  base_revision = other129.base_revision;
+  digest = other129.digest;
+  patch = other129.patch;
+  relay_to = other129.relay_to;
+  source = other129.source;
+  __isset = other129.__isset;
+  return *this;
+}
+void ConfigNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigNews(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "base_revision=" << to_string(base_revision);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "patch="; (__isset.patch ? (out << to_string(patch)) : (out << "<null>"));
+  out << ", " << "relay_to=" << to_string(relay_to);
+  out << ", " << "source=" << to_string(source);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -1820,6 +3132,21 @@
   this->suspects = val;
 __isset.suspects = true;
 }
+
+void Datagram::__set_store_news(const StoreNews& val) {
+  this->store_news = val;
+__isset.store_news = true;
+}
+
+void Datagram::__set_store_news_request(const StoreNewsRequest& val) {
+  this->store_news_request = val;
+__isset.store_news_request = true;
+}
+
+void Datagram::__set_config_news(const ConfigNews& val) {
+  this->config_news = val;
+__isset.config_news = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1888,6 +3215,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store_news.read(iprot);
+          this->__isset.store_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store_news_request.read(iprot);
+          this->__isset.store_news_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config_news.read(iprot);
+          this->__isset.config_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1930,6 +3281,21 @@
     xfer += this->suspects.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store_news) {
+    xfer += oprot->writeFieldBegin("store_news", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->store_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.store_news_request) {
+    xfer += oprot->writeFieldBegin("store_news_request", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->store_news_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.config_news) {
+    xfer += oprot->writeFieldBegin("config_news", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->config_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1942,24 +3308,33 @@
   swap(a.adapter_request, b.adapter_request);
   swap(a.adapter_reply, b.adapter_reply);
   swap(a.suspects, b.suspects);
+  swap(a.store_news, b.store_news);
+  swap(a.store_news_request, b.store_news_request);
+  swap(a.config_news, b.config_news);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other68) {
-  report = other68.report;
-  placement = other68.placement;
-  adapter_request = other68.adapter_request;
-  adapter_reply = other68.adapter_reply;
-  suspects = other68.suspects;
-  __isset = other68.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other69) {
-  report = other69.report;
-  placement = other69.placement;
-  adapter_request = other69.adapter_request;
-  adapter_reply = other69.adapter_reply;
-  suspects = other69.suspects;
-  __isset = other69.__isset;
+Datagram::Datagram(const Datagram& other130) {
+  report = other130.report;
+  placement = other130.placement;
+  adapter_request = other130.adapter_request;
+  adapter_reply = other130.adapter_reply;
+  suspects = other130.suspects;
+  store_news = other130.store_news;
+  store_news_request = other130.store_news_request;
+  config_news = other130.config_news;
+  __isset = other130.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other131) {
+  report = other131.report;
+  placement = other131.placement;
+  adapter_request = other131.adapter_request;
+  adapter_reply = other131.adapter_reply;
+  suspects = other131.suspects;
+  store_news = other131.store_news;
+  store_news_request = other131.store_news_request;
+  config_news = other131.config_news;
+  __isset = other131.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1970,6 +3345,9 @@
   out << ", " << "adapter_request="; (__isset.adapter_request ? (out << to_string(adapter_request)) : (out << "<null>"));
   out << ", " << "adapter_reply="; (__isset.adapter_reply ? (out << to_string(adapter_reply)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << ", " << "store_news="; (__isset.store_news ? (out << to_string(store_news)) : (out << "<null>"));
+  out << ", " << "store_news_request="; (__isset.store_news_request ? (out << to_string(store_news_request)) : (out << "<null>"));
+  out << ", " << "config_news="; (__isset.config_news ? (out << to_string(config_news)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -41,6 +41,20 @@
 
 class Suspects;
 
+class EndpointModel;
+
+class EndpointFields;
+
+class EndpointNews;
+
+class StoreBatch;
+
+class StoreNews;
+
+class StoreNewsRequest;
+
+class ConfigNews;
+
 class Datagram;
 
 typedef struct _EndpointWork__isset {
@@ -721,13 +735,491 @@
 
 std::ostream& operator<<(std::ostream& out, const Suspects& obj);
 
+typedef struct _EndpointModel__isset {
+  _EndpointModel__isset() : name(false), adapters(false) {}
+  bool name :1;
+  bool adapters :1;
+} _EndpointModel__isset;
+
+class EndpointModel : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointModel(const EndpointModel&);
+  EndpointModel& operator=(const EndpointModel&);
+  EndpointModel() noexcept
+                : name() {
+  }
+
+  virtual ~EndpointModel() noexcept;
+  std::string name;
+  std::vector<std::string>  adapters;
+
+  _EndpointModel__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_adapters(const std::vector<std::string> & val);
+
+  bool operator == (const EndpointModel & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(adapters == rhs.adapters))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointModel &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointModel & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointModel &a, EndpointModel &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointModel& obj);
+
+typedef struct _EndpointFields__isset {
+  _EndpointFields__isset() : service_name(false), host(false), port(false), data_centre(false), slots(false), draining(false), incarnation(false), models(false), cached_in_memory(false), cached_on_disk(false) {}
+  bool service_name :1;
+  bool host :1;
+  bool port :1;
+  bool data_centre :1;
+  bool slots :1;
+  bool draining :1;
+  bool incarnation :1;
+  bool models :1;
+  bool cached_in_memory :1;
+  bool cached_on_disk :1;
+} _EndpointFields__isset;
+
+class EndpointFields : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointFields(const EndpointFields&);
+  EndpointFields& operator=(const EndpointFields&);
+  EndpointFields() noexcept
+                 : service_name(),
+                   host(),
+                   port(0),
+                   data_centre(),
+                   slots(0),
+                   draining(0),
+                   incarnation(0) {
+  }
+
+  virtual ~EndpointFields() noexcept;
+  std::string service_name;
+  std::string host;
+  int32_t port;
+  std::string data_centre;
+  int32_t slots;
+  bool draining;
+  int64_t incarnation;
+  std::vector<EndpointModel>  models;
+  std::vector<std::string>  cached_in_memory;
+  std::vector<std::string>  cached_on_disk;
+
+  _EndpointFields__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_host(const std::string& val);
+
+  void __set_port(const int32_t val);
+
+  void __set_data_centre(const std::string& val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_draining(const bool val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_models(const std::vector<EndpointModel> & val);
+
+  void __set_cached_in_memory(const std::vector<std::string> & val);
+
+  void __set_cached_on_disk(const std::vector<std::string> & val);
+
+  bool operator == (const EndpointFields & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(port == rhs.port))
+      return false;
+    if (!(data_centre == rhs.data_centre))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(models == rhs.models))
+      return false;
+    if (!(cached_in_memory == rhs.cached_in_memory))
+      return false;
+    if (!(cached_on_disk == rhs.cached_on_disk))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointFields &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointFields & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointFields &a, EndpointFields &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointFields& obj);
+
+typedef struct _EndpointNews__isset {
+  _EndpointNews__isset() : id(false), revision(false), deleted(false), fields(false), left_out(false) {}
+  bool id :1;
+  bool revision :1;
+  bool deleted :1;
+  bool fields :1;
+  bool left_out :1;
+} _EndpointNews__isset;
+
+class EndpointNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointNews(const EndpointNews&);
+  EndpointNews& operator=(const EndpointNews&);
+  EndpointNews() noexcept
+               : id(),
+                 revision(0),
+                 deleted(0),
+                 left_out(0) {
+  }
+
+  virtual ~EndpointNews() noexcept;
+  std::string id;
+  int64_t revision;
+  bool deleted;
+  EndpointFields fields;
+  bool left_out;
+
+  _EndpointNews__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_deleted(const bool val);
+
+  void __set_fields(const EndpointFields& val);
+
+  void __set_left_out(const bool val);
+
+  bool operator == (const EndpointNews & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(deleted == rhs.deleted))
+      return false;
+    if (__isset.fields != rhs.__isset.fields)
+      return false;
+    else if (__isset.fields && !(fields == rhs.fields))
+      return false;
+    if (__isset.left_out != rhs.__isset.left_out)
+      return false;
+    else if (__isset.left_out && !(left_out == rhs.left_out))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointNews &a, EndpointNews &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointNews& obj);
+
+typedef struct _StoreBatch__isset {
+  _StoreBatch__isset() : from_revision(false), base_until(false), to_revision(false), changes(false) {}
+  bool from_revision :1;
+  bool base_until :1;
+  bool to_revision :1;
+  bool changes :1;
+} _StoreBatch__isset;
+
+class StoreBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreBatch(const StoreBatch&);
+  StoreBatch& operator=(const StoreBatch&);
+  StoreBatch() noexcept
+             : from_revision(0),
+               base_until(0),
+               to_revision(0) {
+  }
+
+  virtual ~StoreBatch() noexcept;
+  int64_t from_revision;
+  int64_t base_until;
+  int64_t to_revision;
+  std::vector<EndpointNews>  changes;
+
+  _StoreBatch__isset __isset;
+
+  void __set_from_revision(const int64_t val);
+
+  void __set_base_until(const int64_t val);
+
+  void __set_to_revision(const int64_t val);
+
+  void __set_changes(const std::vector<EndpointNews> & val);
+
+  bool operator == (const StoreBatch & rhs) const
+  {
+    if (!(from_revision == rhs.from_revision))
+      return false;
+    if (!(base_until == rhs.base_until))
+      return false;
+    if (!(to_revision == rhs.to_revision))
+      return false;
+    if (!(changes == rhs.changes))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreBatch &a, StoreBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreBatch& obj);
+
+typedef struct _StoreNews__isset {
+  _StoreNews__isset() : batches(false), relay_to(false), origin(false), too_old(false) {}
+  bool batches :1;
+  bool relay_to :1;
+  bool origin :1;
+  bool too_old :1;
+} _StoreNews__isset;
+
+class StoreNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreNews(const StoreNews&);
+  StoreNews& operator=(const StoreNews&);
+  StoreNews() noexcept
+            : origin(0),
+              too_old(0) {
+  }
+
+  virtual ~StoreNews() noexcept;
+  std::vector<StoreBatch>  batches;
+  std::vector<int32_t>  relay_to;
+  int32_t origin;
+  bool too_old;
+
+  _StoreNews__isset __isset;
+
+  void __set_batches(const std::vector<StoreBatch> & val);
+
+  void __set_relay_to(const std::vector<int32_t> & val);
+
+  void __set_origin(const int32_t val);
+
+  void __set_too_old(const bool val);
+
+  bool operator == (const StoreNews & rhs) const
+  {
+    if (!(batches == rhs.batches))
+      return false;
+    if (!(relay_to == rhs.relay_to))
+      return false;
+    if (!(origin == rhs.origin))
+      return false;
+    if (__isset.too_old != rhs.__isset.too_old)
+      return false;
+    else if (__isset.too_old && !(too_old == rhs.too_old))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreNews &a, StoreNews &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj);
+
+typedef struct _StoreNewsRequest__isset {
+  _StoreNewsRequest__isset() : revision(false) {}
+  bool revision :1;
+} _StoreNewsRequest__isset;
+
+class StoreNewsRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  StoreNewsRequest(const StoreNewsRequest&) noexcept;
+  StoreNewsRequest& operator=(const StoreNewsRequest&) noexcept;
+  StoreNewsRequest() noexcept
+                   : revision(0) {
+  }
+
+  virtual ~StoreNewsRequest() noexcept;
+  int64_t revision;
+
+  _StoreNewsRequest__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const StoreNewsRequest & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const StoreNewsRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StoreNewsRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StoreNewsRequest &a, StoreNewsRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const StoreNewsRequest& obj);
+
+typedef struct _ConfigNews__isset {
+  _ConfigNews__isset() : revision(false), base_revision(false), digest(false), patch(false), relay_to(false), source(false) {}
+  bool revision :1;
+  bool base_revision :1;
+  bool digest :1;
+  bool patch :1;
+  bool relay_to :1;
+  bool source :1;
+} _ConfigNews__isset;
+
+class ConfigNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigNews(const ConfigNews&);
+  ConfigNews& operator=(const ConfigNews&);
+  ConfigNews() noexcept
+             : revision(0),
+               base_revision(0),
+               digest(0),
+               patch(),
+               source(0) {
+  }
+
+  virtual ~ConfigNews() noexcept;
+  int64_t revision;
+  int64_t base_revision;
+  int64_t digest;
+  std::string patch;
+  std::vector<int32_t>  relay_to;
+  int32_t source;
+
+  _ConfigNews__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_base_revision(const int64_t val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_patch(const std::string& val);
+
+  void __set_relay_to(const std::vector<int32_t> & val);
+
+  void __set_source(const int32_t val);
+
+  bool operator == (const ConfigNews & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(base_revision == rhs.base_revision))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (__isset.patch != rhs.__isset.patch)
+      return false;
+    else if (__isset.patch && !(patch == rhs.patch))
+      return false;
+    if (!(relay_to == rhs.relay_to))
+      return false;
+    if (!(source == rhs.source))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigNews &a, ConfigNews &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigNews& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : report(false), placement(false), adapter_request(false), adapter_reply(false), suspects(false) {}
+  _Datagram__isset() : report(false), placement(false), adapter_request(false), adapter_reply(false), suspects(false), store_news(false), store_news_request(false), config_news(false) {}
   bool report :1;
   bool placement :1;
   bool adapter_request :1;
   bool adapter_reply :1;
   bool suspects :1;
+  bool store_news :1;
+  bool store_news_request :1;
+  bool config_news :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -744,6 +1236,9 @@
   AdapterRequest adapter_request;
   AdapterReply adapter_reply;
   Suspects suspects;
+  StoreNews store_news;
+  StoreNewsRequest store_news_request;
+  ConfigNews config_news;
 
   _Datagram__isset __isset;
 
@@ -757,6 +1252,12 @@
 
   void __set_suspects(const Suspects& val);
 
+  void __set_store_news(const StoreNews& val);
+
+  void __set_store_news_request(const StoreNewsRequest& val);
+
+  void __set_config_news(const ConfigNews& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (__isset.report != rhs.__isset.report)
@@ -779,6 +1280,18 @@
       return false;
     else if (__isset.suspects && !(suspects == rhs.suspects))
       return false;
+    if (__isset.store_news != rhs.__isset.store_news)
+      return false;
+    else if (__isset.store_news && !(store_news == rhs.store_news))
+      return false;
+    if (__isset.store_news_request != rhs.__isset.store_news_request)
+      return false;
+    else if (__isset.store_news_request && !(store_news_request == rhs.store_news_request))
+      return false;
+    if (__isset.config_news != rhs.__isset.config_news)
+      return false;
+    else if (__isset.config_news && !(config_news == rhs.config_news))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/src/fleet/member_table.cc
+++ b/src/fleet/member_table.cc
@@ -2,6 +2,10 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string>
+#include <tuple>
+
+#include "base/digest.h"
 
 namespace coltsfootvane::fleet {
 namespace {
@@ -161,6 +165,53 @@
   return lower_addresses < kLatestStateReaders;
 }
 
+std::vector<std::uint32_t> ReaderOrder(const MemberTable& table,
+                                       std::uint32_t own_address,
+                                       bool own_reachable,
+                                       bool counts_unheard,
+                                       std::size_t max_readers,
+                                       TimePoint now) {
+  struct Candidate {
+    bool unreachable = false;
+    std::uint64_t hash = 0;
+    std::uint32_t address = 0;
+    bool operator<(const Candidate& other) const {
+      return std::tie(this->unreachable, this->hash) <
+             std::tie(other.unreachable, other.hash);
+    }
+  };
+  const auto make = [](std::uint32_t address, bool reachable) {
+    const std::string text = std::to_string(address);
+    return Candidate{!reachable, Hash64(text, 0), address};
+  };
+  std::vector<Candidate> candidates = {make(own_address, own_reachable)};
+  for (const auto& [address, member] : table.members) {
+    const bool unheard = member.last_heard_at == TimePoint();
+    if (unheard ? counts_unheard
+                : IsLive(member, now) && !member.report.leaving)
+      candidates.push_back(
+          make(address, unheard || member.report.store_reachable));
+  }
+  std::sort(candidates.begin(), candidates.end());
+  std::vector<std::uint32_t> readers;
+  for (const Candidate& one : candidates) {
+    if (readers.size() < max_readers)
+      readers.push_back(one.address);
+  }
+  return readers;
+}
+
+std::size_t CountKnown(const MemberTable& table,
+                       bool counts_unheard,
+                       TimePoint now) {
+  std::size_t count = 0;
+  for (const auto& [address, member] : table.members) {
+    const bool unheard = member.last_heard_at == TimePoint();
+    count += (unheard ? counts_unheard : IsLive(member, now)) ? 1 : 0;
+  }
+  return count;
+}
+
 std::uint32_t FindHolder(const MemberTable& table, TimePoint now) {
   std::uint32_t holder = 0;
   std::int64_t highest = 0;
--- a/src/fleet/member_table.h
+++ b/src/fleet/member_table.h
@@ -83,6 +83,25 @@
                       Milliseconds report_interval,
                       TimePoint now);
 
+/// From more daemons on, a few read the store for all; see ReaderOrder().
+inline constexpr std::size_t kMaxSmallFleet = 24;
+
+/// Returns the daemons that should read the store for the others, this one
+/// included: those that reach it first, each group in the order of a hash of
+/// their addresses, which spreads them over the data centres. While
+/// `counts_unheard`, daemons that have not been heard yet count as well.
+std::vector<std::uint32_t> ReaderOrder(const MemberTable& table,
+                                       std::uint32_t own_address,
+                                       bool own_reachable,
+                                       bool counts_unheard,
+                                       std::size_t max_readers,
+                                       TimePoint now);
+
+/// Returns the number of live members and, if wanted, of those not heard yet.
+std::size_t CountKnown(const MemberTable& table,
+                       bool counts_unheard,
+                       TimePoint now);
+
 /// Returns the address of the lease holder, which is the live member with the
 /// highest lease epoch, or 0 if there is none.
 std::uint32_t FindHolder(const MemberTable& table, TimePoint now);
--- /dev/null
+++ b/src/fleet/store_batches.cc
@@ -0,0 +1,234 @@
+#include "fleet/store_batches.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <utility>
+
+namespace coltsfootvane::fleet {
+namespace {
+
+/// Of the changes in a datagram; the rest is for the addresses of relays.
+constexpr std::size_t kMaxNewsBytes = 1050;
+constexpr std::size_t kBatchOverhead = 20;
+constexpr std::size_t kChangeOverhead = 10;
+constexpr std::size_t kFieldsOverhead = 24;
+/// A daemon that lacks more than these fetches a snapshot.
+constexpr std::size_t kMaxLogBatches = 64;
+/// More than any endpoint has.
+constexpr int kMaxSlots = 1'000'000;
+
+std::size_t SizeOf(const std::vector<std::string>& texts) {
+  std::size_t bytes = 2;
+  for (const std::string& text : texts)
+    bytes += text.size() + 1;
+  return bytes;
+}
+
+std::size_t SizeOf(const gen::EndpointNews& change) {
+  std::size_t bytes = kChangeOverhead + change.id.size();
+  if (!change.__isset.fields)
+    return bytes;
+  const gen::EndpointFields& fields = change.fields;
+  bytes += kFieldsOverhead + fields.service_name.size() + fields.host.size() +
+           fields.data_centre.size() + SizeOf(fields.cached_in_memory) +
+           SizeOf(fields.cached_on_disk);
+  for (const gen::EndpointModel& model : fields.models)
+    bytes += 4 + model.name.size() + SizeOf(model.adapters);
+  return bytes;
+}
+
+bool Leaves(const gen::EndpointNews& change) {
+  return !change.__isset.fields || change.fields.draining;
+}
+
+}  // namespace
+
+std::size_t SizeOf(const gen::StoreBatch& batch) {
+  std::size_t bytes = kBatchOverhead;
+  for (const gen::EndpointNews& change : batch.changes)
+    bytes += SizeOf(change);
+  return bytes;
+}
+
+BatchFit Fit(const gen::StoreBatch& batch, std::int64_t revision) {
+  if (batch.to_revision <= revision)
+    return BatchFit::kKnown;
+  const bool whole =
+      std::none_of(batch.changes.begin(), batch.changes.end(),
+                   [](const gen::EndpointNews& one) { return one.left_out; });
+  return whole && revision >= batch.from_revision &&
+                 revision <= batch.base_until
+             ? BatchFit::kApplies
+             : BatchFit::kGap;
+}
+
+bool IsNews(const gen::StoreBatch& batch,
+            std::size_t position,
+            std::int64_t revision) {
+  const gen::EndpointNews& change = batch.changes[position];
+  const bool is_listed = batch.base_until < batch.to_revision;
+  if (change.revision > revision || is_listed)
+    return true;
+  if (!change.deleted)
+    return false;
+  for (std::size_t i = position + 1; i < batch.changes.size(); ++i) {
+    const gen::EndpointNews& later = batch.changes[i];
+    if (later.id == change.id && !later.deleted && later.revision <= revision)
+      return false;
+  }
+  return true;
+}
+
+void Append(gen::StoreBatch batch, BatchLog* log) {
+  if (batch.to_revision <= log->covered_to)
+    return;
+  if (batch.from_revision > log->covered_to)
+    log->batches.clear();
+  log->covered_to = batch.to_revision;
+  log->batches.push_back(std::move(batch));
+  if (log->batches.size() > kMaxLogBatches)
+    log->batches.pop_front();
+}
+
+Result<std::vector<gen::StoreBatch>> BatchesSince(const BatchLog& log,
+                                                  std::int64_t revision) {
+  std::vector<gen::StoreBatch> since;
+  std::int64_t reached = revision;
+  for (const gen::StoreBatch& batch : log.batches) {
+    const BatchFit fit = Fit(batch, reached);
+    if (fit == BatchFit::kKnown)
+      continue;
+    if (fit == BatchFit::kGap)
+      return Error{ErrorCode::kGone, "the log begins later"};
+    since.push_back(batch);
+    reached = batch.to_revision;
+  }
+  if (reached < log.covered_to)
+    return Error{ErrorCode::kGone, "the log begins later"};
+  return since;
+}
+
+std::vector<gen::StoreBatch> LastBatches(const BatchLog& log,
+                                         std::size_t max_bytes) {
+  std::vector<gen::StoreBatch> last;
+  std::size_t bytes = 0;
+  for (auto it = log.batches.rbegin(); it != log.batches.rend(); ++it) {
+    bytes += SizeOf(*it);
+    if (bytes > max_bytes)
+      break;
+    last.push_back(*it);
+  }
+  std::reverse(last.begin(), last.end());
+  return last;
+}
+
+std::vector<gen::StoreBatch> SplitBatch(gen::StoreBatch batch) {
+  const bool any_base = batch.base_until >= batch.to_revision;
+  // A part must not end at a state from which it may begin.
+  std::int64_t least_end =
+      any_base ? batch.from_revision : batch.base_until;
+  std::vector<gen::StoreBatch> parts;
+  gen::StoreBatch part = batch;
+  part.changes.clear();
+  std::size_t bytes = kBatchOverhead;
+  for (gen::EndpointNews& change : batch.changes) {
+    std::size_t size = SizeOf(change);
+    if (size + kBatchOverhead > kMaxNewsBytes) {
+      change.__isset.fields = false;
+      change.fields = {};
+      change.__set_left_out(true);
+      size = SizeOf(change);
+    }
+    // Everything before it is older, or is an endpoint that leaves, which may
+    // be told early. So a part may end here.
+    const std::int64_t end = change.revision - 1;
+    if (bytes + size > kMaxNewsBytes && end > least_end &&
+        end < batch.to_revision && (any_base || !Leaves(change))) {
+      part.to_revision = end;
+      if (any_base)
+        part.base_until = end;
+      parts.push_back(std::move(part));
+      part = {};
+      part.from_revision = end;
+      part.base_until = any_base ? batch.to_revision : end;
+      part.to_revision = batch.to_revision;
+      least_end = end;
+      bytes = kBatchOverhead;
+    }
+    bytes += size;
+    part.changes.push_back(std::move(change));
+  }
+  parts.push_back(std::move(part));
+  return parts;
+}
+
+std::vector<std::vector<gen::StoreBatch>> GroupBatches(
+    const std::vector<gen::StoreBatch>& batches) {
+  std::vector<std::vector<gen::StoreBatch>> groups;
+  std::size_t bytes = 0;
+  for (const gen::StoreBatch& batch : batches) {
+    const std::size_t size = SizeOf(batch);
+    if (groups.empty() || bytes + size > kMaxNewsBytes) {
+      groups.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    groups.back().push_back(batch);
+  }
+  return groups;
+}
+
+void OrderListed(std::vector<gen::EndpointNews>* changes) {
+  std::stable_sort(changes->begin(), changes->end(),
+                   [](const gen::EndpointNews& a, const gen::EndpointNews& b) {
+                     if (Leaves(a) != Leaves(b))
+                       return Leaves(a);
+                     return !Leaves(a) && a.revision < b.revision;
+                   });
+}
+
+gen::EndpointFields ToWire(const gateway::EndpointEntry& entry) {
+  gen::EndpointFields fields;
+  fields.service_name = entry.service;
+  fields.host = entry.address.address().to_string();
+  fields.port = entry.address.port();
+  fields.data_centre = entry.data_centre;
+  fields.slots = entry.slots;
+  fields.draining = entry.draining;
+  fields.incarnation = entry.incarnation;
+  for (const gateway::LoadedModel& model : entry.models) {
+    gen::EndpointModel wire;
+    wire.name = model.name;
+    wire.adapters = model.adapters;
+    fields.models.push_back(std::move(wire));
+  }
+  fields.cached_in_memory = entry.cached_in_memory;
+  fields.cached_on_disk = entry.cached_on_disk;
+  return fields;
+}
+
+Result<gateway::EndpointEntry> FromWire(const std::string& id,
+                                        const gen::EndpointFields& fields) {
+  boost::system::error_code ec;
+  const auto host = boost::asio::ip::make_address(fields.host, ec);
+  if (ec || id.empty() || fields.port <= 0 ||
+      fields.port > std::numeric_limits<unsigned short>::max() ||
+      fields.slots <= 0 || fields.slots > kMaxSlots)
+    return Error{ErrorCode::kInvalid, "no usable endpoint"};
+  gateway::EndpointEntry entry;
+  entry.id = id;
+  entry.service = fields.service_name;
+  entry.address = {host, static_cast<unsigned short>(fields.port)};
+  entry.data_centre = fields.data_centre;
+  entry.slots = fields.slots;
+  entry.draining = fields.draining;
+  entry.incarnation = fields.incarnation;
+  for (const gen::EndpointModel& model : fields.models)
+    entry.models.push_back({model.name, model.adapters});
+  entry.cached_in_memory = fields.cached_in_memory;
+  entry.cached_on_disk = fields.cached_on_disk;
+  return entry;
+}
+
+}  // namespace coltsfootvane::fleet
--- /dev/null
+++ b/src/fleet/store_batches.h
@@ -0,0 +1,73 @@
+#ifndef COLTSFOOTVANE_FLEET_STORE_BATCHES_H_
+#define COLTSFOOTVANE_FLEET_STORE_BATCHES_H_
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "fleet/gen/fleet_types.h"
+#include "gateway/endpoint.h"
+
+namespace coltsfootvane::fleet {
+
+/// The latest changes of endpoints that this daemon knows. Each batch begins at
+/// or before the end of the one before it.
+struct BatchLog {
+  std::deque<gen::StoreBatch> batches;
+  /// The end of the last batch; where the log begins if there is none.
+  std::int64_t covered_to = 0;
+};
+
+enum class BatchFit {
+  kKnown,    ///< The view already holds all of its changes.
+  kApplies,  ///< The view may be brought forward by it.
+  kGap,      ///< Changes before it, or within it, are missing.
+};
+
+/// Returns how a batch fits a view that holds all changes up to `revision`.
+BatchFit Fit(const gen::StoreBatch& batch, std::int64_t revision);
+
+/// Returns whether a change of a batch that applies is to be applied: it is
+/// newer than the view, and not the removal of an entry that has returned
+/// before the view's revision.
+bool IsNews(const gen::StoreBatch& batch,
+            std::size_t position,
+            std::int64_t revision);
+
+/// Appends a batch. The log begins anew if changes before it are missing.
+void Append(gen::StoreBatch batch, BatchLog* log);
+
+/// Returns the batches that bring a view from `revision` to the end of the log.
+/// Errors: kGone if the log does not reach back that far.
+Result<std::vector<gen::StoreBatch>> BatchesSince(const BatchLog& log,
+                                                  std::int64_t revision);
+
+/// Returns the last batches of the log, as many as are small enough to be
+/// repeated beside news, in order.
+std::vector<gen::StoreBatch> LastBatches(const BatchLog& log,
+                                         std::size_t max_bytes);
+
+/// Splits a batch into consecutive ones that fit into a datagram each. Changes
+/// that do not fit alone are marked as left out.
+std::vector<gen::StoreBatch> SplitBatch(gen::StoreBatch batch);
+/// Groups batches so that each group fits into a datagram.
+std::vector<std::vector<gen::StoreBatch>> GroupBatches(
+    const std::vector<gen::StoreBatch>& batches);
+
+/// Orders the changes between two listings so that those by which endpoints
+/// leave come first, and the rest by revision.
+void OrderListed(std::vector<gen::EndpointNews>* changes);
+
+/// Returns about how many bytes the changes take in a datagram.
+std::size_t SizeOf(const gen::StoreBatch& batch);
+
+gen::EndpointFields ToWire(const gateway::EndpointEntry& entry);
+/// Errors: kInvalid if the fields name no usable endpoint.
+Result<gateway::EndpointEntry> FromWire(const std::string& id,
+                                        const gen::EndpointFields& fields);
+
+}  // namespace coltsfootvane::fleet
+
+#endif  // COLTSFOOTVANE_FLEET_STORE_BATCHES_H_
--- a/src/orders/lease_manager.cc
+++ b/src/orders/lease_manager.cc
@@ -85,7 +85,7 @@
   this->lease.holder_silent =
       this->is_holder_silent &&
       this->is_holder_silent(this->lease.last_spec.epoch);
-  if (!this->call_in_progress && !this->released) {
+  if (!this->call_in_progress && !this->released && this->Competes()) {
     const LeaseStep step = NextLeaseStep(this->lease, now);
     if (step == LeaseStep::kRead)
       this->Read();
@@ -99,6 +99,25 @@
   });
 }
 
+/// A daemon that does not compete reads the lease once, since a predecessor on
+/// its VM may hold it.
+bool LeaseManager::Competes() {
+  constexpr int kMaxCallsAsBystander = 2;
+  if (!this->may_compete || this->lease.held || this->may_compete())
+    return true;
+  const bool is_known = this->lease.changed_at != TimePoint();
+  if (IsHeldByPredecessor(this->lease) ||
+      (!is_known && this->calls_as_bystander < kMaxCallsAsBystander)) {
+    this->calls_as_bystander +=
+        BootNow() >= this->lease.next_call ? 1 : 0;
+    return true;
+  }
+  // It is read anew before it is taken over.
+  this->lease.up_to_date = false;
+  this->lease.next_call = TimePoint();
+  return false;
+}
+
 void LeaseManager::Read() {
   this->call_in_progress = true;
   this->call_started_at = BootNow();
--- a/src/orders/lease_manager.h
+++ b/src/orders/lease_manager.h
@@ -41,6 +41,10 @@
   /// Returns whether reports of the lease holder of this epoch have stopped.
   std::function<bool(std::int64_t epoch)> is_holder_silent;
 
+  /// Returns whether this daemon watches the lease to take it over; unset if it
+  /// does. Otherwise it reads it once after its start.
+  std::function<bool()> may_compete;
+
   /// Called when an engine has refused an order because a later lease holder
   /// has sent one. No orders may be sent until the lease has been read and
   /// acquired again.
@@ -55,6 +59,7 @@
                  const Result<store::Object>& written,
                  TimePoint start,
                  bool was_released);
+  bool Competes();
   void UpdateHolding(TimePoint now);
   bool HoldsThroughOutage(TimePoint now) const;
   void SetStoreUnreachable(bool unreachable);
@@ -78,6 +83,7 @@
   bool store_unreachable = false;  ///< The store did not answer the last call.
   bool call_in_progress = false;
   bool released = false;
+  int calls_as_bystander = 0;  ///< While others compete.
   bool holding = false;  ///< As last logged.
 };
 
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -1,7 +1,9 @@
 #include "store/kind_follower.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
+#include <vector>
 
 #include "store/events.h"
 
@@ -10,12 +12,11 @@
 
 using BoostError = boost::system::error_code;
 
-/// Between two watches, so that changes in quick succession take one call.
-constexpr Milliseconds kWatchPause{250};
 /// Of a watch that is answered whether there is a change or not.
 constexpr Milliseconds kNoWait{1};
 constexpr Milliseconds kFirstBackoff{300};
-constexpr int kMostDoublings = 2;
+/// Of a passive follower that has not reached the store; plus up to as much.
+constexpr Milliseconds kProbeInterval{10'000};
 
 }  // namespace
 
@@ -48,7 +49,47 @@
   this->Watch();
 }
 
+void KindFollower::SetPassive(bool wanted) {
+  if (wanted == this->passive)
+    return;
+  this->passive = wanted;
+  if (wanted) {
+    if (this->backing_off)
+      this->Later(this->Backoff(), &KindFollower::Probe);
+    return;
+  }
+  if (this->idle || this->probing) {
+    ++this->generation;
+    this->probing = false;
+    this->Watch();
+  } else if (this->backing_off) {
+    const Milliseconds left = TimeLeft(this->timer.expiry(), Clock::now());
+    this->Later(std::min(left, this->Backoff()), &KindFollower::List);
+  }
+}
+
+void KindFollower::AdvanceTo(std::int64_t known_revision) {
+  this->revision = std::max(this->revision, known_revision);
+}
+
+void KindFollower::SetPace(const FollowerPace& wanted,
+                           Milliseconds latest_watch_wait) {
+  this->pace = wanted;
+  this->kind.latest_watch_wait = latest_watch_wait;
+}
+
+/// Goes on after an answer.
+void KindFollower::Continue() {
+  if (this->passive) {
+    this->idle = true;
+    return;
+  }
+  this->Later(this->pace.watch_pause, &KindFollower::Watch);
+}
+
 void KindFollower::List() {
+  this->idle = false;
+  this->backing_off = false;
   this->watching = false;
   CountCall(*this->store, this->list_cause, Freshness::kLatest);
   this->store->list(this->kind.name, Freshness::kLatest,
@@ -64,14 +105,14 @@
                       this->OnListing(listing.value());
                       this->confirm_at_once = false;
                       this->SetConfirmed(start);
-                      this->Later(kWatchPause, &KindFollower::Watch);
+                      this->Continue();
                     });
 }
 
-void KindFollower::OnListing(const Listing& listing) {
+void KindFollower::OnListing(Listing listing) {
   if (listing.revision < this->revision)
     return;
-  this->revision = listing.revision;
+  listing.since = std::exchange(this->revision, listing.revision);
   this->events.on_listing(listing);
 }
 
@@ -103,14 +144,40 @@
     this->events.on_confirmed();
 }
 
-void KindFollower::Refresh() {
+void KindFollower::Refresh(CallCause cause) {
   ++this->generation;
   this->timer.cancel();
-  this->list_cause = CallCause::kRetry;
+  this->list_cause = cause;
   this->List();
 }
 
+/// Finds out whether the store answers, without waiting.
+void KindFollower::Probe() {
+  this->backing_off = false;
+  this->probing = true;
+  CountCall(*this->store, CallCause::kRetry, Freshness::kStale);
+  this->store->watch(this->kind.name, this->revision, kNoWait,
+                     Freshness::kStale,
+                     [this, current = this->generation](Result<Changes> answer) {
+                       if (current != this->generation)
+                         return;
+                       this->probing = false;
+                       if (!answer) {
+                         this->OnFailure(answer.error());
+                         return;
+                       }
+                       this->SetReachable(true);
+                       this->Continue();
+                     });
+}
+
 void KindFollower::Watch() {
+  if (this->passive) {
+    this->idle = true;
+    return;
+  }
+  this->idle = false;
+  this->backing_off = false;
   const bool latest = this->freshness == Freshness::kLatest;
   Milliseconds wait =
       latest ? this->kind.latest_watch_wait : this->kind.watch_wait;
@@ -146,20 +213,25 @@
   this->SetReachable(true);
   this->OnChanges(std::move(changes));
   this->SetConfirmed(confirmed);
-  this->Later(kWatchPause, &KindFollower::Watch);
+  this->Continue();
 }
 
 void KindFollower::OnChanges(Changes changes) {
   // A listing may have overtaken the watch.
   if (changes.revision <= this->revision)
     return;
-  const auto known = std::remove_if(
-      changes.changes.begin(), changes.changes.end(),
-      [this](const Change& change) {
-        return !change.deleted && change.object.revision <= this->revision;
-      });
-  changes.changes.erase(known, changes.changes.end());
-  this->revision = changes.revision;
+  std::vector<Change> news;
+  std::set<std::string> known;
+  for (auto it = changes.changes.rbegin(); it != changes.changes.rend(); ++it) {
+    // An entry that is known to have returned was removed before.
+    if (!it->deleted && it->object.revision <= this->revision)
+      known.insert(it->object.name);
+    else if (!it->deleted || known.count(it->object.name) == 0)
+      news.push_back(std::move(*it));
+  }
+  std::reverse(news.begin(), news.end());
+  changes.changes = std::move(news);
+  changes.since = std::exchange(this->revision, changes.revision);
   if (!changes.changes.empty())
     this->events.on_changes(changes);
 }
@@ -175,12 +247,29 @@
   }
   this->SetReachable(false, error.message);
   this->list_cause = CallCause::kRetry;
-  const int doublings = std::min(this->failures++, kMostDoublings);
-  const auto backoff = kFirstBackoff * (1 << doublings);
-  const auto jitter = static_cast<std::int64_t>(
-      this->random() % static_cast<std::uint64_t>(backoff.count() / 2));
+  ++this->failures;
+  this->backing_off = true;
   // Entries may have lapsed or changed without an event meanwhile.
-  this->Later(backoff + Milliseconds(jitter), &KindFollower::List);
+  this->Later(this->Backoff(),
+              this->passive ? &KindFollower::Probe : &KindFollower::List);
+}
+
+/// Returns the time from a failed call to the next one.
+Milliseconds KindFollower::Backoff() {
+  const int doublings =
+      std::min(this->failures - 1, this->pace.max_doublings);
+  Milliseconds backoff = kFirstBackoff * (1 << std::max(doublings, 0));
+  auto spread = static_cast<std::uint64_t>(backoff.count() / 2);
+  if (this->passive) {
+    backoff = kProbeInterval;
+    spread = static_cast<std::uint64_t>(backoff.count());
+  } else if (this->pace.max_doublings > FollowerPace().max_doublings) {
+    // Many daemons that were refused together must not return together.
+    backoff /= 2;
+    spread = static_cast<std::uint64_t>(backoff.count() * 2);
+  }
+  return backoff + Milliseconds(static_cast<std::int64_t>(
+                       this->random() % std::max<std::uint64_t>(spread, 1)));
 }
 
 void KindFollower::Later(Milliseconds pause, void (KindFollower::*step)()) {
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -25,6 +25,14 @@
   Milliseconds latest_watch_wait{20'000};
 };
 
+/// How closely a follower watches; see KindFollower::SetPace().
+struct FollowerPace {
+  /// Between two watches, so that changes in quick succession take one call.
+  Milliseconds watch_pause{250};
+  /// The time after a failed call doubles so often.
+  int max_doublings = 2;
+};
+
 /// What a follower reports.
 struct FollowerEvents {
   /// All objects of the kind; others no longer exist.
@@ -53,6 +61,13 @@
   /// latest state has an effect at once: a watch in progress that may be late
   /// is replaced by one that is answered immediately.
   void SetFreshness(Freshness wanted);
+  /// Others tell of all changes, see AdvanceTo(), so that no calls are made but
+  /// a rare one of the low price while the store is unreachable.
+  void SetPassive(bool wanted);
+  /// Others have told all changes up to this revision, and they are applied.
+  void AdvanceTo(std::int64_t known_revision);
+  /// `latest_watch_wait` replaces the one given at the start.
+  void SetPace(const FollowerPace& wanted, Milliseconds latest_watch_wait);
   /// Lists at once what has changed up to `known_revision`, if that is news.
   void CatchUp(std::int64_t known_revision);
   /// Another daemon has shown that no change of interest that was acknowledged
@@ -62,7 +77,7 @@
   /// time; TimePoint() before the first listing.
   TimePoint ConfirmedAt() const { return this->confirmed_at; }
   /// Lists and watches anew, since the answer to the watch may have been lost.
-  void Refresh();
+  void Refresh(CallCause cause = CallCause::kRetry);
   std::int64_t Revision() const { return this->revision; }
   bool Reachable() const { return this->reachable; }
   const std::string& Kind() const { return this->kind.name; }
@@ -71,8 +86,11 @@
 
  private:
   void List();
-  void OnListing(const Listing& listing);
+  void OnListing(Listing listing);
   void Watch();
+  void Probe();
+  void Continue();
+  Milliseconds Backoff();
   void OnWatched(Changes changes, TimePoint confirmed);
   void OnChanges(Changes changes);
   void OnFailure(const Error& error);
@@ -88,6 +106,11 @@
   FollowerEvents events;
   std::minstd_rand random;
   Freshness freshness = Freshness::kLatest;
+  FollowerPace pace;
+  bool passive = false;
+  bool idle = false;        ///< No call or timer is pending.
+  bool probing = false;     ///< A call of Probe() is in progress.
+  bool backing_off = false;  ///< The timer counts from a failed call.
   bool watching = false;                   ///< A watch is in progress.
   Freshness watched = Freshness::kLatest;  ///< Of the watch in progress.
   /// The next watch is answered at once, to show how far the view is complete.
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -24,6 +24,7 @@
 struct Listing {
   std::vector<Object> objects;
   std::int64_t revision = 0;  ///< Of the store; a watch goes on from here.
+  std::int64_t since = 0;  ///< Of the follower's view before, 0 if none.
 };
 
 struct Change {
@@ -34,6 +35,7 @@
 struct Changes {
   std::vector<Change> changes;
   std::int64_t revision = 0;  ///< The next watch goes on from here.
+  std::int64_t since = 0;     ///< Of the follower's view before.
 };
 
 enum class Freshness {
