--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -182,6 +182,8 @@
   parts.lease = &this->lease;
   parts.log = &this->log;
   parts.view_confirmed_at = this->store_view.ConfirmedAt();
+  parts.store_calls = this->store.tally.get();
+  parts.news = &this->store_view.Counts();
   parts.followers = {&this->store_view.Config(), &this->store_view.Endpoints()};
   return FormatMetrics(parts, BootNow());
 }
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -8,10 +8,12 @@
 #include <map>
 #include <utility>
 
+#include "daemon/store_news.h"
 #include "fleet/fleet.h"
 #include "gateway/gateway.h"
 #include "log/decision_log.h"
 #include "orders/lease_manager.h"
+#include "store/call_tally.h"
 #include "store/kind_follower.h"
 
 namespace coltsfootvane::daemon {
@@ -161,6 +163,35 @@
            static_cast<double>(parts.lease->Epoch()));
 }
 
+void SetStoreCalls(Registry* registry, const DaemonParts& parts) {
+  const char* const name = "coltsfootvane_store_calls_by_cause_total";
+  const char* const help =
+      "Calls to the store by cause; those that may return stale data have a low "
+      "price";
+  for (std::size_t i = 0; i < store::kCallCauses; ++i) {
+    const char* const cause = CauseName(static_cast<store::CallCause>(i));
+    SetGauge(registry, name, help, {{"cause", cause}, {"data", "latest"}},
+             static_cast<double>(parts.store_calls->latest.at(i)));
+    SetGauge(registry, name, help, {{"cause", cause}, {"data", "stale"}},
+             static_cast<double>(parts.store_calls->stale.at(i)));
+  }
+}
+
+void SetNews(Registry* registry, const DaemonParts& parts) {
+  const NewsCounts& counts = *parts.news;
+  const std::pair<const char*, std::uint64_t> rows[] = {
+      {"pushed", counts.pushed},     {"applied", counts.applied},
+      {"gap", counts.gaps},          {"asked", counts.asked},
+      {"answered", counts.answered}, {"fetched", counts.fetched}};
+  for (const auto& [event, count] : rows)
+    SetGauge(registry, "coltsfootvane_store_news_total",
+             "What daemons told each other of changes in the store",
+             {{"event", event}}, static_cast<double>(count));
+  SetGauge(registry, "coltsfootvane_store_reader",
+           "Whether this daemon reads the store for the others", {},
+           parts.fleet->ReadsLatestState() ? 1 : 0);
+}
+
 void SetQuarantine(Registry* registry,
                    const gateway::PartQuarantine& state,
                    TimePoint now) {
@@ -202,6 +233,10 @@
   SetBeliefs(&state, parts, now);
   SetQuarantine(&state, parts.gateway->quarantine, now);
   SetLogLines(&state, *parts.log);
+  if (parts.store_calls != nullptr)
+    SetStoreCalls(&state, parts);
+  if (parts.news != nullptr)
+    SetNews(&state, parts);
   std::vector<prometheus::MetricFamily> families =
       parts.gateway->registry.Collect();
   for (prometheus::MetricFamily& family : state.Collect())
--- a/src/daemon/daemon_metrics.h
+++ b/src/daemon/daemon_metrics.h
@@ -21,10 +21,13 @@
 }
 namespace store {
 class KindFollower;
+struct CallTally;
 }
 
 namespace daemon {
 
+struct NewsCounts;
+
 /// The parts of a daemon whose state its metrics show.
 struct DaemonParts {
   const gateway::Gateway* gateway = nullptr;
@@ -32,6 +35,8 @@
   const orders::LeaseManager* lease = nullptr;
   const DecisionLog* log = nullptr;
   std::vector<const store::KindFollower*> followers;
+  const store::CallTally* store_calls = nullptr;
+  const NewsCounts* news = nullptr;
   TimePoint view_confirmed_at;  ///< See StoreView::ConfirmedAt().
 };
 
--- a/src/daemon/store_news_fetch.cc
+++ b/src/daemon/store_news_fetch.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "daemon/store_news.h"
@@ -45,8 +46,12 @@
 
 void StoreNews::RecoverConfig(TimePoint now) {
   NewsRecovery& recovery = this->config_recovery;
-  const RecoveryStep step = NextStep(this->config.revision, now,
-                                     &this->gateway->random, &recovery);
+  // One that cannot be read is known as well, and has no text.
+  const std::int64_t own =
+      std::max(this->config.revision,
+               this->fleet->seen_revisions.config_revision);
+  const RecoveryStep step =
+      NextStep(own, now, &this->gateway->random, &recovery);
   if (step == RecoveryStep::kNone)
     return;
   if (step == RecoveryStep::kList) {
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -122,8 +122,12 @@
   if (this->large) {
     if (seen.config_revision > this->fleet->seen_revisions.config_revision)
       this->news.WantConfig(seen.config_revision, seen.reporter);
-    if (seen.endpoints_revision > this->endpoints.Revision())
-      this->news.WantEndpoints(seen.endpoints_revision, seen.reporter);
+    // Before the first listing any daemon that has one knows more.
+    const std::int64_t told_of = this->endpoints_known
+                                     ? seen.endpoints_revision
+                                     : seen.max_departure_revision;
+    if (told_of > this->endpoints.Revision())
+      this->news.WantEndpoints(told_of, seen.reporter);
   } else {
     this->config.CatchUp(seen.config_revision);
     this->endpoints.CatchUp(seen.endpoints_revision);
@@ -194,6 +198,8 @@
   const bool reads_latest =
       this->large ? this->rank == 0 || now < this->reads_until
                   : this->fleet->ReadsLatestState();
+  if (this->large && !due)
+    this->checking = false;
   if (due && !reads_latest && !this->checking && this->endpoints_known)
     this->BeginCheck(now);
   const auto freshness = reads_latest || due ? store::Freshness::kLatest
@@ -263,7 +269,7 @@
       continue;
     }
     this->skipped_revisions.erase(change.object.name);
-    this->RemoveEndpoint(change.object.name, true);
+    this->RemoveEndpoint(change.object.name, kDeleted);
     this->NoteDeparture(changes.revision);
   }
   gateway::UpdateEndpointList(this->gateway);
@@ -314,7 +320,7 @@
 /// once, however often it is listed.
 void StoreView::SkipEndpoint(const store::Object& object,
                              const std::string& reason) {
-  this->RemoveEndpoint(object.name, false);
+  this->RemoveEndpoint(object.name, object.revision);
   const auto [known, inserted] =
       this->skipped_revisions.emplace(object.name, object.revision);
   if (!inserted && known->second == object.revision)
@@ -362,14 +368,15 @@
     this->fleet->ReportNow();
 }
 
-void StoreView::RemoveEndpoint(const std::string& id, bool deleted) {
+void StoreView::RemoveEndpoint(const std::string& id, std::int64_t unusable) {
   if (this->gateway->endpoints.endpoints.count(id) == 0)
     return;
   this->log->Write(gateway::kEndpointGone, "", "endpoint=" + id);
   gateway::RemoveEndpoint(&this->gateway->endpoints, id);
   fleet::gen::EndpointNews change;
   change.id = id;
-  change.deleted = deleted;
+  change.deleted = unusable == kDeleted;
+  change.revision = unusable;
   this->changes.push_back(std::move(change));
 }
 
@@ -380,7 +387,7 @@
       gone.push_back(id);
   }
   for (const std::string& id : gone)
-    this->RemoveEndpoint(id, true);
+    this->RemoveEndpoint(id, kDeleted);
   return !gone.empty();
 }
 
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -80,8 +80,9 @@
   void OnEndpointChanges(const store::Changes& changes);
   void UpsertEndpoint(const store::Object& object);
   void SkipEndpoint(const store::Object& object, const std::string& reason);
-  /// `deleted` tells whether its entry is gone, or cannot be used.
-  void RemoveEndpoint(const std::string& id, bool deleted);
+  static constexpr std::int64_t kDeleted = 0;
+  /// `unusable` is the revision of an entry that cannot be used, or kDeleted.
+  void RemoveEndpoint(const std::string& id, std::int64_t unusable);
   void RaiseMaxDeparture(std::int64_t revision);
   void NoteDeparture(std::int64_t revision);
   void SendNews();
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -21,9 +21,11 @@
 constexpr double kStandbyStep = 0.04;
 /// For which a standby goes on reading.
 constexpr double kActingShare = 3;
-/// So that refused daemons come back after up to 7 s, at different times. The
-/// readers bring the news meanwhile.
-constexpr int kFollowerDoublings = 4;
+/// Refused daemons come back after 0.6 to 14 s, at different times. The readers
+/// come back sooner and bring the news; if they cannot, the first of the others
+/// to come back does, which takes some 100 ms in a fleet of 100.
+constexpr int kFirstFollowerDoublings = 2;
+constexpr int kMaxFollowerDoublings = 5;
 
 Milliseconds Share(Milliseconds limit, double share) {
   return Milliseconds(
@@ -97,7 +99,7 @@
       this->UpsertEntry(std::move(entry).value(), change.revision);
       continue;
     }
-    this->RemoveEndpoint(change.id, change.deleted);
+    this->RemoveEndpoint(change.id, change.deleted ? kDeleted : change.revision);
     if (change.deleted)
       this->NoteDeparture(batch.to_revision);
   }
@@ -167,8 +169,10 @@
   if (this->large) {
     latest_wait = Share(this->in_force_limit, kReaderShare);
     pace.watch_pause = latest_wait;
-    if (this->rank >= static_cast<int>(readers.size()))
-      pace.max_doublings = kFollowerDoublings;
+    if (this->rank >= static_cast<int>(readers.size())) {
+      pace.first_doublings = kFirstFollowerDoublings;
+      pace.max_doublings = kMaxFollowerDoublings;
+    }
   }
   this->config.SetPace(pace, latest_wait);
   this->endpoints.SetPace(pace, latest_wait);
--- a/src/fleet/daemon_registry.cc
+++ b/src/fleet/daemon_registry.cc
@@ -103,14 +103,27 @@
     return;
   }
   this->announced = true;
-  Milliseconds pause = kListInterval;
+  this->RunAfter(kListInterval, [this] { this->ListAgain(); });
+}
+
+void DaemonRegistry::ListAgain() {
+  const TimePoint now = BootNow();
+  if (!this->lists_rarely || !this->lists_rarely()) {
+    this->rare_list_at = TimePoint();
+    this->List(store::Freshness::kStale);
+    return;
+  }
   // Not all daemons that started together list together.
-  if (this->lists_rarely && this->lists_rarely())
-    pause = kRareListInterval +
-            Milliseconds(static_cast<std::int64_t>(
-                this->random() %
-                static_cast<std::uint64_t>(kRareListInterval.count())));
-  this->RunAfter(pause, [this] { this->List(store::Freshness::kStale); });
+  const auto jitter = Milliseconds(static_cast<std::int64_t>(
+      this->random() % static_cast<std::uint64_t>(kRareListInterval.count())));
+  const bool due =
+      this->rare_list_at != TimePoint() && now >= this->rare_list_at;
+  if (due || this->rare_list_at == TimePoint())
+    this->rare_list_at = now + kRareListInterval + jitter;
+  if (due)
+    this->List(store::Freshness::kStale);
+  else
+    this->RunAfter(kListInterval, [this] { this->ListAgain(); });
 }
 
 void DaemonRegistry::RunAfter(Milliseconds delay,
--- a/src/fleet/daemon_registry.h
+++ b/src/fleet/daemon_registry.h
@@ -33,6 +33,7 @@
   void Announce();
   void UpdateEntry(std::int64_t revision);
   void List(store::Freshness freshness);
+  void ListAgain();
   void OnListing(const Result<store::Listing>& listing);
   void RunAfter(Milliseconds delay, std::function<void()> action);
   store::Object OwnEntry() const;
@@ -44,6 +45,7 @@
   Found found;
   std::minstd_rand random;
   bool announced = false;
+  TimePoint rare_list_at;
 };
 
 }  // namespace coltsfootvane::fleet
--- /dev/null
+++ b/src/fleet/store_batches_unittest.cc
@@ -0,0 +1,206 @@
+#include "fleet/store_batches.h"
+
+#include <map>
+#include <string>
+
+#include "fleet/codec.h"
+#include "fleet/spread_tree.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using fleet::Append;
+using fleet::BatchesSince;
+using fleet::BatchFit;
+using fleet::Encode;
+using fleet::Fit;
+using fleet::IsNews;
+using fleet::OrderListed;
+using fleet::SplitBatch;
+using fleet::gen::EndpointNews;
+using fleet::gen::StoreBatch;
+
+namespace {
+
+EndpointNews Upsert(const std::string& id,
+                    std::int64_t revision,
+                    bool draining = false,
+                    std::size_t padding = 0) {
+  EndpointNews change;
+  change.id = id;
+  change.revision = revision;
+  fleet::gen::EndpointFields fields;
+  fields.host = "10.0.0.1";
+  fields.port = 80;
+  fields.slots = 4;
+  fields.draining = draining;
+  if (padding > 0)
+    fields.cached_on_disk.emplace_back(padding, 'x');
+  change.__set_fields(fields);
+  return change;
+}
+
+EndpointNews Deletion(const std::string& id) {
+  EndpointNews change;
+  change.id = id;
+  change.deleted = true;
+  return change;
+}
+
+StoreBatch MakeBatch(std::int64_t from, std::int64_t base, std::int64_t to) {
+  StoreBatch batch;
+  batch.from_revision = from;
+  batch.base_until = base;
+  batch.to_revision = to;
+  return batch;
+}
+
+}  // namespace
+
+TEST_GROUP(StoreBatches){};
+
+// Guards against a view that is brought forward though changes are missing.
+TEST(StoreBatches, ApplyOnlyToViewsThatLackNothingBefore) {
+  struct Row {
+    const char* name;
+    StoreBatch batch;
+    std::int64_t revision;
+    BatchFit fit;
+  };
+  StoreBatch left_out = MakeBatch(10, 20, 20);
+  left_out.changes.resize(1);
+  left_out.changes[0].__set_left_out(true);
+  const Row rows[] = {
+      {"next", MakeBatch(10, 20, 20), 10, BatchFit::kApplies},
+      {"in part", MakeBatch(10, 20, 20), 15, BatchFit::kApplies},
+      {"known", MakeBatch(10, 20, 20), 20, BatchFit::kKnown},
+      {"gap", MakeBatch(10, 20, 20), 9, BatchFit::kGap},
+      {"listed, from its base", MakeBatch(10, 12, 20), 12, BatchFit::kApplies},
+      {"listed, from later", MakeBatch(10, 12, 20), 13, BatchFit::kGap},
+      {"with an entry left out", left_out, 10, BatchFit::kGap},
+  };
+  for (const Row& row : rows)
+    CHECK_TEXT(row.fit == Fit(row.batch, row.revision), row.name);
+}
+
+// Guards against a batch that removes an entry which has returned since, since
+// only a part of the batch is news to the receiver.
+TEST(StoreBatches, DoNotRemoveWhatHasReturned) {
+  StoreBatch batch = MakeBatch(10, 20, 20);
+  batch.changes = {Deletion("a"), Upsert("a", 12), Upsert("b", 16)};
+  CHECK(IsNews(batch, 0, 10) && IsNews(batch, 1, 10));
+  CHECK(!IsNews(batch, 0, 14) && !IsNews(batch, 1, 14) && IsNews(batch, 2, 14));
+  batch.changes = {Upsert("a", 12), Deletion("a")};
+  CHECK(!IsNews(batch, 0, 14) && IsNews(batch, 1, 14));
+}
+
+// Guards against an answer that leaves out changes that the log has lost.
+TEST(StoreBatches, LogAnswersOnlyWhatItCovers) {
+  fleet::BatchLog log;
+  log.covered_to = 10;
+  Append(MakeBatch(10, 20, 20), &log);
+  Append(MakeBatch(20, 25, 30), &log);
+  LONGS_EQUAL(2, BatchesSince(log, 12).value().size());
+  LONGS_EQUAL(1, BatchesSince(log, 20).value().size());
+  LONGS_EQUAL(0, BatchesSince(log, 30).value().size());
+  CHECK(!BatchesSince(log, 9));
+  CHECK(!BatchesSince(log, 26));
+  Append(MakeBatch(40, 50, 50), &log);
+  CHECK(!BatchesSince(log, 30));
+  LONGS_EQUAL(50, log.covered_to);
+  for (int i = 50; i < 300; ++i)
+    Append(MakeBatch(i, i + 1, i + 1), &log);
+  CHECK(!BatchesSince(log, 60));
+  LONGS_EQUAL(10, BatchesSince(log, 290).value().size());
+}
+
+// Guards against parts of which one is taken for the whole, and against
+// datagrams that do not fit.
+TEST(StoreBatches, PartsFollowOnEachOtherAndFit) {
+  for (const bool listed : {false, true}) {
+    StoreBatch batch = MakeBatch(10, listed ? 10 : 100, 100);
+    batch.changes = {Upsert("old", 11, true), Deletion("gone")};
+    for (int i = 20; i < 60; ++i)
+      batch.changes.push_back(Upsert("e" + std::to_string(i), i, false, 150));
+    batch.changes.push_back(Upsert("huge", 70, false, 3000));
+    OrderListed(&batch.changes);
+    const std::vector<StoreBatch> parts = SplitBatch(batch);
+    CHECK(parts.size() > 5);
+    std::map<std::string, std::int64_t> applied;
+    std::int64_t revision = 10;
+    std::size_t left_out = 0;
+    for (const StoreBatch& part : parts) {
+      for (const EndpointNews& change : part.changes)
+        left_out += change.left_out ? 1 : 0;
+      fleet::gen::Datagram datagram;
+      fleet::gen::StoreNews news;
+      news.batches = {part};
+      datagram.__set_store_news(news);
+      CHECK(Encode(datagram).size() < 1300);
+      if (revision > 10)
+        CHECK(Fit(part, 10) == BatchFit::kGap);
+      if (Fit(part, revision) != BatchFit::kApplies)
+        continue;
+      for (const EndpointNews& change : part.changes)
+        applied[change.id] = change.revision;
+      revision = part.to_revision;
+    }
+    LONGS_EQUAL(1, left_out);
+    CHECK(applied.count("gone") == 1 && applied.size() >= 40);
+  }
+}
+
+TEST(StoreBatches, EntriesStayTheSameOnTheWay) {
+  gateway::EndpointEntry entry;
+  entry.id = "e";
+  entry.service = "s";
+  entry.address = {boost::asio::ip::make_address("10.1.2.3"), 8080};
+  entry.data_centre = "dc";
+  entry.slots = 16;
+  entry.draining = true;
+  entry.incarnation = 7;
+  entry.models = {{"m", {"a", "b"}}};
+  entry.cached_in_memory = {"m"};
+  entry.cached_on_disk = {"n"};
+  const auto fields = fleet::ToWire(entry);
+  const auto read = fleet::FromWire("e", fields);
+  CHECK(read && fleet::ToWire(read.value()) == fields);
+  CHECK(read.value().address == entry.address && read.value().id == "e");
+  fleet::gen::EndpointFields bad = fields;
+  bad.slots = 0;
+  CHECK(!fleet::FromWire("e", bad));
+  bad = fields;
+  bad.host = "nowhere";
+  CHECK(!fleet::FromWire("e", bad));
+}
+
+// Guards against a reader whose link carries a copy for each daemon, and
+// against daemons that no relay is told of.
+TEST(StoreBatches, RelaysReachAllInThreeHops) {
+  for (const std::size_t daemons : {1U, 25U, 115U, 143U, 295U, 320U}) {
+    std::vector<std::uint32_t> addresses;
+    for (std::size_t i = 1; i <= daemons; ++i)
+      addresses.push_back(static_cast<std::uint32_t>(i));
+    const auto heard_at = [](std::uint32_t address) {
+      return TimePoint(Milliseconds(address * 7919 % 1000));
+    };
+    std::size_t reached = 0;
+    std::size_t longest = 0;
+    const std::function<void(const std::vector<std::uint32_t>&, std::size_t)>
+        spread = [&](const std::vector<std::uint32_t>& to, std::size_t hop) {
+          const std::size_t fan_out = fleet::FanOut(to.size());
+          CHECK(fan_out <= 8);
+          for (const auto& group :
+               fleet::SplitForSpread(to, fan_out, heard_at)) {
+            ++reached;
+            longest = std::max(longest, hop);
+            for (const std::uint32_t other : group.others)
+              CHECK(heard_at(other) <= heard_at(group.relay));
+            spread(group.others, hop + 1);
+          }
+        };
+    spread(addresses, 1);
+    LONGS_EQUAL(daemons, reached);
+    CHECK(longest <= 3);
+  }
+}
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -257,7 +257,8 @@
 /// Returns the time from a failed call to the next one.
 Milliseconds KindFollower::Backoff() {
   const int doublings =
-      std::min(this->failures - 1, this->pace.max_doublings);
+      std::min(this->failures - 1 + this->pace.first_doublings,
+               this->pace.max_doublings);
   Milliseconds backoff = kFirstBackoff * (1 << std::max(doublings, 0));
   auto spread = static_cast<std::uint64_t>(backoff.count() / 2);
   if (this->passive) {
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -29,8 +29,10 @@
 struct FollowerPace {
   /// Between two watches, so that changes in quick succession take one call.
   Milliseconds watch_pause{250};
-  /// The time after a failed call doubles so often.
+  /// How often the time after a failed call doubles, and how often it is
+  /// doubled from the first call on.
   int max_doublings = 2;
+  int first_doublings = 0;
 };
 
 /// What a follower reports.
