--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -109,7 +109,8 @@
     return this->fleet.IsHolderSilent(epoch);
   };
   this->lease.may_compete = [this] {
-    return !this->fleet.IsLarge() || this->fleet.IsAmongReaders(kLeaseCandidates);
+    return !this->fleet.IsLarge() ||
+           this->fleet.IsAmongReaders(kLeaseCandidates);
   };
   this->registry.lists_rarely = [this] {
     return this->fleet.IsLarge() && !this->fleet.IsAmongReaders(kListers);
@@ -277,11 +278,10 @@
     return;
   this->store_calls_log_at = now + kStoreCallsLogInterval;
   this->logged_store_calls = calls;
-  this->log.Write(
-      kStoreCalls, "",
-      "total=" + std::to_string(calls) + " " +
-          store::FormatTally(*this->store.tally) +
-          " reader=" + (this->fleet.ReadsLatestState() ? "1" : "0"));
+  this->log.Write(kStoreCalls, "",
+                  "total=" + std::to_string(calls) + " " +
+                      store::FormatTally(*this->store.tally) + " reader=" +
+                      (this->fleet.ReadsLatestState() ? "1" : "0"));
 }
 
 void Daemon::Tick() {
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -166,7 +166,8 @@
 void SetStoreCalls(Registry* registry, const DaemonParts& parts) {
   const char* const name = "coltsfootvane_store_calls_by_cause_total";
   const char* const help =
-      "Calls to the store by cause; those that may return stale data have a low "
+      "Calls to the store by cause; those that may return stale data have a "
+      "low "
       "price";
   for (std::size_t i = 0; i < store::kCallCauses; ++i) {
     const char* const cause = CauseName(static_cast<store::CallCause>(i));
--- a/src/daemon/daemon_metrics.h
+++ b/src/daemon/daemon_metrics.h
@@ -22,7 +22,7 @@
 namespace store {
 class KindFollower;
 struct CallTally;
-}
+}  // namespace store
 
 namespace daemon {
 
--- a/src/daemon/news_recovery.cc
+++ b/src/daemon/news_recovery.cc
@@ -17,8 +17,7 @@
 constexpr int kListPauseMs = 2000;
 
 Milliseconds Between(int least, int most, std::mt19937_64* random) {
-  return Milliseconds(
-      std::uniform_int_distribution<int>(least, most)(*random));
+  return Milliseconds(std::uniform_int_distribution<int>(least, most)(*random));
 }
 
 }  // namespace
@@ -71,9 +70,9 @@
 }
 
 void EndFetch(TimePoint now, std::mt19937_64* random, NewsRecovery* recovery) {
-  recovery->next_at = std::min(
-      recovery->next_at,
-      now + Between(kMinFetchPauseMs, kMaxFetchPauseMs, random));
+  recovery->next_at =
+      std::min(recovery->next_at,
+               now + Between(kMinFetchPauseMs, kMaxFetchPauseMs, random));
 }
 
 }  // namespace coltsfootvane::daemon
--- a/src/daemon/news_recovery.h
+++ b/src/daemon/news_recovery.h
@@ -19,8 +19,8 @@
 /// Recovers the changes of one kind that the news have not brought. Daemons are
 /// asked first, so that a lost datagram costs no call to the store.
 struct NewsRecovery {
-  std::int64_t wanted = 0;     ///< Revision to reach; 0 if nothing is missing.
-  std::uint32_t source = 0;    ///< A daemon that has it.
+  std::int64_t wanted = 0;   ///< Revision to reach; 0 if nothing is missing.
+  std::uint32_t source = 0;  ///< A daemon that has it.
   int asks_left = 0;
   int fetches_left = 0;
   TimePoint next_at;
--- a/src/daemon/store_news.cc
+++ b/src/daemon/store_news.cc
@@ -87,8 +87,7 @@
   if (bytes < kMaxRepeatBytes) {
     this->Send(fleet::LastBatches(this->log, kMaxRepeatBytes));
   } else {
-    for (const std::vector<gen::StoreBatch>& group :
-         fleet::GroupBatches(parts))
+    for (const std::vector<gen::StoreBatch>& group : fleet::GroupBatches(parts))
       this->Send(group);
   }
   if (!urgent)
@@ -169,8 +168,8 @@
       break;
     case fleet::BatchFit::kGap: {
       const TimePoint now = BootNow();
-      const auto delay = static_cast<int>(this->gateway->random() %
-                                          kMaxNewsDelayMs);
+      const auto delay =
+          static_cast<int>(this->gateway->random() % kMaxNewsDelayMs);
       Want(batch.to_revision, from, RecoveryKind::kChanges, now,
            Milliseconds(delay), &this->endpoints_recovery);
       if (LeavesOut(batch) && revision >= batch.from_revision)
@@ -193,9 +192,8 @@
   answer.origin = static_cast<std::int32_t>(this->fleet->OwnAddress());
   Result<std::vector<gen::StoreBatch>> batches =
       fleet::BatchesSince(this->log, revision);
-  const auto groups =
-      batches ? fleet::GroupBatches(batches.value())
-              : std::vector<std::vector<gen::StoreBatch>>();
+  const auto groups = batches ? fleet::GroupBatches(batches.value())
+                              : std::vector<std::vector<gen::StoreBatch>>();
   if (!batches || groups.size() > kMaxAnswerDatagrams) {
     answer.__set_too_old(true);
     this->fleet->SendStoreNews(from, answer);
--- a/src/daemon/store_news_fetch.cc
+++ b/src/daemon/store_news_fetch.cc
@@ -47,9 +47,8 @@
 void StoreNews::RecoverConfig(TimePoint now) {
   NewsRecovery& recovery = this->config_recovery;
   // One that cannot be read is known as well, and has no text.
-  const std::int64_t own =
-      std::max(this->config.revision,
-               this->fleet->seen_revisions.config_revision);
+  const std::int64_t own = std::max(
+      this->config.revision, this->fleet->seen_revisions.config_revision);
   const RecoveryStep step =
       NextStep(own, now, &this->gateway->random, &recovery);
   if (step == RecoveryStep::kNone)
--- a/src/daemon/store_news_model.h
+++ b/src/daemon/store_news_model.h
@@ -3,90 +3,28 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <queue>
 #include <random>
+#include <string>
+#include <utility>
 #include <vector>
 
-#include "daemon/news_recovery.h"
-#include "daemon/view_check.h"
-#include "fleet/fleet.h"
+#include "daemon/store_news_model_types.h"
 #include "fleet/spread_tree.h"
-#include "fleet/store_batches.h"
 
 namespace coltsfootvane::daemon {
 
 using fleet::gen::StoreBatch;
 
-inline constexpr TimePoint kStart{Milliseconds(1'000'000)};
-inline constexpr Milliseconds kTick{250};
-inline constexpr Milliseconds kHop{2};
-inline constexpr double kReportBytes = 228;
-inline constexpr double kLoss = 0.025;
-
-struct Scenario {
-  const char* name = "";
-  int daemons = 0;
-  int limit_ms = 0;          ///< Time for changes.
-  double changes_per_s = 0;  ///< Of endpoints that stay.
-  int lost_readers = 0;      ///< So many of the first ones, before a departure.
-  enum { kKilled, kFrozen, kCut } how = kKilled;  ///< kCut: from the store.
-  double killed = 0;   ///< Share of daemons that are lost with them.
-  double refused = 0;  ///< Share of daemons that the store turns away.
-  int max_calls = 0;
-};
-
-struct Event {
-  TimePoint at;
-  std::uint64_t number = 0;
-  std::function<void()> run;
-  bool operator<(const Event& other) const {
-    return std::tie(this->at, this->number) >
-           std::tie(other.at, other.number);
-  }
-};
-
-/// A daemon as StoreView and StoreNews have it, with endpoints only.
-struct ModelDaemon {
-  std::uint32_t address = 0;
-  fleet::MemberTable table;
-  fleet::BatchLog log;
-  ViewCheck check;
-  NewsRecovery recovery;
-  std::int64_t revision = 1;
-  std::int64_t departed = 0;
-  std::int64_t max_departure = 1;
-  std::int64_t sequence = 0;
-  bool live = true;
-  bool frozen = false;
-  bool refused = false;
-  bool cut = false;
-  bool reachable = true;
-  bool calling = false;
-  bool checking = false;
-  int failures = 0;
-  int rank = 0;
-  TimePoint reads_until;
-  TimePoint retry_at;
-  std::deque<std::function<void()>> held;  ///< While it is frozen.
-};
-
-struct StoreEvent {
-  std::int64_t revision = 0;
-  bool departure = false;
-  TimePoint at;
-};
-
 /// All daemons, the network and the store, in one queue of events.
 struct Model {
   explicit Model(const Scenario& the_scenario)
       : scenario(the_scenario), limit(the_scenario.limit_ms) {
     const double bytes = kReportBytes * scenario.daemons;
-    this->report_interval = std::max(
-        Milliseconds(250), Milliseconds(static_cast<int>(bytes / 20)));
+    this->report_interval =
+        std::max(Milliseconds(250), Milliseconds(static_cast<int>(bytes / 20)));
     for (int i = 0; i < scenario.daemons; ++i) {
       this->daemons.push_back(std::make_unique<ModelDaemon>());
       this->daemons.back()->address = static_cast<std::uint32_t>(i + 1);
@@ -151,10 +89,10 @@
     report.sequence = ++daemon->sequence + 1;
     report.endpoints_revision = daemon->departed;
     report.max_departure_revision = daemon->max_departure;
-    report.confirmed_age_ms = static_cast<std::int32_t>(
-        std::chrono::duration_cast<Milliseconds>(this->now -
-                                                 daemon->check.confirmed_at)
-            .count());
+    report.confirmed_age_ms =
+        static_cast<std::int32_t>(std::chrono::duration_cast<Milliseconds>(
+                                      this->now - daemon->check.confirmed_at)
+                                      .count());
     return report;
   }
   void SendReport(ModelDaemon* from, std::size_t most) {
@@ -178,9 +116,8 @@
                 const fleet::gen::Report& report) {
     this->Hear(daemon, *from, report);
     if (report.endpoints_revision > daemon->revision)
-      Want(report.endpoints_revision, from->address,
-           RecoveryKind::kChanges, this->now,
-           Milliseconds(60) + this->Random(Milliseconds(80)),
+      Want(report.endpoints_revision, from->address, RecoveryKind::kChanges,
+           this->now, Milliseconds(60) + this->Random(Milliseconds(80)),
            &daemon->recovery);
     if (daemon->revision < report.max_departure_revision)
       return;
@@ -248,9 +185,8 @@
         NextStep(daemon->revision, this->now, &this->random, &daemon->recovery);
     if (step == RecoveryStep::kAsk || step == RecoveryStep::kFetch) {
       auto member = daemon->table.members.begin();
-      std::advance(member,
-                   static_cast<std::ptrdiff_t>(
-                       this->random() % daemon->table.members.size()));
+      std::advance(member, static_cast<std::ptrdiff_t>(
+                               this->random() % daemon->table.members.size()));
       ModelDaemon* const source =
           this->At(daemon->recovery.source != 0
                        ? std::exchange(daemon->recovery.source, 0)
@@ -293,9 +229,8 @@
     this->Poll(daemon, start, start + wait);
   }
   void Poll(ModelDaemon* daemon, TimePoint start, TimePoint until) {
-    const bool has_news =
-        !this->history.empty() &&
-        this->history.back().revision > daemon->revision;
+    const bool has_news = !this->history.empty() &&
+                          this->history.back().revision > daemon->revision;
     if (!has_news && this->now < until) {
       this->After(Milliseconds(5), [=] { this->Poll(daemon, start, until); });
       return;
@@ -353,9 +288,8 @@
   }
 
   void Tick(ModelDaemon* daemon) {
-    const auto readers =
-        ReaderOrder(daemon->table, daemon->address, daemon->reachable, false, 3,
-                    this->now);
+    const auto readers = ReaderOrder(daemon->table, daemon->address,
+                                     daemon->reachable, false, 3, this->now);
     daemon->rank = static_cast<int>(
         std::find(readers.begin(), readers.end(), daemon->address) -
         readers.begin());
--- a/src/daemon/store_news_model_unittest.cc
+++ b/src/daemon/store_news_model_unittest.cc
@@ -35,8 +35,8 @@
     }
     while (!unknown.empty() && model->KnownToAll(unknown.begin()->first)) {
       const auto passed = at - unknown.begin()->second;
-      longest = std::max(
-          longest, std::chrono::duration_cast<Milliseconds>(passed));
+      longest =
+          std::max(longest, std::chrono::duration_cast<Milliseconds>(passed));
       unknown.erase(unknown.begin());
     }
   }
@@ -49,11 +49,11 @@
     causes += " " + cause + "=" + std::to_string(count);
   const auto oldest =
       std::chrono::duration_cast<Milliseconds>(model.oldest).count();
-  std::printf("%s: calls=%d (%s ), oldest view %lld ms, departures known to "
-              "all after %lld ms\n",
-              model.scenario.name, model.TotalCalls(), causes.c_str(),
-              static_cast<long long>(oldest),
-              static_cast<long long>(longest.count()));
+  std::printf(
+      "%s: calls=%d (%s ), oldest view %lld ms, departures known to "
+      "all after %lld ms\n",
+      model.scenario.name, model.TotalCalls(), causes.c_str(),
+      static_cast<long long>(oldest), static_cast<long long>(longest.count()));
 }
 
 }  // namespace
@@ -70,8 +70,8 @@
       {"143, first killed", 143, 3000, 3.7, 1, Scenario::kKilled, 0, 0, 200},
       {"143, three killed", 143, 3000, 3.7, 3, Scenario::kKilled, 0, 0, 220},
       {"143, three frozen", 143, 3000, 3.7, 3, Scenario::kFrozen, 0, 0, 220},
-      {"143, three cut from the store", 143, 3000, 3.7, 3, Scenario::kCut, 0,
-       0, 260},
+      {"143, three cut from the store", 143, 3000, 3.7, 3, Scenario::kCut, 0, 0,
+       260},
       {"143, half turned away", 143, 3000, 3.7, 0, Scenario::kKilled, 0, 0.5,
        260},
       {"143, half lost", 143, 3000, 3.7, 3, Scenario::kKilled, 0.5, 0, 320},
@@ -91,8 +91,15 @@
 // Guards against a fleet that the store turns away as a whole, and that comes
 // back at once or calls it again and again meanwhile.
 TEST(StoreNewsModel, AFleetThatIsTurnedAwayBacksOff) {
-  const Scenario scenario = {"143, all turned away for 10 s", 143, 3000, 0, 0,
-                             Scenario::kKilled, 0, 0, 0};
+  const Scenario scenario = {"143, all turned away for 10 s",
+                             143,
+                             3000,
+                             0,
+                             0,
+                             Scenario::kKilled,
+                             0,
+                             0,
+                             0};
   constexpr int kMostPerDaemon = 4;
   constexpr int kMostIn100Ms = 20;
   Model model(scenario);
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -195,9 +195,9 @@
   this->UpdateRole(now);
   const bool due =
       IsCheckDue(this->check, now) || (this->large && this->IsStandbyDue(now));
-  const bool reads_latest =
-      this->large ? this->rank == 0 || now < this->reads_until
-                  : this->fleet->ReadsLatestState();
+  const bool reads_latest = this->large
+                                ? this->rank == 0 || now < this->reads_until
+                                : this->fleet->ReadsLatestState();
   if (this->large && !due)
     this->checking = false;
   if (due && !reads_latest && !this->checking && this->endpoints_known)
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -111,8 +111,8 @@
   bool departures = false;  ///< There are some among the changes.
   bool large = false;       ///< One daemon reads for all; see Fleet::IsLarge().
   bool relies_on_news = false;
-  int rank = 0;              ///< Among those who read; 0 is the first.
-  TimePoint reads_until;     ///< As a standby whose reader has been silent.
+  int rank = 0;           ///< Among those who read; 0 is the first.
+  TimePoint reads_until;  ///< As a standby whose reader has been silent.
   std::string logged_role;
 };
 
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -58,9 +58,7 @@
   target.list_endpoints = [this] {
     this->endpoints.Refresh(store::CallCause::kGap);
   };
-  target.list_config = [this] {
-    this->config.Refresh(store::CallCause::kGap);
-  };
+  target.list_config = [this] { this->config.Refresh(store::CallCause::kGap); };
   return target;
 }
 
@@ -99,7 +97,8 @@
       this->UpsertEntry(std::move(entry).value(), change.revision);
       continue;
     }
-    this->RemoveEndpoint(change.id, change.deleted ? kDeleted : change.revision);
+    this->RemoveEndpoint(change.id,
+                         change.deleted ? kDeleted : change.revision);
     if (change.deleted)
       this->NoteDeparture(batch.to_revision);
   }
@@ -159,8 +158,8 @@
   const std::vector<std::uint32_t> readers =
       this->large ? this->fleet->Readers(kReaders)
                   : std::vector<std::uint32_t>();
-  const auto own = std::find(readers.begin(), readers.end(),
-                             this->fleet->OwnAddress());
+  const auto own =
+      std::find(readers.begin(), readers.end(), this->fleet->OwnAddress());
   this->rank = static_cast<int>(own - readers.begin());
   if (this->large && this->IsStandbyDue(now))
     this->reads_until = now + Share(this->in_force_limit, kActingShare);
@@ -181,19 +180,19 @@
     this->endpoints.Refresh(store::CallCause::kCheck);
   std::string role = "all";
   if (this->large)
-    role = this->rank == 0 ? "reader"
+    role = this->rank == 0                                 ? "reader"
            : this->rank < static_cast<int>(readers.size()) ? "standby"
                                                            : "follower";
   std::string state = "role=" + role;
   if (this->large)
-    state += " reader=" +
-             boost::asio::ip::address_v4(readers.front()).to_string();
+    state +=
+        " reader=" + boost::asio::ip::address_v4(readers.front()).to_string();
   if (state == this->logged_role)
     return;
   this->logged_role = state;
-  this->log->Write(kStoreReader, "",
-                   state + " daemons=" +
-                       std::to_string(this->fleet->CountLiveDaemons()));
+  this->log->Write(
+      kStoreReader, "",
+      state + " daemons=" + std::to_string(this->fleet->CountLiveDaemons()));
 }
 
 }  // namespace coltsfootvane::daemon
--- a/src/fleet/store_batches.cc
+++ b/src/fleet/store_batches.cc
@@ -126,8 +126,7 @@
 std::vector<gen::StoreBatch> SplitBatch(gen::StoreBatch batch) {
   const bool any_base = batch.base_until >= batch.to_revision;
   // A part must not end at a state from which it may begin.
-  std::int64_t least_end =
-      any_base ? batch.from_revision : batch.base_until;
+  std::int64_t least_end = any_base ? batch.from_revision : batch.base_until;
   std::vector<gen::StoreBatch> parts;
   gen::StoreBatch part = batch;
   part.changes.clear();
--- a/src/orders/lease_manager.cc
+++ b/src/orders/lease_manager.cc
@@ -103,13 +103,14 @@
 /// its VM may hold it.
 bool LeaseManager::Competes() {
   constexpr int kMaxCallsAsBystander = 2;
-  if (!this->may_compete || this->lease.held || this->may_compete())
+  this->bystander =
+      this->may_compete && !this->lease.held && !this->may_compete();
+  if (!this->bystander)
     return true;
   const bool is_known = this->lease.changed_at != TimePoint();
   if (IsHeldByPredecessor(this->lease) ||
       (!is_known && this->calls_as_bystander < kMaxCallsAsBystander)) {
-    this->calls_as_bystander +=
-        BootNow() >= this->lease.next_call ? 1 : 0;
+    this->calls_as_bystander += BootNow() >= this->lease.next_call ? 1 : 0;
     return true;
   }
   // It is read anew before it is taken over.
@@ -122,8 +123,9 @@
   this->call_in_progress = true;
   this->call_started_at = BootNow();
   // A stale read is sufficient: a takeover is conditional on its revision.
-  const auto freshness = this->lease.up_to_date ? store::Freshness::kStale
-                                                : store::Freshness::kLatest;
+  const auto freshness = this->lease.up_to_date || this->bystander
+                             ? store::Freshness::kStale
+                             : store::Freshness::kLatest;
   store::CountCall(*this->store, store::CallCause::kLease, freshness);
   this->store->read(
       kLeaseKind, kLeaseName, freshness, [this](Result<store::Object> object) {
--- a/src/orders/lease_manager.h
+++ b/src/orders/lease_manager.h
@@ -83,7 +83,8 @@
   bool store_unreachable = false;  ///< The store did not answer the last call.
   bool call_in_progress = false;
   bool released = false;
-  int calls_as_bystander = 0;  ///< While others compete.
+  bool bystander = false;  ///< Others compete for the lease.
+  int calls_as_bystander = 0;
   bool holding = false;  ///< As last logged.
 };
 
--- a/src/store/call_tally.cc
+++ b/src/store/call_tally.cc
@@ -19,8 +19,8 @@
 void CountCall(const ObjectStore& store, CallCause cause, Freshness freshness) {
   if (!store.tally)
     return;
-  auto& calls = freshness == Freshness::kStale ? store.tally->stale
-                                               : store.tally->latest;
+  auto& calls =
+      freshness == Freshness::kStale ? store.tally->stale : store.tally->latest;
   ++calls.at(static_cast<std::size_t>(cause));
 }
 
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -156,19 +156,19 @@
   this->backing_off = false;
   this->probing = true;
   CountCall(*this->store, CallCause::kRetry, Freshness::kStale);
-  this->store->watch(this->kind.name, this->revision, kNoWait,
-                     Freshness::kStale,
-                     [this, current = this->generation](Result<Changes> answer) {
-                       if (current != this->generation)
-                         return;
-                       this->probing = false;
-                       if (!answer) {
-                         this->OnFailure(answer.error());
-                         return;
-                       }
-                       this->SetReachable(true);
-                       this->Continue();
-                     });
+  this->store->watch(
+      this->kind.name, this->revision, kNoWait, Freshness::kStale,
+      [this, current = this->generation](Result<Changes> answer) {
+        if (current != this->generation)
+          return;
+        this->probing = false;
+        if (!answer) {
+          this->OnFailure(answer.error());
+          return;
+        }
+        this->SetReachable(true);
+        this->Continue();
+      });
 }
 
 void KindFollower::Watch() {
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -110,10 +110,10 @@
   Freshness freshness = Freshness::kLatest;
   FollowerPace pace;
   bool passive = false;
-  bool idle = false;        ///< No call or timer is pending.
-  bool probing = false;     ///< A call of Probe() is in progress.
+  bool idle = false;         ///< No call or timer is pending.
+  bool probing = false;      ///< A call of Probe() is in progress.
   bool backing_off = false;  ///< The timer counts from a failed call.
-  bool watching = false;                   ///< A watch is in progress.
+  bool watching = false;     ///< A watch is in progress.
   Freshness watched = Freshness::kLatest;  ///< Of the watch in progress.
   /// The next watch is answered at once, to show how far the view is complete.
   bool confirm_at_once = false;
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -24,7 +24,7 @@
 struct Listing {
   std::vector<Object> objects;
   std::int64_t revision = 0;  ///< Of the store; a watch goes on from here.
-  std::int64_t since = 0;  ///< Of the follower's view before, 0 if none.
+  std::int64_t since = 0;     ///< Of the follower's view before, 0 if none.
 };
 
 struct Change {
--- a/tests/integration/store_news_test.cc
+++ b/tests/integration/store_news_test.cc
@@ -108,8 +108,8 @@
         continue;
       while (this->Call(daemon.get(), path) == old_status &&
              Clock::now() < changed_at + kInForceLimit * 2) {
-        longest = std::chrono::duration_cast<Milliseconds>(Clock::now() -
-                                                           changed_at);
+        longest =
+            std::chrono::duration_cast<Milliseconds>(Clock::now() - changed_at);
         this->RunFor(Milliseconds(5));
       }
     }
@@ -137,11 +137,10 @@
 // Guards against a fleet whose calls to the store grow with the number of
 // daemons, and against changes that are late once the reader is lost.
 TEST(StoreNews, OneReadsForAllAndChangesAreInForceInTime) {
-  const Row rows[] = {
-      {"nothing lost", 0, false, 0},
-      {"long configuration", 0, false, 150'000},
-      {"reader killed", SIGKILL, false, 0},
-      {"reader frozen before a departure", SIGSTOP, true, 0}};
+  const Row rows[] = {{"nothing lost", 0, false, 0},
+                      {"long configuration", 0, false, 150'000},
+                      {"reader killed", SIGKILL, false, 0},
+                      {"reader frozen before a departure", SIGSTOP, true, 0}};
   LargeSite site;
   CHECK_TEXT(site.Start(), "start");
   std::printf("calls until all are ready: %d\n", site.store.calls);
@@ -172,8 +171,7 @@
     if (row.departure)
       site.store.Put("servers", "r1", site.replica.Entry("draining"));
     else
-      site.store.Put("config", "main",
-                     LongConfig(version, row.config_bytes));
+      site.store.Put("config", "main", LongConfig(version, row.config_bytes));
     const Milliseconds longest =
         site.TimeUntilAllDiffer(row.signal == 0 ? nullptr : reader, path,
                                 row.departure ? 200 : 404, Clock::now());
