--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -36,6 +36,12 @@
                   static_cast<int>(std::min(all, kMost)) - kFileDescriptors);
 }
 
+/// Of a large fleet, so many daemons watch the lease to take it over, and so
+/// many look often for daemons that are not known.
+constexpr std::size_t kLeaseCandidates = 6;
+constexpr std::size_t kListers = 2;
+constexpr Milliseconds kStoreCallsLogInterval{10'000};
+
 /// Returns the time of the last write, or the least time if the file cannot be
 /// examined.
 std::filesystem::file_time_type LastWrite(const std::string& path) {
@@ -62,6 +68,10 @@
       metrics(
           &this->io,
           [this](std::string_view path) { return this->AnswerHealth(path); }),
+      peers(&this->io,
+            [this](std::string_view path) {
+              return this->store_view.News().Answer(path);
+            }),
       fleet(&this->io, &this->gateway),
       store_view(&this->io,
                  &this->deployment,
@@ -69,7 +79,9 @@
                  &this->gateway,
                  &this->fleet,
                  &this->log,
-                 daemon_settings.in_force_limit),
+                 daemon_settings.in_force_limit,
+                 &this->client,
+                 daemon_settings.peer_port),
       registry(&this->io,
                &this->store,
                daemon_settings.name,
@@ -111,6 +123,13 @@
   this->lease.is_holder_silent = [this](std::int64_t epoch) {
     return this->fleet.IsHolderSilent(epoch);
   };
+  this->lease.may_compete = [this] {
+    return !this->fleet.IsLarge() ||
+           this->fleet.IsAmongReaders(kLeaseCandidates);
+  };
+  this->registry.lists_rarely = [this] {
+    return this->fleet.IsLarge() && !this->fleet.IsAmongReaders(kListers);
+  };
   this->lease.on_store_back = [this] { this->store_view.Refresh(); };
   this->gateway.query_load = [this](gsl::span<const gateway::EndpointPtr> asked,
                                     std::function<void()> done) {
@@ -141,6 +160,8 @@
   this->quarantine_record.Start();
   this->Tick();
   this->io.run();
+  this->store_calls_log_at = TimePoint();
+  this->LogStoreCalls(BootNow());
   this->log.Write(kDaemonStopped, "",
                   "requests=" + std::to_string(this->gateway.traffic.requests));
   this->log.Flush();
@@ -152,6 +173,9 @@
       this->fleet.Open({this->settings.ip, this->settings.peer_port});
   if (!fleet_open)
     return fleet_open.error();
+  // If it is not open, the others fetch from elsewhere.
+  static_cast<void>(
+      this->peers.Open({this->settings.ip, this->settings.peer_port}));
   const Result<bool> health_open = this->health.Open(this->settings.health);
   if (!health_open)
     return health_open.error();
@@ -187,6 +211,8 @@
   parts.lease = &this->lease;
   parts.log = &this->log;
   parts.view_confirmed_at = this->store_view.ConfirmedAt();
+  parts.store_calls = this->store.tally.get();
+  parts.news = &this->store_view.Counts();
   parts.followers = {&this->store_view.Config(), &this->store_view.Endpoints()};
   return FormatMetrics(parts, BootNow());
 }
@@ -274,6 +300,18 @@
   this->connections.erase(ended, this->connections.end());
 }
 
+void Daemon::LogStoreCalls(TimePoint now) {
+  const std::uint64_t calls = store::TotalCalls(*this->store.tally);
+  if (now < this->store_calls_log_at || calls == this->logged_store_calls)
+    return;
+  this->store_calls_log_at = now + kStoreCallsLogInterval;
+  this->logged_store_calls = calls;
+  this->log.Write(kStoreCalls, "",
+                  "total=" + std::to_string(calls) + " " +
+                      store::FormatTally(*this->store.tally) + " reader=" +
+                      (this->fleet.ReadsLatestState() ? "1" : "0"));
+}
+
 void Daemon::Tick() {
   this->gateway.connections.DropExpired();
   this->gateway.crash_watch.Tick(BootNow());
@@ -284,6 +322,7 @@
   this->ForgetEndedConnections();
   this->CheckSettingsFile();
   const TimePoint now = BootNow();
+  this->LogStoreCalls(now);
   TimePoint next = now + kTick;
   if (this->gateway.leaving) {
     if (now >= this->shutdown.last_answer_at)
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -2854,6 +2854,1318 @@
 }
 
 
+EndpointModel::~EndpointModel() noexcept {
+}
+
+
+void EndpointModel::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void EndpointModel::__set_adapters(const std::vector<std::string> & val) {
+  this->adapters = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointModel& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointModel::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->adapters.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->adapters.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += iprot->readString(this->adapters[_i82]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.adapters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointModel::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointModel");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
+    std::vector<std::string> ::const_iterator _iter83;
+    for (_iter83 = this->adapters.begin(); _iter83 != this->adapters.end(); ++_iter83)
+    {
+      xfer += oprot->writeString((*_iter83));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointModel &a, EndpointModel &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.adapters, b.adapters);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointModel::EndpointModel(const EndpointModel& other84) {
+  name = other84.name;
+  adapters = other84.adapters;
+  __isset = other84.__isset;
+}
+EndpointModel& EndpointModel::operator=(const EndpointModel& other85) {
+  name = other85.name;
+  adapters = other85.adapters;
+  __isset = other85.__isset;
+  return *this;
+}
+void EndpointModel::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointModel(";
+  out << "name=" << to_string(name);
+  out << ", " << "adapters=" << to_string(adapters);
+  out << ")";
+}
+
+
+EndpointFields::~EndpointFields() noexcept {
+}
+
+
+void EndpointFields::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void EndpointFields::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void EndpointFields::__set_port(const int32_t val) {
+  this->port = val;
+}
+
+void EndpointFields::__set_data_centre(const std::string& val) {
+  this->data_centre = val;
+}
+
+void EndpointFields::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void EndpointFields::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void EndpointFields::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void EndpointFields::__set_models(const std::vector<EndpointModel> & val) {
+  this->models = val;
+}
+
+void EndpointFields::__set_cached_in_memory(const std::vector<std::string> & val) {
+  this->cached_in_memory = val;
+}
+
+void EndpointFields::__set_cached_on_disk(const std::vector<std::string> & val) {
+  this->cached_on_disk = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointFields& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointFields::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->port);
+          this->__isset.port = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->data_centre);
+          this->__isset.data_centre = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->models.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->models.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += this->models[_i90].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.models = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cached_in_memory.clear();
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->cached_in_memory.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
+            {
+              xfer += iprot->readString(this->cached_in_memory[_i95]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cached_in_memory = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->cached_on_disk.clear();
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->cached_on_disk.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
+            {
+              xfer += iprot->readString(this->cached_on_disk[_i100]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.cached_on_disk = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointFields::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointFields");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("port", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->port);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data_centre", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->data_centre);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->slots);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
+    std::vector<EndpointModel> ::const_iterator _iter101;
+    for (_iter101 = this->models.begin(); _iter101 != this->models.end(); ++_iter101)
+    {
+      xfer += (*_iter101).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cached_in_memory", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cached_in_memory.size()));
+    std::vector<std::string> ::const_iterator _iter102;
+    for (_iter102 = this->cached_in_memory.begin(); _iter102 != this->cached_in_memory.end(); ++_iter102)
+    {
+      xfer += oprot->writeString((*_iter102));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cached_on_disk", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cached_on_disk.size()));
+    std::vector<std::string> ::const_iterator _iter103;
+    for (_iter103 = this->cached_on_disk.begin(); _iter103 != this->cached_on_disk.end(); ++_iter103)
+    {
+      xfer += oprot->writeString((*_iter103));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointFields &a, EndpointFields &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.host, b.host);
+  swap(a.port, b.port);
+  swap(a.data_centre, b.data_centre);
+  swap(a.slots, b.slots);
+  swap(a.draining, b.draining);
+  swap(a.incarnation, b.incarnation);
+  swap(a.models, b.models);
+  swap(a.cached_in_memory, b.cached_in_memory);
+  swap(a.cached_on_disk, b.cached_on_disk);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointFields::EndpointFields(const EndpointFields& other104) {
+  service_name = other104.service_name;
+  host = other104.host;
+  port = other104.port;
+  data_centre = other104.data_centre;
+  slots = other104.slots;
+  draining = other104.draining;
+  incarnation = other104.incarnation;
+  models = other104.models;
+  cached_in_memory = other104.cached_in_memory;
+  cached_on_disk = other104.cached_on_disk;
+  __isset = other104.__isset;
+}
+EndpointFields& EndpointFields::operator=(const EndpointFields& other105) {
+  service_name = other105.service_name;
+  host = other105.host;
+  port = other105.port;
+  data_centre = other105.data_centre;
+  slots = other105.slots;
+  draining = other105.draining;
+  incarnation = other105.incarnation;
+  models = other105.models;
+  cached_in_memory = other105.cached_in_memory;
+  cached_on_disk = other105.cached_on_disk;
+  __isset = other105.__isset;
+  return *this;
+}
+void EndpointFields::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointFields(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "port=" << to_string(port);
+  out << ", " << "data_centre=" << to_string(data_centre);
+  out << ", " << "slots=" << to_string(slots);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "models=" << to_string(models);
+  out << ", " << "cached_in_memory=" << to_string(cached_in_memory);
+  out << ", " << "cached_on_disk=" << to_string(cached_on_disk);
+  out << ")";
+}
+
+
+EndpointNews::~EndpointNews() noexcept {
+}
+
+
+void EndpointNews::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void EndpointNews::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void EndpointNews::__set_deleted(const bool val) {
+  this->deleted = val;
+}
+
+void EndpointNews::__set_fields(const EndpointFields& val) {
+  this->fields = val;
+__isset.fields = true;
+}
+
+void EndpointNews::__set_left_out(const bool val) {
+  this->left_out = val;
+__isset.left_out = true;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->deleted);
+          this->__isset.deleted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->fields.read(iprot);
+          this->__isset.fields = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->left_out);
+          this->__isset.left_out = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointNews");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("deleted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->deleted);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.fields) {
+    xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->fields.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.left_out) {
+    xfer += oprot->writeFieldBegin("left_out", ::apache::thrift::protocol::T_BOOL, 5);
+    xfer += oprot->writeBool(this->left_out);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointNews &a, EndpointNews &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.revision, b.revision);
+  swap(a.deleted, b.deleted);
+  swap(a.fields, b.fields);
+  swap(a.left_out, b.left_out);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointNews::EndpointNews(const EndpointNews& other106) {
+  id = other106.id;
+  revision = other106.revision;
+  deleted = other106.deleted;
+  fields = other106.fields;
+  left_out = other106.left_out;
+  __isset = other106.__isset;
+}
+EndpointNews& EndpointNews::operator=(const EndpointNews& other107) {
+  id = other107.id;
+  revision = other107.revision;
+  deleted = other107.deleted;
+  fields = other107.fields;
+  left_out = other107.left_out;
+  __isset = other107.__isset;
+  return *this;
+}
+void EndpointNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointNews(";
+  out << "id=" << to_string(id);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "deleted=" << to_string(deleted);
+  out << ", " << "fields="; (__isset.fields ? (out << to_string(fields)) : (out << "<null>"));
+  out << ", " << "left_out="; (__isset.left_out ? (out << to_string(left_out)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StoreBatch::~StoreBatch() noexcept {
+}
+
+
+void StoreBatch::__set_from_revision(const int64_t val) {
+  this->from_revision = val;
+}
+
+void StoreBatch::__set_base_until(const int64_t val) {
+  this->base_until = val;
+}
+
+void StoreBatch::__set_to_revision(const int64_t val) {
+  this->to_revision = val;
+}
+
+void StoreBatch::__set_changes(const std::vector<EndpointNews> & val) {
+  this->changes = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_revision);
+          this->__isset.from_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_until);
+          this->__isset.base_until = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->to_revision);
+          this->__isset.to_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->changes.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->changes.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
+            {
+              xfer += this->changes[_i112].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.changes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreBatch");
+
+  xfer += oprot->writeFieldBegin("from_revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->from_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_until", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base_until);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("to_revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->to_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
+    std::vector<EndpointNews> ::const_iterator _iter113;
+    for (_iter113 = this->changes.begin(); _iter113 != this->changes.end(); ++_iter113)
+    {
+      xfer += (*_iter113).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreBatch &a, StoreBatch &b) {
+  using ::std::swap;
+  swap(a.from_revision, b.from_revision);
+  swap(a.base_until, b.base_until);
+  swap(a.to_revision, b.to_revision);
+  swap(a.changes, b.changes);
+  swap(a.__isset, b.__isset);
+}
+
+StoreBatch::StoreBatch(const StoreBatch& other114) {
+  from_revision = other114.from_revision;
+  base_until = other114.base_until;
+  to_revision = other114.to_revision;
+  changes = other114.changes;
+  __isset = other114.__isset;
+}
+StoreBatch& StoreBatch::operator=(const StoreBatch& other115) {
+  from_revision = other115.from_revision;
+  base_until = other115.base_until;
+  to_revision = other115.to_revision;
+  changes = other115.changes;
+  __isset = other115.__isset;
+  return *this;
+}
+void StoreBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreBatch(";
+  out << "from_revision=" << to_string(from_revision);
+  out << ", " << "base_until=" << to_string(base_until);
+  out << ", " << "to_revision=" << to_string(to_revision);
+  out << ", " << "changes=" << to_string(changes);
+  out << ")";
+}
+
+
+StoreNews::~StoreNews() noexcept {
+}
+
+
+void StoreNews::__set_batches(const std::vector<StoreBatch> & val) {
+  this->batches = val;
+}
+
+void StoreNews::__set_relay_to(const std::vector<int32_t> & val) {
+  this->relay_to = val;
+}
+
+void StoreNews::__set_origin(const int32_t val) {
+  this->origin = val;
+}
+
+void StoreNews::__set_too_old(const bool val) {
+  this->too_old = val;
+__isset.too_old = true;
+}
+std::ostream& operator<<(std::ostream& out, const StoreNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->batches.clear();
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->batches.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
+            {
+              xfer += this->batches[_i120].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.batches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relay_to.clear();
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->relay_to.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
+            {
+              xfer += iprot->readI32(this->relay_to[_i125]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relay_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->origin);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->too_old);
+          this->__isset.too_old = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreNews");
+
+  xfer += oprot->writeFieldBegin("batches", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->batches.size()));
+    std::vector<StoreBatch> ::const_iterator _iter126;
+    for (_iter126 = this->batches.begin(); _iter126 != this->batches.end(); ++_iter126)
+    {
+      xfer += (*_iter126).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->relay_to.size()));
+    std::vector<int32_t> ::const_iterator _iter127;
+    for (_iter127 = this->relay_to.begin(); _iter127 != this->relay_to.end(); ++_iter127)
+    {
+      xfer += oprot->writeI32((*_iter127));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.too_old) {
+    xfer += oprot->writeFieldBegin("too_old", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->too_old);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreNews &a, StoreNews &b) {
+  using ::std::swap;
+  swap(a.batches, b.batches);
+  swap(a.relay_to, b.relay_to);
+  swap(a.origin, b.origin);
+  swap(a.too_old, b.too_old);
+  swap(a.__isset, b.__isset);
+}
+
+StoreNews::StoreNews(const StoreNews& other128) {
+  batches = other128.batches;
+  relay_to = other128.relay_to;
+  origin = other128.origin;
+  too_old = other128.too_old;
+  __isset = other128.__isset;
+}
+StoreNews& StoreNews::operator=(const StoreNews& other129) {
+  batches = other129.batches;
+  relay_to = other129.relay_to;
+  origin = other129.origin;
+  too_old = other129.too_old;
+  __isset = other129.__isset;
+  return *this;
+}
+void StoreNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreNews(";
+  out << "batches=" << to_string(batches);
+  out << ", " << "relay_to=" << to_string(relay_to);
+  out << ", " << "origin=" << to_string(origin);
+  out << ", " << "too_old="; (__isset.too_old ? (out << to_string(too_old)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StoreNewsRequest::~StoreNewsRequest() noexcept {
+}
+
+
+void StoreNewsRequest::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const StoreNewsRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StoreNewsRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StoreNewsRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StoreNewsRequest");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StoreNewsRequest &a, StoreNewsRequest &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+StoreNewsRequest::StoreNewsRequest(const StoreNewsRequest& other130) noexcept {
+  revision = other130.revision;
+  __isset = other130.__isset;
+}
+StoreNewsRequest& StoreNewsRequest::operator=(const StoreNewsRequest& other131) noexcept {
+  revision = other131.revision;
+  __isset = other131.__isset;
+  return *this;
+}
+void StoreNewsRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StoreNewsRequest(";
+  out << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+ConfigNews::~ConfigNews() noexcept {
+}
+
+
+void ConfigNews::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ConfigNews::__set_base_revision(const int64_t val) {
+  this->base_revision = val;
+}
+
+void ConfigNews::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void ConfigNews::__set_patch(const std::string& val) {
+  this->patch = val;
+__isset.patch = true;
+}
+
+void ConfigNews::__set_relay_to(const std::vector<int32_t> & val) {
+  this->relay_to = val;
+}
+
+void ConfigNews::__set_source(const int32_t val) {
+  this->source = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_revision);
+          this->__isset.base_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->patch);
+          this->__isset.patch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->relay_to.clear();
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->relay_to.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
+            {
+              xfer += iprot->readI32(this->relay_to[_i136]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.relay_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->source);
+          this->__isset.source = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigNews");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->base_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.patch) {
+    xfer += oprot->writeFieldBegin("patch", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->patch);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->relay_to.size()));
+    std::vector<int32_t> ::const_iterator _iter137;
+    for (_iter137 = this->relay_to.begin(); _iter137 != this->relay_to.end(); ++_iter137)
+    {
+      xfer += oprot->writeI32((*_iter137));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("source", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->source);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigNews &a, ConfigNews &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.base_revision, b.base_revision);
+  swap(a.digest, b.digest);
+  swap(a.patch, b.patch);
+  swap(a.relay_to, b.relay_to);
+  swap(a.source, b.source);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigNews::ConfigNews(const ConfigNews& other138) {
+  revision = other138.revision;
+  base_revision = other138.base_revision;
+  digest = other138.digest;
+  patch = other138.patch;
+  relay_to = other138.relay_to;
+  source = other138.source;
+  __isset = other138.__isset;
+}
+ConfigNews& ConfigNews::operator=(const ConfigNews& other139) {
+  revision = other139.revision;
+  base_revision = other139.base_revision;
+  digest = other139.digest;
+  patch = other139.patch;
+  relay_to = other139.relay_to;
+  source = other139.source;
+  __isset = other139.__isset;
+  return *this;
+}
+void ConfigNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigNews(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "base_revision=" << to_string(base_revision);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "patch="; (__isset.patch ? (out << to_string(patch)) : (out << "<null>"));
+  out << ", " << "relay_to=" << to_string(relay_to);
+  out << ", " << "source=" << to_string(source);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -2907,6 +4219,21 @@
   this->work_update = val;
 __isset.work_update = true;
 }
+
+void Datagram::__set_store_news(const StoreNews& val) {
+  this->store_news = val;
+__isset.store_news = true;
+}
+
+void Datagram::__set_store_news_request(const StoreNewsRequest& val) {
+  this->store_news_request = val;
+__isset.store_news_request = true;
+}
+
+void Datagram::__set_config_news(const ConfigNews& val) {
+  this->config_news = val;
+__isset.config_news = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -3015,6 +4342,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store_news.read(iprot);
+          this->__isset.store_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->store_news_request.read(iprot);
+          this->__isset.store_news_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->config_news.read(iprot);
+          this->__isset.config_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3082,6 +4433,21 @@
     xfer += this->work_update.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store_news) {
+    xfer += oprot->writeFieldBegin("store_news", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->store_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.store_news_request) {
+    xfer += oprot->writeFieldBegin("store_news_request", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->store_news_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.config_news) {
+    xfer += oprot->writeFieldBegin("config_news", ::apache::thrift::protocol::T_STRUCT, 17);
+    xfer += this->config_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3099,34 +4465,43 @@
   swap(a.load_query, b.load_query);
   swap(a.load_answer, b.load_answer);
   swap(a.work_update, b.work_update);
+  swap(a.store_news, b.store_news);
+  swap(a.store_news_request, b.store_news_request);
+  swap(a.config_news, b.config_news);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other78) {
-  report = other78.report;
-  placement = other78.placement;
-  adapter_request = other78.adapter_request;
-  adapter_reply = other78.adapter_reply;
-  suspects = other78.suspects;
-  quota_request = other78.quota_request;
-  quota_reply = other78.quota_reply;
-  load_query = other78.load_query;
-  load_answer = other78.load_answer;
-  work_update = other78.work_update;
-  __isset = other78.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other79) {
-  report = other79.report;
-  placement = other79.placement;
-  adapter_request = other79.adapter_request;
-  adapter_reply = other79.adapter_reply;
-  suspects = other79.suspects;
-  quota_request = other79.quota_request;
-  quota_reply = other79.quota_reply;
-  load_query = other79.load_query;
-  load_answer = other79.load_answer;
-  work_update = other79.work_update;
-  __isset = other79.__isset;
+Datagram::Datagram(const Datagram& other140) {
+  report = other140.report;
+  placement = other140.placement;
+  adapter_request = other140.adapter_request;
+  adapter_reply = other140.adapter_reply;
+  suspects = other140.suspects;
+  quota_request = other140.quota_request;
+  quota_reply = other140.quota_reply;
+  load_query = other140.load_query;
+  load_answer = other140.load_answer;
+  work_update = other140.work_update;
+  store_news = other140.store_news;
+  store_news_request = other140.store_news_request;
+  config_news = other140.config_news;
+  __isset = other140.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other141) {
+  report = other141.report;
+  placement = other141.placement;
+  adapter_request = other141.adapter_request;
+  adapter_reply = other141.adapter_reply;
+  suspects = other141.suspects;
+  quota_request = other141.quota_request;
+  quota_reply = other141.quota_reply;
+  load_query = other141.load_query;
+  load_answer = other141.load_answer;
+  work_update = other141.work_update;
+  store_news = other141.store_news;
+  store_news_request = other141.store_news_request;
+  config_news = other141.config_news;
+  __isset = other141.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -3142,6 +4517,9 @@
   out << ", " << "load_query="; (__isset.load_query ? (out << to_string(load_query)) : (out << "<null>"));
   out << ", " << "load_answer="; (__isset.load_answer ? (out << to_string(load_answer)) : (out << "<null>"));
   out << ", " << "work_update="; (__isset.work_update ? (out << to_string(work_update)) : (out << "<null>"));
+  out << ", " << "store_news="; (__isset.store_news ? (out << to_string(store_news)) : (out << "<null>"));
+  out << ", " << "store_news_request="; (__isset.store_news_request ? (out << to_string(store_news_request)) : (out << "<null>"));
+  out << ", " << "config_news="; (__isset.config_news ? (out << to_string(config_news)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "store/call_tally.h"
 
 namespace coltsfootvane::store {
 
@@ -22,6 +24,7 @@
 struct Listing {
   std::vector<Object> objects;
   std::int64_t revision = 0;  ///< Of the store; a watch goes on from here.
+  std::int64_t since = 0;     ///< Of the follower's view before, 0 if none.
 };
 
 struct Change {
@@ -32,6 +35,7 @@
 struct Changes {
   std::vector<Change> changes;
   std::int64_t revision = 0;  ///< The next watch goes on from here.
+  std::int64_t since = 0;     ///< Of the follower's view before.
 };
 
 enum class Freshness {
@@ -66,6 +70,8 @@
   /// Replaces the object if it still has the revision.
   std::function<void(const std::string& kind, const Object&, Handler<Object>)>
       replace;
+  /// Counts the calls by cause; may be null.
+  std::shared_ptr<CallTally> tally;
 };
 
 }  // namespace coltsfootvane::store
