Net, gateway: Bound the framing of bodies, and keep the last room for small requests

Cause: a chunk of one byte could carry an extension of 16 KB, so that a body of 4 MB took 64 GB of reading; bodies of 16 to 64 KB could use up the room of small requests; 100 Continue was sent to HTTP/1.0 callers.

Change: what arrives after the head may be 16 times the body and 32 KB (a chunk of one byte takes 6 bytes), then 413. Above 16 KB a request without a grant is refused with 503 when an eighth of the common bytes is left. ByteChain takes the length of the whole.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
 /// The same while there is little room.
 constexpr std::size_t kMaxPipelinedBytesWhenFull = 4UL * 1024;
+constexpr std::size_t kMaxBytesOfSmallRequest = 16UL * 1024;
 /// Answer bytes buffered for a caller that reads slowly.
 constexpr std::size_t kMaxUnsentBytes = 64UL * 1024;
 
@@ -125,7 +126,7 @@
   if (!this->EnsureRoom())
     return;
   const net::RequestHead& head = this->parser.Request();
-  if (!this->continue_sent &&
+  if (!this->continue_sent && head.minor_version >= 1 &&
       net::HasToken(head.fields, "expect", "100-continue")) {
     this->continue_sent = true;
     this->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -147,6 +148,12 @@
     this->RejectWith(400, "target");
     return;
   }
+  // The last of the room is for small requests.
+  if (this->body && this->body->CommonBytes() > kMaxBytesOfSmallRequest &&
+      LacksRoomForAnswers(this->gateway->held_bytes)) {
+    this->RejectWith(503, "memory", kRoomRetryAfter);
+    return;
+  }
   if (!this->intake->AdmitRequest()) {
     this->RejectWith(503, "descriptors", kRoomRetryAfter);
     return;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -56,7 +56,7 @@
   // Defined in caller_connection_intake.cc: for CallerIntake.
   intake::Holder Describe(TimePoint now) const;
   /// Ends the connection to make room. Returns false if that cannot be done.
-  bool EndForRoom(std::string_view reason);
+  bool EndForRoom(std::string_view reason, TimePoint now);
   /// Takes note of how far the caller has taken its answer.
   void ObserveProgress(TimePoint now);
   /// Returns whether a large body is not read for lack of room.
--- a/src/gateway/caller_connection_intake.cc
+++ b/src/gateway/caller_connection_intake.cc
@@ -14,9 +14,8 @@
     return;
   if (!this->body)
     this->body = std::make_shared<RequestBody>(this->intake);
-  const std::uint64_t length = this->parser.BodyLength().value_or(0);
-  const std::uint64_t arrived = this->body->Size() + bytes.size();
-  this->body->Append(bytes, length > arrived ? length - arrived : 0);
+  this->body->Append(
+      bytes, static_cast<std::size_t>(this->parser.BodyLength().value_or(0)));
 }
 
 /// Returns whether the body may be read on. Otherwise the request waits for
@@ -117,7 +116,7 @@
   return holder;
 }
 
-bool CallerConnection::EndForRoom(std::string_view reason) {
+bool CallerConnection::EndForRoom(std::string_view reason, TimePoint now) {
   const bool needs_descriptor = reason == "descriptors";
   switch (this->phase) {
     case Phase::kIdle:
@@ -127,7 +126,7 @@
       break;
     case Phase::kReceiving: {
       const bool is_late =
-          !this->awaits_room && Behind(this->progress, BootNow()).count() > 0;
+          !this->awaits_room && Behind(this->progress, now).count() > 0;
       if (is_late)
         this->RejectWith(408, reason);
       else
--- a/src/gateway/caller_intake.cc
+++ b/src/gateway/caller_intake.cc
@@ -102,9 +102,10 @@
   }
   if (ended > 0)
     return true;
+  const TimePoint now = BootNow();
   for (const auto& connection :
-       this->EndOrder(intake::Need::kDescriptor, BootNow())) {
-    if (connection->EndForRoom("descriptors"))
+       this->EndOrder(intake::Need::kDescriptor, now)) {
+    if (connection->EndForRoom("descriptors", now))
       ++ended;
     if (ended == kEndedPerPass)
       break;
@@ -139,9 +140,10 @@
 void CallerIntake::KeepBounds() {
   if (!IsFull(this->gateway->held_bytes))
     return;
+  const TimePoint now = BootNow();
   for (const auto& connection :
-       this->EndOrder(intake::Need::kCommonBytes, BootNow())) {
-    connection->EndForRoom("memory");
+       this->EndOrder(intake::Need::kCommonBytes, now)) {
+    connection->EndForRoom("memory", now);
     if (!IsFull(this->gateway->held_bytes))
       return;
   }
@@ -191,7 +193,7 @@
   for (const auto& connection : this->EndOrder(intake::Need::kLargeBody, now)) {
     if (this->WaitingCount() == 0)
       return;
-    connection->EndForRoom("slow body");
+    connection->EndForRoom("slow body", now);
     this->GrantWaiting(now);
   }
 }
--- a/src/gateway/request_body.cc
+++ b/src/gateway/request_body.cc
@@ -21,8 +21,8 @@
     this->intake->ReleaseGrant(this->granted);
 }
 
-void RequestBody::Append(std::string_view bytes, std::size_t expected) {
-  this->chain.Append(bytes, expected);
+void RequestBody::Append(std::string_view bytes, std::size_t length) {
+  this->chain.Append(bytes, length);
   this->held_bytes.Set(this->CommonBytes());
 }
 
--- a/src/gateway/request_body.h
+++ b/src/gateway/request_body.h
@@ -24,8 +24,8 @@
   RequestBody(const RequestBody&) = delete;
   RequestBody& operator=(const RequestBody&) = delete;
 
-  /// `expected` more bytes are announced; 0 if that is unknown.
-  void Append(std::string_view bytes, std::size_t expected);
+  /// `length` is that of the whole body; 0 if it is unknown.
+  void Append(std::string_view bytes, std::size_t length);
   /// Counts the body, whose size may reach `bytes`, as a large one.
   void Grant(std::size_t bytes);
   /// Called when the body is complete, which may be smaller than was granted.
--- a/src/net/byte_chain.cc
+++ b/src/net/byte_chain.cc
@@ -10,13 +10,14 @@
 
 }  // namespace
 
-void ByteChain::Append(std::string_view bytes, std::size_t expected) {
+void ByteChain::Append(std::string_view bytes, std::size_t length) {
   while (!bytes.empty()) {
     if (this->blocks.empty() ||
         this->blocks.back().used == this->blocks.back().capacity) {
       // Without a length, blocks grow with what has arrived.
-      const std::size_t wanted = std::max(
-          bytes.size() + expected, expected > 0 ? kMinBlockBytes : this->size);
+      const std::size_t to_come =
+          length > this->size ? length - this->size : this->size;
+      const std::size_t wanted = std::max(bytes.size(), to_come);
       Allocation block;
       block.capacity =
           std::max(kMinBlockBytes, std::min(wanted, kMaxBlockBytes));
--- a/src/net/byte_chain.h
+++ b/src/net/byte_chain.h
@@ -16,8 +16,9 @@
   /// A block fits into 16 pages with what the allocator adds.
   static constexpr std::size_t kMaxBlockBytes = 64UL * 1024 - 64;
 
-  /// Appends bytes. `expected` more are likely to follow; 0 if that is unknown.
-  void Append(std::string_view bytes, std::size_t expected = 0);
+  /// Appends bytes. `length` is that of the whole chain at its end; 0 if it is
+  /// unknown.
+  void Append(std::string_view bytes, std::size_t length = 0);
 
   std::size_t Size() const { return this->size; }
   bool IsEmpty() const { return this->size == 0; }
--- a/src/net/message_parser.cc
+++ b/src/net/message_parser.cc
@@ -18,9 +18,11 @@
   ParseFault fault = ParseFault::kNone;
   bool head_done = false;
   bool started = false;
-  bool needs_more = false;  ///< The bytes left over are part of a line.
-  int lengths = 0;          ///< Content-Length fields.
-  int encodings = 0;        ///< Transfer-Encoding fields.
+  bool needs_more = false;        ///< The bytes left over are part of a line.
+  int lengths = 0;                ///< Content-Length fields.
+  int encodings = 0;              ///< Transfer-Encoding fields.
+  std::uint64_t body_bytes = 0;   ///< So far.
+  std::uint64_t frame_bytes = 0;  ///< Consumed after the head, body included.
 };
 
 namespace {
@@ -97,6 +99,7 @@
 
   std::size_t on_body_impl(View body, ErrorCode& /*ec*/) override {
     this->state->body.append(body.data(), body.size());
+    this->state->body_bytes += body.size();
     return body.size();
   }
 
@@ -108,6 +111,7 @@
                                  View body,
                                  ErrorCode& /*ec*/) override {
     this->state->body.append(body.data(), body.size());
+    this->state->body_bytes += body.size();
     return body.size();
   }
 
@@ -149,6 +153,9 @@
 /// Beast must not be given the same bytes twice, nor fewer than these after it
 /// has seen a part of the last chunk. Every chunk with its line is longer.
 constexpr std::size_t kMinResumedBytes = 5;
+/// What may arrive for one byte of a body. A chunk of one byte takes 6; more is
+/// for extensions, which nobody needs and which cost time without end.
+constexpr std::uint64_t kMaxFramingFactor = 16;
 
 template <class ReaderType>
 std::size_t FeedReader(ReaderType* reader,
@@ -158,6 +165,7 @@
   if (state->needs_more && input.size() < kMinResumedBytes)
     return 0;
   state->needs_more = false;
+  const bool had_head = state->head_done;
   std::size_t consumed = 0;
   while (consumed < input.size() && !reader->is_done() && !state->needs_more) {
     ErrorCode ec;
@@ -175,6 +183,12 @@
       break;
   }
   state->started = state->started || !input.empty();
+  if (had_head)
+    state->frame_bytes += consumed;
+  if (state->frame_bytes >
+          state->body_bytes * kMaxFramingFactor + 2UL * header_bytes &&
+      state->fault == ParseFault::kNone)
+    state->fault = ParseFault::kBodyTooLarge;
   // What is left is part of a head, a trailer or the line before a chunk.
   if (!reader->is_done() && input.size() - consumed > header_bytes &&
       state->fault == ParseFault::kNone)
--- a/tests/support/gateway_scene.cc
+++ b/tests/support/gateway_scene.cc
@@ -76,8 +76,10 @@
 
   void Answer(net::TcpStream* stream) {
     const std::size_t index = this->scene->received.size() - 1;
-    if (index >= this->scene->answers.size())
+    if (index >= this->scene->answers.size()) {
+      this->scene->unanswered = stream->weak_from_this();
       return;
+    }
     const ScriptedAnswer& answer = this->scene->answers[index];
     stream->Write(answer.bytes);
     if (answer.then == ScriptedAnswer::Then::kClose)
@@ -162,6 +164,11 @@
     std::abort();
 }
 
+void GatewayScene::AnswerLate(const std::string& bytes) {
+  if (const auto stream = this->unanswered.lock())
+    stream->Write(std::string_view(bytes));
+}
+
 void GatewayScene::AddEndpoint(const std::string& id) {
   const tcp::endpoint address(
       boost::asio::ip::make_address(this->host),
--- a/tests/support/gateway_scene.h
+++ b/tests/support/gateway_scene.h
@@ -47,6 +47,8 @@
                    Milliseconds leave_after = Milliseconds(0));
   /// Sends `request` and closes the connection before the gateway has read it.
   void CallAndLeave(const std::string& request);
+  /// Answers the last request that got no scripted answer.
+  void AnswerLate(const std::string& bytes);
   /// Runs the loop until the condition holds; false after 5 s.
   bool RunUntil(const std::function<bool()>& condition);
 
@@ -62,6 +64,8 @@
  private:
   struct Endpoint;
 
+  std::weak_ptr<net::TcpStream> unanswered;
+
   std::string host;
   net::tcp::endpoint callers_address;
   gateway::Listener callers;
