Fleet: Keep one time of the start

Cause: two parts had each declared it, so that the merge did not compile. Change: one member, set when the socket is opened.

--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -210,7 +210,6 @@
   SuspectNews suspect_news;
   boost::asio::steady_timer suspect_timer;
   bool suspects_scheduled = false;
-  TimePoint opened_at;
   std::unique_ptr<quota::QuotaNode> quota;  ///< Since Open().
   boost::asio::steady_timer quota_timer;
   TimePoint next_quota_members;
--- a/src/fleet/fleet_quota.cc
+++ b/src/fleet/fleet_quota.cc
@@ -83,7 +83,6 @@
 }  // namespace
 
 void Fleet::OpenQuota() {
-  this->opened_at = BootNow();
   this->quota = std::make_unique<quota::QuotaNode>(this->gateway->random());
   this->quota->owner.bounds = this->quota_bounds;
   this->quota->send_request = [this](quota::Address to,
