--- a/src/quota/quota_history_unittest.cc
+++ b/src/quota/quota_history_unittest.cc
@@ -111,8 +111,8 @@
     {"owner leaves", OwnerLeaves, 0},
     {"owner frozen", FreezeOwner, 0},
     {"all restarted", RestartAll, 0},
-    {"halves", Halves, 4},
-    {"thirds", Thirds, 6},
+    {"halves", Halves, 1},
+    {"thirds", Thirds, 1},
     {"cut off one by one", OneByOne, -1},
     {"any faults", AnyFaults, -1},
 };
