--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -164,6 +164,25 @@
            static_cast<double>(parts.lease->Epoch()));
 }
 
+void SetTeams(Registry* registry, const gateway::Gateway& gateway) {
+  if (!gateway.routes)
+    return;
+  for (const team::Team& team : gateway.routes->teams.teams) {
+    const auto key = gateway::KeyOf(team.name);
+    const auto use = gateway.team_use.find(key);
+    if (use == gateway.team_use.end())
+      continue;
+    const Labels labels = {{"team", team.name}};
+    SetGauge(registry, "coltsfootvane_team_use_units_per_second",
+             "Units of a team's quota granted by all daemons, as stated by the "
+             "owner",
+             labels, use->second.per_second);
+    SetGauge(registry, "coltsfootvane_team_over_share",
+             "Whether the team yields to others where capacity is short",
+             labels, gateway.teams_over_share.count(key) > 0 ? 1 : 0);
+  }
+}
+
 void SetQuarantine(Registry* registry,
                    const gateway::PartQuarantine& state,
                    TimePoint now) {
@@ -204,6 +223,7 @@
   SetServices(&state, *parts.gateway, now);
   SetBeliefs(&state, parts, now);
   SetQuarantine(&state, parts.gateway->quarantine, now);
+  SetTeams(&state, *parts.gateway);
   SetLogLines(&state, *parts.log);
   std::vector<prometheus::MetricFamily> families =
       parts.gateway->registry.Collect();
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -170,6 +170,8 @@
   }
   if (is_new && this->on_seen_revisions)
     this->on_seen_revisions(ReadSeenRevisions(report, now));
+  if (is_new && !report.team_use.empty())
+    this->OnTeamUse(report);
   if (is_new && restarted)
     this->SendAllSuspects(from);
   if (!is_new || !first_report)
@@ -301,6 +303,7 @@
   AddChanges(CollectWork(this->gateway->endpoint_list, now),
              CollectDemand(this->gateway->traffic, now), &this->sent_reports,
              &report);
+  this->StateTeamUse(&report);
   gen::Datagram datagram;
   datagram.__set_report(report);
   const std::string bytes = Encode(datagram);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -123,6 +123,9 @@
   void OnQuotaRequest(const gen::QuotaRequest& wire, std::uint32_t from);
   void OnQuotaReply(const gen::QuotaReply& reply, std::uint32_t from);
   void TickQuota();
+  /// Adds the use of the teams whose quota this daemon decides on.
+  void StateTeamUse(gen::Report* report);
+  void OnTeamUse(const gen::Report& report);
   void Tick();
   void SendReports();
   void SendAdapterRequest(std::int64_t number);
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -21,6 +21,12 @@
   2: i32 ms_per_s
 }
 
+// Use of a team, stated by the owner of its token bucket.
+struct TeamUse {
+  1: i32 team  // Hash of the name.
+  2: i32 units_per_s
+}
+
 // Sent periodically to all known daemons. Work and demand that a report does not
 // list are as in the earlier reports of the same incarnation, unless it lists
 // all work.
@@ -43,6 +49,7 @@
   13: optional i32 confirmed_age_ms
   // None of these departures has a higher store revision.
   14: optional i64 max_departure_revision
+  15: optional list<TeamUse> team_use
 }
 
 // Sent by the lease holder.
--- a/src/fleet/fleet_quota.cc
+++ b/src/fleet/fleet_quota.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "fleet/codec.h"
@@ -16,6 +17,10 @@
 /// Listed daemons count as live for this time before their first report.
 constexpr Milliseconds kFirstReportTime{5000};
 constexpr Milliseconds kMembersInterval{50};
+/// These keep a report within one packet.
+constexpr std::size_t kMaxTeamsInReport = 12;
+constexpr double kMinStatedUse = 0.5;
+constexpr double kMaxStatedUse = 2e9;
 
 gen::QuotaRequest ToWire(const quota::Request& request) {
   gen::QuotaRequest wire;
@@ -119,7 +124,8 @@
   const bool young = now < this->opened_at + kFirstReportTime;
   quota::Members members;
   members.self = this->own_address;
-  members.leaving = this->gateway->leaving;
+  // A daemon that never had others goes on deciding for itself.
+  members.leaving = this->gateway->leaving && !this->table.members.empty();
   members.settled = this->peers_listed || now >= this->opened_at + kSettleTime;
   for (const auto& [address, member] : this->table.members) {
     const bool heard = member.last_heard_at != TimePoint();
@@ -166,6 +172,32 @@
   });
 }
 
+void Fleet::StateTeamUse(gen::Report* report) {
+  const TimePoint now = BootNow();
+  for (const quota::TeamUse& use : this->quota->owner.Use(now)) {
+    if (use.per_second < kMinStatedUse)
+      continue;
+    if (report->team_use.size() >= kMaxTeamsInReport)
+      break;
+    gen::TeamUse stated;
+    stated.team = static_cast<std::int32_t>(use.team);
+    stated.units_per_s = static_cast<std::int32_t>(
+        std::lround(std::min<double>(use.per_second, kMaxStatedUse)));
+    report->team_use.push_back(stated);
+    gateway::RecordTeamUse(this->gateway, use.team, stated.units_per_s, now);
+  }
+  report->__isset.team_use = !report->team_use.empty();
+  gateway::UpdateShares(this->gateway, now);
+}
+
+void Fleet::OnTeamUse(const gen::Report& report) {
+  const TimePoint now = BootNow();
+  for (const gen::TeamUse& use : report.team_use)
+    gateway::RecordTeamUse(this->gateway, static_cast<quota::TeamKey>(use.team),
+                           use.units_per_s, now);
+  gateway::UpdateShares(this->gateway, now);
+}
+
 std::size_t Fleet::CountQuotaBuckets() const {
   return this->quota ? this->quota->owner.Count() : 0;
 }
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -348,6 +348,118 @@
 }
 
 
+TeamUse::~TeamUse() noexcept {
+}
+
+
+void TeamUse::__set_team(const int32_t val) {
+  this->team = val;
+}
+
+void TeamUse::__set_units_per_s(const int32_t val) {
+  this->units_per_s = val;
+}
+std::ostream& operator<<(std::ostream& out, const TeamUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TeamUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->units_per_s);
+          this->__isset.units_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TeamUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TeamUse");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("units_per_s", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->units_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TeamUse &a, TeamUse &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.units_per_s, b.units_per_s);
+  swap(a.__isset, b.__isset);
+}
+
+TeamUse::TeamUse(const TeamUse& other4) noexcept {
+  team = other4.team;
+  units_per_s = other4.units_per_s;
+  __isset = other4.__isset;
+}
+TeamUse& TeamUse::operator=(const TeamUse& other5) noexcept {
+  team = other5.team;
+  units_per_s = other5.units_per_s;
+  __isset = other5.__isset;
+  return *this;
+}
+void TeamUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TeamUse(";
+  out << "team=" << to_string(team);
+  out << ", " << "units_per_s=" << to_string(units_per_s);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -411,6 +523,11 @@
   this->max_departure_revision = val;
 __isset.max_departure_revision = true;
 }
+
+void Report::__set_team_use(const std::vector<TeamUse> & val) {
+  this->team_use = val;
+__isset.team_use = true;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -483,14 +600,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->work.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->work.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
             {
-              xfer += this->work[_i8].read(iprot);
+              xfer += this->work[_i10].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -503,14 +620,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->demand.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size11;
+            ::apache::thrift::protocol::TType _etype14;
+            xfer += iprot->readListBegin(_etype14, _size11);
+            this->demand.resize(_size11);
+            uint32_t _i15;
+            for (_i15 = 0; _i15 < _size11; ++_i15)
             {
-              xfer += this->demand[_i13].read(iprot);
+              xfer += this->demand[_i15].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -523,14 +640,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->members.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->members.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += iprot->readI32(this->members[_i18]);
+              xfer += iprot->readI32(this->members[_i20]);
             }
             xfer += iprot->readListEnd();
           }
@@ -587,6 +704,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->team_use.clear();
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->team_use.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
+            {
+              xfer += this->team_use[_i25].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.team_use = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -627,10 +764,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter19;
-    for (_iter19 = this->work.begin(); _iter19 != this->work.end(); ++_iter19)
+    std::vector<EndpointWork> ::const_iterator _iter26;
+    for (_iter26 = this->work.begin(); _iter26 != this->work.end(); ++_iter26)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter26).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -639,10 +776,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter20;
-    for (_iter20 = this->demand.begin(); _iter20 != this->demand.end(); ++_iter20)
+    std::vector<ModelDemand> ::const_iterator _iter27;
+    for (_iter27 = this->demand.begin(); _iter27 != this->demand.end(); ++_iter27)
     {
-      xfer += (*_iter20).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -652,10 +789,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-      std::vector<int32_t> ::const_iterator _iter21;
-      for (_iter21 = this->members.begin(); _iter21 != this->members.end(); ++_iter21)
+      std::vector<int32_t> ::const_iterator _iter28;
+      for (_iter28 = this->members.begin(); _iter28 != this->members.end(); ++_iter28)
       {
-        xfer += oprot->writeI32((*_iter21));
+        xfer += oprot->writeI32((*_iter28));
       }
       xfer += oprot->writeListEnd();
     }
@@ -688,6 +825,19 @@
     xfer += oprot->writeI64(this->max_departure_revision);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.team_use) {
+    xfer += oprot->writeFieldBegin("team_use", ::apache::thrift::protocol::T_LIST, 15);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->team_use.size()));
+      std::vector<TeamUse> ::const_iterator _iter29;
+      for (_iter29 = this->team_use.begin(); _iter29 != this->team_use.end(); ++_iter29)
+      {
+        xfer += (*_iter29).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -709,42 +859,45 @@
   swap(a.lists_all_work, b.lists_all_work);
   swap(a.confirmed_age_ms, b.confirmed_age_ms);
   swap(a.max_departure_revision, b.max_departure_revision);
+  swap(a.team_use, b.team_use);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other22) {
-  incarnation = other22.incarnation;
-  sequence = other22.sequence;
-  leaving = other22.leaving;
-  config_version = other22.config_version;
-  lease_epoch = other22.lease_epoch;
-  work = other22.work;
-  demand = other22.demand;
-  members = other22.members;
-  config_revision = other22.config_revision;
-  endpoints_revision = other22.endpoints_revision;
-  store_reachable = other22.store_reachable;
-  lists_all_work = other22.lists_all_work;
-  confirmed_age_ms = other22.confirmed_age_ms;
-  max_departure_revision = other22.max_departure_revision;
-  __isset = other22.__isset;
-}
-Report& Report::operator=(const Report& other23) {
-  incarnation = other23.incarnation;
-  sequence = other23.sequence;
-  leaving = other23.leaving;
-  config_version = other23.config_version;
-  lease_epoch = other23.lease_epoch;
-  work = other23.work;
-  demand = other23.demand;
-  members = other23.members;
-  config_revision = other23.config_revision;
-  endpoints_revision = other23.endpoints_revision;
-  store_reachable = other23.store_reachable;
-  lists_all_work = other23.lists_all_work;
-  confirmed_age_ms = other23.confirmed_age_ms;
-  max_departure_revision = other23.max_departure_revision;
-  __isset = other23.__isset;
+Report::Report(const Report& other30) {
+  incarnation = other30.incarnation;
+  sequence = other30.sequence;
+  leaving = other30.leaving;
+  config_version = other30.config_version;
+  lease_epoch = other30.lease_epoch;
+  work = other30.work;
+  demand = other30.demand;
+  members = other30.members;
+  config_revision = other30.config_revision;
+  endpoints_revision = other30.endpoints_revision;
+  store_reachable = other30.store_reachable;
+  lists_all_work = other30.lists_all_work;
+  confirmed_age_ms = other30.confirmed_age_ms;
+  max_departure_revision = other30.max_departure_revision;
+  team_use = other30.team_use;
+  __isset = other30.__isset;
+}
+Report& Report::operator=(const Report& other31) {
+  incarnation = other31.incarnation;
+  sequence = other31.sequence;
+  leaving = other31.leaving;
+  config_version = other31.config_version;
+  lease_epoch = other31.lease_epoch;
+  work = other31.work;
+  demand = other31.demand;
+  members = other31.members;
+  config_revision = other31.config_revision;
+  endpoints_revision = other31.endpoints_revision;
+  store_reachable = other31.store_reachable;
+  lists_all_work = other31.lists_all_work;
+  confirmed_age_ms = other31.confirmed_age_ms;
+  max_departure_revision = other31.max_departure_revision;
+  team_use = other31.team_use;
+  __isset = other31.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -764,6 +917,7 @@
   out << ", " << "lists_all_work="; (__isset.lists_all_work ? (out << to_string(lists_all_work)) : (out << "<null>"));
   out << ", " << "confirmed_age_ms="; (__isset.confirmed_age_ms ? (out << to_string(confirmed_age_ms)) : (out << "<null>"));
   out << ", " << "max_departure_revision="; (__isset.max_departure_revision ? (out << to_string(max_departure_revision)) : (out << "<null>"));
+  out << ", " << "team_use="; (__isset.team_use ? (out << to_string(team_use)) : (out << "<null>"));
   out << ")";
 }
 
@@ -823,14 +977,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retiring.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->retiring.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->retiring.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += iprot->readI32(this->retiring[_i28]);
+              xfer += iprot->readI32(this->retiring[_i36]);
             }
             xfer += iprot->readListEnd();
           }
@@ -843,14 +997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->adapters.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->adapters.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += iprot->readI32(this->adapters[_i33]);
+              xfer += iprot->readI32(this->adapters[_i41]);
             }
             xfer += iprot->readListEnd();
           }
@@ -883,10 +1037,10 @@
   xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->retiring.size()));
-    std::vector<int32_t> ::const_iterator _iter34;
-    for (_iter34 = this->retiring.begin(); _iter34 != this->retiring.end(); ++_iter34)
+    std::vector<int32_t> ::const_iterator _iter42;
+    for (_iter42 = this->retiring.begin(); _iter42 != this->retiring.end(); ++_iter42)
     {
-      xfer += oprot->writeI32((*_iter34));
+      xfer += oprot->writeI32((*_iter42));
     }
     xfer += oprot->writeListEnd();
   }
@@ -895,10 +1049,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<int32_t> ::const_iterator _iter35;
-    for (_iter35 = this->adapters.begin(); _iter35 != this->adapters.end(); ++_iter35)
+    std::vector<int32_t> ::const_iterator _iter43;
+    for (_iter43 = this->adapters.begin(); _iter43 != this->adapters.end(); ++_iter43)
     {
-      xfer += oprot->writeI32((*_iter35));
+      xfer += oprot->writeI32((*_iter43));
     }
     xfer += oprot->writeListEnd();
   }
@@ -917,17 +1071,17 @@
   swap(a.__isset, b.__isset);
 }
 
-EnginePlacement::EnginePlacement(const EnginePlacement& other36) {
-  endpoint = other36.endpoint;
-  retiring = other36.retiring;
-  adapters = other36.adapters;
-  __isset = other36.__isset;
+EnginePlacement::EnginePlacement(const EnginePlacement& other44) {
+  endpoint = other44.endpoint;
+  retiring = other44.retiring;
+  adapters = other44.adapters;
+  __isset = other44.__isset;
 }
-EnginePlacement& EnginePlacement::operator=(const EnginePlacement& other37) {
-  endpoint = other37.endpoint;
-  retiring = other37.retiring;
-  adapters = other37.adapters;
-  __isset = other37.__isset;
+EnginePlacement& EnginePlacement::operator=(const EnginePlacement& other45) {
+  endpoint = other45.endpoint;
+  retiring = other45.retiring;
+  adapters = other45.adapters;
+  __isset = other45.__isset;
   return *this;
 }
 void EnginePlacement::printTo(std::ostream& out) const {
@@ -1003,14 +1157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->engines.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->engines.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->engines[_i42].read(iprot);
+              xfer += this->engines[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1047,10 +1201,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EnginePlacement> ::const_iterator _iter43;
-    for (_iter43 = this->engines.begin(); _iter43 != this->engines.end(); ++_iter43)
+    std::vector<EnginePlacement> ::const_iterator _iter51;
+    for (_iter51 = this->engines.begin(); _iter51 != this->engines.end(); ++_iter51)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1069,17 +1223,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Placement::Placement(const Placement& other44) {
-  lease_epoch = other44.lease_epoch;
-  sequence = other44.sequence;
-  engines = other44.engines;
-  __isset = other44.__isset;
+Placement::Placement(const Placement& other52) {
+  lease_epoch = other52.lease_epoch;
+  sequence = other52.sequence;
+  engines = other52.engines;
+  __isset = other52.__isset;
 }
-Placement& Placement::operator=(const Placement& other45) {
-  lease_epoch = other45.lease_epoch;
-  sequence = other45.sequence;
-  engines = other45.engines;
-  __isset = other45.__isset;
+Placement& Placement::operator=(const Placement& other53) {
+  lease_epoch = other53.lease_epoch;
+  sequence = other53.sequence;
+  engines = other53.engines;
+  __isset = other53.__isset;
   return *this;
 }
 void Placement::printTo(std::ostream& out) const {
@@ -1218,19 +1372,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AdapterRequest::AdapterRequest(const AdapterRequest& other46) {
-  number = other46.number;
-  service_name = other46.service_name;
-  model = other46.model;
-  adapter = other46.adapter;
-  __isset = other46.__isset;
+AdapterRequest::AdapterRequest(const AdapterRequest& other54) {
+  number = other54.number;
+  service_name = other54.service_name;
+  model = other54.model;
+  adapter = other54.adapter;
+  __isset = other54.__isset;
 }
-AdapterRequest& AdapterRequest::operator=(const AdapterRequest& other47) {
-  number = other47.number;
-  service_name = other47.service_name;
-  model = other47.model;
-  adapter = other47.adapter;
-  __isset = other47.__isset;
+AdapterRequest& AdapterRequest::operator=(const AdapterRequest& other55) {
+  number = other55.number;
+  service_name = other55.service_name;
+  model = other55.model;
+  adapter = other55.adapter;
+  __isset = other55.__isset;
   return *this;
 }
 void AdapterRequest::printTo(std::ostream& out) const {
@@ -1353,17 +1507,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AdapterReply::AdapterReply(const AdapterReply& other48) noexcept {
-  number = other48.number;
-  ready = other48.ready;
-  endpoint = other48.endpoint;
-  __isset = other48.__isset;
+AdapterReply::AdapterReply(const AdapterReply& other56) noexcept {
+  number = other56.number;
+  ready = other56.ready;
+  endpoint = other56.endpoint;
+  __isset = other56.__isset;
 }
-AdapterReply& AdapterReply::operator=(const AdapterReply& other49) noexcept {
-  number = other49.number;
-  ready = other49.ready;
-  endpoint = other49.endpoint;
-  __isset = other49.__isset;
+AdapterReply& AdapterReply::operator=(const AdapterReply& other57) noexcept {
+  number = other57.number;
+  ready = other57.ready;
+  endpoint = other57.endpoint;
+  __isset = other57.__isset;
   return *this;
 }
 void AdapterReply::printTo(std::ostream& out) const {
@@ -1502,19 +1656,19 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashInvolvement::CrashInvolvement(const CrashInvolvement& other50) noexcept {
-  crash = other50.crash;
-  age_ms = other50.age_ms;
-  answering = other50.answering;
-  cleared = other50.cleared;
-  __isset = other50.__isset;
+CrashInvolvement::CrashInvolvement(const CrashInvolvement& other58) noexcept {
+  crash = other58.crash;
+  age_ms = other58.age_ms;
+  answering = other58.answering;
+  cleared = other58.cleared;
+  __isset = other58.__isset;
 }
-CrashInvolvement& CrashInvolvement::operator=(const CrashInvolvement& other51) noexcept {
-  crash = other51.crash;
-  age_ms = other51.age_ms;
-  answering = other51.answering;
-  cleared = other51.cleared;
-  __isset = other51.__isset;
+CrashInvolvement& CrashInvolvement::operator=(const CrashInvolvement& other59) noexcept {
+  crash = other59.crash;
+  age_ms = other59.age_ms;
+  answering = other59.answering;
+  cleared = other59.cleared;
+  __isset = other59.__isset;
   return *this;
 }
 void CrashInvolvement::printTo(std::ostream& out) const {
@@ -1591,14 +1745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->involvements.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->involvements.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->involvements.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->involvements[_i56].read(iprot);
+              xfer += this->involvements[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1635,10 +1789,10 @@
   xfer += oprot->writeFieldBegin("involvements", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->involvements.size()));
-    std::vector<CrashInvolvement> ::const_iterator _iter57;
-    for (_iter57 = this->involvements.begin(); _iter57 != this->involvements.end(); ++_iter57)
+    std::vector<CrashInvolvement> ::const_iterator _iter65;
+    for (_iter65 = this->involvements.begin(); _iter65 != this->involvements.end(); ++_iter65)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1657,17 +1811,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectPart::SuspectPart(const SuspectPart& other58) {
-  part = other58.part;
-  answered_before = other58.answered_before;
-  involvements = other58.involvements;
-  __isset = other58.__isset;
+SuspectPart::SuspectPart(const SuspectPart& other66) {
+  part = other66.part;
+  answered_before = other66.answered_before;
+  involvements = other66.involvements;
+  __isset = other66.__isset;
 }
-SuspectPart& SuspectPart::operator=(const SuspectPart& other59) {
-  part = other59.part;
-  answered_before = other59.answered_before;
-  involvements = other59.involvements;
-  __isset = other59.__isset;
+SuspectPart& SuspectPart::operator=(const SuspectPart& other67) {
+  part = other67.part;
+  answered_before = other67.answered_before;
+  involvements = other67.involvements;
+  __isset = other67.__isset;
   return *this;
 }
 void SuspectPart::printTo(std::ostream& out) const {
@@ -1719,14 +1873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->parts.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->parts.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->parts[_i64].read(iprot);
+              xfer += this->parts[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1755,10 +1909,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<SuspectPart> ::const_iterator _iter65;
-    for (_iter65 = this->parts.begin(); _iter65 != this->parts.end(); ++_iter65)
+    std::vector<SuspectPart> ::const_iterator _iter73;
+    for (_iter73 = this->parts.begin(); _iter73 != this->parts.end(); ++_iter73)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1775,13 +1929,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspects::Suspects(const Suspects& other66) {
-  parts = other66.parts;
-  __isset = other66.__isset;
+Suspects::Suspects(const Suspects& other74) {
+  parts = other74.parts;
+  __isset = other74.__isset;
 }
-Suspects& Suspects::operator=(const Suspects& other67) {
-  parts = other67.parts;
-  __isset = other67.__isset;
+Suspects& Suspects::operator=(const Suspects& other75) {
+  parts = other75.parts;
+  __isset = other75.__isset;
   return *this;
 }
 void Suspects::printTo(std::ostream& out) const {
@@ -2036,31 +2190,31 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaRequest::QuotaRequest(const QuotaRequest& other68) noexcept {
-  number = other68.number;
-  team = other68.team;
-  per_second = other68.per_second;
-  burst = other68.burst;
-  version = other68.version;
-  units = other68.units;
-  settled = other68.settled;
-  rank = other68.rank;
-  level = other68.level;
-  level_age_ms = other68.level_age_ms;
-  __isset = other68.__isset;
-}
-QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other69) noexcept {
-  number = other69.number;
-  team = other69.team;
-  per_second = other69.per_second;
-  burst = other69.burst;
-  version = other69.version;
-  units = other69.units;
-  settled = other69.settled;
-  rank = other69.rank;
-  level = other69.level;
-  level_age_ms = other69.level_age_ms;
-  __isset = other69.__isset;
+QuotaRequest::QuotaRequest(const QuotaRequest& other76) noexcept {
+  number = other76.number;
+  team = other76.team;
+  per_second = other76.per_second;
+  burst = other76.burst;
+  version = other76.version;
+  units = other76.units;
+  settled = other76.settled;
+  rank = other76.rank;
+  level = other76.level;
+  level_age_ms = other76.level_age_ms;
+  __isset = other76.__isset;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other77) noexcept {
+  number = other77.number;
+  team = other77.team;
+  per_second = other77.per_second;
+  burst = other77.burst;
+  version = other77.version;
+  units = other77.units;
+  settled = other77.settled;
+  rank = other77.rank;
+  level = other77.level;
+  level_age_ms = other77.level_age_ms;
+  __isset = other77.__isset;
   return *this;
 }
 void QuotaRequest::printTo(std::ostream& out) const {
@@ -2246,23 +2400,23 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaReply::QuotaReply(const QuotaReply& other70) noexcept {
-  number = other70.number;
-  verdict = other70.verdict;
-  known_daemons = other70.known_daemons;
-  level = other70.level;
-  retry_after_ms = other70.retry_after_ms;
-  better_owner = other70.better_owner;
-  __isset = other70.__isset;
-}
-QuotaReply& QuotaReply::operator=(const QuotaReply& other71) noexcept {
-  number = other71.number;
-  verdict = other71.verdict;
-  known_daemons = other71.known_daemons;
-  level = other71.level;
-  retry_after_ms = other71.retry_after_ms;
-  better_owner = other71.better_owner;
-  __isset = other71.__isset;
+QuotaReply::QuotaReply(const QuotaReply& other78) noexcept {
+  number = other78.number;
+  verdict = other78.verdict;
+  known_daemons = other78.known_daemons;
+  level = other78.level;
+  retry_after_ms = other78.retry_after_ms;
+  better_owner = other78.better_owner;
+  __isset = other78.__isset;
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other79) noexcept {
+  number = other79.number;
+  verdict = other79.verdict;
+  known_daemons = other79.known_daemons;
+  level = other79.level;
+  retry_after_ms = other79.retry_after_ms;
+  better_owner = other79.better_owner;
+  __isset = other79.__isset;
   return *this;
 }
 void QuotaReply::printTo(std::ostream& out) const {
@@ -2469,25 +2623,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other72) {
-  report = other72.report;
-  placement = other72.placement;
-  adapter_request = other72.adapter_request;
-  adapter_reply = other72.adapter_reply;
-  suspects = other72.suspects;
-  quota_request = other72.quota_request;
-  quota_reply = other72.quota_reply;
-  __isset = other72.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other73) {
-  report = other73.report;
-  placement = other73.placement;
-  adapter_request = other73.adapter_request;
-  adapter_reply = other73.adapter_reply;
-  suspects = other73.suspects;
-  quota_request = other73.quota_request;
-  quota_reply = other73.quota_reply;
-  __isset = other73.__isset;
+Datagram::Datagram(const Datagram& other80) {
+  report = other80.report;
+  placement = other80.placement;
+  adapter_request = other80.adapter_request;
+  adapter_reply = other80.adapter_reply;
+  suspects = other80.suspects;
+  quota_request = other80.quota_request;
+  quota_reply = other80.quota_reply;
+  __isset = other80.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other81) {
+  report = other81.report;
+  placement = other81.placement;
+  adapter_request = other81.adapter_request;
+  adapter_reply = other81.adapter_reply;
+  suspects = other81.suspects;
+  quota_request = other81.quota_request;
+  quota_reply = other81.quota_reply;
+  __isset = other81.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -25,6 +25,8 @@
 
 class ModelDemand;
 
+class TeamUse;
+
 class Report;
 
 class EnginePlacement;
@@ -192,8 +194,58 @@
 
 std::ostream& operator<<(std::ostream& out, const ModelDemand& obj);
 
+typedef struct _TeamUse__isset {
+  _TeamUse__isset() : team(false), units_per_s(false) {}
+  bool team :1;
+  bool units_per_s :1;
+} _TeamUse__isset;
+
+class TeamUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  TeamUse(const TeamUse&) noexcept;
+  TeamUse& operator=(const TeamUse&) noexcept;
+  TeamUse() noexcept
+          : team(0),
+            units_per_s(0) {
+  }
+
+  virtual ~TeamUse() noexcept;
+  int32_t team;
+  int32_t units_per_s;
+
+  _TeamUse__isset __isset;
+
+  void __set_team(const int32_t val);
+
+  void __set_units_per_s(const int32_t val);
+
+  bool operator == (const TeamUse & rhs) const
+  {
+    if (!(team == rhs.team))
+      return false;
+    if (!(units_per_s == rhs.units_per_s))
+      return false;
+    return true;
+  }
+  bool operator != (const TeamUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TeamUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TeamUse &a, TeamUse &b);
+
+std::ostream& operator<<(std::ostream& out, const TeamUse& obj);
+
 typedef struct _Report__isset {
-  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false), lists_all_work(false), confirmed_age_ms(false), max_departure_revision(false) {}
+  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false), lists_all_work(false), confirmed_age_ms(false), max_departure_revision(false), team_use(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool leaving :1;
@@ -208,6 +260,7 @@
   bool lists_all_work :1;
   bool confirmed_age_ms :1;
   bool max_departure_revision :1;
+  bool team_use :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -244,6 +297,7 @@
   bool lists_all_work;
   int32_t confirmed_age_ms;
   int64_t max_departure_revision;
+  std::vector<TeamUse>  team_use;
 
   _Report__isset __isset;
 
@@ -275,6 +329,8 @@
 
   void __set_max_departure_revision(const int64_t val);
 
+  void __set_team_use(const std::vector<TeamUse> & val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -313,6 +369,10 @@
       return false;
     else if (__isset.max_departure_revision && !(max_departure_revision == rhs.max_departure_revision))
       return false;
+    if (__isset.team_use != rhs.__isset.team_use)
+      return false;
+    else if (__isset.team_use && !(team_use == rhs.team_use))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -10,6 +10,14 @@
 /// objective. It is above 1 because a late answer is worth more to a caller
 /// than none and because the estimate tends to be too long.
 constexpr double kMaxWaitInObjectives = 10;
+/// The same for a team over its share: enough to keep an engine busy where the
+/// other teams have no requests.
+constexpr double kMaxOverShareObjectives = 2;
+/// Requests of such a team yield from this part of the objective on, so that
+/// those of others still meet it. In a burst of three times an engine's
+/// capacity, 0.5 left the other team 0.46 of its requests on time, 0.2 leaves
+/// 0.76 and the bursting one no less; see Urgency.
+constexpr double kOverShareObjective = 0.2;
 /// Latest start, as a share of the time left. Requests that start later rarely
 /// complete.
 constexpr double kLatestStartShare = 0.5;
@@ -52,10 +60,13 @@
 Admission Admit(const Route& route,
                 const ExpectedWaits& waits,
                 Milliseconds time_left,
-                std::optional<Milliseconds> caller_time_left) {
+                std::optional<Milliseconds> caller_time_left,
+                bool over_share) {
   const double objective = static_cast<double>(route.target_latency.count());
+  const double max_objectives =
+      over_share ? kMaxOverShareObjectives : kMaxWaitInObjectives;
   const double limit =
-      std::min(objective * kMaxWaitInObjectives,
+      std::min(objective * max_objectives,
                static_cast<double>(time_left.count()) * kLatestStartShare);
   const bool has_waited =
       caller_time_left &&
@@ -63,7 +74,9 @@
   Admission admission;
   const bool is_far = HasFarObjective(route);
   const double on_time_ms = is_far ? waits.yielding_ms : waits.ms;
-  admission.deferred = has_waited || on_time_ms > objective;
+  const double yields_from =
+      over_share ? objective * kOverShareObjective : objective;
+  admission.deferred = has_waited || on_time_ms > yields_from;
   admission.yields = is_far || admission.deferred;
   const double wait_ms = admission.yields ? waits.yielding_ms : waits.ms;
   if (wait_ms <= limit)
@@ -73,6 +86,10 @@
   return admission;
 }
 
+bool ExceedsShare(const Route& route, double wait_ms) {
+  return wait_ms > static_cast<double>(route.target_latency.count());
+}
+
 bool HasFarObjective(const Route& route) {
   return route.target_latency >= kFarObjective;
 }
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -48,17 +48,24 @@
 /// overload, a queue that is longer than the latency objective would make every
 /// request late. Requests that are late anyway are deferred, so that the others
 /// remain on time. `caller_time_left` is how long the caller said to wait, if
-/// it did: one that has waited for longer than the objective is late.
+/// it did: one that has waited for longer than the objective is late. Requests
+/// of a team over its share of the capacity yield sooner than others and wait
+/// less.
 Admission Admit(const Route& route,
                 const ExpectedWaits& waits,
                 Milliseconds time_left,
-                std::optional<Milliseconds> caller_time_left);
+                std::optional<Milliseconds> caller_time_left,
+                bool over_share = false);
+
+/// Returns whether a plain service has no capacity left for a team over its
+/// share.
+bool ExceedsShare(const Route& route, double wait_ms);
 
 /// Returns the urgency of a request at an engine, from 0 to 9. Requests that
-/// can meet their objective come first, by `rank`, and deferred ones after all of
-/// them: an engine interrupts requests for more urgent ones, so that a late one
-/// of a high rank would make others late too. Requests whose objective is far
-/// off can wait without harm and come last.
+/// can meet their objective come first, by `rank`, and deferred ones after all
+/// of them: an engine interrupts requests for more urgent ones, so that a late
+/// one of a high rank would make others late too. Requests whose objective is
+/// far off can wait without harm and come last.
 int UrgencyOf(const Route& route, int rank, bool deferred);
 
 /// Returns whether the objective of the route is so far off that its requests
--- a/src/gateway/admission_unittest.cc
+++ b/src/gateway/admission_unittest.cc
@@ -105,3 +105,35 @@
     LONGS_EQUAL_TEXT(row.spread_ms, time.spread.count(), row.name);
   }
 }
+
+/// Guards against a team in a burst that takes the capacity of others, and
+/// against one that gets nothing though engines have room.
+TEST(Admission, TeamsOverTheirShareYieldSooner) {
+  struct Row {
+    const char* name;
+    double wait_ms;
+    double yielding_wait_ms;
+    bool over_share;
+    bool admitted;
+    bool deferred;
+  };
+  const Row rows[] = {
+      {"no wait", 40, 2000, true, true, false},
+      {"some wait", 150, 400, true, true, true},
+      {"some wait, others", 150, 400, false, true, false},
+      {"late", 260, 600, true, false, true},
+      {"late, others", 260, 600, false, true, true},
+  };
+  for (const Row& row : rows) {
+    gateway::Route route;
+    route.target_latency = Milliseconds(250);
+    route.timeout = Milliseconds(10'000);
+    const auto admission =
+        Admit(route, {row.wait_ms, row.yielding_wait_ms}, Milliseconds(9000),
+              std::nullopt, row.over_share);
+    CHECK_EQUAL_TEXT(row.admitted, admission.admitted, row.name);
+    CHECK_EQUAL_TEXT(row.deferred, admission.deferred, row.name);
+    CHECK_EQUAL_TEXT(row.admitted, admission.retry_after.count() == 0,
+                     row.name);
+  }
+}
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -163,19 +163,22 @@
     return;
   }
   if (this->engine != nullptr) {
-    const Admission admission =
-        Admit(*this->route, {choice.wait_ms, choice.yielding_wait_ms},
-              TimeLeft(this->deadline, now), this->info.time_left);
+    const Admission admission = Admit(
+        *this->route, {choice.wait_ms, choice.yielding_wait_ms},
+        TimeLeft(this->deadline, now), this->info.time_left, this->over_share);
     this->deferred = admission.deferred;
     this->yields = admission.yields;
     if (this->sends == 0 && !admission.admitted) {
       char inputs[120];
       std::snprintf(inputs, sizeof(inputs), "wait_ms=%.0f best=%s",
                     choice.wait_ms, choice.endpoint->entry.id.c_str());
-      this->Refuse("expected wait", ReturnAfter(admission.retry_after), inputs);
+      this->Refuse(this->over_share ? kOverShare : "expected wait",
+                   ReturnAfter(admission.retry_after), inputs);
       return;
     }
   }
+  if (this->engine == nullptr && this->RefuseOverShare(choice))
+    return;
   this->Send(choice);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -36,6 +36,9 @@
 /// daemon.
 inline constexpr Milliseconds kShutdownRetryAfter{20};
 
+/// Reason of the refusal of a request whose team is over its share.
+inline constexpr char kOverShare[] = "team over its share";
+
 /// Handles one request from its arrival to the end of its answer: routes it,
 /// sends it to an endpoint, retries at other endpoints where the route allows
 /// that, and forwards the answer.
@@ -100,6 +103,9 @@
   void AwaitQuota();
   void OnQuotaDecision(const quota::Decision& decision);
   void SettleQuota();
+  /// Decides whether the request yields because its team is over its share.
+  void CheckShare();
+  bool RefuseOverShare(const Choice& choice);
 
   // Defined in exchange_crash.cc: requests that may crash endpoints.
   void OnSendBroken(const char* reason);
@@ -156,7 +162,8 @@
   std::shared_ptr<const RoutingTable> routes;
   const Route* route = nullptr;
   const team::Team* team = nullptr;  ///< That holds the key; may be null.
-  double quota_units = 0;  ///< Granted for this request.
+  bool over_share = false;           ///< Yields where capacity is short.
+  double quota_units = 0;            ///< Granted for this request.
   std::string service;
   const EngineSpec* engine = nullptr;
   RequestInfo info;
--- a/src/gateway/exchange_quota.cc
+++ b/src/gateway/exchange_quota.cc
@@ -6,6 +6,7 @@
 namespace coltsfootvane::gateway {
 
 void Exchange::AwaitQuota() {
+  this->CheckShare();
   if (this->team == nullptr || !team::IsLimited(this->team->quota) ||
       !this->gateway->request_quota) {
     this->TryNextEndpoint();
@@ -50,6 +51,30 @@
                kTooManyRequests);
 }
 
+/// Every sixth request of a team over its share counts like those of others. A
+/// team that sends 0.42 of all requests or more is then served at least a
+/// quarter as often as all together, even if none of its others are.
+void Exchange::CheckShare() {
+  constexpr std::uint64_t kServedOneIn = 6;
+  this->over_share =
+      this->team != nullptr && !this->gateway->teams_over_share.empty() &&
+      this->gateway->teams_over_share.count(KeyOf(this->team->name)) > 0 &&
+      this->gateway->random() % kServedOneIn != 0;
+}
+
+/// Plain services take requests in the order of their arrival, so that none can
+/// yield there.
+bool Exchange::RefuseOverShare(const Choice& choice) {
+  if (!this->over_share || this->sends > 0 ||
+      !ExceedsShare(*this->route, choice.wait_ms))
+    return false;
+  this->Refuse(
+      "team over its share",
+      ReturnAfter(Milliseconds(static_cast<std::int64_t>(choice.wait_ms) + 1)),
+      "team=" + this->team->name);
+  return true;
+}
+
 /// Returns the units of a request that has not run, and charges the team for
 /// each further send that may have run.
 void Exchange::SettleQuota() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -65,6 +66,13 @@
     std::function<void(const QuotaWanted& wanted,
                        std::function<void(const QuotaDecision&)> done)>;
 
+/// What the owner of a team's quota has stated.
+struct TeamUse {
+  double per_second = 0;  ///< Units granted.
+  TimePoint stated_at;
+};
+using TeamUses = std::map<quota::TeamKey, TeamUse>;
+
 class Exchange;
 
 /// State shared by all requests of a daemon. Used on the event loop only.
@@ -93,6 +101,9 @@
   /// Records units of a team spent without permission or, if negative, granted
   /// and not spent.
   std::function<void(quota::TeamKey team, double units)> settle_quota;
+  TeamUses team_use;  ///< Of all teams, by KeyOf(name).
+  /// Teams that yield where capacity is short; see FindOverShare().
+  std::set<quota::TeamKey> teams_over_share;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
   /// During shutdown, requests that arrive from then on are refused, unless
@@ -112,6 +123,14 @@
 /// if it is not, since versions never go back.
 bool ApplyRoutingTable(Gateway* gateway, RoutingTable table);
 
+/// Records the use of a team.
+void RecordTeamUse(Gateway* gateway,
+                   quota::TeamKey team,
+                   double per_second,
+                   TimePoint now);
+/// Finds the teams that are over their share.
+void UpdateShares(Gateway* gateway, TimePoint now);
+
 /// Rebuilds the endpoint list from the table and closes idle connections to
 /// endpoints that were removed.
 void UpdateEndpointList(Gateway* gateway);
--- a/src/gateway/urgency_unittest.cc
+++ b/src/gateway/urgency_unittest.cc
@@ -27,6 +27,7 @@
   int read_ms;  ///< From its begin to the first event.
   int run_ms;   ///< From its begin to the end.
   double per_s;
+  bool over_share = false;  ///< Of a team over its share.
 };
 
 struct Outcome {
@@ -87,8 +88,10 @@
     const gateway::ExpectedWaits waits{
         gateway::ExpectedWaitMs(this->endpoint, &this->spec, tokens, kRunMs),
         gateway::YieldingWaitMs(this->endpoint, this->spec, tokens, kRunMs)};
+    // Every sixth request of such a team counts like those of others.
+    const bool over_share = kind.over_share && this->random() % 6 != 0;
     const gateway::Admission admission =
-        Admit(route, waits, route.timeout, std::nullopt);
+        Admit(route, waits, route.timeout, std::nullopt, over_share);
     if (!admission.admitted)
       return;
     Request request;
@@ -234,6 +237,32 @@
   }
 }
 
+/// Guards against a team that takes the capacity of another with many times its
+/// load, and against one that gets less than a quarter of what all get.
+TEST(Urgency, ATeamOverItsShareLeavesRoomForOthers) {
+  const Kind steady{0, 400, 10'000, 30, kRunMs, 4};
+  Kind burst = steady;
+  struct Row {
+    double burst_per_s;  ///< The engine begins 10.7.
+    double steady_on_time;
+    double steady_on_time_before;  ///< Without shares, at most.
+  };
+  const Row rows[] = {{8, 0.9, 0.85}, {16, 0.85, 0.55}, {32, 0.7, 0.3}};
+  for (const Row& row : rows) {
+    burst.per_s = row.burst_per_s;
+    burst.over_share = false;
+    const auto before = Engine({steady, burst}, ByRoute).Run();
+    CHECK(before[0].OnTime() <= row.steady_on_time_before);
+    burst.over_share = true;
+    const auto shared = Engine({steady, burst}, ByRoute).Run();
+    CHECK(shared[0].OnTime() >= row.steady_on_time);
+    const double all =
+        static_cast<double>(shared[0].on_time + shared[1].on_time) /
+        (shared[0].asked + shared[1].asked);
+    CHECK(shared[1].OnTime() >= all / 4);
+  }
+}
+
 TEST(Urgency, OrdersRequestsThatCanBeOnTimeBeforeLateOnes) {
   struct Row {
     const char* name;
