--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -208,6 +208,25 @@
            parts.fleet->ReadsLatestState() ? 1 : 0);
 }
 
+void SetTeams(Registry* registry, const gateway::Gateway& gateway) {
+  if (!gateway.routes)
+    return;
+  for (const team::Team& team : gateway.routes->teams.teams) {
+    const auto key = gateway::KeyOf(team.name);
+    const auto use = gateway.team_use.find(key);
+    if (use == gateway.team_use.end())
+      continue;
+    const Labels labels = {{"team", team.name}};
+    SetGauge(registry, "coltsfootvane_team_use_units_per_second",
+             "Units of a team's quota granted by all daemons, as stated by the "
+             "owner",
+             labels, use->second.per_second);
+    SetGauge(registry, "coltsfootvane_team_over_share",
+             "Whether the team yields to others where capacity is short",
+             labels, gateway.teams_over_share.count(key) > 0 ? 1 : 0);
+  }
+}
+
 void SetQuarantine(Registry* registry,
                    const gateway::PartQuarantine& state,
                    TimePoint now) {
@@ -248,6 +267,7 @@
   SetServices(&state, *parts.gateway, now);
   SetBeliefs(&state, parts, now);
   SetQuarantine(&state, parts.gateway->quarantine, now);
+  SetTeams(&state, *parts.gateway);
   SetLogLines(&state, *parts.log);
   if (parts.store_calls != nullptr)
     SetStoreCalls(&state, parts);
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -202,6 +202,8 @@
     seen.reporter = from;
     this->on_seen_revisions(seen);
   }
+  if (is_new && !report.team_use.empty())
+    this->OnTeamUse(report);
   if (is_new && restarted)
     this->SendAllSuspects(from);
   if (!is_new || !first_report)
@@ -335,6 +337,7 @@
   AddChanges(CollectWork(this->gateway->endpoint_list, now),
              CollectDemand(this->gateway->traffic, now), &this->sent_reports,
              &report);
+  this->StateTeamUse(&report);
   gen::Datagram datagram;
   datagram.__set_report(report);
   const std::string bytes = Encode(datagram);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -172,6 +172,9 @@
   void RepeatLoad();
   void ReportTracking();
   void CountReceived(const gen::Datagram& datagram, std::size_t bytes);
+  /// Adds the use of the teams whose quota this daemon decides on.
+  void StateTeamUse(gen::Report* report);
+  void OnTeamUse(const gen::Report& report);
   void Tick();
   void SendReports();
   void SendAdapterRequest(std::int64_t number);
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -348,6 +348,118 @@
 }
 
 
+TeamUse::~TeamUse() noexcept {
+}
+
+
+void TeamUse::__set_team(const int32_t val) {
+  this->team = val;
+}
+
+void TeamUse::__set_units_per_s(const int32_t val) {
+  this->units_per_s = val;
+}
+std::ostream& operator<<(std::ostream& out, const TeamUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TeamUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->team);
+          this->__isset.team = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->units_per_s);
+          this->__isset.units_per_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TeamUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TeamUse");
+
+  xfer += oprot->writeFieldBegin("team", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->team);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("units_per_s", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->units_per_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TeamUse &a, TeamUse &b) {
+  using ::std::swap;
+  swap(a.team, b.team);
+  swap(a.units_per_s, b.units_per_s);
+  swap(a.__isset, b.__isset);
+}
+
+TeamUse::TeamUse(const TeamUse& other4) noexcept {
+  team = other4.team;
+  units_per_s = other4.units_per_s;
+  __isset = other4.__isset;
+}
+TeamUse& TeamUse::operator=(const TeamUse& other5) noexcept {
+  team = other5.team;
+  units_per_s = other5.units_per_s;
+  __isset = other5.__isset;
+  return *this;
+}
+void TeamUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TeamUse(";
+  out << "team=" << to_string(team);
+  out << ", " << "units_per_s=" << to_string(units_per_s);
+  out << ")";
+}
+
+
 Report::~Report() noexcept {
 }
 
@@ -411,6 +523,11 @@
   this->max_departure_revision = val;
 __isset.max_departure_revision = true;
 }
+
+void Report::__set_team_use(const std::vector<TeamUse> & val) {
+  this->team_use = val;
+__isset.team_use = true;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -483,14 +600,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->work.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->work.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->work.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
             {
-              xfer += this->work[_i8].read(iprot);
+              xfer += this->work[_i10].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -503,14 +620,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->demand.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size11;
+            ::apache::thrift::protocol::TType _etype14;
+            xfer += iprot->readListBegin(_etype14, _size11);
+            this->demand.resize(_size11);
+            uint32_t _i15;
+            for (_i15 = 0; _i15 < _size11; ++_i15)
             {
-              xfer += this->demand[_i13].read(iprot);
+              xfer += this->demand[_i15].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -523,14 +640,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->members.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->members.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              xfer += iprot->readI32(this->members[_i18]);
+              xfer += iprot->readI32(this->members[_i20]);
             }
             xfer += iprot->readListEnd();
           }
@@ -587,6 +704,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->team_use.clear();
+            uint32_t _size21;
+            ::apache::thrift::protocol::TType _etype24;
+            xfer += iprot->readListBegin(_etype24, _size21);
+            this->team_use.resize(_size21);
+            uint32_t _i25;
+            for (_i25 = 0; _i25 < _size21; ++_i25)
+            {
+              xfer += this->team_use[_i25].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.team_use = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -627,10 +764,10 @@
   xfer += oprot->writeFieldBegin("work", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->work.size()));
-    std::vector<EndpointWork> ::const_iterator _iter19;
-    for (_iter19 = this->work.begin(); _iter19 != this->work.end(); ++_iter19)
+    std::vector<EndpointWork> ::const_iterator _iter26;
+    for (_iter26 = this->work.begin(); _iter26 != this->work.end(); ++_iter26)
     {
-      xfer += (*_iter19).write(oprot);
+      xfer += (*_iter26).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -639,10 +776,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<ModelDemand> ::const_iterator _iter20;
-    for (_iter20 = this->demand.begin(); _iter20 != this->demand.end(); ++_iter20)
+    std::vector<ModelDemand> ::const_iterator _iter27;
+    for (_iter27 = this->demand.begin(); _iter27 != this->demand.end(); ++_iter27)
     {
-      xfer += (*_iter20).write(oprot);
+      xfer += (*_iter27).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -652,10 +789,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->members.size()));
-      std::vector<int32_t> ::const_iterator _iter21;
-      for (_iter21 = this->members.begin(); _iter21 != this->members.end(); ++_iter21)
+      std::vector<int32_t> ::const_iterator _iter28;
+      for (_iter28 = this->members.begin(); _iter28 != this->members.end(); ++_iter28)
       {
-        xfer += oprot->writeI32((*_iter21));
+        xfer += oprot->writeI32((*_iter28));
       }
       xfer += oprot->writeListEnd();
     }
@@ -688,6 +825,19 @@
     xfer += oprot->writeI64(this->max_departure_revision);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.team_use) {
+    xfer += oprot->writeFieldBegin("team_use", ::apache::thrift::protocol::T_LIST, 15);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->team_use.size()));
+      std::vector<TeamUse> ::const_iterator _iter29;
+      for (_iter29 = this->team_use.begin(); _iter29 != this->team_use.end(); ++_iter29)
+      {
+        xfer += (*_iter29).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -709,42 +859,45 @@
   swap(a.lists_all_work, b.lists_all_work);
   swap(a.confirmed_age_ms, b.confirmed_age_ms);
   swap(a.max_departure_revision, b.max_departure_revision);
+  swap(a.team_use, b.team_use);
   swap(a.__isset, b.__isset);
 }
 
-Report::Report(const Report& other22) {
-  incarnation = other22.incarnation;
-  sequence = other22.sequence;
-  leaving = other22.leaving;
-  config_version = other22.config_version;
-  lease_epoch = other22.lease_epoch;
-  work = other22.work;
-  demand = other22.demand;
-  members = other22.members;
-  config_revision = other22.config_revision;
-  endpoints_revision = other22.endpoints_revision;
-  store_reachable = other22.store_reachable;
-  lists_all_work = other22.lists_all_work;
-  confirmed_age_ms = other22.confirmed_age_ms;
-  max_departure_revision = other22.max_departure_revision;
-  __isset = other22.__isset;
-}
-Report& Report::operator=(const Report& other23) {
-  incarnation = other23.incarnation;
-  sequence = other23.sequence;
-  leaving = other23.leaving;
-  config_version = other23.config_version;
-  lease_epoch = other23.lease_epoch;
-  work = other23.work;
-  demand = other23.demand;
-  members = other23.members;
-  config_revision = other23.config_revision;
-  endpoints_revision = other23.endpoints_revision;
-  store_reachable = other23.store_reachable;
-  lists_all_work = other23.lists_all_work;
-  confirmed_age_ms = other23.confirmed_age_ms;
-  max_departure_revision = other23.max_departure_revision;
-  __isset = other23.__isset;
+Report::Report(const Report& other30) {
+  incarnation = other30.incarnation;
+  sequence = other30.sequence;
+  leaving = other30.leaving;
+  config_version = other30.config_version;
+  lease_epoch = other30.lease_epoch;
+  work = other30.work;
+  demand = other30.demand;
+  members = other30.members;
+  config_revision = other30.config_revision;
+  endpoints_revision = other30.endpoints_revision;
+  store_reachable = other30.store_reachable;
+  lists_all_work = other30.lists_all_work;
+  confirmed_age_ms = other30.confirmed_age_ms;
+  max_departure_revision = other30.max_departure_revision;
+  team_use = other30.team_use;
+  __isset = other30.__isset;
+}
+Report& Report::operator=(const Report& other31) {
+  incarnation = other31.incarnation;
+  sequence = other31.sequence;
+  leaving = other31.leaving;
+  config_version = other31.config_version;
+  lease_epoch = other31.lease_epoch;
+  work = other31.work;
+  demand = other31.demand;
+  members = other31.members;
+  config_revision = other31.config_revision;
+  endpoints_revision = other31.endpoints_revision;
+  store_reachable = other31.store_reachable;
+  lists_all_work = other31.lists_all_work;
+  confirmed_age_ms = other31.confirmed_age_ms;
+  max_departure_revision = other31.max_departure_revision;
+  team_use = other31.team_use;
+  __isset = other31.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
@@ -764,6 +917,7 @@
   out << ", " << "lists_all_work="; (__isset.lists_all_work ? (out << to_string(lists_all_work)) : (out << "<null>"));
   out << ", " << "confirmed_age_ms="; (__isset.confirmed_age_ms ? (out << to_string(confirmed_age_ms)) : (out << "<null>"));
   out << ", " << "max_departure_revision="; (__isset.max_departure_revision ? (out << to_string(max_departure_revision)) : (out << "<null>"));
+  out << ", " << "team_use="; (__isset.team_use ? (out << to_string(team_use)) : (out << "<null>"));
   out << ")";
 }
 
@@ -823,14 +977,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retiring.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->retiring.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->retiring.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += iprot->readI32(this->retiring[_i28]);
+              xfer += iprot->readI32(this->retiring[_i36]);
             }
             xfer += iprot->readListEnd();
           }
@@ -843,14 +997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->adapters.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->adapters.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
             {
-              xfer += iprot->readI32(this->adapters[_i33]);
+              xfer += iprot->readI32(this->adapters[_i41]);
             }
             xfer += iprot->readListEnd();
           }
@@ -883,10 +1037,10 @@
   xfer += oprot->writeFieldBegin("retiring", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->retiring.size()));
-    std::vector<int32_t> ::const_iterator _iter34;
-    for (_iter34 = this->retiring.begin(); _iter34 != this->retiring.end(); ++_iter34)
+    std::vector<int32_t> ::const_iterator _iter42;
+    for (_iter42 = this->retiring.begin(); _iter42 != this->retiring.end(); ++_iter42)
     {
-      xfer += oprot->writeI32((*_iter34));
+      xfer += oprot->writeI32((*_iter42));
     }
     xfer += oprot->writeListEnd();
   }
@@ -895,10 +1049,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<int32_t> ::const_iterator _iter35;
-    for (_iter35 = this->adapters.begin(); _iter35 != this->adapters.end(); ++_iter35)
+    std::vector<int32_t> ::const_iterator _iter43;
+    for (_iter43 = this->adapters.begin(); _iter43 != this->adapters.end(); ++_iter43)
     {
-      xfer += oprot->writeI32((*_iter35));
+      xfer += oprot->writeI32((*_iter43));
     }
     xfer += oprot->writeListEnd();
   }
@@ -917,17 +1071,17 @@
   swap(a.__isset, b.__isset);
 }
 
-EnginePlacement::EnginePlacement(const EnginePlacement& other36) {
-  endpoint = other36.endpoint;
-  retiring = other36.retiring;
-  adapters = other36.adapters;
-  __isset = other36.__isset;
+EnginePlacement::EnginePlacement(const EnginePlacement& other44) {
+  endpoint = other44.endpoint;
+  retiring = other44.retiring;
+  adapters = other44.adapters;
+  __isset = other44.__isset;
 }
-EnginePlacement& EnginePlacement::operator=(const EnginePlacement& other37) {
-  endpoint = other37.endpoint;
-  retiring = other37.retiring;
-  adapters = other37.adapters;
-  __isset = other37.__isset;
+EnginePlacement& EnginePlacement::operator=(const EnginePlacement& other45) {
+  endpoint = other45.endpoint;
+  retiring = other45.retiring;
+  adapters = other45.adapters;
+  __isset = other45.__isset;
   return *this;
 }
 void EnginePlacement::printTo(std::ostream& out) const {
@@ -1003,14 +1157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engines.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->engines.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->engines.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->engines[_i42].read(iprot);
+              xfer += this->engines[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1047,10 +1201,10 @@
   xfer += oprot->writeFieldBegin("engines", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engines.size()));
-    std::vector<EnginePlacement> ::const_iterator _iter43;
-    for (_iter43 = this->engines.begin(); _iter43 != this->engines.end(); ++_iter43)
+    std::vector<EnginePlacement> ::const_iterator _iter51;
+    for (_iter51 = this->engines.begin(); _iter51 != this->engines.end(); ++_iter51)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1069,17 +1223,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Placement::Placement(const Placement& other44) {
-  lease_epoch = other44.lease_epoch;
-  sequence = other44.sequence;
-  engines = other44.engines;
-  __isset = other44.__isset;
+Placement::Placement(const Placement& other52) {
+  lease_epoch = other52.lease_epoch;
+  sequence = other52.sequence;
+  engines = other52.engines;
+  __isset = other52.__isset;
 }
-Placement& Placement::operator=(const Placement& other45) {
-  lease_epoch = other45.lease_epoch;
-  sequence = other45.sequence;
-  engines = other45.engines;
-  __isset = other45.__isset;
+Placement& Placement::operator=(const Placement& other53) {
+  lease_epoch = other53.lease_epoch;
+  sequence = other53.sequence;
+  engines = other53.engines;
+  __isset = other53.__isset;
   return *this;
 }
 void Placement::printTo(std::ostream& out) const {
@@ -1218,19 +1372,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AdapterRequest::AdapterRequest(const AdapterRequest& other46) {
-  number = other46.number;
-  service_name = other46.service_name;
-  model = other46.model;
-  adapter = other46.adapter;
-  __isset = other46.__isset;
+AdapterRequest::AdapterRequest(const AdapterRequest& other54) {
+  number = other54.number;
+  service_name = other54.service_name;
+  model = other54.model;
+  adapter = other54.adapter;
+  __isset = other54.__isset;
 }
-AdapterRequest& AdapterRequest::operator=(const AdapterRequest& other47) {
-  number = other47.number;
-  service_name = other47.service_name;
-  model = other47.model;
-  adapter = other47.adapter;
-  __isset = other47.__isset;
+AdapterRequest& AdapterRequest::operator=(const AdapterRequest& other55) {
+  number = other55.number;
+  service_name = other55.service_name;
+  model = other55.model;
+  adapter = other55.adapter;
+  __isset = other55.__isset;
   return *this;
 }
 void AdapterRequest::printTo(std::ostream& out) const {
@@ -1353,17 +1507,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AdapterReply::AdapterReply(const AdapterReply& other48) noexcept {
-  number = other48.number;
-  ready = other48.ready;
-  endpoint = other48.endpoint;
-  __isset = other48.__isset;
+AdapterReply::AdapterReply(const AdapterReply& other56) noexcept {
+  number = other56.number;
+  ready = other56.ready;
+  endpoint = other56.endpoint;
+  __isset = other56.__isset;
 }
-AdapterReply& AdapterReply::operator=(const AdapterReply& other49) noexcept {
-  number = other49.number;
-  ready = other49.ready;
-  endpoint = other49.endpoint;
-  __isset = other49.__isset;
+AdapterReply& AdapterReply::operator=(const AdapterReply& other57) noexcept {
+  number = other57.number;
+  ready = other57.ready;
+  endpoint = other57.endpoint;
+  __isset = other57.__isset;
   return *this;
 }
 void AdapterReply::printTo(std::ostream& out) const {
@@ -1502,19 +1656,19 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashInvolvement::CrashInvolvement(const CrashInvolvement& other50) noexcept {
-  crash = other50.crash;
-  age_ms = other50.age_ms;
-  answering = other50.answering;
-  cleared = other50.cleared;
-  __isset = other50.__isset;
+CrashInvolvement::CrashInvolvement(const CrashInvolvement& other58) noexcept {
+  crash = other58.crash;
+  age_ms = other58.age_ms;
+  answering = other58.answering;
+  cleared = other58.cleared;
+  __isset = other58.__isset;
 }
-CrashInvolvement& CrashInvolvement::operator=(const CrashInvolvement& other51) noexcept {
-  crash = other51.crash;
-  age_ms = other51.age_ms;
-  answering = other51.answering;
-  cleared = other51.cleared;
-  __isset = other51.__isset;
+CrashInvolvement& CrashInvolvement::operator=(const CrashInvolvement& other59) noexcept {
+  crash = other59.crash;
+  age_ms = other59.age_ms;
+  answering = other59.answering;
+  cleared = other59.cleared;
+  __isset = other59.__isset;
   return *this;
 }
 void CrashInvolvement::printTo(std::ostream& out) const {
@@ -1591,14 +1745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->involvements.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->involvements.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->involvements.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->involvements[_i56].read(iprot);
+              xfer += this->involvements[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1635,10 +1789,10 @@
   xfer += oprot->writeFieldBegin("involvements", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->involvements.size()));
-    std::vector<CrashInvolvement> ::const_iterator _iter57;
-    for (_iter57 = this->involvements.begin(); _iter57 != this->involvements.end(); ++_iter57)
+    std::vector<CrashInvolvement> ::const_iterator _iter65;
+    for (_iter65 = this->involvements.begin(); _iter65 != this->involvements.end(); ++_iter65)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1657,17 +1811,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectPart::SuspectPart(const SuspectPart& other58) {
-  part = other58.part;
-  answered_before = other58.answered_before;
-  involvements = other58.involvements;
-  __isset = other58.__isset;
+SuspectPart::SuspectPart(const SuspectPart& other66) {
+  part = other66.part;
+  answered_before = other66.answered_before;
+  involvements = other66.involvements;
+  __isset = other66.__isset;
 }
-SuspectPart& SuspectPart::operator=(const SuspectPart& other59) {
-  part = other59.part;
-  answered_before = other59.answered_before;
-  involvements = other59.involvements;
-  __isset = other59.__isset;
+SuspectPart& SuspectPart::operator=(const SuspectPart& other67) {
+  part = other67.part;
+  answered_before = other67.answered_before;
+  involvements = other67.involvements;
+  __isset = other67.__isset;
   return *this;
 }
 void SuspectPart::printTo(std::ostream& out) const {
@@ -1719,14 +1873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->parts.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->parts.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->parts[_i64].read(iprot);
+              xfer += this->parts[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1755,10 +1909,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->parts.size()));
-    std::vector<SuspectPart> ::const_iterator _iter65;
-    for (_iter65 = this->parts.begin(); _iter65 != this->parts.end(); ++_iter65)
+    std::vector<SuspectPart> ::const_iterator _iter73;
+    for (_iter73 = this->parts.begin(); _iter73 != this->parts.end(); ++_iter73)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1775,13 +1929,13 @@
   swap(a.__isset, b.__isset);
 }
 
-Suspects::Suspects(const Suspects& other66) {
-  parts = other66.parts;
-  __isset = other66.__isset;
+Suspects::Suspects(const Suspects& other74) {
+  parts = other74.parts;
+  __isset = other74.__isset;
 }
-Suspects& Suspects::operator=(const Suspects& other67) {
-  parts = other67.parts;
-  __isset = other67.__isset;
+Suspects& Suspects::operator=(const Suspects& other75) {
+  parts = other75.parts;
+  __isset = other75.__isset;
   return *this;
 }
 void Suspects::printTo(std::ostream& out) const {
@@ -2036,31 +2190,31 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaRequest::QuotaRequest(const QuotaRequest& other68) noexcept {
-  number = other68.number;
-  team = other68.team;
-  per_second = other68.per_second;
-  burst = other68.burst;
-  version = other68.version;
-  units = other68.units;
-  settled = other68.settled;
-  rank = other68.rank;
-  level = other68.level;
-  level_age_ms = other68.level_age_ms;
-  __isset = other68.__isset;
-}
-QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other69) noexcept {
-  number = other69.number;
-  team = other69.team;
-  per_second = other69.per_second;
-  burst = other69.burst;
-  version = other69.version;
-  units = other69.units;
-  settled = other69.settled;
-  rank = other69.rank;
-  level = other69.level;
-  level_age_ms = other69.level_age_ms;
-  __isset = other69.__isset;
+QuotaRequest::QuotaRequest(const QuotaRequest& other76) noexcept {
+  number = other76.number;
+  team = other76.team;
+  per_second = other76.per_second;
+  burst = other76.burst;
+  version = other76.version;
+  units = other76.units;
+  settled = other76.settled;
+  rank = other76.rank;
+  level = other76.level;
+  level_age_ms = other76.level_age_ms;
+  __isset = other76.__isset;
+}
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other77) noexcept {
+  number = other77.number;
+  team = other77.team;
+  per_second = other77.per_second;
+  burst = other77.burst;
+  version = other77.version;
+  units = other77.units;
+  settled = other77.settled;
+  rank = other77.rank;
+  level = other77.level;
+  level_age_ms = other77.level_age_ms;
+  __isset = other77.__isset;
   return *this;
 }
 void QuotaRequest::printTo(std::ostream& out) const {
@@ -2246,23 +2400,23 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaReply::QuotaReply(const QuotaReply& other70) noexcept {
-  number = other70.number;
-  verdict = other70.verdict;
-  known_daemons = other70.known_daemons;
-  level = other70.level;
-  retry_after_ms = other70.retry_after_ms;
-  better_owner = other70.better_owner;
-  __isset = other70.__isset;
-}
-QuotaReply& QuotaReply::operator=(const QuotaReply& other71) noexcept {
-  number = other71.number;
-  verdict = other71.verdict;
-  known_daemons = other71.known_daemons;
-  level = other71.level;
-  retry_after_ms = other71.retry_after_ms;
-  better_owner = other71.better_owner;
-  __isset = other71.__isset;
+QuotaReply::QuotaReply(const QuotaReply& other78) noexcept {
+  number = other78.number;
+  verdict = other78.verdict;
+  known_daemons = other78.known_daemons;
+  level = other78.level;
+  retry_after_ms = other78.retry_after_ms;
+  better_owner = other78.better_owner;
+  __isset = other78.__isset;
+}
+QuotaReply& QuotaReply::operator=(const QuotaReply& other79) noexcept {
+  number = other79.number;
+  verdict = other79.verdict;
+  known_daemons = other79.known_daemons;
+  level = other79.level;
+  retry_after_ms = other79.retry_after_ms;
+  better_owner = other79.better_owner;
+  __isset = other79.__isset;
   return *this;
 }
 void QuotaReply::printTo(std::ostream& out) const {
@@ -2370,15 +2524,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadQuery::LoadQuery(const LoadQuery& other72) noexcept {
-  number = other72.number;
-  endpoint = other72.endpoint;
-  __isset = other72.__isset;
+LoadQuery::LoadQuery(const LoadQuery& other80) noexcept {
+  number = other80.number;
+  endpoint = other80.endpoint;
+  __isset = other80.__isset;
 }
-LoadQuery& LoadQuery::operator=(const LoadQuery& other73) noexcept {
-  number = other73.number;
-  endpoint = other73.endpoint;
-  __isset = other73.__isset;
+LoadQuery& LoadQuery::operator=(const LoadQuery& other81) noexcept {
+  number = other81.number;
+  endpoint = other81.endpoint;
+  __isset = other81.__isset;
   return *this;
 }
 void LoadQuery::printTo(std::ostream& out) const {
@@ -2577,25 +2731,25 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadAnswer::LoadAnswer(const LoadAnswer& other74) noexcept {
-  number = other74.number;
-  tracked_ms = other74.tracked_ms;
-  running = other74.running;
-  prompt_tokens = other74.prompt_tokens;
-  yielding = other74.yielding;
-  yielding_tokens = other74.yielding_tokens;
-  limit = other74.limit;
-  __isset = other74.__isset;
-}
-LoadAnswer& LoadAnswer::operator=(const LoadAnswer& other75) noexcept {
-  number = other75.number;
-  tracked_ms = other75.tracked_ms;
-  running = other75.running;
-  prompt_tokens = other75.prompt_tokens;
-  yielding = other75.yielding;
-  yielding_tokens = other75.yielding_tokens;
-  limit = other75.limit;
-  __isset = other75.__isset;
+LoadAnswer::LoadAnswer(const LoadAnswer& other82) noexcept {
+  number = other82.number;
+  tracked_ms = other82.tracked_ms;
+  running = other82.running;
+  prompt_tokens = other82.prompt_tokens;
+  yielding = other82.yielding;
+  yielding_tokens = other82.yielding_tokens;
+  limit = other82.limit;
+  __isset = other82.__isset;
+}
+LoadAnswer& LoadAnswer::operator=(const LoadAnswer& other83) noexcept {
+  number = other83.number;
+  tracked_ms = other83.tracked_ms;
+  running = other83.running;
+  prompt_tokens = other83.prompt_tokens;
+  yielding = other83.yielding;
+  yielding_tokens = other83.yielding_tokens;
+  limit = other83.limit;
+  __isset = other83.__isset;
   return *this;
 }
 void LoadAnswer::printTo(std::ostream& out) const {
@@ -2816,27 +2970,27 @@
   swap(a.__isset, b.__isset);
 }
 
-WorkUpdate::WorkUpdate(const WorkUpdate& other76) noexcept {
-  endpoint = other76.endpoint;
-  process = other76.process;
-  sequence = other76.sequence;
-  running = other76.running;
-  prompt_tokens = other76.prompt_tokens;
-  yielding = other76.yielding;
-  yielding_tokens = other76.yielding_tokens;
-  refused = other76.refused;
-  __isset = other76.__isset;
+WorkUpdate::WorkUpdate(const WorkUpdate& other84) noexcept {
+  endpoint = other84.endpoint;
+  process = other84.process;
+  sequence = other84.sequence;
+  running = other84.running;
+  prompt_tokens = other84.prompt_tokens;
+  yielding = other84.yielding;
+  yielding_tokens = other84.yielding_tokens;
+  refused = other84.refused;
+  __isset = other84.__isset;
 }
-WorkUpdate& WorkUpdate::operator=(const WorkUpdate& other77) noexcept {
-  endpoint = other77.endpoint;
-  process = other77.process;
-  sequence = other77.sequence;
-  running = other77.running;
-  prompt_tokens = other77.prompt_tokens;
-  yielding = other77.yielding;
-  yielding_tokens = other77.yielding_tokens;
-  refused = other77.refused;
-  __isset = other77.__isset;
+WorkUpdate& WorkUpdate::operator=(const WorkUpdate& other85) noexcept {
+  endpoint = other85.endpoint;
+  process = other85.process;
+  sequence = other85.sequence;
+  running = other85.running;
+  prompt_tokens = other85.prompt_tokens;
+  yielding = other85.yielding;
+  yielding_tokens = other85.yielding_tokens;
+  refused = other85.refused;
+  __isset = other85.__isset;
   return *this;
 }
 void WorkUpdate::printTo(std::ostream& out) const {
@@ -2905,14 +3059,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adapters.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->adapters.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->adapters.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += iprot->readString(this->adapters[_i82]);
+              xfer += iprot->readString(this->adapters[_i90]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2945,10 +3099,10 @@
   xfer += oprot->writeFieldBegin("adapters", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->adapters.size()));
-    std::vector<std::string> ::const_iterator _iter83;
-    for (_iter83 = this->adapters.begin(); _iter83 != this->adapters.end(); ++_iter83)
+    std::vector<std::string> ::const_iterator _iter91;
+    for (_iter91 = this->adapters.begin(); _iter91 != this->adapters.end(); ++_iter91)
     {
-      xfer += oprot->writeString((*_iter83));
+      xfer += oprot->writeString((*_iter91));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2966,15 +3120,15 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointModel::EndpointModel(const EndpointModel& other84) {
-  name = other84.name;
-  adapters = other84.adapters;
-  __isset = other84.__isset;
+EndpointModel::EndpointModel(const EndpointModel& other92) {
+  name = other92.name;
+  adapters = other92.adapters;
+  __isset = other92.__isset;
 }
-EndpointModel& EndpointModel::operator=(const EndpointModel& other85) {
-  name = other85.name;
-  adapters = other85.adapters;
-  __isset = other85.__isset;
+EndpointModel& EndpointModel::operator=(const EndpointModel& other93) {
+  name = other93.name;
+  adapters = other93.adapters;
+  __isset = other93.__isset;
   return *this;
 }
 void EndpointModel::printTo(std::ostream& out) const {
@@ -3117,14 +3271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->models.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->models.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->models[_i90].read(iprot);
+              xfer += this->models[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3137,14 +3291,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cached_in_memory.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->cached_in_memory.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->cached_in_memory.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += iprot->readString(this->cached_in_memory[_i95]);
+              xfer += iprot->readString(this->cached_in_memory[_i103]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3157,14 +3311,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->cached_on_disk.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->cached_on_disk.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->cached_on_disk.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += iprot->readString(this->cached_on_disk[_i100]);
+              xfer += iprot->readString(this->cached_on_disk[_i108]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3221,10 +3375,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->models.size()));
-    std::vector<EndpointModel> ::const_iterator _iter101;
-    for (_iter101 = this->models.begin(); _iter101 != this->models.end(); ++_iter101)
+    std::vector<EndpointModel> ::const_iterator _iter109;
+    for (_iter109 = this->models.begin(); _iter109 != this->models.end(); ++_iter109)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter109).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3233,10 +3387,10 @@
   xfer += oprot->writeFieldBegin("cached_in_memory", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cached_in_memory.size()));
-    std::vector<std::string> ::const_iterator _iter102;
-    for (_iter102 = this->cached_in_memory.begin(); _iter102 != this->cached_in_memory.end(); ++_iter102)
+    std::vector<std::string> ::const_iterator _iter110;
+    for (_iter110 = this->cached_in_memory.begin(); _iter110 != this->cached_in_memory.end(); ++_iter110)
     {
-      xfer += oprot->writeString((*_iter102));
+      xfer += oprot->writeString((*_iter110));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3245,10 +3399,10 @@
   xfer += oprot->writeFieldBegin("cached_on_disk", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->cached_on_disk.size()));
-    std::vector<std::string> ::const_iterator _iter103;
-    for (_iter103 = this->cached_on_disk.begin(); _iter103 != this->cached_on_disk.end(); ++_iter103)
+    std::vector<std::string> ::const_iterator _iter111;
+    for (_iter111 = this->cached_on_disk.begin(); _iter111 != this->cached_on_disk.end(); ++_iter111)
     {
-      xfer += oprot->writeString((*_iter103));
+      xfer += oprot->writeString((*_iter111));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3274,31 +3428,31 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointFields::EndpointFields(const EndpointFields& other104) {
-  service_name = other104.service_name;
-  host = other104.host;
-  port = other104.port;
-  data_centre = other104.data_centre;
-  slots = other104.slots;
-  draining = other104.draining;
-  incarnation = other104.incarnation;
-  models = other104.models;
-  cached_in_memory = other104.cached_in_memory;
-  cached_on_disk = other104.cached_on_disk;
-  __isset = other104.__isset;
-}
-EndpointFields& EndpointFields::operator=(const EndpointFields& other105) {
-  service_name = other105.service_name;
-  host = other105.host;
-  port = other105.port;
-  data_centre = other105.data_centre;
-  slots = other105.slots;
-  draining = other105.draining;
-  incarnation = other105.incarnation;
-  models = other105.models;
-  cached_in_memory = other105.cached_in_memory;
-  cached_on_disk = other105.cached_on_disk;
-  __isset = other105.__isset;
+EndpointFields::EndpointFields(const EndpointFields& other112) {
+  service_name = other112.service_name;
+  host = other112.host;
+  port = other112.port;
+  data_centre = other112.data_centre;
+  slots = other112.slots;
+  draining = other112.draining;
+  incarnation = other112.incarnation;
+  models = other112.models;
+  cached_in_memory = other112.cached_in_memory;
+  cached_on_disk = other112.cached_on_disk;
+  __isset = other112.__isset;
+}
+EndpointFields& EndpointFields::operator=(const EndpointFields& other113) {
+  service_name = other113.service_name;
+  host = other113.host;
+  port = other113.port;
+  data_centre = other113.data_centre;
+  slots = other113.slots;
+  draining = other113.draining;
+  incarnation = other113.incarnation;
+  models = other113.models;
+  cached_in_memory = other113.cached_in_memory;
+  cached_on_disk = other113.cached_on_disk;
+  __isset = other113.__isset;
   return *this;
 }
 void EndpointFields::printTo(std::ostream& out) const {
@@ -3465,21 +3619,21 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointNews::EndpointNews(const EndpointNews& other106) {
-  id = other106.id;
-  revision = other106.revision;
-  deleted = other106.deleted;
-  fields = other106.fields;
-  left_out = other106.left_out;
-  __isset = other106.__isset;
-}
-EndpointNews& EndpointNews::operator=(const EndpointNews& other107) {
-  id = other107.id;
-  revision = other107.revision;
-  deleted = other107.deleted;
-  fields = other107.fields;
-  left_out = other107.left_out;
-  __isset = other107.__isset;
+EndpointNews::EndpointNews(const EndpointNews& other114) {
+  id = other114.id;
+  revision = other114.revision;
+  deleted = other114.deleted;
+  fields = other114.fields;
+  left_out = other114.left_out;
+  __isset = other114.__isset;
+}
+EndpointNews& EndpointNews::operator=(const EndpointNews& other115) {
+  id = other115.id;
+  revision = other115.revision;
+  deleted = other115.deleted;
+  fields = other115.fields;
+  left_out = other115.left_out;
+  __isset = other115.__isset;
   return *this;
 }
 void EndpointNews::printTo(std::ostream& out) const {
@@ -3569,14 +3723,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->changes.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->changes.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->changes[_i112].read(iprot);
+              xfer += this->changes[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3617,10 +3771,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<EndpointNews> ::const_iterator _iter113;
-    for (_iter113 = this->changes.begin(); _iter113 != this->changes.end(); ++_iter113)
+    std::vector<EndpointNews> ::const_iterator _iter121;
+    for (_iter121 = this->changes.begin(); _iter121 != this->changes.end(); ++_iter121)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3640,19 +3794,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreBatch::StoreBatch(const StoreBatch& other114) {
-  from_revision = other114.from_revision;
-  base_until = other114.base_until;
-  to_revision = other114.to_revision;
-  changes = other114.changes;
-  __isset = other114.__isset;
+StoreBatch::StoreBatch(const StoreBatch& other122) {
+  from_revision = other122.from_revision;
+  base_until = other122.base_until;
+  to_revision = other122.to_revision;
+  changes = other122.changes;
+  __isset = other122.__isset;
 }
-StoreBatch& StoreBatch::operator=(const StoreBatch& other115) {
-  from_revision = other115.from_revision;
-  base_until = other115.base_until;
-  to_revision = other115.to_revision;
-  changes = other115.changes;
-  __isset = other115.__isset;
+StoreBatch& StoreBatch::operator=(const StoreBatch& other123) {
+  from_revision = other123.from_revision;
+  base_until = other123.base_until;
+  to_revision = other123.to_revision;
+  changes = other123.changes;
+  __isset = other123.__isset;
   return *this;
 }
 void StoreBatch::printTo(std::ostream& out) const {
@@ -3718,14 +3872,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->batches.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->batches.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->batches.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->batches[_i120].read(iprot);
+              xfer += this->batches[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3738,14 +3892,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relay_to.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->relay_to.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->relay_to.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += iprot->readI32(this->relay_to[_i125]);
+              xfer += iprot->readI32(this->relay_to[_i133]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3790,10 +3944,10 @@
   xfer += oprot->writeFieldBegin("batches", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->batches.size()));
-    std::vector<StoreBatch> ::const_iterator _iter126;
-    for (_iter126 = this->batches.begin(); _iter126 != this->batches.end(); ++_iter126)
+    std::vector<StoreBatch> ::const_iterator _iter134;
+    for (_iter134 = this->batches.begin(); _iter134 != this->batches.end(); ++_iter134)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter134).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3802,10 +3956,10 @@
   xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->relay_to.size()));
-    std::vector<int32_t> ::const_iterator _iter127;
-    for (_iter127 = this->relay_to.begin(); _iter127 != this->relay_to.end(); ++_iter127)
+    std::vector<int32_t> ::const_iterator _iter135;
+    for (_iter135 = this->relay_to.begin(); _iter135 != this->relay_to.end(); ++_iter135)
     {
-      xfer += oprot->writeI32((*_iter127));
+      xfer += oprot->writeI32((*_iter135));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3834,19 +3988,19 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreNews::StoreNews(const StoreNews& other128) {
-  batches = other128.batches;
-  relay_to = other128.relay_to;
-  origin = other128.origin;
-  too_old = other128.too_old;
-  __isset = other128.__isset;
+StoreNews::StoreNews(const StoreNews& other136) {
+  batches = other136.batches;
+  relay_to = other136.relay_to;
+  origin = other136.origin;
+  too_old = other136.too_old;
+  __isset = other136.__isset;
 }
-StoreNews& StoreNews::operator=(const StoreNews& other129) {
-  batches = other129.batches;
-  relay_to = other129.relay_to;
-  origin = other129.origin;
-  too_old = other129.too_old;
-  __isset = other129.__isset;
+StoreNews& StoreNews::operator=(const StoreNews& other137) {
+  batches = other137.batches;
+  relay_to = other137.relay_to;
+  origin = other137.origin;
+  too_old = other137.too_old;
+  __isset = other137.__isset;
   return *this;
 }
 void StoreNews::printTo(std::ostream& out) const {
@@ -3935,13 +4089,13 @@
   swap(a.__isset, b.__isset);
 }
 
-StoreNewsRequest::StoreNewsRequest(const StoreNewsRequest& other130) noexcept {
-  revision = other130.revision;
-  __isset = other130.__isset;
+StoreNewsRequest::StoreNewsRequest(const StoreNewsRequest& other138) noexcept {
+  revision = other138.revision;
+  __isset = other138.__isset;
 }
-StoreNewsRequest& StoreNewsRequest::operator=(const StoreNewsRequest& other131) noexcept {
-  revision = other131.revision;
-  __isset = other131.__isset;
+StoreNewsRequest& StoreNewsRequest::operator=(const StoreNewsRequest& other139) noexcept {
+  revision = other139.revision;
+  __isset = other139.__isset;
   return *this;
 }
 void StoreNewsRequest::printTo(std::ostream& out) const {
@@ -4044,14 +4198,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relay_to.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->relay_to.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->relay_to.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readI32(this->relay_to[_i136]);
+              xfer += iprot->readI32(this->relay_to[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4105,10 +4259,10 @@
   xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->relay_to.size()));
-    std::vector<int32_t> ::const_iterator _iter137;
-    for (_iter137 = this->relay_to.begin(); _iter137 != this->relay_to.end(); ++_iter137)
+    std::vector<int32_t> ::const_iterator _iter145;
+    for (_iter145 = this->relay_to.begin(); _iter145 != this->relay_to.end(); ++_iter145)
     {
-      xfer += oprot->writeI32((*_iter137));
+      xfer += oprot->writeI32((*_iter145));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4134,23 +4288,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigNews::ConfigNews(const ConfigNews& other138) {
-  revision = other138.revision;
-  base_revision = other138.base_revision;
-  digest = other138.digest;
-  patch = other138.patch;
-  relay_to = other138.relay_to;
-  source = other138.source;
-  __isset = other138.__isset;
-}
-ConfigNews& ConfigNews::operator=(const ConfigNews& other139) {
-  revision = other139.revision;
-  base_revision = other139.base_revision;
-  digest = other139.digest;
-  patch = other139.patch;
-  relay_to = other139.relay_to;
-  source = other139.source;
-  __isset = other139.__isset;
+ConfigNews::ConfigNews(const ConfigNews& other146) {
+  revision = other146.revision;
+  base_revision = other146.base_revision;
+  digest = other146.digest;
+  patch = other146.patch;
+  relay_to = other146.relay_to;
+  source = other146.source;
+  __isset = other146.__isset;
+}
+ConfigNews& ConfigNews::operator=(const ConfigNews& other147) {
+  revision = other147.revision;
+  base_revision = other147.base_revision;
+  digest = other147.digest;
+  patch = other147.patch;
+  relay_to = other147.relay_to;
+  source = other147.source;
+  __isset = other147.__isset;
   return *this;
 }
 void ConfigNews::printTo(std::ostream& out) const {
@@ -4471,37 +4625,37 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other140) {
-  report = other140.report;
-  placement = other140.placement;
-  adapter_request = other140.adapter_request;
-  adapter_reply = other140.adapter_reply;
-  suspects = other140.suspects;
-  quota_request = other140.quota_request;
-  quota_reply = other140.quota_reply;
-  load_query = other140.load_query;
-  load_answer = other140.load_answer;
-  work_update = other140.work_update;
-  store_news = other140.store_news;
-  store_news_request = other140.store_news_request;
-  config_news = other140.config_news;
-  __isset = other140.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other141) {
-  report = other141.report;
-  placement = other141.placement;
-  adapter_request = other141.adapter_request;
-  adapter_reply = other141.adapter_reply;
-  suspects = other141.suspects;
-  quota_request = other141.quota_request;
-  quota_reply = other141.quota_reply;
-  load_query = other141.load_query;
-  load_answer = other141.load_answer;
-  work_update = other141.work_update;
-  store_news = other141.store_news;
-  store_news_request = other141.store_news_request;
-  config_news = other141.config_news;
-  __isset = other141.__isset;
+Datagram::Datagram(const Datagram& other148) {
+  report = other148.report;
+  placement = other148.placement;
+  adapter_request = other148.adapter_request;
+  adapter_reply = other148.adapter_reply;
+  suspects = other148.suspects;
+  quota_request = other148.quota_request;
+  quota_reply = other148.quota_reply;
+  load_query = other148.load_query;
+  load_answer = other148.load_answer;
+  work_update = other148.work_update;
+  store_news = other148.store_news;
+  store_news_request = other148.store_news_request;
+  config_news = other148.config_news;
+  __isset = other148.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other149) {
+  report = other149.report;
+  placement = other149.placement;
+  adapter_request = other149.adapter_request;
+  adapter_reply = other149.adapter_reply;
+  suspects = other149.suspects;
+  quota_request = other149.quota_request;
+  quota_reply = other149.quota_reply;
+  load_query = other149.load_query;
+  load_answer = other149.load_answer;
+  work_update = other149.work_update;
+  store_news = other149.store_news;
+  store_news_request = other149.store_news_request;
+  config_news = other149.config_news;
+  __isset = other149.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -54,11 +54,17 @@
 /// it did: one that has waited for longer than the objective is late. By exact
 /// figures an engine gets no more requests than its slots and those that can
 /// begin within the objective: further ones would only make it interrupt runs
-/// and read their prompts again.
+/// and read their prompts again. Requests of a team over its share of the
+/// capacity yield sooner than others and wait less.
 Admission Admit(const Route& route,
                 const ExpectedWaits& waits,
                 Milliseconds time_left,
-                std::optional<Milliseconds> caller_time_left);
+                std::optional<Milliseconds> caller_time_left,
+                bool over_share = false);
+
+/// Returns whether a plain service has no capacity left for a team over its
+/// share.
+bool ExceedsShare(const Route& route, double wait_ms);
 
 /// Returns the urgency of a request at an engine, from 0 to 9. Requests that
 /// can meet their objective come first, by `rank`, and deferred ones after all
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -182,10 +182,13 @@
       char inputs[120];
       std::snprintf(inputs, sizeof(inputs), "wait_ms=%.0f best=%s",
                     choice.wait_ms, choice.endpoint->entry.id.c_str());
-      this->Refuse("expected wait", ReturnAfter(admission.retry_after), inputs);
+      this->Refuse(this->over_share ? kOverShare : "expected wait",
+                   ReturnAfter(admission.retry_after), inputs);
       return;
     }
   }
+  if (this->engine == nullptr && this->RefuseOverShare(choice))
+    return;
   if (!this->RefuseBeyondPatience(choice))
     this->Send(choice);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -41,6 +41,9 @@
 /// A request that is sent with less time left would be answered too late.
 inline constexpr Milliseconds kMinTimeForSend{20};
 
+/// Reason of the refusal of a request whose team is over its share.
+inline constexpr char kOverShare[] = "team over its share";
+
 /// Handles one request from its arrival to the end of its answer: routes it,
 /// sends it to an endpoint, retries at other endpoints where the route allows
 /// that, and forwards the answer.
@@ -112,6 +115,9 @@
   void AwaitQuota();
   void OnQuotaDecision(const quota::Decision& decision);
   void SettleQuota();
+  /// Decides whether the request yields because its team is over its share.
+  void CheckShare();
+  bool RefuseOverShare(const Choice& choice);
 
   // Defined in exchange_load.cc: exact load of endpoints in large fleets,
   // and what choices with and without it have in common.
@@ -196,6 +202,7 @@
   std::shared_ptr<const RoutingTable> routes;
   const Route* route = nullptr;
   const team::Team* team = nullptr;  ///< That holds the key; may be null.
+  bool over_share = false;           ///< Yields where capacity is short.
   double quota_units = 0;            ///< Granted for this request.
   std::string service;
   const EngineSpec* engine = nullptr;
--- a/src/gateway/exchange_load.cc
+++ b/src/gateway/exchange_load.cc
@@ -52,7 +52,8 @@
   return Admit(*this->route,
                {choice.wait_ms, choice.yielding_wait_ms, choice.begin_ms,
                 choice.yielding_begin_ms},
-               TimeLeft(this->deadline, now), this->info.time_left);
+               TimeLeft(this->deadline, now), this->info.time_left,
+               this->over_share);
 }
 
 /// Asks for the exact load of some endpoints, if reports are old compared with
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -76,6 +77,13 @@
 /// `refused` states that the endpoint has just refused a request as full.
 using LoadUpdate = std::function<void(const Endpoint& endpoint, bool refused)>;
 
+/// What the owner of a team's quota has stated.
+struct TeamUse {
+  double per_second = 0;  ///< Units granted.
+  TimePoint stated_at;
+};
+using TeamUses = std::map<quota::TeamKey, TeamUse>;
+
 class Exchange;
 
 /// State shared by all requests of a daemon. Used on the event loop only.
@@ -107,6 +115,9 @@
   std::function<void(quota::TeamKey team, double units)> settle_quota;
   LoadQuery query_load;  ///< May be empty, as is `update_load`.
   LoadUpdate update_load;
+  TeamUses team_use;  ///< Of all teams, by KeyOf(name).
+  /// Teams that yield where capacity is short; see FindOverShare().
+  std::set<quota::TeamKey> teams_over_share;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
   /// During shutdown, requests that arrive from then on are refused, unless
@@ -130,6 +141,13 @@
 
 /// Returns the limits for callers in force.
 CallerLimits LimitsOf(const Gateway& gateway);
+/// Records the use of a team.
+void RecordTeamUse(Gateway* gateway,
+                   quota::TeamKey team,
+                   double per_second,
+                   TimePoint now);
+/// Finds the teams that are over their share.
+void UpdateShares(Gateway* gateway, TimePoint now);
 
 /// Rebuilds the endpoint list from the table and closes idle connections to
 /// endpoints that were removed.
