--- a/src/daemon/store_news.cc
+++ b/src/daemon/store_news.cc
@@ -72,9 +72,8 @@
   this->log.covered_to = revision;
 }
 
-void StoreNews::Record(gen::StoreBatch batch, bool tells, bool urgent) {
-  const std::vector<gen::StoreBatch> parts =
-      fleet::SplitBatch(std::move(batch));
+void StoreNews::Record(const gen::StoreBatch& batch, bool tells, bool urgent) {
+  const std::vector<gen::StoreBatch> parts = fleet::SplitBatch(batch);
   std::size_t bytes = 0;
   for (const gen::StoreBatch& part : parts) {
     fleet::Append(part, &this->log);
@@ -105,7 +104,7 @@
   gen::StoreNews news;
   news.batches = batches;
   news.origin = static_cast<std::int32_t>(this->fleet->OwnAddress());
-  this->fleet->Spread(std::move(news), this->fleet->LiveAddresses());
+  this->fleet->Spread(news, this->fleet->LiveAddresses());
 }
 
 void StoreNews::SendRepeats() {
@@ -141,14 +140,14 @@
   }
   ++this->counts.pushed;
   this->config_news = news;
-  this->fleet->Spread(std::move(news), this->fleet->LiveAddresses());
+  this->fleet->Spread(news, this->fleet->LiveAddresses());
 }
 
 void StoreNews::OnNews(const gen::StoreNews& news, std::uint32_t from) {
   if (!news.relay_to.empty()) {
     gen::StoreNews passed_on = news;
     passed_on.relay_to.clear();
-    this->fleet->Spread(std::move(passed_on), FromWire(news.relay_to));
+    this->fleet->Spread(passed_on, FromWire(news.relay_to));
   }
   if (news.too_old)
     SkipAsks(BootNow(), &this->endpoints_recovery);
@@ -159,7 +158,7 @@
     this->OnBatch(batch, from);
 }
 
-void StoreNews::OnBatch(gen::StoreBatch batch, std::uint32_t from) {
+void StoreNews::OnBatch(const gen::StoreBatch& batch, std::uint32_t from) {
   const std::int64_t revision = this->target.endpoints_revision();
   switch (fleet::Fit(batch, revision)) {
     case fleet::BatchFit::kKnown:
@@ -182,8 +181,9 @@
   this->target.apply_batch(batch);
   ++this->counts.applied;
   // There was nothing between the end of the log and the view.
-  batch.from_revision = std::min(batch.from_revision, this->log.covered_to);
-  fleet::Append(std::move(batch), &this->log);
+  gen::StoreBatch applied = batch;
+  applied.from_revision = std::min(batch.from_revision, this->log.covered_to);
+  fleet::Append(applied, &this->log);
 }
 
 void StoreNews::OnRequest(std::int64_t revision, std::uint32_t from) {
@@ -223,7 +223,7 @@
     gen::ConfigNews passed_on = news;
     if (has_it)
       passed_on.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
-    this->fleet->Spread(std::move(passed_on), relay_to);
+    this->fleet->Spread(passed_on, relay_to);
   } else if (news.revision >= this->config_news.revision) {
     if (news.revision > this->config_news.revision)
       this->config_relay_to.clear();
@@ -269,8 +269,7 @@
     return;
   gen::ConfigNews news = this->config_news;
   news.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
-  this->fleet->Spread(std::move(news),
-                      std::exchange(this->config_relay_to, {}));
+  this->fleet->Spread(news, std::exchange(this->config_relay_to, {}));
 }
 
 void StoreNews::WantEndpoints(std::int64_t revision, std::uint32_t source) {
--- a/src/daemon/store_news.h
+++ b/src/daemon/store_news.h
@@ -59,7 +59,7 @@
   void BeginLog(std::int64_t revision);
   /// Records changes that this daemon has read from the store itself, and tells
   /// the others if `tells`. Urgent ones are repeated.
-  void Record(fleet::gen::StoreBatch batch, bool tells, bool urgent);
+  void Record(const fleet::gen::StoreBatch& batch, bool tells, bool urgent);
   std::int64_t LoggedTo() const { return this->log.covered_to; }
   /// The same for a configuration.
   void RecordConfig(std::int64_t revision,
@@ -78,7 +78,7 @@
 
  private:
   void OnNews(const fleet::gen::StoreNews& news, std::uint32_t from);
-  void OnBatch(fleet::gen::StoreBatch batch, std::uint32_t from);
+  void OnBatch(const fleet::gen::StoreBatch& batch, std::uint32_t from);
   void OnRequest(std::int64_t revision, std::uint32_t from);
   void OnConfigNews(const fleet::gen::ConfigNews& news, std::uint32_t from);
   bool TryPatch(const fleet::gen::ConfigNews& news);
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -162,11 +162,10 @@
   if (this->Tells() && departures_to > this->news.LoggedTo())
     this->RecordChanges({});
   // The others are about to check as well, unless they hear of this.
-  if (std::exchange(this->checking, false) && !this->large)
+  const bool checked = std::exchange(this->checking, false);
+  if (checked && !this->large)
     this->fleet->ReportNow();
-  else if (this->large)
-    this->fleet->SpreadConfirmation();
-  else if (this->fleet->ReadsLatestState())
+  else if (this->large || this->fleet->ReadsLatestState())
     this->fleet->SpreadConfirmation();
 }
 
@@ -257,7 +256,7 @@
     fleet::gen::StoreBatch batch;
     batch.base_until = listing.since;
     fleet::OrderListed(&this->changes);
-    this->RecordChanges(std::move(batch));
+    this->RecordChanges(batch);
   }
   this->SendNews();
 }
@@ -297,12 +296,12 @@
   const bool news = !is_known ||
                     found->second->entry.draining != entry.draining ||
                     found->second->entry.incarnation != entry.incarnation;
-  fleet::gen::EndpointFields fields = fleet::ToWire(entry);
+  const fleet::gen::EndpointFields fields = fleet::ToWire(entry);
   if (!is_known || fields != fleet::ToWire(found->second->entry)) {
     fleet::gen::EndpointNews change;
     change.id = entry.id;
     change.revision = revision;
-    change.__set_fields(std::move(fields));
+    change.__set_fields(fields);
     this->changes.push_back(std::move(change));
   }
   if (news && entry.draining)
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -80,7 +80,7 @@
       !batch.changes.empty() ||
       this->fleet->seen_revisions.max_departure_revision > batch.from_revision;
   if (has_news && batch.to_revision > batch.from_revision)
-    this->news.Record(std::move(batch), this->Tells(), urgent);
+    this->news.Record(batch, this->Tells(), urgent);
 }
 
 void StoreView::ApplyBatch(const gen::StoreBatch& batch) {
--- a/src/fleet/store_batches.cc
+++ b/src/fleet/store_batches.cc
@@ -80,13 +80,13 @@
   return true;
 }
 
-void Append(gen::StoreBatch batch, BatchLog* log) {
+void Append(const gen::StoreBatch& batch, BatchLog* log) {
   if (batch.to_revision <= log->covered_to)
     return;
   if (batch.from_revision > log->covered_to)
     log->batches.clear();
   log->covered_to = batch.to_revision;
-  log->batches.push_back(std::move(batch));
+  log->batches.push_back(batch);
   if (log->batches.size() > kMaxLogBatches)
     log->batches.pop_front();
 }
@@ -123,7 +123,7 @@
   return last;
 }
 
-std::vector<gen::StoreBatch> SplitBatch(gen::StoreBatch batch) {
+std::vector<gen::StoreBatch> SplitBatch(const gen::StoreBatch& batch) {
   const bool any_base = batch.base_until >= batch.to_revision;
   // A part must not end at a state from which it may begin.
   std::int64_t least_end = any_base ? batch.from_revision : batch.base_until;
@@ -131,7 +131,7 @@
   gen::StoreBatch part = batch;
   part.changes.clear();
   std::size_t bytes = kBatchOverhead;
-  for (gen::EndpointNews& change : batch.changes) {
+  for (gen::EndpointNews change : batch.changes) {
     std::size_t size = SizeOf(change);
     if (size + kBatchOverhead > kMaxNewsBytes) {
       change.__isset.fields = false;
@@ -147,7 +147,7 @@
       part.to_revision = end;
       if (any_base)
         part.base_until = end;
-      parts.push_back(std::move(part));
+      parts.push_back(part);
       part = {};
       part.from_revision = end;
       part.base_until = any_base ? batch.to_revision : end;
@@ -156,9 +156,9 @@
       bytes = kBatchOverhead;
     }
     bytes += size;
-    part.changes.push_back(std::move(change));
+    part.changes.push_back(change);
   }
-  parts.push_back(std::move(part));
+  parts.push_back(part);
   return parts;
 }
 
@@ -200,7 +200,7 @@
     gen::EndpointModel wire;
     wire.name = model.name;
     wire.adapters = model.adapters;
-    fields.models.push_back(std::move(wire));
+    fields.models.push_back(wire);
   }
   fields.cached_in_memory = entry.cached_in_memory;
   fields.cached_on_disk = entry.cached_on_disk;
--- a/src/fleet/store_batches.h
+++ b/src/fleet/store_batches.h
@@ -37,7 +37,7 @@
             std::int64_t revision);
 
 /// Appends a batch. The log begins anew if changes before it are missing.
-void Append(gen::StoreBatch batch, BatchLog* log);
+void Append(const gen::StoreBatch& batch, BatchLog* log);
 
 /// Returns the batches that bring a view from `revision` to the end of the log.
 /// Errors: kGone if the log does not reach back that far.
@@ -51,7 +51,7 @@
 
 /// Splits a batch into consecutive ones that fit into a datagram each. Changes
 /// that do not fit alone are marked as left out.
-std::vector<gen::StoreBatch> SplitBatch(gen::StoreBatch batch);
+std::vector<gen::StoreBatch> SplitBatch(const gen::StoreBatch& batch);
 /// Groups batches so that each group fits into a datagram.
 std::vector<std::vector<gen::StoreBatch>> GroupBatches(
     const std::vector<gen::StoreBatch>& batches);
