--- /dev/null
+++ b/src/daemon/news_recovery_unittest.cc
@@ -0,0 +1,104 @@
+#include "daemon/news_recovery.h"
+
+#include "daemon/config_patch.h"
+#include "fleet/member_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using daemon::NewsRecovery;
+using daemon::RecoveryKind;
+using daemon::RecoveryStep;
+
+namespace {
+
+constexpr TimePoint kNow{Milliseconds(5'000'000)};
+
+}  // namespace
+
+TEST_GROUP(NewsRecovery){};
+
+// Guards against a lost datagram that costs a call to the store, and against a
+// gap that is never closed.
+TEST(NewsRecovery, AsksDaemonsBeforeTheStore) {
+  std::mt19937_64 random(1);
+  NewsRecovery recovery;
+  CHECK(NextStep(0, kNow, &random, &recovery) == RecoveryStep::kNone);
+  Want(20, 7, RecoveryKind::kChanges, kNow, Milliseconds(50), &recovery);
+  Want(19, 8, RecoveryKind::kChanges, kNow, Milliseconds(0), &recovery);
+  LONGS_EQUAL(20, recovery.wanted);
+  CHECK(NextStep(10, kNow, &random, &recovery) == RecoveryStep::kNone);
+  std::vector<RecoveryStep> steps;
+  for (TimePoint at = kNow; at < kNow + Milliseconds(9000);
+       at += Milliseconds(10)) {
+    const RecoveryStep step = NextStep(10, at, &random, &recovery);
+    if (step != RecoveryStep::kNone)
+      steps.push_back(step);
+    if (step == RecoveryStep::kFetch)
+      EndFetch(at, &random, &recovery);
+  }
+  CHECK(steps.size() >= 8 && steps.size() <= 11);
+  for (std::size_t i = 0; i < steps.size(); ++i)
+    CHECK(steps[i] == (i < 2   ? RecoveryStep::kAsk
+                       : i < 6 ? RecoveryStep::kFetch
+                               : RecoveryStep::kList));
+  CHECK(NextStep(20, kNow + Milliseconds(20'000), &random, &recovery) ==
+        RecoveryStep::kNone);
+  LONGS_EQUAL(0, recovery.wanted);
+}
+
+// Guards against a patched configuration that differs from the one in the store.
+TEST(NewsRecovery, PatchesGiveTheTextOrNothing) {
+  const std::string old_text = R"({"routes":[{"name":"a"},{"name":"b"}],"v":1})";
+  const std::string new_text = R"({"routes":[{"name":"b"}],"v":2})";
+  const auto patch = daemon::MakePatch(old_text, new_text, 1000);
+  CHECK(static_cast<bool>(patch));
+  const std::int64_t digest = daemon::DigestOf(new_text);
+  const auto patched = daemon::ApplyPatch(old_text, patch.value(), digest);
+  CHECK(patched && patched.value() == new_text);
+  CHECK(!daemon::ApplyPatch(new_text, patch.value(), digest));
+  CHECK(!daemon::ApplyPatch(old_text, "[{]", digest));
+  CHECK(!daemon::MakePatch(old_text, new_text, 10));
+  const auto read =
+      daemon::ReadTransfer(daemon::FormatTransfer({12, new_text}));
+  CHECK(read && read.value().revision == 12 && read.value().text == new_text);
+  CHECK(!daemon::ReadTransfer("busy\n") && !daemon::ReadTransfer("12"));
+}
+
+// Guards against a link that is full of configurations for others.
+TEST(NewsRecovery, TransfersAreBounded) {
+  daemon::TransferBudget budget;
+  int granted = 0;
+  for (int i = 0; i < 200; ++i)
+    granted += TryTransfer(100'000, kNow + Milliseconds(i * 10), &budget);
+  CHECK(granted >= 12 && granted <= 17);
+}
+
+// Guards against readers that cannot reach the store, and against daemons that
+// disagree for good who reads.
+TEST(NewsRecovery, ReadersReachTheStore) {
+  constexpr std::uint32_t kDaemons = 143;
+  std::vector<std::uint32_t> first;
+  for (std::uint32_t own = 1; own <= kDaemons; ++own) {
+    fleet::MemberTable table;
+    for (std::uint32_t other = 1; other <= kDaemons; ++other) {
+      if (other == own)
+        continue;
+      fleet::gen::Report report;
+      report.sequence = 1;
+      report.store_reachable = other % 2 == 0;
+      report.leaving = other % 10 == 0;
+      ApplyReport(&table, other, report, kNow, Milliseconds(1600));
+    }
+    const auto readers =
+        ReaderOrder(table, own, own % 2 == 0, false, 3, kNow);
+    LONGS_EQUAL(3, readers.size());
+    if (own % 10 == 0)
+      continue;
+    if (first.empty())
+      first = readers;
+    CHECK(readers == first);
+    for (const std::uint32_t reader : readers)
+      CHECK(reader % 2 == 0 && reader % 10 != 0);
+  }
+}
--- a/src/fleet/fleet_store_news.cc
+++ b/src/fleet/fleet_store_news.cc
@@ -83,16 +83,20 @@
 std::uint32_t Fleet::PickMember(
     const std::function<bool(const gen::Report&)>& suits) const {
   for (const std::uint32_t address : this->LiveAddresses()) {
-    if (suits(this->table.members.at(address).report))
+    const gen::Report& report = this->table.members.at(address).report;
+    if (!report.leaving && suits(report))
       return address;
   }
   return 0;
 }
 
+/// Returns when a daemon was heard last, as far as it may be a relay: one that
+/// leaves may end before it passes anything on.
 TimePoint Fleet::HeardAt(std::uint32_t address) const {
   const auto found = this->table.members.find(address);
-  return found == this->table.members.end() ? TimePoint()
-                                            : found->second.last_heard_at;
+  return found == this->table.members.end() || found->second.report.leaving
+             ? TimePoint()
+             : found->second.last_heard_at;
 }
 
 void Fleet::Spread(gen::StoreNews news, const std::vector<std::uint32_t>& to) {
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -196,6 +196,60 @@
   LONGS_EQUAL(3, fixture.store.watches.size());
 }
 
+// Guards against a follower that calls the store although others tell it of all
+// changes, and against one that does not come back at once when they stop.
+TEST(KindFollower, MakesNoCallsWhileOthersTell) {
+  Fixture fixture;
+  fixture.follower.SetFreshness(Freshness::kStale);
+  fixture.store.lists[0](Listing{{}, 10});
+  fixture.RunUntilCalls(1, 1);
+  fixture.follower.SetPassive(true);
+  Changes changes;
+  changes.revision = 12;
+  fixture.store.watches[0](changes);
+  fixture.io.restart();
+  fixture.io.run_for(Milliseconds(400));
+  LONGS_EQUAL(1, fixture.store.watches.size());
+  fixture.follower.AdvanceTo(30);
+  fixture.follower.AdvanceTo(20);
+  fixture.follower.SetFreshness(Freshness::kLatest);
+  fixture.follower.SetPassive(false);
+  LONGS_EQUAL(2, fixture.store.watches.size());
+  LONGS_EQUAL(30, fixture.store.watched_revision);
+  CHECK(fixture.store.watched == Freshness::kLatest);
+  CHECK(fixture.store.watched_for < kLatestWait);
+  // A failure while others tell is followed by no call for long.
+  fixture.follower.SetFreshness(Freshness::kStale);
+  fixture.follower.SetPassive(true);
+  fixture.store.watches[1](Error{ErrorCode::kRateLimited, "test"});
+  CHECK(!fixture.follower.Reachable());
+  fixture.io.restart();
+  fixture.io.run_for(Milliseconds(700));
+  LONGS_EQUAL(1, fixture.store.lists.size());
+  LONGS_EQUAL(2, fixture.store.watches.size());
+  fixture.follower.SetPassive(false);
+  fixture.RunUntilCalls(2, 2);
+}
+
+// Guards against a watch, overtaken by what others told, that removes an entry
+// which has returned since.
+TEST(KindFollower, LateWatchDoesNotRemoveWhatHasReturned) {
+  Fixture fixture;
+  fixture.store.lists[0](Listing{{}, 10});
+  fixture.RunUntilCalls(1, 1);
+  fixture.follower.AdvanceTo(15);
+  Changes changes;
+  changes.revision = 18;
+  changes.changes = {{MakeObject("back", 11), true},
+                     {MakeObject("back", 12), false},
+                     {MakeObject("gone", 9), true},
+                     {MakeObject("new", 17), false}};
+  fixture.store.watches[0](changes);
+  LONGS_EQUAL(2, fixture.changed.size());
+  STRCMP_EQUAL("gone", fixture.changed[0].c_str());
+  STRCMP_EQUAL("new", fixture.changed[1].c_str());
+}
+
 /// A view is complete up to the last answer that shows the latest state, and up
 /// to what others vouch for.
 TEST(KindFollower, KnowsHowFarItsViewIsComplete) {
