--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -126,6 +126,9 @@
   const Result<bool> listening = this->Listen();
   if (!listening)
     return listening.error();
+  // If the port is taken, the others fetch from elsewhere.
+  static_cast<void>(
+      this->peers.Open({this->settings.ip, this->settings.peer_port}));
   this->log.Write(kDaemonStarted, "", "pid=" + std::to_string(getpid()));
   this->AwaitSignals();
   this->store_view.Start();
@@ -150,9 +153,6 @@
       this->fleet.Open({this->settings.ip, this->settings.peer_port});
   if (!fleet_open)
     return fleet_open.error();
-  // If it is not open, the others fetch from elsewhere.
-  static_cast<void>(
-      this->peers.Open({this->settings.ip, this->settings.peer_port}));
   const Result<bool> health_open = this->health.Open(this->settings.health);
   if (!health_open)
     return health_open.error();
