--- a/cmake/gateway_only.cmake
+++ b/cmake/gateway_only.cmake
@@ -1,11 +1,10 @@
 # The binary with the commands that a VM of the users' platform runs. It leaves
 # out the libraries that only the project's own interface needs, and all tests.
 find_package(prometheus-cpp CONFIG REQUIRED)
-file(GLOB GATEWAY_SOURCES CONFIGURE_DEPENDS src/base/*.cc src/log/*.cc src/net/*.cc src/quarantine/*.cc
+file(GLOB GATEWAY_SOURCES CONFIGURE_DEPENDS src/base/*.cc src/log/*.cc src/net/*.cc src/quarantine/*.cc src/team/*.cc src/quota/*.cc
+  src/intake/*.cc src/occupancy/*.cc src/stall/*.cc src/prefill/*.cc
   src/gateway/*.cc src/daemon/*.cc src/store/*.cc src/fleet/*.cc src/orders/*.cc platform/*.cc
   src/fleet/gen/*.cpp)
-file(GLOB STREAM_SOURCES CONFIGURE_DEPENDS src/stall/*.cc src/prefill/*.cc)
-list(APPEND GATEWAY_SOURCES ${STREAM_SOURCES})
 list(FILTER GATEWAY_SOURCES EXCLUDE REGEX "_unittest\\.cc$")
 add_executable(coltsfootvane app/main.cc app/command_explain.cc app/command_gateway.cc
   app/command_version.cc app/output.cc src/http/message.cc
