Prefill, gateway: Weigh long prompts against short ones where both meet

Cause: short requests of a more urgent route interrupt long prompts while they are read, so that an engine reads them several times, and the place of a long prompt was chosen by its own wait only. Change: src/prefill/ learns the mix of a service from its traffic. Long prompts get the rank of the short ones while 95% of these are on time, unless a team has a rank. With fresh reports, ChooseEndpoint() adds the cost for others: requests that a prompt makes late, pauses that grow, and tokens beyond a bound that follows the observed first events. Effect on a deployment: not measured.

--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -254,6 +254,14 @@
           : YieldingWaitMs(endpoint, *input.engine, tokens, input.run_ms);
   waits.compared =
       waits.on_time > input.objective_ms ? waits.yielding : waits.on_time;
+  // In old reports, the cost would drive all daemons away from the same
+  // engines.
+  if (input.engine != nullptr && input.mix != nullptr && HasFreshReports(input))
+    waits.compared += prefill::CostForOthersMs(
+        *input.mix,
+        {endpoint.own.running + endpoint.peers.running, PromptTokens(endpoint),
+         kPromptTokensPerMs, input.run_ms},
+        tokens);
   return waits;
 }
 
--- a/src/gateway/choice.h
+++ b/src/gateway/choice.h
@@ -12,6 +12,7 @@
 #include "gateway/endpoint.h"
 #include "gateway/routing_table.h"
 #include "gateway/wire_format.h"
+#include "prefill/prefill.h"
 
 namespace coltsfootvane::gateway {
 
@@ -36,6 +37,9 @@
   /// The request yields to others wherever it would begin later than this; 0 if
   /// it does in any case.
   double objective_ms = std::numeric_limits<double>::infinity();
+  /// Long and short prompts that meet at the service, or nullptr if they do
+  /// not.
+  const prefill::Mix* mix = nullptr;
 };
 
 enum class ChoiceVerdict {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -79,6 +79,7 @@
     if (this->EndIfQuarantined())
       return;
     RecordDemand(&this->gateway->traffic, this->info, now);
+    this->RecordPrompt(now);
   }
   this->timer.expires_after(TimeLeft(this->deadline, now));
   this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
@@ -191,6 +192,7 @@
   choice_input.now = now;
   choice_input.report_age = this->gateway->report_interval;
   choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
+  choice_input.mix = MixOf(this->gateway->traffic, this->service);
   choice_input.jitter_seed = this->gateway->random();
   choice_input.objective_ms =
       HasFarObjective(*this->route)
@@ -356,7 +358,8 @@
   options.endpoint_id = this->endpoint->entry.id;
   options.time_left = TimeLeft(this->deadline, this->sent_at);
   if (this->engine != nullptr)
-    options.urgency = UrgencyOf(*this->route, this->Rank(), this->deferred);
+    options.urgency =
+        UrgencyOf(*this->route, this->EngineRank(), this->deferred);
   options.has_teams = !this->routes->teams.teams.empty();
   if (this->team != nullptr)
     options.team = this->team->name;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -23,6 +23,7 @@
 #include "net/message.h"
 #include "net/message_parser.h"
 #include "net/tcp_stream.h"
+#include "prefill/prefill.h"
 #include "quarantine/suspicion.h"
 #include "stall/stall.h"
 
@@ -113,6 +114,12 @@
   void CheckSilence();
   bool MoveIfWorthwhile(TimePoint now);
 
+  // Defined in exchange_prefill.cc: long prompts beside short ones.
+  prefill::Prompt DescribePrompt() const;
+  void RecordPrompt(TimePoint now);
+  void RecordFirstEvent();
+  int EngineRank() const;
+
   // Defined in exchange_end.cc: the end of the request.
   // Refuse() tells the caller when to retry; Fail() suggests no retry.
   void Refuse(std::string_view reason,
@@ -187,6 +194,7 @@
   bool stray_answers = false;    ///< Of other requests, in the current send.
   int send_generation = 0;       ///< Identifies callbacks of earlier sends.
   int prefill_tokens = 0;        ///< Included in `endpoint->own.prompt_tokens`.
+  int tokens_under_way = 0;      ///< At the endpoint, as known at the send.
   TimePoint sent_at;
   TimePoint last_bytes_at;   ///< Of the current send.
   double expected_ms = 0;    ///< Wait for its first event.
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -241,6 +241,7 @@
     this->first_event_ms = MillisecondsBetween(this->received, now);
     this->gateway->metrics.ObserveFirstEvent(*this->route,
                                              now - this->received);
+    this->RecordFirstEvent();
   } else {
     const double gap_ms = MillisecondsBetween(this->last_event_at, now);
     this->longest_gap_ms = std::max(this->longest_gap_ms, gap_ms);
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -71,6 +71,8 @@
   this->prefill_tokens = tokens;
   ++this->endpoint->own.running;
   this->endpoint->own.prompt_tokens += tokens;
+  this->tokens_under_way =
+      this->endpoint->own.prompt_tokens + this->endpoint->peers.prompt_tokens;
   if (!this->yields)
     return;
   ++this->endpoint->own.yielding;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -105,6 +105,10 @@
                                 "coltsfootvane_gateway_silence_probes_total",
                                 "Probes of endpoints whose answers had all "
                                 "fallen silent")),
+      long_prompts(AddCounter(registry,
+                              "coltsfootvane_gateway_long_prompts_total",
+                              "Long prompts sent where short ones meet them, "
+                              "by whether they were as urgent as those")),
       crashes(AddCounter(registry,
                          "coltsfootvane_gateway_endpoint_crashes_total",
                          "Endpoints that ended with requests unanswered")),
@@ -194,6 +198,12 @@
   this->silence_probes->Add(labels).Increment();
 }
 
+void GatewayMetrics::CountLongPrompt(std::string_view service, bool raised) {
+  Labels labels = ServiceLabel(service);
+  labels["urgency"] = raised ? "raised" : "own";
+  this->long_prompts->Add(labels).Increment();
+}
+
 void GatewayMetrics::CountCrash(std::string_view service) {
   this->crashes->Add(ServiceLabel(service)).Increment();
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -64,6 +64,9 @@
   /// `result` is `listening`, `refused`, `unreachable` or `answering`, if an
   /// answer went on meanwhile.
   void CountSilenceProbe(std::string_view service, std::string_view result);
+  /// Counts a long prompt where short ones meet it. `raised`: it was sent as
+  /// urgent as they are.
+  void CountLongPrompt(std::string_view service, bool raised);
   /// Counts an endpoint that ended with requests unanswered.
   void CountCrash(std::string_view service);
   /// `change` is `begun` or `ended`.
@@ -86,6 +89,7 @@
   Family<prometheus::Counter>* adapter_requests;
   Family<prometheus::Counter>* stalled_sends;
   Family<prometheus::Counter>* silence_probes;
+  Family<prometheus::Counter>* long_prompts;
   Family<prometheus::Counter>* crashes;
   Family<prometheus::Counter>* quarantines;
 };
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -49,6 +49,14 @@
                                      : std::max(kMinRunMs, run->second);
 }
 
+const prefill::Mix* MixOf(const Traffic& traffic, std::string_view service) {
+  const auto mix = traffic.mixes.find(service);
+  return mix != traffic.mixes.end() &&
+                 prefill::IsMixed(mix->second, kPromptTokensPerMs)
+             ? &mix->second
+             : nullptr;
+}
+
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now) {
   const std::chrono::duration<double> elapsed = now - demand.updated;
   const double decay =
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "gateway/wire_format.h"
+#include "prefill/prefill.h"
 
 namespace coltsfootvane::gateway {
 
@@ -25,6 +26,8 @@
   /// Smoothed time from the first event of a stream to its end, in ms, by
   /// service.
   std::map<std::string, double, std::less<>> run_ms;
+  /// Long and short prompts, by service.
+  std::map<std::string, prefill::Mix, std::less<>> mixes;
 };
 
 /// Adds the work of a request to the demand for its model and adapter.
@@ -37,6 +40,10 @@
 /// of an engine, in ms.
 double RunMs(const Traffic& traffic, std::string_view service);
 
+/// Returns the mix of prompts of the service if long and short ones meet there,
+/// otherwise nullptr.
+const prefill::Mix* MixOf(const Traffic& traffic, std::string_view service);
+
 /// Returns the demand decayed to `now`.
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now);
 
