--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -81,6 +81,7 @@
                  OutputTokenMs(this->gateway->traffic, this->service,
                                this->engine->slots),
                  now);
+    this->RecordPrompt(now);
   }
   this->timer.expires_after(TimeLeft(this->deadline, now));
   this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
@@ -361,7 +362,8 @@
   options.endpoint_id = this->endpoint->entry.id;
   options.time_left = TimeLeft(this->deadline, this->sent_at);
   if (this->engine != nullptr)
-    options.urgency = UrgencyOf(*this->route, this->Rank(), this->deferred);
+    options.urgency =
+        UrgencyOf(*this->route, this->EngineRank(), this->deferred);
   options.has_teams = !this->routes->teams.teams.empty();
   if (this->team != nullptr)
     options.team = this->team->name;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -79,6 +79,8 @@
   this->prefill_tokens = tokens;
   ++this->endpoint->own.running;
   this->endpoint->own.prompt_tokens += tokens;
+  this->tokens_under_way =
+      this->endpoint->own.prompt_tokens + this->endpoint->peers.prompt_tokens;
   if (this->yields) {
     ++this->endpoint->own.yielding;
     this->endpoint->own.yielding_tokens += tokens;
--- a/src/gateway/exchange_load.cc
+++ b/src/gateway/exchange_load.cc
@@ -41,6 +41,7 @@
   choice_input.now = now;
   choice_input.report_age = this->gateway->report_interval;
   choice_input.run_ms = RunMs(this->gateway->traffic, this->service);
+  choice_input.mix = MixOf(this->gateway->traffic, this->service);
   choice_input.objective_ms =
       HasFarObjective(*this->route)
           ? 0
--- a/src/gateway/traffic.cc
+++ b/src/gateway/traffic.cc
@@ -86,6 +86,14 @@
                                        : std::max(kMinCallMs, call->second);
 }
 
+const prefill::Mix* MixOf(const Traffic& traffic, std::string_view service) {
+  const auto mix = traffic.mixes.find(service);
+  return mix != traffic.mixes.end() &&
+                 prefill::IsMixed(mix->second, kPromptTokensPerMs)
+             ? &mix->second
+             : nullptr;
+}
+
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now) {
   const std::chrono::duration<double> elapsed = now - demand.updated;
   const double decay =
--- a/src/gateway/traffic.h
+++ b/src/gateway/traffic.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "gateway/wire_format.h"
+#include "prefill/prefill.h"
 
 namespace coltsfootvane::gateway {
 
@@ -31,6 +32,8 @@
   /// Smoothed time of a call to a plain service without waiting, in ms, by
   /// service.
   std::map<std::string, double, std::less<>> call_ms;
+  /// Long and short prompts, by service.
+  std::map<std::string, prefill::Mix, std::less<>> mixes;
 };
 
 /// Adds the work of a request to the demand for its model and adapter.
@@ -64,6 +67,10 @@
 /// Returns the typical time of a call to a plain service, in ms.
 double CallMs(const Traffic& traffic, std::string_view service);
 
+/// Returns the mix of prompts of the service if long and short ones meet there,
+/// otherwise nullptr.
+const prefill::Mix* MixOf(const Traffic& traffic, std::string_view service);
+
 /// Returns the demand decayed to `now`.
 ModelDemand DemandAt(const ModelDemand& demand, TimePoint now);
 
