Gateway: Weigh the cost of a prompt for others on exact figures of endpoints

Cause: in large fleets reports are too old for it, so that it took no part in the choice there. Change: with the exact figures of load trackers the cost for the other requests of an engine is added when candidates are compared.

--- a/src/gateway/choice.cc
+++ b/src/gateway/choice.cc
@@ -237,9 +237,22 @@
 struct Waits {
   double on_time = 0;
   double yielding = 0;
+  double others = 0;    ///< Cost of the prompt for other requests there.
   double compared = 0;  ///< The one by which endpoints are compared.
 };
 
+double CostForOthersMs(const Endpoint& endpoint,
+                       const ChoiceInput& input,
+                       int tokens) {
+  if (input.engine == nullptr || input.mix == nullptr)
+    return 0;
+  return prefill::CostForOthersMs(
+      *input.mix,
+      {endpoint.own.running + endpoint.peers.running, PromptTokens(endpoint),
+       kPromptTokensPerMs, input.run_ms},
+      tokens);
+}
+
 Waits WaitsAt(const Endpoint& endpoint, const ChoiceInput& input, int tokens) {
   Waits waits;
   waits.on_time = ExpectedWaitMs(endpoint, input.engine, tokens, input.run_ms,
@@ -250,14 +263,11 @@
           : YieldingWaitMs(endpoint, *input.engine, tokens, input.run_ms);
   waits.compared =
       waits.on_time > input.objective_ms ? waits.yielding : waits.on_time;
+  waits.others = CostForOthersMs(endpoint, input, tokens);
   // In old reports, the cost would drive all daemons away from the same
   // engines.
-  if (input.engine != nullptr && input.mix != nullptr && HasFreshReports(input))
-    waits.compared += prefill::CostForOthersMs(
-        *input.mix,
-        {endpoint.own.running + endpoint.peers.running, PromptTokens(endpoint),
-         kPromptTokensPerMs, input.run_ms},
-        tokens);
+  if (HasFreshReports(input))
+    waits.compared += waits.others;
   return waits;
 }
 
@@ -330,6 +340,7 @@
     const Waits waits = WaitsAt(*endpoint, input, tokens);
     one.wait_ms = waits.on_time;
     one.yielding_wait_ms = waits.yielding;
+    one.others_ms = waits.others;
     one.penalty_ms = PenaltyMs(*endpoint, input);
     one.weight = Weight(*endpoint, input, waits.compared);
     one.draw = Draw(input.jitter_seed, *endpoint);
--- a/src/gateway/choice.h
+++ b/src/gateway/choice.h
@@ -115,6 +115,7 @@
   EndpointPtr endpoint;
   double wait_ms = 0;  ///< As in Choice.
   double yielding_wait_ms = 0;
+  double others_ms = 0;    ///< Cost of a prompt for other requests there.
   double penalty_ms = 0;   ///< For failures, refusals and distance.
   double weight = 0;       ///< In a draw by reports.
   double draw = 0;         ///< From 0 to 1, by ChoiceInput::jitter_seed.
--- a/src/gateway/exact_choice.cc
+++ b/src/gateway/exact_choice.cc
@@ -97,7 +97,7 @@
     return choice;
   std::vector<occupancy::ComparedCandidate> compared;
   for (const AssessedEndpoint& one : usable)
-    compared.push_back({ComparedMs(one, input) + one.penalty_ms,
+    compared.push_back({ComparedMs(one, input) + one.others_ms + one.penalty_ms,
                         IsExact(*one.endpoint, asked_at),
                         {one.weight, one.draw}});
   const AssessedEndpoint& chosen = usable[occupancy::ChooseCandidate(compared)];
