--- a/src/gateway/caller_intake.cc
+++ b/src/gateway/caller_intake.cc
@@ -17,6 +17,8 @@
 /// Connections that are ended in one pass for lack of descriptors, so that a
 /// crowd that connects at once does not cost a pass each.
 constexpr std::size_t kEndedPerPass = 8;
+/// After a pass that found no connection to end, until the next pass.
+constexpr Milliseconds kPassInterval{50};
 
 }  // namespace
 
@@ -103,6 +105,8 @@
   if (ended > 0)
     return true;
   const TimePoint now = BootNow();
+  if (now < this->no_descriptors_until)
+    return false;
   for (const auto& connection :
        this->EndOrder(intake::Need::kDescriptor, now)) {
     if (connection->EndForRoom("descriptors", now))
@@ -110,9 +114,10 @@
     if (ended == kEndedPerPass)
       break;
   }
-  if (ended > 0)
-    return true;
-  return this->gateway->connections.DropIdle() > 0;
+  ended += ended > 0 ? 0 : this->gateway->connections.DropIdle();
+  if (ended == 0)
+    this->no_descriptors_until = now + kPassInterval;
+  return ended > 0;
 }
 
 intake::Admission CallerIntake::AdmitBody(std::size_t bytes) {
@@ -141,12 +146,15 @@
   if (!IsFull(this->gateway->held_bytes))
     return;
   const TimePoint now = BootNow();
+  if (now < this->no_bytes_until)
+    return;
   for (const auto& connection :
        this->EndOrder(intake::Need::kCommonBytes, now)) {
     connection->EndForRoom("memory", now);
     if (!IsFull(this->gateway->held_bytes))
       return;
   }
+  this->no_bytes_until = now + kPassInterval;
 }
 
 /// Gives room to the smallest body first, so that a crowd of large ones delays
@@ -173,6 +181,17 @@
   }
 }
 
+/// Keeps room for the daemon's own calls, which are given up when half of the
+/// bytes are used: orders to engines and their reports.
+void CallerIntake::EndLate(TimePoint now) {
+  for (const auto& connection :
+       this->EndOrder(intake::Need::kSpareBytes, now)) {
+    if (!IsHalfFull(this->gateway->held_bytes))
+      return;
+    connection->EndForRoom("memory", now);
+  }
+}
+
 void CallerIntake::Tick(TimePoint now) {
   Connections all = this->All();
   bool waits = false;
@@ -181,6 +200,8 @@
     connection->EndLongWait(now);
     waits = waits || connection->AwaitsRoom();
   }
+  if (IsHalfFull(this->gateway->held_bytes))
+    this->EndLate(now);
   if (!waits)
     return;
   this->GrantWaiting(now);
--- a/src/gateway/caller_intake.h
+++ b/src/gateway/caller_intake.h
@@ -59,6 +59,7 @@
   Connections EndOrder(intake::Need need, TimePoint now) const;
   bool MakeDescriptorRoom();
   void ForgetClosed();
+  void EndLate(TimePoint now);
   void GrantWaiting(TimePoint now);
 
   Gateway* gateway;
@@ -67,6 +68,9 @@
   std::uint64_t last_number = 0;
   std::deque<std::weak_ptr<net::TcpStream>> lingering;
   std::size_t granted = 0;
+  /// No connection may be ended before.
+  TimePoint no_bytes_until;
+  TimePoint no_descriptors_until;
   bool grant_due = false;  ///< GrantWaiting() has been posted.
 };
 
--- a/src/intake/policy.cc
+++ b/src/intake/policy.cc
@@ -34,11 +34,19 @@
       return holder.behind >= kPatience ? Class(0) : std::nullopt;
     case Stage::kWaiting:
       return 1;
+    case Stage::kIdle:
+      return 3;
     default:
       return std::nullopt;
   }
 }
 
+/// Those that are late anyway.
+Class ClassForSpareBytes(const Holder& holder) {
+  const Class position = ClassForCommonBytes(holder);
+  return position == 0 ? position : std::nullopt;
+}
+
 Class ClassForLargeBody(const Holder& holder) {
   if (holder.stage != Stage::kGranted || holder.behind.count() <= 0)
     return std::nullopt;
@@ -71,6 +79,8 @@
   switch (need) {
     case Need::kCommonBytes:
       return ClassForCommonBytes(holder);
+    case Need::kSpareBytes:
+      return ClassForSpareBytes(holder);
     case Need::kLargeBody:
       return ClassForLargeBody(holder);
     case Need::kDescriptor:
--- a/src/intake/policy.h
+++ b/src/intake/policy.h
@@ -73,6 +73,7 @@
 /// What room is needed for.
 enum class Need {
   kCommonBytes,  ///< An ordinary request, while the common bytes are used up.
+  kSpareBytes,   ///< The daemon's own calls, while half of them are used.
   kLargeBody,    ///< A large body that waits.
   kDescriptor,   ///< A new connection.
 };
--- a/tests/integration/uncontrolled_callers_test.cc
+++ b/tests/integration/uncontrolled_callers_test.cc
@@ -106,6 +106,7 @@
                                  this->store.server.AddressText(),
                                  {"vm-1", 0, kMemoryMb, kMaxFds}};
   std::size_t largest_whole_body = 0;  ///< That a replica received.
+  bool ignores_crowd = false;          ///< Replicas do not answer it.
   long peak_kb = 0;                    ///< Resident and unread.
   int peak_descriptors = 0;
 
@@ -116,7 +117,10 @@
         if (request.body.find_first_not_of('x') == std::string::npos)
           this->largest_whole_body =
               std::max(this->largest_whole_body, request.body.size());
-        replica->Run(request, stream);
+        const std::string_view id =
+            net::FieldValue(request.head.fields, "Request-Id");
+        if (!this->ignores_crowd || id != "crowd")
+          replica->Run(request, stream);
       };
     }
     this->store.Put("config", "main", LargeBodiesConfig());
@@ -188,6 +192,7 @@
   const char* name;
   int callers;
   CrowdInput input;
+  bool unanswered = false;  ///< Endpoints do not answer the crowd.
 };
 
 std::string Declared(std::size_t bytes) {
@@ -202,6 +207,7 @@
 /// ordinary caller beside it and after it.
 void CheckCrowd(const Crowd& crowd) {
   Site site;
+  site.ignores_crowd = crowd.unanswered;
   CHECK_TEXT(site.Start(), crowd.name);
   site.Measure();
   const long calm_kb = site.peak_kb;
@@ -285,6 +291,35 @@
   CheckCrowd({"500 stop within the head", 500, {head, "", 0, ""}});
 }
 
+// Later than the others, and after the change: bodies that need no grant, heads
+// whose fields take many times their bytes, and bodies that wait at endpoints.
+TEST(UncontrolledCallers, ThreeHundredSmallBodiesStopOneByteShort) {
+  constexpr std::size_t kSmall = 60'000;
+  CheckCrowd({"300 small bodies stop one byte short",
+              300,
+              {Declared(kSmall), "", kSmall - 1, ""}});
+}
+
+TEST(UncontrolledCallers, ThreeHundredSendHeadsOfManyFields) {
+  std::string lines = "Content-Length: 10";
+  while (lines.size() < 15'000)
+    lines += "\r\na:";
+  CheckCrowd({"300 heads of many fields", 300, {CrowdHead(lines), "", 9, ""}});
+}
+
+TEST(UncontrolledCallers, SixtySendWholeBodiesThatNobodyAnswers) {
+  CheckCrowd({"60 whole bodies without an answer",
+              60,
+              {Declared(kMaxBody), "", kMaxBody, ""},
+              true});
+}
+
+TEST(UncontrolledCallers, ThreeHundredSendChunksOfOneByte) {
+  const std::string block = testing::CrowdChunks(1);
+  CheckCrowd(
+      {"300 in chunks of one byte", 300, {Chunked(), block, kMaxBody, ""}});
+}
+
 // Guards against bounds for crowds that refuse a single large request.
 TEST(UncontrolledCallers, LargestBodiesAreServedInCalm) {
   struct Row {
