Store: Count the back-off of a passive follower from its last failure

A follower that was turned away long ago waited again before it read, which could exceed the time for changes if the readers were lost as well.

--- a/src/daemon/news_recovery_unittest.cc
+++ b/src/daemon/news_recovery_unittest.cc
@@ -47,9 +47,11 @@
   LONGS_EQUAL(0, recovery.wanted);
 }
 
-// Guards against a patched configuration that differs from the one in the store.
+// Guards against a patched configuration that differs from the one in the
+// store.
 TEST(NewsRecovery, PatchesGiveTheTextOrNothing) {
-  const std::string old_text = R"({"routes":[{"name":"a"},{"name":"b"}],"v":1})";
+  const std::string old_text =
+      R"({"routes":[{"name":"a"},{"name":"b"}],"v":1})";
   const std::string new_text = R"({"routes":[{"name":"b"}],"v":2})";
   const auto patch = daemon::MakePatch(old_text, new_text, 1000);
   CHECK(static_cast<bool>(patch));
@@ -90,8 +92,7 @@
       report.leaving = other % 10 == 0;
       ApplyReport(&table, other, report, kNow, Milliseconds(1600));
     }
-    const auto readers =
-        ReaderOrder(table, own, own % 2 == 0, false, 3, kNow);
+    const auto readers = ReaderOrder(table, own, own % 2 == 0, false, 3, kNow);
     LONGS_EQUAL(3, readers.size());
     if (own % 10 == 0)
       continue;
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -63,8 +63,8 @@
     this->probing = false;
     this->Watch();
   } else if (this->backing_off) {
-    const Milliseconds left = TimeLeft(this->timer.expiry(), Clock::now());
-    this->Later(std::min(left, this->Backoff()), &KindFollower::List);
+    const TimePoint next = this->failed_at + this->Backoff();
+    this->Later(TimeLeft(next, BootNow()), &KindFollower::List);
   }
 }
 
@@ -162,7 +162,8 @@
         if (current != this->generation)
           return;
         this->probing = false;
-        if (!answer) {
+        // History that is gone matters only once it watches again.
+        if (!answer && answer.error().code != ErrorCode::kGone) {
           this->OnFailure(answer.error());
           return;
         }
@@ -248,6 +249,7 @@
   this->SetReachable(false, error.message);
   this->list_cause = CallCause::kRetry;
   ++this->failures;
+  this->failed_at = BootNow();
   this->backing_off = true;
   // Entries may have lapsed or changed without an event meanwhile.
   this->Later(this->Backoff(),
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -123,6 +123,7 @@
   int failures = 0;                 ///< In a row.
   CallCause list_cause = CallCause::kStart;  ///< Of the next listing.
   bool reachable = false;
+  TimePoint failed_at;  ///< The last call that failed.
   TimePoint heard_at;
   TimePoint confirmed_at;
 };
