--- a/tests/integration/replica_test.cc
+++ b/tests/integration/replica_test.cc
@@ -83,7 +83,8 @@
   const Row rows[] = {{"answers", 200}, {"refusals", 503}, {"failures", 500}};
   for (const Row& row : rows) {
     ReplicaSite site(2);
-    CHECK_TEXT(site.Start(), site.daemon.process->DescribeEnd().c_str());
+    const bool started = site.Start();
+    CHECK_TEXT(started, site.daemon.process->DescribeEnd().c_str());
     ReplicaStandin* const leaving = site.replicas[0].get();
     TimePoint signed_at;
     leaving->answer = [&](const ReceivedRequest& request,
@@ -130,7 +131,8 @@
 // long it wants none, while another replica has room.
 TEST(Replicas, PausedOnesGetNoRequests) {
   ReplicaSite site(2);
-  CHECK_TEXT(site.Start(), site.daemon.process->DescribeEnd().c_str());
+  const bool started = site.Start();
+  CHECK_TEXT(started, site.daemon.process->DescribeEnd().c_str());
   ReplicaStandin* const paused = site.replicas[0].get();
   const Pause pause(paused, Milliseconds(4000));
   site.StartCalls("/unsafe/1");
@@ -151,7 +153,8 @@
 // every replica of a service wants no requests for a while.
 TEST(Replicas, PauseOfAllRefusesCallersAtOnce) {
   ReplicaSite site(2);
-  CHECK_TEXT(site.Start(), site.daemon.process->DescribeEnd().c_str());
+  const bool started = site.Start();
+  CHECK_TEXT(started, site.daemon.process->DescribeEnd().c_str());
   const Milliseconds length(3000);
   const Pause first(site.replicas[0].get(), length);
   const Pause second(site.replicas[1].get(), length);
@@ -192,7 +195,8 @@
 TEST(Replicas, LostAnswersToWatchesAreNoticed) {
   constexpr int kContactMs = 3000;  // From the end of a disturbance.
   ReplicaSite site(2);
-  CHECK_TEXT(site.Start(), site.daemon.process->DescribeEnd().c_str());
+  const bool started = site.Start();
+  CHECK_TEXT(started, site.daemon.process->DescribeEnd().c_str());
   site.StartCalls("/safe/1");
   site.RunFor(1000);
   site.store.faults.loses_watches = true;
@@ -226,7 +230,8 @@
 /// known nor one that registers later, also after a restart.
 void CheckOddEntry(const char* name, const std::string& spec) {
   ReplicaSite site(1);
-  CHECK_TEXT(site.Start(), site.daemon.process->DescribeEnd().c_str());
+  const bool started = site.Start();
+  CHECK_TEXT(started, site.daemon.process->DescribeEnd().c_str());
   site.store.PutText("servers", "odd", spec);
   const ReplicaStandin* const later = site.AddReplica();
   const auto reaches_later = [&site, later] {
@@ -288,7 +293,8 @@
 // id, that is taken for the answer to the next one on a kept connection.
 TEST(Replicas, RefusalsWithoutAnIdAreNotBelieved) {
   ReplicaSite site(2);
-  CHECK_TEXT(site.Start(), site.daemon.process->DescribeEnd().c_str());
+  const bool started = site.Start();
+  CHECK_TEXT(started, site.daemon.process->DescribeEnd().c_str());
   int requests_on_kept = 0;
   int strays = 0;
   std::set<StreamPtr> kept;  ///< Connections that have carried a request.
