--- a/src/fleet/fleet_load_unittest.cc
+++ b/src/fleet/fleet_load_unittest.cc
@@ -28,6 +28,10 @@
   return outcome;
 }
 
+/// Calls that wait at the gateway may be late by that; those by reports fill
+/// the last places of full queues at the cost of many refusals.
+constexpr double kWaitingCost = 0.01;
+
 double Share(int count, int all) {
   return static_cast<double>(count) / std::max(1, all);
 }
@@ -121,8 +125,9 @@
     const LoadOutcome by_reports = Play(scene);
     CHECK_TEXT(exact.refusals * 20 <= exact.sends, scene.name);
     CHECK_TEXT(exact.refusals <= by_reports.refusals, scene.name);
-    CHECK_TEXT(Share(exact.on_time, exact.arrivals) >=
-                   Share(by_reports.on_time, by_reports.arrivals) - 0.005,
-               scene.name);
+    CHECK_TEXT(
+        Share(exact.on_time, exact.arrivals) >=
+            Share(by_reports.on_time, by_reports.arrivals) - kWaitingCost,
+        scene.name);
   }
 }
--- a/src/gateway/exchange_load.cc
+++ b/src/gateway/exchange_load.cc
@@ -27,7 +27,8 @@
 }  // namespace
 
 void UpdateLoad(Gateway* gateway, const Endpoint& endpoint, bool refused) {
-  if (gateway->update_load && TracksLoad(*gateway))
+  // Figures of a process that has been replaced are not those of its successor.
+  if (gateway->update_load && TracksLoad(*gateway) && !endpoint.gone)
     gateway->update_load(endpoint, refused);
 }
 
--- a/src/occupancy/ledger.cc
+++ b/src/occupancy/ledger.cc
@@ -28,6 +28,31 @@
   return now - entry.updated_at >= kEntryLifetime;
 }
 
+/// Of the daemons that have asked for the load of three endpoints, one in three
+/// sends a request to this one.
+constexpr int kEndpointsPerClaim = 3;
+
+/// Returns the requests to expect from claims, and adds one.
+int AddClaim(DaemonId daemon, TimePoint now, std::vector<Claim>* claims) {
+  claims->erase(std::remove_if(claims->begin(), claims->end(),
+                               [now](const Claim& claim) {
+                                 return now - claim.asked_at >= kClaimLifetime;
+                               }),
+                claims->end());
+  const int expected =
+      (static_cast<int>(claims->size()) + 1) / kEndpointsPerClaim;
+  claims->push_back({daemon, now});
+  return expected;
+}
+
+void RemoveClaim(DaemonId daemon, std::vector<Claim>* claims) {
+  const auto found = std::find_if(
+      claims->begin(), claims->end(),
+      [daemon](const Claim& claim) { return claim.daemon == daemon; });
+  if (found != claims->end())
+    claims->erase(found);
+}
+
 /// Returns the work of all daemons but one.
 EndpointWork SumWork(const TrackedEndpoint& endpoint,
                      DaemonId except,
@@ -69,6 +94,8 @@
   DaemonEntry& entry = found->second.daemons[from];
   if (entry.process == update.process && entry.sequence >= update.sequence)
     return false;
+  if (update.work.running > entry.work.running)
+    RemoveClaim(from, &found->second.claims);
   entry = {update.process, update.sequence, update.work, now};
   if (update.refused)
     RecordRefusalAt(SumWork(found->second, 0, now).running, now,
@@ -88,6 +115,7 @@
   load.tracked_for =
       std::chrono::duration_cast<Milliseconds>(now - found->second.since);
   load.others = SumWork(found->second, asker, now);
+  load.others.running += AddClaim(asker, now, &found->second.claims);
   load.limit = CurrentLimit(found->second.limit, now);
   return load;
 }
--- a/src/occupancy/ledger.h
+++ b/src/occupancy/ledger.h
@@ -5,6 +5,7 @@
 #include <gsl/span>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "occupancy/place_limit.h"
@@ -44,10 +45,21 @@
   TimePoint updated_at;
 };
 
+/// A daemon that has asked for the load is about to send a request, to this or
+/// another of a few endpoints.
+struct Claim {
+  DaemonId daemon = 0;
+  TimePoint asked_at;
+};
+
+/// By then the daemon has told of its request, or sent it elsewhere.
+inline constexpr Milliseconds kClaimLifetime{5};
+
 struct TrackedEndpoint {
   TimePoint since;
   TimePoint used_at;  ///< Of the last update or query.
   std::unordered_map<DaemonId, DaemonEntry> daemons;
+  std::vector<Claim> claims;
   PlaceLimit limit;
 };
 
@@ -82,7 +94,8 @@
   int limit = 0;  ///< See CurrentLimit().
 };
 
-/// Returns the work of all daemons but `asker` at a tracked endpoint.
+/// Returns the work of all daemons but `asker` at a tracked endpoint, with the
+/// share of those who have just asked that will probably send a request to it.
 TrackedLoad ReadLoad(EndpointKey endpoint,
                      DaemonId asker,
                      TimePoint now,
--- a/src/occupancy/ledger_unittest.cc
+++ b/src/occupancy/ledger_unittest.cc
@@ -106,7 +106,7 @@
   const auto later = [&ledger](int s) {
     return ReadLoad(kKey, 1, kNow + std::chrono::seconds(s), &ledger).limit;
   };
-  LONGS_EQUAL(32, later(10));
+  LONGS_EQUAL(40, later(10));
   LONGS_EQUAL(0, later(31));
 }
 
--- a/src/occupancy/place_limit.cc
+++ b/src/occupancy/place_limit.cc
@@ -5,9 +5,9 @@
 namespace coltsfootvane::occupancy {
 namespace {
 
-/// Growth of a learned limit. A faster one gave a refusal for each daemon and
-/// second in an overload.
-constexpr double kLimitGrowthPerS = 0.2;
+/// Growth of a learned limit. The sum at a refusal may lack requests whose
+/// updates are still on their way, so that the limit tends to be too low.
+constexpr double kLimitGrowthPerS = 1;
 /// A refusal older than this says nothing.
 constexpr Milliseconds kLimitMemory{30'000};
 
--- a/src/occupancy/place_limit.h
+++ b/src/occupancy/place_limit.h
@@ -16,7 +16,7 @@
 void RecordRefusalAt(int running, TimePoint now, PlaceLimit* limit);
 
 /// Returns the number of requests that the endpoint is believed to take, 0 if
-/// that is not known. It grows slowly after a refusal, which may have had a
+/// that is not known. It grows after a refusal, which may have had a
 /// passing cause.
 int CurrentLimit(const PlaceLimit& limit, TimePoint now);
 
--- a/src/occupancy/plain_rule.cc
+++ b/src/occupancy/plain_rule.cc
@@ -2,16 +2,17 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <vector>
 
 namespace coltsfootvane::occupancy {
 namespace {
 
 /// Attempts for which a request waits, and the longest sum of these waits as a
-/// share of the objective. A longer wait costs a place in time that callers
-/// with a fresh attempt can use.
+/// share of the objective. With a share of 0.5 the calls that had waited made
+/// others late: in a burst, fewer were on time than without waits.
 constexpr int kMaxWaits = 3;
-constexpr double kMaxWaitShare = 0.5;
+constexpr double kMaxWaitShare = 0.1;
 /// First wait, as a share of a call. Each rank waits that much longer, so that
 /// urgent requests find the places that become free.
 constexpr double kWaitPerCall = 0.25;
@@ -22,7 +23,9 @@
 /// Returns the number of requests at which an endpoint counts as full.
 double PlacesAt(const PlainEndpoint& endpoint, const PlainRequest& request) {
   const double call_ms = std::max(1.0, request.call_ms);
-  double places = endpoint.slots * (1 + request.objective_ms / call_ms);
+  double places = std::numeric_limits<double>::max();
+  if (request.objective_ms > 0)
+    places = endpoint.slots * (1 + request.objective_ms / call_ms);
   if (endpoint.limit > 0)
     places = std::min(
         places, static_cast<double>(std::max(endpoint.limit, endpoint.slots)));
--- a/tests/support/load_model.h
+++ b/tests/support/load_model.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "entry/retry_budget.h"
 #include "fleet/load_tracking.h"
 #include "fleet/member_table.h"
 #include "fleet/report.h"
@@ -107,6 +108,7 @@
     Milliseconds interval{250};
     occupancy::Ledger ledger;
     std::vector<occupancy::DaemonId> trackers;
+    RetryBudget retries;
     std::int64_t updates = 0;
     std::int32_t process = 1;
     bool dead = false;
@@ -146,6 +148,7 @@
   void DecideCall(const AttemptPtr& attempt);
   void Refuse(const AttemptPtr& attempt);
   void Send(const AttemptPtr& attempt, const gateway::EndpointPtr& endpoint);
+  void OnRefusedByEndpoint(const AttemptPtr& attempt);
   void Begin(const AttemptPtr& attempt, int number);
   void End(int daemon, int number, int starts);
   void Restart(int number);
@@ -167,6 +170,9 @@
   std::vector<double> shares;               ///< Of the models in the demand.
   std::vector<std::vector<int>> placement;  ///< Models of each engine.
   std::priority_queue<Event> events;
+  /// Of arrivals, so that they are the same whatever is decided, and of the
+  /// rest.
+  std::mt19937_64 arrivals{20261204};
   std::mt19937_64 random{20261204};
   double now_ms = 0;
   double cut_until = 0;
