Gateway, stall: End only streams and repeatable calls at endpoints not reached

Cause: an endpoint that leaves may close its listener while it finishes its runs; a refused probe ended them. Calls of unsafe routes at a host that was held up for a second got 502, though nobody repeats them. Change: a refused probe ends nothing, as the host's kernel would have reset the connections of an ended process. Calls of unsafe routes stay until their connection fails. Result: group ExchangeStall passes, its row of a booking now expects the late answer instead of 502.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -55,9 +55,9 @@
   /// Ends the request if its parts have been quarantined and no endpoint has
   /// begun its answer.
   void OnQuarantineChanged();
-  /// Ends the current send if it is at the endpoint, which is known to have
-  /// stopped. `unreachable`: its host does not answer.
-  void OnEndpointStopped(const EndpointPtr& stopped, bool unreachable);
+  /// Ends the current send if it is at the endpoint, whose host does not
+  /// answer.
+  void OnEndpointUnreachable(const EndpointPtr& stopped);
   /// Ends the request with a final answer, since the process ends.
   void OnShutdownOver();
 
--- a/src/gateway/exchange_stall.cc
+++ b/src/gateway/exchange_stall.cc
@@ -166,10 +166,13 @@
   return true;
 }
 
-void Exchange::OnEndpointStopped(const EndpointPtr& stopped, bool unreachable) {
-  if (this->finished || this->endpoint != stopped || !this->stream)
+/// A call that nobody repeats gains nothing by an early end: its host may only
+/// have been held up. It stays until its connection fails.
+void Exchange::OnEndpointUnreachable(const EndpointPtr& stopped) {
+  if (this->finished || this->endpoint != stopped || !this->stream ||
+      this->route->kind == RouteKind::kUnsafe)
     return;
-  this->OnSendBroken("endpoint silent and not reached", unreachable);
+  this->OnSendBroken("endpoint silent and not reached", true);
 }
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/exchange_stall_unittest.cc
+++ b/src/gateway/exchange_stall_unittest.cc
@@ -21,6 +21,9 @@
 const std::string kHead =
     "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nServer-Signature: p\r\n"
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kBooked =
+    "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nServer-Signature: p\r\n"
+    "Content-Length: 2\r\n\r\nok";
 const std::string kEnd = "0\r\n\r\n";
 
 std::string EventOf(int id) {
@@ -106,11 +109,11 @@
        "502",
        true,
        1},
-      {"a booking whose host is dark",
+      {"a booking whose host is held up",
        "/unsafe/",
-       {{"", Then::kDark}, {rest}},
+       {{"", Then::kDark, "", {kBooked}, Milliseconds(1600)}, {rest}},
        0,
-       "502",
+       "200",
        true,
        1},
       {"resumable, slow but progressing",
--- a/src/gateway/silence_probe.cc
+++ b/src/gateway/silence_probe.cc
@@ -43,7 +43,9 @@
     else if (state == net::ListenState::kListening)
       this->End("listening");
     else if (state == net::ListenState::kRefused)
-      this->OnStopped("refused", false);
+      // The kernel of the host answers and would have reset the connections of
+      // a process that has ended. One that leaves may close its listener first.
+      this->End("refused");
     else
       this->OnUnreachable();
   }
@@ -54,7 +56,7 @@
     if (now <= ends + kMaxLateness)
       ++this->failures;
     if (this->failures >= kFailuresNeeded) {
-      this->OnStopped("unreachable", true);
+      this->OnStopped();
       return;
     }
     if (this->connections >= kMaxConnections) {
@@ -70,16 +72,16 @@
         });
   }
 
-  void OnStopped(const char* result, bool unreachable) {
+  void OnStopped() {
     Eject(this->endpoint.get(), BootNow());
     const EndpointEntry& entry = this->endpoint->entry;
     this->gateway->log->Write(
         kEndpointSilent, "",
-        "endpoint=" + entry.id + " service=" + entry.service + " probe=" +
-            result + " running=" + std::to_string(this->endpoint->own.running));
-    this->End(result);
+        "endpoint=" + entry.id + " service=" + entry.service +
+            " running=" + std::to_string(this->endpoint->own.running));
+    this->End("unreachable");
     for (const auto& exchange : OpenExchanges(*this->gateway))
-      exchange->OnEndpointStopped(this->endpoint, unreachable);
+      exchange->OnEndpointUnreachable(this->endpoint);
   }
 
   void End(const char* result) {
--- a/src/gateway/silence_probe.h
+++ b/src/gateway/silence_probe.h
@@ -8,7 +8,7 @@
 struct Gateway;
 
 /// Finds out by connections whether a silent endpoint can still be reached, and
-/// ejects it and ends all sends of this daemon there if not. Nothing is sent.
+/// ejects it and ends the sends of this daemon there if not. Nothing is sent.
 void ProbeSilentEndpoint(Gateway* gateway, const EndpointPtr& endpoint);
 
 }  // namespace coltsfootvane::gateway
