--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -284,10 +284,6 @@
                                  this->Interval(), BootNow());
 }
 
-bool Fleet::IsHolderSilent(std::int64_t epoch) const {
-  return IsSilent(this->holder, this->table, epoch, BootNow());
-}
-
 /// Returns a report without work and demand.
 gen::Report Fleet::MakeReport() {
   gen::Report report;
--- a/src/fleet/fleet_adapters.cc
+++ b/src/fleet/fleet_adapters.cc
@@ -21,6 +21,10 @@
   return now + kFirstResend * (1 << std::min(sends - 1, kMaxDoublings));
 }
 
+bool Fleet::IsHolderSilent(std::int64_t epoch) const {
+  return IsSilent(this->holder, this->table, epoch, BootNow());
+}
+
 void Fleet::OnAdapterRequest(const gen::AdapterRequest& request,
                              std::uint32_t from) {
   gen::AdapterReply answer;
--- a/src/gateway/exchange_load.cc
+++ b/src/gateway/exchange_load.cc
@@ -159,6 +159,11 @@
       this->SendOrRefuse(result.choice, now);
       return;
     case PlainVerdict::kWait:
+      if (this->over_share) {
+        this->Refuse(kOverShare, ReturnAfter(this->route->target_latency),
+                     "team=" + this->team->name);
+        return;
+      }
       this->WaitForPlace(result.decision.wait_ms);
       return;
     case PlainVerdict::kRefuse:
