Tests: Follow RecordDemand() and RecordRun() in the models of fleets

Cause: main at does not compile its tests: two functions of gateway/traffic.h got a parameter while tests/support/load_model.cc and prompt_fleet.cc were merged.

Change: 0.15 ms for a generated token as in report_unittest.cc, and the events of a run as its tokens.

--- a/tests/support/load_model.cc
+++ b/tests/support/load_model.cc
@@ -109,7 +109,7 @@
   attempt->seed = this->random();
   if (daemon.dead || this->now_ms < daemon.frozen_until)
     return;
-  RecordDemand(&daemon.traffic, attempt->request, this->Now());
+  RecordDemand(&daemon.traffic, attempt->request, 0.15, this->Now());
   this->outcome.arrivals += this->IsCounted() ? 1 : 0;
   this->Choose(attempt);
 }
--- a/tests/support/prompt_fleet.cc
+++ b/tests/support/prompt_fleet.cc
@@ -309,7 +309,8 @@
     if (request.events < kKinds[request.kind].events)
       return false;
     RecordRun(&this->daemons[request.daemon].traffic, "s",
-              (kKinds[request.kind].events - 1) * 15.0);
+              (kKinds[request.kind].events - 1) * 15.0,
+              kKinds[request.kind].events);
     this->End(request);
     return true;
   });
