--- a/src/gateway/exact_choice.cc
+++ b/src/gateway/exact_choice.cc
@@ -96,6 +96,7 @@
   if (usable.empty())
     return choice;
   std::vector<occupancy::ComparedCandidate> compared;
+  compared.reserve(usable.size());
   for (const AssessedEndpoint& one : usable)
     compared.push_back({ComparedMs(one, input) + one.penalty_ms,
                         IsExact(*one.endpoint, asked_at),
@@ -117,6 +118,7 @@
   if (usable.empty())
     return result;
   std::vector<occupancy::PlainEndpoint> plain;
+  plain.reserve(usable.size());
   for (const AssessedEndpoint& one : usable)
     plain.push_back(ToPlain(one, input, asked_at));
   result.decision = occupancy::DecidePlain(plain, request);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -93,7 +93,7 @@
   Milliseconds report_interval{0};  ///< Between a daemon's reports.
   Traffic traffic;
   AdapterRequest request_adapter;
-  LoadQuery query_load;    ///< May be empty, as is `update_load`.
+  LoadQuery query_load;  ///< May be empty, as is `update_load`.
   LoadUpdate update_load;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
--- a/src/occupancy/candidates_unittest.cc
+++ b/src/occupancy/candidates_unittest.cc
@@ -7,8 +7,8 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::
-    occupancy;  // NOLINT(google-build-using-namespace)
+// NOLINTNEXTLINE(google-build-using-namespace)
+using namespace coltsfootvane::occupancy;
 
 TEST_GROUP(Candidates){};
 
--- a/src/occupancy/plain_rule_unittest.cc
+++ b/src/occupancy/plain_rule_unittest.cc
@@ -5,8 +5,8 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-using namespace coltsfootvane::
-    occupancy;  // NOLINT(google-build-using-namespace)
+// NOLINTNEXTLINE(google-build-using-namespace)
+using namespace coltsfootvane::occupancy;
 
 namespace {
 
