--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -14,9 +14,7 @@
 /// other teams have no requests.
 constexpr double kMaxOverShareObjectives = 2;
 /// Requests of such a team yield from this part of the objective on, so that
-/// those of others still meet it. In a burst of three times an engine's
-/// capacity, 0.5 left the other team 0.46 of its requests on time, 0.2 leaves
-/// 0.76 and the bursting one no less; see Urgency.
+/// those of others still meet theirs in a burst of some times the capacity.
 constexpr double kOverShareObjective = 0.2;
 /// Latest start, as a share of the time left. Requests that start later rarely
 /// complete.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -138,7 +138,7 @@
   void OnSendBroken(const char* reason, bool unreachable = false);
   bool EndIfQuarantined();
 
-  // Defined in exchange_stall.cc: streams that earn nothing.
+  // Defined in exchange_stall.cc: sends whose endpoint has fallen silent.
   bool RefuseBeyondPatience(const Choice& choice);
   stall::Run DescribeRun() const;
   stall::Waits ExpectedWaits(const Choice& choice) const;
