--- a/src/daemon/store_news_model.h
+++ b/src/daemon/store_news_model.h
@@ -55,7 +55,7 @@
   }
   /// Runs something in a daemon: not if it is lost, later if it is frozen.
   void In(ModelDaemon* daemon, Milliseconds delay, std::function<void()> run) {
-    this->After(delay, [this, daemon, run = std::move(run)] {
+    this->After(delay, [daemon, run = std::move(run)] {
       if (!daemon->live)
         return;
       if (daemon->frozen)
