--- a/src/occupancy/candidates.cc
+++ b/src/occupancy/candidates.cc
@@ -28,13 +28,12 @@
         first ? -std::numeric_limits<double>::max() : -SampleKey(endpoints[i]),
         i);
   }
-  const std::size_t drawn = std::min(count, keys.size());
-  std::partial_sort(keys.begin(),
-                    keys.begin() + static_cast<std::ptrdiff_t>(drawn),
-                    keys.end());
+  std::sort(keys.begin(), keys.end());
   std::vector<std::size_t> positions;
-  for (std::size_t i = 0; i < drawn; ++i)
-    positions.push_back(keys[i].second);
+  for (const auto& [key, position] : keys) {
+    if (positions.size() < count)
+      positions.push_back(position);
+  }
   return positions;
 }
 
