--- a/src/quota/contacts.h
+++ b/src/quota/contacts.h
@@ -18,7 +18,7 @@
   void RecordHeard(Address daemon);
   /// The daemon has not replied to a request; it gets none until it is heard.
   void RecordSilence(Address daemon, TimePoint now);
-  /// The daemon has said that it owns no buckets for now.
+  /// The daemon has replied that it owns no buckets at present.
   void RecordNotOwner(Address daemon, TimePoint now);
   void RecordOwner(Address daemon);
   bool IsAvoided(Address daemon, TimePoint now) const;
