--- a/src/gateway/caller_intake_unittest.cc
+++ b/src/gateway/caller_intake_unittest.cc
@@ -29,12 +29,16 @@
         acceptor(scene->io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
         socket(scene->io) {
     this->socket.connect(this->acceptor.local_endpoint());
+    this->stream = std::make_shared<net::TcpStream>(this->acceptor.accept());
     this->connection = std::make_shared<gateway::CallerConnection>(
-        &scene->gateway,
-        std::make_shared<net::TcpStream>(this->acceptor.accept()));
+        &scene->gateway, this->stream);
     this->connection->Start();
     this->socket.non_blocking(true);
   }
+  /// Closes the stream, whose handlers own the connection until then.
+  ~Caller() { this->stream->Close(); }
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
 
   /// Sends all bytes while the gateway runs; returns false if it does not take
   /// them within a second.
@@ -66,6 +70,7 @@
   GatewayScene* scene;
   tcp::acceptor acceptor;
   tcp::socket socket;
+  std::shared_ptr<net::TcpStream> stream;
   std::shared_ptr<gateway::CallerConnection> connection;
   std::string answer;
 };
