Store: Tell what a later page of a listing has shown

Cause: a listing is read in pages and has the revision of the first one. What a later page shows of the time after it is in the reader's view when the next watch brings it, changes nothing there, and was missing in the batch for the others. Daemons that were at the revision of the listing already took the batch without the departure, and reports confirmed their view.

Change: the reader tells all deletions that a watch brings, and again the entries that its listing showed in a state newer than its revision.

Result: StoreView.TellsWhatALaterPageOfAListingHasShown fails on the code before (no change in the batch, expected 1) and passes. Not seen in a deployment.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -233,8 +233,11 @@
 
 void StoreView::OnEndpointListing(const store::Listing& listing) {
   std::set<std::string> listed;
+  this->listed_ahead.clear();
   for (const store::Object& object : listing.objects) {
     listed.insert(object.name);
+    if (object.revision > listing.revision)
+      this->listed_ahead.insert(object.name);
     this->UpsertEndpoint(object);
   }
   const bool gone = this->RemoveOthers(listed);
@@ -262,15 +265,8 @@
 }
 
 void StoreView::OnEndpointChanges(const store::Changes& changes) {
-  for (const store::Change& change : changes.changes) {
-    if (!change.deleted) {
-      this->UpsertEndpoint(change.object);
-      continue;
-    }
-    this->skipped_revisions.erase(change.object.name);
-    this->RemoveEndpoint(change.object.name, kDeleted);
-    this->NoteDeparture(changes.revision);
-  }
+  for (const store::Change& change : changes.changes)
+    this->ApplyChange(change, changes.revision);
   gateway::UpdateEndpointList(this->gateway);
   this->RecordChanges({});
   this->SendNews();
@@ -372,11 +368,7 @@
     return;
   this->log->Write(gateway::kEndpointGone, "", "endpoint=" + id);
   gateway::RemoveEndpoint(&this->gateway->endpoints, id);
-  fleet::gen::EndpointNews change;
-  change.id = id;
-  change.deleted = unusable == kDeleted;
-  change.revision = unusable;
-  this->changes.push_back(std::move(change));
+  this->TellRemoval(id, unusable);
 }
 
 bool StoreView::RemoveOthers(const std::set<std::string>& listed) {
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -83,6 +83,8 @@
   static constexpr std::int64_t kDeleted = 0;
   /// `unusable` is the revision of an entry that cannot be used, or kDeleted.
   void RemoveEndpoint(const std::string& id, std::int64_t unusable);
+  void TellRemoval(const std::string& id, std::int64_t unusable);
+  void ApplyChange(const store::Change& change, std::int64_t revision);
   void RaiseMaxDeparture(std::int64_t revision);
   void NoteDeparture(std::int64_t revision);
   void SendNews();
@@ -109,7 +111,10 @@
   /// Changes of the answer that is being applied, for the others.
   std::vector<fleet::gen::EndpointNews> changes;
   bool departures = false;  ///< There are some among the changes.
-  bool large = false;       ///< One daemon reads for all; see Fleet::IsLarge().
+  /// Entries that a page of the last listing showed in a state newer than the
+  /// revision of the listing.
+  std::set<std::string> listed_ahead;
+  bool large = false;  ///< One daemon reads for all; see Fleet::IsLarge().
   bool relies_on_news = false;
   int rank = 0;           ///< Among those who read; 0 is the first.
   TimePoint reads_until;  ///< As a standby whose reader has been silent.
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -83,6 +83,44 @@
     this->news.Record(batch, this->Tells(), urgent);
 }
 
+/// A listing is read in pages, of which the later ones may show what happens
+/// after its revision. Others are told of it by the watch that follows, which
+/// brings it again, although it changes nothing in this daemon.
+void StoreView::ApplyChange(const store::Change& change,
+                            std::int64_t revision) {
+  const std::string& id = change.object.name;
+  const std::size_t told = this->changes.size();
+  if (change.deleted) {
+    this->skipped_revisions.erase(id);
+    this->RemoveEndpoint(id, kDeleted);
+    if (this->changes.size() == told)
+      this->TellRemoval(id, kDeleted);
+    this->NoteDeparture(revision);
+    return;
+  }
+  this->UpsertEndpoint(change.object);
+  const auto found = this->gateway->endpoints.endpoints.find(id);
+  if (this->changes.size() > told || this->listed_ahead.count(id) == 0 ||
+      found == this->gateway->endpoints.endpoints.end())
+    return;
+  const gateway::EndpointEntry& entry = found->second->entry;
+  fleet::gen::EndpointNews again;
+  again.id = id;
+  again.revision = change.object.revision;
+  again.__set_fields(fleet::ToWire(entry));
+  this->changes.push_back(std::move(again));
+  if (entry.draining)
+    this->NoteDeparture(change.object.revision);
+}
+
+void StoreView::TellRemoval(const std::string& id, std::int64_t unusable) {
+  fleet::gen::EndpointNews change;
+  change.id = id;
+  change.deleted = unusable == kDeleted;
+  change.revision = unusable;
+  this->changes.push_back(std::move(change));
+}
+
 void StoreView::ApplyBatch(const gen::StoreBatch& batch) {
   const std::int64_t revision = this->endpoints.Revision();
   for (std::size_t i = 0; i < batch.changes.size(); ++i) {
--- /dev/null
+++ b/src/daemon/store_view_unittest.cc
@@ -0,0 +1,163 @@
+#include "daemon/store_view.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/codec.h"
+#include "support/free_port.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using boost::asio::ip::udp;
+using store::Changes;
+using store::Listing;
+
+namespace {
+
+constexpr Milliseconds kLimit{3000};
+constexpr char kOwn[] = "127.0.0.1";
+constexpr char kPeer[] = "127.0.0.2";
+
+store::Object MakeObject(const std::string& name,
+                         std::int64_t revision,
+                         bool draining = false) {
+  store::Object object;
+  object.name = name;
+  object.revision = revision;
+  object.spec = {{"draining", draining}};
+  return object;
+}
+
+Result<gateway::EndpointEntry> ReadEndpoint(const std::string& id,
+                                            const nlohmann::json& spec) {
+  gateway::EndpointEntry entry;
+  entry.id = id;
+  entry.service = "service";
+  entry.address = {boost::asio::ip::make_address("127.0.0.9"), 80};
+  entry.slots = 1;
+  entry.draining = spec.value("draining", false);
+  return entry;
+}
+
+/// A view of a daemon in a large fleet, and one other daemon.
+struct Fixture {
+  boost::asio::io_context io;
+  unsigned short port = testing::FreePort(kOwn);
+  DecisionLog log{open("/dev/null", O_WRONLY), "test"};
+  gateway::Gateway gateway{&this->io};
+  fleet::Fleet fleet{&this->io, &this->gateway};
+  net::HttpClient client{&this->io};
+  daemon::Deployment deployment;
+  store::ObjectStore store;
+  std::vector<store::Handler<Listing>> lists;    ///< Of endpoints.
+  std::vector<store::Handler<Changes>> watches;  ///< Of endpoints.
+  udp::socket peer{this->io,
+                   {boost::asio::ip::make_address(kPeer), this->port}};
+  daemon::StoreView view;
+
+  Fixture()
+      : view(&this->io,
+             this->Prepare(),
+             &this->store,
+             &this->gateway,
+             &this->fleet,
+             &this->log,
+             kLimit,
+             &this->client,
+             this->port) {
+    CHECK(static_cast<bool>(this->fleet.Open(this->Own())));
+    for (unsigned char i = 2; i < 40; ++i)
+      this->fleet.AddPeer(boost::asio::ip::address_v4({127, 0, 0, i}));
+    this->view.Start();
+  }
+
+  const daemon::Deployment* Prepare() {
+    this->gateway.log = &this->log;
+    this->deployment.endpoint_kind = "endpoints";
+    this->deployment.config_kind = "configs";
+    this->deployment.read_endpoint = ReadEndpoint;
+    this->store.list = [this](const std::string& kind, store::Freshness,
+                              store::Handler<Listing> handler) {
+      if (kind == this->deployment.endpoint_kind)
+        this->lists.push_back(std::move(handler));
+    };
+    this->store.watch = [this](const std::string& kind, std::int64_t,
+                               Milliseconds, store::Freshness,
+                               store::Handler<Changes> handler) {
+      if (kind == this->deployment.endpoint_kind)
+        this->watches.push_back(std::move(handler));
+    };
+    return &this->deployment;
+  }
+
+  udp::endpoint Own() const {
+    return {boost::asio::ip::make_address(kOwn), this->port};
+  }
+
+  /// Returns the batches that the view sends a daemon that knows `revision`.
+  std::vector<fleet::gen::StoreBatch> BatchesSince(std::int64_t revision) {
+    this->fleet.on_store_news_request(
+        revision, boost::asio::ip::make_address_v4(kPeer).to_uint());
+    std::vector<fleet::gen::StoreBatch> batches;
+    std::array<char, 2048> buffer{};
+    while (this->peer.available() > 0) {
+      const std::size_t length =
+          this->peer.receive(boost::asio::buffer(buffer));
+      const auto datagram =
+          fleet::Decode(std::string_view(buffer.data(), length));
+      if (!datagram || !datagram.value().__isset.store_news)
+        continue;
+      const fleet::gen::StoreNews& news = datagram.value().store_news;
+      batches.insert(batches.end(), news.batches.begin(), news.batches.end());
+    }
+    return batches;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(StoreView){};
+
+// Guards against a batch that leads others past a departure without containing
+// it: a later page of the reader's listing has shown it already, so that the
+// watch that follows changes nothing in the reader. The others would count as
+// complete without it.
+TEST(StoreView, TellsWhatALaterPageOfAListingHasShown) {
+  struct Row {
+    const char* name;
+    bool deleted;
+  };
+  const Row rows[] = {{"deleted", true}, {"draining", false}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.lists[0](Listing{{MakeObject("a", 5), MakeObject("b", 6)}, 10});
+    fixture.view.Tick();
+    fixture.lists.clear();
+    fixture.view.Refresh();
+    CHECK_TEXT(!fixture.lists.empty(), row.name);
+    // The revision is that of the first page, "b" is on the second.
+    Listing listing{{MakeObject("a", 5)}, 20};
+    if (!row.deleted)
+      listing.objects.push_back(MakeObject("b", 21, true));
+    fixture.lists[0](listing);
+    while (fixture.watches.empty())
+      fixture.io.run_one_for(kLimit);
+    Changes changes;
+    changes.revision = 21;
+    changes.changes = {{MakeObject("b", 21, true), row.deleted}};
+    fixture.watches.back()(changes);
+    // Another daemon that has listed at the same revision, from its first page.
+    const auto batches = fixture.BatchesSince(20);
+    LONGS_EQUAL_TEXT(1, batches.size(), row.name);
+    LONGS_EQUAL_TEXT(21, batches[0].to_revision, row.name);
+    LONGS_EQUAL_TEXT(1, batches[0].changes.size(), row.name);
+    CHECK_EQUAL_TEXT(row.deleted, batches[0].changes[0].deleted, row.name);
+  }
+}
