Store: Send a check again if its connection is silent

Cause: after a partition, connections are silent for good. A check over one waited for its timeout of 1.5 s, half of the time for changes, and then for a back-off of 0.6 to 1.8 s.

Change: a check without a response is sent again after 350 ms over a new connection, a listing after 700 ms; the first response counts. The first listing of a daemon is sent once, since all daemons may start at a time. A store that responds in time gets no more calls than before.

Result: KindFollower.AChecksSilentConnectionIsReplaced fails on the code before (no second call within 450 ms) and passes.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -181,4 +181,13 @@
   this->idle.clear();
 }
 
+void HttpClient::DropIdle(const tcp::endpoint& address) {
+  const auto found = this->idle.find(address);
+  if (found == this->idle.end())
+    return;
+  for (Idle& candidate : found->second)
+    candidate.stream->Close();
+  this->idle.erase(found);
+}
+
 }  // namespace coltsfootvane::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -54,6 +54,8 @@
   void SetAccount(ByteAccount* byte_account) { this->account = byte_account; }
   /// Closes the idle connections.
   void DropIdle();
+  /// The same for those to one address.
+  void DropIdle(const tcp::endpoint& address);
 
  private:
   struct Pending;
--- a/src/net/http_client_unittest.cc
+++ b/src/net/http_client_unittest.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "support/free_port.h"
 #include "support/loopback_server.h"
@@ -30,9 +31,12 @@
   boost::asio::io_context io;
   net::ByteAccount account;
   std::string bytes;
+  std::vector<StreamPtr> streams;  ///< One for each connection in turn.
   LoopbackServer server{
       &this->io, testing::OwnLoopbackHost(),
       [this](const ReceivedRequest&, const StreamPtr& stream) {
+        if (this->streams.empty() || this->streams.back() != stream)
+          this->streams.push_back(stream);
         stream->Write(this->bytes);
       }};
   net::HttpClient client{&this->io};
@@ -110,3 +114,28 @@
     LONGS_EQUAL_TEXT(row.held_by_others, fixture.account.held, row.name);
   }
 }
+
+// Guards against a second call that is sent over another idle connection, which
+// may be as silent as the first, and against new connections to others.
+TEST(HttpClient, DropsTheIdleConnectionsToOneAddress) {
+  struct Row {
+    const char* name;
+    bool own_address;
+    std::size_t connections;
+  };
+  const Row rows[] = {{"to this address", true, 2}, {"to another", false, 1}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    fixture.account.limit = 1000;
+    CHECK(fixture.Call({})->has_value());
+    CHECK(fixture.Call({})->has_value());
+    LONGS_EQUAL_TEXT(1, fixture.streams.size(), row.name);
+    auto address = fixture.server.Address();
+    if (!row.own_address)
+      address.port(static_cast<unsigned short>(address.port() ^ 1U));
+    fixture.client.DropIdle(address);
+    CHECK(fixture.Call({})->has_value());
+    LONGS_EQUAL_TEXT(row.connections, fixture.streams.size(), row.name);
+  }
+}
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -15,6 +15,12 @@
 /// Of a watch that is answered whether there is a change or not.
 constexpr Milliseconds kNoWait{1};
 constexpr Milliseconds kFirstBackoff{300};
+/// After which a call that is to be answered at once is sent a second time. The
+/// store answers in a few ms; connections that a partition has made silent time
+/// out after 1.5 s, which is half of the time for changes.
+constexpr Milliseconds kMaxSilence{350};
+/// The same for a listing, which takes a call for each page.
+constexpr Milliseconds kMaxListSilence{700};
 /// Of a passive follower that has not reached the store; plus up to as much.
 constexpr Milliseconds kProbeInterval{10'000};
 
@@ -26,6 +32,7 @@
                            DecisionLog* decision_log,
                            FollowerEvents follower_events)
     : timer(*io),
+      silence_timer(*io),
       store(object_store),
       kind(std::move(followed_kind)),
       log(decision_log),
@@ -91,11 +98,21 @@
   this->idle = false;
   this->backing_off = false;
   this->watching = false;
+  // At a start all daemons list, and the store may be slow.
+  if (this->list_cause == CallCause::kStart) {
+    this->unanswered = 1;
+    this->SendList();
+  } else {
+    this->SendTwiceIfSilent(kMaxListSilence, [this] { this->SendList(); });
+  }
+}
+
+void KindFollower::SendList() {
   CountCall(*this->store, this->list_cause, Freshness::kLatest);
   this->store->list(this->kind.name, Freshness::kLatest,
                     [this, current = this->generation,
                      start = BootNow()](const Result<Listing>& listing) {
-                      if (current != this->generation)
+                      if (!this->TakeAnswer(current, !listing))
                         return;
                       if (!listing) {
                         this->OnFailure(listing.error());
@@ -109,6 +126,37 @@
                     });
 }
 
+/// Sends a call that is to be answered at once, and once more over a new
+/// connection if there is no answer within `max_silence`.
+void KindFollower::SendTwiceIfSilent(Milliseconds max_silence,
+                                     std::function<void()> send) {
+  this->unanswered = 1;
+  this->silence_timer.expires_after(max_silence);
+  this->silence_timer.async_wait(
+      [this, send, current = this->generation](const BoostError& ec) {
+        if (ec || current != this->generation)
+          return;
+        ++this->unanswered;
+        if (this->store->renew_connections)
+          this->store->renew_connections();
+        send();
+      });
+  send();
+}
+
+/// Returns whether an answer to a call of generation `sent_in` is the one to be
+/// used: the first one, but no failure while the other call may succeed.
+bool KindFollower::TakeAnswer(int sent_in, bool failed) {
+  if (sent_in != this->generation)
+    return false;
+  --this->unanswered;
+  if (failed && this->unanswered > 0)
+    return false;
+  ++this->generation;
+  this->silence_timer.cancel();
+  return true;
+}
+
 void KindFollower::OnListing(Listing listing) {
   if (listing.revision < this->revision)
     return;
@@ -180,19 +228,28 @@
   this->idle = false;
   this->backing_off = false;
   const bool latest = this->freshness == Freshness::kLatest;
-  Milliseconds wait =
+  const Milliseconds wait =
       latest ? this->kind.latest_watch_wait : this->kind.watch_wait;
   const bool at_once = latest && std::exchange(this->confirm_at_once, false);
-  if (at_once)
-    wait = kNoWait;
-  CountCall(*this->store, at_once ? CallCause::kCheck : CallCause::kWatch,
-            this->freshness);
   this->watching = true;
   this->watched = this->freshness;
-  this->store->watch(this->kind.name, this->revision, wait, this->freshness,
+  if (at_once) {
+    this->SendTwiceIfSilent(kMaxSilence,
+                            [this] { this->SendWatch(kNoWait, true); });
+  } else {
+    this->unanswered = 1;
+    this->SendWatch(wait, latest);
+  }
+}
+
+void KindFollower::SendWatch(Milliseconds wait, bool latest) {
+  CountCall(*this->store,
+            wait == kNoWait ? CallCause::kCheck : CallCause::kWatch,
+            this->watched);
+  this->store->watch(this->kind.name, this->revision, wait, this->watched,
                      [this, current = this->generation, start = BootNow(), wait,
                       latest](Result<Changes> changes) {
-                       if (current != this->generation)
+                       if (!this->TakeAnswer(current, !changes))
                          return;
                        this->watching = false;
                        if (!changes) {
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -88,8 +88,12 @@
 
  private:
   void List();
+  void SendList();
   void OnListing(Listing listing);
   void Watch();
+  void SendWatch(Milliseconds wait, bool latest);
+  void SendTwiceIfSilent(Milliseconds max_silence, std::function<void()> send);
+  bool TakeAnswer(int sent_in, bool failed);
   void Probe();
   void Continue();
   Milliseconds Backoff();
@@ -102,6 +106,7 @@
   void SetReachable(bool now_reachable, std::string_view reason = {});
 
   boost::asio::steady_timer timer;
+  boost::asio::steady_timer silence_timer;  ///< Of the call in progress.
   const ObjectStore* store;
   FollowedKind kind;
   DecisionLog* log;
@@ -120,6 +125,7 @@
   std::int64_t revision = 0;
   std::int64_t catching_up_to = 0;  ///< Asked for and not yet answered.
   int generation = 0;               ///< Identifies answers to earlier calls.
+  int unanswered = 0;               ///< Calls of this generation.
   int failures = 0;                 ///< In a row.
   CallCause list_cause = CallCause::kStart;  ///< Of the next listing.
   bool reachable = false;
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -231,6 +231,57 @@
   fixture.RunUntilCalls(2, 2);
 }
 
+// Guards against a view that stays behind since its check waits for a
+// connection that is silent for good, as after a partition. A store that
+// answers soon gets no second call.
+TEST(KindFollower, AChecksSilentConnectionIsReplaced) {
+  struct Row {
+    const char* name;
+    bool answered_soon;
+    bool first_fails_late;
+  };
+  const Row rows[] = {{"answered", true, false},
+                      {"silent for good", false, false},
+                      {"silent until its timeout", false, true}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    int renewed = 0;
+    fixture.store.access.renew_connections = [&renewed] { ++renewed; };
+    fixture.follower.SetFreshness(Freshness::kStale);
+    fixture.store.lists[0](Listing{{}, 10});
+    fixture.RunUntilCalls(1, 1);
+    fixture.follower.SetPassive(true);
+    Changes changes;
+    changes.revision = 12;
+    fixture.store.watches[0](changes);
+    fixture.follower.SetFreshness(Freshness::kLatest);
+    fixture.follower.SetPassive(false);
+    LONGS_EQUAL_TEXT(2, fixture.store.watches.size(), row.name);
+    if (row.answered_soon) {
+      fixture.follower.SetPassive(true);
+      fixture.store.watches[1](changes);
+    }
+    fixture.io.restart();
+    fixture.io.run_for(Milliseconds(450));
+    LONGS_EQUAL_TEXT(row.answered_soon ? 0 : 1, renewed, row.name);
+    LONGS_EQUAL_TEXT(row.answered_soon ? 2 : 3, fixture.store.watches.size(),
+                     row.name);
+    if (row.answered_soon)
+      continue;
+    if (row.first_fails_late)
+      fixture.store.watches[1](Error{ErrorCode::kUnknown, "test"});
+    CHECK_TEXT(fixture.follower.Reachable(), row.name);
+    changes.revision = 14;
+    changes.changes = {{MakeObject("gone", 14), true}};
+    fixture.store.watches[2](changes);
+    LONGS_EQUAL_TEXT(1, fixture.changed.size(), row.name);
+    // The first one ends after all.
+    if (!row.first_fails_late)
+      fixture.store.watches[1](Error{ErrorCode::kUnknown, "test"});
+    CHECK_TEXT(fixture.follower.Reachable(), row.name);
+  }
+}
+
 // Guards against a watch, overtaken by what others told, that removes an entry
 // which has returned since.
 TEST(KindFollower, LateWatchDoesNotRemoveWhatHasReturned) {
--- a/src/store/metered_store.cc
+++ b/src/store/metered_store.cc
@@ -101,6 +101,7 @@
                         Handler<Object> handler) {
     call(kind, object, metrics.Measure("replace", kind, std::move(handler)));
   };
+  metered.renew_connections = std::move(inner.renew_connections);
   return metered;
 }
 
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -70,6 +70,9 @@
   /// Replaces the object if it still has the revision.
   std::function<void(const std::string& kind, const Object&, Handler<Object>)>
       replace;
+  /// Calls that are made from now on use new connections, since those in use
+  /// may be silent for good; may be empty.
+  std::function<void()> renew_connections;
   /// Counts the calls by cause; may be null.
   std::shared_ptr<CallTally> tally;
 };
