Store: End the back-off of a follower that others confirm

Cause: a daemon that the store rejected several times kept its back-off of up to 14 s while other daemons, which reach the store, confirmed its view. When they stopped, its own check waited for the rest.

Change: a confirmation that is newer than the last failure leaves a passive follower with the back-off of a first failure (0.6 to 1.8 s). One that is calling itself keeps its pace.

Result: KindFollower.OthersAnswersEndALongBackoff fails on the code before and passes.

--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -180,6 +180,10 @@
 }
 
 void KindFollower::Confirm(std::int64_t known_revision, TimePoint at) {
+  // The store has answered another daemon since it failed to answer this one.
+  // One that goes on calling meanwhile keeps its pace.
+  if (this->passive && at > this->failed_at)
+    this->failures = std::min(this->failures, 1);
   if (this->revision > 0 && this->revision >= known_revision)
     this->confirmed_at = std::max(this->confirmed_at, at);
 }
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -73,7 +73,8 @@
   /// Lists at once what has changed up to `known_revision`, if that is news.
   void CatchUp(std::int64_t known_revision);
   /// Another daemon has shown that no change of interest that was acknowledged
-  /// before `at` is newer than `known_revision`.
+  /// before `at` is newer than `known_revision`. Failures before `at` no longer
+  /// delay the calls of a passive follower that is to make some again.
   void Confirm(std::int64_t known_revision, TimePoint at);
   /// The view holds all changes of interest that were acknowledged before this
   /// time; TimePoint() before the first listing.
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -282,6 +282,41 @@
   }
 }
 
+// Guards against a daemon that cannot check its view for up to 14 s, since the
+// store turned it away several times, although others have reached the store
+// since and it can as well.
+TEST(KindFollower, OthersAnswersEndALongBackoff) {
+  struct Row {
+    const char* name;
+    bool confirmed;
+  };
+  const Row rows[] = {{"confirmed since", true}, {"not confirmed", false}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    store::FollowerPace pace;
+    pace.first_doublings = 2;
+    pace.max_doublings = 5;
+    fixture.follower.SetPace(pace, kLatestWait);
+    fixture.store.lists[0](Listing{{}, 10});
+    fixture.RunUntilCalls(1, 1);
+    fixture.store.watches[0](Error{ErrorCode::kRefused, "test"});
+    for (std::size_t calls = 2; calls < 5; ++calls) {
+      fixture.follower.Refresh();
+      LONGS_EQUAL(calls, fixture.store.lists.size());
+      fixture.store.lists.back()(Error{ErrorCode::kRefused, "test"});
+    }
+    fixture.follower.SetFreshness(Freshness::kStale);
+    fixture.follower.SetPassive(true);
+    if (row.confirmed)
+      fixture.follower.Confirm(10, BootNow() + Milliseconds(10));
+    fixture.follower.SetFreshness(Freshness::kLatest);
+    fixture.follower.SetPassive(false);
+    fixture.io.restart();
+    fixture.io.run_for(Milliseconds(2500));
+    CHECK_EQUAL_TEXT(row.confirmed, fixture.store.lists.size() > 4, row.name);
+  }
+}
+
 // Guards against a watch, overtaken by what others told, that removes an entry
 // which has returned since.
 TEST(KindFollower, LateWatchDoesNotRemoveWhatHasReturned) {
