--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -129,7 +129,7 @@
 /// Sends a call that is to be answered at once, and once more over a new
 /// connection if there is no answer within `max_silence`.
 void KindFollower::SendTwiceIfSilent(Milliseconds max_silence,
-                                     std::function<void()> send) {
+                                     const std::function<void()>& send) {
   this->unanswered = 1;
   this->silence_timer.expires_after(max_silence);
   this->silence_timer.async_wait(
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -93,7 +93,8 @@
   void OnListing(Listing listing);
   void Watch();
   void SendWatch(Milliseconds wait, bool latest);
-  void SendTwiceIfSilent(Milliseconds max_silence, std::function<void()> send);
+  void SendTwiceIfSilent(Milliseconds max_silence,
+                         const std::function<void()>& send);
   bool TakeAnswer(int sent_in, bool failed);
   void Probe();
   void Continue();
