--- /dev/null
+++ b/src/daemon/store_view_unittest.cc
@@ -0,0 +1,269 @@
+#include "daemon/store_view.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/codec.h"
+#include "support/free_port.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+using store::Changes;
+using store::Listing;
+
+namespace {
+
+constexpr Milliseconds kLimit{3000};
+constexpr char kOwn[] = "127.0.0.1";
+constexpr char kPeer[] = "127.0.0.2";
+
+store::Object MakeObject(const std::string& name,
+                         std::int64_t revision,
+                         bool draining = false) {
+  store::Object object;
+  object.name = name;
+  object.revision = revision;
+  object.spec = {{"draining", draining}};
+  return object;
+}
+
+Result<gateway::EndpointEntry> ReadEndpoint(const std::string& id,
+                                            const nlohmann::json& spec) {
+  gateway::EndpointEntry entry;
+  entry.id = id;
+  entry.service = "service";
+  entry.address = {boost::asio::ip::make_address("127.0.0.9"), 80};
+  entry.slots = 1;
+  entry.draining = spec.value("draining", false);
+  return entry;
+}
+
+/// Accepts connections of daemons that fetch all endpoints, and answers them or
+/// is silent for good.
+struct FetchedFrom {
+  FetchedFrom(boost::asio::io_context* io,
+              const char* host,
+              unsigned short port,
+              std::string response)
+      : acceptor(*io, tcp::endpoint(boost::asio::ip::make_address(host), port)),
+        response(std::move(response)) {
+    this->Accept();
+  }
+
+  void Accept() {
+    auto socket = std::make_shared<tcp::socket>(this->acceptor.get_executor());
+    this->acceptor.async_accept(
+        *socket, [this, socket](const boost::system::error_code& ec) {
+          if (ec)
+            return;
+          this->held.push_back(socket);
+          this->Accept();
+          if (this->response.empty())
+            return;
+          boost::asio::async_read_until(
+              *socket, boost::asio::dynamic_buffer(this->request), "\r\n\r\n",
+              [this, socket](const boost::system::error_code&, std::size_t) {
+                boost::asio::write(*socket,
+                                   boost::asio::buffer(this->response));
+              });
+        });
+  }
+
+  tcp::acceptor acceptor;
+  std::string response;
+  std::string request;
+  std::vector<std::shared_ptr<tcp::socket>> held;
+};
+
+/// Returns the response with all endpoints, which are one, at a revision.
+std::string SnapshotResponse(std::int64_t revision) {
+  fleet::gen::EndpointNews one;
+  one.id = "a";
+  one.revision = revision;
+  one.__set_fields(
+      fleet::ToWire(ReadEndpoint("a", nlohmann::json::object()).value()));
+  fleet::gen::StoreBatch all;
+  all.to_revision = revision;
+  all.changes = {one};
+  fleet::gen::StoreNews news;
+  news.batches = {all};
+  fleet::gen::Datagram datagram;
+  datagram.__set_store_news(news);
+  const std::string body = fleet::Encode(datagram);
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\nConnection: close\r\n\r\n" + body;
+}
+
+/// A view of a daemon in a large fleet, and one other daemon.
+struct Fixture {
+  boost::asio::io_context io;
+  unsigned short port = testing::FreePort(kOwn);
+  DecisionLog log{open("/dev/null", O_WRONLY), "test"};
+  gateway::Gateway gateway{&this->io};
+  fleet::Fleet fleet{&this->io, &this->gateway};
+  net::HttpClient client{&this->io};
+  daemon::Deployment deployment;
+  store::ObjectStore store;
+  std::vector<store::Handler<Listing>> lists;    ///< Of endpoints.
+  std::vector<store::Handler<Changes>> watches;  ///< Of endpoints.
+  udp::socket peer{this->io,
+                   {boost::asio::ip::make_address(kPeer), this->port}};
+  std::int64_t sequence = 0;
+  daemon::StoreView view;
+
+  Fixture()
+      : view(&this->io,
+             this->Prepare(),
+             &this->store,
+             &this->gateway,
+             &this->fleet,
+             &this->log,
+             kLimit,
+             &this->client,
+             this->port) {
+    this->fleet.on_seen_revisions = [this](const fleet::SeenRevisions& seen) {
+      this->view.CatchUp(seen);
+    };
+    CHECK(static_cast<bool>(this->fleet.Open(this->Own())));
+    for (unsigned char i = 2; i < 40; ++i)
+      this->fleet.AddPeer(boost::asio::ip::address_v4({127, 0, 0, i}));
+    this->view.Start();
+  }
+
+  const daemon::Deployment* Prepare() {
+    this->gateway.log = &this->log;
+    this->deployment.endpoint_kind = "endpoints";
+    this->deployment.config_kind = "configs";
+    this->deployment.read_endpoint = ReadEndpoint;
+    this->store.list = [this](const std::string& kind, store::Freshness,
+                              store::Handler<Listing> handler) {
+      if (kind == this->deployment.endpoint_kind)
+        this->lists.push_back(std::move(handler));
+    };
+    this->store.watch = [this](const std::string& kind, std::int64_t,
+                               Milliseconds, store::Freshness,
+                               store::Handler<Changes> handler) {
+      if (kind == this->deployment.endpoint_kind)
+        this->watches.push_back(std::move(handler));
+    };
+    return &this->deployment;
+  }
+
+  /// Another daemon reports that it has seen a departure.
+  void Report(const char* from, std::int64_t revision) {
+    fleet::gen::Report report;
+    report.incarnation = 1;
+    report.sequence = ++this->sequence;
+    report.endpoints_revision = revision;
+    fleet::gen::Datagram datagram;
+    datagram.__set_report(report);
+    udp::socket socket(this->io, {boost::asio::ip::make_address(from), 0});
+    socket.send_to(boost::asio::buffer(fleet::Encode(datagram)), this->Own());
+  }
+
+  udp::endpoint Own() const {
+    return {boost::asio::ip::make_address(kOwn), this->port};
+  }
+
+  /// Returns the batches that the view sends a daemon that knows `revision`.
+  std::vector<fleet::gen::StoreBatch> BatchesSince(std::int64_t revision) {
+    this->fleet.on_store_news_request(
+        revision, boost::asio::ip::make_address_v4(kPeer).to_uint());
+    std::vector<fleet::gen::StoreBatch> batches;
+    std::array<char, 2048> buffer{};
+    while (this->peer.available() > 0) {
+      const std::size_t length =
+          this->peer.receive(boost::asio::buffer(buffer));
+      const auto datagram =
+          fleet::Decode(std::string_view(buffer.data(), length));
+      if (!datagram || !datagram.value().__isset.store_news)
+        continue;
+      const fleet::gen::StoreNews& news = datagram.value().store_news;
+      batches.insert(batches.end(), news.batches.begin(), news.batches.end());
+    }
+    return batches;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(StoreView){};
+
+// Guards against a batch that leads others past a departure without containing
+// it: a later page of the reader's listing has shown it already, so that the
+// watch that follows changes nothing in the reader. The others would count as
+// complete without it.
+TEST(StoreView, TellsWhatALaterPageOfAListingHasShown) {
+  struct Row {
+    const char* name;
+    bool deleted;
+  };
+  const Row rows[] = {{"deleted", true}, {"draining", false}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.lists[0](Listing{{MakeObject("a", 5), MakeObject("b", 6)}, 10});
+    fixture.view.Tick();
+    fixture.lists.clear();
+    fixture.view.Refresh();
+    CHECK_TEXT(!fixture.lists.empty(), row.name);
+    // The revision is that of the first page, "b" is on the second.
+    Listing listing{{MakeObject("a", 5)}, 20};
+    if (!row.deleted)
+      listing.objects.push_back(MakeObject("b", 21, true));
+    fixture.lists[0](listing);
+    while (fixture.watches.empty())
+      fixture.io.run_one_for(kLimit);
+    Changes changes;
+    changes.revision = 21;
+    changes.changes = {{MakeObject("b", 21, true), row.deleted}};
+    fixture.watches.back()(changes);
+    // Another daemon that has listed at the same revision, from its first page.
+    const auto batches = fixture.BatchesSince(20);
+    LONGS_EQUAL_TEXT(1, batches.size(), row.name);
+    LONGS_EQUAL_TEXT(21, batches[0].to_revision, row.name);
+    LONGS_EQUAL_TEXT(1, batches[0].changes.size(), row.name);
+    CHECK_EQUAL_TEXT(row.deleted, batches[0].changes[0].deleted, row.name);
+  }
+}
+
+// Guards against a departure that stays unknown for as long as a connection to
+// one other daemon takes to time out, while the next daemon would answer.
+TEST(StoreView, RecoversBesideASilentDaemon) {
+  constexpr std::int64_t kDeparture = 30;
+  constexpr Milliseconds kMost{1100};
+  Fixture fixture;
+  fixture.lists[0](Listing{{MakeObject("a", 5), MakeObject("b", 6)}, 10});
+  fixture.view.Tick();
+  const FetchedFrom silent(&fixture.io, kPeer, fixture.port, "");
+  const FetchedFrom other(&fixture.io, "127.0.0.3", fixture.port,
+                          SnapshotResponse(kDeparture));
+  // Nobody answers requests for single changes. The silent one is the only one
+  // whose report shows the departure when the first fetch begins.
+  const TimePoint start = BootNow();
+  fixture.Report(kPeer, kDeparture);
+  while (silent.held.empty() && BootNow() < start + kLimit)
+    fixture.io.run_one_for(kLimit);
+  CHECK(!silent.held.empty());
+  const TimePoint silent_at = BootNow();
+  while (fixture.view.Endpoints().Revision() < kDeparture &&
+         BootNow() < start + kLimit) {
+    fixture.Report("127.0.0.3", kDeparture);
+    fixture.io.run_for(Milliseconds(20));
+  }
+  CHECK(fixture.view.Endpoints().Revision() >= kDeparture);
+  CHECK(fixture.gateway.endpoints.endpoints.count("b") == 0);
+  CHECK(BootNow() - silent_at < kMost);
+}
