Config check: Faults and differences of a platform configuration

Cause: operators of the users' platform send one JSON object that nothing checks before. A daemon names only the first route that it rejects and ignores wrong members silently. Decisions are in src/config_check/, the reader with places in platform/check/, which the deploy build does not contain.

--- a/app/command_diff.cc
+++ b/app/command_diff.cc
@@ -5,8 +5,14 @@
 
 #include "config/apply.h"
 #include "config/stored_configuration.h"
+#include "config_check/check.h"
+#include "config_check/diff.h"
 #include "directory.h"
 #include "output.h"
+#include "platform/address.h"
+#include "platform/check/document_reader.h"
+#include "platform/check/stored_text.h"
+#include "platform_config.h"
 
 namespace coltsfootvane {
 namespace {
@@ -15,7 +21,8 @@
 constexpr double kCallsPerSecond = 100;
 
 struct DiffOptions {
-  std::string directory;
+  std::string directory;  ///< Or the base of the platform's configuration.
+  std::string platform_config;
   http::Address platform;
   int timeout_ms = 15000;
   OutputFormat output = OutputFormat::kText;
@@ -59,6 +66,59 @@
   return kExitOk;
 }
 
+/// Reads the configuration in force. Its findings are of no interest here, as
+/// long as it can be read.
+std::optional<config_check::Document> ReadBase(const DiffOptions& options) {
+  config_check::Issues issues;
+  std::optional<config_check::Document> base;
+  if (options.platform.port == 0) {
+    base = platform::ReadCheckedDocument(options.directory, &issues);
+  } else {
+    const std::string address = http::FormatAddress(options.platform);
+    const auto endpoint = platform::ParseAddress(address);
+    if (!endpoint) {
+      PrintError("'" + address + "' is not IP:PORT");
+      return std::nullopt;
+    }
+    const auto text =
+        platform::ReadStoredText(*endpoint, Milliseconds{options.timeout_ms});
+    if (!text) {
+      PrintError(text.error());
+      return std::nullopt;
+    }
+    base = platform::ReadDocument(address, text.value(), &issues);
+  }
+  if (!base)
+    PrintIssues(issues);
+  return base;
+}
+
+int RunPlatformDiff(const DiffOptions& options) {
+  config_check::Issues issues;
+  const auto wanted =
+      platform::ReadCheckedDocument(options.platform_config, &issues);
+  PrintIssues(issues);
+  if (!wanted || HasErrors(issues))
+    return kExitFailure;
+  const auto base = ReadBase(options);
+  if (!base)
+    return kExitFailure;
+  PrintDifference(options, base->version,
+                  config_check::DiffDocuments(*base, *wanted));
+  return kExitOk;
+}
+
+/// Returns why the options do not fit together, or an empty text.
+std::string UsageFault(const DiffOptions& options) {
+  const bool has_address = options.platform.port != 0;
+  const bool has_input = !options.directory.empty();
+  if (options.platform_config.empty() && !(has_input && has_address))
+    return "DIR and --platform are required";
+  if (!options.platform_config.empty() && has_input == has_address)
+    return "--platform-config needs either BASE or --platform";
+  return "";
+}
+
 }  // namespace
 
 void AddDiffCommand(CLI::App* app, int* exit_code) {
@@ -67,19 +127,34 @@
       "diff", "Show what applying a directory would change");
   command
       ->add_option("directory", options->directory,
-                   "Directory with the *.yaml files")
-      ->type_name("DIR")
-      ->required();
+                   "Directory with the *.yaml files, or the file with the "
+                   "platform's configuration in force")
+      ->type_name("DIR|BASE");
+  command
+      ->add_option("--platform-config", options->platform_config,
+                   "JSON file with a configuration of the users' platform, "
+                   "compared with the file BASE or the store at --platform")
+      ->type_name("FILE");
   AddAddressOption(command, "--platform", "Address of the platform's API",
-                   &options->platform);
+                   &options->platform)
+      ->required(false);
   AddTimeoutOption(command, &options->timeout_ms);
   AddOutputOption(command, &options->output);
   command->footer(
       "Lines: + added, - removed, ~ changed. Exit code: 0 with or without a\n"
       "difference, 1 with findings or if the platform cannot be read.\n"
-      "Example:\n"
-      "  coltsfootvane diff examples/shop --platform 127.0.0.1:8090");
-  command->callback([options, exit_code] { *exit_code = RunDiff(*options); });
+      "Examples:\n"
+      "  coltsfootvane diff examples/shop --platform 127.0.0.1:8090\n"
+      "  coltsfootvane diff --platform-config new.json in_force.json\n"
+      "  coltsfootvane diff --platform-config new.json --platform "
+      "127.0.0.1:8090");
+  command->callback([options, exit_code] {
+    const std::string fault = UsageFault(*options);
+    if (!fault.empty())
+      throw CLI::ValidationError(fault);
+    *exit_code = options->platform_config.empty() ? RunDiff(*options)
+                                                  : RunPlatformDiff(*options);
+  });
 }
 
 }  // namespace coltsfootvane
--- a/app/output.cc
+++ b/app/output.cc
@@ -21,16 +21,16 @@
       ->type_name("FORMAT");
 }
 
-void AddAddressOption(CLI::App* command,
-                      const std::string& option,
-                      const std::string& description,
-                      http::Address* address) {
+CLI::Option* AddAddressOption(CLI::App* command,
+                              const std::string& option,
+                              const std::string& description,
+                              http::Address* address) {
   const auto parse = [address](const std::string& text) {
     *address = http::ParseAddress(text);
     if (address->port == 0)
       throw CLI::ValidationError("'" + text + "' is not HOST:PORT");
   };
-  command->add_option_function<std::string>(option, parse, description)
+  return command->add_option_function<std::string>(option, parse, description)
       ->type_name("HOST:PORT")
       ->required();
 }
--- a/app/output.h
+++ b/app/output.h
@@ -21,11 +21,11 @@
                      OutputFormat* format,
                      const std::string& default_name = "text");
 
-/// Adds `option HOST:PORT`, which is required.
-void AddAddressOption(CLI::App* command,
-                      const std::string& option,
-                      const std::string& description,
-                      http::Address* address);
+/// Adds `option HOST:PORT`, which is required unless the caller changes that.
+CLI::Option* AddAddressOption(CLI::App* command,
+                              const std::string& option,
+                              const std::string& description,
+                              http::Address* address);
 
 /// Adds `--timeout-ms`, the time for the whole command.
 void AddTimeoutOption(CLI::App* command, int* timeout_ms);
