--- a/src/config_check/check.cc
+++ b/src/config_check/check.cc
@@ -43,7 +43,13 @@
   if (entry.route.host.empty())
     Add(issues, entry.place, Level::kError,
         name + " has no host and matches no request that names one");
-  if (path.empty() || path.front() != '/')
+  else if (entry.route.host.find_first_of(":/ ") != std::string::npos)
+    Add(issues, entry.place, Level::kError,
+        name + " never matches: its host is more than a name");
+  if (path.find_first_of("?# ") != std::string::npos)
+    Add(issues, entry.path, Level::kError,
+        name + " never matches: its path has a character that no path has");
+  else if (path.empty() || path.front() != '/')
     Add(issues, entry.path, Level::kError,
         name + " never matches: its path does not begin with a slash");
   else if (path.back() != '/')
--- a/src/config_check/check_unittest.cc
+++ b/src/config_check/check_unittest.cc
@@ -47,6 +47,11 @@
 const Row kFaults[] = {
     {"error: route 'r' has no host and matches no request that names one",
      [](Document* d) { d->routes[0].route.host.clear(); }},
+    {"error: route 'r' never matches: its host is more than a name",
+     [](Document* d) { d->routes[0].route.host = "h:80"; }},
+    {"error: route 'r' never matches: its path has a character that no path "
+     "has",
+     [](Document* d) { d->routes[0].route.path_prefix = "/p?a=/"; }},
     {"error: route 'r' never matches: its path does not begin with a slash",
      [](Document* d) { d->routes[0].route.path_prefix = "p/"; }},
     {"warning: route 'r' also matches longer names: its path does not end with "
@@ -171,8 +176,14 @@
      [](Document* d) { d->teams[0].team.quota.per_second = 4.5; }},
     {"~ team t: per_second 5 -> unlimited",
      [](Document* d) { d->teams[0].team.quota.per_second = 0; }},
-    {"requests with it get 401 except on public routes",
+    {": requests of team t with it get 401 except on public routes",
      [](Document* d) { d->teams[0].team.keys[0] = "other-key"; }},
+    {"- team t: its requests get 401 except on public routes",
+     [](Document* d) {
+       d->teams[0].team.name = "u";
+       d->teams[0].team.keys[0] = "other-key";
+     }},
+    {"- team t", [](Document* d) { d->teams.clear(); }},
     {"~ teams: none are left, no request needs a key",
      [](Document* d) { d->teams.clear(); }},
     {"~ service s: max_connections 0 -> 3 (more requests wait)",
--- a/src/config_check/diff.cc
+++ b/src/config_check/diff.cc
@@ -11,7 +11,7 @@
 namespace coltsfootvane::config_check {
 namespace {
 
-/// An entry as text, with what callers notice if it is removed.
+/// The values of an entry as text, and what callers notice if it is removed.
 struct Item {
   std::map<std::string, std::string> values;
   std::string removed;
@@ -120,10 +120,12 @@
                         "requests for it fail"});
 }
 
-void DescribeTeam(const team::Team& team, Items* items) {
+/// `needs_keys` tells whether requests need a key afterwards.
+void DescribeTeam(const team::Team& team, bool needs_keys, Items* items) {
   const team::Quota& quota = team.quota;
   Item item;
-  item.removed = "its requests get 401 except on public routes";
+  if (needs_keys)
+    item.removed = "its requests get 401 except on public routes";
   item.values = {
       {"rank", team.rank ? Text(*team.rank) : "route's"},
       {"unit", quota.unit == team::QuotaUnit::kTokens ? "tokens" : "requests"},
@@ -132,13 +134,16 @@
       {"burst", Text(quota.burst)},
       {"plain_units", Text(quota.plain_units)}};
   items->emplace("team " + team.name, item);
-  for (const std::string& key : team.keys)
-    items->emplace("key " + KeyDigest(key),
-                   Item{{{"team", team.name}},
-                        "requests with it get 401 except on public routes"});
+  for (const std::string& key : team.keys) {
+    Item held{{{"team", team.name}}, ""};
+    if (needs_keys)
+      held.removed = "requests of team " + team.name +
+                     " with it get 401 except on public routes";
+    items->emplace("key " + KeyDigest(key), held);
+  }
 }
 
-Items Describe(const Document& document) {
+Items Describe(const Document& document, bool needs_keys) {
   Items items;
   for (const RouteEntry& entry : document.routes)
     DescribeRoute(entry.route, &items);
@@ -151,7 +156,7 @@
       DescribeEngine(service.name, *service.engine, &items);
   }
   for (const TeamEntry& entry : document.teams)
-    DescribeTeam(entry.team, &items);
+    DescribeTeam(entry.team, needs_keys, &items);
   const gateway::CallerLimits& limits = document.limits;
   items.emplace(
       "limits",
@@ -228,8 +233,8 @@
                                        const Document& to) {
   std::vector<std::string> lines;
   DiffWhole(from, to, &lines);
-  const Items before = Describe(from);
-  const Items after = Describe(to);
+  const Items before = Describe(from, !to.teams.empty());
+  const Items after = Describe(to, !to.teams.empty());
   for (const auto& [name, item] : before) {
     const auto found = after.find(name);
     if (found == after.end())
