--- a/src/config_check/diff.cc
+++ b/src/config_check/diff.cc
@@ -197,9 +197,11 @@
   std::string text;
   for (const auto& [field, value] : to.values) {
     const std::string& before = from.values.at(field);
-    if (before != value)
-      text += (text.empty() ? "" : ", ") + field + " " + before + " -> " +
-              value + EffectOf(field, before, value);
+    if (before == value)
+      continue;
+    text.append(text.empty() ? "" : ", ").append(field).append(" ");
+    text.append(before).append(" -> ").append(value);
+    text.append(EffectOf(field, before, value));
   }
   return text;
 }
