Tests: Crowds of callers outside our control at serve

The bodies of all requests at serve are bounded by max_body_bytes x threads (256 MB by default) whatever memory the VM has, and connections are not bounded. The settings limits.memory_mb and limits.max_fds are read and not used yet, so that these tests run on the present server. The measurements of a process move from uncontrolled_callers_test.cc to process_usage.*, without a change.

--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -93,6 +93,13 @@
                "'keep_seconds' and 'keep_hours' exclude each other");
 }
 
+void ReadLimits(MapReader* map, Settings* settings) {
+  ReadInteger(map, "memory_mb", kOptional, {64, 64LL * 1024 * 1024},
+              &settings->memory_mb);
+  ReadInteger(map, "max_fds", kOptional, {256, 1024 * 1024},
+              &settings->max_fds);
+}
+
 void ReadSections(MapReader* root, Settings* settings) {
   ReadSection(root, "entry", kRequired,
               [settings](MapReader* map) { ReadEntry(map, settings); });
@@ -112,6 +119,8 @@
     ReadChoice<DispatchMode>(map, "mode", kOptional, kDispatchModes,
                              &settings->dispatch_mode);
   });
+  ReadSection(root, "limits", kOptional,
+              [settings](MapReader* map) { ReadLimits(map, settings); });
 }
 
 /// All three listeners use TCP, so no two may share an address.
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -38,6 +38,8 @@
   int stop_timeout_ms = 60000;
   int records_keep_s = 168 * 3600;
   DispatchMode dispatch_mode = DispatchMode::kGranted;
+  int memory_mb = 0;  ///< Of the VM; 0 for what the system reports.
+  int max_fds = 0;    ///< Of the process; 0 for the limit of the system.
 };
 
 /// Parses YAML `text`. Every fault found is added to `findings`; the result is
--- /dev/null
+++ b/tests/integration/process_usage.h
@@ -0,0 +1,20 @@
+#ifndef COLTSFOOTVANE_TESTS_INTEGRATION_PROCESS_USAGE_H_
+#define COLTSFOOTVANE_TESTS_INTEGRATION_PROCESS_USAGE_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace coltsfootvane::testing {
+
+/// Returns the value of a line of /proc/PID/status in KB; 0 without one.
+long StatusKb(int pid, const std::string& name);
+
+int OpenDescriptors(int pid);
+
+/// Returns the bytes that the kernel has received for the address and nobody
+/// has read, in KB.
+long UnreadKb(const boost::asio::ip::tcp::endpoint& address);
+
+}  // namespace coltsfootvane::testing
+
+#endif  // COLTSFOOTVANE_TESTS_INTEGRATION_PROCESS_USAGE_H_
--- a/tests/integration/site.h
+++ b/tests/integration/site.h
@@ -57,6 +57,8 @@
   std::string survival_goal = "vm";
   int entry_threads = 128;
   int records_keep_seconds = 604800;
+  int memory_mb = 0;  ///< Setting `limits.memory_mb`; 0 for its default.
+  int max_fds = 0;    ///< Setting `limits.max_fds`; 0 for its default.
   std::vector<std::string> engine_arguments;  ///< Added to every engine's.
   std::vector<std::string> platform_arguments;
 };
--- a/tests/integration/site_configuration.cc
+++ b/tests/integration/site_configuration.cc
@@ -138,6 +138,9 @@
           "\n  stop_timeout_ms: 30000\nrecords:\n  keep_seconds: " +
           std::to_string(this->options.records_keep_seconds) +
           "\ndispatch:\n  mode: " + this->options.dispatch_mode + "\n";
+  if (this->options.memory_mb > 0)
+    text += "limits:\n  memory_mb: " + std::to_string(this->options.memory_mb) +
+            "\n  max_fds: " + std::to_string(this->options.max_fds) + "\n";
   this->WriteFile(daemon.id + ".yaml", text);
   if (daemon.platform_proxy_control.port == 0)
     return;
--- a/tests/integration/uncontrolled_callers_test.cc
+++ b/tests/integration/uncontrolled_callers_test.cc
@@ -1,14 +1,12 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <string>
 #include <vector>
 
 #include "caller_crowd.h"
 #include "gateway_process.h"
+#include "process_usage.h"
 #include "replica_site.h"
 #include "support/free_port.h"
 #include "support/replica_standin.h"
@@ -20,8 +18,11 @@
 using testing::CallerCrowd;
 using testing::CrowdHead;
 using testing::CrowdInput;
+using testing::OpenDescriptors;
 using testing::ReceivedRequest;
 using testing::ReplicaStandin;
+using testing::StatusKb;
+using testing::UnreadKb;
 
 namespace {
 
@@ -47,54 +48,6 @@
   return config;
 }
 
-/// Returns the value of a line of /proc/PID/status in KB.
-long StatusKb(int pid, const std::string& name) {
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  for (std::string line; std::getline(status, line);) {
-    if (line.rfind(name, 0) == 0)
-      return std::atol(line.c_str() + name.size());
-  }
-  return 0;
-}
-
-int OpenDescriptors(int pid) {
-  int count = 0;
-  std::error_code error;
-  const std::filesystem::directory_iterator list(
-      "/proc/" + std::to_string(pid) + "/fd", error);
-  if (error)
-    return 0;
-  for (auto entry = begin(list); entry != end(list); entry.increment(error))
-    ++count;
-  return count;
-}
-
-/// Returns the bytes that the kernel has received for the address and nobody
-/// has read, in KB.
-long UnreadKb(const net::tcp::endpoint& address) {
-  char local[32];
-  std::snprintf(local, sizeof(local), "%08X:%04X",
-                htonl(address.address().to_v4().to_uint()), address.port());
-  std::ifstream table("/proc/net/tcp");
-  unsigned long bytes = 0;
-  std::string line;
-  std::getline(table, line);
-  while (std::getline(table, line)) {
-    std::istringstream words(line);
-    std::string number;
-    std::string from;
-    std::string to;
-    std::string state;
-    std::string queues;
-    words >> number >> from >> to >> state >> queues;
-    // In the state 0A (listening) the queue counts connections.
-    if (from != local || state == "0A" || queues.size() < 17)
-      continue;
-    bytes += std::strtoul(queues.c_str() + 9, nullptr, 16);
-  }
-  return static_cast<long>(bytes / 1024);
-}
-
 struct Site {
   boost::asio::io_context io;
   std::string host = testing::OwnLoopbackHost();
