Http: Bound what callers of serve hold by the memory and descriptors of the VM

Cause: bodies were bounded by max_body_bytes x threads (256 MB by default), not by the memory of the VM, and connections not at all. Callers of a VM of 112 MB would have ended the process.

Change: http::CallerAccount counts connections, unfinished headers and bodies with the bounds and the order of ends of intake/policy.h. A body is admitted by its Content-Length before it is read: 413 above the cap at once, connections behind are reset if there is no room, 503 with Retry-After if there still is none. A request whose connection was ended does not run. Event 1406 counts ended connections. Bodies that stop arriving end by the read timeout of the library; a unit test states that (it held before).

--- a/src/entry/entry_server.cc
+++ b/src/entry/entry_server.cc
@@ -8,6 +8,7 @@
 #include "base/digest.h"
 #include "entry/completion_call.h"
 #include "entry/events.h"
+#include "entry/process_limits.h"
 #include "entry/service_call.h"
 #include "idempotency/store_breaker.h"
 
@@ -85,7 +86,12 @@
   options.on_headers_cut = [](int count) {
     LogEvent(kHeadersCut, "connections=" + std::to_string(count));
   };
+  options.on_callers_ended = [](int count) {
+    LogEvent(kCallersEnded, "connections=" + std::to_string(count));
+  };
   options.max_body_bytes = settings.entry_max_body_bytes;
+  options.bounds =
+      intake::BoundsFor(MemoryMb(settings), ConnectionDescriptors(settings));
   Result<std::unique_ptr<http::Server>> started = http::Server::Start(
       options, [this](const http::Request& request, http::ReplyStream& reply) {
         this->Handle(request, reply);
--- a/src/entry/events.h
+++ b/src/entry/events.h
@@ -15,6 +15,7 @@
                                                 "irreversible-call-unknown"};
 
 inline constexpr Event kHeadersCut{1405, Severity::kWarning, "headers-cut"};
+inline constexpr Event kCallersEnded{1406, Severity::kWarning, "callers-ended"};
 
 }  // namespace coltsfootvane
 
--- a/src/http/header_watch.cc
+++ b/src/http/header_watch.cc
@@ -16,6 +16,8 @@
 #include <memory>
 #include <utility>
 
+#include "http/socket_reset.h"
+
 namespace coltsfootvane::http {
 namespace {
 
@@ -44,11 +46,6 @@
   return ::getsockopt(fd, level, name, value, &size) == 0;
 }
 
-std::uint64_t CookieOf(int fd) {
-  std::uint64_t cookie = 0;
-  return ReadOption(fd, SOL_SOCKET, SO_COOKIE, &cookie) ? cookie : 0;
-}
-
 std::uint64_t BytesReceived(int fd) {
   tcp_info info = {};
   if (!ReadOption(fd, IPPROTO_TCP, TCP_INFO, &info))
@@ -77,19 +74,18 @@
   return received - std::min(received, unread);
 }
 
-/// Resets the connection. After shutdown() the library would go on reading what
-/// is in the receive buffer, and the kernel would go on filling it.
-bool Disconnect(int fd) {
-  sockaddr nobody = {};
-  nobody.sa_family = AF_UNSPEC;
-  return ::connect(fd, &nobody, sizeof(nobody)) == 0;
-}
-
 }  // namespace
 
 HeaderWatch::HeaderWatch(const Address& listen,
-                         std::function<void(int count)> on_cut)
-    : listen(listen), on_cut(std::move(on_cut)) {
+                         std::function<void(int count)> on_cut,
+                         std::function<void(int count)> on_ended,
+                         CallerAccount* account,
+                         int max_descriptors)
+    : listen(listen),
+      on_cut(std::move(on_cut)),
+      on_ended(std::move(on_ended)),
+      account(account),
+      max_descriptors(max_descriptors) {
   this->thread = std::thread([this] { this->Run(); });
 }
 
@@ -103,7 +99,7 @@
 }
 
 void HeaderWatch::BeginRequest(int fd) {
-  const std::uint64_t cookie = CookieOf(fd);
+  const std::uint64_t cookie = SocketCookie(fd);
   const std::lock_guard<std::mutex> lock(this->mutex);
   Connection& connection = this->connections[cookie];
   connection.in_request = true;
@@ -111,7 +107,7 @@
 }
 
 void HeaderWatch::EndRequest(int fd) {
-  const std::uint64_t cookie = CookieOf(fd);
+  const std::uint64_t cookie = SocketCookie(fd);
   const std::uint64_t bytes_read = MostBytesRead(fd);
   const std::lock_guard<std::mutex> lock(this->mutex);
   Connection& connection = this->connections[cookie];
@@ -128,7 +124,8 @@
   while (!this->stopping) {
     lock.unlock();
     const TimePoint now = Clock::now();
-    if (now >= next || ResidentPages(&memory) > resident + kGrowthPages) {
+    if (now >= next || ResidentPages(&memory) > resident + kGrowthPages ||
+        this->DescriptorsAreUsedUp()) {
       this->LookAtAll();
       next = now + kInterval;
       resident = ResidentPages(&memory);
@@ -139,6 +136,11 @@
   }
 }
 
+bool HeaderWatch::DescriptorsAreUsedUp() const {
+  // The kernel gives out the lowest free number.
+  return ::fcntl(this->max_descriptors, F_GETFD) != -1;
+}
+
 void HeaderWatch::LookAtAll() {
   const std::unique_ptr<DIR, int (*)(DIR*)> folder(::opendir("/proc/self/fd"),
                                                    &::closedir);
@@ -149,10 +151,17 @@
     ++this->pass;
   }
   this->cut = 0;
+  int open = 0;
   while (const dirent* const entry = ::readdir(folder.get())) {
-    if (entry->d_name[0] != '.')
-      this->LookAt(std::atoi(entry->d_name));
+    if (entry->d_name[0] == '.')
+      continue;
+    ++open;
+    this->LookAt(std::atoi(entry->d_name));
   }
+  const int ended =
+      this->account->Enforce(open - this->max_descriptors, Clock::now());
+  if (ended > 0 && this->on_ended)
+    this->on_ended(ended);
   if (this->cut > 0 && this->on_cut)
     this->on_cut(this->cut);
   this->ForgetClosed();
@@ -162,6 +171,8 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   for (auto it = this->connections.begin(); it != this->connections.end();) {
     const bool closed = it->second.pass + 1 < this->pass;
+    if (closed)
+      this->account->Forget(it->first);
     it = closed ? this->connections.erase(it) : std::next(it);
   }
 }
@@ -190,7 +201,7 @@
 }
 
 void HeaderWatch::LookAt(int fd) {
-  const std::uint64_t cookie = CookieOf(fd);
+  const std::uint64_t cookie = SocketCookie(fd);
   if (cookie == 0)
     return;
   {
@@ -198,7 +209,9 @@
     if (this->connections.count(cookie) == 0 && !this->IsOurs(fd))
       return;
     this->connections[cookie].pass = this->pass;
-    if (this->HeaderBytes(cookie, BytesReceived(fd)) <= kCutAbove)
+    const std::uint64_t bytes = this->HeaderBytes(cookie, BytesReceived(fd));
+    this->account->See(fd, cookie, bytes, Clock::now());
+    if (bytes <= kCutAbove)
       return;
   }
   this->CutIfTooLarge(fd, cookie);
@@ -210,11 +223,11 @@
   if (duplicate < 0)
     return;
   const std::uint64_t bytes_read = LeastBytesRead(duplicate);
-  if (CookieOf(duplicate) == cookie) {
+  if (SocketCookie(duplicate) == cookie) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     // What BeginRequest() and EndRequest() said since then counts.
     if (this->HeaderBytes(cookie, bytes_read) > kCutAbove) {
-      this->cut += Disconnect(duplicate) ? 1 : 0;
+      this->cut += ResetSocket(duplicate) ? 1 : 0;
     }
   }
   ::close(duplicate);
--- a/src/http/header_watch.h
+++ b/src/http/header_watch.h
@@ -10,21 +10,29 @@
 #include <thread>
 
 #include "base/clock.h"
+#include "http/caller_account.h"
 #include "http/message.h"
 
 namespace coltsfootvane::http {
 
 /// The library has no hook before a request's header is complete, and it keeps
 /// what it has read of it. This thread looks at the connections of one listener
-/// and resets those whose unfinished header is too large.
+/// and resets those whose unfinished header is too large. It also counts them
+/// in the account and applies its bounds.
 class HeaderWatch {
  public:
   /// Of one request's header.
   static constexpr std::size_t kMaxHeaderBytes = std::size_t{64} * 1024;
 
-  /// `on_cut` is told the connections of one pass, on the watch's thread. May
-  /// be empty.
-  HeaderWatch(const Address& listen, std::function<void(int count)> on_cut);
+  /// `on_cut` is told the connections of one pass with too large a header,
+  /// `on_ended` those that the account ended, on the watch's thread. Both may
+  /// be empty. Connections are ended while the process has more than
+  /// `max_descriptors`.
+  HeaderWatch(const Address& listen,
+              std::function<void(int count)> on_cut,
+              std::function<void(int count)> on_ended,
+              CallerAccount* account,
+              int max_descriptors);
   ~HeaderWatch();
 
   HeaderWatch(const HeaderWatch&) = delete;
@@ -44,6 +52,7 @@
   };
 
   void Run();
+  bool DescriptorsAreUsedUp() const;
   void LookAtAll();
   void LookAt(int fd);
   void ForgetClosed();
@@ -55,6 +64,9 @@
 
   Address listen;
   std::function<void(int count)> on_cut;
+  std::function<void(int count)> on_ended;
+  CallerAccount* account;
+  int max_descriptors;
   std::mutex mutex;
   std::condition_variable stopped;
   bool stopping = false;
--- a/src/http/http_unittest.cc
+++ b/src/http/http_unittest.cc
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -366,3 +367,29 @@
     ::close(fd);
   }
 }
+
+// Guards against a body that stops arriving and keeps its memory for as long as
+// its caller stays connected.
+TEST(Http, StalledBodiesEndByTheirTimeout) {
+  http::ServerOptions options;
+  options.listen = FreeAddress();
+  options.threads = 2;
+  options.read_timeout_ms = 200;
+  options.keep_alive_timeout_ms = 60000;
+  bool handled = false;
+  const auto server = http::Server::Start(
+      options,
+      [&handled](const http::Request&, http::ReplyStream&) { handled = true; });
+  CHECK(server.has_value());
+  for (const std::size_t arrived : {0, 10, 99999}) {
+    const int fd = Connect(options.listen);
+    CHECK(SendAll(fd,
+                  "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                  "100000\r\n\r\n" +
+                      std::string(arrived, 'b')));
+    pollfd entry{fd, POLLIN, 0};
+    LONGS_EQUAL(1, ::poll(&entry, 1, 5000));
+    ::close(fd);
+  }
+  CHECK(!handled);
+}
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -12,7 +12,6 @@
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <cerrno>
 #include <csignal>
 #include <cstdio>
@@ -20,7 +19,9 @@
 #include <thread>
 #include <utility>
 
+#include "http/caller_account.h"
 #include "http/header_watch.h"
+#include "http/socket_reset.h"
 
 namespace coltsfootvane::http {
 namespace detail {
@@ -46,19 +47,30 @@
   bool failed = false;
 };
 
+/// Returns the bounds of the process; large bodies also have their own bound.
+intake::Bounds BodyBounds(const ServerOptions& options) {
+  intake::Bounds bounds = options.bounds;
+  bounds.large_bytes =
+      std::min(bounds.large_bytes, options.max_body_bytes * options.threads);
+  return bounds;
+}
+
 class ServerState : public cxxtools::http::Service {
  public:
   ServerState(const ServerOptions& options, Handler handler)
-      : options(options), handler(std::move(handler)), server(this->loop) {}
+      : options(options),
+        handler(std::move(handler)),
+        account(BodyBounds(options), &ResetSocketOf),
+        server(this->loop) {}
 
   ServerOptions options;
   Handler handler;
+  CallerAccount account;
   /// Outlives the server's threads.
   std::unique_ptr<HeaderWatch> header_watch;
   cxxtools::EventLoop loop;
   cxxtools::http::Server server;
   std::thread thread;
-  std::atomic<std::size_t> body_bytes{0};  ///< Above kSmallBodyBytes of each.
 
  protected:
   cxxtools::http::Responder* createResponder(
@@ -70,9 +82,6 @@
 
 namespace {
 
-/// Above the bodies of most requests.
-constexpr std::size_t kSmallBodyBytes = 64UL * 1024;
-
 void CopyHeaders(const cxxtools::http::Request& from, Request* to) {
   for (auto it = from.header().begin(); it != from.header().end(); ++it)
     to->headers.push_back({it->first, it->second});
@@ -98,13 +107,17 @@
 
   void beginRequest(cxxtools::net::TcpSocket& new_socket,
                     std::istream&,
-                    cxxtools::http::Request&) override {
+                    cxxtools::http::Request& request) override {
+    this->ReleaseBody();
     this->socket = &new_socket;
+    this->cookie = SocketCookie(new_socket.getFd());
+    this->declared = request.header().contentLength();
     this->state->header_watch->BeginRequest(new_socket.getFd());
-    this->ReleaseBody();
   }
 
   std::size_t readBody(std::istream& in) override {
+    if (!this->is_admitted)
+      this->AdmitBody();
     std::array<char, 8192> buffer;
     std::size_t count = 0;
     while (in.rdbuf()->in_avail() > 0) {
@@ -112,10 +125,11 @@
       if (read <= 0)
         break;
       count += static_cast<std::size_t>(read);
-      this->TakeBytes({buffer.data(), static_cast<std::size_t>(read)});
+      this->body.append(buffer.data(), static_cast<std::size_t>(read));
       if (this->body.size() > this->state->options.max_body_bytes)
         throw BodyTooLarge();
     }
+    this->state->account.RecordBytes(this->cookie, count, Clock::now());
     return count;
   }
 
@@ -130,7 +144,11 @@
     converted.body = std::move(this->body);
     ReplyChannel channel(*this->socket, reply);
     ReplyStream stream(channel);
-    this->state->handler(converted, stream);
+    if (this->state->account.BeginServing(this->socket->getFd(), this->cookie,
+                                          Clock::now()))
+      this->state->handler(converted, stream);
+    else
+      stream.Abort();
     this->ReleaseBody();
     this->state->header_watch->EndRequest(this->socket->getFd());
     if (channel.streaming)
@@ -157,30 +175,31 @@
   }
 
  private:
-  /// Connections are not bounded, so the bodies of all have a common bound.
-  /// Small ones are exempt: large ones that never end must not exclude them.
-  void TakeBytes(std::string_view bytes) {
-    const std::size_t limit =
-        this->state->options.max_body_bytes * this->state->options.threads;
-    const std::size_t size = this->body.size() + bytes.size();
-    const std::size_t excess = size - std::min(size, kSmallBodyBytes);
-    const std::size_t added = excess - this->counted;
-    this->counted = excess;
-    const std::size_t before = this->state->body_bytes.fetch_add(added);
-    if (added > 0 && before + added > limit)
+  /// The library reads a body as it arrives and cannot be paused, so a body
+  /// without room is rejected instead of waiting for it.
+  void AdmitBody() {
+    if (this->declared > this->state->options.max_body_bytes)
+      throw BodyTooLarge();
+    if (!this->state->account.Admit(this->socket->getFd(), this->cookie,
+                                    this->declared, Clock::now()))
       throw BodiesTooLarge();
-    this->body.append(bytes);
+    this->is_admitted = true;
+    this->body.reserve(this->declared);
   }
 
   void ReleaseBody() {
-    this->state->body_bytes -= std::exchange(this->counted, 0);
     // Frees the memory, which clear() would keep.
     this->body = std::string();
+    this->is_admitted = false;
+    if (this->socket != nullptr)
+      this->state->account.Release(this->cookie, Clock::now());
   }
 
   ServerState* state;
-  std::size_t counted = 0;  ///< Part of the server's `body_bytes`.
   cxxtools::net::TcpSocket* socket = nullptr;
+  std::uint64_t cookie = 0;  ///< Of the socket.
+  std::size_t declared = 0;  ///< Length of the body, from the header.
+  bool is_admitted = false;  ///< The body counts in the account.
   std::string body;
 };
 
@@ -267,8 +286,9 @@
     state->server.readTimeout(options.read_timeout_ms);
     state->server.writeTimeout(options.write_timeout_ms);
     state->server.keepAliveTimeout(options.keep_alive_timeout_ms);
-    state->header_watch =
-        std::make_unique<HeaderWatch>(options.listen, options.on_headers_cut);
+    state->header_watch = std::make_unique<HeaderWatch>(
+        options.listen, options.on_headers_cut, options.on_callers_ended,
+        &state->account, options.bounds.caller_descriptors);
     state->server.listen(options.listen.host,
                          static_cast<unsigned short>(options.listen.port));
     state->server.addService(cxxtools::Regex(".*"), *state);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -8,6 +8,7 @@
 
 #include "base/result.h"
 #include "http/message.h"
+#include "intake/policy.h"
 
 namespace coltsfootvane::http {
 
@@ -51,16 +52,20 @@
 struct ServerOptions {
   Address listen;
   unsigned threads = 64;  ///< Bounds the requests in progress.
-  /// Of one request. What the bodies of all requests in progress have above 64
-  /// KB each is at most this times `threads`; a request beyond that is answered
-  /// with 503.
+  /// Of one request. The bodies above 64 KB of all requests in progress have at
+  /// most this times `threads`, or `bounds.large_bytes` if that is less; a
+  /// request beyond that is answered with 503.
   std::size_t max_body_bytes = 1024 * 1024;
   int read_timeout_ms = 10000;
   int write_timeout_ms = 10000;
   int keep_alive_timeout_ms = 15000;
+  /// For what callers hold; without limits by default.
+  intake::Bounds bounds;
   /// Told how many connections were closed for the size of their headers, on a
   /// thread of the server. May be empty.
   std::function<void(int count)> on_headers_cut;
+  /// The same for `bounds`.
+  std::function<void(int count)> on_callers_ended;
 };
 
 /// An HTTP/1.1 server on cxxtools. A body above the cap is answered with 413; a
--- a/src/settings/settings_unittest.cc
+++ b/src/settings/settings_unittest.cc
@@ -126,6 +126,29 @@
   CHECK(settings.dispatch_mode == DispatchMode::kGranted);
 }
 
+// Guards against limits that are not taken over, and against a default that
+// does not follow the system.
+TEST(Settings, LimitsFollowTheSystemUnlessSet) {
+  struct Row {
+    const char* limits;
+    int memory_mb;
+    int max_fds;
+    const char* findings;
+  };
+  const Row rows[] = {
+      {"", 0, 0, ""},
+      {"limits: {memory_mb: 112, max_fds: 2870}\n", 112, 2870, ""},
+  };
+  for (const Row& row : rows) {
+    Findings findings;
+    const Settings settings = ParseSettings(
+        "f", std::string(kComplete) + "\n" + row.limits, &findings);
+    STRCMP_EQUAL_TEXT(row.findings, Join(Format(findings)).c_str(), row.limits);
+    LONGS_EQUAL(row.memory_mb, settings.memory_mb);
+    LONGS_EQUAL(row.max_fds, settings.max_fds);
+  }
+}
+
 // Guards against a missing file that reads as empty settings.
 TEST(Settings, ReportsAnUnreadableFile) {
   Findings findings;
