Http: Reject chunked requests with 411 instead of running them without a body

Cause: cxxtools reads no chunked requests. The handler was called with an empty body, callers got 200, and the chunks were parsed as the next request of the connection. Seen with the crowds of ServeCallers (139 to 221 of 300 answered though no body was complete) and with one request to a stand-in.

Change: a request with Transfer-Encoding gets 411 and its connection ends; it does not run.

Measured: Http.ChunkedRequestsAreRejectedAndDoNotRun fails on the server before (200 instead of 411) and passes now.

--- a/src/http/http_unittest.cc
+++ b/src/http/http_unittest.cc
@@ -393,3 +393,32 @@
   }
   CHECK(!handled);
 }
+
+// Guards against a chunked request that runs with an empty body, and against
+// its chunks that run as a request of their own: the library reads no chunks.
+TEST(Http, ChunkedRequestsAreRejectedAndDoNotRun) {
+  const char* const fields[] = {
+      "Transfer-Encoding: chunked",
+      "transfer-encoding: CHUNKED",
+      "Transfer-Encoding: gzip, chunked",
+      "Content-Length: 0\r\nTransfer-Encoding: chunked",
+  };
+  http::Address address;
+  std::atomic<int> handled{0};
+  const auto server = StartServer(
+      &address, [&handled](const http::Request&, http::ReplyStream& reply) {
+        ++handled;
+        reply.Send({200, {}, "ok"});
+      });
+  for (const char* const field : fields) {
+    const int fd = Connect(address);
+    CHECK_TEXT(SendAll(fd, std::string("POST /x HTTP/1.1\r\nHost: x\r\n") +
+                               field + "\r\n\r\nGET /y HTTP/1.1\r\n\r\n"),
+               field);
+    // Up to the end of the connection.
+    const std::string answer = ReceiveUntil(fd, "never sent");
+    STRCMP_EQUAL_TEXT("HTTP/1.1 411", answer.substr(0, 12).c_str(), field);
+    ::close(fd);
+  }
+  LONGS_EQUAL(0, handled.load());
+}
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -25,6 +25,7 @@
     {408, "Request Timeout"},
     {409, "Conflict"},
     {410, "Gone"},
+    {411, "Length Required"},
     {413, "Content Too Large"},
     {422, "Unprocessable Content"},
     {429, "Too Many Requests"},
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -136,6 +136,10 @@
   void reply(std::ostream&,
              cxxtools::http::Request& request,
              cxxtools::http::Reply& reply) override {
+    if (request.hasHeader("Transfer-Encoding")) {
+      this->RejectUnknownLength(reply);
+      return;
+    }
     Request converted;
     converted.method = request.method();
     converted.path = request.url();
@@ -163,18 +167,31 @@
     const bool full = dynamic_cast<const BodiesTooLarge*>(&error) != nullptr;
     const int status = too_large ? 413 : full ? 503 : 500;
     this->ReleaseBody();
+    Reject(reply, status, too_large || full ? error.what() : "internal error");
+    if (full)
+      reply.setHeader("Retry-After", "1");
+  }
+
+ private:
+  static void Reject(cxxtools::http::Reply& reply,
+                     int status,
+                     std::string_view message) {
     reply.httpReturn(static_cast<unsigned>(status),
                      std::string(ReasonPhrase(status)));
     reply.setHeader("Content-Type", "application/json");
     reply.setHeader("Connection", "close");
-    if (full)
-      reply.setHeader("Retry-After", "1");
-    reply.bodyStream() << R"({"error":{"message":")"
-                       << (too_large || full ? error.what() : "internal error")
+    reply.bodyStream() << R"({"error":{"message":")" << message
                        << R"(","run":"no"}})";
   }
 
- private:
+  /// The library reads no chunks: the handler would get an empty body, and the
+  /// chunks would be taken as the next request.
+  void RejectUnknownLength(cxxtools::http::Reply& reply) {
+    this->ReleaseBody();
+    this->state->header_watch->EndRequest(this->socket->getFd());
+    Reject(reply, 411, "a request body needs a Content-Length");
+  }
+
   /// The library reads a body as it arrives and cannot be paused, so a body
   /// without room is rejected instead of waiting for it.
   void AdmitBody() {
