--- a/src/http/http_unittest.cc
+++ b/src/http/http_unittest.cc
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -366,3 +367,58 @@
     ::close(fd);
   }
 }
+
+// Guards against a body that stops arriving and keeps its memory for as long as
+// its caller stays connected.
+TEST(Http, StalledBodiesEndByTheirTimeout) {
+  http::ServerOptions options;
+  options.listen = FreeAddress();
+  options.threads = 2;
+  options.read_timeout_ms = 200;
+  options.keep_alive_timeout_ms = 60000;
+  bool handled = false;
+  const auto server = http::Server::Start(
+      options,
+      [&handled](const http::Request&, http::ReplyStream&) { handled = true; });
+  CHECK(server.has_value());
+  for (const std::size_t arrived : {0, 10, 99999}) {
+    const int fd = Connect(options.listen);
+    CHECK(SendAll(fd,
+                  "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: "
+                  "100000\r\n\r\n" +
+                      std::string(arrived, 'b')));
+    pollfd entry{fd, POLLIN, 0};
+    LONGS_EQUAL(1, ::poll(&entry, 1, 5000));
+    ::close(fd);
+  }
+  CHECK(!handled);
+}
+
+// Guards against a chunked request that runs with an empty body, and against
+// its chunks that run as a request of their own: the library reads no chunks.
+TEST(Http, ChunkedRequestsAreRejectedAndDoNotRun) {
+  const char* const fields[] = {
+      "Transfer-Encoding: chunked",
+      "transfer-encoding: CHUNKED",
+      "Transfer-Encoding: gzip, chunked",
+      "Content-Length: 0\r\nTransfer-Encoding: chunked",
+  };
+  http::Address address;
+  std::atomic<int> handled{0};
+  const auto server = StartServer(
+      &address, [&handled](const http::Request&, http::ReplyStream& reply) {
+        ++handled;
+        reply.Send({200, {}, "ok"});
+      });
+  for (const char* const field : fields) {
+    const int fd = Connect(address);
+    CHECK_TEXT(SendAll(fd, std::string("POST /x HTTP/1.1\r\nHost: x\r\n") +
+                               field + "\r\n\r\nGET /y HTTP/1.1\r\n\r\n"),
+               field);
+    // Up to the end of the connection.
+    const std::string answer = ReceiveUntil(fd, "never sent");
+    STRCMP_EQUAL_TEXT("HTTP/1.1 411", answer.substr(0, 12).c_str(), field);
+    ::close(fd);
+  }
+  LONGS_EQUAL(0, handled.load());
+}
