Gateway: Treat an answer without a length as broken if its endpoint leaves

Cause: at the end of a connection that ends an answer without a length, OnUnframedEnd() took what had arrived as complete if the endpoint took no new work. Such an endpoint may be killed within the answer: callers got 200 and the length of a part, or a stream with its last chunk. A host that did not answer the connection attempt counted as healthy.

Change: such an answer is complete only if the endpoint takes new work, before and after the connection attempt, and accepts the connection.

--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -295,12 +295,13 @@
                                                     : "connection failed");
 }
 
-/// An answer without a length ends with its connection, and so does that of an
-/// endpoint that crashes meanwhile. Nothing listens at the address of the
-/// latter.
+/// An answer without a length ends with its connection, and so does that of a
+/// process that ends. It is complete only if the endpoint has not been listed
+/// or stated as leaving, removed or restarted, and something listens at its
+/// address. See "Answers without a length" in docs/design.md.
 void Exchange::OnUnframedEnd() {
   if (!TakesNewWork(*this->endpoint)) {
-    this->OnAnswerDone();
+    this->OnSendBroken("endpoint leaves");
     return;
   }
   net::CheckListening(
@@ -310,8 +311,13 @@
         const auto self = weak.lock();
         if (!self || self->finished || self->send_generation != current)
           return;
-        if (state == net::ListenState::kRefused)
+        // The endpoint may have left during the check.
+        if (!TakesNewWork(*self->endpoint))
+          self->OnSendBroken("endpoint leaves");
+        else if (state == net::ListenState::kRefused)
           self->OnSendBroken("endpoint crashed");
+        else if (state == net::ListenState::kUnreachable)
+          self->OnSendBroken("endpoint unreachable", true);
         else
           self->OnAnswerDone();
       });
--- a/tests/support/gateway_scene.cc
+++ b/tests/support/gateway_scene.cc
@@ -201,6 +201,14 @@
     stream->Write(std::string_view(bytes));
 }
 
+void GatewayScene::AnswerLateAndClose(const std::string& bytes) {
+  const auto stream = this->unanswered.lock();
+  if (!stream)
+    return;
+  stream->Write(std::string_view(bytes));
+  stream->CloseAfterWrite();
+}
+
 void GatewayScene::AddEndpoint(const std::string& id) {
   const tcp::endpoint address(
       boost::asio::ip::make_address(this->host),
--- a/tests/support/gateway_scene.h
+++ b/tests/support/gateway_scene.h
@@ -52,6 +52,8 @@
   void CallAndLeave(const std::string& request);
   /// Answers the last request that got no scripted answer.
   void AnswerLate(const std::string& bytes);
+  /// The same, and ends the connection.
+  void AnswerLateAndClose(const std::string& bytes);
   /// Runs the loop until the condition holds; false after 5 s.
   bool RunUntil(const std::function<bool()>& condition);
 
