Gateway: Deliver unsent bytes of answers before a connection is closed

Cause: a caller's connection counted as idle as soon as its answer was written to TcpStream, which keeps what the kernel does not take. The close of idle connections at SIGTERM, the idle timeout, the linger of 0.5 s after a last answer and the end of the process dropped these bytes and closed in an ordinary way. Slow callers got a part of an answer that the daemon had read completely.

Change: TcpStream::CloseSocket() alone closes sockets, and resets those with unsent bytes. CallerConnection::CloseWhenSent() closes after a last answer; a connection is idle only without unsent bytes.

Integration tests not run.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -291,6 +291,12 @@
   }
 }
 
+void Daemon::EndUnsentAnswers() {
+  const std::size_t cut = this->gateway.intake->EndUnsent();
+  if (cut > 0)
+    this->log.Write(kAnswersCutOff, "", "callers=" + std::to_string(cut));
+}
+
 void Daemon::ForgetEndedConnections() {
   const auto ended = std::remove_if(
       this->connections.begin(), this->connections.end(),
@@ -327,7 +333,10 @@
   if (this->gateway.leaving) {
     if (now >= this->shutdown.last_answer_at)
       gateway::EndOpenRequests(&this->gateway);
-    if (IsComplete(&this->shutdown, this->gateway.exchanges, now)) {
+    const Pending pending{this->gateway.exchanges,
+                          this->gateway.intake->UnsentCount()};
+    if (IsComplete(&this->shutdown, pending, now)) {
+      this->EndUnsentAnswers();
       this->io.stop();
       return;
     }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -49,6 +49,8 @@
   void ApplyChangeable(const DaemonSettings& changed);
   void StartShutdown();
   void CloseIdleConnections();
+  /// Resets what slow callers have not taken within the grace period.
+  void EndUnsentAnswers();
   void ForgetEndedConnections();
   void Tick();
   /// Logs the calls to the store now and then, if there were any.
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -27,6 +27,9 @@
 
 inline constexpr Event kStoreReader{2411, Severity::kInfo, "store-reader"};
 
+inline constexpr Event kAnswersCutOff{2412, Severity::kWarning,
+                                      "answers-cut-off"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- a/src/daemon/shutdown.cc
+++ b/src/daemon/shutdown.cc
@@ -7,7 +7,7 @@
 
 /// The load balancer asks once a second and turns away after two misses.
 constexpr Milliseconds kTurnAwayTime{3500};
-/// For the last answers to reach callers that read slowly.
+/// For the kernel to send the last bytes.
 constexpr Milliseconds kLastAnswer{600};
 /// Until then callers may not know better than to come here.
 constexpr Milliseconds kLastRequest{2800};
@@ -41,10 +41,10 @@
   return next;
 }
 
-bool IsComplete(Shutdown* shutdown, int requests_in_progress, TimePoint now) {
+bool IsComplete(Shutdown* shutdown, const Pending& pending, TimePoint now) {
   if (now >= shutdown->ends)
     return true;
-  if (requests_in_progress > 0)
+  if (pending.requests > 0 || pending.unsent > 0)
     shutdown->last_busy = now;
   return now >= shutdown->began + kTurnAwayTime &&
          now >= shutdown->last_busy + kLastAnswer;
--- a/src/daemon/shutdown.h
+++ b/src/daemon/shutdown.h
@@ -1,6 +1,8 @@
 #ifndef COLTSFOOTVANE_DAEMON_SHUTDOWN_H_
 #define COLTSFOOTVANE_DAEMON_SHUTDOWN_H_
 
+#include <cstddef>
+
 #include "base/clock.h"
 
 namespace coltsfootvane::daemon {
@@ -14,8 +16,9 @@
   TimePoint last_request_at;
   /// Requests that are still in progress get a final answer.
   TimePoint last_answer_at;
-  TimePoint ends;       ///< At the latest.
-  TimePoint last_busy;  ///< When a request was last in progress.
+  TimePoint ends;  ///< At the latest.
+  /// When a request was last in progress or an answer unsent.
+  TimePoint last_busy;
 };
 
 /// `stop_timeout` is the time from the signal until the process is killed.
@@ -27,9 +30,15 @@
                     TimePoint now,
                     Milliseconds interval);
 
+/// What callers still wait for.
+struct Pending {
+  int requests = 0;        ///< In progress.
+  std::size_t unsent = 0;  ///< Callers with unsent bytes of their answers.
+};
+
 /// Returns whether the process can end: callers have had the time to turn to
 /// other daemons, and the last answers to reach them.
-bool IsComplete(Shutdown* shutdown, int requests_in_progress, TimePoint now);
+bool IsComplete(Shutdown* shutdown, const Pending& pending, TimePoint now);
 
 }  // namespace coltsfootvane::daemon
 
--- a/src/daemon/shutdown_unittest.cc
+++ b/src/daemon/shutdown_unittest.cc
@@ -5,6 +5,7 @@
 using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
 using daemon::BeginShutdown;
 using daemon::IsComplete;
+using daemon::Pending;
 using daemon::Shutdown;
 
 namespace {
@@ -22,20 +23,26 @@
   struct Row {
     const char* name;
     int busy_until_ms;
+    int unsent_until_ms;
     int complete_from_ms;
   };
   const Row rows[] = {
-      {"idle", 0, 3500},
-      {"short requests", 1000, 3500},
-      {"a request beyond the time to turn away", 5000, 5600},
-      {"a request that does not end", 100000, 7600},
+      {"idle", 0, 0, 3500},
+      {"short requests", 1000, 0, 3500},
+      {"a request beyond the time to turn away", 5000, 0, 5600},
+      {"a request that does not end", 100000, 0, 7600},
+      {"an answer that is read slowly", 1000, 5000, 5600},
+      {"an answer that is not read", 1000, 100000, 7600},
   };
   constexpr int kTickMs = 100;
   for (const Row& row : rows) {
     Shutdown shutdown = BeginShutdown(kStopTimeout, kSignal);
     int ms = 0;
-    while (!IsComplete(&shutdown, ms <= row.busy_until_ms ? 1 : 0,
-                       kSignal + Milliseconds(ms)))
+    const auto pending_at = [&row](int at) {
+      return Pending{at <= row.busy_until_ms ? 1 : 0,
+                     at <= row.unsent_until_ms ? 1U : 0U};
+    };
+    while (!IsComplete(&shutdown, pending_at(ms), kSignal + Milliseconds(ms)))
       ms += kTickMs;
     LONGS_EQUAL_TEXT(row.complete_from_ms, ms, row.name);
   }
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -79,6 +79,8 @@
 }
 
 void CallerConnection::OnData(std::string_view bytes) {
+  if (this->phase == Phase::kFinishing)
+    return;
   RecordBytes(&this->progress, bytes.size(), BootNow());
   this->input.append(bytes);
   if (this->phase == Phase::kServing || this->IsCongested()) {
@@ -247,14 +249,25 @@
   if (this->chunked && !this->is_head_request)
     this->Write("0\r\n\r\n");
   this->exchange = nullptr;
-  if (!this->keep_alive) {
-    this->phase = Phase::kClosed;
-    this->timer.cancel();
-    this->intake->AddLingering(this->stream);
-    this->stream->CloseAfterWrite();
+  if (this->keep_alive)
+    this->AwaitRequest();
+  else
+    this->CloseWhenSent();
+}
+
+/// Closes the connection after its last answer. Until the caller has taken all
+/// bytes the connection counts as taking its answer, like any other.
+void CallerConnection::CloseWhenSent() {
+  if (this->HasUnsent()) {
+    this->phase = Phase::kFinishing;
+    std::string().swap(this->input);
+    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
     return;
   }
-  this->AwaitRequest();
+  this->phase = Phase::kClosed;
+  this->timer.cancel();
+  this->intake->AddLingering(this->stream);
+  this->stream->CloseAfterWrite();
 }
 
 void CallerConnection::AwaitRequest() {
@@ -286,14 +299,14 @@
   if (this->phase != Phase::kServing)
     return;
   this->exchange = nullptr;
-  this->phase = Phase::kClosed;
-  this->timer.cancel();
   // A body that is delimited by the end of the connection would look complete
   // after a normal close.
-  if (this->chunked)
-    this->stream->CloseAfterWrite();
-  else
-    this->stream->Reset();
+  if (this->chunked) {
+    this->CloseWhenSent();
+    return;
+  }
+  this->stream->Reset();
+  this->Close();
 }
 
 bool CallerConnection::IsCongested() const {
@@ -310,12 +323,28 @@
 }
 
 void CallerConnection::CloseIfIdle() {
-  if (this->phase == Phase::kIdle && !this->stream->HasUnreadBytes())
+  if (this->phase == Phase::kIdle && !this->HasUnsent() &&
+      !this->stream->HasUnreadBytes())
     this->Close();
 }
 
+bool CallerConnection::EndIfUnsent() {
+  if (this->phase == Phase::kClosed || !this->HasUnsent())
+    return false;
+  this->stream->Reset();
+  this->OnEnd();
+  return true;
+}
+
 void CallerConnection::OnDrained() {
   this->CountHeldBytes();
+  if (this->phase == Phase::kFinishing) {
+    this->CloseWhenSent();
+    return;
+  }
+  // The connection is idle from now on.
+  if (this->phase == Phase::kIdle)
+    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
   const std::shared_ptr<Exchange> current = this->exchange;
   if (current) {
     current->OnCallerDrained();
@@ -345,6 +374,7 @@
 }
 
 void CallerConnection::SetTimer(Milliseconds timeout) {
+  this->sent_at_timer = this->stream->SentBytes();
   this->timer.expires_after(timeout);
   this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
     const auto self = weak.lock();
@@ -354,10 +384,16 @@
 }
 
 void CallerConnection::OnTimeout() {
-  if (this->phase == Phase::kIdle)
-    this->Close();
-  else if (this->phase == Phase::kReceiving)
+  if (this->phase == Phase::kReceiving) {
     this->RejectWith(408, "timeout");
+    return;
+  }
+  const bool takes =
+      this->HasUnsent() && this->stream->SentBytes() != this->sent_at_timer;
+  if (takes)
+    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+  else
+    this->Close();
 }
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -50,8 +50,14 @@
   /// leaving has not been read yet. Returns whether it has left.
   bool EndIfCallerLeft();
 
-  /// Closes the connection if no request is in progress or has arrived unread.
+  /// Closes the connection if it has no unsent bytes and no request is in
+  /// progress or has arrived unread.
   void CloseIfIdle();
+  /// Returns whether the caller still has to take bytes.
+  bool HasUnsent() const { return this->stream->UnsentBytes() > 0; }
+  /// Resets the connection if it has unsent bytes, at the end of the process.
+  /// Returns whether it had.
+  bool EndIfUnsent();
 
   // Defined in caller_connection_intake.cc: for CallerIntake.
   intake::Holder Describe(TimePoint now) const;
@@ -68,7 +74,13 @@
   void EndLongWait(TimePoint now);
 
  private:
-  enum class Phase { kIdle, kReceiving, kServing, kClosed };
+  enum class Phase {
+    kIdle,
+    kReceiving,
+    kServing,
+    kFinishing,  ///< The bytes of the last answer are unsent.
+    kClosed,
+  };
 
   void OnData(std::string_view bytes);
   void OnEnd();
@@ -88,6 +100,7 @@
   void ReadBufferedRequest();
   void SetTimer(Milliseconds timeout);
   void OnTimeout();
+  void CloseWhenSent();
   void Close();
 
   Gateway* gateway;
@@ -113,7 +126,8 @@
   bool awaits_room = false;
   std::size_t wanted_bytes = 0;
   TimePoint awaits_since;
-  std::uint64_t sent_bytes = 0;  ///< When the progress was last observed.
+  std::uint64_t sent_bytes = 0;     ///< When the progress was last observed.
+  std::uint64_t sent_at_timer = 0;  ///< When the timer was last set.
   bool was_taking = false;
 };
 
--- a/src/gateway/caller_connection_intake.cc
+++ b/src/gateway/caller_connection_intake.cc
@@ -69,8 +69,8 @@
 
 /// Returns whether answer bytes wait for the caller.
 bool CallerConnection::IsTaking() const {
-  return (this->phase == Phase::kIdle || this->phase == Phase::kServing) &&
-         this->stream->UnsentBytes() > 0;
+  return this->phase != Phase::kReceiving && this->phase != Phase::kClosed &&
+         this->HasUnsent();
 }
 
 void CallerConnection::ObserveProgress(TimePoint now) {
@@ -104,6 +104,9 @@
     case Phase::kServing:
       holder.stage = this->IsTaking() ? Stage::kTaking : Stage::kServing;
       break;
+    case Phase::kFinishing:
+      holder.stage = Stage::kTaking;
+      break;
     case Phase::kClosed:
       holder.stage = Stage::kServing;
       break;
@@ -137,6 +140,7 @@
       break;
     }
     case Phase::kServing:
+    case Phase::kFinishing:
       if (!this->IsTaking())
         return false;
       this->stream->Reset();
--- a/src/gateway/caller_intake.cc
+++ b/src/gateway/caller_intake.cc
@@ -53,6 +53,19 @@
       [](const auto& entry) { return entry.second->AwaitsRoom(); }));
 }
 
+std::size_t CallerIntake::UnsentCount() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& entry) { return entry.second->HasUnsent(); }));
+}
+
+std::size_t CallerIntake::EndUnsent() {
+  std::size_t ended = 0;
+  for (const auto& connection : this->All())
+    ended += connection->EndIfUnsent() ? 1 : 0;
+  return ended;
+}
+
 CallerIntake::Connections CallerIntake::All() const {
   Connections all;
   all.reserve(this->connections.size());
--- a/src/gateway/caller_intake.h
+++ b/src/gateway/caller_intake.h
@@ -49,6 +49,10 @@
   std::size_t GrantedBytes() const { return this->granted; }
   std::size_t ConnectionCount() const { return this->connections.size(); }
   std::size_t WaitingCount() const;
+  /// Returns how many callers still have to take bytes of their answers.
+  std::size_t UnsentCount() const;
+  /// Resets the connections of these callers. Returns how many there were.
+  std::size_t EndUnsent();
 
   intake::Bounds bounds;
 
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -44,6 +44,10 @@
   this->socket.set_option(tcp::no_delay(true), ignored);
 }
 
+TcpStream::~TcpStream() {
+  this->CloseSocket();
+}
+
 void TcpStream::Start(StreamEvents stream_events) {
   this->events = std::make_shared<const StreamEvents>(std::move(stream_events));
   this->WaitForData();
@@ -259,28 +263,48 @@
   if (!this->IsOpen())
     return;
   this->closing = true;
+  this->ResumeReading();
+  if (this->HasUnsent())
+    this->StartLinger();
+  else
+    this->FinishClosing();
+}
+
+void TcpStream::StartLinger() {
+  this->sent_before_linger = this->sent_bytes;
   this->linger.expires_after(kLinger);
   this->linger.async_wait([self = shared_from_this()](const BoostError& ec) {
-    if (!ec)
+    if (ec)
+      return;
+    if (self->HasUnsent() && self->sent_bytes != self->sent_before_linger)
+      self->StartLinger();
+    else
       self->Close();
   });
-  this->ResumeReading();
-  if (!this->HasUnsent())
-    this->FinishClosing();
 }
 
 void TcpStream::FinishClosing() {
   BoostError ignored;
   this->shut_down = true;
   this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->StartLinger();
 }
 
 void TcpStream::Close() {
   this->events = nullptr;
   this->ended = true;
-  this->DropUnsent();
   this->linger.cancel();
+  this->CloseSocket();
+}
+
+/// Every end of a connection on this side comes here.
+void TcpStream::CloseSocket() {
+  if (!this->socket.is_open())
+    return;
   BoostError ignored;
+  if (this->HasUnsent())
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  this->DropUnsent();
   this->socket.close(ignored);
 }
 
@@ -295,10 +319,8 @@
     return;
   this->ended = true;
   const auto current = std::exchange(this->events, nullptr);
-  this->DropUnsent();
   this->linger.cancel();
-  BoostError ignored;
-  this->socket.close(ignored);
+  this->CloseSocket();
   if (current && current->on_end)
     current->on_end(end);
 }
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -39,6 +39,9 @@
 class TcpStream : public std::enable_shared_from_this<TcpStream> {
  public:
   explicit TcpStream(tcp::socket socket);
+  ~TcpStream();
+  TcpStream(const TcpStream&) = delete;
+  TcpStream& operator=(const TcpStream&) = delete;
 
   /// Starts reading, or replaces the events of a stream that already reads.
   void Start(StreamEvents events);
@@ -50,14 +53,16 @@
   void PauseReading();
   void ResumeReading();
 
-  /// Drops the owner and closes once everything is written. Reads and discards
-  /// for a short time, since closing with unread bytes would reset the
+  /// Drops the owner and closes once everything is written, or resets the
+  /// connection if the peer takes nothing for a short time. Then reads and
+  /// discards for a short time, since closing with unread bytes would reset the
   /// connection before the peer has read the last answer.
   void CloseAfterWrite();
-  /// Drops the owner and closes at once.
+  /// Drops the owner and closes at once. Resets the connection if bytes are
+  /// unsent, so that a part of them cannot look complete.
   void Close();
-  /// As Close(), but resets the connection, so that the peer does not take
-  /// what it has received as complete.
+  /// As Close(), but always resets the connection, so that the peer does not
+  /// take what it has received as complete.
   void Reset();
 
   bool IsOpen() const { return this->socket.is_open() && !this->ended; }
@@ -82,6 +87,8 @@
   void OnWritable(const boost::system::error_code& ec);
   void End(StreamEnd end);
   void FinishClosing();
+  void StartLinger();
+  void CloseSocket();
   bool SendChain();
   bool HasUnsent() const { return !this->unsent.empty() || this->chain; }
   void DropUnsent();
@@ -95,6 +102,7 @@
   std::size_t chain_left = 0;              ///< Unsent bytes of the chain.
   std::uint64_t sent_bytes = 0;
   boost::asio::steady_timer linger;
+  std::uint64_t sent_before_linger = 0;
   bool reading = false;  ///< A wait for data is pending.
   bool paused = false;
   bool writing = false;  ///< A wait for room is pending.
