Tests: Pause the endpoint's connection at the last bytes of an answer

Cause: EndpointsOfSlowCallersServeTheNextRequest passed without the ResumeReading() of EndpointConnections::Keep(), as its answers did not end while reading was paused.

Change: the last bytes of its answers make them too long to be collected, so that all bytes are unsent and reading is paused when the answer is complete.

Result: fails without that call, passes with it.

--- a/src/gateway/unsent_answer_unittest.cc
+++ b/src/gateway/unsent_answer_unittest.cc
@@ -232,7 +232,10 @@
   GatewayScene scene;
   AllowLongCalls(&scene);
   scene.AddEndpoint("e1");
-  scene.answers = {{Whole(400'000)}, {Whole(400'000)}, {Whole(10)}};
+  // With its last bytes the answer is too long to be collected, so that all of
+  // it is unsent and reading is paused when it is complete.
+  const std::string paused = Whole(256UL * 1024 + 100);
+  scene.answers = {{paused}, {paused}, {Whole(10)}};
   for (std::size_t request = 0; request < scene.answers.size(); ++request) {
     SlowCaller caller(&scene);
     caller.Send(Request("/unsafe/", "1.1", true));
