--- a/src/daemon/store_news_fetch.cc
+++ b/src/daemon/store_news_fetch.cc
@@ -77,7 +77,7 @@
   head.fields.push_back({"Connection", "close"});
   this->client->Call(
       {boost::asio::ip::address_v4(from), this->peer_port}, std::move(head), {},
-      kFetchTimeout, true,
+      kFetchTimeout, net::ConnectionUse::kOwn,
       [done = std::move(done)](const Result<net::WholeResponse>& response) {
         const bool ok = response && response.value().head.status == 200;
         done(ok ? &response.value().body : nullptr);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -30,6 +30,9 @@
         held_bytes(account) {}
 
   tcp::endpoint address;
+  ConnectionUse use = ConnectionUse::kKept;
+  /// Earlier calls were made on the connection.
+  bool follows_others = false;
   std::string request;
   boost::asio::steady_timer timer;
   ResponseHandler handler;
@@ -45,12 +48,13 @@
                       RequestHead head,
                       const std::string& body,
                       Milliseconds timeout,
-                      bool fresh,
+                      ConnectionUse use,
                       ResponseHandler handler,
                       const AnswerLimits& limits) {
   auto pending = std::make_shared<Pending>(this->io, this->account,
                                            std::move(handler), limits);
   pending->address = address;
+  pending->use = use;
   head.fields.push_back({"Host", address.address().to_string() + ":" +
                                      std::to_string(address.port())});
   if (!body.empty() || head.method != "GET")
@@ -62,8 +66,9 @@
       Fail(pending,
            pending->stream ? ErrorCode::kUnknown : ErrorCode::kNotSent);
   });
-  if (!fresh) {
+  if (use == ConnectionUse::kKept) {
     if (auto stream = this->TakeIdle(address)) {
+      pending->follows_others = true;
       this->Send(pending, std::move(stream));
       return;
     }
@@ -90,7 +95,8 @@
   while (!found->second.empty()) {
     Idle candidate = std::move(found->second.back());
     found->second.pop_back();
-    if (candidate.stream->IsOpen() && Clock::now() < candidate.usable_until)
+    if (candidate.stream->IsOpen() && !candidate.stream->HasUnreadBytes() &&
+        Clock::now() < candidate.usable_until)
       return std::move(candidate.stream);
     candidate.stream->Close();
   }
@@ -126,7 +132,9 @@
   const bool lacks_room = pending->limits.needs_room &&
                           this->account != nullptr &&
                           IsHalfFull(*this->account) && !pending->parser.Done();
-  if (pending->parser.Fault() != ParseFault::kNone || lacks_room)
+  const bool ambiguous = pending->follows_others && pending->parser.Done() &&
+                         !pending->input.empty();
+  if (pending->parser.Fault() != ParseFault::kNone || lacks_room || ambiguous)
     Fail(pending, ErrorCode::kUnknown);
   else if (pending->parser.Done())
     this->Finish(pending);
@@ -156,7 +164,8 @@
   response.body = std::move(pending->body);
   const auto stream = std::exchange(pending->stream, nullptr);
   const bool reusable =
-      stream->IsOpen() && pending->input.empty() &&
+      pending->use == ConnectionUse::kKept && stream->IsOpen() &&
+      pending->input.empty() && !stream->HasUnreadBytes() &&
       KeepsConnection(response.head.fields, response.head.minor_version);
   if (reusable) {
     StreamEvents idle_events;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -33,19 +33,32 @@
   bool needs_room = false;
 };
 
-/// Calls with whole bodies on the event loop. Connections are kept and reused.
+/// Which connection a call uses.
+enum class ConnectionUse {
+  /// One that is kept for calls one after the other. The response may be a late
+  /// copy of the one to an earlier call on it.
+  kKept,
+  /// A new one that is closed afterwards. As no other call was made on it, the
+  /// response belongs to this call.
+  kOwn,
+};
+
+/// Calls with whole bodies on the event loop. A connection carries one call at
+/// a time and is closed when bytes arrive that belong to no call. A call on a
+/// kept connection fails with kUnknown if there are such bytes after its
+/// response, since either of the two may be the response.
 class HttpClient {
  public:
   explicit HttpClient(boost::asio::io_context* io_context) : io(io_context) {}
 
   /// Calls the handler once, at the latest after `timeout`. The request is
-  /// written at most once. `fresh` asks for a new connection. A longer answer
-  /// than the limits allow counts as none.
+  /// written at most once. A longer answer than the limits allow counts as
+  /// none.
   void Call(const tcp::endpoint& address,
             RequestHead head,
             const std::string& body,
             Milliseconds timeout,
-            bool fresh,
+            ConnectionUse use,
             ResponseHandler handler,
             const AnswerLimits& limits = AnswerLimits());
 
--- a/src/net/http_client_unittest.cc
+++ b/src/net/http_client_unittest.cc
@@ -45,7 +45,8 @@
     head.method = "GET";
     head.target = "/";
     this->client.Call(
-        this->server.Address(), head, {}, Milliseconds(3000), false,
+        this->server.Address(), head, {}, Milliseconds(3000),
+        net::ConnectionUse::kKept,
         [&answer](Result<net::WholeResponse> response) {
           answer = std::move(response);
         },
--- a/src/orders/adapter_orders.cc
+++ b/src/orders/adapter_orders.cc
@@ -136,9 +136,12 @@
   order.model = victim.substr(0, slash);
   order.adapter = victim.substr(slash + 1);
   this->SendOrder(engine, std::move(order),
-                  [this](EngineState* engine, OrderResult result) {
-                    ApplyAdapterUnload(engine, result);
-                    this->StartNextAdapterJob(engine);
+                  [this, victim](EngineState* engine, OrderResult result) {
+                    ApplyAdapterUnload(engine, victim, result);
+                    const TimePoint now = BootNow();
+                    if (result == OrderResult::kHoldsAlready)
+                      engine->next_report_at = now;
+                    this->AdvanceEngine(engine, now);
                   });
 }
 
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -166,6 +166,8 @@
         const bool unknown_order = engine->executing_order &&
                                    engine->loading.empty() &&
                                    !engine->unload_sent;
+        if (!current)
+          engine->next_report_at = now + kReportLag;
         if (!current || unknown_order)
           engine->completion_check_at = now + kReportRetryDelay;
         if (current)
--- a/src/orders/engine_state.cc
+++ b/src/orders/engine_state.cc
@@ -36,6 +36,27 @@
   return memory_mb;
 }
 
+bool Lists(const EngineReport& report, const std::string& adapter_name) {
+  for (const gateway::LoadedModel& model : report.models) {
+    for (const std::string& adapter : model.adapters) {
+      if (gateway::AdapterName(model.name, adapter) == adapter_name)
+        return true;
+    }
+  }
+  return false;
+}
+
+bool IsOutdated(const EngineState& engine, const EngineReport& report) {
+  if (engine.known)
+    return report.sequence < engine.sequence;
+  if (engine.outdated_reports >= kMaxOutdatedReports)
+    return false;
+  // A report of the same sequence may be from before the unload.
+  return report.sequence < engine.sequence ||
+         (report.sequence == engine.sequence &&
+          Lists(report, engine.unloaded_adapter));
+}
+
 }  // namespace
 
 bool MayBeCalled(const EngineState& engine, TimePoint now) {
@@ -55,8 +76,13 @@
 }
 
 bool ApplyReport(EngineState* engine, const EngineReport& report) {
-  if (engine->known && report.sequence < engine->sequence)
+  if (IsOutdated(*engine, report)) {
+    if (!engine->known)
+      ++engine->outdated_reports;
     return false;
+  }
+  engine->outdated_reports = 0;
+  engine->unloaded_adapter.clear();
   engine->known = true;
   engine->sequence = report.sequence;
   engine->executing_order = report.busy;
@@ -79,13 +105,12 @@
   return true;
 }
 
-void ApplyAdapterUnload(EngineState* engine, OrderResult result) {
-  if (result == OrderResult::kHoldsAlready) {
-    engine->known = true;
-    ++engine->sequence;
-  } else if (result == OrderResult::kAccepted) {
-    engine->known = false;
-  }
+void ApplyAdapterUnload(EngineState* engine,
+                        const std::string& adapter_name,
+                        OrderResult result) {
+  engine->known = false;
+  if (result == OrderResult::kHoldsAlready)
+    engine->unloaded_adapter = adapter_name;
 }
 
 double AdapterMemory(const EngineState& engine,
--- a/src/orders/engine_state.h
+++ b/src/orders/engine_state.h
@@ -38,6 +38,11 @@
   bool call_in_progress = false;
   /// Number of orders that the engine has accepted.
   std::int64_t sequence = 0;
+  /// Adapter that the engine has confirmed as unloaded, as `model/adapter`,
+  /// until a report shows it; empty if none.
+  std::string unloaded_adapter;
+  /// While the state is unknown, since the last report that was applied.
+  int outdated_reports = 0;
   std::set<std::string> models;    ///< Loaded, as reported.
   std::set<std::string> adapters;  ///< Loaded, as `model/adapter`.
   std::string loading;             ///< Model; empty if none.
@@ -70,13 +75,21 @@
 /// confirm it.
 bool AnnouncesCompletion(const EngineState& engine);
 
+/// So many reports in a row may be rejected as outdated while the state is
+/// unknown. The next one counts: otherwise an engine whose count of orders is
+/// lower than its responses claimed would not be used again.
+inline constexpr int kMaxOutdatedReports = 3;
+
 /// Applies a report, which shows the outcome of earlier orders. Returns false
-/// if the report is older than the last accepted order.
+/// if the report is older than the last accepted order or unload, such as a
+/// late copy of an earlier one.
 bool ApplyReport(EngineState* engine, const EngineReport& report);
 
-/// Applies the result of an unload of an adapter. An adapter in use occupies
-/// its slot until a report shows that it has gone.
-void ApplyAdapterUnload(EngineState* engine, OrderResult result);
+/// Applies the result of an unload of an adapter. Its slot counts as occupied
+/// until a report that is read afterwards shows that the adapter has gone.
+void ApplyAdapterUnload(EngineState* engine,
+                        const std::string& adapter_name,
+                        OrderResult result);
 
 /// Returns the memory used by the adapters on the engine, in MB.
 double AdapterMemory(const EngineState& engine,
