--- a/tests/integration/crash_site.cc
+++ b/tests/integration/crash_site.cc
@@ -250,7 +250,8 @@
   GatewayProcess& daemon =
       *this->daemons[static_cast<std::size_t>(call.daemon)];
   daemon.client.Call(
-      daemon.Callers(), std::move(head), {}, Milliseconds(6000), false,
+      daemon.Callers(), std::move(head), {}, Milliseconds(6000),
+      net::ConnectionUse::kKept,
       [this, call](const Result<net::WholeResponse>& response) mutable {
         --this->in_progress;
         call.ended = Clock::now();
--- a/tests/integration/gateway_process.cc
+++ b/tests/integration/gateway_process.cc
@@ -85,7 +85,8 @@
     const net::tcp::endpoint& address,
     net::RequestHead head) {
   std::optional<Result<net::WholeResponse>> answer;
-  this->client.Call(address, std::move(head), {}, Milliseconds(9000), true,
+  this->client.Call(address, std::move(head), {}, Milliseconds(9000),
+                    net::ConnectionUse::kOwn,
                     [&answer](Result<net::WholeResponse> response) {
                       answer = std::move(response);
                     });
