--- a/tests/integration/replica_site.cc
+++ b/tests/integration/replica_site.cc
@@ -121,7 +121,8 @@
   head.fields = {
       {"Request-Id", result.id}, {"Deadline-Ms", "4000"}, {"Host", "h"}};
   this->daemon.client.Call(
-      this->daemon.Callers(), std::move(head), {}, Milliseconds(6000), false,
+      this->daemon.Callers(), std::move(head), {}, Milliseconds(6000),
+      net::ConnectionUse::kKept,
       [this, result](const Result<net::WholeResponse>& response) mutable {
         ReadAnswer(response, &result);
         this->results.push_back(result);
--- a/tests/integration/replica_soak.cc
+++ b/tests/integration/replica_soak.cc
@@ -146,7 +146,7 @@
   head.fields = {{"Request-Id", id}, {"Deadline-Ms", "4000"}, {"Host", "h"}};
   GatewayProcess& process = *this->daemons[daemon].process;
   process.client.Call(process.Callers(), std::move(head), {}, kCallTimeout,
-                      false,
+                      net::ConnectionUse::kKept,
                       [this, id](const Result<net::WholeResponse>& response) {
                         this->OnAnswer(id, response);
                       });
