Platform: Entries that identify no start change nothing

Cause: an entry without `born` was read as another start of the endpoint, so that what the endpoint had stated (that it leaves) no longer applied to it. Callers were sent to an endpoint that leaves. Entries without zone, version or sequence were accepted too.

StoreView skips, logs and counts them, and keeps the known endpoint as it is.

--- a/src/daemon/deployment.h
+++ b/src/daemon/deployment.h
@@ -34,7 +34,8 @@
   /// Errors: kInvalid.
   std::function<Result<gateway::RoutingTable>(const nlohmann::json& spec)>
       read_config;
-  /// Errors: kInvalid if the object names no endpoint that could be used.
+  /// Errors: kInvalid if the object names no endpoint that could be used,
+  /// kNotFound if it lacks what identifies a start of the endpoint.
   std::function<Result<gateway::EndpointEntry>(const std::string& id,
                                                const nlohmann::json& spec)>
       read_endpoint;
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -282,6 +282,9 @@
           ? this->deployment->read_endpoint(object.name, object.spec)
           : Error{ErrorCode::kInvalid, object.fault};
   if (!entry) {
+    // An entry that identifies no start says nothing about the known one.
+    if (entry.error().code != ErrorCode::kNotFound)
+      this->RemoveEndpoint(object.name, object.revision);
     this->SkipEndpoint(object, entry.error().message);
     return;
   }
@@ -319,7 +322,6 @@
 /// once, however often it is listed.
 void StoreView::SkipEndpoint(const store::Object& object,
                              const std::string& reason) {
-  this->RemoveEndpoint(object.name, object.revision);
   const auto [known, inserted] =
       this->skipped_revisions.emplace(object.name, object.revision);
   if (!inserted && known->second == object.revision)
--- a/tests/integration/replica_test.cc
+++ b/tests/integration/replica_test.cc
@@ -73,6 +73,36 @@
 
 TEST_GROUP(Replicas){};
 
+// Guards against an entry without a field that identifies a start of the
+// replica: without `born` it counted as another start, and the statement of the
+// replica that it leaves was forgotten.
+TEST(Replicas, IncompleteEntriesChangeNothing) {
+  for (const char* const field : {"born", "zone", "version", "sequence"}) {
+    ReplicaSite site(2);
+    const bool started = site.Start();
+    CHECK_TEXT(started, site.daemon.process->DescribeEnd().c_str());
+    ReplicaStandin* const leaving = site.replicas[0].get();
+    ReplicaStandin* const ready = site.replicas[1].get();
+    TimePoint signed_at;
+    leaving->answer = [&](const ReceivedRequest& request,
+                          const StreamPtr& stream) {
+      signed_at = Clock::now();
+      leaving->Run(request, stream, {{"Server-Leaving", "1"}});
+    };
+    site.StartCalls("/safe/1");
+    CHECK(site.RunUntil([&] { return signed_at != TimePoint(); }, 2000));
+    site.RunFor(500);
+    const TimePoint from = Clock::now();
+    leaving->lost_field = field;
+    ready->lost_field = field;
+    site.store.Put("servers", leaving->id, leaving->Entry("ready"));
+    site.store.Put("servers", ready->id, ready->Entry("ready"));
+    site.RunFor(1500);
+    LONGS_EQUAL_TEXT(0, leaving->CountArrivals(from, Clock::now()), field);
+    CHECK_TEXT(ready->CountArrivals(from, Clock::now()) > 0, field);
+  }
+}
+
 // Guards against requests for a replica whose answers say that it leaves while
 // its entry in the store still says `ready`, or says so again.
 TEST(Replicas, LeavingOnesGetNoMoreRequests) {
--- a/tests/support/replica_standin.h
+++ b/tests/support/replica_standin.h
@@ -50,6 +50,7 @@
 
   LoopbackServer server;
   std::string id;
+  std::string lost_field;  ///< Missing in its entries.
   Answer answer;  ///< What it does with a request; by default it runs it.
   std::vector<Arrival> arrivals;
   std::map<std::string, int> runs;  ///< By request id.
