Daemon, store: Comments of the recovery in usual terms

Comments on recovery, skipped entries and repeated calls had to be read twice ("a daemon that cannot be helped", "a fetch is given its time", "the known one"). kFetchPatience is the time from one fetch to the next, so it is called kFetchInterval. Local names: recorded, repeated; SnapshotServer in the test of StoreView. No behaviour and no check is changed.

--- a/src/daemon/news_recovery.cc
+++ b/src/daemon/news_recovery.cc
@@ -7,14 +7,15 @@
 
 constexpr int kAsks = 2;
 constexpr int kFetches = 4;
-/// From the second round on, so that a daemon that cannot be helped loads the
-/// others little.
+/// From the second round on: a daemon to which no other one can give the
+/// changes must not load the others for long.
 constexpr int kLaterFetches = 1;
 /// A daemon answers in a few ms; one that shares a core with others, later.
 constexpr Milliseconds kAskTimeout{120};
-/// After which another daemon is fetched from as well. A configuration of
-/// 100 KB that four daemons fetch at once over 10 Mbit/s takes 330 ms.
-constexpr Milliseconds kFetchPatience{450};
+/// From one fetch to the next, which goes to another daemon while the first may
+/// still respond. A configuration of 100 KB that four daemons fetch at once
+/// over 10 Mbit/s takes 330 ms.
+constexpr Milliseconds kFetchInterval{450};
 constexpr int kMinFetchPauseMs = 60;
 constexpr int kMaxFetchPauseMs = 200;
 /// From one listing to the next, with as much at random.
@@ -67,10 +68,10 @@
   }
   if (recovery->fetches_left > 0) {
     --recovery->fetches_left;
-    recovery->next_at = now + kFetchPatience;
+    recovery->next_at = now + kFetchInterval;
     return RecoveryStep::kFetch;
   }
-  // The store may not answer either, so that daemons are asked again.
+  // The store may not respond either, so the next round asks daemons again.
   BeginRound(kLaterFetches, recovery);
   recovery->next_at = now + Between(kMinRoundPauseMs, kMaxRoundPauseMs, random);
   if (now < recovery->list_at)
--- a/src/daemon/news_recovery_unittest.cc
+++ b/src/daemon/news_recovery_unittest.cc
@@ -60,7 +60,7 @@
   struct Row {
     const char* name;
     RecoveryKind kind;
-    RecoveryStep silent;  ///< Fails as do the steps before it.
+    RecoveryStep silent;  ///< Gets no response; steps before it are refused.
     int answered_within_ms;
   };
   const Row rows[] = {
--- a/src/daemon/store_news.cc
+++ b/src/daemon/store_news.cc
@@ -237,7 +237,7 @@
   Want(news.revision, source != 0 ? source : from, RecoveryKind::kWhole,
        BootNow(), Milliseconds(0), &this->config_recovery);
   this->config_recovery.source = source != 0 ? source : from;
-  // A fetch that has just begun is given its time.
+  // While a fetch is in progress, the recovery begins the next one when due.
   if (this->config_fetches == 0) {
     this->config_recovery.next_at = BootNow();
     this->RecoverConfig(BootNow());
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -278,7 +278,8 @@
           ? this->deployment->read_endpoint(object.name, object.spec)
           : Error{ErrorCode::kInvalid, object.fault};
   if (!entry) {
-    // An entry that identifies no start says nothing about the known one.
+    // kNotFound: it cannot be told which start of the endpoint the entry is
+    // about, so that a known endpoint stays as it is.
     if (entry.error().code != ErrorCode::kNotFound)
       this->RemoveEndpoint(object.name, object.revision);
     this->SkipEndpoint(object, entry.error().message);
@@ -314,8 +315,8 @@
   gateway::UpsertEndpoint(&this->gateway->endpoints, std::move(entry));
 }
 
-/// Called for an entry that names no endpoint. Each version of it is logged
-/// once, however often it is listed.
+/// Counts and logs an entry that names no usable endpoint, once for each of its
+/// revisions, however often it is listed.
 void StoreView::SkipEndpoint(const store::Object& object,
                              const std::string& reason) {
   const auto [known, inserted] =
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -83,36 +83,38 @@
     this->news.Record(batch, this->Tells(), urgent);
 }
 
-/// A listing is read in pages, of which the later ones may show what happens
-/// after its revision. Others are told of it by the watch that follows, which
-/// brings it again, although it changes nothing in this daemon.
+/// Applies a change from a watch and records it for the other daemons. The
+/// later pages of a listing may show changes that are newer than its revision.
+/// The watch that follows brings these again: they no longer change anything in
+/// this daemon, but the others still have to be told.
 void StoreView::ApplyChange(const store::Change& change,
                             std::int64_t revision) {
   const std::string& id = change.object.name;
-  const std::size_t told = this->changes.size();
+  const std::size_t recorded = this->changes.size();
   if (change.deleted) {
     this->skipped_revisions.erase(id);
     this->RemoveEndpoint(id, kDeleted);
-    if (this->changes.size() == told)
+    if (this->changes.size() == recorded)
       this->TellRemoval(id, kDeleted);
     this->NoteDeparture(revision);
     return;
   }
   this->UpsertEndpoint(change.object);
   const auto found = this->gateway->endpoints.endpoints.find(id);
-  if (this->changes.size() > told || this->listed_ahead.count(id) == 0 ||
+  if (this->changes.size() > recorded || this->listed_ahead.count(id) == 0 ||
       found == this->gateway->endpoints.endpoints.end())
     return;
   const gateway::EndpointEntry& entry = found->second->entry;
-  fleet::gen::EndpointNews again;
-  again.id = id;
-  again.revision = change.object.revision;
-  again.__set_fields(fleet::ToWire(entry));
-  this->changes.push_back(std::move(again));
+  fleet::gen::EndpointNews repeated;
+  repeated.id = id;
+  repeated.revision = change.object.revision;
+  repeated.__set_fields(fleet::ToWire(entry));
+  this->changes.push_back(std::move(repeated));
   if (entry.draining)
     this->NoteDeparture(change.object.revision);
 }
 
+/// Records for the other daemons that the endpoint is deleted or unusable.
 void StoreView::TellRemoval(const std::string& id, std::int64_t unusable) {
   fleet::gen::EndpointNews change;
   change.id = id;
--- a/src/daemon/store_view_unittest.cc
+++ b/src/daemon/store_view_unittest.cc
@@ -53,11 +53,11 @@
 
 /// Accepts connections of daemons that fetch all endpoints, and answers them or
 /// is silent for good.
-struct FetchedFrom {
-  FetchedFrom(boost::asio::io_context* io,
-              const char* host,
-              unsigned short port,
-              std::string response)
+struct SnapshotServer {
+  SnapshotServer(boost::asio::io_context* io,
+                 const char* host,
+                 unsigned short port,
+                 std::string response)
       : acceptor(*io, tcp::endpoint(boost::asio::ip::make_address(host), port)),
         response(std::move(response)) {
     this->Accept();
@@ -88,7 +88,7 @@
   std::vector<std::shared_ptr<tcp::socket>> held;
 };
 
-/// Returns the response with all endpoints, which are one, at a revision.
+/// Returns a response whose snapshot has one endpoint, "a", at a revision.
 std::string SnapshotResponse(std::int64_t revision) {
   fleet::gen::EndpointNews one;
   one.id = "a";
@@ -230,7 +230,7 @@
     changes.revision = 21;
     changes.changes = {{MakeObject("b", 21, true), row.deleted}};
     fixture.watches.back()(changes);
-    // Another daemon that has listed at the same revision, from its first page.
+    // To a daemon whose own listing had the same revision, but not that entry.
     const auto batches = fixture.BatchesSince(20);
     LONGS_EQUAL_TEXT(1, batches.size(), row.name);
     LONGS_EQUAL_TEXT(21, batches[0].to_revision, row.name);
@@ -247,9 +247,9 @@
   Fixture fixture;
   fixture.lists[0](Listing{{MakeObject("a", 5), MakeObject("b", 6)}, 10});
   fixture.view.Tick();
-  const FetchedFrom silent(&fixture.io, kPeer, fixture.port, "");
-  const FetchedFrom other(&fixture.io, "127.0.0.3", fixture.port,
-                          SnapshotResponse(kDeparture));
+  const SnapshotServer silent(&fixture.io, kPeer, fixture.port, "");
+  const SnapshotServer other(&fixture.io, "127.0.0.3", fixture.port,
+                             SnapshotResponse(kDeparture));
   // Nobody answers requests for single changes. The silent one is the only one
   // whose report shows the departure when the first fetch begins.
   const TimePoint start = BootNow();
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -15,9 +15,10 @@
 /// Of a watch that is answered whether there is a change or not.
 constexpr Milliseconds kNoWait{1};
 constexpr Milliseconds kFirstBackoff{300};
-/// After which a call that is to be answered at once is sent a second time. The
-/// store answers in a few ms; connections that a partition has made silent time
-/// out after 1.5 s, which is half of the time for changes.
+/// Time without an answer after which a call that the store answers at once is
+/// sent a second time. The store takes a few ms; a connection that a partition
+/// has made silent times out after 1.5 s only, which is half of the time for
+/// changes.
 constexpr Milliseconds kMaxSilence{350};
 /// The same for a listing, which takes a call for each page.
 constexpr Milliseconds kMaxListSilence{700};
@@ -98,7 +99,8 @@
   this->idle = false;
   this->backing_off = false;
   this->watching = false;
-  // At a start all daemons list, and the store may be slow.
+  // When a fleet starts, all daemons list and the store may be slow: a second
+  // call would add to its load.
   if (this->list_cause == CallCause::kStart) {
     this->unanswered = 1;
     this->SendList();
@@ -145,7 +147,7 @@
 }
 
 /// Returns whether an answer to a call of generation `sent_in` is the one to be
-/// used: the first one, but no failure while the other call may succeed.
+/// used: the first success, or a failure if no other call is unanswered.
 bool KindFollower::TakeAnswer(int sent_in, bool failed) {
   if (sent_in != this->generation)
     return false;
@@ -180,8 +182,9 @@
 }
 
 void KindFollower::Confirm(std::int64_t known_revision, TimePoint at) {
-  // The store has answered another daemon since it failed to answer this one.
-  // One that goes on calling meanwhile keeps its pace.
+  // Another daemon has reached the store since the last failure of this one, so
+  // that a passive follower may call it again soon. An active one keeps its
+  // back-off.
   if (this->passive && at > this->failed_at)
     this->failures = std::min(this->failures, 1);
   if (this->revision > 0 && this->revision >= known_revision)
