Http: Methods of the account of callers say what they record

CallerAccount::See() records a header and Find() adds what is missing: RecordHeader() and FindOrAdd(). Any Transfer-Encoding is rejected, also beside a length, so the method is RejectTransferEncoding(). The constants of process_limits.cc state their use. No behaviour and no check is changed.

--- a/src/entry/process_limits.cc
+++ b/src/entry/process_limits.cc
@@ -10,8 +10,11 @@
 namespace {
 
 constexpr double kBytesPerMb = 1024.0 * 1024.0;
-/// Of the process's descriptors, for files.
+/// Descriptors of the process that are kept for files.
 constexpr int kFileDescriptors = 200;
+/// Largest `limits.max_fds`; used if neither it nor the system sets a limit.
+constexpr rlim_t kMaxDescriptors = 1 << 20;
+/// Used even if the limit of the process leaves fewer.
 constexpr int kMinConnectionDescriptors = 128;
 
 }  // namespace
@@ -21,7 +24,8 @@
     return settings.memory_mb;
   const double bytes = static_cast<double>(::sysconf(_SC_PHYS_PAGES)) *
                        static_cast<double>(::sysconf(_SC_PAGESIZE));
-  // The limit of a control group; its file has "max" for none.
+  // The limit of the control group. The file has "max" if there is none, which
+  // cannot be read as a number.
   double limit = bytes;
   std::ifstream file("/sys/fs/cgroup/memory.max");
   if (!(file >> limit) || limit <= 0)
@@ -30,9 +34,8 @@
 }
 
 int ConnectionDescriptors(const Settings& settings) {
-  constexpr rlim_t kMost = 1 << 20;
-  rlim_t all =
-      settings.max_fds > 0 ? static_cast<rlim_t>(settings.max_fds) : kMost;
+  rlim_t all = settings.max_fds > 0 ? static_cast<rlim_t>(settings.max_fds)
+                                    : kMaxDescriptors;
   rlimit limit{};
   if (::getrlimit(RLIMIT_NOFILE, &limit) == 0)
     all = std::min(all, limit.rlim_cur);
--- a/src/http/caller_account.cc
+++ b/src/http/caller_account.cc
@@ -11,9 +11,9 @@
 CallerAccount::CallerAccount(const intake::Bounds& bounds, End end)
     : bounds(bounds), end(std::move(end)) {}
 
-CallerAccount::Caller& CallerAccount::Find(int fd,
-                                           std::uint64_t cookie,
-                                           TimePoint now) {
+CallerAccount::Caller& CallerAccount::FindOrAdd(int fd,
+                                                std::uint64_t cookie,
+                                                TimePoint now) {
   const auto [it, is_new] = this->callers.try_emplace(cookie);
   if (is_new) {
     intake::StartProgress(&it->second.progress, now);
@@ -95,8 +95,8 @@
                           std::size_t size,
                           TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  Caller& caller = this->Find(fd, cookie, now);
-  // It must not be ended for its own body.
+  Caller& caller = this->FindOrAdd(fd, cookie, now);
+  // A request that is served is not ended, so it is not ended for its own body.
   this->Change(&caller, [](Caller* item) {
     item->stage = Stage::kServing;
     item->header_bytes = 0;
@@ -127,7 +127,7 @@
 
 bool CallerAccount::BeginServing(int fd, std::uint64_t cookie, TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  Caller& caller = this->Find(fd, cookie, now);
+  Caller& caller = this->FindOrAdd(fd, cookie, now);
   if (caller.is_ending)
     return false;
   this->Change(&caller, [](Caller* item) {
@@ -151,12 +151,12 @@
   });
 }
 
-void CallerAccount::See(int fd,
-                        std::uint64_t cookie,
-                        std::size_t header_bytes,
-                        TimePoint now) {
+void CallerAccount::RecordHeader(int fd,
+                                 std::uint64_t cookie,
+                                 std::size_t header_bytes,
+                                 TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  Caller& caller = this->Find(fd, cookie, now);
+  Caller& caller = this->FindOrAdd(fd, cookie, now);
   if (caller.stage != Stage::kIdle)
     return;
   if (header_bytes > 0 && caller.header_bytes == 0)
--- a/src/http/caller_account.h
+++ b/src/http/caller_account.h
@@ -26,17 +26,17 @@
   /// behind if it does not fit; returns false if it still does not.
   bool Admit(int fd, std::uint64_t cookie, std::size_t size, TimePoint now);
   void RecordBytes(std::uint64_t cookie, std::size_t count, TimePoint now);
-  /// The request is with its handler and is not ended any more. Returns false
-  /// if it was ended before.
+  /// Records that the request is passed to its handler, after which it is not
+  /// ended. Returns false if its connection was ended before.
   bool BeginServing(int fd, std::uint64_t cookie, TimePoint now);
-  /// The request has been answered, or its connection has been closed.
+  /// Records that the request has been answered or rejected.
   void Release(std::uint64_t cookie, TimePoint now);
 
-  /// Records a look at an open connection: the bytes of its unfinished header.
-  void See(int fd,
-           std::uint64_t cookie,
-           std::size_t header_bytes,
-           TimePoint now);
+  /// Records an open connection and the bytes of its unfinished header.
+  void RecordHeader(int fd,
+                    std::uint64_t cookie,
+                    std::size_t header_bytes,
+                    TimePoint now);
   void Forget(std::uint64_t cookie);
   /// Ends connections for the common bytes and so that `excess` descriptors
   /// become free. Returns how many were ended since the last call, also for
@@ -55,9 +55,9 @@
     intake::Progress progress;
   };
 
-  Caller& Find(int fd, std::uint64_t cookie, TimePoint now);
+  Caller& FindOrAdd(int fd, std::uint64_t cookie, TimePoint now);
   static std::size_t CommonBytes(const Caller& caller);
-  /// Applies `change` and follows it in the sums.
+  /// Applies `change` and updates the sums.
   void Change(Caller* caller, const std::function<void(Caller*)>& change);
   /// Ends connections in the order of the policy while `is_needed`.
   void EndWhile(intake::Need need,
@@ -73,8 +73,8 @@
   // Sums over the callers that are not ending.
   std::size_t common_bytes = 0;
   std::size_t large_bytes = 0;
-  int ending = 0;
-  int ended = 0;  ///< Since the last Enforce().
+  int ending = 0;  ///< Callers that were reset and are still open.
+  int ended = 0;   ///< Since the last Enforce().
 };
 
 }  // namespace coltsfootvane::http
--- a/src/http/caller_account_unittest.cc
+++ b/src/http/caller_account_unittest.cc
@@ -80,8 +80,8 @@
 
 // Guards against headers and connections that take what small bodies need.
 TEST(CallerAccount, UnfinishedHeadersEndForSmallBodies) {
-  this->account.See(1, 1, 60UL * 1024, kStart);
-  this->account.See(2, 2, 30UL * 1024, kStart);
+  this->account.RecordHeader(1, 1, 60UL * 1024, kStart);
+  this->account.RecordHeader(2, 2, 30UL * 1024, kStart);
   const TimePoint later = kStart + Milliseconds(3000);
   CHECK(this->account.Admit(3, 3, 30UL * 1024, later));
   LONGS_EQUAL(1, this->ended.size());
@@ -92,7 +92,7 @@
 // closed later.
 TEST(CallerAccount, DescriptorsAreFreedOnce) {
   for (std::uint64_t cookie = 1; cookie <= 5; ++cookie)
-    this->account.See(static_cast<int>(cookie), cookie, 0, kStart);
+    this->account.RecordHeader(static_cast<int>(cookie), cookie, 0, kStart);
   this->account.BeginServing(1, 1, kStart);
   const TimePoint later = kStart + Milliseconds(3000);
   LONGS_EQUAL(2, this->account.Enforce(2, later));
--- a/src/http/header_watch.cc
+++ b/src/http/header_watch.cc
@@ -137,7 +137,8 @@
 }
 
 bool HeaderWatch::DescriptorsAreUsedUp() const {
-  // The kernel gives out the lowest free number.
+  // The kernel gives out the lowest free number, so that all lower ones were in
+  // use when this one was given out.
   return ::fcntl(this->max_descriptors, F_GETFD) != -1;
 }
 
@@ -210,7 +211,7 @@
       return;
     this->connections[cookie].pass = this->pass;
     const std::uint64_t bytes = this->HeaderBytes(cookie, BytesReceived(fd));
-    this->account->See(fd, cookie, bytes, Clock::now());
+    this->account->RecordHeader(fd, cookie, bytes, Clock::now());
     if (bytes <= kCutAbove)
       return;
   }
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -47,7 +47,8 @@
   bool failed = false;
 };
 
-/// Returns the bounds of the process; large bodies also have their own bound.
+/// Returns the bounds of the options. That of large bodies is at most the
+/// largest body for each thread.
 intake::Bounds BodyBounds(const ServerOptions& options) {
   intake::Bounds bounds = options.bounds;
   bounds.large_bytes =
@@ -111,7 +112,7 @@
     this->ReleaseBody();
     this->socket = &new_socket;
     this->cookie = SocketCookie(new_socket.getFd());
-    this->declared = request.header().contentLength();
+    this->declared_bytes = request.header().contentLength();
     this->state->header_watch->BeginRequest(new_socket.getFd());
   }
 
@@ -137,7 +138,7 @@
              cxxtools::http::Request& request,
              cxxtools::http::Reply& reply) override {
     if (request.hasHeader("Transfer-Encoding")) {
-      this->RejectUnknownLength(reply);
+      this->RejectTransferEncoding(reply);
       return;
     }
     Request converted;
@@ -186,22 +187,22 @@
 
   /// The library reads no chunks: the handler would get an empty body, and the
   /// chunks would be taken as the next request.
-  void RejectUnknownLength(cxxtools::http::Reply& reply) {
+  void RejectTransferEncoding(cxxtools::http::Reply& reply) {
     this->ReleaseBody();
     this->state->header_watch->EndRequest(this->socket->getFd());
     Reject(reply, 411, "a request body needs a Content-Length");
   }
 
-  /// The library reads a body as it arrives and cannot be paused, so a body
-  /// without room is rejected instead of waiting for it.
+  /// The library cannot be paused while it reads a body, so that a body for
+  /// which there is no room is rejected instead of kept waiting.
   void AdmitBody() {
-    if (this->declared > this->state->options.max_body_bytes)
+    if (this->declared_bytes > this->state->options.max_body_bytes)
       throw BodyTooLarge();
     if (!this->state->account.Admit(this->socket->getFd(), this->cookie,
-                                    this->declared, Clock::now()))
+                                    this->declared_bytes, Clock::now()))
       throw BodiesTooLarge();
     this->is_admitted = true;
-    this->body.reserve(this->declared);
+    this->body.reserve(this->declared_bytes);
   }
 
   void ReleaseBody() {
@@ -214,9 +215,9 @@
 
   ServerState* state;
   cxxtools::net::TcpSocket* socket = nullptr;
-  std::uint64_t cookie = 0;  ///< Of the socket.
-  std::size_t declared = 0;  ///< Length of the body, from the header.
-  bool is_admitted = false;  ///< The body counts in the account.
+  std::uint64_t cookie = 0;        ///< Of the socket.
+  std::size_t declared_bytes = 0;  ///< From Content-Length; 0 without it.
+  bool is_admitted = false;        ///< The body counts in the account.
   std::string body;
 };
 
