Net, gateway, orders: Reasons beside the code that closes and rejects

Why a response on a reused connection is ambiguous, why a report is read at once after an unload, and where the idle time begins had to be deduced; StartLinger() had no comment. Local names: reuses_connection, has_progressed. No behaviour is changed.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -255,8 +255,8 @@
     this->CloseWhenSent();
 }
 
-/// Closes the connection after its last answer. Until the caller has taken all
-/// bytes the connection counts as taking its answer, like any other.
+/// Closes the connection once the caller has taken all bytes of the last
+/// answer. Until then it counts in the account as one that takes its answer.
 void CallerConnection::CloseWhenSent() {
   if (this->HasUnsent()) {
     this->phase = Phase::kFinishing;
@@ -342,7 +342,7 @@
     this->CloseWhenSent();
     return;
   }
-  // The connection is idle from now on.
+  // Its idle time begins when the last byte has been sent.
   if (this->phase == Phase::kIdle)
     this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
   const std::shared_ptr<Exchange> current = this->exchange;
@@ -388,9 +388,9 @@
     this->RejectWith(408, "timeout");
     return;
   }
-  const bool takes =
+  const bool has_progressed =
       this->HasUnsent() && this->stream->SentBytes() != this->sent_at_timer;
-  if (takes)
+  if (has_progressed)
     this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
   else
     this->Close();
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -31,8 +31,7 @@
 
   tcp::endpoint address;
   ConnectionUse use = ConnectionUse::kKept;
-  /// Earlier calls were made on the connection.
-  bool follows_others = false;
+  bool reuses_connection = false;  ///< Earlier calls were made on it.
   std::string request;
   boost::asio::steady_timer timer;
   ResponseHandler handler;
@@ -68,7 +67,7 @@
   });
   if (use == ConnectionUse::kKept) {
     if (auto stream = this->TakeIdle(address)) {
-      pending->follows_others = true;
+      pending->reuses_connection = true;
       this->Send(pending, std::move(stream));
       return;
     }
@@ -132,7 +131,8 @@
   const bool lacks_room = pending->limits.needs_room &&
                           this->account != nullptr &&
                           IsHalfFull(*this->account) && !pending->parser.Done();
-  const bool ambiguous = pending->follows_others && pending->parser.Done() &&
+  // One of two responses may be a late copy; it cannot be told which one.
+  const bool ambiguous = pending->reuses_connection && pending->parser.Done() &&
                          !pending->input.empty();
   if (pending->parser.Fault() != ParseFault::kNone || lacks_room || ambiguous)
     Fail(pending, ErrorCode::kUnknown);
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -270,6 +270,8 @@
     this->FinishClosing();
 }
 
+/// Closes the connection after `kLinger`, or later as long as the peer takes
+/// unsent bytes.
 void TcpStream::StartLinger() {
   this->sent_before_linger = this->sent_bytes;
   this->linger.expires_after(kLinger);
@@ -297,7 +299,8 @@
   this->CloseSocket();
 }
 
-/// Every end of a connection on this side comes here.
+/// The only place that closes the socket. Resets the connection if bytes are
+/// unsent, so that the peer does not take a part of them as complete.
 void TcpStream::CloseSocket() {
   if (!this->socket.is_open())
     return;
--- a/src/orders/adapter_orders.cc
+++ b/src/orders/adapter_orders.cc
@@ -139,6 +139,7 @@
                   [this, victim](EngineState* engine, OrderResult result) {
                     ApplyAdapterUnload(engine, victim, result);
                     const TimePoint now = BootNow();
+                    // The unload is done: a report that is read now shows it.
                     if (result == OrderResult::kHoldsAlready)
                       engine->next_report_at = now;
                     this->AdvanceEngine(engine, now);
