--- a/app/command_diff.cc
+++ b/app/command_diff.cc
@@ -21,7 +21,8 @@
 constexpr double kCallsPerSecond = 100;
 
 struct DiffOptions {
-  std::string directory;  ///< Or the base of the platform's configuration.
+  /// A directory, or the file to compare `platform_config` with.
+  std::string directory_or_base;
   std::string platform_config;
   http::Address platform;
   int timeout_ms = 15000;
@@ -43,7 +44,7 @@
 
 int RunDiff(const DiffOptions& options) {
   Findings findings;
-  const auto bundle = ReadCheckedBundle(options.directory, &findings);
+  const auto bundle = ReadCheckedBundle(options.directory_or_base, &findings);
   if (!findings.empty()) {
     PrintFindings(findings);
     return kExitFailure;
@@ -66,13 +67,13 @@
   return kExitOk;
 }
 
-/// Reads the configuration in force. Its findings are of no interest here, as
-/// long as it can be read.
+/// Reads the configuration in force. Prints its findings only if it cannot be
+/// read.
 std::optional<config_check::Document> ReadBase(const DiffOptions& options) {
   config_check::Issues issues;
   std::optional<config_check::Document> base;
   if (options.platform.port == 0) {
-    base = platform::ReadCheckedDocument(options.directory, &issues);
+    base = platform::ReadCheckedDocument(options.directory_or_base, &issues);
   } else {
     const std::string address = http::FormatAddress(options.platform);
     const auto endpoint = platform::ParseAddress(address);
@@ -108,10 +109,10 @@
   return kExitOk;
 }
 
-/// Returns why the options do not fit together, or an empty text.
+/// Returns which option is missing or superfluous, or an empty text.
 std::string UsageFault(const DiffOptions& options) {
   const bool has_address = options.platform.port != 0;
-  const bool has_input = !options.directory.empty();
+  const bool has_input = !options.directory_or_base.empty();
   if (options.platform_config.empty() && !(has_input && has_address))
     return "DIR and --platform are required";
   if (!options.platform_config.empty() && has_input == has_address)
@@ -124,9 +125,11 @@
 void AddDiffCommand(CLI::App* app, int* exit_code) {
   const auto options = std::make_shared<DiffOptions>();
   CLI::App* const command = app->add_subcommand(
-      "diff", "Show what applying a directory would change");
+      "diff",
+      "Show what applying a directory, or sending a configuration of the "
+      "users' platform, would change");
   command
-      ->add_option("directory", options->directory,
+      ->add_option("directory", options->directory_or_base,
                    "Directory with the *.yaml files, or the file with the "
                    "platform's configuration in force")
       ->type_name("DIR|BASE");
--- a/src/config_check/check.cc
+++ b/src/config_check/check.cc
@@ -13,6 +13,7 @@
 namespace coltsfootvane::config_check {
 namespace {
 
+/// Hexadecimal digits of a digest that are shown; enough to tell keys apart.
 constexpr std::size_t kShownDigestLength = 16;
 
 void Add(Issues* issues, const Place& place, Level level, std::string message) {
@@ -31,6 +32,7 @@
   return text;
 }
 
+/// Returns whether each request that `route` matches goes to `earlier`.
 bool IsHiddenBy(const gateway::Route& route, const gateway::Route& earlier) {
   return earlier.path_prefix == route.path_prefix &&
          net::EqualsIgnoringCase(earlier.host, route.host);
--- a/src/config_check/diff.cc
+++ b/src/config_check/diff.cc
@@ -18,7 +18,8 @@
 };
 using Items = std::map<std::string, Item>;
 
-/// Effects of a value that becomes smaller, larger or different.
+/// What callers notice when a value becomes lower or higher, or, for values
+/// without an order, changes at all; null if they notice nothing.
 struct Effect {
   const char* lower = nullptr;
   const char* higher = nullptr;
@@ -135,11 +136,11 @@
       {"plain_units", Text(quota.plain_units)}};
   items->emplace("team " + team.name, item);
   for (const std::string& key : team.keys) {
-    Item held{{{"team", team.name}}, ""};
+    Item key_item{{{"team", team.name}}, ""};
     if (needs_keys)
-      held.removed = "requests of team " + team.name +
-                     " with it get 401 except on public routes";
-    items->emplace("key " + KeyDigest(key), held);
+      key_item.removed = "requests of team " + team.name +
+                         " with it get 401 except on public routes";
+    items->emplace("key " + KeyDigest(key), key_item);
   }
 }
 
@@ -168,7 +169,8 @@
   return items;
 }
 
-/// "unlimited" is above, and for connections 0 is no limit of its own.
+/// Returns the value as a number for comparison. "unlimited" is above all
+/// numbers, and so is a `max_connections` of 0, which sets no limit.
 double Amount(const std::string& field, const std::string& value) {
   constexpr double kUnlimited = 1e300;
   if (value == "unlimited" || (field == "max_connections" && value == "0"))
@@ -213,7 +215,7 @@
   return hosts;
 }
 
-/// Changes that concern all callers at once.
+/// Adds changes that concern all callers or all requests of a host.
 void DiffWhole(const Document& from,
                const Document& to,
                std::vector<std::string>* lines) {
