Scripts: Comments on known failures, jobs and the lint cache

"passed over" and "passes are kept" were ambiguous. run_tests.sh was run with a stand-in program of two groups; the other two scripts were only checked for syntax.

--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -17,7 +17,7 @@
 is_known() { [[ " ${known[*]-} " == *" $1 "* ]]; }
 
 declare -A tests=()
-declare -A passed_over=()
+declare -A has_known_failures=()
 groups=()
 for test in $("$program" -ln); do
   group=${test%%.*}
@@ -25,17 +25,18 @@
   [ -n "${tests[$group]+set}" ] || { groups+=("$group"); tests[$group]=; }
   if is_known "$name"; then
     echo "known failure, not run: $name"
-    passed_over[$group]=1
+    has_known_failures[$group]=1
   else
     tests[$group]+=" $name"
   fi
 done
 
 # A test runs if it passes any of several name filters, so exclusions of more
-# than one name would exclude nothing. The others are named instead.
+# than one name would exclude nothing. In a group with known failures the other
+# tests are named instead.
 run_group() {
   local group=$1 selected=() name
-  if [ -n "${passed_over[$group]+set}" ]; then
+  if [ -n "${has_known_failures[$group]+set}" ]; then
     for name in ${tests[$group]}; do selected+=(-sn "$name"); done
   fi
   local status=0
@@ -58,6 +59,7 @@
 for group in "${alone[@]}"; do run_group "$group"; done
 
 failed_groups=$({ grep -Lx 0 "$logs"/*.status || true; } | xargs -rn1 basename -s .status | tr '\n' ' ')
+# Adds up the numbers that match a pattern in the logs of all groups.
 count() { cat "$logs"/*.log | { grep -oP "$1" || true; } | awk '{sum += $1} END {print sum + 0}'; }
 ran=$(count '\d+(?= ran,)')
 failures=$(count '(?<=^Errors \()\d+(?= failures)')
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 step() { printf '\n== %s (%s s)\n' "$1" "$SECONDS"; }
-# Each integration test starts several processes, whose timing must not depend on the others'.
+# Each integration test starts several processes, whose timing must not depend on the others': groups run side by
+# side on more than 6 cores only.
 integration_jobs=$(($(nproc) > 6 ? 3 : 1))
 
 step packages
--- a/scripts/tidy_file.sh
+++ b/scripts/tidy_file.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Runs clang-tidy on one source, unless it has passed before with the same text, headers, options and version.
-# Usage: scripts/tidy_file.sh FILE. Passes are kept in LINT_CACHE (default: ~/.cache/coltsfootvane-lint); "" keeps none.
+# Usage: scripts/tidy_file.sh FILE. Digests of what has passed are kept in the folder
+# LINT_CACHE (default: ~/.cache/coltsfootvane-lint); with LINT_CACHE="" none are kept.
 set -euo pipefail
 file=$1
 cache=${LINT_CACHE-${XDG_CACHE_HOME:-$HOME/.cache}/coltsfootvane-lint}
