Tests: API keys and quotas of teams in the replica soak

Cause: the seeded soak sent no API keys and its configuration had no teams, so nothing checked keys and quotas while daemons, replicas and the store are disturbed.

Change: its configuration has a team without a quota, one with a quota and a public route. Beside each earlier call, which now has a known key, a daemon gets one with a known, unknown, duplicate, empty or missing key, with or without made-up Tenant fields.

--- a/tests/integration/gateway_process.cc
+++ b/tests/integration/gateway_process.cc
@@ -55,7 +55,8 @@
            << "\nplatform.address=" << this->store
            << "\nlimits.memoryMb=" << this->options.memory_mb
            << "\nbounds.graceS=" << stop_timeout_s
-           << "\nbounds.leaseMs=1000\nbounds.requireFencing=true\n";
+           << "\nbounds.leaseMs=1000\nbounds.requireFencing=true\n"
+           << this->options.more_settings;
   if (this->options.max_fds > 0)
     settings << "limits.maxFds=" << this->options.max_fds << "\n";
 }
--- a/tests/integration/replica_soak.cc
+++ b/tests/integration/replica_soak.cc
@@ -60,21 +60,30 @@
       const auto call = this->calls.find(id);
       return call == this->calls.end() ? TimePoint() : call->second.sent;
     };
+    replica->on_arrival = [this](const std::string& id,
+                                 const ReceivedRequest& request) {
+      this->teams.OnArrival(id, request);
+    };
+    replica->on_run = [this](const std::string& id) { this->teams.OnRun(id); };
     this->replicas.push_back(std::move(replica));
   }
+  this->teams.on_violation = [this](const std::string& text) {
+    this->Violate(text);
+  };
   GatewayOptions gateway;
+  gateway.more_settings = QuotaSettings();
   gateway.peer_port = FreePort(this->host);
   for (int i = 0; i < this->options.daemons; ++i) {
     gateway.name = "vm-" + std::to_string(i);
     this->daemons.push_back({std::make_unique<GatewayProcess>(
                                  &this->io, MoreLoopbackHost(i),
                                  this->store.server.AddressText(), gateway),
-                             TimePoint()});
+                             TimePoint(), false});
   }
 }
 
 SoakTally ReplicaSoak::Run() {
-  this->store.Put("config", "main", BooksConfig(1));
+  this->store.Put("config", "main", TeamsConfig());
   this->Register();
   for (Daemon& daemon : this->daemons)
     daemon.process->Start();
@@ -94,6 +103,9 @@
   runner.RunUntil([this] { return this->calls.empty(); },
                   static_cast<int>(kCallTimeout.count()));
   this->CheckRuns();
+  this->teams.CheckQuota();
+  this->tally.most_in_window = this->teams.most_in_window;
+  this->CheckNoKeyIsShown();
   return this->tally;
 }
 
@@ -125,9 +137,13 @@
 void ReplicaSoak::SendCalls() {
   if (!this->calling)
     return;
-  const char* const targets[] = {"/safe/1", "/unsafe/1", "/stream/1"};
-  for (int i = 0; i < this->options.daemons; ++i)
-    this->Send(i, targets[this->chances() % 3]);
+  const char* const targets[] = {"/safe/1", "/unsafe/1", "/stream/1",
+                                 "/public/1"};
+  for (int i = 0; i < this->options.daemons; ++i) {
+    this->Send(i, targets[this->chances() % 3], SoakTeams::KnownCaller());
+    this->Send(i, targets[this->chances() % 4],
+               SoakTeams::AnyCaller(&this->chances));
+  }
   this->pace.expires_after(kCallInterval);
   this->pace.async_wait([this](const BoostError& ec) {
     if (!ec)
@@ -135,7 +151,7 @@
   });
 }
 
-void ReplicaSoak::Send(int daemon, const std::string& path) {
+void ReplicaSoak::Send(int daemon, const std::string& path, SoakCaller caller) {
   const std::string id =
       std::to_string(daemon) + "-" + std::to_string(++this->last_call);
   this->calls[id] = {daemon, path, Clock::now()};
@@ -144,6 +160,9 @@
   head.method = "POST";
   head.target = path;
   head.fields = {{"Request-Id", id}, {"Deadline-Ms", "4000"}, {"Host", "h"}};
+  head.fields.insert(head.fields.end(), caller.fields.begin(),
+                     caller.fields.end());
+  this->teams.OnCall(id, path, std::move(caller));
   GatewayProcess& process = *this->daemons[daemon].process;
   process.client.Call(process.Callers(), std::move(head), {}, kCallTimeout,
                       net::ConnectionUse::kKept,
@@ -164,7 +183,11 @@
     this->CheckAnswer(id, call, response.value());
   else if (!disturbed && call.path != "/stream/1")
     this->Violate(id + " " + call.path + " got no answer");
-  if (this->serving_expected && !disturbed && status != 200)
+  const bool may_lack_config =
+      this->daemons[call.daemon].started_anew && !this->serving_expected;
+  this->teams.OnAnswer(id, status, disturbed || may_lack_config);
+  if (this->serving_expected && !disturbed && status != 200 && status != 401 &&
+      !this->teams.IsQuotaRefusal(id, status))
     this->Violate(id + " " + call.path + " got " + std::to_string(status) +
                   " after everything has healed");
 }
@@ -203,6 +226,13 @@
   }
 }
 
+void ReplicaSoak::CheckNoKeyIsShown() {
+  for (const Daemon& daemon : this->daemons) {
+    if (ShowsSoakKey(daemon.process->Log() + daemon.process->Metrics()))
+      this->Violate("a daemon shows a key in its log or metrics");
+  }
+}
+
 void ReplicaSoak::CheckRecovery() {
   GatewayProcess& runner = *this->daemons.front().process;
   runner.RunUntil([] { return false; }, kRecoveryMs);
@@ -388,6 +418,7 @@
       [daemon, process, run_again] {
         process->Kill();
         daemon->process->Start();
+        daemon->started_anew = true;
         run_again();
       });
 }
--- a/tests/integration/replica_soak.h
+++ b/tests/integration/replica_soak.h
@@ -12,6 +12,7 @@
 
 #include "gateway_process.h"
 #include "soak_replica.h"
+#include "soak_teams.h"
 #include "support/store_standin.h"
 
 namespace coltsfootvane::testing {
@@ -26,6 +27,7 @@
 /// What a soak has seen.
 struct SoakTally {
   std::map<std::string, int> calls;         ///< By status.
+  int most_in_window = 0;                   ///< Runs of the team with a quota.
   std::map<std::string, int> disturbances;  ///< By kind.
   std::vector<std::string> violations;
 };
@@ -45,6 +47,7 @@
   struct Daemon {
     std::unique_ptr<GatewayProcess> process;
     TimePoint disturbed_until;  ///< Stopped, or started anew, until then.
+    bool started_anew = false;  ///< May lack the configuration.
   };
   struct Call {
     int daemon = 0;
@@ -54,13 +57,14 @@
 
   void Register();
   void SendCalls();
-  void Send(int daemon, const std::string& path);
+  void Send(int daemon, const std::string& path, SoakCaller caller);
   void OnAnswer(const std::string& id,
                 const Result<net::WholeResponse>& response);
   void CheckAnswer(const std::string& id,
                    const Call& call,
                    const net::WholeResponse& response);
   void CheckRuns();
+  void CheckNoKeyIsShown();
   void CheckRecovery();
   void CheckProcesses();
 
@@ -83,6 +87,7 @@
   boost::asio::io_context io;
   std::string host;
   StoreStandin store;
+  SoakTeams teams;
   std::vector<std::unique_ptr<SoakReplica>> replicas;
   std::vector<Daemon> daemons;
   std::map<std::string, Call> calls;         ///< In progress, by id.
--- a/tests/integration/replica_soak_test.cc
+++ b/tests/integration/replica_soak_test.cc
@@ -28,7 +28,9 @@
 
 // Replicas that leave, pause, break off or write stray answers, odd entries, a
 // store in trouble, and daemons that are stopped or started anew, one after the
-// other and overlapping. By hand: SOAK_SEED=1 SOAK_RUNS=50, and SOAK_DAEMONS,
+// other and overlapping. Callers with other than a known API key must never run
+// anything, keys must stay hidden, and a team must stay within its quota over
+// all daemons. By hand: SOAK_SEED=1 SOAK_RUNS=50, and SOAK_DAEMONS,
 // SOAK_REPLICAS, SOAK_MS.
 TEST(ReplicaSoak, PromisesHoldWhateverReplicasAndEntriesDo) {
   constexpr int kSeed = 20261205;
@@ -44,9 +46,12 @@
     options.seed = static_cast<unsigned>(first + i);
     ReplicaSoak soak(options);
     const SoakTally tally = soak.Run();
-    std::printf("\nseed=%u calls:%s disturbances:%s violations:%zu\n",
-                options.seed, Describe(tally.calls).c_str(),
-                Describe(tally.disturbances).c_str(), tally.violations.size());
+    std::printf(
+        "\nseed=%u calls:%s disturbances:%s most in window:%d "
+        "violations:%zu\n",
+        options.seed, Describe(tally.calls).c_str(),
+        Describe(tally.disturbances).c_str(), tally.most_in_window,
+        tally.violations.size());
     for (const std::string& violation : tally.violations)
       failures +=
           "seed " + std::to_string(options.seed) + ": " + violation + "\n";
--- a/tests/integration/soak_replica.cc
+++ b/tests/integration/soak_replica.cc
@@ -84,6 +84,7 @@
   const std::string id(net::FieldValue(request.head.fields, "Request-Id"));
   Stated& known = this->stated[DaemonOf(id)];
   this->CheckArrival(id, &known);
+  this->on_arrival(id, request);
   const TimePoint now = Clock::now();
   net::Fields more;
   if (this->faults.leaving) {
@@ -107,6 +108,7 @@
     ReplicaStandin::Refuse(request, stream, more);
     return;
   }
+  this->on_run(id);
   // An earlier answer is written once more on a kept connection.
   const bool kept = !this->used_streams.insert(stream.get()).second;
   if (kept && this->Happens(this->faults.stray))
--- a/tests/integration/soak_replica.h
+++ b/tests/integration/soak_replica.h
@@ -48,6 +48,10 @@
   /// Called with the id of a request and what is wrong with its arrival.
   std::function<void(const std::string& id, const std::string& what)>
       on_violation;
+  /// Called with each request that arrives, and with the id of each that runs.
+  std::function<void(const std::string& id, const ReceivedRequest& request)>
+      on_arrival;
+  std::function<void(const std::string& id)> on_run;
   /// Returns when the caller has sent the request.
   std::function<TimePoint(const std::string& id)> sent_at;
 
