Tests: A rejected key needs its 401 also on streams of restarted daemons

Cause: the soak excused a missing answer to a request without a known key from a daemon that was started anew at any time before, although only its 503 (no configuration yet) is allowed then.

--- a/tests/integration/gateway_process.h
+++ b/tests/integration/gateway_process.h
@@ -18,7 +18,7 @@
   std::string name = "vm-1";
   int peer_port = 0;  ///< The same for all; 0 for a free one.
   int memory_mb = 512;
-  int max_fds = 0;            ///< `limits.maxFds`; 0 leaves it out.
+  int max_fds = 0;                 ///< `limits.maxFds`; 0 leaves it out.
   std::string more_settings = {};  ///< Further lines of the settings file.
 };
 
--- a/tests/integration/replica_soak.cc
+++ b/tests/integration/replica_soak.cc
@@ -184,8 +184,10 @@
   else if (!disturbed && call.path != "/stream/1")
     this->Violate(id + " " + call.path + " got no answer");
   const bool may_lack_config =
-      this->daemons[call.daemon].started_anew && !this->serving_expected;
-  this->teams.OnAnswer(id, status, disturbed || may_lack_config);
+      disturbed ||
+      (this->daemons[call.daemon].started_anew && !this->serving_expected);
+  if (response || !disturbed)
+    this->teams.OnAnswer(id, status, may_lack_config);
   if (this->serving_expected && !disturbed && status != 200 && status != 401 &&
       !this->teams.IsQuotaRefusal(id, status))
     this->Violate(id + " " + call.path + " got " + std::to_string(status) +
--- a/tests/integration/soak_teams.cc
+++ b/tests/integration/soak_teams.cc
@@ -107,12 +107,14 @@
     this->runs.push_back(Clock::now());
 }
 
-void SoakTeams::OnAnswer(const std::string& id, int status, bool excused) {
+void SoakTeams::OnAnswer(const std::string& id,
+                         int status,
+                         bool may_lack_config) {
   const Call& call = this->calls[id];
   const bool needs_key = call.caller.team.empty() && !call.is_public;
   if (this->IsQuotaRefusal(id, status))
     ++this->quota_refusals;
-  if (needs_key ? status == 401 || (excused && (status == 0 || status == 503))
+  if (needs_key ? status == 401 || (may_lack_config && status == 503)
                 : status != 401)
     return;
   this->on_violation(id + " of team '" + call.caller.team + "' got " +
--- a/tests/integration/soak_teams.h
+++ b/tests/integration/soak_teams.h
@@ -42,9 +42,10 @@
   void OnArrival(const std::string& id, const ReceivedRequest& request);
   /// An endpoint runs the request.
   void OnRun(const std::string& id);
-  /// `excused` daemons may answer 503, or not at all, in place of 401.
-  void OnAnswer(const std::string& id, int status, bool excused);
-  /// Returns whether a team that is served reaches its quota with `status`.
+  /// `status` is 0 without an answer. A daemon that may lack the configuration
+  /// may answer 503 in place of 401.
+  void OnAnswer(const std::string& id, int status, bool may_lack_config);
+  /// Returns whether the call is one of the team with a quota and got 429.
   bool IsQuotaRefusal(const std::string& id, int status) const;
   /// Checks all windows of the quota.
   void CheckQuota();
