--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -96,7 +96,7 @@
 void ReadLimits(MapReader* map, Settings* settings) {
   ReadInteger(map, "memory_mb", kOptional, {64, 64LL * 1024 * 1024},
               &settings->memory_mb);
-  ReadInteger(map, "max_fds", kOptional, {256, 1024 * 1024},
+  ReadInteger(map, "max_fds", kOptional, {256, 1024LL * 1024},
               &settings->max_fds);
 }
 
