--- a/src/daemon/store_view_unittest.cc
+++ b/src/daemon/store_view_unittest.cc
@@ -266,4 +266,8 @@
   CHECK(fixture.view.Endpoints().Revision() >= kDeparture);
   CHECK(fixture.gateway.endpoints.endpoints.count("b") == 0);
   CHECK(BootNow() - silent_at < kMost);
+  // Ends the call in progress, which owns its connection until then.
+  for (const std::shared_ptr<tcp::socket>& socket : silent.held)
+    socket->close();
+  fixture.io.run_for(Milliseconds(20));
 }
--- a/src/gateway/caller_intake_unittest.cc
+++ b/src/gateway/caller_intake_unittest.cc
@@ -35,8 +35,13 @@
     this->connection->Start();
     this->socket.non_blocking(true);
   }
-  /// Closes the stream, whose handlers own the connection until then.
-  ~Caller() { this->stream->Close(); }
+  /// Leaves, which ends a request in progress, and closes the stream: the
+  /// request and the handlers of the stream own the connection until then.
+  ~Caller() {
+    this->socket.close();
+    this->scene->io.run_for(Milliseconds(20));
+    this->stream->Close();
+  }
   Caller(const Caller&) = delete;
   Caller& operator=(const Caller&) = delete;
 
--- a/src/gateway/long_prompt_unittest.cc
+++ b/src/gateway/long_prompt_unittest.cc
@@ -90,6 +90,7 @@
                Milliseconds(40));
     CHECK_TEXT(testing::Has(scene.received.at(0), row.urgency),
                (row.name + scene.received[0]).c_str());
+    CHECK(scene.RunUntil([&scene] { return scene.gateway.exchanges == 0; }));
   }
 }
 
