Review: A stop time that is changed just before SIGTERM is not used

Case 7: the settings file names a shorter stop time and SIGTERM comes before the gateway's next look at the file. The gateway plans its stop by the old time, takes requests that it can't finish and is killed while replicas run them.

--- a/review/rig-2/gateway.cc
+++ b/review/rig-2/gateway.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <thread>
 
@@ -23,7 +24,8 @@
 
 Gateway::Gateway(const std::string& own_folder,
                  const std::string& own_name,
-                 int platform_port)
+                 int platform_port,
+                 int stop_s)
     : folder(own_folder),
       name(own_name),
       store_port(platform_port),
@@ -31,7 +33,12 @@
       ready_port(FreePort()),
       peer_port(FreePort()),
       metrics_port(FreePort()) {
-  std::ofstream settings(this->folder + "/" + this->name + ".conf");
+  this->WriteSettings(stop_s);
+}
+
+void Gateway::WriteSettings(int stop_s) const {
+  const std::string path = this->folder + "/" + this->name + ".conf";
+  std::ofstream settings(path + ".new");
   settings << "nodeName=" << this->name
            << "\nrole=gateway\nmachineClass=edge\nserves=edge\nip=127.0.0.1"
            << "\nzone=dc\nregion=r\nzones.dc=r\nlisten.front="
@@ -43,7 +50,7 @@
            << "\nlimits.maxFds=2870\nlimits.linkMbps=700.0\nheartbeatMs=1200"
            << "\nbounds.seedLagS=3\nbounds.reuseAfterS=2"
            << "\nbounds.contactMs=3000\nbounds.ackMs=4000\nbounds.catchUpS=4"
-           << "\nbounds.drainMs=2000\nbounds.graceS=8"
+           << "\nbounds.drainMs=2000\nbounds.graceS=" << stop_s
            << "\nbounds.lossSlackMs=200\nbounds.configApplyMs=2000"
            << "\nbounds.rollbackSlackMs=250\nbounds.maxExtensionMs=5000"
            << "\nbounds.budgetRatio=0.2\nbounds.budgetWindowS=10"
@@ -55,6 +62,8 @@
            << At(this->store_port) << "\nplatform.form=objects"
            << "\nplatform.writesPerS=400\nplatform.readsPerS=2000"
            << "\nplatform.historyS=20\nplatform.valueBytes=1048576\n";
+  settings.close();
+  std::filesystem::rename(path + ".new", path);
 }
 
 Gateway::~Gateway() {
--- a/review/rig-2/gateway.h
+++ b/review/rig-2/gateway.h
@@ -9,15 +9,23 @@
 
 namespace review {
 
+/// `graceS` of the small sites.
+inline constexpr int kStopS = 8;
+
 /// A process of the gateway, started with the command of the deploy file.
 class Gateway {
  public:
   /// `folder` takes its settings and its log.
-  Gateway(const std::string& folder, const std::string& name, int store_port);
+  Gateway(const std::string& folder,
+          const std::string& name,
+          int store_port,
+          int stop_s = kStopS);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
+  /// Replaces the settings file, as the platform does, without a signal.
+  void WriteSettings(int stop_s) const;
   void Start();
   /// Returns whether it has answered that it is ready before the time is over.
   bool AwaitReady(Milliseconds timeout) const;
