Gateway, daemon: Log and count requests that the daemon cuts

Cause: a connection that the daemon ends with a request on it left no log line and no count, and nothing told that the event loop was late.

Event 2413 tells by how much the loop was late. The ends of connections move into caller_connection_end.cc; no change of logic.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -19,6 +19,8 @@
 using BoostError = boost::system::error_code;
 
 constexpr Milliseconds kTick{250};
+/// A tick that is later by this much is logged.
+constexpr Milliseconds kLateTick{200};
 constexpr Milliseconds kSettingsCheck{1000};
 /// Of the process's descriptors, for files.
 constexpr int kFileDescriptors = 200;
@@ -274,6 +276,7 @@
   if (this->gateway.leaving)
     return;
   this->gateway.leaving = true;
+  this->gateway.leaving_since = BootNow();
   this->shutdown = BeginShutdown(this->settings.stop_timeout, BootNow());
   this->gateway.last_request_at = this->shutdown.last_request_at;
   this->gateway.last_answer_at = this->shutdown.last_answer_at;
@@ -297,6 +300,21 @@
     this->log.Write(kAnswersCutOff, "", "callers=" + std::to_string(cut));
 }
 
+void Daemon::RecordCuts() const {
+  for (const auto& weak : this->connections) {
+    if (const auto connection = weak.lock())
+      connection->RecordCut("shutdown");
+  }
+}
+
+void Daemon::ObserveLateness(TimePoint now) {
+  if (this->tick_due == TimePoint() || now < this->tick_due + kLateTick)
+    return;
+  const auto late =
+      std::chrono::duration_cast<Milliseconds>(now - this->tick_due);
+  this->log.Write(kLoopLate, "", "late_ms=" + std::to_string(late.count()));
+}
+
 void Daemon::ForgetEndedConnections() {
   const auto ended = std::remove_if(
       this->connections.begin(), this->connections.end(),
@@ -319,6 +337,7 @@
 }
 
 void Daemon::Tick() {
+  this->ObserveLateness(BootNow());
   this->gateway.connections.DropExpired();
   this->gateway.crash_watch.Tick(BootNow());
   this->gateway.intake->Tick(BootNow());
@@ -337,11 +356,13 @@
                           this->gateway.intake->UnsentCount()};
     if (IsComplete(&this->shutdown, pending, now)) {
       this->EndUnsentAnswers();
+      this->RecordCuts();
       this->io.stop();
       return;
     }
     next = NextCheck(this->shutdown, now, kTick);
   }
+  this->tick_due = next;
   this->ticker.expires_after(TimeLeft(next, now) + Milliseconds(1));
   this->ticker.async_wait([this](const BoostError& ec) {
     if (!ec)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -53,6 +53,10 @@
   void EndUnsentAnswers();
   void ForgetEndedConnections();
   void Tick();
+  /// Logs and counts what callers still wait for at the end of the process.
+  void RecordCuts() const;
+  /// Records by how much the event loop was late for the last tick.
+  void ObserveLateness(TimePoint now);
   /// Logs the calls to the store now and then, if there were any.
   void LogStoreCalls(TimePoint now);
 
@@ -75,6 +79,7 @@
   QuarantineRecord quarantine_record;
   boost::asio::signal_set signals;
   boost::asio::steady_timer ticker;
+  TimePoint tick_due;
   std::vector<std::weak_ptr<gateway::CallerConnection>> connections;
   std::filesystem::file_time_type settings_written;
   TimePoint settings_check_at;
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -30,6 +30,8 @@
 inline constexpr Event kAnswersCutOff{2412, Severity::kWarning,
                                       "answers-cut-off"};
 
+inline constexpr Event kLoopLate{2413, Severity::kWarning, "loop-late"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -255,21 +255,6 @@
     this->CloseWhenSent();
 }
 
-/// Closes the connection once the caller has taken all bytes of the last
-/// answer. Until then it counts in the account as one that takes its answer.
-void CallerConnection::CloseWhenSent() {
-  if (this->HasUnsent()) {
-    this->phase = Phase::kFinishing;
-    std::string().swap(this->input);
-    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
-    return;
-  }
-  this->phase = Phase::kClosed;
-  this->timer.cancel();
-  this->intake->AddLingering(this->stream);
-  this->stream->CloseAfterWrite();
-}
-
 void CallerConnection::AwaitRequest() {
   this->phase = Phase::kIdle;
   StartProgress(&this->progress, BootNow());
@@ -295,47 +280,12 @@
     this->ReadRequest();
 }
 
-void CallerConnection::AbortAnswer() {
-  if (this->phase != Phase::kServing)
-    return;
-  this->exchange = nullptr;
-  // A body that is delimited by the end of the connection would look complete
-  // after a normal close.
-  if (this->chunked) {
-    this->CloseWhenSent();
-    return;
-  }
-  this->stream->Reset();
-  this->Close();
-}
-
 bool CallerConnection::IsCongested() const {
   const std::size_t limit =
       LacksRoomForAnswers(this->gateway->held_bytes) ? 0 : kMaxUnsentBytes;
   return this->stream->UnsentBytes() > limit;
 }
 
-bool CallerConnection::EndIfCallerLeft() {
-  if (!this->stream->HasPeerEnded())
-    return false;
-  this->OnEnd();
-  return true;
-}
-
-void CallerConnection::CloseIfIdle() {
-  if (this->phase == Phase::kIdle && !this->HasUnsent() &&
-      !this->stream->HasUnreadBytes())
-    this->Close();
-}
-
-bool CallerConnection::EndIfUnsent() {
-  if (this->phase == Phase::kClosed || !this->HasUnsent())
-    return false;
-  this->stream->Reset();
-  this->OnEnd();
-  return true;
-}
-
 void CallerConnection::OnDrained() {
   this->CountHeldBytes();
   if (this->phase == Phase::kFinishing) {
@@ -357,22 +307,6 @@
   this->ReadBufferedRequest();
 }
 
-void CallerConnection::OnEnd() {
-  const std::shared_ptr<Exchange> current =
-      std::exchange(this->exchange, nullptr);
-  this->Close();
-  if (current)
-    current->OnCallerGone();
-}
-
-void CallerConnection::Close() {
-  this->phase = Phase::kClosed;
-  this->awaits_room = false;
-  this->body = nullptr;
-  this->timer.cancel();
-  this->stream->Close();
-}
-
 void CallerConnection::SetTimer(Milliseconds timeout) {
   this->sent_at_timer = this->stream->SentBytes();
   this->timer.expires_after(timeout);
@@ -383,17 +317,4 @@
   });
 }
 
-void CallerConnection::OnTimeout() {
-  if (this->phase == Phase::kReceiving) {
-    this->RejectWith(408, "timeout");
-    return;
-  }
-  const bool has_progressed =
-      this->HasUnsent() && this->stream->SentBytes() != this->sent_at_timer;
-  if (has_progressed)
-    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
-  else
-    this->Close();
-}
-
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -58,6 +58,9 @@
   /// Resets the connection if it has unsent bytes, at the end of the process.
   /// Returns whether it had.
   bool EndIfUnsent();
+  /// Logs and counts the request on the connection, if there is one without a
+  /// complete answer, since this daemon ends the connection for `reason`.
+  void RecordCut(std::string_view reason) const;
 
   // Defined in caller_connection_intake.cc: for CallerIntake.
   intake::Holder Describe(TimePoint now) const;
@@ -82,6 +85,10 @@
     kClosed,
   };
 
+  const char* PhaseName() const;
+  /// Returns whether bytes of a request have arrived, read or unread, or of an
+  /// answer are unsent.
+  bool HasOpenRequest() const;
   void OnData(std::string_view bytes);
   void OnEnd();
   void OnDrained();
--- a/src/gateway/caller_connection_intake.cc
+++ b/src/gateway/caller_connection_intake.cc
@@ -143,6 +143,7 @@
     case Phase::kFinishing:
       if (!this->IsTaking())
         return false;
+      this->RecordCut(reason);
       this->stream->Reset();
       this->OnEnd();
       break;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -58,6 +58,8 @@
   ~Exchange();
 
   void Start();
+  /// Returns the id that the caller gave the request; may be empty.
+  std::string_view Id() const { return this->info.id; }
   void OnCallerGone();
   void OnCallerDrained();
   /// Ends the request if its parts have been quarantined and no endpoint has
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -120,6 +120,7 @@
   std::set<quota::TeamKey> teams_over_share;
   std::mt19937_64 random;
   bool leaving = false;  ///< A graceful shutdown is in progress.
+  TimePoint leaving_since;
   /// During shutdown, requests that arrive from then on are refused, unless
   /// their deadline passes before `last_answer_at`.
   TimePoint last_request_at;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -74,6 +74,10 @@
           AddCounter(registry,
                      "coltsfootvane_gateway_ended_connections_total",
                      "Connections of callers that were ended to make room")),
+      cut_requests(AddCounter(registry,
+                              "coltsfootvane_gateway_cut_requests_total",
+                              "Requests whose connection the daemon ended "
+                              "before they had a complete answer")),
       first_event(
           AddHistogram(registry,
                        "coltsfootvane_gateway_first_event_seconds",
@@ -154,6 +158,13 @@
   this->ended_connections->Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void GatewayMetrics::CountCutRequest(std::string_view phase,
+                                     std::string_view reason) {
+  this->cut_requests
+      ->Add({{"phase", std::string(phase)}, {"reason", std::string(reason)}})
+      .Increment();
+}
+
 void GatewayMetrics::ObserveFirstEvent(const Route& route, Seconds time) {
   this->first_event->Add(RouteLabels(route), kFirstEventBounds)
       .Observe(time.count());
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -41,6 +41,9 @@
   void CountRejected(std::string_view reason);
   /// Counts a caller's connection that was ended to make room.
   void CountEndedConnection(std::string_view reason);
+  /// Counts a request without a complete answer whose connection this daemon
+  /// ended. `phase` is that of the connection.
+  void CountCutRequest(std::string_view phase, std::string_view reason);
   /// Records the time from the arrival of a request to the first event of its
   /// stream.
   void ObserveFirstEvent(const Route& route, Seconds time);
@@ -89,6 +92,7 @@
   Family<prometheus::Histogram>* request_time;
   Family<prometheus::Counter>* rejected;
   Family<prometheus::Counter>* ended_connections;
+  Family<prometheus::Counter>* cut_requests;
   Family<prometheus::Histogram>* first_event;
   Family<prometheus::Histogram>* event_gap;
   Family<prometheus::Counter>* sends;
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -233,9 +233,12 @@
   this->chain = nullptr;
 }
 
-bool TcpStream::HasUnreadBytes() const {
+std::size_t TcpStream::UnreadBytes() const {
+  if (!this->IsOpen())
+    return 0;
   BoostError ec;
-  return this->IsOpen() && this->socket.available(ec) > 0 && !ec;
+  const std::size_t unread = this->socket.available(ec);
+  return ec ? 0 : unread;
 }
 
 bool TcpStream::HasPeerEnded() {
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -67,7 +67,8 @@
 
   bool IsOpen() const { return this->socket.is_open() && !this->ended; }
   /// Returns whether bytes have arrived that the owner has not seen yet.
-  bool HasUnreadBytes() const;
+  bool HasUnreadBytes() const { return this->UnreadBytes() > 0; }
+  std::size_t UnreadBytes() const;
   /// Returns whether the peer has ended the connection, though the loop has not
   /// come to read that yet. Unread bytes before the end hide it.
   bool HasPeerEnded();
