Gateway: A cancelled timeout no longer cuts a request

What callers saw: a whole request, read and sent to an endpoint, whose connection ended without an answer or a refusal.

Cause: an expired steady_timer has queued its handler; cancel() and a new expiry do not take it back. A loop that was busy finds the bytes of a request and the idle timeout of its connection in the same turn. The bytes come first: the request is served and the timer cancelled. Then its handler closes the connection in the phase "serving".

Change: net::Timer calls only the handler that was set last. A handler of an earlier setting, of a cancelled or of a destroyed timer finds another number and returns. The caller's connection uses it.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -10,8 +10,6 @@
 namespace coltsfootvane::gateway {
 namespace {
 
-using BoostError = boost::system::error_code;
-
 /// Pipelined input that is buffered while a request is in progress. Reading
 /// pauses beyond it.
 constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
@@ -45,7 +43,7 @@
                                    std::shared_ptr<net::TcpStream> connected)
     : gateway(owner),
       stream(std::move(connected)),
-      timer(*owner->io),
+      timer(owner->io),
       parser(NewParser(*owner)),
       held_bytes(&owner->held_bytes),
       intake(owner->intake),
@@ -139,7 +137,7 @@
   this->intake->KeepBounds();
   if (this->phase != Phase::kReceiving)
     return;
-  this->timer.cancel();
+  this->timer.Cancel();
   this->has_been_served = true;
   net::RequestHead head = std::move(this->parser.Request());
   this->head_bytes = 0;
@@ -309,10 +307,8 @@
 
 void CallerConnection::SetTimer(Milliseconds timeout) {
   this->sent_at_timer = this->stream->SentBytes();
-  this->timer.expires_after(timeout);
-  this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
-    const auto self = weak.lock();
-    if (!ec && self)
+  this->timer.Set(timeout, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
       self->OnTimeout();
   });
 }
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -1,7 +1,6 @@
 #ifndef COLTSFOOTVANE_GATEWAY_CALLER_CONNECTION_H_
 #define COLTSFOOTVANE_GATEWAY_CALLER_CONNECTION_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -17,6 +16,7 @@
 #include "net/message.h"
 #include "net/message_parser.h"
 #include "net/tcp_stream.h"
+#include "net/timer.h"
 
 namespace coltsfootvane::gateway {
 
@@ -112,7 +112,7 @@
 
   Gateway* gateway;
   std::shared_ptr<net::TcpStream> stream;
-  boost::asio::steady_timer timer;
+  net::Timer timer;
   Phase phase = Phase::kIdle;
   std::string input;
   std::shared_ptr<RequestBody> body;  ///< nullptr before its first byte.
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -83,7 +83,7 @@
     return;
   }
   this->phase = Phase::kClosed;
-  this->timer.cancel();
+  this->timer.Cancel();
   this->intake->AddLingering(this->stream);
   this->stream->CloseAfterWrite();
 }
@@ -136,7 +136,7 @@
   this->phase = Phase::kClosed;
   this->awaits_room = false;
   this->body = nullptr;
-  this->timer.cancel();
+  this->timer.Cancel();
   this->stream->Close();
 }
 
--- a/src/gateway/caller_connection_intake.cc
+++ b/src/gateway/caller_connection_intake.cc
@@ -40,7 +40,7 @@
     case intake::Admission::kWait:
       this->awaits_room = true;
       this->awaits_since = BootNow();
-      this->timer.cancel();
+      this->timer.Cancel();
       this->stream->PauseReading();
       return false;
     case intake::Admission::kRefuse:
