Gateway: The idle timeout no longer resets an unread request

What callers saw: a reset of a kept connection right after they had sent a request on it.

Cause: the idle timeout closed the connection without asking for unread bytes, which the close of idle connections in a shutdown and the close for room do. A loop that is late handles many timers in one turn; a request that arrives within it is unread when the timeout is handled, and closing with unread bytes resets the connection.

Change: with unread bytes and nothing unsent the connection stays open and is read next.

Measured: CallerTimeout.DoesNotResetWhatIsUnread failed before (no answer) and passes.

--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -145,6 +145,12 @@
     this->RejectWith(408, "timeout");
     return;
   }
+  if (this->phase == Phase::kIdle && !this->HasUnsent() &&
+      this->stream->HasUnreadBytes()) {
+    // A request has arrived that the loop has not come to read yet.
+    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+    return;
+  }
   const bool has_progressed =
       this->HasUnsent() && this->stream->SentBytes() != this->sent_at_timer;
   if (has_progressed) {
--- a/src/gateway/caller_timeout_unittest.cc
+++ b/src/gateway/caller_timeout_unittest.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <thread>
 
+#include "net/timer.h"
 #include "support/gateway_scene.h"
 
 #include <CppUTest/TestHarness.h>
@@ -18,6 +19,10 @@
     "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n"
     "Server-Signature: p\r\nContent-Length: 0\r\n\r\n";
 
+const std::string kRequest =
+    "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: id1\r\n"
+    "Content-Length: 2\r\n\r\nhi";
+
 /// A caller whose connection is driven by hand.
 struct Caller {
   explicit Caller(GatewayScene* owner) : scene(owner), socket(owner->io) {
@@ -67,9 +72,6 @@
 /// of its connection: it was read and sent on, and the timeout then closed the
 /// connection without an answer.
 TEST(CallerTimeout, DoesNotCutRequestsThatArriveWithIt) {
-  const std::string request =
-      "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: id1\r\n"
-      "Content-Length: 2\r\n\r\nhi";
   struct Row {
     const char* name;
     std::size_t early_bytes;  ///< Read before the loop is busy.
@@ -77,7 +79,7 @@
     bool is_first;            ///< Request of the connection.
     int busy_ms;              ///< The timeouts are 150 (head) and 300 ms.
   };
-  const std::size_t all = request.size();
+  const std::size_t all = kRequest.size();
   const Row rows[] = {
       {"new connection", 0, all, true, 350},
       {"idle connection", 0, all, false, 350},
@@ -93,21 +95,36 @@
     scene.answers = {{kAnswer}, {kAnswer}};
     Caller caller(&scene);
     if (!row.is_first) {
-      caller.Send(request);
+      caller.Send(kRequest);
       CHECK_TEXT(caller.Awaits("\r\n\r\n"), row.name);
       caller.received.clear();
     }
-    caller.Send(request.substr(0, row.early_bytes));
+    caller.Send(kRequest.substr(0, row.early_bytes));
     const TimePoint read_until = Clock::now() + Milliseconds(30);
     scene.RunUntil([read_until] { return Clock::now() >= read_until; });
-    caller.Send(request.substr(row.early_bytes, row.late_bytes));
+    caller.Send(kRequest.substr(row.early_bytes, row.late_bytes));
     KeepLoopBusy(Milliseconds(row.busy_ms));
     const TimePoint turn_until = Clock::now() + Milliseconds(10);
     scene.RunUntil([turn_until] { return Clock::now() >= turn_until; });
-    caller.Send(request.substr(row.early_bytes + row.late_bytes));
+    caller.Send(kRequest.substr(row.early_bytes + row.late_bytes));
     CHECK_TEXT(caller.Awaits("\r\n\r\n"), row.name);
     CHECK_TEXT(Has(caller.received, "HTTP/1.1 200"),
                (row.name + (": " + caller.received)).c_str());
     LONGS_EQUAL_TEXT(row.is_first ? 1 : 2, scene.received.size(), row.name);
   }
 }
+
+/// Guards against a request that arrives while the loop handles the timers of
+/// the same turn: the idle timeout closed the connection with the request
+/// unread, which resets it.
+TEST(CallerTimeout, DoesNotResetWhatIsUnread) {
+  GatewayScene scene;
+  scene.AddEndpoint("e1");
+  scene.answers = {{kAnswer}};
+  net::Timer earlier(&scene.io);
+  Caller caller(&scene);
+  earlier.Set(Milliseconds(250), [&caller] { caller.Send(kRequest); });
+  KeepLoopBusy(Milliseconds(350));
+  CHECK(caller.Awaits("\r\n\r\n"));
+  CHECK(Has(caller.received, "HTTP/1.1 200"));
+}
