Gateway: Idle connections follow the idle limit in force and the one stated

What callers saw: kept connections that were closed while they sent the next request, after a change of the idle limit.

Cause: the timer of an idle connection was set once, at the end of its last answer. After a longer limit came in force, callers reused connections beyond the old one; after a shorter one within a long answer, the connection was closed before the time that this answer had stated in Keep-Alive.

Change: the timeout closes an idle connection only once the limit in force and the stated one are both over, and is set again otherwise.

Measured: CallerTimeout.FollowsTheIdleLimit failed before ("longer, within": closed) and passes.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -60,7 +60,7 @@
   events.on_end = [self](net::StreamEnd) { self->OnEnd(); };
   events.on_drained = [self] { self->OnDrained(); };
   this->stream->Start(std::move(events));
-  this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+  this->BeginIdleTime();
   StartProgress(&this->progress, BootNow());
   this->CountHeldBytes();
 }
@@ -220,9 +220,11 @@
   if (!this->keep_alive) {
     head.fields.push_back({"Connection", "close"});
   } else {
-    const auto idle = LimitsOf(*this->gateway).idle_timeout;
+    this->stated_idle_limit = LimitsOf(*this->gateway).idle_timeout;
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(
+        this->stated_idle_limit);
     head.fields.push_back(
-        {"Keep-Alive", "timeout=" + std::to_string(idle.count() / 1000)});
+        {"Keep-Alive", "timeout=" + std::to_string(seconds.count())});
   }
   this->Write(net::FormatHead(head));
 }
@@ -260,7 +262,7 @@
   this->continue_sent = false;
   this->chunked = false;
   this->stream->ResumeReading();
-  this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+  this->BeginIdleTime();
   if (this->input.empty())
     return;
   // Posted, since this runs within the call that ended the previous request.
@@ -292,7 +294,7 @@
   }
   // Its idle time begins when the last byte has been sent.
   if (this->phase == Phase::kIdle)
-    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+    this->BeginIdleTime();
   const std::shared_ptr<Exchange> current = this->exchange;
   if (current) {
     current->OnCallerDrained();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -107,6 +107,9 @@
   void ReadBufferedRequest();
   void SetTimer(Milliseconds timeout);
   void OnTimeout();
+  bool MayStayIdle();
+  Milliseconds IdleLimit() const;
+  void BeginIdleTime();
   void CloseWhenSent();
   void Close();
 
@@ -124,6 +127,8 @@
   bool is_http_1_1 = true;
   bool is_head_request = false;  ///< The request method is HEAD.
   bool chunked = false;          ///< The current answer uses chunked coding.
+  TimePoint idle_since;          ///< In kIdle.
+  Milliseconds stated_idle_limit{};  ///< In the last answer; 0 before it.
   net::HeldBytes held_bytes;
   std::shared_ptr<CallerIntake> intake;
   std::uint64_t number;  ///< With the intake.
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <utility>
@@ -140,17 +141,43 @@
   this->stream->Close();
 }
 
+/// Returns whether the connection stays open although its timer has expired.
+bool CallerConnection::MayStayIdle() {
+  if (this->HasUnsent())
+    return false;
+  if (this->stream->HasUnreadBytes()) {
+    // A request has arrived that the loop has not come to read yet.
+    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+    return true;
+  }
+  // The limit may have changed since the timer was set.
+  const TimePoint now = BootNow();
+  const TimePoint until = this->idle_since + this->IdleLimit();
+  if (now >= until)
+    return false;
+  this->SetTimer(TimeLeft(until, now) + Milliseconds(1));
+  return true;
+}
+
+/// Callers go by the limit that their last answer has stated or by that of the
+/// newest configuration.
+Milliseconds CallerConnection::IdleLimit() const {
+  return std::max(this->stated_idle_limit,
+                  LimitsOf(*this->gateway).idle_timeout);
+}
+
+void CallerConnection::BeginIdleTime() {
+  this->idle_since = BootNow();
+  this->SetTimer(this->IdleLimit());
+}
+
 void CallerConnection::OnTimeout() {
   if (this->phase == Phase::kReceiving) {
     this->RejectWith(408, "timeout");
     return;
   }
-  if (this->phase == Phase::kIdle && !this->HasUnsent() &&
-      this->stream->HasUnreadBytes()) {
-    // A request has arrived that the loop has not come to read yet.
-    this->SetTimer(LimitsOf(*this->gateway).idle_timeout);
+  if (this->phase == Phase::kIdle && this->MayStayIdle())
     return;
-  }
   const bool has_progressed =
       this->HasUnsent() && this->stream->SentBytes() != this->sent_at_timer;
   if (has_progressed) {
--- a/src/gateway/caller_timeout_unittest.cc
+++ b/src/gateway/caller_timeout_unittest.cc
@@ -53,12 +53,27 @@
     return Has(this->received, text);
   }
 
+  /// Returns whether the daemon has kept the connection open.
+  bool IsOpen() {
+    char byte = 0;
+    this->socket.receive(boost::asio::buffer(&byte, 1),
+                         boost::asio::socket_base::message_peek, this->end);
+    return this->end == boost::asio::error::would_block;
+  }
+
   GatewayScene* scene;
   net::tcp::socket socket;
   std::string received;
   boost::system::error_code end;
 };
 
+/// Changes the idle limit of the configuration in force.
+void SetIdleLimit(GatewayScene* scene, Milliseconds limit) {
+  auto table = std::make_shared<gateway::RoutingTable>(*scene->gateway.routes);
+  table->limits.idle_timeout = limit;
+  scene->gateway.routes = table;
+}
+
 /// Lets timers become due while the event loop does other work.
 void KeepLoopBusy(Milliseconds time) {
   std::this_thread::sleep_for(time);
@@ -128,3 +143,41 @@
   CHECK(caller.Awaits("\r\n\r\n"));
   CHECK(Has(caller.received, "HTTP/1.1 200"));
 }
+
+/// Guards against connections that are closed before the time that their caller
+/// goes by: callers know the limit of the newest configuration or the one that
+/// their last answer has stated, whichever is longer.
+TEST(CallerTimeout, FollowsTheIdleLimit) {
+  struct Row {
+    const char* name;
+    int first_ms;   ///< The limit that the answer states.
+    int second_ms;  ///< The limit from then on.
+    int pause_ms;   ///< Until the next request.
+    bool is_kept;   ///< The next request is answered.
+  };
+  const Row rows[] = {{"unchanged, within", 1000, 1000, 800, true},
+                      {"unchanged, beyond", 1000, 1000, 1200, false},
+                      {"longer, within", 1000, 1600, 1300, true},
+                      {"longer, beyond", 1000, 1600, 1850, false},
+                      {"shorter, within the stated one", 1000, 300, 800, true},
+                      {"shorter, beyond both", 1000, 300, 1200, false}};
+  for (const Row& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    scene.answers = {{kAnswer}, {kAnswer}};
+    SetIdleLimit(&scene, Milliseconds(row.first_ms));
+    Caller caller(&scene);
+    caller.Send(kRequest);
+    CHECK_TEXT(caller.Awaits("\r\n\r\n"), row.name);
+    CHECK_TEXT(Has(caller.received, "Keep-Alive: timeout=1"), row.name);
+    caller.received.clear();
+    SetIdleLimit(&scene, Milliseconds(row.second_ms));
+    const TimePoint until = Clock::now() + Milliseconds(row.pause_ms);
+    scene.RunUntil([until] { return Clock::now() >= until; });
+    LONGS_EQUAL_TEXT(row.is_kept, caller.IsOpen(), row.name);
+    if (!row.is_kept)
+      continue;
+    caller.Send(kRequest);
+    CHECK_TEXT(caller.Awaits("\r\n\r\n"), row.name);
+  }
+}
