Daemon: A shutdown goes by the stop time of the settings file in force

Cause: the times of a shutdown were planned once, with the settings of the last look at the file. The file may change without a signal, and is looked at once a second only.

Change: SIGTERM reads the settings file, and a change that is read during the shutdown plans its times again from the signal.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -270,6 +270,17 @@
 void Daemon::ApplyChangeable(const DaemonSettings& changed) {
   this->settings.stop_timeout = changed.stop_timeout;
   this->gateway.retry_limit = changed.retry_limit;
+  if (this->gateway.leaving)
+    this->PlanShutdown(this->gateway.leaving_since);
+}
+
+/// Sets the times of a shutdown that began at that time.
+void Daemon::PlanShutdown(TimePoint began) {
+  const TimePoint last_busy = this->shutdown.last_busy;
+  this->shutdown = BeginShutdown(this->settings.stop_timeout, began);
+  this->shutdown.last_busy = last_busy;
+  this->gateway.last_request_at = this->shutdown.last_request_at;
+  this->gateway.last_answer_at = this->shutdown.last_answer_at;
 }
 
 void Daemon::StartShutdown() {
@@ -277,9 +288,9 @@
     return;
   this->gateway.leaving = true;
   this->gateway.leaving_since = BootNow();
-  this->shutdown = BeginShutdown(this->settings.stop_timeout, BootNow());
-  this->gateway.last_request_at = this->shutdown.last_request_at;
-  this->gateway.last_answer_at = this->shutdown.last_answer_at;
+  this->PlanShutdown(this->gateway.leaving_since);
+  // The stop time may have changed since the last look at the file.
+  this->ReloadSettings();
   this->CloseIdleConnections();
   this->lease.Release();
   this->fleet.ReportNow();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -48,6 +48,7 @@
   void ReloadSettings();
   void ApplyChangeable(const DaemonSettings& changed);
   void StartShutdown();
+  void PlanShutdown(TimePoint began);
   void CloseIdleConnections();
   /// Resets what slow callers have not taken within the grace period.
   void EndUnsentAnswers();
--- a/tests/integration/stop_test.cc
+++ b/tests/integration/stop_test.cc
@@ -87,3 +87,37 @@
     CHECK_TEXT(CountStatus(site, stopped, 503) > 20, row.path);
   }
 }
+
+/// Guards against a stop that is planned by an old stop time, since the
+/// settings file has changed without a signal just before SIGTERM or after it:
+/// requests are passed on and then cut off by SIGKILL.
+TEST(PlannedStops, FollowTheStopTimeOfTheSettingsFile) {
+  struct Row {
+    const char* name;
+    int change_ms;  ///< From SIGTERM.
+  };
+  constexpr int kStopTimeS = 4;
+  for (const Row& row : {Row{"just before SIGTERM", 0}, Row{"after it", 300}}) {
+    ReplicaSite site(2);
+    CHECK(site.Start());
+    Delay(&site, Milliseconds(200));
+    site.StartCalls("/unsafe/1");
+    site.RunFor(1000);
+    if (row.change_ms == 0)
+      site.daemon.WriteSettings(kStopTimeS);
+    const TimePoint stopped = Clock::now();
+    site.daemon.process->Signal(SIGTERM);
+    if (row.change_ms > 0) {
+      site.RunFor(row.change_ms);
+      site.daemon.WriteSettings(kStopTimeS);
+    }
+    const auto has_ended = [&] { return !site.daemon.process->IsRunning(); };
+    const int left_ms = static_cast<int>(
+        TimeLeft(stopped + Milliseconds(kStopTimeS * 1000), Clock::now())
+            .count());
+    CHECK_TEXT(site.RunUntil(has_ended, left_ms), row.name);
+    site.StopCalls();
+    site.RunFor(500);
+    CHECK_EQUAL_TEXT(0, CountCutOff(site, stopped), row.name);
+  }
+}
