Net: A number below 100 is no status

What callers saw: a call whose endpoint answered with the status 000 waited until its deadline and got 504, though the answer was there at once.

Cause: every status below 200 passed for an interim answer, and the parser takes any three digits. The answer was not handed on to the caller.

Change: the parser takes a response with a status below 100 as malformed, so that calls of `unsafe` routes get 502 at once and others are sent again. This covers health answers, reports, orders and the store as well, which use the same parser. 600 and more stay final answers that are forwarded unchanged. `serve` is not affected: its HTTP library rejects such answers.

--- a/src/http/http_unittest.cc
+++ b/src/http/http_unittest.cc
@@ -201,6 +201,9 @@
       {"cut before the last chunk",
        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"},
       {"neither length nor chunks", head + "\r\nabc"},
+      {"status 000", "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok"},
+      {"status 099", "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nok"},
+      {"interim answer alone", "HTTP/1.1 100 Continue\r\n\r\n"},
       {"cut in a chunk", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabc"},
   };
   for (const Row& row : rows) {
--- a/src/net/message_parser.cc
+++ b/src/net/message_parser.cc
@@ -27,6 +27,10 @@
 
 namespace {
 
+/// RFC 9110, section 15. Lower numbers are no statuses, neither interim nor
+/// final ones; higher ones than 599 are final.
+constexpr int kMinStatus = 100;
+
 std::string ToString(boost::beast::string_view text) {
   return std::string(text.data(), text.size());
 }
@@ -69,7 +73,11 @@
   void on_response_impl(int status,
                         View reason,
                         int version,
-                        ErrorCode& /*ec*/) override {
+                        ErrorCode& ec) override {
+    if (status < kMinStatus) {
+      this->state->fault = ParseFault::kMalformed;
+      ec = http::error::bad_status;
+    }
     this->state->response.status = status;
     this->state->response.reason = ToString(reason);
     this->state->response.minor_version = version % 10;
--- a/src/net/message_parser_unittest.cc
+++ b/src/net/message_parser_unittest.cc
@@ -89,6 +89,30 @@
   }
 }
 
+/// Guards against numbers that are no status and pass for interim ones: the
+/// request would wait until its deadline for another answer.
+TEST(MessageParser, RejectsNumbersThatAreNoStatus) {
+  struct Row {
+    const char* status;
+    bool valid;
+  };
+  const Row rows[] = {{"000", false},  {"001", false}, {"099", false},
+                      {"100", true},   {"200", true},  {"599", true},
+                      {"600", true},   {"999", true},  {"1000", false},
+                      {"0200", false}, {"20", false},  {"-10", false}};
+  for (const Row& row : rows) {
+    const std::string bytes = std::string("HTTP/1.1 ") + row.status +
+                              " X\r\nContent-Length: 0\r\n\r\n";
+    for (const std::size_t piece : {1UL, 7UL, 1000UL}) {
+      MessageParser parser(MessageParser::Kind::kResponse, kLimits);
+      FeedInPieces(&parser, bytes, piece);
+      CHECK_EQUAL_TEXT(row.valid, parser.Fault() == ParseFault::kNone,
+                       row.status);
+      CHECK_EQUAL_TEXT(row.valid, parser.HeadDone(), row.status);
+    }
+  }
+}
+
 /// Guards against lines without end, which would be kept until they end.
 TEST(MessageParser, RejectsLinesWithoutEnd) {
   struct Row {
