Net, gateway, store, fleet: Timers that are set again use net::Timer

A handler that is queued already runs although its timer was cancelled or set again. Exposed were: the linger of a connection with its last answer (closed at once instead of after 500 ms, which resets it if the caller still sends), the follower of the store (Refresh() beside a queued step makes two calls) and the registry of daemons. In HttpClient, connection attempts, Exchange and Fleet other checks made the late handler harmless.

Change: all of these use net::Timer.

No test shows the single sites.

--- a/src/fleet/adapter_requests.h
+++ b/src/fleet/adapter_requests.h
@@ -1,11 +1,11 @@
 #ifndef COLTSFOOTVANE_FLEET_ADAPTER_REQUESTS_H_
 #define COLTSFOOTVANE_FLEET_ADAPTER_REQUESTS_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 
 #include "base/clock.h"
 #include "gateway/gateway.h"
+#include "net/timer.h"
 
 namespace coltsfootvane::fleet {
 
@@ -13,7 +13,7 @@
 struct PendingAdapter {
   gateway::AdapterWanted wanted;
   gateway::AdapterHandler done;
-  std::unique_ptr<boost::asio::steady_timer> timer;
+  std::unique_ptr<net::Timer> timer;
   int sends = 0;
 };
 
--- a/src/fleet/daemon_registry.cc
+++ b/src/fleet/daemon_registry.cc
@@ -22,7 +22,7 @@
                                std::string name,
                                const boost::asio::ip::address& own_address,
                                Found on_found)
-    : timer(*io),
+    : timer(io),
       store(object_store),
       daemon_name(std::move(name)),
       address(own_address.to_string()),
@@ -128,11 +128,7 @@
 
 void DaemonRegistry::RunAfter(Milliseconds delay,
                               std::function<void()> action) {
-  this->timer.expires_after(delay);
-  this->timer.async_wait([action = std::move(action)](const BoostError& ec) {
-    if (!ec)
-      action();
-  });
+  this->timer.Set(delay, std::move(action));
 }
 
 }  // namespace coltsfootvane::fleet
--- a/src/fleet/daemon_registry.h
+++ b/src/fleet/daemon_registry.h
@@ -3,11 +3,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <random>
 #include <string>
 
+#include "net/timer.h"
 #include "store/object_store.h"
 
 namespace coltsfootvane::fleet {
@@ -38,7 +38,7 @@
   void RunAfter(Milliseconds delay, std::function<void()> action);
   store::Object OwnEntry() const;
 
-  boost::asio::steady_timer timer;
+  net::Timer timer;
   const store::ObjectStore* store;
   std::string daemon_name;
   std::string address;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -77,10 +77,10 @@
     : io(io_context),
       gateway(request_gateway),
       socket(*io_context),
-      timer(*io_context),
-      suspect_timer(*io_context),
-      quota_timer(*io_context),
-      load_timer(*io_context) {}
+      timer(io_context),
+      suspect_timer(io_context),
+      quota_timer(io_context),
+      load_timer(io_context) {}
 
 Result<bool> Fleet::Open(const udp::endpoint& address) {
   BoostError ec;
@@ -369,11 +369,7 @@
   this->UpdateTrialOrder(now);
   this->RemindOfQuarantine(now);
   gateway::ExpireSuspects(this->gateway, now);
-  this->timer.expires_after(this->Interval());
-  this->timer.async_wait([this](const BoostError& ec) {
-    if (!ec)
-      this->Tick();
-  });
+  this->timer.Set(this->Interval(), [this] { this->Tick(); });
 }
 
 double Fleet::DemandFor(const std::string& model, TimePoint now) {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -4,7 +4,6 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -20,6 +19,7 @@
 #include "fleet/placement_news.h"
 #include "fleet/suspect_news.h"
 #include "gateway/gateway.h"
+#include "net/timer.h"
 #include "quota/quota_node.h"
 
 namespace coltsfootvane::fleet {
@@ -189,7 +189,7 @@
   boost::asio::io_context* io;
   gateway::Gateway* gateway;
   boost::asio::ip::udp::socket socket;
-  boost::asio::steady_timer timer;
+  net::Timer timer;
   boost::asio::ip::udp::endpoint sender;
   std::array<char, 2048> buffer{};
   MemberTable table;
@@ -212,14 +212,14 @@
   std::map<std::uint32_t, double> peer_demand;
   TimePoint peer_demand_until;
   SuspectNews suspect_news;
-  boost::asio::steady_timer suspect_timer;
+  net::Timer suspect_timer;
   bool suspects_scheduled = false;
   std::unique_ptr<quota::QuotaNode> quota;  ///< Since Open().
-  boost::asio::steady_timer quota_timer;
+  net::Timer quota_timer;
   TimePoint next_quota_members;
   bool quota_leaving = false;
   LoadTracking load_tracking;
-  boost::asio::steady_timer load_timer;
+  net::Timer load_timer;
   double report_bytes = 200;  ///< Moving average of received report sizes.
 };
 
--- a/src/fleet/fleet_adapters.cc
+++ b/src/fleet/fleet_adapters.cc
@@ -9,8 +9,6 @@
 
 using gateway::AdapterOutcome;
 using gateway::KeyOf;
-using BoostError = boost::system::error_code;
-
 /// An answer normally takes a few ms, or the time of an order that comes first.
 constexpr Milliseconds kFirstResend{60};
 constexpr int kMaxDoublings = 2;
@@ -81,7 +79,7 @@
   PendingAdapter& pending = this->pending_adapters[number];
   pending.wanted = wanted;
   pending.done = std::move(done);
-  pending.timer = std::make_unique<boost::asio::steady_timer>(*this->io);
+  pending.timer = std::make_unique<net::Timer>(this->io);
   this->SendAdapterRequest(number);
 }
 
@@ -105,11 +103,8 @@
   ++pending.sends;
   const TimePoint next =
       std::min(NextSend(pending.sends, now), pending.wanted.deadline);
-  pending.timer->expires_after(TimeLeft(next, now));
-  pending.timer->async_wait([this, number](const BoostError& ec) {
-    if (!ec)
-      this->OnAdapterTimer(number);
-  });
+  pending.timer->Set(TimeLeft(next, now),
+                     [this, number] { this->OnAdapterTimer(number); });
 }
 
 void Fleet::OnAdapterTimer(std::int64_t number) {
--- a/src/fleet/fleet_occupancy.cc
+++ b/src/fleet/fleet_occupancy.cc
@@ -12,8 +12,6 @@
 namespace {
 
 using gateway::EndpointPtr;
-using BoostError = boost::system::error_code;
-
 /// Time for which the list of possible load trackers is used.
 constexpr Milliseconds kTrackersLifetime{250};
 /// Queries are kept for late answers, which are newer than reports.
@@ -65,10 +63,7 @@
     return;
   }
   round->done = std::move(done);
-  round->timer.expires_after(kLoadQueryTimeout);
-  round->timer.async_wait([this, round](const BoostError& ec) {
-    if (ec)
-      return;
+  round->timer.Set(kLoadQueryTimeout, [this, round] {
     // Answers that have already arrived are read first.
     boost::asio::post(*this->io, [this, round] { this->EndLoadRound(round); });
   });
@@ -123,7 +118,7 @@
     tracking.contacts.erase(from);
   if (!pending.round || --pending.round->missing > 0 || !pending.round->done)
     return;
-  pending.round->timer.cancel();
+  pending.round->timer.Cancel();
   std::exchange(pending.round->done, nullptr)();
 }
 
@@ -198,11 +193,8 @@
       kBytesWeight *
       (std::exchange(tracking.received_bytes, 0) - tracking.bytes_per_s);
   this->ReportTracking();
-  this->load_timer.expires_after(occupancy::kRepeatInterval);
-  this->load_timer.async_wait([this](const BoostError& ec) {
-    if (!ec)
-      this->RepeatLoad();
-  });
+  this->load_timer.Set(occupancy::kRepeatInterval,
+                       [this] { this->RepeatLoad(); });
 }
 
 void Fleet::ReportTracking() {
--- a/src/fleet/fleet_quota.cc
+++ b/src/fleet/fleet_quota.cc
@@ -9,8 +9,6 @@
 namespace coltsfootvane::fleet {
 namespace {
 
-using BoostError = boost::system::error_code;
-
 /// A daemon that has read the store's list of daemons knows whom to ask. One
 /// that cannot read it hears of the others by their reports.
 constexpr Milliseconds kSettleTime{3000};
@@ -159,13 +157,10 @@
   const TimePoint now = BootNow();
   const TimePoint next = this->quota->Tick(now);
   if (next == TimePoint::max()) {
-    this->quota_timer.cancel();
+    this->quota_timer.Cancel();
     return;
   }
-  this->quota_timer.expires_after(TimeLeft(next, now) + Milliseconds(1));
-  this->quota_timer.async_wait([this](const BoostError& ec) {
-    if (ec)
-      return;
+  this->quota_timer.Set(TimeLeft(next, now) + Milliseconds(1), [this] {
     this->UpdateQuotaMembers();
     this->TickQuota();
   });
--- a/src/fleet/fleet_suspects.cc
+++ b/src/fleet/fleet_suspects.cc
@@ -6,8 +6,6 @@
 namespace coltsfootvane::fleet {
 namespace {
 
-using BoostError = boost::system::error_code;
-
 /// Returns the addresses of the daemons that report.
 std::vector<std::uint32_t> LiveMembers(const MemberTable& table,
                                        TimePoint now) {
@@ -54,11 +52,7 @@
   if (!HasNews(this->suspect_news))
     return;
   this->suspects_scheduled = true;
-  this->suspect_timer.expires_after(delay);
-  this->suspect_timer.async_wait([this](const BoostError& ec) {
-    if (!ec)
-      this->OnSuspectTimer();
-  });
+  this->suspect_timer.Set(delay, [this] { this->OnSuspectTimer(); });
 }
 
 void Fleet::OnSuspectTimer() {
--- a/src/fleet/load_tracking.h
+++ b/src/fleet/load_tracking.h
@@ -1,7 +1,6 @@
 #ifndef COLTSFOOTVANE_FLEET_LOAD_TRACKING_H_
 #define COLTSFOOTVANE_FLEET_LOAD_TRACKING_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,6 +14,7 @@
 #include "fleet/gen/fleet_types.h"
 #include "fleet/member_table.h"
 #include "gateway/endpoint.h"
+#include "net/timer.h"
 #include "occupancy/ledger.h"
 
 namespace coltsfootvane::fleet {
@@ -28,10 +28,10 @@
 
 /// The queries of one request.
 struct LoadRound {
-  explicit LoadRound(boost::asio::io_context* io) : timer(*io) {}
+  explicit LoadRound(boost::asio::io_context* io) : timer(io) {}
   int missing = 0;  ///< Answers that are awaited.
   std::function<void()> done;
-  boost::asio::steady_timer timer;
+  net::Timer timer;
 };
 
 /// A query that has no answer yet.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -12,8 +12,6 @@
 namespace coltsfootvane::gateway {
 namespace {
 
-using BoostError = boost::system::error_code;
-
 /// Time within which a daemon without a configuration expects to have one.
 constexpr Milliseconds kConfigurationWait{1000};
 /// Time within which an unavailable endpoint is expected to return or to be
@@ -46,8 +44,8 @@
       head(std::move(request_head)),
       body(std::move(request_body)),
       received(received_at),
-      timer(*owner->io),
-      silence_timer(*owner->io),
+      timer(owner->io),
+      silence_timer(owner->io),
       routes(owner->routes),
       head_bytes(net::FieldBytes(this->head.fields)),
       held_bytes(&owner->held_bytes) {
@@ -83,10 +81,8 @@
                  now);
     this->RecordPrompt(now);
   }
-  this->timer.expires_after(TimeLeft(this->deadline, now));
-  this->timer.async_wait([weak = weak_from_this()](const BoostError& ec) {
-    const auto self = weak.lock();
-    if (!ec && self)
+  this->timer.Set(TimeLeft(this->deadline, now), [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
       self->OnTimeout();
   });
   this->AwaitQuota();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,7 +1,6 @@
 #ifndef COLTSFOOTVANE_GATEWAY_EXCHANGE_H_
 #define COLTSFOOTVANE_GATEWAY_EXCHANGE_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -25,6 +24,7 @@
 #include "net/message.h"
 #include "net/message_parser.h"
 #include "net/tcp_stream.h"
+#include "net/timer.h"
 #include "prefill/prefill.h"
 #include "quarantine/suspicion.h"
 #include "quota/quota_node.h"
@@ -205,8 +205,8 @@
   bool body_released = false;
   TimePoint received;
   TimePoint deadline;
-  boost::asio::steady_timer timer;
-  boost::asio::steady_timer silence_timer;
+  net::Timer timer;
+  net::Timer silence_timer;
   TimePoint silence_check_at;
   std::shared_ptr<const RoutingTable> routes;
   const Route* route = nullptr;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -131,10 +131,10 @@
     --this->gateway->quarantine.trials[*this->tried_part];
     this->tried_part.reset();
   }
-  this->timer.cancel();
+  this->timer.Cancel();
   this->SettleQuota();
   this->load.wait_timer.reset();
-  this->silence_timer.cancel();
+  this->silence_timer.Cancel();
   this->ReleaseEndpoint(false);
   this->body = nullptr;
 }
--- a/src/gateway/exchange_load.cc
+++ b/src/gateway/exchange_load.cc
@@ -13,7 +13,6 @@
 namespace coltsfootvane::gateway {
 namespace {
 
-using BoostError = boost::system::error_code;
 using occupancy::PlainVerdict;
 
 bool TracksLoad(const Gateway& gateway) {
@@ -188,14 +187,12 @@
                   " wait_ms=" + std::to_string(RoundedUp(wait_ms).count()) +
                   " waits=" + std::to_string(this->load.waits));
   if (!this->load.wait_timer)
-    this->load.wait_timer.emplace(*this->gateway->io);
-  this->load.wait_timer->expires_after(RoundedUp(wait_ms));
-  this->load.wait_timer->async_wait(
-      [weak = weak_from_this()](const BoostError& ec) {
-        const auto self = weak.lock();
-        if (!ec && self && !self->finished)
-          self->TryNextEndpoint();
-      });
+    this->load.wait_timer.emplace(this->gateway->io);
+  this->load.wait_timer->Set(RoundedUp(wait_ms), [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->finished)
+      self->TryNextEndpoint();
+  });
 }
 
 /// Records the time that a call to a plain service took, from its send.
--- a/src/gateway/exchange_load.h
+++ b/src/gateway/exchange_load.h
@@ -1,13 +1,13 @@
 #ifndef COLTSFOOTVANE_GATEWAY_EXCHANGE_LOAD_H_
 #define COLTSFOOTVANE_GATEWAY_EXCHANGE_LOAD_H_
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
 #include "base/clock.h"
 #include "gateway/endpoint.h"
+#include "net/timer.h"
 
 namespace coltsfootvane::gateway {
 
@@ -24,7 +24,7 @@
   int generation = 0;  ///< Identifies callbacks of earlier queries.
   int waits = 0;       ///< For a place at a plain service.
   double waited_ms = 0;
-  std::optional<boost::asio::steady_timer> wait_timer;
+  std::optional<net::Timer> wait_timer;
   /// Requests at the endpoint before the current send, by exact figures.
   std::optional<int> found_running;
   bool refused = false;  ///< The endpoint has refused the current send as full.
--- a/src/gateway/exchange_stall.cc
+++ b/src/gateway/exchange_stall.cc
@@ -100,12 +100,11 @@
 
 void Exchange::CheckSilenceAt(TimePoint at) {
   this->silence_check_at = at;
-  this->silence_timer.expires_after(TimeLeft(at, BootNow()) + Milliseconds(1));
-  this->silence_timer.async_wait(
-      [weak = weak_from_this(),
-       current = this->send_generation](const boost::system::error_code& ec) {
+  this->silence_timer.Set(
+      TimeLeft(at, BootNow()) + Milliseconds(1),
+      [weak = weak_from_this(), current = this->send_generation] {
         const auto self = weak.lock();
-        if (!ec && self && !self->finished && self->send_generation == current)
+        if (self && !self->finished && self->send_generation == current)
           self->CheckSilence();
       });
 }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -3,12 +3,11 @@
 #include <utility>
 
 #include "net/message_parser.h"
+#include "net/timer.h"
 
 namespace coltsfootvane::net {
 namespace {
 
-using BoostError = boost::system::error_code;
-
 /// A kept connection that was idle for longer may have been closed by the peer
 /// while the next request is on its way.
 constexpr Milliseconds kIdleLimit{3000};
@@ -22,7 +21,7 @@
           ByteAccount* account,
           ResponseHandler response_handler,
           const AnswerLimits& answer_limits)
-      : timer(*io),
+      : timer(io),
         handler(std::move(response_handler)),
         parser(MessageParser::Kind::kResponse,
                {kMaxHeaderBytes, answer_limits.body_bytes}),
@@ -33,7 +32,7 @@
   ConnectionUse use = ConnectionUse::kKept;
   bool reuses_connection = false;  ///< Earlier calls were made on it.
   std::string request;
-  boost::asio::steady_timer timer;
+  Timer timer;
   ResponseHandler handler;
   std::shared_ptr<TcpStream> stream;
   MessageParser parser;
@@ -59,11 +58,8 @@
   if (!body.empty() || head.method != "GET")
     head.fields.push_back({"Content-Length", std::to_string(body.size())});
   pending->request = FormatHead(head) + body;
-  pending->timer.expires_after(timeout);
-  pending->timer.async_wait([pending](const BoostError& ec) {
-    if (!ec)
-      Fail(pending,
-           pending->stream ? ErrorCode::kUnknown : ErrorCode::kNotSent);
+  pending->timer.Set(timeout, [pending] {
+    Fail(pending, pending->stream ? ErrorCode::kUnknown : ErrorCode::kNotSent);
   });
   if (use == ConnectionUse::kKept) {
     if (auto stream = this->TakeIdle(address)) {
@@ -143,7 +139,7 @@
 void HttpClient::Fail(const std::shared_ptr<Pending>& pending, ErrorCode code) {
   if (!pending->handler)
     return;
-  pending->timer.cancel();
+  pending->timer.Cancel();
   pending->held_bytes.Set(0);
   const ResponseHandler handler = std::exchange(pending->handler, nullptr);
   if (pending->stream)
@@ -156,7 +152,7 @@
 void HttpClient::Finish(const std::shared_ptr<Pending>& pending) {
   if (!pending->handler)
     return;
-  pending->timer.cancel();
+  pending->timer.Cancel();
   pending->held_bytes.Set(0);
   const ResponseHandler handler = std::exchange(pending->handler, nullptr);
   WholeResponse response;
--- a/src/net/tcp_connect.cc
+++ b/src/net/tcp_connect.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "net/tcp_stream.h"
+#include "net/timer.h"
 
 namespace coltsfootvane::net {
 namespace {
@@ -21,12 +22,12 @@
 
 struct PendingConnect {
   PendingConnect(boost::asio::io_context* io, ConnectHandler connect_handler)
-      : socket(*io), timer(*io), handler(std::move(connect_handler)) {}
+      : socket(*io), timer(io), handler(std::move(connect_handler)) {}
 
   void Finish(bool connected) {
     if (!this->handler)
       return;
-    this->timer.cancel();
+    this->timer.Cancel();
     const ConnectHandler done = std::exchange(this->handler, nullptr);
     if (connected) {
       done(std::make_shared<TcpStream>(std::move(this->socket)));
@@ -38,7 +39,7 @@
   }
 
   tcp::socket socket;
-  boost::asio::steady_timer timer;
+  Timer timer;
   ConnectHandler handler;
 };
 
@@ -65,11 +66,7 @@
              Milliseconds failure_detection,
              ConnectHandler handler) {
   auto pending = std::make_shared<PendingConnect>(io, std::move(handler));
-  pending->timer.expires_after(timeout);
-  pending->timer.async_wait([pending](const BoostError& ec) {
-    if (!ec)
-      pending->Finish(false);
-  });
+  pending->timer.Set(timeout, [pending] { pending->Finish(false); });
   BoostError ignored;
   pending->socket.open(address.protocol(), ignored);
   if (!ignored)
@@ -87,20 +84,19 @@
                     Milliseconds timeout,
                     std::function<void(ListenState)> done) {
   struct PendingCheck {
+    explicit PendingCheck(boost::asio::io_context* owner)
+        : socket(*owner), timer(owner) {}
     tcp::socket socket;
-    boost::asio::steady_timer timer;
+    Timer timer;
   };
-  auto pending = std::make_shared<PendingCheck>(
-      PendingCheck{tcp::socket(*io), boost::asio::steady_timer(*io)});
-  pending->timer.expires_after(timeout);
-  pending->timer.async_wait([pending](const BoostError& ec) {
+  auto pending = std::make_shared<PendingCheck>(io);
+  pending->timer.Set(timeout, [pending] {
     BoostError ignored;
-    if (!ec)
-      pending->socket.close(ignored);
+    pending->socket.close(ignored);
   });
   pending->socket.async_connect(
       address, [pending, done = std::move(done)](const BoostError& ec) {
-        pending->timer.cancel();
+        pending->timer.Cancel();
         if (!ec)
           done(ListenState::kListening);
         else if (ec == boost::asio::error::connection_refused)
--- a/src/net/tcp_stream.cc
+++ b/src/net/tcp_stream.cc
@@ -277,10 +277,7 @@
 /// unsent bytes.
 void TcpStream::StartLinger() {
   this->sent_before_linger = this->sent_bytes;
-  this->linger.expires_after(kLinger);
-  this->linger.async_wait([self = shared_from_this()](const BoostError& ec) {
-    if (ec)
-      return;
+  this->linger.Set(kLinger, [self = shared_from_this()] {
     if (self->HasUnsent() && self->sent_bytes != self->sent_before_linger)
       self->StartLinger();
     else
@@ -298,7 +295,7 @@
 void TcpStream::Close() {
   this->events = nullptr;
   this->ended = true;
-  this->linger.cancel();
+  this->linger.Cancel();
   this->CloseSocket();
 }
 
@@ -325,7 +322,7 @@
     return;
   this->ended = true;
   const auto current = std::exchange(this->events, nullptr);
-  this->linger.cancel();
+  this->linger.Cancel();
   this->CloseSocket();
   if (current && current->on_end)
     current->on_end(end);
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -13,6 +12,7 @@
 
 #include "base/clock.h"
 #include "net/byte_chain.h"
+#include "net/timer.h"
 
 namespace coltsfootvane::net {
 
@@ -102,7 +102,7 @@
   std::size_t chain_offset = 0;            ///< Within that block.
   std::size_t chain_left = 0;              ///< Unsent bytes of the chain.
   std::uint64_t sent_bytes = 0;
-  boost::asio::steady_timer linger;
+  Timer linger;
   std::uint64_t sent_before_linger = 0;
   bool reading = false;  ///< A wait for data is pending.
   bool paused = false;
--- a/src/net/timer.cc
+++ b/src/net/timer.cc
@@ -8,6 +8,8 @@
 
 Timer::Timer(boost::asio::io_context* io) : timer(*io) {}
 
+Timer::Timer(const boost::asio::any_io_executor& executor) : timer(executor) {}
+
 void Timer::Set(Milliseconds delay, std::function<void()> handler) {
   this->timer.expires_after(delay);
   const std::uint64_t own = ++*this->setting;
--- a/src/net/timer.h
+++ b/src/net/timer.h
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTVANE_NET_TIMER_H_
 #define COLTSFOOTVANE_NET_TIMER_H_
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -18,6 +19,7 @@
 class Timer {
  public:
   explicit Timer(boost::asio::io_context* io);
+  explicit Timer(const boost::asio::any_io_executor& executor);
   ~Timer() = default;
   Timer(const Timer&) = delete;
   Timer& operator=(const Timer&) = delete;
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -10,8 +10,6 @@
 namespace coltsfootvane::store {
 namespace {
 
-using BoostError = boost::system::error_code;
-
 /// Of a watch that is answered whether there is a change or not.
 constexpr Milliseconds kNoWait{1};
 constexpr Milliseconds kFirstBackoff{300};
@@ -32,8 +30,8 @@
                            FollowedKind followed_kind,
                            DecisionLog* decision_log,
                            FollowerEvents follower_events)
-    : timer(*io),
-      silence_timer(*io),
+    : timer(io),
+      silence_timer(io),
       store(object_store),
       kind(std::move(followed_kind)),
       log(decision_log),
@@ -133,16 +131,15 @@
 void KindFollower::SendTwiceIfSilent(Milliseconds max_silence,
                                      const std::function<void()>& send) {
   this->unanswered = 1;
-  this->silence_timer.expires_after(max_silence);
-  this->silence_timer.async_wait(
-      [this, send, current = this->generation](const BoostError& ec) {
-        if (ec || current != this->generation)
-          return;
-        ++this->unanswered;
-        if (this->store->renew_connections)
-          this->store->renew_connections();
-        send();
-      });
+  this->silence_timer.Set(max_silence,
+                          [this, send, current = this->generation] {
+                            if (current != this->generation)
+                              return;
+                            ++this->unanswered;
+                            if (this->store->renew_connections)
+                              this->store->renew_connections();
+                            send();
+                          });
   send();
 }
 
@@ -155,7 +152,7 @@
   if (failed && this->unanswered > 0)
     return false;
   ++this->generation;
-  this->silence_timer.cancel();
+  this->silence_timer.Cancel();
   return true;
 }
 
@@ -201,7 +198,7 @@
 
 void KindFollower::Refresh(CallCause cause) {
   ++this->generation;
-  this->timer.cancel();
+  this->timer.Cancel();
   this->list_cause = cause;
   this->List();
 }
@@ -351,11 +348,7 @@
 }
 
 void KindFollower::Later(Milliseconds pause, void (KindFollower::*step)()) {
-  this->timer.expires_after(pause);
-  this->timer.async_wait([this, step](const BoostError& ec) {
-    if (!ec)
-      (this->*step)();
-  });
+  this->timer.Set(pause, [this, step] { (this->*step)(); });
 }
 
 void KindFollower::SetReachable(bool now_reachable, std::string_view reason) {
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -2,7 +2,6 @@
 #define COLTSFOOTVANE_STORE_KIND_FOLLOWER_H_
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -10,6 +9,7 @@
 #include <string_view>
 
 #include "log/decision_log.h"
+#include "net/timer.h"
 #include "store/object_store.h"
 
 namespace coltsfootvane::store {
@@ -110,8 +110,8 @@
   /// `reason` tells why it is not.
   void SetReachable(bool now_reachable, std::string_view reason = {});
 
-  boost::asio::steady_timer timer;
-  boost::asio::steady_timer silence_timer;  ///< Of the call in progress.
+  net::Timer timer;
+  net::Timer silence_timer;  ///< Of the call in progress.
   const ObjectStore* store;
   FollowedKind kind;
   DecisionLog* log;
