Gateway: Answers without a length await a check-in after a silence

Cause: an open port and a ready entry passed for evidence that the endpoint lives on. A process that was replaced at its address looks the same until the store tells of it.

Change: after a silence of 400 ms just before the end, or before bytes that came together with the end, the endpoint is looked at 1.5 s later, when its check-in or its removal is known. The ends of such answers move to exchange_crash.cc.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -354,6 +354,7 @@
   this->AttachHandlers(this->stream.get());
   ++this->possible_executions;
   this->sent_at = BootNow();
+  this->arrival = {this->sent_at, TimePoint()};
   SendOptions options;
   options.endpoint_id = this->endpoint->entry.id;
   options.time_left = TimeLeft(this->deadline, this->sent_at);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -28,6 +28,7 @@
 #include "prefill/prefill.h"
 #include "quarantine/suspicion.h"
 #include "quota/quota_node.h"
+#include "stall/answer_arrival.h"
 #include "stall/stall.h"
 
 namespace coltsfootvane::gateway {
@@ -191,6 +192,7 @@
   void ForwardEvents();
   void ObserveEvent();
   void OnUnframedEnd();
+  void CheckUnframedEnd();
   void OnAnswerDone();
   void OnBufferedAnswer();
   bool IsAcceptable() const;
@@ -238,9 +240,10 @@
   int prefill_tokens = 0;        ///< Included in `endpoint->own.prompt_tokens`.
   int tokens_under_way = 0;      ///< At the endpoint, as known at the send.
   TimePoint sent_at;
-  TimePoint last_bytes_at;   ///< Of the current send.
-  double expected_ms = 0;    ///< Wait for its first event.
-  bool move_denied = false;  ///< The retry budget is used up.
+  TimePoint last_bytes_at;       ///< Of the current send.
+  stall::AnswerArrival arrival;  ///< Of the current send.
+  double expected_ms = 0;        ///< Wait for its first event.
+  bool move_denied = false;      ///< The retry budget is used up.
   std::string input;
   std::optional<net::MessageParser> parser;
   net::ResponseHead answer;
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -61,6 +61,7 @@
 
 void Exchange::OnData(std::string_view bytes) {
   this->last_bytes_at = BootNow();
+  stall::RecordArrival(&this->arrival, this->last_bytes_at);
   this->endpoint->activity.last_bytes = this->last_bytes_at;
   this->input.append(bytes);
   if (!this->head_read || this->mode == Mode::kDiscarded)
@@ -295,34 +296,6 @@
                                                     : "connection failed");
 }
 
-/// An answer without a length ends with its connection, and so does that of a
-/// process that ends. It is complete only if the endpoint has not been listed
-/// or stated as leaving, removed or restarted, and something listens at its
-/// address. See "Answers without a length" in docs/design.md.
-void Exchange::OnUnframedEnd() {
-  if (!TakesNewWork(*this->endpoint)) {
-    this->OnSendBroken("endpoint leaves");
-    return;
-  }
-  net::CheckListening(
-      this->gateway->io, this->endpoint->entry.address, kListenCheckTimeout,
-      [weak = weak_from_this(),
-       current = this->send_generation](net::ListenState state) {
-        const auto self = weak.lock();
-        if (!self || self->finished || self->send_generation != current)
-          return;
-        // The endpoint may have left during the check.
-        if (!TakesNewWork(*self->endpoint))
-          self->OnSendBroken("endpoint leaves");
-        else if (state == net::ListenState::kRefused)
-          self->OnSendBroken("endpoint crashed");
-        else if (state == net::ListenState::kUnreachable)
-          self->OnSendBroken("endpoint unreachable", true);
-        else
-          self->OnAnswerDone();
-      });
-}
-
 void Exchange::OnAnswerDone() {
   if (this->mode == Mode::kBuffered) {
     this->OnBufferedAnswer();
--- a/src/gateway/exchange_crash.cc
+++ b/src/gateway/exchange_crash.cc
@@ -70,4 +70,51 @@
     this->RetryOrFail(reason);
 }
 
+/// An answer without a length ends with its connection, and so does that of a
+/// process that ends. It is complete only if the endpoint has not been listed
+/// or stated as leaving, removed or restarted, and something listens at its
+/// address. After a silence that may hide a restart, the next check-in of the
+/// endpoint is awaited first. See "Answers without a length" in docs/design.md.
+void Exchange::OnUnframedEnd() {
+  if (!TakesNewWork(*this->endpoint)) {
+    this->OnSendBroken("endpoint leaves");
+    return;
+  }
+  if (!stall::MayHideRestart(this->arrival, BootNow())) {
+    this->CheckUnframedEnd();
+    return;
+  }
+  this->silence_timer.Set(
+      stall::kRestartKnown,
+      [weak = weak_from_this(), current = this->send_generation] {
+        const auto self = weak.lock();
+        if (self && !self->finished && self->send_generation == current)
+          self->CheckUnframedEnd();
+      });
+}
+
+void Exchange::CheckUnframedEnd() {
+  if (!TakesNewWork(*this->endpoint)) {
+    this->OnSendBroken("endpoint leaves");
+    return;
+  }
+  net::CheckListening(
+      this->gateway->io, this->endpoint->entry.address, kListenCheckTimeout,
+      [weak = weak_from_this(),
+       current = this->send_generation](net::ListenState state) {
+        const auto self = weak.lock();
+        if (!self || self->finished || self->send_generation != current)
+          return;
+        // The endpoint may have left during the check.
+        if (!TakesNewWork(*self->endpoint))
+          self->OnSendBroken("endpoint leaves");
+        else if (state == net::ListenState::kRefused)
+          self->OnSendBroken("endpoint crashed");
+        else if (state == net::ListenState::kUnreachable)
+          self->OnSendBroken("endpoint unreachable", true);
+        else
+          self->OnAnswerDone();
+      });
+}
+
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/unframed_end_unittest.cc
+++ b/src/gateway/unframed_end_unittest.cc
@@ -1,8 +1,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "net/timer.h"
 #include "support/gateway_scene.h"
 
 #include <CppUTest/TestHarness.h>
@@ -89,3 +91,50 @@
     }
   }
 }
+
+/// Guards against a part of an answer without a length that looks complete: its
+/// end is seen only after a silence, in which the endpoint has ended and its
+/// address has a new process, which the store tells of a little later.
+TEST(UnframedEnd, SilenceMayHideARestart) {
+  struct Row {
+    const char* name;
+    int first_ms;  ///< Until the first bytes of the answer.
+    int end_ms;    ///< From then until further bytes and the end.
+    bool restarted;
+    bool complete;
+  };
+  const Row rows[] = {
+      {"no silence, healthy", 40, 40, false, true},
+      {"silence before the answer, healthy", 500, 0, false, true},
+      {"silence before the answer", 500, 0, true, false},
+      {"silence within the answer, healthy", 40, 500, false, true},
+      {"silence within the answer", 40, 500, true, false},
+  };
+  const std::string request =
+      "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: id1\r\n"
+      "Deadline-Ms: 4000\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi";
+  for (const Row& row : rows) {
+    GatewayScene scene;
+    scene.AddEndpoint("e1");
+    auto table = std::make_shared<gateway::RoutingTable>(*scene.gateway.routes);
+    for (gateway::Route& route : table->routes)
+      route.timeout = Milliseconds(4000);
+    scene.gateway.routes = table;
+    net::Timer first(&scene.io);
+    net::Timer end(&scene.io);
+    net::Timer check_in(&scene.io);
+    first.Set(Milliseconds(row.first_ms), [&] {
+      if (row.end_ms > 0)
+        scene.AnswerLate(kPart);
+    });
+    end.Set(Milliseconds(row.first_ms + row.end_ms),
+            [&] { scene.AnswerLateAndClose(row.end_ms > 0 ? "more" : kPart); });
+    check_in.Set(Milliseconds(row.first_ms + row.end_ms + 300), [&] {
+      if (row.restarted)
+        Upsert(&scene, false, 1);
+    });
+    const std::string answer = scene.Call(request);
+    CHECK_TEXT(Has(answer, row.complete ? "HTTP/1.1 200" : "HTTP/1.1 502"),
+               (std::string(row.name) + ": " + answer).c_str());
+  }
+}
