Daemon: A shutdown waits for requests that have begun to arrive

Cause: the end of a shutdown looked at requests in progress and unsent bytes only. Requests that were partly read, unread or on a connection that was not accepted yet were dropped with the process.

Change: these count as pending, within the same latest time. Connections that callers have made are accepted before the process ends, and requests that are not complete when the final answers are due are refused as not run.

Measured: CallerShutdown.* and two new rows of DaemonShutdown.EndsWhenTheLastCallerIsServed ("a request that arrives slowly", "a request that never arrives") pass; without the change there is nothing that they could call.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -347,6 +347,28 @@
                       (this->fleet.ReadsLatestState() ? "1" : "0"));
 }
 
+/// Ends the event loop once the shutdown is complete. Returns whether it is.
+bool Daemon::HasShutDown(TimePoint now) {
+  if (now >= this->shutdown.last_answer_at) {
+    gateway::EndOpenRequests(&this->gateway);
+    this->gateway.intake->RefuseReceiving();
+  }
+  const Pending pending{this->gateway.exchanges,
+                        this->gateway.intake->UnsentCount(),
+                        this->gateway.intake->ReceivingCount()};
+  if (!IsComplete(&this->shutdown, pending, now))
+    return false;
+  // Callers that have connected meanwhile expect an answer.
+  if (now<this->shutdown.ends&& this->callers.AcceptPending()> 0) {
+    this->shutdown.last_busy = now;
+    return false;
+  }
+  this->EndUnsentAnswers();
+  this->RecordCuts();
+  this->io.stop();
+  return true;
+}
+
 void Daemon::Tick() {
   this->ObserveLateness(BootNow());
   this->gateway.connections.DropExpired();
@@ -361,16 +383,8 @@
   this->LogStoreCalls(now);
   TimePoint next = now + kTick;
   if (this->gateway.leaving) {
-    if (now >= this->shutdown.last_answer_at)
-      gateway::EndOpenRequests(&this->gateway);
-    const Pending pending{this->gateway.exchanges,
-                          this->gateway.intake->UnsentCount()};
-    if (IsComplete(&this->shutdown, pending, now)) {
-      this->EndUnsentAnswers();
-      this->RecordCuts();
-      this->io.stop();
+    if (this->HasShutDown(now))
       return;
-    }
     next = NextCheck(this->shutdown, now, kTick);
   }
   this->tick_due = next;
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -54,6 +54,7 @@
   void EndUnsentAnswers();
   void ForgetEndedConnections();
   void Tick();
+  bool HasShutDown(TimePoint now);
   /// Logs and counts what callers still wait for at the end of the process.
   void RecordCuts() const;
   /// Records by how much the event loop was late for the last tick.
--- a/src/daemon/shutdown.cc
+++ b/src/daemon/shutdown.cc
@@ -44,7 +44,7 @@
 bool IsComplete(Shutdown* shutdown, const Pending& pending, TimePoint now) {
   if (now >= shutdown->ends)
     return true;
-  if (pending.requests > 0 || pending.unsent > 0)
+  if (pending.requests > 0 || pending.unsent > 0 || pending.receiving > 0)
     shutdown->last_busy = now;
   return now >= shutdown->began + kTurnAwayTime &&
          now >= shutdown->last_busy + kLastAnswer;
--- a/src/daemon/shutdown.h
+++ b/src/daemon/shutdown.h
@@ -17,7 +17,7 @@
   /// Requests that are still in progress get a final answer.
   TimePoint last_answer_at;
   TimePoint ends;  ///< At the latest.
-  /// When a request was last in progress or an answer unsent.
+  /// When a request was last in progress or arriving, or an answer unsent.
   TimePoint last_busy;
 };
 
@@ -32,8 +32,9 @@
 
 /// What callers still wait for.
 struct Pending {
-  int requests = 0;        ///< In progress.
-  std::size_t unsent = 0;  ///< Callers with unsent bytes of their answers.
+  int requests = 0;           ///< In progress.
+  std::size_t unsent = 0;     ///< Callers with unsent bytes of their answers.
+  std::size_t receiving = 0;  ///< Requests that have begun to arrive.
 };
 
 /// Returns whether the process can end: callers have had the time to turn to
--- a/src/daemon/shutdown_unittest.cc
+++ b/src/daemon/shutdown_unittest.cc
@@ -24,15 +24,18 @@
     const char* name;
     int busy_until_ms;
     int unsent_until_ms;
+    int receiving_until_ms;
     int complete_from_ms;
   };
   const Row rows[] = {
-      {"idle", 0, 0, 3500},
-      {"short requests", 1000, 0, 3500},
-      {"a request beyond the time to turn away", 5000, 0, 5600},
-      {"a request that does not end", 100000, 0, 7600},
-      {"an answer that is read slowly", 1000, 5000, 5600},
-      {"an answer that is not read", 1000, 100000, 7600},
+      {"idle", 0, 0, 0, 3500},
+      {"short requests", 1000, 0, 0, 3500},
+      {"a request beyond the time to turn away", 5000, 0, 0, 5600},
+      {"a request that does not end", 100000, 0, 0, 7600},
+      {"an answer that is read slowly", 1000, 5000, 0, 5600},
+      {"an answer that is not read", 1000, 100000, 0, 7600},
+      {"a request that arrives slowly", 1000, 0, 5000, 5600},
+      {"a request that never arrives", 1000, 0, 100000, 7600},
   };
   constexpr int kTickMs = 100;
   for (const Row& row : rows) {
@@ -40,7 +43,8 @@
     int ms = 0;
     const auto pending_at = [&row](int at) {
       return Pending{at <= row.busy_until_ms ? 1 : 0,
-                     at <= row.unsent_until_ms ? 1U : 0U};
+                     at <= row.unsent_until_ms ? 1U : 0U,
+                     at <= row.receiving_until_ms ? 1U : 0U};
     };
     while (!IsComplete(&shutdown, pending_at(ms), kSignal + Milliseconds(ms)))
       ms += kTickMs;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -55,6 +55,12 @@
   void CloseIfIdle();
   /// Returns whether the caller still has to take bytes.
   bool HasUnsent() const { return this->stream->UnsentBytes() > 0; }
+  /// Returns whether a request has begun to arrive, read or unread, and is not
+  /// in progress yet.
+  bool IsReceiving() const;
+  /// Refuses a request that is not completely received, at the end of the
+  /// process.
+  void RefuseIfReceiving();
   /// Resets the connection if it has unsent bytes, at the end of the process.
   /// Returns whether it had.
   bool EndIfUnsent();
--- a/src/gateway/caller_connection_end.cc
+++ b/src/gateway/caller_connection_end.cc
@@ -116,6 +116,17 @@
     this->Close();
 }
 
+bool CallerConnection::IsReceiving() const {
+  return this->phase == Phase::kReceiving ||
+         (this->phase == Phase::kIdle && !this->HasUnsent() &&
+          (!this->input.empty() || this->stream->HasUnreadBytes()));
+}
+
+void CallerConnection::RefuseIfReceiving() {
+  if (this->phase == Phase::kReceiving)
+    this->RejectWith(503, "shutdown", kShutdownRetryAfter);
+}
+
 bool CallerConnection::EndIfUnsent() {
   if (this->phase == Phase::kClosed || !this->HasUnsent())
     return false;
--- a/src/gateway/caller_intake.cc
+++ b/src/gateway/caller_intake.cc
@@ -59,6 +59,17 @@
       [](const auto& entry) { return entry.second->HasUnsent(); }));
 }
 
+std::size_t CallerIntake::ReceivingCount() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& entry) { return entry.second->IsReceiving(); }));
+}
+
+void CallerIntake::RefuseReceiving() {
+  for (const auto& connection : this->All())
+    connection->RefuseIfReceiving();
+}
+
 std::size_t CallerIntake::EndUnsent() {
   std::size_t ended = 0;
   for (const auto& connection : this->All())
--- a/src/gateway/caller_intake.h
+++ b/src/gateway/caller_intake.h
@@ -51,7 +51,12 @@
   std::size_t WaitingCount() const;
   /// Returns how many callers still have to take bytes of their answers.
   std::size_t UnsentCount() const;
-  /// Resets the connections of these callers. Returns how many there were.
+  /// Returns how many requests have begun to arrive and are not in progress.
+  std::size_t ReceivingCount() const;
+  /// Refuses those that are not completely received.
+  void RefuseReceiving();
+  /// Resets the connections of callers that still have to take bytes. Returns
+  /// how many there were.
   std::size_t EndUnsent();
 
   intake::Bounds bounds;
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -48,6 +48,22 @@
   this->acceptor.close(ignored);
 }
 
+std::size_t Listener::AcceptPending() {
+  BoostError ec;
+  this->acceptor.non_blocking(true, ec);
+  std::size_t count = 0;
+  while (!ec) {
+    net::tcp::socket socket(this->acceptor.get_executor());
+    this->acceptor.accept(socket, ec);
+    if (ec)
+      break;
+    ++count;
+    net::SetFailureDetection(&socket, kCallerFailureDetection);
+    this->on_accepted(std::make_shared<net::TcpStream>(std::move(socket)));
+  }
+  return count;
+}
+
 void Listener::AcceptNext() {
   this->acceptor.async_accept(
       [this](const BoostError& ec, net::tcp::socket socket) {
--- a/src/gateway/listener.h
+++ b/src/gateway/listener.h
@@ -21,6 +21,9 @@
   /// Errors: the address cannot be bound.
   Result<bool> Open(const net::tcp::endpoint& address, Accepted on_accepted);
   void Close();
+  /// Accepts the connections that callers have already made, without waiting.
+  /// Returns how many there were.
+  std::size_t AcceptPending();
 
  private:
   void AcceptNext();
