Daemon, fleet: Layout of two conditions and of using lines

Cause: the formatter took a comparison for a template, and blank lines were lost with removed names.

Change: layout only, and a name for one condition.

Measured: clang-format is clean; no change of behaviour.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -359,7 +359,8 @@
   if (!IsComplete(&this->shutdown, pending, now))
     return false;
   // Callers that have connected meanwhile expect an answer.
-  if (now<this->shutdown.ends&& this->callers.AcceptPending()> 0) {
+  const bool may_wait = now < this->shutdown.ends;
+  if (may_wait && this->callers.AcceptPending() > 0) {
     this->shutdown.last_busy = now;
     return false;
   }
--- a/src/fleet/fleet_adapters.cc
+++ b/src/fleet/fleet_adapters.cc
@@ -9,6 +9,7 @@
 
 using gateway::AdapterOutcome;
 using gateway::KeyOf;
+
 /// An answer normally takes a few ms, or the time of an order that comes first.
 constexpr Milliseconds kFirstResend{60};
 constexpr int kMaxDoublings = 2;
--- a/src/fleet/fleet_occupancy.cc
+++ b/src/fleet/fleet_occupancy.cc
@@ -12,6 +12,7 @@
 namespace {
 
 using gateway::EndpointPtr;
+
 /// Time for which the list of possible load trackers is used.
 constexpr Milliseconds kTrackersLifetime{250};
 /// Queries are kept for late answers, which are newer than reports.
