Tests: Callers of two new tests release their connections

Cause: CallerTimeout and CallerShutdown ended with open connections, whose events keep them; the leak check of the sanitizers failed both groups (14 and 165 allocations).

Change: the callers close and the loop sees the end, as in UnsentAnswer. No check is changed.

--- a/src/gateway/caller_shutdown_unittest.cc
+++ b/src/gateway/caller_shutdown_unittest.cc
@@ -58,7 +58,10 @@
     answer.resize(caller.read_some(boost::asio::buffer(answer), ec));
     CHECK_TEXT(Has(answer, row.answer), (row.name + answer).c_str());
     CHECK_EQUAL_TEXT(row.answer[0] == '\0', answer.empty(), row.name);
-    connection->CloseIfIdle();
+    // The connection is released once it has seen the end.
+    caller.close();
+    const TimePoint released = Clock::now() + Milliseconds(30);
+    scene.RunUntil([released] { return Clock::now() >= released; });
   }
 }
 
--- a/src/gateway/caller_timeout_unittest.cc
+++ b/src/gateway/caller_timeout_unittest.cc
@@ -35,6 +35,13 @@
     this->socket.non_blocking(true);
   }
 
+  /// The connection is released once it has seen the end.
+  ~Caller() {
+    this->socket.close();
+    const TimePoint until = Clock::now() + Milliseconds(30);
+    this->scene->RunUntil([until] { return Clock::now() >= until; });
+  }
+
   void Send(const std::string& bytes) {
     boost::asio::write(this->socket, boost::asio::buffer(bytes));
   }
