Store, gateway: Log a store that shows the past, and the view behind a 404

Cause: nothing tells a daemon that holds an older state of the store for the present from one that was not told of a change; both answer 404 "no route". Change: event 2304 names the revision seen and the lower one shown; event 2204 with "no route" names the version in force, for how long, and how long ago the view was known to be complete. No decision changes.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -149,6 +149,7 @@
   RecordConfirmation(at, this->in_force_limit, &this->gateway->random,
                      &this->check);
   this->fleet->seen_revisions.confirmed_at = this->check.confirmed_at;
+  this->gateway->view_confirmed_at = this->check.confirmed_at;
   return is_news;
 }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -88,6 +88,20 @@
   this->AwaitQuota();
 }
 
+/// Returns by which view of the store a route was looked for, for the log.
+std::string Exchange::ViewInputs() const {
+  const TimePoint now = BootNow();
+  const auto age_ms = [now](TimePoint since) {
+    return std::to_string(
+        std::chrono::duration_cast<Milliseconds>(now - since).count());
+  };
+  std::string inputs = " version=" + std::to_string(this->routes->version) +
+                       " in_force_ms=" + age_ms(this->gateway->routes_since);
+  if (this->gateway->view_confirmed_at != TimePoint())
+    inputs += " confirmed_age_ms=" + age_ms(this->gateway->view_confirmed_at);
+  return inputs;
+}
+
 /// Finds the route and the service. If that fails, answers the request and
 /// returns false.
 bool Exchange::FindRoute() {
@@ -99,7 +113,7 @@
                            HostOf(net::FieldValue(this->head.fields, "host")),
                            PathOf(this->head.target));
   if (this->route == nullptr) {
-    this->Fail(404, "no route");
+    this->Fail(404, "no route", this->ViewInputs());
     return false;
   }
   if (!this->FindTeam()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -165,6 +165,7 @@
               std::string_view inputs = {},
               int status = 503);
   void Fail(int status, std::string_view reason, std::string_view inputs = {});
+  std::string ViewInputs() const;
   void RespondWith(int status, std::optional<Milliseconds> retry_after);
   void AddWork(int tokens);
   void EndPrefill();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -100,6 +100,9 @@
   std::string data_centre;
   std::shared_ptr<const RoutingTable> routes;  ///< nullptr until configured.
   TimePoint routes_since;
+  /// All changes of routes and endpoints that were acknowledged before are in
+  /// force; TimePoint() if that is not known.
+  TimePoint view_confirmed_at;
   EndpointTable endpoints;
   std::vector<EndpointPtr> endpoint_list;  ///< The values of `endpoints`.
   EndpointConnections connections;
--- a/src/store/events.h
+++ b/src/store/events.h
@@ -8,6 +8,7 @@
 inline constexpr Event kStoreLost{2301, Severity::kWarning, "store-lost"};
 inline constexpr Event kStoreRegained{2302, Severity::kInfo, "store-regained"};
 inline constexpr Event kHistoryGone{2303, Severity::kInfo, "history-gone"};
+inline constexpr Event kStoreBehind{2304, Severity::kWarning, "store-behind"};
 
 }  // namespace coltsfootvane::store
 
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -157,8 +157,13 @@
 }
 
 void KindFollower::OnListing(Listing listing) {
-  if (listing.revision < this->revision)
+  if (listing.revision < this->revision) {
+    this->log->Write(kStoreBehind, "",
+                     "kind=" + this->kind.name +
+                         " revision=" + std::to_string(this->revision) +
+                         " shown=" + std::to_string(listing.revision));
     return;
+  }
   listing.since = std::exchange(this->revision, listing.revision);
   this->events.on_listing(listing);
 }
