--- /dev/null
+++ b/tests/integration/drill_site.cc
@@ -0,0 +1,418 @@
+#include "drill_site.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "support/free_port.h"
+
+namespace coltsfootvane::testing {
+namespace {
+
+using Json = nlohmann::json;
+using BoostError = boost::system::error_code;
+using StreamPtr = std::shared_ptr<net::TcpStream>;
+
+constexpr Milliseconds kHeartbeat{300};
+constexpr Milliseconds kCallInterval{100};  ///< Of each daemon's callers.
+constexpr int kMinChangePauseMs = 700;
+constexpr int kMaxChangePauseMs = 2500;
+/// Added to a bound for the way of a request.
+constexpr Milliseconds kSlack{100};
+constexpr int kEngines = 3;
+constexpr int kAdapters = 400;
+constexpr std::size_t kMaxFindings = 20;
+
+std::string RoutePath(int version) {
+  return "/version" + std::to_string(version) + "/";
+}
+
+Json MakeRoute(const std::string& path, const char* kind, const char* service) {
+  return {{"name", path},      {"host", "h"},        {"pathPrefix", path},
+          {"routeKind", kind}, {"timeoutMs", 4000},  {"targetLatencyMs", 300},
+          {"priority", 0},     {"service", service}, {"maxAttempts", 2},
+          {"resumable", true}};
+}
+
+/// Returns a configuration with a route for each version up to this one.
+Json MakeConfig(int version) {
+  Json routes = {MakeRoute("/safe/", "safe", "books"),
+                 MakeRoute("/chat/", "streaming", "llm")};
+  for (int i = 1; i <= version; ++i)
+    routes.push_back(MakeRoute(RoutePath(i), "safe", "books"));
+  return {{"version", version},
+          {"routes", routes},
+          {"services",
+           {{{"name", "books"}},
+            {{"name", "llm"},
+             {"engine",
+              {{"slots", 64},
+               {"weightsMb", 1000},
+               {"loadsPerS", 1},
+               {"adapterSlots", kAdapters},
+               {"models",
+                {{{"name", "m"},
+                  {"weightsMb", 500},
+                  {"adapters", kAdapters},
+                  {"adapterSizeMb", 0.01}}}}}}}}},
+          {"limits",
+           {{"maxHeaderBytes", 16384},
+            {"maxBodyBytes", 100000},
+            {"headerTimeoutMs", 1000},
+            {"idleTimeoutMs", 5000}}}};
+}
+
+Json EngineEntry(const std::string& address) {
+  return {{"service", "llm"},
+          {"address", address},
+          {"zone", "dc"},
+          {"version", "v1"},
+          {"slots", 64},
+          {"state", "ready"},
+          {"coldRemainingMs", 0},
+          {"born", 1'700'000'000'000},
+          {"models", {{{"name", "m"}, {"adapters", Json::array()}}}},
+          {"sequence", 1}};
+}
+
+}  // namespace
+
+DrillSite::DrillSite(int count, unsigned seed)
+    : host(OwnLoopbackHost()),
+      store(&this->io, this->host),
+      random(seed),
+      served(static_cast<std::size_t>(count)),
+      starts(static_cast<std::size_t>(count)) {
+  GatewayOptions options;
+  options.peer_port = FreePort(this->host);
+  options.more_settings = "bounds.configApplyMs=3000\nbounds.drainMs=3000\n";
+  for (int i = 0; i < count; ++i) {
+    options.name = "vm-" + std::to_string(i);
+    this->daemons.push_back(std::make_unique<GatewayProcess>(
+        &this->io, MoreLoopbackHost(i), this->store.server.AddressText(),
+        options));
+  }
+  for (int i = 1; i <= kEngines; ++i)
+    this->AddEngine("e" + std::to_string(i));
+  for (const char* const id : {"r1", "r2", "r3", "r4"})
+    this->AddReplica(id);
+}
+
+bool DrillSite::Start() {
+  this->store.Put("config", "main", MakeConfig(0));
+  this->Register();
+  this->StartAll();
+  const std::string all_live =
+      "coltsfootvane_live_daemons " + std::to_string(this->daemons.size());
+  for (const auto& daemon : this->daemons) {
+    if (!daemon->AwaitReady() ||
+        !daemon->RunUntil(
+            [&] {
+              return daemon->Metrics().find(all_live) != std::string::npos;
+            },
+            20'000))
+      return false;
+  }
+  this->Repeat(kHeartbeat, [this] { this->Register(); });
+  this->Repeat(kCallInterval, [this] { this->SendCalls(); });
+  this->AddVersion();
+  return true;
+}
+
+void DrillSite::StartAll() {
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    this->daemons[i]->Start();
+    ++this->starts[i];
+    this->served[i] = 0;
+  }
+}
+
+void DrillSite::KillAll() {
+  for (const auto& daemon : this->daemons)
+    daemon->process->Kill();
+}
+
+void DrillSite::RunFor(Milliseconds time) {
+  this->daemons.front()->RunUntil([] { return false; },
+                                  static_cast<int>(time.count()));
+}
+
+void DrillSite::Run(const StoreDrill& drill) {
+  this->away = true;
+  this->store.faults.away = true;
+  this->RunFor(drill.away);
+  std::vector<StoreStandin::LostWrite> lost;
+  if (drill.copy_age.count() > 0)
+    lost = this->store.Rewind(drill.copy_age);
+  this->store.faults.away = false;
+  this->After(drill.written_again, [this, lost] {
+    this->away = false;
+    for (const StoreStandin::LostWrite& one : lost) {
+      if (one.kind != "config" && one.kind != "servers")
+        continue;
+      this->store.WriteAgain(one);
+      if (one.kind == "config" && !one.deleted) {
+        const int written = Json::parse(one.spec).at("version").get<int>();
+        this->acked_at[written] = Clock::now();
+      }
+    }
+  });
+}
+
+void DrillSite::Leave(const std::string& id) {
+  this->states[id] = "draining";
+  this->PutIfChanged(id, this->replicas[id]->Entry("draining"));
+  this->left_at.emplace(id, Clock::now());
+}
+
+void DrillSite::Remove(const std::string& id) {
+  this->states[id] = "removed";
+  this->store.Remove("servers", id);
+  this->left_at.emplace(id, Clock::now());
+}
+
+void DrillSite::AddReplica(const std::string& id) {
+  auto replica = std::make_unique<ReplicaStandin>(&this->io, this->host, id);
+  replica->answer = [this, raw = replica.get()](const ReceivedRequest& request,
+                                                const StreamPtr& stream) {
+    this->OnArrival(raw->id);
+    raw->Run(request, stream);
+  };
+  this->replicas[id] = std::move(replica);
+  this->states[id] = "ready";
+}
+
+GatewayProcess* DrillSite::Holder() {
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    const std::string prefix = "vm-" + std::to_string(i) + "@";
+    if (this->last_holder.compare(0, prefix.size(), prefix) == 0)
+      return this->daemons[i].get();
+  }
+  return nullptr;
+}
+
+std::string DrillSite::DescribeHolders() const {
+  std::string text;
+  for (const auto& [token, names] : this->holders) {
+    text += " " + std::to_string(token) + ":";
+    for (const std::string& name : names)
+      text += name + ",";
+  }
+  return text;
+}
+
+bool DrillSite::ReplaceHolder(Milliseconds down) {
+  GatewayProcess* const replaced = this->Holder();
+  if (replaced == nullptr)
+    return false;
+  replaced->process->Kill();
+  const bool taken =
+      replaced->RunUntil([&] { return this->Holder() != replaced; }, 10'000);
+  this->RunFor(down);
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].get() != replaced)
+      continue;
+    replaced->Start();
+    ++this->starts[i];
+    this->served[i] = 0;
+  }
+  return taken && replaced->AwaitReady();
+}
+
+bool DrillSite::IsNewestInForce() {
+  return std::all_of(this->served.begin(), this->served.end(),
+                     [this](int highest) { return highest == this->version; });
+}
+
+void DrillSite::After(Milliseconds delay, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->io, delay);
+  timer->async_wait([timer, action = std::move(action)](const BoostError& ec) {
+    if (!ec)
+      action();
+  });
+}
+
+void DrillSite::Repeat(Milliseconds interval, std::function<void()> action) {
+  this->After(interval, [this, interval, action] {
+    action();
+    this->Repeat(interval, action);
+  });
+}
+
+/// Writes an entry as replicas do: it changes when more than its sequence does.
+void DrillSite::PutIfChanged(const std::string& id, Json entry) {
+  entry["sequence"] = 1;
+  if (this->store.Get("servers", id) != entry)
+    this->store.Put("servers", id, entry);
+}
+
+void DrillSite::Register() {
+  if (this->away)
+    return;
+  for (const auto& [id, replica] : this->replicas) {
+    const std::string& state = this->states[id];
+    if (state != "removed")
+      this->PutIfChanged(id, replica->Entry(state.c_str()));
+  }
+  for (const auto& [id, engine] : this->engines)
+    this->PutIfChanged(id, EngineEntry(engine.server->AddressText()));
+}
+
+void DrillSite::AddVersion() {
+  if (!this->away) {
+    ++this->version;
+    this->store.Put("config", "main", MakeConfig(this->version));
+    this->acked_at[this->version] = Clock::now();
+  }
+  std::uniform_int_distribution<int> pause(kMinChangePauseMs,
+                                           kMaxChangePauseMs);
+  this->After(Milliseconds(pause(this->random)),
+              [this] { this->AddVersion(); });
+}
+
+void DrillSite::SendCalls() {
+  for (int i = 0; i < static_cast<int>(this->daemons.size()); ++i) {
+    this->Send(i, this->version);
+    this->Send(i, std::max(1, this->version - 1));
+  }
+  this->SendToEngine(this->last_call % static_cast<int>(this->daemons.size()));
+}
+
+void DrillSite::Send(int number, int route_version) {
+  const auto daemon = static_cast<std::size_t>(number);
+  if (route_version == 0 || !this->daemons[daemon]->process->IsRunning())
+    return;
+  net::RequestHead head;
+  head.method = "POST";
+  head.target = RoutePath(route_version) + "x";
+  head.fields = {{"Request-Id", "id" + std::to_string(++this->last_call)},
+                 {"Deadline-Ms", "4000"},
+                 {"Host", "h"}};
+  ++this->tally.calls;
+  const TimePoint sent = Clock::now();
+  const int lifetime = this->starts[daemon];
+  const bool was_served = this->served[daemon] >= route_version;
+  GatewayProcess& process = *this->daemons[daemon];
+  process.client.Call(
+      process.Callers(), std::move(head), {}, Milliseconds(6000),
+      net::ConnectionUse::kKept,
+      [this, daemon, route_version, sent, lifetime,
+       was_served](const Result<net::WholeResponse>& response) {
+        if (!response || lifetime != this->starts[daemon])
+          return;
+        const int status = response.value().head.status;
+        if (status == 200) {
+          ++this->tally.routed;
+          this->served[daemon] = std::max(this->served[daemon], route_version);
+        }
+        if (status != 404)
+          return;
+        const std::string text = "version " + std::to_string(route_version) +
+                                 " refused by vm-" + std::to_string(daemon);
+        if (was_served)
+          this->Find(&this->tally.regressions, text + ", which had served it");
+        const TimePoint acked = this->acked_at[route_version];
+        if (sent > acked + kChangeLimit)
+          this->Find(&this->tally.late_refusals,
+                     text + ", ms after its ack: " +
+                         std::to_string(TimeLeft(sent, acked).count()));
+      });
+}
+
+void DrillSite::SendToEngine(int number) {
+  const auto daemon = static_cast<std::size_t>(number);
+  if (!this->daemons[daemon]->process->IsRunning())
+    return;
+  const std::string id = std::to_string(++this->last_call);
+  const std::string adapter =
+      std::to_string(1 + this->random() % static_cast<unsigned>(kAdapters));
+  net::RequestHead head;
+  head.method = "POST";
+  head.target = "/chat/x";
+  head.fields = {{"Request-Id", "id" + id},
+                 {"Deadline-Ms", "4000"},
+                 {"Host", "h"},
+                 {"Model", "m/a" + adapter},
+                 {"Token-Usage", "100,50"},
+                 {"Prompt-Prefix", "f1:50,a" + id + ":10"}};
+  GatewayProcess& process = *this->daemons[daemon];
+  process.client.Call(process.Callers(), std::move(head), {},
+                      Milliseconds(6000), net::ConnectionUse::kKept,
+                      [](const Result<net::WholeResponse>&) {});
+}
+
+void DrillSite::OnArrival(const std::string& replica) {
+  const auto left = this->left_at.find(replica);
+  if (left == this->left_at.end() ||
+      Clock::now() <= left->second + kChangeLimit + kSlack)
+    return;
+  this->Find(&this->tally.late_arrivals,
+             replica + " reached, ms after its leaving: " +
+                 std::to_string(TimeLeft(Clock::now(), left->second).count()));
+}
+
+void DrillSite::Find(int* count, const std::string& text) {
+  ++*count;
+  if (this->tally.findings.size() < kMaxFindings)
+    this->tally.findings.push_back(text);
+}
+
+void DrillSite::AddEngine(const std::string& id) {
+  Engine& engine = this->engines[id];
+  engine.server = std::make_unique<LoopbackServer>(
+      &this->io, this->host,
+      [this, &engine](const ReceivedRequest& request, const StreamPtr& stream) {
+        this->OnEngineRequest(&engine, request, stream);
+      });
+}
+
+void DrillSite::OnEngineRequest(Engine* engine,
+                                const ReceivedRequest& request,
+                                const StreamPtr& stream) {
+  if (request.head.target == "/report") {
+    const Json model = {
+        {"name", "m"}, {"version", 1}, {"adapters", engine->adapters}};
+    const Json report = {{"phase", "unified"}, {"models", {model}},
+                         {"busy", false},      {"sequence", engine->sequence},
+                         {"queued", 0},        {"active", 0}};
+    Reply(stream, 200, report.dump());
+    return;
+  }
+  if (request.head.target == "/order") {
+    this->OnOrder(engine, Json::parse(request.body), stream);
+    return;
+  }
+  net::Fields fields = AnswerFields(request);
+  fields.push_back({"Content-Type", "text/event-stream"});
+  Reply(stream, 200, "id: 1\ndata: a\n\n", fields);
+}
+
+void DrillSite::OnOrder(Engine* engine,
+                        const Json& order,
+                        const StreamPtr& stream) {
+  const auto token = order.value("fencingToken", std::int64_t{0});
+  if (token < engine->highest_token) {
+    ++this->tally.fenced;
+    Reply(stream, 412, "");
+    return;
+  }
+  engine->highest_token = token;
+  if (order.value("expected", engine->sequence) != engine->sequence) {
+    Reply(stream, 409, "");
+    return;
+  }
+  ++engine->sequence;
+  ++this->tally.orders;
+  if (order.contains("adapter"))
+    engine->adapters.push_back(order["adapter"]);
+  this->last_holder = order.value("leaseHolder", "");
+  std::set<std::string>& named = this->holders[token];
+  named.insert(this->last_holder);
+  if (named.size() > 1)
+    this->Find(&this->tally.shared_tokens,
+               "token " + std::to_string(token) + " of " +
+                   std::to_string(named.size()) + " holders, the last " +
+                   this->last_holder);
+  Reply(stream, 202, "");
+}
+
+}  // namespace coltsfootvane::testing
--- /dev/null
+++ b/tests/integration/drill_site.h
@@ -0,0 +1,129 @@
+#ifndef COLTSFOOTVANE_TESTS_INTEGRATION_DRILL_SITE_H_
+#define COLTSFOOTVANE_TESTS_INTEGRATION_DRILL_SITE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "gateway_process.h"
+#include "support/loopback_server.h"
+#include "support/replica_standin.h"
+#include "support/store_standin.h"
+
+namespace coltsfootvane::testing {
+
+/// The store goes away and comes back from a copy.
+struct StoreDrill {
+  Milliseconds away{0};
+  Milliseconds copy_age{0};  ///< At the return; 0 if nothing is lost.
+  /// From the return until operator and replicas write their lost writes again.
+  Milliseconds written_again{300};
+};
+
+/// What callers, replicas and engines have seen against the promises.
+struct DrillTally {
+  int calls = 0;
+  int routed = 0;  ///< Answers 200 on routes that were added on the way.
+  /// Answers 404 for a route whose version was acknowledged long before.
+  int late_refusals = 0;
+  /// Answers 404 for a route that the same process has served before.
+  int regressions = 0;
+  /// Requests at a replica whose leaving was acknowledged long before.
+  int late_arrivals = 0;
+  int orders = 0;         ///< Accepted by engines.
+  int shared_tokens = 0;  ///< Orders with a token that another holder has used.
+  int fenced = 0;         ///< Orders refused for their token.
+  std::vector<std::string> findings;  ///< The first of each kind, for a person.
+};
+
+/// Many real daemons with callers of their own, replicas of a plain service,
+/// engines that check fencing tokens, an operator who adds routes, and a store
+/// that can come back from the past.
+class DrillSite {
+ public:
+  /// From its ack, as the settings of the daemons state it.
+  static constexpr Milliseconds kChangeLimit{3000};
+
+  DrillSite(int daemons, unsigned seed);
+
+  /// Starts everything and waits until the daemons know each other.
+  bool Start();
+  void RunFor(Milliseconds time);
+  /// Runs while the store is away, and returns when it is back. Lost writes are
+  /// written again while the site runs on.
+  void Run(const StoreDrill& drill);
+  /// The replica says that it leaves, and goes on serving.
+  void Leave(const std::string& id);
+  /// The replica's entry is removed without a word, and it goes on serving.
+  void Remove(const std::string& id);
+  /// Adds a replica that registers from now on.
+  void AddReplica(const std::string& id);
+  /// Kills the daemon that holds the planner's lease and starts it again after
+  /// that time, once another one holds the lease. Returns whether one does.
+  bool ReplaceHolder(Milliseconds down);
+  void KillAll();
+  void StartAll();
+  /// Returns whether all daemons have the newest configuration.
+  bool IsNewestInForce();
+  /// Returns the tokens of accepted orders with their holders, for a person.
+  std::string DescribeHolders() const;
+  /// The daemon that gave the last order, or nullptr.
+  GatewayProcess* Holder();
+
+  boost::asio::io_context io;
+  std::string host;
+  StoreStandin store;
+  std::vector<std::unique_ptr<GatewayProcess>> daemons;
+  std::map<std::string, std::unique_ptr<ReplicaStandin>> replicas;
+  DrillTally tally;
+  int version = 0;  ///< Of the newest configuration.
+
+ private:
+  struct Engine {
+    std::unique_ptr<LoopbackServer> server;
+    int sequence = 0;  ///< Orders accepted.
+    std::int64_t highest_token = 0;
+    std::vector<std::string> adapters;
+  };
+
+  void After(Milliseconds delay, std::function<void()> action);
+  void Repeat(Milliseconds interval, std::function<void()> action);
+  void AddEngine(const std::string& id);
+  void OnEngineRequest(Engine* engine,
+                       const ReceivedRequest& request,
+                       const std::shared_ptr<net::TcpStream>& stream);
+  void OnOrder(Engine* engine,
+               const nlohmann::json& order,
+               const std::shared_ptr<net::TcpStream>& stream);
+  void Register();
+  void PutIfChanged(const std::string& id, nlohmann::json entry);
+  void AddVersion();
+  void SendCalls();
+  void Send(int daemon, int route_version);
+  void SendToEngine(int daemon);
+  void OnArrival(const std::string& replica);
+  void Find(int* count, const std::string& text);
+
+  std::mt19937 random;
+  std::map<std::string, Engine> engines;
+  std::map<std::string, std::string> states;  ///< Of replicas, by id.
+  std::map<std::string, TimePoint> left_at;   ///< First ack of the leaving.
+  std::map<int, TimePoint> acked_at;          ///< Latest ack, by version.
+  std::map<std::int64_t, std::set<std::string>> holders;  ///< By token.
+  std::string last_holder;
+  /// The highest version that each daemon's process has served.
+  std::vector<int> served;
+  std::vector<int> starts;  ///< Of each daemon.
+  bool away = false;
+  int last_call = 0;
+};
+
+}  // namespace coltsfootvane::testing
+
+#endif  // COLTSFOOTVANE_TESTS_INTEGRATION_DRILL_SITE_H_
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -40,10 +40,6 @@
   return target;
 }
 
-void ReplyJson(const StreamPtr& stream, int status, const std::string& json) {
-  Reply(stream, status, json, {{"Content-Type", "application/json"}});
-}
-
 /// Returns an object as JSON text. The spec is inserted as it is, since it need
 /// not be readable.
 std::string ObjectText(const std::string& name,
@@ -95,6 +91,19 @@
   this->PollWatches();
 }
 
+void StoreStandin::Answer(const StreamPtr& stream,
+                          int status,
+                          const std::string& json) const {
+  net::Fields fields;
+  if (!json.empty())
+    fields.push_back({"Content-Type", "application/json"});
+  const std::string stated =
+      this->stated_era ? *this->stated_era : std::to_string(this->era);
+  if (!stated.empty())
+    fields.push_back({"Store-Era", stated});
+  Reply(stream, status, json, fields);
+}
+
 void StoreStandin::Put(const std::string& kind,
                        const std::string& name,
                        const Json& spec) {
@@ -114,6 +123,32 @@
   this->kinds[kind].erase(name);
 }
 
+std::vector<StoreStandin::LostWrite> StoreStandin::Rewind(Milliseconds age) {
+  const TimePoint copied_at = Clock::now() - age;
+  const auto first_lost = std::find_if(
+      this->events.begin(), this->events.end(),
+      [copied_at](const Event& event) { return event.at > copied_at; });
+  std::vector<LostWrite> lost;
+  for (auto it = first_lost; it != this->events.end(); ++it)
+    lost.push_back({it->kind, it->name, it->object.spec, it->deleted});
+  this->events.erase(first_lost, this->events.end());
+  this->revision =
+      this->events.empty() ? kFirstRevision : this->events.back().revision;
+  for (auto& [kind, objects] : this->kinds)
+    objects = this->ObjectsAt(kind, this->revision);
+  ++this->era;
+  for (const Waiting& watch : std::exchange(this->waiting, {}))
+    watch.stream->Close();
+  return lost;
+}
+
+void StoreStandin::WriteAgain(const LostWrite& lost) {
+  if (!lost.deleted)
+    this->PutText(lost.kind, lost.name, lost.spec);
+  else if (this->kinds[lost.kind].count(lost.name) > 0)
+    this->Remove(lost.kind, lost.name);
+}
+
 Json StoreStandin::Get(const std::string& kind, const std::string& name) const {
   const auto found = this->kinds.find(kind);
   if (found == this->kinds.end() || found->second.count(name) == 0)
@@ -181,13 +216,17 @@
       found.push_back(EventText(event.name, event.object.revision,
                                 event.object.spec, event.deleted));
   }
+  if (this->faults.away) {
+    watch.stream->Close();
+    return true;
+  }
   if (found.empty() && Clock::now() < watch.until)
     return false;
   if (!this->faults.unavailable && !this->faults.silent &&
       !this->faults.loses_watches)
-    ReplyJson(watch.stream, 200,
-              ListText("events", found,
-                       RevisionText(std::max(visible, watch.revision))));
+    this->Answer(watch.stream, 200,
+                 ListText("events", found,
+                          RevisionText(std::max(visible, watch.revision))));
   return true;
 }
 
@@ -196,8 +235,12 @@
   ++this->calls;
   if (this->faults.silent)
     return;
+  if (this->faults.away) {
+    stream->Close();
+    return;
+  }
   if (this->faults.unavailable) {
-    Reply(stream, 503, "");
+    this->Answer(stream, 503, "");
     return;
   }
   const Target target = ReadTarget(request.head.target);
@@ -219,19 +262,23 @@
   if (!name.empty()) {
     const auto found = objects.find(name);
     if (found == objects.end())
-      Reply(stream, 404, "");
+      this->Answer(stream, 404, "");
     else
-      ReplyJson(stream, 200,
-                ObjectText(name, found->second.revision, found->second.spec));
+      this->Answer(
+          stream, 200,
+          ObjectText(name, found->second.revision, found->second.spec));
     return;
   }
   const auto watch = query.find("watch");
   if (watch != query.end()) {
-    if (std::exchange(this->faults.history_gone, false)) {
-      Reply(stream, 410, "");
+    const std::int64_t from = std::stoll(watch->second);
+    // Revisions that were lost are not known.
+    const bool is_ahead = from > this->revision;
+    if (std::exchange(this->faults.history_gone, false) || is_ahead) {
+      this->Answer(stream, 410, "");
       return;
     }
-    Waiting waiting_watch{kind, std::stoll(watch->second), stale, {}, stream};
+    Waiting waiting_watch{kind, from, stale, {}, stream};
     const auto wait = query.find("waitMs");
     waiting_watch.until =
         Clock::now() +
@@ -253,10 +300,11 @@
       break;
     items.push_back(ObjectText(object_name, object.revision, object.spec));
   }
-  ReplyJson(stream, 200,
-            ListText("items", items,
-                     std::string("\"hasMore\":") + (more ? "true" : "false") +
-                         "," + RevisionText(shown)));
+  this->Answer(
+      stream, 200,
+      ListText("items", items,
+               std::string("\"hasMore\":") + (more ? "true" : "false") + "," +
+                   RevisionText(shown)));
 }
 
 void StoreStandin::OnWrite(const std::string& method,
@@ -269,7 +317,7 @@
   const auto found = objects.find(name);
   const bool exists = found != objects.end();
   if (method == "PUT" && !exists) {
-    Reply(stream, 404, "");
+    this->Answer(stream, 404, "");
     return;
   }
   const bool conflict =
@@ -277,8 +325,8 @@
                        : metadata.contains("revision") &&
                              metadata["revision"] != found->second.revision;
   if (conflict) {
-    ReplyJson(stream, 409,
-              ObjectText(name, found->second.revision, found->second.spec));
+    this->Answer(stream, 409,
+                 ObjectText(name, found->second.revision, found->second.spec));
     return;
   }
   this->Put(kind, name, object.at("spec"));
@@ -287,7 +335,7 @@
     return;
   }
   const Object& written = this->kinds[kind][name];
-  ReplyJson(stream, 200, ObjectText(name, written.revision, written.spec));
+  this->Answer(stream, 200, ObjectText(name, written.revision, written.spec));
 }
 
 }  // namespace coltsfootvane::testing
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
 struct StoreFaults {
   bool unavailable = false;    ///< Answers 503 without doing anything.
   bool silent = false;         ///< Reads and never answers.
+  bool away = false;           ///< Closes connections without an answer.
   bool loses_answers = false;  ///< Does writes and closes without an answer.
   bool history_gone = false;   ///< Answers watches with 410, once.
   bool loses_watches = false;  ///< Never answers watches.
@@ -24,9 +26,18 @@
   Milliseconds stale_by{0};
 };
 
-/// Stands in for the platform's store, by its published protocol.
+/// Stands in for the platform's store, by its published protocol. In a drill it
+/// is away for a moment and comes back from a copy of an earlier state.
 class StoreStandin {
  public:
+  /// A write that the copy lacks.
+  struct LostWrite {
+    std::string kind;
+    std::string name;
+    std::string spec;  ///< As JSON text.
+    bool deleted = false;
+  };
+
   StoreStandin(boost::asio::io_context* io, const std::string& host);
 
   /// Writes as the operators or endpoints do, whatever the faults.
@@ -38,12 +49,22 @@
                const std::string& name,
                const std::string& spec);
   void Remove(const std::string& kind, const std::string& name);
+  /// Goes back to the state of `age` ago and begins a new era: what was written
+  /// since is gone, revisions are given out again, watches are cut. Returns the
+  /// lost writes in order.
+  std::vector<LostWrite> Rewind(Milliseconds age);
+  /// Writes a lost write again.
+  void WriteAgain(const LostWrite& lost);
+  std::int64_t Revision() const { return this->revision; }
+  std::int64_t Era() const { return this->era; }
   /// Returns the spec, or null.
   nlohmann::json Get(const std::string& kind, const std::string& name) const;
 
   LoopbackServer server;
   StoreFaults faults;
   int calls = 0;
+  /// Replaces the header `Store-Era` of all answers; empty leaves it out.
+  std::optional<std::string> stated_era;
 
  private:
   static constexpr std::int64_t kFirstRevision = 100;
@@ -78,6 +99,9 @@
                const std::string& kind,
                const nlohmann::json& object,
                const std::shared_ptr<net::TcpStream>& stream);
+  void Answer(const std::shared_ptr<net::TcpStream>& stream,
+              int status,
+              const std::string& json) const;
   void Note(const std::string& kind, const std::string& name, bool deleted);
   bool AnswerWatch(const Waiting& waiting);
   void AnswerWatches();
@@ -88,6 +112,7 @@
                                           std::int64_t revision) const;
 
   std::int64_t revision = kFirstRevision;
+  std::int64_t era = 1;
   std::map<std::string, std::map<std::string, Object>> kinds;
   std::vector<Event> events;
   std::vector<Waiting> waiting;
