--- a/src/daemon/config_patch.cc
+++ b/src/daemon/config_patch.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "base/digest.h"
+#include "store/era_tracker.h"
 
 namespace coltsfootvane::daemon {
 namespace {
@@ -56,18 +57,26 @@
 }
 
 std::string FormatTransfer(const ConfigText& config) {
-  return std::to_string(config.revision) + "\n" + config.text;
+  std::string head = std::to_string(config.place.revision);
+  if (config.place.era != 0)
+    head += " " + std::to_string(config.place.era);
+  return head + "\n" + config.text;
 }
 
 Result<ConfigText> ReadTransfer(std::string_view body) {
+  const Error invalid{ErrorCode::kInvalid, "no configuration"};
   const std::size_t end = body.find('\n');
+  if (end == std::string_view::npos)
+    return invalid;
+  const char* const line_end = body.data() + end;
   ConfigText config;
-  const std::string_view number = body.substr(0, end);
-  const auto read = std::from_chars(
-      number.data(), number.data() + number.size(), config.revision);
-  if (end == std::string_view::npos || read.ec != std::errc() ||
-      config.revision <= 0)
-    return Error{ErrorCode::kInvalid, "no configuration"};
+  auto read = std::from_chars(body.data(), line_end, config.place.revision);
+  if (read.ec == std::errc() && read.ptr != line_end && *read.ptr == ' ')
+    read = std::from_chars(read.ptr + 1, line_end, config.place.era);
+  if (read.ec != std::errc() || read.ptr != line_end ||
+      !config.place.IsKnown() || config.place.era < 0 ||
+      config.place.era > store::kMaxEra)
+    return invalid;
   config.text = body.substr(end + 1);
   return config;
 }
--- a/src/daemon/config_patch.h
+++ b/src/daemon/config_patch.h
@@ -8,12 +8,13 @@
 
 #include "base/clock.h"
 #include "base/result.h"
+#include "store/place.h"
 
 namespace coltsfootvane::daemon {
 
 /// A configuration as it stands in the store, for other daemons.
 struct ConfigText {
-  std::int64_t revision = 0;  ///< 0 if there is none.
+  store::Place place{};  ///< Unknown if there is none.
   std::string text;
 };
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -119,12 +119,23 @@
   this->gateway.random.seed(std::random_device()());
   this->ApplyChangeable(daemon_settings);
   this->fleet.quota_bounds = daemon_settings.quota_bounds;
-  this->fleet.on_seen_revisions = [this](const fleet::SeenRevisions& news) {
-    this->store_view.CatchUp(news);
+  this->fleet.on_seen = [this](const fleet::SeenChanges& told) {
+    this->store_view.CatchUp(told);
+  };
+  this->store.eras->observers.push_back(
+      [this](const store::EraChange& change) { this->OnNewEra(change); });
+  this->store.eras->on_fault = [this](const std::string& text,
+                                      const char* reason) {
+    this->log.Write(
+        kStoreEraInvalid, "",
+        "era=\"" + Printable(text) + "\" reason=\"" + reason + "\"");
   };
   this->lease.is_holder_silent = [this](std::int64_t epoch) {
     return this->fleet.IsHolderSilent(epoch);
   };
+  this->lease.hears_other_holder = [this] {
+    return this->fleet.HearsOtherHolder();
+  };
   this->lease.may_compete = [this] {
     return !this->fleet.IsLarge() ||
            this->fleet.IsAmongReaders(kLeaseCandidates);
@@ -214,6 +225,7 @@
   parts.log = &this->log;
   parts.view_confirmed_at = this->store_view.ConfirmedAt();
   parts.store_calls = this->store.tally.get();
+  parts.eras = this->store.eras.get();
   parts.news = &this->store_view.Counts();
   parts.followers = {&this->store_view.Config(), &this->store_view.Endpoints()};
   return FormatMetrics(parts, BootNow());
@@ -335,6 +347,17 @@
   this->connections.erase(ended, this->connections.end());
 }
 
+void Daemon::OnNewEra(const store::EraChange& change) {
+  const bool is_told = change.source == store::EraSource::kPeer;
+  this->log.Write(kStoreEra, "",
+                  "from=" + std::to_string(change.from) +
+                      " to=" + std::to_string(change.to) +
+                      " source=" + (is_told ? "peer" : "store"));
+  this->lease.OnNewEra();
+  this->registry.OnNewEra();
+  this->quarantine_record.OnNewEra();
+}
+
 void Daemon::LogStoreCalls(TimePoint now) {
   const std::uint64_t calls = store::TotalCalls(*this->store.tally);
   if (now < this->store_calls_log_at || calls == this->logged_store_calls)
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -60,6 +60,7 @@
   /// Records by how much the event loop was late for the last tick.
   void ObserveLateness(TimePoint now);
   /// Logs the calls to the store now and then, if there were any.
+  void OnNewEra(const store::EraChange& change);
   void LogStoreCalls(TimePoint now);
 
   DaemonSettings settings;
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -14,6 +14,7 @@
 #include "log/decision_log.h"
 #include "orders/lease_manager.h"
 #include "store/call_tally.h"
+#include "store/era_tracker.h"
 #include "store/kind_follower.h"
 
 namespace coltsfootvane::daemon {
@@ -154,7 +155,7 @@
              follower->Reachable() ? 1 : 0);
     SetGauge(registry, "coltsfootvane_store_revision",
              "Revision of the store that is known for the kind", kind,
-             static_cast<double>(follower->Revision()));
+             static_cast<double>(follower->At().revision));
     if (follower->HeardAt() != TimePoint())
       SetGauge(registry, "coltsfootvane_store_answer_age_seconds",
                "Time since the last answer of the store for the kind", kind,
@@ -178,6 +179,16 @@
            static_cast<double>(parts.lease->Epoch()));
 }
 
+void SetEra(Registry* registry, const store::EraTracker& eras) {
+  SetGauge(registry, "coltsfootvane_store_era",
+           "Latest known era of the store, which rises each time it comes back "
+           "from an older copy",
+           {}, static_cast<double>(eras.latest));
+  SetGauge(registry, "coltsfootvane_store_eras_total",
+           "New eras of the store since the start", {},
+           static_cast<double>(eras.changes));
+}
+
 void SetStoreCalls(Registry* registry, const DaemonParts& parts) {
   const char* const name = "coltsfootvane_store_calls_by_cause_total";
   const char* const help =
@@ -269,6 +280,8 @@
   SetQuarantine(&state, parts.gateway->quarantine, now);
   SetTeams(&state, *parts.gateway);
   SetLogLines(&state, *parts.log);
+  if (parts.eras != nullptr)
+    SetEra(&state, *parts.eras);
   if (parts.store_calls != nullptr)
     SetStoreCalls(&state, parts);
   if (parts.news != nullptr)
--- a/src/daemon/daemon_metrics.h
+++ b/src/daemon/daemon_metrics.h
@@ -22,6 +22,7 @@
 namespace store {
 class KindFollower;
 struct CallTally;
+struct EraTracker;
 }  // namespace store
 
 namespace daemon {
@@ -36,6 +37,7 @@
   const DecisionLog* log = nullptr;
   std::vector<const store::KindFollower*> followers;
   const store::CallTally* store_calls = nullptr;
+  const store::EraTracker* eras = nullptr;
   const NewsCounts* news = nullptr;
   TimePoint view_confirmed_at;  ///< See StoreView::ConfirmedAt().
 };
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -30,6 +30,11 @@
 inline constexpr Event kAnswersCutOff{2412, Severity::kWarning,
                                       "answers-cut-off"};
 
+inline constexpr Event kStoreEra{2414, Severity::kWarning, "store-era"};
+
+inline constexpr Event kStoreEraInvalid{2415, Severity::kWarning,
+                                        "store-era-invalid"};
+
 inline constexpr Event kLoopLate{2413, Severity::kWarning, "loop-late"};
 
 }  // namespace coltsfootvane::daemon
--- a/src/daemon/news_recovery.cc
+++ b/src/daemon/news_recovery.cc
@@ -45,16 +45,16 @@
   return Milliseconds(kMsPerEntry) * entries;
 }
 
-void Want(std::int64_t revision,
+void Want(const store::Place& place,
           std::uint32_t source,
           RecoveryKind kind,
           TimePoint now,
           Milliseconds delay,
           NewsRecovery* recovery) {
-  if (revision <= recovery->wanted)
+  if (!place.IsKnown() || place <= recovery->wanted)
     return;
-  const bool is_first = recovery->wanted == 0;
-  recovery->wanted = revision;
+  const bool is_first = !recovery->wanted.IsKnown();
+  recovery->wanted = place;
   recovery->source = source;
   if (!is_first)
     return;
@@ -63,21 +63,22 @@
   recovery->next_at = now + delay;
 }
 
-RecoveryStep NextStep(std::int64_t own_revision,
+RecoveryStep NextStep(const store::Place& own,
                       TimePoint now,
                       std::mt19937_64* random,
                       NewsRecovery* recovery) {
-  if (recovery->wanted <= own_revision)
-    recovery->wanted = 0;
-  if (recovery->wanted == 0 || now < recovery->next_at)
+  if (recovery->wanted <= own)
+    recovery->wanted = store::Place();
+  if (!recovery->wanted.IsKnown() || now < recovery->next_at)
     return RecoveryStep::kNone;
   if (recovery->asks_left > 0) {
     --recovery->asks_left;
     recovery->next_at = now + kAskTimeout;
     return RecoveryStep::kAsk;
   }
+  // The store has no changes that lead from one era to the next.
   if (std::exchange(recovery->reads_changes, false) &&
-      recovery->entries > kMaxSmallState) {
+      recovery->wanted.era == own.era && recovery->entries > kMaxSmallState) {
     recovery->next_at = now + kReadTimeout;
     return RecoveryStep::kReadChanges;
   }
@@ -96,7 +97,7 @@
 }
 
 void SkipAsks(TimePoint now, NewsRecovery* recovery) {
-  if (recovery->wanted == 0 || recovery->asks_left == 0)
+  if (!recovery->wanted.IsKnown() || recovery->asks_left == 0)
     return;
   recovery->asks_left = 0;
   recovery->next_at = now;
--- a/src/daemon/news_recovery.h
+++ b/src/daemon/news_recovery.h
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "base/clock.h"
+#include "store/place.h"
 
 namespace coltsfootvane::daemon {
 
@@ -33,7 +34,7 @@
 /// asked first, so that a lost datagram costs no call to the store. No step
 /// waits for the end of the one before: a daemon or the store may be silent.
 struct NewsRecovery {
-  std::int64_t wanted = 0;   ///< Revision to reach; 0 if nothing is missing.
+  store::Place wanted;       ///< To reach; unknown if nothing is missing.
   std::uint32_t source = 0;  ///< A daemon that has it.
   /// The daemon that was fetched from last; it may be silent.
   std::uint32_t fetched_from = 0;
@@ -46,18 +47,18 @@
   TimePoint list_at;  ///< No listing before, whatever is wanted.
 };
 
-/// Records that `source` has seen `revision`. The first step is due after
+/// Records that `source` has seen `place`. The first step is due after
 /// `delay`, which gives news that are on their way time to arrive.
-void Want(std::int64_t revision,
+void Want(const store::Place& place,
           std::uint32_t source,
           RecoveryKind kind,
           TimePoint now,
           Milliseconds delay,
           NewsRecovery* recovery);
 
-/// Returns the step that is due for a view that holds `own_revision`, and
-/// schedules the next one.
-RecoveryStep NextStep(std::int64_t own_revision,
+/// Returns the step that is due for a view that holds `own`, and schedules the
+/// next one.
+RecoveryStep NextStep(const store::Place& own,
                       TimePoint now,
                       std::mt19937_64* random,
                       NewsRecovery* recovery);
--- a/src/daemon/news_recovery_unittest.cc
+++ b/src/daemon/news_recovery_unittest.cc
@@ -9,6 +9,7 @@
 using daemon::NewsRecovery;
 using daemon::RecoveryKind;
 using daemon::RecoveryStep;
+using store::Place;
 
 namespace {
 
@@ -23,16 +24,16 @@
 TEST(NewsRecovery, AsksDaemonsBeforeTheStore) {
   std::mt19937_64 random(1);
   NewsRecovery recovery;
-  CHECK(NextStep(0, kNow, &random, &recovery) == RecoveryStep::kNone);
-  Want(20, 7, RecoveryKind::kChanges, kNow, Milliseconds(50), &recovery);
-  Want(19, 8, RecoveryKind::kChanges, kNow, Milliseconds(0), &recovery);
-  LONGS_EQUAL(20, recovery.wanted);
-  CHECK(NextStep(10, kNow, &random, &recovery) == RecoveryStep::kNone);
+  CHECK(NextStep(Place(0), kNow, &random, &recovery) == RecoveryStep::kNone);
+  Want(Place(20), 7, RecoveryKind::kChanges, kNow, Milliseconds(50), &recovery);
+  Want(Place(19), 8, RecoveryKind::kChanges, kNow, Milliseconds(0), &recovery);
+  LONGS_EQUAL(20, recovery.wanted.revision);
+  CHECK(NextStep(Place(10), kNow, &random, &recovery) == RecoveryStep::kNone);
   std::vector<RecoveryStep> steps;
   std::vector<TimePoint> listed_at;
   for (TimePoint at = kNow; at < kNow + Milliseconds(9000);
        at += Milliseconds(10)) {
-    const RecoveryStep step = NextStep(10, at, &random, &recovery);
+    const RecoveryStep step = NextStep(Place(10), at, &random, &recovery);
     if (step != RecoveryStep::kNone)
       steps.push_back(step);
     if (step == RecoveryStep::kList)
@@ -48,9 +49,9 @@
   CHECK(listed_at.size() >= 2 && listed_at.size() <= 5);
   for (std::size_t i = 1; i < listed_at.size(); ++i)
     CHECK(listed_at[i] - listed_at[i - 1] >= Milliseconds(2000));
-  CHECK(NextStep(20, kNow + Milliseconds(20'000), &random, &recovery) ==
+  CHECK(NextStep(Place(20), kNow + Milliseconds(20'000), &random, &recovery) ==
         RecoveryStep::kNone);
-  LONGS_EQUAL(0, recovery.wanted);
+  CHECK(!recovery.wanted.IsKnown());
 }
 
 // Guards against hundreds of daemons that fetch the state of thousands of
@@ -71,12 +72,13 @@
     std::mt19937_64 random(1);
     NewsRecovery recovery;
     recovery.entries = row.entries;
-    Want(20, 7, RecoveryKind::kChanges, kNow, Milliseconds(0), &recovery);
+    Want(Place(20), 7, RecoveryKind::kChanges, kNow, Milliseconds(0),
+         &recovery);
     int reads = 0;
     int fetches = 0;
     for (int ms = 0; ms < 2000; ms += 10) {
       const RecoveryStep step =
-          NextStep(10, kNow + Milliseconds(ms), &random, &recovery);
+          NextStep(Place(10), kNow + Milliseconds(ms), &random, &recovery);
       CHECK(step != RecoveryStep::kReadChanges || fetches == 0);
       reads += step == RecoveryStep::kReadChanges ? 1 : 0;
       fetches += step == RecoveryStep::kFetch ? 1 : 0;
@@ -108,13 +110,13 @@
   for (const Row& row : rows) {
     std::mt19937_64 random(3);
     NewsRecovery recovery;
-    Want(20, 7, row.kind, kNow, Milliseconds(0), &recovery);
+    Want(Place(20), 7, row.kind, kNow, Milliseconds(0), &recovery);
     bool silent = false;
     TimePoint answered;
     for (TimePoint at = kNow;
          answered == TimePoint() && at < kNow + Milliseconds(9000);
          at += Milliseconds(10)) {
-      const RecoveryStep step = NextStep(10, at, &random, &recovery);
+      const RecoveryStep step = NextStep(Place(10), at, &random, &recovery);
       if (step == RecoveryStep::kNone)
         continue;
       if (silent && step != RecoveryStep::kList)
@@ -145,8 +147,9 @@
   CHECK(!daemon::ApplyPatch(old_text, "[{]", digest));
   CHECK(!daemon::MakePatch(old_text, new_text, 10));
   const auto read =
-      daemon::ReadTransfer(daemon::FormatTransfer({12, new_text}));
-  CHECK(read && read.value().revision == 12 && read.value().text == new_text);
+      daemon::ReadTransfer(daemon::FormatTransfer({Place(12), new_text}));
+  CHECK(read && read.value().place == Place(12) &&
+        read.value().text == new_text);
   CHECK(!daemon::ReadTransfer("busy\n") && !daemon::ReadTransfer("12"));
 }
 
--- a/src/daemon/quarantine_record.cc
+++ b/src/daemon/quarantine_record.cc
@@ -168,9 +168,13 @@
     return;
   }
   this->loaded = true;
-  if (!object)
+  this->is_of_earlier_era = false;
+  if (!object) {
+    this->place = store::Place();
+    this->recorded.clear();
     return;
-  this->revision = object.value().revision;
+  }
+  this->place = object.value().place;
   const std::map<PartId, Suspect> told =
       ReadEvidence(object.value().spec, BootNow(), UnixMs());
   this->recorded.clear();
@@ -183,25 +187,34 @@
   if (!holds_lease || !this->loaded || this->call_in_progress ||
       now < this->next_write_at)
     return;
+  if (this->is_of_earlier_era) {
+    this->loaded = false;
+    this->Load();
+    return;
+  }
   if (QuarantinedParts(this->gateway->quarantine) == this->recorded)
     return;
   this->next_write_at = now + kWriteInterval;
   this->Write();
 }
 
+void QuarantineRecord::OnNewEra() {
+  this->is_of_earlier_era = true;
+}
+
 void QuarantineRecord::Write() {
   this->call_in_progress = true;
   this->writing = QuarantinedParts(this->gateway->quarantine);
   store::Object object;
   object.name = kName;
-  object.revision = this->revision;
+  object.place = this->place;
   object.spec = FormatEvidence(this->gateway->quarantine, BootNow(), UnixMs());
   const auto done = [this](const Result<store::Object>& written) {
     this->OnWritten(written);
   };
   store::CountCall(*this->store, store::CallCause::kRecord,
                    store::Freshness::kLatest);
-  if (this->revision == 0)
+  if (!this->place.IsKnown())
     this->store->create(kKind, object, done);
   else
     this->store->replace(kKind, object, done);
@@ -210,7 +223,7 @@
 void QuarantineRecord::OnWritten(const Result<store::Object>& written) {
   this->call_in_progress = false;
   if (written) {
-    this->revision = written.value().revision;
+    this->place = written.value().place;
     this->recorded = this->writing;
     return;
   }
--- a/src/daemon/quarantine_record.h
+++ b/src/daemon/quarantine_record.h
@@ -39,6 +39,9 @@
   void Start();
   /// Writes what has changed, if this daemon is the one to write.
   void Tick(bool holds_lease, TimePoint now);
+  /// The store has come back from an older copy: what was recorded there may be
+  /// gone.
+  void OnNewEra();
 
  private:
   void Load();
@@ -51,7 +54,8 @@
   boost::asio::steady_timer timer;
   bool loaded = false;
   bool call_in_progress = false;
-  std::int64_t revision = 0;  ///< Of the object; 0 if there is none.
+  store::Place place;              ///< Of the object; unknown if there is none.
+  bool is_of_earlier_era = false;  ///< What is known of the object.
   /// Parts of the quarantines that the object lists.
   std::vector<quarantine::PartId> recorded;
   std::vector<quarantine::PartId> writing;
--- a/src/daemon/quarantine_record_unittest.cc
+++ b/src/daemon/quarantine_record_unittest.cc
@@ -28,7 +28,7 @@
                                const store::Handler<store::Object>& done) {
       if (this->fails)
         done(Error{ErrorCode::kUnknown, "no answer"});
-      else if (this->object.revision == 0)
+      else if (!this->object.place.IsKnown())
         done(Error{ErrorCode::kNotFound, "no object"});
       else
         done(this->object);
@@ -36,13 +36,13 @@
     const auto write = [this](const std::string&, const store::Object& given,
                               const store::Handler<store::Object>& done) {
       ++this->writes;
-      if (this->fails || given.revision != this->object.revision) {
+      if (this->fails || given.place != this->object.place) {
         done(Error{this->fails ? ErrorCode::kUnknown : ErrorCode::kConflict,
                    "not written"});
         return;
       }
       this->object = given;
-      this->object.revision = given.revision + 1;
+      this->object.place = store::Place(given.place.revision + 1);
       done(this->object);
     };
     this->access.create = write;
@@ -105,13 +105,14 @@
   QuarantineRecord record(&scene.io, &store.access, &scene.gateway);
   record.Start();
   SeeCrashes(&scene, 3);
-  store.object.revision = 7;  // Another daemon has written meanwhile.
+  store.object.place =
+      store::Place(7);  // Another daemon has written meanwhile.
   store.object.spec = json::object();
   record.Tick(true, BootNow());
   LONGS_EQUAL(1, store.writes);
   record.Tick(true, BootNow() + std::chrono::seconds(2));
   LONGS_EQUAL(2, store.writes);
-  LONGS_EQUAL(8, store.object.revision);
+  LONGS_EQUAL(8, store.object.place.revision);
   LONGS_EQUAL(1, store.object.spec["parts"].size());
 }
 
--- a/src/daemon/store_news.cc
+++ b/src/daemon/store_news.cc
@@ -34,6 +34,26 @@
   return addresses;
 }
 
+store::Place PlaceOf(const gen::ConfigNews& news) {
+  return store::Place(news.revision, news.era);
+}
+
+store::Place BaseOf(const gen::ConfigNews& news) {
+  return store::Place(news.base_revision,
+                      news.__isset.base_era ? news.base_era : news.era);
+}
+
+void SetPlaces(const store::Place& place,
+               const store::Place& base,
+               gen::ConfigNews* news) {
+  news->revision = place.revision;
+  news->era = place.era;
+  news->__isset.era = place.era != 0;
+  news->base_revision = base.revision;
+  news->base_era = base.era;
+  news->__isset.base_era = base.era != place.era;
+}
+
 bool LeavesOut(const gen::StoreBatch& batch) {
   return std::any_of(batch.changes.begin(), batch.changes.end(),
                      [](const gen::EndpointNews& one) { return one.left_out; });
@@ -57,9 +77,9 @@
                                       std::uint32_t from) {
     this->OnNews(news, from);
   };
-  this->fleet->on_store_news_request = [this](std::int64_t revision,
+  this->fleet->on_store_news_request = [this](const store::Place& known,
                                               std::uint32_t from) {
-    this->OnRequest(revision, from);
+    this->OnRequest(known, from);
   };
   this->fleet->on_config_news = [this](const gen::ConfigNews& news,
                                        std::uint32_t from) {
@@ -67,9 +87,9 @@
   };
 }
 
-void StoreNews::BeginLog(std::int64_t revision) {
+void StoreNews::BeginLog(const store::Place& place) {
   this->log = {};
-  this->log.covered_to = revision;
+  this->log.covered_to = place;
 }
 
 void StoreNews::Record(const gen::StoreBatch& batch, bool tells, bool urgent) {
@@ -116,18 +136,17 @@
     this->Send({this->log.batches.back()});
 }
 
-void StoreNews::RecordConfig(std::int64_t revision,
+void StoreNews::RecordConfig(const store::Place& place,
                              const nlohmann::json& spec,
                              bool tells) {
-  if (revision <= this->config.revision || spec.is_null())
+  if (place <= this->config.place || spec.is_null())
     return;
-  ConfigText text{revision, FormatConfig(spec)};
+  ConfigText text{place, FormatConfig(spec)};
   gen::ConfigNews news;
-  news.revision = revision;
-  news.base_revision = this->config.revision;
+  SetPlaces(place, this->config.place, &news);
   news.digest = DigestOf(text.text);
   news.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
-  if (tells && this->config.revision > 0) {
+  if (tells && this->config.place.IsKnown()) {
     Result<std::string> patch =
         MakePatch(this->config.text, text.text, kMaxPatchBytes);
     if (patch)
@@ -152,15 +171,16 @@
   if (news.too_old)
     SkipAsks(BootNow(), &this->endpoints_recovery);
   // Before the first listing there is nothing that changes could apply to.
-  if (this->target.endpoints_revision() == 0)
+  if (!this->target.endpoints_place().IsKnown())
     return;
   for (const gen::StoreBatch& batch : news.batches)
     this->OnBatch(batch, from);
 }
 
 void StoreNews::OnBatch(const gen::StoreBatch& batch, std::uint32_t from) {
-  const std::int64_t revision = this->target.endpoints_revision();
-  switch (fleet::Fit(batch, revision)) {
+  const store::Place own = this->target.endpoints_place();
+  const fleet::BatchRange range = fleet::RangeOf(batch);
+  switch (fleet::Fit(batch, own)) {
     case fleet::BatchFit::kKnown:
       return;
     case fleet::BatchFit::kApplies:
@@ -169,9 +189,9 @@
       const TimePoint now = BootNow();
       const auto delay =
           static_cast<int>(this->gateway->random() % kMaxNewsDelayMs);
-      Want(batch.to_revision, from, RecoveryKind::kChanges, now,
-           Milliseconds(delay), &this->endpoints_recovery);
-      if (LeavesOut(batch) && revision >= batch.from_revision)
+      Want(range.to, from, RecoveryKind::kChanges, now, Milliseconds(delay),
+           &this->endpoints_recovery);
+      if (LeavesOut(batch) && own >= range.from)
         SkipAsks(now, &this->endpoints_recovery);
       ++this->counts.gaps;
       this->Schedule();
@@ -182,16 +202,19 @@
   ++this->counts.applied;
   // There was nothing between the end of the log and the view.
   gen::StoreBatch applied = batch;
-  applied.from_revision = std::min(batch.from_revision, this->log.covered_to);
+  if (range.from.era == this->log.covered_to.era)
+    fleet::SetRange({std::min(range.from, this->log.covered_to),
+                     range.base_until, range.to},
+                    &applied);
   fleet::Append(applied, &this->log);
 }
 
-void StoreNews::OnRequest(std::int64_t revision, std::uint32_t from) {
+void StoreNews::OnRequest(const store::Place& known, std::uint32_t from) {
   ++this->counts.answered;
   gen::StoreNews answer;
   answer.origin = static_cast<std::int32_t>(this->fleet->OwnAddress());
   Result<std::vector<gen::StoreBatch>> batches =
-      fleet::BatchesSince(this->log, revision);
+      fleet::BatchesSince(this->log, known);
   const auto groups = batches ? fleet::GroupBatches(batches.value())
                               : std::vector<std::vector<gen::StoreBatch>>();
   if (!batches || groups.size() > kMaxAnswerDatagrams) {
@@ -204,13 +227,11 @@
     this->fleet->SendStoreNews(from, answer);
   }
   // Nothing has changed since the end of the log.
-  const std::int64_t own = this->target.endpoints_revision();
-  if (own <= this->log.covered_to)
+  const store::Place own = this->target.endpoints_place();
+  if (own <= this->log.covered_to || own.era != this->log.covered_to.era)
     return;
   gen::StoreBatch empty;
-  empty.from_revision = this->log.covered_to;
-  empty.base_until = own;
-  empty.to_revision = own;
+  fleet::SetRange({this->log.covered_to, own, own}, &empty);
   answer.batches = {empty};
   this->fleet->SendStoreNews(from, answer);
 }
@@ -218,14 +239,14 @@
 void StoreNews::OnConfigNews(const gen::ConfigNews& news, std::uint32_t from) {
   const std::vector<std::uint32_t> relay_to = FromWire(news.relay_to);
   const bool has_it =
-      this->config.revision >= news.revision || this->TryPatch(news);
+      this->config.place >= PlaceOf(news) || this->TryPatch(news);
   if (news.__isset.patch || has_it) {
     gen::ConfigNews passed_on = news;
     if (has_it)
       passed_on.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
     this->fleet->Spread(passed_on, relay_to);
-  } else if (news.revision >= this->config_news.revision) {
-    if (news.revision > this->config_news.revision)
+  } else if (PlaceOf(news) >= PlaceOf(this->config_news)) {
+    if (PlaceOf(news) > PlaceOf(this->config_news))
       this->config_relay_to.clear();
     this->config_news = news;
     this->config_relay_to.insert(this->config_relay_to.end(), relay_to.begin(),
@@ -234,7 +255,7 @@
   if (has_it)
     return;
   const auto source = static_cast<std::uint32_t>(news.source);
-  Want(news.revision, source != 0 ? source : from, RecoveryKind::kWhole,
+  Want(PlaceOf(news), source != 0 ? source : from, RecoveryKind::kWhole,
        BootNow(), Milliseconds(0), &this->config_recovery);
   this->config_recovery.source = source != 0 ? source : from;
   // While a fetch is in progress, the recovery begins the next one when due.
@@ -246,28 +267,28 @@
 }
 
 bool StoreNews::TryPatch(const gen::ConfigNews& news) {
-  if (!news.__isset.patch || this->config.revision == 0 ||
-      news.base_revision != this->config.revision)
+  if (!news.__isset.patch || !this->config.place.IsKnown() ||
+      BaseOf(news) != this->config.place)
     return false;
   Result<std::string> patched =
       ApplyPatch(this->config.text, news.patch, news.digest);
   if (!patched)
     return false;
-  this->TakeConfig({news.revision, std::move(patched).value()});
+  this->TakeConfig({PlaceOf(news), std::move(patched).value()});
   return true;
 }
 
 void StoreNews::TakeConfig(ConfigText taken) {
   nlohmann::json spec = nlohmann::json::parse(taken.text, nullptr, false);
-  if (taken.revision <= this->config.revision || spec.is_discarded())
+  if (taken.place <= this->config.place || spec.is_discarded())
     return;
   ++this->counts.applied;
   this->config = std::move(taken);
-  this->target.apply_config(this->config.revision, std::move(spec));
+  this->target.apply_config(this->config.place, std::move(spec));
 }
 
 void StoreNews::PassOnConfig() {
-  if (this->config.revision < this->config_news.revision ||
+  if (this->config.place < PlaceOf(this->config_news) ||
       this->config_relay_to.empty())
     return;
   gen::ConfigNews news = this->config_news;
@@ -275,26 +296,26 @@
   this->fleet->Spread(news, std::exchange(this->config_relay_to, {}));
 }
 
-void StoreNews::WantEndpoints(std::int64_t revision, std::uint32_t source) {
-  if (revision <= this->endpoints_recovery.wanted)
+void StoreNews::WantEndpoints(const store::Place& place, std::uint32_t source) {
+  if (!place.IsKnown() || place <= this->endpoints_recovery.wanted)
     return;
   std::uniform_int_distribution<int> delay(kMinReportDelayMs,
                                            kMaxReportDelayMs);
-  Want(revision, source,
-       this->target.endpoints_revision() == 0 ? RecoveryKind::kWhole
-                                              : RecoveryKind::kChanges,
+  Want(place, source,
+       this->target.endpoints_place().IsKnown() ? RecoveryKind::kChanges
+                                                : RecoveryKind::kWhole,
        BootNow(), Milliseconds(delay(this->gateway->random)),
        &this->endpoints_recovery);
   ++this->counts.gaps;
   this->Schedule();
 }
 
-void StoreNews::WantConfig(std::int64_t revision, std::uint32_t source) {
-  if (revision <= this->config_recovery.wanted)
+void StoreNews::WantConfig(const store::Place& place, std::uint32_t source) {
+  if (!place.IsKnown() || place <= this->config_recovery.wanted)
     return;
   std::uniform_int_distribution<int> delay(kMinConfigDelayMs,
                                            kMaxConfigDelayMs);
-  Want(revision, source, RecoveryKind::kWhole, BootNow(),
+  Want(place, source, RecoveryKind::kWhole, BootNow(),
        Milliseconds(delay(this->gateway->random)), &this->config_recovery);
   ++this->counts.gaps;
   this->Schedule();
@@ -322,8 +343,8 @@
   }
   this->RecoverEndpoints(now);
   this->RecoverConfig(now);
-  if (!this->repeats.empty() || this->endpoints_recovery.wanted != 0 ||
-      this->config_recovery.wanted != 0)
+  if (!this->repeats.empty() || this->endpoints_recovery.wanted.IsKnown() ||
+      this->config_recovery.wanted.IsKnown())
     this->Schedule();
 }
 
--- a/src/daemon/store_news.h
+++ b/src/daemon/store_news.h
@@ -23,13 +23,14 @@
 /// Access to the view that news are about.
 struct NewsTarget {
   /// Up to which all changes of endpoints are known.
-  std::function<std::int64_t()> endpoints_revision;
+  std::function<store::Place()> endpoints_place;
   /// The batch leads from the present view to a newer one.
   std::function<void(const fleet::gen::StoreBatch&)> apply_batch;
   /// The only change of the batch is to all endpoints: others are gone.
   std::function<void(const fleet::gen::StoreBatch&)> apply_snapshot;
   std::function<fleet::gen::StoreBatch()> make_snapshot;
-  std::function<void(std::int64_t revision, nlohmann::json spec)> apply_config;
+  std::function<void(const store::Place& place, nlohmann::json spec)>
+      apply_config;
   /// Reads the changes of endpoints from the store, if it is not read anyway.
   std::function<void()> read_endpoint_changes;
   std::function<void()> list_endpoints;
@@ -58,20 +59,20 @@
             NewsTarget target);
 
   /// The view was listed for the first time, or fetched as a whole.
-  void BeginLog(std::int64_t revision);
+  void BeginLog(const store::Place& place);
   /// Records changes that this daemon has read from the store itself, and tells
   /// the others if `tells`. Urgent ones are repeated.
   void Record(const fleet::gen::StoreBatch& batch, bool tells, bool urgent);
-  std::int64_t LoggedTo() const { return this->log.covered_to; }
+  const store::Place& LoggedTo() const { return this->log.covered_to; }
   /// The same for a configuration.
-  void RecordConfig(std::int64_t revision,
+  void RecordConfig(const store::Place& place,
                     const nlohmann::json& spec,
                     bool tells);
 
-  /// Another daemon has seen changes of endpoints up to this revision.
-  void WantEndpoints(std::int64_t revision, std::uint32_t source);
-  /// Another daemon has seen a configuration of this revision.
-  void WantConfig(std::int64_t revision, std::uint32_t source);
+  /// Another daemon has seen changes of endpoints up to this place.
+  void WantEndpoints(const store::Place& place, std::uint32_t source);
+  /// Another daemon has seen a configuration of this place.
+  void WantConfig(const store::Place& place, std::uint32_t source);
 
   /// Answers another daemon that fetches the configuration or all endpoints.
   gateway::HealthAnswer Answer(std::string_view path);
@@ -81,7 +82,7 @@
  private:
   void OnNews(const fleet::gen::StoreNews& news, std::uint32_t from);
   void OnBatch(const fleet::gen::StoreBatch& batch, std::uint32_t from);
-  void OnRequest(std::int64_t revision, std::uint32_t from);
+  void OnRequest(const store::Place& known, std::uint32_t from);
   void OnConfigNews(const fleet::gen::ConfigNews& news, std::uint32_t from);
   bool TryPatch(const fleet::gen::ConfigNews& news);
   void TakeConfig(ConfigText taken);
--- a/src/daemon/store_news_fetch.cc
+++ b/src/daemon/store_news_fetch.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 void StoreNews::RecoverEndpoints(TimePoint now) {
-  const std::int64_t own = this->target.endpoints_revision();
+  const store::Place own = this->target.endpoints_place();
   NewsRecovery& recovery = this->endpoints_recovery;
   recovery.entries =
       static_cast<int>(this->gateway->endpoints.endpoints.size());
@@ -37,7 +37,9 @@
   if (from == 0)
     from = this->fleet->PickMember(
         [&recovery](const gen::Report& report) {
-          return report.endpoints_revision >= recovery.wanted;
+          const std::int64_t departures = std::max(
+              report.endpoints_revision, report.max_departure_revision);
+          return store::Place(departures, report.era) >= recovery.wanted;
         },
         recovery.fetched_from);
   if (from == 0)
@@ -59,8 +61,8 @@
 void StoreNews::RecoverConfig(TimePoint now) {
   NewsRecovery& recovery = this->config_recovery;
   // One that cannot be read is known as well, and has no text.
-  const std::int64_t own = std::max(
-      this->config.revision, this->fleet->seen_revisions.config_revision);
+  const store::Place own =
+      std::max(this->config.place, this->fleet->seen.config);
   const RecoveryStep step =
       NextStep(own, now, &this->gateway->random, &recovery);
   if (step == RecoveryStep::kNone)
@@ -73,7 +75,8 @@
   if (from == 0)
     from = this->fleet->PickMember(
         [&recovery](const gen::Report& report) {
-          return report.config_revision >= recovery.wanted;
+          return store::Place(report.config_revision, report.era) >=
+                 recovery.wanted;
         },
         recovery.fetched_from);
   recovery.fetched_from = from;
@@ -112,11 +115,12 @@
         decoded.value().store_news.batches.size() != 1)
       return;
     const gen::StoreBatch& all = decoded.value().store_news.batches[0];
-    if (all.to_revision <= this->target.endpoints_revision())
+    const store::Place place = fleet::RangeOf(all).to;
+    if (place <= this->target.endpoints_place())
       return;
     ++this->counts.fetched;
     this->target.apply_snapshot(all);
-    this->BeginLog(all.to_revision);
+    this->BeginLog(place);
   });
 }
 
@@ -129,7 +133,7 @@
         if (body == nullptr)
           return;
         Result<ConfigText> taken = ReadTransfer(*body);
-        if (!taken || taken.value().revision <= this->config.revision)
+        if (!taken || taken.value().place <= this->config.place)
           return;
         ++this->counts.fetched;
         this->TakeConfig(std::move(taken).value());
@@ -140,9 +144,10 @@
 gateway::HealthAnswer StoreNews::Answer(std::string_view path) {
   constexpr int kNoRoom = 503;
   gateway::HealthAnswer answer;
-  if (path == kConfigPath && this->config.revision > 0) {
+  if (path == kConfigPath && this->config.place.IsKnown()) {
     answer = {200, FormatTransfer(this->config)};
-  } else if (path == kEndpointsPath && this->target.endpoints_revision() > 0) {
+  } else if (path == kEndpointsPath &&
+             this->target.endpoints_place().IsKnown()) {
     gen::StoreNews news;
     news.batches = {this->target.make_snapshot()};
     gen::Datagram datagram;
--- a/src/daemon/store_news_model.h
+++ b/src/daemon/store_news_model.h
@@ -36,7 +36,7 @@
         if (other.get() != daemon)
           this->Hear(daemon, *other, {});
       }
-      daemon->log.covered_to = 1;
+      daemon->log.covered_to = store::Place(1);
       daemon->check.latest_share = ViewCheck::kLargeFleetShare;
       RecordConfirmation(kStart, this->limit, &this->random, &daemon->check);
       this->After(this->Random(kTick), [=] { this->Tick(daemon); });
@@ -117,8 +117,9 @@
                 const fleet::gen::Report& report) {
     this->Hear(daemon, *from, report);
     if (report.endpoints_revision > daemon->revision)
-      Want(report.endpoints_revision, from->address, RecoveryKind::kChanges,
-           this->now, Milliseconds(60) + this->Random(Milliseconds(80)),
+      Want(store::Place(report.endpoints_revision), from->address,
+           RecoveryKind::kChanges, this->now,
+           Milliseconds(60) + this->Random(Milliseconds(80)),
            &daemon->recovery);
     if (daemon->revision < report.max_departure_revision)
       return;
@@ -161,10 +162,12 @@
               ModelDaemon* from,
               const std::vector<StoreBatch>& batches) {
     for (StoreBatch batch : batches) {
-      const fleet::BatchFit fit = fleet::Fit(batch, daemon->revision);
+      const fleet::BatchFit fit =
+          fleet::Fit(batch, store::Place(daemon->revision));
       if (fit == fleet::BatchFit::kGap)
-        Want(batch.to_revision, from->address, RecoveryKind::kChanges,
-             this->now, this->Random(Milliseconds(30)), &daemon->recovery);
+        Want(store::Place(batch.to_revision), from->address,
+             RecoveryKind::kChanges, this->now, this->Random(Milliseconds(30)),
+             &daemon->recovery);
       if (fit != fleet::BatchFit::kApplies)
         continue;
       for (const auto& change : batch.changes) {
@@ -173,7 +176,7 @@
       }
       daemon->revision = batch.to_revision;
       batch.from_revision =
-          std::min(batch.from_revision, daemon->log.covered_to);
+          std::min(batch.from_revision, daemon->log.covered_to.revision);
       fleet::Append(batch, &daemon->log);
     }
   }
@@ -183,7 +186,8 @@
   }
   void Recover(ModelDaemon* daemon) {
     const RecoveryStep step =
-        NextStep(daemon->revision, this->now, &this->random, &daemon->recovery);
+        NextStep(store::Place(daemon->revision), this->now, &this->random,
+                 &daemon->recovery);
     if (step == RecoveryStep::kAsk || step == RecoveryStep::kFetch) {
       auto member = daemon->table.members.begin();
       std::advance(member, static_cast<std::ptrdiff_t>(
@@ -194,7 +198,8 @@
                        : member->first);
       const std::int64_t known = daemon->revision;
       this->Send(source, [=] {
-        const auto since = fleet::BatchesSince(source->log, known);
+        const auto since =
+            fleet::BatchesSince(source->log, store::Place(known));
         if (since)
           this->Send(daemon,
                      [=] { this->OnNews(daemon, source, since.value()); });
@@ -255,7 +260,7 @@
     daemon->failures = 0;
     if (to > daemon->revision) {
       StoreBatch batch;
-      batch.from_revision = daemon->log.covered_to;
+      batch.from_revision = daemon->log.covered_to.revision;
       batch.base_until = batch.to_revision = to;
       bool departures = false;
       for (const StoreEvent& event : found) {
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -19,6 +19,9 @@
 /// Endpoints announce themselves again and again: a watch without an answer has
 /// lost it, or the store is away.
 constexpr Milliseconds kEndpointWatchWait{2000};
+/// Daemons that do not read the store for others list within this time after it
+/// has come back from a copy.
+constexpr Milliseconds kNewEraSpread{1000};
 
 store::FollowerEvents Events(
     std::function<void(const store::Listing&)> on_listing,
@@ -33,7 +36,7 @@
 
 StoreView::StoreView(boost::asio::io_context* io,
                      const Deployment* own_deployment,
-                     const store::ObjectStore* store,
+                     const store::ObjectStore* object_store,
                      gateway::Gateway* own_gateway,
                      fleet::Fleet* own_fleet,
                      DecisionLog* decision_log,
@@ -41,17 +44,18 @@
                      net::HttpClient* client,
                      unsigned short peer_port)
     : deployment(own_deployment),
+      store(object_store),
       gateway(own_gateway),
       fleet(own_fleet),
       log(decision_log),
       config(io,
-             store,
+             object_store,
              {own_deployment->config_kind, kConfigWatchWait,
               LatestWatchWait(change_limit)},
              decision_log,
              this->ConfigEvents()),
       endpoints(io,
-                store,
+                object_store,
                 {own_deployment->endpoint_kind, kEndpointWatchWait,
                  LatestWatchWait(change_limit)},
                 decision_log,
@@ -69,7 +73,10 @@
                      "for too long that the view is complete")
                .Register(own_gateway->registry)
                .Add({})),
-      news(io, own_gateway, own_fleet, client, peer_port, this->Target()) {}
+      news(io, own_gateway, own_fleet, client, peer_port, this->Target()) {
+  this->store->eras->observers.push_back(
+      [this](const store::EraChange& change) { this->OnNewEra(change.to); });
+}
 
 store::FollowerEvents StoreView::ConfigEvents() {
   store::FollowerEvents events = Events(
@@ -118,29 +125,41 @@
   this->endpoints.Start();
 }
 
-void StoreView::CatchUp(const fleet::SeenRevisions& seen) {
+void StoreView::CatchUp(const fleet::SeenChanges& told) {
+  store::LearnEra(told.era, this->store->eras.get());
   if (this->large) {
-    if (seen.config_revision > this->fleet->seen_revisions.config_revision)
-      this->news.WantConfig(seen.config_revision, seen.reporter);
-    // Before the first listing any daemon that has one knows more.
-    const std::int64_t told_of = this->endpoints_known
-                                     ? seen.endpoints_revision
-                                     : seen.max_departure_revision;
-    if (told_of > this->endpoints.Revision())
-      this->news.WantEndpoints(told_of, seen.reporter);
+    if (told.config > this->fleet->seen.config)
+      this->news.WantConfig(told.config, told.reporter);
+    // Before the first listing of an era any daemon that has one knows more.
+    const store::Place& own = this->endpoints.At();
+    const bool is_listed = this->endpoints_known && told.era <= own.era;
+    const store::Place& wanted =
+        is_listed ? told.departure : told.max_departure;
+    if (wanted > own)
+      this->news.WantEndpoints(wanted, told.reporter);
   } else {
-    this->config.CatchUp(seen.config_revision);
-    this->endpoints.CatchUp(seen.endpoints_revision);
+    this->config.CatchUp(told.config);
+    this->endpoints.CatchUp(told.departure);
   }
   const TimePoint before = this->endpoints.ConfirmedAt();
-  this->config.Confirm(seen.config_revision, seen.confirmed_at);
-  this->endpoints.Confirm(seen.max_departure_revision, seen.confirmed_at);
+  this->config.Confirm(told.config, told.confirmed_at);
+  this->endpoints.Confirm(told.max_departure, told.confirmed_at);
   // Whom this daemon confirms in turn must have the same departures.
   if (this->large && this->endpoints.ConfirmedAt() > before)
-    this->RaiseMaxDeparture(seen.max_departure_revision);
+    this->RaiseMaxDeparture(told.max_departure);
   this->UpdateConfirmation();
 }
 
+/// What was listed in an earlier era stays in force until it is listed anew.
+void StoreView::OnNewEra(std::int64_t era) {
+  this->fleet->seen.era = era;
+  const bool reads =
+      this->large ? this->rank == 0 : this->fleet->ReadsLatestState();
+  const Milliseconds max_delay = reads ? Milliseconds(0) : kNewEraSpread;
+  this->config.OnNewEra(max_delay);
+  this->endpoints.OnNewEra(max_delay);
+}
+
 /// Returns whether the view is known to be complete for longer than before.
 bool StoreView::UpdateConfirmation() {
   const TimePoint at =
@@ -148,7 +167,7 @@
   const bool is_news = at > this->check.confirmed_at;
   RecordConfirmation(at, this->in_force_limit, &this->gateway->random,
                      &this->check);
-  this->fleet->seen_revisions.confirmed_at = this->check.confirmed_at;
+  this->fleet->seen.confirmed_at = this->check.confirmed_at;
   this->gateway->view_confirmed_at = this->check.confirmed_at;
   return is_news;
 }
@@ -158,10 +177,9 @@
   if (!this->UpdateConfirmation())
     return;
   // Others can be confirmed only if they know the same departures.
-  const std::int64_t departures_to =
-      this->fleet->seen_revisions.max_departure_revision;
+  const store::Place& departures_to = this->fleet->seen.max_departure;
   if (this->Tells() && departures_to > this->news.LoggedTo())
-    this->RecordChanges({});
+    this->RecordChanges(this->endpoints.At());
   // The others are about to check as well, unless they hear of this.
   const bool checked = std::exchange(this->checking, false);
   if (checked && !this->large)
@@ -178,8 +196,8 @@
   this->log->Write(
       kViewUnconfirmed, "",
       "age_ms=" + std::to_string(age.count()) +
-          " config_revision=" + std::to_string(this->config.Revision()) +
-          " endpoints_revision=" + std::to_string(this->endpoints.Revision()));
+          " config_revision=" + store::FormatPlace(this->config.At()) +
+          " endpoints_revision=" + store::FormatPlace(this->endpoints.At()));
 }
 
 void StoreView::Refresh() {
@@ -192,6 +210,7 @@
 void StoreView::Tick() {
   this->SendNews();
   const TimePoint now = BootNow();
+  this->EndWaits(now);
   this->UpdateRole(now);
   const bool due =
       IsCheckDue(this->check, now) || (this->large && this->IsStandbyDue(now));
@@ -205,7 +224,7 @@
   const auto freshness = reads_latest || due ? store::Freshness::kLatest
                                              : store::Freshness::kStale;
   this->relies_on_news = this->large && freshness == store::Freshness::kStale &&
-                         this->config.Revision() > 0 && this->endpoints_known;
+                         this->config.At().IsKnown() && this->endpoints_known;
   this->config.SetFreshness(freshness);
   this->endpoints.SetFreshness(freshness);
   this->config.SetPassive(this->relies_on_news);
@@ -215,11 +234,12 @@
 void StoreView::OnConfig(const store::Object& object) {
   if (object.name != this->deployment->config_name)
     return;
-  if (object.revision > this->fleet->seen_revisions.config_revision) {
-    this->fleet->seen_revisions.config_revision = object.revision;
+  if (object.place > this->fleet->seen.config) {
+    this->fleet->seen.era = this->store->eras->latest;
+    this->fleet->seen.config = object.place;
     this->news_to_send = true;
     if (object.fault.empty())
-      this->news.RecordConfig(object.revision, object.spec, this->Tells());
+      this->news.RecordConfig(object.place, object.spec, this->Tells());
   }
   Result<gateway::RoutingTable> table =
       object.fault.empty() ? this->deployment->read_config(object.spec)
@@ -233,43 +253,44 @@
 }
 
 void StoreView::OnEndpointListing(const store::Listing& listing) {
+  this->fleet->seen.era = this->store->eras->latest;
+  const bool is_new_era =
+      this->endpoints_known && listing.since.era != listing.place.era;
   std::set<std::string> listed;
   this->listed_ahead.clear();
   for (const store::Object& object : listing.objects) {
     listed.insert(object.name);
-    if (object.revision > listing.revision)
+    if (object.place > listing.place)
       this->listed_ahead.insert(object.name);
     this->UpsertEndpoint(object);
   }
-  const bool gone = this->RemoveOthers(listed);
-  for (auto it = this->skipped_revisions.begin();
-       it != this->skipped_revisions.end();)
-    it = listed.count(it->first) == 0 ? this->skipped_revisions.erase(it)
-                                      : std::next(it);
+  const bool gone = this->RemoveOthers(listed, is_new_era);
+  for (auto it = this->skipped.begin(); it != this->skipped.end();)
+    it = listed.count(it->first) == 0 ? this->skipped.erase(it) : std::next(it);
   if (gone)
-    this->NoteDeparture(listing.revision);
+    this->NoteDeparture(listing.place);
   // Endpoints may have come and gone unseen since the view was last complete.
   // One that lives for less than the time for changes is not waited for.
-  if (BootNow() - this->check.confirmed_at > this->in_force_limit)
-    this->RaiseMaxDeparture(listing.revision);
+  if (is_new_era || BootNow() - this->check.confirmed_at > this->in_force_limit)
+    this->RaiseMaxDeparture(listing.place);
   gateway::UpdateEndpointList(this->gateway);
-  if (!std::exchange(this->endpoints_known, true)) {
+  // A log that ends in another era than the view began in has no way to here.
+  const bool continues_log = this->news.LoggedTo().era == listing.since.era;
+  if (!std::exchange(this->endpoints_known, true) || !continues_log) {
     this->changes.clear();
-    this->news.BeginLog(listing.revision);
+    this->news.BeginLog(listing.place);
   } else {
-    fleet::gen::StoreBatch batch;
-    batch.base_until = listing.since;
     fleet::OrderListed(&this->changes);
-    this->RecordChanges(batch);
+    this->RecordChanges(listing.since);
   }
   this->SendNews();
 }
 
 void StoreView::OnEndpointChanges(const store::Changes& changes) {
   for (const store::Change& change : changes.changes)
-    this->ApplyChange(change, changes.revision);
+    this->ApplyChange(change, changes.place);
   gateway::UpdateEndpointList(this->gateway);
-  this->RecordChanges({});
+  this->RecordChanges(this->endpoints.At());
   this->SendNews();
 }
 
@@ -282,16 +303,34 @@
     // kNotFound: it cannot be told which start of the endpoint the entry is
     // about, so that a known endpoint stays as it is.
     if (entry.error().code != ErrorCode::kNotFound)
-      this->RemoveEndpoint(object.name, object.revision);
+      this->RemoveEndpoint(object.name, object.place);
     this->SkipEndpoint(object, entry.error().message);
     return;
   }
-  this->skipped_revisions.erase(object.name);
-  this->UpsertEntry(std::move(entry).value(), object.revision);
+  this->skipped.erase(object.name);
+  this->UpsertEntry(std::move(entry).value(), object.place);
 }
 
+/// Applies an entry, but for what an older copy of the store undoes.
 void StoreView::UpsertEntry(gateway::EndpointEntry entry,
-                            std::int64_t revision) {
+                            const store::Place& place) {
+  departure::RecordListed(entry.id, &this->departed);
+  switch (departure::Judge(entry, place, this->departed)) {
+    case departure::Verdict::kHoldBack:
+      departure::HoldBack(entry, BootNow(), &this->departed);
+      return;
+    case departure::Verdict::kKeepDraining:
+      entry.draining = true;
+      break;
+    case departure::Verdict::kUse:
+      departure::RecordUsed(entry, place, BootNow(), &this->departed);
+      break;
+  }
+  this->UseEntry(std::move(entry), place);
+}
+
+void StoreView::UseEntry(gateway::EndpointEntry entry,
+                         const store::Place& place) {
   const auto found = this->gateway->endpoints.endpoints.find(entry.id);
   const bool is_known = found != this->gateway->endpoints.endpoints.end();
   const bool news = !is_known ||
@@ -301,17 +340,17 @@
   if (!is_known || fields != fleet::ToWire(found->second->entry)) {
     fleet::gen::EndpointNews change;
     change.id = entry.id;
-    change.revision = revision;
+    change.revision = place.revision;
     change.__set_fields(fields);
     this->changes.push_back(std::move(change));
   }
   if (news && entry.draining)
-    this->NoteDeparture(revision);
+    this->NoteDeparture(place);
   if (news) {
     this->log->Write(gateway::kEndpointChanged, "",
                      "endpoint=" + entry.id + " service=" + entry.service +
                          " state=" + (entry.draining ? "draining" : "ready") +
-                         " revision=" + std::to_string(revision));
+                         " revision=" + store::FormatPlace(place));
   }
   gateway::UpsertEndpoint(&this->gateway->endpoints, std::move(entry));
 }
@@ -321,33 +360,33 @@
 void StoreView::SkipEndpoint(const store::Object& object,
                              const std::string& reason) {
   const auto [known, inserted] =
-      this->skipped_revisions.emplace(object.name, object.revision);
-  if (!inserted && known->second == object.revision)
+      this->skipped.emplace(object.name, object.place);
+  if (!inserted && known->second == object.place)
     return;
-  known->second = object.revision;
+  known->second = object.place;
   this->skipped_entries->Add({{"kind", this->deployment->endpoint_kind}})
       .Increment();
   this->log->Write(kEndpointUnreadable, "",
                    "endpoint=" + Printable(object.name) + " reason=\"" +
                        reason +
-                       "\" revision=" + std::to_string(object.revision));
+                       "\" revision=" + store::FormatPlace(object.place));
 }
 
-void StoreView::RaiseMaxDeparture(std::int64_t revision) {
-  std::int64_t& highest = this->fleet->seen_revisions.max_departure_revision;
-  highest = std::max(highest, revision);
+void StoreView::RaiseMaxDeparture(const store::Place& place) {
+  store::Place& highest = this->fleet->seen.max_departure;
+  highest = std::max(highest, place);
 }
 
 /// Endpoints that leave are urgent news: they get no new work.
-void StoreView::NoteDeparture(std::int64_t revision) {
-  this->RaiseMaxDeparture(revision);
+void StoreView::NoteDeparture(const store::Place& place) {
+  this->RaiseMaxDeparture(place);
   this->departures = true;
   // The others are to rely on what this daemon tells them.
   if (this->large && !this->Tells() && !this->relies_on_news)
     return;
-  if (revision <= this->fleet->seen_revisions.endpoints_revision)
+  if (place <= this->fleet->seen.departure)
     return;
-  this->fleet->seen_revisions.endpoints_revision = revision;
+  this->fleet->seen.departure = place;
   this->news_to_send = true;
 }
 
@@ -355,7 +394,7 @@
   const bool reachable =
       this->config.Reachable() && this->endpoints.Reachable();
   const bool was_reachable =
-      std::exchange(this->fleet->seen_revisions.reachable, reachable);
+      std::exchange(this->fleet->seen.reachable, reachable);
   const bool urgent = std::exchange(this->news_to_send, false);
   if (this->large) {
     // The others choose another reader.
@@ -367,23 +406,58 @@
     this->fleet->ReportNow();
 }
 
-void StoreView::RemoveEndpoint(const std::string& id, std::int64_t unusable) {
-  if (this->gateway->endpoints.endpoints.count(id) == 0)
+void StoreView::RemoveEndpoint(const std::string& id,
+                               const store::Place& unusable) {
+  departure::RecordRemoved(id, &this->departed);
+  const auto found = this->gateway->endpoints.endpoints.find(id);
+  if (found == this->gateway->endpoints.endpoints.end())
     return;
+  departure::RecordDeparture(found->second->entry, departure::Leaving::kRemoved,
+                             this->endpoints.At(), BootNow(), &this->departed);
   this->log->Write(gateway::kEndpointGone, "", "endpoint=" + id);
   gateway::RemoveEndpoint(&this->gateway->endpoints, id);
   this->TellRemoval(id, unusable);
 }
 
-bool StoreView::RemoveOthers(const std::set<std::string>& listed) {
-  std::vector<std::string> gone;
+bool StoreView::RemoveOthers(const std::set<std::string>& listed,
+                             bool is_new_era) {
+  departure::KeepListed(listed, &this->departed);
+  std::set<std::string> others;
   for (const auto& [id, endpoint] : this->gateway->endpoints.endpoints) {
     if (listed.count(id) == 0)
-      gone.push_back(id);
+      others.insert(id);
+  }
+  const TimePoint now = BootNow();
+  if (is_new_era) {
+    departure::RecordMissing(std::move(others), now, &this->departed);
+    return false;
   }
-  for (const std::string& id : gone)
+  bool gone = false;
+  for (const std::string& id : others) {
+    if (this->departed.missing.count(id) > 0)
+      continue;
     this->RemoveEndpoint(id, kDeleted);
-  return !gone.empty();
+    gone = true;
+  }
+  return gone;
+}
+
+void StoreView::EndWaits(TimePoint now) {
+  departure::ForgetOld(now, &this->departed);
+  const std::set<std::string> missing =
+      departure::TakeMissing(now, &this->departed);
+  const std::vector<departure::HeldBack> live =
+      departure::TakeLive(now, &this->departed);
+  if (missing.empty() && live.empty())
+    return;
+  for (const std::string& id : missing)
+    this->RemoveEndpoint(id, kDeleted);
+  for (const departure::HeldBack& one : live)
+    this->UseEntry(one.entry, this->endpoints.At());
+  if (!missing.empty())
+    this->NoteDeparture(this->endpoints.At());
+  gateway::UpdateEndpointList(this->gateway);
+  this->RecordChanges(this->endpoints.At());
 }
 
 }  // namespace coltsfootvane::daemon
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -11,6 +11,7 @@
 #include "daemon/deployment.h"
 #include "daemon/store_news.h"
 #include "daemon/view_check.h"
+#include "departure/departures.h"
 #include "fleet/fleet.h"
 #include "gateway/gateway.h"
 #include "log/decision_log.h"
@@ -42,7 +43,7 @@
   /// Returns whether the endpoints have been listed once.
   bool KnowsEndpoints() const { return this->endpoints_known; }
   /// Lists what another daemon has seen and this one has not.
-  void CatchUp(const fleet::SeenRevisions& news);
+  void CatchUp(const fleet::SeenChanges& told);
   /// Lists again, since answers of the store may have been lost. A daemon that
   /// relies on the news of others makes no calls.
   void Refresh();
@@ -61,10 +62,12 @@
   void ApplyBatch(const fleet::gen::StoreBatch& batch);
   void ApplySnapshot(const fleet::gen::StoreBatch& all);
   fleet::gen::StoreBatch MakeSnapshot() const;
-  void UpsertEntry(gateway::EndpointEntry entry, std::int64_t revision);
+  void UpsertEntry(gateway::EndpointEntry entry, const store::Place& place);
+  void UseEntry(gateway::EndpointEntry entry, const store::Place& place);
   /// Returns whether this daemon tells the others what it reads.
   bool Tells() const;
-  void RecordChanges(fleet::gen::StoreBatch batch);
+  void RecordChanges(const store::Place& base_until);
+  void AdvanceTo(const store::Place& place);
   void UpdateRole(TimePoint now);
   bool IsStandbyDue(TimePoint now) const;
   store::FollowerEvents ConfigEvents();
@@ -72,32 +75,38 @@
   void OnEndpointsReachable(bool reachable);
   void OnConfirmed();
   bool UpdateConfirmation();
-  /// Removes the endpoints that are not listed. Returns whether there were any.
-  bool RemoveOthers(const std::set<std::string>& listed);
+  void OnNewEra(std::int64_t era);
+  /// Removes the endpoints that are not listed, or, in the first listing of an
+  /// era, gives them time to register again. Returns whether there were any.
+  bool RemoveOthers(const std::set<std::string>& listed, bool is_new_era);
+  /// Ends the times given in the first listing of an era.
+  void EndWaits(TimePoint now);
   void BeginCheck(TimePoint now);
   void OnConfig(const store::Object& object);
   void OnEndpointListing(const store::Listing& listing);
   void OnEndpointChanges(const store::Changes& changes);
   void UpsertEndpoint(const store::Object& object);
   void SkipEndpoint(const store::Object& object, const std::string& reason);
-  static constexpr std::int64_t kDeleted = 0;
-  /// `unusable` is the revision of an entry that cannot be used, or kDeleted.
-  void RemoveEndpoint(const std::string& id, std::int64_t unusable);
-  void TellRemoval(const std::string& id, std::int64_t unusable);
-  void ApplyChange(const store::Change& change, std::int64_t revision);
-  void RaiseMaxDeparture(std::int64_t revision);
-  void NoteDeparture(std::int64_t revision);
+  static constexpr store::Place kDeleted{};
+  /// `unusable` is the place of an entry that cannot be used, or kDeleted.
+  void RemoveEndpoint(const std::string& id, const store::Place& unusable);
+  void TellRemoval(const std::string& id, const store::Place& unusable);
+  void ApplyChange(const store::Change& change, const store::Place& place);
+  void RaiseMaxDeparture(const store::Place& place);
+  void NoteDeparture(const store::Place& place);
   void SendNews();
 
   const Deployment* deployment;
+  const store::ObjectStore* store;
   gateway::Gateway* gateway;
   fleet::Fleet* fleet;
   DecisionLog* log;
   store::KindFollower config;
   store::KindFollower endpoints;
   prometheus::Family<prometheus::Counter>* skipped_entries;
-  /// Revisions of the entries that name no endpoint, by name.
-  std::map<std::string, std::int64_t> skipped_revisions;
+  /// Places of the entries that name no endpoint, by name.
+  std::map<std::string, store::Place> skipped;
+  departure::Departures departed;
   /// Time within which changes must be in force.
   Milliseconds in_force_limit;
   ViewCheck check;
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -36,8 +36,8 @@
 
 NewsTarget StoreView::Target() {
   NewsTarget target;
-  target.endpoints_revision = [this] {
-    return this->endpoints_known ? this->endpoints.Revision() : 0;
+  target.endpoints_place = [this] {
+    return this->endpoints_known ? this->endpoints.At() : store::Place();
   };
   target.apply_batch = [this](const gen::StoreBatch& batch) {
     this->ApplyBatch(batch);
@@ -46,13 +46,14 @@
     this->ApplySnapshot(all);
   };
   target.make_snapshot = [this] { return this->MakeSnapshot(); };
-  target.apply_config = [this](std::int64_t revision, nlohmann::json spec) {
+  target.apply_config = [this](const store::Place& place, nlohmann::json spec) {
+    store::LearnEra(place.era, this->store->eras.get());
     store::Object object;
     object.name = this->deployment->config_name;
-    object.revision = revision;
+    object.place = place;
     object.spec = std::move(spec);
     this->OnConfig(object);
-    this->config.AdvanceTo(revision);
+    this->config.AdvanceTo(place);
     this->SendNews();
   };
   target.read_endpoint_changes = [this] { this->endpoints.ReadChanges(); };
@@ -68,20 +69,26 @@
          (this->rank == 0 || this->checking || BootNow() < this->reads_until);
 }
 
-/// Records the changes of an answer of the store, and tells them.
-void StoreView::RecordChanges(gen::StoreBatch batch) {
+/// Records the changes that lead from views up to `base_until` to the present
+/// one, and tells them. What cannot be told at a later place than before stays
+/// for the next time.
+void StoreView::RecordChanges(const store::Place& base_until) {
+  const store::Place& at = this->endpoints.At();
+  const store::Place& from = this->news.LoggedTo();
+  const bool has_news =
+      !this->changes.empty() || this->fleet->seen.max_departure > from;
+  if (!has_news || at <= from)
+    return;
+  if (from.era != base_until.era) {
+    this->changes.clear();
+    this->news.BeginLog(at);
+    return;
+  }
+  fleet::gen::StoreBatch batch;
   batch.changes = std::exchange(this->changes, {});
   const bool urgent = std::exchange(this->departures, false);
-  batch.from_revision = this->news.LoggedTo();
-  batch.to_revision = this->endpoints.Revision();
-  const bool lists = batch.base_until != 0;
-  if (!lists)
-    batch.base_until = batch.to_revision;
-  const bool has_news =
-      !batch.changes.empty() ||
-      this->fleet->seen_revisions.max_departure_revision > batch.from_revision;
-  if (has_news && batch.to_revision > batch.from_revision)
-    this->news.Record(batch, this->Tells(), urgent);
+  fleet::SetRange({from, base_until, at}, &batch);
+  this->news.Record(batch, this->Tells(), urgent);
 }
 
 /// Applies a change from a watch and records it for the other daemons. The
@@ -89,15 +96,15 @@
 /// The watch that follows brings these again: they no longer change anything in
 /// this daemon, but the others still have to be told.
 void StoreView::ApplyChange(const store::Change& change,
-                            std::int64_t revision) {
+                            const store::Place& place) {
   const std::string& id = change.object.name;
   const std::size_t recorded = this->changes.size();
   if (change.deleted) {
-    this->skipped_revisions.erase(id);
+    this->skipped.erase(id);
     this->RemoveEndpoint(id, kDeleted);
     if (this->changes.size() == recorded)
       this->TellRemoval(id, kDeleted);
-    this->NoteDeparture(revision);
+    this->NoteDeparture(place);
     return;
   }
   this->UpsertEndpoint(change.object);
@@ -108,49 +115,55 @@
   const gateway::EndpointEntry& entry = found->second->entry;
   fleet::gen::EndpointNews repeated;
   repeated.id = id;
-  repeated.revision = change.object.revision;
+  repeated.revision = change.object.place.revision;
   repeated.__set_fields(fleet::ToWire(entry));
   this->changes.push_back(std::move(repeated));
   if (entry.draining)
-    this->NoteDeparture(change.object.revision);
+    this->NoteDeparture(change.object.place);
 }
 
 /// Records for the other daemons that the endpoint is deleted or unusable.
-void StoreView::TellRemoval(const std::string& id, std::int64_t unusable) {
+void StoreView::TellRemoval(const std::string& id,
+                            const store::Place& unusable) {
   fleet::gen::EndpointNews change;
   change.id = id;
   change.deleted = unusable == kDeleted;
-  change.revision = unusable;
+  change.revision = unusable.revision;
   this->changes.push_back(std::move(change));
 }
 
 void StoreView::ApplyBatch(const gen::StoreBatch& batch) {
-  const std::int64_t revision = this->endpoints.Revision();
+  const store::Place known = this->endpoints.At();
+  const store::Place to = fleet::RangeOf(batch).to;
+  store::LearnEra(to.era, this->store->eras.get());
   for (std::size_t i = 0; i < batch.changes.size(); ++i) {
     const gen::EndpointNews& change = batch.changes[i];
-    if (!fleet::IsNews(batch, i, revision))
+    if (!fleet::IsNews(batch, i, known))
       continue;
+    const store::Place place = fleet::PlaceOf(change, batch);
     Result<gateway::EndpointEntry> entry =
         change.__isset.fields ? fleet::FromWire(change.id, change.fields)
                               : Error{ErrorCode::kInvalid, "no entry"};
-    this->skipped_revisions.erase(change.id);
+    this->skipped.erase(change.id);
     if (entry) {
-      this->UpsertEntry(std::move(entry).value(), change.revision);
+      this->UpsertEntry(std::move(entry).value(), place);
       continue;
     }
-    this->RemoveEndpoint(change.id,
-                         change.deleted ? kDeleted : change.revision);
+    this->RemoveEndpoint(change.id, change.deleted ? kDeleted : place);
     if (change.deleted)
-      this->NoteDeparture(batch.to_revision);
+      this->NoteDeparture(to);
   }
-  this->changes.clear();
-  this->departures = false;
-  this->endpoints.AdvanceTo(batch.to_revision);
-  gateway::UpdateEndpointList(this->gateway);
-  this->SendNews();
+  // The first listing of an era may hide departures.
+  if (to.era != known.era)
+    this->RaiseMaxDeparture(to);
+  this->AdvanceTo(to);
 }
 
 void StoreView::ApplySnapshot(const gen::StoreBatch& all) {
+  const store::Place to = fleet::RangeOf(all).to;
+  store::LearnEra(to.era, this->store->eras.get());
+  const bool is_new_era =
+      this->endpoints_known && to.era != this->endpoints.At().era;
   std::set<std::string> listed;
   for (const gen::EndpointNews& change : all.changes) {
     Result<gateway::EndpointEntry> entry =
@@ -158,26 +171,32 @@
     if (!entry)
       continue;
     listed.insert(change.id);
-    this->UpsertEntry(std::move(entry).value(), change.revision);
+    this->UpsertEntry(std::move(entry).value(), fleet::PlaceOf(change, all));
   }
-  this->RemoveOthers(listed);
+  this->RemoveOthers(listed, is_new_era);
   // It does not tell when endpoints have left, nor of those that came and went.
-  this->RaiseMaxDeparture(all.to_revision);
+  this->RaiseMaxDeparture(to);
+  this->endpoints_known = true;
+  this->AdvanceTo(to);
+}
+
+/// Ends the application of what another daemon has told.
+void StoreView::AdvanceTo(const store::Place& place) {
   this->changes.clear();
   this->departures = false;
-  this->endpoints_known = true;
-  this->endpoints.AdvanceTo(all.to_revision);
+  this->endpoints.AdvanceTo(place);
   gateway::UpdateEndpointList(this->gateway);
   this->SendNews();
 }
 
 gen::StoreBatch StoreView::MakeSnapshot() const {
+  const store::Place& at = this->endpoints.At();
   gen::StoreBatch all;
-  all.to_revision = this->endpoints.Revision();
+  fleet::SetRange({store::Place(0, at.era), store::Place(0, at.era), at}, &all);
   for (const auto& [id, endpoint] : this->gateway->endpoints.endpoints) {
     gen::EndpointNews change;
     change.id = id;
-    change.revision = all.to_revision;
+    change.revision = at.revision;
     change.__set_fields(fleet::ToWire(endpoint->entry));
     all.changes.push_back(std::move(change));
   }
--- a/src/daemon/store_view_unittest.cc
+++ b/src/daemon/store_view_unittest.cc
@@ -35,7 +35,7 @@
                          bool draining = false) {
   store::Object object;
   object.name = name;
-  object.revision = revision;
+  object.place = store::Place(revision);
   object.spec = {{"draining", draining}};
   return object;
 }
@@ -134,7 +134,7 @@
              kLimit,
              &this->client,
              this->port) {
-    this->fleet.on_seen_revisions = [this](const fleet::SeenRevisions& seen) {
+    this->fleet.on_seen = [this](const fleet::SeenChanges& seen) {
       this->view.CatchUp(seen);
     };
     CHECK(static_cast<bool>(this->fleet.Open(this->Own())));
@@ -153,7 +153,7 @@
       if (kind == this->deployment.endpoint_kind)
         this->lists.push_back(std::move(handler));
     };
-    this->store.watch = [this](const std::string& kind, std::int64_t,
+    this->store.watch = [this](const std::string& kind, const store::Place&,
                                Milliseconds, store::Freshness,
                                store::Handler<Changes> handler) {
       if (kind == this->deployment.endpoint_kind)
@@ -181,7 +181,8 @@
   /// Returns the batches that the view sends a daemon that knows `revision`.
   std::vector<fleet::gen::StoreBatch> BatchesSince(std::int64_t revision) {
     this->fleet.on_store_news_request(
-        revision, boost::asio::ip::make_address_v4(kPeer).to_uint());
+        store::Place(revision),
+        boost::asio::ip::make_address_v4(kPeer).to_uint());
     std::vector<fleet::gen::StoreBatch> batches;
     std::array<char, 2048> buffer{};
     while (this->peer.available() > 0) {
@@ -214,20 +215,21 @@
   const Row rows[] = {{"deleted", true}, {"draining", false}};
   for (const Row& row : rows) {
     Fixture fixture;
-    fixture.lists[0](Listing{{MakeObject("a", 5), MakeObject("b", 6)}, 10});
+    fixture.lists[0](
+        Listing{{MakeObject("a", 5), MakeObject("b", 6)}, store::Place(10)});
     fixture.view.Tick();
     fixture.lists.clear();
     fixture.view.Refresh();
     CHECK_TEXT(!fixture.lists.empty(), row.name);
     // The revision is that of the first page, "b" is on the second.
-    Listing listing{{MakeObject("a", 5)}, 20};
+    Listing listing{{MakeObject("a", 5)}, store::Place(20)};
     if (!row.deleted)
       listing.objects.push_back(MakeObject("b", 21, true));
     fixture.lists[0](listing);
     while (fixture.watches.empty())
       fixture.io.run_one_for(kLimit);
     Changes changes;
-    changes.revision = 21;
+    changes.place = store::Place(21);
     changes.changes = {{MakeObject("b", 21, true), row.deleted}};
     fixture.watches.back()(changes);
     // To a daemon whose own listing had the same revision, but not that entry.
@@ -245,7 +247,8 @@
   constexpr std::int64_t kDeparture = 30;
   constexpr Milliseconds kMost{1100};
   Fixture fixture;
-  fixture.lists[0](Listing{{MakeObject("a", 5), MakeObject("b", 6)}, 10});
+  fixture.lists[0](
+      Listing{{MakeObject("a", 5), MakeObject("b", 6)}, store::Place(10)});
   fixture.view.Tick();
   const SnapshotServer silent(&fixture.io, kPeer, fixture.port, "");
   const SnapshotServer other(&fixture.io, "127.0.0.3", fixture.port,
@@ -258,12 +261,12 @@
     fixture.io.run_one_for(kLimit);
   CHECK(!silent.held.empty());
   const TimePoint silent_at = BootNow();
-  while (fixture.view.Endpoints().Revision() < kDeparture &&
+  while (fixture.view.Endpoints().At().revision < kDeparture &&
          BootNow() < start + kLimit) {
     fixture.Report("127.0.0.3", kDeparture);
     fixture.io.run_for(Milliseconds(20));
   }
-  CHECK(fixture.view.Endpoints().Revision() >= kDeparture);
+  CHECK(fixture.view.Endpoints().At().revision >= kDeparture);
   CHECK(fixture.gateway.endpoints.endpoints.count("b") == 0);
   CHECK(BootNow() - silent_at < kMost);
   // Ends the call in progress, which owns its connection until then.
--- /dev/null
+++ b/src/departure/departures_unittest.cc
@@ -0,0 +1,110 @@
+#include "departure/departures.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
+using departure::Departures;
+using departure::Leaving;
+using departure::Verdict;
+using gateway::EndpointEntry;
+
+namespace {
+
+constexpr TimePoint kNow{Milliseconds(5'000'000)};
+constexpr std::int64_t kProcess = 17;
+
+EndpointEntry MakeEntry(std::int64_t incarnation, bool draining) {
+  EndpointEntry entry;
+  entry.id = "a";
+  entry.incarnation = incarnation;
+  entry.draining = draining;
+  return entry;
+}
+
+}  // namespace
+
+TEST_GROUP(Departures){};
+
+// Guards against requests at an endpoint that has left, as an older copy of the
+// store calls it ready, and against a new process that gets none.
+TEST(Departures, HoldAgainstEntriesOfALaterEraOnly) {
+  struct Row {
+    const char* name;
+    Leaving how;
+    std::int64_t incarnation;
+    bool draining;
+    std::int64_t era;
+    Verdict verdict;
+  };
+  const Row rows[] = {{"said so, ready in its era", Leaving::kDraining,
+                       kProcess, false, 2, Verdict::kUse},
+                      {"said so, ready in the copy", Leaving::kDraining,
+                       kProcess, false, 3, Verdict::kKeepDraining},
+                      {"said so, draining in the copy", Leaving::kDraining,
+                       kProcess, true, 3, Verdict::kUse},
+                      {"said so, two copies later", Leaving::kDraining,
+                       kProcess, false, 4, Verdict::kKeepDraining},
+                      {"said so, a new process", Leaving::kDraining,
+                       kProcess + 1, false, 3, Verdict::kUse},
+                      {"removed, back in its era", Leaving::kRemoved, kProcess,
+                       false, 2, Verdict::kUse},
+                      {"removed, in the copy", Leaving::kRemoved, kProcess,
+                       false, 3, Verdict::kHoldBack},
+                      {"removed, draining in the copy", Leaving::kRemoved,
+                       kProcess, true, 3, Verdict::kHoldBack},
+                      {"removed, a new process", Leaving::kRemoved,
+                       kProcess + 1, false, 3, Verdict::kUse}};
+  for (const Row& row : rows) {
+    Departures departures;
+    departure::RecordDeparture(MakeEntry(kProcess, false), row.how,
+                               store::Place(280, 2), kNow, &departures);
+    const Verdict verdict =
+        departure::Judge(MakeEntry(row.incarnation, row.draining),
+                         store::Place(250, row.era), departures);
+    CHECK_TEXT(verdict == row.verdict, row.name);
+  }
+}
+
+// Guards against a process that has said that it leaves and counts as ready
+// again: its entry was missing in the copy, and what it wrote is written again
+// in order.
+TEST(Departures, WhatWasSaidOutlastsTheRemovalOfAMissingEntry) {
+  Departures departures;
+  departure::RecordDeparture(MakeEntry(kProcess, true), Leaving::kDraining,
+                             store::Place(280, 1), kNow, &departures);
+  departure::RecordDeparture(MakeEntry(kProcess, true), Leaving::kRemoved,
+                             store::Place(250, 2), kNow, &departures);
+  CHECK(departure::Judge(MakeEntry(kProcess, false), store::Place(255, 2),
+                         departures) == Verdict::kKeepDraining);
+}
+
+// Guards against live endpoints that get no requests for good, and against
+// entries that lapse meanwhile and are used all the same.
+TEST(Departures, EntriesThatStayAreThoseOfLiveProcesses) {
+  Departures departures;
+  departure::RecordDeparture(MakeEntry(kProcess, false), Leaving::kRemoved,
+                             store::Place(280, 1), kNow, &departures);
+  departure::HoldBack(MakeEntry(kProcess, false), kNow, &departures);
+  CHECK(departure::TakeLive(kNow + Milliseconds(3600), &departures).empty());
+  const auto live =
+      departure::TakeLive(kNow + Milliseconds(20'000), &departures);
+  LONGS_EQUAL(1, live.size());
+  CHECK(departure::Judge(MakeEntry(kProcess, false), store::Place(250, 2),
+                         departures) == Verdict::kUse);
+  departure::HoldBack(MakeEntry(kProcess, false), kNow, &departures);
+  departure::KeepListed({"b"}, &departures);
+  CHECK(departure::TakeLive(kNow + Milliseconds(20'000), &departures).empty());
+}
+
+// Guards against endpoints that are dropped although they register again, and
+// against some that stay although they have gone.
+TEST(Departures, MissingEndpointsHaveTimeToRegisterAgain) {
+  Departures departures;
+  departure::RecordMissing({"a", "b"}, kNow, &departures);
+  departure::RecordListed("a", &departures);
+  CHECK(departure::TakeMissing(kNow + Milliseconds(2000), &departures).empty());
+  const auto gone =
+      departure::TakeMissing(kNow + Milliseconds(3000), &departures);
+  CHECK(gone == std::set<std::string>{"b"});
+  CHECK(departure::TakeMissing(kNow + Milliseconds(3000), &departures).empty());
+}
--- a/src/fleet/daemon_registry.cc
+++ b/src/fleet/daemon_registry.cc
@@ -14,6 +14,10 @@
 /// Plus up to as much. A new daemon reports to all that are listed, so that the
 /// others need no list to find it.
 constexpr Milliseconds kRareListInterval{60'000};
+/// A store that comes back from a copy has lost some seconds.
+constexpr Milliseconds kMaxCopyAge{120'000};
+/// The daemons of a fleet write again within this time.
+constexpr Milliseconds kNewEraSpread{1000};
 
 }  // namespace
 
@@ -33,6 +37,21 @@
   this->Announce();
 }
 
+/// An entry that is older than any copy is in the copy as well.
+void DaemonRegistry::OnNewEra() {
+  const TimePoint now = BootNow();
+  const bool is_in_copy = this->announced_at != TimePoint() &&
+                          now - this->announced_at > kMaxCopyAge;
+  if (!this->announced || is_in_copy)
+    return;
+  const auto spread = static_cast<std::uint64_t>(kNewEraSpread.count());
+  this->announced = false;
+  this->announced_at = TimePoint();
+  this->RunAfter(
+      Milliseconds(static_cast<std::int64_t>(this->random() % spread)),
+      [this] { this->Announce(); });
+}
+
 store::Object DaemonRegistry::OwnEntry() const {
   store::Object object;
   object.name = this->daemon_name;
@@ -54,9 +73,9 @@
 }
 
 /// Replaces the entry of an earlier process, which has another address.
-void DaemonRegistry::UpdateEntry(std::int64_t revision) {
+void DaemonRegistry::UpdateEntry(const store::Place& place) {
   store::Object own = this->OwnEntry();
-  own.revision = revision;
+  own.place = place;
   store::CountCall(*this->store, store::CallCause::kRegistry,
                    store::Freshness::kLatest);
   this->store->replace(
@@ -99,10 +118,12 @@
     return;
   }
   if (!this->announced && other_own != nullptr) {
-    this->UpdateEntry(other_own->revision);
+    this->UpdateEntry(other_own->place);
     return;
   }
   this->announced = true;
+  if (this->announced_at == TimePoint())
+    this->announced_at = BootNow();
   this->RunAfter(kListInterval, [this] { this->ListAgain(); });
 }
 
--- a/src/fleet/daemon_registry.h
+++ b/src/fleet/daemon_registry.h
@@ -25,13 +25,15 @@
                  Found found);
 
   void Start();
+  /// The store has come back from an older copy, which may lack this daemon.
+  void OnNewEra();
 
   /// Returns whether others look often for daemons that are not known here.
   std::function<bool()> lists_rarely;
 
  private:
   void Announce();
-  void UpdateEntry(std::int64_t revision);
+  void UpdateEntry(const store::Place& place);
   void List(store::Freshness freshness);
   void ListAgain();
   void OnListing(const Result<store::Listing>& listing);
@@ -45,6 +47,7 @@
   Found found;
   std::minstd_rand random;
   bool announced = false;
+  TimePoint announced_at;  ///< For the first time.
   TimePoint rare_list_at;
 };
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -46,12 +46,13 @@
   return wire;
 }
 
-SeenRevisions ReadSeenRevisions(const gen::Report& report, TimePoint now) {
-  SeenRevisions seen;
-  seen.config_revision = report.config_revision;
-  seen.endpoints_revision = report.endpoints_revision;
+SeenChanges ReadSeen(const gen::Report& report, TimePoint now) {
+  SeenChanges seen;
+  seen.era = report.era;
+  seen.config = store::Place(report.config_revision, report.era);
+  seen.departure = store::Place(report.endpoints_revision, report.era);
   seen.reachable = report.store_reachable;
-  seen.max_departure_revision = report.max_departure_revision;
+  seen.max_departure = store::Place(report.max_departure_revision, report.era);
   if (report.__isset.confirmed_age_ms && report.confirmed_age_ms >= 0)
     seen.confirmed_at = now - Milliseconds(report.confirmed_age_ms);
   return seen;
@@ -173,7 +174,10 @@
   else if (datagram.__isset.store_news && this->on_store_news)
     this->on_store_news(datagram.store_news, address);
   else if (datagram.__isset.store_news_request && this->on_store_news_request)
-    this->on_store_news_request(datagram.store_news_request.revision, address);
+    this->on_store_news_request(
+        store::Place(datagram.store_news_request.revision,
+                     datagram.store_news_request.era),
+        address);
   else if (datagram.__isset.config_news && this->on_config_news)
     this->on_config_news(datagram.config_news, address);
 }
@@ -197,10 +201,10 @@
     ApplyWorkChanges(changes, &this->peer_work);
     CopyPeerWork(this->peer_work, this->gateway->endpoint_list, now);
   }
-  if (is_new && this->on_seen_revisions) {
-    SeenRevisions seen = ReadSeenRevisions(report, now);
-    seen.reporter = from;
-    this->on_seen_revisions(seen);
+  if (is_new && this->on_seen) {
+    SeenChanges told = ReadSeen(report, now);
+    told.reporter = from;
+    this->on_seen(told);
   }
   if (is_new && !report.team_use.empty())
     this->OnTeamUse(report);
@@ -293,21 +297,28 @@
   report.config_version =
       this->gateway->routes ? this->gateway->routes->version : 0;
   report.lease_epoch = this->lease_epoch;
-  this->FillSeenRevisions(&report);
+  this->FillSeen(&report);
   return report;
 }
 
-void Fleet::FillSeenRevisions(gen::Report* report) const {
-  const SeenRevisions& seen = this->seen_revisions;
-  report->config_revision = seen.config_revision;
-  report->endpoints_revision = seen.endpoints_revision;
-  report->store_reachable = seen.reachable;
+void Fleet::FillSeen(gen::Report* report) const {
+  // A place of another era is none that the report could state.
+  const auto revision = [this](const store::Place& place) {
+    return place.era == this->seen.era ? place.revision : 0;
+  };
+  report->era = this->seen.era;
+  report->__isset.era = this->seen.era != 0;
+  report->config_revision = revision(this->seen.config);
+  report->endpoints_revision = revision(this->seen.departure);
+  report->store_reachable = this->seen.reachable;
   const auto age = std::chrono::duration_cast<Milliseconds>(
-      BootNow() - seen.confirmed_at + Milliseconds(1));
-  if (seen.confirmed_at == TimePoint() || age > kMaxConfirmedAge)
+      BootNow() - this->seen.confirmed_at + Milliseconds(1));
+  const bool is_current = this->seen.max_departure.era == this->seen.era;
+  if (this->seen.confirmed_at == TimePoint() || age > kMaxConfirmedAge ||
+      !is_current)
     return;
   report->__set_confirmed_age_ms(static_cast<std::int32_t>(age.count()));
-  report->__set_max_departure_revision(seen.max_departure_revision);
+  report->__set_max_departure_revision(this->seen.max_departure.revision);
 }
 
 void Fleet::SpreadConfirmation() {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -21,20 +21,23 @@
 #include "gateway/gateway.h"
 #include "net/timer.h"
 #include "quota/quota_node.h"
+#include "store/place.h"
 
 namespace coltsfootvane::fleet {
 
-/// Store revisions of the latest urgent changes that a daemon has seen.
-struct SeenRevisions {
-  std::int64_t config_revision = 0;     ///< Of the latest configuration.
-  std::int64_t endpoints_revision = 0;  ///< Of the last endpoint departure.
+/// Where in the history of the store the latest urgent changes are that a
+/// daemon has seen.
+struct SeenChanges {
+  std::int64_t era = 0;    ///< The latest one that the daemon knows.
+  store::Place config;     ///< Of the latest configuration.
+  store::Place departure;  ///< Of the last departure of an endpoint.
   bool reachable = false;
   /// The daemon's view holds all configurations and departures that were
   /// acknowledged before; TimePoint() if that is not known.
   TimePoint confirmed_at;
   /// None of these departures is newer. A listing may hide departures, so that
-  /// this may be higher than endpoints_revision.
-  std::int64_t max_departure_revision = 0;
+  /// this may be later than `departure`.
+  store::Place max_departure;
   std::uint32_t reporter = 0;  ///< The IPv4 address of the other daemon.
 };
 
@@ -86,9 +89,9 @@
   void SpreadConfirmation();
 
   /// The changes in the store that this daemon has seen; part of its reports.
-  SeenRevisions seen_revisions;
-  /// Called with the store revisions in each new report of another daemon.
-  std::function<void(const SeenRevisions&)> on_seen_revisions;
+  SeenChanges seen;
+  /// Called with what each new report of another daemon states.
+  std::function<void(const SeenChanges&)> on_seen;
   /// Returns whether this daemon reads the latest state of the store on behalf
   /// of the others, which read it with a lag.
   bool ReadsLatestState() const;
@@ -118,16 +121,18 @@
   void Spread(gen::StoreNews news, const std::vector<std::uint32_t>& to);
   void Spread(gen::ConfigNews news, const std::vector<std::uint32_t>& to);
   void SendStoreNews(std::uint32_t to, const gen::StoreNews& news);
-  /// Asks a daemon for the changes after `revision`.
-  void RequestStoreNews(std::uint32_t from, std::int64_t revision);
+  /// Asks a daemon for the changes after `known`.
+  void RequestStoreNews(std::uint32_t from, const store::Place& known);
   std::function<void(const gen::StoreNews&, std::uint32_t from)> on_store_news;
-  std::function<void(std::int64_t revision, std::uint32_t from)>
+  std::function<void(const store::Place& known, std::uint32_t from)>
       on_store_news_request;
   std::function<void(const gen::ConfigNews&, std::uint32_t from)>
       on_config_news;
 
   /// Returns whether reports of the lease holder of this epoch have stopped.
   bool IsHolderSilent(std::int64_t epoch) const;
+  /// Returns whether another daemon is heard as the lease holder.
+  bool HearsOtherHolder() const;
 
   /// Returns the demand for a model or adapter over all daemons, in engine ms
   /// per second.
@@ -181,7 +186,7 @@
   void SendAdapterRequest(std::int64_t number);
   void OnAdapterTimer(std::int64_t number);
   gen::Report MakeReport();
-  void FillSeenRevisions(gen::Report* report) const;
+  void FillSeen(gen::Report* report) const;
   void SendTo(std::uint32_t address, const std::string& bytes);
   void RecordAdapter(std::uint32_t endpoint, const std::string& adapter_name);
   Milliseconds Interval() const;
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -50,6 +50,9 @@
   // None of these departures has a higher store revision.
   14: optional i64 max_departure_revision
   15: optional list<TeamUse> team_use
+  // Of the store, as in StoreBatch; all revisions of the report are of this
+  // era, and are 0 if the sender knows none of it.
+  16: optional i64 era
 }
 
 // Sent by the lease holder.
@@ -191,6 +194,11 @@
   2: i64 base_until
   3: i64 to_revision
   4: list<EndpointNews> changes
+  // A store that comes back from an older copy begins a new era, in which it
+  // gives revisions out again. Not set if it is 0.
+  5: optional i64 era
+  // Of from_revision and base_until, if it is another.
+  6: optional i64 from_era
 }
 
 // Sent by the daemon that reads the store for the others, through relays, and in
@@ -205,6 +213,7 @@
 
 struct StoreNewsRequest {
   1: i64 revision  // Up to which the sender knows all changes.
+  2: optional i64 era
 }
 
 // A new configuration. Without a patch it is fetched from `source`.
@@ -215,6 +224,8 @@
   4: optional string patch  // RFC 6902.
   5: list<i32> relay_to
   6: i32 source
+  7: optional i64 era
+  8: optional i64 base_era  // Of base_revision, if it is another.
 }
 
 union Datagram {
--- a/src/fleet/fleet_adapters.cc
+++ b/src/fleet/fleet_adapters.cc
@@ -24,6 +24,12 @@
   return IsSilent(this->holder, this->table, epoch, BootNow());
 }
 
+bool Fleet::HearsOtherHolder() const {
+  const std::uint32_t address =
+      FindLiveHolder(this->holder, this->table, BootNow());
+  return address != 0 && address != this->own_address;
+}
+
 void Fleet::OnAdapterRequest(const gen::AdapterRequest& request,
                              std::uint32_t from) {
   gen::AdapterReply answer;
--- a/src/fleet/fleet_store_news.cc
+++ b/src/fleet/fleet_store_news.cc
@@ -58,9 +58,8 @@
 
 std::vector<std::uint32_t> Fleet::Readers(std::size_t max_readers) const {
   const TimePoint now = BootNow();
-  return ReaderOrder(this->table, this->own_address,
-                     this->seen_revisions.reachable, this->CountsUnheard(now),
-                     max_readers, now);
+  return ReaderOrder(this->table, this->own_address, this->seen.reachable,
+                     this->CountsUnheard(now), max_readers, now);
 }
 
 bool Fleet::IsAmongReaders(std::size_t max_readers) const {
@@ -129,9 +128,11 @@
   this->SendTo(to, EncodeNews(news));
 }
 
-void Fleet::RequestStoreNews(std::uint32_t from, std::int64_t revision) {
+void Fleet::RequestStoreNews(std::uint32_t from, const store::Place& known) {
   gen::StoreNewsRequest request;
-  request.revision = revision;
+  request.revision = known.revision;
+  request.era = known.era;
+  request.__isset.era = known.era != 0;
   gen::Datagram datagram;
   datagram.__set_store_news_request(request);
   this->SendTo(from, Encode(datagram));
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -528,6 +528,11 @@
   this->team_use = val;
 __isset.team_use = true;
 }
+
+void Report::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -724,6 +729,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -838,6 +851,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 16);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -860,6 +878,7 @@
   swap(a.confirmed_age_ms, b.confirmed_age_ms);
   swap(a.max_departure_revision, b.max_departure_revision);
   swap(a.team_use, b.team_use);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -879,6 +898,7 @@
   confirmed_age_ms = other30.confirmed_age_ms;
   max_departure_revision = other30.max_departure_revision;
   team_use = other30.team_use;
+  era = other30.era;
   __isset = other30.__isset;
 }
 Report& Report::operator=(const Report& other31) {
@@ -897,6 +917,7 @@
   confirmed_age_ms = other31.confirmed_age_ms;
   max_departure_revision = other31.max_departure_revision;
   team_use = other31.team_use;
+  era = other31.era;
   __isset = other31.__isset;
   return *this;
 }
@@ -918,6 +939,7 @@
   out << ", " << "confirmed_age_ms="; (__isset.confirmed_age_ms ? (out << to_string(confirmed_age_ms)) : (out << "<null>"));
   out << ", " << "max_departure_revision="; (__isset.max_departure_revision ? (out << to_string(max_departure_revision)) : (out << "<null>"));
   out << ", " << "team_use="; (__isset.team_use ? (out << to_string(team_use)) : (out << "<null>"));
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3667,6 +3689,16 @@
 void StoreBatch::__set_changes(const std::vector<EndpointNews> & val) {
   this->changes = val;
 }
+
+void StoreBatch::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void StoreBatch::__set_from_era(const int64_t val) {
+  this->from_era = val;
+__isset.from_era = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoreBatch& obj)
 {
   obj.printTo(out);
@@ -3739,6 +3771,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->from_era);
+          this->__isset.from_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3780,6 +3828,16 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.from_era) {
+    xfer += oprot->writeFieldBegin("from_era", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->from_era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3791,6 +3849,8 @@
   swap(a.base_until, b.base_until);
   swap(a.to_revision, b.to_revision);
   swap(a.changes, b.changes);
+  swap(a.era, b.era);
+  swap(a.from_era, b.from_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -3799,6 +3859,8 @@
   base_until = other122.base_until;
   to_revision = other122.to_revision;
   changes = other122.changes;
+  era = other122.era;
+  from_era = other122.from_era;
   __isset = other122.__isset;
 }
 StoreBatch& StoreBatch::operator=(const StoreBatch& other123) {
@@ -3806,6 +3868,8 @@
   base_until = other123.base_until;
   to_revision = other123.to_revision;
   changes = other123.changes;
+  era = other123.era;
+  from_era = other123.from_era;
   __isset = other123.__isset;
   return *this;
 }
@@ -3816,6 +3880,8 @@
   out << ", " << "base_until=" << to_string(base_until);
   out << ", " << "to_revision=" << to_string(to_revision);
   out << ", " << "changes=" << to_string(changes);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "from_era="; (__isset.from_era ? (out << to_string(from_era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4021,6 +4087,11 @@
 void StoreNewsRequest::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void StoreNewsRequest::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const StoreNewsRequest& obj)
 {
   obj.printTo(out);
@@ -4057,6 +4128,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4078,6 +4157,11 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4086,15 +4170,18 @@
 void swap(StoreNewsRequest &a, StoreNewsRequest &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
 StoreNewsRequest::StoreNewsRequest(const StoreNewsRequest& other138) noexcept {
   revision = other138.revision;
+  era = other138.era;
   __isset = other138.__isset;
 }
 StoreNewsRequest& StoreNewsRequest::operator=(const StoreNewsRequest& other139) noexcept {
   revision = other139.revision;
+  era = other139.era;
   __isset = other139.__isset;
   return *this;
 }
@@ -4102,6 +4189,7 @@
   using ::apache::thrift::to_string;
   out << "StoreNewsRequest(";
   out << "revision=" << to_string(revision);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4134,6 +4222,16 @@
 void ConfigNews::__set_source(const int32_t val) {
   this->source = val;
 }
+
+void ConfigNews::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void ConfigNews::__set_base_era(const int64_t val) {
+  this->base_era = val;
+__isset.base_era = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigNews& obj)
 {
   obj.printTo(out);
@@ -4222,6 +4320,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_era);
+          this->__isset.base_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4272,6 +4386,16 @@
   xfer += oprot->writeI32(this->source);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.base_era) {
+    xfer += oprot->writeFieldBegin("base_era", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->base_era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4285,6 +4409,8 @@
   swap(a.patch, b.patch);
   swap(a.relay_to, b.relay_to);
   swap(a.source, b.source);
+  swap(a.era, b.era);
+  swap(a.base_era, b.base_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -4295,6 +4421,8 @@
   patch = other146.patch;
   relay_to = other146.relay_to;
   source = other146.source;
+  era = other146.era;
+  base_era = other146.base_era;
   __isset = other146.__isset;
 }
 ConfigNews& ConfigNews::operator=(const ConfigNews& other147) {
@@ -4304,6 +4432,8 @@
   patch = other147.patch;
   relay_to = other147.relay_to;
   source = other147.source;
+  era = other147.era;
+  base_era = other147.base_era;
   __isset = other147.__isset;
   return *this;
 }
@@ -4316,6 +4446,8 @@
   out << ", " << "patch="; (__isset.patch ? (out << to_string(patch)) : (out << "<null>"));
   out << ", " << "relay_to=" << to_string(relay_to);
   out << ", " << "source=" << to_string(source);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "base_era="; (__isset.base_era ? (out << to_string(base_era)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -265,7 +265,7 @@
 std::ostream& operator<<(std::ostream& out, const TeamUse& obj);
 
 typedef struct _Report__isset {
-  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false), lists_all_work(false), confirmed_age_ms(false), max_departure_revision(false), team_use(false) {}
+  _Report__isset() : incarnation(false), sequence(false), leaving(false), config_version(false), lease_epoch(false), work(false), demand(false), members(false), config_revision(false), endpoints_revision(false), store_reachable(false), lists_all_work(false), confirmed_age_ms(false), max_departure_revision(false), team_use(false), era(false) {}
   bool incarnation :1;
   bool sequence :1;
   bool leaving :1;
@@ -281,6 +281,7 @@
   bool confirmed_age_ms :1;
   bool max_departure_revision :1;
   bool team_use :1;
+  bool era :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -299,7 +300,8 @@
            store_reachable(0),
            lists_all_work(0),
            confirmed_age_ms(0),
-           max_departure_revision(0) {
+           max_departure_revision(0),
+           era(0) {
   }
 
   virtual ~Report() noexcept;
@@ -318,6 +320,7 @@
   int32_t confirmed_age_ms;
   int64_t max_departure_revision;
   std::vector<TeamUse>  team_use;
+  int64_t era;
 
   _Report__isset __isset;
 
@@ -351,6 +354,8 @@
 
   void __set_team_use(const std::vector<TeamUse> & val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const Report & rhs) const
   {
     if (!(incarnation == rhs.incarnation))
@@ -393,6 +398,10 @@
       return false;
     else if (__isset.team_use && !(team_use == rhs.team_use))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
@@ -1485,11 +1494,13 @@
 std::ostream& operator<<(std::ostream& out, const EndpointNews& obj);
 
 typedef struct _StoreBatch__isset {
-  _StoreBatch__isset() : from_revision(false), base_until(false), to_revision(false), changes(false) {}
+  _StoreBatch__isset() : from_revision(false), base_until(false), to_revision(false), changes(false), era(false), from_era(false) {}
   bool from_revision :1;
   bool base_until :1;
   bool to_revision :1;
   bool changes :1;
+  bool era :1;
+  bool from_era :1;
 } _StoreBatch__isset;
 
 class StoreBatch : public virtual ::apache::thrift::TBase {
@@ -1500,7 +1511,9 @@
   StoreBatch() noexcept
              : from_revision(0),
                base_until(0),
-               to_revision(0) {
+               to_revision(0),
+               era(0),
+               from_era(0) {
   }
 
   virtual ~StoreBatch() noexcept;
@@ -1508,6 +1521,8 @@
   int64_t base_until;
   int64_t to_revision;
   std::vector<EndpointNews>  changes;
+  int64_t era;
+  int64_t from_era;
 
   _StoreBatch__isset __isset;
 
@@ -1519,6 +1534,10 @@
 
   void __set_changes(const std::vector<EndpointNews> & val);
 
+  void __set_era(const int64_t val);
+
+  void __set_from_era(const int64_t val);
+
   bool operator == (const StoreBatch & rhs) const
   {
     if (!(from_revision == rhs.from_revision))
@@ -1529,6 +1548,14 @@
       return false;
     if (!(changes == rhs.changes))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (__isset.from_era != rhs.__isset.from_era)
+      return false;
+    else if (__isset.from_era && !(from_era == rhs.from_era))
+      return false;
     return true;
   }
   bool operator != (const StoreBatch &rhs) const {
@@ -1612,8 +1639,9 @@
 std::ostream& operator<<(std::ostream& out, const StoreNews& obj);
 
 typedef struct _StoreNewsRequest__isset {
-  _StoreNewsRequest__isset() : revision(false) {}
+  _StoreNewsRequest__isset() : revision(false), era(false) {}
   bool revision :1;
+  bool era :1;
 } _StoreNewsRequest__isset;
 
 class StoreNewsRequest : public virtual ::apache::thrift::TBase {
@@ -1622,20 +1650,28 @@
   StoreNewsRequest(const StoreNewsRequest&) noexcept;
   StoreNewsRequest& operator=(const StoreNewsRequest&) noexcept;
   StoreNewsRequest() noexcept
-                   : revision(0) {
+                   : revision(0),
+                     era(0) {
   }
 
   virtual ~StoreNewsRequest() noexcept;
   int64_t revision;
+  int64_t era;
 
   _StoreNewsRequest__isset __isset;
 
   void __set_revision(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const StoreNewsRequest & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const StoreNewsRequest &rhs) const {
@@ -1655,13 +1691,15 @@
 std::ostream& operator<<(std::ostream& out, const StoreNewsRequest& obj);
 
 typedef struct _ConfigNews__isset {
-  _ConfigNews__isset() : revision(false), base_revision(false), digest(false), patch(false), relay_to(false), source(false) {}
+  _ConfigNews__isset() : revision(false), base_revision(false), digest(false), patch(false), relay_to(false), source(false), era(false), base_era(false) {}
   bool revision :1;
   bool base_revision :1;
   bool digest :1;
   bool patch :1;
   bool relay_to :1;
   bool source :1;
+  bool era :1;
+  bool base_era :1;
 } _ConfigNews__isset;
 
 class ConfigNews : public virtual ::apache::thrift::TBase {
@@ -1674,7 +1712,9 @@
                base_revision(0),
                digest(0),
                patch(),
-               source(0) {
+               source(0),
+               era(0),
+               base_era(0) {
   }
 
   virtual ~ConfigNews() noexcept;
@@ -1684,6 +1724,8 @@
   std::string patch;
   std::vector<int32_t>  relay_to;
   int32_t source;
+  int64_t era;
+  int64_t base_era;
 
   _ConfigNews__isset __isset;
 
@@ -1699,6 +1741,10 @@
 
   void __set_source(const int32_t val);
 
+  void __set_era(const int64_t val);
+
+  void __set_base_era(const int64_t val);
+
   bool operator == (const ConfigNews & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -1715,6 +1761,14 @@
       return false;
     if (!(source == rhs.source))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (__isset.base_era != rhs.__isset.base_era)
+      return false;
+    else if (__isset.base_era && !(base_era == rhs.base_era))
+      return false;
     return true;
   }
   bool operator != (const ConfigNews &rhs) const {
--- a/src/fleet/store_batches.cc
+++ b/src/fleet/store_batches.cc
@@ -51,50 +51,76 @@
   return bytes;
 }
 
-BatchFit Fit(const gen::StoreBatch& batch, std::int64_t revision) {
-  if (batch.to_revision <= revision)
+BatchRange RangeOf(const gen::StoreBatch& batch) {
+  const std::int64_t from_era =
+      batch.__isset.from_era ? batch.from_era : batch.era;
+  return {store::Place(batch.from_revision, from_era),
+          store::Place(batch.base_until, from_era),
+          store::Place(batch.to_revision, batch.era)};
+}
+
+void SetRange(const BatchRange& range, gen::StoreBatch* batch) {
+  batch->from_revision = range.from.revision;
+  batch->base_until = range.base_until.revision;
+  batch->to_revision = range.to.revision;
+  batch->era = range.to.era;
+  batch->__isset.era = range.to.era != 0;
+  batch->from_era = range.from.era;
+  batch->__isset.from_era = range.from.era != range.to.era;
+}
+
+store::Place PlaceOf(const gen::EndpointNews& change,
+                     const gen::StoreBatch& batch) {
+  return store::Place(change.revision, batch.era);
+}
+
+BatchFit Fit(const gen::StoreBatch& batch, const store::Place& known) {
+  const BatchRange range = RangeOf(batch);
+  if (range.to <= known)
     return BatchFit::kKnown;
   const bool whole =
       std::none_of(batch.changes.begin(), batch.changes.end(),
                    [](const gen::EndpointNews& one) { return one.left_out; });
-  return whole && revision >= batch.from_revision &&
-                 revision <= batch.base_until
+  return whole && known >= range.from && known <= range.base_until
              ? BatchFit::kApplies
              : BatchFit::kGap;
 }
 
 bool IsNews(const gen::StoreBatch& batch,
             std::size_t position,
-            std::int64_t revision) {
+            const store::Place& known) {
+  const BatchRange range = RangeOf(batch);
   const gen::EndpointNews& change = batch.changes[position];
-  const bool is_listed = batch.base_until < batch.to_revision;
-  if (change.revision > revision || is_listed)
+  const bool is_listed = range.base_until < range.to;
+  if (PlaceOf(change, batch) > known || is_listed)
     return true;
   if (!change.deleted)
     return false;
   for (std::size_t i = position + 1; i < batch.changes.size(); ++i) {
     const gen::EndpointNews& later = batch.changes[i];
-    if (later.id == change.id && !later.deleted && later.revision <= revision)
+    if (later.id == change.id && !later.deleted &&
+        PlaceOf(later, batch) <= known)
       return false;
   }
   return true;
 }
 
 void Append(const gen::StoreBatch& batch, BatchLog* log) {
-  if (batch.to_revision <= log->covered_to)
+  const BatchRange range = RangeOf(batch);
+  if (range.to <= log->covered_to)
     return;
-  if (batch.from_revision > log->covered_to)
+  if (range.from > log->covered_to)
     log->batches.clear();
-  log->covered_to = batch.to_revision;
+  log->covered_to = range.to;
   log->batches.push_back(batch);
   if (log->batches.size() > kMaxLogBatches)
     log->batches.pop_front();
 }
 
 Result<std::vector<gen::StoreBatch>> BatchesSince(const BatchLog& log,
-                                                  std::int64_t revision) {
+                                                  const store::Place& known) {
   std::vector<gen::StoreBatch> since;
-  std::int64_t reached = revision;
+  store::Place reached = known;
   for (const gen::StoreBatch& batch : log.batches) {
     const BatchFit fit = Fit(batch, reached);
     if (fit == BatchFit::kKnown)
@@ -102,7 +128,7 @@
     if (fit == BatchFit::kGap)
       return Error{ErrorCode::kGone, "the log begins later"};
     since.push_back(batch);
-    reached = batch.to_revision;
+    reached = RangeOf(batch).to;
   }
   if (reached < log.covered_to)
     return Error{ErrorCode::kGone, "the log begins later"};
@@ -124,9 +150,11 @@
 }
 
 std::vector<gen::StoreBatch> SplitBatch(const gen::StoreBatch& batch) {
-  const bool any_base = batch.base_until >= batch.to_revision;
+  const BatchRange whole = RangeOf(batch);
+  const bool any_base = whole.base_until >= whole.to;
   // A part must not end at a state from which it may begin.
-  std::int64_t least_end = any_base ? batch.from_revision : batch.base_until;
+  store::Place least_end = any_base ? whole.from : whole.base_until;
+  BatchRange range = whole;
   std::vector<gen::StoreBatch> parts;
   gen::StoreBatch part = batch;
   part.changes.clear();
@@ -141,17 +169,17 @@
     }
     // Everything before it is older, or is an endpoint that leaves, which may
     // be told early. So a part may end here.
-    const std::int64_t end = change.revision - 1;
-    if (bytes + size > kMaxNewsBytes && end > least_end &&
-        end < batch.to_revision && (any_base || !Leaves(change))) {
-      part.to_revision = end;
+    const store::Place end(change.revision - 1, whole.to.era);
+    if (bytes + size > kMaxNewsBytes && end > least_end && end < whole.to &&
+        (any_base || !Leaves(change))) {
+      range.to = end;
       if (any_base)
-        part.base_until = end;
+        range.base_until = end;
+      SetRange(range, &part);
       parts.push_back(part);
       part = {};
-      part.from_revision = end;
-      part.base_until = any_base ? batch.to_revision : end;
-      part.to_revision = batch.to_revision;
+      range = {end, any_base ? whole.to : end, whole.to};
+      SetRange(range, &part);
       least_end = end;
       bytes = kBatchOverhead;
     }
--- a/src/fleet/store_batches.h
+++ b/src/fleet/store_batches.h
@@ -9,6 +9,7 @@
 #include "base/result.h"
 #include "fleet/gen/fleet_types.h"
 #include "gateway/endpoint.h"
+#include "store/place.h"
 
 namespace coltsfootvane::fleet {
 
@@ -17,32 +18,48 @@
 struct BatchLog {
   std::deque<gen::StoreBatch> batches;
   /// The end of the last batch; where the log begins if there is none.
-  std::int64_t covered_to = 0;
+  store::Place covered_to;
 };
 
+/// Places in the history of the store: from the first to the second one, a
+/// batch may be applied, and the third one is reached by it.
+struct BatchRange {
+  store::Place from;
+  store::Place base_until;
+  store::Place to;
+};
+
+BatchRange RangeOf(const gen::StoreBatch& batch);
+/// `from` and `base_until` are of one era, which may be earlier than that of
+/// `to`.
+void SetRange(const BatchRange& range, gen::StoreBatch* batch);
+/// Returns the place of one of the batch's changes.
+store::Place PlaceOf(const gen::EndpointNews& change,
+                     const gen::StoreBatch& batch);
+
 enum class BatchFit {
   kKnown,    ///< The view already holds all of its changes.
   kApplies,  ///< The view may be brought forward by it.
   kGap,      ///< Changes before it, or within it, are missing.
 };
 
-/// Returns how a batch fits a view that holds all changes up to `revision`.
-BatchFit Fit(const gen::StoreBatch& batch, std::int64_t revision);
+/// Returns how a batch fits a view that holds all changes up to `known`.
+BatchFit Fit(const gen::StoreBatch& batch, const store::Place& known);
 
 /// Returns whether a change of a batch that applies is to be applied: it is
 /// newer than the view, and not the removal of an entry that has returned
-/// before the view's revision.
+/// before the place of the view.
 bool IsNews(const gen::StoreBatch& batch,
             std::size_t position,
-            std::int64_t revision);
+            const store::Place& known);
 
 /// Appends a batch. The log begins anew if changes before it are missing.
 void Append(const gen::StoreBatch& batch, BatchLog* log);
 
-/// Returns the batches that bring a view from `revision` to the end of the log.
+/// Returns the batches that bring a view from `known` to the end of the log.
 /// Errors: kGone if the log does not reach back that far.
 Result<std::vector<gen::StoreBatch>> BatchesSince(const BatchLog& log,
-                                                  std::int64_t revision);
+                                                  const store::Place& known);
 
 /// Returns the last batches of the log, as many as are small enough to be
 /// repeated beside news, in order.
--- a/src/fleet/store_batches_unittest.cc
+++ b/src/fleet/store_batches_unittest.cc
@@ -19,6 +19,7 @@
 using fleet::SplitBatch;
 using fleet::gen::EndpointNews;
 using fleet::gen::StoreBatch;
+using store::Place;
 
 namespace {
 
@@ -80,7 +81,7 @@
       {"with an entry left out", left_out, 10, BatchFit::kGap},
   };
   for (const Row& row : rows)
-    CHECK_TEXT(row.fit == Fit(row.batch, row.revision), row.name);
+    CHECK_TEXT(row.fit == Fit(row.batch, Place(row.revision)), row.name);
 }
 
 // Guards against a batch that removes an entry which has returned since, since
@@ -88,30 +89,31 @@
 TEST(StoreBatches, DoNotRemoveWhatHasReturned) {
   StoreBatch batch = MakeBatch(10, 20, 20);
   batch.changes = {Deletion("a"), Upsert("a", 12), Upsert("b", 16)};
-  CHECK(IsNews(batch, 0, 10) && IsNews(batch, 1, 10));
-  CHECK(!IsNews(batch, 0, 14) && !IsNews(batch, 1, 14) && IsNews(batch, 2, 14));
+  CHECK(IsNews(batch, 0, Place(10)) && IsNews(batch, 1, Place(10)));
+  CHECK(!IsNews(batch, 0, Place(14)) && !IsNews(batch, 1, Place(14)) &&
+        IsNews(batch, 2, Place(14)));
   batch.changes = {Upsert("a", 12), Deletion("a")};
-  CHECK(!IsNews(batch, 0, 14) && IsNews(batch, 1, 14));
+  CHECK(!IsNews(batch, 0, Place(14)) && IsNews(batch, 1, Place(14)));
 }
 
 // Guards against an answer that leaves out changes that the log has lost.
 TEST(StoreBatches, LogAnswersOnlyWhatItCovers) {
   fleet::BatchLog log;
-  log.covered_to = 10;
+  log.covered_to = Place(10);
   Append(MakeBatch(10, 20, 20), &log);
   Append(MakeBatch(20, 25, 30), &log);
-  LONGS_EQUAL(2, BatchesSince(log, 12).value().size());
-  LONGS_EQUAL(1, BatchesSince(log, 20).value().size());
-  LONGS_EQUAL(0, BatchesSince(log, 30).value().size());
-  CHECK(!BatchesSince(log, 9));
-  CHECK(!BatchesSince(log, 26));
+  LONGS_EQUAL(2, BatchesSince(log, Place(12)).value().size());
+  LONGS_EQUAL(1, BatchesSince(log, Place(20)).value().size());
+  LONGS_EQUAL(0, BatchesSince(log, Place(30)).value().size());
+  CHECK(!BatchesSince(log, Place(9)));
+  CHECK(!BatchesSince(log, Place(26)));
   Append(MakeBatch(40, 50, 50), &log);
-  CHECK(!BatchesSince(log, 30));
-  LONGS_EQUAL(50, log.covered_to);
+  CHECK(!BatchesSince(log, Place(30)));
+  LONGS_EQUAL(50, log.covered_to.revision);
   for (int i = 50; i < 300; ++i)
     Append(MakeBatch(i, i + 1, i + 1), &log);
-  CHECK(!BatchesSince(log, 60));
-  LONGS_EQUAL(10, BatchesSince(log, 290).value().size());
+  CHECK(!BatchesSince(log, Place(60)));
+  LONGS_EQUAL(10, BatchesSince(log, Place(290)).value().size());
 }
 
 // Guards against parts of which one is taken for the whole, and against
@@ -138,8 +140,8 @@
       datagram.__set_store_news(news);
       CHECK(Encode(datagram).size() < 1300);
       if (revision > 10)
-        CHECK(Fit(part, 10) == BatchFit::kGap);
-      if (Fit(part, revision) != BatchFit::kApplies)
+        CHECK(Fit(part, Place(10)) == BatchFit::kGap);
+      if (Fit(part, Place(revision)) != BatchFit::kApplies)
         continue;
       for (const EndpointNews& change : part.changes)
         applied[change.id] = change.revision;
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -82,7 +82,7 @@
   this->engines.clear();
   // The previous lease holder may have just begun as many loads from the weight
   // store as the rate limit allows.
-  this->store_loads = {this->lease->Epoch() <= 1 ? kMaxBurstLoads : 0,
+  this->store_loads = {this->lease->IsFirstHolder() ? kMaxBurstLoads : 0,
                        this->lease_held_since};
   this->fleet->SetLease(
       this->lease->Epoch(),
--- a/src/orders/lease_manager.cc
+++ b/src/orders/lease_manager.cc
@@ -1,5 +1,6 @@
 #include "orders/lease_manager.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/digest.h"
@@ -29,10 +30,10 @@
 /// Allowance for an order in flight.
 constexpr Milliseconds kMaxOrderDelay{500};
 
-store::Object ToObject(const LeaseSpec& spec, std::int64_t revision) {
+store::Object ToObject(const LeaseSpec& spec, const store::Place& place) {
   store::Object object;
   object.name = kLeaseName;
-  object.revision = revision;
+  object.place = place;
   object.spec = nlohmann::json::parse(FormatLease(spec));
   return object;
 }
@@ -135,11 +136,14 @@
                                   object.error().code != ErrorCode::kNotFound);
         if (object) {
           const Result<LeaseSpec> spec = ParseLease(object.value().spec.dump());
+          const store::Place& place = object.value().place;
+          this->lease.era = place.era;
           OnLeaseRead(&this->lease, spec ? spec.value() : LeaseSpec{},
-                      object.value().revision, now);
+                      place.revision, now);
           return;
         }
         if (object.error().code == ErrorCode::kNotFound) {
+          this->lease.era = this->store->eras->latest;
           OnLeaseRead(&this->lease, LeaseSpec{}, 0, now);
           return;
         }
@@ -159,7 +163,10 @@
                was_released](const Result<store::Object>& written) {
     this->OnWritten(step, spec, written, start, was_released);
   };
-  const store::Object object = ToObject(spec, this->lease.resource_version);
+  this->took_from_predecessor =
+      step == LeaseStep::kTakeOver && IsHeldByPredecessor(this->lease);
+  const store::Object object = ToObject(
+      spec, store::Place(this->lease.resource_version, this->lease.era));
   store::CountCall(*this->store, store::CallCause::kLease,
                    store::Freshness::kLatest);
   if (step == LeaseStep::kCreate)
@@ -185,13 +192,29 @@
   }
   if (this->released)
     return;
-  OnLeaseWritten(&this->lease, spec, written.value().revision, start);
+  OnLeaseWritten(&this->lease, spec, written.value().place.revision, start);
   this->outage_hold_until = now + kMaxOutageHold;
-  if (step != LeaseStep::kRenew)
-    this->may_send_from = was_released ? now + this->min_handover_gap : now;
+  if (step != LeaseStep::kRenew) {
+    this->first_holder =
+        step == LeaseStep::kCreate && this->store->eras->changes == 0;
+    this->may_send_from = this->FirstOrderAt(step, was_released, now);
+  }
   this->UpdateHolding(now);
 }
 
+TimePoint LeaseManager::FirstOrderAt(LeaseStep step,
+                                     bool was_released,
+                                     TimePoint now) const {
+  TimePoint first = was_released ? now + this->min_handover_gap : now;
+  // An older copy names a holder that has been replaced since.
+  const bool other_sends =
+      step == LeaseStep::kTakeOver && this->took_from_predecessor &&
+      this->hears_other_holder && this->hears_other_holder();
+  if (other_sends)
+    first = now + this->lease.times.send_period + kMaxOrderDelay;
+  return std::max(first, this->earlier_holder_until);
+}
+
 void LeaseManager::SetStoreUnreachable(bool unreachable) {
   const bool regained = this->store_unreachable && !unreachable;
   this->store_unreachable = unreachable;
@@ -208,7 +231,8 @@
   this->lease.held = false;
   LeaseSpec spec = this->lease.last_spec;
   spec.holder.clear();
-  this->store->replace(kLeaseKind, ToObject(spec, this->lease.resource_version),
+  const store::Place place(this->lease.resource_version, this->lease.era);
+  this->store->replace(kLeaseKind, ToObject(spec, place),
                        [](const Result<store::Object>&) {
                          // If the write fails, the lease expires instead.
                        });
@@ -218,7 +242,8 @@
   const bool unreachable = this->store_unreachable ||
                            (this->call_in_progress &&
                             now - this->call_started_at > kStoreAnswerTimeout);
-  return this->engines_check_fencing && this->lease.held && unreachable &&
+  return this->engines_check_fencing && this->lease.held &&
+         !this->lease.epoch_is_spent && unreachable &&
          now < this->outage_hold_until && now - this->last_tick <= kMaxTickGap;
 }
 
@@ -231,7 +256,25 @@
   this->lease.held = false;
   this->lease.send_until = TimePoint();
   this->lease.up_to_date = false;
+  // If the lease is still held, the engine has seen an epoch that the store has
+  // lost.
+  this->lease.epoch_is_spent = true;
+  this->outage_hold_until = TimePoint();
+}
+
+void LeaseManager::OnNewEra() {
+  const TimePoint now = BootNow();
+  const bool was_holder = this->lease.held && !this->lease.epoch_is_spent;
+  if (!was_holder)
+    this->earlier_holder_until =
+        now + this->lease.times.send_period + kMaxOrderDelay;
+  const TimePoint known_since = this->lease.changed_at;
+  coltsfootvane::OnNewEra(&this->lease, now);
+  // Those who do not compete need not read it again.
+  if (this->bystander)
+    this->lease.changed_at = known_since;
   this->outage_hold_until = TimePoint();
+  this->UpdateHolding(now);
 }
 
 void LeaseManager::UpdateHolding(TimePoint now) {
--- a/src/orders/lease_manager.h
+++ b/src/orders/lease_manager.h
@@ -36,11 +36,16 @@
   bool MaySendOrder(TimePoint now) const;
   std::int64_t Epoch() const { return this->lease.last_spec.epoch; }
   const std::string& Holder() const { return this->lease.self; }
+  /// Returns whether no daemon has held the lease before this one.
+  bool IsFirstHolder() const { return this->first_holder; }
   /// Called when the store is reachable again after an outage.
   std::function<void()> on_store_back;
   /// Returns whether reports of the lease holder of this epoch have stopped.
   std::function<bool(std::int64_t epoch)> is_holder_silent;
 
+  /// Returns whether another daemon is heard as the holder.
+  std::function<bool()> hears_other_holder;
+
   /// Returns whether this daemon watches the lease to take it over; unset if it
   /// does. Otherwise it reads it once after its start.
   std::function<bool()> may_compete;
@@ -50,10 +55,18 @@
   /// acquired again.
   void OnFenced();
 
+  /// The store has come back from an older copy. No orders may be sent until
+  /// the lease has been acquired in the new era; another holder of the past may
+  /// send some until it hears of it.
+  void OnNewEra();
+
  private:
   void Tick();
   void Read();
   void Write(LeaseStep step);
+  TimePoint FirstOrderAt(LeaseStep step,
+                         bool was_released,
+                         TimePoint now) const;
   void OnWritten(LeaseStep step,
                  const LeaseSpec& spec,
                  const Result<store::Object>& written,
@@ -76,6 +89,10 @@
   /// Delays the first order if the previous holder released the lease, since
   /// its orders may still be in flight.
   TimePoint may_send_from;
+  /// Until then the holder of the earlier era may send orders.
+  TimePoint earlier_holder_until;
+  bool first_holder = false;
+  bool took_from_predecessor = false;  ///< In the write in progress.
   TimePoint last_tick;
   TimePoint call_started_at;
   /// Until then the lease counts as held while the store is unreachable.
--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -1,5 +1,6 @@
 #include "placement/lease.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace coltsfootvane {
@@ -38,6 +39,8 @@
     return now >= lease.next_call ? LeaseStep::kRead : LeaseStep::kNone;
   if (lease.resource_version == 0)
     return LeaseStep::kCreate;
+  if (lease.held && lease.epoch_is_spent)
+    return LeaseStep::kTakeOver;
   if (lease.held)
     return now >= lease.next_call ? LeaseStep::kRenew : LeaseStep::kNone;
   if (lease.last_spec.holder.empty() || IsHeldByPredecessor(lease))
@@ -60,7 +63,7 @@
     ++spec.renewals;
     return spec;
   }
-  ++spec.epoch;
+  spec.epoch = std::max(spec.epoch, lease.era * kEpochsPerEra) + 1;
   spec.renewals = 0;
   return spec;
 }
@@ -98,6 +101,7 @@
   lease->resource_version = resource_version;
   lease->changed_at = start;
   lease->up_to_date = true;
+  lease->epoch_is_spent = false;
   lease->held = spec.holder == lease->self;
   lease->send_until =
       lease->held ? start + lease->times.send_period : TimePoint();
@@ -109,8 +113,18 @@
   lease->next_call = now;
 }
 
+void OnNewEra(Lease* lease, TimePoint now) {
+  lease->held = false;
+  lease->send_until = TimePoint();
+  lease->epoch_is_spent = true;
+  lease->up_to_date = false;
+  // Versions of the two eras say nothing about each other.
+  lease->changed_at = TimePoint();
+  lease->next_call = now;
+}
+
 bool MaySendCommands(const Lease& lease, TimePoint now) {
-  return lease.held && now < lease.send_until;
+  return lease.held && !lease.epoch_is_spent && now < lease.send_until;
 }
 
 }  // namespace coltsfootvane
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -23,6 +23,10 @@
 /// observer takes over; safety does not depend on it.
 inline constexpr Milliseconds kLeaseSendPeriod{5000};
 
+/// Epochs of a later era of the store are above those of all earlier ones. An
+/// older copy lacks epochs that were in use, which must not be given out again.
+inline constexpr std::int64_t kEpochsPerEra = 1'000'000;
+
 /// The timing of one lease. The difference between `expiry` and `send_period`
 /// is the minimum time between the commands of two holders.
 struct LeaseTimes {
@@ -62,6 +66,10 @@
   bool holder_silent = false;
   /// `last_spec` was read or written since the last failed call.
   bool up_to_date = false;
+  /// The epoch must not be used any more: the store has come back from an older
+  /// copy, or an engine has seen a higher one. Taking over gives another.
+  bool epoch_is_spent = false;
+  std::int64_t era = 0;  ///< Of the store, in which `last_spec` was read.
 };
 
 enum class LeaseStep { kNone, kRead, kCreate, kTakeOver, kRenew };
@@ -91,6 +99,10 @@
 /// again before the next write.
 void OnLeaseWriteFailed(Lease* lease, TimePoint now);
 
+/// The store has come back from an older copy: the lease is read again, and is
+/// held only once it has been taken over with an epoch of the new era.
+void OnNewEra(Lease* lease, TimePoint now);
+
 /// Returns whether the lease holder may send commands at `now`.
 bool MaySendCommands(const Lease& lease, TimePoint now);
 
--- a/src/store/call_tally.cc
+++ b/src/store/call_tally.cc
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::array<const char*, kCallCauses> kNames = {
-    "start", "watch", "gap", "check", "retry", "lease", "registry", "record"};
+    "start", "watch",    "gap",    "check", "retry",
+    "lease", "registry", "record", "era"};
 
 }  // namespace
 
--- a/src/store/call_tally.h
+++ b/src/store/call_tally.h
@@ -21,8 +21,9 @@
   kLease,     ///< Reading and renewing the lease of the planner.
   kRegistry,  ///< Registering this daemon and finding the others.
   kRecord,    ///< Evidence against quarantined parts.
+  kEra,       ///< Listing anew after the store came back from a copy.
 };
-inline constexpr std::size_t kCallCauses = 8;
+inline constexpr std::size_t kCallCauses = 9;
 
 /// Calls of this process by cause.
 struct CallTally {
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -32,6 +32,7 @@
                            FollowerEvents follower_events)
     : timer(io),
       silence_timer(io),
+      era_timer(io),
       store(object_store),
       kind(std::move(followed_kind)),
       log(decision_log),
@@ -74,8 +75,8 @@
   }
 }
 
-void KindFollower::AdvanceTo(std::int64_t known_revision) {
-  this->revision = std::max(this->revision, known_revision);
+void KindFollower::AdvanceTo(const Place& known) {
+  this->place = std::max(this->place, known);
 }
 
 void KindFollower::SetPace(const FollowerPace& wanted,
@@ -109,21 +110,25 @@
 
 void KindFollower::SendList() {
   CountCall(*this->store, this->list_cause, Freshness::kLatest);
-  this->store->list(this->kind.name, Freshness::kLatest,
-                    [this, current = this->generation,
-                     start = BootNow()](const Result<Listing>& listing) {
-                      if (!this->TakeAnswer(current, !listing))
-                        return;
-                      if (!listing) {
-                        this->OnFailure(listing.error());
-                        return;
-                      }
-                      this->SetReachable(true);
-                      this->OnListing(listing.value());
-                      this->confirm_at_once = false;
-                      this->SetConfirmed(start);
-                      this->Continue();
-                    });
+  this->store->list(
+      this->kind.name, Freshness::kLatest,
+      [this, current = this->generation, known = this->place,
+       start = BootNow()](const Result<Listing>& listing) {
+        if (!this->TakeAnswer(current, !listing))
+          return;
+        if (!listing) {
+          this->OnFailure(listing.error());
+          return;
+        }
+        if (!this->OnListing(listing.value(), known)) {
+          this->OnFailure({ErrorCode::kUnknown, "listing of the past"});
+          return;
+        }
+        this->SetReachable(true);
+        this->confirm_at_once = false;
+        this->SetConfirmed(start);
+        this->Continue();
+      });
 }
 
 /// Sends a call that is to be answered at once, and once more over a new
@@ -156,43 +161,61 @@
   return true;
 }
 
-void KindFollower::OnListing(Listing listing) {
-  if (listing.revision < this->revision) {
+/// Returns whether the view is now at least as new as the store was when the
+/// call was made. What others have told may have overtaken the listing, but not
+/// what was known before.
+bool KindFollower::OnListing(Listing listing, const Place& known_when_sent) {
+  if (listing.place < known_when_sent || listing.place.era < this->place.era) {
     this->log->Write(kStoreBehind, "",
                      "kind=" + this->kind.name +
-                         " revision=" + std::to_string(this->revision) +
-                         " shown=" + std::to_string(listing.revision));
-    return;
+                         " revision=" + FormatPlace(this->place) +
+                         " shown=" + FormatPlace(listing.place));
+    return false;
   }
-  listing.since = std::exchange(this->revision, listing.revision);
+  if (listing.place < this->place)
+    return true;
+  listing.since = std::exchange(this->place, listing.place);
   this->events.on_listing(listing);
+  return true;
 }
 
-void KindFollower::CatchUp(std::int64_t known_revision) {
-  if (known_revision <= std::max(this->revision, this->catching_up_to))
+void KindFollower::CatchUp(const Place& known) {
+  if (!known.IsKnown() || known <= std::max(this->place, this->catching_up_to))
     return;
-  this->catching_up_to = known_revision;
+  this->catching_up_to = known;
   CountCall(*this->store, CallCause::kGap, Freshness::kLatest);
-  this->store->list(this->kind.name, Freshness::kLatest,
-                    [this, start = BootNow()](const Result<Listing>& listing) {
-                      this->catching_up_to = 0;
-                      if (!listing)
-                        return;
-                      this->OnListing(listing.value());
-                      this->SetConfirmed(start);
-                    });
+  this->store->list(
+      this->kind.name, Freshness::kLatest,
+      [this, known_when_sent = this->place,
+       start = BootNow()](const Result<Listing>& listing) {
+        this->catching_up_to = Place();
+        if (listing && this->OnListing(listing.value(), known_when_sent))
+          this->SetConfirmed(start);
+      });
 }
 
-void KindFollower::Confirm(std::int64_t known_revision, TimePoint at) {
+void KindFollower::Confirm(const Place& known, TimePoint at) {
   // Another daemon has reached the store since the last failure of this one, so
   // that a passive follower may call it again soon. An active one keeps its
   // back-off.
   if (this->passive && at > this->failed_at)
     this->failures = std::min(this->failures, 1);
-  if (this->revision > 0 && this->revision >= known_revision)
+  // What another daemon knows of another era says nothing about this view.
+  if (this->place.IsKnown() && known.era == this->place.era &&
+      this->place >= known)
     this->confirmed_at = std::max(this->confirmed_at, at);
 }
 
+void KindFollower::OnNewEra(Milliseconds max_delay) {
+  const auto spread = static_cast<std::uint64_t>(max_delay.count()) + 1;
+  const Milliseconds delay(static_cast<std::int64_t>(this->random() % spread));
+  this->era_timer.Set(delay, [this] {
+    const bool is_current = this->place.era >= this->store->eras->latest;
+    if (!is_current && this->place.IsKnown() && !this->passive)
+      this->Refresh(CallCause::kEra);
+  });
+}
+
 void KindFollower::SetConfirmed(TimePoint at) {
   if (at <= this->confirmed_at)
     return;
@@ -214,7 +237,7 @@
   this->probing = true;
   CountCall(*this->store, CallCause::kRetry, Freshness::kStale);
   this->store->watch(
-      this->kind.name, this->revision, kNoWait, Freshness::kStale,
+      this->kind.name, this->place, kNoWait, Freshness::kStale,
       [this, current = this->generation](Result<Changes> answer) {
         if (current != this->generation)
           return;
@@ -266,7 +289,7 @@
   CountCall(*this->store,
             wait == kNoWait ? CallCause::kCheck : CallCause::kWatch,
             this->watched);
-  this->store->watch(this->kind.name, this->revision, wait, this->watched,
+  this->store->watch(this->kind.name, this->place, wait, this->watched,
                      [this, current = this->generation, start = BootNow(), wait,
                       latest](Result<Changes> changes) {
                        if (!this->TakeAnswer(current, !changes))
@@ -288,6 +311,10 @@
 }
 
 void KindFollower::OnWatched(Changes changes, TimePoint confirmed) {
+  if (changes.place.era != this->place.era) {
+    this->OnFailure({ErrorCode::kGone, "changes of another era"});
+    return;
+  }
   this->SetReachable(true);
   this->OnChanges(std::move(changes));
   this->SetConfirmed(confirmed);
@@ -296,29 +323,29 @@
 
 void KindFollower::OnChanges(Changes changes) {
   // A listing may have overtaken the watch.
-  if (changes.revision <= this->revision)
+  if (changes.place <= this->place)
     return;
   std::vector<Change> news;
   std::set<std::string> known;
   for (auto it = changes.changes.rbegin(); it != changes.changes.rend(); ++it) {
     // An entry that is known to have returned was removed before.
-    if (!it->deleted && it->object.revision <= this->revision)
+    if (!it->deleted && it->object.place <= this->place)
       known.insert(it->object.name);
     else if (!it->deleted || known.count(it->object.name) == 0)
       news.push_back(std::move(*it));
   }
   std::reverse(news.begin(), news.end());
   changes.changes = std::move(news);
-  changes.since = std::exchange(this->revision, changes.revision);
+  changes.since = std::exchange(this->place, changes.place);
   if (!changes.changes.empty())
     this->events.on_changes(changes);
 }
 
 void KindFollower::OnFailure(const Error& error) {
   if (error.code == ErrorCode::kGone) {
-    this->log->Write(kHistoryGone, "",
-                     "kind=" + this->kind.name +
-                         " revision=" + std::to_string(this->revision));
+    this->log->Write(
+        kHistoryGone, "",
+        "kind=" + this->kind.name + " revision=" + FormatPlace(this->place));
     this->list_cause = CallCause::kGap;
     this->List();
     return;
@@ -366,8 +393,7 @@
   this->reachable = now_reachable;
   this->log->Write(
       now_reachable ? kStoreRegained : kStoreLost, "",
-      "kind=" + this->kind.name +
-          " revision=" + std::to_string(this->revision) +
+      "kind=" + this->kind.name + " revision=" + FormatPlace(this->place) +
           (reason.empty() ? "" : " reason=\"" + std::string(reason) + "\""));
   if (this->events.on_reachable)
     this->events.on_reachable(now_reachable);
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -66,25 +66,31 @@
   /// Others tell of all changes, see AdvanceTo(), so that no calls are made but
   /// a rare one of the low price while the store is unreachable.
   void SetPassive(bool wanted);
-  /// Others have told all changes up to this revision, and they are applied.
-  void AdvanceTo(std::int64_t known_revision);
+  /// Others have told all changes up to this place, and they are applied.
+  void AdvanceTo(const Place& known);
   /// `latest_watch_wait` replaces the one given at the start.
   void SetPace(const FollowerPace& wanted, Milliseconds latest_watch_wait);
   /// Reads at once what has changed, if the follower is passive and makes no
   /// other call.
   void ReadChanges();
-  /// Lists at once what has changed up to `known_revision`, if that is news.
-  void CatchUp(std::int64_t known_revision);
+  /// Lists at once what has changed up to `known`, if that is news.
+  void CatchUp(const Place& known);
   /// Another daemon has shown that no change of interest that was acknowledged
-  /// before `at` is newer than `known_revision`. Failures before `at` no longer
-  /// delay the calls of a passive follower that is to make some again.
-  void Confirm(std::int64_t known_revision, TimePoint at);
+  /// before `at` is newer than `known`, a place in the era of the view.
+  /// Failures before `at` no longer delay the calls of a passive follower that
+  /// is to make some again.
+  void Confirm(const Place& known, TimePoint at);
+  /// The store has come back from a copy: lists within `max_delay`, at a random
+  /// time, unless the view is of the latest era by then. A passive follower
+  /// relies on others.
+  void OnNewEra(Milliseconds max_delay);
   /// The view holds all changes of interest that were acknowledged before this
   /// time; TimePoint() before the first listing.
   TimePoint ConfirmedAt() const { return this->confirmed_at; }
   /// Lists and watches anew, since the answer to the watch may have been lost.
   void Refresh(CallCause cause = CallCause::kRetry);
-  std::int64_t Revision() const { return this->revision; }
+  /// Up to which the view is complete.
+  const Place& At() const { return this->place; }
   bool Reachable() const { return this->reachable; }
   const std::string& Kind() const { return this->kind.name; }
   /// When the last answer came that says what the store holds.
@@ -93,7 +99,7 @@
  private:
   void List();
   void SendList();
-  void OnListing(Listing listing);
+  bool OnListing(Listing listing, const Place& known_when_sent);
   void Watch();
   void SendWatch(Milliseconds wait, bool latest);
   void SendTwiceIfSilent(Milliseconds max_silence,
@@ -112,6 +118,7 @@
 
   net::Timer timer;
   net::Timer silence_timer;  ///< Of the call in progress.
+  net::Timer era_timer;
   const ObjectStore* store;
   FollowedKind kind;
   DecisionLog* log;
@@ -127,11 +134,11 @@
   Freshness watched = Freshness::kLatest;  ///< Of the watch in progress.
   /// The next watch is answered at once, to show how far the view is complete.
   bool confirm_at_once = false;
-  std::int64_t revision = 0;
-  std::int64_t catching_up_to = 0;  ///< Asked for and not yet answered.
-  int generation = 0;               ///< Identifies answers to earlier calls.
-  int unanswered = 0;               ///< Calls of this generation.
-  int failures = 0;                 ///< In a row.
+  Place place;
+  Place catching_up_to;  ///< Asked for and not yet answered.
+  int generation = 0;    ///< Identifies answers to earlier calls.
+  int unanswered = 0;    ///< Calls of this generation.
+  int failures = 0;      ///< In a row.
   CallCause list_cause = CallCause::kStart;  ///< Of the next listing.
   bool reachable = false;
   TimePoint failed_at;  ///< The last call that failed.
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -11,13 +11,14 @@
 using store::Changes;
 using store::Freshness;
 using store::Listing;
+using store::Place;
 
 namespace {
 
 store::Object MakeObject(const char* name, std::int64_t revision) {
   store::Object object;
   object.name = name;
-  object.revision = revision;
+  object.place = Place(revision);
   return object;
 }
 
@@ -38,10 +39,10 @@
                                store::Handler<Listing> handler) {
       this->lists.push_back(std::move(handler));
     };
-    this->access.watch = [this](const std::string&, std::int64_t revision,
+    this->access.watch = [this](const std::string&, const Place& place,
                                 Milliseconds wait, Freshness freshness,
                                 store::Handler<Changes> handler) {
-      this->watched_revision = revision;
+      this->watched_revision = place.revision;
       this->watched_for = wait;
       this->watched = freshness;
       this->watches.push_back(std::move(handler));
@@ -102,13 +103,13 @@
                       {"too many calls", ErrorCode::kRateLimited, false}};
   for (const Row& row : rows) {
     Fixture fixture;
-    fixture.store.lists[0](Listing{{}, 10});
+    fixture.store.lists[0](Listing{{}, Place(10)});
     fixture.RunUntilCalls(1, 1);
     LONGS_EQUAL_TEXT(10, fixture.store.watched_revision, row.name);
     fixture.store.watches[0](Error{row.code, "test"});
     CHECK_EQUAL_TEXT(row.reachable, fixture.follower.Reachable(), row.name);
     fixture.RunUntilCalls(2, 1);
-    fixture.store.lists[1](Listing{{}, 20});
+    fixture.store.lists[1](Listing{{}, Place(20)});
     CHECK_TEXT(fixture.follower.Reachable(), row.name);
     LONGS_EQUAL_TEXT(2, fixture.listings, row.name);
   }
@@ -118,31 +119,31 @@
 TEST(KindFollower, LateWatchDoesNotRevertAListing) {
   Fixture fixture;
   fixture.follower.SetFreshness(Freshness::kStale);
-  fixture.store.lists[0](Listing{{}, 10});
+  fixture.store.lists[0](Listing{{}, Place(10)});
   fixture.RunUntilCalls(1, 1);
   CHECK(fixture.store.watched == Freshness::kStale);
-  fixture.follower.CatchUp(15);
-  fixture.follower.CatchUp(15);
+  fixture.follower.CatchUp(Place(15));
+  fixture.follower.CatchUp(Place(15));
   LONGS_EQUAL(2, fixture.store.lists.size());
-  fixture.store.lists[1](Listing{{MakeObject("a", 14)}, 16});
+  fixture.store.lists[1](Listing{{MakeObject("a", 14)}, Place(16)});
   Changes changes;
-  changes.revision = 18;
+  changes.place = Place(18);
   changes.changes = {{MakeObject("old", 12), false},
                      {MakeObject("new", 17), false}};
   fixture.store.watches[0](changes);
   LONGS_EQUAL(1, fixture.changed.size());
   STRCMP_EQUAL("new", fixture.changed[0].c_str());
   fixture.RunUntilCalls(2, 2);
-  changes.revision = 17;
+  changes.place = Place(17);
   fixture.store.watches[1](changes);
   LONGS_EQUAL(1, fixture.changed.size());
-  LONGS_EQUAL(18, fixture.follower.Revision());
+  LONGS_EQUAL(18, fixture.follower.At().revision);
 }
 
 TEST(KindFollower, NewsThatIsKnownCostsNoCall) {
   Fixture fixture;
-  fixture.store.lists[0](Listing{{}, 10});
-  fixture.follower.CatchUp(10);
+  fixture.store.lists[0](Listing{{}, Place(10)});
+  fixture.follower.CatchUp(Place(10));
   LONGS_EQUAL(1, fixture.store.lists.size());
 }
 
@@ -150,15 +151,15 @@
 /// and an answer that comes all the same does no harm.
 TEST(KindFollower, RefreshWatchesAnew) {
   Fixture fixture;
-  fixture.store.lists[0](Listing{{}, 10});
+  fixture.store.lists[0](Listing{{}, Place(10)});
   fixture.RunUntilCalls(1, 1);
   fixture.follower.Refresh();
   LONGS_EQUAL(2, fixture.store.lists.size());
-  fixture.store.lists[1](Listing{{}, 12});
+  fixture.store.lists[1](Listing{{}, Place(12)});
   fixture.RunUntilCalls(2, 2);
   LONGS_EQUAL(12, fixture.store.watched_revision);
   Changes late;
-  late.revision = 13;
+  late.place = Place(13);
   late.changes = {{MakeObject("late", 13), false}};
   fixture.store.watches[0](late);
   fixture.store.watches[0](Error{ErrorCode::kUnknown, "test"});
@@ -173,7 +174,7 @@
 TEST(KindFollower, SwitchesToTheLatestStateAtOnce) {
   Fixture fixture;
   fixture.follower.SetFreshness(Freshness::kStale);
-  fixture.store.lists[0](Listing{{}, 10});
+  fixture.store.lists[0](Listing{{}, Place(10)});
   fixture.RunUntilCalls(1, 1);
   CHECK(fixture.store.watched == Freshness::kStale);
   CHECK(fixture.store.watched_for == kStaleWait);
@@ -182,7 +183,7 @@
   CHECK(fixture.store.watched == Freshness::kLatest);
   CHECK(fixture.store.watched_for < kLatestWait);
   Changes changes;
-  changes.revision = 12;
+  changes.place = Place(12);
   changes.changes = {{MakeObject("new", 12), false}};
   fixture.store.watches[1](changes);
   LONGS_EQUAL(1, fixture.changed.size());
@@ -201,17 +202,17 @@
 TEST(KindFollower, MakesNoCallsWhileOthersTell) {
   Fixture fixture;
   fixture.follower.SetFreshness(Freshness::kStale);
-  fixture.store.lists[0](Listing{{}, 10});
+  fixture.store.lists[0](Listing{{}, Place(10)});
   fixture.RunUntilCalls(1, 1);
   fixture.follower.SetPassive(true);
   Changes changes;
-  changes.revision = 12;
+  changes.place = Place(12);
   fixture.store.watches[0](changes);
   fixture.io.restart();
   fixture.io.run_for(Milliseconds(400));
   LONGS_EQUAL(1, fixture.store.watches.size());
-  fixture.follower.AdvanceTo(30);
-  fixture.follower.AdvanceTo(20);
+  fixture.follower.AdvanceTo(Place(30));
+  fixture.follower.AdvanceTo(Place(20));
   fixture.follower.SetFreshness(Freshness::kLatest);
   fixture.follower.SetPassive(false);
   LONGS_EQUAL(2, fixture.store.watches.size());
@@ -248,11 +249,11 @@
     int renewed = 0;
     fixture.store.access.renew_connections = [&renewed] { ++renewed; };
     fixture.follower.SetFreshness(Freshness::kStale);
-    fixture.store.lists[0](Listing{{}, 10});
+    fixture.store.lists[0](Listing{{}, Place(10)});
     fixture.RunUntilCalls(1, 1);
     fixture.follower.SetPassive(true);
     Changes changes;
-    changes.revision = 12;
+    changes.place = Place(12);
     fixture.store.watches[0](changes);
     fixture.follower.SetFreshness(Freshness::kLatest);
     fixture.follower.SetPassive(false);
@@ -271,7 +272,7 @@
     if (row.first_fails_late)
       fixture.store.watches[1](Error{ErrorCode::kUnknown, "test"});
     CHECK_TEXT(fixture.follower.Reachable(), row.name);
-    changes.revision = 14;
+    changes.place = Place(14);
     changes.changes = {{MakeObject("gone", 14), true}};
     fixture.store.watches[2](changes);
     LONGS_EQUAL_TEXT(1, fixture.changed.size(), row.name);
@@ -297,7 +298,7 @@
     pace.first_doublings = 2;
     pace.max_doublings = 5;
     fixture.follower.SetPace(pace, kLatestWait);
-    fixture.store.lists[0](Listing{{}, 10});
+    fixture.store.lists[0](Listing{{}, Place(10)});
     fixture.RunUntilCalls(1, 1);
     fixture.store.watches[0](Error{ErrorCode::kRefused, "test"});
     for (std::size_t calls = 2; calls < 5; ++calls) {
@@ -308,7 +309,7 @@
     fixture.follower.SetFreshness(Freshness::kStale);
     fixture.follower.SetPassive(true);
     if (row.confirmed)
-      fixture.follower.Confirm(10, BootNow() + Milliseconds(10));
+      fixture.follower.Confirm(Place(10), BootNow() + Milliseconds(10));
     fixture.follower.SetFreshness(Freshness::kLatest);
     fixture.follower.SetPassive(false);
     fixture.io.restart();
@@ -321,11 +322,11 @@
 // which has returned since.
 TEST(KindFollower, LateWatchDoesNotRemoveWhatHasReturned) {
   Fixture fixture;
-  fixture.store.lists[0](Listing{{}, 10});
+  fixture.store.lists[0](Listing{{}, Place(10)});
   fixture.RunUntilCalls(1, 1);
-  fixture.follower.AdvanceTo(15);
+  fixture.follower.AdvanceTo(Place(15));
   Changes changes;
-  changes.revision = 18;
+  changes.place = Place(18);
   changes.changes = {{MakeObject("back", 11), true},
                      {MakeObject("back", 12), false},
                      {MakeObject("gone", 9), true},
@@ -357,17 +358,18 @@
     Fixture fixture;
     CHECK_TEXT(fixture.follower.ConfirmedAt() == TimePoint(), row.name);
     fixture.follower.SetFreshness(row.freshness);
-    fixture.store.lists[0](Listing{{}, 10});
+    fixture.store.lists[0](Listing{{}, Place(10)});
     const TimePoint listed = fixture.follower.ConfirmedAt();
     CHECK_TEXT(listed != TimePoint(), row.name);
     fixture.RunUntilCalls(1, 1);
     Changes changes;
-    changes.revision = 12;
+    changes.place = Place(12);
     if (row.with_change)
       changes.changes = {{MakeObject("new", 12), false}};
     fixture.store.watches[0](changes);
     if (row.told_revision != 0)
-      fixture.follower.Confirm(row.told_revision, listed + Milliseconds(100));
+      fixture.follower.Confirm(Place(row.told_revision),
+                               listed + Milliseconds(100));
     CHECK_EQUAL_TEXT(row.confirmed, fixture.follower.ConfirmedAt() > listed,
                      row.name);
     CHECK_TEXT(fixture.follower.ConfirmedAt() <=
--- a/src/store/metered_store.cc
+++ b/src/store/metered_store.cc
@@ -79,10 +79,10 @@
     call(kind, freshness, metrics.Measure("list", kind, std::move(handler)));
   };
   metered.watch = [metrics, call = std::move(inner.watch)](
-                      const std::string& kind, std::int64_t revision,
+                      const std::string& kind, const Place& place,
                       Milliseconds wait, Freshness freshness,
                       Handler<Changes> handler) {
-    call(kind, revision, wait, freshness,
+    call(kind, place, wait, freshness,
          metrics.Measure("watch", kind, std::move(handler)));
   };
   metered.read = [metrics, call = std::move(inner.read)](
@@ -102,6 +102,7 @@
     call(kind, object, metrics.Measure("replace", kind, std::move(handler)));
   };
   metered.renew_connections = std::move(inner.renew_connections);
+  metered.eras = std::move(inner.eras);
   return metered;
 }
 
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -11,20 +11,22 @@
 #include "base/clock.h"
 #include "base/result.h"
 #include "store/call_tally.h"
+#include "store/era_tracker.h"
+#include "store/place.h"
 
 namespace coltsfootvane::store {
 
 struct Object {
   std::string name;
-  std::int64_t revision = 0;  ///< Of its last change; 0 if not known.
-  nlohmann::json spec;        ///< Null if it cannot be read.
-  std::string fault;          ///< Why it cannot be read, else empty.
+  Place place;          ///< Of its last change; unknown if not stated.
+  nlohmann::json spec;  ///< Null if it cannot be read.
+  std::string fault;    ///< Why it cannot be read, else empty.
 };
 
 struct Listing {
   std::vector<Object> objects;
-  std::int64_t revision = 0;  ///< Of the store; a watch goes on from here.
-  std::int64_t since = 0;     ///< Of the follower's view before, 0 if none.
+  Place place{};  ///< Of the store; a watch goes on from here.
+  Place since{};  ///< Of the follower's view before; unknown if none.
 };
 
 struct Change {
@@ -34,8 +36,8 @@
 
 struct Changes {
   std::vector<Change> changes;
-  std::int64_t revision = 0;  ///< The next watch goes on from here.
-  std::int64_t since = 0;     ///< Of the follower's view before.
+  Place place{};  ///< The next watch goes on from here.
+  Place since{};  ///< Of the follower's view before.
 };
 
 enum class Freshness {
@@ -49,12 +51,14 @@
 /// Asynchronous access to objects that are replaced conditionally. Errors:
 /// kNotSent and kRefused if nothing was done, kConflict if the condition did
 /// not hold, kNotFound, kGone if the history of a watch is gone, kUnknown if a
-/// call may have been done or may still be.
+/// call may have been done or may still be. The condition of a call is a place
+/// in one era: in a later one, a watch fails with kGone and a write with
+/// kConflict.
 struct ObjectStore {
   std::function<void(const std::string& kind, Freshness, Handler<Listing>)>
       list;
   std::function<void(const std::string& kind,
-                     std::int64_t revision,
+                     const Place& place,
                      Milliseconds wait,
                      Freshness,
                      Handler<Changes>)>
@@ -67,7 +71,7 @@
   /// Fails with kConflict if the object exists.
   std::function<void(const std::string& kind, const Object&, Handler<Object>)>
       create;
-  /// Replaces the object if it still has the revision.
+  /// Replaces the object if it is still the one of that place.
   std::function<void(const std::string& kind, const Object&, Handler<Object>)>
       replace;
   /// Calls that are made from now on use new connections, since those in use
@@ -75,6 +79,8 @@
   std::function<void()> renew_connections;
   /// Counts the calls by cause; may be null.
   std::shared_ptr<CallTally> tally;
+  /// The era of the store, by its answers; never null.
+  std::shared_ptr<EraTracker> eras = std::make_shared<EraTracker>();
 };
 
 }  // namespace coltsfootvane::store
