--- a/src/fleet/store_batches_unittest.cc
+++ b/src/fleet/store_batches_unittest.cc
@@ -84,6 +84,37 @@
     CHECK_TEXT(row.fit == Fit(row.batch, Place(row.revision)), row.name);
 }
 
+// Guards against a view that misses the change of the store's history, and
+// against one that applies changes to another history.
+TEST(StoreBatches, LeadFromOneEraToTheNext) {
+  struct Row {
+    const char* name;
+    Place known;
+    BatchFit fit;
+  };
+  const Row rows[] = {{"at the base", Place(280, 1), BatchFit::kApplies},
+                      {"within the range", Place(275, 1), BatchFit::kApplies},
+                      {"before", Place(260, 1), BatchFit::kGap},
+                      {"later in the old era", Place(285, 1), BatchFit::kGap},
+                      {"new era, before", Place(240, 2), BatchFit::kGap},
+                      {"new era, reached", Place(250, 2), BatchFit::kKnown},
+                      {"an era later", Place(110, 3), BatchFit::kKnown}};
+  StoreBatch batch;
+  fleet::SetRange({Place(270, 1), Place(280, 1), Place(250, 2)}, &batch);
+  batch.changes = {Upsert("a", 240)};
+  fleet::BatchLog log;
+  log.covered_to = Place(270, 1);
+  Append(batch, &log);
+  for (const Row& row : rows) {
+    CHECK_TEXT(row.fit == Fit(batch, row.known), row.name);
+    CHECK_EQUAL_TEXT(row.fit == BatchFit::kApplies,
+                     BatchesSince(log, row.known).has_value() &&
+                         !BatchesSince(log, row.known).value().empty(),
+                     row.name);
+  }
+  CHECK(IsNews(batch, 0, Place(280, 1)));
+}
+
 // Guards against a batch that removes an entry which has returned since, since
 // only a part of the batch is news to the receiver.
 TEST(StoreBatches, DoNotRemoveWhatHasReturned) {
--- a/src/placement/lease_unittest.cc
+++ b/src/placement/lease_unittest.cc
@@ -54,6 +54,44 @@
   }
 }
 
+// Guards against an epoch that was in use before the store came back from an
+// older copy, and against orders by a lease of the past.
+TEST(Lease, ANewEraNeedsANewEpoch) {
+  struct Row {
+    const char* name;
+    const char* holder;  ///< In the copy.
+    std::int64_t epoch;
+    std::int64_t version;
+    LeaseStep step;
+  };
+  const Row rows[] = {
+      {"own", "self", 2'000'007, 250, LeaseStep::kTakeOver},
+      {"own, earlier", "self", 2'000'004, 200, LeaseStep::kTakeOver},
+      {"released", "", 2'000'005, 200, LeaseStep::kTakeOver},
+      {"another's", "other", 2'000'006, 200, LeaseStep::kNone},
+      {"none", "", 0, 0, LeaseStep::kCreate}};
+  for (const Row& row : rows) {
+    Lease lease = MakeLease("self");
+    lease.era = 2;
+    OnLeaseRead(&lease, {"", 2'000'006, 0}, 270, At(0));
+    OnLeaseWritten(&lease, NextLeaseSpec(lease, LeaseStep::kTakeOver), 280,
+                   At(0));
+    LONGS_EQUAL_TEXT(2'000'007, lease.last_spec.epoch, row.name);
+    CHECK_TEXT(MaySendCommands(lease, At(100)), row.name);
+    OnNewEra(&lease, At(100));
+    CHECK_TEXT(!MaySendCommands(lease, At(100)), row.name);
+    CHECK_TEXT(NextLeaseStep(lease, At(100)) == LeaseStep::kRead, row.name);
+    lease.era = 3;
+    OnLeaseRead(&lease, {row.holder, row.epoch, 1}, row.version, At(110));
+    CHECK_TEXT(!MaySendCommands(lease, At(110)), row.name);
+    CHECK_TEXT(NextLeaseStep(lease, At(110)) == row.step, row.name);
+    const LeaseSpec next = NextLeaseSpec(lease, LeaseStep::kTakeOver);
+    LONGS_EQUAL_TEXT(3'000'001, next.epoch, row.name);
+    OnLeaseWritten(&lease, next, 290, At(120));
+    CHECK_TEXT(MaySendCommands(lease, At(130)), row.name);
+  }
+}
+
 // Guards against waiting for the full expiry after a holder was killed or
 // hangs, and against taking over from a holder that still renews the lease.
 TEST(Lease, SilentHoldersAreReplacedEarlier) {
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -377,3 +377,106 @@
                row.name);
   }
 }
+
+// Guards against a past that is served and held for the present: revisions go
+// back after the store has come back from a copy, and are given out again.
+TEST(KindFollower, AListingCountsByItsEraBeforeItsRevision) {
+  struct Row {
+    const char* name;
+    Place shown;
+    bool applied;
+    bool confirmed;
+  };
+  const Row rows[] = {
+      {"new era, lower revision", Place(250, 2), true, true},
+      {"new era, the same revision", Place(280, 2), true, true},
+      {"new era, higher revision", Place(290, 2), true, true},
+      {"two eras later", Place(110, 3), true, true},
+      {"same era, higher", Place(290, 1), true, true},
+      {"same era, lower", Place(250, 1), false, false},
+      {"late answer of an old era", Place(500, 0), false, false}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.store.lists[0](Listing{{}, Place(280, 1)});
+    const TimePoint before = fixture.follower.ConfirmedAt();
+    fixture.follower.Refresh();
+    fixture.store.lists[1](Listing{{}, row.shown});
+    LONGS_EQUAL_TEXT(row.applied ? 2 : 1, fixture.listings, row.name);
+    CHECK_TEXT(
+        fixture.follower.At() == (row.applied ? row.shown : Place(280, 1)),
+        row.name);
+    CHECK_EQUAL_TEXT(row.confirmed, fixture.follower.ConfirmedAt() > before,
+                     row.name);
+  }
+}
+
+// Guards against changes that are dropped since their revisions were given out
+// before, and against changes that lead from another history.
+TEST(KindFollower, ChangesOfAnotherEraCauseAListing) {
+  for (const std::int64_t era : {0, 2}) {
+    Fixture fixture;
+    fixture.store.lists[0](Listing{{}, Place(280, 1)});
+    fixture.RunUntilCalls(1, 1);
+    Changes changes;
+    changes.place = Place(290, era);
+    changes.changes = {{MakeObject("new", 290), false}};
+    fixture.store.watches[0](changes);
+    LONGS_EQUAL(0, fixture.changed.size());
+    LONGS_EQUAL(2, fixture.store.lists.size());
+    CHECK(fixture.follower.At() == Place(280, 1));
+  }
+}
+
+// Guards against a view that is confirmed by daemons that know another history,
+// and against one that goes back.
+TEST(KindFollower, OnlyPeersOfItsEraConfirmAView) {
+  struct Row {
+    const char* name;
+    Place told;
+    bool confirmed;
+    bool lists;
+  };
+  const Row rows[] = {{"same era", Place(270, 2), true, false},
+                      {"same era, newer", Place(290, 2), false, true},
+                      {"earlier era, higher", Place(900, 1), false, false},
+                      {"later era, lower", Place(110, 3), false, true}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.store.lists[0](Listing{{}, Place(280, 2)});
+    const TimePoint listed = fixture.follower.ConfirmedAt();
+    fixture.follower.Confirm(row.told, listed + Milliseconds(100));
+    CHECK_EQUAL_TEXT(row.confirmed, fixture.follower.ConfirmedAt() > listed,
+                     row.name);
+    fixture.follower.CatchUp(row.told);
+    LONGS_EQUAL_TEXT(row.lists ? 2 : 1, fixture.store.lists.size(), row.name);
+    fixture.follower.AdvanceTo(Place(900, 1));
+    CHECK_TEXT(fixture.follower.At() == Place(280, 2), row.name);
+  }
+}
+
+// Guards against a burst of calls at a new era, and against followers that do
+// not list in it.
+TEST(KindFollower, ANewEraIsListedOnceByThoseWhoRead) {
+  struct Row {
+    const char* name;
+    bool passive;
+    bool listed_before;  ///< By another call, in the new era.
+    std::size_t lists;
+  };
+  const Row rows[] = {{"reads", false, false, 2},
+                      {"listing under way", false, true, 2},
+                      {"relies on news", true, false, 1}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    fixture.store.lists[0](Listing{{}, Place(280, 1)});
+    fixture.store.access.eras->latest = 2;
+    if (row.listed_before)
+      fixture.follower.Refresh();
+    fixture.follower.SetPassive(row.passive);
+    fixture.follower.OnNewEra(Milliseconds(30));
+    if (row.listed_before)
+      fixture.store.lists[1](Listing{{}, Place(250, 2)});
+    fixture.io.run_for(Milliseconds(60));
+    LONGS_EQUAL_TEXT(row.lists, fixture.store.lists.size(), row.name);
+  }
+}
