--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -40,6 +40,11 @@
 
   StoreStandin(boost::asio::io_context* io, const std::string& host);
 
+  /// Answers a request that reached the store by another listener.
+  void Serve(const ReceivedRequest& request,
+             const std::shared_ptr<net::TcpStream>& stream) {
+    this->OnRequest(request, stream);
+  }
   /// Writes as the operators or endpoints do, whatever the faults.
   void Put(const std::string& kind,
            const std::string& name,
