--- /dev/null
+++ b/src/daemon/store_view_endpoints.cc
@@ -0,0 +1,204 @@
+#include <prometheus/counter.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "daemon/events.h"
+#include "daemon/store_view.h"
+
+namespace coltsfootvane::daemon {
+
+void StoreView::OnEndpointListing(const store::Listing& listing) {
+  this->fleet->seen.era = this->store->eras->latest;
+  const bool is_new_era =
+      this->endpoints_known && listing.since.era != listing.place.era;
+  std::set<std::string> listed;
+  this->listed_ahead.clear();
+  for (const store::Object& object : listing.objects) {
+    listed.insert(object.name);
+    if (object.place > listing.place)
+      this->listed_ahead.insert(object.name);
+    this->UpsertEndpoint(object);
+  }
+  const bool gone = this->RemoveOthers(listed, is_new_era);
+  for (auto it = this->skipped.begin(); it != this->skipped.end();)
+    it = listed.count(it->first) == 0 ? this->skipped.erase(it) : std::next(it);
+  if (gone)
+    this->NoteDeparture(listing.place);
+  // Endpoints may have come and gone unseen since the view was last complete.
+  // One that lives for less than the time for changes is not waited for.
+  if (is_new_era || BootNow() - this->check.confirmed_at > this->in_force_limit)
+    this->RaiseMaxDeparture(listing.place);
+  gateway::UpdateEndpointList(this->gateway);
+  // A log that ends in another era than the view began in has no way to here.
+  const bool continues_log = this->news.LoggedTo().era == listing.since.era;
+  if (!std::exchange(this->endpoints_known, true) || !continues_log) {
+    this->changes.clear();
+    this->news.BeginLog(listing.place);
+  } else {
+    fleet::OrderListed(&this->changes);
+    this->RecordChanges(listing.since);
+  }
+  this->SendNews();
+}
+
+void StoreView::OnEndpointChanges(const store::Changes& changes) {
+  for (const store::Change& change : changes.changes)
+    this->ApplyChange(change, changes.place);
+  gateway::UpdateEndpointList(this->gateway);
+  this->RecordChanges(this->endpoints.At());
+  this->SendNews();
+}
+
+void StoreView::UpsertEndpoint(const store::Object& object) {
+  Result<gateway::EndpointEntry> entry =
+      object.fault.empty()
+          ? this->deployment->read_endpoint(object.name, object.spec)
+          : Error{ErrorCode::kInvalid, object.fault};
+  if (!entry) {
+    // kNotFound: it cannot be told which start of the endpoint the entry is
+    // about, so that a known endpoint stays as it is.
+    if (entry.error().code != ErrorCode::kNotFound)
+      this->RemoveEndpoint(object.name, object.place);
+    this->SkipEndpoint(object, entry.error().message);
+    return;
+  }
+  this->skipped.erase(object.name);
+  this->UpsertEntry(std::move(entry).value(), object.place);
+}
+
+/// Applies an entry, but for what an older copy of the store undoes.
+void StoreView::UpsertEntry(gateway::EndpointEntry entry,
+                            const store::Place& place) {
+  departure::RecordListed(entry.id, &this->departed);
+  switch (departure::Judge(entry, place, this->departed)) {
+    case departure::Verdict::kHoldBack:
+      departure::HoldBack(entry, BootNow(), &this->departed);
+      return;
+    case departure::Verdict::kKeepDraining:
+      entry.draining = true;
+      break;
+    case departure::Verdict::kUse:
+      departure::RecordUsed(entry, place, BootNow(), &this->departed);
+      break;
+  }
+  this->UseEntry(std::move(entry), place);
+}
+
+void StoreView::UseEntry(gateway::EndpointEntry entry,
+                         const store::Place& place) {
+  const auto found = this->gateway->endpoints.endpoints.find(entry.id);
+  const bool is_known = found != this->gateway->endpoints.endpoints.end();
+  const bool news = !is_known ||
+                    found->second->entry.draining != entry.draining ||
+                    found->second->entry.incarnation != entry.incarnation;
+  const fleet::gen::EndpointFields fields = fleet::ToWire(entry);
+  if (!is_known || fields != fleet::ToWire(found->second->entry)) {
+    fleet::gen::EndpointNews change;
+    change.id = entry.id;
+    change.revision = place.revision;
+    change.__set_fields(fields);
+    this->changes.push_back(std::move(change));
+  }
+  if (news && entry.draining)
+    this->NoteDeparture(place);
+  if (news) {
+    this->log->Write(gateway::kEndpointChanged, "",
+                     "endpoint=" + entry.id + " service=" + entry.service +
+                         " state=" + (entry.draining ? "draining" : "ready") +
+                         " revision=" + store::FormatPlace(place));
+  }
+  gateway::UpsertEndpoint(&this->gateway->endpoints, std::move(entry));
+}
+
+/// Counts and logs an entry that names no usable endpoint, once for each of its
+/// revisions, however often it is listed.
+void StoreView::SkipEndpoint(const store::Object& object,
+                             const std::string& reason) {
+  const auto [known, inserted] =
+      this->skipped.emplace(object.name, object.place);
+  if (!inserted && known->second == object.place)
+    return;
+  known->second = object.place;
+  this->skipped_entries->Add({{"kind", this->deployment->endpoint_kind}})
+      .Increment();
+  this->log->Write(kEndpointUnreadable, "",
+                   "endpoint=" + Printable(object.name) + " reason=\"" +
+                       reason +
+                       "\" revision=" + store::FormatPlace(object.place));
+}
+
+void StoreView::RaiseMaxDeparture(const store::Place& place) {
+  store::Place& highest = this->fleet->seen.max_departure;
+  highest = std::max(highest, place);
+}
+
+/// Endpoints that leave are urgent news: they get no new work.
+void StoreView::NoteDeparture(const store::Place& place) {
+  this->RaiseMaxDeparture(place);
+  this->departures = true;
+  // The others are to rely on what this daemon tells them.
+  if (this->large && !this->Tells() && !this->relies_on_news)
+    return;
+  if (place <= this->fleet->seen.departure)
+    return;
+  this->fleet->seen.departure = place;
+  this->news_to_send = true;
+}
+
+void StoreView::RemoveEndpoint(const std::string& id,
+                               const store::Place& unusable) {
+  departure::RecordRemoved(id, &this->departed);
+  const auto found = this->gateway->endpoints.endpoints.find(id);
+  if (found == this->gateway->endpoints.endpoints.end())
+    return;
+  departure::RecordDeparture(found->second->entry, departure::Leaving::kRemoved,
+                             this->endpoints.At(), BootNow(), &this->departed);
+  this->log->Write(gateway::kEndpointGone, "", "endpoint=" + id);
+  gateway::RemoveEndpoint(&this->gateway->endpoints, id);
+  this->TellRemoval(id, unusable);
+}
+
+bool StoreView::RemoveOthers(const std::set<std::string>& listed,
+                             bool is_new_era) {
+  departure::KeepListed(listed, &this->departed);
+  std::set<std::string> others;
+  for (const auto& [id, endpoint] : this->gateway->endpoints.endpoints) {
+    if (listed.count(id) == 0)
+      others.insert(id);
+  }
+  const TimePoint now = BootNow();
+  if (is_new_era) {
+    departure::RecordMissing(std::move(others), now, &this->departed);
+    return false;
+  }
+  bool gone = false;
+  for (const std::string& id : others) {
+    if (this->departed.missing.count(id) > 0)
+      continue;
+    this->RemoveEndpoint(id, kDeleted);
+    gone = true;
+  }
+  return gone;
+}
+
+void StoreView::EndWaits(TimePoint now) {
+  departure::ForgetOld(now, &this->departed);
+  const std::set<std::string> missing =
+      departure::TakeMissing(now, &this->departed);
+  const std::vector<departure::HeldBack> live =
+      departure::TakeLive(now, &this->departed);
+  if (missing.empty() && live.empty())
+    return;
+  for (const std::string& id : missing)
+    this->RemoveEndpoint(id, kDeleted);
+  for (const departure::HeldBack& one : live)
+    this->UseEntry(one.entry, this->endpoints.At());
+  if (!missing.empty())
+    this->NoteDeparture(this->endpoints.At());
+  gateway::UpdateEndpointList(this->gateway);
+  this->RecordChanges(this->endpoints.At());
+}
+
+}  // namespace coltsfootvane::daemon
--- a/tests/integration/drill_site.h
+++ b/tests/integration/drill_site.h
@@ -49,6 +49,12 @@
  public:
   /// From its ack, as the settings of the daemons state it.
   static constexpr Milliseconds kChangeLimit{3000};
+  /// Of the engines' model.
+  static constexpr int kAdapters = 400;
+  /// Returns the path of the route that this version adds.
+  static std::string RoutePath(int version) {
+    return "/version" + std::to_string(version) + "/";
+  }
 
   DrillSite(int daemons, unsigned seed);
 
