--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -133,6 +133,9 @@
   this->lease.is_holder_silent = [this](std::int64_t epoch) {
     return this->fleet.IsHolderSilent(epoch);
   };
+  this->lease.highest_heard_epoch = [this] {
+    return this->fleet.HighestHeardEpoch();
+  };
   this->lease.hears_other_holder = [this] {
     return this->fleet.HearsOtherHolder();
   };
--- a/src/daemon/store_news.cc
+++ b/src/daemon/store_news.cc
@@ -238,6 +238,11 @@
 
 void StoreNews::OnConfigNews(const gen::ConfigNews& news, std::uint32_t from) {
   const std::vector<std::uint32_t> relay_to = FromWire(news.relay_to);
+  // Daemons of an earlier version of the program state no era.
+  if (PlaceOf(news).era < this->config.place.era) {
+    this->fleet->Spread(news, relay_to);
+    return;
+  }
   const bool has_it =
       this->config.place >= PlaceOf(news) || this->TryPatch(news);
   if (news.__isset.patch || has_it) {
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -177,8 +177,11 @@
   if (!this->UpdateConfirmation())
     return;
   // Others can be confirmed only if they know the same departures.
+  const bool are_untold = !this->changes.empty();
+  if (are_untold)
+    this->RaiseMaxDeparture(this->endpoints.At());
   const store::Place& departures_to = this->fleet->seen.max_departure;
-  if (this->Tells() && departures_to > this->news.LoggedTo())
+  if (this->Tells() && (are_untold || departures_to > this->news.LoggedTo()))
     this->RecordChanges(this->endpoints.At());
   // The others are about to check as well, unless they hear of this.
   const bool checked = std::exchange(this->checking, false);
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -76,10 +76,10 @@
   void OnConfirmed();
   bool UpdateConfirmation();
   void OnNewEra(std::int64_t era);
-  /// Removes the endpoints that are not listed, or, in the first listing of an
-  /// era, gives them time to register again. Returns whether there were any.
-  bool RemoveOthers(const std::set<std::string>& listed, bool is_new_era);
-  /// Ends the times given in the first listing of an era.
+  /// Removes the endpoints that are not listed, but at the beginning of an era,
+  /// when they may register again. Returns whether it has removed any.
+  bool RemoveOthers(const std::set<std::string>& listed);
+  /// Ends the times given at the beginning of an era.
   void EndWaits(TimePoint now);
   void BeginCheck(TimePoint now);
   void OnConfig(const store::Object& object);
--- a/src/daemon/store_view_endpoints.cc
+++ b/src/daemon/store_view_endpoints.cc
@@ -11,8 +11,8 @@
 
 void StoreView::OnEndpointListing(const store::Listing& listing) {
   this->fleet->seen.era = this->store->eras->latest;
-  const bool is_new_era =
-      this->endpoints_known && listing.since.era != listing.place.era;
+  if (this->endpoints_known && listing.since.era != listing.place.era)
+    departure::BeginEra(BootNow(), &this->departed);
   std::set<std::string> listed;
   this->listed_ahead.clear();
   for (const store::Object& object : listing.objects) {
@@ -21,14 +21,15 @@
       this->listed_ahead.insert(object.name);
     this->UpsertEndpoint(object);
   }
-  const bool gone = this->RemoveOthers(listed, is_new_era);
+  const bool gone = this->RemoveOthers(listed);
   for (auto it = this->skipped.begin(); it != this->skipped.end();)
     it = listed.count(it->first) == 0 ? this->skipped.erase(it) : std::next(it);
   if (gone)
     this->NoteDeparture(listing.place);
   // Endpoints may have come and gone unseen since the view was last complete.
   // One that lives for less than the time for changes is not waited for.
-  if (is_new_era || BootNow() - this->check.confirmed_at > this->in_force_limit)
+  if (departure::AwaitsReturns(BootNow(), this->departed) ||
+      BootNow() - this->check.confirmed_at > this->in_force_limit)
     this->RaiseMaxDeparture(listing.place);
   gateway::UpdateEndpointList(this->gateway);
   // A log that ends in another era than the view began in has no way to here.
@@ -72,9 +73,9 @@
 void StoreView::UpsertEntry(gateway::EndpointEntry entry,
                             const store::Place& place) {
   departure::RecordListed(entry.id, &this->departed);
-  switch (departure::Judge(entry, place, this->departed)) {
+  switch (departure::Judge(entry, place, BootNow(), this->departed)) {
     case departure::Verdict::kHoldBack:
-      departure::HoldBack(entry, BootNow(), &this->departed);
+      departure::HoldBack(entry, place, BootNow(), &this->departed);
       return;
     case departure::Verdict::kKeepDraining:
       entry.draining = true;
@@ -90,6 +91,10 @@
                          const store::Place& place) {
   const auto found = this->gateway->endpoints.endpoints.find(entry.id);
   const bool is_known = found != this->gateway->endpoints.endpoints.end();
+  if (is_known && found->second->entry.incarnation != entry.incarnation)
+    departure::RecordDeparture(found->second->entry,
+                               departure::Leaving::kRemoved, place, BootNow(),
+                               &this->departed);
   const bool news = !is_known ||
                     found->second->entry.draining != entry.draining ||
                     found->second->entry.incarnation != entry.incarnation;
@@ -160,35 +165,34 @@
   this->TellRemoval(id, unusable);
 }
 
-bool StoreView::RemoveOthers(const std::set<std::string>& listed,
-                             bool is_new_era) {
+bool StoreView::RemoveOthers(const std::set<std::string>& listed) {
   departure::KeepListed(listed, &this->departed);
-  std::set<std::string> others;
+  std::vector<std::string> others;
   for (const auto& [id, endpoint] : this->gateway->endpoints.endpoints) {
     if (listed.count(id) == 0)
-      others.insert(id);
-  }
-  const TimePoint now = BootNow();
-  if (is_new_era) {
-    departure::RecordMissing(std::move(others), now, &this->departed);
-    return false;
+      others.push_back(id);
   }
+  const bool awaits_returns =
+      departure::AwaitsReturns(BootNow(), this->departed);
   bool gone = false;
   for (const std::string& id : others) {
-    if (this->departed.missing.count(id) > 0)
-      continue;
-    this->RemoveEndpoint(id, kDeleted);
-    gone = true;
+    if (awaits_returns) {
+      departure::RecordMissing(id, &this->departed);
+    } else if (this->departed.missing.count(id) == 0) {
+      this->RemoveEndpoint(id, kDeleted);
+      gone = true;
+    }
   }
   return gone;
 }
 
 void StoreView::EndWaits(TimePoint now) {
   departure::ForgetOld(now, &this->departed);
+  const TimePoint confirmed_at = this->endpoints.ConfirmedAt();
   const std::set<std::string> missing =
-      departure::TakeMissing(now, &this->departed);
+      departure::TakeMissing(confirmed_at, &this->departed);
   const std::vector<departure::HeldBack> live =
-      departure::TakeLive(now, &this->departed);
+      departure::TakeLive(confirmed_at, &this->departed);
   if (missing.empty() && live.empty())
     return;
   for (const std::string& id : missing)
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -154,16 +154,18 @@
       this->NoteDeparture(to);
   }
   // The first listing of an era may hide departures.
-  if (to.era != known.era)
+  if (to.era != known.era) {
+    departure::BeginEra(BootNow(), &this->departed);
     this->RaiseMaxDeparture(to);
+  }
   this->AdvanceTo(to);
 }
 
 void StoreView::ApplySnapshot(const gen::StoreBatch& all) {
   const store::Place to = fleet::RangeOf(all).to;
   store::LearnEra(to.era, this->store->eras.get());
-  const bool is_new_era =
-      this->endpoints_known && to.era != this->endpoints.At().era;
+  if (this->endpoints_known && to.era != this->endpoints.At().era)
+    departure::BeginEra(BootNow(), &this->departed);
   std::set<std::string> listed;
   for (const gen::EndpointNews& change : all.changes) {
     Result<gateway::EndpointEntry> entry =
@@ -173,7 +175,7 @@
     listed.insert(change.id);
     this->UpsertEntry(std::move(entry).value(), fleet::PlaceOf(change, all));
   }
-  this->RemoveOthers(listed, is_new_era);
+  this->RemoveOthers(listed);
   // It does not tell when endpoints have left, nor of those that came and went.
   this->RaiseMaxDeparture(to);
   this->endpoints_known = true;
--- a/src/departure/departures.cc
+++ b/src/departure/departures.cc
@@ -13,6 +13,13 @@
 /// Processes that run have registered again by then.
 constexpr Milliseconds kReturnTime{2500};
 
+bool HasLeft(const gateway::EndpointEntry& entry,
+             const Departures& departures) {
+  const auto found = departures.left.find(entry.id);
+  return found != departures.left.end() &&
+         found->second.incarnation == entry.incarnation;
+}
+
 }  // namespace
 
 void RecordDeparture(const gateway::EndpointEntry& entry,
@@ -32,13 +39,13 @@
 
 Verdict Judge(const gateway::EndpointEntry& entry,
               const store::Place& place,
+              TimePoint now,
               const Departures& departures) {
-  const auto found = departures.left.find(entry.id);
-  if (found == departures.left.end())
+  if (!HasLeft(entry, departures))
     return Verdict::kUse;
-  const Departure& departure = found->second;
-  if (departure.incarnation != entry.incarnation ||
-      place.era <= departure.at.era)
+  const Departure& departure = departures.left.at(entry.id);
+  const bool may_be_rewritten = now < departures.rewritten_until;
+  if (place.era <= departure.at.era && !may_be_rewritten)
     return Verdict::kUse;
   if (departure.how == Leaving::kRemoved)
     return Verdict::kHoldBack;
@@ -46,10 +53,15 @@
 }
 
 void HoldBack(const gateway::EndpointEntry& entry,
+              const store::Place& place,
               TimePoint now,
               Departures* departures) {
-  const HeldBack held{entry, now + kLapseTime};
-  departures->held_back.try_emplace(entry.id, held).first->second.entry = entry;
+  HeldBack& held = departures->held_back[entry.id];
+  // Each copy shows entries that have lapsed since.
+  if (held.until == TimePoint() || held.era < place.era)
+    held.until = now + kLapseTime;
+  held.era = place.era;
+  held.entry = entry;
 }
 
 void RecordUsed(const gateway::EndpointEntry& entry,
@@ -59,7 +71,7 @@
   departures->held_back.erase(entry.id);
   if (entry.draining)
     RecordDeparture(entry, Leaving::kDraining, place, now, departures);
-  else
+  else if (HasLeft(entry, *departures))
     departures->left.erase(entry.id);
 }
 
@@ -78,18 +90,25 @@
     it = listed.count(it->first) > 0 ? std::next(it) : held.erase(it);
 }
 
-void RecordMissing(std::set<std::string> ids,
-                   TimePoint now,
-                   Departures* departures) {
-  departures->missing = std::move(ids);
+void BeginEra(TimePoint now, Departures* departures) {
+  departures->missing.clear();
   departures->missing_until = now + kReturnTime;
+  departures->rewritten_until = now + kLapseTime;
+}
+
+bool AwaitsReturns(TimePoint now, const Departures& departures) {
+  return now < departures.missing_until;
+}
+
+void RecordMissing(const std::string& id, Departures* departures) {
+  departures->missing.insert(id);
 }
 
-std::vector<HeldBack> TakeLive(TimePoint now, Departures* departures) {
+std::vector<HeldBack> TakeLive(TimePoint confirmed_at, Departures* departures) {
   std::vector<HeldBack> live;
   auto& held = departures->held_back;
   for (auto it = held.begin(); it != held.end();) {
-    if (now < it->second.until) {
+    if (confirmed_at < it->second.until) {
       ++it;
       continue;
     }
@@ -100,8 +119,9 @@
   return live;
 }
 
-std::set<std::string> TakeMissing(TimePoint now, Departures* departures) {
-  if (now < departures->missing_until)
+std::set<std::string> TakeMissing(TimePoint confirmed_at,
+                                  Departures* departures) {
+  if (confirmed_at < departures->missing_until)
     return {};
   return std::exchange(departures->missing, {});
 }
--- a/src/departure/departures.h
+++ b/src/departure/departures.h
@@ -29,6 +29,7 @@
 /// An entry of a process that has left, as a later era shows it.
 struct HeldBack {
   gateway::EndpointEntry entry;
+  std::int64_t era = 0;  ///< In which the store shows it.
   TimePoint until;  ///< An entry that stays longer is that of a live process.
 };
 
@@ -38,9 +39,11 @@
 struct Departures {
   std::map<std::string, Departure> left;      ///< By endpoint ID.
   std::map<std::string, HeldBack> held_back;  ///< By endpoint ID.
-  /// Known endpoints that the first listing of the era lacks.
+  /// Known endpoints that the listings of a new era lack.
   std::set<std::string> missing;
-  TimePoint missing_until;  ///< From then on they count as gone.
+  TimePoint missing_until;  ///< They count as gone if they are missing then.
+  /// Until then lost writes are written again, in any order.
+  TimePoint rewritten_until;
 };
 
 /// What to do with an entry.
@@ -59,13 +62,16 @@
                      Departures* departures);
 
 /// Returns what to do with an entry that the store shows at that place. A
-/// departure gives way to entries of its own era, and of other processes.
+/// departure gives way to entries of other processes, and of its own era unless
+/// that has just begun.
 Verdict Judge(const gateway::EndpointEntry& entry,
               const store::Place& place,
+              TimePoint now,
               const Departures& departures);
 
 /// Holds an entry back for a while.
 void HoldBack(const gateway::EndpointEntry& entry,
+              const store::Place& place,
               TimePoint now,
               Departures* departures);
 
@@ -80,15 +86,20 @@
 /// The same for all endpoints that a listing does not name.
 void KeepListed(const std::set<std::string>& listed, Departures* departures);
 
-/// Records the known endpoints that the first listing of an era lacks.
-void RecordMissing(std::set<std::string> ids,
-                   TimePoint now,
-                   Departures* departures);
-
-/// Returns the entries whose time is over and that may be used.
-std::vector<HeldBack> TakeLive(TimePoint now, Departures* departures);
+/// Records that the view of the store is of a new era from now on.
+void BeginEra(TimePoint now, Departures* departures);
+/// Returns whether endpoints that a listing lacks may register again.
+bool AwaitsReturns(TimePoint now, const Departures& departures);
+/// Records a known endpoint that a listing lacks.
+void RecordMissing(const std::string& id, Departures* departures);
+
+/// Returns the entries that may be used: the view of the store was complete at
+/// `confirmed_at`, and has them still though their time is over. While the
+/// store is away, entries cannot be seen to lapse.
+std::vector<HeldBack> TakeLive(TimePoint confirmed_at, Departures* departures);
 /// Returns the missing endpoints that have not registered again in time.
-std::set<std::string> TakeMissing(TimePoint now, Departures* departures);
+std::set<std::string> TakeMissing(TimePoint confirmed_at,
+                                  Departures* departures);
 /// Forgets departures that no copy can lack.
 void ForgetOld(TimePoint now, Departures* departures);
 
--- a/src/departure/departures_unittest.cc
+++ b/src/departure/departures_unittest.cc
@@ -60,7 +60,7 @@
                                store::Place(280, 2), kNow, &departures);
     const Verdict verdict =
         departure::Judge(MakeEntry(row.incarnation, row.draining),
-                         store::Place(250, row.era), departures);
+                         store::Place(250, row.era), kNow, departures);
     CHECK_TEXT(verdict == row.verdict, row.name);
   }
 }
@@ -74,33 +74,84 @@
                              store::Place(280, 1), kNow, &departures);
   departure::RecordDeparture(MakeEntry(kProcess, true), Leaving::kRemoved,
                              store::Place(250, 2), kNow, &departures);
-  CHECK(departure::Judge(MakeEntry(kProcess, false), store::Place(255, 2),
+  CHECK(departure::Judge(MakeEntry(kProcess, false), store::Place(255, 2), kNow,
                          departures) == Verdict::kKeepDraining);
 }
 
-// Guards against live endpoints that get no requests for good, and against
-// entries that lapse meanwhile and are used all the same.
-TEST(Departures, EntriesThatStayAreThoseOfLiveProcesses) {
+// Guards against an entry that is written again after the departure that came
+// later the first time.
+TEST(Departures, HoldWhileLostWritesAreWrittenAgain) {
+  for (const Leaving how : {Leaving::kDraining, Leaving::kRemoved}) {
+    Departures departures;
+    departure::BeginEra(kNow, &departures);
+    departure::RecordDeparture(MakeEntry(kProcess, false), how,
+                               store::Place(250, 2), kNow, &departures);
+    const EndpointEntry ready = MakeEntry(kProcess, false);
+    CHECK(departure::Judge(ready, store::Place(255, 2),
+                           kNow + Milliseconds(2000),
+                           departures) != Verdict::kUse);
+    CHECK(departure::Judge(ready, store::Place(255, 2),
+                           kNow + Milliseconds(20'000),
+                           departures) == Verdict::kUse);
+  }
+}
+
+// Guards against a process that has been replaced and takes the place of the
+// live one, as the copy has its entry.
+TEST(Departures, ThoseOfReplacedProcessesOutlastTheNewEntry) {
   Departures departures;
   departure::RecordDeparture(MakeEntry(kProcess, false), Leaving::kRemoved,
                              store::Place(280, 1), kNow, &departures);
-  departure::HoldBack(MakeEntry(kProcess, false), kNow, &departures);
-  CHECK(departure::TakeLive(kNow + Milliseconds(3600), &departures).empty());
-  const auto live =
-      departure::TakeLive(kNow + Milliseconds(20'000), &departures);
-  LONGS_EQUAL(1, live.size());
-  CHECK(departure::Judge(MakeEntry(kProcess, false), store::Place(250, 2),
-                         departures) == Verdict::kUse);
-  departure::HoldBack(MakeEntry(kProcess, false), kNow, &departures);
-  departure::KeepListed({"b"}, &departures);
-  CHECK(departure::TakeLive(kNow + Milliseconds(20'000), &departures).empty());
+  departure::RecordUsed(MakeEntry(kProcess + 1, false), store::Place(280, 1),
+                        kNow, &departures);
+  CHECK(departure::Judge(MakeEntry(kProcess, false), store::Place(250, 2), kNow,
+                         departures) == Verdict::kHoldBack);
+}
+
+// Guards against live endpoints that get no requests for good, and against
+// entries that lapse meanwhile and are used all the same.
+TEST(Departures, EntriesThatStayAreThoseOfLiveProcesses) {
+  struct Row {
+    const char* name;
+    int second_copy_ms;   ///< 0: there is none.
+    int confirmed_at_ms;  ///< Up to which the view is complete.
+    bool lapses;
+    std::size_t live;
+  };
+  const Row rows[] = {{"soon", 0, 3600, false, 0},
+                      {"stays", 0, 20'000, false, 1},
+                      {"lapses", 0, 20'000, true, 0},
+                      {"another copy", 8000, 12'000, false, 0},
+                      {"stays in another copy", 8000, 20'000, false, 1}};
+  for (const Row& row : rows) {
+    Departures departures;
+    departure::RecordDeparture(MakeEntry(kProcess, false), Leaving::kRemoved,
+                               store::Place(280, 1), kNow, &departures);
+    departure::HoldBack(MakeEntry(kProcess, false), store::Place(250, 2), kNow,
+                        &departures);
+    if (row.second_copy_ms > 0)
+      departure::HoldBack(MakeEntry(kProcess, false), store::Place(240, 3),
+                          kNow + Milliseconds(row.second_copy_ms), &departures);
+    departure::KeepListed({row.lapses ? "b" : "a"}, &departures);
+    const auto live = departure::TakeLive(
+        kNow + Milliseconds(row.confirmed_at_ms), &departures);
+    LONGS_EQUAL_TEXT(row.live, live.size(), row.name);
+    const Verdict verdict = departure::Judge(
+        MakeEntry(kProcess, false), store::Place(250, 3), kNow, departures);
+    CHECK_TEXT(verdict == (row.live > 0 ? Verdict::kUse : Verdict::kHoldBack),
+               row.name);
+  }
 }
 
 // Guards against endpoints that are dropped although they register again, and
 // against some that stay although they have gone.
 TEST(Departures, MissingEndpointsHaveTimeToRegisterAgain) {
   Departures departures;
-  departure::RecordMissing({"a", "b"}, kNow, &departures);
+  departure::BeginEra(kNow, &departures);
+  CHECK(departure::AwaitsReturns(kNow + Milliseconds(2000), departures));
+  CHECK(!departure::AwaitsReturns(kNow + Milliseconds(3000), departures));
+  departure::RecordMissing("a", &departures);
+  departure::RecordMissing("b", &departures);
   departure::RecordListed("a", &departures);
   CHECK(departure::TakeMissing(kNow + Milliseconds(2000), &departures).empty());
   const auto gone =
--- a/src/fleet/daemon_registry.cc
+++ b/src/fleet/daemon_registry.cc
@@ -98,8 +98,10 @@
 
 void DaemonRegistry::OnListing(const Result<store::Listing>& listing) {
   const store::Object* other_own = nullptr;
+  bool lists_own = false;
   if (listing) {
     for (const store::Object& object : listing.value().objects) {
+      lists_own = lists_own || object.name == this->daemon_name;
       if (object.name == this->daemon_name &&
           object.spec != this->OwnEntry().spec)
         other_own = &object;
@@ -113,7 +115,7 @@
         this->found(ip);
     }
   }
-  if (!this->announced && !listing) {
+  if (!this->announced && !lists_own) {
     this->RunAfter(kRetryDelay, [this] { this->Announce(); });
     return;
   }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -131,6 +131,8 @@
 
   /// Returns whether reports of the lease holder of this epoch have stopped.
   bool IsHolderSilent(std::int64_t epoch) const;
+  /// Returns the highest epoch of a lease holder that was heard.
+  std::int64_t HighestHeardEpoch() const { return this->holder.lease_epoch; }
   /// Returns whether another daemon is heard as the lease holder.
   bool HearsOtherHolder() const;
 
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -57,6 +57,8 @@
 void EngineOrders::Tick() {
   const TimePoint now = BootNow();
   const bool may_send_order = this->lease->MaySendOrder(now);
+  if (this->is_lease_holder && this->lease->Epoch() != this->held_epoch)
+    this->OnLeaseLost();
   if (may_send_order && !this->is_lease_holder)
     this->OnLeaseAcquired();
   else if (!may_send_order && this->is_lease_holder)
@@ -78,6 +80,7 @@
 
 void EngineOrders::OnLeaseAcquired() {
   this->is_lease_holder = true;
+  this->held_epoch = this->lease->Epoch();
   this->lease_held_since = BootNow();
   this->engines.clear();
   // The previous lease holder may have just begun as many loads from the weight
--- a/src/orders/engine_orders.h
+++ b/src/orders/engine_orders.h
@@ -95,6 +95,7 @@
   StoreLoadLimit limit;
   std::map<std::string, EngineState> engines;  ///< By endpoint ID.
   bool is_lease_holder = false;
+  std::int64_t held_epoch = 0;  ///< As published.
   TimePoint lease_held_since;
   StoreLoads store_loads;
   std::map<std::string, TimePoint> next_placement_log_at;  ///< By service.
--- a/src/orders/lease_manager.cc
+++ b/src/orders/lease_manager.cc
@@ -137,7 +137,9 @@
         if (object) {
           const Result<LeaseSpec> spec = ParseLease(object.value().spec.dump());
           const store::Place& place = object.value().place;
-          this->lease.era = place.era;
+          // Versions of two eras say nothing about each other.
+          if (std::exchange(this->lease.era, place.era) != place.era)
+            this->lease.changed_at = TimePoint();
           OnLeaseRead(&this->lease, spec ? spec.value() : LeaseSpec{},
                       place.revision, now);
           return;
@@ -155,6 +157,9 @@
   this->call_in_progress = true;
   const TimePoint start = BootNow();
   this->call_started_at = start;
+  if (this->highest_heard_epoch)
+    this->lease.highest_epoch =
+        std::max(this->lease.highest_epoch, this->highest_heard_epoch());
   const LeaseSpec spec = NextLeaseSpec(this->lease, step);
   const bool was_released = step == LeaseStep::kTakeOver &&
                             this->lease.last_spec.holder.empty() &&
@@ -195,22 +200,26 @@
   OnLeaseWritten(&this->lease, spec, written.value().place.revision, start);
   this->outage_hold_until = now + kMaxOutageHold;
   if (step != LeaseStep::kRenew) {
-    this->first_holder =
-        step == LeaseStep::kCreate && this->store->eras->changes == 0;
+    this->first_holder = step == LeaseStep::kCreate &&
+                         this->store->eras->changes == 0 &&
+                         !this->HearsOtherHolder();
     this->may_send_from = this->FirstOrderAt(step, was_released, now);
   }
   this->UpdateHolding(now);
 }
 
+bool LeaseManager::HearsOtherHolder() const {
+  return this->hears_other_holder && this->hears_other_holder();
+}
+
 TimePoint LeaseManager::FirstOrderAt(LeaseStep step,
                                      bool was_released,
                                      TimePoint now) const {
   TimePoint first = was_released ? now + this->min_handover_gap : now;
-  // An older copy names a holder that has been replaced since.
-  const bool other_sends =
-      step == LeaseStep::kTakeOver && this->took_from_predecessor &&
-      this->hears_other_holder && this->hears_other_holder();
-  if (other_sends)
+  // An older copy names a holder that has been replaced since, or none.
+  const bool may_be_copy =
+      step == LeaseStep::kCreate || this->took_from_predecessor;
+  if (may_be_copy && this->HearsOtherHolder())
     first = now + this->lease.times.send_period + kMaxOrderDelay;
   return std::max(first, this->earlier_holder_until);
 }
--- a/src/orders/lease_manager.h
+++ b/src/orders/lease_manager.h
@@ -43,6 +43,8 @@
   /// Returns whether reports of the lease holder of this epoch have stopped.
   std::function<bool(std::int64_t epoch)> is_holder_silent;
 
+  /// Returns the highest epoch of a holder that was heard.
+  std::function<std::int64_t()> highest_heard_epoch;
   /// Returns whether another daemon is heard as the holder.
   std::function<bool()> hears_other_holder;
 
@@ -75,6 +77,7 @@
   bool Competes();
   void UpdateHolding(TimePoint now);
   bool HoldsThroughOutage(TimePoint now) const;
+  bool HearsOtherHolder() const;
   void SetStoreUnreachable(bool unreachable);
 
   boost::asio::steady_timer timer;
--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -63,7 +63,9 @@
     ++spec.renewals;
     return spec;
   }
-  spec.epoch = std::max(spec.epoch, lease.era * kEpochsPerEra) + 1;
+  spec.epoch =
+      std::max({spec.epoch, lease.era * kEpochsPerEra, lease.highest_epoch}) +
+      1;
   spec.renewals = 0;
   return spec;
 }
@@ -72,6 +74,7 @@
                  const LeaseSpec& spec,
                  std::int64_t resource_version,
                  TimePoint now) {
+  lease->highest_epoch = std::max(lease->highest_epoch, spec.epoch);
   const bool first = lease->changed_at == TimePoint();
   const bool changed = first || resource_version != lease->resource_version;
   if (changed)
@@ -97,6 +100,7 @@
                     const LeaseSpec& spec,
                     std::int64_t resource_version,
                     TimePoint start) {
+  lease->highest_epoch = std::max(lease->highest_epoch, spec.epoch);
   lease->last_spec = spec;
   lease->resource_version = resource_version;
   lease->changed_at = start;
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -70,6 +70,7 @@
   /// copy, or an engine has seen a higher one. Taking over gives another.
   bool epoch_is_spent = false;
   std::int64_t era = 0;  ///< Of the store, in which `last_spec` was read.
+  std::int64_t highest_epoch = 0;  ///< That is known to have been in use.
 };
 
 enum class LeaseStep { kNone, kRead, kCreate, kTakeOver, kRenew };
--- a/src/placement/lease_unittest.cc
+++ b/src/placement/lease_unittest.cc
@@ -92,6 +92,14 @@
   }
 }
 
+// Guards against an epoch of another holder that this daemon has only heard of.
+TEST(Lease, AnEpochIsAboveAllThatWereHeard) {
+  Lease lease = MakeLease("self");
+  OnLeaseRead(&lease, {"other", 7, 1}, 250, At(0));
+  lease.highest_epoch = 9;
+  LONGS_EQUAL(10, NextLeaseSpec(lease, LeaseStep::kTakeOver).epoch);
+}
+
 // Guards against waiting for the full expiry after a holder was killed or
 // hangs, and against taking over from a holder that still renews the lease.
 TEST(Lease, SilentHoldersAreReplacedEarlier) {
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -237,7 +237,8 @@
   this->probing = true;
   CountCall(*this->store, CallCause::kRetry, Freshness::kStale);
   this->store->watch(
-      this->kind.name, this->place, kNoWait, Freshness::kStale,
+      this->kind.name, Place(this->place.revision, this->store->eras->latest),
+      kNoWait, Freshness::kStale,
       [this, current = this->generation](Result<Changes> answer) {
         if (current != this->generation)
           return;
--- a/tests/integration/drill_site.cc
+++ b/tests/integration/drill_site.cc
@@ -15,6 +15,7 @@
 using StreamPtr = std::shared_ptr<net::TcpStream>;
 
 constexpr Milliseconds kHeartbeat{300};
+constexpr Milliseconds kLapseTime{3600};
 constexpr Milliseconds kCallInterval{100};  ///< Of each daemon's callers.
 constexpr int kMinChangePauseMs = 700;
 constexpr int kMaxChangePauseMs = 2500;
@@ -329,11 +330,26 @@
     const std::string& state = this->states[id];
     if (state != "removed")
       this->PutIfChanged(id, replica->Entry(state.c_str()));
+    else
+      this->LapseIfDue(id);
   }
   for (const auto& [id, engine] : this->engines)
     this->PutIfChanged(id, EngineEntry(engine.server->AddressText()));
 }
 
+/// The store removes an entry after three check-ins of silence.
+void DrillSite::LapseIfDue(const std::string& id) {
+  const TimePoint now = Clock::now();
+  const bool is_listed = !this->store.Get("servers", id).is_null();
+  const TimePoint since =
+      this->unwritten_since.try_emplace(id, now).first->second;
+  if (is_listed && now < since + kLapseTime)
+    return;
+  if (is_listed)
+    this->store.Remove("servers", id);
+  this->unwritten_since.erase(id);
+}
+
 void DrillSite::AddVersion() {
   if (!this->away) {
     ++this->version;
--- a/tests/integration/drill_site.h
+++ b/tests/integration/drill_site.h
@@ -124,6 +124,7 @@
                const std::shared_ptr<net::TcpStream>& stream);
   void Register();
   void PutIfChanged(const std::string& id, nlohmann::json entry);
+  void LapseIfDue(const std::string& id);
   void AddVersion();
   void SendCalls();
   void Send(int daemon, int route_version);
@@ -137,6 +138,8 @@
   std::mt19937 random;
   std::map<std::string, Engine> engines;
   std::map<std::string, std::string> states;  ///< Of replicas, by id.
+  /// Since when the store has an entry of a replica that was removed.
+  std::map<std::string, TimePoint> unwritten_since;
   std::map<std::string, TimePoint> left_at;   ///< First ack of the leaving.
   std::map<std::string, TimePoint> last_ack;  ///< The latest one.
   std::map<int, TimePoint> acked_at;          ///< Latest ack, by version.
--- a/tests/integration/drill_soak_test.cc
+++ b/tests/integration/drill_soak_test.cc
@@ -117,8 +117,10 @@
     });
   }
 
-  /// The first two replicas stay.
+  /// The first two replicas stay. A store that is away acknowledges nothing.
   void Leave() {
+    if (this->site.store.faults.away)
+      return;
     const std::string id = "r" + std::to_string(this->Pick(3, this->replicas));
     if (this->site.HasLeft(id)) {
       ++this->disturbances["restarts"];
