Gateway: End no connection for a single lost keep-alive probe

Callers saw streams cut in the middle of the answer 2.0 s after the last byte of a silent but sound replica, though callers of the route wait longer. Cause: connections to endpoints had TCP_USER_TIMEOUT 1.5 s with keep-alive probes each second. With a user timeout the kernel ignores TCP_KEEPCNT: at 2 s a connection fails if the one probe before has no answer. Connections of callers (6 s, probes each 3 s) had the same fault at 6 s. Change: two probes must stay unanswered: 3 s towards endpoints, 6 s towards callers. The limit for unacknowledged data towards endpoints grows from 1.5 s to 3 s. Hosts that are gone are still found by the silence probe after 1.1 s for streams and repeatable calls; unsafe calls end later. Calls of the store keep 1.5 s, as a watch is only made anew.

--- a/src/gateway/endpoint_connections.cc
+++ b/src/gateway/endpoint_connections.cc
@@ -10,8 +10,9 @@
 /// Establishing a connection within a region takes a few ms. A lost packet is
 /// retransmitted only after a second.
 constexpr Milliseconds kConnectTimeout{700};
-/// A connection fails when the endpoint does not respond for this long.
-constexpr Milliseconds kFailureDetection{1500};
+/// A connection fails when the endpoint's host does not respond for this long.
+/// 1.5 s ended silent streams with one lost keep-alive probe, after 2 s.
+constexpr Milliseconds kFailureDetection{3000};
 /// Idle time allowed if the endpoint states no timeout.
 constexpr Milliseconds kDefaultIdle{3000};
 constexpr Milliseconds kMaxIdle{20'000};
--- a/src/net/tcp_connect.cc
+++ b/src/net/tcp_connect.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "net/tcp_stream.h"
@@ -14,6 +15,9 @@
 
 /// Of connections to endpoints. The kernel doubles it.
 constexpr int kReceiveBufferBytes = 64 * 1024;
+/// Keep-alive probes that stay unanswered before a silent connection fails. One
+/// may be lost or late although the peer is sound.
+constexpr int kLostProbes = 2;
 
 void SetOption(int descriptor, int level, int name, int value) {
   // A kernel without the option detects failures later, which is no error.
@@ -51,11 +55,17 @@
 
 void SetFailureDetection(tcp::socket* socket, Milliseconds limit) {
   const int descriptor = socket->native_handle();
-  const int seconds = std::max(1, static_cast<int>(limit.count() / 2000));
+  // With a user timeout the kernel does not count probes: the connection fails
+  // at the first probe that is due after the timeout if the one before it has
+  // no answer. So all probes but the last must be due before the timeout.
+  constexpr std::chrono::seconds kShortest{1};
+  const auto interval = std::chrono::duration_cast<std::chrono::seconds>(
+      limit / (kLostProbes + 1));
+  const auto seconds = static_cast<int>(std::max(kShortest, interval).count());
   SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, seconds);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, seconds);
-  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, 2);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kLostProbes);
   SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
             static_cast<int>(limit.count()));
 }
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -112,8 +112,8 @@
   bool ended = false;
 };
 
-/// Limits how long a silent peer goes unnoticed, on idle connections as well as
-/// on those with unacknowledged data.
+/// Limits how long a peer that is gone goes unnoticed, silent or with data
+/// unacknowledged. With 3 s or more, one lost keep-alive probe ends nothing.
 void SetFailureDetection(tcp::socket* socket, Milliseconds limit);
 
 using ConnectHandler = std::function<void(std::shared_ptr<TcpStream>)>;
