Store: One call of each daemon to register again in a new era

Cause: after the store had come back from a copy, each daemon tried to create its entry and then listed all daemons, though most copies have the entry and the others are known: two calls of each daemon within 1 s, and a list grows with the fleet. A list that was under way when the era was learnt, possibly the one that told of it, also replaced the timer of the registration and took the daemon for registered, by reading the code. Change: a daemon reads its own entry and creates it only if the copy lacks it. It does not list the others. The answer to a list leaves a registration that is still to be done alone.

--- a/src/fleet/daemon_registry.cc
+++ b/src/fleet/daemon_registry.cc
@@ -47,9 +47,50 @@
   const auto spread = static_cast<std::uint64_t>(kNewEraSpread.count());
   this->announced = false;
   this->announced_at = TimePoint();
+  this->registers_again = true;
   this->RunAfter(
       Milliseconds(static_cast<std::int64_t>(this->random() % spread)),
-      [this] { this->Announce(); });
+      [this] { this->RegisterAgain(); });
+}
+
+/// Most copies have the entry, so that reading it is the only call. The others
+/// are known already and need no list.
+void DaemonRegistry::RegisterAgain() {
+  store::CountCall(*this->store, store::CallCause::kRegistry,
+                   store::Freshness::kLatest);
+  this->store->read(kKind, this->daemon_name, store::Freshness::kLatest,
+                    [this](const Result<store::Object>& own) {
+                      if (own && own.value().spec == this->OwnEntry().spec) {
+                        this->OnRegisteredAgain();
+                      } else if (own) {
+                        this->registers_again = false;
+                        this->UpdateEntry(own.value().place);
+                      } else if (own.error().code == ErrorCode::kNotFound) {
+                        this->CreateAgain();
+                      } else {
+                        this->RunAfter(kRetryDelay,
+                                       [this] { this->RegisterAgain(); });
+                      }
+                    });
+}
+
+void DaemonRegistry::CreateAgain() {
+  store::CountCall(*this->store, store::CallCause::kRegistry,
+                   store::Freshness::kLatest);
+  this->store->create(
+      kKind, this->OwnEntry(), [this](const Result<store::Object>& created) {
+        if (created)
+          this->OnRegisteredAgain();
+        else
+          this->RunAfter(kRetryDelay, [this] { this->RegisterAgain(); });
+      });
+}
+
+void DaemonRegistry::OnRegisteredAgain() {
+  this->registers_again = false;
+  this->announced = true;
+  this->announced_at = BootNow();
+  this->RunAfter(kListInterval, [this] { this->ListAgain(); });
 }
 
 store::Object DaemonRegistry::OwnEntry() const {
@@ -113,6 +154,9 @@
         this->found(ip);
     }
   }
+  // The answer to a list may be the first word of a new era.
+  if (this->registers_again)
+    return;
   if (!this->announced && !listing) {
     this->RunAfter(kRetryDelay, [this] { this->Announce(); });
     return;
--- a/src/fleet/daemon_registry.h
+++ b/src/fleet/daemon_registry.h
@@ -33,6 +33,9 @@
 
  private:
   void Announce();
+  void RegisterAgain();
+  void CreateAgain();
+  void OnRegisteredAgain();
   void UpdateEntry(const store::Place& place);
   void List(store::Freshness freshness);
   void ListAgain();
@@ -47,7 +50,8 @@
   Found found;
   std::minstd_rand random;
   bool announced = false;
-  TimePoint announced_at;  ///< For the first time.
+  bool registers_again = false;  ///< Not yet done in the present era.
+  TimePoint announced_at;        ///< For the first time.
   TimePoint rare_list_at;
 };
 
