Tests: Calls to the store after it has come back from a copy

The stand-in of the store logs calls, and its page size can be set. MoreLoopbackHost() gives 300 addresses.

--- a/tests/support/free_port.cc
+++ b/tests/support/free_port.cc
@@ -56,6 +56,23 @@
 
 std::string MoreLoopbackHost(int number) {
   constexpr int kFirst = 128;
+  constexpr int kLast = 247;
+  constexpr int kMore = 180;
+  if (kFirst + number > kLast) {
+    // The second part is from 1 to 60: others have 0 (127.0.0.1) or 64 to 247.
+    constexpr int kNetworks = 60;
+    constexpr unsigned kShare = kMore / kNetworks;
+    constexpr unsigned kHosts = 250;
+    const int more = number - (kLast - kFirst + 1);
+    if (more >= kMore)
+      std::abort();
+    const unsigned id =
+        static_cast<unsigned>(::getpid()) % (kHosts * kHosts / kShare);
+    const unsigned own = id * kShare + static_cast<unsigned>(more / kNetworks);
+    return "127." + std::to_string(1 + more % kNetworks) + "." +
+           std::to_string(1 + own / kHosts) + "." +
+           std::to_string(1 + own % kHosts);
+  }
   return "127." + std::to_string(kFirst + number) + "." + OwnNetwork();
 }
 
--- a/tests/support/free_port.h
+++ b/tests/support/free_port.h
@@ -17,7 +17,8 @@
 /// 127.0.0.1.
 std::string OwnLoopbackHost();
 
-/// Returns one more loopback address of this process, from 0 to 119.
+/// Returns one more loopback address of this process, from 0 to 299. From 120
+/// on it differs from those of processes whose ids differ by less than 20,833.
 std::string MoreLoopbackHost(int number);
 
 }  // namespace coltsfootvane::testing
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -40,6 +40,16 @@
   return target;
 }
 
+std::string OperationOf(const std::string& method, const Target& target) {
+  if (method != "GET")
+    return method == "POST" ? "create" : "replace";
+  if (!target.name.empty())
+    return "read";
+  if (target.query.count("watch") > 0)
+    return "watch";
+  return target.query.count("after") > 0 ? "list page" : "list";
+}
+
 /// Returns an object as JSON text. The spec is inserted as it is, since it need
 /// not be readable.
 std::string ObjectText(const std::string& name,
@@ -232,7 +242,10 @@
 
 void StoreStandin::OnRequest(const ReceivedRequest& request,
                              const StreamPtr& stream) {
+  const Target target = ReadTarget(request.head.target);
   ++this->calls;
+  this->call_log.push_back(
+      {Clock::now(), OperationOf(request.head.method, target), target.kind});
   if (this->faults.silent)
     return;
   if (this->faults.away) {
@@ -243,7 +256,6 @@
     this->Answer(stream, 503, "");
     return;
   }
-  const Target target = ReadTarget(request.head.target);
   if (request.head.method == "GET") {
     this->OnGet(target.kind, target.name, target.query, stream);
     return;
@@ -287,15 +299,13 @@
       this->waiting.push_back(waiting_watch);
     return;
   }
-  // Two objects a page, so that paging is used.
-  constexpr std::size_t kPage = 2;
   const auto after = query.find("after");
   std::vector<std::string> items;
   bool more = false;
   for (const auto& [object_name, object] : objects) {
     if (after != query.end() && object_name <= after->second)
       continue;
-    more = items.size() == kPage;
+    more = items.size() == this->page_size;
     if (more)
       break;
     items.push_back(ObjectText(object_name, object.revision, object.spec));
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -38,6 +38,13 @@
     bool deleted = false;
   };
 
+  /// A call that has reached the store, whatever the answer.
+  struct Call {
+    TimePoint at;
+    std::string operation;  ///< `list page` is a further page of a list.
+    std::string kind;
+  };
+
   StoreStandin(boost::asio::io_context* io, const std::string& host);
 
   /// Answers a request that reached the store by another listener.
@@ -68,6 +75,9 @@
   LoopbackServer server;
   StoreFaults faults;
   int calls = 0;
+  std::vector<Call> call_log;  ///< In order.
+  /// Objects in a page of a list; so few that paging is used.
+  std::size_t page_size = 2;
   /// Replaces the header `Store-Era` of all answers; empty leaves it out.
   std::optional<std::string> stated_era;
 
