Tests: Hypotheses of a lost past of the store, with nothing lost and with drills

DrillSite counts calls to the store and findings by daemon, and can make a daemon's connections to the store silent. A daemon may call the store 60 times a second (25 were the most).

--- a/tests/integration/drill_site.cc
+++ b/tests/integration/drill_site.cc
@@ -78,7 +78,9 @@
 
 }  // namespace
 
-DrillSite::DrillSite(int count, unsigned seed)
+DrillSite::DrillSite(int count,
+                     unsigned seed,
+                     const std::map<int, std::string>& programs)
     : host(OwnLoopbackHost()),
       store(&this->io, this->host),
       random(seed),
@@ -86,17 +88,21 @@
       starts(static_cast<std::size_t>(count)),
       started_at(static_cast<std::size_t>(count)),
       disturbed_until(static_cast<std::size_t>(count)),
-      cut(static_cast<std::size_t>(count)) {
+      cut(static_cast<std::size_t>(count)),
+      links(static_cast<std::size_t>(count)) {
+  this->tally.busiest.resize(static_cast<std::size_t>(count));
   GatewayOptions options;
   options.peer_port = FreePort(this->host);
   options.more_settings = "bounds.configApplyMs=3000\nbounds.drainMs=3000\n";
   for (int i = 0; i < count; ++i) {
     options.name = "vm-" + std::to_string(i);
+    const auto program = programs.find(i);
+    options.program =
+        program == programs.end() ? GatewayOptions().program : program->second;
     this->doors.push_back(std::make_unique<LoopbackServer>(
         &this->io, this->host,
         [this, i](const ReceivedRequest& request, const StreamPtr& stream) {
-          if (!this->cut[static_cast<std::size_t>(i)])
-            this->store.Serve(request, stream);
+          this->OnStoreCall(i, request, stream);
         }));
     this->daemons.push_back(std::make_unique<GatewayProcess>(
         &this->io, MoreLoopbackHost(i), this->doors.back()->AddressText(),
@@ -125,6 +131,15 @@
   }
   this->Repeat(kHeartbeat, [this] { this->Register(); });
   this->Repeat(kCallInterval, [this] { this->SendCalls(); });
+  this->Repeat(Milliseconds(1000), [this] {
+    for (std::size_t i = 0; i < this->links.size(); ++i) {
+      int& busiest = this->tally.busiest[i];
+      const int calls = std::exchange(this->links[i].calls, 0);
+      busiest = std::max(busiest, calls);
+      if (calls > kMaxStoreCalls)
+        ++this->tally.busy_seconds[static_cast<int>(i)];
+    }
+  });
   this->AddVersion();
   return true;
 }
@@ -141,6 +156,26 @@
   this->served[daemon] = 0;
 }
 
+void DrillSite::OnStoreCall(int daemon,
+                            const ReceivedRequest& request,
+                            const StreamPtr& stream) {
+  const auto number = static_cast<std::size_t>(daemon);
+  StoreLink& link = this->links[number];
+  ++link.calls;
+  link.connections.insert(stream);
+  if (Clock::now() < link.silent_until)
+    link.silent.insert(stream);
+  if (!this->cut[number] && link.silent.count(stream) == 0)
+    this->store.Serve(request, stream);
+}
+
+void DrillSite::Silence(int daemon, Milliseconds time) {
+  StoreLink& link = this->links[static_cast<std::size_t>(daemon)];
+  link.silent_until = Clock::now() + time;
+  link.silent.insert(link.connections.begin(), link.connections.end());
+  this->store.DropWatches(link.silent);
+}
+
 void DrillSite::Freeze(int daemon) {
   this->disturbed_until[static_cast<std::size_t>(daemon)] = TimePoint::max();
   this->daemons[static_cast<std::size_t>(daemon)]->process->Signal(SIGSTOP);
@@ -265,6 +300,15 @@
   this->states[id] = "ready";
 }
 
+int DrillSite::HolderNumber() {
+  const GatewayProcess* const holder = this->Holder();
+  for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+    if (this->daemons[i].get() == holder)
+      return static_cast<int>(i);
+  }
+  return -1;
+}
+
 GatewayProcess* DrillSite::Holder() {
   for (std::size_t i = 0; i < this->daemons.size(); ++i) {
     const std::string prefix = "vm-" + std::to_string(i) + "@";
@@ -397,14 +441,15 @@
         const std::string text = "version " + std::to_string(route_version) +
                                  " refused by vm-" + std::to_string(daemon);
         if (was_served)
-          this->Find(&this->tally.regressions, text + ", which had served it");
+          this->Find(&this->tally.regressions, static_cast<int>(daemon),
+                     text + ", which had served it");
         const TimePoint acked = this->acked_at[route_version];
         // A new process knows what the store has.
         const bool lacks_it =
             this->away && this->started_at[daemon] > this->away_since;
         if (is_bound && !lacks_it && acked != TimePoint::max() &&
             sent > acked + kChangeLimit)
-          this->Find(&this->tally.late_refusals,
+          this->Find(&this->tally.late_refusals, static_cast<int>(daemon),
                      text + ", ms after its ack: " +
                          std::to_string(TimeLeft(sent, acked).count()));
       });
@@ -447,14 +492,15 @@
   if (known_at == TimePoint::max() || now <= known_at + kChangeLimit + kSlack ||
       this->cut[daemon] || now <= this->disturbed_until[daemon])
     return;
-  this->Find(&this->tally.late_arrivals,
+  this->Find(&this->tally.late_arrivals, static_cast<int>(daemon),
              replica + " reached by vm-" + std::to_string(daemon) +
                  ", ms after its leaving: " +
                  std::to_string(TimeLeft(now, left->second).count()));
 }
 
-void DrillSite::Find(int* count, const std::string& text) {
+void DrillSite::Find(int* count, int daemon, const std::string& text) {
   ++*count;
+  ++this->tally.broken_by[daemon];
   if (this->tally.findings.size() < kMaxFindings)
     this->tally.findings.push_back(text);
 }
@@ -511,7 +557,7 @@
   std::set<std::string>& named = this->holders[token];
   named.insert(this->last_holder);
   if (named.size() > 1)
-    this->Find(&this->tally.shared_tokens,
+    this->Find(&this->tally.shared_tokens, -1,
                "token " + std::to_string(token) + " of " +
                    std::to_string(named.size()) + " holders, the last " +
                    this->last_holder);
--- a/tests/integration/drill_site.h
+++ b/tests/integration/drill_site.h
@@ -39,6 +39,11 @@
   int orders = 0;         ///< Accepted by engines.
   int shared_tokens = 0;  ///< Orders with a token that another holder has used.
   int fenced = 0;         ///< Orders refused for their token.
+  std::map<int, int> broken_by;  ///< Findings by daemon.
+  /// Calls to the store in the busiest second, by daemon.
+  std::vector<int> busiest;
+  /// Seconds in which a daemon called the store more than kMaxStoreCalls times.
+  std::map<int, int> busy_seconds;
   std::vector<std::string> findings;  ///< The first of each kind, for a person.
 };
 
@@ -49,8 +54,13 @@
  public:
   /// From its ack, as the settings of the daemons state it.
   static constexpr Milliseconds kChangeLimit{3000};
+  /// Of a daemon in a second. Up to 25 were measured, the most at its start.
+  static constexpr int kMaxStoreCalls = 60;
 
-  DrillSite(int daemons, unsigned seed);
+  /// `programs` are those of single daemons, relative to the build folder.
+  DrillSite(int daemons,
+            unsigned seed,
+            const std::map<int, std::string>& programs = {});
 
   /// Starts everything and waits until the daemons know each other.
   bool Start();
@@ -75,6 +85,10 @@
   void StartAll();
   /// The daemon's calls to the store get no answers until it is healed.
   void Cut(int daemon) { this->cut[static_cast<std::size_t>(daemon)] = true; }
+  /// The daemon's present connections to the store, and those of the time
+  /// given, stay open and get no answer ever. Later ones do. The daemon stays
+  /// bound by the promises.
+  void Silence(int daemon, Milliseconds time);
   void Freeze(int daemon);
   void Kill(int daemon);
   /// Ends what was done to the daemon: it is bound by the promises again after
@@ -91,6 +105,8 @@
   std::string DescribeHolders() const;
   /// The daemon that gave the last order, or nullptr.
   GatewayProcess* Holder();
+  /// The same by its number, or -1.
+  int HolderNumber();
 
   boost::asio::io_context io;
   std::string host;
@@ -126,7 +142,11 @@
   void StartOne(std::size_t daemon);
   void Return(const StoreDrill& drill);
   void WriteAgain(const std::vector<StoreStandin::LostWrite>& lost);
-  void Find(int* count, const std::string& text);
+  /// `daemon` is that which broke a promise, or -1.
+  void Find(int* count, int daemon, const std::string& text);
+  void OnStoreCall(int daemon,
+                   const ReceivedRequest& request,
+                   const std::shared_ptr<net::TcpStream>& stream);
 
   std::mt19937 random;
   std::map<std::string, Engine> engines;
@@ -143,6 +163,14 @@
   /// Not bound until then.
   std::vector<TimePoint> disturbed_until;
   std::vector<bool> cut;
+  /// The way from one daemon to the store.
+  struct StoreLink {
+    int calls = 0;  ///< In the present second.
+    TimePoint silent_until;
+    std::set<std::shared_ptr<net::TcpStream>> connections;
+    std::set<std::shared_ptr<net::TcpStream>> silent;
+  };
+  std::vector<StoreLink> links;
   /// The store as each daemon reaches it.
   std::vector<std::unique_ptr<LoopbackServer>> doors;
   bool away = false;  ///< Until lost writes are written again.
--- a/tests/integration/gateway_process.cc
+++ b/tests/integration/gateway_process.cc
@@ -65,7 +65,7 @@
   constexpr int kStopTimeoutS = 8;
   this->WriteSettings(kStopTimeoutS);
   this->process = std::make_unique<Process>(
-      "coltsfootvane",
+      this->options.program,
       std::vector<std::string>{"gateway", "--settings", this->settings_path},
       this->log_path);
 }
--- a/tests/integration/gateway_process.h
+++ b/tests/integration/gateway_process.h
@@ -20,6 +20,8 @@
   int memory_mb = 512;
   int max_fds = 0;                 ///< `limits.maxFds`; 0 leaves it out.
   std::string more_settings = {};  ///< Further lines of the settings file.
+  /// The program to run, relative to the build folder.
+  std::string program = "coltsfootvane";
 };
 
 /// The real daemon of the users' platform as a process, with its settings file.
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -149,6 +149,15 @@
     this->Remove(lost.kind, lost.name);
 }
 
+void StoreStandin::DropWatches(const std::set<StreamPtr>& connections) {
+  const auto dropped =
+      std::remove_if(this->waiting.begin(), this->waiting.end(),
+                     [&connections](const Waiting& watch) {
+                       return connections.count(watch.stream) > 0;
+                     });
+  this->waiting.erase(dropped, this->waiting.end());
+}
+
 Json StoreStandin::Get(const std::string& kind, const std::string& name) const {
   const auto found = this->kinds.find(kind);
   if (found == this->kinds.end() || found->second.count(name) == 0)
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,9 @@
   std::vector<LostWrite> Rewind(Milliseconds age);
   /// Writes a lost write again.
   void WriteAgain(const LostWrite& lost);
+  /// Watches that wait on these connections are never answered.
+  void DropWatches(
+      const std::set<std::shared_ptr<net::TcpStream>>& connections);
   std::int64_t Revision() const { return this->revision; }
   std::int64_t Era() const { return this->era; }
   /// Returns the spec, or null.
