Daemon: Endpoints removed as missing may register late

Cause: the removal of an endpoint that the copy lacked, 2.5 s after the first listing of an era, counted as its departure, so that an entry written again later than that was held back for 10 s. Found when the diff was read again. Change: such a removal is no departure; what the process has said stays.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -181,7 +181,7 @@
   if (are_untold)
     this->RaiseMaxDeparture(this->endpoints.At());
   const store::Place& departures_to = this->fleet->seen.max_departure;
-  if (this->Tells() && (are_untold || departures_to > this->news.LoggedTo()))
+  if (are_untold || (this->Tells() && departures_to > this->news.LoggedTo()))
     this->RecordChanges(this->endpoints.At());
   // The others are about to check as well, unless they hear of this.
   const bool checked = std::exchange(this->checking, false);
--- a/src/daemon/store_view_endpoints.cc
+++ b/src/daemon/store_view_endpoints.cc
@@ -195,8 +195,10 @@
       departure::TakeLive(confirmed_at, &this->departed);
   if (missing.empty() && live.empty())
     return;
-  for (const std::string& id : missing)
+  for (const std::string& id : missing) {
     this->RemoveEndpoint(id, kDeleted);
+    departure::ForgetRemoval(id, &this->departed);
+  }
   for (const departure::HeldBack& one : live)
     this->UseEntry(one.entry, this->endpoints.At());
   if (!missing.empty())
--- a/src/departure/departures.cc
+++ b/src/departure/departures.cc
@@ -126,6 +126,12 @@
   return std::exchange(departures->missing, {});
 }
 
+void ForgetRemoval(const std::string& id, Departures* departures) {
+  const auto found = departures->left.find(id);
+  if (found != departures->left.end() && found->second.how == Leaving::kRemoved)
+    departures->left.erase(found);
+}
+
 void ForgetOld(TimePoint now, Departures* departures) {
   auto& left = departures->left;
   for (auto it = left.begin(); it != left.end();)
--- a/src/departure/departures.h
+++ b/src/departure/departures.h
@@ -97,9 +97,13 @@
 /// `confirmed_at`, and has them still though their time is over. While the
 /// store is away, entries cannot be seen to lapse.
 std::vector<HeldBack> TakeLive(TimePoint confirmed_at, Departures* departures);
-/// Returns the missing endpoints that have not registered again in time.
+/// Returns the missing endpoints that have not registered again in time. None
+/// of them is known to have left: they may still register.
 std::set<std::string> TakeMissing(TimePoint confirmed_at,
                                   Departures* departures);
+/// Forgets that the entry of the endpoint was removed, but not that it has said
+/// that it leaves.
+void ForgetRemoval(const std::string& id, Departures* departures);
 /// Forgets departures that no copy can lack.
 void ForgetOld(TimePoint now, Departures* departures);
 
--- a/src/departure/departures_unittest.cc
+++ b/src/departure/departures_unittest.cc
@@ -143,6 +143,33 @@
   }
 }
 
+// Guards against live endpoints that write their entries again late and are
+// held back, since they were removed as missing.
+TEST(Departures, MissingEndpointsMayRegisterLate) {
+  struct Row {
+    const char* name;
+    bool said_so;
+    Verdict verdict;
+  };
+  const Row rows[] = {{"missing", false, Verdict::kUse},
+                      {"had said so", true, Verdict::kKeepDraining}};
+  for (const Row& row : rows) {
+    Departures departures;
+    if (row.said_so)
+      departure::RecordDeparture(MakeEntry(kProcess, true), Leaving::kDraining,
+                                 store::Place(280, 1), kNow, &departures);
+    departure::BeginEra(kNow, &departures);
+    departure::RecordDeparture(MakeEntry(kProcess, row.said_so),
+                               Leaving::kRemoved, store::Place(250, 2), kNow,
+                               &departures);
+    departure::ForgetRemoval("a", &departures);
+    const Verdict verdict =
+        departure::Judge(MakeEntry(kProcess, false), store::Place(255, 2),
+                         kNow + Milliseconds(4000), departures);
+    CHECK_TEXT(verdict == row.verdict, row.name);
+  }
+}
+
 // Guards against endpoints that are dropped although they register again, and
 // against some that stay although they have gone.
 TEST(Departures, MissingEndpointsHaveTimeToRegisterAgain) {
