Tests: DrillSite binds processes that started after a removal again

Cause: excused requests of such processes while the store lists the replica, with no trace that showed the case to be allowed.

--- a/tests/integration/drill_site_calls.cc
+++ b/tests/integration/drill_site_calls.cc
@@ -103,9 +103,6 @@
   const auto daemon = static_cast<std::size_t>(std::stoi(id));
   // A process that was started since knows what the store has.
   const bool started_since = this->started_at[daemon] > left->second;
-  if (started_since && !this->store.Get("servers", replica).is_null() &&
-      this->states[replica] == "removed")
-    return;
   const TimePoint known_at =
       started_since ? this->last_ack[replica] : left->second;
   const TimePoint now = Clock::now();
