--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -37,6 +37,13 @@
 
 inline constexpr Event kLoopLate{2413, Severity::kWarning, "loop-late"};
 
+inline constexpr Event kConfigFetched{2416, Severity::kInfo, "config-fetched"};
+
+inline constexpr Event kConfigFetchFailed{2417, Severity::kWarning,
+                                          "config-fetch-failed"};
+
+inline constexpr Event kConfigApplied{2418, Severity::kInfo, "config-applied"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- a/src/daemon/store_news.cc
+++ b/src/daemon/store_news.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "daemon/events.h"
+
 namespace coltsfootvane::daemon {
 namespace {
 
@@ -54,6 +56,11 @@
   news->__isset.base_era = base.era != place.era;
 }
 
+std::string AgeText(TimePoint since) {
+  return std::to_string(
+      std::chrono::duration_cast<Milliseconds>(BootNow() - since).count());
+}
+
 bool LeavesOut(const gen::StoreBatch& batch) {
   return std::any_of(batch.changes.begin(), batch.changes.end(),
                      [](const gen::EndpointNews& one) { return one.left_out; });
@@ -238,6 +245,8 @@
 
 void StoreNews::OnConfigNews(const gen::ConfigNews& news, std::uint32_t from) {
   const std::vector<std::uint32_t> relay_to = FromWire(news.relay_to);
+  if (PlaceOf(news) > this->config.place)
+    this->config_news_at = BootNow();
   // Daemons of an earlier version of the program state no era.
   if (PlaceOf(news).era < this->config.place.era) {
     this->fleet->Spread(news, relay_to);
@@ -284,12 +293,18 @@
 }
 
 void StoreNews::TakeConfig(ConfigText taken) {
+  const TimePoint began = BootNow();
   nlohmann::json spec = nlohmann::json::parse(taken.text, nullptr, false);
   if (taken.place <= this->config.place || spec.is_discarded())
     return;
   ++this->counts.applied;
   this->config = std::move(taken);
   this->target.apply_config(this->config.place, std::move(spec));
+  this->gateway->log->Write(
+      kConfigApplied, "",
+      "revision=" + store::FormatPlace(this->config.place) +
+          " bytes=" + std::to_string(this->config.text.size()) + " decode_ms=" +
+          AgeText(began) + " news_age_ms=" + AgeText(this->config_news_at));
 }
 
 void StoreNews::PassOnConfig() {
--- a/src/daemon/store_news.h
+++ b/src/daemon/store_news.h
@@ -94,6 +94,9 @@
   void RecoverConfig(TimePoint now);
   void FetchEndpoints(std::uint32_t from);
   void FetchConfig(std::uint32_t from);
+  void LogConfigFetch(std::uint32_t from,
+                      TimePoint began,
+                      const std::string* body);
   void PassOnConfig();
   void Fetch(std::uint32_t from,
              const char* path,
@@ -113,6 +116,7 @@
   ConfigText config;
   /// What is passed on once the configuration has been fetched.
   fleet::gen::ConfigNews config_news;
+  TimePoint config_news_at;  ///< When a newer configuration was last told of.
   std::vector<std::uint32_t> config_relay_to;
   TransferBudget transfers;
   bool scheduled = false;
--- a/src/daemon/store_news_fetch.cc
+++ b/src/daemon/store_news_fetch.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "daemon/events.h"
 #include "daemon/store_news.h"
 #include "fleet/codec.h"
 
@@ -124,21 +125,36 @@
   });
 }
 
+void StoreNews::LogConfigFetch(std::uint32_t from,
+                               TimePoint began,
+                               const std::string* body) {
+  const auto took = std::chrono::duration_cast<Milliseconds>(BootNow() - began);
+  std::string details =
+      "from=" + boost::asio::ip::address_v4(from).to_string() +
+      " transfer_ms=" + std::to_string(took.count());
+  if (body != nullptr)
+    details += " bytes=" + std::to_string(body->size());
+  this->gateway->log->Write(
+      body != nullptr ? kConfigFetched : kConfigFetchFailed, "", details);
+}
+
 void StoreNews::FetchConfig(std::uint32_t from) {
   ++this->config_fetches;
-  this->Fetch(
-      from, kConfigPath, kFetchTimeout, [this](const std::string* body) {
-        --this->config_fetches;
-        EndFetch(BootNow(), &this->gateway->random, &this->config_recovery);
-        if (body == nullptr)
-          return;
-        Result<ConfigText> taken = ReadTransfer(*body);
-        if (!taken || taken.value().place <= this->config.place)
-          return;
-        ++this->counts.fetched;
-        this->TakeConfig(std::move(taken).value());
-        this->PassOnConfig();
-      });
+  this->Fetch(from, kConfigPath, kFetchTimeout,
+              [this, from, began = BootNow()](const std::string* body) {
+                --this->config_fetches;
+                this->LogConfigFetch(from, began, body);
+                EndFetch(BootNow(), &this->gateway->random,
+                         &this->config_recovery);
+                if (body == nullptr)
+                  return;
+                Result<ConfigText> taken = ReadTransfer(*body);
+                if (!taken || taken.value().place <= this->config.place)
+                  return;
+                ++this->counts.fetched;
+                this->TakeConfig(std::move(taken).value());
+                this->PassOnConfig();
+              });
 }
 
 gateway::HealthAnswer StoreNews::Answer(std::string_view path) {
