--- a/tests/integration/process_usage.cc
+++ b/tests/integration/process_usage.cc
@@ -1,6 +1,7 @@
 #include "process_usage.h"
 
 #include <arpa/inet.h>
+#include <time.h>
 
 #include <cstdio>
 #include <cstdlib>
@@ -31,6 +32,15 @@
   return count;
 }
 
+std::chrono::nanoseconds ProcessorTime(int pid) {
+  clockid_t clock = 0;
+  timespec used{};
+  if (clock_getcpuclockid(pid, &clock) != 0 || clock_gettime(clock, &used) != 0)
+    return {};
+  return std::chrono::seconds(used.tv_sec) +
+         std::chrono::nanoseconds(used.tv_nsec);
+}
+
 long UnreadKb(const boost::asio::ip::tcp::endpoint& address) {
   char local[32];
   std::snprintf(local, sizeof(local), "%08X:%04X",
--- a/tests/integration/process_usage.h
+++ b/tests/integration/process_usage.h
@@ -2,6 +2,7 @@
 #define COLTSFOOTVANE_TESTS_INTEGRATION_PROCESS_USAGE_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <string>
 
 namespace coltsfootvane::testing {
@@ -11,6 +12,9 @@
 
 int OpenDescriptors(int pid);
 
+/// Returns the processor time that the process has used; 0 without one.
+std::chrono::nanoseconds ProcessorTime(int pid);
+
 /// Returns the bytes that the kernel has received for the address and nobody
 /// has read, in KB.
 long UnreadKb(const boost::asio::ip::tcp::endpoint& address);
