--- a/src/base/json_text.cc
+++ b/src/base/json_text.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/json_scanner.h"
+
 namespace coltsfootvane {
 namespace {
 
@@ -14,96 +16,7 @@
 /// Id of nlohmann's exception for a number that no double holds.
 constexpr int kNumberOutOfRange = 406;
 
-bool IsSpace(char c) {
-  return c == ' ' || c == '\t' || c == '\n' || c == '\r';
-}
-
-/// A position in JSON text that moves from value to value.
-struct Scanner {
-  std::string_view text;
-  std::size_t position = 0;
-
-  bool AtEnd() const { return this->position >= this->text.size(); }
-  char Peek() const {
-    return this->AtEnd() ? '\0' : this->text[this->position];
-  }
-};
-
-void SkipSpace(Scanner* scanner) {
-  while (!scanner->AtEnd() && IsSpace(scanner->Peek()))
-    ++scanner->position;
-}
-
-/// Skips the character if it comes next.
-bool Skip(Scanner* scanner, char expected) {
-  SkipSpace(scanner);
-  if (scanner->Peek() != expected)
-    return false;
-  ++scanner->position;
-  return true;
-}
-
-/// Skips a string, from its opening to its closing quotation mark.
-bool SkipString(Scanner* scanner) {
-  if (!Skip(scanner, '"'))
-    return false;
-  while (!scanner->AtEnd()) {
-    const char c = scanner->Peek();
-    scanner->position += c == '\\' ? 2 : 1;
-    if (c == '"')
-      return true;
-  }
-  return false;
-}
-
-/// Skips an object or array. Brackets within strings do not count.
-bool SkipNested(Scanner* scanner) {
-  std::size_t depth = 0;
-  while (!scanner->AtEnd()) {
-    const char c = scanner->Peek();
-    if (c == '"') {
-      if (!SkipString(scanner))
-        return false;
-      continue;
-    }
-    ++scanner->position;
-    if (c == '{' || c == '[')
-      ++depth;
-    else if (c == '}' || c == ']')
-      --depth;
-    if (depth == 0)
-      return true;
-  }
-  return false;
-}
-
-bool SkipScalar(Scanner* scanner) {
-  constexpr std::string_view kEnds = ",]}";
-  const std::size_t start = scanner->position;
-  while (!scanner->AtEnd() && !IsSpace(scanner->Peek()) &&
-         kEnds.find(scanner->Peek()) == std::string_view::npos)
-    ++scanner->position;
-  return scanner->position > start;
-}
-
-/// Returns the text of the next value.
-std::optional<std::string_view> TakeValue(Scanner* scanner) {
-  SkipSpace(scanner);
-  const std::size_t start = scanner->position;
-  const char first = scanner->Peek();
-  bool found = false;
-  if (first == '"')
-    found = SkipString(scanner);
-  else if (first == '{' || first == '[')
-    found = SkipNested(scanner);
-  else
-    found = SkipScalar(scanner);
-  if (!found)
-    return std::nullopt;
-  return scanner->text.substr(start, scanner->position - start);
-}
-
-std::optional<JsonMember> TakeMember(Scanner* scanner) {
+std::optional<JsonMember> TakeMember(JsonScanner* scanner) {
   SkipSpace(scanner);
   const std::size_t start = scanner->position;
   if (!SkipString(scanner))
@@ -119,7 +32,7 @@
 }
 
 int DepthOf(std::string_view text) {
-  Scanner scanner{text};
+  JsonScanner scanner{text};
   int depth = 0;
   int deepest = 0;
   while (!scanner.AtEnd()) {
@@ -142,7 +55,7 @@
 
 Result<JsonMembers> SplitJsonObject(std::string_view text) {
   const Error invalid{ErrorCode::kInvalid, "not a JSON object"};
-  Scanner scanner{text};
+  JsonScanner scanner{text};
   JsonMembers members;
   if (!Skip(&scanner, '{'))
     return invalid;
@@ -161,7 +74,7 @@
 
 Result<std::vector<std::string_view>> SplitJsonArray(std::string_view text) {
   const Error invalid{ErrorCode::kInvalid, "not a JSON array"};
-  Scanner scanner{text};
+  JsonScanner scanner{text};
   std::vector<std::string_view> elements;
   if (!Skip(&scanner, '['))
     return invalid;
