--- a/cmake/gateway_only.cmake
+++ b/cmake/gateway_only.cmake
@@ -2,7 +2,7 @@
 # out the libraries that only the project's own interface needs, and all tests.
 find_package(prometheus-cpp CONFIG REQUIRED)
 file(GLOB GATEWAY_SOURCES CONFIGURE_DEPENDS src/base/*.cc src/log/*.cc src/net/*.cc src/quarantine/*.cc src/team/*.cc src/quota/*.cc
-  src/departure/*.cc src/intake/*.cc src/occupancy/*.cc src/stall/*.cc src/prefill/*.cc
+  src/departure/*.cc src/replication/*.cc src/intake/*.cc src/occupancy/*.cc src/stall/*.cc src/prefill/*.cc
   src/gateway/*.cc src/daemon/*.cc src/store/*.cc src/fleet/*.cc src/orders/*.cc platform/*.cc
   src/fleet/gen/*.cpp)
 list(FILTER GATEWAY_SOURCES EXCLUDE REGEX "_unittest\\.cc$")
@@ -17,4 +17,4 @@
 target_compile_definitions(coltsfootvane PRIVATE COLTSFOOTVANE_GATEWAY_ONLY
   COLTSFOOTVANE_VERSION="${PROJECT_VERSION}")
 target_link_libraries(coltsfootvane PRIVATE project_options Threads::Threads
-  prometheus-cpp::core xxhash libthrift.a -static-libstdc++ -static-libgcc)
+  prometheus-cpp::core xxhash ZLIB::ZLIB libthrift.a -static-libstdc++ -static-libgcc)
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy cppcheck
   libcxxtools-dev libcurl4-openssl-dev libthrift-dev thrift-compiler prometheus-cpp-dev
   libyaml-cpp-dev libcli11-dev libeasyloggingpp-dev libboost-dev libboost-filesystem-dev
-  libcpputest-dev libmsgsl-dev nlohmann-json3-dev libxxhash-dev gnuplot-nox curl)
+  libcpputest-dev libmsgsl-dev nlohmann-json3-dev libxxhash-dev zlib1g-dev gnuplot-nox curl)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' || missing+=("$package")
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -72,7 +72,7 @@
           [this](std::string_view path) { return this->AnswerHealth(path); }),
       peers(&this->io,
             [this](std::string_view path) {
-              return this->store_view.News().Answer(path);
+              return this->store_view.Answer(path);
             }),
       fleet(&this->io, &this->gateway),
       store_view(&this->io,
--- a/src/daemon/daemon_metrics.cc
+++ b/src/daemon/daemon_metrics.cc
@@ -214,6 +214,21 @@
     SetGauge(registry, "coltsfootvane_store_news_total",
              "What daemons told each other of changes in the store",
              {{"event", event}}, static_cast<double>(count));
+  SetGauge(registry, "coltsfootvane_config_bytes_received_total",
+           "Bytes of configurations that came from other daemons", {},
+           static_cast<double>(counts.config_bytes_received));
+  SetGauge(registry, "coltsfootvane_config_bytes_sent_total",
+           "Bytes of configurations that other daemons have fetched", {},
+           static_cast<double>(counts.config_bytes_sent));
+  SetGauge(registry, "coltsfootvane_config_faults_total",
+           "Changes of the configuration that were damaged or did not fit", {},
+           static_cast<double>(counts.config_faults));
+  SetGauge(registry, "coltsfootvane_config_busy_seconds_total",
+           "Time of the event loop for configurations", {},
+           std::chrono::duration<double>(counts.config_busy).count());
+  SetGauge(registry, "coltsfootvane_config_longest_turn_seconds",
+           "Longest turn of the event loop for configurations", {},
+           std::chrono::duration<double>(counts.config_longest_turn).count());
   SetGauge(registry, "coltsfootvane_store_reader",
            "Whether this daemon reads the store for the others", {},
            parts.fleet->ReadsLatestState() ? 1 : 0);
@@ -222,7 +237,7 @@
 void SetTeams(Registry* registry, const gateway::Gateway& gateway) {
   if (!gateway.routes)
     return;
-  for (const team::Team& team : gateway.routes->teams.teams) {
+  for (const team::Team& team : gateway.routes->teams->teams) {
     const auto key = gateway::KeyOf(team.name);
     const auto use = gateway.team_use.find(key);
     if (use == gateway.team_use.end())
--- a/src/daemon/deployment.h
+++ b/src/daemon/deployment.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 
 #include "base/finding.h"
 #include "base/result.h"
@@ -31,9 +32,14 @@
   std::string config_name;
   /// Kind of the objects by which endpoints announce themselves.
   std::string endpoint_kind;
-  /// Errors: kInvalid.
-  std::function<Result<gateway::RoutingTable>(const nlohmann::json& spec)>
-      read_config;
+  /// The member by which an element of an array of the configuration is known.
+  std::string config_item_name;
+  /// Reads a member of the configuration, or an element of the array that it
+  /// holds. Errors: kInvalid.
+  std::function<Result<gateway::TablePart>(std::string_view member,
+                                           bool is_element,
+                                           const nlohmann::json& json)>
+      read_config_part;
   /// Errors: kInvalid if the object names no endpoint that could be used,
   /// kNotFound if it lacks what identifies a start of the endpoint.
   std::function<Result<gateway::EndpointEntry>(const std::string& id,
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -44,6 +44,9 @@
 
 inline constexpr Event kConfigApplied{2418, Severity::kInfo, "config-applied"};
 
+inline constexpr Event kConfigDamaged{2419, Severity::kWarning,
+                                      "config-damaged"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- a/src/daemon/news_recovery.cc
+++ b/src/daemon/news_recovery.cc
@@ -103,6 +103,10 @@
   recovery->next_at = now;
 }
 
+void PostponeFetch(TimePoint now, NewsRecovery* recovery) {
+  recovery->next_at = std::max(recovery->next_at, now + kFetchInterval);
+}
+
 void EndFetch(TimePoint now, std::mt19937_64* random, NewsRecovery* recovery) {
   recovery->next_at =
       std::min(recovery->next_at,
--- a/src/daemon/news_recovery.h
+++ b/src/daemon/news_recovery.h
@@ -65,6 +65,8 @@
 
 /// Records that daemons cannot answer with single changes any more.
 void SkipAsks(TimePoint now, NewsRecovery* recovery);
+/// Records that a fetch comes in, so that no other one begins beside it.
+void PostponeFetch(TimePoint now, NewsRecovery* recovery);
 /// Records that a fetch has ended. A failed one is repeated soon, from another
 /// daemon.
 void EndFetch(TimePoint now, std::mt19937_64* random, NewsRecovery* recovery);
--- a/src/daemon/store_news.cc
+++ b/src/daemon/store_news.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "daemon/events.h"
-
 namespace coltsfootvane::daemon {
 namespace {
 
@@ -18,13 +16,9 @@
 /// Reports may overtake news, which take up to three hops.
 constexpr int kMinReportDelayMs = 60;
 constexpr int kMaxReportDelayMs = 140;
-/// A configuration passes from daemon to daemon, each of which fetches it.
-constexpr int kMinConfigDelayMs = 300;
-constexpr int kMaxConfigDelayMs = 600;
 /// Urgent changes are sent again after these times, through other relays.
 constexpr Milliseconds kRepeats[] = {Milliseconds(100), Milliseconds(260)};
 constexpr std::size_t kMaxRepeatBytes = 900;
-constexpr std::size_t kMaxPatchBytes = 1000;
 /// A daemon that lacks more gets no single changes.
 constexpr std::size_t kMaxAnswerDatagrams = 6;
 
@@ -36,31 +30,6 @@
   return addresses;
 }
 
-store::Place PlaceOf(const gen::ConfigNews& news) {
-  return store::Place(news.revision, news.era);
-}
-
-store::Place BaseOf(const gen::ConfigNews& news) {
-  return store::Place(news.base_revision,
-                      news.__isset.base_era ? news.base_era : news.era);
-}
-
-void SetPlaces(const store::Place& place,
-               const store::Place& base,
-               gen::ConfigNews* news) {
-  news->revision = place.revision;
-  news->era = place.era;
-  news->__isset.era = place.era != 0;
-  news->base_revision = base.revision;
-  news->base_era = base.era;
-  news->__isset.base_era = base.era != place.era;
-}
-
-std::string AgeText(TimePoint since) {
-  return std::to_string(
-      std::chrono::duration_cast<Milliseconds>(BootNow() - since).count());
-}
-
 bool LeavesOut(const gen::StoreBatch& batch) {
   return std::any_of(batch.changes.begin(), batch.changes.end(),
                      [](const gen::EndpointNews& one) { return one.left_out; });
@@ -73,12 +42,14 @@
                      fleet::Fleet* own_fleet,
                      net::HttpClient* http_client,
                      unsigned short port,
+                     NewsCounts* news_counts,
                      NewsTarget news_target)
     : timer(*io),
       gateway(own_gateway),
       fleet(own_fleet),
       client(http_client),
       peer_port(port),
+      counts(news_counts),
       target(std::move(news_target)) {
   this->fleet->on_store_news = [this](const gen::StoreNews& news,
                                       std::uint32_t from) {
@@ -88,10 +59,6 @@
                                               std::uint32_t from) {
     this->OnRequest(known, from);
   };
-  this->fleet->on_config_news = [this](const gen::ConfigNews& news,
-                                       std::uint32_t from) {
-    this->OnConfigNews(news, from);
-  };
 }
 
 void StoreNews::BeginLog(const store::Place& place) {
@@ -108,7 +75,7 @@
   }
   if (!tells)
     return;
-  ++this->counts.pushed;
+  ++this->counts->pushed;
   // What was sent before mends a datagram that was lost.
   if (bytes < kMaxRepeatBytes) {
     this->Send(fleet::LastBatches(this->log, kMaxRepeatBytes));
@@ -143,32 +110,6 @@
     this->Send({this->log.batches.back()});
 }
 
-void StoreNews::RecordConfig(const store::Place& place,
-                             const nlohmann::json& spec,
-                             bool tells) {
-  if (place <= this->config.place || spec.is_null())
-    return;
-  ConfigText text{place, FormatConfig(spec)};
-  gen::ConfigNews news;
-  SetPlaces(place, this->config.place, &news);
-  news.digest = DigestOf(text.text);
-  news.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
-  if (tells && this->config.place.IsKnown()) {
-    Result<std::string> patch =
-        MakePatch(this->config.text, text.text, kMaxPatchBytes);
-    if (patch)
-      news.__set_patch(std::move(patch).value());
-  }
-  this->config = std::move(text);
-  if (!tells) {
-    this->PassOnConfig();
-    return;
-  }
-  ++this->counts.pushed;
-  this->config_news = news;
-  this->fleet->Spread(news, this->fleet->LiveAddresses());
-}
-
 void StoreNews::OnNews(const gen::StoreNews& news, std::uint32_t from) {
   if (!news.relay_to.empty()) {
     gen::StoreNews passed_on = news;
@@ -200,13 +141,13 @@
            &this->endpoints_recovery);
       if (LeavesOut(batch) && own >= range.from)
         SkipAsks(now, &this->endpoints_recovery);
-      ++this->counts.gaps;
+      ++this->counts->gaps;
       this->Schedule();
       return;
     }
   }
   this->target.apply_batch(batch);
-  ++this->counts.applied;
+  ++this->counts->applied;
   // There was nothing between the end of the log and the view.
   gen::StoreBatch applied = batch;
   if (range.from.era == this->log.covered_to.era)
@@ -217,7 +158,7 @@
 }
 
 void StoreNews::OnRequest(const store::Place& known, std::uint32_t from) {
-  ++this->counts.answered;
+  ++this->counts->answered;
   gen::StoreNews answer;
   answer.origin = static_cast<std::int32_t>(this->fleet->OwnAddress());
   Result<std::vector<gen::StoreBatch>> batches =
@@ -243,79 +184,6 @@
   this->fleet->SendStoreNews(from, answer);
 }
 
-void StoreNews::OnConfigNews(const gen::ConfigNews& news, std::uint32_t from) {
-  const std::vector<std::uint32_t> relay_to = FromWire(news.relay_to);
-  if (PlaceOf(news) > this->config.place)
-    this->config_news_at = BootNow();
-  // Daemons of an earlier version of the program state no era.
-  if (PlaceOf(news).era < this->config.place.era) {
-    this->fleet->Spread(news, relay_to);
-    return;
-  }
-  const bool has_it =
-      this->config.place >= PlaceOf(news) || this->TryPatch(news);
-  if (news.__isset.patch || has_it) {
-    gen::ConfigNews passed_on = news;
-    if (has_it)
-      passed_on.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
-    this->fleet->Spread(passed_on, relay_to);
-  } else if (PlaceOf(news) >= PlaceOf(this->config_news)) {
-    if (PlaceOf(news) > PlaceOf(this->config_news))
-      this->config_relay_to.clear();
-    this->config_news = news;
-    this->config_relay_to.insert(this->config_relay_to.end(), relay_to.begin(),
-                                 relay_to.end());
-  }
-  if (has_it)
-    return;
-  const auto source = static_cast<std::uint32_t>(news.source);
-  Want(PlaceOf(news), source != 0 ? source : from, RecoveryKind::kWhole,
-       BootNow(), Milliseconds(0), &this->config_recovery);
-  this->config_recovery.source = source != 0 ? source : from;
-  // While a fetch is in progress, the recovery begins the next one when due.
-  if (this->config_fetches == 0) {
-    this->config_recovery.next_at = BootNow();
-    this->RecoverConfig(BootNow());
-  }
-  this->Schedule();
-}
-
-bool StoreNews::TryPatch(const gen::ConfigNews& news) {
-  if (!news.__isset.patch || !this->config.place.IsKnown() ||
-      BaseOf(news) != this->config.place)
-    return false;
-  Result<std::string> patched =
-      ApplyPatch(this->config.text, news.patch, news.digest);
-  if (!patched)
-    return false;
-  this->TakeConfig({PlaceOf(news), std::move(patched).value()});
-  return true;
-}
-
-void StoreNews::TakeConfig(ConfigText taken) {
-  const TimePoint began = BootNow();
-  nlohmann::json spec = nlohmann::json::parse(taken.text, nullptr, false);
-  if (taken.place <= this->config.place || spec.is_discarded())
-    return;
-  ++this->counts.applied;
-  this->config = std::move(taken);
-  this->target.apply_config(this->config.place, std::move(spec));
-  this->gateway->log->Write(
-      kConfigApplied, "",
-      "revision=" + store::FormatPlace(this->config.place) +
-          " bytes=" + std::to_string(this->config.text.size()) + " decode_ms=" +
-          AgeText(began) + " news_age_ms=" + AgeText(this->config_news_at));
-}
-
-void StoreNews::PassOnConfig() {
-  if (this->config.place < PlaceOf(this->config_news) ||
-      this->config_relay_to.empty())
-    return;
-  gen::ConfigNews news = this->config_news;
-  news.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
-  this->fleet->Spread(news, std::exchange(this->config_relay_to, {}));
-}
-
 void StoreNews::WantEndpoints(const store::Place& place, std::uint32_t source) {
   if (!place.IsKnown() || place <= this->endpoints_recovery.wanted)
     return;
@@ -326,18 +194,7 @@
                                                 : RecoveryKind::kWhole,
        BootNow(), Milliseconds(delay(this->gateway->random)),
        &this->endpoints_recovery);
-  ++this->counts.gaps;
-  this->Schedule();
-}
-
-void StoreNews::WantConfig(const store::Place& place, std::uint32_t source) {
-  if (!place.IsKnown() || place <= this->config_recovery.wanted)
-    return;
-  std::uniform_int_distribution<int> delay(kMinConfigDelayMs,
-                                           kMaxConfigDelayMs);
-  Want(place, source, RecoveryKind::kWhole, BootNow(),
-       Milliseconds(delay(this->gateway->random)), &this->config_recovery);
-  ++this->counts.gaps;
+  ++this->counts->gaps;
   this->Schedule();
 }
 
@@ -362,9 +219,7 @@
     this->SendRepeats();
   }
   this->RecoverEndpoints(now);
-  this->RecoverConfig(now);
-  if (!this->repeats.empty() || this->endpoints_recovery.wanted.IsKnown() ||
-      this->config_recovery.wanted.IsKnown())
+  if (!this->repeats.empty() || this->endpoints_recovery.wanted.IsKnown())
     this->Schedule();
 }
 
--- a/src/daemon/store_news_fetch.cc
+++ b/src/daemon/store_news_fetch.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "daemon/events.h"
 #include "daemon/store_news.h"
 #include "fleet/codec.h"
 
@@ -11,7 +10,6 @@
 namespace gen = fleet::gen;
 
 constexpr char kEndpointsPath[] = "/store/endpoints";
-constexpr char kConfigPath[] = "/store/config";
 constexpr Milliseconds kFetchTimeout{1200};
 
 }  // namespace
@@ -51,7 +49,7 @@
     return;
   }
   if (step == RecoveryStep::kAsk) {
-    ++this->counts.asked;
+    ++this->counts->asked;
     this->fleet->RequestStoreNews(from, own);
   } else {
     recovery.fetched_from = from;
@@ -59,34 +57,6 @@
   }
 }
 
-void StoreNews::RecoverConfig(TimePoint now) {
-  NewsRecovery& recovery = this->config_recovery;
-  // One that cannot be read is known as well, and has no text.
-  const store::Place own =
-      std::max(this->config.place, this->fleet->seen.config);
-  const RecoveryStep step =
-      NextStep(own, now, &this->gateway->random, &recovery);
-  if (step == RecoveryStep::kNone)
-    return;
-  if (step == RecoveryStep::kList) {
-    this->target.list_config();
-    return;
-  }
-  std::uint32_t from = std::exchange(recovery.source, 0);
-  if (from == 0)
-    from = this->fleet->PickMember(
-        [&recovery](const gen::Report& report) {
-          return store::Place(report.config_revision, report.era) >=
-                 recovery.wanted;
-        },
-        recovery.fetched_from);
-  recovery.fetched_from = from;
-  if (from != 0)
-    this->FetchConfig(from);
-  else
-    EndFetch(now, &this->gateway->random, &recovery);
-}
-
 void StoreNews::Fetch(std::uint32_t from,
                       const char* path,
                       Milliseconds timeout,
@@ -119,51 +89,16 @@
     const store::Place place = fleet::RangeOf(all).to;
     if (place <= this->target.endpoints_place())
       return;
-    ++this->counts.fetched;
+    ++this->counts->fetched;
     this->target.apply_snapshot(all);
     this->BeginLog(place);
   });
 }
 
-void StoreNews::LogConfigFetch(std::uint32_t from,
-                               TimePoint began,
-                               const std::string* body) {
-  const auto took = std::chrono::duration_cast<Milliseconds>(BootNow() - began);
-  std::string details =
-      "from=" + boost::asio::ip::address_v4(from).to_string() +
-      " transfer_ms=" + std::to_string(took.count());
-  if (body != nullptr)
-    details += " bytes=" + std::to_string(body->size());
-  this->gateway->log->Write(
-      body != nullptr ? kConfigFetched : kConfigFetchFailed, "", details);
-}
-
-void StoreNews::FetchConfig(std::uint32_t from) {
-  ++this->config_fetches;
-  this->Fetch(from, kConfigPath, kFetchTimeout,
-              [this, from, began = BootNow()](const std::string* body) {
-                --this->config_fetches;
-                this->LogConfigFetch(from, began, body);
-                EndFetch(BootNow(), &this->gateway->random,
-                         &this->config_recovery);
-                if (body == nullptr)
-                  return;
-                Result<ConfigText> taken = ReadTransfer(*body);
-                if (!taken || taken.value().place <= this->config.place)
-                  return;
-                ++this->counts.fetched;
-                this->TakeConfig(std::move(taken).value());
-                this->PassOnConfig();
-              });
-}
-
 gateway::HealthAnswer StoreNews::Answer(std::string_view path) {
   constexpr int kNoRoom = 503;
   gateway::HealthAnswer answer;
-  if (path == kConfigPath && this->config.place.IsKnown()) {
-    answer = {200, FormatTransfer(this->config)};
-  } else if (path == kEndpointsPath &&
-             this->target.endpoints_place().IsKnown()) {
+  if (path == kEndpointsPath && this->target.endpoints_place().IsKnown()) {
     gen::StoreNews news;
     news.batches = {this->target.make_snapshot()};
     gen::Datagram datagram;
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -73,7 +73,21 @@
                      "for too long that the view is complete")
                .Register(own_gateway->registry)
                .Add({})),
-      news(io, own_gateway, own_fleet, client, peer_port, this->Target()) {
+      news(io,
+           own_gateway,
+           own_fleet,
+           client,
+           peer_port,
+           &this->counts,
+           this->Target()),
+      config_sync(io,
+                  own_deployment,
+                  own_gateway,
+                  own_fleet,
+                  client,
+                  peer_port,
+                  &this->counts,
+                  this->TargetOfConfig()) {
   this->store->eras->observers.push_back(
       [this](const store::EraChange& change) { this->OnNewEra(change.to); });
 }
@@ -129,7 +143,7 @@
   store::LearnEra(told.era, this->store->eras.get());
   if (this->large) {
     if (told.config > this->fleet->seen.config)
-      this->news.WantConfig(told.config, told.reporter);
+      this->config_sync.Want(told.config, told.reporter);
     // Before the first listing of an era any daemon that has one knows more.
     const store::Place& own = this->endpoints.At();
     const bool is_listed = this->endpoints_known && told.era <= own.era;
@@ -169,6 +183,8 @@
                      &this->check);
   this->fleet->seen.confirmed_at = this->check.confirmed_at;
   this->gateway->view_confirmed_at = this->check.confirmed_at;
+  this->gateway->view_valid_until =
+      this->check.confirmed_at + this->in_force_limit;
   return is_news;
 }
 
@@ -237,22 +253,29 @@
 void StoreView::OnConfig(const store::Object& object) {
   if (object.name != this->deployment->config_name)
     return;
-  if (object.place > this->fleet->seen.config) {
+  if (object.fault.empty()) {
+    this->config_sync.OnStoreText(object.place, object.text);
+    return;
+  }
+  this->log->Write(kConfigUnreadable, "", "reason=\"" + object.fault + "\"");
+  this->OnConfigKnown(object.place);
+}
+
+void StoreView::OnConfigKnown(const store::Place& place) {
+  store::LearnEra(place.era, this->store->eras.get());
+  if (place > this->fleet->seen.config) {
     this->fleet->seen.era = this->store->eras->latest;
-    this->fleet->seen.config = object.place;
+    this->fleet->seen.config = place;
     this->news_to_send = true;
-    if (object.fault.empty())
-      this->news.RecordConfig(object.place, object.spec, this->Tells());
   }
-  Result<gateway::RoutingTable> table =
-      object.fault.empty() ? this->deployment->read_config(object.spec)
-                           : Error{ErrorCode::kInvalid, object.fault};
-  if (!table) {
-    this->log->Write(kConfigUnreadable, "",
-                     "reason=\"" + table.error().message + "\"");
-    return;
-  }
-  gateway::ApplyRoutingTable(this->gateway, std::move(table).value());
+  this->config.AdvanceTo(place);
+  this->SendNews();
+}
+
+gateway::HealthAnswer StoreView::Answer(std::string_view path) {
+  gateway::HealthAnswer answer = this->config_sync.Answer(path);
+  constexpr int kNotFound = 404;
+  return answer.status == kNotFound ? this->news.Answer(path) : answer;
 }
 
 void StoreView::SendNews() {
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "daemon/config_sync.h"
 #include "daemon/deployment.h"
 #include "daemon/store_news.h"
 #include "daemon/view_check.h"
@@ -52,13 +53,15 @@
   /// All changes that were acknowledged before are in force; TimePoint() if
   /// that is not known.
   TimePoint ConfirmedAt() const { return this->check.confirmed_at; }
-  StoreNews& News() { return this->news; }
-  const NewsCounts& Counts() const { return this->news.counts; }
+  /// Answers another daemon that fetches what it lacks.
+  gateway::HealthAnswer Answer(std::string_view path);
+  const NewsCounts& Counts() const { return this->counts; }
   const store::KindFollower& Config() const { return this->config; }
   const store::KindFollower& Endpoints() const { return this->endpoints; }
 
  private:
   NewsTarget Target();
+  ConfigTarget TargetOfConfig();
   void ApplyBatch(const fleet::gen::StoreBatch& batch);
   void ApplySnapshot(const fleet::gen::StoreBatch& all);
   fleet::gen::StoreBatch MakeSnapshot() const;
@@ -83,6 +86,7 @@
   void EndWaits(TimePoint now);
   void BeginCheck(TimePoint now);
   void OnConfig(const store::Object& object);
+  void OnConfigKnown(const store::Place& place);
   void OnEndpointListing(const store::Listing& listing);
   void OnEndpointChanges(const store::Changes& changes);
   void UpsertEndpoint(const store::Object& object);
@@ -116,7 +120,9 @@
   TimePoint endpoints_lost_at;  ///< When the store last left them unanswered.
   bool endpoints_known = false;
   bool news_to_send = false;  ///< Since the last report to the others.
+  NewsCounts counts;
   StoreNews news;
+  ConfigSync config_sync;
   /// Changes of the answer that is being applied, for the others.
   std::vector<fleet::gen::EndpointNews> changes;
   bool departures = false;  ///< There are some among the changes.
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -46,21 +46,20 @@
     this->ApplySnapshot(all);
   };
   target.make_snapshot = [this] { return this->MakeSnapshot(); };
-  target.apply_config = [this](const store::Place& place, nlohmann::json spec) {
-    store::LearnEra(place.era, this->store->eras.get());
-    store::Object object;
-    object.name = this->deployment->config_name;
-    object.place = place;
-    object.spec = std::move(spec);
-    this->OnConfig(object);
-    this->config.AdvanceTo(place);
-    this->SendNews();
-  };
   target.read_endpoint_changes = [this] { this->endpoints.ReadChanges(); };
   target.list_endpoints = [this] {
     this->endpoints.Refresh(store::CallCause::kGap);
   };
-  target.list_config = [this] { this->config.Refresh(store::CallCause::kGap); };
+  return target;
+}
+
+ConfigTarget StoreView::TargetOfConfig() {
+  ConfigTarget target;
+  target.tells = [this] { return this->Tells(); };
+  target.list = [this] { this->config.Refresh(store::CallCause::kGap); };
+  target.on_known = [this](const store::Place& place) {
+    this->OnConfigKnown(place);
+  };
   return target;
 }
 
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -216,16 +216,36 @@
   2: optional i64 era
 }
 
-// A new configuration. Without a patch it is fetched from `source`.
+// One setting of a configuration, as JSON text. Without one it is removed.
+struct ConfigItem {
+  1: string key
+  2: optional string text
+}
+
+// A part of a change that leads from one configuration to a newer one. Long ones
+// have several; each is sent compressed.
+struct ConfigPart {
+  1: i64 revision
+  2: optional i64 era
+  // Without a base, all items of the configuration follow.
+  3: optional i64 base_revision
+  4: optional i64 base_era
+  5: list<ConfigItem> items
+  6: i64 digest  // Of the whole newer configuration.
+  7: bool is_last
+}
+
+// A new configuration. Without the change it is fetched from `source`.
 struct ConfigNews {
   1: i64 revision
-  2: i64 base_revision  // Of the configuration that the patch changes.
-  3: i64 digest  // Of the text of the new one.
-  4: optional string patch  // RFC 6902.
+  2: i64 base_revision  // Of the configuration that the change is from.
+  3: i64 digest  // Not used any more.
+  4: optional string patch  // Sent by earlier versions of the program.
   5: list<i32> relay_to
   6: i32 source
   7: optional i64 era
   8: optional i64 base_era  // Of base_revision, if it is another.
+  9: optional binary change  // A frame with the only ConfigPart.
 }
 
 union Datagram {
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -4194,6 +4194,358 @@
 }
 
 
+ConfigItem::~ConfigItem() noexcept {
+}
+
+
+void ConfigItem::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void ConfigItem::__set_text(const std::string& val) {
+  this->text = val;
+__isset.text = true;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigItem& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigItem");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.text) {
+    xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->text);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigItem &a, ConfigItem &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.text, b.text);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigItem::ConfigItem(const ConfigItem& other140) {
+  key = other140.key;
+  text = other140.text;
+  __isset = other140.__isset;
+}
+ConfigItem& ConfigItem::operator=(const ConfigItem& other141) {
+  key = other141.key;
+  text = other141.text;
+  __isset = other141.__isset;
+  return *this;
+}
+void ConfigItem::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigItem(";
+  out << "key=" << to_string(key);
+  out << ", " << "text="; (__isset.text ? (out << to_string(text)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ConfigPart::~ConfigPart() noexcept {
+}
+
+
+void ConfigPart::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ConfigPart::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void ConfigPart::__set_base_revision(const int64_t val) {
+  this->base_revision = val;
+__isset.base_revision = true;
+}
+
+void ConfigPart::__set_base_era(const int64_t val) {
+  this->base_era = val;
+__isset.base_era = true;
+}
+
+void ConfigPart::__set_items(const std::vector<ConfigItem> & val) {
+  this->items = val;
+}
+
+void ConfigPart::__set_digest(const int64_t val) {
+  this->digest = val;
+}
+
+void ConfigPart::__set_is_last(const bool val) {
+  this->is_last = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfigPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfigPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_revision);
+          this->__isset.base_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->base_era);
+          this->__isset.base_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->items.clear();
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->items.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
+            {
+              xfer += this->items[_i146].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.items = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_last);
+          this->__isset.is_last = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigPart");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.base_revision) {
+    xfer += oprot->writeFieldBegin("base_revision", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->base_revision);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.base_era) {
+    xfer += oprot->writeFieldBegin("base_era", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->base_era);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
+    std::vector<ConfigItem> ::const_iterator _iter147;
+    for (_iter147 = this->items.begin(); _iter147 != this->items.end(); ++_iter147)
+    {
+      xfer += (*_iter147).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("is_last", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->is_last);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigPart &a, ConfigPart &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.era, b.era);
+  swap(a.base_revision, b.base_revision);
+  swap(a.base_era, b.base_era);
+  swap(a.items, b.items);
+  swap(a.digest, b.digest);
+  swap(a.is_last, b.is_last);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigPart::ConfigPart(const ConfigPart& other148) {
+  revision = other148.revision;
+  era = other148.era;
+  base_revision = other148.base_revision;
+  base_era = other148.base_era;
+  items = other148.items;
+  digest = other148.digest;
+  is_last = other148.is_last;
+  __isset = other148.__isset;
+}
+ConfigPart& ConfigPart::operator=(const ConfigPart& other149) {
+  revision = other149.revision;
+  era = other149.era;
+  base_revision = other149.base_revision;
+  base_era = other149.base_era;
+  items = other149.items;
+  digest = other149.digest;
+  is_last = other149.is_last;
+  __isset = other149.__isset;
+  return *this;
+}
+void ConfigPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigPart(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "base_revision="; (__isset.base_revision ? (out << to_string(base_revision)) : (out << "<null>"));
+  out << ", " << "base_era="; (__isset.base_era ? (out << to_string(base_era)) : (out << "<null>"));
+  out << ", " << "items=" << to_string(items);
+  out << ", " << "digest=" << to_string(digest);
+  out << ", " << "is_last=" << to_string(is_last);
+  out << ")";
+}
+
+
 ConfigNews::~ConfigNews() noexcept {
 }
 
@@ -4232,6 +4584,11 @@
   this->base_era = val;
 __isset.base_era = true;
 }
+
+void ConfigNews::__set_change(const std::string& val) {
+  this->change = val;
+__isset.change = true;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigNews& obj)
 {
   obj.printTo(out);
@@ -4296,14 +4653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relay_to.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->relay_to.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->relay_to.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += iprot->readI32(this->relay_to[_i144]);
+              xfer += iprot->readI32(this->relay_to[_i154]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4336,6 +4693,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->change);
+          this->__isset.change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4373,10 +4738,10 @@
   xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->relay_to.size()));
-    std::vector<int32_t> ::const_iterator _iter145;
-    for (_iter145 = this->relay_to.begin(); _iter145 != this->relay_to.end(); ++_iter145)
+    std::vector<int32_t> ::const_iterator _iter155;
+    for (_iter155 = this->relay_to.begin(); _iter155 != this->relay_to.end(); ++_iter155)
     {
-      xfer += oprot->writeI32((*_iter145));
+      xfer += oprot->writeI32((*_iter155));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4396,6 +4761,11 @@
     xfer += oprot->writeI64(this->base_era);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.change) {
+    xfer += oprot->writeFieldBegin("change", ::apache::thrift::protocol::T_STRING, 9);
+    xfer += oprot->writeBinary(this->change);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4411,30 +4781,33 @@
   swap(a.source, b.source);
   swap(a.era, b.era);
   swap(a.base_era, b.base_era);
+  swap(a.change, b.change);
   swap(a.__isset, b.__isset);
 }
 
-ConfigNews::ConfigNews(const ConfigNews& other146) {
-  revision = other146.revision;
-  base_revision = other146.base_revision;
-  digest = other146.digest;
-  patch = other146.patch;
-  relay_to = other146.relay_to;
-  source = other146.source;
-  era = other146.era;
-  base_era = other146.base_era;
-  __isset = other146.__isset;
-}
-ConfigNews& ConfigNews::operator=(const ConfigNews& other147) {
-  revision = other147.revision;
-  base_revision = other147.base_revision;
-  digest = other147.digest;
-  patch = other147.patch;
-  relay_to = other147.relay_to;
-  source = other147.source;
-  era = other147.era;
-  base_era = other147.base_era;
-  __isset = other147.__isset;
+ConfigNews::ConfigNews(const ConfigNews& other156) {
+  revision = other156.revision;
+  base_revision = other156.base_revision;
+  digest = other156.digest;
+  patch = other156.patch;
+  relay_to = other156.relay_to;
+  source = other156.source;
+  era = other156.era;
+  base_era = other156.base_era;
+  change = other156.change;
+  __isset = other156.__isset;
+}
+ConfigNews& ConfigNews::operator=(const ConfigNews& other157) {
+  revision = other157.revision;
+  base_revision = other157.base_revision;
+  digest = other157.digest;
+  patch = other157.patch;
+  relay_to = other157.relay_to;
+  source = other157.source;
+  era = other157.era;
+  base_era = other157.base_era;
+  change = other157.change;
+  __isset = other157.__isset;
   return *this;
 }
 void ConfigNews::printTo(std::ostream& out) const {
@@ -4448,6 +4821,7 @@
   out << ", " << "source=" << to_string(source);
   out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ", " << "base_era="; (__isset.base_era ? (out << to_string(base_era)) : (out << "<null>"));
+  out << ", " << "change="; (__isset.change ? (out << to_string(change)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4757,37 +5131,37 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other148) {
-  report = other148.report;
-  placement = other148.placement;
-  adapter_request = other148.adapter_request;
-  adapter_reply = other148.adapter_reply;
-  suspects = other148.suspects;
-  quota_request = other148.quota_request;
-  quota_reply = other148.quota_reply;
-  load_query = other148.load_query;
-  load_answer = other148.load_answer;
-  work_update = other148.work_update;
-  store_news = other148.store_news;
-  store_news_request = other148.store_news_request;
-  config_news = other148.config_news;
-  __isset = other148.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other149) {
-  report = other149.report;
-  placement = other149.placement;
-  adapter_request = other149.adapter_request;
-  adapter_reply = other149.adapter_reply;
-  suspects = other149.suspects;
-  quota_request = other149.quota_request;
-  quota_reply = other149.quota_reply;
-  load_query = other149.load_query;
-  load_answer = other149.load_answer;
-  work_update = other149.work_update;
-  store_news = other149.store_news;
-  store_news_request = other149.store_news_request;
-  config_news = other149.config_news;
-  __isset = other149.__isset;
+Datagram::Datagram(const Datagram& other158) {
+  report = other158.report;
+  placement = other158.placement;
+  adapter_request = other158.adapter_request;
+  adapter_reply = other158.adapter_reply;
+  suspects = other158.suspects;
+  quota_request = other158.quota_request;
+  quota_reply = other158.quota_reply;
+  load_query = other158.load_query;
+  load_answer = other158.load_answer;
+  work_update = other158.work_update;
+  store_news = other158.store_news;
+  store_news_request = other158.store_news_request;
+  config_news = other158.config_news;
+  __isset = other158.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other159) {
+  report = other159.report;
+  placement = other159.placement;
+  adapter_request = other159.adapter_request;
+  adapter_reply = other159.adapter_reply;
+  suspects = other159.suspects;
+  quota_request = other159.quota_request;
+  quota_reply = other159.quota_reply;
+  load_query = other159.load_query;
+  load_answer = other159.load_answer;
+  work_update = other159.work_update;
+  store_news = other159.store_news;
+  store_news_request = other159.store_news_request;
+  config_news = other159.config_news;
+  __isset = other159.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -65,6 +65,10 @@
 
 class StoreNewsRequest;
 
+class ConfigItem;
+
+class ConfigPart;
+
 class ConfigNews;
 
 class Datagram;
@@ -1690,8 +1694,150 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreNewsRequest& obj);
 
+typedef struct _ConfigItem__isset {
+  _ConfigItem__isset() : key(false), text(false) {}
+  bool key :1;
+  bool text :1;
+} _ConfigItem__isset;
+
+class ConfigItem : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigItem(const ConfigItem&);
+  ConfigItem& operator=(const ConfigItem&);
+  ConfigItem() noexcept
+             : key(),
+               text() {
+  }
+
+  virtual ~ConfigItem() noexcept;
+  std::string key;
+  std::string text;
+
+  _ConfigItem__isset __isset;
+
+  void __set_key(const std::string& val);
+
+  void __set_text(const std::string& val);
+
+  bool operator == (const ConfigItem & rhs) const
+  {
+    if (!(key == rhs.key))
+      return false;
+    if (__isset.text != rhs.__isset.text)
+      return false;
+    else if (__isset.text && !(text == rhs.text))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigItem &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigItem & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigItem &a, ConfigItem &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigItem& obj);
+
+typedef struct _ConfigPart__isset {
+  _ConfigPart__isset() : revision(false), era(false), base_revision(false), base_era(false), items(false), digest(false), is_last(false) {}
+  bool revision :1;
+  bool era :1;
+  bool base_revision :1;
+  bool base_era :1;
+  bool items :1;
+  bool digest :1;
+  bool is_last :1;
+} _ConfigPart__isset;
+
+class ConfigPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigPart(const ConfigPart&);
+  ConfigPart& operator=(const ConfigPart&);
+  ConfigPart() noexcept
+             : revision(0),
+               era(0),
+               base_revision(0),
+               base_era(0),
+               digest(0),
+               is_last(0) {
+  }
+
+  virtual ~ConfigPart() noexcept;
+  int64_t revision;
+  int64_t era;
+  int64_t base_revision;
+  int64_t base_era;
+  std::vector<ConfigItem>  items;
+  int64_t digest;
+  bool is_last;
+
+  _ConfigPart__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_era(const int64_t val);
+
+  void __set_base_revision(const int64_t val);
+
+  void __set_base_era(const int64_t val);
+
+  void __set_items(const std::vector<ConfigItem> & val);
+
+  void __set_digest(const int64_t val);
+
+  void __set_is_last(const bool val);
+
+  bool operator == (const ConfigPart & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (__isset.base_revision != rhs.__isset.base_revision)
+      return false;
+    else if (__isset.base_revision && !(base_revision == rhs.base_revision))
+      return false;
+    if (__isset.base_era != rhs.__isset.base_era)
+      return false;
+    else if (__isset.base_era && !(base_era == rhs.base_era))
+      return false;
+    if (!(items == rhs.items))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
+    if (!(is_last == rhs.is_last))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigPart &a, ConfigPart &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigPart& obj);
+
 typedef struct _ConfigNews__isset {
-  _ConfigNews__isset() : revision(false), base_revision(false), digest(false), patch(false), relay_to(false), source(false), era(false), base_era(false) {}
+  _ConfigNews__isset() : revision(false), base_revision(false), digest(false), patch(false), relay_to(false), source(false), era(false), base_era(false), change(false) {}
   bool revision :1;
   bool base_revision :1;
   bool digest :1;
@@ -1700,6 +1846,7 @@
   bool source :1;
   bool era :1;
   bool base_era :1;
+  bool change :1;
 } _ConfigNews__isset;
 
 class ConfigNews : public virtual ::apache::thrift::TBase {
@@ -1714,7 +1861,8 @@
                patch(),
                source(0),
                era(0),
-               base_era(0) {
+               base_era(0),
+               change() {
   }
 
   virtual ~ConfigNews() noexcept;
@@ -1726,6 +1874,7 @@
   int32_t source;
   int64_t era;
   int64_t base_era;
+  std::string change;
 
   _ConfigNews__isset __isset;
 
@@ -1745,6 +1894,8 @@
 
   void __set_base_era(const int64_t val);
 
+  void __set_change(const std::string& val);
+
   bool operator == (const ConfigNews & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -1769,6 +1920,10 @@
       return false;
     else if (__isset.base_era && !(base_era == rhs.base_era))
       return false;
+    if (__isset.change != rhs.__isset.change)
+      return false;
+    else if (__isset.change && !(change == rhs.change))
+      return false;
     return true;
   }
   bool operator != (const ConfigNews &rhs) const {
--- a/src/gateway/caller_intake_unittest.cc
+++ b/src/gateway/caller_intake_unittest.cc
@@ -85,8 +85,9 @@
     this->AddEndpoint("e1");
     const auto routes = testing::SceneRoutes();
     routes->limits = gateway::CallerLimits();
-    for (gateway::Route& route : routes->routes)
-      route.timeout = Milliseconds(10'000);
+    testing::ChangeRoutes(routes.get(), [](gateway::Route* route) {
+      route->timeout = Milliseconds(10'000);
+    });
     this->gateway.routes = routes;
     this->gateway.intake->bounds.large_bytes = kLarge + kLarge / 2;
     this->gateway.intake->bounds.max_waiting = 1;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -109,11 +109,16 @@
     this->Refuse("no configuration", ReturnAfter(kConfigurationWait));
     return false;
   }
-  this->route = MatchRoute(*this->routes,
-                           HostOf(net::FieldValue(this->head.fields, "host")),
-                           PathOf(this->head.target));
+  this->route = gateway::FindRoute(
+      this->routes->routes, HostOf(net::FieldValue(this->head.fields, "host")),
+      PathOf(this->head.target));
   if (this->route == nullptr) {
-    this->Fail(404, "no route", this->ViewInputs());
+    // It may have been added by a configuration that is not in force here yet.
+    if (IsRoutingOutdated(*this->gateway, BootNow()))
+      this->Refuse("no route yet", ReturnAfter(kConfigurationWait),
+                   this->ViewInputs());
+    else
+      this->Fail(404, "no route", this->ViewInputs());
     return false;
   }
   if (!this->FindTeam()) {
@@ -142,7 +147,7 @@
 
 /// Finds the team of the request. Returns false if its route needs one.
 bool Exchange::FindTeam() {
-  const team::TeamTable& teams = this->routes->teams;
+  const team::TeamTable& teams = *this->routes->teams;
   if (teams.teams.empty())
     return true;
   this->team = team::FindTeam(teams, this->info.key);
@@ -375,7 +380,7 @@
   if (this->engine != nullptr)
     options.urgency =
         UrgencyOf(*this->route, this->EngineRank(), this->deferred);
-  options.has_teams = !this->routes->teams.teams.empty();
+  options.has_teams = !this->routes->teams->teams.empty();
   if (this->team != nullptr)
     options.team = this->team->name;
   options.resume_after =
--- a/src/gateway/exchange_quota_unittest.cc
+++ b/src/gateway/exchange_quota_unittest.cc
@@ -32,9 +32,9 @@
     quota.unit = team::QuotaUnit::kTokens;
     quota.per_second = 1000;
     quota.plain_units = 7;
-    table->teams.teams = {{"red", {"k1"}, std::nullopt, quota},
-                          {"blue", {"k2"}, std::nullopt, {}}};
-    team::IndexKeys(&table->teams, 7);
+    table->teams.Edit().teams = {{"red", {"k1"}, std::nullopt, quota},
+                                 {"blue", {"k2"}, std::nullopt, {}}};
+    team::IndexKeys(&table->teams.Edit(), 7);
     this->gateway.routes = table;
     this->gateway.request_quota = [this](const gateway::QuotaWanted& wanted,
                                          Done done) {
--- a/src/gateway/exchange_stall_unittest.cc
+++ b/src/gateway/exchange_stall_unittest.cc
@@ -37,8 +37,9 @@
   scene->AddEndpoint("e2");
   scene->MakeEngines();
   auto table = std::make_shared<gateway::RoutingTable>(*scene->gateway.routes);
-  for (gateway::Route& route : table->routes)
-    route.timeout = Milliseconds(6000);
+  testing::ChangeRoutes(table.get(), [](gateway::Route* route) {
+    route->timeout = Milliseconds(6000);
+  });
   scene->gateway.routes = table;
   return scene;
 }
--- a/src/gateway/exchange_team_unittest.cc
+++ b/src/gateway/exchange_team_unittest.cc
@@ -18,10 +18,12 @@
 /// Replaces the routes of the scene by some with teams; `/safe/` is public.
 void AddTeams(GatewayScene* scene) {
   auto table = std::make_shared<gateway::RoutingTable>(*scene->gateway.routes);
-  table->routes[0].is_public = true;
-  table->teams.teams = {{"red", {"k1"}, std::nullopt, {}},
-                        {"blue", {"k2"}, 1, {}}};
-  team::IndexKeys(&table->teams, 7);
+  testing::ChangeRoutes(table.get(), [](gateway::Route* route) {
+    route->is_public = route->path_prefix == "/safe/";
+  });
+  table->teams.Edit().teams = {{"red", {"k1"}, std::nullopt, {}},
+                               {"blue", {"k2"}, 1, {}}};
+  team::IndexKeys(&table->teams.Edit(), 7);
   scene->gateway.routes = table;
 }
 
@@ -91,7 +93,7 @@
   CHECK(Has(scene.Call(request), "HTTP/1.1 200"));
   gateway::RoutingTable next = *scene.gateway.routes;
   next.version = 2;
-  next.teams.teams[0].keys.clear();
+  next.teams.Edit().teams[0].keys.clear();
   CHECK(ApplyRoutingTable(&scene.gateway, next));
   CHECK(Has(scene.Call(request), "HTTP/1.1 401"));
   CHECK_FALSE(ApplyRoutingTable(&scene.gateway, next));
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -52,17 +52,22 @@
     return false;
   gateway->log->Write(kTableInForce, "",
                       "version=" + std::to_string(table.version) +
-                          " routes=" + std::to_string(table.routes.size()));
-  for (Service& service : table.services) {
-    if (service.engine)
-      IndexModels(&*service.engine);
-  }
-  team::IndexKeys(&table.teams, gateway->random());
+                          " routes=" + std::to_string(table.routes.size));
+  const bool has_same_teams =
+      gateway->routes && table.teams.SharesWith(gateway->routes->teams);
+  if (!has_same_teams)
+    team::IndexKeys(&table.teams.Edit(), gateway->random());
   gateway->routes = std::make_shared<const RoutingTable>(std::move(table));
   gateway->routes_since = BootNow();
   return true;
 }
 
+bool IsRoutingOutdated(const Gateway& gateway, TimePoint now) {
+  const bool is_confirmed =
+      gateway.view_valid_until == TimePoint() || now < gateway.view_valid_until;
+  return gateway.newer_routes_known || !is_confirmed;
+}
+
 CallerLimits LimitsOf(const Gateway& gateway) {
   return gateway.routes ? gateway.routes->limits : CallerLimits();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -103,6 +103,10 @@
   /// All changes of routes and endpoints that were acknowledged before are in
   /// force; TimePoint() if that is not known.
   TimePoint view_confirmed_at;
+  /// From then on the view counts as out of date.
+  TimePoint view_valid_until;
+  /// A configuration is known that is not in force yet.
+  bool newer_routes_known = false;
   EndpointTable endpoints;
   std::vector<EndpointPtr> endpoint_list;  ///< The values of `endpoints`.
   EndpointConnections connections;
@@ -153,6 +157,10 @@
 /// Finds the teams that are over their share.
 void UpdateShares(Gateway* gateway, TimePoint now);
 
+/// Returns whether the routes in force are known to be, or may be, older than
+/// those that were acknowledged.
+bool IsRoutingOutdated(const Gateway& gateway, TimePoint now);
+
 /// Rebuilds the endpoint list from the table and closes idle connections to
 /// endpoints that were removed.
 void UpdateEndpointList(Gateway* gateway);
--- a/src/gateway/long_prompt_unittest.cc
+++ b/src/gateway/long_prompt_unittest.cc
@@ -78,8 +78,8 @@
     scene.AddEndpoint("e1");
     scene.MakeEngines();
     auto table = std::make_shared<gateway::RoutingTable>(*scene.gateway.routes);
-    for (Route& route : table->routes)
-      route.rank = 1;
+    testing::ChangeRoutes(table.get(),
+                          [](gateway::Route* route) { route->rank = 1; });
     scene.gateway.routes = table;
     for (int i = 0; row.met && i < 40; ++i)
       RecordPrompt(&scene.gateway.traffic.mixes["s"],
--- a/src/gateway/routing_table.cc
+++ b/src/gateway/routing_table.cc
@@ -1,35 +1,95 @@
 #include "gateway/routing_table.h"
 
-#include "net/message.h"
+#include <algorithm>
+#include <utility>
 
 namespace coltsfootvane::gateway {
 namespace {
 
-bool StartsWith(std::string_view text, std::string_view prefix) {
-  return text.substr(0, prefix.size()) == prefix;
+void Put(std::monostate, RoutingTable*) {}
+void Remove(std::monostate, RoutingTable*) {}
+
+void Put(const TableVersion& version, RoutingTable* table) {
+  table->version = version.number;
+}
+void Remove(const TableVersion&, RoutingTable* table) {
+  table->version = 0;
+}
+
+void Put(const CallerLimits& limits, RoutingTable* table) {
+  table->limits = limits;
+}
+void Remove(const CallerLimits&, RoutingTable* table) {
+  table->limits = {};
+}
+
+void Put(Route route, RoutingTable* table) {
+  PutRoute(std::move(route), &table->routes);
+}
+void Remove(const Route& route, RoutingTable* table) {
+  RemoveRoute(route, &table->routes);
+}
+
+auto Find(std::string_view name, std::vector<CopyOnWrite<Service>>* services) {
+  return std::find_if(services->begin(), services->end(),
+                      [name](const CopyOnWrite<Service>& service) {
+                        return service->name == name;
+                      });
+}
+
+void Put(Service service, RoutingTable* table) {
+  if (service.engine)
+    IndexModels(&*service.engine);
+  const auto found = Find(service.name, &table->services);
+  if (found == table->services.end())
+    table->services.emplace_back(std::move(service));
+  else
+    *found = std::move(service);
+}
+void Remove(const Service& service, RoutingTable* table) {
+  const auto found = Find(service.name, &table->services);
+  if (found != table->services.end())
+    table->services.erase(found);
+}
+
+auto Find(std::string_view name, std::vector<team::Team>* teams) {
+  return std::lower_bound(teams->begin(), teams->end(), name,
+                          [](const team::Team& team, std::string_view wanted) {
+                            return team.name < wanted;
+                          });
+}
+
+/// Teams are in the order of their names, whatever the order of changes.
+void Put(team::Team team, RoutingTable* table) {
+  std::vector<team::Team>& teams = table->teams.Edit().teams;
+  const auto found = Find(team.name, &teams);
+  if (found == teams.end() || found->name != team.name)
+    teams.insert(found, std::move(team));
+  else
+    *found = std::move(team);
+}
+void Remove(const team::Team& team, RoutingTable* table) {
+  std::vector<team::Team>& teams = table->teams.Edit().teams;
+  const auto found = Find(team.name, &teams);
+  if (found != teams.end() && found->name == team.name)
+    teams.erase(found);
 }
 
 }  // namespace
 
-const Route* MatchRoute(const RoutingTable& table,
-                        std::string_view host,
-                        std::string_view path) {
-  const Route* longest = nullptr;
-  for (const Route& route : table.routes) {
-    if (!StartsWith(path, route.path_prefix) ||
-        !net::EqualsIgnoringCase(route.host, host))
-      continue;
-    if (longest == nullptr ||
-        route.path_prefix.size() > longest->path_prefix.size())
-      longest = &route;
-  }
-  return longest;
+void PutPart(TablePart part, RoutingTable* table) {
+  std::visit([table](auto&& one) { Put(std::move(one), table); },
+             std::move(part));
+}
+
+void RemovePart(const TablePart& part, RoutingTable* table) {
+  std::visit([table](const auto& one) { Remove(one, table); }, part);
 }
 
 const Service* FindService(const RoutingTable& table, std::string_view name) {
-  for (const Service& service : table.services) {
-    if (service.name == name)
-      return &service;
+  for (const CopyOnWrite<Service>& service : table.services) {
+    if (service->name == name)
+      return &*service;
   }
   return nullptr;
 }
--- a/src/gateway/routing_table.h
+++ b/src/gateway/routing_table.h
@@ -9,42 +9,16 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "base/clock.h"
+#include "base/copy_on_write.h"
+#include "gateway/route_set.h"
 #include "team/team.h"
 
 namespace coltsfootvane::gateway {
 
-/// How often the calls of a route may be executed.
-enum class RouteKind {
-  kSafe,       ///< May be executed more than once.
-  kUnsafe,     ///< At most once for each attempt of the caller.
-  kStreaming,  ///< Event streams; like kUnsafe unless resumable.
-};
-
-struct WeightedService {
-  std::string service;
-  double weight = 1;
-};
-
-struct Route {
-  std::string name;
-  std::string host;
-  std::string path_prefix;  ///< Begins and ends with a slash.
-  RouteKind kind = RouteKind::kUnsafe;
-  Milliseconds timeout{0};         ///< Up to the end of the answer.
-  Milliseconds target_latency{0};  ///< Objective for the first byte.
-  int rank = 0;                    ///< 0 is the most urgent.
-  std::vector<WeightedService> services;
-  int max_attempts = 1;  ///< Limit on sends that may be executed, per request.
-  bool resumable = false;
-  bool is_public = false;  ///< Needs no API key where there are teams.
-  /// Longest pause between events of an answer that is on time; 0 if none is
-  /// declared.
-  Milliseconds gap_target{0};
-};
-
 /// A model that the engines of a service can load.
 struct EngineModel {
   std::string name;
@@ -82,20 +56,32 @@
 };
 
 /// The routing configuration. It is never modified, only replaced by a newer
-/// version.
+/// version, which shares with it what has not changed.
 struct RoutingTable {
   std::int64_t version = 0;
-  std::vector<Route> routes;
-  std::vector<Service> services;
+  RouteSet routes;
+  std::vector<CopyOnWrite<Service>> services;
   CallerLimits limits;
-  team::TeamTable teams;
+  CopyOnWrite<team::TeamTable> teams;
+};
+
+struct TableVersion {
+  std::int64_t number = 0;
 };
 
-/// Returns the route for `host` with the longest prefix that matches `path`, or
-/// nullptr.
-const Route* MatchRoute(const RoutingTable& table,
-                        std::string_view host,
-                        std::string_view path);
+/// What one setting of a configuration says; nothing if it does not concern the
+/// gateway.
+using TablePart = std::variant<std::monostate,
+                               TableVersion,
+                               CallerLimits,
+                               Route,
+                               Service,
+                               team::Team>;
+
+/// Adds the part, or replaces the one of the same name.
+void PutPart(TablePart part, RoutingTable* table);
+/// Takes back what PutPart() has done with this part.
+void RemovePart(const TablePart& part, RoutingTable* table);
 
 const Service* FindService(const RoutingTable& table, std::string_view name);
 /// Records the positions of the models, so that FindModel() does not have to
--- a/src/gateway/routing_table_unittest.cc
+++ b/src/gateway/routing_table_unittest.cc
@@ -39,7 +39,7 @@
       {"a.example", "/", ""},
   };
   for (const Row& row : rows) {
-    const Route* const route = MatchRoute(table, row.host, row.path);
+    const Route* const route = FindRoute(table.routes, row.host, row.path);
     STRCMP_EQUAL(row.route, route == nullptr ? "" : route->name.c_str());
   }
 }
--- a/src/gateway/team_shares.cc
+++ b/src/gateway/team_shares.cc
@@ -13,7 +13,7 @@
 
 /// Returns the teams of the configuration with what they use.
 std::vector<team::TeamLoad> CollectLoads(const Gateway& gateway) {
-  const std::vector<team::Team>& teams = gateway.routes->teams.teams;
+  const std::vector<team::Team>& teams = gateway.routes->teams->teams;
   const bool has_quota = std::any_of(
       teams.begin(), teams.end(),
       [](const team::Team& one) { return team::IsLimited(one.quota); });
--- a/src/gateway/unframed_end_unittest.cc
+++ b/src/gateway/unframed_end_unittest.cc
@@ -117,8 +117,9 @@
     GatewayScene scene;
     scene.AddEndpoint("e1");
     auto table = std::make_shared<gateway::RoutingTable>(*scene.gateway.routes);
-    for (gateway::Route& route : table->routes)
-      route.timeout = Milliseconds(4000);
+    testing::ChangeRoutes(table.get(), [](gateway::Route* route) {
+      route->timeout = Milliseconds(4000);
+    });
     scene.gateway.routes = table;
     net::Timer first(&scene.io);
     net::Timer end(&scene.io);
--- a/src/gateway/unsent_answer_unittest.cc
+++ b/src/gateway/unsent_answer_unittest.cc
@@ -36,8 +36,9 @@
 /// Small buffers on loopback take longer than the requests of other tests.
 void AllowLongCalls(GatewayScene* scene) {
   auto table = std::make_shared<gateway::RoutingTable>(*scene->gateway.routes);
-  for (gateway::Route& route : table->routes)
-    route.timeout = Milliseconds(4000);
+  testing::ChangeRoutes(table.get(), [](gateway::Route* route) {
+    route->timeout = Milliseconds(4000);
+  });
   scene->gateway.routes = table;
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "net/message_parser.h"
@@ -13,6 +14,8 @@
 constexpr Milliseconds kIdleLimit{3000};
 constexpr Milliseconds kFailureDetection{1500};
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+/// By which an answer that comes in may be later than the timeout.
+constexpr Milliseconds kMaxExtension{10'000};
 
 }  // namespace
 
@@ -20,18 +23,22 @@
   Pending(boost::asio::io_context* io,
           ByteAccount* account,
           ResponseHandler response_handler,
-          const AnswerLimits& answer_limits)
+          const AnswerLimits& answer_limits,
+          ProgressHandler progress_handler)
       : timer(io),
         handler(std::move(response_handler)),
         parser(MessageParser::Kind::kResponse,
                {kMaxHeaderBytes, answer_limits.body_bytes}),
         limits(answer_limits),
+        on_progress(std::move(progress_handler)),
         held_bytes(account) {}
 
   tcp::endpoint address;
   ConnectionUse use = ConnectionUse::kKept;
   bool reuses_connection = false;  ///< Earlier calls were made on it.
   std::string request;
+  TimePoint deadline;       ///< Of the answer.
+  TimePoint last_deadline;  ///< To which progress may put it off.
   Timer timer;
   ResponseHandler handler;
   std::shared_ptr<TcpStream> stream;
@@ -39,6 +46,7 @@
   std::string input;
   std::string body;
   AnswerLimits limits;
+  ProgressHandler on_progress;
   HeldBytes held_bytes;
 };
 
@@ -48,9 +56,11 @@
                       Milliseconds timeout,
                       ConnectionUse use,
                       ResponseHandler handler,
-                      const AnswerLimits& limits) {
-  auto pending = std::make_shared<Pending>(this->io, this->account,
-                                           std::move(handler), limits);
+                      const AnswerLimits& limits,
+                      ProgressHandler on_progress) {
+  auto pending =
+      std::make_shared<Pending>(this->io, this->account, std::move(handler),
+                                limits, std::move(on_progress));
   pending->address = address;
   pending->use = use;
   head.fields.push_back({"Host", address.address().to_string() + ":" +
@@ -58,9 +68,9 @@
   if (!body.empty() || head.method != "GET")
     head.fields.push_back({"Content-Length", std::to_string(body.size())});
   pending->request = FormatHead(head) + body;
-  pending->timer.Set(timeout, [pending] {
-    Fail(pending, pending->stream ? ErrorCode::kUnknown : ErrorCode::kNotSent);
-  });
+  pending->deadline = BootNow() + timeout;
+  pending->last_deadline = pending->deadline + kMaxExtension;
+  SetTimer(pending);
   if (use == ConnectionUse::kKept) {
     if (auto stream = this->TakeIdle(address)) {
       pending->reuses_connection = true;
@@ -117,8 +127,27 @@
   pending->stream->Write(pending->request);
 }
 
+void HttpClient::SetTimer(const std::shared_ptr<Pending>& pending) {
+  pending->timer.Set(TimeLeft(pending->deadline, BootNow()), [pending] {
+    Fail(pending, pending->stream ? ErrorCode::kUnknown : ErrorCode::kNotSent);
+  });
+}
+
+/// Puts the deadline off if the limits allow it.
+void HttpClient::RecordProgress(const std::shared_ptr<Pending>& pending) {
+  if (pending->on_progress)
+    pending->on_progress();
+  const TimePoint wanted =
+      std::min(BootNow() + pending->limits.max_pause, pending->last_deadline);
+  if (pending->limits.max_pause.count() == 0 || wanted <= pending->deadline)
+    return;
+  pending->deadline = wanted;
+  SetTimer(pending);
+}
+
 void HttpClient::OnData(const std::shared_ptr<Pending>& pending,
                         std::string_view bytes) {
+  RecordProgress(pending);
   pending->input.append(bytes);
   const std::size_t used = pending->parser.Feed(pending->input);
   pending->input.erase(0, used);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -31,8 +31,14 @@
   /// The call fails if the account of the client is half full, so that it
   /// leaves the memory to requests.
   bool needs_room = false;
+  /// The call goes on after its timeout while its answer comes in with shorter
+  /// pauses; 0 if it does not.
+  Milliseconds max_pause{0};
 };
 
+/// Called for bytes of an answer.
+using ProgressHandler = std::function<void()>;
+
 /// Which connection a call uses.
 enum class ConnectionUse {
   /// One that is kept for calls one after the other. The response may be a late
@@ -51,16 +57,17 @@
  public:
   explicit HttpClient(boost::asio::io_context* io_context) : io(io_context) {}
 
-  /// Calls the handler once, at the latest after `timeout`. The request is
-  /// written at most once. A longer answer than the limits allow counts as
-  /// none.
+  /// Calls the handler once, at the latest after `timeout`, or later if the
+  /// limits allow it. The request is written at most once. A longer answer than
+  /// the limits allow counts as none.
   void Call(const tcp::endpoint& address,
             RequestHead head,
             const std::string& body,
             Milliseconds timeout,
             ConnectionUse use,
             ResponseHandler handler,
-            const AnswerLimits& limits = AnswerLimits());
+            const AnswerLimits& limits = AnswerLimits(),
+            ProgressHandler on_progress = nullptr);
 
   /// Counts the bytes of answers in `byte_account`, which must outlive the
   /// calls.
@@ -77,6 +84,8 @@
   void Send(const std::shared_ptr<Pending>& pending,
             std::shared_ptr<TcpStream> stream);
   void OnData(const std::shared_ptr<Pending>& pending, std::string_view bytes);
+  static void SetTimer(const std::shared_ptr<Pending>& pending);
+  static void RecordProgress(const std::shared_ptr<Pending>& pending);
   static void Fail(const std::shared_ptr<Pending>& pending, ErrorCode code);
   void Finish(const std::shared_ptr<Pending>& pending);
 
--- a/src/net/http_client_unittest.cc
+++ b/src/net/http_client_unittest.cc
@@ -118,6 +118,47 @@
 
 // Guards against a second call that is sent over another idle connection, which
 // may be as silent as the first, and against new connections to others.
+// Guards against an answer that is given up while it comes in: a configuration
+// on a narrow link, which is then fetched again (CONFIG, issue 55).
+TEST(HttpClient, AnswersThatComeInAreNotGivenUp) {
+  struct Row {
+    const char* name;
+    int max_pause_ms;
+    int interval_ms;  ///< Between the parts of the answer.
+    bool has_answer;
+  };
+  constexpr int kParts = 6;
+  for (const Row& row : {Row{"steady", 200, 60, true},
+                         Row{"a pause is too long", 60, 150, false},
+                         Row{"the call has a fixed end", 0, 60, false}}) {
+    Fixture fixture;
+    fixture.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n";
+    AnswerLimits limits;
+    limits.max_pause = Milliseconds(row.max_pause_ms);
+    std::optional<bool> answered;
+    int progress = 0;
+    fixture.client.Call(
+        fixture.server.Address(), {"GET", "/", 1, {}}, {}, Milliseconds(150),
+        net::ConnectionUse::kOwn,
+        [&answered](const Result<net::WholeResponse>& response) {
+          answered = response.has_value();
+        },
+        limits, [&progress] { ++progress; });
+    while (fixture.streams.empty())
+      fixture.io.run_one_for(Milliseconds(20));
+    for (int part = 0; part < kParts && !answered; ++part) {
+      const TimePoint next = Clock::now() + Milliseconds(row.interval_ms);
+      while (Clock::now() < next)
+        fixture.io.run_one_until(next);
+      fixture.streams[0]->Write("x");
+    }
+    while (!answered)
+      fixture.io.run_one_for(Milliseconds(20));
+    CHECK_EQUAL_TEXT(row.has_answer, *answered, row.name);
+    CHECK_TEXT(progress > 0, row.name);
+  }
+}
+
 TEST(HttpClient, DropsTheIdleConnectionsToOneAddress) {
   struct Row {
     const char* name;
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -239,7 +239,8 @@
 void EngineOrders::PlanCopies(TimePoint now) {
   if (!this->gateway->routes)
     return;
-  for (const gateway::Service& service : this->gateway->routes->services) {
+  for (const auto& listed : this->gateway->routes->services) {
+    const gateway::Service& service = *listed;
     if (!service.engine)
       continue;
     Refill(&this->store_loads, service.engine->store_loads_per_s, now);
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -136,18 +136,35 @@
 void KindFollower::SendTwiceIfSilent(Milliseconds max_silence,
                                      const std::function<void()>& send) {
   this->unanswered = 1;
-  this->silence_timer.Set(max_silence,
-                          [this, send, current = this->generation] {
-                            if (current != this->generation)
-                              return;
-                            ++this->unanswered;
-                            if (this->store->renew_connections)
-                              this->store->renew_connections();
-                            send();
-                          });
+  this->AwaitAnswer(max_silence, BootNow(), send);
   send();
 }
 
+/// Sends the call again once `max_silence` has passed since `heard` and since
+/// the last bytes of an answer: one that comes in slowly is not silent.
+void KindFollower::AwaitAnswer(Milliseconds max_silence,
+                               TimePoint heard,
+                               const std::function<void()>& send) {
+  const TimePoint due = heard + max_silence;
+  this->silence_timer.Set(
+      TimeLeft(due, BootNow()),
+      [this, max_silence, heard, send, current = this->generation] {
+        if (current != this->generation)
+          return;
+        const TimePoint received = this->store->received_at
+                                       ? this->store->received_at(this->Kind())
+                                       : TimePoint();
+        if (received > heard) {
+          this->AwaitAnswer(max_silence, received, send);
+          return;
+        }
+        ++this->unanswered;
+        if (this->store->renew_connections)
+          this->store->renew_connections();
+        send();
+      });
+}
+
 /// Returns whether an answer to a call of generation `sent_in` is the one to be
 /// used: the first success, or a failure if no other call is unanswered.
 bool KindFollower::TakeAnswer(int sent_in, bool failed) {
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -104,6 +104,9 @@
   void SendWatch(Milliseconds wait, bool latest);
   void SendTwiceIfSilent(Milliseconds max_silence,
                          const std::function<void()>& send);
+  void AwaitAnswer(Milliseconds max_silence,
+                   TimePoint heard,
+                   const std::function<void()>& send);
   bool TakeAnswer(int sent_in, bool failed);
   void Probe();
   void Continue();
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -286,6 +286,24 @@
 // Guards against a daemon that cannot check its view for up to 14 s, since the
 // store turned it away several times, although others have reached the store
 // since and it can as well.
+// Guards against a long listing on a narrow link that is asked for a second
+// time while it comes in (CONFIG, issue 55).
+TEST(KindFollower, AListingThatComesInIsNotSilent) {
+  constexpr Milliseconds kLonger{1100};
+  for (const bool comes_in : {true, false}) {
+    Fixture fixture;
+    fixture.store.lists[0](Listing{{}, Place(10)});
+    fixture.RunUntilCalls(1, 1);
+    fixture.store.access.received_at = [comes_in](const std::string&) {
+      return comes_in ? BootNow() - Milliseconds(20) : TimePoint();
+    };
+    fixture.follower.Refresh();
+    fixture.io.restart();
+    fixture.io.run_for(kLonger);
+    LONGS_EQUAL(comes_in ? 2 : 3, fixture.store.lists.size());
+  }
+}
+
 TEST(KindFollower, OthersAnswersEndALongBackoff) {
   struct Row {
     const char* name;
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -20,6 +20,8 @@
   std::string name;
   Place place;          ///< Of its last change; unknown if not stated.
   nlohmann::json spec;  ///< Null if it cannot be read.
+  /// The spec as JSON text, in its place, of a kind that is read item by item.
+  std::string text;
   std::string fault;    ///< Why it cannot be read, else empty.
 };
 
@@ -74,6 +76,9 @@
   /// Replaces the object if it is still the one of that place.
   std::function<void(const std::string& kind, const Object&, Handler<Object>)>
       replace;
+  /// Returns when the last bytes of an answer about the kind came in, as some
+  /// answers take their time on a narrow link; may be empty.
+  std::function<TimePoint(const std::string& kind)> received_at;
   /// Calls that are made from now on use new connections, since those in use
   /// may be silent for good; may be empty.
   std::function<void()> renew_connections;
--- a/tests/support/gateway_scene.h
+++ b/tests/support/gateway_scene.h
@@ -80,6 +80,9 @@
 /// Returns a configuration with one host `h` and the routes `/safe/`,
 /// `/unsafe/`, `/stream/` and `/resume/`, all of the service `s`.
 std::shared_ptr<gateway::RoutingTable> SceneRoutes();
+/// Changes all routes of the table.
+void ChangeRoutes(gateway::RoutingTable* table,
+                  const std::function<void(gateway::Route*)>& change);
 
 /// Returns a POST of two bytes to `path` plus `x`, with the id `id1` and more
 /// header lines.
