Gateway: A daemon that is itself held up takes no endpoint for gone

Cause: silence_probe.cc took two connections that were not made within 250 ms each for a host that is gone, set the endpoint aside and ended all streams there. A daemon whose own link is full, or whose loop is late, finds every host like that. The class of the fault is silence that is blamed on the far end without a look at the own side. Change: while an endpoint does not answer, a connection to the endpoint that was heard last is tried beside it. A failure counts only if that one is reached and the loop was not late meanwhile; else nothing is concluded (event 2233). The decision is pure (src/stall/reachability). Tests: ExchangeStall.NoEndpointIsBlamedWhileNoneIsReached failed before (answer cut after 1.1 s); Reachability.TheOwnSideIsNotBlamedOnTheEndpoint.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -336,6 +336,7 @@
 void Daemon::ObserveLateness(TimePoint now) {
   if (this->tick_due == TimePoint() || now < this->tick_due + kLateTick)
     return;
+  this->gateway.loop_late_at = now;
   const auto late =
       std::chrono::duration_cast<Milliseconds>(now - this->tick_due);
   this->log.Write(kLoopLate, "", "late_ms=" + std::to_string(late.count()));
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -40,6 +40,8 @@
 inline constexpr Event kStreamMoved{2230, Severity::kInfo, "stream-moved"};
 inline constexpr Event kEndpointSilent{2231, Severity::kWarning,
                                        "endpoint-silent"};
+inline constexpr Event kSilenceUnexplained{2233, Severity::kWarning,
+                                           "silence-unexplained"};
 inline constexpr Event kRequestCut{2232, Severity::kWarning, "request-cut"};
 
 }  // namespace coltsfootvane::gateway
--- a/src/gateway/exchange_stall_unittest.cc
+++ b/src/gateway/exchange_stall_unittest.cc
@@ -156,6 +156,28 @@
   }
 }
 
+/// Guards against a daemon whose own link is down or full and that takes an
+/// endpoint for gone: it ended all streams there (LOST, issue 48).
+TEST(ExchangeStall, NoEndpointIsBlamedWhileNoneIsReached) {
+  const auto scene = MakeScene();
+  scene->answers = {{"", Then::kDark},
+                    {kHead + EventOf(1),
+                     Then::kDark,
+                     "",
+                     {EventOf(2) + kEnd},
+                     Milliseconds(1500)}};
+  const gateway::EndpointPtr first = scene->gateway.endpoint_list[0];
+  const gateway::EndpointPtr second = scene->gateway.endpoint_list[1];
+  second->peers.running = 10;
+  scene->Call(Request("/stream/"), Milliseconds(100));
+  second->peers.running = 0;
+  first->peers.running = 10;
+  const std::string answer = scene->Call(Request("/stream/"));
+  LONGS_EQUAL(2, scene->received.size());
+  CHECK_TEXT(Has(answer, "\r\n0\r\n\r\n"), answer.c_str());
+  CHECK(second->ejected_until <= BootNow());
+}
+
 /// Guards against streams that wait in a queue until their caller leaves. Other
 /// calls have no such patience.
 TEST(ExchangeStall, StreamsWithTooLongAWaitAreNotBegun) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -107,6 +107,8 @@
   TimePoint view_valid_until;
   /// A configuration is known that is not in force yet.
   bool newer_routes_known = false;
+  /// When the event loop was last found to be late.
+  TimePoint loop_late_at;
   EndpointTable endpoints;
   std::vector<EndpointPtr> endpoint_list;  ///< The values of `endpoints`.
   EndpointConnections connections;
--- a/src/gateway/silence_probe.cc
+++ b/src/gateway/silence_probe.cc
@@ -1,10 +1,14 @@
 #include "gateway/silence_probe.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <algorithm>
 #include <memory>
+#include <optional>
+#include <utility>
 
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
+#include "net/timer.h"
+#include "stall/reachability.h"
 
 namespace coltsfootvane::gateway {
 namespace {
@@ -12,21 +16,39 @@
 /// A lost packet of a connection is retransmitted only after a second, so that
 /// another connection is tried instead.
 constexpr Milliseconds kConnectTime{250};
-/// With 3% of packets lost, two connections fail by that in 0.4% of cases.
-constexpr int kFailuresNeeded = 2;
-constexpr int kMaxConnections = 4;
-/// A connection that failed later than this after its time: the daemon itself
-/// was not running, and nothing is known of the endpoint.
-constexpr Milliseconds kMaxLateness{100};
+/// A sound host answers sooner, so that others need not be asked.
+constexpr Milliseconds kControlDelay{80};
 
+/// Returns the endpoint on another host that was heard last, or nullptr.
+EndpointPtr FindControl(const Gateway& gateway, const Endpoint& silent) {
+  EndpointPtr latest;
+  for (const EndpointPtr& one : gateway.endpoint_list) {
+    const bool is_other =
+        one->entry.address.address() != silent.entry.address.address() ||
+        one->entry.address.port() != silent.entry.address.port();
+    if (!is_other || one->gone || one->activity.probing)
+      continue;
+    if (!latest || one->activity.last_bytes > latest->activity.last_bytes)
+      latest = one;
+  }
+  return latest;
+}
+
+/// Tries to reach a silent endpoint. While it does not answer, a connection to
+/// another one shows whether the own link is the cause.
 class Probe : public std::enable_shared_from_this<Probe> {
  public:
   Probe(Gateway* owner, EndpointPtr silent)
-      : gateway(owner), endpoint(std::move(silent)), pause(*owner->io) {}
+      : gateway(owner), endpoint(std::move(silent)), pause(owner->io) {}
 
   void Connect() {
-    ++this->connections;
-    this->connecting_since = BootNow();
+    this->attempt = {};
+    this->attempt.began = BootNow();
+    this->attempt.due = this->attempt.began + kConnectTime;
+    this->has_failed = false;
+    this->control_reached.reset();
+    this->pause.Set(kControlDelay,
+                    [self = shared_from_this()] { self->ConnectToOther(); });
     net::CheckListening(this->gateway->io, this->endpoint->entry.address,
                         kConnectTime,
                         [self = shared_from_this()](net::ListenState state) {
@@ -35,7 +57,30 @@
   }
 
  private:
+  void ConnectToOther() {
+    if (this->asked_other)
+      return;
+    this->asked_other = true;
+    const EndpointPtr control = FindControl(*this->gateway, *this->endpoint);
+    if (!control) {
+      this->OnOther(true);
+      return;
+    }
+    net::CheckListening(
+        this->gateway->io, control->entry.address,
+        std::max(TimeLeft(this->attempt.due, BootNow()), kControlDelay),
+        [self = shared_from_this()](net::ListenState state) {
+          self->OnOther(state != net::ListenState::kUnreachable);
+        });
+  }
+
+  void OnOther(bool reached) {
+    this->control_reached = reached;
+    this->EndAttempt();
+  }
+
   void OnConnected(net::ListenState state) {
+    this->attempt.ended = BootNow();
     const bool has_answered = this->endpoint->activity.last_bytes >
                               this->endpoint->activity.probed_at;
     if (has_answered)
@@ -51,25 +96,40 @@
   }
 
   void OnUnreachable() {
-    const TimePoint now = BootNow();
-    const TimePoint ends = this->connecting_since + kConnectTime;
-    if (now <= ends + kMaxLateness)
-      ++this->failures;
-    if (this->failures >= kFailuresNeeded) {
-      this->OnStopped();
-      return;
-    }
-    if (this->connections >= kMaxConnections) {
-      this->End("unknown");
+    this->has_failed = true;
+    this->ConnectToOther();
+    this->EndAttempt();
+  }
+
+  /// Goes on once both connections have ended.
+  void EndAttempt() {
+    if (!this->has_failed || !this->control_reached)
       return;
+    this->attempt.reaches_others = *this->control_reached;
+    this->attempt.loop_late_at = this->gateway->loop_late_at;
+    switch (stall::Judge(this->attempt, &this->evidence)) {
+      case stall::Reachability::kGone:
+        this->OnStopped();
+        return;
+      case stall::Reachability::kUnknown:
+        this->OnOwnSide();
+        return;
+      case stall::Reachability::kUndecided:
+        break;
     }
     // A route that is missing for an instant fails connections at once.
-    this->pause.expires_after(TimeLeft(ends, now));
-    this->pause.async_wait(
-        [self = shared_from_this()](const boost::system::error_code& ec) {
-          if (!ec)
-            self->Connect();
-        });
+    this->asked_other = false;
+    this->pause.Set(TimeLeft(this->attempt.due, BootNow()),
+                    [self = shared_from_this()] { self->Connect(); });
+  }
+
+  void OnOwnSide() {
+    this->gateway->log->Write(
+        kSilenceUnexplained, "",
+        "endpoint=" + this->endpoint->entry.id + " failures=" +
+            std::to_string(this->evidence.failures) + " others=" +
+            (this->attempt.reaches_others ? "reached" : "not-reached"));
+    this->End("unknown");
   }
 
   void OnStopped() {
@@ -85,6 +145,8 @@
   }
 
   void End(const char* result) {
+    this->asked_other = true;
+    this->pause.Cancel();
     this->endpoint->activity.probing = false;
     this->gateway->metrics.CountSilenceProbe(this->endpoint->entry.service,
                                              result);
@@ -92,10 +154,12 @@
 
   Gateway* gateway;
   EndpointPtr endpoint;
-  boost::asio::steady_timer pause;
-  TimePoint connecting_since;
-  int connections = 0;
-  int failures = 0;
+  net::Timer pause;
+  stall::FailedAttempt attempt;
+  bool has_failed = false;
+  bool asked_other = false;
+  std::optional<bool> control_reached;
+  stall::ReachabilityEvidence evidence;
 };
 
 }  // namespace
