Gateway: A stream that is read waits for an endpoint that goes on with it

The stream had been moved, the next endpoint refused it, and no attempt was left. Cause: a refused, failed or impossible next send ended the stream at once, though its caller reads on for two seconds and more. The class of the fault is that a resource in use is given up before its successor is sure. Change: the stream waits for an endpoint and for the retry budget, 150 ms at a time, until its caller would leave or the request's time is over. Retries draw on the budget as before; the limit of executions stays. Test: ExchangeStall.StreamsThatAreReadWaitForAnEndpoint failed before (incomplete answers).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -442,7 +442,8 @@
     this->TryNextEndpoint();
     return;
   }
-  this->Fail(502, reason);
+  if (!this->AwaitContinuation())
+    this->Fail(502, reason);
 }
 
 void Exchange::OnTimeout() {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -110,6 +110,8 @@
   void OnSendFailed(std::string_view reason);
   void EndFailedSend(std::string_view reason, bool blames_endpoint = true);
   void RetryOrFail(std::string_view reason);
+  bool AwaitContinuation();
+  void ContinueStream();
   void OnTimeout();
   void RefuseChoice(const Choice& choice);
   ReturnTime ReturnAfterAll(const Choice& choice) const;
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -20,12 +20,12 @@
                       const ReturnTime& return_time,
                       std::string_view inputs,
                       int status) {
+  if (this->finished || this->AwaitContinuation())
+    return;
   if (this->possible_executions > 0 || this->forwarding) {
     this->Fail(502, reason);
     return;
   }
-  if (this->finished)
-    return;
   this->CountOutcome(Outcome::kRefused, reason);
   this->Log(kRequestRefused,
             "reason=\"" + std::string(reason) + "\" retry_after_ms=" +
--- a/src/gateway/exchange_stall.cc
+++ b/src/gateway/exchange_stall.cc
@@ -16,6 +16,8 @@
 /// bytes that have arrived meanwhile are read first.
 constexpr Milliseconds kMaxLateness{150};
 constexpr Milliseconds kCatchUpTime{50};
+/// Between two attempts to go on with a stream.
+constexpr Milliseconds kContinuationInterval{150};
 
 stall::Objectives ObjectivesOf(const Route& route) {
   return {route.target_latency, route.gap_target};
@@ -165,6 +167,35 @@
   return true;
 }
 
+/// A stream that its caller reads is not given up because no endpoint takes it
+/// at once: it waits for one, and for the retry budget, until its caller would
+/// leave. Returns whether it does.
+bool Exchange::AwaitContinuation() {
+  const bool may_wait = this->forwarding && !this->stream && this->MayRetry() &&
+                        !this->gateway->leaving &&
+                        BootNow() + kContinuationInterval <
+                            stall::PatienceEnd(this->DescribeRun());
+  if (!may_wait)
+    return false;
+  this->tried_endpoints.clear();
+  this->silence_timer.Set(kContinuationInterval, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->finished)
+      self->ContinueStream();
+  });
+  return true;
+}
+
+void Exchange::ContinueStream() {
+  const TimePoint now = BootNow();
+  const bool has_endpoint =
+      this->ChooseNext(now).verdict == ChoiceVerdict::kChosen;
+  if (has_endpoint && TakeRetry(this->gateway, this->service, now))
+    this->TryNextEndpoint();
+  else if (!this->AwaitContinuation())
+    this->Fail(502, "no endpoint goes on with the stream");
+}
+
 /// A call that nobody repeats gains nothing by an early end: its host may only
 /// have been held up. It stays until its connection fails.
 void Exchange::OnEndpointUnreachable(const EndpointPtr& stopped) {
--- a/src/gateway/exchange_stall_unittest.cc
+++ b/src/gateway/exchange_stall_unittest.cc
@@ -178,6 +178,58 @@
   CHECK(second->ejected_until <= BootNow());
 }
 
+/// Guards against streams that are given up in the middle, since the first
+/// endpoint that could go on with them refuses, or none is usable for a moment
+/// (LOST, issue 48).
+TEST(ExchangeStall, StreamsThatAreReadWaitForAnEndpoint) {
+  const std::string shed =
+      "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: id1\r\n"
+      "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  struct Row {
+    const char* name;
+    std::vector<ScriptedAnswer> answers;
+    bool complete;
+  };
+  const ScriptedAnswer cut{kHead + EventOf(1), Then::kClose};
+  const std::string rest = kHead + EventOf(2) + kEnd;
+  const std::vector<Row> rows = {
+      {"refused once", {cut, {shed}, {rest}}, true},
+      {"refused by all, and again",
+       {cut, {shed}, {shed}, {shed}, {rest}},
+       true},
+      {"refused until the caller would leave",
+       {cut,
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed},
+        {shed}},
+       false},
+  };
+  for (const Row& row : rows) {
+    const auto scene = MakeScene();
+    scene->answers = row.answers;
+    scene->gateway.retry_limit.base_retries = 1000;
+    const TimePoint start = BootNow();
+    const std::string answer = scene->Call(Request("/resume/"));
+    CHECK_EQUAL_TEXT(row.complete, Has(answer, "\r\n0\r\n\r\n"), row.name);
+    CHECK_EQUAL_TEXT(row.complete, Has(answer, "id: 2"), row.name);
+    CHECK_TEXT(BootNow() - start < kCallerPatience + Milliseconds(400),
+               row.name);
+    LONGS_EQUAL_TEXT(0, scene->gateway.exchanges, row.name);
+  }
+}
+
 /// Guards against streams that wait in a queue until their caller leaves. Other
 /// calls have no such patience.
 TEST(ExchangeStall, StreamsWithTooLongAWaitAreNotBegun) {
