Daemon: The first version of a configuration may be 0

Cause: a table without a version was told by the number 0, so that a first configuration of version 0 counted as unreadable. Change: the table records whether a version is stated. Test: ConfigJob.AnUnreadableConfigurationIsMadeUpForLater begins with 0 now and failed before.

--- a/src/daemon/config_job.cc
+++ b/src/daemon/config_job.cc
@@ -166,7 +166,7 @@
 }
 
 void CheckVersion(ConfigJob* job) {
-  if (!job->table_fault && job->table.version == 0)
+  if (!job->table_fault && !job->table.has_version)
     job->table_fault = {ErrorCode::kInvalid, "no version"};
 }
 
--- a/src/daemon/config_job_unittest.cc
+++ b/src/daemon/config_job_unittest.cc
@@ -173,7 +173,8 @@
 // not be read.
 TEST(ConfigJob, AnUnreadableConfigurationIsMadeUpForLater) {
   Holder holder;
-  holder.Read(10, Config(1, 0, 3));
+  holder.Read(10, Config(0, 0, 3));
+  CHECK_TEXT(holder.table_matches, "the first version may be 0");
   json unreadable = Config(2, 1, 6);
   unreadable["routes"][2]["routeKind"] = "other";
   CHECK(holder.Read(11, unreadable) == ConfigStage::kDone);
--- a/src/gateway/routing_table.cc
+++ b/src/gateway/routing_table.cc
@@ -11,9 +11,11 @@
 
 void Put(const TableVersion& version, RoutingTable* table) {
   table->version = version.number;
+  table->has_version = true;
 }
 void Remove(const TableVersion&, RoutingTable* table) {
   table->version = 0;
+  table->has_version = false;
 }
 
 void Put(const CallerLimits& limits, RoutingTable* table) {
--- a/src/gateway/routing_table.h
+++ b/src/gateway/routing_table.h
@@ -59,6 +59,7 @@
 /// version, which shares with it what has not changed.
 struct RoutingTable {
   std::int64_t version = 0;
+  bool has_version = false;  ///< The configuration states one.
   RouteSet routes;
   std::vector<CopyOnWrite<Service>> services;
   CallerLimits limits;
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -22,7 +22,7 @@
   nlohmann::json spec;  ///< Null if it cannot be read.
   /// The spec as JSON text, in its place, of a kind that is read item by item.
   std::string text;
-  std::string fault;    ///< Why it cannot be read, else empty.
+  std::string fault;  ///< Why it cannot be read, else empty.
 };
 
 struct Listing {
