Daemon: The time to register again begins with the era

Cause: endpoints that the first listing of an era lacks may register again for 2.5 s. Change: the time begins when the daemon learns of the era, and the daemon reads the store once when it is over. Tests: StoreView.TheTimeToRegisterAgainBeginsWithTheEra failed before.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -167,6 +167,10 @@
 /// What was listed in an earlier era stays in force until it is listed anew.
 void StoreView::OnNewEra(std::int64_t era) {
   this->fleet->seen.era = era;
+  // Processes that run register again after the return of the store, whenever
+  // this daemon lists them.
+  if (this->endpoints_known)
+    departure::BeginEra(BootNow(), &this->departed);
   const bool reads =
       this->large ? this->rank == 0 : this->fleet->ReadsLatestState();
   const Milliseconds max_delay = reads ? Milliseconds(0) : kNewEraSpread;
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -111,6 +111,7 @@
   /// Places of the entries that name no endpoint, by name.
   std::map<std::string, store::Place> skipped;
   departure::Departures departed;
+  bool reads_missing = false;  ///< Reads whether endpoints are still missing.
   /// Time within which changes must be in force.
   Milliseconds in_force_limit;
   ViewCheck check;
--- a/src/daemon/store_view_endpoints.cc
+++ b/src/daemon/store_view_endpoints.cc
@@ -11,8 +11,6 @@
 
 void StoreView::OnEndpointListing(const store::Listing& listing) {
   this->fleet->seen.era = this->store->eras->latest;
-  if (this->endpoints_known && listing.since.era != listing.place.era)
-    departure::BeginEra(BootNow(), &this->departed);
   std::set<std::string> listed;
   this->listed_ahead.clear();
   for (const store::Object& object : listing.objects) {
@@ -189,6 +187,12 @@
 void StoreView::EndWaits(TimePoint now) {
   departure::ForgetOld(now, &this->departed);
   const TimePoint confirmed_at = this->endpoints.ConfirmedAt();
+  const bool lacks_confirmation =
+      departure::LacksConfirmation(confirmed_at, now, this->departed);
+  if (!lacks_confirmation)
+    this->reads_missing = false;
+  else if (!this->relies_on_news && !std::exchange(this->reads_missing, true))
+    this->endpoints.Refresh(store::CallCause::kEra);
   const std::set<std::string> missing =
       departure::TakeMissing(confirmed_at, &this->departed);
   const std::vector<departure::HeldBack> live =
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -153,18 +153,14 @@
       this->NoteDeparture(to);
   }
   // The first listing of an era may hide departures.
-  if (to.era != known.era) {
-    departure::BeginEra(BootNow(), &this->departed);
+  if (to.era != known.era)
     this->RaiseMaxDeparture(to);
-  }
   this->AdvanceTo(to);
 }
 
 void StoreView::ApplySnapshot(const gen::StoreBatch& all) {
   const store::Place to = fleet::RangeOf(all).to;
   store::LearnEra(to.era, this->store->eras.get());
-  if (this->endpoints_known && to.era != this->endpoints.At().era)
-    departure::BeginEra(BootNow(), &this->departed);
   std::set<std::string> listed;
   for (const gen::EndpointNews& change : all.changes) {
     Result<gateway::EndpointEntry> entry =
--- a/src/daemon/store_view_unittest.cc
+++ b/src/daemon/store_view_unittest.cc
@@ -241,6 +241,39 @@
   }
 }
 
+// Guards against requests at an endpoint that left before a drill, beyond the
+// time allowed: the time in which endpoints may register again began with the
+// daemon's own listing, up to a second after the return of the store (DRAIN,
+// DrillSoak).
+TEST(StoreView, TheTimeToRegisterAgainBeginsWithTheEra) {
+  constexpr Milliseconds kListedAfter{900};
+  constexpr Milliseconds kKnownAfter{2600};
+  Fixture fixture;
+  store::LearnEra(1, fixture.store.eras.get());
+  fixture.lists[0](
+      Listing{{MakeObject("a", 5), MakeObject("b", 6)}, store::Place(10, 1)});
+  fixture.view.Tick();
+  const TimePoint learned = BootNow();
+  store::LearnEra(2, fixture.store.eras.get());
+  fixture.io.run_for(kListedAfter);
+  for (const Milliseconds after : {kListedAfter, kKnownAfter}) {
+    fixture.lists.clear();
+    while (BootNow() < learned + after)
+      fixture.io.run_one_for(Milliseconds(20));
+    if (after == kListedAfter)
+      fixture.view.Refresh();
+    fixture.view.Tick();
+    CHECK_TEXT(!fixture.lists.empty(), "reads again by itself");
+    store::Object a = MakeObject("a", 5);
+    a.place.era = 2;
+    fixture.lists.back()(Listing{{a}, store::Place(20, 2)});
+    fixture.view.Tick();
+    const bool has_b = fixture.gateway.endpoints.endpoints.count("b") > 0;
+    CHECK_EQUAL(after == kListedAfter, has_b);
+  }
+  CHECK(fixture.gateway.endpoints.endpoints.count("a") > 0);
+}
+
 // Guards against a departure that stays unknown for as long as a connection to
 // one other daemon takes to time out, while the next daemon would answer.
 TEST(StoreView, RecoversBesideASilentDaemon) {
--- a/src/departure/departures.cc
+++ b/src/departure/departures.cc
@@ -119,6 +119,13 @@
   return live;
 }
 
+bool LacksConfirmation(TimePoint confirmed_at,
+                       TimePoint now,
+                       const Departures& departures) {
+  return !departures.missing.empty() && now >= departures.missing_until &&
+         confirmed_at < departures.missing_until;
+}
+
 std::set<std::string> TakeMissing(TimePoint confirmed_at,
                                   Departures* departures) {
   if (confirmed_at < departures->missing_until)
--- a/src/departure/departures.h
+++ b/src/departure/departures.h
@@ -97,6 +97,11 @@
 /// `confirmed_at`, and has them still though their time is over. While the
 /// store is away, entries cannot be seen to lapse.
 std::vector<HeldBack> TakeLive(TimePoint confirmed_at, Departures* departures);
+/// Returns whether endpoints are missing beyond the time in which they may
+/// register again, and no read of the store since then has confirmed it.
+bool LacksConfirmation(TimePoint confirmed_at,
+                       TimePoint now,
+                       const Departures& departures);
 /// Returns the missing endpoints that have not registered again in time. None
 /// of them is known to have left: they may still register.
 std::set<std::string> TakeMissing(TimePoint confirmed_at,
