Daemon: Shorter steps in the handling of news of the configuration

Cause: OnNews, StartNext and EndJob of ConfigSync did several things each. Change: relaying, fetching, choosing the next job and the log line have functions of their own; a field that nothing used is gone. No behaviour has changed.

--- a/src/daemon/config_job.h
+++ b/src/daemon/config_job.h
@@ -57,7 +57,6 @@
   std::optional<Error> table_fault;  ///< Why there is no table.
   Error fault;
   TimePoint began;
-  Milliseconds longest_slice{0};
   Microseconds busy{0};
 };
 
--- a/src/daemon/config_sync.cc
+++ b/src/daemon/config_sync.cc
@@ -102,32 +102,50 @@
   const bool has_it = this->announced >= place;
   if (!has_it && place > PlaceOf(this->news))
     this->news_at = BootNow();
-  if (told.__isset.change || has_it) {
-    gen::ConfigNews passed_on = told;
-    if (has_it)
-      passed_on.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
-    this->fleet->Spread(passed_on, relays);
-  } else if (place >= PlaceOf(this->news)) {
-    if (place > PlaceOf(this->news))
-      this->relay_to.clear();
-    this->news = told;
-    this->relay_to.insert(this->relay_to.end(), relays.begin(), relays.end());
-  }
+  this->Relay(told, relays, has_it);
   if (has_it)
     return;
-  const bool is_next = told.__isset.change && !this->lacks_whole &&
-                       this->announced.IsKnown() &&
-                       BaseOf(told) == this->announced &&
-                       this->waiting_frames.size() < kMaxWaitingFrames;
-  if (is_next) {
+  if (this->IsNext(told)) {
     this->waiting_frames.push_back(told.change);
     this->StartNext();
     return;
   }
   const auto source = static_cast<std::uint32_t>(told.source);
-  daemon::Want(place, source != 0 ? source : from, RecoveryKind::kWhole,
-               BootNow(), Milliseconds(0), &this->recovery);
-  this->recovery.source = source != 0 ? source : from;
+  this->FetchNow(place, source != 0 ? source : from);
+}
+
+/// Passes news on that receivers can use without this daemon, or that it can
+/// answer for. Others wait until it has the change.
+void ConfigSync::Relay(const gen::ConfigNews& told,
+                       const std::vector<std::uint32_t>& relays,
+                       bool has_it) {
+  const store::Place place = PlaceOf(told);
+  if (told.__isset.change || has_it) {
+    gen::ConfigNews passed_on = told;
+    if (has_it)
+      passed_on.source = static_cast<std::int32_t>(this->fleet->OwnAddress());
+    this->fleet->Spread(passed_on, relays);
+    return;
+  }
+  if (place < PlaceOf(this->news))
+    return;
+  if (place > PlaceOf(this->news))
+    this->relay_to.clear();
+  this->news = told;
+  this->relay_to.insert(this->relay_to.end(), relays.begin(), relays.end());
+}
+
+/// Returns whether the news hold the change that follows what is known.
+bool ConfigSync::IsNext(const gen::ConfigNews& told) const {
+  return told.__isset.change && !this->lacks_whole &&
+         this->announced.IsKnown() && BaseOf(told) == this->announced &&
+         this->waiting_frames.size() < kMaxWaitingFrames;
+}
+
+void ConfigSync::FetchNow(const store::Place& place, std::uint32_t from) {
+  daemon::Want(place, from, RecoveryKind::kWhole, BootNow(), Milliseconds(0),
+               &this->recovery);
+  this->recovery.source = from;
   // While a fetch is in progress, the recovery begins the next one when due.
   if (this->fetches == 0) {
     this->recovery.next_at = BootNow();
@@ -139,31 +157,33 @@
 /// Begins with what waits, if no job is in progress.
 void ConfigSync::StartNext() {
   this->UpdateDoubt();
-  if (this->job)
+  if (this->job || !this->TakeNext())
     return;
-  if (this->waiting_text) {
+  const gateway::RoutingTable empty;
+  const gateway::RoutingTable* table = nullptr;
+  if (this->table_matches && this->gateway->routes)
+    table = this->gateway->routes.get();
+  else if (this->document.items.empty())
+    table = &empty;
+  StartFrom(this->document, table, ++this->jobs, &*this->job);
+  this->Resume();
+}
+
+/// Makes what waits the next job. Returns whether there is one.
+bool ConfigSync::TakeNext() {
+  const bool has_text = this->waiting_text.has_value() &&
+                        this->waiting_text->place > this->document.place;
+  if (has_text) {
     this->job = std::move(this->waiting_text);
-    this->waiting_text.reset();
     this->job->encodes =
         this->fleet->IsLarge() && this->document.place.IsKnown();
-    if (this->job->place <= this->document.place) {
-      this->job.reset();
-      this->StartNext();
-      return;
-    }
-  } else if (!this->waiting_frames.empty()) {
+  }
+  this->waiting_text.reset();
+  if (!has_text && !this->waiting_frames.empty()) {
     this->job = BeginFromFrames(std::move(this->waiting_frames.front()));
     this->waiting_frames.pop_front();
-  } else {
-    return;
   }
-  const bool updates = this->table_matches && this->gateway->routes;
-  const gateway::RoutingTable empty;
-  const gateway::RoutingTable* table =
-      updates ? this->gateway->routes.get()
-              : (this->document.items.empty() ? &empty : nullptr);
-  StartFrom(this->document, table, ++this->jobs, &*this->job);
-  this->Resume();
+  return this->job.has_value();
 }
 
 void ConfigSync::Resume() {
@@ -269,27 +289,33 @@
 }
 
 void ConfigSync::EndJob() {
+  this->LogApplied();
   const bool is_from_store = this->job->is_from_store;
-  if (!is_from_store)
-    ++this->counts->applied;
-  const bool was_told = !is_from_store && this->news_at != TimePoint();
-  const TimePoint since = was_told ? this->news_at : this->job->began;
-  this->gateway->log->Write(
-      kConfigApplied, "",
-      "revision=" + store::FormatPlace(this->document.place) +
-          " source=" + (is_from_store ? "store" : "daemon") +
-          " bytes=" + std::to_string(this->job->input_bytes) +
-          " changes=" + std::to_string(this->job->comparison.changes.size()) +
-          " items=" + std::to_string(this->document.items.size()) +
-          " busy_us=" + std::to_string(this->job->busy.count()) +
-          " news_age_ms=" + std::to_string(Since<Milliseconds>(since).count()));
   const std::string rest(this->job->frames);
   this->job.reset();
-  if (!is_from_store && !rest.empty())
-    this->waiting_frames.push_front(rest);
+  if (!is_from_store) {
+    ++this->counts->applied;
+    if (!rest.empty())
+      this->waiting_frames.push_front(rest);
+  }
   this->StartNext();
 }
 
+void ConfigSync::LogApplied() const {
+  const ConfigJob& done = *this->job;
+  const bool was_told = !done.is_from_store && this->news_at != TimePoint();
+  const TimePoint since = was_told ? this->news_at : done.began;
+  std::string details =
+      "revision=" + store::FormatPlace(this->document.place) +
+      " source=" + (done.is_from_store ? "store" : "daemon") +
+      " bytes=" + std::to_string(done.input_bytes) +
+      " changes=" + std::to_string(done.comparison.changes.size()) +
+      " items=" + std::to_string(this->document.items.size());
+  details += " busy_us=" + std::to_string(done.busy.count()) + " news_age_ms=" +
+             std::to_string(Since<Milliseconds>(since).count());
+  this->gateway->log->Write(kConfigApplied, "", details);
+}
+
 /// The configuration stays as it is; the next fetch is of the whole.
 void ConfigSync::OnFailure() {
   if (this->job->fault.code == ErrorCode::kGone) {
--- a/src/daemon/config_sync.h
+++ b/src/daemon/config_sync.h
@@ -71,7 +71,13 @@
   };
 
   void OnNews(const fleet::gen::ConfigNews& news, std::uint32_t from);
+  void Relay(const fleet::gen::ConfigNews& told,
+             const std::vector<std::uint32_t>& relays,
+             bool has_it);
+  bool IsNext(const fleet::gen::ConfigNews& told) const;
+  void FetchNow(const store::Place& place, std::uint32_t from);
   void StartNext();
+  bool TakeNext();
   void Resume();
   void RunSlice();
   void StepJob();
@@ -82,6 +88,7 @@
   void PutInForce();
   void OnFailure();
   void EndJob();
+  void LogApplied() const;
   store::Place Heading() const;
   void UpdateDoubt();
 
