Fleet, gateway: What the linter found

Cause: clang-tidy reports a forwarding reference that is moved from, cppcheck a pointer into a string that it takes for out of scope. Change: parts of a table are visited as they are; Thrift messages are decoded from a copy of their bytes, without a const_cast.

--- a/src/fleet/codec.cc
+++ b/src/fleet/codec.cc
@@ -16,11 +16,13 @@
 }
 
 Result<gen::Datagram> Decode(std::string_view bytes) {
-  return detail::DecodeCompact<gen::Datagram>(bytes, kDatagramLimits);
+  return detail::DecodeCompact<gen::Datagram>(bytes.data(), bytes.size(),
+                                              kDatagramLimits);
 }
 
 Result<gen::Datagram> DecodeSnapshot(std::string_view bytes) {
-  return detail::DecodeCompact<gen::Datagram>(bytes, kSnapshotLimits);
+  return detail::DecodeCompact<gen::Datagram>(bytes.data(), bytes.size(),
+                                              kSnapshotLimits);
 }
 
 }  // namespace coltsfootvane::fleet
--- a/src/fleet/config_frames.cc
+++ b/src/fleet/config_frames.cc
@@ -73,7 +73,8 @@
       reinterpret_cast<const Bytef*>(compressed.data()), compressed.size());
   if (status != Z_OK || written != message.size())
     return Damaged();
-  return detail::DecodeCompact<gen::ConfigPart>(message, kPartLimits);
+  return detail::DecodeCompact<gen::ConfigPart>(message.data(), message.size(),
+                                                kPartLimits);
 }
 
 store::Place PlaceOf(const gen::ConfigPart& part) {
--- a/src/fleet/thrift_codec.h
+++ b/src/fleet/thrift_codec.h
@@ -4,10 +4,10 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
 
 #include "base/result.h"
 
@@ -31,14 +31,14 @@
 
 /// Errors: kInvalid.
 template <class Message>
-Result<Message> DecodeCompact(std::string_view bytes,
+Result<Message> DecodeCompact(const char* bytes,
+                              std::size_t length,
                               const DecodeLimits& limits) {
   using apache::thrift::transport::TMemoryBuffer;
   try {
-    // The const_cast is safe, since the buffer is only read.
-    const auto buffer = std::make_shared<TMemoryBuffer>(
-        reinterpret_cast<std::uint8_t*>(const_cast<char*>(bytes.data())),
-        static_cast<std::uint32_t>(bytes.size()));
+    const auto buffer = std::make_shared<TMemoryBuffer>();
+    buffer->write(reinterpret_cast<const std::uint8_t*>(bytes),
+                  static_cast<std::uint32_t>(length));
     apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(
         buffer, limits.string_bytes, limits.list_items);
     Message message;
--- a/src/gateway/routing_table.cc
+++ b/src/gateway/routing_table.cc
@@ -80,8 +80,7 @@
 }  // namespace
 
 void PutPart(TablePart part, RoutingTable* table) {
-  std::visit([table](auto&& one) { Put(std::move(one), table); },
-             std::move(part));
+  std::visit([table](auto& one) { Put(std::move(one), table); }, part);
 }
 
 void RemovePart(const TablePart& part, RoutingTable* table) {
