Daemon: A standby reads until a reader before it does

Change: it ends its reading once the report of a reader before it shows a read of the store that is newer than its own.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -155,6 +155,7 @@
     this->config.CatchUp(told.config);
     this->endpoints.CatchUp(told.departure);
   }
+  this->YieldTo(told);
   const TimePoint before = this->endpoints.ConfirmedAt();
   this->config.Confirm(told.config, told.confirmed_at);
   this->endpoints.Confirm(told.max_departure, told.confirmed_at);
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -73,6 +73,9 @@
   void AdvanceTo(const store::Place& place);
   void UpdateRole(TimePoint now);
   bool IsStandbyDue(TimePoint now) const;
+  /// Ends this daemon's reading as a standby if the report comes from a reader
+  /// before it that reads the latest state again.
+  void YieldTo(const fleet::SeenChanges& told);
   store::FollowerEvents ConfigEvents();
   store::FollowerEvents EndpointEvents();
   void OnEndpointsReachable(bool reachable);
@@ -132,6 +135,7 @@
   std::set<std::string> listed_ahead;
   bool large = false;  ///< One daemon reads for all; see Fleet::IsLarge().
   bool relies_on_news = false;
+  std::vector<std::uint32_t> readers;  ///< Addresses; the first one reads.
   int rank = 0;           ///< Among those who read; 0 is the first.
   TimePoint reads_until;  ///< As a standby whose reader has been silent.
   std::string logged_role;
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -19,8 +19,11 @@
 /// next ones follow after another kStandbyStep each.
 constexpr double kStandbyShare = 0.42;
 constexpr double kStandbyStep = 0.04;
-/// For which a standby goes on reading.
+/// For which a standby goes on reading, unless a reader before it reads again.
 constexpr double kActingShare = 3;
+/// What a daemon has read may come back to it in the report of another one,
+/// later by up to this time.
+constexpr Milliseconds kMaxEcho{100};
 /// Refused daemons come back after 0.6 to 14 s, at different times. The readers
 /// come back sooner and bring the news; if they cannot, the first of the others
 /// to come back does, which takes some 100 ms in a fleet of 100.
@@ -208,15 +211,28 @@
   return now - this->check.confirmed_at > Share(this->in_force_limit, share);
 }
 
+void StoreView::YieldTo(const fleet::SeenChanges& told) {
+  const TimePoint now = BootNow();
+  if (!this->large || this->rank == 0 || now >= this->reads_until)
+    return;
+  const auto own = std::find(this->readers.begin(), this->readers.end(),
+                             this->fleet->OwnAddress());
+  const bool is_before =
+      std::find(this->readers.begin(), own, told.reporter) != own;
+  if (is_before && told.reachable &&
+      told.confirmed_at > this->check.confirmed_at + kMaxEcho)
+    this->reads_until = now;
+}
+
 /// Finds out whether this daemon reads for the others.
 void StoreView::UpdateRole(TimePoint now) {
   const bool was_reader = this->large && this->rank == 0;
   this->large = this->fleet->IsLarge();
   this->check.latest_share =
       this->large ? ViewCheck::kLargeFleetShare : ViewCheck::kUsualShare;
-  const std::vector<std::uint32_t> readers =
-      this->large ? this->fleet->Readers(kReaders)
-                  : std::vector<std::uint32_t>();
+  this->readers = this->large ? this->fleet->Readers(kReaders)
+                              : std::vector<std::uint32_t>();
+  const std::vector<std::uint32_t>& readers = this->readers;
   const auto own =
       std::find(readers.begin(), readers.end(), this->fleet->OwnAddress());
   this->rank = static_cast<int>(own - readers.begin());
--- a/src/daemon/store_view_unittest.cc
+++ b/src/daemon/store_view_unittest.cc
@@ -119,13 +119,17 @@
   store::ObjectStore store;
   std::vector<store::Handler<Listing>> lists;    ///< Of endpoints.
   std::vector<store::Handler<Changes>> watches;  ///< Of endpoints.
+  std::vector<store::Handler<Listing>> config_lists;
+  std::vector<store::Handler<Changes>> config_watches;
+  std::string own;
   udp::socket peer{this->io,
                    {boost::asio::ip::make_address(kPeer), this->port}};
   std::int64_t sequence = 0;
   daemon::StoreView view;
 
-  Fixture()
-      : view(&this->io,
+  explicit Fixture(std::string own_address = kOwn)
+      : own(std::move(own_address)),
+        view(&this->io,
              this->Prepare(),
              &this->store,
              &this->gateway,
@@ -138,8 +142,11 @@
       this->view.CatchUp(seen);
     };
     CHECK(static_cast<bool>(this->fleet.Open(this->Own())));
-    for (unsigned char i = 2; i < 40; ++i)
-      this->fleet.AddPeer(boost::asio::ip::address_v4({127, 0, 0, i}));
+    for (unsigned char i = 1; i < 40; ++i) {
+      const boost::asio::ip::address_v4 peer_address({127, 0, 0, i});
+      if (peer_address.to_string() != this->own)
+        this->fleet.AddPeer(peer_address);
+    }
     this->view.Start();
   }
 
@@ -150,14 +157,16 @@
     this->deployment.read_endpoint = ReadEndpoint;
     this->store.list = [this](const std::string& kind, store::Freshness,
                               store::Handler<Listing> handler) {
-      if (kind == this->deployment.endpoint_kind)
-        this->lists.push_back(std::move(handler));
+      (kind == this->deployment.endpoint_kind ? this->lists
+                                              : this->config_lists)
+          .push_back(std::move(handler));
     };
     this->store.watch = [this](const std::string& kind, const store::Place&,
                                Milliseconds, store::Freshness,
                                store::Handler<Changes> handler) {
-      if (kind == this->deployment.endpoint_kind)
-        this->watches.push_back(std::move(handler));
+      (kind == this->deployment.endpoint_kind ? this->watches
+                                              : this->config_watches)
+          .push_back(std::move(handler));
     };
     return &this->deployment;
   }
@@ -165,9 +174,13 @@
   /// Another daemon reports that it has seen a departure.
   void Report(const char* from, std::int64_t revision) {
     fleet::gen::Report report;
+    report.endpoints_revision = revision;
+    this->Send(from, report);
+  }
+
+  void Send(const std::string& from, fleet::gen::Report report) {
     report.incarnation = 1;
     report.sequence = ++this->sequence;
-    report.endpoints_revision = revision;
     fleet::gen::Datagram datagram;
     datagram.__set_report(report);
     udp::socket socket(this->io, {boost::asio::ip::make_address(from), 0});
@@ -175,7 +188,28 @@
   }
 
   udp::endpoint Own() const {
-    return {boost::asio::ip::make_address(kOwn), this->port};
+    return {boost::asio::ip::make_address(this->own), this->port};
+  }
+
+  /// Runs for that time, in which the store answers all watches without a
+  /// change. Returns how many there were of endpoints.
+  std::size_t AnswerWatches(Milliseconds time) {
+    constexpr Milliseconds kStep{20};
+    std::size_t answered = 0;
+    Changes none;
+    none.place = this->view.Endpoints().At();
+    const TimePoint end = BootNow() + time;
+    while (BootNow() < end) {
+      this->view.Tick();
+      for (const auto& handler : std::exchange(this->config_watches, {}))
+        handler(none);
+      for (const auto& handler : std::exchange(this->watches, {})) {
+        ++answered;
+        handler(none);
+      }
+      this->io.run_for(kStep);
+    }
+    return answered;
   }
 
   /// Returns the batches that the view sends a daemon that knows `revision`.
@@ -274,6 +308,56 @@
   CHECK(fixture.gateway.endpoints.endpoints.count("a") > 0);
 }
 
+// Guards against standbys that read the store beside a reader that is back, as
+// after each outage (DrillCalls).
+TEST(StoreView, AStandbyReadsUntilAReaderBeforeItDoes) {
+  constexpr Milliseconds kUntilItReads{1550};
+  constexpr Milliseconds kOneWatch{10};
+  constexpr Milliseconds kSinceItsRead{200};
+  constexpr Milliseconds kReportOnItsWay{40};
+  constexpr Milliseconds kSeveralWatches{400};
+  const std::vector<std::uint32_t> readers = Fixture().fleet.Readers(3);
+  const auto text = [](std::uint32_t address) {
+    return boost::asio::ip::address_v4(address).to_string();
+  };
+  // The socket of the other daemon has one of the addresses.
+  const std::size_t rank = text(readers[1]) == kPeer ? 2 : 1;
+  struct Row {
+    const char* name;
+    std::string from;
+    bool reachable;
+    int age_ms;
+    bool yields;
+  };
+  const Row rows[] = {
+      {"reader", text(readers[0]), true, 0, true},
+      {"reader without the store", text(readers[0]), false, 0, false},
+      {"the own read comes back", text(readers[0]), true, 150, false},
+      {"follower", "127.0.0.50", true, 0, false},
+  };
+  for (const Row& row : rows) {
+    Fixture fixture(text(readers[rank]));
+    const Listing listing{{MakeObject("a", 5)}, store::Place(10)};
+    fixture.lists[0](listing);
+    fixture.config_lists[0](Listing{{}, store::Place(10)});
+    CHECK_TEXT(fixture.AnswerWatches(kUntilItReads) > 0, row.name);
+    while (fixture.AnswerWatches(kOneWatch) == 0)
+      continue;
+    fixture.io.run_for(kSinceItsRead);
+    fleet::gen::Report report;
+    report.store_reachable = row.reachable;
+    report.endpoints_revision = 10;
+    report.config_revision = 10;
+    report.__set_max_departure_revision(10);
+    report.__set_confirmed_age_ms(row.age_ms);
+    fixture.Send(row.from, report);
+    fixture.io.run_for(kReportOnItsWay);
+    fixture.AnswerWatches(kReportOnItsWay);
+    const bool goes_on = fixture.AnswerWatches(kSeveralWatches) > 0;
+    CHECK_EQUAL_TEXT(!row.yields, goes_on, row.name);
+  }
+}
+
 // Guards against a departure that stays unknown for as long as a connection to
 // one other daemon takes to time out, while the next daemon would answer.
 TEST(StoreView, RecoversBesideASilentDaemon) {
