Daemon, tests: Addresses on the wire and the wait for a fleet stand once

Cause: two files turned the signed integers of messages into addresses with the same function, and four tests waited in the same loop until all daemons know each other. Change: fleet::AddressesFromWire() and testing::AwaitAllLive().

--- a/src/daemon/config_sync.cc
+++ b/src/daemon/config_sync.cc
@@ -6,6 +6,7 @@
 
 #include "base/time_slice.h"
 #include "daemon/events.h"
+#include "fleet/codec.h"
 #include "fleet/config_frames.h"
 
 namespace coltsfootvane::daemon {
@@ -18,14 +19,6 @@
 /// Changes that wait for the one that is being applied. Others are fetched.
 constexpr std::size_t kMaxWaitingFrames = 8;
 
-std::vector<std::uint32_t> FromWire(const std::vector<std::int32_t>& wire) {
-  std::vector<std::uint32_t> addresses;
-  addresses.reserve(wire.size());
-  for (const std::int32_t address : wire)
-    addresses.push_back(static_cast<std::uint32_t>(address));
-  return addresses;
-}
-
 store::Place PlaceOf(const gen::ConfigNews& news) {
   return store::Place(news.revision, news.era);
 }
@@ -92,7 +85,8 @@
 }
 
 void ConfigSync::OnNews(const gen::ConfigNews& told, std::uint32_t from) {
-  const std::vector<std::uint32_t> relays = FromWire(told.relay_to);
+  const std::vector<std::uint32_t> relays =
+      fleet::AddressesFromWire(told.relay_to);
   const store::Place place = PlaceOf(told);
   // Daemons of an earlier version of the program state no era.
   if (place.era < this->announced.era) {
--- a/src/daemon/store_news.cc
+++ b/src/daemon/store_news.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/codec.h"
+
 namespace coltsfootvane::daemon {
 namespace {
 
@@ -22,14 +24,6 @@
 /// A daemon that lacks more gets no single changes.
 constexpr std::size_t kMaxAnswerDatagrams = 6;
 
-std::vector<std::uint32_t> FromWire(const std::vector<std::int32_t>& wire) {
-  std::vector<std::uint32_t> addresses;
-  addresses.reserve(wire.size());
-  for (const std::int32_t address : wire)
-    addresses.push_back(static_cast<std::uint32_t>(address));
-  return addresses;
-}
-
 bool LeavesOut(const gen::StoreBatch& batch) {
   return std::any_of(batch.changes.begin(), batch.changes.end(),
                      [](const gen::EndpointNews& one) { return one.left_out; });
@@ -114,7 +108,7 @@
   if (!news.relay_to.empty()) {
     gen::StoreNews passed_on = news;
     passed_on.relay_to.clear();
-    this->fleet->Spread(passed_on, FromWire(news.relay_to));
+    this->fleet->Spread(passed_on, fleet::AddressesFromWire(news.relay_to));
   }
   if (news.too_old)
     SkipAsks(BootNow(), &this->endpoints_recovery);
--- a/src/fleet/codec.cc
+++ b/src/fleet/codec.cc
@@ -25,4 +25,9 @@
                                               kSnapshotLimits);
 }
 
+std::vector<std::uint32_t> AddressesFromWire(
+    const std::vector<std::int32_t>& wire) {
+  return {wire.begin(), wire.end()};
+}
+
 }  // namespace coltsfootvane::fleet
--- a/src/fleet/codec.h
+++ b/src/fleet/codec.h
@@ -2,8 +2,10 @@
 #define COLTSFOOTVANE_FLEET_CODEC_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/result.h"
 #include "fleet/gen/fleet_types.h"
@@ -20,6 +22,10 @@
 /// Decodes what another daemon sent over TCP, which may be longer.
 Result<gen::Datagram> DecodeSnapshot(std::string_view bytes);
 
+/// Returns the IPv4 addresses of a message, whose integers are signed.
+std::vector<std::uint32_t> AddressesFromWire(
+    const std::vector<std::int32_t>& wire);
+
 }  // namespace coltsfootvane::fleet
 
 #endif  // COLTSFOOTVANE_FLEET_CODEC_H_
--- a/tests/integration/drill_calls_test.cc
+++ b/tests/integration/drill_calls_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway_process.h"
+#include "live_daemons.h"
 #include "replica_site.h"
 #include "soak_options.h"
 #include "support/free_port.h"
@@ -152,19 +153,8 @@
       if ((i + 1) % kStartedTogether == 0)
         this->RunFor(Milliseconds(200));
     }
-    const std::string all_live = "coltsfootvane_live_daemons " +
-                                 std::to_string(this->daemons.size()) + "\n";
-    for (const auto& daemon : this->daemons) {
-      const bool ready =
-          daemon->AwaitReady() &&
-          daemon->RunUntil(
-              [&] {
-                return daemon->Metrics().find(all_live) != std::string::npos;
-              },
-              30'000);
-      if (!ready)
-        return false;
-    }
+    if (!testing::AwaitAllLive(this->daemons, Milliseconds(30'000)))
+      return false;
     this->Repeat(kTurnInterval, [this] {
       const TimePoint now = Clock::now();
       this->longest_stall = std::max(
--- a/tests/integration/large_site.cc
+++ b/tests/integration/large_site.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "live_daemons.h"
 #include "replica_site.h"
 
 namespace coltsfootvane::testing {
@@ -27,19 +28,8 @@
   this->store.Put("servers", "r1", this->replica.Entry());
   for (const auto& daemon : this->daemons)
     daemon->Start();
-  const std::string all_live =
-      "coltsfootvane_live_daemons " + std::to_string(kDaemons);
-  for (const auto& daemon : this->daemons) {
-    const bool ready =
-        daemon->AwaitReady() &&
-        daemon->RunUntil(
-            [&] {
-              return daemon->Metrics().find(all_live) != std::string::npos;
-            },
-            20'000);
-    if (!ready)
-      return false;
-  }
+  if (!AwaitAllLive(this->daemons, Milliseconds(20'000)))
+    return false;
   // Watches that were made before the others were known come to their end.
   this->RunFor(Milliseconds(3500));
   return true;
--- a/tests/integration/stale_reads_test.cc
+++ b/tests/integration/stale_reads_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gateway_process.h"
+#include "live_daemons.h"
 #include "replica_site.h"
 #include "support/free_port.h"
 #include "support/replica_standin.h"
@@ -66,19 +67,8 @@
     this->store.Put("servers", "r1", this->replica.Entry());
     for (const auto& daemon : this->daemons)
       daemon->Start();
-    const std::string all_live =
-        "coltsfootvane_live_daemons " + std::to_string(kDaemons);
-    for (const auto& daemon : this->daemons) {
-      const bool ready =
-          daemon->AwaitReady() &&
-          daemon->RunUntil(
-              [&] {
-                return daemon->Metrics().find(all_live) != std::string::npos;
-              },
-              15'000);
-      if (!ready)
-        return false;
-    }
+    if (!testing::AwaitAllLive(this->daemons, Milliseconds(15'000)))
+      return false;
     // Ends the first watches, which were made before the others were known. A
     // cheap watch that follows one of the latest state waits for its whole
     // time.
