Daemon: Fetching from another daemon stands once

Cause: the fetch of endpoints built its request itself, its time limit stood in two files, and departures are about to be fetched as well. Change: FetchFromDaemon() and kFetchTimeout in peer_fetch; nothing else is different.

--- a/src/daemon/config_fetch.cc
+++ b/src/daemon/config_fetch.cc
@@ -5,6 +5,7 @@
 #include "base/time_slice.h"
 #include "daemon/config_sync.h"
 #include "daemon/events.h"
+#include "daemon/peer_fetch.h"
 
 namespace coltsfootvane::daemon {
 namespace {
@@ -15,8 +16,7 @@
 constexpr std::string_view kChangesPath = "/store/config-changes/";
 /// Daemons of earlier versions of the program fetch the whole text.
 constexpr std::string_view kTextPath = "/store/config";
-/// To the first bytes of an answer; and between the next ones.
-constexpr Milliseconds kFetchTimeout{1200};
+/// Between the bytes of an answer, after the first ones.
 constexpr Milliseconds kMaxPause{600};
 constexpr Milliseconds kTimerInterval{40};
 /// A configuration passes from daemon to daemon, each of which fetches it.
--- a/src/daemon/store_news.h
+++ b/src/daemon/store_news.h
@@ -69,10 +69,6 @@
   void OnTimer();
   void RecoverEndpoints(TimePoint now);
   void FetchEndpoints(std::uint32_t from);
-  void Fetch(std::uint32_t from,
-             const char* path,
-             Milliseconds timeout,
-             std::function<void(const std::string*)> done);
 
   boost::asio::steady_timer timer;
   gateway::Gateway* gateway;
--- a/src/daemon/store_news_fetch.cc
+++ b/src/daemon/store_news_fetch.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "daemon/peer_fetch.h"
 #include "daemon/store_news.h"
 #include "fleet/codec.h"
 
@@ -10,7 +11,6 @@
 namespace gen = fleet::gen;
 
 constexpr char kEndpointsPath[] = "/store/endpoints";
-constexpr Milliseconds kFetchTimeout{1200};
 
 }  // namespace
 
@@ -57,27 +57,10 @@
   }
 }
 
-void StoreNews::Fetch(std::uint32_t from,
-                      const char* path,
-                      Milliseconds timeout,
-                      std::function<void(const std::string*)> done) {
-  net::RequestHead head;
-  head.method = "GET";
-  head.target = path;
-  head.fields.push_back({"Connection", "close"});
-  this->client->Call(
-      {boost::asio::ip::address_v4(from), this->peer_port}, std::move(head), {},
-      timeout, net::ConnectionUse::kOwn,
-      [done = std::move(done)](const Result<net::WholeResponse>& response) {
-        const bool ok = response && response.value().head.status == 200;
-        done(ok ? &response.value().body : nullptr);
-      });
-}
-
 void StoreNews::FetchEndpoints(std::uint32_t from) {
   const Milliseconds timeout =
       kFetchTimeout + TransferTime(this->endpoints_recovery.entries);
-  this->Fetch(from, kEndpointsPath, timeout, [this](const std::string* body) {
+  const auto on_fetched = [this](const std::string* body) {
     EndFetch(BootNow(), &this->gateway->random, &this->endpoints_recovery);
     if (body == nullptr)
       return;
@@ -92,7 +75,9 @@
     ++this->counts->fetched;
     this->target.apply_snapshot(all);
     this->BeginLog(place);
-  });
+  };
+  FetchFromDaemon(this->client, from, this->peer_port, kEndpointsPath, timeout,
+                  on_fetched);
 }
 
 gateway::HealthAnswer StoreNews::Answer(std::string_view path) {
