Daemon: A daemon that starts learns which endpoints have left

Cause: departures are remembered by the daemons that saw them. One that has started since takes the entry of the store's older copy for a new endpoint until the removal is written again. Class of fault: state that outlives the store, but not the restart of the process that holds it. Change: a daemon fetches the departures that another one remembers, once after its first listing. Who has not learned them says so, and another one is asked; five asks without an answer mean that all have started at the same time. Entries listed meanwhile are treated as if the departure had been known. The fixture of the view's tests is a header now.

--- /dev/null
+++ b/src/daemon/departure_sync.cc
@@ -0,0 +1,78 @@
+#include "daemon/departure_sync.h"
+
+#include <utility>
+
+#include "daemon/events.h"
+#include "daemon/peer_fetch.h"
+#include "fleet/codec.h"
+
+namespace coltsfootvane::daemon {
+namespace {
+
+constexpr char kPath[] = "/store/departures";
+/// After so many without an answer nobody knows: all daemons have started at
+/// the same time.
+constexpr int kAsks = 5;
+constexpr Milliseconds kAskInterval{1000};
+
+}  // namespace
+
+DepartureSync::DepartureSync(fleet::Fleet* own_fleet,
+                             net::HttpClient* http_client,
+                             unsigned short port,
+                             DecisionLog* decision_log,
+                             DepartureTarget departure_target)
+    : fleet(own_fleet),
+      client(http_client),
+      peer_port(port),
+      log(decision_log),
+      target(std::move(departure_target)),
+      asks_left(kAsks) {}
+
+void DepartureSync::Tick(TimePoint now) {
+  if (this->is_done || this->is_asking || now < this->next_at)
+    return;
+  const auto any = [](const fleet::gen::Report&) { return true; };
+  std::uint32_t from = this->fleet->PickMember(any, this->asked);
+  if (from == 0)
+    from = this->fleet->PickMember(any);
+  if (from == 0)
+    return;
+  this->asked = from;
+  this->is_asking = true;
+  this->next_at = now + kAskInterval;
+  --this->asks_left;
+  FetchFromDaemon(
+      this->client, from, this->peer_port, kPath, kFetchTimeout,
+      [this, from](const std::string* body) { this->OnFetched(from, body); });
+}
+
+void DepartureSync::OnFetched(std::uint32_t from, const std::string* body) {
+  this->is_asking = false;
+  this->is_done = this->asks_left == 0;
+  if (body == nullptr)
+    return;
+  const Result<fleet::gen::Departures> told = fleet::DecodeDepartures(*body);
+  if (!told)
+    return;
+  this->is_done = true;
+  this->target.learn(told.value());
+  this->log->Write(
+      kDeparturesLearned, "",
+      "from=" + boost::asio::ip::address_v4(from).to_string() +
+          " departures=" + std::to_string(told.value().left.size()));
+}
+
+gateway::HealthAnswer DepartureSync::Answer(std::string_view path) {
+  constexpr int kNoRoom = 503;
+  if (path != kPath)
+    return {};
+  if (!this->is_done)
+    return {kNoRoom, "not known\n"};
+  gateway::HealthAnswer answer{200, fleet::Encode(this->target.remembered())};
+  if (!TryTransfer(answer.body.size(), BootNow(), &this->transfers))
+    return {kNoRoom, "busy\n"};
+  return answer;
+}
+
+}  // namespace coltsfootvane::daemon
--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -47,6 +47,9 @@
 inline constexpr Event kConfigDamaged{2419, Severity::kWarning,
                                       "config-damaged"};
 
+inline constexpr Event kDeparturesLearned{2420, Severity::kInfo,
+                                          "departures-learned"};
+
 }  // namespace coltsfootvane::daemon
 
 #endif  // COLTSFOOTVANE_DAEMON_EVENTS_H_
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -87,7 +87,12 @@
                   client,
                   peer_port,
                   &this->counts,
-                  this->TargetOfConfig()) {
+                  this->TargetOfConfig()),
+      departure_sync(own_fleet,
+                     client,
+                     peer_port,
+                     decision_log,
+                     this->TargetOfDepartures()) {
   this->store->eras->observers.push_back(
       [this](const store::EraChange& change) { this->OnNewEra(change.to); });
 }
@@ -235,6 +240,8 @@
   this->SendNews();
   const TimePoint now = BootNow();
   this->EndWaits(now);
+  if (this->endpoints_known)
+    this->departure_sync.Tick(now);
   this->UpdateRole(now);
   const bool due =
       IsCheckDue(this->check, now) || (this->large && this->IsStandbyDue(now));
@@ -278,8 +285,10 @@
 }
 
 gateway::HealthAnswer StoreView::Answer(std::string_view path) {
-  gateway::HealthAnswer answer = this->config_sync.Answer(path);
   constexpr int kNotFound = 404;
+  gateway::HealthAnswer answer = this->config_sync.Answer(path);
+  if (answer.status == kNotFound)
+    answer = this->departure_sync.Answer(path);
   return answer.status == kNotFound ? this->news.Answer(path) : answer;
 }
 
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "daemon/config_sync.h"
+#include "daemon/departure_sync.h"
 #include "daemon/deployment.h"
 #include "daemon/store_news.h"
 #include "daemon/view_check.h"
@@ -43,6 +44,9 @@
   void Start();
   /// Returns whether the endpoints have been listed once.
   bool KnowsEndpoints() const { return this->endpoints_known; }
+  /// Returns whether this daemon has learned which endpoints have left before
+  /// its start, or nobody knows.
+  bool KnowsWhoHasLeft() const { return this->departure_sync.IsDone(); }
   /// Lists what another daemon has seen and this one has not.
   void CatchUp(const fleet::SeenChanges& told);
   /// Lists again, since answers of the store may have been lost. A daemon that
@@ -62,6 +66,7 @@
  private:
   NewsTarget Target();
   ConfigTarget TargetOfConfig();
+  DepartureTarget TargetOfDepartures();
   void ApplyBatch(const fleet::gen::StoreBatch& batch);
   void ApplySnapshot(const fleet::gen::StoreBatch& all);
   fleet::gen::StoreBatch MakeSnapshot() const;
@@ -97,7 +102,12 @@
   static constexpr store::Place kDeleted{};
   /// `unusable` is the place of an entry that cannot be used, or kDeleted.
   void RemoveEndpoint(const std::string& id, const store::Place& unusable);
+  /// No new work goes to the endpoint. The others are told.
+  void TakeOutOfUse(const std::string& id, const store::Place& unusable);
   void TellRemoval(const std::string& id, const store::Place& unusable);
+  fleet::gen::Departures RememberedDepartures() const;
+  void LearnDepartures(const fleet::gen::Departures& told);
+  void LearnDeparture(const fleet::gen::Departure& told);
   void ApplyChange(const store::Change& change, const store::Place& place);
   void RaiseMaxDeparture(const store::Place& place);
   void NoteDeparture(const store::Place& place);
@@ -127,6 +137,7 @@
   NewsCounts counts;
   StoreNews news;
   ConfigSync config_sync;
+  DepartureSync departure_sync;
   /// Changes of the answer that is being applied, for the others.
   std::vector<fleet::gen::EndpointNews> changes;
   bool departures = false;  ///< There are some among the changes.
--- a/src/daemon/store_view_endpoints.cc
+++ b/src/daemon/store_view_endpoints.cc
@@ -158,6 +158,11 @@
     return;
   departure::RecordDeparture(found->second->entry, departure::Leaving::kRemoved,
                              this->endpoints.At(), BootNow(), &this->departed);
+  this->TakeOutOfUse(id, unusable);
+}
+
+void StoreView::TakeOutOfUse(const std::string& id,
+                             const store::Place& unusable) {
   this->log->Write(gateway::kEndpointGone, "", "endpoint=" + id);
   gateway::RemoveEndpoint(&this->gateway->endpoints, id);
   this->TellRemoval(id, unusable);
--- a/src/daemon/store_view_unittest.cc
+++ b/src/daemon/store_view_unittest.cc
@@ -1,237 +1,56 @@
 #include "daemon/store_view.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <array>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ip/udp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "fleet/codec.h"
-#include "support/free_port.h"
+#include "support/store_view_fixture.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
-using boost::asio::ip::tcp;
-using boost::asio::ip::udp;
 using store::Changes;
 using store::Listing;
+using testing::kLimit;
+using testing::kPeer;
+using testing::MakeObject;
+using testing::PeerServer;
+using testing::SnapshotResponse;
+using testing::StoreViewFixture;
 
 namespace {
 
-constexpr Milliseconds kLimit{3000};
-constexpr char kOwn[] = "127.0.0.1";
-constexpr char kPeer[] = "127.0.0.2";
-
-store::Object MakeObject(const std::string& name,
-                         std::int64_t revision,
-                         bool draining = false) {
-  store::Object object;
-  object.name = name;
-  object.place = store::Place(revision);
-  object.spec = {{"draining", draining}};
-  return object;
-}
-
-Result<gateway::EndpointEntry> ReadEndpoint(const std::string& id,
-                                            const nlohmann::json& spec) {
-  gateway::EndpointEntry entry;
-  entry.id = id;
-  entry.service = "service";
-  entry.address = {boost::asio::ip::make_address("127.0.0.9"), 80};
-  entry.slots = 1;
-  entry.draining = spec.value("draining", false);
-  return entry;
-}
-
-/// Accepts connections of daemons that fetch all endpoints, and answers them or
-/// is silent for good.
-struct SnapshotServer {
-  SnapshotServer(boost::asio::io_context* io,
-                 const char* host,
-                 unsigned short port,
-                 std::string response)
-      : acceptor(*io, tcp::endpoint(boost::asio::ip::make_address(host), port)),
-        response(std::move(response)) {
-    this->Accept();
-  }
+constexpr std::int64_t kLeftProcess = 7;
+constexpr store::Place kLeftAt(30, 2);
 
-  void Accept() {
-    auto socket = std::make_shared<tcp::socket>(this->acceptor.get_executor());
-    this->acceptor.async_accept(
-        *socket, [this, socket](const boost::system::error_code& ec) {
-          if (ec)
-            return;
-          this->held.push_back(socket);
-          this->Accept();
-          if (this->response.empty())
-            return;
-          boost::asio::async_read_until(
-              *socket, boost::asio::dynamic_buffer(this->request), "\r\n\r\n",
-              [this, socket](const boost::system::error_code&, std::size_t) {
-                boost::asio::write(*socket,
-                                   boost::asio::buffer(this->response));
-              });
-        });
+/// Returns a response that "a" and "b" have left.
+std::string DeparturesResponse() {
+  fleet::gen::Departures told;
+  for (const char* const id : {"a", "b"}) {
+    fleet::gen::Departure one;
+    one.id = id;
+    one.incarnation = kLeftProcess;
+    one.removed = one.id == "a";
+    one.revision = kLeftAt.revision;
+    one.__set_era(kLeftAt.era);
+    one.remaining_ms = 60'000;
+    told.left.push_back(one);
   }
-
-  tcp::acceptor acceptor;
-  std::string response;
-  std::string request;
-  std::vector<std::shared_ptr<tcp::socket>> held;
-};
-
-/// Returns a response whose snapshot has one endpoint, "a", at a revision.
-std::string SnapshotResponse(std::int64_t revision) {
-  fleet::gen::EndpointNews one;
-  one.id = "a";
-  one.revision = revision;
-  one.__set_fields(
-      fleet::ToWire(ReadEndpoint("a", nlohmann::json::object()).value()));
-  fleet::gen::StoreBatch all;
-  all.to_revision = revision;
-  all.changes = {one};
-  fleet::gen::StoreNews news;
-  news.batches = {all};
-  fleet::gen::Datagram datagram;
-  datagram.__set_store_news(news);
-  const std::string body = fleet::Encode(datagram);
-  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-         "\r\nConnection: close\r\n\r\n" + body;
+  return testing::MakeResponse(fleet::Encode(told));
 }
 
-/// A view of a daemon in a large fleet, and one other daemon.
-struct Fixture {
-  boost::asio::io_context io;
-  unsigned short port = testing::FreePort(kOwn);
-  DecisionLog log{open("/dev/null", O_WRONLY), "test"};
-  gateway::Gateway gateway{&this->io};
-  fleet::Fleet fleet{&this->io, &this->gateway};
-  net::HttpClient client{&this->io};
-  daemon::Deployment deployment;
-  store::ObjectStore store;
-  std::vector<store::Handler<Listing>> lists;    ///< Of endpoints.
-  std::vector<store::Handler<Changes>> watches;  ///< Of endpoints.
-  std::vector<store::Handler<Listing>> config_lists;
-  std::vector<store::Handler<Changes>> config_watches;
-  std::string own;
-  udp::socket peer{this->io,
-                   {boost::asio::ip::make_address(kPeer), this->port}};
-  std::int64_t sequence = 0;
-  daemon::StoreView view;
-
-  explicit Fixture(std::string own_address = kOwn)
-      : own(std::move(own_address)),
-        view(&this->io,
-             this->Prepare(),
-             &this->store,
-             &this->gateway,
-             &this->fleet,
-             &this->log,
-             kLimit,
-             &this->client,
-             this->port) {
-    this->fleet.on_seen = [this](const fleet::SeenChanges& seen) {
-      this->view.CatchUp(seen);
-    };
-    CHECK(static_cast<bool>(this->fleet.Open(this->Own())));
-    for (unsigned char i = 1; i < 40; ++i) {
-      const boost::asio::ip::address_v4 peer_address({127, 0, 0, i});
-      if (peer_address.to_string() != this->own)
-        this->fleet.AddPeer(peer_address);
-    }
-    this->view.Start();
-  }
-
-  const daemon::Deployment* Prepare() {
-    this->gateway.log = &this->log;
-    this->deployment.endpoint_kind = "endpoints";
-    this->deployment.config_kind = "configs";
-    this->deployment.read_endpoint = ReadEndpoint;
-    this->store.list = [this](const std::string& kind, store::Freshness,
-                              store::Handler<Listing> handler) {
-      (kind == this->deployment.endpoint_kind ? this->lists
-                                              : this->config_lists)
-          .push_back(std::move(handler));
-    };
-    this->store.watch = [this](const std::string& kind, const store::Place&,
-                               Milliseconds, store::Freshness,
-                               store::Handler<Changes> handler) {
-      (kind == this->deployment.endpoint_kind ? this->watches
-                                              : this->config_watches)
-          .push_back(std::move(handler));
-    };
-    return &this->deployment;
-  }
-
-  /// Another daemon reports that it has seen a departure.
-  void Report(const char* from, std::int64_t revision) {
-    fleet::gen::Report report;
-    report.endpoints_revision = revision;
-    this->Send(from, report);
-  }
-
-  void Send(const std::string& from, fleet::gen::Report report) {
-    report.incarnation = 1;
-    report.sequence = ++this->sequence;
-    fleet::gen::Datagram datagram;
-    datagram.__set_report(report);
-    udp::socket socket(this->io, {boost::asio::ip::make_address(from), 0});
-    socket.send_to(boost::asio::buffer(fleet::Encode(datagram)), this->Own());
-  }
-
-  udp::endpoint Own() const {
-    return {boost::asio::ip::make_address(this->own), this->port};
-  }
-
-  /// Runs for that time, in which the store answers all watches without a
-  /// change. Returns how many there were of endpoints.
-  std::size_t AnswerWatches(Milliseconds time) {
-    constexpr Milliseconds kStep{20};
-    std::size_t answered = 0;
-    Changes none;
-    none.place = this->view.Endpoints().At();
-    const TimePoint end = BootNow() + time;
-    while (BootNow() < end) {
-      this->view.Tick();
-      for (const auto& handler : std::exchange(this->config_watches, {}))
-        handler(none);
-      for (const auto& handler : std::exchange(this->watches, {})) {
-        ++answered;
-        handler(none);
-      }
-      this->io.run_for(kStep);
-    }
-    return answered;
-  }
-
-  /// Returns the batches that the view sends a daemon that knows `revision`.
-  std::vector<fleet::gen::StoreBatch> BatchesSince(std::int64_t revision) {
-    this->fleet.on_store_news_request(
-        store::Place(revision),
-        boost::asio::ip::make_address_v4(kPeer).to_uint());
-    std::vector<fleet::gen::StoreBatch> batches;
-    std::array<char, 2048> buffer{};
-    while (this->peer.available() > 0) {
-      const std::size_t length =
-          this->peer.receive(boost::asio::buffer(buffer));
-      const auto datagram =
-          fleet::Decode(std::string_view(buffer.data(), length));
-      if (!datagram || !datagram.value().__isset.store_news)
-        continue;
-      const fleet::gen::StoreNews& news = datagram.value().store_news;
-      batches.insert(batches.end(), news.batches.begin(), news.batches.end());
-    }
-    return batches;
+/// The other daemon is heard, and asked.
+void AwaitDepartures(StoreViewFixture* fixture) {
+  fixture->Report(kPeer, 1);
+  const TimePoint start = BootNow();
+  while (!fixture->view.KnowsWhoHasLeft() && BootNow() < start + kLimit) {
+    fixture->view.Tick();
+    fixture->io.run_for(Milliseconds(20));
   }
-};
+  CHECK(fixture->view.KnowsWhoHasLeft());
+}
 
 }  // namespace
 
@@ -248,7 +67,7 @@
   };
   const Row rows[] = {{"deleted", true}, {"draining", false}};
   for (const Row& row : rows) {
-    Fixture fixture;
+    StoreViewFixture fixture;
     fixture.lists[0](
         Listing{{MakeObject("a", 5), MakeObject("b", 6)}, store::Place(10)});
     fixture.view.Tick();
@@ -282,7 +101,7 @@
 TEST(StoreView, TheTimeToRegisterAgainBeginsWithTheEra) {
   constexpr Milliseconds kListedAfter{900};
   constexpr Milliseconds kKnownAfter{2600};
-  Fixture fixture;
+  StoreViewFixture fixture;
   store::LearnEra(1, fixture.store.eras.get());
   fixture.lists[0](
       Listing{{MakeObject("a", 5), MakeObject("b", 6)}, store::Place(10, 1)});
@@ -308,6 +127,88 @@
   CHECK(fixture.gateway.endpoints.endpoints.count("a") > 0);
 }
 
+// Guards against requests at endpoints that had left before the daemon started,
+// as an older copy of the store calls them ready (DrillSoak).
+TEST(StoreView, ADaemonThatStartsLearnsWhoHasLeft) {
+  struct Row {
+    const char* name;
+    store::Place listed;  ///< The first listing, before the answer.
+    std::int64_t listed_process;
+    std::int64_t copy_era;  ///< Of a later listing; 0 if there is none.
+    std::int64_t copy_process;
+    bool uses_a;
+    bool uses_b;
+  };
+  const Row rows[] = {
+      {"comes back in the copy", store::Place(40, 2), 0, 3, kLeftProcess, false,
+       false},
+      {"a new process in the copy", store::Place(40, 2), 0, 3, kLeftProcess + 1,
+       true, true},
+      {"has started in the copy", store::Place(20, 3), kLeftProcess, 0, 0,
+       false, false},
+      {"has come back since", store::Place(40, 2), kLeftProcess, 0, 0, true,
+       true},
+      {"is leaving just now", store::Place(20, 2), kLeftProcess, 0, 0, true,
+       true},
+  };
+  for (const Row& row : rows) {
+    StoreViewFixture fixture;
+    const PeerServer other(&fixture.io, kPeer, fixture.port,
+                           DeparturesResponse());
+    const auto list = [&](const store::Place& place, std::int64_t process) {
+      Listing listing{{}, place};
+      for (const char* const id : {"a", "b"}) {
+        store::Object object = MakeObject(id, 5);
+        object.place.era = place.era;
+        object.spec["born"] = process;
+        if (process != 0)
+          listing.objects.push_back(object);
+      }
+      fixture.lists.back()(listing);
+    };
+    store::LearnEra(row.listed.era, fixture.store.eras.get());
+    list(row.listed, row.listed_process);
+    AwaitDepartures(&fixture);
+    if (row.copy_era != 0) {
+      store::LearnEra(row.copy_era, fixture.store.eras.get());
+      fixture.lists.clear();
+      fixture.view.Refresh();
+      CHECK_TEXT(!fixture.lists.empty(), row.name);
+      list(store::Place(20, row.copy_era), row.copy_process);
+    }
+    const auto& endpoints = fixture.gateway.endpoints.endpoints;
+    const auto uses = [&endpoints](const char* id) {
+      return endpoints.count(id) > 0 && !endpoints.at(id)->entry.draining;
+    };
+    CHECK_EQUAL_TEXT(row.uses_a, uses("a"), row.name);
+    CHECK_EQUAL_TEXT(row.uses_b, uses("b"), row.name);
+  }
+}
+
+// Guards against a daemon that has just started and tells the next one that
+// nobody has left.
+TEST(StoreView, OnlyWhoKnowsTellsWhoHasLeft) {
+  constexpr char kPath[] = "/store/departures";
+  StoreViewFixture fixture;
+  fixture.lists[0](Listing{{}, store::Place(40, 2)});
+  LONGS_EQUAL(503, fixture.view.Answer(kPath).status);
+  const PeerServer other(&fixture.io, kPeer, fixture.port,
+                         DeparturesResponse());
+  AwaitDepartures(&fixture);
+  const gateway::HealthAnswer answer = fixture.view.Answer(kPath);
+  LONGS_EQUAL(200, answer.status);
+  const auto told = fleet::DecodeDepartures(answer.body);
+  CHECK(static_cast<bool>(told));
+  LONGS_EQUAL(2, told.value().left.size());
+  const fleet::gen::Departure& a = told.value().left[0];
+  STRCMP_EQUAL("a", a.id.c_str());
+  LONGS_EQUAL(kLeftProcess, a.incarnation);
+  CHECK(a.removed);
+  LONGS_EQUAL(kLeftAt.revision, a.revision);
+  LONGS_EQUAL(kLeftAt.era, a.era);
+  CHECK(a.remaining_ms > 0);
+}
+
 // Guards against standbys that read the store beside a reader that is back, as
 // after each outage (DrillCalls).
 TEST(StoreView, AStandbyReadsUntilAReaderBeforeItDoes) {
@@ -316,7 +217,8 @@
   constexpr Milliseconds kSinceItsRead{200};
   constexpr Milliseconds kReportOnItsWay{40};
   constexpr Milliseconds kSeveralWatches{400};
-  const std::vector<std::uint32_t> readers = Fixture().fleet.Readers(3);
+  const std::vector<std::uint32_t> readers =
+      StoreViewFixture().fleet.Readers(3);
   const auto text = [](std::uint32_t address) {
     return boost::asio::ip::address_v4(address).to_string();
   };
@@ -336,7 +238,7 @@
       {"follower", "127.0.0.50", true, 0, false},
   };
   for (const Row& row : rows) {
-    Fixture fixture(text(readers[rank]));
+    StoreViewFixture fixture(text(readers[rank]));
     const Listing listing{{MakeObject("a", 5)}, store::Place(10)};
     fixture.lists[0](listing);
     fixture.config_lists[0](Listing{{}, store::Place(10)});
@@ -363,13 +265,13 @@
 TEST(StoreView, RecoversBesideASilentDaemon) {
   constexpr std::int64_t kDeparture = 30;
   constexpr Milliseconds kMost{1100};
-  Fixture fixture;
+  StoreViewFixture fixture;
   fixture.lists[0](
       Listing{{MakeObject("a", 5), MakeObject("b", 6)}, store::Place(10)});
   fixture.view.Tick();
-  const SnapshotServer silent(&fixture.io, kPeer, fixture.port, "");
-  const SnapshotServer other(&fixture.io, "127.0.0.3", fixture.port,
-                             SnapshotResponse(kDeparture));
+  const PeerServer silent(&fixture.io, kPeer, fixture.port, "");
+  const PeerServer other(&fixture.io, "127.0.0.3", fixture.port,
+                         SnapshotResponse(kDeparture));
   // Nobody answers requests for single changes. The silent one is the only one
   // whose report shows the departure when the first fetch begins.
   const TimePoint start = BootNow();
@@ -387,7 +289,7 @@
   CHECK(fixture.gateway.endpoints.endpoints.count("b") == 0);
   CHECK(BootNow() - silent_at < kMost);
   // Ends the call in progress, which owns its connection until then.
-  for (const std::shared_ptr<tcp::socket>& socket : silent.held)
+  for (const std::shared_ptr<testing::tcp::socket>& socket : silent.held)
     socket->close();
   fixture.io.run_for(Milliseconds(20));
 }
--- a/src/departure/departures.cc
+++ b/src/departure/departures.cc
@@ -37,6 +37,18 @@
     departure = {entry.incarnation, how, at, now + kMemory};
 }
 
+bool LearnDeparture(const std::string& id,
+                    const Departure& told,
+                    Departures* departures) {
+  const auto [known, inserted] = departures->left.emplace(id, told);
+  if (inserted)
+    return true;
+  if (told.at <= known->second.at)
+    return false;
+  known->second = told;
+  return true;
+}
+
 Verdict Judge(const gateway::EndpointEntry& entry,
               const store::Place& place,
               TimePoint now,
--- a/src/departure/departures.h
+++ b/src/departure/departures.h
@@ -61,6 +61,12 @@
                      TimePoint now,
                      Departures* departures);
 
+/// Records a departure that another daemon remembers, unless this one knows of
+/// a later one. Returns whether it does not.
+bool LearnDeparture(const std::string& id,
+                    const Departure& told,
+                    Departures* departures);
+
 /// Returns what to do with an entry that the store shows at that place. A
 /// departure gives way to entries of other processes, and of its own era unless
 /// that has just begun.
--- a/src/departure/departures_unittest.cc
+++ b/src/departure/departures_unittest.cc
@@ -78,6 +78,38 @@
                          departures) == Verdict::kKeepDraining);
 }
 
+// Guards against what another daemon tells taking the place of a later
+// departure.
+TEST(Departures, TheLaterOneOfTwoDaemonsHolds) {
+  struct Row {
+    const char* name;
+    store::Place own;  ///< Unknown if there is none.
+    store::Place told;
+    bool learned;
+  };
+  const Row rows[] = {
+      {"none of its own", store::Place(), store::Place(10, 1), true},
+      {"later in the era", store::Place(10, 1), store::Place(11, 1), true},
+      {"of a later era", store::Place(10, 1), store::Place(5, 2), true},
+      {"the same", store::Place(10, 1), store::Place(10, 1), false},
+      {"earlier", store::Place(10, 1), store::Place(9, 1), false},
+  };
+  for (const Row& row : rows) {
+    Departures departures;
+    if (row.own.IsKnown())
+      departure::RecordDeparture(MakeEntry(kProcess, false), Leaving::kRemoved,
+                                 row.own, kNow, &departures);
+    const departure::Departure told{kProcess + 1, Leaving::kRemoved, row.told,
+                                    kNow + Milliseconds(1)};
+    CHECK_EQUAL_TEXT(row.learned,
+                     departure::LearnDeparture("a", told, &departures),
+                     row.name);
+    CHECK_EQUAL_TEXT(row.learned,
+                     departures.left.at("a").incarnation == told.incarnation,
+                     row.name);
+  }
+}
+
 // Guards against an entry that is written again after the departure that came
 // later the first time.
 TEST(Departures, HoldWhileLostWritesAreWrittenAgain) {
--- a/src/fleet/fleet.thrift
+++ b/src/fleet/fleet.thrift
@@ -216,6 +216,21 @@
   2: optional i64 era
 }
 
+// A process of an endpoint that has left.
+struct Departure {
+  1: string id
+  2: i64 incarnation
+  3: bool removed  // Without having said that it leaves.
+  4: i64 revision  // Of the change that showed it.
+  5: optional i64 era  // Not set if it is 0.
+  6: i32 remaining_ms  // For which it is still remembered.
+}
+
+// In answer to a daemon that has started since.
+struct Departures {
+  1: list<Departure> left
+}
+
 // One setting of a configuration, as JSON text. Without one it is removed.
 struct ConfigItem {
   1: string key
--- a/src/fleet/gen/fleet_types.cpp
+++ b/src/fleet/gen/fleet_types.cpp
@@ -4194,6 +4194,312 @@
 }
 
 
+Departure::~Departure() noexcept {
+}
+
+
+void Departure::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void Departure::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void Departure::__set_removed(const bool val) {
+  this->removed = val;
+}
+
+void Departure::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void Departure::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void Departure::__set_remaining_ms(const int32_t val) {
+  this->remaining_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const Departure& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Departure::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->removed);
+          this->__isset.removed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->remaining_ms);
+          this->__isset.remaining_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Departure::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Departure");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->removed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->remaining_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Departure &a, Departure &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.incarnation, b.incarnation);
+  swap(a.removed, b.removed);
+  swap(a.revision, b.revision);
+  swap(a.era, b.era);
+  swap(a.remaining_ms, b.remaining_ms);
+  swap(a.__isset, b.__isset);
+}
+
+Departure::Departure(const Departure& other140) {
+  id = other140.id;
+  incarnation = other140.incarnation;
+  removed = other140.removed;
+  revision = other140.revision;
+  era = other140.era;
+  remaining_ms = other140.remaining_ms;
+  __isset = other140.__isset;
+}
+Departure& Departure::operator=(const Departure& other141) {
+  id = other141.id;
+  incarnation = other141.incarnation;
+  removed = other141.removed;
+  revision = other141.revision;
+  era = other141.era;
+  remaining_ms = other141.remaining_ms;
+  __isset = other141.__isset;
+  return *this;
+}
+void Departure::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Departure(";
+  out << "id=" << to_string(id);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "removed=" << to_string(removed);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "remaining_ms=" << to_string(remaining_ms);
+  out << ")";
+}
+
+
+Departures::~Departures() noexcept {
+}
+
+
+void Departures::__set_left(const std::vector<Departure> & val) {
+  this->left = val;
+}
+std::ostream& operator<<(std::ostream& out, const Departures& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Departures::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->left.clear();
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _etype145;
+            xfer += iprot->readListBegin(_etype145, _size142);
+            this->left.resize(_size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
+            {
+              xfer += this->left[_i146].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Departures::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Departures");
+
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->left.size()));
+    std::vector<Departure> ::const_iterator _iter147;
+    for (_iter147 = this->left.begin(); _iter147 != this->left.end(); ++_iter147)
+    {
+      xfer += (*_iter147).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Departures &a, Departures &b) {
+  using ::std::swap;
+  swap(a.left, b.left);
+  swap(a.__isset, b.__isset);
+}
+
+Departures::Departures(const Departures& other148) {
+  left = other148.left;
+  __isset = other148.__isset;
+}
+Departures& Departures::operator=(const Departures& other149) {
+  left = other149.left;
+  __isset = other149.__isset;
+  return *this;
+}
+void Departures::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Departures(";
+  out << "left=" << to_string(left);
+  out << ")";
+}
+
+
 ConfigItem::~ConfigItem() noexcept {
 }
 
@@ -4288,15 +4594,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigItem::ConfigItem(const ConfigItem& other140) {
-  key = other140.key;
-  text = other140.text;
-  __isset = other140.__isset;
+ConfigItem::ConfigItem(const ConfigItem& other150) {
+  key = other150.key;
+  text = other150.text;
+  __isset = other150.__isset;
 }
-ConfigItem& ConfigItem::operator=(const ConfigItem& other141) {
-  key = other141.key;
-  text = other141.text;
-  __isset = other141.__isset;
+ConfigItem& ConfigItem::operator=(const ConfigItem& other151) {
+  key = other151.key;
+  text = other151.text;
+  __isset = other151.__isset;
   return *this;
 }
 void ConfigItem::printTo(std::ostream& out) const {
@@ -4406,14 +4712,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->items.clear();
-            uint32_t _size142;
-            ::apache::thrift::protocol::TType _etype145;
-            xfer += iprot->readListBegin(_etype145, _size142);
-            this->items.resize(_size142);
-            uint32_t _i146;
-            for (_i146 = 0; _i146 < _size142; ++_i146)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->items.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->items[_i146].read(iprot);
+              xfer += this->items[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4477,10 +4783,10 @@
   xfer += oprot->writeFieldBegin("items", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->items.size()));
-    std::vector<ConfigItem> ::const_iterator _iter147;
-    for (_iter147 = this->items.begin(); _iter147 != this->items.end(); ++_iter147)
+    std::vector<ConfigItem> ::const_iterator _iter157;
+    for (_iter157 = this->items.begin(); _iter157 != this->items.end(); ++_iter157)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4511,25 +4817,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigPart::ConfigPart(const ConfigPart& other148) {
-  revision = other148.revision;
-  era = other148.era;
-  base_revision = other148.base_revision;
-  base_era = other148.base_era;
-  items = other148.items;
-  digest = other148.digest;
-  is_last = other148.is_last;
-  __isset = other148.__isset;
+ConfigPart::ConfigPart(const ConfigPart& other158) {
+  revision = other158.revision;
+  era = other158.era;
+  base_revision = other158.base_revision;
+  base_era = other158.base_era;
+  items = other158.items;
+  digest = other158.digest;
+  is_last = other158.is_last;
+  __isset = other158.__isset;
 }
-ConfigPart& ConfigPart::operator=(const ConfigPart& other149) {
-  revision = other149.revision;
-  era = other149.era;
-  base_revision = other149.base_revision;
-  base_era = other149.base_era;
-  items = other149.items;
-  digest = other149.digest;
-  is_last = other149.is_last;
-  __isset = other149.__isset;
+ConfigPart& ConfigPart::operator=(const ConfigPart& other159) {
+  revision = other159.revision;
+  era = other159.era;
+  base_revision = other159.base_revision;
+  base_era = other159.base_era;
+  items = other159.items;
+  digest = other159.digest;
+  is_last = other159.is_last;
+  __isset = other159.__isset;
   return *this;
 }
 void ConfigPart::printTo(std::ostream& out) const {
@@ -4653,14 +4959,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->relay_to.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->relay_to.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->relay_to.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += iprot->readI32(this->relay_to[_i154]);
+              xfer += iprot->readI32(this->relay_to[_i164]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4738,10 +5044,10 @@
   xfer += oprot->writeFieldBegin("relay_to", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->relay_to.size()));
-    std::vector<int32_t> ::const_iterator _iter155;
-    for (_iter155 = this->relay_to.begin(); _iter155 != this->relay_to.end(); ++_iter155)
+    std::vector<int32_t> ::const_iterator _iter165;
+    for (_iter165 = this->relay_to.begin(); _iter165 != this->relay_to.end(); ++_iter165)
     {
-      xfer += oprot->writeI32((*_iter155));
+      xfer += oprot->writeI32((*_iter165));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4785,29 +5091,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigNews::ConfigNews(const ConfigNews& other156) {
-  revision = other156.revision;
-  base_revision = other156.base_revision;
-  digest = other156.digest;
-  patch = other156.patch;
-  relay_to = other156.relay_to;
-  source = other156.source;
-  era = other156.era;
-  base_era = other156.base_era;
-  change = other156.change;
-  __isset = other156.__isset;
-}
-ConfigNews& ConfigNews::operator=(const ConfigNews& other157) {
-  revision = other157.revision;
-  base_revision = other157.base_revision;
-  digest = other157.digest;
-  patch = other157.patch;
-  relay_to = other157.relay_to;
-  source = other157.source;
-  era = other157.era;
-  base_era = other157.base_era;
-  change = other157.change;
-  __isset = other157.__isset;
+ConfigNews::ConfigNews(const ConfigNews& other166) {
+  revision = other166.revision;
+  base_revision = other166.base_revision;
+  digest = other166.digest;
+  patch = other166.patch;
+  relay_to = other166.relay_to;
+  source = other166.source;
+  era = other166.era;
+  base_era = other166.base_era;
+  change = other166.change;
+  __isset = other166.__isset;
+}
+ConfigNews& ConfigNews::operator=(const ConfigNews& other167) {
+  revision = other167.revision;
+  base_revision = other167.base_revision;
+  digest = other167.digest;
+  patch = other167.patch;
+  relay_to = other167.relay_to;
+  source = other167.source;
+  era = other167.era;
+  base_era = other167.base_era;
+  change = other167.change;
+  __isset = other167.__isset;
   return *this;
 }
 void ConfigNews::printTo(std::ostream& out) const {
@@ -5131,37 +5437,37 @@
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other158) {
-  report = other158.report;
-  placement = other158.placement;
-  adapter_request = other158.adapter_request;
-  adapter_reply = other158.adapter_reply;
-  suspects = other158.suspects;
-  quota_request = other158.quota_request;
-  quota_reply = other158.quota_reply;
-  load_query = other158.load_query;
-  load_answer = other158.load_answer;
-  work_update = other158.work_update;
-  store_news = other158.store_news;
-  store_news_request = other158.store_news_request;
-  config_news = other158.config_news;
-  __isset = other158.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other159) {
-  report = other159.report;
-  placement = other159.placement;
-  adapter_request = other159.adapter_request;
-  adapter_reply = other159.adapter_reply;
-  suspects = other159.suspects;
-  quota_request = other159.quota_request;
-  quota_reply = other159.quota_reply;
-  load_query = other159.load_query;
-  load_answer = other159.load_answer;
-  work_update = other159.work_update;
-  store_news = other159.store_news;
-  store_news_request = other159.store_news_request;
-  config_news = other159.config_news;
-  __isset = other159.__isset;
+Datagram::Datagram(const Datagram& other168) {
+  report = other168.report;
+  placement = other168.placement;
+  adapter_request = other168.adapter_request;
+  adapter_reply = other168.adapter_reply;
+  suspects = other168.suspects;
+  quota_request = other168.quota_request;
+  quota_reply = other168.quota_reply;
+  load_query = other168.load_query;
+  load_answer = other168.load_answer;
+  work_update = other168.work_update;
+  store_news = other168.store_news;
+  store_news_request = other168.store_news_request;
+  config_news = other168.config_news;
+  __isset = other168.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other169) {
+  report = other169.report;
+  placement = other169.placement;
+  adapter_request = other169.adapter_request;
+  adapter_reply = other169.adapter_reply;
+  suspects = other169.suspects;
+  quota_request = other169.quota_request;
+  quota_reply = other169.quota_reply;
+  load_query = other169.load_query;
+  load_answer = other169.load_answer;
+  work_update = other169.work_update;
+  store_news = other169.store_news;
+  store_news_request = other169.store_news_request;
+  config_news = other169.config_news;
+  __isset = other169.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
--- a/src/fleet/gen/fleet_types.h
+++ b/src/fleet/gen/fleet_types.h
@@ -65,6 +65,10 @@
 
 class StoreNewsRequest;
 
+class Departure;
+
+class Departures;
+
 class ConfigItem;
 
 class ConfigPart;
@@ -1694,6 +1698,128 @@
 
 std::ostream& operator<<(std::ostream& out, const StoreNewsRequest& obj);
 
+typedef struct _Departure__isset {
+  _Departure__isset() : id(false), incarnation(false), removed(false), revision(false), era(false), remaining_ms(false) {}
+  bool id :1;
+  bool incarnation :1;
+  bool removed :1;
+  bool revision :1;
+  bool era :1;
+  bool remaining_ms :1;
+} _Departure__isset;
+
+class Departure : public virtual ::apache::thrift::TBase {
+ public:
+
+  Departure(const Departure&);
+  Departure& operator=(const Departure&);
+  Departure() noexcept
+            : id(),
+              incarnation(0),
+              removed(0),
+              revision(0),
+              era(0),
+              remaining_ms(0) {
+  }
+
+  virtual ~Departure() noexcept;
+  std::string id;
+  int64_t incarnation;
+  bool removed;
+  int64_t revision;
+  int64_t era;
+  int32_t remaining_ms;
+
+  _Departure__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_removed(const bool val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_era(const int64_t val);
+
+  void __set_remaining_ms(const int32_t val);
+
+  bool operator == (const Departure & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(removed == rhs.removed))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (!(remaining_ms == rhs.remaining_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const Departure &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Departure & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Departure &a, Departure &b);
+
+std::ostream& operator<<(std::ostream& out, const Departure& obj);
+
+typedef struct _Departures__isset {
+  _Departures__isset() : left(false) {}
+  bool left :1;
+} _Departures__isset;
+
+class Departures : public virtual ::apache::thrift::TBase {
+ public:
+
+  Departures(const Departures&);
+  Departures& operator=(const Departures&);
+  Departures() noexcept {
+  }
+
+  virtual ~Departures() noexcept;
+  std::vector<Departure>  left;
+
+  _Departures__isset __isset;
+
+  void __set_left(const std::vector<Departure> & val);
+
+  bool operator == (const Departures & rhs) const
+  {
+    if (!(left == rhs.left))
+      return false;
+    return true;
+  }
+  bool operator != (const Departures &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Departures & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Departures &a, Departures &b);
+
+std::ostream& operator<<(std::ostream& out, const Departures& obj);
+
 typedef struct _ConfigItem__isset {
   _ConfigItem__isset() : key(false), text(false) {}
   bool key :1;
--- a/tests/integration/store_drill_test.cc
+++ b/tests/integration/store_drill_test.cc
@@ -91,6 +91,27 @@
          {Milliseconds(500), Milliseconds(7000), Milliseconds(4000)}});
 }
 
+// Guards against requests at endpoints that had left before a daemon started:
+// the copy calls them ready, and this daemon has never seen them (DrillSoak).
+TEST(StoreDrill, DeparturesOutlastTheReturnInADaemonThatStartedLater) {
+  constexpr int kStarted = 4;
+  DrillSite site(kDaemons, 52);
+  CHECK(site.Start());
+  site.RunFor(Milliseconds(3000));
+  site.Leave("r1");
+  site.Remove("r2");
+  site.RunFor(Milliseconds(1000));
+  site.Kill(kStarted);
+  site.RunFor(Milliseconds(500));
+  site.Heal(kStarted);
+  site.RunFor(Milliseconds(4000));
+  site.Run({Milliseconds(500), Milliseconds(8000), Milliseconds(4000)});
+  site.RunFor(Milliseconds(8000));
+  Print("daemon started after the departures", site.tally);
+  CHECK(site.tally.routed > 0);
+  LONGS_EQUAL(0, site.tally.late_arrivals);
+}
+
 // Guards against a mere outage being taken for another history.
 TEST(StoreDrill, AnOutageWithoutLossChangesNothing) {
   Check({"nothing lost",
