Fleet: Parts of a listing lead no view past a departure

Cause: a daemon that lists tells the others the difference in parts. The departures stand in the first part, though they may be later than its end. A view that another daemon's news had brought to exactly that end took the first part for known and went on with the second: it counted as complete without the departures, until the next listing seconds later. Class of fault: a state that is reached by two ways and does not hold the same. The test shows it without a network: with 42 places at which a view may be, it fails at the first that is the end of a part. Change: each part begins with the departures that a view at its start may lack: those that are later than it, and removals, whose place is not known. Up to 500 bytes, some 20 removals; what is beyond is told in the first part only, as before. Result: StoreBatches.PartsOfAListingLeadNoViewPastADeparture fails before and passes after; StoreBatches, StoreNewsModel and StoreView pass.

--- a/src/fleet/store_batches.cc
+++ b/src/fleet/store_batches.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace coltsfootvane::fleet {
@@ -13,6 +15,9 @@
 constexpr std::size_t kBatchOverhead = 20;
 constexpr std::size_t kChangeOverhead = 10;
 constexpr std::size_t kFieldsOverhead = 24;
+/// Of the departures that each part of a listing tells; more are told in the
+/// first part only.
+constexpr std::size_t kMaxToldAgainBytes = 500;
 /// A daemon that lacks more than these fetches a snapshot.
 constexpr std::size_t kMaxLogBatches = 64;
 /// More than any endpoint has.
@@ -42,6 +47,39 @@
   return !change.__isset.fields || change.fields.draining;
 }
 
+/// Returns the departures that a listing tells early, but for those of
+/// endpoints that it shows otherwise as well.
+std::vector<gen::EndpointNews> Departures(const gen::StoreBatch& listing) {
+  std::map<std::string_view, int> counts;
+  for (const gen::EndpointNews& change : listing.changes)
+    ++counts[change.id];
+  std::vector<gen::EndpointNews> departures;
+  for (const gen::EndpointNews& change : listing.changes) {
+    if (Leaves(change) && counts[change.id] == 1)
+      departures.push_back(change);
+  }
+  return departures;
+}
+
+/// Begins a part with the departures that views at `from` may lack. Others may
+/// have brought a view there that has not seen the first part.
+void TellAgain(const std::vector<gen::EndpointNews>& departures,
+               const store::Place& from,
+               gen::StoreBatch* part) {
+  std::size_t bytes = 0;
+  for (const gen::EndpointNews& departure : departures) {
+    const bool is_held =
+        !departure.deleted && PlaceOf(departure, *part) <= from;
+    if (is_held)
+      continue;
+    const std::size_t size = SizeOf(departure);
+    if (bytes + size > kMaxToldAgainBytes)
+      continue;
+    bytes += size;
+    part->changes.push_back(departure);
+  }
+}
+
 }  // namespace
 
 std::size_t SizeOf(const gen::StoreBatch& batch) {
@@ -155,6 +193,8 @@
   // A part must not end at a state from which it may begin.
   store::Place least_end = any_base ? whole.from : whole.base_until;
   BatchRange range = whole;
+  const std::vector<gen::EndpointNews> departures =
+      any_base ? std::vector<gen::EndpointNews>() : Departures(batch);
   std::vector<gen::StoreBatch> parts;
   gen::StoreBatch part = batch;
   part.changes.clear();
@@ -180,8 +220,9 @@
       part = {};
       range = {end, any_base ? whole.to : end, whole.to};
       SetRange(range, &part);
+      TellAgain(departures, end, &part);
       least_end = end;
-      bytes = kBatchOverhead;
+      bytes = SizeOf(part);
     }
     bytes += size;
     part.changes.push_back(change);
--- a/src/fleet/store_batches_unittest.cc
+++ b/src/fleet/store_batches_unittest.cc
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "fleet/codec.h"
 #include "fleet/spread_tree.h"
@@ -183,6 +184,45 @@
   }
 }
 
+// Guards against a departure that a daemon never hears of (DRAIN): a listing
+// is told in parts, of which the first has the departures. A view that holds
+// the end of a part already, by another way, takes it for known.
+TEST(StoreBatches, PartsOfAListingLeadNoViewPastADeparture) {
+  constexpr std::int64_t kSince = 1150;
+  constexpr std::int64_t kTo = 1192;
+  constexpr std::int64_t kLeaves = 1182;
+  constexpr std::size_t kPadding = 60;
+  StoreBatch listing = MakeBatch(kSince, kSince, kTo);
+  listing.changes = {Deletion("removed"), Upsert("draining", kLeaves, true)};
+  for (std::int64_t revision = kSince + 1; revision < kTo; ++revision) {
+    if (revision != kLeaves)
+      listing.changes.push_back(
+          Upsert(std::to_string(revision), revision, false, kPadding));
+  }
+  OrderListed(&listing.changes);
+  const std::vector<StoreBatch> parts = SplitBatch(listing);
+  CHECK(parts.size() > 2);
+  for (std::int64_t held = kSince; held < kTo; ++held) {
+    Place reached(held);
+    bool knows_removal = false;
+    bool knows_draining = held >= kLeaves;
+    for (const StoreBatch& part : parts) {
+      if (Fit(part, reached) != BatchFit::kApplies)
+        continue;
+      for (std::size_t i = 0; i < part.changes.size(); ++i) {
+        const bool is_news = IsNews(part, i, reached);
+        knows_removal |= is_news && part.changes[i].id == "removed";
+        knows_draining |= is_news && part.changes[i].id == "draining";
+      }
+      reached = fleet::RangeOf(part).to;
+    }
+    const std::string name = "held " + std::to_string(held);
+    // The others ask for what they lack.
+    const bool is_complete = knows_removal && knows_draining;
+    CHECK_TEXT(reached == Place(held) || is_complete, name.c_str());
+  }
+}
+
 TEST(StoreBatches, EntriesStayTheSameOnTheWay) {
   gateway::EndpointEntry entry;
   entry.id = "e";
