--- a/src/fleet/daemon_registry.cc
+++ b/src/fleet/daemon_registry.cc
@@ -131,7 +131,7 @@
 
 void DaemonRegistry::List(store::Freshness freshness) {
   store::CountCall(*this->store, store::CallCause::kRegistry, freshness);
-  this->store->list(kKind, freshness,
+  this->store->list(kKind, {freshness},
                     [this](const Result<store::Listing>& listing) {
                       this->OnListing(listing);
                     });
--- a/src/store/kind_follower.cc
+++ b/src/store/kind_follower.cc
@@ -110,8 +110,15 @@
 
 void KindFollower::SendList() {
   CountCall(*this->store, this->list_cause, Freshness::kLatest);
+  ListRequest request;
+  request.is_wanted = [this, current = this->generation] {
+    return current == this->generation;
+  };
+  request.on_partial = [this](const Listing& listing) {
+    this->OnPartialListing(listing);
+  };
   this->store->list(
-      this->kind.name, Freshness::kLatest,
+      this->kind.name, request,
       [this, current = this->generation, known = this->place,
        start = BootNow()](const Result<Listing>& listing) {
         if (!this->TakeAnswer(current, !listing))
@@ -196,13 +203,22 @@
   return true;
 }
 
+/// Without any view, what a listing has shown before it failed is better than
+/// nothing.
+void KindFollower::OnPartialListing(const Listing& listing) {
+  if (!this->place.IsKnown() && this->events.on_partial_listing)
+    this->events.on_partial_listing(listing);
+}
+
 void KindFollower::CatchUp(const Place& known) {
   if (!known.IsKnown() || known <= std::max(this->place, this->catching_up_to))
     return;
   this->catching_up_to = known;
   CountCall(*this->store, CallCause::kGap, Freshness::kLatest);
+  ListRequest request;
+  request.is_wanted = [this, known] { return this->place < known; };
   this->store->list(
-      this->kind.name, Freshness::kLatest,
+      this->kind.name, request,
       [this, known_when_sent = this->place,
        start = BootNow()](const Result<Listing>& listing) {
         this->catching_up_to = Place();
--- a/src/store/kind_follower.h
+++ b/src/store/kind_follower.h
@@ -39,6 +39,9 @@
 struct FollowerEvents {
   /// All objects of the kind; others no longer exist.
   std::function<void(const Listing&)> on_listing;
+  /// Some objects of the kind, before the first listing is complete; others may
+  /// exist. May be empty.
+  std::function<void(const Listing&)> on_partial_listing;
   std::function<void(const Changes&)> on_changes;
   /// The store has answered after it had not, or the reverse.
   std::function<void(bool)> on_reachable;
@@ -100,6 +103,7 @@
   void List();
   void SendList();
   bool OnListing(Listing listing, const Place& known_when_sent);
+  void OnPartialListing(const Listing& listing);
   void Watch();
   void SendWatch(Milliseconds wait, bool latest);
   void SendTwiceIfSilent(Milliseconds max_silence,
--- a/src/store/kind_follower_unittest.cc
+++ b/src/store/kind_follower_unittest.cc
@@ -35,7 +35,7 @@
   Freshness watched = Freshness::kLatest;
 
   FakeStore() {
-    this->access.list = [this](const std::string&, Freshness,
+    this->access.list = [this](const std::string&, const store::ListRequest&,
                                store::Handler<Listing> handler) {
       this->lists.push_back(std::move(handler));
     };
--- a/src/store/metered_store.cc
+++ b/src/store/metered_store.cc
@@ -74,9 +74,9 @@
   ObjectStore metered;
   metered.tally = std::make_shared<CallTally>();
   metered.list = [metrics, call = std::move(inner.list)](
-                     const std::string& kind, Freshness freshness,
+                     const std::string& kind, const ListRequest& request,
                      Handler<Listing> handler) {
-    call(kind, freshness, metrics.Measure("list", kind, std::move(handler)));
+    call(kind, request, metrics.Measure("list", kind, std::move(handler)));
   };
   metered.watch = [metrics, call = std::move(inner.watch)](
                       const std::string& kind, const Place& place,
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -50,6 +50,17 @@
 template <class T>
 using Handler = std::function<void(Result<T>)>;
 
+/// How a kind is listed.
+struct ListRequest {
+  Freshness freshness = Freshness::kLatest;
+  /// Asked after each page; the listing ends with kUnknown once nobody wants it
+  /// any more. May be empty.
+  std::function<bool()> is_wanted = nullptr;
+  /// Called before the error of a listing that fails after some pages, with
+  /// what they list. May be empty.
+  std::function<void(const Listing&)> on_partial = nullptr;
+};
+
 /// Asynchronous access to objects that are replaced conditionally. Errors:
 /// kNotSent and kRefused if nothing was done, kConflict if the condition did
 /// not hold, kNotFound, kGone if the history of a watch is gone, kUnknown if a
@@ -57,7 +68,9 @@
 /// in one era: in a later one, a watch fails with kGone and a write with
 /// kConflict.
 struct ObjectStore {
-  std::function<void(const std::string& kind, Freshness, Handler<Listing>)>
+  /// Reads page by page within the bounds of listing_progress.h.
+  std::function<
+      void(const std::string& kind, const ListRequest&, Handler<Listing>)>
       list;
   std::function<void(const std::string& kind,
                      const Place& place,
--- a/tests/support/store_view_fixture.h
+++ b/tests/support/store_view_fixture.h
@@ -158,7 +158,8 @@
     this->deployment.endpoint_kind = "endpoints";
     this->deployment.config_kind = "configs";
     this->deployment.read_endpoint = ReadEndpoint;
-    this->store.list = [this](const std::string& kind, store::Freshness,
+    this->store.list = [this](const std::string& kind,
+                              const store::ListRequest&,
                               store::Handler<store::Listing> handler) {
       (kind == this->deployment.endpoint_kind ? this->lists
                                               : this->config_lists)
