Daemon, store: Parts of a first listing are used, failed calls are logged

Cause: a listing was all or nothing, and a first failure was silent. Change: a listing that fails hands over what it has read. A daemon without any view uses these endpoints and the configuration and is ready; nothing counts as removed, nobody is told, and the first whole listing replaces it. Event 2305 store-call-failed names operation, kind, reason and page for all kinds.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -12,6 +12,7 @@
 #include "daemon/daemon_metrics.h"
 #include "daemon/events.h"
 #include "orders/metered_access.h"
+#include "store/failure_log.h"
 #include "store/metered_store.h"
 
 namespace coltsfootvane::daemon {
@@ -63,7 +64,9 @@
       client(&this->io),
       deployment(make(&this->client)),
       gateway(&this->io),
-      store(store::Metered(this->deployment.store, &this->gateway.registry)),
+      store(store::WithFailureLog(
+          store::Metered(this->deployment.store, &this->gateway.registry),
+          &this->log)),
       callers(&this->io),
       health(
           &this->io,
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -111,6 +111,7 @@
         }
         this->SendNews();
       });
+  events.on_partial_listing = events.on_listing;
   events.on_confirmed = [this] { this->OnConfirmed(); };
   return events;
 }
@@ -123,6 +124,9 @@
       [this](const store::Changes& changes) {
         this->OnEndpointChanges(changes);
       });
+  events.on_partial_listing = [this](const store::Listing& listing) {
+    this->OnPartialEndpointListing(listing);
+  };
   events.on_reachable = [this](bool reachable) {
     this->OnEndpointsReachable(reachable);
   };
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -43,7 +43,10 @@
 
   void Start();
   /// Returns whether the endpoints have been listed once.
-  bool KnowsEndpoints() const { return this->endpoints_known; }
+  /// Some or all of them.
+  bool KnowsEndpoints() const {
+    return this->endpoints_known || this->some_endpoints_known;
+  }
   /// Returns whether this daemon has learned which endpoints have left before
   /// its start, or nobody knows.
   bool KnowsWhoHasLeft() const { return this->departure_sync.IsDone(); }
@@ -96,6 +99,7 @@
   void OnConfig(const store::Object& object);
   void OnConfigKnown(const store::Place& place);
   void OnEndpointListing(const store::Listing& listing);
+  void OnPartialEndpointListing(const store::Listing& listing);
   void OnEndpointChanges(const store::Changes& changes);
   void UpsertEndpoint(const store::Object& object);
   void SkipEndpoint(const store::Object& object, const std::string& reason);
@@ -133,6 +137,8 @@
   prometheus::Counter* check_counter;
   TimePoint endpoints_lost_at;  ///< When the store last left them unanswered.
   bool endpoints_known = false;
+  /// A first listing failed after some pages.
+  bool some_endpoints_known = false;
   bool news_to_send = false;  ///< Since the last report to the others.
   NewsCounts counts;
   StoreNews news;
--- a/src/daemon/store_view_endpoints.cc
+++ b/src/daemon/store_view_endpoints.cc
@@ -43,6 +43,18 @@
   this->SendNews();
 }
 
+/// Uses what a daemon without any view could read. Nothing counts as removed,
+/// and nobody is told, since the others may know more.
+void StoreView::OnPartialEndpointListing(const store::Listing& listing) {
+  if (this->endpoints_known)
+    return;
+  for (const store::Object& object : listing.objects)
+    this->UpsertEndpoint(object);
+  this->changes.clear();
+  this->some_endpoints_known = !this->gateway->endpoints.endpoints.empty();
+  gateway::UpdateEndpointList(this->gateway);
+}
+
 void StoreView::OnEndpointChanges(const store::Changes& changes) {
   for (const store::Change& change : changes.changes)
     this->ApplyChange(change, changes.place);
--- a/src/daemon/store_view_unittest.cc
+++ b/src/daemon/store_view_unittest.cc
@@ -94,6 +94,27 @@
   }
 }
 
+// Guards against a daemon that starts and serves nothing while a later page of
+// each listing fails (RECOVER, issue 58), and against a part of a listing that
+// counts as the whole.
+TEST(StoreView, UsesPartsOfAFirstListingOnly) {
+  StoreViewFixture fixture;
+  CHECK_FALSE(fixture.view.KnowsEndpoints());
+  fixture.partial_lists[0](Listing{{MakeObject("a", 5)}, store::Place(10)});
+  fixture.lists[0](Error{ErrorCode::kRefused, "test"});
+  CHECK(fixture.view.KnowsEndpoints());
+  LONGS_EQUAL(1, fixture.gateway.endpoints.endpoints.count("a"));
+  LONGS_EQUAL(0, fixture.BatchesSince(4).size());
+  while (fixture.lists.size() < 2)
+    fixture.io.run_one_for(kLimit);
+  fixture.lists[1](Listing{{MakeObject("b", 6)}, store::Place(20)});
+  LONGS_EQUAL(0, fixture.gateway.endpoints.endpoints.count("a"));
+  LONGS_EQUAL(1, fixture.gateway.endpoints.endpoints.count("b"));
+  // A later listing that fails changes nothing.
+  fixture.partial_lists[0](Listing{{MakeObject("c", 7)}, store::Place(30)});
+  LONGS_EQUAL(0, fixture.gateway.endpoints.endpoints.count("c"));
+}
+
 // Guards against requests at an endpoint that left before a drill, beyond the
 // time allowed: the time in which endpoints may register again began with the
 // daemon's own listing, up to a second after the return of the store (DRAIN,
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -53,8 +53,8 @@
 /// How a kind is listed.
 struct ListRequest {
   Freshness freshness = Freshness::kLatest;
-  /// Asked after each page; the listing ends with kUnknown once nobody wants it
-  /// any more. May be empty.
+  /// Asked after each page; a listing that nobody wants any more ends, and its
+  /// handler is not called. May be empty.
   std::function<bool()> is_wanted = nullptr;
   /// Called before the error of a listing that fails after some pages, with
   /// what they list. May be empty.
--- a/tests/integration/restart_test.cc
+++ b/tests/integration/restart_test.cc
@@ -56,3 +56,28 @@
     LONGS_EQUAL_TEXT(0, site.store.refused_targets, row.name);
   }
 }
+
+// Guards against a daemon that starts and refuses everything, though it has
+// read most endpoints: the store refuses a later page of each listing.
+TEST(Restart, EndpointsOfAFirstPageAreUsed) {
+  for (const char* const kind : {"servers", "config"}) {
+    ReplicaSite site(3);
+    CHECK_TEXT(site.Start(), kind);
+    for (const char* const name : {"x1", "x2", "x3"})
+      site.store.Put(kind, name, {{"x", 1}});
+    site.store.faults.refuses_pages = true;
+    LONGS_EQUAL_TEXT(kCalls, CallsServedAfterRestart(&site), kind);
+    LONGS_EQUAL_TEXT(200, site.daemon.Ready(), kind);
+    // The listing that is complete in the end shows what is gone.
+    site.silent.insert("r1");
+    site.store.Remove("servers", "r1");
+    site.store.faults.refuses_pages = false;
+    CHECK_TEXT(site.RunUntil(
+                   [&site] {
+                     return site.daemon.Log().find("endpoint-gone") !=
+                            std::string::npos;
+                   },
+                   5000),
+               kind);
+  }
+}
--- a/tests/support/store_standin.cc
+++ b/tests/support/store_standin.cc
@@ -242,7 +242,9 @@
     stream->Close();
     return;
   }
-  if (this->faults.unavailable) {
+  const bool is_later_page = target.query.count("after") > 0;
+  if (this->faults.unavailable ||
+      (this->faults.refuses_pages && is_later_page)) {
     this->Answer(stream, 503, "");
     return;
   }
--- a/tests/support/store_standin.h
+++ b/tests/support/store_standin.h
@@ -23,6 +23,7 @@
   bool loses_answers = false;  ///< Does writes and closes without an answer.
   bool history_gone = false;   ///< Answers watches with 410, once.
   bool loses_watches = false;  ///< Never answers watches.
+  bool refuses_pages = false;  ///< Answers 503 for all pages but the first.
   /// Lists and watches that ask for it show the state of that long ago.
   Milliseconds stale_by{0};
 };
--- a/tests/support/store_view_fixture.h
+++ b/tests/support/store_view_fixture.h
@@ -122,6 +122,8 @@
   store::ObjectStore store;
   std::vector<store::Handler<store::Listing>> lists;    ///< Of endpoints.
   std::vector<store::Handler<store::Changes>> watches;  ///< Of endpoints.
+  /// Of endpoints, for what listings that fail have shown.
+  std::vector<std::function<void(const store::Listing&)>> partial_lists;
   std::vector<store::Handler<store::Listing>> config_lists;
   std::vector<store::Handler<store::Changes>> config_watches;
   std::string own;
@@ -159,8 +161,10 @@
     this->deployment.config_kind = "configs";
     this->deployment.read_endpoint = ReadEndpoint;
     this->store.list = [this](const std::string& kind,
-                              const store::ListRequest&,
+                              const store::ListRequest& request,
                               store::Handler<store::Listing> handler) {
+      if (kind == this->deployment.endpoint_kind)
+        this->partial_lists.push_back(request.on_partial);
       (kind == this->deployment.endpoint_kind ? this->lists
                                               : this->config_lists)
           .push_back(std::move(handler));
