Net, platform, log: Names are written for headers and log lines by one function each

Cause: a name of an entry whose spec is sound went as it is into Expect-Instance, into datagrams and into log lines; CR LF in it would end a header field or a line. Change: HttpClient sends no head with an illegal target or field value (kInvalid). Names in log lines go through Printable(), and a log line replaces control bytes in all its details.

--- a/src/base/name_text.cc
+++ b/src/base/name_text.cc
@@ -12,6 +12,7 @@
 constexpr std::string_view kTargetDelimiters = "!$&'()*+,;=:@/?";
 constexpr std::size_t kDigits = 2;  ///< After a `%`.
 constexpr int kHexadecimal = 16;
+constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::size_t kMaxPrintableBytes = 80;
 
 bool IsIn(std::string_view characters, char c) {
@@ -86,6 +87,10 @@
          std::none_of(text.begin(), text.end(), IsControl);
 }
 
+bool IsStatableName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxNameBytes && IsFieldValue(name);
+}
+
 std::string Printable(std::string_view name) {
   std::string printable(name.substr(0, kMaxPrintableBytes));
   for (char& c : printable) {
--- a/src/base/name_text_unittest.cc
+++ b/src/base/name_text_unittest.cc
@@ -55,6 +55,9 @@
     CHECK_TEXT(IsFieldValue(value), value);
   for (const char* const value : {" a", "a ", "a\nb", "a\rb", "\t", "a\x7f"})
     CHECK_FALSE_TEXT(IsFieldValue(value), value);
+  CHECK(IsStatableName(std::string(256, 'x')));
+  CHECK_FALSE(IsStatableName(std::string(257, 'x')));
+  CHECK_FALSE(IsStatableName(""));
 }
 
 // Guards against a name that forges a log line or another pair of it.
--- a/src/daemon/store_view_endpoints.cc
+++ b/src/daemon/store_view_endpoints.cc
@@ -121,7 +121,8 @@
     this->NoteDeparture(place);
   if (news) {
     this->log->Write(gateway::kEndpointChanged, "",
-                     "endpoint=" + entry.id + " service=" + entry.service +
+                     "endpoint=" + Printable(entry.id) +
+                         " service=" + Printable(entry.service) +
                          " state=" + (entry.draining ? "draining" : "ready") +
                          " revision=" + store::FormatPlace(place));
   }
@@ -176,7 +177,7 @@
 
 void StoreView::TakeOutOfUse(const std::string& id,
                              const store::Place& unusable) {
-  this->log->Write(gateway::kEndpointGone, "", "endpoint=" + id);
+  this->log->Write(gateway::kEndpointGone, "", "endpoint=" + Printable(id));
   gateway::RemoveEndpoint(&this->gateway->endpoints, id);
   this->TellRemoval(id, unusable);
 }
--- a/src/distribution/daemon_registration.cc
+++ b/src/distribution/daemon_registration.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "base/name_text.h"
 #include "distribution/events.h"
 #include "log/event.h"
 #include "objectapi/retry.h"
@@ -186,7 +187,7 @@
     const Result<bool> done = registration.Attempt();
     if (done && done.value()) {
       LogEvent(distribution::kDaemonRegistered,
-               "daemon=" + record.daemon_id +
+               "daemon=" + Printable(record.daemon_id) +
                    " incarnation=" + record.incarnation +
                    " state=" + (record.leaving ? "leaving" : "live"));
       return true;
@@ -217,7 +218,7 @@
       records.push_back(std::move(record).value());
     else
       LogEvent(distribution::kDaemonRecordMalformed,
-               "daemon=" + object.name + " message=\"" +
+               "daemon=" + Printable(object.name) + " message=\"" +
                    record.error().message + "\"");
   }
   return records;
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "base/name_text.h"
 #include "gateway/gateway.h"
 
 namespace coltsfootvane::gateway {
@@ -78,7 +79,8 @@
   this->gateway->metrics.CountCrash(entry.service);
   this->gateway->log->Write(
       kEndpointCrashed, "",
-      "endpoint=" + entry.id + " service=" + entry.service +
+      "endpoint=" + Printable(entry.id) +
+          " service=" + Printable(entry.service) +
           " unanswered=" + std::to_string(one->requests.size()));
   this->RecordAll(crash, one);
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "base/name_text.h"
 #include "gateway/admission.h"
 #include "gateway/caller_connection.h"
 #include "gateway/gateway.h"
@@ -258,7 +259,7 @@
   if (this->adapter_requested || !this->gateway->request_adapter)
     return false;
   this->adapter_requested = true;
-  this->Log(kAdapterAwaited, "adapter=" + this->info.adapter);
+  this->Log(kAdapterAwaited, "adapter=" + Printable(this->info.adapter));
   const TimePoint now = BootNow();
   const AdapterWanted wanted{
       this->service, this->info.model, this->info.adapter,
@@ -388,7 +389,7 @@
   if (this->forwarding) {
     this->gateway->metrics.CountResumedStream(this->service);
     this->Log(kStreamResumed,
-              "endpoint=" + this->endpoint->entry.id +
+              "endpoint=" + Printable(this->endpoint->entry.id) +
                   " after=" + std::to_string(this->last_event_id.value_or(0)));
   }
   net::RequestHead sent =
--- a/src/gateway/exchange_answer.cc
+++ b/src/gateway/exchange_answer.cc
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/name_text.h"
 #include "gateway/caller_connection.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
@@ -343,7 +344,7 @@
                                            "status of a failure");
     this->Log(kSendFailed,
               "outcome=answered status=" + std::to_string(this->answer.status) +
-                  " endpoint=" + this->endpoint->entry.id +
+                  " endpoint=" + Printable(this->endpoint->entry.id) +
                   (retry ? " then=retry" : " then=forward"));
   }
   if (retry) {
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -2,6 +2,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/name_text.h"
 #include "gateway/caller_connection.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
@@ -27,10 +28,11 @@
     return;
   }
   this->CountOutcome(Outcome::kRefused, reason);
-  this->Log(kRequestRefused,
-            "reason=\"" + std::string(reason) + "\" retry_after_ms=" +
-                std::to_string(return_time.earliest.count()) +
-                " model=" + this->info.model + " " + std::string(inputs));
+  this->Log(
+      kRequestRefused,
+      "reason=\"" + std::string(reason) +
+          "\" retry_after_ms=" + std::to_string(return_time.earliest.count()) +
+          " model=" + Printable(this->info.model) + " " + std::string(inputs));
   const auto jitter = static_cast<std::int64_t>(
       this->gateway->random() %
       (static_cast<std::uint64_t>(return_time.spread.count()) + 1));
--- a/src/gateway/exchange_load.cc
+++ b/src/gateway/exchange_load.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <utility>
 
+#include "base/name_text.h"
 #include "gateway/caller_connection.h"
 #include "gateway/exact_choice.h"
 #include "gateway/exchange.h"
@@ -161,7 +162,7 @@
     case PlainVerdict::kWait:
       if (this->over_share) {
         this->Refuse(kOverShare, ReturnAfter(this->route->target_latency),
-                     "team=" + this->team->name);
+                     "team=" + Printable(this->team->name));
         return;
       }
       this->WaitForPlace(result.decision.wait_ms);
@@ -183,7 +184,7 @@
   this->gateway->load_metrics.CountFullService(this->service, "waited");
   if (this->IsSampled())
     this->Log(occupancy::kCallWaits,
-              "service=" + this->service +
+              "service=" + Printable(this->service) +
                   " wait_ms=" + std::to_string(RoundedUp(wait_ms).count()) +
                   " waits=" + std::to_string(this->load.waits));
   if (!this->load.wait_timer)
--- a/src/gateway/exchange_quota.cc
+++ b/src/gateway/exchange_quota.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "base/name_text.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 
@@ -45,7 +46,7 @@
   }
   constexpr int kTooManyRequests = 429;
   this->Refuse("quota", {decision.retry_after, decision.retry_after},
-               "team=" + this->team->name +
+               "team=" + Printable(this->team->name) +
                    " units=" + std::to_string(static_cast<int>(units)) +
                    " owner=" + (decision.by_fallback ? "silent" : "replied"),
                kTooManyRequests);
@@ -71,7 +72,7 @@
   this->Refuse(
       "team over its share",
       ReturnAfter(Milliseconds(static_cast<std::int64_t>(choice.wait_ms) + 1)),
-      "team=" + this->team->name);
+      "team=" + Printable(this->team->name));
   return true;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/name_text.h"
 #include "gateway/exchange.h"
 
 namespace coltsfootvane::gateway {
@@ -108,14 +109,16 @@
     gateway->metrics.CountNotice(entry.service, "leaving");
     gateway->log->Write(
         kEndpointLeaving, "",
-        "endpoint=" + entry.id + " service=" + entry.service +
+        "endpoint=" + Printable(entry.id) +
+            " service=" + Printable(entry.service) +
             " listed=" + (entry.draining ? "draining" : "ready"));
   }
   if (effect.pauses) {
     gateway->metrics.CountNotice(entry.service, "paused");
     gateway->log->Write(
         kEndpointPaused, "",
-        "endpoint=" + entry.id + " service=" + entry.service +
+        "endpoint=" + Printable(entry.id) +
+            " service=" + Printable(entry.service) +
             " pause_ms=" + std::to_string(notice.pause.count()));
   }
 }
--- a/src/gateway/silence_probe.cc
+++ b/src/gateway/silence_probe.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/name_text.h"
 #include "gateway/exchange.h"
 #include "gateway/gateway.h"
 #include "net/timer.h"
@@ -126,7 +127,7 @@
   void OnOwnSide() {
     this->gateway->log->Write(
         kSilenceUnexplained, "",
-        "endpoint=" + this->endpoint->entry.id + " failures=" +
+        "endpoint=" + Printable(this->endpoint->entry.id) + " failures=" +
             std::to_string(this->evidence.failures) + " others=" +
             (this->attempt.reaches_others ? "reached" : "not-reached"));
     this->End("unknown");
@@ -137,7 +138,8 @@
     const EndpointEntry& entry = this->endpoint->entry;
     this->gateway->log->Write(
         kEndpointSilent, "",
-        "endpoint=" + entry.id + " service=" + entry.service +
+        "endpoint=" + Printable(entry.id) +
+            " service=" + Printable(entry.service) +
             " running=" + std::to_string(this->endpoint->own.running));
     this->End("unreachable");
     for (const auto& exchange : OpenExchanges(*this->gateway))
--- a/src/log/decision_log.cc
+++ b/src/log/decision_log.cc
@@ -4,7 +4,9 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
+#include <iterator>
 
 #include "base/digest.h"
 
@@ -33,6 +35,16 @@
   return "error";
 }
 
+/// Appends the text as the rest of a line: control bytes would end it.
+void AppendLine(std::string_view text, std::string* buffer) {
+  const auto is_control = [](char c) {
+    return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
+  };
+  std::replace_copy_if(text.begin(), text.end(), std::back_inserter(*buffer),
+                       is_control, '?');
+  buffer->push_back('\n');
+}
+
 }  // namespace
 
 DecisionLog::DecisionLog(int log_descriptor, std::string_view name)
@@ -83,7 +95,8 @@
   this->buffer.append(head, static_cast<std::size_t>(length));
   if (!request_id.empty())
     this->buffer.append(" request=").append(request_id);
-  this->buffer.append(" ").append(detail).append("\n");
+  this->buffer.append(" ");
+  AppendLine(detail, &this->buffer);
   if (this->buffer.size() >= kFlushBytes || event.severity != Severity::kInfo ||
       request_id.empty())
     this->Flush();
--- a/src/log/decision_log_unittest.cc
+++ b/src/log/decision_log_unittest.cc
@@ -107,3 +107,13 @@
   LONGS_EQUAL(1, CountLines(text, " failed request=r1 b=2\n"));
   LONGS_EQUAL(1, CountLines(text, " decided c=3\n"));
 }
+
+// Guards against a text of others that looks like a line of its own.
+TEST(DecisionLog, ControlBytesDoNotEndALine) {
+  const Pipe pipe;
+  DecisionLog log(pipe.ends[1], "d1");
+  log.Write(kFailure, "", "reason=\"a\nb\r\"");
+  log.Flush();
+  const std::string text = pipe.Read();
+  LONGS_EQUAL(1, CountLines(text, " failed reason=\"a?b?\"\n"));
+}
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -67,6 +67,11 @@
                                      std::to_string(address.port())});
   if (!body.empty() || head.method != "GET")
     head.fields.push_back({"Content-Length", std::to_string(body.size())});
+  if (!IsLegalHead(head)) {
+    boost::asio::post(*this->io,
+                      [pending] { Fail(pending, ErrorCode::kInvalid); });
+    return;
+  }
   pending->request = FormatHead(head) + body;
   pending->deadline = BootNow() + timeout;
   pending->last_deadline = pending->deadline + kMaxExtension;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -22,8 +22,8 @@
   std::string body;
 };
 
-/// Error codes: kNotSent if no connection was made, kUnknown if the request was
-/// written and no whole response came.
+/// Error codes: kInvalid if the head is no legal one, kNotSent if no connection
+/// was made, kUnknown if the request was written and no whole response came.
 using ResponseHandler = std::function<void(Result<WholeResponse>)>;
 
 struct AnswerLimits {
--- a/src/net/http_client_unittest.cc
+++ b/src/net/http_client_unittest.cc
@@ -68,6 +68,31 @@
 
 TEST_GROUP(HttpClient){};
 
+// Guards against a text of others that ends a line of a request or its target
+// early: the rest would be read as another field or request.
+TEST(HttpClient, IllegalHeadsAreNotSent) {
+  struct Row {
+    const char* target;
+    const char* value;
+  };
+  const Row rows[] = {{"/a b", "x"}, {"/a#b", "x"}, {"/", "x\r\nY: z"}};
+  for (const Row& row : rows) {
+    Fixture fixture;
+    net::RequestHead head;
+    head.method = "GET";
+    head.target = row.target;
+    head.fields = {{"X", row.value}};
+    std::optional<ErrorCode> code;
+    fixture.client.Call(fixture.server.Address(), head, {}, Milliseconds(1000),
+                        net::ConnectionUse::kOwn,
+                        [&code](const Result<net::WholeResponse>& response) {
+                          code = response.error().code;
+                        });
+    fixture.io.run_one_for(Milliseconds(500));
+    CHECK_TEXT(code == ErrorCode::kInvalid, row.target);
+  }
+}
+
 // Guards against an endpoint whose answer to an order or a request for a report
 // never ends: the client would collect it in memory until the call times out.
 TEST(HttpClient, AnswersWithoutEndAreGivenUp) {
--- a/src/net/message.cc
+++ b/src/net/message.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "base/name_text.h"
+
 namespace coltsfootvane::net {
 namespace {
 
@@ -99,6 +101,13 @@
   return bytes;
 }
 
+bool IsLegalHead(const RequestHead& head) {
+  return IsRequestTarget(head.target) &&
+         std::all_of(
+             head.fields.begin(), head.fields.end(),
+             [](const Field& field) { return IsFieldValue(field.value); });
+}
+
 std::string FormatHead(const RequestHead& head) {
   std::string text = head.method;
   text.append(" ").append(head.target).append(" HTTP/1.1\r\n");
--- a/src/net/message.h
+++ b/src/net/message.h
@@ -53,6 +53,10 @@
 /// Returns the memory of the fields, which are many if they are short.
 std::size_t FieldBytes(const Fields& fields);
 
+/// Returns whether recipients read the head as it is meant: no text in it ends
+/// a line or the target.
+bool IsLegalHead(const RequestHead& head);
+
 /// Formats the head with its final empty line.
 std::string FormatHead(const RequestHead& head);
 std::string FormatHead(const ResponseHead& head);
--- a/src/orders/engine_orders.cc
+++ b/src/orders/engine_orders.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/name_text.h"
 #include "orders/events.h"
 #include "orders/placement_state.h"
 
@@ -159,7 +160,8 @@
                                    report.value().incarnation != incarnation;
         if (!report || other_process) {
           engine->next_report_at = now + kReportRetryDelay;
-          this->log->Write(kEngineReportMissing, "", "endpoint=" + id);
+          this->log->Write(kEngineReportMissing, "",
+                           "endpoint=" + Printable(id));
           return;
         }
         engine->completion_check_at = now + kUnloadCheckDelay;
@@ -289,7 +291,7 @@
                 this->store_loads.available);
   this->log->Write(
       kPlacementState, "",
-      "service=" + service + loads +
+      "service=" + Printable(service) + loads +
           FormatPlacementState(DescribePlacement(input, kMaxLoggedModels)));
 }
 
@@ -307,8 +309,8 @@
     return false;
   this->log->Write(
       kCopyPlanned, "",
-      "service=" + service + " endpoint=" + found->first + " load=" + model +
-          " unload=" +
+      "service=" + Printable(service) + " endpoint=" + Printable(found->first) +
+          " load=" + model + " unload=" +
           (move.unload.empty() ? std::string("-")
                                : input.models[move.unload.front()].name) +
           " source=" + std::to_string(static_cast<int>(move.source)) +
@@ -373,9 +375,10 @@
   order.fencing_number = this->lease->Epoch();
   engine->call_in_progress = true;
   this->log->Write(kOrderGiven, "",
-                   "endpoint=" + entry.id +
+                   "endpoint=" + Printable(entry.id) +
                        " operation=" + OperationName(order.operation) +
-                       " model=" + order.model + " adapter=" + order.adapter +
+                       " model=" + Printable(order.model) +
+                       " adapter=" + Printable(order.adapter) +
                        " expected=" + std::to_string(order.expected_sequence) +
                        " epoch=" + std::to_string(order.fencing_number));
   this->access.send_order(
@@ -385,8 +388,9 @@
         const OrderResult result = answer.result;
         RecordNotice(this->gateway, endpoint, answer.notice, BootNow());
         this->log->Write(kOrderAnswered, "",
-                         "endpoint=" + order.endpoint_id + " model=" +
-                             order.model + " adapter=" + order.adapter +
+                         "endpoint=" + Printable(order.endpoint_id) +
+                             " model=" + Printable(order.model) +
+                             " adapter=" + Printable(order.adapter) +
                              " result=" + OrderResultName(result));
         EngineState* const engine =
             this->FindEngine(order.endpoint_id, incarnation);
--- a/src/placement/planner_endpoints.cc
+++ b/src/placement/planner_endpoints.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "base/name_text.h"
 #include "log/event.h"
 #include "placement/events.h"
 #include "placement/planner_loop.h"
@@ -77,8 +78,8 @@
     // The endpoint counts as down, so that the others are planned without it.
     state.failures = kMaxIndexFailures;
     this->view_changed = true;
-    LogEvent(kLedgerInvalid,
-             "endpoint=" + id + " error=" + ledger.assume_error().message);
+    LogEvent(kLedgerInvalid, "endpoint=" + Printable(id) +
+                                 " error=" + ledger.assume_error().message);
   }
 }
 
@@ -221,7 +222,7 @@
 
 void PlannerLoop::OnConflictingWrite(EndpointState* state,
                                      std::int64_t stored_epoch) {
-  LogEvent(kLedgerConflict, "endpoint=" + state->endpoint.id +
+  LogEvent(kLedgerConflict, "endpoint=" + Printable(state->endpoint.id) +
                                 " epoch=" + std::to_string(this->epoch) +
                                 " stored=" + std::to_string(stored_epoch));
   this->view_changed = true;
--- a/src/placement/planner_jobs.cc
+++ b/src/placement/planner_jobs.cc
@@ -2,6 +2,7 @@
 #include <tuple>
 
 #include "base/digest.h"
+#include "base/name_text.h"
 #include "log/event.h"
 #include "placement/events.h"
 #include "placement/planner_loop.h"
@@ -97,7 +98,7 @@
     const Error& error = result.index->assume_error();
     ++state->failures;
     const std::string detail =
-        "endpoint=" + state->endpoint.id + " error=" + error.message;
+        "endpoint=" + Printable(state->endpoint.id) + " error=" + error.message;
     if (error.code == ErrorCode::kConflict) {
       LogEvent(kNumberOutdated, detail);
       OnLeaseWriteFailed(&this->lease, now);
@@ -120,7 +121,7 @@
   const std::string& boot_id = state->ledger.boot_id;
   const bool restarted = !boot_id.empty() && boot_id != index.boot_id;
   if (restarted)
-    LogEvent(kEndpointRestarted, "endpoint=" + state->endpoint.id);
+    LogEvent(kEndpointRestarted, "endpoint=" + Printable(state->endpoint.id));
   const EndpointLedger before = state->ledger;
   IndexReading reading;
   reading.index = index;
@@ -163,7 +164,7 @@
                                 const endpoint::Command& command,
                                 const Result<bool>& response) {
   const bool load = command.operation == endpoint::Command::Operation::kLoad;
-  std::string detail = "endpoint=" + state.endpoint.id +
+  std::string detail = "endpoint=" + Printable(state.endpoint.id) +
                        " operation=" + (load ? "load" : "unload") +
                        " item=" + command.item + " version=" + command.version +
                        " number=" + std::to_string(command.fencing_number);
