Fleet: A listing with many departures leads no view past them

Cause: parts of a listing tell its departures again, but only as far as they take 500 bytes, some 20 removals. Change: with more departures the parts after the first say that they leave something out; the first one still tells all of them, and whoever lacks the rest asks for it. Measured: StoreBatches.PartsOfAListingLeadNoViewPastADeparture with 40 and 200 removals failed before (view at 1152) and passes now; StoreNewsModel passes.

--- a/src/fleet/store_batches.cc
+++ b/src/fleet/store_batches.cc
@@ -15,8 +15,8 @@
 constexpr std::size_t kBatchOverhead = 20;
 constexpr std::size_t kChangeOverhead = 10;
 constexpr std::size_t kFieldsOverhead = 24;
-/// Of the departures that each part of a listing tells; more are told in the
-/// first part only.
+/// Of the departures that each part of a listing tells again. With more, the
+/// parts after the first lead no view on.
 constexpr std::size_t kMaxToldAgainBytes = 500;
 /// A daemon that lacks more than these fetches a snapshot.
 constexpr std::size_t kMaxLogBatches = 64;
@@ -61,8 +61,15 @@
   return departures;
 }
 
+gen::EndpointNews LeftOut() {
+  gen::EndpointNews change;
+  change.__set_left_out(true);
+  return change;
+}
+
 /// Begins a part with the departures that views at `from` may lack. Others may
-/// have brought a view there that has not seen the first part.
+/// have brought a view there that has not seen the first part. If they are too
+/// many, the part says that it leaves something out, so that its receivers ask.
 void TellAgain(const std::vector<gen::EndpointNews>& departures,
                const store::Place& from,
                gen::StoreBatch* part) {
@@ -72,10 +79,11 @@
         !departure.deleted && PlaceOf(departure, *part) <= from;
     if (is_held)
       continue;
-    const std::size_t size = SizeOf(departure);
-    if (bytes + size > kMaxToldAgainBytes)
-      continue;
-    bytes += size;
+    bytes += SizeOf(departure);
+    if (bytes > kMaxToldAgainBytes) {
+      part->changes = {LeftOut()};
+      return;
+    }
     part->changes.push_back(departure);
   }
 }
--- a/src/fleet/store_batches_unittest.cc
+++ b/src/fleet/store_batches_unittest.cc
@@ -1,6 +1,7 @@
 #include "fleet/store_batches.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -192,34 +193,42 @@
   constexpr std::int64_t kTo = 1192;
   constexpr std::int64_t kLeaves = 1182;
   constexpr std::size_t kPadding = 60;
-  StoreBatch listing = MakeBatch(kSince, kSince, kTo);
-  listing.changes = {Deletion("removed"), Upsert("draining", kLeaves, true)};
-  for (std::int64_t revision = kSince + 1; revision < kTo; ++revision) {
-    if (revision != kLeaves)
-      listing.changes.push_back(
-          Upsert(std::to_string(revision), revision, false, kPadding));
-  }
-  OrderListed(&listing.changes);
-  const std::vector<StoreBatch> parts = SplitBatch(listing);
-  CHECK(parts.size() > 2);
-  for (std::int64_t held = kSince; held < kTo; ++held) {
-    Place reached(held);
-    bool knows_removal = false;
-    bool knows_draining = held >= kLeaves;
-    for (const StoreBatch& part : parts) {
-      if (Fit(part, reached) != BatchFit::kApplies)
-        continue;
-      for (std::size_t i = 0; i < part.changes.size(); ++i) {
-        const bool is_news = IsNews(part, i, reached);
-        knows_removal |= is_news && part.changes[i].id == "removed";
-        knows_draining |= is_news && part.changes[i].id == "draining";
+  for (const int removals : {1, 20, 40, 200}) {
+    StoreBatch listing = MakeBatch(kSince, kSince, kTo);
+    for (int i = 0; i < removals; ++i)
+      listing.changes.push_back(Deletion("removed" + std::to_string(i)));
+    listing.changes.push_back(Upsert("draining", kLeaves, true));
+    for (std::int64_t revision = kSince + 1; revision < kTo; ++revision) {
+      if (revision != kLeaves)
+        listing.changes.push_back(
+            Upsert(std::to_string(revision), revision, false, kPadding));
+    }
+    OrderListed(&listing.changes);
+    const std::vector<StoreBatch> parts = SplitBatch(listing);
+    CHECK(parts.size() > 2);
+    for (std::int64_t held = kSince; held < kTo; ++held) {
+      Place reached(held);
+      std::set<std::string> removed;
+      bool knows_draining = held >= kLeaves;
+      for (const StoreBatch& part : parts) {
+        if (Fit(part, reached) != BatchFit::kApplies)
+          continue;
+        for (std::size_t i = 0; i < part.changes.size(); ++i) {
+          const bool is_news = IsNews(part, i, reached);
+          if (is_news && part.changes[i].deleted)
+            removed.insert(part.changes[i].id);
+          knows_draining |= is_news && part.changes[i].id == "draining";
+        }
+        reached = fleet::RangeOf(part).to;
       }
-      reached = fleet::RangeOf(part).to;
+      const std::string name =
+          std::to_string(removals) + " held " + std::to_string(held);
+      // The others ask for what they lack.
+      const bool is_complete =
+          removed.size() == static_cast<std::size_t>(removals) &&
+          knows_draining;
+      CHECK_TEXT(reached == Place(held) || is_complete, name.c_str());
     }
-    const std::string name = "held " + std::to_string(held);
-    // The others ask for what they lack.
-    const bool is_complete = knows_removal && knows_draining;
-    CHECK_TEXT(reached == Place(held) || is_complete, name.c_str());
   }
 }
 
