Daemon: After a copy, daemons ask each other who has left

It cannot tell by itself that it lacks something: reports that waited in its socket meanwhile confirm its view. Change: each daemon asks two others for the departures they remember when it learns of a new era, not only after its start.

--- a/src/daemon/departure_sync.cc
+++ b/src/daemon/departure_sync.cc
@@ -14,6 +14,9 @@
 /// the same time.
 constexpr int kAsks = 5;
 constexpr Milliseconds kAskInterval{1000};
+/// When the store has come back: one daemon may have been cut off as well.
+constexpr int kAnswersAfterReturn = 2;
+constexpr Milliseconds kAskIntervalAfterReturn{250};
 
 }  // namespace
 
@@ -40,22 +43,36 @@
     return;
   this->asked = from;
   this->is_asking = true;
-  this->next_at = now + kAskInterval;
+  this->next_at =
+      now + (this->has_learned ? kAskIntervalAfterReturn : kAskInterval);
   --this->asks_left;
   FetchFromDaemon(
       this->client, from, this->peer_port, kPath, kFetchTimeout,
       [this, from](const std::string* body) { this->OnFetched(from, body); });
 }
 
+void DepartureSync::AskAgain(TimePoint now) {
+  // One that has started asks in any case.
+  if (!this->has_learned)
+    return;
+  this->is_done = false;
+  this->asks_left = kAsks;
+  this->answers_wanted = kAnswersAfterReturn;
+  this->next_at = now;
+}
+
 void DepartureSync::OnFetched(std::uint32_t from, const std::string* body) {
   this->is_asking = false;
   this->is_done = this->asks_left == 0;
+  this->has_learned = this->has_learned || this->is_done;
   if (body == nullptr)
     return;
   const Result<fleet::gen::Departures> told = fleet::DecodeDepartures(*body);
   if (!told)
     return;
-  this->is_done = true;
+  --this->answers_wanted;
+  this->is_done = this->is_done || this->answers_wanted == 0;
+  this->has_learned = true;
   this->target.learn(told.value());
   this->log->Write(
       kDeparturesLearned, "",
@@ -67,7 +84,7 @@
   constexpr int kNoRoom = 503;
   if (path != kPath)
     return {};
-  if (!this->is_done)
+  if (!this->has_learned)
     return {kNoRoom, "not known\n"};
   gateway::HealthAnswer answer{200, fleet::Encode(this->target.remembered())};
   if (!TryTransfer(answer.body.size(), BootNow(), &this->transfers))
--- a/src/daemon/departure_sync.h
+++ b/src/daemon/departure_sync.h
@@ -21,9 +21,10 @@
   std::function<void(const fleet::gen::Departures&)> learn;
 };
 
-/// Fetches from another daemon, once after the start, which endpoints have left
-/// before. The store may come back from a copy in which they are ready, and
-/// does not show a daemon that has started since that they had left.
+/// Fetches from other daemons which endpoints have left before: from one after
+/// the start, and from two each time the store has come back. The copy may call
+/// such endpoints ready, and nothing in it shows that they had left to a daemon
+/// that has started since, was cut off or stood still.
 class DepartureSync {
  public:
   DepartureSync(fleet::Fleet* fleet,
@@ -34,6 +35,9 @@
 
   /// Asks another daemon if that is due.
   void Tick(TimePoint now);
+  /// The store has come back. This daemon may lack what was told before, and
+  /// need not know that.
+  void AskAgain(TimePoint now);
   /// Answers another daemon that has started, with status 503 as long as this
   /// one does not know itself.
   gateway::HealthAnswer Answer(std::string_view path);
@@ -49,10 +53,12 @@
   DecisionLog* log;
   DepartureTarget target;
   TransferBudget transfers;
+  bool has_learned = false;  ///< What was known at the start.
   bool is_done = false;
   bool is_asking = false;
   std::uint32_t asked = 0;  ///< The last daemon that was asked.
   int asks_left;
+  int answers_wanted = 1;
   TimePoint next_at;
 };
 
--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -181,6 +181,7 @@
   // this daemon lists them.
   if (this->endpoints_known)
     departure::BeginEra(BootNow(), &this->departed);
+  this->departure_sync.AskAgain(BootNow());
   const bool reads =
       this->large ? this->rank == 0 : this->fleet->ReadsLatestState();
   const Milliseconds max_delay = reads ? Milliseconds(0) : kNewEraSpread;
--- a/src/idempotency/record_sweeper.cc
+++ b/src/idempotency/record_sweeper.cc
@@ -1,6 +1,7 @@
 #include "idempotency/record_sweeper.h"
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -119,6 +120,7 @@
     return;
   int deleted = 0;
   std::string token;
+  std::set<std::string> tokens;  // One that comes again leads back.
   do {
     const Result<objectapi::ObjectList> page =
         objectapi::ListObjectPage(this->connection, objectapi::kRecordKind,
@@ -127,7 +129,8 @@
       break;
     deleted += this->SweepPage(page.value());
     token = page.value().continue_token;
-  } while (!token.empty() && this->ShouldContinue());
+  } while (!token.empty() && tokens.insert(token).second &&
+           this->ShouldContinue());
   if (deleted > 0)
     LogEvent(kRecordsExpired, "deleted=" + std::to_string(deleted));
 }
--- a/tests/integration/drill_site.cc
+++ b/tests/integration/drill_site.cc
@@ -110,6 +110,9 @@
 
 bool DrillSite::Start() {
   this->store.Put("config", "main", MakeConfig(0));
+  // Entries of other writers, whose names mean something in a target.
+  for (const char* const name : {"&x", "r1 #x", "r2&after=z", "r3%7Ax"})
+    this->store.Put("servers", name, {{"x", 1}});
   this->Register();
   this->StartAll();
   if (!AwaitAllLive(this->daemons, Milliseconds(20'000)))
--- a/tests/integration/store_drill_test.cc
+++ b/tests/integration/store_drill_test.cc
@@ -112,6 +112,28 @@
   LONGS_EQUAL(0, site.tally.late_arrivals);
 }
 
+// Guards against requests at endpoints that left while a daemon stood still:
+// the copy, which the daemon reads first after it has woken, calls them ready.
+TEST(StoreDrill, DeparturesOutlastTheReturnInADaemonThatStoodStill) {
+  constexpr int kFrozen = 4;
+  DrillSite site(kDaemons, 53);
+  CHECK(site.Start());
+  // Daemons that have just started ask who has left in any case.
+  site.RunFor(Milliseconds(7000));
+  site.Freeze(kFrozen);
+  site.RunFor(Milliseconds(500));
+  site.Leave("r1");
+  site.Remove("r2");
+  site.RunFor(Milliseconds(3500));
+  site.Begin({Milliseconds(500), Milliseconds(8000), Milliseconds(8000)});
+  site.RunFor(Milliseconds(1000));
+  site.Heal(kFrozen);
+  site.RunFor(Milliseconds(10'000));
+  Print("daemon stood still during the departures", site.tally);
+  CHECK(site.tally.routed > 0);
+  LONGS_EQUAL(0, site.tally.late_arrivals);
+}
+
 // Guards against a mere outage being taken for another history.
 TEST(StoreDrill, AnOutageWithoutLossChangesNothing) {
   Check({"nothing lost",
