--- a/src/store/listing_progress.h
+++ b/src/store/listing_progress.h
@@ -18,8 +18,8 @@
 inline constexpr std::size_t kMaxListingBytes = 32UL * 1024 * 1024;
 /// Of the specs that are kept; as parsed values they take several times that.
 inline constexpr std::size_t kMaxKeptBytes = 8UL * 1024 * 1024;
-/// From the first call to the last one.
-inline constexpr Milliseconds kMaxListingTime{10'000};
+/// From the first call to the last one. A page of a slow store takes a second.
+inline constexpr Milliseconds kMaxListingTime{30'000};
 /// Of one spec that is parsed. A longer one is listed as unreadable.
 inline constexpr std::size_t kMaxParsedSpecBytes = 256UL * 1024;
 
--- a/src/store/listing_progress_unittest.cc
+++ b/src/store/listing_progress_unittest.cc
@@ -42,7 +42,7 @@
       {"too many entries", many, Milliseconds(0), 41},
       {"too many bytes", large, Milliseconds(0), 34},
       {"too many bytes", kept, Milliseconds(0), 9},
-      {"listing takes too long", MakePage("n"), Milliseconds(1000), 10},
+      {"listing takes too long", MakePage("n"), Milliseconds(1000), 30},
   };
   for (const Row& row : rows) {
     ListingProgress progress = BeginListing(start);
