--- a/tests/integration/restart_test.cc
+++ b/tests/integration/restart_test.cc
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include "gateway_process.h"
+#include "process_usage.h"
 #include "replica_site.h"
 #include "support/free_port.h"
+#include "support/loopback_server.h"
 #include "support/replica_standin.h"
 #include "support/store_standin.h"
 
@@ -255,3 +257,44 @@
   daemon.WriteSettings(8);
   CHECK(daemon.AwaitReady());
 }
+
+// Guards against a daemon that reads pages for ever and keeps all that they
+// list: two pages that lead to each other fill the memory of its VM (251 MB in
+// 41 s, a way to FAULT, issue 58).
+TEST(Restart, PagesWithoutEndFillNoMemory) {
+  constexpr int kEntries = 500;
+  constexpr long kMemoryKb = 182L * 1024;
+  constexpr int kSeconds = 20;
+  /// Listings begin again with a growing pause.
+  constexpr int kMaxCalls = 40 * kSeconds;
+  ReplicaSite site(1);
+  int calls = 0;
+  const auto page_text = [&site](const std::string& prefix) {
+    std::string items = R"({"metadata":{"name":"r1","revision":101},"spec":)" +
+                        site.replicas[0]->Entry().dump() + "}";
+    for (int i = 0; i < kEntries; ++i)
+      items += R"(,{"metadata":{"name":")" + prefix + std::to_string(i) +
+               R"(","revision":101},"spec":{"x":1}})";
+    return R"({"items":[)" + items + R"(],"hasMore":true,"at":150})";
+  };
+  const std::string pages[] = {page_text("g"), page_text("h")};
+  testing::LoopbackServer store(
+      &site.io, site.host,
+      [&](const testing::ReceivedRequest& request,
+          const std::shared_ptr<net::TcpStream>& stream) {
+        if (request.head.target.rfind("/objects/servers", 0) != 0) {
+          site.store.Serve(request, stream);
+          return;
+        }
+        testing::Reply(stream, 200, pages[calls++ % 2], {{"Store-Era", "1"}});
+      });
+  site.PutConfig(1);
+  GatewayProcess daemon(&site.io, testing::MoreLoopbackHost(0),
+                        store.AddressText());
+  daemon.Start();
+  daemon.RunUntil([] { return false; }, kSeconds * 1000);
+  CHECK(daemon.process->IsRunning());
+  CHECK(testing::StatusKb(daemon.process->Pid(), "VmHWM:") < kMemoryKb);
+  CHECK(calls < kMaxCalls);
+  LONGS_EQUAL(200, daemon.Ready());
+}
