--- a/tests/integration/gateway_process.h
+++ b/tests/integration/gateway_process.h
@@ -18,11 +18,11 @@
   std::string name = "vm-1";
   int peer_port = 0;  ///< The same for all; 0 for a free one.
   int memory_mb = 512;
-  int metrics_port = 0;            ///< `--metrics-port`; 0 leaves it out.
   int max_fds = 0;                 ///< `limits.maxFds`; 0 leaves it out.
   std::string more_settings = {};  ///< Further lines of the settings file.
   /// The program to run, relative to the build folder.
   std::string program = "coltsfootvane";
+  int metrics_port = 0;  ///< `--metrics-port`; 0 leaves it out.
 };
 
 /// The real daemon of the users' platform as a process, with its settings file.
