--- a/tests/integration/replica_site.cc
+++ b/tests/integration/replica_site.cc
@@ -68,7 +68,10 @@
 }
 
 ReplicaStandin* ReplicaSite::AddReplica() {
-  const std::string id = "r" + std::to_string(this->replicas.size() + 1);
+  return this->AddReplica("r" + std::to_string(this->replicas.size() + 1));
+}
+
+ReplicaStandin* ReplicaSite::AddReplica(const std::string& id) {
   this->replicas.push_back(
       std::make_unique<ReplicaStandin>(&this->io, this->host, id));
   return this->replicas.back().get();
--- a/tests/integration/replica_site.h
+++ b/tests/integration/replica_site.h
@@ -37,8 +37,9 @@
   /// Puts the configuration, registers the replicas, starts the daemon and
   /// waits until it is ready.
   bool Start();
-  /// Adds a replica that registers from now on.
+  /// Adds a replica that registers from now on, under the next ID or this one.
   ReplicaStandin* AddReplica();
+  ReplicaStandin* AddReplica(const std::string& id);
   void PutConfig(int version);
   /// Calls `path` again and again, about 50 times a second.
   void StartCalls(const std::string& path);
