Platform, fleet: An entry with an odd name names no endpoint

Callers: requests reached strangers, and sound endpoints after their leaving had been acknowledged; a stranger described as an engine kept a model from being loaded.

Cause: ReadEndpoint() asked only whether a name can stand in a header field, and FromWire() whether it is empty. An entry of another writer that was sound but for its name became an endpoint under that name.

Change: IsEndpointId() decides once what the ID of an endpoint may be, for entries and for the news of daemons: 1 to 256 characters that stand in a path segment as they are and delimit nothing (RFC 3986's unreserved, `:` and `@`). It takes the place of IsStatableName().

--- a/src/base/name_text.cc
+++ b/src/base/name_text.cc
@@ -8,6 +8,8 @@
 
 constexpr std::string_view kUnreserved =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+/// Beside kUnreserved, in the ID of an endpoint, as in `host:port`.
+constexpr std::string_view kIdDelimiters = ":@";
 /// Beside kUnreserved and `%`, in paths and queries.
 constexpr std::string_view kTargetDelimiters = "!$&'()*+,;=:@/?";
 constexpr std::size_t kDigits = 2;  ///< After a `%`.
@@ -87,8 +89,12 @@
          std::none_of(text.begin(), text.end(), IsControl);
 }
 
-bool IsStatableName(std::string_view name) {
-  return !name.empty() && name.size() <= kMaxNameBytes && IsFieldValue(name);
+bool IsEndpointId(std::string_view name) {
+  const bool allowed = std::all_of(name.begin(), name.end(), [](char c) {
+    return IsIn(kUnreserved, c) || IsIn(kIdDelimiters, c);
+  });
+  return allowed && name.size() <= kMaxNameBytes &&
+         PathSegment(name).has_value();
 }
 
 std::string Printable(std::string_view name) {
--- a/src/base/name_text.h
+++ b/src/base/name_text.h
@@ -32,9 +32,10 @@
 /// 9110, section 5.5): without control bytes, and without blanks at its ends.
 bool IsFieldValue(std::string_view text);
 
-/// Returns whether a name can be stated in a header field and in a datagram of
-/// the daemons: a field value of 1 to 256 bytes.
-bool IsStatableName(std::string_view name);
+/// Returns whether a name can be the ID of an endpoint. It reads the same in a
+/// path, a query, a header field, a datagram and a log line: 1 to 256 unreserved
+/// characters (RFC 3986, section 2.3), `:` or `@`, but neither `.` nor `..`.
+bool IsEndpointId(std::string_view name);
 
 /// Returns the name as the value of a `key=value` pair in a log line: cut to 80
 /// bytes, with `?` for a blank, a quote and what is not printable.
--- a/src/base/name_text_unittest.cc
+++ b/src/base/name_text_unittest.cc
@@ -55,9 +55,39 @@
     CHECK_TEXT(IsFieldValue(value), value);
   for (const char* const value : {" a", "a ", "a\nb", "a\rb", "\t", "a\x7f"})
     CHECK_FALSE_TEXT(IsFieldValue(value), value);
-  CHECK(IsStatableName(std::string(256, 'x')));
-  CHECK_FALSE(IsStatableName(std::string(257, 'x')));
-  CHECK_FALSE(IsStatableName(""));
+}
+
+// Guards against an entry of another writer that is taken for an endpoint, and
+// against an endpoint that is not used for its name.
+TEST(NameText, TellsEndpointIds) {
+  for (const char* const name :
+       {"i-7f3a91c2", "r1", "E_1", "node.7~b", "10.0.0.9:8080", "a@dc", "..."})
+    CHECK_TEXT(IsEndpointId(name), name);
+  CHECK(IsEndpointId(std::string(256, 'x')));
+  for (const char* const name : {"",
+                                 ".",
+                                 "..",
+                                 "i-1&x",
+                                 "i-1+x",
+                                 "i-1#x",
+                                 "i-1%x",
+                                 "i-1%41",
+                                 "i-1 x",
+                                 " i-1",
+                                 "i-1 ",
+                                 "i-1\"x\\",
+                                 "i-1\xc3\xa9",
+                                 "i-1/x",
+                                 "i-1?x",
+                                 "i-1\r\nX: y",
+                                 "i-1\x7f",
+                                 "i-1,i-2",
+                                 "i-1;x",
+                                 "i-1=x",
+                                 "<i-1>"})
+    CHECK_FALSE_TEXT(IsEndpointId(name), name);
+  CHECK_FALSE(IsEndpointId(std::string(257, 'x')));
+  CHECK_FALSE(IsEndpointId(std::string_view("i-1\0x", 5)));
 }
 
 // Guards against a name that forges a log line or another pair of it.
--- a/src/fleet/store_batches.cc
+++ b/src/fleet/store_batches.cc
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "base/name_text.h"
+
 namespace coltsfootvane::fleet {
 namespace {
 
@@ -288,7 +290,7 @@
                                         const gen::EndpointFields& fields) {
   boost::system::error_code ec;
   const auto host = boost::asio::ip::make_address(fields.host, ec);
-  if (ec || id.empty() || fields.port <= 0 ||
+  if (ec || !IsEndpointId(id) || fields.port <= 0 ||
       fields.port > std::numeric_limits<unsigned short>::max() ||
       fields.slots <= 0 || fields.slots > kMaxSlots)
     return Error{ErrorCode::kInvalid, "no usable endpoint"};
--- a/src/fleet/store_batches_unittest.cc
+++ b/src/fleet/store_batches_unittest.cc
@@ -256,6 +256,16 @@
   CHECK(!fleet::FromWire("e", bad));
 }
 
+// Guards against a daemon of an older version that tells an entry of another
+// writer as an endpoint.
+TEST(StoreBatches, OddNamesNameNoEndpoint) {
+  const auto fields = Upsert("e", 5).fields;
+  CHECK(fleet::FromWire("i-7f3a91c2", fields).has_value());
+  for (const char* const name :
+       {"", "e&x", "e+x", "e#x", "e%x", "e x", "e\"x\\", "e\xc3\xa9"})
+    CHECK_TEXT(!fleet::FromWire(name, fields), name);
+}
+
 // Guards against a reader whose link carries a copy for each daemon, and
 // against daemons that no relay is told of.
 TEST(StoreBatches, RelaysReachAllInThreeHops) {
