Daemon: A skipped entry is counted and logged once, not at each heartbeat

Operators: an entry of another writer that renews itself filled the log and the count of skipped entries, one line for each heartbeat.

Cause: the view remembered the revision of a skipped entry, and a heartbeat is a new one. What peers told and could not be used was dropped without a line.

Change: an entry is counted and logged once until it is deleted or names an endpoint, also by daemons that learn of it from others.

--- a/src/daemon/store_view.cc
+++ b/src/daemon/store_view.cc
@@ -62,8 +62,8 @@
                 this->EndpointEvents()),
       skipped_entries(&prometheus::BuildCounter()
                            .Name("coltsfootvane_store_entries_skipped_total")
-                           .Help("Versions of entries that name no endpoint or "
-                                 "cannot be read")
+                           .Help("Entries that name no endpoint or cannot be "
+                                 "read, each once until it is deleted or does")
                            .Register(own_gateway->registry)),
       in_force_limit(change_limit),
       check_counter(
--- a/src/daemon/store_view.h
+++ b/src/daemon/store_view.h
@@ -3,7 +3,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -102,7 +101,9 @@
   void OnPartialEndpointListing(const store::Listing& listing);
   void OnEndpointChanges(const store::Changes& changes);
   void UpsertEndpoint(const store::Object& object);
-  void SkipEndpoint(const store::Object& object, const std::string& reason);
+  void SkipEndpoint(const std::string& name,
+                    const store::Place& place,
+                    const std::string& reason);
   static constexpr store::Place kDeleted{};
   /// `unusable` is the place of an entry that cannot be used, or kDeleted.
   void RemoveEndpoint(const std::string& id, const store::Place& unusable);
@@ -125,8 +126,8 @@
   store::KindFollower config;
   store::KindFollower endpoints;
   prometheus::Family<prometheus::Counter>* skipped_entries;
-  /// Places of the entries that name no endpoint, by name.
-  std::map<std::string, store::Place> skipped;
+  /// Names of the entries that name no endpoint, until they are deleted or do.
+  std::set<std::string> skipped;
   departure::Departures departed;
   bool reads_missing = false;  ///< Reads whether endpoints are still missing.
   /// Time within which changes must be in force.
--- a/src/daemon/store_view_endpoints.cc
+++ b/src/daemon/store_view_endpoints.cc
@@ -22,7 +22,7 @@
   }
   const bool gone = this->RemoveOthers(listed);
   for (auto it = this->skipped.begin(); it != this->skipped.end();)
-    it = listed.count(it->first) == 0 ? this->skipped.erase(it) : std::next(it);
+    it = listed.count(*it) == 0 ? this->skipped.erase(it) : std::next(it);
   if (gone)
     this->NoteDeparture(listing.place);
   // Endpoints may have come and gone unseen since the view was last complete.
@@ -73,7 +73,7 @@
     // about, so that a known endpoint stays as it is.
     if (entry.error().code != ErrorCode::kNotFound)
       this->RemoveEndpoint(object.name, object.place);
-    this->SkipEndpoint(object, entry.error().message);
+    this->SkipEndpoint(object.name, object.place, entry.error().message);
     return;
   }
   this->skipped.erase(object.name);
@@ -129,21 +129,18 @@
   gateway::UpsertEndpoint(&this->gateway->endpoints, std::move(entry));
 }
 
-/// Counts and logs an entry that names no usable endpoint, once for each of its
-/// revisions, however often it is listed.
-void StoreView::SkipEndpoint(const store::Object& object,
+/// Counts and logs an entry that names no usable endpoint, once for all of its
+/// revisions: another writer may renew it with each heartbeat.
+void StoreView::SkipEndpoint(const std::string& name,
+                             const store::Place& place,
                              const std::string& reason) {
-  const auto [known, inserted] =
-      this->skipped.emplace(object.name, object.place);
-  if (!inserted && known->second == object.place)
+  if (!this->skipped.insert(name).second)
     return;
-  known->second = object.place;
   this->skipped_entries->Add({{"kind", this->deployment->endpoint_kind}})
       .Increment();
   this->log->Write(kEndpointUnreadable, "",
-                   "endpoint=" + Printable(object.name) + " reason=\"" +
-                       reason +
-                       "\" revision=" + store::FormatPlace(object.place));
+                   "endpoint=" + Printable(name) + " reason=\"" + reason +
+                       "\" revision=" + store::FormatPlace(place));
 }
 
 void StoreView::RaiseMaxDeparture(const store::Place& place) {
--- a/src/daemon/store_view_news.cc
+++ b/src/daemon/store_view_news.cc
@@ -146,11 +146,14 @@
     Result<gateway::EndpointEntry> entry =
         change.__isset.fields ? fleet::FromWire(change.id, change.fields)
                               : Error{ErrorCode::kInvalid, "no entry"};
-    this->skipped.erase(change.id);
+    if (entry || change.deleted)
+      this->skipped.erase(change.id);
     if (entry) {
       this->UpsertEntry(std::move(entry).value(), place);
       continue;
     }
+    if (change.__isset.fields)
+      this->SkipEndpoint(change.id, place, entry.error().message);
     this->RemoveEndpoint(change.id, change.deleted ? kDeleted : place);
     if (change.deleted)
       this->NoteDeparture(to);
@@ -168,10 +171,13 @@
   for (const gen::EndpointNews& change : all.changes) {
     Result<gateway::EndpointEntry> entry =
         fleet::FromWire(change.id, change.fields);
-    if (!entry)
+    const store::Place place = fleet::PlaceOf(change, all);
+    if (!entry) {
+      this->SkipEndpoint(change.id, place, entry.error().message);
       continue;
+    }
     listed.insert(change.id);
-    this->UpsertEntry(std::move(entry).value(), fleet::PlaceOf(change, all));
+    this->UpsertEntry(std::move(entry).value(), place);
   }
   this->RemoveOthers(listed);
   // It does not tell when endpoints have left, nor of those that came and went.
--- a/src/daemon/store_view_unittest.cc
+++ b/src/daemon/store_view_unittest.cc
@@ -52,6 +52,16 @@
   CHECK(fixture->view.KnowsWhoHasLeft());
 }
 
+/// Returns how many entries were counted as skipped.
+int CountSkipped(StoreViewFixture* fixture) {
+  double count = 0;
+  for (const auto& family : fixture->gateway.registry.Collect()) {
+    if (family.name == "coltsfootvane_store_entries_skipped_total")
+      count += family.metric.at(0).counter.value;
+  }
+  return static_cast<int>(count);
+}
+
 }  // namespace
 
 TEST_GROUP(StoreView){};
@@ -115,6 +125,69 @@
   LONGS_EQUAL(0, fixture.gateway.endpoints.endpoints.count("c"));
 }
 
+// Guards against a log line and a count for each heartbeat of another writer,
+// whose entry names no endpoint.
+TEST(StoreView, SkippedEntriesAreCountedOnce) {
+  StoreViewFixture fixture;
+  std::int64_t revision = 10;
+  const auto odd = [&revision] {
+    store::Object object = MakeObject("a&x", ++revision);
+    object.fault = "test";
+    return object;
+  };
+  const auto change = [&](const store::Object& object, bool deleted) {
+    while (fixture.watches.empty())
+      fixture.io.run_one_for(kLimit);
+    Changes changes;
+    changes.place = object.place;
+    changes.changes = {{object, deleted}};
+    std::exchange(fixture.watches, {}).back()(changes);
+  };
+  fixture.partial_lists[0](Listing{{odd()}, store::Place(revision)});
+  fixture.lists[0](Listing{{odd()}, store::Place(revision)});
+  for (int heartbeat = 0; heartbeat < 5; ++heartbeat)
+    change(odd(), false);
+  LONGS_EQUAL(1, CountSkipped(&fixture));
+  change(odd(), true);
+  change(odd(), false);
+  LONGS_EQUAL(2, CountSkipped(&fixture));
+  change(MakeObject("a&x", ++revision), false);
+  change(odd(), false);
+  LONGS_EQUAL(3, CountSkipped(&fixture));
+}
+
+// Guards against an endpoint with an odd name that a daemon of an older version
+// tells, and against news that are left out without a word.
+TEST(StoreView, OddNamesInNewsNameNoEndpoint) {
+  StoreViewFixture fixture;
+  fixture.lists[0](Listing{{}, store::Place(10)});
+  for (std::int64_t revision = 11; revision < 14; ++revision) {
+    fleet::gen::StoreBatch batch;
+    for (const char* const id : {"a", "a x"}) {
+      fleet::gen::EndpointNews change;
+      change.id = id;
+      change.revision = revision;
+      change.__set_fields(fleet::ToWire(
+          testing::ReadEndpoint("a", nlohmann::json::object()).value()));
+      batch.changes.push_back(change);
+    }
+    fleet::SetRange({store::Place(revision - 1), store::Place(revision - 1),
+                     store::Place(revision)},
+                    &batch);
+    fleet::gen::Datagram datagram;
+    datagram.__set_store_news({});
+    datagram.store_news.batches = {batch};
+    fixture.peer.send_to(boost::asio::buffer(fleet::Encode(datagram)),
+                         fixture.Own());
+    fixture.view.Tick();
+    fixture.io.run_for(Milliseconds(50));
+  }
+  LONGS_EQUAL(13, fixture.view.Endpoints().At().revision);
+  LONGS_EQUAL(1, fixture.gateway.endpoints.endpoints.count("a"));
+  LONGS_EQUAL(0, fixture.gateway.endpoints.endpoints.count("a x"));
+  LONGS_EQUAL(1, CountSkipped(&fixture));
+}
+
 // Guards against requests at an endpoint that left before a drill, beyond the
 // time allowed: the time in which endpoints may register again began with the
 // daemon's own listing, up to a second after the return of the store (DRAIN,
