Placement: A lease with numbers that no daemon writes counts as released

Callers: models that had to be loaded were served no more, for good.

Cause: ParseLease() took any number for the epoch. The next one after is negative, and engines refuse the orders of a holder with such a token. Numbers with a fraction were converted without a check of range.

Change: epoch and renewals are whole numbers from 0 to 10^15, which leaves room for all eras of the store and for counting on.

--- a/src/placement/lease.cc
+++ b/src/placement/lease.cc
@@ -7,6 +7,15 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+bool IsLeaseNumber(const Json& json) {
+  return json.is_number_unsigned() &&
+         json.get<std::uint64_t>() <= std::uint64_t{kMaxLeaseNumber};
+}
+
+}  // namespace
+
 std::string FormatLease(const LeaseSpec& spec) {
   const Json json = {{"holder", spec.holder},
                      {"epoch", spec.epoch},
@@ -17,6 +26,8 @@
 Result<LeaseSpec> ParseLease(std::string_view text) {
   try {
     const Json json = Json::parse(text);
+    if (!IsLeaseNumber(json.at("epoch")) || !IsLeaseNumber(json.at("renewals")))
+      return Error{ErrorCode::kInvalid, "epoch or renewals is no such number"};
     LeaseSpec spec;
     spec.holder = json.at("holder").get<std::string>();
     spec.epoch = json.at("epoch").get<std::int64_t>();
--- a/src/placement/lease.h
+++ b/src/placement/lease.h
@@ -27,6 +27,10 @@
 /// older copy lacks epochs that were in use, which must not be given out again.
 inline constexpr std::int64_t kEpochsPerEra = 1'000'000;
 
+/// Numbers of a lease beyond it were not written by a daemon. Far below it the
+/// next epoch can still be counted.
+inline constexpr std::int64_t kMaxLeaseNumber = 1'000'000'000'000'000;
+
 /// The timing of one lease. The difference between `expiry` and `send_period`
 /// is the minimum time between the commands of two holders.
 struct LeaseTimes {
@@ -46,6 +50,8 @@
 };
 
 std::string FormatLease(const LeaseSpec& spec);
+/// Errors: kInvalid for anything but what FormatLease() returns, so that the
+/// lease counts as released.
 Result<LeaseSpec> ParseLease(std::string_view json);
 
 /// One daemon's view of the lease.
--- a/src/placement/lease_unittest.cc
+++ b/src/placement/lease_unittest.cc
@@ -158,6 +158,38 @@
   CHECK(!ParseLease("{}").has_value());
 }
 
+// Guards against a lease of another writer whose epoch has no next one: orders
+// would carry a negative token, which engines refuse for good.
+TEST(Lease, OddLeasesCountAsReleased) {
+  const char* const texts[] = {
+      "null",
+      "[]",
+      "7",
+      R"("x")",
+      R"({"x":1})",
+      R"({"holder":7,"epoch":1,"renewals":1})",
+      R"({"holder":"x","epoch":"1","renewals":1})",
+      R"({"holder":"x","epoch":1})",
+      R"({"holder":"x","epoch":-1,"renewals":1})",
+      R"({"holder":"x","epoch":1.5,"renewals":1})",
+      R"({"holder":"x","epoch":1e300,"renewals":1})",
+      R"({"holder":"x","epoch":9223372036854775807,"renewals":1})",
+      R"({"holder":"x","epoch":18446744073709551615,"renewals":1})",
+      R"({"holder":"x","epoch":1,"renewals":9223372036854775807})"};
+  for (const char* const text : texts)
+    CHECK_TEXT(!ParseLease(text), text);
+  for (const std::int64_t number : {std::int64_t{0}, kMaxLeaseNumber}) {
+    Lease lease;
+    lease.self = "vm/1";
+    const LeaseSpec held{"other", number, number};
+    const Result<LeaseSpec> read = ParseLease(FormatLease(held));
+    CHECK(read.has_value());
+    OnLeaseRead(&lease, read.value(), 5, At(0));
+    const LeaseSpec next = NextLeaseSpec(lease, LeaseStep::kTakeOver);
+    CHECK(next.epoch == number + 1);
+  }
+}
+
 // Guards against a restarted process waiting for its own lease to expire, and
 // against taking over the lease of a VM whose name or address starts with that
 // of this VM.
