Daemon: The ID of a recorded part is read as a whole

Callers: requests with a part of a prompt could be refused as quarantined since a record of another writer named another part.

Cause: ReadEvidence() read the hexadecimal digits at the beginning of the text and ignored the rest, so that `ab&x` was the part `ab`.

Change: a text with anything else names no part.

Measured: QuarantineRecord.OddEvidenceIsLeftOut failed on at `ab ` and passes.

--- a/src/daemon/quarantine_record.cc
+++ b/src/daemon/quarantine_record.cc
@@ -129,9 +129,9 @@
       continue;
     const std::string text = id.get<std::string>();
     PartId part = 0;
-    const auto read = std::from_chars(text.data(), text.data() + text.size(),
-                                      part, kHexadecimal);
-    if (read.ec != std::errc())
+    const char* const end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, part, kHexadecimal);
+    if (read.ec != std::errc() || read.ptr != end)
       continue;
     for (const json& one : involvements)
       ReadInvolvement(one, now, unix_ms, &suspects[part]);
--- a/src/daemon/quarantine_record_unittest.cc
+++ b/src/daemon/quarantine_record_unittest.cc
@@ -129,6 +129,14 @@
       R"({"parts":[{"part":"ab","involvements":[7,{"crash":-1}]}]})",
       old_one,
   };
+  for (const char* const id : {"", " ab", "ab ", "ab&x", "ab+x", "ab#x",
+                               "ab%20", "-1", "0xab", "1ffffffffffffffff"}) {
+    json spec = json::parse(
+        R"({"parts":[{"part":"","involvements":[{"crash":1,)"
+        R"("at":1770000000000,"answering":true,"observers":[1]}]}]})");
+    spec["parts"][0]["part"] = id;
+    CHECK_TEXT(ReadEvidence(spec, now, kUnixMs).empty(), id);
+  }
   for (const char* const spec : specs) {
     for (const auto& [part, suspect] :
          ReadEvidence(json::parse(spec), now, kUnixMs))
