Platform, orders: An object that cannot be read can be replaced

Callers: no order was given while the planner's lease held a text that cannot be read, so that models that no engine held were not served, after a restart for good.

Cause: the answer to a read of one object was an error, as if the store could not be reached, when its spec could not be read. Lease, record of quarantined parts and registration were read again and again and never replaced. Listings hand such objects over with a fault.

An unreadable lease counts as released, as one with missing fields did before, and is logged once for each revision (2508).

--- a/src/orders/events.h
+++ b/src/orders/events.h
@@ -14,6 +14,8 @@
 inline constexpr Event kCopyPlanned{2506, Severity::kInfo, "copy-planned"};
 inline constexpr Event kPlacementState{2507, Severity::kInfo,
                                        "placement-state"};
+inline constexpr Event kLeaseUnreadable{2508, Severity::kWarning,
+                                        "lease-unreadable"};
 
 }  // namespace coltsfootvane::orders
 
--- a/src/orders/lease_manager.cc
+++ b/src/orders/lease_manager.cc
@@ -135,13 +135,7 @@
         this->SetStoreUnreachable(!object &&
                                   object.error().code != ErrorCode::kNotFound);
         if (object) {
-          const Result<LeaseSpec> spec = ParseLease(object.value().spec.dump());
-          const store::Place& place = object.value().place;
-          // Versions of two eras say nothing about each other.
-          if (std::exchange(this->lease.era, place.era) != place.era)
-            this->lease.changed_at = TimePoint();
-          OnLeaseRead(&this->lease, spec ? spec.value() : LeaseSpec{},
-                      place.revision, now);
+          this->OnObjectRead(object.value(), now);
           return;
         }
         if (object.error().code == ErrorCode::kNotFound) {
@@ -153,6 +147,23 @@
       });
 }
 
+void LeaseManager::OnObjectRead(const store::Object& object, TimePoint now) {
+  const store::Place& place = object.place;
+  const Result<LeaseSpec> spec = ParseLease(object.spec.dump());
+  if (!spec && std::exchange(this->unreadable_place, place) != place) {
+    const std::string& reason =
+        object.fault.empty() ? spec.error().message : object.fault;
+    this->log->Write(
+        kLeaseUnreadable, "",
+        "reason=\"" + reason + "\" revision=" + store::FormatPlace(place));
+  }
+  // Versions of two eras say nothing about each other.
+  if (std::exchange(this->lease.era, place.era) != place.era)
+    this->lease.changed_at = TimePoint();
+  OnLeaseRead(&this->lease, spec ? spec.value() : LeaseSpec{}, place.revision,
+              now);
+}
+
 void LeaseManager::Write(LeaseStep step) {
   this->call_in_progress = true;
   const TimePoint start = BootNow();
--- a/src/orders/lease_manager.h
+++ b/src/orders/lease_manager.h
@@ -65,6 +65,7 @@
  private:
   void Tick();
   void Read();
+  void OnObjectRead(const store::Object& object, TimePoint now);
   void Write(LeaseStep step);
   TimePoint FirstOrderAt(LeaseStep step,
                          bool was_released,
@@ -105,7 +106,8 @@
   bool released = false;
   bool bystander = false;  ///< Others compete for the lease.
   int calls_as_bystander = 0;
-  bool holding = false;  ///< As last logged.
+  store::Place unreadable_place;  ///< Of the unreadable lease logged last.
+  bool holding = false;           ///< As last logged.
 };
 
 }  // namespace coltsfootvane::orders
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -78,6 +78,7 @@
                      Freshness,
                      Handler<Changes>)>
       watch;
+  /// An object whose spec cannot be read has a fault and its place.
   std::function<void(const std::string& kind,
                      const std::string& name,
                      Freshness,
