--- a/src/base/name_text.h
+++ b/src/base/name_text.h
@@ -33,8 +33,9 @@
 bool IsFieldValue(std::string_view text);
 
 /// Returns whether a name can be the ID of an endpoint. It reads the same in a
-/// path, a query, a header field, a datagram and a log line: 1 to 256 unreserved
-/// characters (RFC 3986, section 2.3), `:` or `@`, but neither `.` nor `..`.
+/// path, a query, a header field, a datagram and a log line: 1 to 256
+/// unreserved characters (RFC 3986, section 2.3), `:` or `@`, but neither `.`
+/// nor `..`.
 bool IsEndpointId(std::string_view name);
 
 /// Returns the name as the value of a `key=value` pair in a log line: cut to 80
