--- a/tests/integration/drill_site.cc
+++ b/tests/integration/drill_site.cc
@@ -1,7 +1,5 @@
 #include "drill_site.h"
 
-#include <signal.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -110,9 +108,12 @@
 
 bool DrillSite::Start() {
   this->store.Put("config", "main", MakeConfig(0));
-  // Entries of other writers, whose names mean something in a target.
+  // Entries of other writers, whose names mean something in a target. Some are
+  // sound but for their names.
   for (const char* const name : {"&x", "r1 #x", "r2&after=z", "r3%7Ax"})
     this->store.Put("servers", name, {{"x", 1}});
+  for (const auto& [id, replica] : this->replicas)
+    this->store.Put("servers", id + " x", replica->Entry());
   this->Register();
   this->StartAll();
   if (!AwaitAllLive(this->daemons, Milliseconds(20'000)))
@@ -144,56 +145,6 @@
   this->served[daemon] = 0;
 }
 
-void DrillSite::OnStoreCall(int daemon,
-                            const ReceivedRequest& request,
-                            const StreamPtr& stream) {
-  const auto number = static_cast<std::size_t>(daemon);
-  StoreLink& link = this->links[number];
-  ++link.calls;
-  link.connections.insert(stream);
-  if (Clock::now() < link.silent_until)
-    link.silent.insert(stream);
-  if (!this->cut[number] && link.silent.count(stream) == 0)
-    this->store.Serve(request, stream);
-}
-
-void DrillSite::Silence(int daemon, Milliseconds time) {
-  StoreLink& link = this->links[static_cast<std::size_t>(daemon)];
-  link.silent_until = Clock::now() + time;
-  link.silent.insert(link.connections.begin(), link.connections.end());
-  this->store.DropWatches(link.silent);
-}
-
-void DrillSite::Freeze(int daemon) {
-  this->disturbed_until[static_cast<std::size_t>(daemon)] = TimePoint::max();
-  this->daemons[static_cast<std::size_t>(daemon)]->process->Signal(SIGSTOP);
-}
-
-void DrillSite::Kill(int daemon) {
-  this->disturbed_until[static_cast<std::size_t>(daemon)] = TimePoint::max();
-  this->daemons[static_cast<std::size_t>(daemon)]->process->Kill();
-}
-
-void DrillSite::Heal(int number) {
-  const auto daemon = static_cast<std::size_t>(number);
-  this->cut[daemon] = false;
-  if (this->daemons[daemon]->process->IsRunning())
-    this->daemons[daemon]->process->Signal(SIGCONT);
-  else
-    this->StartOne(daemon);
-  this->disturbed_until[daemon] = Clock::now() + kChangeLimit;
-}
-
-bool DrillSite::IsDisturbed(int daemon) const {
-  const auto number = static_cast<std::size_t>(daemon);
-  return this->cut[number] || Clock::now() < this->disturbed_until[number];
-}
-
-void DrillSite::KillAll() {
-  for (const auto& daemon : this->daemons)
-    daemon->process->Kill();
-}
-
 void DrillSite::RunFor(Milliseconds time) {
   this->daemons.front()->RunUntil([] { return false; },
                                   static_cast<int>(time.count()));
