--- a/scripts/run_tests.sh
+++ b/scripts/run_tests.sh
@@ -7,6 +7,8 @@
 program=$1
 shift
 options=("$@")
+lines_of_failure=8  # After the line that names the test.
+lines_of_end=20     # Of a group that ended without naming one.
 logs=$(mktemp -d)
 trap 'rm -rf "$logs"' EXIT
 
@@ -65,6 +67,11 @@
 failures=$(count '(?<=^Errors \()\d+(?= failures)')
 echo "tests: $((ran - failures)) passed, $failures failed"
 if [ -n "$failed_groups" ]; then
+  # What failed is said again at the end, of which a kept log may hold no more.
+  for group in $failed_groups; do
+    printf -- '-- failures of %s\n' "$group"
+    grep -A "$lines_of_failure" ': error: Failure in ' "$logs/$group.log" || tail -n "$lines_of_end" "$logs/$group.log"
+  done >&2
   echo "failed groups: $failed_groups" >&2
   exit 1
 fi
