Gateway: Refused callers return evenly, not by chance together

Callers that are refused during a pause of all replicas were told to return at random times, so that now and then a fifth of them came back within a twentieth of the spread.

Cause: each return was drawn for itself. Of 120 draws some window of 100 ms held 12 to 25 where 10 are expected.

Change: NextReturn() takes the returns from a sequence that divides the spread evenly, by steps of the golden ratio, from a random start in each daemon.

The new Admission.RefusedCallersReturnEvenly fails with random draws.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -121,6 +121,7 @@
   this->gateway.held_bytes.limit = this->gateway.intake->bounds.common_bytes;
   this->client.SetAccount(&this->gateway.held_bytes);
   this->gateway.random.seed(std::random_device()());
+  this->gateway.return_sequence.position = this->gateway.random();
   this->ApplyChangeable(daemon_settings);
   this->fleet.quota_bounds = daemon_settings.quota_bounds;
   this->fleet.on_seen = [this](const fleet::SeenChanges& told) {
--- a/src/gateway/admission.cc
+++ b/src/gateway/admission.cc
@@ -36,8 +36,20 @@
   return std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
 }
 
+/// 2^64 divided by the golden ratio: multiples of it, modulo 2^64, divide the
+/// range evenly, however many there are.
+constexpr std::uint64_t kGoldenStep = 0x9e3779b97f4a7c15;
+
 }  // namespace
 
+Milliseconds NextReturn(const ReturnTime& time, ReturnSequence* sequence) {
+  constexpr double kRange = 0x1p64;
+  sequence->position += kGoldenStep;
+  const double share = static_cast<double>(sequence->position) / kRange;
+  const auto spread = static_cast<double>(time.spread.count());
+  return time.earliest + Milliseconds(std::llround(spread * share));
+}
+
 ReturnTime ReturnAfter(Milliseconds wait) {
   return {wait, wait / 2};
 }
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTVANE_GATEWAY_ADMISSION_H_
 #define COLTSFOOTVANE_GATEWAY_ADMISSION_H_
 
+#include <cstdint>
 #include <optional>
 
 #include "base/clock.h"
@@ -28,14 +29,25 @@
   Milliseconds retry_after{0};  ///< Earliest useful retry, if not admitted.
 };
 
-/// When a refused caller may come back: at a random time within `spread` after
-/// `earliest`, both from now. The spread keeps callers that were refused for
-/// the same reason from returning all at once.
+/// When a refused caller may come back: within `spread` after `earliest`, both
+/// from now. The spread keeps callers that were refused for the same reason
+/// from returning all at once.
 struct ReturnTime {
   Milliseconds earliest{0};
   Milliseconds spread{0};
 };
 
+/// Where the last refused caller returns within its spread, in units of 2^-64
+/// of it. It starts at random, so that daemons differ.
+struct ReturnSequence {
+  std::uint64_t position = 0;
+};
+
+/// Returns when the next refused caller may come back, from now. Callers that
+/// are refused one after the other return evenly over the spread, where times
+/// drawn at random would let many of them return together.
+Milliseconds NextReturn(const ReturnTime& time, ReturnSequence* sequence);
+
 /// Returns a time around an estimated wait.
 ReturnTime ReturnAfter(Milliseconds wait);
 
--- a/src/gateway/admission_unittest.cc
+++ b/src/gateway/admission_unittest.cc
@@ -1,5 +1,9 @@
 #include "gateway/admission.h"
 
+#include <algorithm>
+#include <random>
+#include <vector>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace coltsfootvane;  // NOLINT(google-build-using-namespace)
@@ -106,6 +110,43 @@
   }
 }
 
+/// Guards against callers that were refused one after the other and return
+/// together: a tenth of the spread must hold about a tenth of them.
+TEST(Admission, RefusedCallersReturnEvenly) {
+  struct Row {
+    const char* name;
+    int others;  ///< Callers refused for another reason after each of these.
+  };
+  const Row rows[] = {{"one reason", 0}, {"two", 1}, {"five", 4}};
+  constexpr int kCallers = 120;
+  constexpr int kMostTogether = 16;
+  const gateway::ReturnTime time{Milliseconds(500), Milliseconds(1000)};
+  std::mt19937_64 random(20261208);
+  for (const Row& row : rows) {
+    for (int start = 0; start < 50; ++start) {
+      gateway::ReturnSequence sequence{random()};
+      std::vector<Milliseconds> returns;
+      for (int i = 0; i < kCallers; ++i) {
+        returns.push_back(NextReturn(time, &sequence));
+        for (int other = 0; other < row.others; ++other)
+          NextReturn({Milliseconds(200), Milliseconds(100)}, &sequence);
+      }
+      std::sort(returns.begin(), returns.end());
+      CHECK_TEXT(returns.front() >= time.earliest, row.name);
+      CHECK_TEXT(returns.back() <= time.earliest + time.spread, row.name);
+      for (const Milliseconds& first : returns) {
+        const auto last = std::lower_bound(returns.begin(), returns.end(),
+                                           first + time.spread / 10);
+        const auto together =
+            last - std::lower_bound(returns.begin(), returns.end(), first);
+        CHECK_TEXT(together <= kMostTogether, row.name);
+      }
+    }
+  }
+  gateway::ReturnSequence sequence;
+  LONGS_EQUAL(500, NextReturn({Milliseconds(500)}, &sequence).count());
+}
+
 /// Guards against a team in a burst that takes the capacity of others, and
 /// against one that gets nothing though engines have room.
 TEST(Admission, TeamsOverTheirShareYieldSooner) {
--- a/src/gateway/exchange_end.cc
+++ b/src/gateway/exchange_end.cc
@@ -33,10 +33,8 @@
       "reason=\"" + std::string(reason) +
           "\" retry_after_ms=" + std::to_string(return_time.earliest.count()) +
           " model=" + Printable(this->info.model) + " " + std::string(inputs));
-  const auto jitter = static_cast<std::int64_t>(
-      this->gateway->random() %
-      (static_cast<std::uint64_t>(return_time.spread.count()) + 1));
-  this->RespondWith(status, return_time.earliest + Milliseconds(jitter));
+  this->RespondWith(status,
+                    NextReturn(return_time, &this->gateway->return_sequence));
 }
 
 void Exchange::Fail(int status,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "entry/retry_budget.h"
+#include "gateway/admission.h"
 #include "gateway/caller_intake.h"
 #include "gateway/crash_watch.h"
 #include "gateway/endpoint.h"
@@ -128,6 +129,7 @@
   /// Teams that yield where capacity is short; see FindOverShare().
   std::set<quota::TeamKey> teams_over_share;
   std::mt19937_64 random;
+  ReturnSequence return_sequence;
   bool leaving = false;  ///< A graceful shutdown is in progress.
   TimePoint leaving_since;
   /// During shutdown, requests that arrive from then on are refused, unless
